Lay out the workspace, the core's types and the platform's ports

Cause: nothing stood yet; every later part needs one vocabulary and one frame. The core holds the models and the one table from error kind to answer; the platform holds the ports.

--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Parts that benches and their tests share. */
+export type * from './frame/types.js';
--- /dev/null
+++ b/packages/core/src/errors/error-table.ts
@@ -0,0 +1,187 @@
+/**
+ * The closed list of error kinds and the one table from kind to answer.
+ * Outcome `not-run` is promised only where no byte of the request went to an
+ * upstream, or the upstream refused as its settings declare.
+ */
+import type {Outcome, RetryAdvice} from '../types/outcome.js';
+
+/** How one kind of error is answered over HTTP. */
+export type ErrorAnswer = {
+	readonly status: number;
+	readonly outcome: Outcome;
+	readonly retry: RetryAdvice;
+	readonly message: string;
+};
+
+/** One row a kind; docs/operators/errors.md explains each to operators. */
+export const errorTable = {
+	'bad-request': {
+		status: 400,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'the request is malformed',
+	},
+	'key-required': {
+		status: 400,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'this route needs an Idempotency-Key',
+	},
+	'key-invalid': {
+		status: 400,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'the Idempotency-Key is malformed or too long',
+	},
+	unauthenticated: {
+		status: 401,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'the token is missing or unknown',
+	},
+	forbidden: {
+		status: 403,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'the token does not allow this',
+	},
+	'unknown-service': {
+		status: 404,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'no service of that name',
+	},
+	'not-found': {
+		status: 404,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'no such object',
+	},
+	'version-conflict': {
+		status: 409,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'the object has changed since it was read',
+	},
+	'still-running': {
+		status: 409,
+		outcome: 'unknown',
+		retry: 'same-key',
+		message: 'a request with this key was started and has no answer yet',
+	},
+	'body-too-large': {
+		status: 413,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'the body is larger than this route takes',
+	},
+	'key-reused': {
+		status: 422,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'the Idempotency-Key was used with another request',
+	},
+	'promise-impossible': {
+		status: 422,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'a contract stands in the way',
+	},
+	'version-required': {
+		status: 428,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'If-Match or If-None-Match is required',
+	},
+	'over-contract': {
+		status: 429,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'the customer is over its contract and capacity is short',
+	},
+	'headers-too-large': {
+		status: 431,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'the request header is too large',
+	},
+	cancelled: {
+		status: 499,
+		outcome: 'unknown',
+		retry: 'if-idempotent',
+		message: 'the caller went away',
+	},
+	internal: {
+		status: 500,
+		outcome: 'unknown',
+		retry: 'if-idempotent',
+		message: 'internal error',
+	},
+	'upstream-unreachable': {
+		status: 502,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'no connection to an executor could be made',
+	},
+	'upstream-reset': {
+		status: 502,
+		outcome: 'unknown',
+		retry: 'if-idempotent',
+		message: 'the executor closed the connection before its answer was whole',
+	},
+	overloaded: {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'the request cannot be answered in time',
+	},
+	'no-executor': {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'no executor of the service is serving',
+	},
+	'upstream-refused': {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'the executor refused the request',
+	},
+	'store-unavailable': {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'the table service is down and this request needs it',
+	},
+	'store-unknown': {
+		status: 503,
+		outcome: 'unknown',
+		retry: 'same-key',
+		message: 'the table service did not answer; the write may have happened',
+	},
+	stopping: {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'this entry is stopping',
+	},
+	'deadline-in-queue': {
+		status: 504,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'the deadline passed before the request was sent',
+	},
+	'upstream-timeout': {
+		status: 504,
+		outcome: 'unknown',
+		retry: 'if-idempotent',
+		message: 'the executor did not answer within the deadline',
+	},
+} as const satisfies Record<string, ErrorAnswer>;
+
+/** Every kind of error that a caller or operator can be answered with. */
+export type ErrorKind = keyof typeof errorTable;
+
+/** The answer for one kind of error. */
+export const getErrorAnswer = (kind: ErrorKind): ErrorAnswer =>
+	errorTable[kind];
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** Daemon */
+export {};
--- /dev/null
+++ b/packages/stand-in/src/index.ts
@@ -0,0 +1,2 @@
+/** Stand-in */
+export {};
