Keep callers' token hashes in the contract

Cause: a customer created at run time needs tokens in force everywhere, and the settings of replaced entries cannot follow; tokens in clear would be secrets in the table service. Conclusion: authentication follows the view, like every limit.

--- a/packages/core/src/types/contract.ts
+++ b/packages/core/src/types/contract.ts
@@ -36,6 +36,8 @@
 	readonly customer: string;
 	/** Fair-share weight against other customers; above 0. */
 	readonly weight: number;
+	/** SHA-256 of each caller token, in hexadecimal; tokens are not stored. */
+	readonly tokenHashes: readonly string[];
 	readonly services: readonly ServiceTerms[];
 	readonly jobs: JobTerms;
 };
