Add the budget ledger

Cause: nothing yet keeps planned maintenance inside the terms of contracts when planners race, replies are lost and instances fail.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,3 +20,4 @@
 export * as contractForm from './contracts/contract-form.js';
 export * as contractCheck from './contracts/contract-check.js';
 export * as poolCheck from './contracts/pool-check.js';
+export * as budget from './budget/index.js';
