--- a/packages/core/src/budget/budget.test.ts
+++ b/packages/core/src/budget/budget.test.ts
@@ -27,6 +27,7 @@
 ): Contract => ({
 	customer,
 	weight: 1,
+	tokenHashes: [],
 	services: [
 		{
 			service: 'quote',
