Decide at-most-once requests in the core

Cause: a request that may not be repeated needs one decision over all entries on whether it is sent.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -29,3 +29,4 @@
 export * as connectionReuse from './connections/reuse.js';
 export * as connectionSilence from './connections/silence.js';
 export * as attemptOutcome from './outcome/attempt-outcome.js';
+export * as idempotency from './idempotency/index.js';
