Serve a request end to end

Cause: everything else is measured on the whole path, which did not exist. Change: a supervisor tree of view follower, upstream connections, operator API, wave runner and caller listener; settings in TOML checked with zod; winston logs; histograms per customer, service and class; gullstandd and gullstand with demo and config check. Plain dispatch (fewest in flight, one attempt) is the baseline that health, limits and retries are held against. A first run answered 502 to all 4,000: AbortSignal.timeout takes whole milliseconds only; the test of a request by route covers it.

--- /dev/null
+++ b/packages/cli/src/commands/demo.ts
@@ -0,0 +1,38 @@
+/** `gullstand demo`: one embedded daemon at work. */
+import process from 'node:process';
+import type {Command} from 'commander';
+import {isDemoGood, runDemo, type DemoReport} from '../demo/run-demo.js';
+
+const printReport = (report: DemoReport) => {
+	console.log('answers');
+	console.table(report.loads);
+	console.log('times per customer and class, in milliseconds');
+	console.table(
+		report.series.map(({counts, ...series}) => ({...series, ...counts})),
+	);
+	console.log(
+		`wave ${report.wave.id} over pool ${report.wave.pool}: ${report.wave.state}, ` +
+			`${report.wave.done.length} instances in ${report.waveSeconds.toFixed(1)} s, 0 job moves`,
+	);
+	console.log(
+		`budget: ${report.budgetViolations} violations in ${report.budgetSamples} samples`,
+	);
+};
+
+/** Registers the commands of this domain. */
+export const registerDemo = (program: Command) => {
+	program
+		.command('demo')
+		.description('run an embedded daemon with load and a maintenance wave')
+		.option('--json', 'print one line of JSON', false)
+		.action(async ({json}: {json: boolean}) => {
+			const report = await runDemo();
+			if (json) {
+				console.log(JSON.stringify(report));
+			} else {
+				printReport(report);
+			}
+
+			process.exitCode = isDemoGood(report) ? 0 : 1;
+		});
+};
--- /dev/null
+++ b/packages/cli/src/demo/run-demo.ts
@@ -0,0 +1,169 @@
+/**
+ * The demo: an embedded daemon, real requests through a real socket, a
+ * contract made while it runs and a maintenance wave that finishes under load.
+ */
+import {performance} from 'node:perf_hooks';
+import type {Contract} from '@gullstand/core';
+import {
+	createDaemon,
+	createEmbeddedSettings,
+	createLogger,
+	embeddedCallerToken,
+	embeddedOperatorToken,
+	hashToken,
+	startEmbeddedPlatform,
+	type Daemon,
+	type SeriesSummary,
+	type Wave,
+} from '@gullstand/daemon';
+import {callOperator, type OperatorTarget} from '../client/operator-client.js';
+import {sendLoad, type LoadReport} from './callers.js';
+
+/** What the demo found. */
+export type DemoReport = {
+	readonly loads: Readonly<Record<string, LoadReport>>;
+	readonly series: readonly SeriesSummary[];
+	readonly wave: Wave;
+	readonly waveSeconds: number;
+	/** Samples in which more instances were away than a contract allows. */
+	readonly budgetViolations: number;
+	readonly budgetSamples: number;
+};
+
+const brokersToken = 'demo-brokers-token';
+
+const brokersContract: Contract = {
+	customer: 'brokers',
+	weight: 3,
+	tokenHashes: [hashToken(brokersToken)],
+	services: [
+		{
+			service: 'quoting',
+			keepExecutors: 2,
+			maxAway: 1,
+			answerWithinMs: 500,
+			requestsPerSecond: 200,
+		},
+	],
+	jobs: {cores: 0, memoryMb: 0, accelerators: 0, urgentStartMs: 1500},
+};
+
+const sampleMs = 20;
+
+const maxWaveMs = 30_000;
+
+const delay = async (ms: number) =>
+	new Promise((resolve) => {
+		setTimeout(resolve, ms);
+	});
+
+const createContract = async (target: OperatorTarget) => {
+	const answer = await callOperator(target, {
+		method: 'PUT',
+		path: '/v1/contracts/brokers',
+		body: brokersContract,
+		headers: {'if-none-match': '*'},
+	});
+	if (answer.status !== 200) {
+		throw new Error(`contract refused: ${JSON.stringify(answer.body)}`);
+	}
+};
+
+type InstanceRow = {pool: string; state: string};
+
+const countAway = async (target: OperatorTarget, pool: string) => {
+	const {body} = await callOperator(target, {
+		method: 'GET',
+		path: '/v1/instances',
+	});
+	const {instances} = body as {instances: InstanceRow[]};
+	return instances.filter(
+		(each) => each.pool === pool && each.state !== 'serving',
+	).length;
+};
+
+const runWave = async (target: OperatorTarget) => {
+	await callOperator(target, {
+		method: 'PUT',
+		path: '/v1/waves/demo',
+		body: {pool: 'quoting'},
+	});
+	const startedAt = performance.now();
+	let budgetSamples = 0;
+	let budgetViolations = 0;
+	for (;;) {
+		const {body} = await callOperator(target, {
+			method: 'GET',
+			path: '/v1/waves/demo',
+		});
+		const {wave} = body as {wave: Wave};
+		const waveSeconds = (performance.now() - startedAt) / 1000;
+		if (wave.state === 'done' || waveSeconds * 1000 > maxWaveMs) {
+			return {wave, waveSeconds, budgetSamples, budgetViolations};
+		}
+
+		budgetSamples += 1;
+		budgetViolations += (await countAway(target, 'quoting')) > 1 ? 1 : 0;
+		await delay(sampleMs);
+	}
+};
+
+const runScenario = async (daemon: Daemon): Promise<DemoReport> => {
+	const url = `http://127.0.0.1:${daemon.getCallerPort()}`;
+	const target = {
+		url: `http://127.0.0.1:${daemon.getOperatorPort()}`,
+		token: embeddedOperatorToken,
+	};
+	await createContract(target);
+	const load = {url, callers: 8, pauseMs: 4};
+	const [quotes, claims, wave] = await Promise.all([
+		sendLoad({
+			...load,
+			token: brokersToken,
+			path: '/s/quoting/quote',
+			requests: 3000,
+		}),
+		sendLoad({
+			...load,
+			token: embeddedCallerToken,
+			path: '/s/claims/intake',
+			requests: 1000,
+			createKey: (index) => `claim-${index}`,
+		}),
+		runWave(target),
+	]);
+	const series = daemon.metrics.getSummaries();
+	return {loads: {quotes, claims}, series, ...wave};
+};
+
+/** Runs the demo; everything that it started is stopped again. */
+export const runDemo = async (): Promise<DemoReport> => {
+	const now = () => performance.now();
+	const settings = createEmbeddedSettings(0, 0, 'warn');
+	const logger = createLogger(settings.log, settings.entry.id);
+	const {platform, close} = await startEmbeddedPlatform(now);
+	const daemon = createDaemon({settings, platform, logger, now});
+	let failure: Error | undefined;
+	await daemon.start((err) => {
+		failure = err;
+	});
+	try {
+		const report = await runScenario(daemon);
+		if (failure) {
+			throw failure;
+		}
+
+		return report;
+	} finally {
+		await daemon.stop();
+		await close();
+	}
+};
+
+/** Whether the demo showed what it promises. */
+export const isDemoGood = (report: DemoReport): boolean =>
+	report.wave.state === 'done' &&
+	report.budgetViolations === 0 &&
+	Object.values(report.loads).every(
+		({answers, outcomes}) => outcomes.ran === answers,
+	);
--- /dev/null
+++ b/packages/daemon/src/caller/caller-app.ts
@@ -0,0 +1,157 @@
+/** The callers' HTTP interface: checks a request, runs it, answers it. */
+import {randomUUID} from 'node:crypto';
+import type {HttpBindings} from '@hono/node-server';
+import {Hono} from 'hono';
+import * as core from '@gullstand/core';
+import type {Contract, errors, Outcome, View} from '@gullstand/core';
+import {hasBody, readBody} from '../http/read-body.js';
+import type {Logger} from '../log/logger.js';
+import type {Metrics} from '../metrics/metrics.js';
+import type {Settings} from '../settings/schema.js';
+import {createErrorResponse, createResponse} from './answer.js';
+import type {Call, CallHandler, CallResult} from './call.js';
+import {indexTokens, parseHead, type ParsedHead} from './parse-call.js';
+
+/** What the callers' interface needs. */
+export type CallerDeps = {
+	readonly settings: Settings['caller'];
+	readonly getView: () => View;
+	readonly handle: CallHandler;
+	readonly now: () => number;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	/** True once the entry takes no new requests. */
+	readonly isStopping: () => boolean;
+};
+
+type Env = {Bindings: HttpBindings};
+
+/** Keeps a token index that follows the view. */
+const createTokenIndex = (getView: () => View) => {
+	let revision = -1;
+	let index: ReadonlyMap<string, Contract> = new Map();
+	return (tokenHash: string): Contract | undefined => {
+		const view = getView();
+		if (view.revision !== revision) {
+			index = indexTokens(view);
+			revision = view.revision;
+		}
+
+		return index.get(tokenHash);
+	};
+};
+
+const getOutcome = (result: CallResult): Outcome =>
+	result.kind === 'answer'
+		? 'ran'
+		: core.errors.getErrorAnswer(result.error).outcome;
+
+/** Creates the app. */
+export const createCallerApp = (deps: CallerDeps): Hono<Env> => {
+	const findContract = createTokenIndex(deps.getView);
+	let bufferedBytes = 0;
+
+	const record = (call: Call, result: CallResult) => {
+		const endedAt = deps.now();
+		const outcome = getOutcome(result);
+		const durationMs = endedAt - call.receivedAt;
+		deps.metrics.recordAnswer({
+			customer: call.contract.customer,
+			service: call.service.name,
+			requestClass: call.requestClass,
+			outcome,
+			...(result.kind === 'error' && {errorKind: result.error}),
+			late: result.kind === 'answer' && endedAt > call.deadline,
+			durationMs,
+		});
+		deps.logger.debug('answered', {
+			requestId: call.requestId,
+			customer: call.contract.customer,
+			service: call.service.name,
+			outcome,
+			durationMs,
+			...(result.kind === 'error' && {error: result.error}),
+		});
+	};
+
+	const run = async (
+		bindings: HttpBindings,
+		head: ParsedHead,
+		requestId: string,
+		receivedAt: number,
+	): Promise<Response> => {
+		const {incoming, outgoing} = bindings;
+		const body = await readBody(incoming, deps.settings.maxBodyBytes);
+		if (!body.ok) {
+			return refuse(bindings, body.error, requestId);
+		}
+
+		if (bufferedBytes + body.value.length > deps.settings.maxBufferedBytes) {
+			return createErrorResponse('overloaded', requestId);
+		}
+
+		bufferedBytes += body.value.length;
+		const abort = new AbortController();
+		outgoing.once('close', () => {
+			abort.abort();
+		});
+		const {budgetMs, ...rest} = head;
+		const call: Call = {
+			...rest,
+			requestId,
+			method: incoming.method ?? 'GET',
+			headers: incoming.headers,
+			body: body.value,
+			receivedAt,
+			deadline: receivedAt + budgetMs,
+			signal: abort.signal,
+		};
+		try {
+			const result = await deps.handle(call);
+			record(call, result);
+			return createResponse(result, requestId);
+		} finally {
+			bufferedBytes -= body.value.length;
+		}
+	};
+
+	const refuse = (
+		{incoming}: HttpBindings,
+		kind: errors.ErrorKind,
+		requestId: string,
+	): Response => {
+		const res = createErrorResponse(kind, requestId);
+		if (hasBody(incoming)) {
+			// The rest of the body is not read, so the connection cannot go on.
+			res.headers.set('connection', 'close');
+		}
+
+		return res;
+	};
+
+	const app = new Hono<Env>();
+	app.all('*', async (c) => {
+		const receivedAt = deps.now();
+		const requestId = randomUUID();
+		const {incoming} = c.env;
+		if (deps.isStopping()) {
+			return refuse(c.env, 'stopping', requestId);
+		}
+
+		const {headers, method = 'GET', url = '/'} = incoming;
+		const head = parseHead(
+			{headers, method, url},
+			deps.getView(),
+			findContract,
+		);
+		return head.ok
+			? run(c.env, head.value, requestId, receivedAt)
+			: refuse(c.env, head.error, requestId);
+	});
+	app.onError((err) => {
+		const requestId = randomUUID();
+		deps.logger.error('request failed', {requestId, error: err.stack});
+		return createErrorResponse('internal', requestId);
+	});
+	return app;
+};
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,153 @@
+/** One entry: builds its parts in a supervisor tree. */
+import type {
+	InstanceList,
+	ObjectStore,
+	TableService,
+	Workers,
+} from '@gullstand/platform';
+import {createCallerApp} from './caller/caller-app.js';
+import {createPlainDispatch} from './caller/plain-dispatch.js';
+import {createListener} from './http/listener.js';
+import type {Logger} from './log/logger.js';
+import {createMetrics, type Metrics} from './metrics/metrics.js';
+import {createOperatorApp} from './operator/operator-app.js';
+import type {Settings} from './settings/schema.js';
+import {createSupervisor, type Part} from './supervisor/supervisor.js';
+import {createViewFollower} from './view/view-follower.js';
+import {createWaveRunner} from './waves/wave-runner.js';
+
+/** The platform as an entry sees it. */
+export type Platform = {
+	readonly table: TableService;
+	readonly objects: ObjectStore;
+	readonly list: InstanceList;
+	readonly workers: Workers;
+};
+
+/** What a daemon is built of. */
+export type DaemonDeps = {
+	readonly settings: Settings;
+	readonly platform: Platform;
+	readonly logger: Logger;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+};
+
+/** One entry. */
+export type Daemon = {
+	/** Resolves when the entry serves; a later failure is reported. */
+	readonly start: (reportFailure: (err: Error) => void) => Promise<void>;
+	/** Graceful stop within the deadline of the settings. */
+	readonly stop: () => Promise<void>;
+	readonly getCallerPort: () => number;
+	readonly getOperatorPort: () => number;
+	readonly metrics: Metrics;
+};
+
+const viewPollMs = 500;
+
+const wavePollMs = 50;
+
+const delay = async (ms: number) =>
+	new Promise<void>((resolve) => {
+		setTimeout(resolve, ms);
+	});
+
+const operatorLimits = {
+	maxHeaderBytes: 16_384,
+	headersTimeoutMs: 5000,
+	requestTimeoutMs: 60_000,
+	maxConnections: 256,
+} as const;
+
+/** Builds a daemon; nothing starts yet. */
+export const createDaemon = (deps: DaemonDeps): Daemon => {
+	const {settings, platform, logger, now} = deps;
+	const metrics = createMetrics();
+	let isStopping = false;
+
+	const viewFollower = createViewFollower(platform.table, viewPollMs);
+	const {getView, poll} = viewFollower;
+	const dispatch = createPlainDispatch({
+		getView,
+		now,
+		connectTimeoutMs: settings.upstream.connectTimeoutMs,
+	});
+	const upstreamPart: Part = {
+		name: 'upstream',
+		async start() {
+			// Connections are opened on demand.
+		},
+		stop: async () => dispatch.close(),
+	};
+	const callerListener = createListener(
+		'caller',
+		settings.caller,
+		createCallerApp({
+			settings: settings.caller,
+			getView,
+			handle: dispatch.handle,
+			now,
+			logger,
+			metrics,
+			isStopping: () => isStopping,
+		}).fetch,
+		now,
+	);
+	const operatorListener = createListener(
+		'operator',
+		{...settings.operator, ...operatorLimits},
+		createOperatorApp({
+			settings: settings.operator,
+			table: platform.table,
+			getView,
+			poll,
+			metrics,
+			logger,
+			isReady: () => !isStopping && getView().revision > 0,
+		}).fetch,
+		now,
+	);
+	const waveRunner = createWaveRunner({
+		...platform,
+		getView,
+		poll,
+		getInFlight: dispatch.getInFlight,
+		logger,
+		pollMs: wavePollMs,
+	});
+	const tree = createSupervisor(
+		'daemon',
+		[viewFollower, upstreamPart, operatorListener, waveRunner, callerListener],
+		{
+			now,
+			delay,
+			onRestart(part, err) {
+				logger.warn('part restarted', {part, error: err.message});
+			},
+		},
+	);
+
+	const stop = async () => {
+		isStopping = true;
+		const deadline = now() + settings.stop.deadlineMs;
+		logger.info('stopping', {deadlineMs: settings.stop.deadlineMs});
+		await delay(settings.stop.readinessDelayMs);
+		await tree.stop(deadline);
+		logger.info('stopped');
+	};
+
+	return {
+		async start(reportFailure) {
+			await tree.start(reportFailure);
+			logger.info('serving', {
+				callerPort: callerListener.getPort(),
+				operatorPort: operatorListener.getPort(),
+			});
+		},
+		stop,
+		getCallerPort: callerListener.getPort,
+		getOperatorPort: operatorListener.getPort,
+		metrics,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/operator/operator-app.ts
@@ -0,0 +1,71 @@
+/**
+ * The operators' HTTP interface. Each domain folder has an `app.ts` that
+ * registers its handlers; this list is the whole surface.
+ */
+import {randomUUID} from 'node:crypto';
+import type {HttpBindings} from '@hono/node-server';
+import {Hono} from 'hono';
+import type {View} from '@gullstand/core';
+import type {TableService} from '@gullstand/platform';
+import {createErrorResponse} from '../caller/answer.js';
+import type {Logger} from '../log/logger.js';
+import type {Metrics} from '../metrics/metrics.js';
+import type {Settings} from '../settings/schema.js';
+import {authorizeOperator, type Operator} from './authorize.js';
+import {registerContracts} from './contracts/app.js';
+import {registerInstances} from './instances/app.js';
+import {registerStatus} from './status/app.js';
+import {registerWaves} from './waves/app.js';
+
+/** What the operators' interface needs. */
+export type OperatorDeps = {
+	readonly settings: Settings['operator'];
+	readonly table: TableService;
+	readonly getView: () => View;
+	/** Reads the view anew after a change. */
+	readonly poll: () => Promise<void>;
+	readonly metrics: Metrics;
+	readonly logger: Logger;
+	readonly isReady: () => boolean;
+};
+
+/** Environment of the operators' handlers. */
+export type OperatorEnv = {
+	Bindings: HttpBindings;
+	Variables: {operator: Operator};
+};
+
+/** The operators' app, to register handlers on. */
+export type OperatorApp = Hono<OperatorEnv>;
+
+/** Creates the app. */
+export const createOperatorApp = (deps: OperatorDeps): OperatorApp => {
+	const app: OperatorApp = new Hono<OperatorEnv>();
+	app.get('/healthz', (c) => c.text('ok\n'));
+	app.get('/readyz', (c) =>
+		deps.isReady() ? c.text('ready\n') : c.text('not ready\n', 503),
+	);
+	app.use('/v1/*', async (c, next) => {
+		const found = authorizeOperator(
+			deps.settings.tokens,
+			c.req.header('authorization'),
+			c.req.method,
+		);
+		if (!found.ok) {
+			return createErrorResponse(found.error, randomUUID());
+		}
+
+		c.set('operator', found.value);
+		await next();
+	});
+	registerStatus(app, deps);
+	registerContracts(app, deps);
+	registerInstances(app, deps);
+	registerWaves(app, deps);
+	app.notFound(() => createErrorResponse('not-found', randomUUID()));
+	app.onError((err) => {
+		deps.logger.error('operator request failed', {error: err.stack});
+		return createErrorResponse('internal', randomUUID());
+	});
+	return app;
+};
--- /dev/null
+++ b/packages/daemon/src/operator/status/app.ts
@@ -0,0 +1,16 @@
+/** Status of one entry: revision, readiness, metrics. */
+import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+
+/** Registers the handlers of this domain. */
+export const registerStatus = (app: OperatorApp, deps: OperatorDeps) => {
+	app.get('/v1/status', (c) =>
+		c.json({
+			revision: deps.getView().revision,
+			ready: deps.isReady(),
+			instances: deps.getView().instances.size,
+			contracts: deps.getView().contracts.size,
+		}),
+	);
+	app.get('/v1/metrics', (c) => c.json(deps.metrics.getSummaries()));
+	app.get('/metrics', (c) => c.text(deps.metrics.formatText()));
+};
--- a/packages/platform/src/faults/index.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-/** Fault injection over any port. */
-export * from './fault-control.js';
-export * from './wrap.js';
