--- /dev/null
+++ b/packages/core/src/budget/index.ts
@@ -0,0 +1,9 @@
+/** Budgets: how much of each service may be away at once. */
+export * from './row-write.js';
+export * from './terms.js';
+export * from './ledger.js';
+export * from './reserve.js';
+export * from './reserve-away.js';
+export * from './give-back.js';
+export * from './loss.js';
+export * from './read-back.js';
--- /dev/null
+++ b/packages/core/src/budget/loss.ts
@@ -0,0 +1,60 @@
+/**
+ * Unplanned loss. It is booked in each ledger by itself: a ledger is the
+ * truth of one service, and loss needs no leave of another.
+ */
+import type {RowPut, Versioned} from './row-write.js';
+import {putLedger, updateEntry, type Ledger} from './ledger.js';
+
+/**
+ * Books instances as lost. Those already away by plan stay booked as away:
+ * either way they count once. Returns nothing if nothing changes.
+ */
+export const recordLoss = (
+	ledger: Versioned<Ledger>,
+	instanceIds: Iterable<string>,
+	now: number,
+): RowPut<Ledger> | undefined => {
+	let changed = ledger.value;
+	for (const id of instanceIds) {
+		if (changed.entries[id]?.kind === 'serving') {
+			changed = updateEntry(changed, id, {kind: 'lost', since: now});
+		}
+	}
+
+	return changed === ledger.value
+		? undefined
+		: putLedger(changed, ledger.version);
+};
+
+/** Books lost instances as serving again, once they have proved themselves. */
+export const recordRecovery = (
+	ledger: Versioned<Ledger>,
+	instanceIds: Iterable<string>,
+): RowPut<Ledger> | undefined => {
+	let changed = ledger.value;
+	for (const id of instanceIds) {
+		if (changed.entries[id]?.kind === 'lost') {
+			changed = updateEntry(changed, id, {kind: 'serving'});
+		}
+	}
+
+	return changed === ledger.value
+		? undefined
+		: putLedger(changed, ledger.version);
+};
+
+/**
+ * Turns a planned absence into a loss, for an instance that did not come
+ * back in time: it still counts, but no longer as a take of the wave.
+ */
+export const convertToLoss = (
+	ledger: Versioned<Ledger>,
+	instanceId: string,
+	now: number,
+): RowPut<Ledger> | undefined =>
+	ledger.value.entries[instanceId]?.kind === 'away'
+		? putLedger(
+				updateEntry(ledger.value, instanceId, {kind: 'lost', since: now}),
+				ledger.version,
+			)
+		: undefined;
--- a/packages/core/src/errors/error-table.ts
+++ b/packages/core/src/errors/error-table.ts
@@ -69,6 +69,19 @@
 		retry: 'same-key',
 		message: 'a request with this key was started and has no answer yet',
 	},
+	'outcome-unknown': {
+		status: 409,
+		outcome: 'unknown',
+		retry: 'never',
+		message:
+			'a request with this key was started and its outcome is lost; it will not be run again',
+	},
+	'answer-not-kept': {
+		status: 410,
+		outcome: 'ran',
+		retry: 'never',
+		message: 'the request with this key ran; its answer was not kept',
+	},
 	'body-too-large': {
 		status: 413,
 		outcome: 'not-run',
@@ -159,6 +172,12 @@
 		retry: 'same-key',
 		message: 'the table service did not answer; the write may have happened',
 	},
+	'answer-unavailable': {
+		status: 503,
+		outcome: 'ran',
+		retry: 'same-key',
+		message: 'the request with this key ran; its answer cannot be read now',
+	},
 	stopping: {
 		status: 503,
 		outcome: 'not-run',
--- /dev/null
+++ b/packages/core/src/idempotency/lookup.test.ts
@@ -0,0 +1,110 @@
+import * as tap from 'tap';
+import * as lookup from './lookup.js';
+import type {Lookup} from './lookup.js';
+import type {KeyRow, StoredRow} from './row.js';
+import {defaultSettings} from './settings.js';
+
+const {clockSkewMs, maxPollMs} = defaultSettings;
+const holder = {entry: 'entry-1', incarnation: 'a', operationId: 'op-1'};
+const base = {
+	fingerprint: 'same',
+	holder,
+	startedAt: 0,
+	deadlineAt: 5000,
+	settleAt: 65_000,
+	expiresAt: 1_000_000,
+};
+const started: KeyRow = {...base, state: 'started'};
+const inline = {
+	kind: 'inline',
+	status: 201,
+	headers: [],
+	bodyBase64: '',
+} as const;
+const finished: KeyRow = {...base, state: 'finished', answer: inline};
+const notKept: KeyRow = {
+	...base,
+	state: 'finished',
+	answer: {kind: 'not-kept', status: 201},
+};
+const store = (row: KeyRow | undefined): StoredRow => ({version: 7, row});
+const take: Lookup = {kind: 'take', when: {kind: 'version', version: 7}};
+const unknown: Lookup = {kind: 'refuse', error: 'outcome-unknown'};
+const reused: Lookup = {kind: 'refuse', error: 'key-reused'};
+const expiredAt = base.expiresAt + clockSkewMs + 1;
+
+const table: Array<[string, StoredRow | undefined, string, number, Lookup]> = [
+	['no row', undefined, 'same', 0, {kind: 'take', when: {kind: 'absent'}}],
+	['not understood', store(undefined), 'same', 0, unknown],
+	['another body', store(started), 'other', 0, reused],
+	['another body, finished', store(finished), 'other', 0, reused],
+	[
+		'another body, released',
+		store({...base, state: 'released'}),
+		'other',
+		0,
+		reused,
+	],
+	[
+		'started',
+		store(started),
+		'same',
+		1000,
+		{kind: 'wait', row: started, forMs: 4000 + maxPollMs},
+	],
+	[
+		'started, late',
+		store(started),
+		'same',
+		5000 + maxPollMs,
+		{kind: 'refuse', error: 'still-running', retryAfterMs: maxPollMs},
+	],
+	['started, given up', store(started), 'same', 75_001, unknown],
+	['finished', store(finished), 'same', 0, {kind: 'replay', row: finished}],
+	[
+		'finished, not kept',
+		store(notKept),
+		'same',
+		0,
+		{kind: 'refuse', error: 'answer-not-kept'},
+	],
+	['released', store({...base, state: 'released'}), 'same', 0, take],
+	['unknown', store({...base, state: 'unknown'}), 'same', 0, unknown],
+	[
+		'finished, expired but for the clocks',
+		store(finished),
+		'same',
+		expiredAt - 1,
+		{kind: 'replay', row: finished},
+	],
+	['finished, expired', store(finished), 'same', expiredAt, take],
+	['started, expired', store(started), 'same', expiredAt, take],
+	['another body, expired', store(finished), 'other', expiredAt, take],
+];
+
+for (const [name, stored, fingerprint, date, expected] of table) {
+	tap.t.test(name, async (t) => {
+		const asker = {...holder, entry: 'entry-2', operationId: 'op-2'};
+		const context = {fingerprint, holder: asker, settings: defaultSettings};
+		t.same(lookup.decideLookup(stored, context, date), expected);
+	});
+}
+
+const lives: Array<[string, string, string, Lookup['kind']]> = [
+	['an earlier life of this entry', 'entry-1', 'b', 'refuse'],
+	['this life of this entry', 'entry-1', 'a', 'wait'],
+	['another entry', 'entry-2', 'b', 'wait'],
+];
+
+for (const [name, entry, incarnation, kind] of lives) {
+	tap.t.test(`started by ${name}`, async (t) => {
+		const asker = {entry, incarnation, operationId: 'op-2'};
+		const context = {
+			fingerprint: 'same',
+			holder: asker,
+			settings: defaultSettings,
+		};
+		const found = lookup.decideLookup(store(started), context, 0);
+		t.equal(found.kind, kind);
+	});
+}
--- /dev/null
+++ b/packages/core/src/idempotency/update-attempt.ts
@@ -0,0 +1,188 @@
+/**
+ * Moves an attempt by one event. The present time is an argument; every
+ * effect is a command for the shell.
+ */
+import {match} from 'ts-pattern';
+import * as attempts from './attempt.js';
+import type {Attempt, Claim, Event, Intent, Step} from './attempt.js';
+import * as claims from './claim.js';
+import type {Time} from './lookup.js';
+import type {Settings} from './settings.js';
+import * as settle from './settle.js';
+
+type EventOf<Kind extends Event['kind']> = Extract<Event, {kind: Kind}>;
+
+/** Begins an attempt with its first call to the store. */
+export const createAttempt = (
+	claim: Claim,
+	settings: Settings,
+	time: Time,
+): Step => {
+	const attempt: Attempt = {
+		claim,
+		settings,
+		intent: {kind: 'look', known: undefined},
+		pending: {kind: 'pause', until: time.now},
+		failures: 0,
+		isAnswered: false,
+		storeFrom: claim.createdAt,
+		settleBy: claim.deadline + settings.settleWithinMs,
+	};
+	return settings.isReadFirst
+		? claims.look(attempt, {kind: 'look', known: undefined})
+		: claims.take(attempt, {kind: 'absent'}, time);
+};
+
+/** True if nothing of the attempt is left to do. */
+export const isEnded = (attempt: Attempt): boolean =>
+	attempt.intent.kind === 'end';
+
+/** An event that cannot belong to the state is left out. */
+const ignore = (attempt: Attempt): Step => ({attempt, commands: []});
+
+const updateRead = (
+	attempt: Attempt,
+	event: EventOf<'read'>,
+	time: Time,
+): Step => {
+	const {intent} = attempt;
+	const read = event.result.kind === 'row' ? event.result : undefined;
+	return match(intent)
+		.with({kind: 'look'}, (look) => claims.readLook(attempt, look, read, time))
+		.with({kind: 'start'}, (start) =>
+			claims.readStart(attempt, start, read, time),
+		)
+		.with({kind: 'settle'}, (end) =>
+			settle.readSettle(attempt, end, read, time.now),
+		)
+		.with({kind: 'run'}, {kind: 'keep'}, {kind: 'fetch'}, {kind: 'end'}, () =>
+			ignore(attempt),
+		)
+		.exhaustive();
+};
+
+const updateWritten = (
+	attempt: Attempt,
+	event: EventOf<'written'>,
+	time: Time,
+): Step => {
+	const {intent} = attempt;
+	if (intent.kind === 'start') {
+		return claims.updateStart(attempt, intent, event.result, time);
+	}
+
+	return intent.kind === 'settle'
+		? settle.updateSettle(attempt, intent, event.result, time.now)
+		: ignore(attempt);
+};
+
+/** Answers a caller whose time is up; what is out is still awaited. */
+const answerNow = (attempt: Attempt): Step => {
+	const {settings} = attempt;
+	const keep = (next: Attempt): Step => ({attempt: next, commands: []});
+	const isDoubtful = (start: Extract<Intent, {kind: 'start'}>) =>
+		start.isDoubtful || attempt.pending.kind === 'call';
+	return match(attempt.intent)
+		.with({kind: 'look'}, ({known}) =>
+			attempts.replyThen(
+				attempt,
+				known === undefined
+					? attempts.createErrorReply('store-unavailable', settings.maxPauseMs)
+					: attempts.createErrorReply('still-running', settings.maxPollMs),
+				attempts.endAttempt,
+			),
+		)
+		.with({kind: 'start'}, (start) =>
+			attempts.replyThen(
+				attempt,
+				attempts.createErrorReply(
+					isDoubtful(start) ? 'store-unknown' : 'store-unavailable',
+					settings.maxPauseMs,
+				),
+				isDoubtful(start) ? keep : attempts.endAttempt,
+			),
+		)
+		.with({kind: 'fetch'}, () =>
+			attempts.replyThen(
+				attempt,
+				attempts.createErrorReply('answer-unavailable', settings.maxPollMs),
+				attempts.endAttempt,
+			),
+		)
+		.with({kind: 'run'}, {kind: 'keep'}, {kind: 'settle'}, {kind: 'end'}, () =>
+			attempts.replyThen(
+				attempt,
+				attempts.createErrorReply('upstream-timeout'),
+				keep,
+			),
+		)
+		.exhaustive();
+};
+
+/** Makes the next call after a pause. */
+const resume = (attempt: Attempt): Step =>
+	match(attempt.intent)
+		.with({kind: 'look'}, (look) => claims.look(attempt, look))
+		.with({kind: 'start'}, (start) => claims.resumeStart(attempt, start))
+		.with({kind: 'keep'}, (keep) => settle.putAnswer(attempt, keep))
+		.with({kind: 'settle'}, (end) => settle.resumeSettle(attempt, end))
+		.with({kind: 'fetch'}, (fetch) => claims.fetchAnswer(attempt, fetch))
+		.with({kind: 'run'}, {kind: 'end'}, () => ignore(attempt))
+		.exhaustive();
+
+const updateTick = (attempt: Attempt, time: Time): Step => {
+	const isLate =
+		!attempt.isAnswered && time.now >= attempts.getAnswerBy(attempt);
+	const step = isLate ? answerNow(attempt) : ignore(attempt);
+	const {pending} = step.attempt;
+	if (pending.kind === 'call' || time.now < pending.until) {
+		return step;
+	}
+
+	const resumed = resume(step.attempt);
+	return {...resumed, commands: [...step.commands, ...resumed.commands]};
+};
+
+/** A request that nobody waits for is not sent; one that was sent goes on. */
+const leave = (attempt: Attempt): Step => {
+	if (attempt.isAnswered || attempt.intent.kind === 'run') {
+		return ignore(attempt);
+	}
+
+	const {attempt: next} = answerNow(attempt);
+	return ignore(next);
+};
+
+/** Moves an attempt. An ended one stays as it is. */
+export const updateAttempt = (
+	attempt: Attempt,
+	event: Event,
+	time: Time,
+): Step => {
+	const {intent} = attempt;
+	if (intent.kind === 'end') {
+		return ignore(attempt);
+	}
+
+	return match(event)
+		.with({kind: 'read'}, (read) => updateRead(attempt, read, time))
+		.with({kind: 'written'}, (written) => updateWritten(attempt, written, time))
+		.with({kind: 'ran'}, ({result}) =>
+			intent.kind === 'run'
+				? settle.updateRun(attempt, intent, result)
+				: ignore(attempt),
+		)
+		.with({kind: 'object-put'}, ({isKept}) =>
+			intent.kind === 'keep'
+				? settle.updateKeep(attempt, intent, isKept, time.now)
+				: ignore(attempt),
+		)
+		.with({kind: 'object-got'}, ({body}) =>
+			intent.kind === 'fetch'
+				? claims.updateFetch(attempt, intent, body)
+				: ignore(attempt),
+		)
+		.with({kind: 'tick'}, () => updateTick(attempt, time))
+		.with({kind: 'caller-gone'}, () => leave(attempt))
+		.exhaustive();
+};
--- /dev/null
+++ b/packages/core/src/retry/retry-decision.test.ts
@@ -0,0 +1,146 @@
+import * as tap from 'tap';
+import * as retryBudget from './budget.js';
+import * as retry from './retry-decision.js';
+
+const facts: retry.RetryFacts = {
+	idempotent: true,
+	bodyReplayable: true,
+	attempts: 1,
+	maxAttempts: 3,
+	deadline: 1000,
+	expectedMs: 100,
+	hasAlternative: true,
+};
+
+const createBudget = (tokens: number) =>
+	retryBudget.createRetryBudget({
+		ratio: 0.09,
+		initialTokens: tokens,
+		maxTokens: 80,
+	});
+
+type Case = {
+	readonly name: string;
+	readonly outcome: 'not-run' | 'unknown';
+	readonly change: Partial<retry.RetryFacts>;
+	readonly now?: number;
+	readonly tokens?: number;
+	readonly retried: 'retry' | retry.NoRetryReason;
+	readonly hedged: 'retry' | retry.NoRetryReason;
+};
+
+const table: readonly Case[] = [
+	{
+		name: 'idempotent, unknown',
+		outcome: 'unknown',
+		change: {},
+		retried: 'retry',
+		hedged: 'retry',
+	},
+	{
+		name: 'not repeatable, unknown',
+		outcome: 'unknown',
+		change: {idempotent: false},
+		retried: 'not-repeatable',
+		hedged: 'not-repeatable',
+	},
+	{
+		name: 'not repeatable, certainly not run',
+		outcome: 'not-run',
+		change: {idempotent: false},
+		retried: 'retry',
+		hedged: 'not-repeatable',
+	},
+	{
+		name: 'streamed body already read',
+		outcome: 'not-run',
+		change: {bodyReplayable: false},
+		retried: 'not-repeatable',
+		hedged: 'not-repeatable',
+	},
+	{
+		name: 'attempts used up',
+		outcome: 'unknown',
+		change: {attempts: 3},
+		retried: 'attempts',
+		hedged: 'attempts',
+	},
+	{
+		name: 'too near the deadline',
+		outcome: 'unknown',
+		change: {},
+		now: 901,
+		retried: 'deadline',
+		hedged: 'deadline',
+	},
+	{
+		name: 'just in time',
+		outcome: 'unknown',
+		change: {},
+		now: 900,
+		retried: 'retry',
+		hedged: 'retry',
+	},
+	{
+		name: 'nowhere else to go',
+		outcome: 'unknown',
+		change: {hasAlternative: false},
+		retried: 'no-alternative',
+		hedged: 'no-alternative',
+	},
+	{
+		name: 'budget spent',
+		outcome: 'not-run',
+		change: {},
+		tokens: 0.9,
+		retried: 'budget',
+		hedged: 'budget',
+	},
+];
+
+for (const {name, outcome, change, now = 0, tokens = 5, ...wanted} of table) {
+	tap.t.test(name, async (t) => {
+		const all = {...facts, ...change};
+		for (const way of ['retried', 'hedged'] as const) {
+			const budget = createBudget(tokens);
+			const decision =
+				way === 'retried'
+					? retry.decideRetry({outcome}, all, budget, now)
+					: retry.decideHedge(all, budget, now);
+			const found = decision.kind === 'retry' ? 'retry' : decision.reason;
+			t.equal(found, wanted[way]);
+			t.equal(budget.tokens, found === 'retry' ? tokens - 1 : tokens);
+		}
+	});
+}
+
+tap.t.test('all attempts failing never pass 1.1 times requests', async (t) => {
+	const budget = createBudget(5);
+	let attempts = 0;
+	const requests = 10_000;
+	for (let index = 0; index < requests; index++) {
+		retryBudget.recordRequest(budget);
+		attempts += 1;
+		for (let again = 1; again < facts.maxAttempts; again++) {
+			const decision = retry.decideRetry(
+				{outcome: 'unknown'},
+				{...facts, attempts: again},
+				budget,
+				0,
+			);
+			attempts += decision.kind === 'retry' ? 1 : 0;
+		}
+	}
+
+	t.ok(attempts / requests <= 1.1, `${attempts} attempts`);
+	t.ok(attempts / requests > 1.08, 'the budget is used');
+});
+
+tap.t.test('a quiet time saves up no more than the cap', async (t) => {
+	const budget = createBudget(5);
+	for (let index = 0; index < 10_000; index++) {
+		retryBudget.recordRequest(budget);
+	}
+
+	t.equal(budget.tokens, 80);
+});
--- /dev/null
+++ b/packages/platform/src/faults/index.ts
@@ -0,0 +1,3 @@
+/** Fault injection over any port. */
+export * from './fault-control.js';
+export * from './wrap.js';
--- /dev/null
+++ b/packages/platform/src/http/connection.ts
@@ -0,0 +1,107 @@
+/**
+ * One HTTP connection pool to the platform. Every call ends within its
+ * timeout, and its failure says whether it may have taken effect.
+ */
+import * as core from '@gullstand/core';
+import * as undici from 'undici';
+
+/** Settings of the client. */
+export type PlatformHttpOptions = {
+	/** Such as `http://10.0.0.1:7000`; an IP number, not a name. */
+	readonly origin: string;
+	/** Time for a whole call, in milliseconds. */
+	readonly timeoutMs: number;
+	readonly maxConnections: number;
+	readonly maxAnswerBytes: number;
+};
+
+/** Options in force where none are given. */
+export const defaultHttpOptions = {
+	timeoutMs: 2000,
+	maxConnections: 8,
+	maxAnswerBytes: 64 * 1024 * 1024,
+} as const;
+
+/** One HTTP request. */
+export type HttpCall = {
+	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+	readonly path: string;
+	readonly contentType?: string;
+	readonly body?: string | Uint8Array;
+};
+
+/** A whole answer. */
+export type HttpAnswer = {
+	readonly status: number;
+	readonly body: Uint8Array;
+};
+
+/** `timeout`: the request may have gone out, and its effect is unknown. */
+export type HttpFailure =
+	{readonly kind: 'unavailable'} | {readonly kind: 'timeout'};
+
+/** Calls to one origin. */
+export type HttpConnection = {
+	readonly call: (
+		request: HttpCall,
+	) => Promise<core.Result<HttpAnswer, HttpFailure>>;
+	readonly close: () => Promise<void>;
+};
+
+/** Errors after which certainly no byte of the request went out. */
+const notSentCodes = new Set([
+	'ECONNREFUSED',
+	'EHOSTUNREACH',
+	'ENETUNREACH',
+	'EADDRNOTAVAIL',
+	'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const getCode = (err: unknown): string | undefined =>
+	err instanceof Error && 'code' in err && typeof err.code === 'string'
+		? err.code
+		: undefined;
+
+const classifyFailure = (err: unknown): HttpFailure =>
+	notSentCodes.has(getCode(err) ?? '')
+		? {kind: 'unavailable'}
+		: {kind: 'timeout'};
+
+const headersOf = (request: HttpCall): Record<string, string> =>
+	request.contentType === undefined
+		? {}
+		: {'content-type': request.contentType};
+
+/** Opens a pool. One request is in flight on a connection at a time. */
+export const createHttpConnection = (
+	options: PlatformHttpOptions,
+): HttpConnection => {
+	const {timeoutMs} = options;
+	const pool = new undici.Pool(options.origin, {
+		connections: options.maxConnections,
+		pipelining: 1,
+		connectTimeout: timeoutMs / 2,
+		headersTimeout: timeoutMs,
+		bodyTimeout: timeoutMs,
+		maxResponseSize: options.maxAnswerBytes,
+	});
+	return {
+		async call(request) {
+			try {
+				const {statusCode, body} = await pool.request({
+					method: request.method,
+					path: request.path,
+					headers: headersOf(request),
+					body: request.body ?? null,
+					signal: AbortSignal.timeout(timeoutMs),
+				});
+				return core.succeed({status: statusCode, body: await body.bytes()});
+			} catch (err) {
+				return core.fail(classifyFailure(err));
+			}
+		},
+		async close() {
+			await pool.destroy();
+		},
+	};
+};
--- /dev/null
+++ b/packages/platform/src/http/workers.ts
@@ -0,0 +1,58 @@
+/** Workers over HTTP, by way of the platform. */
+import * as core from '@gullstand/core';
+import * as zod from 'zod';
+import type {WorkerError, Workers} from '../ports/workers.js';
+import * as messages from '../wire/messages.js';
+import type {HttpConnection} from './connection.js';
+import {postJson} from './json-call.js';
+
+const done = zod.object({});
+const checkpointed = zod.object({checkpoint: zod.string()});
+
+const call = async <Value>(
+	connection: HttpConnection,
+	worker: string,
+	body: messages.WorkerRequest,
+	answer: zod.ZodType<Value>,
+): Promise<core.Result<Value, WorkerError>> => {
+	const result = await postJson(connection, {
+		path: `${messages.paths.workers}/${encodeURIComponent(worker)}`,
+		body,
+		answer,
+		refusal: messages.workerRefusal,
+	});
+	if (result.ok || result.error.kind !== 'unavailable') {
+		return result as core.Result<Value, WorkerError>;
+	}
+
+	return core.fail({kind: 'unreachable'});
+};
+
+const order = async (
+	connection: HttpConnection,
+	worker: string,
+	body: messages.WorkerRequest,
+): Promise<core.Result<void, WorkerError>> => {
+	const result = await call(connection, worker, body, done);
+	return result.ok ? core.succeed(undefined) : result;
+};
+
+/** The workers behind a connection. */
+export const createHttpWorkers = (connection: HttpConnection): Workers => ({
+	start: async (worker, task) =>
+		order(connection, worker, {call: 'start', task}),
+	renew: async (worker, taskIds, leaseMs) =>
+		order(connection, worker, {call: 'renew', taskIds: [...taskIds], leaseMs}),
+	async checkpoint(worker, taskId) {
+		const body = {call: 'checkpoint', taskId} as const;
+		const result = await call(connection, worker, body, checkpointed);
+		return result.ok ? core.succeed(result.value.checkpoint) : result;
+	},
+	throttle: async (worker, taskId, share) =>
+		order(connection, worker, {call: 'throttle', taskId, share}),
+	stop: async (worker, taskIds) =>
+		order(connection, worker, {call: 'stop', taskIds: [...taskIds]}),
+	report: async (worker) =>
+		call(connection, worker, {call: 'report'}, messages.workerReport),
+	reboot: async (worker) => order(connection, worker, {call: 'reboot'}),
+});
