core: decide membership, moves and shard leases

A move between pools must not start before every entry has let go, and no clock of another machine may decide it. Registered entries acknowledge the revision in force and the leaving instances that still have their requests; a drain ends only at an unchanged membership version; a registration commits only while the entry's view is the newest; shard leases are written when they change hands and every write checks them. Elapsed time counts in one place, an entry that cannot confirm itself, with bounds that a function checks.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,3 +30,18 @@
 export * as connectionSilence from './connections/silence.js';
 export * as attemptOutcome from './outcome/attempt-outcome.js';
 export * as idempotency from './idempotency/index.js';
+export type * from './types/store-write.js';
+export {
+	agreementTables,
+	checkVersion,
+	singleRowKey,
+} from './types/store-write.js';
+export * as acknowledgement from './membership/acknowledgement.js';
+export * as registration from './membership/registration.js';
+export * as lagging from './membership/lagging.js';
+export * as observation from './membership/observation.js';
+export * as standing from './membership/standing.js';
+export * as forget from './membership/forget.js';
+export * as transition from './instances/transition.js';
+export * as move from './instances/move.js';
+export * as shardLease from './shards/shard-lease.js';
--- /dev/null
+++ b/packages/core/src/membership/forget.ts
@@ -0,0 +1,67 @@
+/**
+ * When others may remove an entry that fell silent. The lagging list alone
+ * is no proof: it drops entries that still run.
+ */
+import {fail, succeed, type Result} from '../types/result.js';
+import type {StoreWrite} from '../types/store-write.js';
+import {
+	removeEntry,
+	type Membership,
+	type Registration,
+} from './registration.js';
+import type {MembershipSettings} from './standing.js';
+
+/** What is known of an entry that may be gone. */
+export type SilenceEvidence = {
+	readonly entry: string;
+	/** Version of its row, unchanged for `unchangedMs`. */
+	readonly version: number;
+	readonly unchangedMs: number;
+	/** How long every read of the list has not shown this life. */
+	readonly unlistedMs: number;
+	/**
+	 * Registered entries that name it as unheard, in rows that were renewed
+	 * within the stall margin.
+	 */
+	readonly unheardBy: number;
+	/** Registered entries in all. */
+	readonly registered: number;
+};
+
+/** Counts the renewed rows that name an entry as unheard. */
+export const countUnheard = (
+	entry: string,
+	rows: ReadonlyArray<{
+		readonly registration: Registration;
+		readonly unchangedMs: number;
+	}>,
+	{stallMarginMs}: MembershipSettings,
+): number =>
+	rows.filter(
+		({registration, unchangedMs}) =>
+			unchangedMs < stallMarginMs && registration.unheard.includes(entry),
+	).length;
+
+/** Why an entry is not forgotten yet. */
+export type ForgetRefusal = 'renewed' | 'listed' | 'heard';
+
+/** Removes an entry if every sign of life has been missing long enough. */
+export const forgetEntry = (
+	evidence: SilenceEvidence,
+	settings: MembershipSettings,
+	removedBy: string,
+): Result<ReadonlyArray<StoreWrite<Membership>>, ForgetRefusal> => {
+	if (evidence.unchangedMs < settings.forgetAfterMs) {
+		return fail('renewed');
+	}
+
+	if (evidence.unlistedMs < settings.forgetAfterMs) {
+		return fail('listed');
+	}
+
+	if (evidence.unheardBy * 2 <= evidence.registered) {
+		return fail('heard');
+	}
+
+	return succeed(removeEntry(evidence.entry, evidence.version, removedBy));
+};
--- /dev/null
+++ b/packages/core/src/membership/membership.test.ts
@@ -0,0 +1,218 @@
+import * as tap from 'tap';
+import {emptyView, type View} from '../types/view.js';
+import {
+	acknowledgeRevision,
+	updateAcknowledgement,
+	type Acknowledgement,
+} from './acknowledgement.js';
+import {countUnheard, forgetEntry, type SilenceEvidence} from './forget.js';
+import {findLagging} from './lagging.js';
+import {
+	emptyObservations,
+	getUnchangedMs,
+	observeVersions,
+} from './observation.js';
+import type {Registration} from './registration.js';
+import {
+	changeMode,
+	confirmStanding,
+	isSoundSettings,
+	mayControl,
+	mayRoute,
+	membershipDefaults,
+	type ConfirmationSource,
+	type EntryMode,
+} from './standing.js';
+
+const createAck = (change: Partial<Acknowledgement> = {}): Acknowledgement => ({
+	entry: 'e1',
+	incarnation: 'b',
+	sequence: 5,
+	inForce: 7,
+	holding: [],
+	...change,
+});
+
+const createRegistration = (
+	change: Partial<Acknowledgement> = {},
+): Registration => ({
+	address: '127.0.0.1:1',
+	availabilityZone: 'z',
+	unheard: [],
+	acknowledged: createAck(change),
+});
+
+const view: View = {
+	...emptyView,
+	revision: 9,
+	instances: new Map(
+		(['serving', 'draining', 'away'] as const).map((state) => [
+			state,
+			{
+				id: state,
+				state,
+				kind: 'executor',
+				address: '',
+				pool: 'p',
+				epoch: 1,
+				region: 'r',
+				availabilityZone: 'z',
+				rack: 'k',
+			},
+		]),
+	),
+};
+
+tap.t.test('acknowledges what is routed and what is held', async (t) => {
+	const inFlight = new Map([
+		['serving', 3],
+		['draining', 1],
+		['away', 0],
+		['deleted', 1],
+	]);
+	const life = {entry: 'e1', incarnation: 'b'};
+	const router = {routedRevision: 8, inFlight};
+	t.same(acknowledgeRevision(life, 2, {view, router}), {
+		...life,
+		sequence: 2,
+		inForce: 8,
+		holding: ['draining', 'deleted'],
+	});
+	const sponsored = [createAck({inForce: 3, holding: ['x']})];
+	t.match(acknowledgeRevision(life, 2, {view, router, sponsored}), {
+		inForce: 3,
+		holding: ['draining', 'deleted', 'x'],
+	});
+});
+
+const received: ReadonlyArray<
+	readonly [string, Partial<Acknowledgement>, number]
+> = [
+	['newer', {sequence: 6, inForce: 8}, 8],
+	['reordered', {sequence: 4, inForce: 9}, 7],
+	['earlier life', {sequence: 99, inForce: 9, incarnation: 'a'}, 7],
+	['other entry', {sequence: 99, inForce: 9, entry: 'e2'}, 7],
+];
+
+for (const [name, change, inForce] of received) {
+	tap.t.test(`receives an acknowledgement: ${name}`, async (t) => {
+		const updated = updateAcknowledgement(createAck(), createAck(change));
+		t.equal(updated.inForce, inForce);
+	});
+}
+
+tap.t.test('a change waits for every registered entry', async (t) => {
+	const registrations = [
+		createRegistration(),
+		createRegistration({entry: 'e2', inForce: 9, holding: ['x']}),
+		createRegistration({entry: 'e3', inForce: 9}),
+	];
+	const heard = new Map([
+		['e1', createAck({sequence: 99, inForce: 9, incarnation: 'a'})],
+	]);
+	t.match(findLagging(registrations, heard, {revision: 9, instance: 'x'}), [
+		{entry: 'e1', reason: 'not-in-force', inForce: 7},
+		{entry: 'e2', reason: 'holding'},
+	]);
+	t.match(findLagging(registrations, heard, {revision: 9}), [{entry: 'e1'}]);
+	const newer = new Map([['e1', createAck({sequence: 6, inForce: 9})]]);
+	t.same(findLagging(registrations, newer, {revision: 9}), []);
+});
+
+tap.t.test('silence counts only while it is observed', async (t) => {
+	const maxGapMs = 3000;
+	let seen = emptyObservations;
+	const read = (version: number, now: number) => {
+		seen = observeVersions(seen, new Map([['e1', version]]), maxGapMs, now);
+		return getUnchangedMs(seen, 'e1', version);
+	};
+
+	t.equal(read(4, 0), 0);
+	t.equal(read(4, 2000), 2000);
+	t.equal(read(5, 4000), 0);
+	t.equal(read(5, 6000), 2000);
+	// The store was down: the row may have had no chance to change.
+	t.equal(read(5, 600_000), 0);
+	t.equal(getUnchangedMs(seen, 'e1', 4), 0);
+});
+
+const confirmations: ReadonlyArray<
+	readonly [EntryMode, ConfirmationSource, boolean]
+> = [
+	['registered', 'table', true],
+	['registered', 'list', true],
+	['registered', 'majority', true],
+	['registered', 'sponsor', false],
+	['sponsored', 'sponsor', true],
+	['sponsored', 'list', false],
+	['snapshot', 'snapshot', true],
+	['snapshot', 'majority', false],
+];
+
+for (const [mode, source, isConfirmed] of confirmations) {
+	tap.t.test(`${mode} entry, confirmed by ${source}`, async (t) => {
+		const {isolationMs} = membershipDefaults;
+		const before = changeMode(mode, 0);
+		const standing = confirmStanding(before, source, 5000, membershipDefaults);
+		const at = isolationMs + 1000;
+		t.equal(mayRoute(standing, membershipDefaults, at), isConfirmed);
+		t.equal(
+			mayControl(standing, membershipDefaults, at),
+			isConfirmed && mode === 'registered',
+		);
+		t.equal(
+			confirmStanding(standing, source, 1000, membershipDefaults),
+			standing,
+		);
+		const late = confirmStanding(before, source, 10_000, membershipDefaults);
+		t.equal(
+			late !== before,
+			isConfirmed && ['table', 'snapshot'].includes(source),
+		);
+	});
+}
+
+const gone: SilenceEvidence = {
+	entry: 'e1',
+	version: 3,
+	unchangedMs: membershipDefaults.forgetAfterMs,
+	unlistedMs: membershipDefaults.forgetAfterMs,
+	unheardBy: 5,
+	registered: 9,
+};
+
+const silences: ReadonlyArray<
+	readonly [Partial<SilenceEvidence>, string | undefined]
+> = [
+	[{}, undefined],
+	[{unchangedMs: 24_999}, 'renewed'],
+	[{unlistedMs: 24_999}, 'listed'],
+	[{unheardBy: 4}, 'heard'],
+	[{unheardBy: 1, registered: 2}, 'heard'],
+	[{unheardBy: 0, registered: 1}, 'heard'],
+];
+
+for (const [change, refusal] of silences) {
+	tap.t.test(`forgets an entry: ${refusal ?? 'gone'}`, async (t) => {
+		const evidence = {...gone, ...change};
+		const result = forgetEntry(evidence, membershipDefaults, 'e2');
+		t.equal(result.ok ? undefined : result.error, refusal);
+	});
+}
+
+tap.t.test('only renewed rows report silence', async (t) => {
+	const rows = [
+		{registration: {...createRegistration(), unheard: ['x']}, unchangedMs: 0},
+		{
+			registration: {...createRegistration(), unheard: ['x']},
+			unchangedMs: 5000,
+		},
+		{registration: createRegistration(), unchangedMs: 0},
+	];
+	t.equal(countUnheard('x', rows, membershipDefaults), 1);
+});
+
+tap.t.test('no entry is forgotten before it stops by itself', async (t) => {
+	t.ok(isSoundSettings(membershipDefaults));
+	t.notOk(isSoundSettings({...membershipDefaults, forgetAfterMs: 24_999}));
+});
