--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -45,3 +45,4 @@
 export * as transition from './instances/transition.js';
 export * as move from './instances/move.js';
 export * as shardLease from './shards/shard-lease.js';
+export * as store from './store/index.js';
--- /dev/null
+++ b/packages/platform/src/client/guarded-call.ts
@@ -0,0 +1,193 @@
+/**
+ * Guards calls to the store: a circuit breaker and a rate budget before each
+ * of them. One breaker stands before reads and writes alike.
+ */
+import * as core from '@gullstand/core';
+
+/** Sources of time and chance. */
+export type Environment = {
+	/** The present time, in milliseconds. */
+	readonly now: () => number;
+	readonly wait: (delayMs: number) => Promise<void>;
+	/** Numbers in [0, 1). */
+	readonly random: () => number;
+};
+
+/** Rates that this daemon may use; of a fleet's rate, its share. */
+export type RateShare = {
+	readonly readsPerSecond: number;
+	readonly writesPerSecond: number;
+};
+
+/** Rates of the whole fleet, with room left for what the platform needs. */
+export const defaultFleetRate: RateShare = {
+	readsPerSecond: 2000,
+	writesPerSecond: 300,
+};
+
+/** Settings of the guard; times in milliseconds. */
+export type GuardConfig = {
+	readonly share: RateShare;
+	/** Part of a rate that may be used at once, from 0 to 1. */
+	readonly burstShare: number;
+	/** A call that would wait longer for its turn is refused. */
+	readonly maxWaitMs: number;
+	readonly breaker: core.store.BreakerConfig;
+};
+
+/** Settings in force when none are given. */
+export const defaultGuardConfig: Omit<GuardConfig, 'share'> = {
+	burstShare: 0.2,
+	maxWaitMs: 2000,
+	breaker: core.store.defaultBreakerConfig,
+};
+
+/** What the guard has done, since it was made. */
+export type GuardCounts = {
+	reads: number;
+	writes: number;
+	failures: number;
+	/** Calls refused without being sent. */
+	refusedOpen: number;
+	refusedRate: number;
+};
+
+type CallKind = 'reads' | 'writes';
+
+type CallResult<Value, Failure> = core.Result<
+	Value,
+	Failure | {readonly kind: 'unavailable'}
+>;
+
+/** Runs calls under the guard. */
+export type Guard = {
+	readonly call: <Value, Failure extends {readonly kind: string}>(
+		kind: CallKind,
+		tokens: number,
+		action: () => Promise<core.Result<Value, Failure>>,
+	) => Promise<CallResult<Value, Failure>>;
+	readonly setShare: (share: RateShare) => void;
+	readonly counts: Readonly<GuardCounts>;
+	readonly getBreaker: () => core.store.Breaker;
+};
+
+type State = {
+	readonly cfg: GuardConfig;
+	readonly env: Environment;
+	readonly counts: GuardCounts;
+	readonly buckets: Record<CallKind, core.store.TokenBucket>;
+	share: RateShare;
+	breaker: core.store.Breaker;
+};
+
+const getBucketConfig = (
+	state: Pick<State, 'cfg' | 'share'>,
+	kind: CallKind,
+	rampShare: number,
+): core.store.TokenBucketConfig => {
+	const rate =
+		kind === 'reads' ? state.share.readsPerSecond : state.share.writesPerSecond;
+	return core.store.createBucketConfig(rate * rampShare, state.cfg.burstShare);
+};
+
+const getWaitMs = (
+	state: State,
+	kind: CallKind,
+	tokens: number,
+): number | undefined => {
+	const {cfg, breaker} = state;
+	const now = state.env.now();
+	const rampShare = core.store.getRampShare(breaker, cfg.breaker, now);
+	const bucket = state.buckets[kind];
+	core.store.updateRate(bucket, getBucketConfig(state, kind, rampShare), now);
+	return core.store.reserveTokens(bucket, tokens, now, cfg.maxWaitMs);
+};
+
+const recordResult = (state: State, isFailure: boolean): void => {
+	const now = state.env.now();
+	if (isFailure) {
+		state.counts.failures += 1;
+		state.breaker = core.store.recordFailure(
+			state.breaker,
+			state.cfg.breaker,
+			now,
+			state.env.random(),
+		);
+		return;
+	}
+
+	const wasClosed = state.breaker.kind === 'closed';
+	state.breaker = core.store.recordAnswer(state.breaker, now);
+	if (!wasClosed && state.breaker.kind === 'closed') {
+		core.store.drainTokens(state.buckets.reads, now);
+		core.store.drainTokens(state.buckets.writes, now);
+	}
+};
+
+const isStoreFailure = (failure: {readonly kind: string}): boolean =>
+	failure.kind === 'unavailable' || failure.kind === 'timeout';
+
+const createState = (cfg: GuardConfig, env: Environment): State => {
+	const base = {cfg, share: cfg.share};
+	const createBucket = (kind: CallKind) =>
+		core.store.createTokenBucket(getBucketConfig(base, kind, 1), env.now());
+	return {
+		...base,
+		env,
+		buckets: {reads: createBucket('reads'), writes: createBucket('writes')},
+		counts: {reads: 0, writes: 0, failures: 0, refusedOpen: 0, refusedRate: 0},
+		breaker: core.store.closedBreaker,
+	};
+};
+
+const refuseOpen = (state: State) => {
+	state.counts.refusedOpen += 1;
+	return core.fail({kind: 'unavailable'} as const);
+};
+
+const runCall = async <Value, Failure extends {readonly kind: string}>(
+	state: State,
+	kind: CallKind,
+	tokens: number,
+	action: () => Promise<core.Result<Value, Failure>>,
+): Promise<CallResult<Value, Failure>> => {
+	const {cfg, env} = state;
+	if (core.store.isRefusing(state.breaker, cfg.breaker, env.now())) {
+		return refuseOpen(state);
+	}
+
+	const waitMs = getWaitMs(state, kind, tokens);
+	if (waitMs === undefined) {
+		state.counts.refusedRate += 1;
+		return core.fail({kind: 'unavailable'});
+	}
+
+	if (waitMs > 0) {
+		await env.wait(waitMs);
+	}
+
+	// What waited while the breaker opened does not go out.
+	const admission = core.store.admitCall(state.breaker, cfg.breaker, env.now());
+	state.breaker = admission.breaker;
+	if (!admission.isAdmitted) {
+		return refuseOpen(state);
+	}
+
+	state.counts[kind] += tokens;
+	const result = await action();
+	recordResult(state, !result.ok && isStoreFailure(result.error));
+	return result;
+};
+
+/** Makes a guard. A refused call fails as `unavailable`, with no effect. */
+export const createGuard = (cfg: GuardConfig, env: Environment): Guard => {
+	const state = createState(cfg, env);
+	return {
+		call: async (kind, tokens, action) => runCall(state, kind, tokens, action),
+		setShare(share) {
+			state.share = share;
+		},
+		counts: state.counts,
+		getBreaker: () => state.breaker,
+	};
+};
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -14,3 +14,4 @@
 export * from './http/object-store.js';
 export * from './http/instance-list.js';
 export * from './http/workers.js';
+export * as client from './client/index.js';
