Tell of a caller that went away without an AbortController a call

Change: Call.cancellation, a lazy set of listeners, fired only if the answer was cut; an emitter for undici; the level is asked before a line is built. Per-request web platform objects stay off this path.

--- a/packages/daemon/src/caller/call.ts
+++ b/packages/daemon/src/caller/call.ts
@@ -7,6 +7,7 @@
 	Service,
 	ServiceTerms,
 } from '@gullstand/core';
+import type {Cancellation} from './cancellation.js';
 
 /** A checked request of an authenticated caller. */
 export type Call = {
@@ -26,8 +27,8 @@
 	readonly deadline: number;
 	/** False for a service or route that may not be repeated. */
 	readonly idempotent: boolean;
-	/** Aborted when the caller goes away. */
-	readonly signal: AbortSignal;
+	/** Happens when the caller goes away. */
+	readonly cancellation: Cancellation;
 };
 
 /** An executor's whole answer, or a stream that ends whole or resets. */
--- a/packages/daemon/src/caller/caller-app.ts
+++ b/packages/daemon/src/caller/caller-app.ts
@@ -10,6 +10,7 @@
 import type {Settings} from '../settings/schema.js';
 import {createErrorResponse, createResponse} from './answer.js';
 import type {Call, CallHandler, CallResult} from './call.js';
+import {createCancellation} from './cancellation.js';
 import {indexTokens, parseHead, type ParsedHead} from './parse-call.js';
 
 /** What the callers' interface needs. */
@@ -64,7 +65,13 @@
 			late: result.kind === 'answer' && endedAt > call.deadline,
 			durationMs,
 		});
-		deps.logger.debug('answered', {
+		const level = result.kind === 'error' ? 'info' : 'debug';
+		// Winston formats a line before it drops it.
+		if (!deps.logger.isLevelEnabled(level)) {
+			return;
+		}
+
+		deps.logger.log(level, 'answered', {
 			requestId: call.requestId,
 			customer: call.contract.customer,
 			service: call.service.name,
@@ -91,9 +98,11 @@
 		}
 
 		bufferedBytes += body.value.length;
-		const abort = new AbortController();
+		const cancellation = createCancellation();
 		outgoing.once('close', () => {
-			abort.abort();
+			if (!outgoing.writableFinished) {
+				cancellation.cancel();
+			}
 		});
 		const {budgetMs, ...rest} = head;
 		const call: Call = {
@@ -104,7 +113,7 @@
 			body: body.value,
 			receivedAt,
 			deadline: receivedAt + budgetMs,
-			signal: abort.signal,
+			cancellation,
 		};
 		try {
 			const result = await deps.handle(call);
--- a/packages/daemon/src/caller/plain-dispatch.ts
+++ b/packages/daemon/src/caller/plain-dispatch.ts
@@ -2,6 +2,8 @@
  * Sends a call to the executor with the fewest requests in flight here, once.
  * No health, retry or shared limit; baseline of the upstream dispatcher.
  */
+
+import {EventEmitter} from 'node:events';
 import {errors as undiciErrors, Pool} from 'undici';
 import type {errors, Instance, View} from '@gullstand/core';
 import {createError, type Call, type CallHandler} from './call.js';
@@ -85,15 +87,26 @@
 
 	const send = async (call: Call, executor: Instance) => {
 		const leftMs = Math.max(1, Math.ceil(call.deadline - deps.now()));
-		const res = await getPool(executor.address).request({
-			path: call.path,
-			method: call.method as 'GET',
-			headers: selectRequestHeaders(call.headers),
-			body: call.body.length > 0 ? call.body : null,
-			signal: AbortSignal.any([call.signal, AbortSignal.timeout(leftMs)]),
-		});
-		const body = new Uint8Array(await res.body.arrayBuffer());
-		return {status: res.statusCode, headers: res.headers, body};
+		// Undici takes either; an emitter makes no exception object a request.
+		// eslint-disable-next-line unicorn/prefer-event-target
+		const abort = new EventEmitter();
+		const stopWaiting = () => abort.emit('abort');
+		const timer = setTimeout(stopWaiting, leftMs);
+		const removeListener = call.cancellation.onCancel(stopWaiting);
+		try {
+			const res = await getPool(executor.address).request({
+				path: call.path,
+				method: call.method as 'GET',
+				headers: selectRequestHeaders(call.headers),
+				body: call.body.length > 0 ? call.body : null,
+				signal: abort,
+			});
+			const body = new Uint8Array(await res.body.arrayBuffer());
+			return {status: res.statusCode, headers: res.headers, body};
+		} finally {
+			clearTimeout(timer);
+			removeListener();
+		}
 	};
 
 	const handle: CallHandler = async (call) => {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,7 @@
 /** The daemon as a library, for the command line, benches and tests. */
 export * from './daemon.js';
 export * from './caller/call.js';
+export * from './caller/cancellation.js';
 export * from './caller/plain-dispatch.js';
 export {headerNames} from './caller/headers.js';
 export {hashToken} from './caller/parse-call.js';
