daemon: let entries call one another on a sealed channel

Cause: hints of new revisions, acknowledgements and slot credits must reach peers faster than the table service, and a stranger must change nothing. Change: JSON-RPC 2.0 over HTTP with an HMAC-SHA256 over sender, receiver, time, nonce and body; answers are sealed with the call's nonce; a typed map of methods with a schema for what each receives. Conclusion: parts add their methods to PeerMethods.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -13,3 +13,5 @@
 export {settingsSchema, type Settings} from './settings/schema.js';
 export * from './view/tables.js';
 export type {Wave} from './waves/wave-runner.js';
+export * from './peers/peer-channel.js';
+export type * from './peers/peer-methods.js';
--- /dev/null
+++ b/packages/daemon/src/peers/peer-channel.ts
@@ -0,0 +1,86 @@
+/** The peer channel as a part: one listener, one client, typed methods. */
+import {Buffer} from 'node:buffer';
+import {createListener} from '../http/listener.js';
+import type {Logger} from '../log/logger.js';
+import type {Part} from '../supervisor/supervisor.js';
+import {createPeerClient, type PeerClient} from './peer-client.js';
+import type {PeerLife} from './peer-methods.js';
+import {createPeerServer, type PeerServer} from './peer-server.js';
+
+/** Settings of the peer channel. */
+export type PeerSettings = {
+	readonly address: string;
+	readonly port: number;
+	readonly keyHex: string;
+};
+
+/** What the peer channel needs. */
+export type PeerChannelDeps = {
+	readonly settings: PeerSettings;
+	readonly life: PeerLife;
+	readonly now: () => number;
+	/** Wall clock, in milliseconds; peers' clocks may be 30 s apart. */
+	readonly wallNow: () => number;
+	readonly logger: Pick<Logger, 'warn'>;
+};
+
+/** The peer channel of one entry. */
+export type PeerChannel = Part &
+	Pick<PeerServer, 'addMethod'> &
+	Pick<PeerClient, 'call'> & {
+		/** Address and port by which peers reach this entry. */
+		readonly getAddress: () => string;
+		/** Messages refused since the start. */
+		readonly countRefused: () => number;
+	};
+
+const limits = {
+	maxHeaderBytes: 8192,
+	headersTimeoutMs: 5000,
+	requestTimeoutMs: 10_000,
+	maxConnections: 1024,
+} as const;
+
+const maxBodyBytes = 8 * 1024 * 1024;
+
+const maxApartMs = 30_000;
+
+const connectTimeoutMs = 500;
+
+/** Creates the peer channel; methods may be added before its start. */
+export const createPeerChannel = (deps: PeerChannelDeps): PeerChannel => {
+	const {settings, life, now, wallNow, logger} = deps;
+	const key = Buffer.from(settings.keyHex, 'hex');
+	let refused = 0;
+
+	const server = createPeerServer({
+		key,
+		getAddress: () => `${settings.address}:${listener.getPort()}`,
+		wallNow,
+		maxBodyBytes,
+		maxApartMs,
+		onRefused(reason) {
+			refused += 1;
+			logger.warn('peer message refused', {reason});
+		},
+	});
+	const listener = createListener(
+		'peers',
+		{...settings, ...limits},
+		server.app.fetch,
+		now,
+	);
+	const client = createPeerClient({key, life, wallNow, connectTimeoutMs});
+	return {
+		name: 'peers',
+		start: listener.start,
+		async stop(deadline) {
+			await listener.stop(deadline);
+			await client.close();
+		},
+		addMethod: server.addMethod,
+		call: client.call,
+		getAddress: () => `${settings.address}:${listener.getPort()}`,
+		countRefused: () => refused,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/peers/peer-client.ts
@@ -0,0 +1,155 @@
+/** Calls other entries by JSON-RPC 2.0 over HTTP. */
+import type {Buffer} from 'node:buffer';
+import {fail, succeed, type Result} from '@gullstand/core';
+import {
+	createJSONRPCRequest,
+	isJSONRPCResponse,
+	type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import {Pool} from 'undici';
+import {
+	createNonce,
+	isSameSignature,
+	peerHeaders,
+	signAnswer,
+	signCall,
+} from './envelope.js';
+import type {
+	PeerError,
+	PeerLife,
+	PeerMethod,
+	PeerMethods,
+} from './peer-methods.js';
+import {peerPath} from './peer-server.js';
+
+/** What a peer client needs. */
+export type PeerClientDeps = {
+	readonly key: Buffer;
+	readonly life: PeerLife;
+	readonly wallNow: () => number;
+	readonly connectTimeoutMs: number;
+};
+
+/** Calls methods of peers by their address and port. */
+export type PeerClient = {
+	readonly call: <Method extends PeerMethod>(
+		address: string,
+		method: Method,
+		params: PeerMethods[Method]['params'],
+		timeoutMs: number,
+	) => Promise<Result<PeerMethods[Method]['result'], PeerError>>;
+	readonly close: () => Promise<void>;
+};
+
+/** Connections are left idle no longer than a middlebox would keep them. */
+const idleConnectionMs = 10_000;
+
+const connectionsPerPeer = 2;
+
+const classifyFailure = (err: unknown): PeerError => {
+	const {name, message} = err as Error;
+	const kind = name === 'TimeoutError' ? 'timeout' : 'unreachable';
+	return {kind, message};
+};
+
+const readAnswer = <Value>(
+	response: JSONRPCResponse,
+): Result<Value, PeerError> =>
+	response.error
+		? fail({kind: 'method-failed', message: response.error.message})
+		: succeed(response.result as Value);
+
+const parseResponse = (text: string): JSONRPCResponse | undefined => {
+	try {
+		const parsed: unknown = JSON.parse(text);
+		return isJSONRPCResponse(parsed) ? parsed : undefined;
+	} catch {
+		return undefined;
+	}
+};
+
+/** Creates a peer client. */
+export const createPeerClient = (deps: PeerClientDeps): PeerClient => {
+	const pools = new Map<string, Pool>();
+
+	const getPool = (address: string): Pool => {
+		const known = pools.get(address);
+		if (known) {
+			return known;
+		}
+
+		const created = new Pool(`http://${address}`, {
+			pipelining: 1,
+			connections: connectionsPerPeer,
+			connectTimeout: deps.connectTimeoutMs,
+			keepAliveTimeout: idleConnectionMs,
+			keepAliveMaxTimeout: idleConnectionMs,
+		});
+		pools.set(address, created);
+		return created;
+	};
+
+	const seal = (address: string, body: string) => {
+		const {entry, incarnation} = deps.life;
+		const nonce = createNonce();
+		const time = deps.wallNow();
+		const call = {entry, incarnation, to: address, time, nonce};
+		const headers = {
+			'content-type': 'application/json',
+			[peerHeaders.entry]: entry,
+			[peerHeaders.incarnation]: incarnation,
+			[peerHeaders.time]: String(time),
+			[peerHeaders.nonce]: nonce,
+			[peerHeaders.signature]: signCall(deps.key, call, body),
+		};
+		return {nonce, headers};
+	};
+
+	const post = async (address: string, body: string, timeoutMs: number) => {
+		const {nonce, headers} = seal(address, body);
+		const res = await getPool(address).request({
+			path: peerPath,
+			method: 'POST',
+			headers,
+			body,
+			signal: AbortSignal.timeout(Math.max(1, Math.trunc(timeoutMs))),
+		});
+		const text = await res.body.text();
+		return {nonce, res, text};
+	};
+
+	return {
+		async call<Method extends PeerMethod>(
+			address: string,
+			method: Method,
+			params: PeerMethods[Method]['params'],
+			timeoutMs: number,
+		) {
+			const body = JSON.stringify(createJSONRPCRequest(1, method, params));
+			try {
+				const {nonce, res, text} = await post(address, body, timeoutMs);
+				if (res.statusCode !== 200) {
+					const message = `answered ${res.statusCode}`;
+					return fail({kind: 'refused', message} as const);
+				}
+
+				const signature = String(res.headers[peerHeaders.signature] ?? '');
+				const wanted = signAnswer(deps.key, nonce, text);
+				const response = parseResponse(text);
+				return response && isSameSignature(wanted, signature)
+					? readAnswer<PeerMethods[Method]['result']>(response)
+					: fail({
+							kind: 'not-authentic',
+							message: 'the answer is not a peer’s',
+						} as const);
+			} catch (err) {
+				return fail(classifyFailure(err));
+			}
+		},
+		async close() {
+			const closing = [...pools.values()].map(async (pool) => pool.destroy());
+			pools.clear();
+			await Promise.all(closing);
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/peers/peer-methods.ts
@@ -0,0 +1,79 @@
+/**
+ * Methods of the peer channel. A part adds its methods here by a line in
+ * `PeerMethods` and a schema for what it receives.
+ */
+import type {acknowledgement, viewChange} from '@gullstand/core';
+import type {z} from 'zod';
+
+/** One life of an entry and where it is reached. */
+export type PeerLife = {
+	readonly entry: string;
+	readonly incarnation: string;
+};
+
+/** What each method takes and answers. */
+export type PeerMethods = {
+	/** Liveness; answers the age of the own confirmation, in milliseconds. */
+	readonly ping: {
+		readonly params: {readonly entry: string};
+		readonly result: {
+			readonly incarnation: string;
+			readonly revision: number;
+			readonly confirmedAgeMs: number;
+		};
+	};
+	/** A committed change; `awaitedBy` is told when it is in force. */
+	readonly offerDelta: {
+		readonly params: {
+			readonly delta: viewChange.ViewDelta;
+			readonly awaitedBy?: string;
+		};
+		readonly result: {readonly revision: number};
+	};
+	/** An acknowledgement, ahead of its row in the table service. */
+	readonly acknowledge: {
+		readonly params: acknowledgement.Acknowledgement;
+		readonly result: Record<string, never>;
+	};
+	/** The whole view, for an entry that starts in an outage. */
+	readonly readView: {
+		readonly params: Record<string, never>;
+		readonly result: PeerView;
+	};
+	/** Asks a registered entry to acknowledge for an unregistered one. */
+	readonly sponsor: {
+		readonly params: acknowledgement.Acknowledgement;
+		readonly result: {
+			readonly isSponsored: boolean;
+			readonly confirmedAgeMs: number;
+		};
+	};
+};
+
+/** A followed view as JSON. */
+export type PeerView = {
+	readonly revision: number;
+	readonly deltaId: string;
+	readonly changes: readonly viewChange.ViewChange[];
+};
+
+/** Name of a method. */
+export type PeerMethod = keyof PeerMethods;
+
+/** A method's handler; `from` is proved. */
+export type PeerHandler<Method extends PeerMethod> = (
+	params: PeerMethods[Method]['params'],
+	from: PeerLife,
+) => PeerMethods[Method]['result'] | Promise<PeerMethods[Method]['result']>;
+
+/** Checks what a method receives. */
+export type PeerSchema<Method extends PeerMethod> = z.ZodType<
+	PeerMethods[Method]['params']
+>;
+
+/** Why a call failed; after `timeout` or `unreachable` it may have run. */
+export type PeerError = {
+	readonly kind:
+		'unreachable' | 'timeout' | 'refused' | 'not-authentic' | 'method-failed';
+	readonly message: string;
+};
--- /dev/null
+++ b/packages/daemon/src/peers/peer-server.ts
@@ -0,0 +1,104 @@
+/** Answers JSON-RPC 2.0 calls of other entries, and of nobody else. */
+import {Buffer} from 'node:buffer';
+import type {HttpBindings} from '@hono/node-server';
+import {Hono} from 'hono';
+import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
+import VError from 'verror';
+import {readBody} from '../http/read-body.js';
+import {
+	checkCall,
+	createNonceWindow,
+	peerHeaders,
+	signAnswer,
+	type EnvelopeRefusal,
+} from './envelope.js';
+import type {
+	PeerHandler,
+	PeerLife,
+	PeerMethod,
+	PeerSchema,
+} from './peer-methods.js';
+
+/** What a peer server needs. */
+export type PeerServerDeps = {
+	readonly key: Buffer;
+	/** Address and port that others send to. */
+	readonly getAddress: () => string;
+	readonly wallNow: () => number;
+	readonly maxBodyBytes: number;
+	readonly maxApartMs: number;
+	readonly onRefused: (reason: EnvelopeRefusal) => void;
+};
+
+/** A peer server: a handler of HTTP requests and the methods behind it. */
+export type PeerServer = {
+	readonly app: Hono<{Bindings: HttpBindings}>;
+	readonly addMethod: <Method extends PeerMethod>(
+		method: Method,
+		schema: PeerSchema<Method>,
+		handler: PeerHandler<Method>,
+	) => void;
+};
+
+/** Path of the peer channel. */
+export const peerPath = '/peer';
+
+/** Creates a peer server. */
+export const createPeerServer = (deps: PeerServerDeps): PeerServer => {
+	const {key, maxApartMs} = deps;
+	const rpc = new JSONRPCServer<PeerLife>({errorListener: () => undefined});
+	const nonces = createNonceWindow(maxApartMs);
+	const app = new Hono<{Bindings: HttpBindings}>();
+
+	app.post(peerPath, async (c) => {
+		const body = await readBody(c.env.incoming, deps.maxBodyBytes);
+		if (!body.ok) {
+			return c.body(null, 413);
+		}
+
+		const text = Buffer.from(body.value).toString('utf8');
+		const header = (name: keyof typeof peerHeaders) =>
+			c.req.header(peerHeaders[name]) ?? '';
+		const call = {
+			entry: header('entry'),
+			incarnation: header('incarnation'),
+			to: deps.getAddress(),
+			time: Number(header('time') || Number.NaN),
+			nonce: header('nonce'),
+			signature: header('signature'),
+		};
+		const refusal = checkCall(
+			{key, nonces, maxApartMs},
+			call,
+			text,
+			deps.wallNow(),
+		);
+		if (refusal) {
+			deps.onRefused(refusal);
+			return c.body(null, 401);
+		}
+
+		const {entry, incarnation} = call;
+		const answer = await rpc.receiveJSON(text, {entry, incarnation});
+		const answerText = JSON.stringify(answer);
+		c.header(peerHeaders.signature, signAnswer(key, call.nonce, answerText));
+		return c.body(answerText, 200, {'content-type': 'application/json'});
+	});
+
+	return {
+		app,
+		addMethod(method, schema, handler) {
+			rpc.addMethod(
+				method,
+				async (params: JSONRPCRequest['params'], from: PeerLife) => {
+					const parsed = schema.safeParse(params);
+					if (!parsed.success) {
+						throw new VError(parsed.error, `${method}: malformed parameters`);
+					}
+
+					return handler(parsed.data, from);
+				},
+			);
+		},
+	};
+};
