Carry requests to executors through their faults

Cause: the daemon needs a path to executors that keeps answers whole and on time while executors reset, cut, refuse, hang or leave, and that never sends work twice that may not run twice.

Change: daemon/upstream: one undici Client a connection and one request in flight on it, bytes counted at the socket for the outcome, answers held back until length or last chunk was checked and streamed above a bound, retries and hedges by core's decisions, probes on new connections. An answer that ends only because the connection did is refused: nothing tells it from a cut one. stand-in/upstream: an executor with faults that logs what it ran. The client waits for its connector in a later step: called back at once, it never sent the first request (found by the first test: 40 s, then an error).

--- a/packages/core/src/connections/connections.test.ts
+++ b/packages/core/src/connections/connections.test.ts
@@ -124,7 +124,8 @@
 		}
 
 		t.equal(state.suspectedAt, undefined);
+		t.notOk(silence.startProbeIfDue(state, limits, 9000), 'no doubt left');
 		t.notOk(silence.recordSilence(state, limits, 1499), 'gap');
-		t.ok(silence.recordSilence(state, limits, 1500));
+		t.ok(silence.startProbeIfDue(state, limits, 1500), 'made up for later');
 	});
 }
--- a/packages/core/src/connections/silence.ts
+++ b/packages/core/src/connections/silence.ts
@@ -94,17 +94,14 @@
 	lastProbeAt: Number.NEGATIVE_INFINITY,
 });
 
-/**
- * Takes note that an attempt is silent on a connection that was last proved
- * at `provedAt`. True if a probe on a new connection is to start now.
- */
-export const recordSilence = (
+/** True if connections are in doubt and a probe is to start now. */
+export const startProbeIfDue = (
 	state: SilenceState,
 	cfg: SilenceConfig,
 	now: number,
 ): boolean => {
-	state.suspectedAt ??= now;
-	if (state.probing || now - state.lastProbeAt < cfg.probeGapMs) {
+	const tooSoon = now - state.lastProbeAt < cfg.probeGapMs;
+	if (state.suspectedAt === undefined || state.probing || tooSoon) {
 		return false;
 	}
 
@@ -113,6 +110,19 @@
 	return true;
 };
 
+/**
+ * Takes note that an attempt is silent. True if a probe on a new connection
+ * is to start now; otherwise ask `startProbeIfDue` again later.
+ */
+export const recordSilence = (
+	state: SilenceState,
+	cfg: SilenceConfig,
+	now: number,
+): boolean => {
+	state.suspectedAt ??= now;
+	return startProbeIfDue(state, cfg, now);
+};
+
 /** What a probe on a new connection showed. */
 export type ProbeVerdict =
 	/** New connections work and old ones do not: retire the old ones. */
--- a/packages/core/src/outcome/attempt-outcome.test.ts
+++ b/packages/core/src/outcome/attempt-outcome.test.ts
@@ -23,6 +23,7 @@
 		'upstream-unreachable',
 		'not-run',
 	],
+	['malformed request', {kind: 'invalid-request'}, 'bad-request', 'not-run'],
 	['no connection', {kind: 'no-connection'}, 'overloaded', 'not-run'],
 	[
 		'broken, nothing sent',
--- a/packages/core/src/outcome/attempt-outcome.ts
+++ b/packages/core/src/outcome/attempt-outcome.ts
@@ -19,6 +19,8 @@
 	  }
 	/** No connection was made. */
 	| {readonly kind: 'connect-failed'}
+	/** The request cannot be written as HTTP/1.1. */
+	| {readonly kind: 'invalid-request'}
 	/** The entry had no connection to spare. */
 	| {readonly kind: 'no-connection'}
 	/** Closed, reset, cut or malformed before the answer was whole. */
@@ -69,6 +71,7 @@
 				? toError('upstream-reset')
 				: {kind: 'answer', outcome: 'ran'};
 		})
+		.with({kind: 'invalid-request'}, () => toError('bad-request'))
 		.with({kind: 'connect-failed'}, () => toError('upstream-unreachable'))
 		.with({kind: 'no-connection'}, () => toError('overloaded'))
 		.with({kind: 'broken'}, ({bytesSent}) =>
--- a/packages/core/src/retry/retry-decision.test.ts
+++ b/packages/core/src/retry/retry-decision.test.ts
@@ -22,6 +22,7 @@
 type Case = {
 	readonly name: string;
 	readonly outcome: 'not-run' | 'unknown';
+	readonly error?: 'bad-request' | 'cancelled';
 	readonly change: Partial<retry.RetryFacts>;
 	readonly now?: number;
 	readonly tokens?: number;
@@ -88,6 +89,22 @@
 		retried: 'no-alternative',
 		hedged: 'no-alternative',
 	},
+	{
+		name: 'malformed, the next executor cannot take it either',
+		outcome: 'not-run',
+		error: 'bad-request',
+		change: {},
+		retried: 'hopeless',
+		hedged: 'retry',
+	},
+	{
+		name: 'the caller has gone',
+		outcome: 'unknown',
+		error: 'cancelled',
+		change: {},
+		retried: 'hopeless',
+		hedged: 'retry',
+	},
 	{
 		name: 'budget spent',
 		outcome: 'not-run',
@@ -100,12 +117,13 @@
 
 for (const {name, outcome, change, now = 0, tokens = 5, ...wanted} of table) {
 	tap.t.test(name, async (t) => {
+		const error = wanted.error ?? 'upstream-reset';
 		const all = {...facts, ...change};
 		for (const way of ['retried', 'hedged'] as const) {
 			const budget = createBudget(tokens);
 			const decision =
 				way === 'retried'
-					? retry.decideRetry({outcome}, all, budget, now)
+					? retry.decideRetry({error, outcome}, all, budget, now)
 					: retry.decideHedge(all, budget, now);
 			const found = decision.kind === 'retry' ? 'retry' : decision.reason;
 			t.equal(found, wanted[way]);
@@ -123,7 +141,7 @@
 		attempts += 1;
 		for (let again = 1; again < facts.maxAttempts; again++) {
 			const decision = retry.decideRetry(
-				{outcome: 'unknown'},
+				{error: 'upstream-reset', outcome: 'unknown'},
 				{...facts, attempts: again},
 				budget,
 				0,
--- a/packages/core/src/retry/retry-decision.ts
+++ b/packages/core/src/retry/retry-decision.ts
@@ -2,6 +2,8 @@
  * Whether a request may be sent once more: only what is idempotent or
  * certainly not run, within the deadline, the attempts and the budget.
  */
+import * as errors from '../errors/error-table.js';
+import type {ErrorKind} from '../errors/error-table.js';
 import type {Outcome} from '../types/outcome.js';
 import * as retryBudget from './budget.js';
 
@@ -24,7 +26,12 @@
 
 /** Why a request is not sent once more. */
 export type NoRetryReason =
-	'not-repeatable' | 'attempts' | 'deadline' | 'no-alternative' | 'budget';
+	| 'hopeless'
+	| 'not-repeatable'
+	| 'attempts'
+	| 'deadline'
+	| 'no-alternative'
+	| 'budget';
 
 /** Send once more, or not and why. */
 export type RetryDecision =
@@ -60,14 +67,22 @@
 	return retryBudget.trySpend(budget) ? {kind: 'retry'} : giveUp('budget');
 };
 
+/** Error and outcome of a failed attempt. */
+export type Failure = {readonly error: ErrorKind; readonly outcome: Outcome};
+
 /** Decides after a failed attempt; a retry has spent its token. */
 export const decideRetry = (
-	failed: {readonly outcome: Outcome},
+	failed: Failure,
 	facts: RetryFacts,
 	budget: retryBudget.RetryBudget,
 	now: number,
 ): RetryDecision => {
+	const hopeless = errors.errorTable[failed.error].retry === 'never';
 	const safe = failed.outcome === 'not-run' || facts.idempotent;
+	if (hopeless || failed.error === 'cancelled') {
+		return giveUp('hopeless');
+	}
+
 	return safe ? decide(facts, budget, now) : giveUp('not-repeatable');
 };
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,3 +15,6 @@
 export type {Wave} from './waves/wave-runner.js';
 export * from './peers/peer-channel.js';
 export type * from './peers/peer-methods.js';
+export * as upstream from './upstream/upstream.js';
+export type * as upstreamTypes from './upstream/types.js';
+export {defaultUpstreamConfig} from './upstream/types.js';
--- /dev/null
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -0,0 +1,129 @@
+/** One attempt of a request: a slot, a connection, an exchange. */
+import * as core from '@gullstand/core';
+import * as pools from './connection-pool.js';
+import type {Connection} from './connection.js';
+import * as exchanges from './exchange.js';
+import type {ExecutorLink, UpstreamState} from './state.js';
+import type {Slot, UpstreamRequest} from './types.js';
+
+/** A running attempt. */
+export type Attempt = {
+	readonly link: ExecutorLink;
+	readonly slot: Slot;
+	readonly startedAt: number;
+	/** True once it has gone without a byte for longer than the threshold. */
+	silent: boolean;
+	aborted: boolean;
+	exchange: exchanges.Exchange | undefined;
+	timer: NodeJS.Timeout | undefined;
+};
+
+/** What the dispatcher is told. */
+export type AttemptEvents = {
+	/** Once, unless aborted before. */
+	readonly onEnd: (attempt: Attempt, end: exchanges.ExchangeEnd) => void;
+	/** Each time that the threshold has passed without a byte. */
+	readonly onSilent: (attempt: Attempt) => void;
+};
+
+type Context = {
+	readonly state: UpstreamState;
+	readonly attempt: Attempt;
+	readonly req: UpstreamRequest;
+	readonly events: AttemptEvents;
+};
+
+/** Bytes of the request that were handed to the socket. */
+export const getBytesSent = ({exchange}: Attempt): number =>
+	exchange?.getBytesSent() ?? 0;
+
+const watchSilence = (ctx: Context, connection: Connection): void => {
+	const {state, attempt, events} = ctx;
+	const sentAt = state.clock();
+	const check = () => {
+		const quietMs = state.clock() - Math.max(sentAt, connection.provedAt);
+		const limitMs = core.connectionSilence.getSilenceMs(
+			state.serviceTime,
+			state.cfg.silence,
+		);
+		if (quietMs >= limitMs) {
+			events.onSilent(attempt);
+		}
+
+		const nextMs = quietMs >= limitMs ? limitMs : limitMs - quietMs;
+		attempt.timer = setTimeout(check, Math.ceil(nextMs));
+	};
+
+	check();
+};
+
+const send = (ctx: Context, connection: Connection): void => {
+	const {state, attempt, req, events} = ctx;
+	const {link, slot} = attempt;
+	let connectionBytes = 0;
+	attempt.exchange = exchanges.startExchange(connection, req, state, {
+		onEnd(end) {
+			clearTimeout(attempt.timer);
+			events.onEnd(attempt, end);
+		},
+		onFree(whole) {
+			connectionBytes = getBytesSent(attempt);
+			clearTimeout(attempt.timer);
+			slot.release(!whole && connectionBytes > 0);
+			if (whole) {
+				pools.release(link.pool, connection);
+			} else {
+				pools.discard(link.pool, connection);
+			}
+		},
+	});
+	watchSilence(ctx, connection);
+};
+
+const connect = async (ctx: Context): Promise<void> => {
+	const {attempt, req, events} = ctx;
+	const {pool, silence} = attempt.link;
+	const {suspectedAt} = silence;
+	const {repeatable} = req;
+	const connection = await pools.acquire(pool, {repeatable, suspectedAt});
+	if (typeof connection === 'string') {
+		if (!attempt.aborted) {
+			attempt.slot.release(false);
+			events.onEnd(attempt, {end: {kind: connection}});
+		}
+	} else if (attempt.aborted) {
+		pools.release(pool, connection);
+	} else {
+		send(ctx, connection);
+	}
+};
+
+/** Starts an attempt on an executor whose slot has been taken. */
+export const startAttempt = (
+	state: UpstreamState,
+	req: UpstreamRequest,
+	target: {readonly link: ExecutorLink; readonly slot: Slot},
+	events: AttemptEvents,
+): Attempt => {
+	const attempt: Attempt = {
+		...target,
+		startedAt: state.clock(),
+		silent: false,
+		aborted: false,
+		exchange: undefined,
+		timer: undefined,
+	};
+	void connect({state, attempt, req, events});
+	return attempt;
+};
+
+/** Gives an attempt up; its connection is destroyed if it carried bytes. */
+export const abortAttempt = (attempt: Attempt): void => {
+	attempt.aborted = true;
+	clearTimeout(attempt.timer);
+	if (attempt.exchange === undefined) {
+		attempt.slot.release(false);
+	} else {
+		attempt.exchange.abort();
+	}
+};
--- /dev/null
+++ b/packages/daemon/src/upstream/state.ts
@@ -0,0 +1,71 @@
+/** What the parts of one upstream share. */
+import * as core from '@gullstand/core';
+import * as pools from './connection-pool.js';
+import type {TakeSlot, UpstreamConfig, UpstreamStats} from './types.js';
+
+/** One executor as this entry reaches it. */
+export type ExecutorLink = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly pool: pools.ConnectionPool;
+	readonly silence: core.connectionSilence.SilenceState;
+	/** Attempts that went silent since the last probe and never answered. */
+	silentAttempts: number;
+};
+
+/** State of the path to one service. */
+export type UpstreamState = {
+	readonly service: core.Service;
+	readonly cfg: UpstreamConfig;
+	readonly clock: () => number;
+	readonly takeSlot: TakeSlot;
+	readonly links: Map<string, ExecutorLink>;
+	readonly health: core.health.PoolHealth;
+	readonly budget: core.retryBudget.RetryBudget;
+	readonly serviceTime: core.connectionSilence.ServiceTime;
+	readonly stats: UpstreamStats;
+};
+
+/** An executor that may take requests. */
+export type ExecutorTarget = Pick<
+	core.Instance,
+	'id' | 'address' | 'availabilityZone'
+>;
+
+const createLink = (
+	{cfg, clock}: UpstreamState,
+	{id, address, availabilityZone}: ExecutorTarget,
+): ExecutorLink => ({
+	id,
+	availabilityZone,
+	pool: pools.createPool(address, cfg, clock),
+	silence: core.connectionSilence.createSilenceState(),
+	silentAttempts: 0,
+});
+
+/**
+ * Takes over the list of serving executors. One that has left the list, or
+ * has moved to another address, gets no new work; in-flight work finishes.
+ */
+export const setExecutors = (
+	state: UpstreamState,
+	targets: readonly ExecutorTarget[],
+): void => {
+	const {links, health} = state;
+	const wanted = new Map(targets.map((each) => [each.id, each]));
+	for (const [id, link] of links) {
+		if (wanted.get(id)?.address !== link.pool.address) {
+			pools.closePool(link.pool);
+			links.delete(id);
+		}
+	}
+
+	core.health.setExecutors(health, [...links.keys()]);
+	for (const target of targets) {
+		if (!links.has(target.id)) {
+			links.set(target.id, createLink(state, target));
+		}
+	}
+
+	core.health.setExecutors(health, [...links.keys()]);
+};
--- /dev/null
+++ b/packages/daemon/src/upstream/upstream.ts
@@ -0,0 +1,158 @@
+/**
+ * The path from this entry to one service: connections, health, retries,
+ * hedges, probes. Source: docs/design/upstream-faults.md.
+ */
+import * as core from '@gullstand/core';
+import * as pools from './connection-pool.js';
+import * as dispatcher from './dispatcher.js';
+import * as probes from './probe.js';
+import * as slots from './slots.js';
+import * as states from './state.js';
+import type {
+	AttemptResult,
+	TakeSlot,
+	UpstreamConfig,
+	UpstreamRequest,
+	UpstreamStats,
+} from './types.js';
+
+/** What an upstream is made from. */
+export type UpstreamOptions = {
+	readonly service: core.Service;
+	readonly cfg: UpstreamConfig;
+	/** Present time in milliseconds; deadlines are in the same clock. */
+	readonly clock: () => number;
+	/** Draws a number in [0, 1). */
+	readonly random: () => number;
+	/** Takes slots across entries; by default this entry counts its own. */
+	readonly takeSlot?: TakeSlot;
+};
+
+/** Health of one executor as operators see it. */
+export type ExecutorReport = {
+	readonly id: string;
+	readonly status: core.health.HealthStatus['kind'];
+	readonly connections: number;
+	readonly latencyMs: number;
+	readonly failureRate: number;
+};
+
+/** Executors that serve now. */
+export type Targets = readonly states.ExecutorTarget[];
+
+/** The path to one service. */
+export type Upstream = {
+	/** Never rejects: every failure is a result with a kind and an outcome. */
+	readonly dispatch: (req: UpstreamRequest) => Promise<AttemptResult>;
+	/** The executors that serve now; those left out get no new work. */
+	readonly setExecutors: (targets: Targets) => void;
+	readonly getStats: () => Readonly<UpstreamStats>;
+	readonly listExecutors: () => ExecutorReport[];
+	/** Takes no new work; resolves when in-flight work is done or cut. */
+	readonly close: (deadlineMs: number) => Promise<void>;
+};
+
+const createState = (options: UpstreamOptions): states.UpstreamState => {
+	const {service, cfg, clock, random, takeSlot} = options;
+	return {
+		service,
+		cfg,
+		clock,
+		takeSlot:
+			takeSlot ?? slots.createLocalSlots(service.slotsPerExecutor, random),
+		links: new Map(),
+		health: core.health.createPoolHealth(cfg.health),
+		budget: core.retryBudget.createRetryBudget(cfg.retryBudget),
+		serviceTime: core.connectionSilence.createServiceTime(),
+		stats: {
+			requests: 0,
+			attempts: 0,
+			retries: 0,
+			hedges: 0,
+			budgetDenied: 0,
+			probes: 0,
+			retiredConnections: 0,
+		},
+	};
+};
+
+const sweep = (state: states.UpstreamState): void => {
+	for (const {pool} of state.links.values()) {
+		pools.sweep(pool);
+	}
+
+	probes.startDueProbes(state);
+};
+
+const listExecutors = (state: states.UpstreamState): ExecutorReport[] => {
+	const reports: ExecutorReport[] = [];
+	for (const {id, pool} of state.links.values()) {
+		const health = state.health.executors.get(id);
+		if (health !== undefined) {
+			const {status, latencyMs, failureRate} = health;
+			const connections = pool.open.size;
+			reports.push({
+				id,
+				status: status.kind,
+				connections,
+				latencyMs,
+				failureRate,
+			});
+		}
+	}
+
+	return reports;
+};
+
+/** Waits until all are settled, at most so long. */
+const waitFor = async (
+	pending: Iterable<Promise<unknown>>,
+	deadlineMs: number,
+): Promise<void> => {
+	let timer: NodeJS.Timeout | undefined;
+	const late = new Promise<void>((resolve) => {
+		timer = setTimeout(resolve, deadlineMs);
+	});
+	await Promise.race([Promise.allSettled(pending), late]);
+	clearTimeout(timer);
+};
+
+/** Makes the path to one service; it knows no executor yet. */
+export const createUpstream = (options: UpstreamOptions): Upstream => {
+	const state = createState(options);
+	const pending = new Set<Promise<AttemptResult>>();
+	const timer = setInterval(() => {
+		sweep(state);
+	}, options.cfg.sweepMs);
+	timer.unref();
+
+	const dispatch = async (req: UpstreamRequest): Promise<AttemptResult> => {
+		const result = dispatcher.dispatch(state, req);
+		pending.add(result);
+		try {
+			return await result;
+		} finally {
+			pending.delete(result);
+		}
+	};
+
+	return {
+		dispatch,
+		setExecutors(targets) {
+			states.setExecutors(state, targets);
+		},
+		getStats: () => state.stats,
+		listExecutors: () => listExecutors(state),
+		async close(deadlineMs) {
+			clearInterval(timer);
+			await waitFor(pending, deadlineMs);
+			const open = [...state.links.values()].flatMap(({pool}) => [
+				...pool.open,
+			]);
+			states.setExecutors(state, []);
+			for (const each of open) {
+				each.socket.destroy();
+			}
+		},
+	};
+};
--- a/packages/stand-in/src/index.ts
+++ b/packages/stand-in/src/index.ts
@@ -1,3 +1,5 @@
-/** Small fakes of the platform and of upstreams, with faults. */
+/** Stand-ins of the platform and of upstreams, with fault injection. */
 export * from './platform/app.js';
 export * from './platform/server.js';
+export * as answers from './upstream/answer.js';
+export * as executor from './upstream/executor.js';
--- /dev/null
+++ b/packages/stand-in/src/upstream/executor.ts
@@ -0,0 +1,299 @@
+/**
+ * A small stand-in for one executor of a service: an HTTP/1.1 server with
+ * a number of slots and a queue, whose faults are set from outside. It logs
+ * the id of every request that it ran, which makes it the judge of outcomes.
+ */
+import {Buffer} from 'node:buffer';
+import * as http from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import * as answers from './answer.js';
+
+/** What is wrong with an executor. Shares are in [0, 1] of its requests. */
+export type Fault =
+	| {readonly kind: 'none'}
+	| {readonly kind: 'slow'; readonly factor: number}
+	/** Resets the connection after it ran the request. */
+	| {readonly kind: 'reset'; readonly share: number}
+	/** Sends half of the answer, then closes in the ordinary way. */
+	| {
+			readonly kind: 'half';
+			readonly share: number;
+			readonly framing: 'length' | 'chunked';
+	  }
+	/** Connections open now swallow all for good; new ones work. */
+	| {readonly kind: 'silent-old'}
+	/** Takes connections and swallows all. */
+	| {readonly kind: 'hang'}
+	| {readonly kind: 'refuse'; readonly share: number}
+	/** The process is gone: connections reset, new ones refused. */
+	| {readonly kind: 'gone'};
+
+/** Settings of one executor. */
+export type ExecutorOptions = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly slots: number;
+	/** Draws one service time in milliseconds. */
+	readonly drawServiceMs: () => number;
+	/** Draws a number in [0, 1). */
+	readonly random: () => number;
+	/** Idle time after which it closes a connection; 0 for never. */
+	readonly keepAliveMs?: number;
+};
+
+/** A running stand-in. */
+export type StandInExecutor = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	/** IP number and port. */
+	readonly address: string;
+	/** Ids of the requests it ran, in order. */
+	readonly runs: readonly string[];
+	/** Most connections and requests that were open at once. */
+	readonly peaks: {connections: number; running: number};
+	readonly setFault: (fault: Fault) => Promise<void>;
+	readonly close: () => Promise<void>;
+};
+
+type Work = {
+	readonly id: string;
+	readonly body: string;
+	readonly req: http.IncomingMessage;
+	readonly res: http.ServerResponse;
+};
+
+type State = {
+	readonly options: ExecutorOptions;
+	readonly server: http.Server;
+	readonly sockets: Set<Socket>;
+	readonly silent: Set<Socket>;
+	readonly queue: Set<Work>;
+	readonly runs: string[];
+	readonly peaks: {connections: number; running: number};
+	fault: Fault;
+	running: number;
+};
+
+const defaultAnswerBytes = 256;
+
+const hits = (state: State, share: number): boolean =>
+	state.options.random() < share;
+
+const sendWhole = (res: http.ServerResponse, answer: Buffer): void => {
+	// Both framings are in use all the time, by the checksum's first digit.
+	if (answer[0] !== undefined && answer[0] % 2 === 0) {
+		res.setHeader('content-length', answer.length);
+		res.end(answer);
+		return;
+	}
+
+	const middle = Math.floor(answer.length / 2);
+	res.write(answer.subarray(0, middle));
+	res.end(answer.subarray(middle));
+};
+
+const sendHalf = (
+	{req, res}: Work,
+	answer: Buffer,
+	framing: 'length' | 'chunked',
+): void => {
+	if (framing === 'length') {
+		res.setHeader('content-length', answer.length);
+	}
+
+	res.write(answer.subarray(0, Math.floor(answer.length / 2)), () => {
+		req.socket.end();
+	});
+};
+
+const sendAnswer = (state: State, work: Work): void => {
+	const {req, res, id, body} = work;
+	if (state.silent.has(req.socket) || state.fault.kind === 'hang') {
+		return;
+	}
+
+	const wanted = Number(req.headers[answers.answerBytesHeader]);
+	const bytes = wanted > 0 ? wanted : defaultAnswerBytes;
+	const answer = answers.createAnswer(id, body, bytes);
+	const {fault} = state;
+	if (fault.kind === 'reset' && hits(state, fault.share)) {
+		req.socket.resetAndDestroy();
+	} else if (fault.kind === 'half' && hits(state, fault.share)) {
+		sendHalf(work, answer, fault.framing);
+	} else {
+		sendWhole(res, answer);
+	}
+};
+
+const startWork = (state: State, work: Work): void => {
+	const factor = state.fault.kind === 'slow' ? state.fault.factor : 1;
+	state.running += 1;
+	state.peaks.running = Math.max(state.peaks.running, state.running);
+	state.runs.push(work.id);
+	setTimeout(() => {
+		state.running -= 1;
+		sendAnswer(state, work);
+		startNext(state);
+	}, state.options.drawServiceMs() * factor);
+};
+
+const startNext = (state: State): void => {
+	for (const work of state.queue) {
+		if (state.running >= state.options.slots) {
+			return;
+		}
+
+		state.queue.delete(work);
+		startWork(state, work);
+	}
+};
+
+const refuse = (res: http.ServerResponse): void => {
+	res.writeHead(503, {[answers.refusalHeader]: '1'}).end();
+};
+
+const handleRequest = async (
+	state: State,
+	req: http.IncomingMessage,
+	res: http.ServerResponse,
+): Promise<void> => {
+	const chunks: Buffer[] = [];
+	for await (const chunk of req) {
+		chunks.push(chunk as Buffer);
+	}
+
+	const {fault} = state;
+	if (fault.kind === 'hang' || state.silent.has(req.socket)) {
+		return;
+	}
+
+	if (req.method === 'OPTIONS') {
+		res.writeHead(204).end();
+		return;
+	}
+
+	if (fault.kind === 'refuse' && hits(state, fault.share)) {
+		refuse(res);
+		return;
+	}
+
+	const id = String(req.headers[answers.requestIdHeader]);
+	const body = Buffer.concat(chunks).toString();
+	const work = {id, body, req, res};
+	state.queue.add(work);
+	res.once('close', () => {
+		state.queue.delete(work);
+	});
+	startNext(state);
+};
+
+const takeRequest = async (
+	...request: Parameters<typeof handleRequest>
+): Promise<void> => {
+	try {
+		await handleRequest(...request);
+	} catch {
+		// A request that was cut off while it was read gets no answer.
+	}
+};
+
+const trackSocket = (state: State, socket: Socket): void => {
+	state.sockets.add(socket);
+	const {peaks, sockets} = state;
+	peaks.connections = Math.max(peaks.connections, sockets.size);
+	socket.on('error', () => undefined);
+	socket.once('close', () => {
+		state.sockets.delete(socket);
+		state.silent.delete(socket);
+	});
+};
+
+const listen = async (server: http.Server, port: number): Promise<number> =>
+	new Promise((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, '127.0.0.1', () => {
+			server.off('error', reject);
+			resolve((server.address() as AddressInfo).port);
+		});
+	});
+
+const stop = async (state: State): Promise<void> =>
+	new Promise((resolve) => {
+		state.server.close(() => {
+			resolve();
+		});
+		for (const socket of state.sockets) {
+			socket.resetAndDestroy();
+		}
+	});
+
+const setFault = async (
+	state: State,
+	fault: Fault,
+	port: number,
+): Promise<void> => {
+	state.fault = fault;
+	if (fault.kind === 'silent-old') {
+		for (const socket of state.sockets) {
+			state.silent.add(socket);
+		}
+	}
+
+	if (fault.kind === 'gone' && state.server.listening) {
+		state.queue.clear();
+		await stop(state);
+	} else if (fault.kind !== 'gone' && !state.server.listening) {
+		await listen(state.server, port);
+	}
+};
+
+/** Starts an executor on a free port of 127.0.0.1. */
+export const startExecutor = async (
+	options: ExecutorOptions,
+): Promise<StandInExecutor> => {
+	const server = http.createServer({
+		keepAliveTimeout: options.keepAliveMs ?? 0,
+		connectionsCheckingInterval: 1000,
+		requestTimeout: 0,
+	});
+	const state: State = {
+		options,
+		server,
+		sockets: new Set(),
+		silent: new Set(),
+		queue: new Set(),
+		runs: [],
+		peaks: {connections: 0, running: 0},
+		fault: {kind: 'none'},
+		running: 0,
+	};
+	server.on('connection', (socket: Socket) => {
+		trackSocket(state, socket);
+	});
+	server.on('request', (req, res) => {
+		void takeRequest(state, req, res);
+	});
+	const port = await listen(server, 0);
+	return {
+		id: options.id,
+		availabilityZone: options.availabilityZone,
+		address: `127.0.0.1:${port}`,
+		runs: state.runs,
+		peaks: state.peaks,
+		setFault: async (fault) => setFault(state, fault, port),
+		close: async () => setFault(state, {kind: 'gone'}, port),
+	};
+};
+
+/** Sets one fault on every executor of an availability zone. */
+export const setZoneFault = async (
+	executors: readonly StandInExecutor[],
+	availabilityZone: string,
+	fault: Fault,
+): Promise<void> => {
+	await Promise.all(
+		executors
+			.filter((each) => each.availabilityZone === availabilityZone)
+			.map(async (each) => each.setFault(fault)),
+	);
+};
