Plan and step maintenance waves

Cause: nothing decides which racks a wave takes, which jobs move, and when. Change: waves/: the state machine and rows of a wave, decideEvacuation (one waiting time a worker, by weights), chooseDomain (whole racks first, put off until the delay has cost as much as emptying them), stepWave with a work bound, findObstacles, getPlacementAdvice and pickTarget (jobs go only to workers that are done). Terms are combined by contracts/service-promise.

--- a/packages/core/src/budget/terms.ts
+++ b/packages/core/src/budget/terms.ts
@@ -1,4 +1,5 @@
 /** The terms of all contracts that name one service, combined. */
+import {getServicePromise} from '../contracts/service-promise.js';
 import type {Contract} from '../types/contract.js';
 
 /** The strictest terms over all contracts, each with the customer it is from. */
@@ -21,39 +22,18 @@
 	maxAwayFor: '',
 };
 
-/** Takes the greater `keepExecutors` and the smaller `maxAway` of two. */
-export const getStricterTerms = (
-	one: CombinedTerms,
-	other: CombinedTerms,
-): CombinedTerms => {
-	const keep = other.keepExecutors > one.keepExecutors ? other : one;
-	const away = other.maxAway < one.maxAway ? other : one;
-	return {
-		keepExecutors: keep.keepExecutors,
-		keepExecutorsFor: keep.keepExecutorsFor,
-		maxAway: away.maxAway,
-		maxAwayFor: away.maxAwayFor,
-	};
-};
-
 /** Combines the terms of every contract that names the service. */
 export const combineTerms = (
 	contracts: Iterable<Contract>,
 	service: string,
 ): CombinedTerms => {
-	let combined = noTerms;
-	for (const {customer, services} of contracts) {
-		for (const terms of services) {
-			if (terms.service === service) {
-				combined = getStricterTerms(combined, {
-					keepExecutors: terms.keepExecutors,
-					keepExecutorsFor: customer,
-					maxAway: terms.maxAway,
-					maxAwayFor: customer,
-				});
+	const promise = getServicePromise(contracts, service);
+	return promise
+		? {
+				keepExecutors: promise.keepExecutors.value,
+				keepExecutorsFor: promise.keepExecutors.customer,
+				maxAway: promise.maxAway.value,
+				maxAwayFor: promise.maxAway.customer,
 			}
-		}
-	}
-
-	return combined;
+		: noTerms;
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -46,3 +46,4 @@
 export * as move from './instances/move.js';
 export * as shardLease from './shards/shard-lease.js';
 export * as store from './store/index.js';
+export * as waves from './waves/index.js';
--- /dev/null
+++ b/packages/core/src/waves/allowance.ts
@@ -0,0 +1,63 @@
+/** How many more instances each budget lets a wave take now. */
+import {getUsage} from '../budget/ledger.js';
+import type {InstanceFacts, WaveFacts} from './facts.js';
+import type {Progress} from './progress.js';
+
+/** Takes still open, by service; read once from each ledger, then counted. */
+export type Allowance = {
+	/** Counts one take on all services of the pool, if all have one left. */
+	readonly use: (pool: string) => boolean;
+};
+
+/**
+ * Opens an account of what is left. With claims, members that are being
+ * emptied count as taken already, but for the lookahead.
+ */
+export const createAllowance = (
+	progress: Progress,
+	facts: WaveFacts,
+	hasClaims: boolean,
+): Allowance => {
+	const left = new Map<string, number>();
+	const getLeft = (service: string): number => {
+		const known = left.get(service);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const ledger = facts.ledgers.get(service);
+		if (!ledger) {
+			return 0;
+		}
+
+		const usage = getUsage(ledger, facts.reserves.get(service));
+		const claimed = hasClaims
+			? (progress.claims.get(service) ?? 0) - progress.wave.settings.lookahead
+			: 0;
+		return usage.left - claimed;
+	};
+
+	const use = (pool: string): boolean => {
+		const services = facts.servicesByPool.get(pool) ?? [];
+		if (services.some((service) => getLeft(service) < 1)) {
+			return false;
+		}
+
+		for (const service of services) {
+			left.set(service, getLeft(service) - 1);
+		}
+
+		return true;
+	};
+
+	return {use};
+};
+
+/** True if a ledger holds the instance as lost. */
+export const isLost = (
+	{id, pool}: InstanceFacts,
+	{servicesByPool, ledgers}: WaveFacts,
+): boolean =>
+	(servicesByPool.get(pool) ?? []).some(
+		(service) => ledgers.get(service)?.entries[id]?.kind === 'lost',
+	);
