Follow the view through outages and older reads

Cause: an entry read the whole view at each change, trusted whatever the store answered, and could not start while the store was down.

Change: each change is one transaction of object rows, counter row and a change log row with author and id, read back when a reply is lost.

Conclusion: commitChange keeps its form; author, further rows and the known view are options.

--- a/packages/daemon/src/embedded/embedded-platform.ts
+++ b/packages/daemon/src/embedded/embedded-platform.ts
@@ -14,7 +14,7 @@
 } from '@gullstand/platform';
 import {hashToken} from '../caller/parse-call.js';
 import type {Platform} from '../daemon.js';
-import {commitChange, type ViewChange} from '../view/tables.js';
+import {commitChange, type ViewChange} from '../view/commit-change.js';
 import {
 	startEmbeddedExecutor,
 	type EmbeddedExecutor,
--- a/packages/daemon/src/operator/contracts/app.ts
+++ b/packages/daemon/src/operator/contracts/app.ts
@@ -4,7 +4,7 @@
 import {type errors, type Result, fail, succeed} from '@gullstand/core';
 import type {Precondition, StoreError} from '@gullstand/platform';
 import {createErrorResponse} from '../../caller/answer.js';
-import {commitChange} from '../../view/tables.js';
+import {commitChange} from '../../view/commit-change.js';
 import type {OperatorApp, OperatorDeps, OperatorEnv} from '../operator-app.js';
 import {contractSchema} from './contract-schema.js';
 
--- /dev/null
+++ b/packages/daemon/src/view/environment.ts
@@ -0,0 +1,13 @@
+/** Time and chance of a real process. */
+import {performance} from 'node:perf_hooks';
+import * as timers from 'node:timers/promises';
+import type {client} from '@gullstand/platform';
+
+/** Monotonic time, timers and random numbers of this process. */
+export const createEnvironment = (): client.Environment => ({
+	now: () => performance.now(),
+	async wait(delayMs) {
+		await timers.setTimeout(delayMs);
+	},
+	random: () => Math.random(),
+});
--- a/packages/daemon/src/view/tables.ts
+++ b/packages/daemon/src/view/tables.ts
@@ -1,20 +1,19 @@
 /**
  * How the view lies in the table service: one row an object, one counter row
- * that every change moves on in the same transaction.
+ * that every change moves on, and one row a change, which is never altered.
+ * Source: docs/design/platform-port.md.
  */
-import {
-	fail,
-	succeed,
-	type Contract,
-	type Instance,
-	type Result,
-	type Service,
-	type View,
+import * as core from '@gullstand/core';
+import type {
+	Contract,
+	followedView,
+	Instance,
+	Result,
+	Service,
+	viewChange,
 } from '@gullstand/core';
 import type {
-	Committed,
 	JsonValue,
-	Precondition,
 	Row,
 	StoreError,
 	TableService,
@@ -30,12 +29,34 @@
 /** Name of a table of the view. */
 export type ViewTable = keyof typeof viewTables;
 
-const counterTable = 'counter';
+/** The row that every change moves on. */
+export const counterRow = {
+	table: core.agreementTables.counter,
+	key: core.singleRowKey,
+} as const;
+
+/** Table of the change log, one row a revision. */
+export const changeTable = 'change';
+
+/** What the counter row holds. */
+export type Counter = {
+	/** Revision of the newest committed change; 0 before the first. */
+	readonly revision: number;
+	/** Id of that change; empty before the first. */
+	readonly deltaId: string;
+};
 
-const counterKey = 'view';
+/** The counter and the version of its row; undefined if there is no row. */
+export type CounterRead = Counter & {readonly version: number | undefined};
 
 const pageSize = 500;
 
+const revisionDigits = 12;
+
+/** Key of a change; keys sort as revisions do. */
+export const getChangeKey = (revision: number): string =>
+	String(revision).padStart(revisionDigits, '0');
+
 /** Reads every row of a table, page by page. */
 export const readTable = async (
 	table: TableService,
@@ -56,107 +77,116 @@
 
 		rows.push(...page.value);
 		if (page.value.length < pageSize) {
-			return succeed(rows);
+			return core.succeed(rows);
 		}
 	}
 };
 
-const readCounter = async (table: TableService) =>
-	table.get(counterTable, counterKey);
+/** Reads the counter row. */
+export const readCounter = async (
+	table: TableService,
+): Promise<Result<CounterRead, StoreError>> => {
+	const row = await table.get(counterRow.table, counterRow.key);
+	if (!row.ok) {
+		return row;
+	}
 
-const getRevision = (row: Row | undefined): number =>
-	typeof row?.value === 'number' ? row.value : 0;
+	const counter = row.value?.value as unknown as Counter | undefined;
+	return core.succeed({
+		revision: counter?.revision ?? 0,
+		deltaId: counter?.deltaId ?? '',
+		version: row.value?.version,
+	});
+};
 
 /** Reads the revision of the newest committed change. */
 export const readRevision = async (
 	table: TableService,
 ): Promise<Result<number, StoreError>> => {
-	const row = await readCounter(table);
-	return row.ok ? succeed(getRevision(row.value)) : row;
+	const counter = await readCounter(table);
+	return counter.ok ? core.succeed(counter.value.revision) : counter;
+};
+
+/** Reads changes above a revision, oldest first, at most a page. */
+export const readChanges = async (
+	table: TableService,
+	after: number,
+	limit = pageSize,
+): Promise<Result<readonly viewChange.ViewDelta[], StoreError>> => {
+	const rows = await table.range({
+		table: changeTable,
+		prefix: '',
+		after: getChangeKey(after),
+		limit,
+	});
+	return rows.ok
+		? core.succeed(
+				rows.value.map(({value}) => value as unknown as viewChange.ViewDelta),
+			)
+		: rows;
 };
 
 const toMap = <Value>(rows: readonly Row[]): ReadonlyMap<string, Value> =>
 	new Map(rows.map((row) => [row.key, row.value as Value]));
 
-/** Reads a view whose revision did not move while it was read. */
-export const readView = async (
+const readObjects = async (
 	table: TableService,
-): Promise<Result<View, StoreError>> => {
-	for (;;) {
-		const before = await readRevision(table);
-		const contracts = await readTable(table, viewTables.contract);
-		const services = await readTable(table, viewTables.service);
-		const instances = await readTable(table, viewTables.instance);
-		const after = await readRevision(table);
-		const failed = [before, contracts, services, instances, after].find(
-			(each) => !each.ok,
-		);
-		if (failed && !failed.ok) {
-			return failed;
-		}
+	{revision, deltaId}: Counter,
+): Promise<Result<followedView.FollowedView, StoreError>> => {
+	const contracts = await readTable(table, viewTables.contract);
+	const services = await readTable(table, viewTables.service);
+	const instances = await readTable(table, viewTables.instance);
+	if (!contracts.ok) {
+		return contracts;
+	}
 
-		if (
-			before.ok &&
-			contracts.ok &&
-			services.ok &&
-			instances.ok &&
-			after.ok &&
-			before.value === after.value
-		) {
-			return succeed({
-				revision: after.value,
-				contracts: toMap<Contract>(contracts.value),
-				services: toMap<Service>(services.value),
-				instances: toMap<Instance>(instances.value),
-			});
-		}
+	if (!services.ok) {
+		return services;
+	}
+
+	if (!instances.ok) {
+		return instances;
 	}
-};
 
-/** One object to write; `undefined` deletes it. */
-export type ViewChange = {
-	readonly table: ViewTable;
-	readonly key: string;
-	readonly value: JsonValue | undefined;
-	readonly when: Precondition;
+	return core.succeed({
+		deltaId,
+		view: {
+			revision,
+			contracts: toMap<Contract>(contracts.value),
+			services: toMap<Service>(services.value),
+			instances: toMap<Instance>(instances.value),
+		},
+	});
 };
 
-/** Commits a change and moves the revision on; conflicts are the caller's. */
-export const commitChange = async (
+const maxReads = 5;
+
+/**
+ * Reads a view whose revision did not move while it was read. Fails as
+ * `unavailable` if it moved each time.
+ */
+export const readView = async (
 	table: TableService,
-	changes: readonly ViewChange[],
-	operationId: string,
-): Promise<Result<Committed & {readonly revision: number}, StoreError>> => {
-	const counter = await readCounter(table);
-	if (!counter.ok) {
-		return counter;
-	}
+): Promise<Result<followedView.FollowedView, StoreError>> => {
+	for (let reads = 0; reads < maxReads; reads += 1) {
+		const before = await readCounter(table);
+		if (!before.ok) {
+			return before;
+		}
 
-	const revision = getRevision(counter.value) + 1;
-	const committed = await table.commit(
-		[
-			...changes.map(({table: name, key, value, when}) =>
-				value === undefined
-					? ({kind: 'delete', table: viewTables[name], key, when} as const)
-					: ({kind: 'put', table: viewTables[name], key, value, when} as const),
-			),
-			{
-				kind: 'put',
-				table: counterTable,
-				key: counterKey,
-				value: revision,
-				when: counter.value
-					? {kind: 'version', version: counter.value.version}
-					: {kind: 'absent'},
-			},
-		],
-		operationId,
-	);
-	if (committed.ok) {
-		return succeed({...committed.value, revision});
+		const read = await readObjects(table, before.value);
+		const after = await readCounter(table);
+		if (!after.ok) {
+			return after;
+		}
+
+		if (!read.ok || before.value.version === after.value.version) {
+			return read;
+		}
 	}
 
-	const {error} = committed;
-	const isRace = error.kind === 'conflict' && error.table === counterTable;
-	return isRace ? commitChange(table, changes, operationId) : fail(error);
+	return core.fail({kind: 'unavailable'});
 };
+
+/** A value as the table service takes it. */
+export const toJson = (value: unknown): JsonValue => value as JsonValue;
--- a/packages/daemon/src/waves/wave-runner.ts
+++ b/packages/daemon/src/waves/wave-runner.ts
@@ -7,7 +7,7 @@
 import type {InstanceList, TableService, Workers} from '@gullstand/platform';
 import type {Logger} from '../log/logger.js';
 import type {Part} from '../supervisor/supervisor.js';
-import {commitChange} from '../view/tables.js';
+import {commitChange} from '../view/commit-change.js';
 
 /** A declared wave over one pool. */
 export type Wave = {
