Bound what bad input can hold, and compare routes as executors read them

Cause: a table test of path spellings showed that //intake, /./intake, /a/../intake, /%69ntake and /INTAKE passed as repeatable although /intake is not: a doubled claim was possible. Bodies were counted only once whole, so 4,096 connections could hold 4 GiB. A caller that never ends its header was answered bad-request. Doubly encoded paths count as what they say.

--- a/packages/core/src/errors/error-table.ts
+++ b/packages/core/src/errors/error-table.ts
@@ -63,6 +63,12 @@
 		retry: 'never',
 		message: 'the object has changed since it was read',
 	},
+	'request-timeout': {
+		status: 408,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'the caller did not send its request in time',
+	},
 	'still-running': {
 		status: 409,
 		outcome: 'unknown',
--- a/packages/daemon/src/caller/caller-app.ts
+++ b/packages/daemon/src/caller/caller-app.ts
@@ -4,6 +4,7 @@
 import {Hono} from 'hono';
 import * as core from '@gullstand/core';
 import type {Contract, errors, Outcome, View} from '@gullstand/core';
+import {createByteBudget} from '../http/byte-budget.js';
 import {hasBody, readBody} from '../http/read-body.js';
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
@@ -50,7 +51,7 @@
 /** Creates the app. */
 export const createCallerApp = (deps: CallerDeps): Hono<Env> => {
 	const findContract = createTokenIndex(deps.getView);
-	let bufferedBytes = 0;
+	const bodyBudget = createByteBudget(deps.settings.maxBufferedBytes);
 
 	const record = (call: Call, result: CallResult) => {
 		const endedAt = deps.now();
@@ -88,16 +89,17 @@
 		receivedAt: number,
 	): Promise<Response> => {
 		const {incoming, outgoing} = bindings;
-		const body = await readBody(incoming, deps.settings.maxBodyBytes);
+		const reservation = bodyBudget.open();
+		outgoing.once('close', reservation.release);
+		const body = await readBody(
+			incoming,
+			deps.settings.maxBodyBytes,
+			reservation,
+		);
 		if (!body.ok) {
 			return refuse(bindings, body.error, requestId);
 		}
 
-		if (bufferedBytes + body.value.length > deps.settings.maxBufferedBytes) {
-			return createErrorResponse('overloaded', requestId);
-		}
-
-		bufferedBytes += body.value.length;
 		const cancellation = createCancellation();
 		outgoing.once('close', () => {
 			if (!outgoing.writableFinished) {
@@ -115,13 +117,9 @@
 			deadline: receivedAt + budgetMs,
 			cancellation,
 		};
-		try {
-			const result = await deps.handle(call);
-			record(call, result);
-			return createResponse(result, requestId);
-		} finally {
-			bufferedBytes -= body.value.length;
-		}
+		const result = await deps.handle(call);
+		record(call, result);
+		return createResponse(result, requestId);
 	};
 
 	const refuse = (
--- a/packages/daemon/src/caller/headers.ts
+++ b/packages/daemon/src/caller/headers.ts
@@ -35,9 +35,15 @@
 // The entry sets these itself, or keeps them from the executor.
 const ownedByEntry = new Set(['host', 'content-length', 'authorization']);
 
-const listConnectionOptions = (connection: string | undefined): Set<string> =>
+const listConnectionOptions = (
+	connection: string | string[] | undefined,
+): Set<string> =>
 	new Set(
-		(connection ?? '').split(',').map((option) => option.trim().toLowerCase()),
+		[connection ?? []]
+			.flat()
+			.join(',')
+			.split(',')
+			.map((option) => option.trim().toLowerCase()),
 	);
 
 /** Fields of a request that go on to an executor. */
--- a/packages/daemon/src/caller/parse-call.ts
+++ b/packages/daemon/src/caller/parse-call.ts
@@ -104,10 +104,46 @@
 		: undefined;
 };
 
-/** Whether a request may be sent again after an unknown outcome. */
-export const isIdempotent = (service: Service, path: string): boolean =>
-	service.idempotent &&
-	!service.nonRepeatableRoutes.some((prefix) => path.startsWith(prefix));
+/**
+ * The form in which routes are compared: decoded, in lower case, with empty
+ * and dot segments resolved (RFC 3986, section 5.2.4), as an executor might
+ * read the path. Undefined if it cannot be decoded.
+ */
+const normalizePath = (path: string): string | undefined => {
+	const [raw = ''] = path.split('?', 1);
+	const segments: string[] = [];
+	try {
+		for (const segment of decodeURIComponent(raw).split(/[\/\\]+/v)) {
+			if (segment === '..') {
+				segments.pop();
+			} else if (segment !== '.' && segment !== '') {
+				segments.push(segment.toLowerCase());
+			}
+		}
+	} catch {
+		return undefined;
+	}
+
+	return `/${segments.join('/')}`;
+};
+
+/**
+ * Whether a request may be sent again after an unknown outcome. A path that
+ * an executor might read as a non-repeatable route counts as one.
+ */
+export const isIdempotent = (service: Service, path: string): boolean => {
+	if (!service.idempotent || service.nonRepeatableRoutes.length === 0) {
+		return service.idempotent;
+	}
+
+	const normalized = normalizePath(path);
+	return (
+		normalized !== undefined &&
+		!service.nonRepeatableRoutes.some((prefix) =>
+			normalized.startsWith(prefix.toLowerCase()),
+		)
+	);
+};
 
 const authenticate = (
 	head: RequestHead,
--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -9,12 +9,17 @@
 	startEmbeddedPlatform,
 } from './embedded/embedded-platform.js';
 import {createEmbeddedSettings} from './embedded/embedded-settings.js';
+import type {Settings} from './settings/schema.js';
 import {createLogger} from './log/logger.js';
 
 const now = () => performance.now();
 
-const startDaemon = async (t: tap.Test) => {
-	const settings = createEmbeddedSettings();
+const startDaemon = async (
+	t: tap.Test,
+	changes: Partial<Settings['caller']> = {},
+) => {
+	const base = createEmbeddedSettings();
+	const settings = {...base, caller: {...base.caller, ...changes}};
 	const {platform, close} = await startEmbeddedPlatform(now);
 	const logger = createLogger(settings.log, 'test', new PassThrough().resume());
 	const daemon = createDaemon({settings, platform, logger, now});
@@ -139,11 +144,16 @@
 		400,
 	],
 	['large header', `${head}x: ${'x'.repeat(20_000)}\r\n\r\n`, 431],
+	['a header that ends nowhere', head, 408],
+	['a body that ends nowhere', `${head}content-length: 5\r\n\r\nab`, 408],
+	['no HTTP', 'SSH-2.0-x\r\n\r\n', 400],
+	['null in a header', `${head}x: \0\r\n\r\n`, 400],
 	['large body', `${head}content-length: 99999999\r\n\r\n`, 413],
 ];
 
 tap.t.test('refuses malformed requests and keeps serving', async (t) => {
-	const daemon = await startDaemon(t);
+	const limits = {headersTimeoutMs: 200, requestTimeoutMs: 400};
+	const daemon = await startDaemon(t, limits);
 	const port = daemon.getCallerPort();
 	for (const [name, text, status] of malformed) {
 		const answer = await sendRaw(port, text);
@@ -157,3 +167,21 @@
 	t.equal(res.statusCode, 200);
 	await res.body.dump();
 });
+
+tap.t.test('bounds the bytes that it holds', async (t) => {
+	const daemon = await startDaemon(t, {maxBufferedBytes: 100});
+	const url = `http://127.0.0.1:${daemon.getCallerPort()}/s/quoting/`;
+	for (const [bytes, status] of [
+		[101, 503],
+		[100, 200],
+		[100, 200],
+	] as const) {
+		const res = await request(url, {
+			method: 'POST',
+			headers: {authorization},
+			body: 'x'.repeat(bytes),
+		});
+		await res.body.dump();
+		t.equal(res.statusCode, status, `${bytes} bytes`);
+	}
+});
--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -37,6 +37,7 @@
 
 const kindsByCode: Readonly<Record<string, errors.ErrorKind>> = {
 	HPE_HEADER_OVERFLOW: 'headers-too-large',
+	ERR_HTTP_REQUEST_TIMEOUT: 'request-timeout',
 };
 
 const formatRawAnswer = (kind: errors.ErrorKind): string => {
--- a/packages/daemon/src/http/read-body.ts
+++ b/packages/daemon/src/http/read-body.ts
@@ -1,7 +1,8 @@
-/** Reads a request's body within a bound, straight from the socket. */
+/** Reads a request's body within bounds, straight from the socket. */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {type errors, type Result, fail, succeed} from '@gullstand/core';
+import {fail, succeed, type errors, type Result} from '@gullstand/core';
+import type {Reservation} from './byte-budget.js';
 
 const emptyBody = new Uint8Array(0);
 
@@ -10,10 +11,22 @@
 	req.headers['transfer-encoding'] !== undefined ||
 	Number(req.headers['content-length'] ?? 0) > 0;
 
-/** Resolves to the whole body; `body-too-large` as soon as that is certain. */
+const joinChunks = (chunks: readonly Uint8Array[]): Uint8Array => {
+	const [first] = chunks;
+	return chunks.length === 1 && first !== undefined
+		? first
+		: Buffer.concat(chunks);
+};
+
+/**
+ * Resolves to the whole body, or, as soon as that is certain, to
+ * `body-too-large`, `overloaded` (the reservation's budget is spent) or
+ * `cancelled` (the caller went away).
+ */
 export const readBody = async (
 	req: IncomingMessage,
 	maxBytes: number,
+	reservation: Reservation,
 ): Promise<Result<Uint8Array, errors.ErrorKind>> => {
 	if (!hasBody(req)) {
 		return succeed(emptyBody);
@@ -26,21 +39,25 @@
 	return new Promise((resolve) => {
 		const chunks: Uint8Array[] = [];
 		let size = 0;
+
+		const giveUp = (kind: errors.ErrorKind) => {
+			req.pause();
+			chunks.length = 0;
+			resolve(fail(kind));
+		};
+
 		req.on('data', (chunk: Uint8Array) => {
 			size += chunk.length;
 			if (size > maxBytes) {
-				req.pause();
-				chunks.length = 0;
-				resolve(fail('body-too-large'));
-				return;
+				giveUp('body-too-large');
+			} else if (reservation.add(chunk.length)) {
+				chunks.push(chunk);
+			} else {
+				giveUp('overloaded');
 			}
-
-			chunks.push(chunk);
 		});
 		req.once('end', () => {
-			const [first] = chunks;
-			const isSingle = chunks.length === 1 && first !== undefined;
-			resolve(succeed(isSingle ? first : Buffer.concat(chunks)));
+			resolve(succeed(joinChunks(chunks)));
 		});
 		req.once('close', () => {
 			resolve(fail('cancelled'));
