Bound the bodies that peers' calls hold

Cause: readBody takes a reservation of a byte budget; the peer server, landed meanwhile, did not give one. Change: a budget of 32 bodies of the largest size. Conclusion: both listeners bound what they hold.

--- a/packages/daemon/src/peers/peer-server.ts
+++ b/packages/daemon/src/peers/peer-server.ts
@@ -4,6 +4,7 @@
 import {Hono} from 'hono';
 import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
 import VError from 'verror';
+import {createByteBudget} from '../http/byte-budget.js';
 import {readBody} from '../http/read-body.js';
 import {
 	checkCall,
@@ -40,6 +41,8 @@
 	) => void;
 };
 
+const maxBodiesHeld = 32;
+
 /** Path of the peer channel. */
 export const peerPath = '/peer';
 
@@ -48,10 +51,13 @@
 	const {key, maxApartMs} = deps;
 	const rpc = new JSONRPCServer<PeerLife>({errorListener: () => undefined});
 	const nonces = createNonceWindow(maxApartMs);
+	const bodyBudget = createByteBudget(deps.maxBodyBytes * maxBodiesHeld);
 	const app = new Hono<{Bindings: HttpBindings}>();
 
 	app.post(peerPath, async (c) => {
-		const body = await readBody(c.env.incoming, deps.maxBodyBytes);
+		const reservation = bodyBudget.open();
+		c.env.outgoing.once('close', reservation.release);
+		const body = await readBody(c.env.incoming, deps.maxBodyBytes, reservation);
 		if (!body.ok) {
 			return c.body(null, 413);
 		}
