--- a/packages/bench/src/benches/overhead/gateway-worker.ts
+++ b/packages/bench/src/benches/overhead/gateway-worker.ts
@@ -29,7 +29,7 @@
 };
 
 const start = kind === 'plain' ? startPlainGateway : startGullstandGateway;
-const port = await start(upstreamPorts);
+const {port} = await start(upstreamPorts);
 const session = profileFile === undefined ? undefined : await startProfile();
 
 parentPort?.on('message', async (question: Question) => {
--- a/packages/bench/src/benches/overhead/gullstand-gateway.ts
+++ b/packages/bench/src/benches/overhead/gullstand-gateway.ts
@@ -8,6 +8,7 @@
 	createEmbeddedSettings,
 	createLogger,
 	hashToken,
+	type Settings,
 } from '@gullstand/daemon';
 import {
 	createMemoryInstanceList,
@@ -58,10 +59,11 @@
 	state: 'serving',
 });
 
-/** Starts the daemon; resolves to its callers' port. */
+/** Starts the daemon. */
 export const startGullstandGateway = async (
 	upstreamPorts: readonly number[],
-): Promise<number> => {
+	limits: Partial<Settings['caller']> = {},
+) => {
 	const now = () => performance.now();
 	const table = createMemoryTableService();
 	const instances = upstreamPorts.map((port) => createInstance(port));
@@ -81,7 +83,8 @@
 		})),
 		'bench',
 	);
-	const settings = createEmbeddedSettings(0, 0, 'warn');
+	const base = createEmbeddedSettings(0, 0, 'warn');
+	const settings = {...base, caller: {...base.caller, ...limits}};
 	const daemon = createDaemon({
 		settings,
 		platform: {
@@ -96,5 +99,5 @@
 	await daemon.start((err) => {
 		throw err;
 	});
-	return daemon.getCallerPort();
+	return {port: daemon.getCallerPort(), stop: daemon.stop};
 };
--- a/packages/bench/src/benches/overhead/plain-gateway.ts
+++ b/packages/bench/src/benches/overhead/plain-gateway.ts
@@ -8,10 +8,10 @@
 
 const connectionsPerExecutor = 8;
 
-/** Starts the baseline; resolves to its port. */
+/** Starts the baseline. */
 export const startPlainGateway = async (
 	upstreamPorts: readonly number[],
-): Promise<number> => {
+): Promise<{port: number}> => {
 	const pools = upstreamPorts.map(
 		(port) =>
 			new Pool(`http://127.0.0.1:${port}`, {
@@ -40,5 +40,5 @@
 	const server = createAdaptorServer({fetch: app.fetch}) as Server;
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
-	return (server.address() as AddressInfo).port;
+	return {port: (server.address() as AddressInfo).port};
 };
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -6,5 +6,6 @@
 
 /** Loads one bench only when it is run. */
 export const benches: Readonly<Record<string, () => Promise<BenchModule>>> = {
+	'bad-input': async () => import('./benches/bad-input.js'),
 	overhead: async () => import('./benches/overhead.js'),
 };
