--- a/packages/bench/src/benches/overhead/plain-gateway.ts
+++ b/packages/bench/src/benches/overhead/plain-gateway.ts
@@ -26,7 +26,7 @@
 		const body = await c.req.arrayBuffer();
 		const res = await pools[next]!.request({
 			path: c.req.path,
-			method: c.req.method as 'POST',
+			method: c.req.method,
 			headers: {
 				'content-type': c.req.header('content-type') ?? 'text/plain',
 			},
