Run at-most-once requests on an entry

Cause: the core decides on at-most-once requests; an entry must make the calls. Change: daemon/idempotency holds the keeper of one entry, the runner of an attempt and the group writer; stand-in gets a virtual clock.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -23,3 +23,4 @@
 export * as upstream from './upstream/upstream.js';
 export type * as upstreamTypes from './upstream/types.js';
 export {defaultUpstreamConfig} from './upstream/types.js';
+export * as idempotency from './idempotency/index.js';
--- a/packages/stand-in/src/index.ts
+++ b/packages/stand-in/src/index.ts
@@ -3,3 +3,4 @@
 export * from './platform/server.js';
 export * as answers from './upstream/answer.js';
 export * as executor from './upstream/executor.js';
+export * from './clock/virtual-clock.js';
