Bench at-most-once requests under kills, repeats and store faults

Change: 'bench at-most-once' drives the daemon's keeper on a virtual clock: a kill at every step under every single fault of each call, a long pause at every step, random histories, outages, and the cost under load. The group writer spaces its sends instead of holding each urgent write for a window. A setting tells unread keys 'unknown' in place of 'not-run'. Three broken variants are caught by the judge, as a test.

--- /dev/null
+++ b/packages/bench/src/benches/at-most-once.test.ts
@@ -0,0 +1,116 @@
+import * as tap from 'tap';
+import {countBroken} from './at-most-once.js';
+import {judge, type Told, type Verdict} from './at-most-once/judge.js';
+import type {Run} from './at-most-once/executor.js';
+import type {VariantName} from './at-most-once/variants.js';
+
+type Rule = keyof Verdict;
+
+/** What the judge must find in each broken variant. */
+const variants: Array<[VariantName, Rule[]]> = [
+	['correct', []],
+	['dispatches-on-timeout', ['keysRunTwice']],
+	['writes-unconditionally', ['keysRunTwice']],
+	['takes-lost-for-refused', ['keysRunTwice', 'notRunThatRan']],
+];
+const mustBeZero: Rule[] = [
+	'keysRunTwice',
+	'notRunThatRan',
+	'notRunKeysThatRan',
+	'notRunAfterRun',
+	'wrongAnswers',
+];
+
+for (const [name, broken] of variants) {
+	tap.t.test(`the judge on: ${name}`, async (t) => {
+		const verdict = await countBroken(name, 1);
+		for (const rule of broken) {
+			t.ok(verdict[rule] > 0, `${rule}: ${verdict[rule]}`);
+		}
+
+		const found = mustBeZero.filter((rule) => verdict[rule] > 0);
+		t.equal(found.length > 0, broken.length > 0, found.join(' '));
+	});
+}
+
+const run = (sending: number, at: number): Run => ({
+	key: 'k',
+	sending,
+	at,
+	answer: `answer ${sending}`,
+});
+const told = (
+	sending: number,
+	at: number,
+	outcome: Told['outcome'],
+	changes: Partial<Told> = {},
+): Told => ({
+	sending,
+	key: 'k',
+	body: 'b',
+	at,
+	tookMs: 0,
+	outcome,
+	error: undefined,
+	answer: undefined,
+	...changes,
+});
+const down = {error: 'store-unavailable'} as const;
+
+const table: Array<[string, Run[], Told[], Partial<Verdict>]> = [
+	['nothing', [], [], {}],
+	['told ran', [run(1, 5)], [told(1, 9, 'ran', {answer: 'answer 1'})], {}],
+	[
+		'the answer of another run',
+		[run(1, 5)],
+		[told(1, 9, 'ran', {answer: 'answer 2'})],
+		{wrongAnswers: 1},
+	],
+	['told ran without a run', [], [told(1, 9, 'ran')], {wrongAnswers: 1}],
+	[
+		'a key run twice',
+		[run(1, 5), run(2, 6)],
+		[told(1, 9, 'unknown'), told(2, 9, 'unknown')],
+		{keysRunTwice: 1},
+	],
+	[
+		'a key run again after its retention',
+		[run(1, 5), run(2, 105)],
+		[told(1, 9, 'unknown'), told(2, 109, 'unknown')],
+		{},
+	],
+	[
+		'told not-run, and ran later',
+		[run(1, 20)],
+		[told(1, 9, 'not-run')],
+		{notRunThatRan: 1, notRunKeysThatRan: 1},
+	],
+	[
+		'a repeat told not-run after the run',
+		[run(1, 5)],
+		[told(1, 9, 'unknown'), told(2, 10, 'not-run')],
+		{notRunAfterRun: 1},
+	],
+	[
+		'a repeat refused in an outage after the run',
+		[run(1, 5)],
+		[told(1, 9, 'unknown'), told(2, 10, 'not-run', down)],
+		{refusedAfterRun: 1},
+	],
+	[
+		'a repeat told not-run before the run',
+		[run(1, 15)],
+		[told(2, 10, 'not-run'), told(1, 19, 'unknown')],
+		{},
+	],
+];
+
+for (const [name, log, replies, expected] of table) {
+	tap.t.test(`judged: ${name}`, async (t) => {
+		const verdict = judge(log, replies, 100);
+		const broken = Object.fromEntries(
+			Object.entries(verdict).filter(([, count]) => count > 0),
+		);
+		t.same(broken, expected);
+	});
+}
--- /dev/null
+++ b/packages/bench/src/benches/at-most-once.ts
@@ -0,0 +1,238 @@
+/**
+ * At-most-once requests under repeats, store faults and killed entries, and
+ * what they cost. Issue 3, item 4; docs/design/at-most-once.md.
+ */
+import * as core from '@gullstand/core';
+import * as daemon from '@gullstand/daemon';
+import {check} from '../frame/check.js';
+import type {
+	Bench,
+	BenchOptions,
+	BenchResult,
+	Figures,
+} from '../frame/types.js';
+import {type ExecutorKind, executorKinds} from './at-most-once/executor.js';
+import {type Verdict, addVerdicts, emptyVerdict} from './at-most-once/judge.js';
+import {noGroup, runLoad} from './at-most-once/load.js';
+import type {RunReport} from './at-most-once/scenarios.js';
+import * as scenarios from './at-most-once/scenarios.js';
+import {callFaults} from './at-most-once/steps.js';
+import {type VariantName, variants} from './at-most-once/variants.js';
+
+type Amounts = {
+	readonly faultyCalls: number;
+	readonly randomRuns: number;
+	readonly executors: readonly ExecutorKind[];
+};
+
+/** Amounts that show each broken variant; a test runs them. */
+const smallAmounts: Amounts = {
+	faultyCalls: 2,
+	randomRuns: 8,
+	executors: ['answers', 'runs-then-resets'],
+};
+
+type Sum = {
+	verdict: Verdict;
+	runs: number;
+	openAtEnd: number;
+	unknownNotRun: number;
+	keys: number;
+	longestMs: number;
+};
+
+const createSum = (): Sum => ({
+	verdict: emptyVerdict,
+	runs: 0,
+	openAtEnd: 0,
+	unknownNotRun: 0,
+	keys: 0,
+	longestMs: 0,
+});
+
+const addRun = (sum: Sum, run: RunReport) => {
+	sum.verdict = addVerdicts(sum.verdict, run.verdict);
+	sum.runs++;
+	sum.openAtEnd += run.openAtEnd;
+	sum.unknownNotRun += run.unknownNotRun;
+	sum.keys += run.lastTold.length;
+	sum.longestMs = Math.max(sum.longestMs, run.longestMs);
+};
+
+const sumVerdicts = (sums: readonly Sum[]): Verdict => {
+	let verdict = emptyVerdict;
+	for (const sum of sums) {
+		verdict = addVerdicts(verdict, sum.verdict);
+	}
+
+	return verdict;
+};
+
+const toFigures = (sum: Sum): Figures => ({
+	runs: sum.runs,
+	...sum.verdict,
+	attemptsLeftOpen: sum.openAtEnd,
+	keysLeftUnknownThoughNotRun: sum.unknownNotRun,
+	keys: sum.keys,
+	longestReplyMs: Math.round(sum.longestMs),
+});
+
+/** Runs all scenarios of one variant. */
+const runVariant = async (
+	name: VariantName,
+	seed: number,
+	amounts: Amounts,
+): Promise<{kills: Sum; pauses: Sum; random: Sum}> => {
+	const variant = variants[name];
+	const {faultyCalls, randomRuns, executors} = amounts;
+	const [kills, pauses, random] = [createSum(), createSum(), createSum()];
+	const create = (sum: Sum) => ({
+		variant,
+		faultyCalls,
+		executors,
+		onRun(run: RunReport) {
+			addRun(sum, run);
+		},
+	});
+	await scenarios.runEveryKill(create(kills));
+	await scenarios.runEveryPause(create(pauses));
+	for (let run = 0; run < randomRuns; run++) {
+		addRun(random, await scenarios.runRandom(seed * 100_000 + run, variant));
+	}
+
+	return {kills, pauses, random};
+};
+
+/** Counts each rule broken, over the scenarios of a variant. */
+export const countBroken = async (
+	name: VariantName,
+	seed: number,
+): Promise<Verdict> => {
+	const sums = await runVariant(name, seed, smallAmounts);
+	return sumVerdicts(Object.values(sums));
+};
+
+/** Random runs where a request is told `unknown` if its key was not read. */
+const runStrict = async (seed: number, runs: number): Promise<Sum> => {
+	const sum = createSum();
+	for (let run = 0; run < runs; run++) {
+		const changes = {unreadOutcome: 'unknown'} as const;
+		const runSeed = seed * 100_000 + run;
+		addRun(sum, await scenarios.runRandom(runSeed, variants.correct, changes));
+	}
+
+	return sum;
+};
+
+type Outage = {readonly figures: Figures; readonly longestMs: number};
+
+/** Sends fresh requests into each kind of outage. */
+const runOutages = async (): Promise<Outage> => {
+	const figures: Record<string, number> = {};
+	let longestMs = 0;
+	for (const fault of callFaults) {
+		if (fault === 'none' || fault === 'slow') {
+			continue;
+		}
+
+		const told = await scenarios.runOutage(fault, variants.correct);
+		const notRun = told.filter(({outcome}) => outcome === 'not-run');
+		const longest = Math.max(...told.map(({tookMs}) => tookMs));
+		figures[`${fault}: requests`] = told.length;
+		figures[`${fault}: told not-run`] = notRun.length;
+		figures[`${fault}: longest ms`] = Math.round(longest);
+		longestMs = Math.max(longestMs, longest);
+	}
+
+	return {figures, longestMs};
+};
+
+const loads = [50, 200, 600];
+
+/** Costs with and without group commit, at several rates. */
+const runLoads = async (
+	seed: number,
+	seconds: number,
+): Promise<Record<string, Figures>> => {
+	const tables: Record<string, Figures> = {};
+	const {defaultGroupSettings} = daemon.idempotency;
+	const groups = {
+		'one row a commit': noGroup,
+		'group commit': defaultGroupSettings,
+	};
+	for (const requestsPerSecond of loads) {
+		for (const [name, group] of Object.entries(groups)) {
+			tables[`${requestsPerSecond}/s, ${name}`] = await runLoad({
+				seed,
+				requestsPerSecond,
+				seconds,
+				group,
+			});
+		}
+	}
+
+	return tables;
+};
+
+const run = async (options: BenchOptions): Promise<BenchResult> => {
+	const {seed, short, log} = options;
+	log('correct: kills at every step, pauses, random faults');
+	const correct = await runVariant('correct', seed, {
+		faultyCalls: short ? 8 : 14,
+		randomRuns: short ? 500 : 4000,
+		executors: executorKinds,
+	});
+	const strict = await runStrict(seed, short ? 200 : 1000);
+	log('outages');
+	const outage = await runOutages();
+	log('load');
+	const loadTables = await runLoads(seed, short ? 5 : 20);
+	const {kills, pauses, random} = correct;
+	const verdict = sumVerdicts([kills, pauses, random, strict]);
+	const boundMs = core.idempotency.defaultSettings.storeWithinMs;
+	return {
+		figures: {
+			...toFigures(random),
+			enumeratedRuns: kills.runs + pauses.runs,
+			...outage.figures,
+		},
+		baselines: {
+			'a kill at every step': toFigures(kills),
+			'a pause at every step': toFigures(pauses),
+			'unread keys told unknown': toFigures(strict),
+			...loadTables,
+		},
+		checks: [
+			check('keys run twice', verdict.keysRunTwice, '==', 0),
+			check('not-run for one that ran', verdict.notRunThatRan, '==', 0),
+			check('not-run keys that ran', verdict.notRunKeysThatRan, '==', 0),
+			check('not-run after a run', verdict.notRunAfterRun, '==', 0),
+			check(
+				'any not-run after a run, unread keys told unknown',
+				strict.verdict.refusedAfterRun,
+				'==',
+				0,
+			),
+			check('wrong answers', verdict.wrongAnswers, '==', 0),
+			check(
+				'store outage: longest refusal ms',
+				outage.longestMs,
+				'<=',
+				boundMs,
+			),
+			check(
+				'attempts left open',
+				kills.openAtEnd + pauses.openAtEnd + random.openAtEnd,
+				'==',
+				0,
+			),
+		],
+	};
+};
+
+/** The bench of at-most-once requests. */
+export const bench: Bench = {
+	name: 'at-most-once',
+	summary: 'non-repeatable requests under repeats, store faults and kills',
+	run,
+};
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -8,4 +8,5 @@
 export const benches: Readonly<Record<string, () => Promise<BenchModule>>> = {
 	'bad-input': async () => import('./benches/bad-input.js'),
 	overhead: async () => import('./benches/overhead.js'),
+	'at-most-once': async () => import('./benches/at-most-once.js'),
 };
--- a/packages/core/src/idempotency/attempt.ts
+++ b/packages/core/src/idempotency/attempt.ts
@@ -157,6 +157,8 @@
 	readonly failures: number;
 	/** True once the caller was told; nothing is dispatched after that. */
 	readonly isAnswered: boolean;
+	/** True once the row of the key was seen, or seen to be missing. */
+	readonly isKeyRead: boolean;
 	/** When the wait for the store began. */
 	readonly storeFrom: number;
 	/** Nothing is written after this. */
@@ -271,6 +273,16 @@
 		: {kind: 'error', error, outcome, retryAfterMs};
 };
 
+/** Words the refusal of a request for which the store is out. */
+export const createOutageReply = (attempt: Attempt): Reply => {
+	const {isKeyRead, settings} = attempt;
+	const isNotRun = isKeyRead || settings.unreadOutcome === 'not-run';
+	return createErrorReply(
+		isNotRun ? 'store-unavailable' : 'store-unknown',
+		settings.maxPauseMs,
+	);
+};
+
 /** The row that is written before dispatch. */
 export const createStartedRow = (attempt: Attempt, time: Time): StartedRow => {
 	const {claim, settings} = attempt;
--- a/packages/core/src/idempotency/claim.ts
+++ b/packages/core/src/idempotency/claim.ts
@@ -148,10 +148,11 @@
 
 /** Goes on with the row of the key, which is not this attempt's. */
 const proceed = (
-	attempt: Attempt,
+	before: Attempt,
 	stored: StoredRow | undefined,
 	time: Time,
 ): Step => {
+	const attempt = {...before, isKeyRead: true};
 	const {claim, settings} = attempt;
 	const {fingerprint, holder} = claim;
 	const context = {fingerprint, holder, settings};
@@ -184,7 +185,11 @@
 	const {failures, settings, isAnswered} = attempt;
 	return !isAnswered && failures + 1 < settings.storeTries
 		? attempts.pauseFor(attempt, intent, now)
-		: refuse(attempt, 'store-unavailable', settings.maxPauseMs);
+		: attempts.replyThen(
+				attempt,
+				attempts.createOutageReply(attempt),
+				attempts.endAttempt,
+			);
 };
 
 /** Goes on after the row was read. */
--- a/packages/core/src/idempotency/settings.ts
+++ b/packages/core/src/idempotency/settings.ts
@@ -26,6 +26,12 @@
 	readonly maxAnswerBytes: number;
 	/** Tries to put an answer in the object store before it is not kept. */
 	readonly putTries: number;
+	/**
+	 * What a request is told if the store is out before its key was read.
+	 * `not-run` is true of this request only: one with the same key may have
+	 * run before. `unknown` is true of the key.
+	 */
+	readonly unreadOutcome: 'not-run' | 'unknown';
 	/** Reads the row before it writes; else a conflict shows the row. */
 	readonly isReadFirst: boolean;
 };
@@ -47,6 +53,7 @@
 	inlineBytes: 4096,
 	maxAnswerBytes: 4_194_304,
 	putTries: 5,
+	unreadOutcome: 'not-run',
 	isReadFirst: true,
 };
 
@@ -76,7 +83,7 @@
 /** Finds impossible settings; an empty list means that all can be kept. */
 export const checkSettings = (settings: Settings): SettingsProblem[] => {
 	const positive = Object.entries(settings).flatMap(([key, found]) =>
-		typeof found === 'boolean' || found > 0
+		typeof found !== 'number' || found > 0
 			? []
 			: [{key: key as keyof Settings, found, allowed: 'above 0'}],
 	);
--- a/packages/core/src/idempotency/update-attempt.ts
+++ b/packages/core/src/idempotency/update-attempt.ts
@@ -25,6 +25,7 @@
 		pending: {kind: 'pause', until: time.now},
 		failures: 0,
 		isAnswered: false,
+		isKeyRead: false,
 		storeFrom: claim.createdAt,
 		settleBy: claim.deadline + settings.settleWithinMs,
 	};
@@ -87,7 +88,7 @@
 			attempts.replyThen(
 				attempt,
 				known === undefined
-					? attempts.createErrorReply('store-unavailable', settings.maxPauseMs)
+					? attempts.createOutageReply(attempt)
 					: attempts.createErrorReply('still-running', settings.maxPollMs),
 				attempts.endAttempt,
 			),
@@ -95,10 +96,9 @@
 		.with({kind: 'start'}, (start) =>
 			attempts.replyThen(
 				attempt,
-				attempts.createErrorReply(
-					isDoubtful(start) ? 'store-unknown' : 'store-unavailable',
-					settings.maxPauseMs,
-				),
+				isDoubtful(start)
+					? attempts.createErrorReply('store-unknown', settings.maxPauseMs)
+					: attempts.createOutageReply(attempt),
 				isDoubtful(start) ? keep : attempts.endAttempt,
 			),
 		)
--- a/packages/daemon/src/idempotency/group-writer.ts
+++ b/packages/daemon/src/idempotency/group-writer.ts
@@ -1,5 +1,5 @@
 /**
- * Writes rows of keys by group commit. Writes that come within a window, or
+ * Writes rows of keys by group commit. Writes that come between two sends, or
  * while all commits allowed at once are out, share the next transaction.
  */
 import * as core from '@gullstand/core';
@@ -22,9 +22,13 @@
 
 /** How writes are grouped. */
 export type GroupSettings = core.idempotency.GroupLimits & {
-	/** How long a write that a caller waits for is held for others. */
-	readonly urgentWindowMs: number;
-	/** How long any other write is held for others. */
+	/**
+	 * Least time between two sends. A write that a caller waits for goes at
+	 * once if none went within it, so that few requests have no added delay
+	 * and many cost the store no more than one send in this time.
+	 */
+	readonly spacingMs: number;
+	/** How long a write that no caller waits for is held for others. */
 	readonly windowMs: number;
 	/** Transactions that are out at once. */
 	readonly maxCommits: number;
@@ -34,8 +38,8 @@
 export const defaultGroupSettings: GroupSettings = {
 	maxRows: 50,
 	maxBytes: 262_144,
-	urgentWindowMs: 2,
-	windowMs: 20,
+	spacingMs: 25,
+	windowMs: 100,
 	maxCommits: 4,
 };
 
@@ -70,6 +74,7 @@
 	queue: Entry[];
 	commitsOut: number;
 	commitCount: number;
+	lastSentAt: number;
 	/** When the queue is sent next, and how to cancel that. */
 	wake: {readonly at: number; readonly cancel: () => void} | undefined;
 };
@@ -98,6 +103,7 @@
 		queue: [],
 		commitsOut: 0,
 		commitCount: 0,
+		lastSentAt: Number.NEGATIVE_INFINITY,
 		wake: undefined,
 	};
 
@@ -184,12 +190,15 @@
 		state.commitsOut++;
 		await commitGroup(entries, 0);
 		state.commitsOut--;
-		sendQueue();
+		if (state.queue.length > 0) {
+			wakeAfter(0);
+		}
 	};
 
 	const sendQueue = () => {
 		state.wake?.cancel();
 		state.wake = undefined;
+		state.lastSentAt = clock.getTime().now;
 		while (state.queue.length > 0 && state.commitsOut < settings.maxCommits) {
 			const {taken, left} = core.idempotency.takeGroup(state.queue, settings);
 			state.queue = [...left];
@@ -197,7 +206,12 @@
 		}
 	};
 
-	const wakeAt = (at: number) => {
+	/** Sends the queue after a delay, and not before the spacing allows. */
+	const wakeAfter = (delayMs: number) => {
+		const at = Math.max(
+			clock.getTime().now + delayMs,
+			state.lastSentAt + settings.spacingMs,
+		);
 		if (state.wake !== undefined && state.wake.at <= at) {
 			return;
 		}
@@ -216,15 +230,7 @@
 		const bytes = JSON.stringify(rowWrite.row).length;
 		const entry: Entry = {...rowWrite, bytes};
 		state.queue.push(entry);
-		if (state.queue.length >= settings.maxRows) {
-			sendQueue();
-		} else {
-			const {urgentWindowMs, windowMs} = settings;
-			wakeAt(
-				clock.getTime().now + (rowWrite.isUrgent ? urgentWindowMs : windowMs),
-			);
-		}
-
+		wakeAfter(rowWrite.isUrgent ? 0 : settings.windowMs);
 		return () => withdraw(entry);
 	};
 
