Dispatch callers' requests through the fault-aware upstream

Cause: the entry sent each request once, to the executor with the fewest in flight, with no health, retry or check of the answer's length.

Change: createUpstreamDispatch takes the place of plain dispatch in the daemon: one upstream a service, rebuilt when the service changes, executors followed from the view; in-flight counts stay for those off the list, so that a wave sees the end of their work. Cancellation comes by the entry's own type, not an AbortSignal.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,13 +6,14 @@
 	Workers,
 } from '@gullstand/platform';
 import {createCallerApp} from './caller/caller-app.js';
-import {createPlainDispatch} from './caller/plain-dispatch.js';
 import {createListener} from './http/listener.js';
 import type {Logger} from './log/logger.js';
 import {createMetrics, type Metrics} from './metrics/metrics.js';
 import {createOperatorApp} from './operator/operator-app.js';
 import type {Settings} from './settings/schema.js';
 import {createSupervisor, type Part} from './supervisor/supervisor.js';
+import {createUpstreamDispatch} from './upstream/call-handler.js';
+import {defaultUpstreamConfig} from './upstream/types.js';
 import {createViewFollower} from './view/view-follower.js';
 import {createWaveRunner} from './waves/wave-runner.js';
 
@@ -48,6 +49,9 @@
 
 const wavePollMs = 50;
 
+/** Entries in front of an executor, old and new ones during a replacement. */
+const entriesSharingConnections = 9;
+
 const delay = async (ms: number) =>
 	new Promise<void>((resolve) => {
 		setTimeout(resolve, ms);
@@ -68,10 +72,20 @@
 
 	const viewFollower = createViewFollower(platform.table, viewPollMs);
 	const {getView, poll} = viewFollower;
-	const dispatch = createPlainDispatch({
+	const {connectTimeoutMs, idleConnectionMs, maxAnswerBytes} =
+		settings.upstream;
+	const {reuse, ...upstreamConfig} = defaultUpstreamConfig;
+	const dispatch = createUpstreamDispatch({
 		getView,
 		now,
-		connectTimeoutMs: settings.upstream.connectTimeoutMs,
+		random: Math.random,
+		entries: entriesSharingConnections,
+		cfg: {
+			...upstreamConfig,
+			connectTimeoutMs,
+			reuse: {...reuse, maxIdleMs: idleConnectionMs},
+			maxBufferedBytes: maxAnswerBytes,
+		},
 	});
 	const upstreamPart: Part = {
 		name: 'upstream',
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -20,6 +20,7 @@
 export type {Wave} from './waves/wave-runner.js';
 export * from './peers/peer-channel.js';
 export type * from './peers/peer-methods.js';
+export * from './upstream/call-handler.js';
 export * as upstream from './upstream/upstream.js';
 export type * as upstreamTypes from './upstream/types.js';
 export {defaultUpstreamConfig} from './upstream/types.js';
--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -3,13 +3,15 @@
 import * as pools from './connection-pool.js';
 import type {Connection} from './connection.js';
 import * as exchanges from './exchange.js';
+import * as states from './state.js';
 import type {ExecutorLink, UpstreamState} from './state.js';
 import type {Slot, UpstreamRequest} from './types.js';
 
 /** A running attempt. */
 export type Attempt = {
 	readonly link: ExecutorLink;
-	readonly slot: Slot;
+	/** Gives the slot back; later calls do nothing. */
+	readonly releaseSlot: Slot['release'];
 	readonly startedAt: number;
 	/** True once it has gone without a byte for longer than the threshold. */
 	silent: boolean;
@@ -59,17 +61,15 @@
 
 const send = (ctx: Context, connection: Connection): void => {
 	const {state, attempt, req, events} = ctx;
-	const {link, slot} = attempt;
-	let connectionBytes = 0;
+	const {link, releaseSlot} = attempt;
 	attempt.exchange = exchanges.startExchange(connection, req, state, {
 		onEnd(end) {
 			clearTimeout(attempt.timer);
 			events.onEnd(attempt, end);
 		},
 		onFree(whole) {
-			connectionBytes = getBytesSent(attempt);
 			clearTimeout(attempt.timer);
-			slot.release(!whole && connectionBytes > 0);
+			releaseSlot(!whole && getBytesSent(attempt) > 0);
 			if (whole) {
 				pools.release(link.pool, connection);
 			} else {
@@ -88,7 +88,7 @@
 	const connection = await pools.acquire(pool, {repeatable, suspectedAt});
 	if (typeof connection === 'string') {
 		if (!attempt.aborted) {
-			attempt.slot.release(false);
+			attempt.releaseSlot(false);
 			events.onEnd(attempt, {end: {kind: connection}});
 		}
 	} else if (attempt.aborted) {
@@ -98,15 +98,29 @@
 	}
 };
 
+/** Counts the attempt until its slot is given back, which happens once. */
+const holdSlot = (state: UpstreamState, slot: Slot): Slot['release'] => {
+	let held = true;
+	states.addInFlight(state, slot.executor, 1);
+	return (mayStillRun) => {
+		if (held) {
+			held = false;
+			states.addInFlight(state, slot.executor, -1);
+			slot.release(mayStillRun);
+		}
+	};
+};
+
 /** Starts an attempt on an executor whose slot has been taken. */
 export const startAttempt = (
 	state: UpstreamState,
 	req: UpstreamRequest,
-	target: {readonly link: ExecutorLink; readonly slot: Slot},
+	{link, slot}: {readonly link: ExecutorLink; readonly slot: Slot},
 	events: AttemptEvents,
 ): Attempt => {
 	const attempt: Attempt = {
-		...target,
+		link,
+		releaseSlot: holdSlot(state, slot),
 		startedAt: state.clock(),
 		silent: false,
 		aborted: false,
@@ -122,7 +136,7 @@
 	attempt.aborted = true;
 	clearTimeout(attempt.timer);
 	if (attempt.exchange === undefined) {
-		attempt.slot.release(false);
+		attempt.releaseSlot(false);
 	} else {
 		attempt.exchange.abort();
 	}
--- a/packages/daemon/src/upstream/dispatcher.ts
+++ b/packages/daemon/src/upstream/dispatcher.ts
@@ -29,16 +29,13 @@
 	attempts: number;
 	settled: boolean;
 	timer: NodeJS.Timeout | undefined;
-	onAbort: (() => void) | undefined;
+	stopListening: (() => void) | undefined;
 };
 
 const settle = (run: Run, result: AttemptResult): void => {
 	run.settled = true;
 	clearTimeout(run.timer);
-	if (run.onAbort !== undefined) {
-		run.req.signal?.removeEventListener('abort', run.onAbort);
-	}
-
+	run.stopListening?.();
 	for (const each of run.running) {
 		attempts.abortAttempt(each);
 	}
@@ -209,13 +206,9 @@
 	run.timer = setTimeout(() => {
 		stop(run, 'deadline');
 	}, leftMs);
-	if (req.signal !== undefined) {
-		run.onAbort = () => {
-			stop(run, 'cancelled');
-		};
-
-		req.signal.addEventListener('abort', run.onAbort, {once: true});
-	}
+	run.stopListening = req.cancellation?.onCancel(() => {
+		stop(run, 'cancelled');
+	});
 };
 
 const refuse = (
@@ -232,7 +225,7 @@
 	req: UpstreamRequest,
 ): Promise<AttemptResult> =>
 	new Promise((resolve) => {
-		if (req.signal?.aborted) {
+		if (req.cancellation?.isCancelled()) {
 			resolve(refuse(state, 'cancelled'));
 			return;
 		}
@@ -252,7 +245,7 @@
 			attempts: 0,
 			settled: false,
 			timer: undefined,
-			onAbort: undefined,
+			stopListening: undefined,
 		};
 		const target = targets.takeTarget(run.state, run.history);
 		if (target === undefined) {
--- a/packages/daemon/src/upstream/state.ts
+++ b/packages/daemon/src/upstream/state.ts
@@ -20,12 +20,28 @@
 	readonly clock: () => number;
 	readonly takeSlot: TakeSlot;
 	readonly links: Map<string, ExecutorLink>;
+	/** Attempts in flight by executor, also on those off the list. */
+	readonly inFlight: Map<string, number>;
 	readonly health: core.health.PoolHealth;
 	readonly budget: core.retryBudget.RetryBudget;
 	readonly serviceTime: core.connectionSilence.ServiceTime;
 	readonly stats: UpstreamStats;
 };
 
+/** Counts attempts that start or end on an executor. */
+export const addInFlight = (
+	{inFlight}: UpstreamState,
+	id: string,
+	change: 1 | -1,
+): void => {
+	const count = (inFlight.get(id) ?? 0) + change;
+	if (count === 0) {
+		inFlight.delete(id);
+	} else {
+		inFlight.set(id, count);
+	}
+};
+
 /** An executor that may take requests. */
 export type ExecutorTarget = Pick<
 	core.Instance,
--- a/packages/daemon/src/upstream/types.ts
+++ b/packages/daemon/src/upstream/types.ts
@@ -1,6 +1,7 @@
 /** Types of the path from an entry to the executors of one service. */
 import type {Readable} from 'node:stream';
 import * as core from '@gullstand/core';
+import type {Cancellation} from '../caller/cancellation.js';
 
 /** Header of a message; names in lower case. */
 export type Headers = Readonly<Record<string, string | string[] | undefined>>;
@@ -17,8 +18,8 @@
 	readonly repeatable: boolean;
 	/** When the caller stops waiting, by the clock of the upstream. */
 	readonly deadline: number;
-	/** Aborts when the caller goes away. */
-	readonly signal?: AbortSignal;
+	/** Happens when the caller goes away. */
+	readonly cancellation?: Cancellation;
 };
 
 /** What became of a request. */
--- a/packages/daemon/src/upstream/upstream.test.ts
+++ b/packages/daemon/src/upstream/upstream.test.ts
@@ -5,6 +5,7 @@
 import type * as core from '@gullstand/core';
 import {answers, executor} from '@gullstand/stand-in';
 import * as tap from 'tap';
+import {createCancellation} from '../caller/cancellation.js';
 import {
 	defaultUpstreamConfig,
 	type AttemptResult,
@@ -258,13 +259,12 @@
 	const executors = await startExecutors(t, 1);
 	const path = start(t, executors, {connectionsPerExecutor: 9});
 	await executors[0]?.setFault(hang);
-	const controller = new AbortController();
-	const {signal} = controller;
+	const cancellation = createCancellation();
 	const ids = Array.from({length: 8}, (_, index) => `w${index}`);
-	const wave = ids.map(async (id) => send(path, id, {signal}));
+	const wave = ids.map(async (id) => send(path, id, {cancellation}));
 	await waitUntil(() => path.listExecutors()[0]?.connections === 8);
 	t.match(await send(path, 'full'), {error: 'overloaded'});
-	controller.abort();
+	cancellation.cancel();
 	for (const result of await Promise.all(wave)) {
 		t.match(result, {error: 'cancelled'});
 	}
--- a/packages/daemon/src/upstream/upstream.ts
+++ b/packages/daemon/src/upstream/upstream.ts
@@ -47,11 +47,20 @@
 	/** The executors that serve now; those left out get no new work. */
 	readonly setExecutors: (targets: Targets) => void;
 	readonly getStats: () => Readonly<UpstreamStats>;
+	/** Attempts in flight on an executor, also when it has left the list. */
+	readonly getInFlight: (executor: string) => number;
 	readonly listExecutors: () => ExecutorReport[];
 	/** Takes no new work; resolves when in-flight work is done or cut. */
 	readonly close: (deadlineMs: number) => Promise<void>;
 };
 
+/** One connection is kept for probes, and a request needs one of its own. */
+const getLocalLimit = (service: core.Service, cfg: UpstreamConfig): number =>
+	Math.max(
+		1,
+		Math.min(service.slotsPerExecutor, cfg.connectionsPerExecutor - 1),
+	);
+
 const createState = (options: UpstreamOptions): states.UpstreamState => {
 	const {service, cfg, clock, random, takeSlot} = options;
 	return {
@@ -59,8 +68,9 @@
 		cfg,
 		clock,
 		takeSlot:
-			takeSlot ?? slots.createLocalSlots(service.slotsPerExecutor, random),
+			takeSlot ?? slots.createLocalSlots(getLocalLimit(service, cfg), random),
 		links: new Map(),
+		inFlight: new Map(),
 		health: core.health.createPoolHealth(cfg.health),
 		budget: core.retryBudget.createRetryBudget(cfg.retryBudget),
 		serviceTime: core.connectionSilence.createServiceTime(),
@@ -142,6 +152,7 @@
 			states.setExecutors(state, targets);
 		},
 		getStats: () => state.stats,
+		getInFlight: (executor) => state.inFlight.get(executor) ?? 0,
 		listExecutors: () => listExecutors(state),
 		async close(deadlineMs) {
 			clearInterval(timer);
