bench: move instances between pools under faults

A life that took the place of an earlier one holds the draining instances for the longest request, as executors may still run what that sent. Conclusion: acknowledgement by registered entries is kept; an entry that is gone without a word holds moves up for forgetAfterMs (30 s).

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -9,4 +9,5 @@
 	'bad-input': async () => import('./benches/bad-input.js'),
 	overhead: async () => import('./benches/overhead.js'),
 	'at-most-once': async () => import('./benches/at-most-once.js'),
+	ownership: async () => import('./benches/ownership.js'),
 };
--- a/packages/core/src/membership/acknowledgement.ts
+++ b/packages/core/src/membership/acknowledgement.ts
@@ -30,6 +30,11 @@
 	 * of the answer; one whose connection was cut counts until its hold ends.
 	 */
 	readonly inFlight: ReadonlyMap<string, number>;
+	/**
+	 * True for the longest request after the start of a life that took the
+	 * place of an earlier one: executors may still run what that one sent.
+	 */
+	readonly mayInherit?: boolean;
 };
 
 const isHeld = (view: View, instance: string): boolean =>
@@ -40,14 +45,22 @@
 	view: View,
 	router: RouterState,
 ): readonly string[] => {
-	const held: string[] = [];
+	const held = new Set<string>();
 	for (const [instance, count] of router.inFlight) {
 		if (count > 0 && isHeld(view, instance)) {
-			held.push(instance);
+			held.add(instance);
+		}
+	}
+
+	if (router.mayInherit) {
+		for (const {id, state} of view.instances.values()) {
+			if (state === 'draining') {
+				held.add(id);
+			}
 		}
 	}
 
-	return held;
+	return [...held];
 };
 
 /** What an entry acknowledges from. */
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -78,6 +78,13 @@
 		inForce: 8,
 		holding: ['draining', 'deleted'],
 	});
+	t.match(
+		acknowledgeRevision(life, 2, {
+			view,
+			router: {routedRevision: 9, inFlight: new Map(), mayInherit: true},
+		}),
+		{holding: ['draining']},
+	);
 	const sponsored = [createAck({inForce: 3, holding: ['x']})];
 	t.match(acknowledgeRevision(life, 2, {view, router, sponsored}), {
 		inForce: 3,
@@ -185,8 +192,8 @@
 	readonly [Partial<SilenceEvidence>, string | undefined]
 > = [
 	[{}, undefined],
-	[{unchangedMs: 24_999}, 'renewed'],
-	[{unlistedMs: 24_999}, 'listed'],
+	[{unchangedMs: 29_999}, 'renewed'],
+	[{unlistedMs: 29_999}, 'listed'],
 	[{unheardBy: 4}, 'heard'],
 	[{unheardBy: 1, registered: 2}, 'heard'],
 	[{unheardBy: 0, registered: 1}, 'heard'],
@@ -214,5 +221,5 @@
 
 tap.t.test('no entry is forgotten before it stops by itself', async (t) => {
 	t.ok(isSoundSettings(membershipDefaults));
-	t.notOk(isSoundSettings({...membershipDefaults, forgetAfterMs: 24_999}));
+	t.notOk(isSoundSettings({...membershipDefaults, forgetAfterMs: 29_999}));
 });
--- a/packages/core/src/membership/standing.ts
+++ b/packages/core/src/membership/standing.ts
@@ -55,22 +55,28 @@
 	readonly listLagMs: number;
 	/** Longest stall between the last check and the bytes on the wire. */
 	readonly stallMarginMs: number;
+	/** Longest time from a dispatch to the end of the work at the executor. */
+	readonly longestRequestMs: number;
 	/** Silence after which others may remove an entry. */
 	readonly forgetAfterMs: number;
 };
 
 /** Defaults of `MembershipSettings`. */
 export const membershipDefaults: MembershipSettings = {
-	isolationMs: 10_000,
+	isolationMs: 6000,
 	listLagMs: 10_000,
-	stallMarginMs: 5000,
-	forgetAfterMs: 25_000,
+	stallMarginMs: 4000,
+	longestRequestMs: 10_000,
+	forgetAfterMs: 30_000,
 };
 
-/** True if no entry is forgotten before it has stopped by itself. */
+/** True if no entry is forgotten before its last request has ended. */
 export const isSoundSettings = (settings: MembershipSettings): boolean =>
 	settings.forgetAfterMs >=
-	settings.isolationMs + settings.listLagMs + settings.stallMarginMs;
+	settings.isolationMs +
+		settings.listLagMs +
+		settings.stallMarginMs +
+		settings.longestRequestMs;
 
 /** A lapsed entry may have been removed; only these show that it was not. */
 const sourcesAfterLapse: ReadonlySet<ConfirmationSource> = new Set([
--- a/packages/core/src/shards/shard-lease.test.ts
+++ b/packages/core/src/shards/shard-lease.test.ts
@@ -5,6 +5,7 @@
 import {createStore} from '../types/row-store.test.fixture.js';
 import {
 	acquireShard,
+	adoptShard,
 	loseShard,
 	releaseShard,
 	renewShard,
@@ -61,6 +62,13 @@
 	});
 }
 
+tap.t.test('adopts a lease whose reply was lost', async (t) => {
+	t.same(adoptShard(heldByTwo, two!), {shard: 's', token: 4, version: 9});
+	t.equal(adoptShard(heldByTwo, one!), undefined);
+	t.equal(adoptShard(heldByTwo, {...two!, incarnation: 'b'}), undefined);
+	t.equal(adoptShard(undefined, one!), undefined);
+});
+
 tap.t.test('counts on the lease only while heartbeats commit', async (t) => {
 	t.ok(renewShard(1000, leaseMs, 5999));
 	t.notOk(renewShard(1000, leaseMs, 6000));
--- a/packages/core/src/shards/shard-lease.ts
+++ b/packages/core/src/shards/shard-lease.ts
@@ -41,7 +41,10 @@
 	readonly leaseMs: number;
 };
 
-/** Why a shard may not be acquired now. */
+/**
+ * Why a shard may not be acquired now. `already-own` after a lost reply: the
+ * lease row is adopted, since no other entry will ever take it over.
+ */
 export type AcquireRefusal = 'held' | 'already-own';
 
 const isHolderGone = (
@@ -82,13 +85,6 @@
 	return succeed(putLease({shard, holder: self, token}, read));
 };
 
-/** Hands a shard over; the next holder need not wait for the lease. */
-export const releaseShard = (
-	lease: ShardLease,
-	version: number,
-): StoreWrite<ShardLease> =>
-	putLease({...lease, holder: null}, {value: lease, version});
-
 /** A shard that this life holds, as far as it knows. */
 export type HeldShard = {
 	readonly shard: string;
@@ -97,6 +93,28 @@
 	readonly version: number;
 };
 
+/** The lease that a row grants to this life, also after a lost reply. */
+export const adoptShard = (
+	read: ReadLease,
+	self: EntryLife,
+): HeldShard | undefined => {
+	const holder = read?.value.holder;
+	return holder && isSameLife(holder, self)
+		? {
+				shard: read.value.shard,
+				token: read.value.token,
+				version: read.version,
+			}
+		: undefined;
+};
+
+/** Hands a shard over; the next holder need not wait for the lease. */
+export const releaseShard = (
+	lease: ShardLease,
+	version: number,
+): StoreWrite<ShardLease> =>
+	putLease({...lease, holder: null}, {value: lease, version});
+
 /** True if a read of the lease row shows that the shard is lost. */
 export const loseShard = (held: HeldShard, read: ReadLease): boolean =>
 	read?.version !== held.version;
