Give operators every kind of object over HTTP

Cause: only contracts could be changed, without checks, history or a way to know where a change is in force.

Change: one handler set for contracts, services and instances (list, show, diff, apply with If-Match, delete); a change is checked against every contract on the newest view and decided anew when another came between; `?wait=` (ms) answers 202 with who lags; pools, entries (forget at a version) and the history with author.

Conclusion: pool and state of an instance stay with moves and waves.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,6 +14,7 @@
 import {createSupervisor, type Part} from './supervisor/supervisor.js';
 import {createUpstreamDispatch} from './upstream/call-handler.js';
 import {defaultUpstreamConfig} from './upstream/types.js';
+import {createEnvironment} from './view/environment.js';
 import {createViewFollower} from './view/view-follower.js';
 import {createWaveRunner} from './waves/wave-runner.js';
 
@@ -71,7 +72,7 @@
 	let isStopping = false;
 
 	const viewFollower = createViewFollower(platform.table, viewPollMs);
-	const {getView, poll} = viewFollower;
+	const {getView, getFollowed, poll} = viewFollower;
 	const {connectTimeoutMs, idleConnectionMs, maxAnswerBytes} =
 		settings.upstream;
 	const {reuse, ...upstreamConfig} = defaultUpstreamConfig;
@@ -115,7 +116,13 @@
 			settings: settings.operator,
 			table: platform.table,
 			getView,
+			getFollowed,
 			poll,
+			async onCommitted(delta) {
+				viewFollower.offerDeltas([delta]);
+			},
+			getHeard: () => new Map(),
+			env: createEnvironment(),
 			metrics,
 			logger,
 			isReady: () => !isStopping && getView().revision > 0,
--- a/packages/daemon/src/operator/instances/app.ts
+++ b/packages/daemon/src/operator/instances/app.ts
@@ -1,17 +1,64 @@
-/** Instances: list and show. */
-import {randomUUID} from 'node:crypto';
-import {createErrorResponse} from '../../caller/answer.js';
+/**
+ * Instances. An operator registers one, corrects its place or address, and
+ * deletes one that is away. Its pool and state change only by moves and
+ * waves, which wait for every entry.
+ */
+import * as core from '@gullstand/core';
+import type {Instance, Result} from '@gullstand/core';
+import {
+	registerObjects,
+	type FieldFault,
+	type ObjectDomain,
+} from '../objects/object-domain.js';
+import {instanceSchema} from '../objects/schemas.js';
 import type {OperatorApp, OperatorDeps} from '../operator-app.js';
 
+const findFaults = (sent: Instance, current: Instance): FieldFault[] => {
+	const faults: FieldFault[] = [];
+	if (sent.pool !== current.pool) {
+		faults.push({field: 'pool', message: 'changes only by a move'});
+	}
+
+	if (sent.kind !== current.kind) {
+		faults.push({field: 'kind', message: 'does not change'});
+	}
+
+	// Requests of an older view may be in flight to the old address.
+	if (sent.address !== current.address && current.state !== 'away') {
+		faults.push({field: 'address', message: 'changes only while away'});
+	}
+
+	return faults;
+};
+
+const prepare = (
+	sent: Instance,
+	current: Instance | undefined,
+): Result<Instance, readonly FieldFault[]> => {
+	if (!current) {
+		return core.succeed({...sent, state: 'serving', epoch: 1});
+	}
+
+	const faults = findFaults(sent, current);
+	const {state, epoch} = current;
+	return faults.length > 0
+		? core.fail(faults)
+		: core.succeed({...sent, state, epoch: epoch + 1});
+};
+
+const domain: ObjectDomain<Instance> = {
+	name: 'instance',
+	schema: instanceSchema,
+	getKey: ({id}) => id,
+	getAll: ({instances}) => instances,
+	createPut: (instance) => ({kind: 'put-instance', instance}),
+	createDelete: (id) => ({kind: 'delete-instance', id}),
+	prepare,
+	checkDelete: ({state}) =>
+		state === 'away' ? [] : [{field: 'state', message: 'is not away'}],
+};
+
 /** Registers the handlers of this domain. */
 export const registerInstances = (app: OperatorApp, deps: OperatorDeps) => {
-	app.get('/v1/instances', (c) =>
-		c.json({instances: [...deps.getView().instances.values()]}),
-	);
-	app.get('/v1/instances/:id', (c) => {
-		const instance = deps.getView().instances.get(c.req.param('id'));
-		return instance
-			? c.json({instance})
-			: createErrorResponse('not-found', randomUUID());
-	});
+	registerObjects(app, deps, domain);
 };
--- /dev/null
+++ b/packages/daemon/src/operator/objects/in-force.ts
@@ -0,0 +1,81 @@
+/** Whether a revision is in force on every registered entry, and who lags. */
+import * as core from '@gullstand/core';
+import type {lagging, registration, Result} from '@gullstand/core';
+import type {client, StoreError, TableService} from '@gullstand/platform';
+import {readTable} from '../../view/tables.js';
+
+/** What is asked of the entries. */
+export type InForceDeps = {
+	readonly table: TableService;
+	readonly getView: () => core.View;
+	/** Acknowledgements that peers have sent to this entry. */
+	readonly getHeard: () => lagging.HeardAcknowledgements;
+	readonly env: client.Environment;
+};
+
+/** How far a revision is in force. */
+export type InForce = {
+	readonly isInForce: boolean;
+	readonly lagging: readonly lagging.Lag[];
+	/** The entries could not be read. */
+	readonly isUnknown?: boolean;
+};
+
+/** An entry's registration and the version of its row. */
+export type RegistrationRow = {
+	readonly version: number;
+	readonly registration: registration.Registration;
+};
+
+/** Reads the rows of all registered entries. */
+export const readRegistrations = async (
+	table: TableService,
+): Promise<Result<readonly RegistrationRow[], StoreError>> => {
+	const rows = await readTable(table, core.agreementTables.entry);
+	return rows.ok
+		? core.succeed(
+				rows.value.map(({version, value}) => ({
+					version,
+					registration: value as unknown as registration.Registration,
+				})),
+			)
+		: rows;
+};
+
+/** Looks once. */
+export const checkInForce = async (
+	{table, getView, getHeard}: InForceDeps,
+	revision: number,
+): Promise<InForce> => {
+	const rows = await readRegistrations(table);
+	if (!rows.ok) {
+		return {isInForce: false, lagging: [], isUnknown: true};
+	}
+
+	const lagging = core.lagging.findLagging(
+		rows.value.map((row) => row.registration),
+		getHeard(),
+		{revision},
+	);
+	const isHere = getView().revision >= revision;
+	return {isInForce: isHere && lagging.length === 0, lagging};
+};
+
+const pollMs = 100;
+
+/** Looks again and again until the revision is in force or time is up. */
+export const waitInForce = async (
+	deps: InForceDeps,
+	revision: number,
+	maxMs: number,
+): Promise<InForce> => {
+	const deadline = deps.env.now() + maxMs;
+	for (;;) {
+		const state = await checkInForce(deps, revision);
+		if (state.isInForce || deps.env.now() + pollMs >= deadline) {
+			return state;
+		}
+
+		await deps.env.wait(pollMs);
+	}
+};
--- a/packages/daemon/src/operator/operator-app.ts
+++ b/packages/daemon/src/operator/operator-app.ts
@@ -5,15 +5,19 @@
 import {randomUUID} from 'node:crypto';
 import type {HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
-import type {View} from '@gullstand/core';
-import type {TableService} from '@gullstand/platform';
+import type {followedView, lagging, View, viewChange} from '@gullstand/core';
+import type {client, TableService} from '@gullstand/platform';
 import {createErrorResponse} from '../caller/answer.js';
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {Settings} from '../settings/schema.js';
 import {authorizeOperator, type Operator} from './authorize.js';
+import {registerChanges} from './changes/app.js';
 import {registerContracts} from './contracts/app.js';
+import {registerEntries} from './entries/app.js';
 import {registerInstances} from './instances/app.js';
+import {registerPools} from './pools/app.js';
+import {registerServices} from './services/app.js';
 import {registerStatus} from './status/app.js';
 import {registerWaves} from './waves/app.js';
 
@@ -22,6 +26,12 @@
 	readonly settings: Settings['operator'];
 	readonly table: TableService;
 	readonly getView: () => View;
+	readonly getFollowed: () => followedView.FollowedView;
+	/** Told of a change that this entry committed, before it is answered. */
+	readonly onCommitted: (delta: viewChange.ViewDelta) => Promise<void>;
+	/** Acknowledgements that peers have sent to this entry. */
+	readonly getHeard: () => lagging.HeardAcknowledgements;
+	readonly env: client.Environment;
 	/** Reads the view anew after a change. */
 	readonly poll: () => Promise<void>;
 	readonly metrics: Metrics;
@@ -60,7 +70,11 @@
 	});
 	registerStatus(app, deps);
 	registerContracts(app, deps);
+	registerServices(app, deps);
+	registerPools(app, deps);
 	registerInstances(app, deps);
+	registerEntries(app, deps);
+	registerChanges(app, deps);
 	registerWaves(app, deps);
 	app.notFound(() => createErrorResponse('not-found', randomUUID()));
 	app.onError((err) => {
--- /dev/null
+++ b/packages/daemon/src/operator/services/app.ts
@@ -0,0 +1,19 @@
+/** Services. One that a contract names is not deleted. */
+import type {Service} from '@gullstand/core';
+import {registerObjects, type ObjectDomain} from '../objects/object-domain.js';
+import {serviceSchema} from '../objects/schemas.js';
+import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+
+const domain: ObjectDomain<Service> = {
+	name: 'service',
+	schema: serviceSchema,
+	getKey: ({name}) => name,
+	getAll: ({services}) => services,
+	createPut: (service) => ({kind: 'put-service', service}),
+	createDelete: (name) => ({kind: 'delete-service', name}),
+};
+
+/** Registers the handlers of this domain. */
+export const registerServices = (app: OperatorApp, deps: OperatorDeps) => {
+	registerObjects(app, deps, domain);
+};
