Run a daemon on a platform over HTTP

Cause: gullstandd took any settings and ran on the embedded platform; an entry on an empty store never became ready, and no test held exit codes or the order of a stop.

--- a/packages/daemon/src/bin.ts
+++ b/packages/daemon/src/bin.ts
@@ -7,6 +7,7 @@
 import {startEmbeddedPlatform} from './embedded/embedded-platform.js';
 import {createEmbeddedSettings} from './embedded/embedded-settings.js';
 import {createLogger} from './log/logger.js';
+import {openPlatform} from './platform/open-platform.js';
 import {exitCodes, runProcess} from './run-process.js';
 import {formatFault, loadSettings} from './settings/load-settings.js';
 
@@ -59,7 +60,9 @@
 	}
 
 	const logger = createLogger(settings.log, settings.entry.id);
-	const {platform, close} = await startEmbeddedPlatform(now);
+	const {platform, close} = flags.embedded
+		? await startEmbeddedPlatform(now)
+		: openPlatform(settings.platform, now);
 	const daemon = createDaemon({settings, platform, logger, now});
 	await runProcess(daemon, logger, close);
 };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -15,7 +15,7 @@
 import {createUpstreamDispatch} from './upstream/call-handler.js';
 import {defaultUpstreamConfig} from './upstream/types.js';
 import {createEnvironment} from './view/environment.js';
-import {createViewFollower} from './view/view-follower.js';
+import {createViewFollower, type ViewFollower} from './view/view-follower.js';
 import {createWaveRunner} from './waves/wave-runner.js';
 
 /** The platform as an entry sees it. */
@@ -65,6 +65,11 @@
 	maxConnections: 256,
 } as const;
 
+/** An empty store that answers is a view too. */
+const hasView = (follower: ViewFollower): boolean =>
+	follower.getOrigin() !== 'none' ||
+	follower.getCondition().kind === 'following';
+
 /** Builds a daemon; nothing starts yet. */
 export const createDaemon = (deps: DaemonDeps): Daemon => {
 	const {settings, platform, logger, now} = deps;
@@ -125,7 +130,7 @@
 			env: createEnvironment(),
 			metrics,
 			logger,
-			isReady: () => !isStopping && getView().revision > 0,
+			isReady: () => !isStopping && hasView(viewFollower),
 		}).fetch,
 		now,
 	);
