Change contracts, services and instances from TOML files

Cause: operators had no command for the objects of the view.

Change: `gullstand contract|service|instance` with list, show, diff, create, apply and delete; a file from `show` carries the version that `apply` matches; exit codes for a lost race, a change not yet in force, an unknown outcome. `gullstand pool|entry|change`.

--- a/packages/cli/src/bin.ts
+++ b/packages/cli/src/bin.ts
@@ -3,6 +3,9 @@
 import {Command} from 'commander';
 import {registerConfig} from './commands/config.js';
 import {registerDemo} from './commands/demo.js';
+import {registerFleet} from './commands/fleet.js';
+import {processIo} from './commands/io.js';
+import {registerObjects} from './commands/objects.js';
 
 const program = new Command('gullstand')
 	.description('Operators of gullstand change contracts and declare waves.')
@@ -11,8 +14,17 @@
 		`
 Examples:
   gullstand config check /etc/gullstand/entry.toml
-  gullstand demo`,
+  gullstand demo
+  gullstand contract show brokers > brokers.toml
+  gullstand contract diff brokers.toml
+  gullstand contract apply brokers.toml --wait 10000
+  gullstand change list --object contract/brokers
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 changed by another since it was
+read, 4 not in force everywhere yet, 5 outcome unknown.`,
 	);
 registerConfig(program);
 registerDemo(program);
+registerObjects(program, processIo);
+registerFleet(program, processIo);
 await program.parseAsync();
--- /dev/null
+++ b/packages/cli/src/commands/fleet.ts
@@ -0,0 +1,158 @@
+/** `gullstand pool|entry|change`: what the fleet is doing. */
+import type {Command} from 'commander';
+import {callOperator, type OperatorCall} from '../client/operator-client.js';
+import {formatInForce, printAnswer, show} from './answer.js';
+import {addTargetFlags, readTarget, type Io, type TargetFlags} from './io.js';
+
+type Fields = Readonly<Record<string, unknown>>;
+
+type Format = (fields: Fields) => readonly string[];
+
+const call = async (
+	request: OperatorCall,
+	flags: TargetFlags,
+	io: Io,
+	format: Format,
+) => {
+	const target = await readTarget(flags, io);
+	if (target) {
+		printAnswer(await callOperator(target, request), flags, io, format);
+	}
+};
+
+const formatCounts = (counts: Fields): string =>
+	Object.entries(counts)
+		.map(([name, count]) => `${name} ${show(count)}`)
+		.join(', ');
+
+const formatPool = (pool: Fields): readonly string[] => {
+	const services = pool.services as readonly Fields[];
+	return [
+		`${show(pool.pool)}: ${formatCounts(pool.states as Fields)}`,
+		...services.map((each) => {
+			const away = each.mayBeAway as Fields | null;
+			const bound = away
+				? `${show(away.value)} may be away (contract ${show(away.customer)})`
+				: 'no contract';
+			return `  service ${show(each.service)}: ${bound}`;
+		}),
+	];
+};
+
+const formatEntry = (entry: Fields): string => {
+	const holding = entry.holding as readonly string[];
+	const state =
+		entry.lags === null ? 'up to date' : `lags: ${show(entry.lags)}`;
+	const held = holding.length === 0 ? '' : `, holds ${holding.join(' ')}`;
+	return `${show(entry.entry)} ${show(entry.address)} revision ${show(entry.inForce)}, ${state}${held}, version ${show(entry.etag)}`;
+};
+
+const formatObjectChange = (change: Fields): string => {
+	const [verb = '', name = ''] = show(change.kind).split('-');
+	const object = (change[name] ?? change) as Fields;
+	const key = object.customer ?? object.name ?? object.id;
+	return `${verb} ${name} ${show(key)}`;
+};
+
+const formatChange = (delta: Fields): string => {
+	const changes = delta.changes as readonly Fields[];
+	const at = new Date(Number(delta.committedAt)).toISOString();
+	const objects = changes.map((change) => formatObjectChange(change));
+	return `${show(delta.revision)} ${at} ${show(delta.author)}: ${objects.join(', ')}`;
+};
+
+const registerPools = (program: Command, io: Io) => {
+	const group = program.command('pool').description('pools of instances');
+	addTargetFlags(group.command('list').description('list all')).action(
+		async (flags: TargetFlags) =>
+			call({method: 'GET', path: '/v1/pools'}, flags, io, (fields) =>
+				(fields.pools as readonly Fields[]).flatMap((pool) => formatPool(pool)),
+			),
+	);
+	addTargetFlags(group.command('show').argument('<pool>'))
+		.description('show instances, services and what binds them')
+		.action(async (pool: string, flags: TargetFlags) => {
+			const path = `/v1/pools/${encodeURIComponent(pool)}`;
+			await call({method: 'GET', path}, flags, io, (fields) => {
+				const shown = fields.pool as Fields;
+				const instances = shown.instances as readonly Fields[];
+				return [
+					...formatPool(shown),
+					...instances.map(
+						(each) =>
+							`  ${show(each.id)} ${show(each.address)} ${show(each.availabilityZone)}/${show(each.rack)} ${show(each.state)}`,
+					),
+				];
+			});
+		});
+};
+
+const registerEntries = (program: Command, io: Io) => {
+	const group = program.command('entry').description('entries of the fleet');
+	addTargetFlags(group.command('list').description('list all')).action(
+		async (flags: TargetFlags) =>
+			call({method: 'GET', path: '/v1/entries'}, flags, io, (fields) =>
+				(fields.entries as readonly Fields[]).map((entry) =>
+					formatEntry(entry),
+				),
+			),
+	);
+	addTargetFlags(group.command('forget').argument('<entry>'))
+		.description('say that an entry has certainly ended')
+		.requiredOption('--if-match <version>', 'version that "list" showed')
+		.action(async (entry: string, flags: TargetFlags & {ifMatch: string}) =>
+			call(
+				{
+					method: 'DELETE',
+					path: `/v1/entries/${encodeURIComponent(entry)}`,
+					headers: {'if-match': flags.ifMatch},
+				},
+				flags,
+				io,
+				() => [`${entry}: forgotten`],
+			),
+		);
+};
+
+type ListFlags = TargetFlags & {object?: string; id?: string; limit?: string};
+
+const registerChanges = (program: Command, io: Io) => {
+	const group = program.command('change').description('history of changes');
+	addTargetFlags(group.command('list').description('list, newest first'))
+		.option('--object <object>', 'only of one, such as contract/brokers')
+		.option('--id <id>', 'only the operation with this id')
+		.option('--limit <count>', 'how many')
+		.action(async (flags: ListFlags) => {
+			const query = new URLSearchParams();
+			for (const name of ['object', 'id', 'limit'] as const) {
+				const value = flags[name];
+				if (value !== undefined) {
+					query.set(name, value);
+				}
+			}
+
+			const path = `/v1/changes?${query.toString()}`;
+			await call({method: 'GET', path}, flags, io, (fields) =>
+				(fields.changes as readonly Fields[]).map((delta) =>
+					formatChange(delta),
+				),
+			);
+		});
+	addTargetFlags(group.command('show').argument('<revision>'))
+		.description('show one and where it is in force')
+		.option('--wait <ms>', 'wait until in force on every entry')
+		.action(async (revision: string, flags: TargetFlags & {wait?: string}) => {
+			const path = `/v1/changes/${encodeURIComponent(revision)}?wait=${encodeURIComponent(flags.wait ?? '0')}`;
+			await call({method: 'GET', path}, flags, io, (fields) => [
+				formatChange(fields.change as Fields),
+				...formatInForce(fields),
+			]);
+		});
+};
+
+/** Registers the commands of this domain. */
+export const registerFleet = (program: Command, io: Io) => {
+	registerPools(program, io);
+	registerEntries(program, io);
+	registerChanges(program, io);
+};
