Wire at-most-once requests into the caller path

Cause: nothing called the keeper. Change: the keyed layer stands outside dispatch for calls that may not be repeated: the key is required and checked, what was sent goes on without its caller, a streamed answer is recorded as not kept. Refusals before the row is held are 'key-unread', outcome unknown, with the advice same-key and Retry-After; the setting outageOutcome = "not-run" gives the first design's answer. Section [idempotency] of the settings. Conclusion: not-run is told only of a key whose row the entry holds.

--- a/packages/core/src/errors/error-table.ts
+++ b/packages/core/src/errors/error-table.ts
@@ -184,6 +184,13 @@
 		retry: 'same-key',
 		message: 'the request with this key ran; its answer cannot be read now',
 	},
+	'key-unread': {
+		status: 503,
+		outcome: 'unknown',
+		retry: 'same-key',
+		message:
+			'refused before the Idempotency-Key could be looked up; this request was not sent, but an earlier one with the key may have run',
+	},
 	stopping: {
 		status: 503,
 		outcome: 'not-run',
--- a/packages/core/src/idempotency/attempt.ts
+++ b/packages/core/src/idempotency/attempt.ts
@@ -41,6 +41,8 @@
 /** How a dispatch ended. */
 export type RunResult =
 	| {readonly kind: 'answered'; readonly answer: Answer}
+	/** Answered with a body that is too large to be kept. */
+	| {readonly kind: 'streamed'; readonly status: number}
 	/** Certainly not run: no byte was sent, or a declared refusal came. */
 	| {readonly kind: 'refused'; readonly error: ErrorKind}
 	| {readonly kind: 'lost'; readonly error: ErrorKind};
@@ -157,8 +159,6 @@
 	readonly failures: number;
 	/** True once the caller was told; nothing is dispatched after that. */
 	readonly isAnswered: boolean;
-	/** True once the row of the key was seen, or seen to be missing. */
-	readonly isKeyRead: boolean;
 	/** When the wait for the store began. */
 	readonly storeFrom: number;
 	/** Nothing is written after this. */
@@ -275,12 +275,10 @@
 
 /** Words the refusal of a request for which the store is out. */
 export const createOutageReply = (attempt: Attempt): Reply => {
-	const {isKeyRead, settings} = attempt;
-	const isNotRun = isKeyRead || settings.unreadOutcome === 'not-run';
-	return createErrorReply(
-		isNotRun ? 'store-unavailable' : 'store-unknown',
-		settings.maxPauseMs,
-	);
+	const {outageOutcome, maxPauseMs} = attempt.settings;
+	const error =
+		outageOutcome === 'unknown' ? 'key-unread' : 'store-unavailable';
+	return createErrorReply(error, maxPauseMs);
 };
 
 /** The row that is written before dispatch. */
--- a/packages/core/src/idempotency/claim.ts
+++ b/packages/core/src/idempotency/claim.ts
@@ -148,11 +148,10 @@
 
 /** Goes on with the row of the key, which is not this attempt's. */
 const proceed = (
-	before: Attempt,
+	attempt: Attempt,
 	stored: StoredRow | undefined,
 	time: Time,
 ): Step => {
-	const attempt = {...before, isKeyRead: true};
 	const {claim, settings} = attempt;
 	const {fingerprint, holder} = claim;
 	const context = {fingerprint, holder, settings};
--- a/packages/core/src/idempotency/key.test.ts
+++ b/packages/core/src/idempotency/key.test.ts
@@ -109,6 +109,7 @@
 	const slow = {
 		...defaultSettings,
 		retentionMs: 700_000,
+		dispatchWithinMs: 10_000,
 		settleWithinMs: 400_000,
 	};
 	t.match(checkSettings(slow), [
--- a/packages/core/src/idempotency/settings.ts
+++ b/packages/core/src/idempotency/settings.ts
@@ -27,11 +27,11 @@
 	/** Tries to put an answer in the object store before it is not kept. */
 	readonly putTries: number;
 	/**
-	 * What a request is told if the store is out before its key was read.
-	 * `not-run` is true of this request only: one with the same key may have
-	 * run before. `unknown` is true of the key.
+	 * What a request is told that the store's outage keeps from running.
+	 * `unknown` is true of its key. `not-run` is true of this request only:
+	 * one with the same key may have run.
 	 */
-	readonly unreadOutcome: 'not-run' | 'unknown';
+	readonly outageOutcome: 'unknown' | 'not-run';
 	/** Reads the row before it writes; else a conflict shows the row. */
 	readonly isReadFirst: boolean;
 };
@@ -43,7 +43,7 @@
 	retentionMs: 24 * hourMs,
 	storeWithinMs: 1000,
 	storeTries: 3,
-	dispatchWithinMs: 10_000,
+	dispatchWithinMs: 300_000,
 	settleWithinMs: 60_000,
 	clockSkewMs: 10_000,
 	pauseMs: 25,
@@ -53,7 +53,7 @@
 	inlineBytes: 4096,
 	maxAnswerBytes: 4_194_304,
 	putTries: 5,
-	unreadOutcome: 'not-run',
+	outageOutcome: 'unknown',
 	isReadFirst: true,
 };
 
--- a/packages/core/src/idempotency/settle.ts
+++ b/packages/core/src/idempotency/settle.ts
@@ -135,6 +135,15 @@
 			);
 		}
 
+		case 'streamed': {
+			const {status} = result;
+			return attempts.replyThen(
+				attempt,
+				attempts.createErrorReply('answer-not-kept'),
+				(next) => startFinish(next, intent, {kind: 'not-kept', status}),
+			);
+		}
+
 		case 'refused': {
 			return attempts.replyThen(
 				attempt,
--- a/packages/core/src/idempotency/update-attempt.ts
+++ b/packages/core/src/idempotency/update-attempt.ts
@@ -25,7 +25,6 @@
 		pending: {kind: 'pause', until: time.now},
 		failures: 0,
 		isAnswered: false,
-		isKeyRead: false,
 		storeFrom: claim.createdAt,
 		settleBy: claim.deadline + settings.settleWithinMs,
 	};
--- a/packages/daemon/src/caller/answer.ts
+++ b/packages/daemon/src/caller/answer.ts
@@ -28,7 +28,7 @@
 		[headerNames.error]: kind,
 		[headerNames.retry]: row.retry,
 	});
-	if (row.retry === 'later') {
+	if (row.retry === 'later' || row.retry === 'same-key') {
 		setRetryAfter(headers, retryAfterMs);
 	}
 
--- a/packages/daemon/src/caller/call.ts
+++ b/packages/daemon/src/caller/call.ts
@@ -49,7 +49,7 @@
 	| {
 			readonly kind: 'error';
 			readonly error: errors.ErrorKind;
-			/** When to come back, if the error's advice is `later`. */
+			/** When to come back, if the error's advice is `later` or `same-key`. */
 			readonly retryAfterMs?: number;
 			readonly attempts: number;
 	  };
--- a/packages/daemon/src/caller/headers.ts
+++ b/packages/daemon/src/caller/headers.ts
@@ -17,6 +17,8 @@
 	retryAfterMs: 'gullstand-retry-after-ms',
 	attempts: 'gullstand-attempts',
 	idempotencyKey: 'idempotency-key',
+	/** Set to `true` on an answer given before; the name is in common use. */
+	idempotentReplayed: 'idempotent-replayed',
 } as const;
 
 const hopByHop = new Set([
--- a/packages/daemon/src/caller/plain-dispatch.ts
+++ b/packages/daemon/src/caller/plain-dispatch.ts
@@ -96,7 +96,7 @@
 		try {
 			const res = await getPool(executor.address).request({
 				path: call.path,
-				method: call.method as 'GET',
+				method: call.method,
 				headers: selectRequestHeaders(call.headers),
 				body: call.body.length > 0 ? call.body : null,
 				signal: abort,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
 /** One entry: builds its parts in a supervisor tree. */
+import {randomUUID} from 'node:crypto';
 import type {
 	InstanceList,
 	ObjectStore,
@@ -6,6 +7,11 @@
 	Workers,
 } from '@gullstand/platform';
 import {createCallerApp} from './caller/caller-app.js';
+import {createKeyedCalls} from './idempotency/keyed-calls.js';
+import {
+	getGroupSettings,
+	getKeySettings,
+} from './idempotency/keyed-settings.js';
 import {createListener} from './http/listener.js';
 import type {Logger} from './log/logger.js';
 import {createMetrics, type Metrics} from './metrics/metrics.js';
@@ -100,13 +106,23 @@
 		},
 		stop: async () => dispatch.close(),
 	};
+	const keyed = createKeyedCalls({
+		tables: platform.table,
+		objects: platform.objects,
+		entry: settings.entry.id,
+		incarnation: randomUUID(),
+		settings: getKeySettings(settings.idempotency),
+		groupSettings: getGroupSettings(settings.idempotency),
+		maxAttempts: settings.idempotency.maxAttempts,
+		now,
+	});
 	const callerListener = createListener(
 		'caller',
 		settings.caller,
 		createCallerApp({
 			settings: settings.caller,
 			getView,
-			handle: dispatch.handle,
+			handle: keyed.layer(dispatch.handle),
 			now,
 			logger,
 			metrics,
@@ -144,7 +160,14 @@
 	});
 	const tree = createSupervisor(
 		'daemon',
-		[viewFollower, upstreamPart, operatorListener, waveRunner, callerListener],
+		[
+			viewFollower,
+			upstreamPart,
+			keyed.part,
+			operatorListener,
+			waveRunner,
+			callerListener,
+		],
 		{
 			now,
 			delay,
--- a/packages/daemon/src/idempotency/index.ts
+++ b/packages/daemon/src/idempotency/index.ts
@@ -4,3 +4,5 @@
 export type {Dispatch} from './attempt-runner.js';
 export * from './group-writer.js';
 export * from './keeper.js';
+export * from './keyed-calls.js';
+export * from './keyed-settings.js';
--- a/packages/daemon/src/idempotency/keeper.ts
+++ b/packages/daemon/src/idempotency/keeper.ts
@@ -6,6 +6,7 @@
 import {createHash} from 'node:crypto';
 import * as core from '@gullstand/core';
 import type {ObjectStore, TableService} from '@gullstand/platform';
+import type {Cancellation} from '../caller/cancellation.js';
 import {
 	type Dispatch,
 	type Runner,
@@ -40,14 +41,14 @@
 	/** When the caller is answered, by the clock's `now`. */
 	readonly deadline: number;
 	readonly dispatch: Dispatch;
-	/** Aborted if the caller goes away. */
-	readonly signal?: AbortSignal;
+	/** Happens if the caller goes away. */
+	readonly cancellation?: Cancellation;
 };
 
 /** At-most-once requests of one entry. */
 export type Keeper = {
 	readonly handle: (req: KeyedRequest) => Promise<Reply>;
-	/** Refuses new requests; ends when all attempts have ended. */
+	/** Takes no new requests; ends when all attempts have ended. */
 	readonly stop: () => Promise<void>;
 	readonly getOpenCount: () => number;
 	readonly getCommitCount: () => number;
@@ -157,17 +158,16 @@
 			: clock.callAt(req.deadline, () => {
 					resolve(createError('still-running'));
 				});
-		const abort = () => {
+		const removeListener = req.cancellation?.onCancel(() => {
 			resolve(createError('cancelled'));
-		};
-
+		});
 		attempt.waiters++;
-		req.signal?.addEventListener('abort', abort, {once: true});
 		const reply = await Promise.race([attempt.reply, promise]);
 		cancel();
-		req.signal?.removeEventListener('abort', abort);
+		removeListener?.();
 		attempt.waiters--;
-		const isLeft = req.signal?.aborted === true && attempt.waiters === 0;
+		const isGone = req.cancellation?.isCancelled() ?? false;
+		const isLeft = isGone && attempt.waiters === 0;
 		if (isLeft && attempt.runner?.leave() === false) {
 			drop(name, attempt);
 		}
@@ -181,12 +181,9 @@
 		const name = `${rowKey} ${fingerprint}`;
 		for (;;) {
 			const known = shared.get(name);
-			if (known === undefined && isStopping) {
-				return createError('stopping');
-			}
-
-			if (known === undefined && openCount >= options.maxAttempts) {
-				return createError('overloaded');
+			const isFull = isStopping || openCount >= options.maxAttempts;
+			if (known === undefined && isFull) {
+				return createError('key-unread');
 			}
 
 			const isOwn = known === undefined;
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -5,6 +5,7 @@
  */
 import {isIP} from 'node:net';
 import {z} from 'zod';
+import {getShortestRetentionMs} from '../idempotency/keyed-settings.js';
 
 const sha256Hex = z.string().regex(/^[\da-f]{64}$/v, {
 	error: 'a SHA-256 in 64 lower-case hexadecimal digits is allowed',
@@ -104,6 +105,30 @@
 		.default(mebibyte),
 });
 
+/** At-most-once requests; docs/operators/at-most-once.md. */
+const idempotency = z.strictObject({
+	/** How long a key is remembered. */
+	retentionMs: durationMs(366 * 24 * oneHourMs).default(24 * oneHourMs),
+	/** Longest wait for the store before a request is refused. */
+	storeWithinMs: durationMs(oneMinuteMs).default(1000),
+	/** After a request's deadline, how long its end may still be recorded. */
+	settleWithinMs: durationMs(oneHourMs).default(oneMinuteMs),
+	/** Largest difference between the clocks of two entries. */
+	clockSkewMs: durationMs(oneHourMs).default(10_000),
+	/** Answers up to this stand in the row, larger ones are objects. */
+	inlineBytes: z
+		.int()
+		.min(1)
+		.max(32 * kibibyte)
+		.default(4 * kibibyte),
+	/** What is told of a request that an outage of the store keeps back. */
+	outageOutcome: z.enum(['unknown', 'not-run']).default('unknown'),
+	/** Least time between two commits of this entry. */
+	commitSpacingMs: z.int().min(0).max(1000).default(25),
+	/** Requests that are open at once, at most. */
+	maxAttempts: z.int().min(1).max(65_535).default(2048),
+});
+
 const stop = z.strictObject({
 	/** Time from the first signal to the end of the process. */
 	deadlineMs: durationMs(oneHourMs).default(20_000),
@@ -125,11 +150,23 @@
 		peers: peers.optional(),
 		platform,
 		upstream: upstream.prefault({}),
+		idempotency: idempotency.prefault({}),
 		stop: stop.prefault({}),
 		log: log.prefault({}),
 	})
 	.check((ctx) => {
-		const {caller, stop} = ctx.value;
+		const {caller, stop, idempotency} = ctx.value;
+		const {retentionMs} = idempotency;
+		const shortestMs = getShortestRetentionMs(idempotency);
+		if (retentionMs < shortestMs) {
+			ctx.issues.push({
+				code: 'custom',
+				path: ['idempotency', 'retentionMs'],
+				input: retentionMs,
+				message: `at least ${shortestMs} is allowed with the other settings`,
+			});
+		}
+
 		if (caller.headersTimeoutMs > caller.requestTimeoutMs) {
 			ctx.issues.push({
 				code: 'custom',
