Measure the upstream path under faults; do not blame others for our pauses

Cause: timers fired before waiting input was read, so that a busy entry took its own pause for silence and ejected sound executors. Executors that were gone cost each request an attempt, since a closed idle connection told no one.

Change: silence, connect and probe timeouts run in slices, of which a late one counts no more than its length. A connection that the other end closes soon after good use starts a probe. Attempts of which no byte went out do not count against the three attempts. Bench faults: nine entries, nine executors, nine phases, a round-robin baseline.

--- /dev/null
+++ b/packages/bench/src/benches/faults.ts
@@ -0,0 +1,239 @@
+/**
+ * Bench `faults`: nine entries in front of nine executors over real sockets
+ * while executors are slow, reset, cut answers, refuse, go silent on old
+ * connections or are lost by availability zone. Bounds: issue 3.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {executor} from '@gullstand/stand-in';
+import {check} from '../frame/check.js';
+import {createRandom, drawLogNormal, type Random} from '../frame/random.js';
+import type {Bench, BenchOptions, Figures} from '../frame/types.js';
+import * as entryKinds from './faults/entries.js';
+import * as load from './faults/load.js';
+import {heal, phases, type Phase} from './faults/phases.js';
+
+const executorCount = 9;
+const entryCount = 9;
+const medianServiceMs = 8;
+const serviceSigma = 0.4;
+/** Requests whose answers issue 3 wants checked. */
+const wantedRequests = 200_000;
+
+type Plan = {
+	readonly ratePerSecond: number;
+	readonly faultMs: number;
+	readonly healedMs: number;
+};
+
+const fullPlan: Plan = {ratePerSecond: 1600, faultMs: 8000, healedMs: 7500};
+const shortPlan: Plan = {ratePerSecond: 900, faultMs: 1500, healedMs: 1000};
+const baselinePlan: Plan = {ratePerSecond: 900, faultMs: 700, healedMs: 300};
+
+/** What one run of all phases gave. */
+type Run = {
+	readonly samples: load.Sample[];
+	readonly executors: entryKinds.Executors;
+	readonly stats: {requests: number; attempts: number; probes: number};
+	readonly silencedAt: number;
+};
+
+const startExecutors = async (draw: Random): Promise<entryKinds.Executors> =>
+	Promise.all(
+		Array.from({length: executorCount}, async (_, index) =>
+			executor.startExecutor({
+				id: `e${index}`,
+				availabilityZone: `z${index % 3}`,
+				slots: 8,
+				drawServiceMs: () => drawLogNormal(draw, medianServiceMs, serviceSigma),
+				random: draw,
+			}),
+		),
+	);
+
+type Fleet = {
+	readonly entries: readonly entryKinds.Entry[];
+	readonly executors: entryKinds.Executors;
+	readonly draw: Random;
+};
+
+const runPhase = async (
+	{entries, executors, draw}: Fleet,
+	phase: Phase,
+	plan: Plan,
+): Promise<load.Sample[]> => {
+	const stretch = {
+		phase: phase.name,
+		ratePerSecond: plan.ratePerSecond * phase.load,
+		durationMs: plan.faultMs + plan.healedMs,
+	};
+	const samples = load.runLoad(entries, stretch, draw);
+	await phase.apply(executors);
+	await sleep(plan.faultMs);
+	await heal(executors);
+	return samples;
+};
+
+const runAll = async (
+	plan: Plan,
+	seed: number,
+	createEntry: (
+		executors: entryKinds.Executors,
+		draw: Random,
+	) => entryKinds.Entry,
+	log: (line: string) => void,
+): Promise<Run> => {
+	const draw = createRandom(seed);
+	const executors = await startExecutors(draw);
+	const entries = Array.from({length: entryCount}, () =>
+		createEntry(executors, draw),
+	);
+	const samples: load.Sample[] = [];
+	let silencedAt = 0;
+	for (const phase of phases) {
+		log(`phase ${phase.name}`);
+		silencedAt = phase.name === 'silentOld' ? performance.now() : silencedAt;
+		samples.push(...(await runPhase({entries, executors, draw}, phase, plan)));
+	}
+
+	await Promise.all(entries.map(async (each) => each.close(load.deadlineMs)));
+	await Promise.all(executors.map(async (each) => each.close()));
+	const stats = {requests: 0, attempts: 0, probes: 0};
+	for (const each of entries) {
+		const {requests, attempts, probes} = each.getStats();
+		stats.requests += requests;
+		stats.attempts += attempts;
+		stats.probes += probes;
+	}
+
+	return {samples, executors, stats, silencedAt};
+};
+
+const getOnTimeShare = (samples: readonly load.Sample[]): number => {
+	const repeatable = samples.filter((each) => each.repeatable);
+	const onTime = repeatable.filter(
+		(each) => each.result === 'ok' && each.durationMs <= load.deadlineMs,
+	);
+	return onTime.length / repeatable.length;
+};
+
+/** Time from the silence to the end of the last request lost to it. */
+const getRecoveryMs = ({samples, executors, silencedAt}: Run): number => {
+	const swallowed = new Set(executors.flatMap((each) => each.swallowed));
+	const ends = samples
+		.filter((each) => swallowed.has(each.id))
+		.map((each) => each.endedAt - silencedAt);
+	return ends.length === 0 ? Number.NaN : Math.max(...ends);
+};
+
+const countRuns = ({executors}: Run): Map<string, number> => {
+	const runs = new Map<string, number>();
+	for (const id of executors.flatMap((each) => each.runs)) {
+		runs.set(id, (runs.get(id) ?? 0) + 1);
+	}
+
+	return runs;
+};
+
+/** Repeatable requests that failed, by phase and result. */
+const countFailures = (samples: readonly load.Sample[]): Figures => {
+	const counts: Record<string, number> = {};
+	for (const {phase, result, repeatable} of samples) {
+		if (repeatable && result !== 'ok') {
+			const key = `failed.${phase}.${result}`;
+			counts[key] = (counts[key] ?? 0) + 1;
+		}
+	}
+
+	return counts;
+};
+
+const getFigures = (run: Run): Figures & {onTimeWorstPhase: number} => {
+	const runs = countRuns(run);
+	const {samples, stats} = run;
+	const shares = phases.map(({name}) => ({
+		name: `onTime.${name}`,
+		share: getOnTimeShare(samples.filter((each) => each.phase === name)),
+	}));
+	const durations = samples
+		.map((each) => each.durationMs)
+		.sort((a, b) => a - b);
+	const count = (holds: (each: load.Sample) => boolean) =>
+		samples.filter((each) => holds(each)).length;
+	return {
+		requests: samples.length,
+		onTimeAll: getOnTimeShare(samples),
+		onTimeWorstPhase: Math.min(...shares.map((each) => each.share)),
+		...Object.fromEntries(shares.map(({name, share}) => [name, share])),
+		amplification: stats.attempts / stats.requests,
+		probes: stats.probes,
+		p50Ms: durations[Math.floor(durations.length / 2)] ?? Number.NaN,
+		p99Ms: durations[Math.floor(durations.length * 0.99)] ?? Number.NaN,
+		recoveryMs: getRecoveryMs(run),
+		...countFailures(samples),
+		wrongAnswers: count((each) => each.result === load.wrongAnswer),
+		cutStreams: count((each) => each.result === 'cut-stream'),
+		falseNotRun: count(
+			(each) => each.outcome === 'not-run' && runs.has(each.id),
+		),
+		ranTwice: count((each) => !each.repeatable && (runs.get(each.id) ?? 0) > 1),
+		unknownNonRepeatable: count(
+			(each) => !each.repeatable && each.outcome === 'unknown',
+		),
+	};
+};
+
+const run = async ({seed, short, log}: BenchOptions) => {
+	const plan = short ? shortPlan : fullPlan;
+	const figures = getFigures(
+		await runAll(plan, seed, entryKinds.createEntry, log),
+	);
+	log('baseline: round robin, no health, no retry');
+	const plain = await runAll(
+		baselinePlan,
+		seed,
+		entryKinds.createPlainEntry,
+		log,
+	);
+	const get = (name: string) => Number(figures[name]);
+	const requests = get('requests');
+	const checks = [
+		check(
+			'idempotent on time, worst phase',
+			get('onTimeWorstPhase'),
+			'>=',
+			0.999,
+		),
+		check('idempotent on time, all phases', get('onTimeAll'), '>=', 0.999),
+		check('retry amplification', get('amplification'), '<=', 1.1),
+		check(
+			'recovery from silent connections, ms',
+			get('recoveryMs'),
+			'<=',
+			2000,
+		),
+		check(
+			`partial or crossed answers in ${requests} requests${short ? ' (short: fewer than 200,000)' : ''}`,
+			get('wrongAnswers'),
+			'==',
+			0,
+		),
+		check('told not-run but ran', get('falseNotRun'), '==', 0),
+		check('not repeatable, ran twice', get('ranTwice'), '==', 0),
+	];
+	if (!short) {
+		checks.push(check('requests checked', requests, '>=', wantedRequests));
+	}
+
+	return {
+		figures,
+		baselines: {'round robin, no health, no retry': getFigures(plain)},
+		checks,
+	};
+};
+
+/** The bench. */
+export const bench: Bench = {
+	name: 'faults',
+	summary: 'answers on time while executors fail, over real sockets',
+	run,
+};
--- /dev/null
+++ b/packages/bench/src/benches/faults/entries.ts
@@ -0,0 +1,107 @@
+/** The entries under test, and the plain ones they are held against. */
+import {
+	defaultUpstreamConfig,
+	upstream,
+	type upstreamTypes,
+} from '@gullstand/daemon';
+import type * as core from '@gullstand/core';
+import {answers, type executor} from '@gullstand/stand-in';
+import {Pool} from 'undici';
+import type {Random} from '../../frame/random.js';
+
+/** One entry's path to the service. */
+export type Entry = Pick<upstream.Upstream, 'dispatch' | 'getStats' | 'close'>;
+
+/** Executors, each with a place in an availability zone. */
+export type Executors = readonly executor.StandInExecutor[];
+
+const service: core.Service = {
+	name: 'quoting',
+	pool: 'quoting',
+	slotsPerExecutor: 8,
+	connectionsPerExecutor: 64,
+	idempotent: true,
+	nonRepeatableRoutes: [],
+	refusal: {statuses: [503], header: answers.refusalHeader},
+};
+
+const now = () => performance.now();
+
+/** An entry as the daemon builds it. */
+export const createEntry = (executors: Executors, random: Random): Entry => {
+	const path = upstream.createUpstream({
+		service,
+		cfg: defaultUpstreamConfig,
+		clock: now,
+		random,
+	});
+	path.setExecutors(executors);
+	return path;
+};
+
+const emptyStats = (): upstreamTypes.UpstreamStats => ({
+	requests: 0,
+	attempts: 0,
+	retries: 0,
+	hedges: 0,
+	budgetDenied: 0,
+	probes: 0,
+	retiredConnections: 0,
+});
+
+/** Round robin over undici pools: no health, no retry, no probe. */
+export const createPlainEntry = (executors: Executors): Entry => {
+	const pools = executors.map(
+		({address}) =>
+			new Pool(`http://${address}`, {
+				connections: defaultUpstreamConfig.connectionsPerExecutor,
+				connectTimeout: defaultUpstreamConfig.connectTimeoutMs,
+			}),
+	);
+	const stats = emptyStats();
+
+	const dispatch: Entry['dispatch'] = async (req) => {
+		const turn = stats.requests % pools.length;
+		stats.requests += 1;
+		stats.attempts += 1;
+		const signal = AbortSignal.timeout(
+			Math.max(1, Math.ceil(req.deadline - now())),
+		);
+		try {
+			const res = await pools[turn]!.request({
+				method: req.method,
+				path: req.path,
+				headers: req.headers as Record<string, string>,
+				body: req.body as Uint8Array,
+				signal,
+			});
+			const body = new Uint8Array(await res.body.arrayBuffer());
+			const {statusCode: status, headers} = res;
+			const {id} = executors[turn]!;
+			return {
+				kind: 'answer',
+				outcome: 'ran',
+				status,
+				headers,
+				body,
+				executor: id,
+				attempts: 1,
+			};
+		} catch {
+			return {
+				kind: 'error',
+				error: 'upstream-reset',
+				outcome: 'unknown',
+				attempts: 1,
+			};
+		}
+	};
+
+	return {
+		dispatch,
+		getStats: () => stats,
+		async close() {
+			await Promise.all(pools.map(async (pool) => pool.destroy()));
+		},
+	};
+};
--- /dev/null
+++ b/packages/bench/src/benches/faults/phases.ts
@@ -0,0 +1,71 @@
+/** The faults of the bench, one after another. */
+import type {executor} from '@gullstand/stand-in';
+
+/** One fault, from its start to its healing. */
+export type Phase = {
+	readonly name: string;
+	/** Share of the usual rate. */
+	readonly load: number;
+	readonly apply: (
+		executors: readonly executor.StandInExecutor[],
+	) => Promise<void>;
+};
+
+const set = async (
+	executors: ReadonlyArray<executor.StandInExecutor | undefined>,
+	fault: executor.Fault,
+): Promise<void> => {
+	await Promise.all(executors.map(async (each) => each?.setFault(fault)));
+};
+
+const setZone =
+	(fault: executor.Fault): Phase['apply'] =>
+	async (executors) => {
+		const zone = executors[0]?.availabilityZone;
+		const ofZone = executors.filter((each) => each.availabilityZone === zone);
+		await set(ofZone, fault);
+	};
+
+const setFirst =
+	(...faults: executor.Fault[]): Phase['apply'] =>
+	async (executors) => {
+		await Promise.all(
+			faults.map(async (fault, index) => executors[index]?.setFault(fault)),
+		);
+	};
+
+// A slow executor takes longer than the deadline for every request.
+const slow = {kind: 'slow', factor: 200} as const;
+const reset = {kind: 'reset', share: 0.5} as const;
+
+/** Every fault of issue 3, and the last executor standing. */
+export const phases: readonly Phase[] = [
+	{name: 'none', load: 1, apply: async () => undefined},
+	{name: 'slow', load: 1, apply: setFirst(slow, slow)},
+	{name: 'reset', load: 1, apply: setFirst(reset, reset)},
+	{
+		name: 'half',
+		load: 1,
+		apply: setFirst(
+			{kind: 'half', share: 0.5, framing: 'length'},
+			{kind: 'half', share: 0.5, framing: 'chunked'},
+		),
+	},
+	{name: 'refuse', load: 1, apply: setFirst({kind: 'refuse', share: 1})},
+	{
+		name: 'silentOld',
+		load: 1,
+		apply: async (executors) => set(executors, {kind: 'silent-old'}),
+	},
+	{name: 'zoneGone', load: 1, apply: setZone({kind: 'gone'})},
+	{name: 'zoneHang', load: 1, apply: setZone({kind: 'hang'})},
+	{
+		name: 'oneLeft',
+		load: 0.2,
+		apply: async (executors) => set(executors.slice(1), {kind: 'gone'}),
+	},
+];
+
+/** Ends every fault. */
+export const heal: Phase['apply'] = async (executors) =>
+	set(executors, {kind: 'none'});
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -7,6 +7,7 @@
 /** Loads one bench only when it is run. */
 export const benches: Readonly<Record<string, () => Promise<BenchModule>>> = {
 	'bad-input': async () => import('./benches/bad-input.js'),
+	faults: async () => import('./benches/faults.js'),
 	overhead: async () => import('./benches/overhead.js'),
 	'at-most-once': async () => import('./benches/at-most-once.js'),
 	ownership: async () => import('./benches/ownership.js'),
--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -3,6 +3,7 @@
 import * as pools from './connection-pool.js';
 import type {Connection} from './connection.js';
 import * as exchanges from './exchange.js';
+import {startPatientTimer, type PatientTimer} from './patient-timer.js';
 import * as states from './state.js';
 import type {ExecutorLink, UpstreamState} from './state.js';
 import type {Slot, UpstreamRequest} from './types.js';
@@ -17,7 +18,7 @@
 	silent: boolean;
 	aborted: boolean;
 	exchange: exchanges.Exchange | undefined;
-	timer: NodeJS.Timeout | undefined;
+	timer: PatientTimer | undefined;
 };
 
 /** What the dispatcher is told. */
@@ -53,7 +54,7 @@
 		}
 
 		const nextMs = quietMs >= limitMs ? limitMs : limitMs - quietMs;
-		attempt.timer = setTimeout(check, Math.ceil(nextMs));
+		attempt.timer = startPatientTimer(nextMs, check);
 	};
 
 	check();
@@ -64,11 +65,11 @@
 	const {link, releaseSlot} = attempt;
 	attempt.exchange = exchanges.startExchange(connection, req, state, {
 		onEnd(end) {
-			clearTimeout(attempt.timer);
+			attempt.timer?.cancel();
 			events.onEnd(attempt, end);
 		},
 		onFree(whole) {
-			clearTimeout(attempt.timer);
+			attempt.timer?.cancel();
 			releaseSlot(!whole && getBytesSent(attempt) > 0);
 			if (whole) {
 				pools.release(link.pool, connection);
@@ -134,7 +135,7 @@
 /** Gives an attempt up; its connection is destroyed if it carried bytes. */
 export const abortAttempt = (attempt: Attempt): void => {
 	attempt.aborted = true;
-	clearTimeout(attempt.timer);
+	attempt.timer?.cancel();
 	if (attempt.exchange === undefined) {
 		attempt.releaseSlot(false);
 	} else {
--- a/packages/daemon/src/upstream/connection-pool.ts
+++ b/packages/daemon/src/upstream/connection-pool.ts
@@ -9,6 +9,8 @@
 	readonly address: string;
 	readonly cfg: UpstreamConfig;
 	readonly clock: () => number;
+	/** Told when the other end closes a connection that was in good use. */
+	readonly onLost: () => void;
 	readonly open: Set<Connection>;
 	readonly idle: Set<Connection>;
 	/** Connections being made; they count against the limit. */
@@ -16,6 +18,9 @@
 	closed: boolean;
 };
 
+/** Closed sooner after its last use: no idle limit of a sound executor. */
+const earlyCloseMs = 1000;
+
 /** Why there is no connection. */
 export type AcquireError = 'connect-failed' | 'no-connection';
 
@@ -24,10 +29,12 @@
 	address: string,
 	cfg: UpstreamConfig,
 	clock: () => number,
+	onLost: () => void,
 ): ConnectionPool => ({
 	address,
 	cfg,
 	clock,
+	onLost,
 	open: new Set(),
 	idle: new Set(),
 	opening: 0,
@@ -70,6 +77,13 @@
 	return !isFull(pool, purpose);
 };
 
+/** True if the other end closed it although it had just been of use. */
+const isLost = (
+	pool: ConnectionPool,
+	{retired, provedAt}: Connection,
+): boolean =>
+	!retired && !pool.closed && pool.clock() - provedAt < earlyCloseMs;
+
 /** Opens a connection that is in use from the start. */
 export const openNew = async (
 	pool: ConnectionPool,
@@ -91,6 +105,9 @@
 	connection.socket.once('close', () => {
 		pool.open.delete(connection);
 		pool.idle.delete(connection);
+		if (isLost(pool, connection)) {
+			pool.onLost();
+		}
 	});
 	return connection;
 };
--- a/packages/daemon/src/upstream/connection.ts
+++ b/packages/daemon/src/upstream/connection.ts
@@ -5,6 +5,7 @@
  */
 import * as net from 'node:net';
 import {Client} from 'undici';
+import {startPatientTimer} from './patient-timer.js';
 import type {UpstreamConfig} from './types.js';
 
 /** An open connection. Times by the clock of the upstream. */
@@ -64,9 +65,9 @@
 ): Promise<Connection | undefined> =>
 	new Promise((resolve) => {
 		const socket = net.connect({...splitAddress(address), noDelay: true});
-		const timer = setTimeout(() => {
+		const timer = startPatientTimer(cfg.connectTimeoutMs, () => {
 			socket.destroy();
-		}, cfg.connectTimeoutMs);
+		});
 		const connection = {
 			socket,
 			client: createClient(address, socket, cfg),
@@ -77,7 +78,7 @@
 		};
 		const end = () => {
 			connection.ended = true;
-			clearTimeout(timer);
+			timer.cancel();
 			resolve(undefined);
 		};
 
@@ -87,7 +88,7 @@
 		socket.on('error', end);
 		socket.on('close', end);
 		socket.once('connect', () => {
-			clearTimeout(timer);
+			timer.cancel();
 			connection.provedAt = clock();
 			resolve(connection);
 		});
--- a/packages/daemon/src/upstream/dispatcher.ts
+++ b/packages/daemon/src/upstream/dispatcher.ts
@@ -27,6 +27,8 @@
 	readonly failures: AttemptError[];
 	readonly history: targets.History;
 	attempts: number;
+	/** Ended attempts of which no byte went out. */
+	unsent: number;
 	settled: boolean;
 	timer: NodeJS.Timeout | undefined;
 	stopListening: (() => void) | undefined;
@@ -52,7 +54,8 @@
 const getFacts = (run: Run, target: targets.Target | undefined) => ({
 	idempotent: run.req.repeatable,
 	bodyReplayable: !(run.req.body instanceof Readable),
-	attempts: run.attempts,
+	attempts:
+		run.attempts - Math.min(run.unsent, run.state.cfg.maxUnsentAttempts),
 	maxAttempts: run.state.cfg.maxAttempts,
 	deadline: run.req.deadline,
 	expectedMs: run.state.serviceTime.meanMs,
@@ -137,6 +140,7 @@
 
 	if (found.kind === 'error') {
 		run.failures.push(found);
+		run.unsent += attempts.getBytesSent(attempt) === 0 ? 1 : 0;
 	}
 
 	run.history.failedZones.add(attempt.link.availabilityZone);
@@ -243,6 +247,7 @@
 			failures: [],
 			history: {tried: new Set(), failedZones: new Set()},
 			attempts: 0,
+			unsent: 0,
 			settled: false,
 			timer: undefined,
 			stopListening: undefined,
--- a/packages/daemon/src/upstream/exchange.ts
+++ b/packages/daemon/src/upstream/exchange.ts
@@ -178,6 +178,9 @@
 		if (status >= 200) {
 			state.status = status;
 			state.headers = headers;
+			// Announced, so that its end is no sign of a fault.
+			const {connection = ''} = headers;
+			state.connection.retired ||= /\bclose\b/iv.test(String(connection));
 		}
 	},
 	onResponseData(_controller, chunk) {
--- /dev/null
+++ b/packages/daemon/src/upstream/patient-timer.test.ts
@@ -0,0 +1,52 @@
+import * as tap from 'tap';
+import {startPatientTimer} from './patient-timer.js';
+
+const blockFor = (ms: number) => {
+	const until = performance.now() + ms;
+	while (performance.now() < until) {
+		// Hold the event loop up.
+	}
+};
+
+tap.t.test('a pause of this process does not use up the time', async (t) => {
+	const startedAt = performance.now();
+	const expired = new Promise<void>((resolve) => {
+		startPatientTimer(200, resolve);
+	});
+	blockFor(400);
+	await expired;
+	// Three of four slices were left when the pause ended.
+	t.ok(performance.now() - startedAt >= 400 + 140);
+});
+
+tap.t.test('what came in during a pause is read first', async (t) => {
+	const order: string[] = [];
+	await new Promise<void>((resolve) => {
+		// Begun in the check phase, so that the timer is due before the next.
+		setImmediate(() => {
+			startPatientTimer(10, () => {
+				order.push('expired');
+				resolve();
+			});
+			blockFor(30);
+			setImmediate(() => {
+				order.push('input');
+			});
+		});
+	});
+	t.same(order, ['input', 'expired']);
+});
+
+tap.t.test('a cancelled timer never expires', async (t) => {
+	for (const delayMs of [0, 60]) {
+		const timer = startPatientTimer(delayMs, () => {
+			t.fail('expired');
+		});
+		timer.cancel();
+	}
+
+	await new Promise((resolve) => {
+		setTimeout(resolve, 100);
+	});
+	t.pass('nothing happened');
+});
--- a/packages/daemon/src/upstream/probe.ts
+++ b/packages/daemon/src/upstream/probe.ts
@@ -3,6 +3,7 @@
 import * as pools from './connection-pool.js';
 import type {Connection} from './connection.js';
 import * as exchanges from './exchange.js';
+import {startPatientTimer} from './patient-timer.js';
 import type {ExecutorLink, UpstreamState} from './state.js';
 
 /** Undefined if there was no connection to spare for it. */
@@ -24,7 +25,7 @@
 	new Promise((resolve) => {
 		const exchange = exchanges.startExchange(connection, probeRequest, state, {
 			onEnd({end}) {
-				clearTimeout(timer);
+				timer.cancel();
 				resolve(end.kind === 'answered' ? 'answered' : 'failed');
 			},
 			onFree(whole) {
@@ -35,10 +36,10 @@
 				}
 			},
 		});
-		const timer = setTimeout(() => {
+		const timer = startPatientTimer(state.cfg.silence.probeTimeoutMs, () => {
 			exchange.abort();
 			resolve('failed');
-		}, state.cfg.silence.probeTimeoutMs);
+		});
 	});
 
 const probe = async (
--- a/packages/daemon/src/upstream/state.ts
+++ b/packages/daemon/src/upstream/state.ts
@@ -19,6 +19,8 @@
 	readonly cfg: UpstreamConfig;
 	readonly clock: () => number;
 	readonly takeSlot: TakeSlot;
+	/** Told when an executor closes a connection that was in good use. */
+	readonly onLost: (link: ExecutorLink) => void;
 	readonly links: Map<string, ExecutorLink>;
 	/** Attempts in flight by executor, also on those off the list. */
 	readonly inFlight: Map<string, number>;
@@ -49,15 +51,20 @@
 >;
 
 const createLink = (
-	{cfg, clock}: UpstreamState,
+	{cfg, clock, onLost}: UpstreamState,
 	{id, address, availabilityZone}: ExecutorTarget,
-): ExecutorLink => ({
-	id,
-	availabilityZone,
-	pool: pools.createPool(address, cfg, clock),
-	silence: core.connectionSilence.createSilenceState(),
-	silentAttempts: 0,
-});
+): ExecutorLink => {
+	const link: ExecutorLink = {
+		id,
+		availabilityZone,
+		pool: pools.createPool(address, cfg, clock, () => {
+			onLost(link);
+		}),
+		silence: core.connectionSilence.createSilenceState(),
+		silentAttempts: 0,
+	};
+	return link;
+};
 
 /**
  * Takes over the list of serving executors. One that has left the list, or
--- a/packages/daemon/src/upstream/types.ts
+++ b/packages/daemon/src/upstream/types.ts
@@ -50,8 +50,10 @@
 	readonly retryBudget: core.retryBudget.RetryBudgetConfig;
 	readonly reuse: core.connectionReuse.ReuseConfig;
 	readonly silence: core.connectionSilence.SilenceConfig;
-	/** Attempts of one request, hedges included. */
+	/** Attempts of one request that sent bytes, hedges included. */
 	readonly maxAttempts: number;
+	/** Attempts of one request beyond those, of which no byte went out. */
+	readonly maxUnsentAttempts: number;
 	readonly connectTimeoutMs: number;
 	/** Open connections of this entry to one executor, at most. */
 	readonly connectionsPerExecutor: number;
@@ -73,6 +75,7 @@
 	reuse: core.connectionReuse.defaultReuseConfig,
 	silence: core.connectionSilence.defaultSilenceConfig,
 	maxAttempts: 3,
+	maxUnsentAttempts: 8,
 	connectTimeoutMs: 500,
 	connectionsPerExecutor: 7,
 	maxBufferedBytes: 262_144,
--- a/packages/daemon/src/upstream/upstream.ts
+++ b/packages/daemon/src/upstream/upstream.ts
@@ -63,7 +63,10 @@
 
 const createState = (options: UpstreamOptions): states.UpstreamState => {
 	const {service, cfg, clock, random, takeSlot} = options;
-	return {
+	const state: states.UpstreamState = {
+		onLost(link) {
+			probes.suspect(state, link);
+		},
 		service,
 		cfg,
 		clock,
@@ -84,6 +87,7 @@
 			retiredConnections: 0,
 		},
 	};
+	return state;
 };
 
 const sweep = (state: states.UpstreamState): void => {
--- a/packages/stand-in/src/upstream/executor.ts
+++ b/packages/stand-in/src/upstream/executor.ts
@@ -49,6 +49,8 @@
 	readonly address: string;
 	/** Ids of the requests it ran, in order. */
 	readonly runs: readonly string[];
+	/** Ids of the requests that came on a silent connection. */
+	readonly swallowed: readonly string[];
 	/** Most connections and requests that were open at once. */
 	readonly peaks: {connections: number; running: number};
 	readonly setFault: (fault: Fault) => Promise<void>;
@@ -69,6 +71,7 @@
 	readonly silent: Set<Socket>;
 	readonly queue: Set<Work>;
 	readonly runs: string[];
+	readonly swallowed: string[];
 	readonly peaks: {connections: number; running: number};
 	fault: Fault;
 	running: number;
@@ -163,7 +166,13 @@
 	}
 
 	const {fault} = state;
-	if (fault.kind === 'hang' || state.silent.has(req.socket)) {
+	const id = String(req.headers[answers.requestIdHeader]);
+	if (state.silent.has(req.socket)) {
+		state.swallowed.push(id);
+		return;
+	}
+
+	if (fault.kind === 'hang') {
 		return;
 	}
 
@@ -177,7 +186,6 @@
 		return;
 	}
 
-	const id = String(req.headers[answers.requestIdHeader]);
 	const body = Buffer.concat(chunks).toString();
 	const work = {id, body, req, res};
 	state.queue.add(work);
@@ -263,6 +271,7 @@
 		silent: new Set(),
 		queue: new Set(),
 		runs: [],
+		swallowed: [],
 		peaks: {connections: 0, running: 0},
 		fault: {kind: 'none'},
 		running: 0,
@@ -279,6 +288,7 @@
 		availabilityZone: options.availabilityZone,
 		address: `127.0.0.1:${port}`,
 		runs: state.runs,
+		swallowed: state.swallowed,
 		peaks: state.peaks,
 		setFault: async (fault) => setFault(state, fault, port),
 		close: async () => setFault(state, {kind: 'gone'}, port),
