--- a/spec/forget.pml
+++ b/spec/forget.pml
@@ -25,6 +25,7 @@
  * mutation row_version (two-peers) breaks forgotten_is_silent: the removal is not conditional on the row version that was judged
  * mutation asked_at (two-peers) breaks forgotten_is_silent: a confirmation counts from its answer, not from its question
  * mutation lapse_final (two-peers) breaks forgotten_is_silent: after a lapse the list or a majority confirms again
+ * mutation read_back (two-peers) breaks forgotten_is_silent: after a heartbeat without reply any row of E that is read, perhaps an old one, confirms E from now on
  * mutation same_quorum (two-peers) breaks forgotten_is_silent: E counts its majority in the set it knows, the others in the newest set
  * mutation quorum_in_doubt (two-peers) breaks forgotten_is_silent: after a heartbeat without reply E counts by the old set only
  */
@@ -65,6 +66,7 @@
 bool listAnswer, tableAnswer;
 byte mySet = 1;           /* peers that E counts by */
 byte doubtSet = 1;        /* the set of a heartbeat without reply */
+byte lostAge = OLDEST;    /* of a heartbeat that committed without reply */
 
 /* E's request between the check and the wire. */
 bool checked;
@@ -80,6 +82,7 @@
 #endif
 		(!asking || askAge < MAX_ASK) ->
 		confirmedAge = GROWN(confirmedAge, OLDEST);
+		lostAge = GROWN(lostAge, OLDEST);
 		rowAge = GROWN(rowAge, FORGET);
 		unlistedAge = GROWN(unlistedAge, FORGET);
 		heardAge[0] = GROWN(heardAge[0], FORGET);
@@ -154,7 +157,21 @@
 		confirmStanding(false);
 		endQuestion()
 	}
-	:: d_step { asking -> endQuestion() } /* lost */
+	:: d_step { asking -> /* lost */
+		lostAge = (tableAnswer -> askAge : lostAge);
+		endQuestion()
+	}
+	/* a read of the own row, perhaps an old one, with the operation id of that
+	 * heartbeat: confirms from the time of its question, and no later */
+#ifndef MUTATE_read_back
+	:: d_step { lostAge < OLDEST ->
+		mySet = doubtSet;
+		confirmedAge = (lostAge < confirmedAge -> lostAge : confirmedAge);
+		lostAge = OLDEST
+	}
+#else
+	:: d_step { asking -> confirmStanding(true); endQuestion() }
+#endif
 	:: d_step { !checked &&
 #ifndef MUTATE_isolation
 		confirmedAge < ISOLATION &&
