Preview a wave and say what it waits for

Cause: operators must see order, end and moves of a wave before it starts, and why it waits. Change: createPreview, stepPreview run the same stepWave ahead on a copy in bounded slices; getWaits names the job, the drain, the restart or the contract. Takes and returns use the transitions of the instance machine; the write types of the two folders are one. Conclusion: the preview cannot differ from the wave in its rules, only in what was expected.

--- /dev/null
+++ b/packages/bench/src/benches/wave/fleet.ts
@@ -0,0 +1,398 @@
+/**
+ * The fleet as event lists see it: workers that run jobs, fail and come back,
+ * and a list that shows it late. It decides nothing; placement is best fit
+ * with the advice it is given.
+ */
+import {budget, type Instance, type waves} from '@gullstand/core';
+import {
+	drawExponential,
+	drawLogNormal,
+	type Random,
+} from '../../frame/random.js';
+import {createEventQueue, type EventQueue} from './event-queue.js';
+import {createJobSource, type Job, type JobSource} from './jobs.js';
+import type {LogEvent} from './judge.js';
+import {
+	createInstances,
+	createLedgers,
+	type Outage,
+	type Size,
+} from './scenario.js';
+
+const minuteMs = 60_000;
+const checkpointEveryMs = 30 * minuteMs;
+const listLagMs = {least: 5000, mean: 10_000} as const;
+
+/** One worker. */
+export type Worker = {
+	instance: Instance;
+	readonly services: readonly string[];
+	readonly jobs: Map<string, Job>;
+	used: number;
+	/** Outages that hold it down; it is up at none. */
+	outages: number;
+	/** Down for its own maintenance. */
+	isRebooting: boolean;
+	/** Grows with each boot. */
+	incarnation: number;
+	listedIncarnation: number;
+	isListed: boolean;
+	incarnationAtTake: number;
+	drainedAt: number;
+	provedAt: number;
+};
+
+/** The fleet, its log and its counts. */
+export type Fleet = {
+	readonly size: Size;
+	readonly random: Random;
+	readonly workers: Map<string, Worker>;
+	readonly byPool: Map<string, Worker[]>;
+	readonly ledgers: Map<string, budget.Ledger>;
+	readonly servicesByPool: Map<string, readonly string[]>;
+	readonly facts: Map<string, waves.InstanceFacts>;
+	readonly queue: EventQueue;
+	readonly log: LogEvent[];
+	readonly source: JobSource;
+	readonly waiting: Map<string, Job[]>;
+	readonly figures: {
+		finished: number;
+		queuedMs: number;
+		repeatedCoreHours: number;
+		unknownJobs: number;
+	};
+	advise: (id: string, hasMoved: boolean) => waves.PlacementAdvice;
+	now: number;
+};
+
+const isUp = ({outages, isRebooting}: Worker) => outages === 0 && !isRebooting;
+
+const getFacts = (fleet: Fleet, worker: Worker): waves.InstanceFacts => ({
+	id: worker.instance.id,
+	pool: worker.instance.pool,
+	cores: fleet.size.cores,
+	get state() {
+		return worker.instance.state;
+	},
+	get isDrained() {
+		return fleet.now >= worker.drainedAt;
+	},
+	get evidence() {
+		return {
+			listed: worker.isListed ? ('live' as const) : ('absent' as const),
+			incarnationBefore: String(worker.incarnationAtTake),
+			incarnation: String(worker.listedIncarnation),
+			probesPassed: isUp(worker) && fleet.now >= worker.provedAt ? 3 : 0,
+		};
+	},
+	get coresFree() {
+		return isUp(worker) ? fleet.size.cores - worker.used : 0;
+	},
+	memoryMbFree: 65_536,
+	get jobs() {
+		return [...worker.jobs.values()].map((job) => ({
+			id: job.id,
+			cores: job.cores,
+			memoryMb: job.cores * 1024,
+			runMs: job.savedMs + fleet.now - job.startedAt,
+			remainingMs: fleet.source.estimate(job, fleet.now),
+			movability: job.movability,
+		}));
+	},
+});
+
+const endJob = (fleet: Fleet, worker: Worker, job: Job, starts: number) => {
+	if (job.starts === starts && worker.jobs.has(job.id)) {
+		worker.jobs.delete(job.id);
+		worker.used -= job.cores;
+		fleet.figures.finished += 1;
+		fleet.source.learn(job);
+		fillPool(fleet, job.pool);
+	}
+};
+
+/** Starts a job; what it has saved it need not repeat. */
+export const startJob = (fleet: Fleet, worker: Worker, job: Job): void => {
+	job.startedAt = fleet.now;
+	job.starts += 1;
+	worker.jobs.set(job.id, job);
+	worker.used += job.cores;
+	const {starts} = job;
+	fleet.queue.add(fleet.now + job.runMs - job.savedMs, (now) => {
+		fleet.now = now;
+		endJob(fleet, worker, job, starts);
+	});
+};
+
+/** Takes a job off its worker, with what the way of leaving saves. */
+export const removeJob = (
+	fleet: Fleet,
+	worker: Worker,
+	job: Job,
+	savedMs: number,
+): void => {
+	const ranMs = job.savedMs + fleet.now - job.startedAt;
+	fleet.figures.repeatedCoreHours +=
+		(job.cores * (ranMs - savedMs)) / (60 * minuteMs);
+	job.savedMs = savedMs;
+	job.starts += 1;
+	worker.jobs.delete(job.id);
+	worker.used -= job.cores;
+};
+
+const ranks = {good: 0, later: 1, never: 2} as const;
+
+const pickWorker = (fleet: Fleet, job: Job): Worker | undefined => {
+	let best: Worker | undefined;
+	let bestRank = 2;
+	for (const worker of fleet.byPool.get(job.pool)!) {
+		const rank = ranks[fleet.advise(worker.instance.id, job.hasMoved)];
+		const fits =
+			isUp(worker) &&
+			worker.instance.state === 'serving' &&
+			fleet.size.cores - worker.used >= job.cores;
+		const isBetter =
+			rank < bestRank ||
+			(rank === bestRank && worker.used > (best?.used ?? -1));
+		if (fits && rank < 2 && isBetter) {
+			best = worker;
+			bestRank = rank;
+		}
+	}
+
+	return best;
+};
+
+/** Starts what waits in a pool and fits, in order of arrival. */
+export const fillPool = (fleet: Fleet, pool: string): void => {
+	const waiting = fleet.waiting.get(pool)!;
+	for (const job of waiting.splice(0)) {
+		const worker = pickWorker(fleet, job);
+		if (worker) {
+			startJob(fleet, worker, job);
+		} else {
+			waiting.push(job);
+		}
+	}
+};
+
+/** Puts a job into the queue of its pool. */
+export const submitJob = (fleet: Fleet, job: Job): void => {
+	fleet.waiting.get(job.pool)!.push(job);
+	fillPool(fleet, job.pool);
+};
+
+const arriveIn = (fleet: Fleet, pool: string, everyMs: number) => {
+	fleet.queue.add(fleet.now + drawExponential(fleet.random, everyMs), (now) => {
+		fleet.now = now;
+		submitJob(fleet, fleet.source.create(pool));
+		arriveIn(fleet, pool, everyMs);
+	});
+};
+
+const drawLag = ({random}: Fleet) =>
+	listLagMs.least + drawExponential(random, listLagMs.mean);
+
+const bookLedgers = (
+	fleet: Fleet,
+	worker: Worker,
+	book: (
+		ledger: budget.Versioned<budget.Ledger>,
+	) => budget.RowPut<budget.Ledger> | undefined,
+) => {
+	for (const service of worker.services) {
+		const value = fleet.ledgers.get(service)!;
+		const write = book({value, version: 1});
+		fleet.ledgers.set(service, write?.value ?? value);
+	}
+};
+
+/** Shows the list's new state of a worker, and books loss and recovery. */
+const updateList = (fleet: Fleet, worker: Worker, incarnation: number) => {
+	const isShown = isUp(worker);
+	if (incarnation !== worker.incarnation) {
+		return;
+	}
+
+	worker.listedIncarnation = worker.incarnation;
+	if (isShown === worker.isListed) {
+		return;
+	}
+
+	worker.isListed = isShown;
+	const {instance, services} = worker;
+	const kind = isShown ? 'seen-up' : 'seen-down';
+	fleet.log.push({kind, instance: instance.id, services});
+	if (!isShown) {
+		bookLedgers(fleet, worker, (ledger) =>
+			budget.recordLoss(ledger, [instance.id], fleet.now),
+		);
+	} else if (instance.state === 'serving') {
+		bookLedgers(fleet, worker, (ledger) =>
+			budget.recordRecovery(ledger, [instance.id]),
+		);
+	}
+
+	fillPool(fleet, instance.pool);
+};
+
+const showLater = (fleet: Fleet, worker: Worker) => {
+	const {incarnation} = worker;
+	fleet.queue.add(fleet.now + drawLag(fleet), (now) => {
+		fleet.now = now;
+		updateList(fleet, worker, incarnation);
+	});
+};
+
+/** A worker goes down: its jobs go back to what they last saved. */
+export const takeDown = (fleet: Fleet, worker: Worker): void => {
+	const {instance, services} = worker;
+	fleet.log.push({kind: 'down', instance: instance.id, services});
+	for (const job of worker.jobs.values()) {
+		const ranMs = job.savedMs + fleet.now - job.startedAt;
+		const savedMs =
+			job.movability === 'checkpoint'
+				? Math.max(job.savedMs, ranMs - (ranMs % checkpointEveryMs))
+				: 0;
+		fleet.log.push({kind: 'worker-failed', job: job.id});
+		removeJob(fleet, worker, job, savedMs);
+		job.hasMoved = false;
+		if (job.movability === 'none') {
+			fleet.figures.unknownJobs += 1;
+		} else {
+			submitJob(fleet, job);
+		}
+	}
+
+	showLater(fleet, worker);
+};
+
+/** A worker is up again, in a new life. */
+export const bringUp = (fleet: Fleet, worker: Worker): void => {
+	const {instance, services} = worker;
+	worker.incarnation += 1;
+	worker.provedAt = fleet.now + minuteMs;
+	fleet.log.push({kind: 'up', instance: instance.id, services});
+	showLater(fleet, worker);
+};
+
+/** Drained and away: the worker restarts. */
+export const rebootWorker = (fleet: Fleet, worker: Worker): void => {
+	worker.instance = {...worker.instance, state: 'away'};
+	const wasUp = isUp(worker);
+	worker.isRebooting = true;
+	if (wasUp) {
+		takeDown(fleet, worker);
+	}
+
+	const forMs = drawLogNormal(fleet.random, 6 * minuteMs, 0.4);
+	fleet.queue.add(fleet.now + forMs, (now) => {
+		fleet.now = now;
+		worker.isRebooting = false;
+		if (isUp(worker)) {
+			bringUp(fleet, worker);
+		}
+	});
+};
+
+const addOutage = (fleet: Fleet, {at, forMs, instances}: Outage) => {
+	const affected = instances.map((id) => fleet.workers.get(id)!);
+	fleet.queue.add(at, (now) => {
+		fleet.now = now;
+		for (const worker of affected) {
+			const wasUp = isUp(worker);
+			worker.outages += 1;
+			if (wasUp) {
+				takeDown(fleet, worker);
+			}
+		}
+	});
+	fleet.queue.add(at + forMs, (now) => {
+		fleet.now = now;
+		for (const worker of affected) {
+			worker.outages -= 1;
+			if (isUp(worker)) {
+				bringUp(fleet, worker);
+			}
+		}
+	});
+};
+
+const createWorker = (instance: Instance): Worker => ({
+	instance,
+	services: [instance.pool.replace('pool', 'service')],
+	jobs: new Map(),
+	used: 0,
+	outages: 0,
+	isRebooting: false,
+	incarnation: 1,
+	listedIncarnation: 1,
+	isListed: true,
+	incarnationAtTake: 0,
+	drainedAt: 0,
+	provedAt: 0,
+});
+
+const announcePromises = (fleet: Fleet) => {
+	for (const {service, terms, entries} of fleet.ledgers.values()) {
+		fleet.log.push({
+			kind: 'promise',
+			service,
+			keep: terms.keepExecutors,
+			maxAway: terms.maxAway,
+			size: Object.keys(entries).length,
+		});
+	}
+};
+
+/** Makes a fleet of a size with its outages; jobs arrive from time 0. */
+export const createFleet = (
+	size: Size,
+	random: Random,
+	getOutages: (instances: readonly Instance[]) => readonly Outage[],
+): Fleet => {
+	const instances = createInstances(size);
+	const fleet: Fleet = {
+		size,
+		random,
+		workers: new Map(),
+		byPool: new Map(),
+		ledgers: createLedgers(size, instances),
+		servicesByPool: new Map(),
+		facts: new Map(),
+		queue: createEventQueue(),
+		log: [],
+		source: createJobSource(random, size.teams),
+		waiting: new Map(),
+		figures: {finished: 0, queuedMs: 0, repeatedCoreHours: 0, unknownJobs: 0},
+		advise: () => 'good',
+		now: 0,
+	};
+	for (const instance of instances) {
+		const worker = createWorker(instance);
+		const {pool} = instance;
+		fleet.workers.set(instance.id, worker);
+		fleet.facts.set(instance.id, getFacts(fleet, worker));
+		fleet.servicesByPool.set(pool, worker.services);
+		fleet.byPool.set(pool, [...(fleet.byPool.get(pool) ?? []), worker]);
+		fleet.waiting.set(pool, []);
+	}
+
+	announcePromises(fleet);
+	for (const [pool, workers] of fleet.byPool) {
+		const coresWanted = size.load * size.cores * workers.length;
+		arriveIn(fleet, pool, fleet.source.meanCoreMs / coresWanted);
+	}
+
+	for (const outage of getOutages(instances)) {
+		addOutage(fleet, outage);
+	}
+
+	return fleet;
+};
+
+/** Lets all that is due happen. */
+export const advanceFleet = (fleet: Fleet, now: number): void => {
+	fleet.queue.advance(now);
+	fleet.now = now;
+};
--- /dev/null
+++ b/packages/bench/src/benches/wave/run.ts
@@ -0,0 +1,386 @@
+/** Runs one wave on a fleet: the core decides, this carries it out. */
+import {budget, waves} from '@gullstand/core';
+import {
+	advanceFleet,
+	fillPool,
+	rebootWorker,
+	removeJob,
+	startJob,
+	submitJob,
+	type Fleet,
+	type Worker,
+} from './fleet.js';
+import {judgeLog, type Verdict} from './judge.js';
+
+const hourMs = 3_600_000;
+const tickMs = 30_000;
+const maxWork = 64;
+const drainMs = 20_000;
+
+/** How the wave is run. */
+export type Plan = {
+	readonly settings: waves.WaveSettings;
+	/** Baselines move jobs to any worker, also to one whose turn will come. */
+	readonly targets: 'done' | 'any';
+	readonly startAt: number;
+	readonly forMs: number;
+	/** Hours of each day in which the wave may begin a rack; all if absent. */
+	readonly windowHours?: readonly [from: number, to: number];
+};
+
+/** What a run gave. */
+export type Outcome = Verdict & {
+	hours: number;
+	done: number;
+	skipped: number;
+	bufferCoreHours: number;
+	emptyingCoreHours: number;
+	repeatedCoreHours: number;
+	queuedJobHours: number;
+	unknownJobs: number;
+	steps: number;
+	stepMaxMs: number;
+	stepP99Ms: number;
+	stepMeanMs: number;
+};
+
+type Run = {
+	readonly fleet: Fleet;
+	readonly plan: Plan;
+	readonly progress: waves.Progress;
+	readonly facts: waves.WaveFacts;
+	readonly stepMs: number[];
+	operations: number;
+	bufferCoreMs: number;
+	emptyingCoreMs: number;
+	queuedMs: number;
+};
+
+const readLedgers = ({ledgers}: Fleet, {services}: Worker) =>
+	new Map(
+		services.map((each) => [each, {value: ledgers.get(each)!, version: 1}]),
+	);
+
+const applyWrites = (fleet: Fleet, change: budget.BudgetChange) => {
+	for (const {table, key, value} of change.writes) {
+		if (table === budget.tables.ledgers) {
+			fleet.ledgers.set(key, value as budget.Ledger);
+		} else {
+			fleet.workers.get(key)!.instance = value as Worker['instance'];
+		}
+	}
+};
+
+const applyTake = (run: Run, ids: readonly string[]) => {
+	const {fleet, progress, facts} = run;
+	const workers = ids.map((id) => fleet.workers.get(id)!);
+	run.operations += 1;
+	const operationId = `take${run.operations}`;
+	const change = budget.reserveAway(
+		{
+			operationId,
+			wave: progress.wave.id,
+			instances: workers.map(({instance}) => ({value: instance, version: 1})),
+			ledgers: new Map(
+				workers.flatMap((each) => [...readLedgers(fleet, each)]),
+			),
+			servicesByPool: fleet.servicesByPool,
+			reserves: facts.reserves,
+		},
+		fleet.now,
+	);
+	if (!change.ok) {
+		return;
+	}
+
+	applyWrites(fleet, change.value);
+	const since = fleet.now;
+	for (const worker of workers) {
+		const {services, instance, incarnation} = worker;
+		fleet.log.push({kind: 'taken', instance: instance.id, services});
+		worker.drainedAt = fleet.now + drainMs;
+		worker.incarnationAtTake = incarnation;
+		waves.updatePhase(progress, [instance.id], {
+			kind: 'taken',
+			since,
+			operationId,
+			incarnation: String(incarnation),
+			isLost: false,
+		});
+	}
+};
+
+const logReturn = (fleet: Fleet, {instance, services}: Worker) => {
+	fleet.log.push({kind: 'given-back', instance: instance.id, services});
+};
+
+const applyGiveBack = ({fleet, progress, facts}: Run, id: string) => {
+	const worker = fleet.workers.get(id)!;
+	const change = budget.giveBack({
+		operationId: `back-${id}`,
+		instance: {value: worker.instance, version: 1},
+		ledgers: readLedgers(fleet, worker),
+		servicesByPool: fleet.servicesByPool,
+		evidence: facts.instances.get(id)!.evidence,
+		settings: progress.wave.settings.returns,
+	});
+	if (change.ok) {
+		applyWrites(fleet, change.value);
+		logReturn(fleet, worker);
+		waves.updatePhase(progress, [id], {kind: 'done', at: fleet.now});
+		fillPool(fleet, worker.instance.pool);
+	}
+};
+
+const applyGiveUp = ({fleet, progress}: Run, id: string) => {
+	const worker = fleet.workers.get(id)!;
+	for (const [service, ledger] of readLedgers(fleet, worker)) {
+		const write = budget.convertToLoss(ledger, id, fleet.now);
+		fleet.ledgers.set(service, write?.value ?? ledger.value);
+	}
+
+	const {phase} = progress.members.get(id)!;
+	if (phase.kind === 'taken') {
+		logReturn(fleet, worker);
+		waves.updatePhase(progress, [id], {...phase, isLost: true});
+	}
+};
+
+const pickAny = ({fleet, progress}: Run, from: Worker, cores: number) =>
+	fleet.byPool
+		.get(from.instance.pool)!
+		.filter(
+			({instance, used, outages, isRebooting}) =>
+				instance.state === 'serving' &&
+				outages === 0 &&
+				!isRebooting &&
+				waves.getPlacementAdvice(progress, instance.id) !== 'never' &&
+				fleet.size.cores - used >= cores,
+		)
+		.toSorted((a, b) => a.used - b.used)[0]?.instance.id;
+
+const applyMove = (
+	run: Run,
+	{job: {id, movability}, from, to}: waves.WaveAction & {kind: 'move'},
+) => {
+	const {fleet, plan} = run;
+	const worker = fleet.workers.get(from)!;
+	const job = worker.jobs.get(id);
+	if (!job) {
+		return;
+	}
+
+	const ranMs = job.savedMs + fleet.now - job.startedAt;
+	const savedMs = movability === 'checkpoint' ? ranMs : 0;
+	const target = plan.targets === 'any' ? pickAny(run, worker, job.cores) : to;
+	removeJob(fleet, worker, job, savedMs);
+	job.hasMoved = true;
+	fleet.log.push({kind: 'moved', job: id});
+	if (target) {
+		startJob(fleet, fleet.workers.get(target)!, job);
+	} else {
+		submitJob(fleet, job);
+	}
+};
+
+const applyAction = (run: Run, action: waves.WaveAction) => {
+	const {fleet, progress} = run;
+	switch (action.kind) {
+		case 'evacuate': {
+			const phase = {kind: 'evacuating', since: fleet.now} as const;
+			waves.updatePhase(progress, action.instances, phase);
+			break;
+		}
+
+		case 'release': {
+			waves.updatePhase(progress, action.instances, {kind: 'pending'});
+			break;
+		}
+
+		case 'skip': {
+			const {reason} = action;
+			waves.updatePhase(progress, action.instances, {kind: 'skipped', reason});
+			break;
+		}
+
+		case 'move': {
+			applyMove(run, action);
+			break;
+		}
+
+		case 'take': {
+			applyTake(run, action.instances);
+			break;
+		}
+
+		case 'stop': {
+			rebootWorker(fleet, fleet.workers.get(action.instance)!);
+			break;
+		}
+
+		case 'return': {
+			const worker = fleet.workers.get(action.instance)!;
+			worker.instance = {...worker.instance, state: 'returning'};
+			break;
+		}
+
+		case 'give-back': {
+			applyGiveBack(run, action.instance);
+			break;
+		}
+
+		case 'give-up': {
+			applyGiveUp(run, action.instance);
+			break;
+		}
+
+		case 'finish': {
+			command(run, 'finish');
+			break;
+		}
+	}
+};
+
+const command = ({fleet, progress}: Run, name: waves.WaveCommand) => {
+	const changed = waves.updateWave(progress.wave, name, fleet.now);
+	progress.wave = changed.ok ? changed.value : progress.wave;
+};
+
+const keepWindow = (run: Run) => {
+	const hours = run.plan.windowHours;
+	if (hours) {
+		const hour = (run.fleet.now / hourMs) % 24;
+		const isOpen = hour >= hours[0] && hour < hours[1];
+		command(run, isOpen ? 'resume' : 'pause');
+	}
+};
+
+const runSteps = (run: Run) => {
+	const {fleet, progress, facts} = run;
+	const rounds = Math.max(4, Math.ceil(progress.active.size / maxWork) + 200);
+	for (let round = 0; round < rounds; round += 1) {
+		const begin = performance.now();
+		const context = {progress, facts, now: fleet.now};
+		const actions = waves.stepWave(context, maxWork);
+		run.stepMs.push(performance.now() - begin);
+		for (const action of actions) {
+			applyAction(run, action);
+		}
+
+		const isVisited = (round + 1) * maxWork >= progress.active.size;
+		if (actions.length === 0 && isVisited) {
+			break;
+		}
+	}
+};
+
+const countIdle = (run: Run) => {
+	const {fleet, progress} = run;
+	for (const domain of progress.active) {
+		for (const {id, phase} of progress.domains.get(domain)!) {
+			const {used} = fleet.workers.get(id)!;
+			const idleMs = (fleet.size.cores - used) * tickMs;
+			if (phase.kind === 'evacuating') {
+				run.emptyingCoreMs += idleMs;
+			}
+
+			if (phase.kind === 'evacuating' || phase.kind === 'taken') {
+				run.bufferCoreMs += idleMs;
+			}
+		}
+	}
+
+	for (const waiting of fleet.waiting.values()) {
+		run.queuedMs += waiting.length * tickMs;
+	}
+};
+
+const createRun = (fleet: Fleet, plan: Plan): Run => {
+	const instances = [...fleet.workers.values()].map(({instance}) => instance);
+	const pools = [...fleet.byPool.keys()];
+	const rows = waves.createDomains('w1', pools, instances);
+	const wave: waves.Wave = {
+		id: 'w1',
+		author: 'bench',
+		state: 'planned',
+		pools,
+		settings: plan.settings,
+		createdAt: fleet.now,
+		startedAt: undefined,
+		endedAt: undefined,
+		deadline: fleet.now + plan.forMs,
+		domains: rows.length,
+		instances: instances.length,
+	};
+	const poolOf = (id: string) => fleet.workers.get(id)!.instance.pool;
+	const reserves = new Map(
+		[...fleet.byPool].map(([pool, workers]) => [
+			pool.replace('pool', 'service'),
+			budget.getReserve(
+				workers.map(({instance}) => instance),
+				plan.settings.reserve,
+			),
+		]),
+	);
+	const {servicesByPool, ledgers} = fleet;
+	return {
+		fleet,
+		plan,
+		progress: waves.createProgress(wave, rows, poolOf, servicesByPool),
+		facts: {instances: fleet.facts, ledgers, servicesByPool, reserves},
+		stepMs: [],
+		operations: 0,
+		bufferCoreMs: 0,
+		emptyingCoreMs: 0,
+		queuedMs: 0,
+	};
+};
+
+const getOutcome = (run: Run): Outcome => {
+	const {fleet, progress, stepMs} = run;
+	const {wave, counts} = progress;
+	const sorted = stepMs.toSorted((a, b) => a - b);
+	const sum = stepMs.reduce((total, each) => total + each, 0);
+	return {
+		...judgeLog(fleet.log),
+		hours: ((wave.endedAt ?? fleet.now) - wave.startedAt!) / hourMs,
+		done: counts.done,
+		skipped: counts.skipped,
+		bufferCoreHours: run.bufferCoreMs / hourMs,
+		emptyingCoreHours: run.emptyingCoreMs / hourMs,
+		repeatedCoreHours: fleet.figures.repeatedCoreHours,
+		queuedJobHours: run.queuedMs / hourMs,
+		unknownJobs: fleet.figures.unknownJobs,
+		steps: stepMs.length,
+		stepMaxMs: sorted.at(-1)!,
+		stepP99Ms: sorted[Math.floor(sorted.length * 0.99)]!,
+		stepMeanMs: sum / stepMs.length,
+	};
+};
+
+/** Warms the fleet up, runs the wave to its end, and judges the log. */
+export const runWave = (fleet: Fleet, plan: Plan): Outcome => {
+	advanceFleet(fleet, plan.startAt);
+	fleet.figures.repeatedCoreHours = 0;
+	fleet.figures.unknownJobs = 0;
+	const run = createRun(fleet, plan);
+	const {progress} = run;
+	if (plan.targets === 'done') {
+		fleet.advise = (id, hasMoved) =>
+			waves.getPlacementAdvice(progress, id, hasMoved);
+	} else {
+		fleet.advise = (id) =>
+			waves.getPlacementAdvice(progress, id) === 'never' ? 'never' : 'good';
+	}
+
+	command(run, 'start');
+	const latest = plan.startAt + plan.forMs + 24 * hourMs;
+	while (progress.wave.state !== 'done' && fleet.now < latest) {
+		keepWindow(run);
+		runSteps(run);
+		countIdle(run);
+		advanceFleet(fleet, fleet.now + tickMs);
+	}
+
+	return getOutcome(run);
+};
--- a/packages/core/src/budget/budget.test.ts
+++ b/packages/core/src/budget/budget.test.ts
@@ -178,6 +178,20 @@
 	});
 }
 
+for (const state of ['serving', 'draining', 'away'] as const) {
+	tap.t.test(`giveBack: an instance that is ${state}`, async (t) => {
+		const result = budget.giveBack({
+			operationId: 'back',
+			instance: {value: createInstance('i0', 'quote', state), version: 9},
+			ledgers: createTake([1, 1], [], []).ledgers,
+			servicesByPool,
+			evidence: proof,
+			settings: budget.returnDefaults,
+		});
+		t.match(result, {ok: false, error: {kind: 'not-returning'}});
+	});
+}
+
 tap.t.test('reserve: the largest domain of a kind', async (t) => {
 	const instances = ['a0', 'b0', 'c1'].map((id) => createInstance(id));
 	t.equal(budget.getReserve(instances, 'none'), 0);
--- a/packages/core/src/budget/give-back.ts
+++ b/packages/core/src/budget/give-back.ts
@@ -11,7 +11,7 @@
 	type Ledgers,
 	type ServicesByPool,
 } from './ledger.js';
-import {putInstance, type BudgetChange} from './reserve-away.js';
+import {putTransition, type BudgetChange} from './reserve-away.js';
 import type {RowPut, Versioned} from './row-write.js';
 
 /** What is known of an instance that comes back. */
@@ -38,7 +38,11 @@
 /** Why an instance is not given back yet. */
 export type ReturnRefusal = {
 	readonly kind:
-		'not-listed' | 'not-restarted' | 'not-proved' | 'not-away' | 'no-ledger';
+		| 'not-listed'
+		| 'not-restarted'
+		| 'not-proved'
+		| 'not-returning'
+		| 'no-ledger';
 	readonly instance: string;
 };
 
@@ -78,19 +82,18 @@
 	request: GiveBackRequest,
 ): Result<BudgetChange, ReturnRefusal> => {
 	const {instance, ledgers, evidence, settings, operationId} = request;
-	const {id, pool, state} = instance.value;
+	const {id, pool} = instance.value;
 	const missing = getMissingProof(evidence, settings);
 	if (missing) {
 		return fail({kind: missing, instance: id});
 	}
 
-	if (state === 'serving') {
-		return fail({kind: 'not-away', instance: id});
+	const write = putTransition(instance, 'finishReturn');
+	if (!write) {
+		return fail({kind: 'not-returning', instance: id});
 	}
 
-	const writes: Array<RowPut<Instance | Ledger>> = [
-		putInstance(instance, 'serving'),
-	];
+	const writes: Array<RowPut<Instance | Ledger>> = [write];
 	for (const service of request.servicesByPool.get(pool) ?? []) {
 		const read = ledgers.get(service);
 		if (!read) {
--- a/packages/core/src/budget/racing.test.ts
+++ b/packages/core/src/budget/racing.test.ts
@@ -52,12 +52,12 @@
 const services = ['quote', 'rate'];
 const sharedPool = new Map([['quote', services]]);
 const readInstance = (rows: TestTable, id: string) =>
-	rows.get(`instances/${id}`) as budget.Versioned<Instance> & TestRow;
+	rows.get(`instance/${id}`) as budget.Versioned<Instance> & TestRow;
 const readLedgers = (rows: TestTable): budget.Ledgers =>
 	new Map(
 		services.map((each) => [
 			each,
-			rows.get(`ledgers/${each}`) as budget.Versioned<budget.Ledger> & TestRow,
+			rows.get(`ledger/${each}`) as budget.Versioned<budget.Ledger> & TestRow,
 		]),
 	);
 
@@ -67,7 +67,7 @@
 	const rows: TestTable = new Map();
 	for (const id of ids) {
 		const value = createInstance(id);
-		rows.set(`instances/${id}`, {version: 1, value, operationId: ''});
+		rows.set(`instance/${id}`, {version: 1, value, operationId: ''});
 	}
 
 	for (const [service, each] of [
@@ -75,7 +75,7 @@
 		['rate', stricter],
 	] as const) {
 		const value = budget.createLedger(service, each, ids);
-		rows.set(`ledgers/${service}`, {version: 1, value, operationId: ''});
+		rows.set(`ledger/${service}`, {version: 1, value, operationId: ''});
 	}
 
 	return rows;
@@ -125,10 +125,17 @@
 	}
 };
 
+/** Drained, restarted and listed: the row says that it returns. */
+const createReturning = (rows: TestTable, id: string) => {
+	const {value, version} = readInstance(rows, id);
+	const state = value.state === 'serving' ? 'serving' : 'returning';
+	return {value: {...value, state} as const, version};
+};
+
 const applyGiveBack = (rows: TestTable, id: string) => {
 	const change = budget.giveBack({
 		operationId: `back-${id}`,
-		instance: readInstance(rows, id),
+		instance: createReturning(rows, id),
 		ledgers: readLedgers(rows),
 		servicesByPool: sharedPool,
 		evidence: proof,
--- a/packages/core/src/budget/reserve-away.ts
+++ b/packages/core/src/budget/reserve-away.ts
@@ -3,6 +3,7 @@
  * of the instance rows and all their ledgers. Each write is conditional on
  * the version read, so of planners that race at most one commits.
  */
+import {applyTransition, type Transition} from '../instances/transition.js';
 import type {Instance} from '../types/instance.js';
 import {fail, succeed, type Result} from '../types/result.js';
 import {
@@ -59,20 +60,19 @@
 	readonly writes: ReadonlyArray<RowPut<Instance | Ledger>>;
 };
 
-/** The changed instance with the next epoch. */
-export const putInstance = (
+/** The write of an instance's next state, if the transition is allowed. */
+export const putTransition = (
 	{value, version}: Versioned<Instance>,
-	state: Instance['state'],
-): RowPut<Instance> =>
-	createRowPut(
-		tables.instances,
-		value.id,
-		{...value, state, epoch: value.epoch + 1},
-		version,
-	);
+	transition: Transition,
+): RowPut<Instance> | undefined => {
+	const next = applyTransition(value, transition);
+	return next.ok
+		? createRowPut(tables.instances, value.id, next.value, version)
+		: undefined;
+};
 
 /** Names the term that refuses one more take, if one does. */
-const getRefusal = (
+export const getRefusal = (
 	ledger: Ledger,
 	reserve: number,
 ): BudgetRefusal | undefined => {
@@ -133,8 +133,9 @@
 	const changed = new Map<string, Ledger>();
 	const writes: Array<RowPut<Instance | Ledger>> = [];
 	for (const instance of request.instances) {
-		const {id, pool, state} = instance.value;
-		if (state !== 'serving') {
+		const {id, pool} = instance.value;
+		const write = putTransition(instance, 'startDrain');
+		if (!write) {
 			return fail({kind: 'not-serving', instance: id});
 		}
 
@@ -153,7 +154,7 @@
 			changed.set(service, taken.value);
 		}
 
-		writes.push(putInstance(instance, 'draining'));
+		writes.push(write);
 	}
 
 	for (const [service, ledger] of changed) {
--- a/packages/core/src/budget/row-write.ts
+++ b/packages/core/src/budget/row-write.ts
@@ -4,32 +4,21 @@
  * the list on as it is.
  */
 
-/** A value and the version of its row when it was read. */
-export type Versioned<Value> = {
-	readonly value: Value;
-	readonly version: number;
-};
+import type {ReadRow} from '../instances/move.js';
+import type {StoreWrite} from '../types/store-write.js';
 
-/** What must hold of a row for the transaction to commit. */
-export type RowPrecondition =
-	| {readonly kind: 'absent'}
-	| {readonly kind: 'version'; readonly version: number};
+/** A value and the version of its row when it was read. */
+export type Versioned<Value> = ReadRow<Value>;
 
 /** Puts a whole row if its precondition holds. */
-export type RowPut<Value> = {
-	readonly kind: 'put';
-	readonly table: string;
-	readonly key: string;
-	readonly value: Value;
-	readonly when: RowPrecondition;
-};
+export type RowPut<Value> = Extract<StoreWrite<Value>, {kind: 'put'}>;
 
 /** Tables that the decisions of this folder and of `waves` write. */
 export const tables = {
-	instances: 'instances',
-	ledgers: 'ledgers',
-	waves: 'waves',
-	waveDomains: 'wave-domains',
+	instances: 'instance',
+	ledgers: 'ledger',
+	waves: 'wave',
+	waveDomains: 'wave-domain',
 } as const;
 
 /** Asks for a row to be replaced if it is still as it was read. */
--- a/packages/core/src/waves/index.ts
+++ b/packages/core/src/waves/index.ts
@@ -11,3 +11,5 @@
 export * from './step.js';
 export * from './obstacle.js';
 export type * from './context.js';
+export * from './waits.js';
+export * from './preview.js';
--- a/packages/core/src/waves/step.test.ts
+++ b/packages/core/src/waves/step.test.ts
@@ -128,6 +128,7 @@
 	kind: 'taken',
 	since: 0,
 	operationId: 'op',
+	drainRevision: 3,
 	incarnation: 'x',
 	isLost: false,
 };
--- a/packages/core/src/waves/wave.ts
+++ b/packages/core/src/waves/wave.ts
@@ -60,6 +60,8 @@
 			readonly kind: 'taken';
 			readonly since: number;
 			readonly operationId: string;
+			/** Revision of the view that made it drain. */
+			readonly drainRevision: number;
 			/** Life that was listed at the take, to see the restart. */
 			readonly incarnation: string;
 			/** It did not come back in time: its ledgers hold it as lost. */
