--- a/packages/bench/src/benches/wave/jobs.ts
+++ b/packages/bench/src/benches/wave/jobs.ts
@@ -16,6 +16,8 @@
 	/** Work that is safe at a checkpoint. */
 	savedMs: number;
 	startedAt: number;
+	/** How far it was when its worker went down, until that is known. */
+	lostAt: {readonly ranMs: number; readonly savedMs: number} | undefined;
 	/** Moved by the wave, and its worker has not failed since. */
 	hasMoved: boolean;
 	/** Grows with each start, so that an old end is not taken for a new one. */
@@ -69,6 +71,7 @@
 			movability: drawMovability(random, isLong),
 			savedMs: 0,
 			startedAt: 0,
+			lostAt: undefined,
 			hasMoved: false,
 			starts: 0,
 		};
--- a/packages/bench/src/benches/wave/scenario.ts
+++ b/packages/bench/src/benches/wave/scenario.ts
@@ -136,6 +136,28 @@
 	}));
 };
 
+/** One availability zone after another, lost at regular times. */
+export const createZoneOutages = (
+	size: Size,
+	instances: readonly Instance[],
+	everyMs: number,
+	times: readonly [from: number, to: number],
+): Outage[] => {
+	const outages: Outage[] = [];
+	for (let at = times[0]; at < times[1]; at += everyMs) {
+		const zone = `az${outages.length % size.availabilityZones}`;
+		outages.push({
+			at,
+			forMs: everyMs / 4,
+			instances: instances
+				.filter((each) => each.availabilityZone === zone)
+				.map(({id}) => id),
+		});
+	}
+
+	return outages;
+};
+
 /** Single instances: so many fail and so many restart on a day. */
 export const createDailyOutages = (
 	instances: readonly Instance[],
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -9,6 +9,8 @@
 	'bad-input': async () => import('./benches/bad-input.js'),
 	faults: async () => import('./benches/faults.js'),
 	overhead: async () => import('./benches/overhead.js'),
+	calendar: async () => import('./benches/calendar.js'),
+	wave: async () => import('./benches/wave.js'),
 	'at-most-once': async () => import('./benches/at-most-once.js'),
 	ownership: async () => import('./benches/ownership.js'),
 	overload: async () => import('./benches/overload.js'),
--- a/packages/core/src/budget/ledger.ts
+++ b/packages/core/src/budget/ledger.ts
@@ -64,11 +64,21 @@
 	return {service, terms, entries};
 };
 
-/**
- * Counts a ledger. Loss counts first: what is lost is taken off the budget
- * before any plan may use it.
- */
-export const getUsage = (ledger: Ledger, reserve = 0): Usage => {
+type Counts = {
+	readonly total: number;
+	readonly planned: number;
+	readonly lost: number;
+};
+
+/** Counts of ledgers that were counted; a ledger never changes in place. */
+const counted = new WeakMap<Ledger, Counts>();
+
+const countEntries = (ledger: Ledger): Counts => {
+	const known = counted.get(ledger);
+	if (known) {
+		return known;
+	}
+
 	let total = 0;
 	let planned = 0;
 	let lost = 0;
@@ -78,6 +88,17 @@
 		lost += kind === 'lost' ? 1 : 0;
 	}
 
+	const counts = {total, planned, lost};
+	counted.set(ledger, counts);
+	return counts;
+};
+
+/**
+ * Counts a ledger. Loss counts first: what is lost is taken off the budget
+ * before any plan may use it.
+ */
+export const getUsage = (ledger: Ledger, reserve = 0): Usage => {
+	const {total, planned, lost} = countEntries(ledger);
 	const serving = total - planned - lost;
 	const {keepExecutors, maxAway} = ledger.terms;
 	const left = Math.min(
--- a/packages/core/src/waves/choose-domain.ts
+++ b/packages/core/src/waves/choose-domain.ts
@@ -6,6 +6,7 @@
  * break-even rule of ski rental); by then its long jobs may have ended, and
  * new ones go to workers that are done.
  */
+import {getUsage} from '../budget/ledger.js';
 import {createAllowance, isLost} from './allowance.js';
 import {decideEvacuation} from './evacuation.js';
 import type {WaveContext} from './context.js';
@@ -32,7 +33,7 @@
 		const ledger = facts.ledgers.get(service);
 		if (ledger) {
 			const spare =
-				Object.keys(ledger.entries).length -
+				getUsage(ledger).total -
 				ledger.terms.keepExecutors -
 				(facts.reserves.get(service) ?? 0);
 			best = Math.min(best, ledger.terms.maxAway, spare);
--- a/packages/core/src/waves/settings.ts
+++ b/packages/core/src/waves/settings.ts
@@ -56,9 +56,9 @@
 
 const minuteMs = 60_000;
 
-/** Defaults: moves and idle capacity weighed alike. */
+/** Defaults: moves, idle capacity and time weighed alike. */
 export const waveDefaults: WaveSettings = {
-	weights: {moves: 0.3, bufferCoreHours: 0.01, rollOutHours: 0.05},
+	weights: {moves: 0.3, bufferCoreHours: 0.01, rollOutHours: 1},
 	reserve: 'none',
 	domains: 'prefer-whole',
 	order: 'any',
@@ -69,19 +69,26 @@
 	cycleMs: 15 * minuteMs,
 	returnWithinMs: 60 * minuteMs,
 	returns: returnDefaults,
-	window: 48,
+	window: 24,
 };
 
 /** Weights that save moves: jobs are waited for rather than moved. */
 export const fewMovesWeights: WaveWeights = {
-	moves: 1,
+	moves: 2,
 	bufferCoreHours: 0.005,
-	rollOutHours: 0.02,
+	rollOutHours: 0.1,
 };
 
 /** Weights that save idle capacity: jobs are moved rather than waited for. */
 export const littleBufferWeights: WaveWeights = {
-	moves: 0.05,
-	bufferCoreHours: 0.02,
-	rollOutHours: 0.05,
+	moves: 0.02,
+	bufferCoreHours: 0.05,
+	rollOutHours: 0.5,
+};
+
+/** Weights that save time. */
+export const fastWeights: WaveWeights = {
+	moves: 0.1,
+	bufferCoreHours: 0.002,
+	rollOutHours: 3,
 };
