Run maintenance waves by the ledgers, resumable at any commit

Cause: the thin wave took one instance at a time, kept its budget by the view of one entry alone, and knew no loss, no plan and no pause. Change: daemon/waves: ledgers follow view and list, each action is one transaction, takes commit only on the newest view; drains end when every registered entry has let go; restarts are asked for again if their call was lost. Conclusion: rows and version preconditions carry it; no lease is needed for safety, only against useless work.

--- a/packages/bench/src/benches/wave/run.ts
+++ b/packages/bench/src/benches/wave/run.ts
@@ -307,6 +307,7 @@
 	const rows = waves.createDomains('w1', pools, instances);
 	const wave: waves.Wave = {
 		id: 'w1',
+		rows: 'w1',
 		author: 'bench',
 		state: 'planned',
 		pools,
--- a/packages/cli/src/commands/demo.ts
+++ b/packages/cli/src/commands/demo.ts
@@ -11,8 +11,8 @@
 		report.series.map(({counts, ...series}) => ({...series, ...counts})),
 	);
 	console.log(
-		`wave ${report.wave.id} over pool ${report.wave.pool}: ${report.wave.state}, ` +
-			`${report.wave.done.length} instances in ${report.waveSeconds.toFixed(1)} s, 0 job moves`,
+		`wave ${report.wave.id} over pool ${report.wave.pools.join(', ')}: ${report.wave.state}, ` +
+			`${report.waveDone} instances in ${report.waveSeconds.toFixed(1)} s, 0 job moves`,
 	);
 	console.log(
 		`budget: ${report.budgetViolations} violations in ${report.budgetSamples} samples`,
--- a/packages/cli/src/demo/run-demo.ts
+++ b/packages/cli/src/demo/run-demo.ts
@@ -3,7 +3,7 @@
  * contract made while it runs and a maintenance wave that finishes under load.
  */
 import {performance} from 'node:perf_hooks';
-import type {Contract} from '@gullstand/core';
+import type {Contract, waves} from '@gullstand/core';
 import {
 	createDaemon,
 	createEmbeddedSettings,
@@ -14,7 +14,6 @@
 	startEmbeddedPlatform,
 	type Daemon,
 	type SeriesSummary,
-	type Wave,
 } from '@gullstand/daemon';
 import {callOperator, type OperatorTarget} from '../client/operator-client.js';
 import {sendLoad, type LoadReport} from './callers.js';
@@ -23,7 +22,9 @@
 export type DemoReport = {
 	readonly loads: Readonly<Record<string, LoadReport>>;
 	readonly series: readonly SeriesSummary[];
-	readonly wave: Wave;
+	readonly wave: waves.Wave;
+	/** Instances that the wave has maintained. */
+	readonly waveDone: number;
 	readonly waveSeconds: number;
 	/** Samples in which more instances were away than a contract allows. */
 	readonly budgetViolations: number;
@@ -83,11 +84,19 @@
 };
 
 const runWave = async (target: OperatorTarget) => {
-	await callOperator(target, {
+	const planned = await callOperator(target, {
 		method: 'PUT',
 		path: '/v1/waves/demo',
-		body: {pool: 'quoting'},
+		body: {pools: ['quoting'], hours: 1},
 	});
+	const started = await callOperator(target, {
+		method: 'POST',
+		path: '/v1/waves/demo/start',
+	});
+	if (planned.status !== 200 || started.status !== 200) {
+		throw new Error(`wave refused: ${JSON.stringify([planned, started])}`);
+	}
+
 	const startedAt = performance.now();
 	let budgetSamples = 0;
 	let budgetViolations = 0;
@@ -96,10 +105,14 @@
 			method: 'GET',
 			path: '/v1/waves/demo',
 		});
-		const {wave} = body as {wave: Wave};
+		const {wave, counts} = body as {
+			wave: waves.Wave;
+			counts: waves.Progress['counts'];
+		};
 		const waveSeconds = (performance.now() - startedAt) / 1000;
 		if (wave.state === 'done' || waveSeconds * 1000 > maxWaveMs) {
-			return {wave, waveSeconds, budgetSamples, budgetViolations};
+			const waveDone = counts.done;
+			return {wave, waveDone, waveSeconds, budgetSamples, budgetViolations};
 		}
 
 		budgetSamples += 1;
--- a/packages/core/src/waves/preview.test.ts
+++ b/packages/core/src/waves/preview.test.ts
@@ -34,6 +34,7 @@
 	const instances = createInstances(racks);
 	const wave: waves.Wave = {
 		id: 'w',
+		rows: 'w',
 		author: 'op',
 		state: 'planned',
 		pools: ['quote'],
--- a/packages/core/src/waves/step.test.ts
+++ b/packages/core/src/waves/step.test.ts
@@ -19,6 +19,7 @@
 
 const createWave = (change: Partial<waves.Wave> = {}): waves.Wave => ({
 	id: 'w',
+	rows: 'w',
 	author: 'op',
 	state: 'running',
 	pools: ['quote'],
--- a/packages/core/src/waves/wave.test.ts
+++ b/packages/core/src/waves/wave.test.ts
@@ -3,6 +3,7 @@
 
 const createWave = (state: waves.WaveState): waves.Wave => ({
 	id: 'w',
+	rows: 'w',
 	author: 'op',
 	state,
 	pools: ['quote'],
--- a/packages/core/src/waves/wave.ts
+++ b/packages/core/src/waves/wave.ts
@@ -32,6 +32,8 @@
 /** The header row of a wave. Times are in milliseconds. */
 export type Wave = {
 	readonly id: string;
+	/** Beginning of the keys of its racks' rows; unique to this wave. */
+	readonly rows: string;
 	readonly author: string;
 	readonly state: WaveState;
 	/** Pools whose instances are maintained. */
@@ -72,6 +74,7 @@
 
 /** The row of one rack of a wave. */
 export type WaveDomain = {
+	/** `rows` of the wave. */
 	readonly wave: string;
 	/** Availability zone and rack. */
 	readonly domain: string;
@@ -161,14 +164,12 @@
 export const insertDomain = (row: WaveDomain): RowPut<WaveDomain> =>
 	createRowInsert(tables.waveDomains, getDomainKey(row.wave, row.domain), row);
 
-/** The write that moves instances of one rack to a phase. */
-export const putPhase = (
+/** The write that moves instances of one rack to new phases. */
+export const putPhases = (
 	{value, version}: Versioned<WaveDomain>,
-	instanceIds: readonly string[],
-	phase: MemberPhase,
+	phases: Readonly<Record<string, MemberPhase>>,
 ): RowPut<WaveDomain> => {
-	const changes = Object.fromEntries(instanceIds.map((id) => [id, phase]));
-	const row = {...value, members: {...value.members, ...changes}};
+	const row = {...value, members: {...value.members, ...phases}};
 	const key = getDomainKey(value.wave, value.domain);
 	return createRowPut(tables.waveDomains, key, row, version);
 };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -136,6 +136,7 @@
 		createOperatorApp({
 			settings: settings.operator,
 			table: platform.table,
+			list: platform.list,
 			getView,
 			getFollowed,
 			poll,
@@ -152,9 +153,14 @@
 	);
 	const waveRunner = createWaveRunner({
 		...platform,
-		getView,
+		getFollowed,
+		async onCommitted(delta) {
+			viewFollower.offerDeltas([delta]);
+		},
 		poll,
 		getInFlight: dispatch.getInFlight,
+		getHeard: () => new Map(),
+		now: Date.now,
 		logger,
 		pollMs: wavePollMs,
 	});
--- a/packages/daemon/src/operator/operator-app.ts
+++ b/packages/daemon/src/operator/operator-app.ts
@@ -6,7 +6,7 @@
 import type {HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import type {followedView, lagging, View, viewChange} from '@gullstand/core';
-import type {client, TableService} from '@gullstand/platform';
+import type {client, InstanceList, TableService} from '@gullstand/platform';
 import {createErrorResponse} from '../caller/answer.js';
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
@@ -25,6 +25,8 @@
 export type OperatorDeps = {
 	readonly settings: Settings['operator'];
 	readonly table: TableService;
+	/** The platform's instance list, to show what a wave waits for. */
+	readonly list?: InstanceList;
 	readonly getView: () => View;
 	readonly getFollowed: () => followedView.FollowedView;
 	/** Told of a change that this entry committed, before it is answered. */
--- /dev/null
+++ b/packages/daemon/src/waves/drain-check.ts
@@ -0,0 +1,69 @@
+/**
+ * Whether every entry has let go of an instance: it routes by the revision
+ * that made it drain, and has no request in flight on it. No clock decides.
+ * Source: docs/design/agreement.md.
+ */
+import * as core from '@gullstand/core';
+import type {lagging, View} from '@gullstand/core';
+import type {TableService, Write} from '@gullstand/platform';
+import {readRegistrations} from '../operator/objects/in-force.js';
+
+/** What the check looks at. */
+export type DrainCheckDeps = {
+	readonly table: TableService;
+	readonly getView: () => View;
+	/** Requests in flight from this entry to an instance. */
+	readonly getInFlight: (instance: string) => number;
+	readonly getHeard: () => lagging.HeardAcknowledgements;
+};
+
+/** The registered entries as read, and what must still hold at a commit. */
+export type DrainRead = {
+	readonly isDrained: (instance: string, drainRevision: number) => boolean;
+	readonly getLagging: (
+		instance: string,
+		drainRevision: number,
+	) => readonly lagging.Lag[];
+	readonly guards: readonly Write[];
+};
+
+const {membership} = core.agreementTables;
+
+/** Reads the entries; undefined if the store does not answer. */
+export const readDrain = async (
+	deps: DrainCheckDeps,
+): Promise<DrainRead | undefined> => {
+	const row = await deps.table.get(membership, core.singleRowKey);
+	if (!row.ok) {
+		return undefined;
+	}
+
+	const entries = await readRegistrations(deps.table);
+	if (!entries.ok) {
+		return undefined;
+	}
+
+	const registrations = entries.value.map((each) => each.registration);
+	const getLagging = (instance: string, revision: number) =>
+		core.lagging.findLagging(registrations, deps.getHeard(), {
+			revision,
+			instance,
+		});
+	return {
+		getLagging,
+		isDrained: (instance, revision) =>
+			deps.getView().revision >= revision &&
+			deps.getInFlight(instance) === 0 &&
+			getLagging(instance, revision).length === 0,
+		guards: [
+			row.value
+				? core.checkVersion(membership, core.singleRowKey, row.value.version)
+				: {
+						kind: 'check',
+						table: membership,
+						key: core.singleRowKey,
+						when: {kind: 'absent'},
+					},
+		],
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/waves/ledger-book.ts
@@ -0,0 +1,204 @@
+/**
+ * The ledgers as this entry last read or wrote them. They follow the view
+ * (terms, members) and the instance list (loss, recovery); a write that meets
+ * another's is dropped, and the ledgers are read anew.
+ */
+import {randomUUID} from 'node:crypto';
+import {budget, type Instance, type View} from '@gullstand/core';
+import type {ListedInstance, TableService} from '@gullstand/platform';
+import {readTable, toJson} from '../view/tables.js';
+
+/** The instance list by id. */
+export type Listed = ReadonlyMap<string, ListedInstance>;
+
+/** Ledgers that are kept in step. */
+export type LedgerBook = {
+	readonly getLedgers: () => budget.Ledgers;
+	readonly getValues: () => ReadonlyMap<string, budget.Ledger>;
+	/** Notes a ledger that was committed; version undefined: read anew. */
+	readonly update: (ledger: budget.Ledger, version: number | undefined) => void;
+	/** The next `follow` reads the rows anew. */
+	readonly invalidate: () => void;
+	/**
+	 * Brings the ledgers in step; false if some could not be written or read,
+	 * and nothing may be taken away on them.
+	 */
+	readonly follow: (
+		view: View,
+		listed: Listed,
+		now: number,
+	) => Promise<boolean>;
+};
+
+/** Wave id of an absence that no wave has asked for, such as a move. */
+const noWave = '';
+
+/** Names of the services of each pool. */
+export const getServicesByPool = (view: View): budget.ServicesByPool => {
+	const byPool = new Map<string, string[]>();
+	for (const {name, pool} of view.services.values()) {
+		const names = byPool.get(pool) ?? [];
+		names.push(name);
+		byPool.set(pool, names);
+	}
+
+	return byPool;
+};
+
+/** What the ledger should say of an instance, given what it says. */
+const getEntry = (
+	instance: Instance,
+	known: budget.LedgerEntry | undefined,
+	listed: Listed,
+	now: number,
+): budget.LedgerEntry => {
+	if (known?.kind === 'away' && known.wave !== noWave) {
+		return known;
+	}
+
+	if (instance.state !== 'serving') {
+		return known?.kind === 'away' || known?.kind === 'lost'
+			? known
+			: {kind: 'away', since: now, wave: noWave, operationId: ''};
+	}
+
+	if (listed.get(instance.id)?.state === 'live') {
+		return {kind: 'serving'};
+	}
+
+	return known?.kind === 'lost' ? known : {kind: 'lost', since: now};
+};
+
+const isSameEntry = (
+	one: budget.LedgerEntry | undefined,
+	other: budget.LedgerEntry,
+) =>
+	one?.kind === other.kind &&
+	(one.kind !== 'away' ||
+		(other.kind === 'away' && one.operationId === other.operationId));
+
+const isSame = (one: budget.Ledger, other: budget.Ledger): boolean => {
+	const ids = Object.keys(other.entries);
+	return (
+		ids.length === Object.keys(one.entries).length &&
+		ids.every((id) => isSameEntry(one.entries[id], other.entries[id]!)) &&
+		JSON.stringify(one.terms) === JSON.stringify(other.terms)
+	);
+};
+
+const createExpected = (
+	service: string,
+	members: readonly Instance[],
+	known: budget.Ledger | undefined,
+	facts: {readonly view: View; readonly listed: Listed; readonly now: number},
+): budget.Ledger => {
+	const {view, listed, now} = facts;
+	const terms = budget.combineTerms(view.contracts.values(), service);
+	const entries: Record<string, budget.LedgerEntry> = {};
+	for (const instance of members) {
+		const before = known?.entries[instance.id];
+		entries[instance.id] = getEntry(instance, before, listed, now);
+	}
+
+	return {service, terms, entries};
+};
+
+const groupByPool = (view: View) => {
+	const byPool = new Map<string, Instance[]>();
+	for (const instance of view.instances.values()) {
+		const members = byPool.get(instance.pool) ?? [];
+		members.push(instance);
+		byPool.set(instance.pool, members);
+	}
+
+	return byPool;
+};
+
+/** Ledgers as they would be without any history, to judge a plan by. */
+export const createViewLedgers = (
+	view: View,
+	listed: Listed,
+	now: number,
+): ReadonlyMap<string, budget.Ledger> => {
+	const byPool = groupByPool(view);
+	const facts = {view, listed, now};
+	return new Map(
+		[...view.services.values()].map(({name, pool}) => [
+			name,
+			createExpected(name, byPool.get(pool) ?? [], undefined, facts),
+		]),
+	);
+};
+
+/** Creates a book; it reads nothing before the first `follow`. */
+export const createLedgerBook = (table: TableService): LedgerBook => {
+	let ledgers = new Map<string, budget.Versioned<budget.Ledger>>();
+	let isFresh = false;
+
+	const load = async () => {
+		const rows = await readTable(table, budget.tables.ledgers);
+		if (rows.ok) {
+			ledgers = new Map(
+				rows.value.map(({key, value, version}) => [
+					key,
+					{value: value as unknown as budget.Ledger, version},
+				]),
+			);
+			isFresh = true;
+		}
+
+		return rows.ok;
+	};
+
+	const update = (ledger: budget.Ledger, version: number | undefined) => {
+		if (version === undefined) {
+			isFresh = false;
+		} else {
+			ledgers.set(ledger.service, {value: ledger, version});
+		}
+	};
+
+	const write = async (expected: budget.Ledger): Promise<boolean> => {
+		const known = ledgers.get(expected.service);
+		if (known && isSame(known.value, expected)) {
+			return true;
+		}
+
+		const put = known
+			? budget.putLedger(expected, known.version)
+			: budget.insertLedger(expected);
+		const committed = await table.commit(
+			[{...put, value: toJson(put.value)}],
+			randomUUID(),
+		);
+		update(expected, committed.ok ? committed.value.versions[0] : undefined);
+		return committed.ok;
+	};
+
+	return {
+		getLedgers: () => ledgers,
+		getValues: () =>
+			new Map([...ledgers].map(([name, {value}]) => [name, value])),
+		update,
+		invalidate() {
+			isFresh = false;
+		},
+		async follow(view, listed, now) {
+			if (!isFresh && !(await load())) {
+				return false;
+			}
+
+			const byPool = groupByPool(view);
+			const facts = {view, listed, now};
+			for (const {name, pool} of view.services.values()) {
+				const known = ledgers.get(name)?.value;
+				const members = byPool.get(pool) ?? [];
+				if (!(await write(createExpected(name, members, known, facts)))) {
+					return false;
+				}
+			}
+
+			return true;
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/waves/wave-commands.ts
@@ -0,0 +1,440 @@
+/**
+ * Carries out the actions that the core decides. Each is one transaction of
+ * all rows that it touches, conditional on what was read: a daemon that is
+ * killed between two, or was paused, leaves nothing half done. Nothing is
+ * announced (no drain, no restart) before its commit is certain.
+ */
+import {randomUUID} from 'node:crypto';
+import {
+	budget,
+	waves,
+	type followedView,
+	type Instance,
+	type viewChange,
+} from '@gullstand/core';
+import type {client, TableService, Workers, Write} from '@gullstand/platform';
+import {commitChange} from '../view/commit-change.js';
+import {toJson} from '../view/tables.js';
+import {
+	getServicesByPool,
+	type LedgerBook,
+	type Listed,
+} from './ledger-book.js';
+import type {WaveJobs} from './wave-facts.js';
+import type {LoadedWave} from './wave-rows.js';
+
+/** What actions are carried out with. */
+export type CommandDeps = {
+	readonly table: TableService;
+	readonly workers: Workers;
+	readonly jobs: WaveJobs;
+	readonly book: LedgerBook;
+	readonly getFollowed: () => followedView.FollowedView;
+	readonly onCommitted: (delta: viewChange.ViewDelta) => Promise<void>;
+	/** Conditions under which this entry may act, such as its shard's lease. */
+	readonly getGuards: () => readonly Write[];
+	/** Present time in milliseconds of the wall clock, as rows keep it. */
+	readonly now: () => number;
+	readonly env?: client.Environment;
+};
+
+/** One action on one wave. */
+export type Command = {
+	readonly loaded: LoadedWave;
+	readonly facts: waves.WaveFacts;
+	readonly listed: Listed;
+	/** Conditions of a drain's end: the entries are still the same. */
+	readonly drainGuards: readonly Write[];
+};
+
+type Put = budget.RowPut<unknown>;
+
+const toWrite = (put: Put): Write => ({...put, value: toJson(put.value)});
+
+/** Notes what was committed; without a version the rows are read anew. */
+const notePuts = (
+	deps: CommandDeps,
+	{loaded}: Command,
+	puts: readonly Put[],
+	versions: ReadonlyArray<number | undefined>,
+) => {
+	for (const [index, {table, key, value}] of puts.entries()) {
+		const version = versions[index];
+		switch (table) {
+			case budget.tables.ledgers: {
+				deps.book.update(value as budget.Ledger, version);
+
+				break;
+			}
+
+			case budget.tables.waveDomains: {
+				const row = value as waves.WaveDomain;
+				loaded.rows.set(row.domain, {value: row, version: version ?? 0});
+
+				break;
+			}
+
+			case budget.tables.waves: {
+				const wave = value as waves.Wave;
+				loaded.header = {value: wave, version: version ?? 0};
+				loaded.progress.wave = wave;
+
+				break;
+			}
+
+			default: {
+				throw new Error(`unexpected table ${table} for ${key}`);
+			}
+		}
+	}
+};
+
+/** Commits rows outside the view. */
+const commitRows = async (
+	deps: CommandDeps,
+	command: Command,
+	puts: readonly Put[],
+): Promise<boolean> => {
+	const committed = await deps.table.commit(
+		[...puts.map((put) => toWrite(put)), ...deps.getGuards()],
+		randomUUID(),
+	);
+	if (committed.ok) {
+		notePuts(deps, command, puts, committed.value.versions);
+	}
+
+	return committed.ok;
+};
+
+/** Commits instances with the rows that go with them. */
+const commitInstances = async (
+	deps: CommandDeps,
+	command: Command,
+	operation: {
+		readonly id: string;
+		readonly instances: ReadonlyArray<budget.RowPut<Instance>>;
+		readonly also: readonly Put[];
+		readonly guards?: readonly Write[];
+		readonly mustBeNewest?: boolean;
+	},
+): Promise<boolean> => {
+	const committed = await commitChange(
+		deps.table,
+		operation.instances.map(({key, value, when}) => ({
+			table: 'instance',
+			key,
+			value: toJson(value),
+			when,
+		})),
+		operation.id,
+		{
+			author: `wave ${command.loaded.progress.wave.id}`,
+			also: [
+				...operation.also.map((put) => toWrite(put)),
+				...(operation.guards ?? []),
+				...deps.getGuards(),
+			],
+			known: deps.getFollowed(),
+			mustBeNewest: operation.mustBeNewest ?? false,
+			...(deps.env && {env: deps.env}),
+		},
+	);
+	if (!committed.ok) {
+		return false;
+	}
+
+	const {versions, delta} = committed.value;
+	const own = versions.slice(operation.instances.length);
+	notePuts(deps, command, operation.also, own);
+	await deps.onCommitted(delta);
+	return true;
+};
+
+const readInstance = async (
+	{table}: CommandDeps,
+	id: string,
+): Promise<budget.Versioned<Instance> | undefined> => {
+	const row = await table.get(budget.tables.instances, id);
+	return row.ok && row.value
+		? {
+				value: row.value.value as unknown as Instance,
+				version: row.value.version,
+			}
+		: undefined;
+};
+
+const readInstances = async (
+	deps: CommandDeps,
+	ids: readonly string[],
+): Promise<ReadonlyArray<budget.Versioned<Instance>> | undefined> => {
+	const read = await Promise.all(ids.map(async (id) => readInstance(deps, id)));
+	const found = read.filter((each) => each !== undefined);
+	return found.length === ids.length ? found : undefined;
+};
+
+const isInstancePut = (put: Put): put is budget.RowPut<Instance> =>
+	put.table === budget.tables.instances;
+
+const putPhases = (
+	{loaded}: Command,
+	ids: readonly string[],
+	getPhase: (id: string) => waves.MemberPhase,
+): budget.RowPut<waves.WaveDomain> => {
+	const {domain} = loaded.progress.members.get(ids[0]!)!;
+	const phases = Object.fromEntries(ids.map((id) => [id, getPhase(id)]));
+	return waves.putPhases(loaded.rows.get(domain)!, phases);
+};
+
+const notePhases = (
+	{loaded}: Command,
+	ids: readonly string[],
+	getPhase: (id: string) => waves.MemberPhase,
+) => {
+	for (const id of ids) {
+		waves.updatePhase(loaded.progress, [id], getPhase(id));
+	}
+};
+
+const changePhase = async (
+	deps: CommandDeps,
+	command: Command,
+	ids: readonly string[],
+	phase: waves.MemberPhase,
+): Promise<boolean> => {
+	const put = putPhases(command, ids, () => phase);
+	const isDone = await commitRows(deps, command, [put]);
+	if (isDone) {
+		notePhases(command, ids, () => phase);
+	}
+
+	return isDone;
+};
+
+/**
+ * Books a rack in its ledgers and makes it drain. It commits only on the
+ * newest view, so no contract has changed since the ledgers were followed.
+ */
+const take = async (
+	deps: CommandDeps,
+	command: Command,
+	ids: readonly string[],
+): Promise<boolean> => {
+	const instances = await readInstances(deps, ids);
+	if (!instances) {
+		return false;
+	}
+
+	const {loaded, listed, facts} = command;
+	const since = deps.now();
+	const operationId = randomUUID();
+	const {view} = deps.getFollowed();
+	const change = budget.reserveAway(
+		{
+			operationId,
+			wave: loaded.progress.wave.id,
+			instances,
+			ledgers: deps.book.getLedgers(),
+			servicesByPool: getServicesByPool(view),
+			reserves: facts.reserves,
+		},
+		since,
+	);
+	if (!change.ok) {
+		return false;
+	}
+
+	const getPhase = (id: string): waves.MemberPhase => ({
+		kind: 'taken',
+		since,
+		operationId,
+		drainRevision: view.revision + 1,
+		incarnation: listed.get(id)?.incarnation ?? '',
+		isLost: false,
+	});
+	const puts: readonly Put[] = change.value.writes;
+	const isDone = await commitInstances(deps, command, {
+		id: operationId,
+		instances: puts.filter((put) => isInstancePut(put)),
+		also: [
+			...puts.filter((put) => !isInstancePut(put)),
+			putPhases(command, ids, getPhase),
+		],
+		mustBeNewest: true,
+	});
+	if (isDone) {
+		notePhases(command, ids, getPhase);
+	}
+
+	return isDone;
+};
+
+/** Commits one transition of one instance, and nothing else. */
+const transition = async (
+	deps: CommandDeps,
+	command: Command,
+	id: string,
+	name: 'finishDrain' | 'startReturn',
+): Promise<boolean> => {
+	const instance = await readInstance(deps, id);
+	const put = instance && budget.putTransition(instance, name);
+	return put
+		? commitInstances(deps, command, {
+				id: randomUUID(),
+				instances: [put],
+				also: [],
+				guards: name === 'finishDrain' ? command.drainGuards : [],
+			})
+		: false;
+};
+
+const stop = async (deps: CommandDeps, command: Command, id: string) => {
+	if (!(await transition(deps, command, id, 'finishDrain'))) {
+		return false;
+	}
+
+	// A reply that is lost is seen by the instance's new life in the list; the
+	// runner asks again if it does not come.
+	await deps.workers.reboot(id);
+	return true;
+};
+
+const giveBack = async (
+	deps: CommandDeps,
+	command: Command,
+	id: string,
+): Promise<boolean> => {
+	const instance = await readInstance(deps, id);
+	if (!instance) {
+		return false;
+	}
+
+	const {loaded, facts} = command;
+	const operationId = randomUUID();
+	const change = budget.giveBack({
+		operationId,
+		instance,
+		ledgers: deps.book.getLedgers(),
+		servicesByPool: getServicesByPool(deps.getFollowed().view),
+		evidence: facts.instances.get(id)!.evidence,
+		settings: loaded.progress.wave.settings.returns,
+	});
+	if (!change.ok) {
+		return false;
+	}
+
+	const phase = {kind: 'done', at: deps.now()} as const;
+	const puts: readonly Put[] = change.value.writes;
+	const isDone = await commitInstances(deps, command, {
+		id: operationId,
+		instances: puts.filter((put) => isInstancePut(put)),
+		also: [
+			...puts.filter((put) => !isInstancePut(put)),
+			putPhases(command, [id], () => phase),
+		],
+	});
+	if (isDone) {
+		notePhases(command, [id], () => phase);
+	}
+
+	return isDone;
+};
+
+/** From now on the instance counts as lost, not as taken. */
+const giveUp = async (
+	deps: CommandDeps,
+	command: Command,
+	id: string,
+): Promise<boolean> => {
+	const {phase, pool} = command.loaded.progress.members.get(id)!;
+	if (phase.kind !== 'taken') {
+		return false;
+	}
+
+	const lost = {...phase, isLost: true};
+	const services = getServicesByPool(deps.getFollowed().view).get(pool) ?? [];
+	const ledgers = services
+		.map((service) => deps.book.getLedgers().get(service))
+		.map((ledger) => ledger && budget.convertToLoss(ledger, id, deps.now()))
+		.filter((put) => put !== undefined);
+	const row = putPhases(command, [id], () => lost);
+	const isDone = await commitRows(deps, command, [...ledgers, row]);
+	if (isDone) {
+		notePhases(command, [id], () => lost);
+	}
+
+	return isDone;
+};
+
+const finish = async (
+	deps: CommandDeps,
+	command: Command,
+): Promise<boolean> => {
+	const {header} = command.loaded;
+	const next = waves.updateWave(header.value, 'finish', deps.now());
+	return next.ok
+		? commitRows(deps, command, [waves.putWave(next.value, header.version)])
+		: false;
+};
+
+const move = async (
+	deps: CommandDeps,
+	{loaded: {progress}}: Command,
+	{job, from, to}: Extract<waves.WaveAction, {kind: 'move'}>,
+): Promise<boolean> => {
+	const {id, cores, memoryMb} = job;
+	waves.updateMove(progress, id, {from, to: to ?? '', cores, memoryMb});
+	const isDone = await deps.jobs.move(job, from, to);
+	waves.updateMove(progress, id, undefined);
+	return isDone;
+};
+
+/** Carries out one action; false if the rows must be read anew. */
+export const runAction = async (
+	deps: CommandDeps,
+	command: Command,
+	action: waves.WaveAction,
+): Promise<boolean> => {
+	switch (action.kind) {
+		case 'evacuate': {
+			const phase = {kind: 'evacuating', since: deps.now()} as const;
+			return changePhase(deps, command, action.instances, phase);
+		}
+
+		case 'release': {
+			return changePhase(deps, command, action.instances, {kind: 'pending'});
+		}
+
+		case 'skip': {
+			const {reason, instances} = action;
+			return changePhase(deps, command, instances, {kind: 'skipped', reason});
+		}
+
+		case 'move': {
+			return move(deps, command, action);
+		}
+
+		case 'take': {
+			return take(deps, command, action.instances);
+		}
+
+		case 'stop': {
+			return stop(deps, command, action.instance);
+		}
+
+		case 'return': {
+			return transition(deps, command, action.instance, 'startReturn');
+		}
+
+		case 'give-back': {
+			return giveBack(deps, command, action.instance);
+		}
+
+		case 'give-up': {
+			return giveUp(deps, command, action.instance);
+		}
+
+		case 'finish': {
+			return finish(deps, command);
+		}
+	}
+};
--- /dev/null
+++ b/packages/daemon/src/waves/wave-facts.ts
@@ -0,0 +1,119 @@
+/** What a wave is told of the fleet, from the view, the list and the jobs. */
+import {budget, type waves, type Instance, type View} from '@gullstand/core';
+import {getServicesByPool, type Listed} from './ledger-book.js';
+
+/** Resources of one worker and the jobs on it. */
+export type WorkerLoad = {
+	readonly cores: number;
+	readonly coresFree: number;
+	readonly memoryMbFree: number;
+	readonly jobs: readonly waves.RunningJob[];
+};
+
+/** Jobs, as far as a wave needs them. */
+export type WaveJobs = {
+	/** By last report; a worker that has gone silent keeps its jobs. */
+	readonly getLoad: (worker: string) => WorkerLoad;
+	/** Checkpoints the job and starts it on `to`, or holds it without one. */
+	readonly move: (
+		job: waves.RunningJob,
+		from: string,
+		to: string | undefined,
+	) => Promise<boolean>;
+};
+
+const noLoad: WorkerLoad = {
+	cores: 0,
+	coresFree: 0,
+	memoryMbFree: 0,
+	jobs: [],
+};
+
+/** For fleets that run no jobs. */
+export const noJobs: WaveJobs = {
+	getLoad: () => noLoad,
+	move: async () => false,
+};
+
+/** What only the runner knows of instances. */
+export type Observations = {
+	readonly isDrained: (instance: string) => boolean;
+	readonly getProbesPassed: (instance: string) => number;
+};
+
+const getEvidence = (
+	{id}: Instance,
+	phase: waves.MemberPhase | undefined,
+	listed: Listed,
+	{getProbesPassed}: Observations,
+): budget.ReturnEvidence => {
+	const seen = listed.get(id);
+	return {
+		listed: seen?.state ?? 'absent',
+		incarnationBefore: phase?.kind === 'taken' ? phase.incarnation : '',
+		incarnation: seen?.incarnation ?? '',
+		probesPassed: getProbesPassed(id),
+	};
+};
+
+/** Executors kept in reserve of each service. */
+const getReserves = (
+	view: View,
+	pools: ReadonlySet<string>,
+	kind: budget.ReserveKind,
+): ReadonlyMap<string, number> => {
+	const reserves = new Map<string, number>();
+	if (kind === 'none') {
+		return reserves;
+	}
+
+	for (const {name, pool} of view.services.values()) {
+		if (pools.has(pool)) {
+			const members = [...view.instances.values()].filter(
+				(each) => each.pool === pool,
+			);
+			reserves.set(name, budget.getReserve(members, kind));
+		}
+	}
+
+	return reserves;
+};
+
+/** What `createFacts` reads. */
+export type FactSources = {
+	readonly view: View;
+	readonly listed: Listed;
+	readonly ledgers: ReadonlyMap<string, budget.Ledger>;
+	readonly jobs: WaveJobs;
+	readonly observations: Observations;
+};
+
+/** Builds the facts for one wave. */
+export const createFacts = (
+	progress: waves.Progress,
+	{view, listed, ledgers, jobs, observations}: FactSources,
+): waves.WaveFacts => {
+	const pools = new Set(progress.wave.pools);
+	const instances = new Map<string, waves.InstanceFacts>();
+	for (const instance of view.instances.values()) {
+		const {id, pool, state} = instance;
+		if (pools.has(pool)) {
+			const phase = progress.members.get(id)?.phase;
+			instances.set(id, {
+				id,
+				pool,
+				state,
+				isDrained: observations.isDrained(id),
+				evidence: getEvidence(instance, phase, listed, observations),
+				...jobs.getLoad(id),
+			});
+		}
+	}
+
+	return {
+		instances,
+		ledgers,
+		servicesByPool: getServicesByPool(view),
+		reserves: getReserves(view, pools, progress.wave.settings.reserve),
+	};
+};
--- a/packages/daemon/src/waves/wave-runner.ts
+++ b/packages/daemon/src/waves/wave-runner.ts
@@ -1,197 +1,313 @@
 /**
- * Runs declared waves on one entry: drains, reboots and returns the instances
- * of a pool one at a time, within the budget of every contract.
+ * Runs waves on one entry: loads their rows, asks the core what comes next,
+ * and carries it out. Everything it knows is read from rows, so another entry
+ * goes on where this one ended. Source: docs/design/waves.md.
  */
-import {randomUUID} from 'node:crypto';
-import type {Instance, InstanceState, View} from '@gullstand/core';
-import type {InstanceList, TableService, Workers} from '@gullstand/platform';
+import {setImmediate} from 'node:timers/promises';
+import {
+	waves,
+	type followedView,
+	type lagging,
+	type viewChange,
+} from '@gullstand/core';
+import type {
+	client,
+	InstanceList,
+	TableService,
+	Workers,
+	Write,
+} from '@gullstand/platform';
 import type {Logger} from '../log/logger.js';
 import type {Part} from '../supervisor/supervisor.js';
-import {commitChange} from '../view/commit-change.js';
-
-/** A declared wave over one pool. */
-export type Wave = {
-	readonly id: string;
-	readonly pool: string;
-	readonly state: 'running' | 'done';
-	/** Instances that are done. */
-	readonly done: readonly string[];
-};
+import {createTicker} from '../view/ticker.js';
+import {readDrain, type DrainRead} from './drain-check.js';
+import {createLedgerBook, type Listed} from './ledger-book.js';
+import {createProbe, createProbes, type Probe} from './probe.js';
+import {runAction, type CommandDeps} from './wave-commands.js';
+import {createFacts, noJobs, type WaveJobs} from './wave-facts.js';
+import {loadWave, readWaves, type LoadedWave} from './wave-rows.js';
 
 /** What the runner needs. */
 export type WaveRunnerDeps = {
 	readonly table: TableService;
 	readonly list: InstanceList;
 	readonly workers: Workers;
-	readonly getView: () => View;
+	readonly getFollowed: () => followedView.FollowedView;
+	readonly onCommitted: (delta: viewChange.ViewDelta) => Promise<void>;
+	/** Polls the view at once. */
 	readonly poll: () => Promise<void>;
-	/** Requests in flight to an instance. */
+	/** Requests in flight from this entry to an instance. */
 	readonly getInFlight: (instance: string) => number;
+	readonly getHeard: () => lagging.HeardAcknowledgements;
+	/** Present time in milliseconds of the wall clock, as rows keep it. */
+	readonly now: () => number;
 	readonly logger: Logger;
 	readonly pollMs: number;
+	readonly jobs?: WaveJobs;
+	readonly probe?: Probe;
+	readonly env?: client.Environment;
+	/** False while another entry holds the shard of waves. */
+	readonly isHolder?: () => boolean;
+	/** Checks of the shard's lease, part of each commit. */
+	readonly getGuards?: () => readonly Write[];
 };
 
-const waveTable = 'wave';
-
-/** Whether one more instance of a pool may be away. */
-export const mayTakeAway = (view: View, pool: string): boolean => {
-	const members = [...view.instances.values()].filter(
-		(each) => each.pool === pool,
-	);
-	const serving = members.filter((each) => each.state === 'serving').length;
-	const away = members.length - serving;
-	const names = new Set(
-		[...view.services.values()]
-			.filter((each) => each.pool === pool)
-			.map((each) => each.name),
-	);
-	const terms = [...view.contracts.values()]
-		.flatMap((each) => each.services)
-		.filter((each) => names.has(each.service));
-	return terms.every(
-		(each) => away < each.maxAway && serving - 1 >= each.keepExecutors,
-	);
+/** The runner, with what others may ask of it. */
+export type WaveRunner = Part & {
+	/** One round over all waves; the part calls it again and again. */
+	readonly step: () => Promise<void>;
+	/** Advice for the placement of a job. */
+	readonly getAdvice: (
+		instance: string,
+		hasMoved: boolean,
+	) => waves.PlacementAdvice;
 };
 
-/** Creates the runner. */
-export const createWaveRunner = (deps: WaveRunnerDeps): Part => {
-	let timer: NodeJS.Timeout | undefined;
+/** Racks that one step looks at. */
+const maxWork = 24;
+/** Steps of one wave in one round; each lets the event loop go on. */
+const maxSteps = 200;
+/** Time after which a restart that shows nothing is asked for again. */
+const rebootRetryMs = 60_000;
 
-	const setState = async (instance: Instance, state: InstanceState) => {
-		const row = await deps.table.get('instance', instance.id);
-		if (!row.ok || !row.value) {
-			return;
-		}
-
-		const current = row.value.value as unknown as Instance;
-		const value = {...current, state, epoch: current.epoch + 1};
-		await commitChange(
-			deps.table,
-			[
-				{
-					table: 'instance',
-					key: instance.id,
-					value,
-					when: {kind: 'version', version: row.value.version},
-				},
-			],
-			randomUUID(),
-		);
-		await deps.poll();
-	};
+type State = {
+	readonly deps: WaveRunnerDeps;
+	readonly command: CommandDeps;
+	readonly probes: ReturnType<typeof createProbes>;
+	readonly loaded: Map<string, LoadedWave>;
+	/** Cancelled waves with nothing away any more. */
+	readonly settled: Set<string>;
+	readonly rebootAskedAt: Map<string, number>;
+};
 
-	const isListedLive = async (instance: Instance): Promise<boolean> => {
-		const listed = await deps.list.list();
-		return (
-			listed.ok &&
-			listed.value.some(
-				(each) => each.id === instance.id && each.state === 'live',
-			)
-		);
-	};
+const isRunnable = ({progress}: LoadedWave): boolean =>
+	progress.wave.state === 'running' || progress.active.size > 0;
 
-	const stepInstance = async (instance: Instance): Promise<boolean> => {
-		switch (instance.state) {
-			case 'serving': {
-				if (mayTakeAway(deps.getView(), instance.pool)) {
-					await setState(instance, 'draining');
-				}
+/** Reads new waves, and the rows of those whose header has changed. */
+const refreshWaves = async (state: State): Promise<boolean> => {
+	const {deps, loaded, settled} = state;
+	const headers = await readWaves(deps.table);
+	if (!headers.ok) {
+		return false;
+	}
 
+	for (const header of headers.value) {
+		const {id, state: waveState} = header.value;
+		const known = loaded.get(id);
+		const isOver =
+			waveState === 'planned' || waveState === 'done' || settled.has(id);
+		if (isOver) {
+			loaded.delete(id);
+		} else if (known?.header.version !== header.version) {
+			const read = await loadWave(deps.table, header, deps.getFollowed().view);
+			if (!read.ok) {
 				return false;
 			}
 
-			case 'draining': {
-				if (deps.getInFlight(instance.id) === 0) {
-					await setState(instance, 'away');
-					await deps.workers.reboot(instance.id);
-				}
+			loaded.set(id, read.value);
+		}
+	}
 
-				return false;
-			}
+	return true;
+};
 
-			case 'away': {
-				if (await isListedLive(instance)) {
-					await setState(instance, 'returning');
-				}
+const readListed = async ({
+	list,
+}: WaveRunnerDeps): Promise<Listed | undefined> => {
+	const listed = await list.list();
+	return listed.ok
+		? new Map(listed.value.map((each) => [each.id, each]))
+		: undefined;
+};
 
-				return false;
-			}
+const getTakenMembers = (loaded: LoadedWave): readonly waves.Member[] =>
+	[...loaded.progress.active].flatMap((domain) =>
+		(loaded.progress.domains.get(domain) ?? []).filter(
+			({phase}) => phase.kind === 'taken',
+		),
+	);
 
-			case 'returning': {
-				await setState(instance, 'serving');
-				return true;
-			}
+/** Asks again for a restart whose call or reply was lost. */
+const retryReboots = async (
+	{deps, rebootAskedAt}: State,
+	loaded: LoadedWave,
+	listed: Listed,
+) => {
+	const {view} = deps.getFollowed();
+	for (const {id, phase} of getTakenMembers(loaded)) {
+		const seen = listed.get(id);
+		const isUnchanged =
+			phase.kind === 'taken' &&
+			view.instances.get(id)?.state === 'away' &&
+			seen?.state === 'live' &&
+			seen.incarnation === phase.incarnation;
+		if (!isUnchanged) {
+			rebootAskedAt.delete(id);
+			continue;
 		}
-	};
 
-	const stepWave = async (wave: Wave, version: number) => {
-		const members = [...deps.getView().instances.values()].filter(
-			(each) => each.pool === wave.pool,
-		);
-		const next = members.find((each) => !wave.done.includes(each.id));
-		const isStepDone = next ? await stepInstance(next) : true;
-		if (!isStepDone) {
-			return;
+		const askedAt = rebootAskedAt.get(id);
+		const now = deps.now();
+		if (askedAt === undefined) {
+			rebootAskedAt.set(id, now);
+		} else if (now - askedAt >= rebootRetryMs) {
+			rebootAskedAt.set(id, now);
+			await deps.workers.reboot(id);
 		}
+	}
+};
 
-		const value: Wave = next
-			? {...wave, done: [...wave.done, next.id]}
-			: {...wave, state: 'done'};
-		await deps.table.commit(
-			[
-				{
-					kind: 'put',
-					table: waveTable,
-					key: wave.id,
-					value,
-					when: {kind: 'version', version},
-				},
-			],
-			randomUUID(),
-		);
-	};
+const runProbes = async ({deps, probes, loaded}: State) => {
+	const {view} = deps.getFollowed();
+	const returning = [...loaded.values()]
+		.flatMap((each) => getTakenMembers(each))
+		.map(({id}) => view.instances.get(id))
+		.filter((each) => each?.state === 'returning')
+		.filter((each) => each !== undefined);
+	await probes.run(returning);
+};
 
-	const step = async () => {
-		const rows = await deps.table.range({
-			table: waveTable,
-			prefix: '',
-			limit: 100,
-		});
-		if (!rows.ok) {
+/** What one round has read. */
+type Round = {
+	readonly listed: Listed;
+	readonly drain: DrainRead | undefined;
+};
+
+/** One step of one wave; false if nothing is left to do now. */
+const stepLoaded = async (
+	state: State,
+	loaded: LoadedWave,
+	{listed, drain}: Round,
+): Promise<'again' | 'idle' | 'stale'> => {
+	const {deps, command, probes} = state;
+	const {progress} = loaded;
+	const facts = createFacts(progress, {
+		view: deps.getFollowed().view,
+		listed,
+		ledgers: command.book.getValues(),
+		jobs: command.jobs,
+		observations: {
+			getProbesPassed: probes.getPassed,
+			isDrained(id) {
+				const phase = progress.members.get(id)?.phase;
+				return (
+					phase?.kind === 'taken' &&
+					drain?.isDrained(id, phase.drainRevision) === true
+				);
+			},
+		},
+	});
+	const actions = waves.stepWave({progress, facts, now: deps.now()}, maxWork);
+	for (const action of actions) {
+		const drainGuards = drain?.guards ?? [];
+		const context = {loaded, facts, listed, drainGuards};
+		if (!(await runAction(command, context, action))) {
+			deps.logger.info('wave action not done', {
+				wave: progress.wave.id,
+				action: action.kind,
+			});
+			return 'stale';
+		}
+	}
+
+	return actions.length > 0 ? 'again' : 'idle';
+};
+
+const stepWave = async (state: State, loaded: LoadedWave, round: Round) => {
+	const {id} = loaded.progress.wave;
+	for (let steps = 0; steps < maxSteps && isRunnable(loaded); steps += 1) {
+		const result = await stepLoaded(state, loaded, round);
+		if (result === 'stale') {
+			state.loaded.delete(id);
+			state.command.book.invalidate();
 			return;
 		}
 
-		for (const row of rows.value) {
-			const wave = row.value as unknown as Wave;
-			if (wave.state === 'running') {
-				await stepWave(wave, row.version);
-			}
+		const isVisited = (steps + 1) * maxWork >= loaded.progress.active.size;
+		if (result === 'idle' && isVisited) {
+			return;
 		}
-	};
 
-	const schedule = (reportFailure: (err: Error) => void) => {
-		timer = setTimeout(async () => {
-			try {
-				await step();
-			} catch (err) {
-				reportFailure(err as Error);
-				return;
-			}
+		await setImmediate();
+	}
 
-			if (timer) {
-				schedule(reportFailure);
-			}
-		}, deps.pollMs);
-	};
+	if (loaded.progress.wave.state === 'cancelled' && !isRunnable(loaded)) {
+		state.settled.add(id);
+		state.loaded.delete(id);
+	}
+};
+
+/** One round: nothing is taken while store or list do not answer. */
+const runRound = async (state: State): Promise<void> => {
+	const {deps, command} = state;
+	if (!(deps.isHolder?.() ?? true)) {
+		state.loaded.clear();
+		command.book.invalidate();
+		return;
+	}
+
+	const hasWaves = (await refreshWaves(state)) && state.loaded.size > 0;
+	if (!hasWaves) {
+		return;
+	}
+
+	await deps.poll();
+	const listed = await readListed(deps);
+	const {view} = deps.getFollowed();
+	if (!listed || !(await command.book.follow(view, listed, deps.now()))) {
+		return;
+	}
+
+	await runProbes(state);
+	const drain = await readDrain({
+		...deps,
+		getView: () => deps.getFollowed().view,
+	});
+	for (const loaded of state.loaded.values()) {
+		await retryReboots(state, loaded, listed);
+		await stepWave(state, loaded, {listed, drain});
+	}
+};
 
+/** Creates the runner. */
+export const createWaveRunner = (deps: WaveRunnerDeps): WaveRunner => {
+	const {table, workers, getFollowed, onCommitted, now, env} = deps;
+	const state: State = {
+		deps,
+		command: {
+			table,
+			workers,
+			jobs: deps.jobs ?? noJobs,
+			book: createLedgerBook(table),
+			getFollowed,
+			onCommitted,
+			getGuards: deps.getGuards ?? (() => []),
+			now,
+			...(env && {env}),
+		},
+		probes: createProbes(deps.probe ?? createProbe(workers)),
+		loaded: new Map(),
+		settled: new Set(),
+		rebootAskedAt: new Map(),
+	};
+	const step = async () => runRound(state);
+	const ticker = createTicker(step, deps.pollMs, Math.random);
 	return {
 		name: 'wave-runner',
-		async start(reportFailure) {
-			schedule(reportFailure);
-		},
-		async stop() {
-			clearTimeout(timer);
-			timer = undefined;
+		step,
+		start: ticker.start,
+		stop: ticker.stop,
+		getAdvice(instance, hasMoved) {
+			const advice = new Set(
+				[...state.loaded.values()].map(({progress}) =>
+					waves.getPlacementAdvice(progress, instance, hasMoved),
+				),
+			);
+			if (advice.has('never')) {
+				return 'never';
+			}
+
+			return advice.has('later') ? 'later' : 'good';
 		},
 	};
 };
