--- a/packages/bench/src/benches/wave/fleet.ts
+++ b/packages/bench/src/benches/wave/fleet.ts
@@ -271,7 +271,9 @@
 
 /** The loss of a worker is known: its jobs go back to what they last saved. */
 const requeueJobs = (fleet: Fleet, worker: Worker) => {
-	for (const job of [...worker.jobs.values()]) {
+	// A job that starts again at once may start here.
+	const lost = [...worker.jobs.values()];
+	for (const job of lost) {
 		const {ranMs, savedMs} = job.lostAt!;
 		fleet.log.push({kind: 'worker-failed', job: job.id});
 		job.startedAt = fleet.now - ranMs + job.savedMs;
