Decide whether a failed task was the worker's or the job's fault

Cause: nothing told a black-hole worker from a job that can never run. Measured: 12 asserts: a worker that fails all is out within five tasks (100 drawn sequences), one bad job never puts a worker out (1,000 drawn sequences), three bad jobs on three good workers: three parked, none out. Conclusion: the rates of both mistakes on traces are still to be measured.

--- /dev/null
+++ b/packages/core/src/blame/blame.test.ts
@@ -0,0 +1,165 @@
+import fc from 'fast-check';
+import * as tap from 'tap';
+import {
+	defaultBlameConfig,
+	emptyBlame,
+	updateBlame,
+	type Blame,
+	type BlameEvent,
+	type BlameVerdict,
+} from './blame.js';
+
+const apply = (events: readonly BlameEvent[]) => {
+	let blame: Blame = emptyBlame;
+	const verdicts: BlameVerdict[] = [];
+	for (const event of events) {
+		const step = updateBlame(blame, event);
+		blame = step.blame;
+		verdicts.push(...step.verdicts);
+	}
+
+	return {blame, verdicts};
+};
+
+const failed = (worker: string, job: string, at = 0): BlameEvent => ({
+	kind: 'failed',
+	worker,
+	job,
+	at,
+});
+
+const succeeded = (worker: string, job: string): BlameEvent => ({
+	kind: 'succeeded',
+	worker,
+	job,
+});
+
+type Row = [name: string, events: BlameEvent[], verdicts: string[]];
+
+const {windowMs} = defaultBlameConfig;
+
+const table: Row[] = [
+	['two jobs fail on a worker', [failed('w', 'a'), failed('w', 'b')], []],
+	[
+		'a third job puts the worker out',
+		[failed('w', 'a'), failed('w', 'b'), failed('w', 'c')],
+		['quarantine-worker w'],
+	],
+	[
+		'one job that fails five times puts no worker out',
+		Array.from({length: 5}, () => failed('w', 'a')),
+		[],
+	],
+	[
+		'a job fails on three workers',
+		[failed('u', 'a'), failed('v', 'a'), failed('w', 'a')],
+		['park-job a'],
+	],
+	[
+		'bad jobs put no good worker out',
+		['a', 'b', 'c'].flatMap((job) => [
+			failed('u', job),
+			failed('v', job),
+			failed('w', job),
+		]),
+		[
+			...['park-job a', 'park-job b', 'quarantine-worker u'].slice(0, 2),
+			'park-job c',
+		],
+	],
+	[
+		'a success between clears the worker',
+		[failed('w', 'a'), failed('w', 'b'), succeeded('w', 'c'), failed('w', 'd')],
+		[],
+	],
+	[
+		'jobs that run elsewhere after all put the worker out',
+		[
+			failed('w', 'a'),
+			failed('v', 'a'),
+			failed('w', 'b'),
+			failed('w', 'c'),
+			succeeded('u', 'a'),
+		],
+		['quarantine-worker w'],
+	],
+	[
+		'old evidence is forgotten',
+		[failed('w', 'a'), failed('w', 'b'), failed('w', 'c', windowMs)],
+		[],
+	],
+	[
+		'a worker at fault releases the job parked for it',
+		[
+			failed('w', 'a'),
+			failed('v', 'a'),
+			failed('u', 'a'),
+			failed('w', 'b'),
+			failed('w', 'c'),
+			failed('w', 'd'),
+		],
+		['park-job a', 'quarantine-worker w', 'release-job a'],
+	],
+	[
+		'a worker that is out is no evidence',
+		[
+			failed('w', 'a'),
+			failed('w', 'b'),
+			failed('w', 'c'),
+			failed('w', 'd'),
+			failed('u', 'd'),
+			failed('v', 'd'),
+		],
+		['quarantine-worker w'],
+	],
+];
+
+const format = (verdict: BlameVerdict): string =>
+	`${verdict.kind} ${'worker' in verdict ? verdict.worker : verdict.job}`;
+
+for (const [name, events, verdicts] of table) {
+	tap.t.test(name, async (t) => {
+		t.same(
+			apply(events).verdicts.map((each) => format(each)),
+			verdicts,
+		);
+	});
+}
+
+tap.t.test('a worker that fails all is out within five tasks', async (t) => {
+	const jobs = fc.array(fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f'), {
+		minLength: 5,
+		maxLength: 5,
+	});
+	fc.assert(
+		fc.property(jobs, (names) => {
+			fc.pre(new Set(names).size > 2);
+			const {blame} = apply(names.map((job) => failed('w', job)));
+			return blame.quarantined.has('w');
+		}),
+		{seed: 3},
+	);
+	t.pass();
+});
+
+tap.t.test('one bad job never puts a worker out', async (t) => {
+	const tasks = fc.array(
+		fc.record({
+			worker: fc.constantFrom('u', 'v', 'w', 'x'),
+			isBad: fc.boolean(),
+		}),
+		{maxLength: 60},
+	);
+	fc.assert(
+		fc.property(tasks, (events) => {
+			const {blame} = apply(
+				events.map(({worker, isBad}, index) =>
+					isBad ? failed(worker, 'bad') : succeeded(worker, `good-${index}`),
+				),
+			);
+			return blame.quarantined.size === 0;
+		}),
+		{seed: 3, numRuns: 1000},
+	);
+	t.pass();
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -48,3 +48,4 @@
 export * as store from './store/index.js';
 export * as waves from './waves/index.js';
 export * as admission from './admission/admission.js';
+export * as blame from './blame/blame.js';
