Remove expired keys; tell no repeat not-run before its key is read

Cause: rows of keys were never removed. The caller's listener refused requests with a key as not-run before the key was looked up (difference 7 of docs/design/agreement-model.md). Change: a sweeper part removes expired rows and their objects, page by page and conditionally. A refusal with the advice 'later' that comes before the keyed layer is told as key-unread if the request has a key.

--- a/packages/core/src/idempotency/attempt.ts
+++ b/packages/core/src/idempotency/attempt.ts
@@ -284,7 +284,7 @@
 /** The row that is written before dispatch. */
 export const createStartedRow = (attempt: Attempt, time: Time): StartedRow => {
 	const {claim, settings} = attempt;
-	const toDate = (at: number) => time.date + (at - time.now);
+	const toDate = (at: number) => Math.round(time.date + (at - time.now));
 	return {
 		state: 'started',
 		fingerprint: claim.fingerprint,
--- a/packages/core/src/idempotency/index.ts
+++ b/packages/core/src/idempotency/index.ts
@@ -8,3 +8,4 @@
 export {formatObjectName} from './settle.js';
 export {createAttempt, isEnded, updateAttempt} from './update-attempt.js';
 export * from './group-commit.js';
+export * from './expiry.js';
--- a/packages/daemon/src/caller/caller-app.ts
+++ b/packages/daemon/src/caller/caller-app.ts
@@ -1,5 +1,6 @@
 /** The callers' HTTP interface: checks a request, runs it, answers it. */
 import {randomUUID} from 'node:crypto';
+import type {IncomingMessage} from 'node:http';
 import type {HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import * as core from '@gullstand/core';
@@ -12,6 +13,7 @@
 import {createErrorResponse, createResponse} from './answer.js';
 import type {Call, CallHandler, CallResult} from './call.js';
 import {createCancellation} from './cancellation.js';
+import {headerNames} from './headers.js';
 import {indexTokens, parseHead, type ParsedHead} from './parse-call.js';
 
 /** What the callers' interface needs. */
@@ -48,6 +50,19 @@
 		? 'ran'
 		: core.errors.getErrorAnswer(result.error).outcome;
 
+/**
+ * A refusal before the key of a request was looked up: one with the same key
+ * may have run, so that no repeat is told `not-run` and to come back.
+ */
+const getRefusal = (
+	kind: errors.ErrorKind,
+	{headers}: IncomingMessage,
+): errors.ErrorKind => {
+	const hasKey = headers[headerNames.idempotencyKey] !== undefined;
+	const {retry} = core.errors.getErrorAnswer(kind);
+	return hasKey && retry === 'later' ? 'key-unread' : kind;
+};
+
 /** Creates the app. */
 export const createCallerApp = (deps: CallerDeps): Hono<Env> => {
 	const findContract = createTokenIndex(deps.getView);
@@ -127,7 +142,7 @@
 		kind: errors.ErrorKind,
 		requestId: string,
 	): Response => {
-		const res = createErrorResponse(kind, requestId);
+		const res = createErrorResponse(getRefusal(kind, incoming), requestId);
 		if (hasBody(incoming)) {
 			// The rest of the body is not read, so the connection cannot go on.
 			res.headers.set('connection', 'close');
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,6 @@
 /** One entry: builds its parts in a supervisor tree. */
 import {randomUUID} from 'node:crypto';
+import * as core from '@gullstand/core';
 import type {
 	InstanceList,
 	ObjectStore,
@@ -7,6 +8,11 @@
 	Workers,
 } from '@gullstand/platform';
 import {createCallerApp} from './caller/caller-app.js';
+import {createSweeper} from './idempotency/sweeper.js';
+import {
+	createSystemClock,
+	systemRandomness,
+} from './idempotency/system-clock.js';
 import {createKeyedCalls} from './idempotency/keyed-calls.js';
 import {
 	getGroupSettings,
@@ -116,6 +122,14 @@
 		maxAttempts: settings.idempotency.maxAttempts,
 		now,
 	});
+	const keySweeper = createSweeper({
+		tables: platform.table,
+		objects: platform.objects,
+		clock: createSystemClock(now),
+		randomness: systemRandomness,
+		clockSkewMs: settings.idempotency.clockSkewMs,
+		settings: core.idempotency.defaultSweepSettings,
+	});
 	const callerListener = createListener(
 		'caller',
 		settings.caller,
@@ -170,6 +184,7 @@
 			viewFollower,
 			upstreamPart,
 			keyed.part,
+			keySweeper,
 			operatorListener,
 			waveRunner,
 			callerListener,
--- a/packages/daemon/src/idempotency/index.ts
+++ b/packages/daemon/src/idempotency/index.ts
@@ -6,3 +6,4 @@
 export * from './keeper.js';
 export * from './keyed-calls.js';
 export * from './keyed-settings.js';
+export * from './sweeper.js';
--- a/packages/daemon/src/idempotency/keyed-calls.test.ts
+++ b/packages/daemon/src/idempotency/keyed-calls.test.ts
@@ -17,10 +17,21 @@
 import {getKeySettings} from './keyed-settings.js';
 
 const now = () => performance.now();
+const largeBudget = 1_048_576;
+const smallBudget = 100;
 
-const startEntry = async (t: tap.Test, shared: Platform, id: string) => {
+const startEntry = async (
+	t: tap.Test,
+	shared: Platform,
+	id: string,
+	maxBufferedBytes = largeBudget,
+) => {
 	const base = createEmbeddedSettings();
-	const settings = {...base, entry: {...base.entry, id}};
+	const settings = {
+		...base,
+		entry: {...base.entry, id},
+		caller: {...base.caller, maxBufferedBytes},
+	};
 	const logger = createLogger(settings.log, 'test', new PassThrough().resume());
 	const daemon = createDaemon({settings, platform: shared, logger, now});
 	await daemon.start((err) => {
@@ -45,7 +56,7 @@
 	const shared = {...embedded.platform, table};
 	const ports = [
 		await startEntry(t, shared, 'entry-1'),
-		await startEntry(t, shared, 'entry-2'),
+		await startEntry(t, shared, 'entry-2', smallBudget),
 	];
 	const send = async (
 		entry: 0 | 1,
@@ -119,6 +130,25 @@
 	t.match(await send(1, intake, 'key-2'), {status: 200, isReplay: false});
 });
 
+tap.t.test(
+	'a refusal before the key is looked up tells no repeat',
+	async (t) => {
+		const {send} = await startEntries(t);
+		const body = 'x'.repeat(smallBudget + 1);
+		t.match(await send(0, intake, 'key-3', body), {outcome: 'ran'});
+		t.match(await send(1, intake, 'key-3', body), {
+			status: 503,
+			error: 'key-unread',
+			outcome: 'unknown',
+			retryAfter: '1',
+		});
+		t.match(await send(1, '/s/quoting/', undefined, body), {
+			error: 'overloaded',
+			outcome: 'not-run',
+		});
+	},
+);
+
 type Row = [name: string, results: CallResult[], told: string[], runs: number];
 
 const answer: CallResult = {
