--- a/packages/cli/src/bin.ts
+++ b/packages/cli/src/bin.ts
@@ -6,6 +6,7 @@
 import {registerFleet} from './commands/fleet.js';
 import {processIo} from './commands/io.js';
 import {registerObjects} from './commands/objects.js';
+import {registerWave} from './commands/wave.js';
 
 const program = new Command('gullstand')
 	.description('Operators of gullstand change contracts and declare waves.')
@@ -19,6 +20,8 @@
   gullstand contract diff brokers.toml
   gullstand contract apply brokers.toml --wait 10000
   gullstand change list --object contract/brokers
+  gullstand wave plan july --pool quoting --hours 12 --weights few-moves
+  gullstand wave start july && gullstand wave status july --watch
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 changed by another since it was
 read, 4 not in force everywhere yet, 5 outcome unknown.`,
@@ -27,4 +30,5 @@
 registerDemo(program);
 registerObjects(program, processIo);
 registerFleet(program, processIo);
+registerWave(program, processIo);
 await program.parseAsync();
--- /dev/null
+++ b/packages/cli/src/commands/wave.ts
@@ -0,0 +1,210 @@
+/** `gullstand wave`: plan, run and watch maintenance waves. */
+import process from 'node:process';
+import {setTimeout} from 'node:timers/promises';
+import {InvalidArgumentError, type Command} from 'commander';
+import {callOperator, type OperatorCall} from '../client/operator-client.js';
+import {getExitCode, getFields, printAnswer, show} from './answer.js';
+import {addTargetFlags, readTarget, type Io, type TargetFlags} from './io.js';
+import {
+	formatBar,
+	formatPlan,
+	formatStatus,
+	type WavePlan,
+	type WaveStatus,
+} from './wave-format.js';
+
+/** Where a progress bar is drawn; none if the output is no terminal. */
+export type Terminal = {
+	readonly isTerminal: boolean;
+	/** Writes over the line that was drawn before. */
+	readonly redraw: (text: string) => void;
+};
+
+const processTerminal: Terminal = {
+	isTerminal: process.stdout.isTTY,
+	redraw(text) {
+		process.stdout.write(`\r\u001B[K${text}`);
+	},
+};
+
+type Fields = Readonly<Record<string, unknown>>;
+
+type PlanFlags = TargetFlags & {
+	readonly pool: readonly string[];
+	readonly hours: number;
+	readonly weights?: string;
+	readonly reserve?: string;
+	readonly domains?: string;
+	readonly order?: string;
+	readonly maxInstances?: number;
+	readonly maxDomains?: number;
+	readonly cycleMinutes?: number;
+	readonly deferWithinHours?: number;
+};
+
+type StatusFlags = TargetFlags & {readonly watch?: number};
+
+const watchEveryMs = 1000;
+
+const parseNumber = (text: string): number => {
+	const value = Number(text);
+	if (!Number.isFinite(value)) {
+		throw new InvalidArgumentError('a number is needed');
+	}
+
+	return value;
+};
+
+const getPath = (id: string, part = ''): string =>
+	`/v1/waves/${encodeURIComponent(id)}${part}`;
+
+const call = async (
+	request: OperatorCall,
+	flags: TargetFlags,
+	io: Io,
+	format: (fields: Fields) => readonly string[],
+) => {
+	const target = await readTarget(flags, io);
+	if (target) {
+		printAnswer(await callOperator(target, request), flags, io, format);
+	}
+};
+
+const registerPlan = (group: Command, io: Io) => {
+	addTargetFlags(group.command('plan').argument('<id>'))
+		.description('plan a wave and show what it would do; nothing starts')
+		.requiredOption('--pool <pool...>', 'pools to maintain')
+		.requiredOption('--hours <hours>', 'time until the deadline', parseNumber)
+		.option('--weights <name>', 'balanced, few-moves, little-buffer or fast')
+		.option('--reserve <domain>', 'none, rack or availability-zone')
+		.option('--domains <rule>', 'prefer-whole or only-whole')
+		.option('--order <order>', 'any or by-availability-zone')
+		.option('--max-instances <count>', 'at work at once', parseNumber)
+		.option('--max-domains <count>', 'racks at work at once', parseNumber)
+		.option('--cycle-minutes <minutes>', 'expected absence', parseNumber)
+		.option('--defer-within-hours <hours>', 'longest delay', parseNumber)
+		.action(async (id: string, flags: PlanFlags) => {
+			const {pool: pools, url, tokenFile, json, ...settings} = flags;
+			const body = {pools, ...settings};
+			await call({method: 'PUT', path: getPath(id), body}, flags, io, (plan) =>
+				formatPlan(plan as unknown as WavePlan),
+			);
+		});
+	addTargetFlags(group.command('preview').argument('<id>'))
+		.description('show what a wave would do if it started now')
+		.action(async (id: string, flags: TargetFlags) => {
+			const path = getPath(id, '/preview');
+			await call({method: 'GET', path}, flags, io, (plan) =>
+				formatPlan(plan as unknown as WavePlan),
+			);
+		});
+};
+
+const commandTexts = {
+	start: 'start a planned wave',
+	pause: 'begin nothing more; what is away comes back',
+	resume: 'go on with a paused wave',
+	cancel: 'end a wave; what is away comes back',
+} as const;
+
+const registerCommands = (group: Command, io: Io) => {
+	for (const [name, text] of Object.entries(commandTexts)) {
+		addTargetFlags(group.command(name).argument('<id>'))
+			.description(text)
+			.action(async (id: string, flags: TargetFlags) => {
+				const path = getPath(id, `/${name}`);
+				await call({method: 'POST', path}, flags, io, ({wave}) => [
+					`wave ${id}: ${show((wave as Fields).state)}`,
+				]);
+			});
+	}
+};
+
+const isOver = ({wave, counts}: WaveStatus): boolean =>
+	wave.state === 'done' ||
+	(wave.state === 'cancelled' && counts.evacuating + counts.taken === 0);
+
+/** Shows progress until the wave is over: a bar, or a line for each change. */
+const watch = async (
+	id: string,
+	flags: StatusFlags,
+	io: Io,
+	terminal: Terminal,
+) => {
+	const target = await readTarget(flags, io);
+	if (target === undefined) {
+		return;
+	}
+
+	let last = '';
+	for (;;) {
+		const answer = await callOperator(target, {
+			method: 'GET',
+			path: getPath(id),
+		});
+		if (answer.status >= 300) {
+			printAnswer(answer, flags, io, () => []);
+			return;
+		}
+
+		const status = getFields(answer) as unknown as WaveStatus;
+		const text = flags.json ? JSON.stringify(status) : formatBar(status);
+		if (text !== last && terminal.isTerminal && !flags.json) {
+			terminal.redraw(text);
+		} else if (text !== last) {
+			io.print(text);
+		}
+
+		last = text;
+		if (isOver(status)) {
+			io.setExitCode(getExitCode(answer));
+			return;
+		}
+
+		await setTimeout(flags.watch ?? watchEveryMs);
+	}
+};
+
+const registerStatus = (group: Command, io: Io, terminal: Terminal) => {
+	addTargetFlags(group.command('status').argument('<id>'))
+		.description('show progress and what the wave waits for')
+		.option('--watch [ms]', 'show progress until it is over', parseNumber)
+		.action(
+			async (
+				id: string,
+				flags: TargetFlags & {readonly watch?: number | true},
+			) => {
+				const {watch: everyMs, ...target} = flags;
+				if (everyMs === undefined) {
+					await call({method: 'GET', path: getPath(id)}, target, io, (status) =>
+						formatStatus(status as unknown as WaveStatus),
+					);
+					return;
+				}
+
+				const ms = everyMs === true ? watchEveryMs : everyMs;
+				await watch(id, {...target, watch: ms}, io, terminal);
+			},
+		);
+	addTargetFlags(group.command('list').description('list all waves')).action(
+		async (flags: TargetFlags) =>
+			call({method: 'GET', path: '/v1/waves'}, flags, io, ({waves}) =>
+				(waves as readonly Fields[]).map(
+					(wave) =>
+						`${show(wave.id)} ${show(wave.state)} ${(wave.pools as readonly string[]).join(',')}`,
+				),
+			),
+	);
+};
+
+/** Registers the commands of this domain. */
+export const registerWave = (
+	program: Command,
+	io: Io,
+	terminal: Terminal = processTerminal,
+) => {
+	const group = program.command('wave').description('maintenance waves');
+	registerPlan(group, io);
+	registerCommands(group, io);
+	registerStatus(group, io, terminal);
+};
