Share the store's rate among entries by demand

Cause: each entry took a tenth of the fleet's rate whatever the size of the fleet; a group commit cost as many write tokens as it had rows; and with a small share the burst was below one token, so that each write of an idle entry waited 0.8 s.

Change: client.createRateSharer puts an entry's demand into a row every 10 s and takes a max-min fair share; the burst is at least one token; a transaction is one write token unless rows are counted; the breaker opens for 4 s at most.

--- a/packages/core/src/store/breaker.ts
+++ b/packages/core/src/store/breaker.ts
@@ -24,7 +24,7 @@
 export const defaultBreakerConfig: BreakerConfig = {
 	openAfterFailures: 5,
 	firstOpenMs: 500,
-	maxOpenMs: 8000,
+	maxOpenMs: 4000,
 	probeTimeoutMs: 5000,
 	rampMs: 10_000,
 	firstShare: 0.2,
--- a/packages/core/src/store/store.test.ts
+++ b/packages/core/src/store/store.test.ts
@@ -36,6 +36,13 @@
 	});
 });
 
+tap.t.test('an idle daemon with a small share does not wait', async (t) => {
+	const cfg = store.createBucketConfig(1, 0.2);
+	const bucket = store.createTokenBucket(cfg, 0);
+	t.equal(store.reserveTokens(bucket, 1, 60_000, 0), 0);
+	t.equal(store.reserveTokens(bucket, 1, 60_000, 5000), 1250);
+});
+
 tap.t.test('a wait above the bound reserves nothing', async (t) => {
 	const cfg = {tokensPerSecond: 10, burst: 5};
 	const bucket = store.createTokenBucket(cfg, 0);
--- a/packages/core/src/store/token-bucket.ts
+++ b/packages/core/src/store/token-bucket.ts
@@ -24,14 +24,15 @@
 
 /**
  * Splits a rate into a steady part and a burst, so that no second ever sees
- * more than the rate.
+ * more than the rate. The burst is at least one token: below that every call
+ * would wait, also that of an idle daemon.
  */
 export const createBucketConfig = (
 	ratePerSecond: number,
 	burstShare: number,
 ): TokenBucketConfig => ({
 	tokensPerSecond: ratePerSecond * (1 - burstShare),
-	burst: ratePerSecond * burstShare,
+	burst: Math.max(1, ratePerSecond * burstShare),
 });
 
 /** Makes an empty bucket: a daemon that starts has no burst to spend. */
--- /dev/null
+++ b/packages/daemon/src/platform/open-platform.test.ts
@@ -0,0 +1,36 @@
+import * as tap from 'tap';
+import * as platform from '@gullstand/platform';
+import {countListed} from './open-platform.js';
+
+tap.t.test('counts the entries that the list shows', async (t) => {
+	const list = platform.createMemoryInstanceList();
+	const counts: number[] = [];
+	const control = platform.faults.createFaultControl({
+		random: () => 0.5,
+		wait: async () => undefined,
+		timeoutMs: 1,
+	});
+	const shared = countListed(
+		platform.faults.wrapInstanceList(list, control),
+		(count) => counts.push(count),
+	);
+	for (const [id, role, state] of [
+		['e1', 'entry', 'live'],
+		['e2', 'entry', 'leaving'],
+		['x1', 'executor', 'live'],
+	] as const) {
+		list.set({
+			id,
+			role,
+			state,
+			address: '127.0.0.1:1',
+			availabilityZone: 'a',
+			incarnation: '1',
+		});
+		await shared.list();
+	}
+
+	control.set({isDown: true});
+	await shared.list();
+	t.same(counts, [1, 2, 2]);
+});
--- a/packages/daemon/src/platform/open-platform.ts
+++ b/packages/daemon/src/platform/open-platform.ts
@@ -1,8 +1,10 @@
 /** Opens the platform that the settings name, behind the rate guard. */
+import {randomUUID} from 'node:crypto';
 import * as platform from '@gullstand/platform';
 import type {Platform} from '../daemon.js';
 import type {Settings} from '../settings/schema.js';
 import {createEnvironment} from '../view/environment.js';
+import {createTicker} from '../view/ticker.js';
 
 /** An open platform and its end. */
 export type OpenPlatform = {
@@ -10,8 +12,8 @@
 	readonly close: () => Promise<void>;
 };
 
-/** Entries that share the fleet's rate: nine, and one being replaced. */
-const entriesSharingRate = 10;
+/** Entries that share the fleet's rate while their number is not known. */
+const entriesAtStart = 18;
 
 const openMemoryPlatform = (now: () => number): OpenPlatform => ({
 	platform: {
@@ -25,11 +27,58 @@
 	},
 });
 
-const getShare = (): platform.client.RateShare => {
+const getShare = (entries: number): platform.client.RateShare => {
 	const {readsPerSecond, writesPerSecond} = platform.client.defaultFleetRate;
+	const sharers = Math.max(1, entries);
 	return {
-		readsPerSecond: readsPerSecond / entriesSharingRate,
-		writesPerSecond: writesPerSecond / entriesSharingRate,
+		readsPerSecond: readsPerSecond / sharers,
+		writesPerSecond: writesPerSecond / sharers,
+	};
+};
+
+/** Tells how many entries each read of the list shows. */
+export const countListed = (
+	list: platform.InstanceList,
+	setListed: (entries: number) => void,
+): platform.InstanceList => ({
+	async list() {
+		const read = await list.list();
+		if (read.ok) {
+			setListed(read.value.filter(({role}) => role === 'entry').length);
+		}
+
+		return read;
+	},
+});
+
+const sharePeriodMs = 10_000;
+
+const silentPeriods = 3;
+
+/** Shares the fleet's rate by demand until it is stopped. */
+const startSharing = (
+	tables: platform.TableService,
+	guard: platform.client.Guard,
+	env: platform.client.Environment,
+) => {
+	const sharer = platform.client.createRateSharer({
+		tables,
+		guard,
+		env,
+		id: randomUUID(),
+		fleetRate: platform.client.defaultFleetRate,
+		silentMs: silentPeriods * sharePeriodMs,
+	});
+	const ticker = createTicker(sharer.exchange, sharePeriodMs, env.random);
+	void ticker.start(() => {
+		// An exchange reports its failures as values.
+	});
+	return {
+		setListed: sharer.setListed,
+		async stop() {
+			await ticker.stop();
+			await sharer.leave();
+		},
 	};
 };
 
@@ -39,29 +88,38 @@
 		origin: new URL(url).origin,
 		timeoutMs,
 	});
+	const env = createEnvironment();
 	const guard = platform.client.createGuard(
-		{...platform.client.defaultGuardConfig, share: getShare()},
-		createEnvironment(),
+		{...platform.client.defaultGuardConfig, share: getShare(entriesAtStart)},
+		env,
 	);
 	const {createGuardedObjectStore, createGuardedTableService} = platform.client;
+	const table = createGuardedTableService(
+		platform.createHttpTableService(connection),
+		guard,
+	);
+	const sharing = startSharing(table, guard, env);
 	return {
 		platform: {
-			table: createGuardedTableService(
-				platform.createHttpTableService(connection),
-				guard,
-			),
+			table,
 			objects: createGuardedObjectStore(
 				platform.createHttpObjectStore(connection),
 				guard,
 			),
-			list: platform.createHttpInstanceList(connection),
+			list: countListed(
+				platform.createHttpInstanceList(connection),
+				sharing.setListed,
+			),
 			workers: platform.createHttpWorkers(connection),
 		},
-		close: async () => connection.close(),
+		async close() {
+			await sharing.stop();
+			await connection.close();
+		},
 	};
 };
 
-/** Opens the platform; nothing is called yet. */
+/** Opens the platform; its first call is made later. */
 export const openPlatform = (
 	settings: Settings['platform'],
 	now: () => number,
--- a/packages/platform/src/client/guarded-call.ts
+++ b/packages/platform/src/client/guarded-call.ts
@@ -67,6 +67,8 @@
 		action: () => Promise<core.Result<Value, Failure>>,
 	) => Promise<CallResult<Value, Failure>>;
 	readonly setShare: (share: RateShare) => void;
+	/** What was asked for lately, granted or not. */
+	readonly getDemand: () => RateShare;
 	readonly counts: Readonly<GuardCounts>;
 	readonly getBreaker: () => core.store.Breaker;
 };
@@ -76,6 +78,7 @@
 	readonly env: Environment;
 	readonly counts: GuardCounts;
 	readonly buckets: Record<CallKind, core.store.TokenBucket>;
+	readonly demands: Record<CallKind, core.store.Demand>;
 	share: RateShare;
 	breaker: core.store.Breaker;
 };
@@ -131,9 +134,11 @@
 	const base = {cfg, share: cfg.share};
 	const createBucket = (kind: CallKind) =>
 		core.store.createTokenBucket(getBucketConfig(base, kind, 1), env.now());
+	const createDemand = () => core.store.createDemand(0, env.now());
 	return {
 		...base,
 		env,
+		demands: {reads: createDemand(), writes: createDemand()},
 		buckets: {reads: createBucket('reads'), writes: createBucket('writes')},
 		counts: {reads: 0, writes: 0, failures: 0, refusedOpen: 0, refusedRate: 0},
 		breaker: core.store.closedBreaker,
@@ -152,6 +157,7 @@
 	action: () => Promise<core.Result<Value, Failure>>,
 ): Promise<CallResult<Value, Failure>> => {
 	const {cfg, env} = state;
+	core.store.recordDemand(state.demands[kind], tokens, env.now());
 	if (core.store.isRefusing(state.breaker, cfg.breaker, env.now())) {
 		return refuseOpen(state);
 	}
@@ -187,6 +193,10 @@
 		setShare(share) {
 			state.share = share;
 		},
+		getDemand: () => ({
+			readsPerSecond: core.store.getDemand(state.demands.reads, env.now()),
+			writesPerSecond: core.store.getDemand(state.demands.writes, env.now()),
+		}),
 		counts: state.counts,
 		getBreaker: () => state.breaker,
 	};
--- a/packages/platform/src/client/guarded-tables.ts
+++ b/packages/platform/src/client/guarded-tables.ts
@@ -3,8 +3,14 @@
 import type {TableService, Write} from '../ports/table-service.js';
 import type {Guard} from './guarded-call.js';
 
-/** Rows put or deleted; a check costs one token when it stands alone. */
-export const countWriteTokens = (writes: readonly Write[]): number =>
+/** What one transaction takes from the budget of writes. */
+export type CountWrites = (writes: readonly Write[]) => number;
+
+/** One a transaction, for a store whose rate counts transactions. */
+export const countTransactions: CountWrites = () => 1;
+
+/** One a row put or deleted, for a store whose rate counts rows. */
+export const countRows: CountWrites = (writes) =>
 	Math.max(1, writes.filter(({kind}) => kind !== 'check').length);
 
 /**
@@ -14,13 +20,14 @@
 export const createGuardedTableService = (
 	inner: TableService,
 	guard: Guard,
+	countWrites: CountWrites = countTransactions,
 ): TableService => ({
 	get: async (table, key) =>
 		guard.call('reads', 1, async () => inner.get(table, key)),
 	range: async (query) =>
 		guard.call('reads', 1, async () => inner.range(query)),
 	commit: async (writes, operationId) =>
-		guard.call('writes', countWriteTokens(writes), async () =>
+		guard.call('writes', countWrites(writes), async () =>
 			inner.commit(writes, operationId),
 		),
 });
