--- /dev/null
+++ b/packages/bench/src/benches/outage/load-meter.ts
@@ -0,0 +1,75 @@
+/** Counts calls that reach the store, by time of arrival. */
+import type {TableService} from '@gullstand/platform';
+
+/** Arrivals of one kind of call, in milliseconds and in order. */
+export type Arrivals = number[];
+
+/** Calls that reached the store. */
+export type LoadMeter = {
+	readonly reads: Arrivals;
+	readonly writes: Arrivals;
+	readonly tables: TableService;
+};
+
+/** Meters calls to a table service. */
+export const createLoadMeter = (
+	inner: TableService,
+	now: () => number,
+): LoadMeter => {
+	const reads: Arrivals = [];
+	const writes: Arrivals = [];
+	return {
+		reads,
+		writes,
+		tables: {
+			async get(table, key) {
+				reads.push(now());
+				return inner.get(table, key);
+			},
+			async range(query) {
+				reads.push(now());
+				return inner.range(query);
+			},
+			async commit(transaction, operationId) {
+				writes.push(now());
+				return inner.commit(transaction, operationId);
+			},
+		},
+	};
+};
+
+const secondMs = 1000;
+
+/** Most arrivals in any second that begins in [from, to). */
+export const getMostInSecond = (
+	arrivals: Arrivals,
+	from: number,
+	to: number,
+): number => {
+	let most = 0;
+	let first = 0;
+	for (const [index, at] of arrivals.entries()) {
+		while (arrivals[first]! <= at - secondMs || arrivals[first]! < from) {
+			if (first === index) {
+				break;
+			}
+
+			first += 1;
+		}
+
+		if (at >= from && at < to + secondMs && arrivals[first]! >= from) {
+			most = Math.max(most, index - first + 1);
+		}
+	}
+
+	return most;
+};
+
+/** Arrivals a second, on average over [from, to). */
+export const getMeanPerSecond = (
+	arrivals: Arrivals,
+	from: number,
+	to: number,
+): number =>
+	arrivals.filter((at) => at >= from && at < to).length /
+	((to - from) / secondMs);
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -15,4 +15,5 @@
 	'at-most-once': async () => import('./benches/at-most-once.js'),
 	ownership: async () => import('./benches/ownership.js'),
 	overload: async () => import('./benches/overload.js'),
+	outage: async () => import('./benches/outage.js'),
 };
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -20,7 +20,6 @@
 export type * from './waves/wave-runner.js';
 export type * from './waves/wave-facts.js';
 export {getJitteredMs} from './view/ticker.js';
-export type {Wave} from './waves/wave-runner.js';
 export * from './peers/peer-channel.js';
 export type * from './peers/peer-methods.js';
 export * from './upstream/call-handler.js';
