Admit callers' requests through the fair queue

Cause: the daemon sent every request on at once and refused by a full executor only, in order of arrival, with one fixed time to return. Change: packages/daemon/src/admission puts core's admission between the at-most-once layer and dispatch, one queue a service, kept up with the view and with the number of live entries. A caller that leaves gives up its place or its attempt; slots freed by a wave of cancellations are given out after the wave. Refusals carry the time to return of the queue. Rounds of such times now begin between those of the round before: the socket test showed that under a standing clock each round repeated the last. Conclusion: the caller path refuses at once, not-run, and drops hopeless requests when they become so; socket tests cause both.

--- a/packages/core/src/admission/admission.test.ts
+++ b/packages/core/src/admission/admission.test.ts
@@ -246,6 +246,7 @@
 
 		const most = Math.max(...seconds.values());
 		t.ok(most <= times.length / 4, 'no second gets more than a quarter');
+		t.ok(new Set(times).size > times.length / 2, 'few are given twice');
 	},
 );
 
--- a/packages/core/src/admission/customer.ts
+++ b/packages/core/src/admission/customer.ts
@@ -31,6 +31,8 @@
 	contractUseAt: number;
 	/** Latest time at which a refused caller was told to return. */
 	returnAt: number;
+	/** Where between two such times the next round begins, in [0, 1). */
+	returnPhase: number;
 };
 
 const getDepth = (settings: AdmissionSettings, tokensPerMs: number): number =>
@@ -68,6 +70,7 @@
 		contractUse: 0,
 		contractUseAt: now,
 		returnAt: Number.NEGATIVE_INFINITY,
+		returnPhase: 0,
 	};
 };
 
--- a/packages/core/src/admission/return-time.ts
+++ b/packages/core/src/admission/return-time.ts
@@ -9,6 +9,9 @@
 /** Part of the drain that is given to callers who return. */
 const returnShare = 0.5;
 
+/** Its multiples, modulo 1, fall evenly between one another. */
+const goldenRatio = (Math.sqrt(5) - 1) / 2;
+
 /** When there will be room for a customer's requests. */
 export type Room = {
 	/** Time until the queue is short enough. */
@@ -33,8 +36,9 @@
 	const stepMs = Math.min(room.spacingMs / returnShare, maxRetryAfterMs / 4);
 	let returnAt = Math.max(customer.returnAt + stepMs, now + firstMs);
 	if (returnAt > now + maxRetryAfterMs) {
-		// Every time in the window is given; start over at its beginning.
-		returnAt = now + firstMs;
+		// Every time in the window is given; start over between the first two.
+		customer.returnPhase = (customer.returnPhase + goldenRatio) % 1;
+		returnAt = now + firstMs + customer.returnPhase * stepMs;
 	}
 
 	customer.returnAt = returnAt;
--- /dev/null
+++ b/packages/daemon/src/admission/service-queue.ts
@@ -0,0 +1,157 @@
+/** Admission of one service's calls: who waits, who goes, who is told no. */
+import * as core from '@gullstand/core';
+import {
+	createError,
+	type Call,
+	type CallHandler,
+	type CallResult,
+} from '../caller/call.js';
+
+type Ticket = core.admission.Ticket;
+
+/** A call that waits for its slot. */
+type Waiting = {
+	readonly call: Call;
+	readonly next: CallHandler;
+	readonly resolve: (result: CallResult | Promise<CallResult>) => void;
+	readonly stopListening: () => void;
+};
+
+/** Admission of one service. */
+export type ServiceQueue = {
+	readonly run: (call: Call, next: CallHandler) => Promise<CallResult>;
+	/** Puts changed contracts and slots in force. */
+	readonly update: (
+		terms: readonly core.admission.CustomerTerms[],
+		share: number,
+		slots: number,
+	) => void;
+	readonly getStatus: () => core.admission.AdmissionStatus;
+	/** Drops what has become hopeless; true while calls wait. */
+	readonly expire: () => boolean;
+};
+
+/** Results whose time shows how long the service takes. */
+const isMeasured = (result: CallResult): boolean =>
+	result.kind === 'answer' || result.error === 'upstream-timeout';
+
+/** Creates the admission of one service. */
+export const createServiceQueue = (
+	settings: core.admission.AdmissionSettings,
+	now: () => number,
+): ServiceQueue => {
+	const state = core.admission.createAdmission(settings, now());
+	const waiting = new Map<Ticket, Waiting>();
+	let isDrainPlanned = false;
+
+	const takeWaiting = (ticket: Ticket): Waiting | undefined => {
+		const found = waiting.get(ticket);
+		waiting.delete(ticket);
+		found?.stopListening();
+		return found;
+	};
+
+	const drop = ({ticket, error, retryAfterMs}: core.admission.Dropped) => {
+		takeWaiting(ticket)?.resolve(createError(error, 0, retryAfterMs));
+	};
+
+	const drain = () => {
+		let decision = core.admission.next(state, now());
+		while (decision) {
+			if (decision.kind === 'dropped') {
+				drop(decision);
+			} else {
+				const {ticket} = decision;
+				const found = takeWaiting(ticket);
+				found?.resolve(send(ticket, found.call, found.next));
+			}
+
+			decision = core.admission.next(state, now());
+		}
+	};
+
+	/** Lets a wave of cancellations leave the queue before slots are given. */
+	const planDrain = () => {
+		if (!isDrainPlanned) {
+			isDrainPlanned = true;
+			setImmediate(() => {
+				isDrainPlanned = false;
+				drain();
+			});
+		}
+	};
+
+	const send = async (
+		ticket: Ticket,
+		call: Call,
+		next: CallHandler,
+	): Promise<CallResult> => {
+		let measured = false;
+		try {
+			const result = await next(call);
+			measured = isMeasured(result);
+			return result;
+		} finally {
+			core.admission.finish(state, ticket, {measured}, now());
+			if (call.cancellation.isCancelled()) {
+				planDrain();
+			} else {
+				drain();
+			}
+		}
+	};
+
+	const wait = async (ticket: Ticket, call: Call, next: CallHandler) =>
+		new Promise<CallResult>((resolve) => {
+			const stopListening = call.cancellation.onCancel(() => {
+				if (core.admission.cancel(state, ticket) === 'left-queue') {
+					takeWaiting(ticket)?.resolve(createError('cancelled'));
+				}
+			});
+			waiting.set(ticket, {call, next, resolve, stopListening});
+			drain();
+		});
+
+	return {
+		async run(call, next) {
+			if (call.cancellation.isCancelled()) {
+				return createError('cancelled');
+			}
+
+			const at = now();
+			const request = {
+				id: call.requestId,
+				customer: call.contract.customer,
+				class: call.requestClass,
+				timeoutMs: call.deadline - at,
+			};
+			const decision = core.admission.offer(state, request, at);
+			switch (decision.kind) {
+				case 'dispatch': {
+					return send(decision.ticket, call, next);
+				}
+
+				case 'queued': {
+					return wait(decision.ticket, call, next);
+				}
+
+				case 'refused': {
+					return createError(decision.error, 0, decision.retryAfterMs);
+				}
+			}
+		},
+		update(terms, share, slots) {
+			core.admission.updateTerms(state, terms, share, now());
+			core.admission.updateSlots(state, slots);
+			drain();
+		},
+		getStatus: () => core.admission.getStatus(state, now()),
+		expire() {
+			for (const dropped of core.admission.expire(state, now())) {
+				drop(dropped);
+			}
+
+			return state.queued > 0;
+		},
+	};
+};
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,6 +7,8 @@
 	TableService,
 	Workers,
 } from '@gullstand/platform';
+import {createAdmissionLayer} from './admission/admission-layer.js';
+import {createEntryShare, getSlotShare} from './admission/entry-share.js';
 import {createCallerApp} from './caller/caller-app.js';
 import {createSweeper} from './idempotency/sweeper.js';
 import {
@@ -24,6 +26,7 @@
 import {createOperatorApp} from './operator/operator-app.js';
 import type {Settings} from './settings/schema.js';
 import {createSupervisor, type Part} from './supervisor/supervisor.js';
+import {listServing} from './caller/plain-dispatch.js';
 import {createUpstreamDispatch} from './upstream/call-handler.js';
 import {defaultUpstreamConfig} from './upstream/types.js';
 import {createEnvironment} from './view/environment.js';
@@ -112,6 +115,22 @@
 		},
 		stop: async () => dispatch.close(),
 	};
+	const entryShare = createEntryShare(platform.list, entriesSharingConnections);
+	const admission = createAdmissionLayer({
+		getView,
+		now,
+		settings: settings.admission,
+		getShare: entryShare.getShare,
+		getSlots(service) {
+			const executors = listServing(getView(), service.pool).length;
+			return getSlotShare(
+				service,
+				executors,
+				entryShare.getShare(),
+				entriesSharingConnections,
+			);
+		},
+	});
 	const keyed = createKeyedCalls({
 		tables: platform.table,
 		objects: platform.objects,
@@ -136,7 +155,7 @@
 		createCallerApp({
 			settings: settings.caller,
 			getView,
-			handle: keyed.layer(dispatch.handle),
+			handle: keyed.layer(admission.layer(dispatch.handle)),
 			now,
 			logger,
 			metrics,
@@ -183,6 +202,7 @@
 		[
 			viewFollower,
 			upstreamPart,
+			entryShare,
 			keyed.part,
 			keySweeper,
 			operatorListener,
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -105,6 +105,14 @@
 		.default(mebibyte),
 });
 
+/** Fair queue and refusals; docs/operators/overload.md. */
+const admission = z.strictObject({
+	/** Requests of one service that wait at once, at most. */
+	maxQueued: z.int().min(1).max(1_000_000).default(10_000),
+	/** Time that a request and its answer spend between caller and entry. */
+	transitMs: z.int().min(0).max(oneMinuteMs).default(0),
+});
+
 /** At-most-once requests; docs/operators/at-most-once.md. */
 const idempotency = z.strictObject({
 	/** How long a key is remembered. */
@@ -150,6 +158,7 @@
 		peers: peers.optional(),
 		platform,
 		upstream: upstream.prefault({}),
+		admission: admission.prefault({}),
 		idempotency: idempotency.prefault({}),
 		stop: stop.prefault({}),
 		log: log.prefault({}),
