Decide placement of jobs on workers by learned use

Cause: declared sizes are wrong by up to four times, and nothing placed jobs. Change: core/placement: estimates from lagging reports and each customer's record of declaring, best fit with spread over racks and availability zones, quotas, urgent work that throttles or checkpoints other work, order by dominant resource fairness (Ghodsi et al., NSDI 2011), relocation with hysteresis.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -71,3 +71,5 @@
 	PoolLimits,
 } from './limits/pool-limits.js';
 export * as silence from './limits/silence.js';
+export type * from './types/job.js';
+export * as placement from './placement/index.js';
--- /dev/null
+++ b/packages/core/src/placement/index.ts
@@ -0,0 +1,7 @@
+/** Placement of jobs on workers: pure decisions over a cluster's state. */
+export * from './resources.js';
+export * from './usage-estimate.js';
+export * from './cluster.js';
+export * from './place-job.js';
+export * from './pending-order.js';
+export * from './relocation.js';
--- /dev/null
+++ b/packages/core/src/placement/resources.ts
@@ -0,0 +1,41 @@
+/** Arithmetic of resources. */
+import type {Resources} from '../types/job.js';
+
+/** Nothing. */
+export const noResources: Resources = {cores: 0, memoryMb: 0, accelerators: 0};
+
+/** Sum of two amounts. */
+export const addResources = (a: Resources, b: Resources): Resources => ({
+	cores: a.cores + b.cores,
+	memoryMb: a.memoryMb + b.memoryMb,
+	accelerators: a.accelerators + b.accelerators,
+});
+
+/** An amount taken from another. */
+export const subtractResources = (a: Resources, b: Resources): Resources => ({
+	cores: a.cores - b.cores,
+	memoryMb: a.memoryMb - b.memoryMb,
+	accelerators: a.accelerators - b.accelerators,
+});
+
+const tolerance = 1e-6;
+
+/** Whether an amount fits into another. */
+export const fitsInto = (amount: Resources, room: Resources): boolean =>
+	amount.cores <= room.cores + tolerance &&
+	amount.memoryMb <= room.memoryMb + tolerance &&
+	amount.accelerators <= room.accelerators + tolerance;
+
+const getShare = (amount: number, capacity: number): number =>
+	capacity > 0 ? amount / capacity : 0;
+
+/** Largest share of a capacity that an amount takes, from 0. */
+export const getDominantShare = (
+	amount: Resources,
+	capacity: Resources,
+): number =>
+	Math.max(
+		getShare(amount.cores, capacity.cores),
+		getShare(amount.memoryMb, capacity.memoryMb),
+		getShare(amount.accelerators, capacity.accelerators),
+	);
