Judge a take by the view that it commits on

Cause: the view may move on between the round in which the ledgers followed it and the take; a contract tightened in between was then judged by older terms, although the take committed only on the newest view. Change: a take first finds its ledgers in step with the very view that it commits on, else the round ends. While there is no wave an entry looks for one once a second, and steps a wave every 250 ms in place of 50. Conclusion: terms in the ledger and the revision in the commit guard together; neither is enough alone.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -63,7 +63,7 @@
 
 const viewPollMs = 500;
 
-const wavePollMs = 50;
+const wavePollMs = 250;
 
 /** Entries in front of an executor, old and new ones during a replacement. */
 const entriesSharingConnections = 9;
--- a/packages/daemon/src/waves/ledger-book.ts
+++ b/packages/daemon/src/waves/ledger-book.ts
@@ -17,6 +17,15 @@
 	readonly getValues: () => ReadonlyMap<string, budget.Ledger>;
 	/** Notes a ledger that was committed; version undefined: read anew. */
 	readonly update: (ledger: budget.Ledger, version: number | undefined) => void;
+	/**
+	 * True if the ledgers of the services already say what this view and list
+	 * say. The view may have moved on since the last `follow`.
+	 */
+	readonly isInStep: (
+		services: readonly string[],
+		view: View,
+		listed: Listed,
+	) => boolean;
 	/** The next `follow` reads the rows anew. */
 	readonly invalidate: () => void;
 	/**
@@ -180,6 +189,19 @@
 		getValues: () =>
 			new Map([...ledgers].map(([name, {value}]) => [name, value])),
 		update,
+		isInStep(services, view, listed) {
+			const byPool = groupByPool(view);
+			return services.every((name) => {
+				const known = ledgers.get(name)?.value;
+				const pool = view.services.get(name)?.pool ?? '';
+				const members = byPool.get(pool) ?? [];
+				const facts = {view, listed, now: 0};
+				return (
+					known !== undefined &&
+					isSame(known, createExpected(name, members, known, facts))
+				);
+			});
+		},
 		invalidate() {
 			isFresh = false;
 		},
--- a/packages/daemon/src/waves/wave-commands.ts
+++ b/packages/daemon/src/waves/wave-commands.ts
@@ -115,7 +115,8 @@
 		readonly instances: ReadonlyArray<budget.RowPut<Instance>>;
 		readonly also: readonly Put[];
 		readonly guards?: readonly Write[];
-		readonly mustBeNewest?: boolean;
+		/** Commits only if nothing has changed since this view. */
+		readonly newest?: followedView.FollowedView;
 	},
 ): Promise<boolean> => {
 	const committed = await commitChange(
@@ -134,8 +135,8 @@
 				...(operation.guards ?? []),
 				...deps.getGuards(),
 			],
-			known: deps.getFollowed(),
-			mustBeNewest: operation.mustBeNewest ?? false,
+			known: operation.newest ?? deps.getFollowed(),
+			mustBeNewest: operation.newest !== undefined,
 			...(deps.env && {env: deps.env}),
 		},
 	);
@@ -211,8 +212,9 @@
 };
 
 /**
- * Books a rack in its ledgers and makes it drain. It commits only on the
- * newest view, so no contract has changed since the ledgers were followed.
+ * Books a rack in its ledgers and makes it drain. It commits only if nothing
+ * has changed since the view by which the ledgers were found in step, so that
+ * no contract is judged by older terms.
  */
 const take = async (
 	deps: CommandDeps,
@@ -227,14 +229,23 @@
 	const {loaded, listed, facts} = command;
 	const since = deps.now();
 	const operationId = randomUUID();
-	const {view} = deps.getFollowed();
+	const followed = deps.getFollowed();
+	const {view} = followed;
+	const servicesByPool = getServicesByPool(view);
+	const services = instances.flatMap(
+		({value}) => servicesByPool.get(value.pool) ?? [],
+	);
+	if (!deps.book.isInStep(services, view, listed)) {
+		return false;
+	}
+
 	const change = budget.reserveAway(
 		{
 			operationId,
 			wave: loaded.progress.wave.id,
 			instances,
 			ledgers: deps.book.getLedgers(),
-			servicesByPool: getServicesByPool(view),
+			servicesByPool,
 			reserves: facts.reserves,
 		},
 		since,
@@ -259,7 +270,7 @@
 			...puts.filter((put) => !isInstancePut(put)),
 			putPhases(command, ids, getPhase),
 		],
-		mustBeNewest: true,
+		newest: followed,
 	});
 	if (isDone) {
 		notePhases(command, ids, getPhase);
--- a/packages/daemon/src/waves/wave-runner.test.ts
+++ b/packages/daemon/src/waves/wave-runner.test.ts
@@ -126,9 +126,23 @@
 		},
 	} as unknown as Workers;
 
-	const faulty: TableService = {...table, commit};
+	/** Run once when a round reads the entries: after the ledgers, before takes. */
+	const hooks: Array<() => Promise<void>> = [];
+	const faulty: TableService = {
+		...table,
+		commit,
+		async get(name, key) {
+			if (name === core.agreementTables.membership) {
+				await hooks.shift()?.();
+			}
+
+			return table.get(name, key);
+		},
+	};
+	const followers: Array<ReturnType<typeof createViewFollower>> = [];
 	const createRunner = () => {
 		const follower = createViewFollower(faulty, 1000);
+		followers.push(follower);
 		return createWaveRunner({
 			table: faulty,
 			list,
@@ -231,6 +245,31 @@
 		}
 	};
 
+	/** Changes the contract; every entry sees it at once. */
+	const setMaxAway = async (allowed: number) => {
+		const row = await table.get('contract', 'brokers');
+		const [terms] = contract.services;
+		await commitChange(
+			table,
+			[
+				{
+					table: 'contract',
+					key: 'brokers',
+					value: toJson({
+						...contract,
+						services: [{...terms, maxAway: allowed}],
+					}),
+					when: {
+						kind: 'version',
+						version: row.ok ? (row.value?.version ?? 0) : 0,
+					},
+				},
+			],
+			randomUUID(),
+		);
+		await Promise.all(followers.map(async (each) => each.poll()));
+	};
+
 	const countAway = () =>
 		table
 			.dump()
@@ -241,6 +280,8 @@
 		table,
 		list,
 		faults,
+		hooks,
+		setMaxAway,
 		verdict,
 		clock,
 		createRunner,
@@ -365,6 +406,18 @@
 	},
 );
 
+tap.t.test('a contract changed in mid-round binds the next take', async (t) => {
+	const world = await createWorld();
+	// The change comes after the ledgers were followed, before the first take.
+	world.hooks.push(async () => world.setMaxAway(0));
+	await runRounds(world, 1, 5);
+	t.equal(world.countAway(), 0);
+	await world.setMaxAway(maxAway);
+	await runRounds(world, 1, 60);
+	const {state} = await world.readWave();
+	t.equal(state, 'done');
+});
+
 for (const state of ['paused', 'cancelled'] as const) {
 	tap.t.test(
 		`${state}: what is away comes back, nothing more goes`,
--- a/packages/daemon/src/waves/wave-runner.ts
+++ b/packages/daemon/src/waves/wave-runner.ts
@@ -67,6 +67,8 @@
 const maxWork = 24;
 /** Steps of one wave in one round; each lets the event loop go on. */
 const maxSteps = 200;
+/** Time between looks for a wave while there is none. */
+const idlePollMs = 1000;
 /** Time after which a restart that shows nothing is asked for again. */
 const rebootRetryMs = 60_000;
 
@@ -78,6 +80,8 @@
 	/** Cancelled waves with nothing away any more. */
 	readonly settled: Set<string>;
 	readonly rebootAskedAt: Map<string, number>;
+	/** Until then a round looks at nothing, as there was no wave. */
+	idleUntil: number;
 };
 
 const isRunnable = ({progress}: LoadedWave): boolean =>
@@ -246,6 +250,12 @@
 		return;
 	}
 
+	const now = deps.now();
+	if (state.loaded.size === 0 && now < state.idleUntil) {
+		return;
+	}
+
+	state.idleUntil = now + idlePollMs;
 	const hasWaves = (await refreshWaves(state)) && state.loaded.size > 0;
 	if (!hasWaves) {
 		return;
@@ -289,6 +299,7 @@
 		loaded: new Map(),
 		settled: new Set(),
 		rebootAskedAt: new Map(),
+		idleUntil: 0,
 	};
 	const step = async () => runRound(state);
 	const ticker = createTicker(step, deps.pollMs, Math.random);
