Keep slots within bounds when entries pause, flip and restart

Cause: a property over faulty links (loss, copies, delays up to 1.5 s, pauses, lost entries, lists read late, entries wrongly held silent) found five ways to more requests than slots: a request took a credit that was recalled; what ran on a lease that was over was used again after it; a new home granted credits whose lease had ended; two homes counted on the share of an entry that had just changed between them; the wait for the static share was counted from the report, not from the home's last message.

--- a/packages/core/src/limits/borrower.ts
+++ b/packages/core/src/limits/borrower.ts
@@ -39,6 +39,8 @@
 	/** Term of the home; empty until its first answer of the session. */
 	term: string;
 	carried: Map<string, number>;
+	/** Part of `carried` that is in use on a lease that is over. */
+	expired: ReadonlyMap<string, number>;
 	granted: Map<string, number>;
 	released: Map<string, number>;
 	recalled: Map<string, number>;
@@ -95,6 +97,7 @@
 	session: 0,
 	term: '',
 	carried: new Map(),
+	expired: new Map(),
 	granted: new Map(),
 	released: new Map(),
 	recalled: new Map(),
@@ -156,7 +159,7 @@
 	atLeast: ReadonlyMap<string, number>,
 ) => {
 	const carried = new Map<string, number>();
-	const recalled = new Map<string, number>();
+	const expired = new Map<string, number>();
 	for (const executor of borrower.executors) {
 		const kept = Math.max(
 			getKept(borrower, executor, now),
@@ -166,7 +169,7 @@
 		if (count > 0) {
 			carried.set(executor, count);
 			// What ran on a lease that is over goes back, and is not used again.
-			recalled.set(executor, count - kept);
+			expired.set(executor, count - kept);
 		}
 	}
 
@@ -175,7 +178,8 @@
 	borrower.carried = carried;
 	borrower.granted = new Map();
 	borrower.released = new Map();
-	borrower.recalled = recalled;
+	borrower.expired = expired;
+	borrower.recalled = new Map(expired);
 	borrower.echoMs = -1;
 	borrower.spareLimit = 0;
 	borrower.urgentAtMs = Number.POSITIVE_INFINITY;
@@ -316,8 +320,8 @@
 
 	messages.raiseCounts(borrower.recalled, grant.recalled);
 	borrower.heardAtMs = Math.max(borrower.heardAtMs, grant.echoMs);
-	borrower.fallbackAtMs =
-		borrower.heardAtMs + messages.getSettleMs(borrower.settings);
+	// The home may count its own message as heard until it came in here.
+	borrower.fallbackAtMs = now + messages.getSettleMs(borrower.settings);
 	if (grant.leased) {
 		const untilMs = grant.echoMs + borrower.settings.leaseMs;
 		borrower.leaseUntilMs = Math.max(borrower.leaseUntilMs, untilMs);
@@ -369,6 +373,7 @@
 		sentAtMs: now,
 		echoMs: borrower.echoMs,
 		carried: Object.fromEntries(borrower.carried),
+		expired: Object.fromEntries(borrower.expired),
 		released: Object.fromEntries(borrower.released),
 		grantedSeen: messages.sumCounts(borrower.granted),
 		spare: countSpare(borrower),
--- a/packages/core/src/limits/home-books.ts
+++ b/packages/core/src/limits/home-books.ts
@@ -56,7 +56,10 @@
 	 * only those count that no other home can count.
 	 */
 	leads: boolean;
-	/** Listed entries that do not follow this home, as last judged. */
+	/**
+	 * Listed entries whose static share another home may count on, since they
+	 * do not follow this one or have not for long.
+	 */
 	absent: readonly string[];
 	members: readonly string[];
 	slots: ReadonlyMap<string, number>;
--- a/packages/core/src/limits/home-sessions.ts
+++ b/packages/core/src/limits/home-sessions.ts
@@ -15,15 +15,16 @@
 ): Session => {
 	const carried = new Map(Object.entries(report.carried));
 	const former = home.sessions.get(report.borrower);
+	const getValid = (executor: string) =>
+		(carried.get(executor) ?? 0) - (report.expired[executor] ?? 0);
 	if (former) {
 		for (const executor of home.brought.keys()) {
-			const lost =
-				books.getOutstanding(former, executor) - (carried.get(executor) ?? 0);
+			const lost = books.getOutstanding(former, executor) - getValid(executor);
 			messages.addCount(home.brought, executor, -Math.max(0, lost));
 		}
 	} else {
-		for (const [executor, count] of carried) {
-			messages.addCount(home.brought, executor, count);
+		for (const executor of carried.keys()) {
+			messages.addCount(home.brought, executor, getValid(executor));
 		}
 	}
 
@@ -123,9 +124,9 @@
 		home.formerShares = new Map();
 	}
 
-	const following = new Set(followers.map((each) => each.borrower));
-	home.absent = home.members.filter((member) => !following.has(member));
 	const counted = followers.filter((each) => now >= each.countsFromMs);
+	const present = new Set(counted.map((each) => each.borrower));
+	home.absent = home.members.filter((member) => !present.has(member));
 	const isCounted = books.isMajority(home, counted);
 	const sinceStartMs = now - home.startedAtMs;
 	home.complete ||=
--- a/packages/core/src/limits/messages.ts
+++ b/packages/core/src/limits/messages.ts
@@ -24,6 +24,8 @@
 	readonly echoMs: number;
 	/** Credits held when the session began. */
 	readonly carried: Counts;
+	/** Of these, those in use on a lease that is over; not to be regranted. */
+	readonly expired: Counts;
 	/** Credits given back since, running total. */
 	readonly released: Counts;
 	/** Sum of the granted totals that the borrower has seen. */
