Look the fleet up in place of copying it at each step

Cause: each step of a wave in the daemon built facts of all 3,300 instances, and a reserve counted all instances for each of 151 services. Change: facts are look-ups; the preview lays its changes over them. Instances are grouped by viewIndex, the second grouping is gone. No figure of time was taken. Conclusion: a step costs what it looks at.

--- a/packages/bench/src/benches/wave/figures.ts
+++ b/packages/bench/src/benches/wave/figures.ts
@@ -16,6 +16,7 @@
 		round(mean(outcomes, getValue));
 	return {
 		rollOutHours: getMean((each) => each.hours),
+		hoursToNineTenths: getMean((each) => each.hoursToMost),
 		moves: getMean((each) => each.moves),
 		secondMoves: getMean((each) => each.secondMoves),
 		bufferCoreHours: getMean((each) => each.bufferCoreHours),
--- a/packages/bench/src/benches/wave/run.ts
+++ b/packages/bench/src/benches/wave/run.ts
@@ -16,6 +16,7 @@
 const hourMs = 3_600_000;
 const maxWork = 24;
 const drainMs = 20_000;
+const mostShare = 0.9;
 
 /** How the wave is run. */
 export type Plan = {
@@ -33,6 +34,8 @@
 /** What a run gave. */
 export type Outcome = Verdict & {
 	hours: number;
+	/** Time until nine tenths of the instances are done. */
+	hoursToMost: number;
 	done: number;
 	skipped: number;
 	bufferCoreHours: number;
@@ -55,6 +58,8 @@
 	readonly stepMs: number[];
 	readonly indexMs: number;
 	operations: number;
+	/** When nine tenths were done. */
+	mostDoneAt: number | undefined;
 	bufferCoreMs: number;
 	emptyingCoreMs: number;
 	queuedMs: number;
@@ -340,6 +345,7 @@
 		stepMs: [],
 		indexMs,
 		operations: 0,
+		mostDoneAt: undefined,
 		bufferCoreMs: 0,
 		emptyingCoreMs: 0,
 		queuedMs: 0,
@@ -353,6 +359,7 @@
 	return {
 		...judgeLog(fleet.log),
 		hours,
+		hoursToMost: ((run.mostDoneAt ?? fleet.now) - wave.startedAt!) / hourMs,
 		days: hours / 24,
 		done: counts.done,
 		skipped: counts.skipped,
@@ -390,6 +397,10 @@
 		}
 
 		countIdle(run);
+		if (progress.counts.done >= mostShare * progress.wave.instances) {
+			run.mostDoneAt ??= fleet.now;
+		}
+
 		advanceFleet(fleet, fleet.now + plan.tickMs);
 	}
 
--- a/packages/core/src/waves/facts.ts
+++ b/packages/core/src/waves/facts.ts
@@ -38,10 +38,15 @@
 	readonly jobs: readonly RunningJob[];
 };
 
+/** Values by name, looked up one by one: a step asks only for a few. */
+export type Lookup<Value> = {
+	readonly get: (name: string) => Value | undefined;
+};
+
 /** All that a step looks at. */
 export type WaveFacts = {
-	readonly instances: ReadonlyMap<string, InstanceFacts>;
-	readonly ledgers: ReadonlyMap<string, Ledger>;
+	readonly instances: Lookup<InstanceFacts>;
+	readonly ledgers: Lookup<Ledger>;
 	readonly servicesByPool: ServicesByPool;
 	/** Executors kept in reserve, by service. */
 	readonly reserves: ReadonlyMap<string, number>;
--- a/packages/core/src/waves/obstacle.ts
+++ b/packages/core/src/waves/obstacle.ts
@@ -64,7 +64,7 @@
 	service: string,
 	size: number,
 ): Obstacle | undefined => {
-	if (!facts.ledgers.has(service)) {
+	if (facts.ledgers.get(service) === undefined) {
 		return {kind: 'no-ledger', service};
 	}
 
--- a/packages/core/src/waves/preview.test.ts
+++ b/packages/core/src/waves/preview.test.ts
@@ -208,8 +208,11 @@
 for (const [name, phase, change, expected] of phaseTable) {
 	tap.t.test(`waits: ${name}`, async (t) => {
 		const context = createContext(1, 2);
-		const instances = new Map(context.facts.instances);
-		instances.set('w0', {...instances.get('w0')!, ...change});
+		const known = context.facts.instances;
+		const instances = {
+			get: (id: string) =>
+				id === 'w0' ? {...known.get(id)!, ...change} : known.get(id),
+		};
 		waves.updatePhase(context.progress, ['w0'], phase);
 		const facts = {...context.facts, instances};
 		t.match(waves.getWaits({...context, facts}, 1), [expected]);
--- a/packages/core/src/waves/preview.ts
+++ b/packages/core/src/waves/preview.ts
@@ -7,7 +7,7 @@
 import {updateEntry, type Ledger} from '../budget/ledger.js';
 import type {WaveAction} from './action.js';
 import {getRounds} from './choose-domain.js';
-import type {InstanceFacts, WaveFacts} from './facts.js';
+import type {InstanceFacts, Lookup, WaveFacts} from './facts.js';
 import {updatePhase, type Progress} from './progress.js';
 import {stepWave} from './step.js';
 import {updateWave} from './wave.js';
@@ -43,6 +43,7 @@
 /** A preview under way; only `stepPreview` changes it. */
 export type Preview = {
 	readonly progress: Progress;
+	/** What the preview has changed. */
 	readonly instances: Map<string, InstanceFacts>;
 	readonly ledgers: Map<string, Ledger>;
 	readonly facts: WaveFacts;
@@ -75,6 +76,12 @@
 		.toSorted((a, b) => b.rounds - a.rounds)
 		.slice(0, holdUpsShown);
 
+/** Looks up what the preview has changed first, then what is so in fact. */
+const overlay = <Value>(
+	changed: ReadonlyMap<string, Value>,
+	base: Lookup<Value>,
+): Lookup<Value> => ({get: (name) => changed.get(name) ?? base.get(name)});
+
 /** Begins a preview. The index must be its own: it is run to its end. */
 export const createPreview = (
 	progress: Progress,
@@ -83,13 +90,17 @@
 ): Preview => {
 	const started = updateWave(progress.wave, 'start', now);
 	progress.wave = started.ok ? started.value : progress.wave;
-	const instances = new Map(facts.instances);
-	const ledgers = new Map(facts.ledgers);
+	const instances = new Map<string, InstanceFacts>();
+	const ledgers = new Map<string, Ledger>();
 	return {
 		progress,
 		instances,
 		ledgers,
-		facts: {...facts, instances, ledgers},
+		facts: {
+			...facts,
+			instances: overlay(instances, facts.instances),
+			ledgers: overlay(ledgers, facts.ledgers),
+		},
 		startedAt: now,
 		holdUps: getHoldUps(progress, facts),
 		order: [],
@@ -104,13 +115,13 @@
 };
 
 const bookAll = (
-	{ledgers, facts, instances, now}: Preview,
+	{ledgers, facts, now}: Preview,
 	id: string,
 	kind: 'away' | 'serving',
 ) => {
-	const {pool} = instances.get(id)!;
+	const {pool} = facts.instances.get(id)!;
 	for (const service of facts.servicesByPool.get(pool) ?? []) {
-		const ledger = ledgers.get(service)!;
+		const ledger = facts.ledgers.get(service)!;
 		const entry =
 			kind === 'serving'
 				? {kind}
@@ -120,11 +131,11 @@
 };
 
 const updateInstance = (
-	{instances}: Preview,
+	{instances, facts}: Preview,
 	id: string,
 	change: Partial<InstanceFacts>,
 ) => {
-	instances.set(id, {...instances.get(id)!, ...change});
+	instances.set(id, {...facts.instances.get(id)!, ...change});
 };
 
 const applyTake = (preview: Preview, ids: readonly string[]) => {
@@ -147,7 +158,7 @@
 	preview: Preview,
 	{job, from, to}: Extract<WaveAction, {kind: 'move'}>,
 ) => {
-	const {jobs} = preview.instances.get(from)!;
+	const {jobs} = preview.facts.instances.get(from)!;
 	const left = jobs.filter(({id}) => id !== job.id);
 	updateInstance(preview, from, {jobs: left});
 	preview.moves += 1;
@@ -156,7 +167,7 @@
 		return;
 	}
 
-	const target = preview.instances.get(to)!;
+	const target = preview.facts.instances.get(to)!;
 	const coresFree = target.coresFree - job.cores;
 	const memoryMbFree = target.memoryMbFree - job.memoryMb;
 	updateInstance(preview, to, {coresFree, memoryMbFree});
@@ -211,13 +222,13 @@
 
 /** Lets a tick pass: jobs on workers that are emptied run, cycles end. */
 const passTime = (preview: Preview) => {
-	const {progress, instances, ends} = preview;
+	const {progress, facts, ends} = preview;
 	const tickMs = progress.wave.settings.cycleMs / ticksPerCycle;
 	preview.now += tickMs;
 	for (const domain of progress.active) {
 		for (const {id, phase} of progress.domains.get(domain) ?? []) {
 			if (phase.kind === 'evacuating') {
-				const jobs = instances
+				const jobs = facts.instances
 					.get(id)!
 					.jobs.filter(({remainingMs}) => remainingMs > tickMs)
 					.map((job) => ({...job, remainingMs: job.remainingMs - tickMs}));
@@ -230,7 +241,7 @@
 		if (at <= preview.now) {
 			ends.delete(id);
 			bookAll(preview, id, 'serving');
-			const {cores} = instances.get(id)!;
+			const {cores} = facts.instances.get(id)!;
 			updateInstance(preview, id, {jobs: [], coresFree: cores});
 			updatePhase(progress, [id], {kind: 'done', at: preview.now});
 		}
--- a/packages/daemon/src/waves/ledger-book.ts
+++ b/packages/daemon/src/waves/ledger-book.ts
@@ -4,7 +4,13 @@
  * another's is dropped, and the ledgers are read anew.
  */
 import {randomUUID} from 'node:crypto';
-import {budget, type Instance, type View} from '@gullstand/core';
+import {
+	budget,
+	viewIndex,
+	type Instance,
+	type View,
+	type waves,
+} from '@gullstand/core';
 import type {ListedInstance, TableService} from '@gullstand/platform';
 import {readTable, toJson} from '../view/tables.js';
 
@@ -14,7 +20,7 @@
 /** Ledgers that are kept in step. */
 export type LedgerBook = {
 	readonly getLedgers: () => budget.Ledgers;
-	readonly getValues: () => ReadonlyMap<string, budget.Ledger>;
+	readonly values: waves.Lookup<budget.Ledger>;
 	/** Notes a ledger that was committed; version undefined: read anew. */
 	readonly update: (ledger: budget.Ledger, version: number | undefined) => void;
 	/**
@@ -112,24 +118,13 @@
 	return {service, terms, entries};
 };
 
-const groupByPool = (view: View) => {
-	const byPool = new Map<string, Instance[]>();
-	for (const instance of view.instances.values()) {
-		const members = byPool.get(instance.pool) ?? [];
-		members.push(instance);
-		byPool.set(instance.pool, members);
-	}
-
-	return byPool;
-};
-
 /** Ledgers as they would be without any history, to judge a plan by. */
 export const createViewLedgers = (
 	view: View,
 	listed: Listed,
 	now: number,
 ): ReadonlyMap<string, budget.Ledger> => {
-	const byPool = groupByPool(view);
+	const byPool = viewIndex.groupByPool(view.instances.values());
 	const facts = {view, listed, now};
 	return new Map(
 		[...view.services.values()].map(({name, pool}) => [
@@ -186,11 +181,10 @@
 
 	return {
 		getLedgers: () => ledgers,
-		getValues: () =>
-			new Map([...ledgers].map(([name, {value}]) => [name, value])),
+		values: {get: (name) => ledgers.get(name)?.value},
 		update,
 		isInStep(services, view, listed) {
-			const byPool = groupByPool(view);
+			const byPool = viewIndex.groupByPool(view.instances.values());
 			return services.every((name) => {
 				const known = ledgers.get(name)?.value;
 				const pool = view.services.get(name)?.pool ?? '';
@@ -210,7 +204,7 @@
 				return false;
 			}
 
-			const byPool = groupByPool(view);
+			const byPool = viewIndex.groupByPool(view.instances.values());
 			const facts = {view, listed, now};
 			for (const {name, pool} of view.services.values()) {
 				const known = ledgers.get(name)?.value;
--- a/packages/daemon/src/waves/wave-facts.ts
+++ b/packages/daemon/src/waves/wave-facts.ts
@@ -1,5 +1,11 @@
 /** What a wave is told of the fleet, from the view, the list and the jobs. */
-import {budget, type waves, type Instance, type View} from '@gullstand/core';
+import {
+	viewIndex,
+	budget,
+	type Instance,
+	type View,
+	type waves,
+} from '@gullstand/core';
 import {getServicesByPool, type Listed} from './ledger-book.js';
 
 /** Resources of one worker and the jobs on it. */
@@ -59,7 +65,6 @@
 /** Executors kept in reserve of each service. */
 const getReserves = (
 	view: View,
-	pools: ReadonlySet<string>,
 	kind: budget.ReserveKind,
 ): ReadonlyMap<string, number> => {
 	const reserves = new Map<string, number>();
@@ -67,13 +72,10 @@
 		return reserves;
 	}
 
+	const byPool = viewIndex.groupByPool(view.instances.values());
 	for (const {name, pool} of view.services.values()) {
-		if (pools.has(pool)) {
-			const members = [...view.instances.values()].filter(
-				(each) => each.pool === pool,
-			);
-			reserves.set(name, budget.getReserve(members, kind));
-		}
+		const members = byPool.get(pool) ?? [];
+		reserves.set(name, budget.getReserve(members, kind));
 	}
 
 	return reserves;
@@ -83,37 +85,36 @@
 export type FactSources = {
 	readonly view: View;
 	readonly listed: Listed;
-	readonly ledgers: ReadonlyMap<string, budget.Ledger>;
+	readonly ledgers: waves.Lookup<budget.Ledger>;
 	readonly jobs: WaveJobs;
 	readonly observations: Observations;
 };
 
-/** Builds the facts for one wave. */
+/** The facts for one wave; each instance is looked up when it is asked for. */
 export const createFacts = (
 	progress: waves.Progress,
 	{view, listed, ledgers, jobs, observations}: FactSources,
-): waves.WaveFacts => {
-	const pools = new Set(progress.wave.pools);
-	const instances = new Map<string, waves.InstanceFacts>();
-	for (const instance of view.instances.values()) {
-		const {id, pool, state} = instance;
-		if (pools.has(pool)) {
+): waves.WaveFacts => ({
+	instances: {
+		get(id) {
+			const instance = view.instances.get(id);
+			if (instance === undefined) {
+				return undefined;
+			}
+
+			const {pool, state} = instance;
 			const phase = progress.members.get(id)?.phase;
-			instances.set(id, {
+			return {
 				id,
 				pool,
 				state,
 				isDrained: observations.isDrained(id),
 				evidence: getEvidence(instance, phase, listed, observations),
 				...jobs.getLoad(id),
-			});
-		}
-	}
-
-	return {
-		instances,
-		ledgers,
-		servicesByPool: getServicesByPool(view),
-		reserves: getReserves(view, pools, progress.wave.settings.reserve),
-	};
-};
+			};
+		},
+	},
+	ledgers,
+	servicesByPool: getServicesByPool(view),
+	reserves: getReserves(view, progress.wave.settings.reserve),
+});
--- a/packages/daemon/src/waves/wave-runner.ts
+++ b/packages/daemon/src/waves/wave-runner.ts
@@ -188,7 +188,7 @@
 	const facts = createFacts(progress, {
 		view: deps.getFollowed().view,
 		listed,
-		ledgers: command.book.getValues(),
+		ledgers: command.book.values,
 		jobs: command.jobs,
 		observations: {
 			getProbesPassed: probes.getPassed,
