daemon: register entries, lease shards and move instances

Cause: nothing made entries act on one truth; a move could start while an entry still routed by an older view. Control shards are leased by rendezvous hashing with a cap and handed over at a stop. Moves run under the lease and wait for every registered entry. A peer is told of each committed change and answers when it is in force. Measured: npx tap run packages/daemon/dist/agreement: three daemons over sockets, four moves under load with no mixed request, a move that waits for an entry cut off from store and peers, a forged acknowledgement refused, an entry that starts in an outage and serves, shards handed over; 24 asserts, same verdict in 3 runs at a load of 24. Before: no such part.

daemon: watch neighbours and forget entries that are over

Cause: an entry that ends without a word held every move up until an operator removed it, and every daemon read every registration each second, 73 KB/s at 243 entries (243 rows of about 300 bytes). Change: each entry watches the next three in a ring; all registrations are read only when the set has changed or a neighbour is silent. A silent neighbour's shards are looked after at once; it is forgotten after forgetAfterMs, when the list has not shown it and most others have not heard it. A stopped peer channel makes no calls. Measured: npx tap run packages/daemon/dist/agreement packages/daemon/dist/peers: 49 asserts pass; the killed entry stops picking by itself before it is forgotten, then the move it held up goes on. Conclusion: the cost of watching no longer grows with the fleet.

bench: time contract changes and compare heartbeats

Change: benches rollout and heartbeat on a fake clock; periods that grow with the fleet (core periods); a committed change is offered again to a peer that did not take it; the move rows are read only while an instance is moving; the test of a killed entry waits until the set of members was read anew. Conclusion: one heartbeat a daemon is kept, watched by three neighbours.

--- a/packages/bench/src/benches/ownership/entry.ts
+++ b/packages/bench/src/benches/ownership/entry.ts
@@ -61,9 +61,10 @@
 	return {
 		address: '',
 		availabilityZone: '',
-		unheard: world.hosts
-			.filter((each) => now - each.lastHeardAt > settings.forgetAfterMs)
+		heard: world.hosts
+			.filter((each) => now - each.lastHeardAt <= settings.forgetAfterMs)
 			.map(({entry}) => entry),
+		upMs: now - state.startedAt,
 		acknowledged: core.acknowledgement.acknowledgeRevision(
 			state.life,
 			state.sequence,
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -16,4 +16,6 @@
 	ownership: async () => import('./benches/ownership.js'),
 	overload: async () => import('./benches/overload.js'),
 	outage: async () => import('./benches/outage.js'),
+	rollout: async () => import('./benches/rollout.js'),
+	heartbeat: async () => import('./benches/heartbeat.js'),
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -39,6 +39,8 @@
 export * as acknowledgement from './membership/acknowledgement.js';
 export * as registration from './membership/registration.js';
 export * as lagging from './membership/lagging.js';
+export * as neighbours from './membership/neighbours.js';
+export * as periods from './membership/periods.js';
 export * as observation from './membership/observation.js';
 export * as standing from './membership/standing.js';
 export * as forget from './membership/forget.js';
@@ -73,3 +75,4 @@
 export * as silence from './limits/silence.js';
 export type * from './types/job.js';
 export * as placement from './placement/index.js';
+export * as shardAssignment from './shards/shard-assignment.js';
--- a/packages/core/src/instances/move.test.ts
+++ b/packages/core/src/instances/move.test.ts
@@ -40,7 +40,8 @@
 	({
 		address: '',
 		availabilityZone: '',
-		unheard: [],
+		heard: [],
+		upMs: 60_000,
 		acknowledged: {
 			entry: 'e1',
 			incarnation: 'a',
--- a/packages/core/src/instances/ownership.test.ts
+++ b/packages/core/src/instances/ownership.test.ts
@@ -140,7 +140,8 @@
 	return {
 		address: '',
 		availabilityZone: '',
-		unheard: [],
+		heard: [],
+		upMs: 60_000,
 		acknowledged: acknowledgeRevision(
 			{entry: `e${index}`, incarnation: `${entry.life}`},
 			entry.sequence,
--- a/packages/core/src/membership/forget.ts
+++ b/packages/core/src/membership/forget.ts
@@ -19,27 +19,33 @@
 	readonly unchangedMs: number;
 	/** How long every read of the list has not shown this life. */
 	readonly unlistedMs: number;
-	/**
-	 * Registered entries that name it as unheard, in rows that were renewed
-	 * within the stall margin.
-	 */
+	/** Registered entries that have not heard it; see `countUnheard`. */
 	readonly unheardBy: number;
 	/** Registered entries in all. */
 	readonly registered: number;
 };
 
-/** Counts the renewed rows that name an entry as unheard. */
+/** A registration and how long its row has stayed the same. */
+export type ObservedRegistration = {
+	readonly registration: Registration;
+	readonly unchangedMs: number;
+};
+
+/**
+ * Counts the entries that would have heard another but have not: their rows
+ * are renewed, they have run long enough to know, and do not name it.
+ */
 export const countUnheard = (
 	entry: string,
-	rows: ReadonlyArray<{
-		readonly registration: Registration;
-		readonly unchangedMs: number;
-	}>,
-	{stallMarginMs}: MembershipSettings,
+	rows: readonly ObservedRegistration[],
+	{stallMarginMs, forgetAfterMs}: MembershipSettings,
 ): number =>
 	rows.filter(
 		({registration, unchangedMs}) =>
-			unchangedMs < stallMarginMs && registration.unheard.includes(entry),
+			registration.acknowledged.entry !== entry &&
+			unchangedMs < stallMarginMs &&
+			registration.upMs >= forgetAfterMs &&
+			!registration.heard.includes(entry),
 	).length;
 
 /** Why an entry is not forgotten yet. */
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -7,6 +7,7 @@
 } from './acknowledgement.js';
 import {countUnheard, forgetEntry, type SilenceEvidence} from './forget.js';
 import {findLagging} from './lagging.js';
+import {listNeighbours} from './neighbours.js';
 import {
 	emptyObservations,
 	getUnchangedMs,
@@ -38,7 +39,8 @@
 ): Registration => ({
 	address: '127.0.0.1:1',
 	availabilityZone: 'z',
-	unheard: [],
+	heard: [],
+	upMs: 60_000,
 	acknowledged: createAck(change),
 });
 
@@ -208,13 +210,20 @@
 }
 
 tap.t.test('only renewed rows report silence', async (t) => {
+	const createRow = (
+		change: Partial<Registration>,
+		unchangedMs: number,
+		entry = 'e1',
+	) => ({
+		registration: {...createRegistration({entry}), ...change},
+		unchangedMs,
+	});
 	const rows = [
-		{registration: {...createRegistration(), unheard: ['x']}, unchangedMs: 0},
-		{
-			registration: {...createRegistration(), unheard: ['x']},
-			unchangedMs: 5000,
-		},
-		{registration: createRegistration(), unchangedMs: 0},
+		createRow({}, 0),
+		createRow({heard: ['x']}, 0),
+		createRow({upMs: 29_999}, 0),
+		createRow({}, 4000),
+		createRow({}, 0, 'x'),
 	];
 	t.equal(countUnheard('x', rows, membershipDefaults), 1);
 });
@@ -223,3 +232,18 @@
 	t.ok(isSoundSettings(membershipDefaults));
 	t.notOk(isSoundSettings({...membershipDefaults, forgetAfterMs: 29_999}));
 });
+
+const rings: ReadonlyArray<readonly [string, readonly string[], string]> = [
+	['b', ['d', 'a', 'c', 'b', 'e'], 'c d e'],
+	['d', ['d', 'a', 'c', 'b', 'e'], 'e a b'],
+	['e', ['d', 'a', 'c', 'b', 'e'], 'a b c'],
+	['a', ['a', 'b'], 'b'],
+	['a', ['a'], ''],
+	['x', ['a', 'b'], 'a b'],
+];
+
+for (const [self, entries, wanted] of rings) {
+	tap.t.test(`${self} watches ${wanted || 'nobody'}`, async (t) => {
+		t.equal(listNeighbours(self, entries).join(' '), wanted);
+	});
+}
--- a/packages/core/src/membership/registration.ts
+++ b/packages/core/src/membership/registration.ts
@@ -5,7 +5,6 @@
  */
 import {
 	agreementTables,
-	checkVersion,
 	singleRowKey,
 	type StoreWrite,
 } from '../types/store-write.js';
@@ -16,8 +15,10 @@
 	readonly address: string;
 	readonly availabilityZone: string;
 	readonly acknowledged: Acknowledgement;
-	/** Registered peers that this entry has not heard for `forgetAfterMs`. */
-	readonly unheard: readonly string[];
+	/** How long this life has run, in milliseconds. */
+	readonly upMs: number;
+	/** Entries that asked this one to confirm them within `forgetAfterMs`. */
+	readonly heard: readonly string[];
 };
 
 /** The row that stands for the set of registered entries. */
@@ -26,8 +27,8 @@
 /** What an entry has read when it registers. */
 export type CurrentView = {
 	readonly revision: number;
-	/** Version of the counter row at that revision. */
-	readonly counterVersion: number;
+	/** Version of the counter row at that revision; undefined without a row. */
+	readonly counterVersion: number | undefined;
 };
 
 /** The life that a registration speaks for. */
@@ -55,7 +56,15 @@
 	registration: Registration,
 	view: CurrentView,
 ): ReadonlyArray<StoreWrite<Registration | Membership>> => [
-	checkVersion(agreementTables.counter, singleRowKey, view.counterVersion),
+	{
+		kind: 'check',
+		table: agreementTables.counter,
+		key: singleRowKey,
+		when:
+			view.counterVersion === undefined
+				? {kind: 'absent'}
+				: {kind: 'version', version: view.counterVersion},
+	},
 	{
 		kind: 'put',
 		table: agreementTables.entry,
--- /dev/null
+++ b/packages/daemon/src/agreement/agreement.ts
@@ -0,0 +1,276 @@
+/**
+ * The parts by which this entry agrees with the others: peer channel, view
+ * follower, membership, shard leases, moves and the view's snapshot.
+ */
+import {randomUUID} from 'node:crypto';
+import * as core from '@gullstand/core';
+import type {acknowledgement, standing} from '@gullstand/core';
+import type {
+	InstanceList,
+	ObjectStore,
+	TableService,
+} from '@gullstand/platform';
+import type {Logger} from '../log/logger.js';
+import {createForgetRunner} from '../membership/forget-runner.js';
+import {createInFlight, type InFlight} from '../membership/in-flight.js';
+import {createMember, type Member} from '../membership/member.js';
+import {listPeerAddresses} from '../membership/outage-start.js';
+import {createMoveRunner, type MoveRunner} from '../moves/move-runner.js';
+import {createPeerChannel, type PeerChannel} from '../peers/peer-channel.js';
+import type {Settings} from '../settings/schema.js';
+import {createLeaseRunner, type LeaseRunner} from '../shards/lease-runner.js';
+import type {Part} from '../supervisor/supervisor.js';
+import {createEnvironment} from '../view/environment.js';
+import {createSnapshotWriter, readSnapshot} from '../view/snapshot-store.js';
+import {createViewFollower, type ViewFollower} from '../view/view-follower.js';
+import {readImage} from '../view/view-image.js';
+import {createElapsedClock} from './elapsed-clock.js';
+import {createStartMarker} from './start-marker.js';
+
+/** Periods and bounds of agreement, in milliseconds. */
+export type AgreementTimes = {
+	readonly viewPollMs: number;
+	readonly heartbeatMs: number;
+	readonly listPollMs: number;
+	readonly acknowledgeMs: number;
+	readonly leaseMs: number;
+	readonly shardPollMs: number;
+	readonly movePollMs: number;
+	readonly snapshotMs: number;
+	readonly callTimeoutMs: number;
+	readonly membership: standing.MembershipSettings;
+};
+
+/** Times for a fleet of so many entries. */
+export const getAgreementTimes = (entries: number): AgreementTimes => {
+	const {viewPollMs, heartbeatMs, watchMs, leaseMs, membership} =
+		core.periods.getPeriods(entries);
+	return {
+		viewPollMs,
+		heartbeatMs,
+		listPollMs: 3000,
+		acknowledgeMs: 100,
+		leaseMs,
+		shardPollMs: watchMs,
+		movePollMs: 200,
+		snapshotMs: 1000,
+		callTimeoutMs: 1000,
+		membership,
+	};
+};
+
+const usualEntries = 9;
+
+/** Times for a fleet of nine entries. */
+export const agreementDefaults: AgreementTimes =
+	getAgreementTimes(usualEntries);
+
+/** What agreement needs from the rest of a daemon. */
+export type AgreementDeps = {
+	readonly settings: Pick<Settings, 'entry' | 'peers'>;
+	readonly platform: {
+		readonly table: TableService;
+		readonly objects: ObjectStore;
+		readonly list: InstanceList;
+	};
+	readonly times: AgreementTimes;
+	readonly logger: Logger;
+	/** Monotonic time in milliseconds. */
+	readonly now: () => number;
+	/** Puts a view in force in the routers. */
+	readonly route: (view: core.View) => void;
+};
+
+/** The parts of agreement, in the order in which they start. */
+export type Agreement = {
+	readonly life: acknowledgement.EntryLife;
+	readonly parts: readonly Part[];
+	readonly peers: PeerChannel;
+	readonly follower: ViewFollower;
+	readonly member: Member;
+	readonly leases: LeaseRunner;
+	readonly moves: MoveRunner;
+	/** Wraps slot takers, so that picks are counted and gated. */
+	readonly inFlight: InFlight;
+};
+
+/** Shard of everything that belongs to no pool. */
+export const fleetShard = 'fleet';
+
+const fleet = 'gullstand';
+
+/** Time between two reads of the stored snapshot. */
+const snapshotCheckMs = 10_000;
+
+const getPoolShard = (pool: string): string => `pool:${pool}`;
+
+const listShards = (view: core.View): readonly string[] => {
+	const pools = [...view.services.values()].map(({pool}) => getPoolShard(pool));
+	return [fleetShard, ...new Set(pools)];
+};
+
+/** Stands in for the peer channel of an entry that has no peers. */
+const createNoPeers = (): PeerChannel => ({
+	name: 'peers',
+	async start() {
+		// There is nobody to listen to.
+	},
+	async stop() {
+		// Nothing was started.
+	},
+	addMethod() {
+		// Nobody calls.
+	},
+	call: async () =>
+		core.fail({kind: 'unreachable', message: 'no peers'} as const),
+	getAddress: () => '',
+	countRefused: () => 0,
+});
+
+const readPeerView = async (
+	{platform, times}: AgreementDeps,
+	peers: PeerChannel,
+	life: {readonly entry: string; readonly incarnation: string},
+) => {
+	const {list} = platform;
+	for (const address of await listPeerAddresses({list, life})) {
+		const answer = await peers.call(
+			address,
+			'readView',
+			{},
+			times.callTimeoutMs,
+		);
+		if (answer.ok && answer.value.revision > 0) {
+			return readImage(answer.value);
+		}
+	}
+
+	return undefined;
+};
+
+/** Builds the parts; nothing starts yet. */
+export const createAgreement = (deps: AgreementDeps): Agreement => {
+	const {settings, platform, times, logger} = deps;
+	const {table, objects, list} = platform;
+	const wallNow = () => Date.now();
+	const now = createElapsedClock(deps.now, wallNow);
+	const life = {entry: settings.entry.id, incarnation: randomUUID()};
+	const peers = settings.peers
+		? createPeerChannel({settings: settings.peers, life, now, wallNow, logger})
+		: createNoPeers();
+
+	const follower = createViewFollower(table, times.viewPollMs, {
+		startSources: [
+			{origin: 'peer', read: async () => readPeerView(deps, peers, life)},
+			{
+				origin: 'snapshot',
+				async read() {
+					const snapshot = await readSnapshot(objects, fleet);
+					return snapshot.ok ? snapshot.value : undefined;
+				},
+			},
+		],
+		onChange() {
+			member.followView();
+		},
+	});
+	const {getView, getFollowed} = follower;
+	const marker = createStartMarker({
+		objects,
+		fleet,
+		getRevision: () => getView().revision,
+		waitMs: times.membership.forgetAfterMs,
+		now,
+	});
+	const inFlight = createInFlight({
+		mayRoute: () => member.mayRoute(),
+		longestRequestMs: times.membership.longestRequestMs,
+		now,
+	});
+	const member = createMember({
+		life,
+		availabilityZone: settings.entry.availabilityZone,
+		table,
+		list,
+		peers,
+		getFollowed,
+		poll: follower.poll,
+		offerDeltas: follower.offerDeltas,
+		route: deps.route,
+		getInFlight: inFlight.count,
+		confirmSnapshot: marker.confirm,
+		settings: times.membership,
+		heartbeatMs: times.heartbeatMs,
+		listPollMs: times.listPollMs,
+		acknowledgeMs: times.acknowledgeMs,
+		callTimeoutMs: times.callTimeoutMs,
+		now,
+		logger,
+	});
+	const leases = createLeaseRunner({
+		life,
+		table,
+		mayControl: member.mayControl,
+		getMembers: member.getMembers,
+		listShards: () => listShards(getView()),
+		leaseMs: times.leaseMs,
+		pollMs: times.shardPollMs,
+		now,
+		logger,
+	});
+	const forgetRunner = createForgetRunner({
+		life,
+		table,
+		list,
+		mayControl: member.mayControl,
+		getMembers: member.getMembers,
+		getSilentMs: leases.getSilentMs,
+		settings: times.membership,
+		leaseMs: times.leaseMs,
+		pollMs: times.shardPollMs,
+		now,
+		logger,
+	});
+	const moves = createMoveRunner({
+		table,
+		getHeldFor(instance) {
+			const pool = getView().instances.get(instance)?.pool ?? '';
+			const shard = getPoolShard(pool);
+			const isShard = listShards(getView()).includes(shard);
+			return leases.getHeld(isShard ? shard : fleetShard);
+		},
+		getHeard: member.getHeard,
+		getFollowed,
+		readOutageStart: marker.read,
+		announce: member.announce,
+		pollMs: times.movePollMs,
+		logger,
+	});
+	const snapshotWriter = createSnapshotWriter({
+		objects,
+		fleet,
+		getFollowed,
+		isHolder: () => leases.getHeld(fleetShard) !== undefined,
+		env: createEnvironment(),
+		minWriteMs: times.snapshotMs,
+		checkMs: snapshotCheckMs,
+	});
+	return {
+		life,
+		parts: [
+			peers,
+			follower,
+			member,
+			leases,
+			forgetRunner,
+			moves,
+			snapshotWriter,
+		],
+		peers,
+		follower,
+		member,
+		leases,
+		moves,
+		inFlight,
+	};
+};
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,5 +1,4 @@
 /** One entry: builds its parts in a supervisor tree. */
-import {randomUUID} from 'node:crypto';
 import * as core from '@gullstand/core';
 import type {
 	InstanceList,
@@ -9,6 +8,12 @@
 } from '@gullstand/platform';
 import {createAdmissionLayer} from './admission/admission-layer.js';
 import {createEntryShare, getSlotShare} from './admission/entry-share.js';
+import {
+	agreementDefaults,
+	createAgreement,
+	type Agreement,
+	type AgreementTimes,
+} from './agreement/agreement.js';
 import {createCallerApp} from './caller/caller-app.js';
 import {createSweeper} from './idempotency/sweeper.js';
 import {
@@ -30,7 +35,7 @@
 import {createUpstreamDispatch} from './upstream/call-handler.js';
 import {defaultUpstreamConfig} from './upstream/types.js';
 import {createEnvironment} from './view/environment.js';
-import {createViewFollower, type ViewFollower} from './view/view-follower.js';
+import type {ViewFollower} from './view/view-follower.js';
 import {createWaveRunner} from './waves/wave-runner.js';
 
 /** The platform as an entry sees it. */
@@ -48,6 +53,8 @@
 	readonly logger: Logger;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
+	/** Periods and bounds of agreement; tests shorten them. */
+	readonly agreementTimes?: AgreementTimes;
 };
 
 /** One entry. */
@@ -59,10 +66,9 @@
 	readonly getCallerPort: () => number;
 	readonly getOperatorPort: () => number;
 	readonly metrics: Metrics;
+	readonly agreement: Agreement;
 };
 
-const viewPollMs = 500;
-
 const wavePollMs = 250;
 
 /** Entries in front of an executor, old and new ones during a replacement. */
@@ -91,8 +97,18 @@
 	const metrics = createMetrics();
 	let isStopping = false;
 
-	const viewFollower = createViewFollower(platform.table, viewPollMs);
-	const {getView, getFollowed, poll} = viewFollower;
+	const agreement = createAgreement({
+		settings,
+		platform,
+		times: deps.agreementTimes ?? agreementDefaults,
+		logger,
+		now,
+		route(view) {
+			dispatch.follow(view);
+		},
+	});
+	const {follower, member, inFlight} = agreement;
+	const {getView, getFollowed, poll} = follower;
 	const {connectTimeoutMs, idleConnectionMs, maxAnswerBytes} =
 		settings.upstream;
 	const {reuse, ...upstreamConfig} = defaultUpstreamConfig;
@@ -101,6 +117,7 @@
 		now,
 		random: Math.random,
 		entries: entriesSharingConnections,
+		wrapTakeSlot: inFlight.wrap,
 		cfg: {
 			...upstreamConfig,
 			connectTimeoutMs,
@@ -135,7 +152,7 @@
 		tables: platform.table,
 		objects: platform.objects,
 		entry: settings.entry.id,
-		incarnation: randomUUID(),
+		incarnation: agreement.life.incarnation,
 		settings: getKeySettings(settings.idempotency),
 		groupSettings: getGroupSettings(settings.idempotency),
 		maxAttempts: settings.idempotency.maxAttempts,
@@ -174,13 +191,13 @@
 			getFollowed,
 			poll,
 			async onCommitted(delta) {
-				viewFollower.offerDeltas([delta]);
+				member.announce(delta);
 			},
-			getHeard: () => new Map(),
+			getHeard: member.getHeard,
 			env: createEnvironment(),
 			metrics,
 			logger,
-			isReady: () => !isStopping && hasView(viewFollower),
+			isReady: () => !isStopping && hasView(follower) && member.mayRoute(),
 		}).fetch,
 		now,
 	);
@@ -188,11 +205,11 @@
 		...platform,
 		getFollowed,
 		async onCommitted(delta) {
-			viewFollower.offerDeltas([delta]);
+			member.announce(delta);
 		},
 		poll,
-		getInFlight: dispatch.getInFlight,
-		getHeard: () => new Map(),
+		getInFlight: inFlight.count,
+		getHeard: member.getHeard,
 		now: Date.now,
 		logger,
 		pollMs: wavePollMs,
@@ -200,7 +217,7 @@
 	const tree = createSupervisor(
 		'daemon',
 		[
-			viewFollower,
+			...agreement.parts,
 			upstreamPart,
 			entryShare,
 			keyed.part,
@@ -239,5 +256,6 @@
 		getCallerPort: callerListener.getPort,
 		getOperatorPort: operatorListener.getPort,
 		metrics,
+		agreement,
 	};
 };
--- /dev/null
+++ b/packages/daemon/src/membership/acknowledge.ts
@@ -0,0 +1,69 @@
+/** Makes this entry's acknowledgement and its registration row. */
+import * as core from '@gullstand/core';
+import type {acknowledgement, registration} from '@gullstand/core';
+import type {MemberDeps, MemberState} from './member-state.js';
+
+const countInFlight = (deps: MemberDeps): ReadonlyMap<string, number> => {
+	const inFlight = new Map<string, number>();
+	for (const {id, state} of deps.getFollowed().view.instances.values()) {
+		if (state !== 'serving') {
+			inFlight.set(id, deps.getInFlight(id));
+		}
+	}
+
+	return inFlight;
+};
+
+/** Drops sponsored entries that have stopped by themselves by now. */
+const dropSilent = (deps: MemberDeps, state: MemberState) => {
+	for (const [entry, {askedAt}] of state.sponsored) {
+		if (deps.now() - askedAt > deps.settings.forgetAfterMs) {
+			state.sponsored.delete(entry);
+		}
+	}
+};
+
+/** Acknowledges what is in force now. */
+export const createAcknowledgement = (
+	deps: MemberDeps,
+	state: MemberState,
+): acknowledgement.Acknowledgement => {
+	dropSilent(deps, state);
+	const {view} = deps.getFollowed();
+	deps.route(view);
+	const upMs = deps.now() - state.startedAt;
+	state.sequence += 1;
+	const ack = core.acknowledgement.acknowledgeRevision(
+		deps.life,
+		state.sequence,
+		{
+			view,
+			router: {
+				routedRevision: view.revision,
+				inFlight: countInFlight(deps),
+				mayInherit: state.hasReplaced && upMs < deps.settings.longestRequestMs,
+			},
+			sponsored: [...state.sponsored.values()].map(({ack}) => ack),
+		},
+	);
+	state.highestInForce = Math.max(state.highestInForce, ack.inForce);
+	return ack;
+};
+
+/** Makes the row of this entry. */
+export const createRegistration = (
+	deps: MemberDeps,
+	state: MemberState,
+): registration.Registration => {
+	const now = deps.now();
+	const heard = [...state.confirmedPeers]
+		.filter(([, at]) => now - at <= deps.settings.forgetAfterMs)
+		.map(([entry]) => entry);
+	return {
+		address: deps.peers.getAddress(),
+		availabilityZone: deps.availabilityZone,
+		acknowledged: createAcknowledgement(deps, state),
+		upMs: now - state.startedAt,
+		heard,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/membership/outage-start.ts
@@ -0,0 +1,124 @@
+/** How an entry stands while it cannot register or renew. */
+import * as core from '@gullstand/core';
+import type {standing} from '@gullstand/core';
+import {createAcknowledgement} from './acknowledge.js';
+import type {MemberDeps, MemberState} from './member-state.js';
+import {confirm} from './register.js';
+
+/** Addresses of other entries, from the platform's list. */
+export const listPeerAddresses = async (
+	deps: Pick<MemberDeps, 'list' | 'life'>,
+): Promise<readonly string[]> => {
+	const listed = await deps.list.list();
+	return listed.ok
+		? listed.value
+				.filter(({role, id}) => role === 'entry' && id !== deps.life.entry)
+				.map(({address}) => address)
+		: [];
+};
+
+const setMode = (
+	state: MemberState,
+	mode: standing.EntryMode,
+	askedAt: number,
+) => {
+	if (state.standing.mode !== mode) {
+		state.standing = core.standing.changeMode(mode, askedAt);
+	}
+};
+
+const askSponsor = async (
+	deps: MemberDeps,
+	state: MemberState,
+	address: string,
+): Promise<boolean> => {
+	const askedAt = deps.now();
+	const ack = createAcknowledgement(deps, state);
+	const answer = await deps.peers.call(
+		address,
+		'sponsor',
+		ack,
+		deps.callTimeoutMs,
+	);
+	if (!answer.ok || !answer.value.isSponsored) {
+		return false;
+	}
+
+	const confirmedAt = askedAt - answer.value.confirmedAgeMs;
+	setMode(state, 'sponsored', confirmedAt);
+	confirm(deps, state, 'sponsor', confirmedAt);
+	return true;
+};
+
+/**
+ * Looks for a sponsor among the listed peers; with none in reach, stands on
+ * the snapshot. Does nothing until there is a view.
+ */
+export const standWithoutTable = async (
+	deps: MemberDeps,
+	state: MemberState,
+): Promise<void> => {
+	if (deps.getFollowed().view.revision === 0) {
+		return;
+	}
+
+	for (const address of await listPeerAddresses(deps)) {
+		if (await askSponsor(deps, state, address)) {
+			return;
+		}
+	}
+
+	const askedAt = deps.now();
+	if (await deps.confirmSnapshot()) {
+		setMode(state, 'snapshot', askedAt);
+		confirm(deps, state, 'snapshot', askedAt);
+	}
+};
+
+/**
+ * Confirms a registered entry by the list, if it shows this life. Which life
+ * the list means is learnt while heartbeats commit.
+ */
+export const confirmByList = async (
+	deps: MemberDeps,
+	state: MemberState,
+): Promise<void> => {
+	const askedAt = deps.now();
+	const listed = await deps.list.list();
+	if (!listed.ok) {
+		return;
+	}
+
+	const shown = listed.value.find(({id}) => id === deps.life.entry);
+	if (askedAt - state.renewedAt < deps.settings.isolationMs / 2) {
+		state.listedIncarnation = shown?.incarnation;
+	} else if (shown && shown.incarnation === state.listedIncarnation) {
+		confirm(deps, state, 'list', askedAt);
+	}
+};
+
+/** Confirms by more than half of the registered entries, this one included. */
+export const confirmByMajority = async (
+	deps: MemberDeps,
+	state: MemberState,
+): Promise<void> => {
+	const askedAt = deps.now();
+	const {registrations} = state.members;
+	const others = [...registrations].filter(
+		([entry]) => entry !== deps.life.entry,
+	);
+	const answers = await Promise.all(
+		others.map(async ([, {value}]) =>
+			deps.peers.call(
+				value.address,
+				'ping',
+				{entry: deps.life.entry},
+				deps.callTimeoutMs,
+			),
+		),
+	);
+	const heard = 1 + answers.filter(({ok}) => ok).length;
+	if (heard * 2 > registrations.size) {
+		confirm(deps, state, 'majority', askedAt);
+	}
+};
--- /dev/null
+++ b/packages/daemon/src/moves/move-rows.ts
@@ -0,0 +1,144 @@
+/** Commits steps of moves as changes of the view. */
+import {randomUUID} from 'node:crypto';
+import * as core from '@gullstand/core';
+import type {
+	followedView,
+	Instance,
+	move,
+	Result,
+	viewChange,
+} from '@gullstand/core';
+import type {StoreError, TableService, Write} from '@gullstand/platform';
+import {commitChange} from '../view/commit-change.js';
+import {counterRow, readCounter, readTable, toJson} from '../view/tables.js';
+
+const {move: moveTable} = core.agreementTables;
+
+const toMoveWrite = (step: move.MoveCommit): Write => {
+	const row = {
+		table: moveTable,
+		key: step.instance.id,
+		when: step.moveWhen,
+	};
+	return step.move
+		? {kind: 'put', ...row, value: toJson(step.move)}
+		: {kind: 'delete', ...row};
+};
+
+/** Who commits a step, and on what view it was decided. */
+export type StepOptions = {
+	readonly author: string;
+	readonly known: followedView.FollowedView;
+	/** Refuses if the view has changed at all since `known`. */
+	readonly mustBeNewest?: boolean;
+};
+
+/** Commits one step; every condition of it holds in the same transaction. */
+export const commitStep = async (
+	table: TableService,
+	step: move.MoveCommit,
+	options: StepOptions,
+): Promise<Result<viewChange.ViewDelta, StoreError>> => {
+	const committed = await commitChange(
+		table,
+		[
+			{
+				table: 'instance',
+				key: step.instance.id,
+				value: toJson(step.instance),
+				when: {kind: 'version', version: step.instanceVersion},
+			},
+		],
+		randomUUID(),
+		{...options, also: [toMoveWrite(step), ...step.conditions]},
+	);
+	return committed.ok ? core.succeed(committed.value.delta) : committed;
+};
+
+/** Reads an instance row. */
+export const readInstance = async (
+	table: TableService,
+	id: string,
+): Promise<Result<move.ReadRow<Instance> | undefined, StoreError>> => {
+	const row = await table.get('instance', id);
+	if (!row.ok) {
+		return row;
+	}
+
+	const value = row.value?.value as unknown as Instance;
+	return core.succeed(row.value && {value, version: row.value.version});
+};
+
+/** Reads every move that is under way. */
+export const readMoves = async (
+	table: TableService,
+): Promise<Result<ReadonlyArray<move.ReadRow<move.Move>>, StoreError>> => {
+	const rows = await readTable(table, moveTable);
+	return rows.ok
+		? core.succeed(
+				rows.value.map(({value, version}) => ({
+					value: value as unknown as move.Move,
+					version,
+				})),
+			)
+		: rows;
+};
+
+/** What an operator asks for. */
+export type MoveOrder = {
+	readonly instance: string;
+	readonly to: string;
+	readonly author: string;
+};
+
+/** Why a move did not start. */
+export type StartMoveError =
+	StoreError | move.MoveRefusal | {readonly kind: 'not-found'};
+
+const maxRaces = 20;
+
+/** Starts a move; the revision of the drain is that of its transaction. */
+export const startMove = async (
+	table: TableService,
+	{instance: id, to, author}: MoveOrder,
+	known: followedView.FollowedView,
+): Promise<Result<viewChange.ViewDelta, StartMoveError>> => {
+	for (let races = 0; ; races += 1) {
+		const current = await readCounter(table);
+		const instance = await readInstance(table, id);
+		const row = await table.get(moveTable, id);
+		const isRead = current.ok && instance.ok && row.ok;
+		if (!isRead || current.value.revision < known.view.revision) {
+			return core.fail({kind: 'unavailable'});
+		}
+
+		if (!instance.value) {
+			return core.fail({kind: 'not-found'});
+		}
+
+		const step = core.move.startDrain({
+			instance: instance.value,
+			to,
+			author,
+			revision: current.value.revision + 1,
+			isMoving: row.value !== undefined,
+		});
+		if (!step.ok) {
+			return step;
+		}
+
+		const {revision, deltaId} = current.value;
+		const committed = await commitStep(table, step.value, {
+			author,
+			known: {view: {...core.emptyView, revision}, deltaId},
+			mustBeNewest: true,
+		});
+		const isRace =
+			!committed.ok &&
+			committed.error.kind === 'conflict' &&
+			committed.error.table === counterRow.table;
+		if (!isRace || races >= maxRaces) {
+			return committed;
+		}
+	}
+};
--- a/packages/daemon/src/operator/entries/app.ts
+++ b/packages/daemon/src/operator/entries/app.ts
@@ -26,7 +26,7 @@
 		incarnation: newest.incarnation,
 		inForce: newest.inForce,
 		holding: newest.holding,
-		unheard: registration.unheard,
+		upMs: registration.upMs,
 		lags: lag?.reason ?? null,
 		etag: formatEtag(version),
 	};
--- a/packages/daemon/src/operator/operator.test.ts
+++ b/packages/daemon/src/operator/operator.test.ts
@@ -231,7 +231,8 @@
 const createRow = (inForce: number) => ({
 	address: '127.0.0.1:1',
 	availabilityZone: 'zone-2',
-	unheard: [],
+	heard: [],
+	upMs: 60_000,
 	acknowledged: {
 		entry: 'e2',
 		incarnation: 'i',
--- a/packages/daemon/src/peers/peer-channel.ts
+++ b/packages/daemon/src/peers/peer-channel.ts
@@ -1,5 +1,6 @@
 /** The peer channel as a part: one listener, one client, typed methods. */
 import {Buffer} from 'node:buffer';
+import * as core from '@gullstand/core';
 import {createListener} from '../http/listener.js';
 import type {Logger} from '../log/logger.js';
 import type {Part} from '../supervisor/supervisor.js';
@@ -70,16 +71,24 @@
 		server.app.fetch,
 		now,
 	);
-	const client = createPeerClient({key, life, wallNow, connectTimeoutMs});
+	let client: PeerClient | undefined;
 	return {
 		name: 'peers',
-		start: listener.start,
+		async start(reportFailure) {
+			client = createPeerClient({key, life, wallNow, connectTimeoutMs});
+			await listener.start(reportFailure);
+		},
 		async stop(deadline) {
+			const closing = client;
+			client = undefined;
 			await listener.stop(deadline);
-			await client.close();
+			await closing?.close();
 		},
 		addMethod: server.addMethod,
-		call: client.call,
+		call: async (address, method, params, timeoutMs) =>
+			client
+				? client.call(address, method, params, timeoutMs)
+				: core.fail({kind: 'unreachable', message: 'stopped'} as const),
 		getAddress: () => `${settings.address}:${listener.getPort()}`,
 		countRefused: () => refused,
 	};
--- a/packages/daemon/src/peers/peer-methods.ts
+++ b/packages/daemon/src/peers/peer-methods.ts
@@ -26,7 +26,7 @@
 	readonly offerDelta: {
 		readonly params: {
 			readonly delta: viewChange.ViewDelta;
-			readonly awaitedBy?: string;
+			readonly awaitedBy?: string | undefined;
 		};
 		readonly result: {readonly revision: number};
 	};
--- a/packages/daemon/src/upstream/call-handler.ts
+++ b/packages/daemon/src/upstream/call-handler.ts
@@ -18,10 +18,14 @@
 	readonly entries: number;
 	/** Slots of a service across entries, where a limit is wired. */
 	readonly getTakeSlot?: (service: core.Service) => TakeSlot;
+	/** Wraps each taker of slots, such as to count and gate the picks. */
+	readonly wrapTakeSlot?: (takeSlot: TakeSlot) => TakeSlot;
 };
 
 /** The handler and what it holds open. */
 export type UpstreamDispatch = PlainDispatch & {
+	/** Puts a view in force: every later pick is made by it. */
+	readonly follow: (view: core.View) => void;
 	/** Health of the executors of each service. */
 	readonly listExecutors: () => ReadonlyMap<
 		string,
@@ -76,6 +80,7 @@
 			clock: deps.now,
 			random: deps.random,
 			...(deps.getTakeSlot && {takeSlot: deps.getTakeSlot(service)}),
+			...(deps.wrapTakeSlot && {wrapTakeSlot: deps.wrapTakeSlot}),
 		});
 	};
 
@@ -141,6 +146,11 @@
 
 	return {
 		handle,
+		follow(view) {
+			if (view.revision !== revision) {
+				follow(view);
+			}
+		},
 		getInFlight(instance) {
 			let count = 0;
 			for (const path of listPaths()) {
--- a/packages/daemon/src/upstream/upstream.ts
+++ b/packages/daemon/src/upstream/upstream.ts
@@ -26,6 +26,8 @@
 	readonly random: () => number;
 	/** Takes slots across entries; by default this entry counts its own. */
 	readonly takeSlot?: TakeSlot;
+	/** Wraps the taker, such as to count and gate the picks. */
+	readonly wrapTakeSlot?: (takeSlot: TakeSlot) => TakeSlot;
 };
 
 /** Health of one executor as operators see it. */
@@ -62,7 +64,10 @@
 	);
 
 const createState = (options: UpstreamOptions): states.UpstreamState => {
-	const {service, cfg, clock, random, takeSlot} = options;
+	const {service, cfg, clock, random} = options;
+	const takeSlot =
+		options.takeSlot ??
+		slots.createLocalSlots(getLocalLimit(service, cfg), random);
 	const state: states.UpstreamState = {
 		onLost(link) {
 			probes.suspect(state, link);
@@ -70,8 +75,7 @@
 		service,
 		cfg,
 		clock,
-		takeSlot:
-			takeSlot ?? slots.createLocalSlots(getLocalLimit(service, cfg), random),
+		takeSlot: options.wrapTakeSlot?.(takeSlot) ?? takeSlot,
 		links: new Map(),
 		inFlight: new Map(),
 		health: core.health.createPoolHealth(cfg.health),
