--- a/packages/bench/src/benches/at-most-once.test.ts
+++ b/packages/bench/src/benches/at-most-once.test.ts
@@ -48,6 +48,7 @@
 	sending,
 	key: 'k',
 	body: 'b',
+	decidedAt: at,
 	at,
 	tookMs: 0,
 	outcome,
@@ -96,6 +97,18 @@
 		[told(1, 9, 'unknown'), told(2, 10, 'not-run', {error: 'key-reused'})],
 		{},
 	],
+	[
+		'a repeat told not-run before the run, which hears of it later',
+		[run(1, 15)],
+		[told(2, 20, 'not-run', {decidedAt: 14}), told(1, 19, 'unknown')],
+		{},
+	],
+	[
+		'a repeat told not-run at the time of the run',
+		[run(1, 15)],
+		[told(2, 20, 'not-run', {decidedAt: 15}), told(1, 19, 'unknown')],
+		{notRunAfterRun: 1},
+	],
 	[
 		'a repeat told not-run before the run',
 		[run(1, 15)],
