Notice at once when a service becomes slower

Cause: the estimates of service time look back ten seconds and more. When executors became three times slower, slots went to late answers until the estimates had followed. Change: a moving average over the last answers of all classes multiplies the estimates once it is beyond chance, and a slot that is long overdue lengthens the predicted wait. bench overload has a run with slow executors.

--- a/packages/bench/src/benches/overload.ts
+++ b/packages/bench/src/benches/overload.ts
@@ -17,6 +17,8 @@
 	lateAnswers: number;
 	extraLatePoints: number;
 	greedyGoodput: number;
+	slowGoodput: number;
+	slowLateWork: number;
 };
 
 const getGoodput = (tally: Tally): number => tally.onTimeWorkMs / tally.slotMs;
@@ -63,6 +65,12 @@
 	}
 };
 
+const addSlow = (summary: Summary, tally: Tally): void => {
+	const lateWork = tally.lateWorkMs / tally.slotMs;
+	summary.slowGoodput = Math.min(summary.slowGoodput, getGoodput(tally));
+	summary.slowLateWork = Math.max(summary.slowLateWork, lateWork);
+};
+
 const summarize = (
 	name: string,
 	makePolicy: policies.PolicyMaker,
@@ -76,6 +84,8 @@
 		lateAnswers: 0,
 		extraLatePoints: -100,
 		greedyGoodput: 1,
+		slowGoodput: 1,
+		slowLateWork: 0,
 	};
 	const lengthMs = options.short ? 20_000 : 120_000;
 	for (const firm of firms) {
@@ -86,6 +96,7 @@
 			addOverload(summary, overload);
 			const greedy = scenarios.runGreedy(setup);
 			addGreedy(summary, setup, greedy);
+			addSlow(summary, scenarios.runSlow(setup));
 			const goodput = getGoodput(overload).toFixed(4);
 			options.log(`${name} ${firm.name} ${size.name}: goodput ${goodput}`);
 		}
@@ -102,6 +113,8 @@
 	lateAnswersAt2xCapacity: summary.lateAnswers,
 	worstExtraLatePercentagePoints: summary.extraLatePoints,
 	worstGoodputBesideGreedy: summary.greedyGoodput,
+	worstGoodputWhileSlowed: summary.slowGoodput,
+	mostSlotTimeOnLateAnswersWhileSlowed: summary.slowLateWork,
 });
 
 export const bench: Bench = {
--- a/packages/bench/src/benches/overload/scenarios.ts
+++ b/packages/bench/src/benches/overload/scenarios.ts
@@ -20,6 +20,10 @@
 export const greedyCustomer = 2;
 /** Load of the overload run against capacity. */
 const overloadFactor = 2;
+/** Load of the run with slow executors, against capacity. */
+const usualFactor = 0.8;
+/** How much slower executors are in its middle third. */
+const slowFactor = 3;
 
 /** One service under one policy. */
 export type Setup = {
@@ -50,15 +54,22 @@
 	return tally;
 };
 
+const keep = (arrival: Arrival): Arrival => arrival;
+
 const runSenders = (
 	setup: Setup,
 	senders: readonly arrivalLists.Sender[],
+	change = keep,
 ): Tally => {
 	const {firm, size} = setup;
 	const all = senders.map((sender) =>
 		arrivalLists.drawArrivals(size, sender, firm.entries, setup),
 	);
-	return runEntries(setup, arrivalLists.mergeArrivals(all, firm.entries));
+	const lists = arrivalLists.mergeArrivals(all, firm.entries);
+	return runEntries(
+		setup,
+		lists.map((each) => each.map((arrival) => change(arrival))),
+	);
 };
 
 const getSender = (
@@ -83,6 +94,20 @@
 export const runAlone = (setup: Setup, customer: number): Tally =>
 	runSenders(setup, [getSender(setup, customer, insideShare)]);
 
+/** All send below capacity; in the middle third executors are slow. */
+export const runSlow = (setup: Setup): Tally =>
+	runSenders(
+		setup,
+		customerWeights.map((_, customer) =>
+			getSender(setup, customer, usualFactor / soldShare),
+		),
+		(arrival) => {
+			const third = Math.floor((3 * arrival.at) / setup.lengthMs);
+			const factor = third === 1 ? slowFactor : 1;
+			return {...arrival, serviceMs: arrival.serviceMs * factor};
+		},
+	);
+
 /** One sends ten times its contract, the others keep inside theirs. */
 export const runGreedy = (setup: Setup): Tally =>
 	runSenders(
--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -19,6 +19,7 @@
 import * as dispatches from './dispatch.js';
 import * as returnTime from './return-time.js';
 import * as serviceTime from './service-time.js';
+import * as slowdowns from './slowdown.js';
 import * as states from './state.js';
 import type {AdmissionState} from './state.js';
 import type {Ticket} from './ticket.js';
@@ -46,7 +47,7 @@
 ): Dispatched | Refused => {
 	const {customer, estimate, allowedMs} = applicant;
 	const hopeful =
-		assessments.isHopeful(estimate, allowedMs) ||
+		assessments.isHopeful(state, estimate, allowedMs) ||
 		(allowedMs > 0 && assessments.takeProbe(state, estimate, now));
 	if (hopeful) {
 		return dispatches.dispatch(
@@ -152,7 +153,7 @@
 
 	const estimate = state.estimates[ticket.classIndex]!;
 	const leftMs = ticket.deadlineAt - now;
-	if (!assessments.isHopeful(estimate, leftMs)) {
+	if (!assessments.isHopeful(state, estimate, leftMs)) {
 		return drop(state, ticket, now);
 	}
 
@@ -215,11 +216,14 @@
 	const serviceMs = now - ticket.dispatchedAt;
 	ticket.state = 'done';
 	state.inFlight--;
+	state.slowdown.freedAt = now;
 	state.inFlightMs -= ticket.chargedMs;
 	dispatches.correctCharge(ticket, serviceMs);
 	if (result.measured) {
 		const estimate = state.estimates[ticket.classIndex]!;
 		serviceTime.recordServiceTime(estimate, serviceMs, now);
+		const {slowdown} = state;
+		slowdowns.recordRatio(slowdown, estimate, serviceMs, ticket.chargedMs);
 	}
 };
 
--- a/packages/core/src/admission/assessment.ts
+++ b/packages/core/src/admission/assessment.ts
@@ -2,6 +2,7 @@
 import type {Customer} from './customer.js';
 import * as forecasts from './forecast.js';
 import type {ServiceTime} from './service-time.js';
+import * as slowdowns from './slowdown.js';
 import type {AdmissionState} from './state.js';
 import * as states from './state.js';
 import type {Ticket} from './ticket.js';
@@ -57,7 +58,7 @@
 		classIndex,
 		arrivedAt: now,
 		deadlineAt,
-		giveUpAt: deadlineAt - estimate.p50Ms,
+		giveUpAt: deadlineAt - getUsualMs(state, estimate),
 		rescueAt,
 		dueAt: rescueAt,
 		state: 'queued',
@@ -87,13 +88,23 @@
 ): Assessment => {
 	const {customer, classIndex, estimate, allowedMs} = applicant;
 	const forecast = forecasts.getForecast(state, customer, classIndex, now);
-	const neededMs = forecast.waitMs + estimate.p90Ms;
+	const factor = slowdowns.getServiceFactor(state.slowdown);
+	const gapMs = (estimate.meanMs * factor) / Math.max(1, state.slots);
+	const stall = slowdowns.getStallFactor(state.slowdown, gapMs, now);
+	const neededMs = (forecast.waitMs * stall + estimate.p90Ms) * factor;
 	return {forecast, missingMs: Math.max(0, neededMs - allowedMs)};
 };
 
+/** Median service time, by the latest answers. */
+const getUsualMs = (state: AdmissionState, estimate: ServiceTime): number =>
+	estimate.p50Ms * slowdowns.getServiceFactor(state.slowdown);
+
 /** True if an answer by a slot given now is more likely in time than late. */
-export const isHopeful = (estimate: ServiceTime, leftMs: number): boolean =>
-	leftMs > 0 && estimate.p50Ms <= leftMs;
+export const isHopeful = (
+	state: AdmissionState,
+	estimate: ServiceTime,
+	leftMs: number,
+): boolean => leftMs > 0 && getUsualMs(state, estimate) <= leftMs;
 
 /**
  * True if a request may try although the estimate forbids it, which is so
--- a/packages/core/src/admission/parts.test.ts
+++ b/packages/core/src/admission/parts.test.ts
@@ -1,5 +1,6 @@
 import * as tap from 'tap';
 import * as serviceTime from './service-time.js';
+import * as slowdowns from './slowdown.js';
 import * as tokenBucket from './token-bucket.js';
 
 const near = (found: number, expected: number): boolean =>
@@ -61,6 +62,50 @@
 	},
 );
 
+tap.t.test('a slowdown shows within some answers, not by chance', async (t) => {
+	const table = [
+		// Measured over expected, answers, lowest and highest factor.
+		[1, 100, 1, 1],
+		[1.3, 100, 1, 1],
+		[3, 5, 1.4, 3],
+		[3, 50, 2.8, 3],
+		[0.2, 50, 1, 1],
+	] as const;
+	for (const [ratio, answers, lowest, highest] of table) {
+		const estimate = serviceTime.createServiceTime(10, 1000, 0);
+		estimate.samples = 1000;
+		const slowdown = slowdowns.createSlowdown(0);
+		for (let index = 0; index < answers; index++) {
+			slowdowns.recordRatio(slowdown, estimate, 10 * ratio, 10);
+		}
+
+		const factor = slowdowns.getServiceFactor(slowdown);
+		t.ok(factor >= lowest && factor <= highest, `${ratio}: ${factor}`);
+	}
+});
+
+tap.t.test('a prior is nothing to compare with', async (t) => {
+	const estimate = serviceTime.createServiceTime(10, 1000, 0);
+	const slowdown = slowdowns.createSlowdown(0);
+	for (let index = 0; index < 50; index++) {
+		slowdowns.recordRatio(slowdown, estimate, 100, 10);
+	}
+
+	t.equal(slowdowns.getServiceFactor(slowdown), 1);
+});
+
+tap.t.test('an overdue slot lengthens the wait', async (t) => {
+	const slowdown = slowdowns.createSlowdown(100);
+	const table = [
+		[140, 1],
+		[180, 2],
+		[500, 10],
+	] as const;
+	for (const [now, expected] of table) {
+		t.equal(slowdowns.getStallFactor(slowdown, 10, now), expected);
+	}
+});
+
 tap.t.test('a token bucket refills to its depth', async (t) => {
 	const bucket = tokenBucket.createTokenBucket(4, 0.01, 0);
 	bucket.tokens = 0;
--- a/packages/core/src/admission/state.ts
+++ b/packages/core/src/admission/state.ts
@@ -2,6 +2,7 @@
 import {requestClasses, type RequestClass} from '../types/contract.js';
 import type {Customer} from './customer.js';
 import * as deadlineWheel from './deadline-wheel.js';
+import * as slowdowns from './slowdown.js';
 import * as serviceTime from './service-time.js';
 import * as ticketQueue from './ticket.js';
 import type {Ticket, TicketQueue} from './ticket.js';
@@ -25,6 +26,7 @@
 	readonly active: Customer[];
 	/** One estimate a class, in the order of `requestClasses`. */
 	readonly estimates: readonly serviceTime.ServiceTime[];
+	readonly slowdown: slowdowns.Slowdown;
 	readonly wheel: deadlineWheel.DeadlineWheel;
 	/** Queued requests that are late unless they go next. */
 	readonly rescue: TicketQueue;
@@ -54,6 +56,7 @@
 	estimates: requestClasses.map(() =>
 		serviceTime.createServiceTime(defaultPriorMs, settings.halfLifeMs, now),
 	),
+	slowdown: slowdowns.createSlowdown(now),
 	wheel: deadlineWheel.createDeadlineWheel(now),
 	rescue: ticketQueue.createTicketQueue(),
 	contractVirtual: 0,
