--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -15,6 +15,7 @@
  *
  * config two-entries: -DENTRIES=2 -DMOVERS=1 -DLIVES=2 -DLAST_REVISION=4
  * config one-entry: -DENTRIES=1 -DMOVERS=1 -DLIVES=2 -DLAST_REVISION=4
+ * config two-movers-one-life: -DENTRIES=1 -DMOVERS=2 -DLIVES=1 -DLAST_REVISION=4
  * config two-movers: -DENTRIES=1 -DMOVERS=2 -DLIVES=2 -DLAST_REVISION=4
  *
  * mutation register_first (one-entry) breaks no_work_after_drain: an entry routes before its member row is written
@@ -30,7 +31,7 @@
  * mutation forget_incarnation (one-entry) breaks one_pool: forgetEntry is not conditional on the incarnation
  * mutation end_incarnation (one-entry) breaks one_pool: removal of a member row is not conditional on the incarnation
  * mutation end_in_flight (one-entry) breaks drain_cuts_nothing: a graceful stop removes its row with requests in flight
- * mutation epoch (two-movers) breaks one_pool: finishDrain is not conditional on the instance's epoch
+ * mutation epoch (two-movers-one-life) breaks one_pool: finishDrain is not conditional on the instance's epoch
  */
 
 /* The instance's state at each revision; a commit appends one. */
