--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -14,6 +14,7 @@
 	wave: async () => import('./benches/wave.js'),
 	'at-most-once': async () => import('./benches/at-most-once.js'),
 	ownership: async () => import('./benches/ownership.js'),
+	placement: async () => import('./benches/placement.js'),
 	overload: async () => import('./benches/overload.js'),
 	outage: async () => import('./benches/outage.js'),
 	rollout: async () => import('./benches/rollout.js'),
--- a/packages/core/src/placement/cluster.ts
+++ b/packages/core/src/placement/cluster.ts
@@ -5,13 +5,15 @@
  */
 import type {Resources, Worker} from '../types/job.js';
 import * as resources from './resources.js';
+import type {UseEstimate} from './usage-estimate.js';
 
 /** A task on a worker. */
 export type PlacedTask = {
 	readonly job: string;
 	readonly customer: string;
 	readonly worker: string;
-	readonly reserved: Resources;
+	/** Expected use, and how far off that may be. */
+	readonly estimate: UseEstimate;
 	readonly urgent: boolean;
 	readonly canThrottle: boolean;
 	readonly canCheckpoint: boolean;
@@ -22,7 +24,10 @@
 export type WorkerLoad = {
 	readonly worker: Worker;
 	readonly tasks: Map<string, PlacedTask>;
+	/** Sum of what the tasks are expected to use. */
 	reserved: Resources;
+	/** Sum of the squares of the deviations. */
+	variance: Resources;
 	/** When a task last started here, in milliseconds. */
 	lastStartAt: number;
 };
@@ -33,7 +38,7 @@
 	readonly tasks: Map<string, PlacedTask>;
 	/** Reserved by each customer. */
 	readonly customers: Map<string, Resources>;
-	/** Tasks by customer and rack, and by customer and availability zone. */
+	/** Tasks by customer and rack, availability zone, and in all. */
 	readonly spread: Map<string, number>;
 };
 
@@ -46,6 +51,7 @@
 				worker,
 				tasks: new Map(),
 				reserved: resources.noResources,
+				variance: resources.noResources,
 				lastStartAt: Number.NEGATIVE_INFINITY,
 			},
 		]),
@@ -55,25 +61,70 @@
 	spread: new Map(),
 });
 
-/** What is left on a worker. */
-export const getRoom = (load: WorkerLoad): Resources =>
-	resources.subtractResources(load.worker.capacity, load.reserved);
+/**
+ * Deviations of the sum that are kept free on a worker. Cores can be shared
+ * for a while; memory that runs out kills a task. Kept for the sum and not
+ * for each task: errors of many tasks cancel out.
+ */
+export type SafetyMargin = {
+	readonly cores: number;
+	readonly memoryMb: number;
+};
+
+/** Margin in force when none is given. */
+export const defaultSafetyMargin: SafetyMargin = {cores: 0.5, memoryMb: 2.5};
+
+/** What a worker needs for its tasks and one more, with the margin. */
+export const getNeed = (
+	load: WorkerLoad,
+	{mean, deviation}: UseEstimate,
+	margin: SafetyMargin = defaultSafetyMargin,
+): Resources => {
+	const getOne = (resource: 'cores' | 'memoryMb') =>
+		load.reserved[resource] +
+		mean[resource] +
+		margin[resource] *
+			Math.sqrt(
+				Math.max(0, load.variance[resource]) + deviation[resource] ** 2,
+			);
+	return {
+		cores: getOne('cores'),
+		memoryMb: getOne('memoryMb'),
+		accelerators: load.reserved.accelerators + mean.accelerators,
+	};
+};
+
+/** Whether one more task fits on a worker, with the margin. */
+export const hasRoom = (
+	load: WorkerLoad,
+	estimate: UseEstimate,
+	margin?: SafetyMargin,
+): boolean =>
+	resources.fitsInto(getNeed(load, estimate, margin), load.worker.capacity);
+
+const square = ({cores, memoryMb}: Resources): Resources => ({
+	cores: cores * cores,
+	memoryMb: memoryMb * memoryMb,
+	accelerators: 0,
+});
 
 const listSpreadKeys = (customer: string, worker: Worker): string[] => [
 	`${customer} rack ${worker.rack}`,
 	`${customer} zone ${worker.availabilityZone}`,
+	`${customer} all`,
 ];
 
-/** Tasks of a customer in a worker's rack and availability zone. */
+/** Tasks of a customer in a worker's rack, in its zone and in all. */
 export const countNearby = (
 	cluster: Cluster,
 	customer: string,
 	worker: Worker,
-): {rack: number; zone: number} => {
-	const [rack = '', zone = ''] = listSpreadKeys(customer, worker);
+): {rack: number; zone: number; all: number} => {
+	const [rack = '', zone = '', all = ''] = listSpreadKeys(customer, worker);
 	return {
 		rack: cluster.spread.get(rack) ?? 0,
 		zone: cluster.spread.get(zone) ?? 0,
+		all: cluster.spread.get(all) ?? 0,
 	};
 };
 
@@ -105,15 +156,14 @@
 	}
 
 	load.tasks.set(task.job, task);
-	load.reserved = resources.addResources(load.reserved, task.reserved);
+	const {mean, deviation} = task.estimate;
+	load.reserved = resources.addResources(load.reserved, mean);
+	load.variance = resources.addResources(load.variance, square(deviation));
 	load.lastStartAt = Math.max(load.lastStartAt, task.startedAt);
 	cluster.tasks.set(task.job, task);
 	cluster.customers.set(
 		task.customer,
-		resources.addResources(
-			getCustomerUse(cluster, task.customer),
-			task.reserved,
-		),
+		resources.addResources(getCustomerUse(cluster, task.customer), mean),
 	);
 	countSpread(cluster, task.customer, load.worker, 1);
 	return true;
@@ -131,28 +181,27 @@
 	}
 
 	load.tasks.delete(job);
-	load.reserved = resources.subtractResources(load.reserved, task.reserved);
+	const {mean, deviation} = task.estimate;
+	load.reserved = resources.subtractResources(load.reserved, mean);
+	load.variance = resources.subtractResources(load.variance, square(deviation));
 	cluster.tasks.delete(job);
 	cluster.customers.set(
 		task.customer,
-		resources.subtractResources(
-			getCustomerUse(cluster, task.customer),
-			task.reserved,
-		),
+		resources.subtractResources(getCustomerUse(cluster, task.customer), mean),
 	);
 	countSpread(cluster, task.customer, load.worker, -1);
 	return task;
 };
 
-/** Changes what is reserved for a task, after a new estimate. */
-export const updateReserved = (
+/** Changes what is expected of a task. */
+export const updateEstimate = (
 	cluster: Cluster,
 	job: string,
-	reserved: Resources,
+	estimate: UseEstimate,
 ): void => {
 	const task = removeTask(cluster, job);
 	if (task) {
-		addTask(cluster, {...task, reserved});
+		addTask(cluster, {...task, estimate});
 	}
 };
 
@@ -163,6 +212,7 @@
 		worker,
 		tasks: load?.tasks ?? new Map<string, PlacedTask>(),
 		reserved: load?.reserved ?? resources.noResources,
+		variance: load?.variance ?? resources.noResources,
 		lastStartAt: load?.lastStartAt ?? Number.NEGATIVE_INFINITY,
 	});
 };
--- a/packages/core/src/placement/place-job.ts
+++ b/packages/core/src/placement/place-job.ts
@@ -8,31 +8,37 @@
 import type {Job, Resources, Worker} from '../types/job.js';
 import * as clusters from './cluster.js';
 import * as resources from './resources.js';
+import type {UseEstimate} from './usage-estimate.js';
 
 /** Weights of the one objective; all from 0. */
 export type PlacementConfig = {
 	/** Prefers workers that are fuller already: less idle buffer. */
 	readonly packWeight: number;
-	/** Against each task of the customer in the same rack. */
+	/** Against the share of the customer's tasks in the same rack. */
 	readonly rackWeight: number;
-	/** Against each task of the customer in the same availability zone. */
+	/** Against the share of the customer's tasks in the same zone. */
 	readonly zoneWeight: number;
-	/** Against each task that urgent work takes room from. */
-	readonly preemptWeight: number;
+	/** Against each task that is throttled for urgent work. */
+	readonly throttleWeight: number;
+	/** Against each task that is checkpointed: room comes late, and it moves. */
+	readonly checkpointWeight: number;
 	/** Time between two starts on one worker; bounds a black hole. */
 	readonly startGapMs: number;
 	/** Cores left to a throttled task, as a share of what it has. */
 	readonly throttledShare: number;
+	readonly margin: clusters.SafetyMargin;
 };
 
 /** Settings in force when none are given. */
 export const defaultPlacementConfig: PlacementConfig = {
 	packWeight: 1,
-	rackWeight: 0.05,
-	zoneWeight: 0.01,
-	preemptWeight: 0.5,
+	rackWeight: 0.6,
+	zoneWeight: 0.2,
+	throttleWeight: 0.3,
+	checkpointWeight: 3,
 	startGapMs: 0,
 	throttledShare: 0.1,
+	margin: clusters.defaultSafetyMargin,
 };
 
 /** How room is made. */
@@ -55,8 +61,7 @@
 /** A job to place and what is known of it. */
 export type PlacementRequest = {
 	readonly job: Job;
-	/** What to reserve. */
-	readonly estimate: Resources;
+	readonly estimate: UseEstimate;
 	/** What the contract lets its customer use at once. */
 	readonly quota: Resources;
 	/** Workers that are not to be tried, such as those it failed on. */
@@ -75,15 +80,17 @@
 	worker: Worker,
 	cfg: PlacementConfig,
 ): number => {
-	const {rack, zone} = clusters.countNearby(cluster, customer, worker);
-	return rack * cfg.rackWeight + zone * cfg.zoneWeight;
+	const {rack, zone, all} = clusters.countNearby(cluster, customer, worker);
+	const penalty = rack * cfg.rackWeight + zone * cfg.zoneWeight;
+	// As a share after this one is placed; a first task has no others near.
+	return penalty / (all + 1);
 };
 
 const getFullness = (
 	load: clusters.WorkerLoad,
-	estimate: Resources,
+	{mean}: UseEstimate,
 ): number => {
-	const reserved = resources.addResources(load.reserved, estimate);
+	const reserved = resources.addResources(load.reserved, mean);
 	return resources.getDominantShare(reserved, load.worker.capacity);
 };
 
@@ -117,7 +124,7 @@
 	}
 
 	if (task.canThrottle && needsCoresOnly) {
-		const cores = task.reserved.cores * (1 - cfg.throttledShare);
+		const cores = task.estimate.mean.cores * (1 - cfg.throttledShare);
 		return {
 			preemption: {job: task.job, kind: 'throttle'},
 			freed: {...resources.noResources, cores},
@@ -127,7 +134,7 @@
 	return task.canCheckpoint
 		? {
 				preemption: {job: task.job, kind: 'checkpoint'},
-				freed: task.reserved,
+				freed: task.estimate.mean,
 			}
 		: undefined;
 };
@@ -136,29 +143,52 @@
 const listByAge = (load: clusters.WorkerLoad): clusters.PlacedTask[] =>
 	[...load.tasks.values()].toSorted((a, b) => b.startedAt - a.startedAt);
 
+/** What has to be freed on a worker; negative where there is room. */
+const getShortage = (
+	load: clusters.WorkerLoad,
+	estimate: UseEstimate,
+	cfg: PlacementConfig,
+): Resources =>
+	resources.subtractResources(
+		clusters.getNeed(load, estimate, cfg.margin),
+		load.worker.capacity,
+	);
+
 const findPreemptions = (
 	load: clusters.WorkerLoad,
-	estimate: Resources,
+	estimate: UseEstimate,
 	cfg: PlacementConfig,
 ): readonly Preemption[] | undefined => {
-	let room = clusters.getRoom(load);
+	let shortage = getShortage(load, estimate, cfg);
 	const preempt: Preemption[] = [];
-	const needsCoresOnly =
-		estimate.memoryMb <= room.memoryMb &&
-		estimate.accelerators <= room.accelerators;
+	const needsCoresOnly = shortage.memoryMb <= 0 && shortage.accelerators <= 0;
 	for (const task of listByAge(load)) {
-		if (resources.fitsInto(estimate, room)) {
-			return preempt;
+		if (resources.fitsInto(shortage, resources.noResources)) {
+			break;
 		}
 
 		const found = getPreemption(task, needsCoresOnly, cfg);
 		if (found) {
-			room = resources.addResources(room, found.freed);
+			shortage = resources.subtractResources(shortage, found.freed);
 			preempt.push(found.preemption);
 		}
 	}
 
-	return resources.fitsInto(estimate, room) ? preempt : undefined;
+	return resources.fitsInto(shortage, resources.noResources)
+		? preempt
+		: undefined;
+};
+
+const getPreemptionCost = (
+	preempt: readonly Preemption[],
+	cfg: PlacementConfig,
+): number => {
+	let cost = 0;
+	for (const {kind} of preempt) {
+		cost += kind === 'throttle' ? cfg.throttleWeight : cfg.checkpointWeight;
+	}
+
+	return cost;
 };
 
 const createCandidate = (
@@ -168,7 +198,7 @@
 	cfg: PlacementConfig,
 ): Candidate | undefined => {
 	const {job, estimate} = request;
-	const fits = resources.fitsInto(estimate, clusters.getRoom(load));
+	const fits = clusters.hasRoom(load, estimate, cfg.margin);
 	if (!fits && !job.urgent) {
 		return undefined;
 	}
@@ -179,7 +209,7 @@
 	}
 
 	const score =
-		getScore(cluster, request, load, cfg) - preempt.length * cfg.preemptWeight;
+		getScore(cluster, request, load, cfg) - getPreemptionCost(preempt, cfg);
 	return {worker: load.worker.id, preempt, score};
 };
 
@@ -206,10 +236,10 @@
 
 const fitsSomeWorker = (
 	cluster: clusters.Cluster,
-	estimate: Resources,
+	{mean}: UseEstimate,
 ): boolean => {
 	for (const {worker} of cluster.loads.values()) {
-		if (resources.fitsInto(estimate, worker.capacity)) {
+		if (resources.fitsInto(mean, worker.capacity)) {
 			return true;
 		}
 	}
@@ -223,7 +253,7 @@
 	cluster: clusters.Cluster,
 	{job, estimate, quota}: PlacementRequest,
 ): Verdict => {
-	if (!resources.fitsInto(estimate, quota)) {
+	if (!resources.fitsInto(estimate.mean, quota)) {
 		return 'over-quota';
 	}
 
@@ -232,7 +262,7 @@
 	}
 
 	const used = clusters.getCustomerUse(cluster, job.customer);
-	return resources.fitsInto(resources.addResources(used, estimate), quota)
+	return resources.fitsInto(resources.addResources(used, estimate.mean), quota)
 		? 'place'
 		: 'quota';
 };
--- a/packages/core/src/placement/placement.test.ts
+++ b/packages/core/src/placement/placement.test.ts
@@ -28,6 +28,11 @@
 	...change,
 });
 
+const certain = (mean: Resources): placement.UseEstimate => ({
+	mean,
+	deviation: {cores: 0, memoryMb: 0, accelerators: 0},
+});
+
 const createTask = (
 	job: string,
 	worker: string,
@@ -36,7 +41,7 @@
 	job,
 	worker,
 	customer: 'c',
-	reserved: {cores: 8, memoryMb: 8000, accelerators: 0},
+	estimate: certain({cores: 8, memoryMb: 8000, accelerators: 0}),
 	urgent: false,
 	canThrottle: true,
 	canCheckpoint: true,
@@ -51,7 +56,7 @@
 	change: Partial<placement.PlacementRequest> = {},
 ): placement.PlacementRequest => ({
 	job,
-	estimate: job.declared,
+	estimate: certain(job.declared),
 	quota,
 	excluded: new Set(),
 	...change,
@@ -70,7 +75,7 @@
 
 const full = (index: number, change: Partial<placement.PlacedTask> = {}) =>
 	createTask(`full-${index}`, `w${index}`, {
-		reserved: {cores: 32, memoryMb: 32_000, accelerators: 0},
+		estimate: certain({cores: 32, memoryMb: 32_000, accelerators: 0}),
 		...change,
 	});
 
@@ -167,7 +172,9 @@
 		}
 	}
 
-	const counts = [...cluster.spread.values()];
+	const counts = [...cluster.spread.entries()]
+		.filter(([key]) => !key.endsWith(' all'))
+		.map(([, count]) => count);
 	t.equal(cluster.tasks.size, 6);
 	t.same(counts, [2, 2, 2, 2, 2, 2], 'three racks and three zones');
 });
@@ -183,18 +190,18 @@
 		fc.property(fc.array(event, {maxLength: 50}), (events) => {
 			const cluster = createCluster([]);
 			for (const {job, worker, kind, cores} of events) {
-				const reserved = {cores, memoryMb: 1, accelerators: 0};
+				const estimate = certain({cores, memoryMb: 1, accelerators: 0});
 				if (kind === 'add') {
-					placement.addTask(cluster, createTask(job, worker, {reserved}));
+					placement.addTask(cluster, createTask(job, worker, {estimate}));
 				} else if (kind === 'remove') {
 					placement.removeTask(cluster, job);
 				} else {
-					placement.updateReserved(cluster, job, reserved);
+					placement.updateEstimate(cluster, job, estimate);
 				}
 			}
 
 			const sum = [...cluster.tasks.values()].reduce(
-				(total, each) => total + each.reserved.cores,
+				(total, each) => total + each.estimate.mean.cores,
 				0,
 			);
 			const loads = [...cluster.loads.values()];
@@ -212,27 +219,52 @@
 
 tap.t.test('estimates follow use; an old report changes nothing', async (t) => {
 	const declared = {cores: 8, memoryMb: 8000, accelerators: 1};
-	t.same(placement.estimateUse({declared}, undefined, undefined), declared);
+	const young = placement.estimateUse({declared}, undefined);
+	t.ok(young.deviation.cores > 0, 'a declaration alone is uncertain');
 	let history: placement.UsageHistory | undefined;
 	for (let at = 1; at <= 20; at += 1) {
-		history = placement.addSample(history, {
-			cores: 2,
-			memoryMb: 32_000,
-			measuredAt: at,
-		});
+		const sample = {cores: 2, memoryMb: 32_000, measuredAt: at};
+		history = placement.addSample(history, sample);
 	}
 
-	const late = placement.addSample(history, {
-		cores: 99,
+	const old = {cores: 99, memoryMb: 1, measuredAt: 3};
+	t.equal(placement.addSample(history, old), history);
+	t.same(
+		placement.estimateUse({declared}, history),
+		certain({cores: 2, memoryMb: 32_000, accelerators: 1}),
+	);
+});
+
+tap.t.test('a habit of declaring is learned in both ways', async (t) => {
+	let model = placement.emptyDeclarationModel;
+	for (let index = 0; index < 200; index += 1) {
+		const used = 2 ** (index % 4);
+		// Off by half or double in turns, around three times too much.
+		const error = index % 8 < 4 ? 0.5 : 2;
+		model = placement.addDeclaration(model, 3 * error * used, used);
+	}
+
+	const fit = placement.fitDeclarations(model);
+	const {mean} = placement.predictUse(fit, 12);
+	t.ok(mean > 2.5 && mean < 6, `12 declared, ${mean} expected`);
+	const far = placement.predictUse(fit, 48).mean;
+	t.ok(far > 4 && far < 16, `48 declared, ${far} expected`);
+	t.same(placement.predictUse(fit, 0), {mean: 0, deviation: 0});
+});
+
+tap.t.test('the margin is for the sum, not for each task', async (t) => {
+	const estimate = {
+		mean: {cores: 4, memoryMb: 1, accelerators: 0},
+		deviation: {cores: 2, memoryMb: 0, accelerators: 0},
+	};
+	const cluster = createCluster(
+		['a', 'b', 'c'].map((job) => createTask(job, 'w0', {estimate})),
+	);
+	const need = placement.getNeed(cluster.loads.get('w0')!, estimate, {
+		cores: 1,
 		memoryMb: 1,
-		measuredAt: 3,
 	});
-	t.equal(late, history);
-	const seen = placement.estimateUse({declared}, history, undefined);
-	t.same(seen, {cores: 2, memoryMb: 32_000, accelerators: 1});
-	const ratio = placement.addEndedJob(undefined, declared, late);
-	const next = placement.estimateUse({declared}, undefined, ratio);
-	t.same(next, {cores: 2, memoryMb: 32_000, accelerators: 1});
+	t.equal(need.cores, 16 + 4, 'four deviations of 2 add up to 4, not 8');
 });
 
 tap.t.test('the customer with the least of its quota goes first', async (t) => {
@@ -257,8 +289,10 @@
 const {settleMs, stayMs} = placement.defaultRelocationConfig;
 
 const over = [
-	createTask('a', 'w0', {reserved: {...capacity, cores: 30}}),
-	createTask('b', 'w0', {reserved: {cores: 10, memoryMb: 1, accelerators: 0}}),
+	createTask('a', 'w0', {estimate: certain({...capacity, cores: 30})}),
+	createTask('b', 'w0', {
+		estimate: certain({cores: 10, memoryMb: 1, accelerators: 0}),
+	}),
 ];
 
 const relocations: Array<
@@ -277,10 +311,10 @@
 		'a nearly empty worker is emptied',
 		[
 			createTask('a', 'w0', {
-				reserved: {cores: 1, memoryMb: 1, accelerators: 0},
+				estimate: certain({cores: 1, memoryMb: 1, accelerators: 0}),
 			}),
 			createTask('b', 'w1', {
-				reserved: {cores: 16, memoryMb: 1, accelerators: 0},
+				estimate: certain({cores: 16, memoryMb: 1, accelerators: 0}),
 			}),
 		],
 		0,
--- a/packages/core/src/placement/relocation.ts
+++ b/packages/core/src/placement/relocation.ts
@@ -19,14 +19,25 @@
 	readonly stayMs: number;
 };
 
-/** Settings in force when none are given. */
-export const defaultRelocationConfig: RelocationConfig = {
+/** For long jobs, whose every move is a risk. */
+export const fewerMoves: RelocationConfig = {
 	overShare: 1.1,
 	emptyShare: 0.15,
 	settleMs: 300_000,
 	stayMs: 3_600_000,
 };
 
+/** For small instances, whose idle capacity costs most. */
+export const lessBuffer: RelocationConfig = {
+	overShare: 1.02,
+	emptyShare: 0.25,
+	settleMs: 60_000,
+	stayMs: 900_000,
+};
+
+/** Settings in force when none are given. */
+export const defaultRelocationConfig = fewerMoves;
+
 /** Since when each worker has been over or nearly empty. */
 export type Observed = ReadonlyMap<
 	string,
@@ -94,7 +105,7 @@
 	let best: {worker: string; share: number} | undefined;
 	for (const load of cluster.loads.values()) {
 		const {id, isOpen, capacity} = load.worker;
-		const fits = resources.fitsInto(task.reserved, clusters.getRoom(load));
+		const fits = clusters.hasRoom(load, task.estimate);
 		if (id === task.worker || !isOpen || observed.has(id) || !fits) {
 			continue;
 		}
@@ -116,7 +127,7 @@
 ): clusters.PlacedTask | undefined => {
 	const {capacity} = load.worker;
 	const getShare = (task: clusters.PlacedTask) =>
-		resources.getDominantShare(task.reserved, capacity);
+		resources.getDominantShare(task.estimate.mean, capacity);
 	const excess = resources.getDominantShare(load.reserved, capacity) - 1;
 	const movable = [...load.tasks.values()]
 		.filter((task) => mayMove(task, now, cfg))
--- a/packages/core/src/placement/usage-estimate.ts
+++ b/packages/core/src/placement/usage-estimate.ts
@@ -1,29 +1,24 @@
 /**
- * What a job will use, from what it was seen to use. Reports lag, so a young
- * job's peak is still to come: the declared size, corrected by how wrong its
- * customer's earlier declarations were, counts until enough was seen.
+ * What a job will use, from what it was seen to use. Reports lag and a young
+ * job's peak is still to come, so until enough was seen its declared size
+ * counts, as its customer's earlier jobs have shown how to read it.
  * Source: docs/design/placement.md.
  */
 import type {Job, Resources} from '../types/job.js';
+import * as declarations from './declaration-model.js';
 
 /** Settings of the estimate. */
 export type EstimateConfig = {
 	/** Weight of a new sample in the mean and the deviation, from 0 to 1. */
 	readonly sampleWeight: number;
-	/** Deviations that are added to the mean. */
-	readonly marginDeviations: number;
 	/** Samples after which the declared size counts no more. */
 	readonly fullSamples: number;
-	/** Weight of one job in its customer's ratio, from 0 to 1. */
-	readonly ratioWeight: number;
 };
 
 /** Settings in force when none are given. */
 export const defaultEstimateConfig: EstimateConfig = {
 	sampleWeight: 0.25,
-	marginDeviations: 2,
 	fullSamples: 6,
-	ratioWeight: 0.1,
 };
 
 /** A running mean with its deviation. */
@@ -42,11 +37,22 @@
 	readonly measuredAt: number;
 };
 
-/** How a customer's jobs use what it declares: used by declared, per unit. */
-export type DeclaredRatio = {
-	readonly jobs: number;
-	readonly cores: Track;
-	readonly memoryMb: Track;
+/** How a customer's jobs use what it declares. */
+export type CustomerHabit = {
+	readonly cores: declarations.DeclarationModel;
+	readonly memoryMb: declarations.DeclarationModel;
+};
+
+/** What to expect of a job, and how far off that may be. */
+export type UseEstimate = {
+	readonly mean: Resources;
+	readonly deviation: Resources;
+};
+
+/** Nothing is known of a customer. */
+export const emptyHabit: CustomerHabit = {
+	cores: declarations.emptyDeclarationModel,
+	memoryMb: declarations.emptyDeclarationModel,
 };
 
 const startTrack = (value: number): Track => ({
@@ -90,74 +96,82 @@
 	};
 };
 
-const getRatio = (used: number, declared: number): number =>
-	declared > 0 ? used / declared : 1;
-
-/** Learns from a job that has ended how its customer declares. */
+/**
+ * Learns from a job how its customer declares. A job that ended before it was
+ * seen often enough has not shown its peak, and teaches nothing.
+ */
 export const addEndedJob = (
-	ratio: DeclaredRatio | undefined,
+	habit: CustomerHabit,
 	declared: Resources,
 	history: UsageHistory,
 	cfg: EstimateConfig = defaultEstimateConfig,
-): DeclaredRatio => {
-	// The first jobs are averaged; later ones weigh alike.
-	const jobs = (ratio?.jobs ?? 0) + 1;
-	const weight = Math.max(cfg.ratioWeight, 1 / jobs);
-	const cores = getRatio(history.cores.peak, declared.cores);
-	const memoryMb = getRatio(history.memoryMb.peak, declared.memoryMb);
-	return {
-		jobs,
-		cores: updateTrack(ratio?.cores, cores, weight),
-		memoryMb: updateTrack(ratio?.memoryMb, memoryMb, weight),
-	};
-};
-
-const getUpper = (track: Track, cfg: EstimateConfig): number =>
-	track.mean + cfg.marginDeviations * track.deviation;
+): CustomerHabit =>
+	history.samples < cfg.fullSamples
+		? habit
+		: {
+				cores: declarations.addDeclaration(
+					habit.cores,
+					declared.cores,
+					history.cores.peak,
+				),
+				memoryMb: declarations.addDeclaration(
+					habit.memoryMb,
+					declared.memoryMb,
+					history.memoryMb.peak,
+				),
+			};
 
 type Evidence = {
 	readonly declared: number;
-	readonly ratio: Track | undefined;
+	readonly model: declarations.DeclarationModel;
 	readonly seen: Track | undefined;
 	/** From 0 (only declared) to 1 (only seen). */
 	readonly trust: number;
 };
 
-const blend = (
-	{declared, ratio, seen, trust}: Evidence,
-	cfg: EstimateConfig,
-): number => {
-	const expected = declared * (ratio ? getUpper(ratio, cfg) : 1);
+const blend = ({declared, model, seen, trust}: Evidence) => {
+	const fit = declarations.fitDeclarations(model);
+	const predicted = declarations.predictUse(fit, declared);
 	if (!seen) {
-		return expected;
+		return predicted;
 	}
 
-	const observed = getUpper(seen, cfg);
 	// What was seen is a floor: a young job's use only grows.
-	return Math.max(seen.mean, trust * observed + (1 - trust) * expected);
+	const mean = Math.max(
+		seen.mean,
+		trust * seen.mean + (1 - trust) * predicted.mean,
+	);
+	const deviation = trust * seen.deviation + (1 - trust) * predicted.deviation;
+	return {mean, deviation};
 };
 
-/** What to reserve for a job; accelerators are taken as declared. */
+/** What a job is expected to use; accelerators are taken as declared. */
 export const estimateUse = (
 	job: Pick<Job, 'declared'>,
 	history: UsageHistory | undefined,
-	ratio: DeclaredRatio | undefined,
+	habit: CustomerHabit = emptyHabit,
 	cfg: EstimateConfig = defaultEstimateConfig,
-): Resources => {
+): UseEstimate => {
 	const trust = Math.min(1, (history?.samples ?? 0) / cfg.fullSamples);
 	const estimate = (resource: 'cores' | 'memoryMb') =>
-		blend(
-			{
-				declared: job.declared[resource],
-				ratio: ratio?.[resource],
-				seen: history?.[resource],
-				trust,
-			},
-			cfg,
-		);
+		blend({
+			declared: job.declared[resource],
+			model: habit[resource],
+			seen: history?.[resource],
+			trust,
+		});
+	const cores = estimate('cores');
+	const memoryMb = estimate('memoryMb');
 	return {
-		cores: estimate('cores'),
-		memoryMb: estimate('memoryMb'),
-		accelerators: job.declared.accelerators,
+		mean: {
+			cores: cores.mean,
+			memoryMb: memoryMb.mean,
+			accelerators: job.declared.accelerators,
+		},
+		deviation: {
+			cores: cores.deviation,
+			memoryMb: memoryMb.deviation,
+			accelerators: 0,
+		},
 	};
 };
