Let operators move instances between pools

Cause: moves ran by acknowledgement, but nobody could ask for one.

Change: POST and DELETE /v1/instances/ID/move, GET /v1/moves with the entries that each waits for, and `gullstand move start|cancel|list`. A move is decided on the newest view: it is refused if a contract keeps more executors serving or lets fewer be away.

Conclusion: the check counts instances by the view; the waves' ledgers do not yet hold an entry for a move.

--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -1,4 +1,4 @@
-/** `gullstand pool|entry|change`: what the fleet is doing. */
+/** `gullstand pool|move|entry|change`: what the fleet is doing. */
 import type {Command} from 'commander';
 import {callOperator, type OperatorCall} from '../client/operator-client.js';
 import {formatInForce, printAnswer, show} from './answer.js';
@@ -150,9 +150,50 @@
 		});
 };
 
+const formatMove = (move: Fields): readonly string[] => {
+	const lagging = move.lagging as readonly Fields[];
+	return [
+		`${show(move.instance)}: ${show(move.from)} to ${show(move.to)}, by ${show(move.author)}`,
+		...lagging.map(
+			(lag) => `  waits for ${show(lag.entry)}: ${show(lag.reason)}`,
+		),
+	];
+};
+
+const registerMoves = (program: Command, io: Io) => {
+	const group = program.command('move').description('moves between pools');
+	const getPath = (instance: string) =>
+		`/v1/instances/${encodeURIComponent(instance)}/move`;
+	const formatStep = (fields: Fields) => [
+		`${show(fields.transition)}: revision ${show(fields.revision)}`,
+	];
+	addTargetFlags(group.command('list'))
+		.description('list moves under way and who is waited for')
+		.action(async (flags: TargetFlags) =>
+			call({method: 'GET', path: '/v1/moves'}, flags, io, (fields) =>
+				(fields.moves as readonly Fields[]).flatMap((move) => formatMove(move)),
+			),
+		);
+	addTargetFlags(group.command('start').argument('<instance>'))
+		.description('drain an instance, then let it serve another pool')
+		.requiredOption('--to <pool>', 'the new pool')
+		.action(async (instance: string, flags: TargetFlags & {to: string}) => {
+			const body = {to: flags.to};
+			const path = getPath(instance);
+			await call({method: 'POST', path, body}, flags, io, formatStep);
+		});
+	addTargetFlags(group.command('cancel').argument('<instance>'))
+		.description('let an instance serve its old pool again')
+		.action(async (instance: string, flags: TargetFlags) => {
+			const path = getPath(instance);
+			await call({method: 'DELETE', path}, flags, io, formatStep);
+		});
+};
+
 /** Registers the commands of this domain. */
 export const registerFleet = (program: Command, io: Io) => {
 	registerPools(program, io);
+	registerMoves(program, io);
 	registerEntries(program, io);
 	registerChanges(program, io);
 };
--- a/packages/daemon/src/operator/instances/app.ts
+++ b/packages/daemon/src/operator/instances/app.ts
@@ -12,6 +12,7 @@
 } from '../objects/object-domain.js';
 import {instanceSchema} from '../objects/schemas.js';
 import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import {registerMoves} from './moves.js';
 
 const findFaults = (sent: Instance, current: Instance): FieldFault[] => {
 	const faults: FieldFault[] = [];
@@ -60,5 +61,6 @@
 
 /** Registers the handlers of this domain. */
 export const registerInstances = (app: OperatorApp, deps: OperatorDeps) => {
+	registerMoves(app, deps);
 	registerObjects(app, deps, domain);
 };
--- /dev/null
+++ b/packages/daemon/src/operator/instances/moves.ts
@@ -0,0 +1,180 @@
+/** Moves of instances: start, take back, show who is waited for. */
+import {z} from 'zod';
+import * as core from '@gullstand/core';
+import type {errors, move, View, viewChange} from '@gullstand/core';
+import type {StoreError} from '@gullstand/platform';
+import {commitStep, readInstance, readMoves} from '../../moves/move-rows.js';
+import {counterRow} from '../../view/tables.js';
+import {
+	answerError,
+	answerStoreError,
+	readJson,
+	type OperatorContext,
+} from '../objects/answers.js';
+import {readRegistrations} from '../objects/in-force.js';
+import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import {findLeaveProblems} from './move-checks.js';
+
+const moveRequest = z.strictObject({to: z.string().min(1).max(63)});
+
+const maxRaces = 20;
+
+type Decision =
+	| {readonly kind: 'step'; readonly step: move.MoveCommit}
+	| {readonly kind: 'answer'; readonly answer: Response};
+
+const refuse = (
+	kind: errors.ErrorKind,
+	more?: Readonly<Record<string, unknown>>,
+): Decision => ({kind: 'answer', answer: answerError(kind, more)});
+
+const refuseByStore = (error: StoreError): Decision => ({
+	kind: 'answer',
+	answer: answerStoreError(error),
+});
+
+const refusals: Readonly<Record<move.MoveRefusal['kind'], string>> = {
+	'same-pool': 'is in that pool already',
+	'not-serving': 'is not serving',
+	'already-moving': 'is moving already',
+};
+
+type StartOrder = {
+	readonly id: string;
+	readonly to: string;
+	readonly author: string;
+};
+
+const decideStart = async (
+	{table}: OperatorDeps,
+	{id, to, author}: StartOrder,
+	view: View,
+): Promise<Decision> => {
+	const instance = await readInstance(table, id);
+	const row = await table.get(core.agreementTables.move, id);
+	if (!instance.ok || !row.ok) {
+		return refuseByStore({kind: 'unavailable'});
+	}
+
+	if (!instance.value) {
+		return refuse('not-found');
+	}
+
+	const step = core.move.startDrain({
+		instance: instance.value,
+		to,
+		author,
+		revision: view.revision + 1,
+		isMoving: row.value !== undefined,
+	});
+	if (!step.ok) {
+		const message = refusals[step.error.kind];
+		return refuse('bad-request', {faults: [{field: 'instance', message}]});
+	}
+
+	const problems = findLeaveProblems(view, instance.value.value);
+	return problems.length > 0
+		? refuse('promise-impossible', {problems})
+		: {kind: 'step', step: step.value};
+};
+
+const decideCancel = async (
+	{table}: OperatorDeps,
+	id: string,
+): Promise<Decision> => {
+	const instance = await readInstance(table, id);
+	const moves = await readMoves(table);
+	if (!instance.ok || !moves.ok) {
+		return refuseByStore({kind: 'unavailable'});
+	}
+
+	const found = moves.value.find(({value}) => value.instance === id);
+	const step = found && core.move.cancelMove(found, instance.value);
+	return step?.kind === 'commit' ? {kind: 'step', step} : refuse('not-found');
+};
+
+/** Decides and commits on the newest view, anew after each other change. */
+const applyMove = async (
+	c: OperatorContext,
+	deps: OperatorDeps,
+	decide: (view: View) => Promise<Decision>,
+): Promise<Response> => {
+	const {name: author} = c.get('operator');
+	for (let races = 0; races < maxRaces; races += 1) {
+		await deps.poll();
+		const known = deps.getFollowed();
+		const decision = await decide(known.view);
+		if (decision.kind === 'answer') {
+			return decision.answer;
+		}
+
+		const committed = await commitStep(deps.table, decision.step, {
+			author,
+			known,
+			mustBeNewest: true,
+		});
+		if (committed.ok) {
+			return answerMoved(c, deps, committed.value, decision.step);
+		}
+
+		const {error} = committed;
+		if (error.kind !== 'conflict' || error.table !== counterRow.table) {
+			return answerStoreError(error);
+		}
+	}
+
+	return answerError('store-unavailable');
+};
+
+const answerMoved = async (
+	c: OperatorContext,
+	deps: OperatorDeps,
+	delta: viewChange.ViewDelta,
+	step: move.MoveCommit,
+) => {
+	await deps.onCommitted(delta);
+	const {instance, transition} = step;
+	return c.json({revision: delta.revision, transition, instance});
+};
+
+/** Moves under way, with the entries that each waits for. */
+const listMoves = async (c: OperatorContext, deps: OperatorDeps) => {
+	const moves = await readMoves(deps.table);
+	const rows = await readRegistrations(deps.table);
+	if (!moves.ok || !rows.ok) {
+		return answerStoreError({kind: 'unavailable'});
+	}
+
+	const registrations = rows.value.map(({registration}) => registration);
+	return c.json({
+		moves: moves.value.map(({value}) => ({
+			...value,
+			lagging: core.lagging.findLagging(registrations, deps.getHeard(), {
+				revision: value.drainRevision,
+				instance: value.instance,
+			}),
+		})),
+	});
+};
+
+/** Registers the handlers of moves. */
+export const registerMoves = (app: OperatorApp, deps: OperatorDeps) => {
+	const path = '/v1/instances/:key/move';
+	app.get('/v1/moves', async (c) => listMoves(c, deps));
+	app.post(path, async (c) => {
+		const parsed = moveRequest.safeParse(await readJson(c));
+		if (!parsed.success) {
+			return answerError('bad-request', {
+				faults: [{field: 'to', message: 'names the new pool'}],
+			});
+		}
+
+		const {name: author} = c.get('operator');
+		const id = c.req.param('key');
+		const order = {id, to: parsed.data.to, author};
+		return applyMove(c, deps, async (view) => decideStart(deps, order, view));
+	});
+	app.delete(path, async (c) =>
+		applyMove(c, deps, async () => decideCancel(deps, c.req.param('key'))),
+	);
+};
--- a/packages/daemon/src/operator/operator.test.ts
+++ b/packages/daemon/src/operator/operator.test.ts
@@ -304,3 +304,44 @@
 	faults.set({isDown: false});
 	t.match(await call(change), {status: 200, body: {revision: 3}});
 });
+
+const getInstance = async (
+	call: Awaited<ReturnType<typeof startFixture>>['call'],
+	id: string,
+) => {
+	const {body} = await call({path: `/v1/instances/${id}`});
+	return body.instance as {pool: string; state: string};
+};
+
+tap.t.test('moves an instance within what contracts allow', async (t) => {
+	const {call} = await startFixture(t);
+	const move = {method: 'POST', body: {to: 'claims'}} as const;
+	const started = await call({...move, path: '/v1/instances/quoting-1/move'});
+	t.match(started, {status: 200, body: {transition: 'startDrain'}});
+	const other = await call({...move, path: '/v1/instances/quoting-2/move'});
+	t.match(other, {status: 422, outcome: 'not-run'});
+	t.match(other.body, {
+		problems: [{customer: 'demo', service: 'quoting', bound: 2, after: 1}],
+	});
+	let moved = await getInstance(call, 'quoting-1');
+	while (moved.pool !== 'claims') {
+		await new Promise((resolve) => {
+			setTimeout(resolve, 20);
+		});
+		moved = await getInstance(call, 'quoting-1');
+	}
+
+	t.equal(moved.state, 'serving');
+	t.match(await call({path: '/v1/moves'}), {body: {moves: []}});
+	t.match(
+		await call({method: 'DELETE', path: '/v1/instances/quoting-1/move'}),
+		{status: 404},
+	);
+	t.match(await call({...move, path: '/v1/instances/quoting-1/move'}), {
+		status: 400,
+		body: {faults: [{message: 'is in that pool already'}]},
+	});
+	t.match(await call({...move, path: '/v1/instances/nothing/move'}), {
+		status: 404,
+	});
+});
