Let an old read decide nothing about a write in doubt

Cause: after a lost reply, a read back that shows any other row than expected ended the attempt. A read may be older than one before (the store was restored, or a replica lags): the attempt then left its started row behind, and the key was unknown until it expired. Also, a row of another life of the same entry was told outcome-unknown with the advice never, although an old and a new process may run at once. Change: only a newer row, or the own one, decides; else the same write is sent again. A row of another life is told still-running at once, with Retry-After.

--- a/packages/core/src/idempotency/claim.ts
+++ b/packages/core/src/idempotency/claim.ts
@@ -263,7 +263,7 @@
 		? settle.startRelease(attempt, intent.row, intent.when)
 		: writeStarted(attempt, intent);
 
-/** Goes on with a row that is seen there after a started write. */
+/** Goes on with the row as it certainly is after a started write. */
 const compareStarted = (
 	attempt: Attempt,
 	intent: StartIntent,
@@ -274,10 +274,6 @@
 		return goOn(attempt, intent, stored.version, time);
 	}
 
-	if (intent.isDoubtful && rows.isUnchanged(stored, intent.when)) {
-		return writeAgain(attempt, intent);
-	}
-
 	return attempt.isAnswered
 		? attempts.endAttempt(attempt)
 		: proceed(attempt, stored, time);
@@ -329,7 +325,13 @@
 	time: Time,
 ): Step => {
 	if (read !== undefined) {
-		return compareStarted(attempt, intent, read.stored, time);
+		const {stored} = read;
+		const isDecided =
+			rows.isHeldBy(stored, attempt.claim.holder) ||
+			rows.isPast(stored, intent.when);
+		return isDecided
+			? compareStarted(attempt, intent, stored, time)
+			: writeAgain(attempt, intent);
 	}
 
 	return time.now >= attempt.settleBy
--- a/packages/core/src/idempotency/lookup.ts
+++ b/packages/core/src/idempotency/lookup.ts
@@ -34,8 +34,11 @@
 	readonly settings: Pick<Settings, 'clockSkewMs' | 'maxPollMs'>;
 };
 
-/** True if a row was written by an earlier life of the asker's entry. */
-const isFormerLife = (holder: Holder, asker: Holder): boolean =>
+/**
+ * True if a row was written by another life of the asker's entry, which has
+ * most likely ended: nobody is held for it.
+ */
+const isOtherLife = (holder: Holder, asker: Holder): boolean =>
 	holder.entry === asker.entry && holder.incarnation !== asker.incarnation;
 
 /** True if a key may be used anew on any entry's clock. */
@@ -56,15 +59,12 @@
 	date: number,
 ): Lookup => {
 	const {clockSkewMs, maxPollMs} = context.settings;
-	if (
-		isFormerLife(row.holder, context.holder) ||
-		date > row.settleAt + clockSkewMs
-	) {
+	if (date > row.settleAt + clockSkewMs) {
 		return {kind: 'refuse', error: 'outcome-unknown'};
 	}
 
 	const forMs = row.deadlineAt + maxPollMs - date;
-	if (forMs <= 0) {
+	if (forMs <= 0 || isOtherLife(row.holder, context.holder)) {
 		return {kind: 'refuse', error: 'still-running', retryAfterMs: maxPollMs};
 	}
 
--- a/packages/core/src/idempotency/row.ts
+++ b/packages/core/src/idempotency/row.ts
@@ -167,3 +167,12 @@
 	when.kind === 'absent'
 		? stored === undefined
 		: stored?.version === when.version;
+
+/**
+ * True if a row shows that the precondition of a write cannot hold again.
+ * Reads may be older than others before, so that an earlier version, or no
+ * row where one was, decides nothing.
+ */
+export const isPast = (stored: StoredRow | undefined, when: When): boolean =>
+	stored !== undefined &&
+	(when.kind === 'absent' || stored.version > when.version);
--- a/packages/core/src/idempotency/settle.ts
+++ b/packages/core/src/idempotency/settle.ts
@@ -172,29 +172,22 @@
 		? attempts.endAttempt(attempt)
 		: attempts.pauseFor(attempt, intent, now);
 
-/**
- * Compares the row with what was to be written. An own started row is
- * replaced; an untouched precondition is written under again, which also
- * keeps a delayed started write of this attempt from taking effect.
- */
+/** Ends over a row that is certainly there; an own started one is replaced. */
 const settleOver = (
 	attempt: Attempt,
 	intent: SettleIntent,
 	stored: StoredRow | undefined,
 	now: number,
 ): Step => {
-	if (now >= attempt.settleBy) {
-		return attempts.endAttempt(attempt);
-	}
-
 	const isOwn = rows.isHeldBy(stored, attempt.claim.holder);
-	if (stored !== undefined && isOwn && stored.row?.state === 'started') {
-		const when = {kind: 'version', version: stored.version} as const;
-		return writeSettled(attempt, {...intent, when});
+	const isLate = now >= attempt.settleBy;
+	if (stored === undefined || !isOwn || isLate) {
+		return attempts.endAttempt(attempt);
 	}
 
-	return !isOwn && rows.isUnchanged(stored, intent.when)
-		? writeSettled(attempt, intent)
+	const when = {kind: 'version', version: stored.version} as const;
+	return stored.row?.state === 'started'
+		? writeSettled(attempt, {...intent, when})
 		: attempts.endAttempt(attempt);
 };
 
@@ -225,13 +218,26 @@
 export const resumeSettle = (attempt: Attempt, intent: SettleIntent): Step =>
 	attempts.callFor(attempt, intent, {kind: 'read'});
 
-/** Goes on after the row was read back. */
+/**
+ * Goes on after the row was read back. Over a row that decides nothing the
+ * same write is sent again, which also keeps a delayed started write of this
+ * attempt from taking effect.
+ */
 export const readSettle = (
 	attempt: Attempt,
 	intent: SettleIntent,
 	result: {readonly stored: StoredRow | undefined} | undefined,
 	now: number,
-): Step =>
-	result === undefined
-		? pauseSettle(attempt, intent, now)
-		: settleOver(attempt, intent, result.stored, now);
+): Step => {
+	if (result === undefined || now >= attempt.settleBy) {
+		return pauseSettle(attempt, intent, now);
+	}
+
+	const {stored} = result;
+	const isDecided =
+		rows.isHeldBy(stored, attempt.claim.holder) ||
+		rows.isPast(stored, intent.when);
+	return isDecided
+		? settleOver(attempt, intent, stored, now)
+		: writeSettled(attempt, intent);
+};
