Count a service's slots once a change, not once a call

Cause: the admission layer listed the serving executors at each call, a copy of all instances, and started its timer for calls that do not wait. Change: slots are kept with the queue and counted when the view or the share changes; the timer runs only while calls wait.

--- a/packages/daemon/src/admission/admission-layer.ts
+++ b/packages/daemon/src/admission/admission-layer.ts
@@ -28,6 +28,9 @@
 	readonly close: () => void;
 };
 
+/** A service's queue and the slots it was last given. */
+type Admitted = {readonly queue: ServiceQueue; slots: number};
+
 const expireEveryMs = 5;
 
 /** Creates the layer. */
@@ -35,16 +38,17 @@
 	deps: AdmissionLayerDeps,
 ): AdmissionLayer => {
 	const {getView, now, getShare, getSlots} = deps;
-	const queues = new Map<string, ServiceQueue>();
+	const queues = new Map<string, Admitted>();
 	let timer: NodeJS.Timeout | undefined;
 	let revision = -1;
 	let share = 0;
 
-	const updateQueue = (name: string, queue: ServiceQueue) => {
+	const update = (name: string, admitted: Admitted) => {
 		const {contracts, services} = getView();
 		const service = services.get(name);
 		const terms = core.admission.getTerms(contracts.values(), name);
-		queue.update(terms, share, service ? getSlots(service) : 0);
+		admitted.slots = service ? getSlots(service) : 0;
+		admitted.queue.update(terms, share, admitted.slots);
 	};
 
 	/** Takes over a changed view or a changed number of entries. */
@@ -56,9 +60,9 @@
 
 		revision = view.revision;
 		share = getShare();
-		for (const [name, queue] of queues) {
-			updateQueue(name, queue);
-			if (!view.services.has(name) && !queue.expire()) {
+		for (const [name, admitted] of queues) {
+			update(name, admitted);
+			if (!view.services.has(name) && !admitted.queue.expire()) {
 				queues.delete(name);
 			}
 		}
@@ -67,7 +71,7 @@
 	const tick = () => {
 		follow();
 		let isBusy = false;
-		for (const queue of queues.values()) {
+		for (const {queue} of queues.values()) {
 			isBusy = queue.expire() || isBusy;
 		}
 
@@ -77,35 +81,38 @@
 		}
 	};
 
-	const findQueue = (name: string): ServiceQueue => {
+	/** Looks after queues as long as any call waits. */
+	const watch = () => {
+		timer ??= setInterval(tick, expireEveryMs);
+	};
+
+	const findAdmitted = (name: string): Admitted => {
 		const known = queues.get(name);
 		if (known) {
 			return known;
 		}
 
 		const settings = {...core.admission.defaultSettings, ...deps.settings};
-		const created = createServiceQueue(settings, now);
+		const queue = createServiceQueue(settings, now, watch);
+		const created = {queue, slots: 0};
 		queues.set(name, created);
-		updateQueue(name, created);
+		update(name, created);
 		return created;
 	};
 
 	const layer: CallLayer = (next) => async (call) => {
 		follow();
-		if (getSlots(call.service) === 0) {
-			// Dispatch knows why, and no slot is spent.
-			return next(call);
-		}
-
-		const result = findQueue(call.service.name).run(call, next);
-		timer ??= setInterval(tick, expireEveryMs);
-		return result;
+		const {queue, slots} = findAdmitted(call.service.name);
+		// Dispatch knows why there is none, and no slot is spent.
+		return slots === 0 ? next(call) : queue.run(call, next);
 	};
 
 	return {
 		layer,
 		getStatus: () =>
-			new Map([...queues].map(([name, each]) => [name, each.getStatus()])),
+			new Map(
+				[...queues].map(([name, each]) => [name, each.queue.getStatus()]),
+			),
 		close() {
 			clearInterval(timer);
 			timer = undefined;
--- a/packages/daemon/src/admission/service-queue.ts
+++ b/packages/daemon/src/admission/service-queue.ts
@@ -35,10 +35,11 @@
 const isMeasured = (result: CallResult): boolean =>
 	result.kind === 'answer' || result.error === 'upstream-timeout';
 
-/** Creates the admission of one service. */
+/** Creates the admission of one service; `onWait` is told of each wait. */
 export const createServiceQueue = (
 	settings: core.admission.AdmissionSettings,
 	now: () => number,
+	onWait: () => void,
 ): ServiceQueue => {
 	const state = core.admission.createAdmission(settings, now());
 	const waiting = new Map<Ticket, Waiting>();
@@ -109,6 +110,7 @@
 				}
 			});
 			waiting.set(ticket, {call, next, resolve, stopListening});
+			onWait();
 			drain();
 		});
 
