--- /dev/null
+++ b/packages/daemon/src/limits/credit-channel.ts
@@ -0,0 +1,110 @@
+/** Credit messages between entries over the peer channel. */
+import type {CreditMessage} from '@gullstand/core';
+import {z} from 'zod';
+import type {PeerChannel} from '../peers/peer-channel.js';
+import type {PeerSchema} from '../peers/peer-methods.js';
+
+/** A listed entry as credits know it. */
+export type CreditPeer = {
+	/** Entry and incarnation, as `getMember` writes them. */
+	readonly member: string;
+	/** Address and port of its peer channel. */
+	readonly address: string;
+	readonly isLeaving: boolean;
+};
+
+/** What became of messages; only `refused` tells that nobody listens. */
+export type CreditDelivery = {
+	readonly kind: 'delivered' | 'lost' | 'refused';
+	/** What the peer had to say at once. */
+	readonly messages: readonly CreditMessage[];
+};
+
+/** Port by which credits reach other entries; messages may be lost. */
+export type CreditChannel = {
+	readonly send: (
+		peer: CreditPeer,
+		messages: readonly CreditMessage[],
+	) => Promise<CreditDelivery>;
+	/** Sets the handler of messages; it returns messages for the sender. */
+	readonly onMessages: (
+		handler: (
+			from: string,
+			messages: readonly CreditMessage[],
+		) => readonly CreditMessage[],
+	) => void;
+};
+
+/** Name of one life of an entry; another life has another name. */
+export const getMember = (entry: string, incarnation: string): string =>
+	`${entry}/${incarnation}`;
+
+const count = z.int().min(0);
+const counts = z.record(z.string(), count);
+
+const report = z.strictObject({
+	pool: z.string(),
+	borrower: z.string(),
+	session: count,
+	term: z.string(),
+	sentAtMs: z.number(),
+	echoMs: z.number(),
+	carried: counts,
+	expired: counts,
+	released: counts,
+	grantedSeen: count,
+	spare: count,
+	waitingMs: z.array(count).max(64),
+	avoid: z.array(z.string()),
+	settleMs: count,
+	leaving: z.boolean(),
+	followedMs: z.number(),
+});
+
+const grant = z.strictObject({
+	pool: z.string(),
+	borrower: z.string(),
+	session: count,
+	term: z.string(),
+	sentAtMs: z.number(),
+	echoMs: z.number(),
+	known: z.boolean(),
+	leased: z.boolean(),
+	granted: counts,
+	recalled: counts,
+	spareLimit: count,
+	urgentMs: z.number(),
+});
+
+/** What the method `credits` receives. */
+export const creditsSchema: PeerSchema<'credits'> = z.strictObject({
+	messages: z.array(
+		z.discriminatedUnion('kind', [
+			z.strictObject({kind: z.literal('report'), report}),
+			z.strictObject({kind: z.literal('grant'), grant}),
+		]),
+	),
+});
+
+/** Later messages make up for one that takes longer. */
+const timeoutMs = 500;
+
+/** Carries credits over the peer channel; call before the channel starts. */
+export const createCreditChannel = (
+	peers: Pick<PeerChannel, 'addMethod' | 'call'>,
+): CreditChannel => ({
+	async send({address}, messages) {
+		const answer = await peers.call(address, 'credits', {messages}, timeoutMs);
+		if (answer.ok) {
+			return {kind: 'delivered', messages: answer.value.messages};
+		}
+
+		const isRefused = answer.error.message.includes('ECONNREFUSED');
+		return {kind: isRefused ? 'refused' : 'lost', messages: []};
+	},
+	onMessages(handler) {
+		peers.addMethod('credits', creditsSchema, ({messages}, from) => ({
+			messages: handler(getMember(from.entry, from.incarnation), messages),
+		}));
+	},
+});
--- /dev/null
+++ b/packages/daemon/src/limits/credit-limits.ts
@@ -0,0 +1,262 @@
+/**
+ * Limits across entries as a part: one gate a pool, one heartbeat to all
+ * peers, and the layer that lets a call through when it has a credit.
+ * Source: docs/design/limits.md.
+ */
+import * as core from '@gullstand/core';
+import type {CreditEnvelope, CreditMessage} from '@gullstand/core';
+import {
+	createError,
+	type Call,
+	type CallHandler,
+	type CallLayer,
+	type CallResult,
+} from '../caller/call.js';
+import type {Part} from '../supervisor/supervisor.js';
+import type {TakeSlot} from '../upstream/types.js';
+import type {CreditChannel, CreditPeer} from './credit-channel.js';
+import * as gates from './pool-gate.js';
+
+/** What the limits need. */
+export type CreditLimitsDeps = {
+	/** Entry and incarnation of this entry. */
+	readonly self: string;
+	readonly channel: CreditChannel;
+	readonly now: () => number;
+	readonly settings: core.CreditSettings;
+	/** Silence of a peer after which another home is turned to. */
+	readonly silentAfterMs: number;
+	/** The listed entries without this one. */
+	readonly listPeers: () => readonly CreditPeer[];
+	/** Slots by executor of every pool that serves. */
+	readonly getSlots: () => ReadonlyMap<string, ReadonlyMap<string, number>>;
+};
+
+/** The part, the layer and the taker of slots. */
+export type CreditLimits = Part & {
+	/** Stands inside admission and around dispatch. */
+	readonly layer: CallLayer;
+	readonly getTakeSlot: (service: core.Service) => TakeSlot;
+	/** Connections to one executor that this entry may have open now. */
+	readonly getConnectionLimit: (
+		service: core.Service,
+		executor: string,
+	) => number;
+	/** This entry stops: others follow another home. */
+	readonly leave: () => void;
+	readonly getGate: (pool: string) => gates.PoolGate;
+};
+
+/** Creates the limits; nothing is sent before the start. */
+export const createCreditLimits = (deps: CreditLimitsDeps): CreditLimits => {
+	const {self, channel, now, settings, silentAfterMs} = deps;
+	const all = new Map<string, gates.PoolGate>();
+	const heardAt: core.silence.HeardAt = new Map();
+	const heard = new Set<string>();
+	const ended = new Set<string>();
+	let isLeaving = false;
+	let timer: NodeJS.Timeout | undefined;
+	/** What is being answered now, and to whom. */
+	let answering: {to: string; messages: CreditMessage[]} | undefined;
+
+	const takeIn = (from: string, messages: readonly CreditMessage[]) => {
+		heardAt.set(from, now());
+		heard.add(from);
+		for (const message of messages) {
+			const {pool, borrower} =
+				message.kind === 'report' ? message.report : message.grant;
+			// A report speaks for its sender only.
+			if (message.kind === 'grant' || borrower === from) {
+				all.get(pool)?.receive(message);
+			}
+		}
+	};
+
+	const post = async (peer: CreditPeer, messages: readonly CreditMessage[]) => {
+		const delivery = await channel.send(peer, messages);
+		if (delivery.kind === 'delivered') {
+			takeIn(peer.member, delivery.messages);
+		} else if (delivery.kind === 'refused' && heard.has(peer.member)) {
+			ended.add(peer.member);
+			updateAll();
+		}
+	};
+
+	const send = (envelopes: readonly CreditEnvelope[]) => {
+		const peers = new Map(deps.listPeers().map((each) => [each.member, each]));
+		for (const {to, message} of envelopes) {
+			const peer = peers.get(to);
+			if (answering?.to === to) {
+				answering.messages.push(message);
+			} else if (peer) {
+				void post(peer, [message]);
+			}
+		}
+	};
+
+	const getGate = (pool: string): gates.PoolGate => {
+		const known = all.get(pool);
+		if (known) {
+			return known;
+		}
+
+		const gate = gates.createPoolGate({pool, self, settings, now, send});
+		all.set(pool, gate);
+		return gate;
+	};
+
+	let membersForm = '';
+	const updateAll = () => {
+		const peers = deps.listPeers().filter((each) => !ended.has(each.member));
+		const names = peers.map((each) => each.member);
+		const silent = core.silence.getSilentMembers(
+			heardAt,
+			names,
+			now(),
+			silentAfterMs,
+		);
+		const leaving = new Set(
+			peers.filter((each) => each.isLeaving).map((each) => each.member),
+		);
+		if (isLeaving) {
+			leaving.add(self);
+		}
+
+		const slots = deps.getSlots();
+		const listed = [self, ...names].toSorted();
+		const form = JSON.stringify([
+			listed,
+			[...silent],
+			[...leaving],
+			[...slots].map(([pool, counts]) => [pool, [...counts]]),
+		]);
+		if (form === membersForm) {
+			return;
+		}
+
+		membersForm = form;
+		for (const pool of new Set([...slots.keys(), ...all.keys()])) {
+			getGate(pool).update({
+				listed,
+				silent,
+				leaving,
+				ended,
+				slots: slots.get(pool) ?? new Map<string, number>(),
+			});
+		}
+	};
+
+	const tick = () => {
+		updateAll();
+		const batches = new Map(
+			deps
+				.listPeers()
+				.map((peer) => [peer.member, {peer, messages: [] as CreditMessage[]}]),
+		);
+		for (const gate of all.values()) {
+			for (const {to, message} of gate.tick()) {
+				batches.get(to)?.messages.push(message);
+			}
+		}
+
+		for (const [member, {peer, messages}] of batches) {
+			if (!ended.has(member)) {
+				void post(peer, messages);
+			}
+		}
+	};
+
+	channel.onMessages((from, messages) => {
+		answering = {to: from, messages: []};
+		takeIn(from, messages);
+		const answer = answering.messages;
+		answering = undefined;
+		return answer;
+	});
+
+	/** Waits at the gate until the call passes, is late or is cancelled. */
+	const enter = async (
+		gate: gates.PoolGate,
+		call: Call,
+		next: CallHandler,
+	): Promise<CallResult> =>
+		new Promise((resolve) => {
+			const held: {
+				timer?: NodeJS.Timeout;
+				remove?: () => void;
+				stopListening?: () => void;
+			} = {};
+			let hasPassed = false;
+			const settle = (result: CallResult | Promise<CallResult>) => {
+				clearTimeout(held.timer);
+				held.stopListening?.();
+				held.remove?.();
+				resolve(result);
+			};
+
+			held.remove = gate.enter({
+				deadline: call.deadline,
+				pass() {
+					hasPassed = true;
+					const cutAt = now() + settings.longestAttemptMs;
+					const deadline = Math.min(call.deadline, cutAt);
+					settle(next({...call, deadline}));
+				},
+			});
+			if (hasPassed) {
+				return;
+			}
+
+			const leftMs = Math.max(0, call.deadline - now());
+			held.timer = setTimeout(() => {
+				const {longestAttemptMs} = settings;
+				settle(createError('deadline-in-queue', 0, longestAttemptMs));
+			}, leftMs);
+			held.stopListening = call.cancellation.onCancel(() => {
+				settle(createError('cancelled'));
+			});
+		});
+
+	const layer: CallLayer = (next) => async (call) => {
+		const gate = getGate(call.service.pool);
+		updateAll();
+		if (!deps.getSlots().get(call.service.pool)?.size) {
+			// Dispatch knows why, and no slot is spent.
+			return next(call);
+		}
+
+		if (call.cancellation.isCancelled()) {
+			return createError('cancelled');
+		}
+
+		return enter(gate, call, next);
+	};
+
+	return {
+		name: 'credit-limits',
+		async start() {
+			updateAll();
+			tick();
+			timer = setInterval(tick, settings.heartbeatMs);
+		},
+		async stop() {
+			clearInterval(timer);
+		},
+		layer,
+		getTakeSlot: (service) => getGate(service.pool).takeSlot,
+		getConnectionLimit(service, executor) {
+			const {borrower} = getGate(service.pool).getLimits();
+			return core.staticShare.getConnectionLimit(
+				service.connectionsPerExecutor,
+				service.slotsPerExecutor,
+				borrower.members.listed.length,
+				core.creditBorrower.getHeld(borrower, executor),
+			);
+		},
+		leave() {
+			isLeaving = true;
+			updateAll();
+		},
+		getGate,
+	};
+};
--- a/packages/daemon/src/peers/peer-methods.ts
+++ b/packages/daemon/src/peers/peer-methods.ts
@@ -2,7 +2,7 @@
  * Methods of the peer channel. A part adds its methods here by a line in
  * `PeerMethods` and a schema for what it receives.
  */
-import type {acknowledgement, viewChange} from '@gullstand/core';
+import type {acknowledgement, CreditMessage, viewChange} from '@gullstand/core';
 import type {z} from 'zod';
 
 /** One life of an entry and where it is reached. */
@@ -40,6 +40,11 @@
 		readonly params: Record<string, never>;
 		readonly result: PeerView;
 	};
+	/** Reports and grants of slot credits; answers those for the caller. */
+	readonly credits: {
+		readonly params: {readonly messages: readonly CreditMessage[]};
+		readonly result: {readonly messages: readonly CreditMessage[]};
+	};
 	/** Asks a registered entry to acknowledge for an unregistered one. */
 	readonly sponsor: {
 		readonly params: acknowledgement.Acknowledgement;
