--- a/packages/daemon/src/waves/drain-check.ts
+++ b/packages/daemon/src/waves/drain-check.ts
@@ -4,7 +4,7 @@
  * Source: docs/design/agreement.md.
  */
 import * as core from '@gullstand/core';
-import type {lagging, View} from '@gullstand/core';
+import type {lagging, move, View} from '@gullstand/core';
 import type {TableService, Write} from '@gullstand/platform';
 import {readRegistrations} from '../operator/objects/in-force.js';
 
@@ -15,6 +15,8 @@
 	/** Requests in flight from this entry to an instance. */
 	readonly getInFlight: (instance: string) => number;
 	readonly getHeard: () => lagging.HeardAcknowledgements;
+	/** What is known of entries that start from the object store's snapshot. */
+	readonly getOutageStart?: () => move.OutageStart;
 };
 
 /** The registered entries as read, and what must still hold at a commit. */
@@ -49,9 +51,14 @@
 			revision,
 			instance,
 		});
+	const outageStart = deps.getOutageStart?.() ?? core.move.noOutageStart;
+	const isStartSafe = (revision: number) =>
+		outageStart.snapshotRevision >= revision &&
+		outageStart.markerUnchangedMs >= outageStart.markerWaitMs;
 	return {
 		getLagging,
 		isDrained: (instance, revision) =>
+			isStartSafe(revision) &&
 			deps.getView().revision >= revision &&
 			deps.getInFlight(instance) === 0 &&
 			getLagging(instance, revision).length === 0,
--- a/packages/daemon/src/waves/wave-runner.test.ts
+++ b/packages/daemon/src/waves/wave-runner.test.ts
@@ -74,6 +74,10 @@
 	const booting = new Map<string, number>();
 	const verdict = {overspent: 0, reboots: new Map<string, number>()};
 	const clock = {now: 1_000_000, round: 0};
+	const outageStart: {-readonly [Key in keyof core.move.OutageStart]: number} =
+		{
+			...core.move.noOutageStart,
+		};
 	const faults: Fault[] = [];
 	const lives = new Map<string, number>(ids.map((id) => [id, 1]));
 
@@ -158,6 +162,7 @@
 			poll: follower.poll,
 			getInFlight: () => 0,
 			getHeard: () => new Map(),
+			getOutageStart: () => outageStart,
 			now: () => clock.now,
 			logger: silent,
 			pollMs: 1000,
@@ -284,6 +289,7 @@
 		table,
 		list,
 		faults,
+		outageStart,
 		hooks,
 		setMaxAway,
 		verdict,
@@ -410,6 +416,24 @@
 	},
 );
 
+tap.t.test(
+	'no restart while an entry may start from an older snapshot',
+	async (t) => {
+		const world = await createWorld();
+		world.outageStart.snapshotRevision = 1;
+		await runRounds(world, 1, 10);
+		t.equal(world.verdict.reboots.size, 0);
+		world.outageStart.snapshotRevision = Number.POSITIVE_INFINITY;
+		world.outageStart.markerWaitMs = 10;
+		world.outageStart.markerUnchangedMs = 9;
+		await runRounds(world, 1, 10);
+		t.equal(world.verdict.reboots.size, 0);
+		world.outageStart.markerUnchangedMs = 10;
+		await runRounds(world, 1, 60);
+		t.equal(world.verdict.reboots.size, ids.length);
+	},
+);
+
 tap.t.test('a contract changed in mid-round binds the next take', async (t) => {
 	const world = await createWorld();
 	// The change comes after the ledgers were followed, before the first take.
--- a/packages/daemon/src/waves/wave-runner.ts
+++ b/packages/daemon/src/waves/wave-runner.ts
@@ -8,6 +8,7 @@
 	waves,
 	type followedView,
 	type lagging,
+	type move,
 	type viewChange,
 } from '@gullstand/core';
 import type {
@@ -39,6 +40,8 @@
 	/** Requests in flight from this entry to an instance. */
 	readonly getInFlight: (instance: string) => number;
 	readonly getHeard: () => lagging.HeardAcknowledgements;
+	/** Absent: no entry of the fleet starts from the snapshot. */
+	readonly getOutageStart?: () => move.OutageStart;
 	/** Present time in milliseconds of the wall clock, as rows keep it. */
 	readonly now: () => number;
 	readonly logger: Logger;
