Measure callers and restarts through an outage on real daemons

Change: bench outage also runs three daemons over sockets with callers, stops one and starts it again in the outage, then starts one with all peers gone.

--- /dev/null
+++ b/packages/bench/src/benches/outage/daemons.ts
@@ -0,0 +1,267 @@
+/**
+ * Real daemons over sockets while the table service is down: what callers
+ * see, and how long an entry takes that starts in the outage.
+ */
+import {performance} from 'node:perf_hooks';
+import {PassThrough} from 'node:stream';
+import {setTimeout as wait} from 'node:timers/promises';
+import {Agent, request} from 'undici';
+import * as daemon from '@gullstand/daemon';
+import * as platform from '@gullstand/platform';
+import {createRandom} from '../../frame/random.js';
+import {getQuantile} from '../agreement/quantile.js';
+
+/** What callers saw in one phase. */
+export type PhaseReport = {
+	readonly answers: number;
+	/** Answers that were not a success that ran. */
+	readonly notRan: number;
+	readonly p50Ms: number;
+	readonly p99Ms: number;
+};
+
+/** What a run showed; times in milliseconds. */
+export type DaemonsReport = {
+	readonly before: PhaseReport;
+	readonly during: PhaseReport;
+	readonly after: PhaseReport;
+	readonly startFromPeerMs: number;
+	readonly startFromSnapshotMs: number;
+	readonly origins: readonly string[];
+	readonly mostCallsInSecondOnReturn: number;
+};
+
+/** Length of the phases, in milliseconds. */
+export type DaemonsOptions = {
+	readonly seed: number;
+	readonly healthyMs: number;
+	readonly outageMs: number;
+};
+
+type Entry = {
+	readonly id: string;
+	readonly daemon: daemon.Daemon;
+	readonly agent: Agent;
+};
+
+const now = () => performance.now();
+
+const callersPerEntry = 4;
+
+const pauseMs = 20;
+
+const maxStartMs = 20_000;
+
+const entryIds = ['e1', 'e2', 'e3'] as const;
+
+const call = async (entry: Entry): Promise<boolean> => {
+	const url = `http://127.0.0.1:${entry.daemon.getCallerPort()}/s/quoting/quote`;
+	try {
+		const res = await request(url, {
+			dispatcher: entry.agent,
+			headers: {authorization: `Bearer ${daemon.embeddedCallerToken}`},
+		});
+		await res.body.dump();
+		const outcome = res.headers[daemon.headerNames.outcome];
+		return res.statusCode === 200 && outcome === 'ran';
+	} catch {
+		return false;
+	}
+};
+
+const startWorld = async (seed: number) => {
+	const embedded = await daemon.startEmbeddedPlatform(now);
+	const faults = platform.faults.createFaultControl({
+		random: createRandom(seed),
+		wait: async (ms) => wait(ms),
+		timeoutMs: 500,
+	});
+	const entries = platform.createMemoryInstanceList();
+	const arrivals: number[] = [];
+	const faulty = platform.faults.wrapTableService(
+		embedded.platform.table,
+		faults,
+	);
+	const count = <Value>(value: Value): Value => {
+		arrivals.push(now());
+		return value;
+	};
+
+	const metered: platform.TableService = {
+		get: async (table, key) => count(faulty).get(table, key),
+		range: async (query) => count(faulty).range(query),
+		commit: async (writes, id) => count(faulty).commit(writes, id),
+	};
+	const list: platform.InstanceList = {
+		async list() {
+			const [one, two] = await Promise.all([
+				embedded.platform.list.list(),
+				entries.list(),
+			]);
+			return one.ok && two.ok
+				? {ok: true, value: [...one.value, ...two.value]}
+				: one;
+		},
+	};
+	return {embedded, faults, entries, arrivals, metered, list};
+};
+
+type World = Awaited<ReturnType<typeof startWorld>>;
+
+/** Starts an entry; resolves when it has answered a caller. */
+const startEntry = async (world: World, id: string) => {
+	const startedAt = now();
+	const base = daemon.createEmbeddedSettings(0, 0, 'error');
+	const settings: daemon.Settings = {
+		...base,
+		entry: {...base.entry, id},
+		peers: {address: '127.0.0.1', port: 0, keyHex: 'ab'.repeat(32)},
+	};
+	const {defaultFleetRate, defaultGuardConfig} = platform.client;
+	const guard = platform.client.createGuard(
+		{
+			...defaultGuardConfig,
+			share: {
+				readsPerSecond: defaultFleetRate.readsPerSecond / 9,
+				writesPerSecond: defaultFleetRate.writesPerSecond / 9,
+			},
+		},
+		daemon.createEnvironment(),
+	);
+	const created = daemon.createDaemon({
+		settings,
+		platform: {
+			...world.embedded.platform,
+			table: platform.client.createGuardedTableService(world.metered, guard),
+			list: world.list,
+		},
+		logger: daemon.createLogger(settings.log, id, new PassThrough().resume()),
+		now,
+	});
+	await created.start((err) => {
+		throw err;
+	});
+	const entry = {id, daemon: created, agent: new Agent()};
+	while (!(await call(entry)) && now() - startedAt < maxStartMs) {
+		await wait(5);
+	}
+
+	world.entries.set({
+		id,
+		role: 'entry',
+		address: created.agreement.peers.getAddress(),
+		availabilityZone: 'zone-1',
+		state: 'live',
+		incarnation: created.agreement.life.incarnation,
+	});
+	const servesAfterMs = now() - startedAt;
+	const isServing = servesAfterMs < maxStartMs;
+	return {entry, servesAfterMs: isServing ? servesAfterMs : Number.NaN};
+};
+
+const stopEntry = async (world: World, entry: Entry) => {
+	world.entries.remove(entry.id);
+	await entry.daemon.stop();
+	await entry.agent.close();
+};
+
+/** Callers on some entries, until the time is over. */
+const runPhase = async (
+	entries: readonly Entry[],
+	lengthMs: number,
+): Promise<PhaseReport> => {
+	const until = now() + lengthMs;
+	const times: number[] = [];
+	let notRan = 0;
+	const runCaller = async (entry: Entry) => {
+		while (now() < until) {
+			const askedAt = now();
+			const hasRun = await call(entry);
+			times.push(now() - askedAt);
+			notRan += hasRun ? 0 : 1;
+			await wait(pauseMs);
+		}
+	};
+
+	const callers = entries.flatMap((entry) =>
+		Array.from({length: callersPerEntry}, async () => runCaller(entry)),
+	);
+	await Promise.all(callers);
+	return {
+		answers: times.length,
+		notRan,
+		p50Ms: getQuantile(times, 0.5),
+		p99Ms: getQuantile(times, 0.99),
+	};
+};
+
+const waitForSnapshot = async (world: World) => {
+	const deadline = now() + maxStartMs;
+	while (now() < deadline) {
+		const read = await world.embedded.platform.objects.get(daemon.snapshotName);
+		if (read.ok && read.value) {
+			return;
+		}
+
+		await wait(50);
+	}
+
+	throw new Error('no snapshot was written');
+};
+
+const getMostInSecond = (arrivals: readonly number[], from: number) => {
+	const late = arrivals.filter((at) => at >= from);
+	return Math.max(
+		0,
+		...late.map(
+			(start) => late.filter((at) => at >= start && at < start + 1000).length,
+		),
+	);
+};
+
+/** Runs entries through an outage, with restarts in it. */
+export const runDaemons = async (
+	options: DaemonsOptions,
+): Promise<DaemonsReport> => {
+	const world = await startWorld(options.seed);
+	const entries: Entry[] = [];
+	for (const id of entryIds) {
+		const {entry} = await startEntry(world, id);
+		entries.push(entry);
+	}
+
+	await waitForSnapshot(world);
+	const before = await runPhase(entries, options.healthyMs);
+	world.faults.set({isDown: true});
+	const [last] = entries.splice(-1);
+	const duringCalls = runPhase(entries, options.outageMs);
+	await wait(options.outageMs / 4);
+	await stopEntry(world, last!);
+	const again = await startEntry(world, last!.id);
+	const during = await duringCalls;
+	entries.push(again.entry);
+	world.faults.set({isDown: false});
+	const returnedAt = now();
+	const after = await runPhase(entries, options.healthyMs);
+	const mostCallsInSecondOnReturn = getMostInSecond(world.arrivals, returnedAt);
+	world.faults.set({isDown: true});
+	for (const entry of entries) {
+		await stopEntry(world, entry);
+	}
+
+	const alone = await startEntry(world, 'e9');
+	const origins = [again, alone].map(({entry}) =>
+		entry.daemon.agreement.follower.getOrigin(),
+	);
+	await stopEntry(world, alone.entry);
+	await world.embedded.close();
+	return {
+		before,
+		during,
+		after,
+		startFromPeerMs: again.servesAfterMs,
+		startFromSnapshotMs: alone.servesAfterMs,
+		origins,
+		mostCallsInSecondOnReturn,
+	};
+};
