--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -6,6 +6,7 @@
 import {startPatientTimer, type PatientTimer} from './patient-timer.js';
 import * as states from './state.js';
 import type {ExecutorLink, UpstreamState} from './state.js';
+import type {Target} from './target.js';
 import type {Slot, UpstreamRequest} from './types.js';
 
 /** A running attempt. */
@@ -14,6 +15,8 @@
 	/** Gives the slot back; later calls do nothing. */
 	readonly releaseSlot: Slot['release'];
 	readonly startedAt: number;
+	/** Its connection must have been proved since then. */
+	readonly provedSince: number | undefined;
 	/** True once it has gone without a byte for longer than the threshold. */
 	silent: boolean;
 	aborted: boolean;
@@ -21,6 +24,9 @@
 	timer: PatientTimer | undefined;
 };
 
+/** Where an attempt goes. */
+export type AttemptTarget = Target & Pick<Attempt, 'provedSince'>;
+
 /** What the dispatcher is told. */
 export type AttemptEvents = {
 	/** Once, unless aborted before. */
@@ -81,10 +87,18 @@
 	watchSilence(ctx, connection);
 };
 
+const getLater = (
+	one: number | undefined,
+	other: number | undefined,
+): number | undefined =>
+	one === undefined || other === undefined
+		? (one ?? other)
+		: Math.max(one, other);
+
 const connect = async (ctx: Context): Promise<void> => {
 	const {attempt, req, events} = ctx;
 	const {pool, silence} = attempt.link;
-	const {suspectedAt} = silence;
+	const suspectedAt = getLater(silence.suspectedAt, attempt.provedSince);
 	const {repeatable} = req;
 	const connection = await pools.acquire(pool, {repeatable, suspectedAt});
 	if (typeof connection === 'string') {
@@ -116,13 +130,14 @@
 export const startAttempt = (
 	state: UpstreamState,
 	req: UpstreamRequest,
-	{link, slot}: {readonly link: ExecutorLink; readonly slot: Slot},
+	{link, slot, provedSince}: AttemptTarget,
 	events: AttemptEvents,
 ): Attempt => {
 	const attempt: Attempt = {
 		link,
 		releaseSlot: holdSlot(state, slot),
 		startedAt: state.clock(),
+		provedSince,
 		silent: false,
 		aborted: false,
 		exchange: undefined,
--- a/packages/daemon/src/upstream/dispatcher.ts
+++ b/packages/daemon/src/upstream/dispatcher.ts
@@ -29,6 +29,8 @@
 	attempts: number;
 	/** Ended attempts of which no byte went out. */
 	unsent: number;
+	/** When the first attempt that went silent began. */
+	silentSince: number | undefined;
 	settled: boolean;
 	timer: NodeJS.Timeout | undefined;
 	stopListening: (() => void) | undefined;
@@ -67,7 +69,9 @@
 	run.attempts += 1;
 	state.stats.attempts += 1;
 	run.history.tried.add(target.link.id);
-	const attempt = attempts.startAttempt(state, req, target, {
+	const {silentSince: provedSince} = run;
+	const to = {...target, provedSince};
+	const attempt = attempts.startAttempt(state, req, to, {
 		onEnd(ended, end) {
 			handleEnd(run, ended, end);
 		},
@@ -168,6 +172,7 @@
 	const now = state.clock();
 	if (!attempt.silent) {
 		attempt.silent = true;
+		run.silentSince ??= startedAt;
 		link.silentAttempts += 1;
 		const event = {kind: 'slow', elapsedMs: now - startedAt} as const;
 		core.health.recordEvent(state.health, link.id, event, now);
@@ -219,7 +224,7 @@
 	state: UpstreamState,
 	error: 'no-executor' | 'overloaded' | 'cancelled',
 ): AttemptResult => {
-	state.stats.requests += 1;
+	state.stats.refused += 1;
 	return {kind: 'error', error, outcome: 'not-run', attempts: 0};
 };
 
@@ -248,6 +253,7 @@
 			history: {tried: new Set(), failedZones: new Set()},
 			attempts: 0,
 			unsent: 0,
+			silentSince: undefined,
 			settled: false,
 			timer: undefined,
 			stopListening: undefined,
--- a/packages/daemon/src/upstream/types.ts
+++ b/packages/daemon/src/upstream/types.ts
@@ -102,7 +102,10 @@
 
 /** What has been counted since the start. */
 export type UpstreamStats = {
+	/** Requests of which at least one attempt was launched. */
 	requests: number;
+	/** Requests refused before any attempt. */
+	refused: number;
 	/** Attempts launched, whether or not a connection could be made. */
 	attempts: number;
 	retries: number;
--- a/packages/daemon/src/upstream/upstream.ts
+++ b/packages/daemon/src/upstream/upstream.ts
@@ -83,6 +83,7 @@
 		serviceTime: core.connectionSilence.createServiceTime(),
 		stats: {
 			requests: 0,
+			refused: 0,
 			attempts: 0,
 			retries: 0,
 			hedges: 0,
--- a/packages/stand-in/src/upstream/executor.ts
+++ b/packages/stand-in/src/upstream/executor.ts
@@ -79,9 +79,24 @@
 
 const defaultAnswerBytes = 256;
 
+/** Long enough for the first half to reach the caller. */
+const halfPauseMs = 30;
+
 const hits = (state: State, share: number): boolean =>
 	state.options.random() < share;
 
+/**
+ * Node 20 never closes the handle of a socket that is reset while it shuts
+ * down, and its thread then never ends.
+ */
+const reset = (socket: Socket): void => {
+	if (socket.writableEnded) {
+		socket.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
+};
+
 const sendWhole = (res: http.ServerResponse, answer: Buffer): void => {
 	// Both framings are in use all the time, by the checksum's first digit.
 	if (answer[0] !== undefined && answer[0] % 2 === 0) {
@@ -105,7 +120,9 @@
 	}
 
 	res.write(answer.subarray(0, Math.floor(answer.length / 2)), () => {
-		req.socket.end();
+		setTimeout(() => {
+			req.socket.end();
+		}, halfPauseMs);
 	});
 };
 
@@ -120,7 +137,7 @@
 	const answer = answers.createAnswer(id, body, bytes);
 	const {fault} = state;
 	if (fault.kind === 'reset' && hits(state, fault.share)) {
-		req.socket.resetAndDestroy();
+		reset(req.socket);
 	} else if (fault.kind === 'half' && hits(state, fault.share)) {
 		sendHalf(work, answer, fault.framing);
 	} else {
@@ -231,7 +248,7 @@
 			resolve();
 		});
 		for (const socket of state.sockets) {
-			socket.resetAndDestroy();
+			reset(socket);
 		}
 	});
 
