--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -76,3 +76,4 @@
 export type * from './types/job.js';
 export * as placement from './placement/index.js';
 export * as shardAssignment from './shards/shard-assignment.js';
+export * as jobs from './jobs/index.js';
--- a/packages/core/src/placement/cluster.ts
+++ b/packages/core/src/placement/cluster.ts
@@ -94,6 +94,15 @@
 	};
 };
 
+/** Whether one more task could fit without any margin; cheap. */
+export const mayHaveRoom = (load: WorkerLoad, {mean}: UseEstimate): boolean => {
+	const {capacity} = load.worker;
+	return (
+		load.reserved.cores + mean.cores <= capacity.cores &&
+		load.reserved.memoryMb + mean.memoryMb <= capacity.memoryMb
+	);
+};
+
 /** Whether one more task fits on a worker, with the margin. */
 export const hasRoom = (
 	load: WorkerLoad,
--- a/packages/core/src/placement/place-job.ts
+++ b/packages/core/src/placement/place-job.ts
@@ -198,7 +198,10 @@
 	cfg: PlacementConfig,
 ): Candidate | undefined => {
 	const {job, estimate} = request;
-	const fits = clusters.hasRoom(load, estimate, cfg.margin);
+	// Most workers of a busy fleet are full: told by the sums alone.
+	const fits =
+		clusters.mayHaveRoom(load, estimate) &&
+		clusters.hasRoom(load, estimate, cfg.margin);
 	if (!fits && !job.urgent) {
 		return undefined;
 	}
