Let the number of slots change between any two calls

Cause: admission took its slots from the view only; slots that are shared between entries come and go between two changes of the view. Change: the layer asks for the slots at each call, each answer and each look at its queues; the even split is counted once for each change of the view.

--- a/packages/daemon/src/admission/admission-layer.ts
+++ b/packages/daemon/src/admission/admission-layer.ts
@@ -16,7 +16,10 @@
 	>;
 	/** This entry's part of each contracted rate, such as 1/9. */
 	readonly getShare: () => number;
-	/** Requests of a service that this entry may have in flight. */
+	/**
+	 * Requests of a service that this entry may have in flight; 0 only if no
+	 * executor serves. Asked at each call and each answer.
+	 */
 	readonly getSlots: (service: core.Service) => number;
 };
 
@@ -28,9 +31,6 @@
 	readonly close: () => void;
 };
 
-/** A service's queue and the slots it was last given. */
-type Admitted = {readonly queue: ServiceQueue; slots: number};
-
 const expireEveryMs = 5;
 
 /** Creates the layer. */
@@ -38,17 +38,15 @@
 	deps: AdmissionLayerDeps,
 ): AdmissionLayer => {
 	const {getView, now, getShare, getSlots} = deps;
-	const queues = new Map<string, Admitted>();
+	const queues = new Map<string, ServiceQueue>();
 	let timer: NodeJS.Timeout | undefined;
 	let revision = -1;
 	let share = 0;
 
-	const update = (name: string, admitted: Admitted) => {
-		const {contracts, services} = getView();
-		const service = services.get(name);
+	const update = (name: string, queue: ServiceQueue) => {
+		const {contracts} = getView();
 		const terms = core.admission.getTerms(contracts.values(), name);
-		admitted.slots = service ? getSlots(service) : 0;
-		admitted.queue.update(terms, share, admitted.slots);
+		queue.update(terms, share);
 	};
 
 	/** Takes over a changed view or a changed number of entries. */
@@ -60,9 +58,9 @@
 
 		revision = view.revision;
 		share = getShare();
-		for (const [name, admitted] of queues) {
-			update(name, admitted);
-			if (!view.services.has(name) && !admitted.queue.expire()) {
+		for (const [name, queue] of queues) {
+			update(name, queue);
+			if (!view.services.has(name) && !queue.expire()) {
 				queues.delete(name);
 			}
 		}
@@ -71,7 +69,7 @@
 	const tick = () => {
 		follow();
 		let isBusy = false;
-		for (const {queue} of queues.values()) {
+		for (const queue of queues.values()) {
 			isBusy = queue.expire() || isBusy;
 		}
 
@@ -86,15 +84,21 @@
 		timer ??= setInterval(tick, expireEveryMs);
 	};
 
-	const findAdmitted = (name: string): Admitted => {
+	const findQueue = (name: string): ServiceQueue => {
 		const known = queues.get(name);
 		if (known) {
 			return known;
 		}
 
 		const settings = {...core.admission.defaultSettings, ...deps.settings};
-		const queue = createServiceQueue(settings, now, watch);
-		const created = {queue, slots: 0};
+		const created = createServiceQueue(settings, {
+			now,
+			onWait: watch,
+			getSlots() {
+				const service = getView().services.get(name);
+				return service ? getSlots(service) : 0;
+			},
+		});
 		queues.set(name, created);
 		update(name, created);
 		return created;
@@ -102,17 +106,16 @@
 
 	const layer: CallLayer = (next) => async (call) => {
 		follow();
-		const {queue, slots} = findAdmitted(call.service.name);
 		// Dispatch knows why there is none, and no slot is spent.
-		return slots === 0 ? next(call) : queue.run(call, next);
+		return getSlots(call.service) === 0
+			? next(call)
+			: findQueue(call.service.name).run(call, next);
 	};
 
 	return {
 		layer,
 		getStatus: () =>
-			new Map(
-				[...queues].map(([name, each]) => [name, each.queue.getStatus()]),
-			),
+			new Map([...queues].map(([name, each]) => [name, each.getStatus()])),
 		close() {
 			clearInterval(timer);
 			timer = undefined;
--- a/packages/daemon/src/admission/admission.test.ts
+++ b/packages/daemon/src/admission/admission.test.ts
@@ -83,6 +83,7 @@
 
 const startEntry = async (t: tap.Test) => {
 	let time = 0;
+	let slotsNow = slots;
 	const now = () => time;
 	const settings = createEmbeddedSettings();
 	const contracts = [createContract('greedy', 0), createContract('quiet', 50)];
@@ -98,7 +99,7 @@
 		now,
 		settings: {maxQueued: 10_000, transitMs: 0},
 		getShare: () => 1,
-		getSlots: () => slots,
+		getSlots: () => slotsNow,
 	});
 	const app = createCallerApp({
 		settings: settings.caller,
@@ -145,6 +146,9 @@
 		setTime(ms: number) {
 			time = ms;
 		},
+		setSlots(count: number) {
+			slotsNow = count;
+		},
 	};
 };
 
@@ -214,6 +218,23 @@
 	await Promise.all(all);
 });
 
+tap.t.test('slots that come let waiting calls go', async (t) => {
+	const entry = await startEntry(t);
+	const {executors, getStatus} = entry;
+	const all = Array.from({length: slots + 2}, async () => entry.send('quiet'));
+	await until(() => getStatus()?.queued === 2);
+	entry.setSlots(slots + 1);
+	await until(() => getStatus()?.queued === 1);
+	t.equal(executors.countCalls(), slots + 1);
+	entry.setSlots(1);
+	executors.answerAll();
+	await until(() => executors.running.size === 1);
+	t.equal(getStatus()?.inFlight, 1, 'slots that went are not given out');
+	executors.answerAll();
+	const answers = await Promise.all(all);
+	t.ok(answers.every((res) => res.status === 200));
+});
+
 tap.t.test('a wave of callers that leave frees slots and queue', async (t) => {
 	const entry = await startEntry(t);
 	const {executors, getStatus} = entry;
--- a/packages/daemon/src/admission/entry-share.ts
+++ b/packages/daemon/src/admission/entry-share.ts
@@ -4,6 +4,7 @@
  */
 import type * as core from '@gullstand/core';
 import type {InstanceList} from '@gullstand/platform';
+import {listServing} from '../caller/plain-dispatch.js';
 import type {Part} from '../supervisor/supervisor.js';
 import {createTicker} from '../view/ticker.js';
 
@@ -46,6 +47,46 @@
 	return Math.max(1, Math.min(service.slotsPerExecutor, connections - 1));
 };
 
+/** What counting slots needs. */
+export type SlotShareDeps = {
+	readonly getView: () => core.View;
+	readonly getShare: () => number;
+	readonly entriesSharingConnections: number;
+};
+
+/** Counts slots by `getSlotShare`, once for each change of view or share. */
+export const createSlotShare = (
+	deps: SlotShareDeps,
+): ((service: core.Service) => number) => {
+	const {getView, getShare, entriesSharingConnections} = deps;
+	const counts = new Map<string, number>();
+	let revision = -1;
+	let share = 0;
+	return (service) => {
+		const view = getView();
+		if (view.revision !== revision || share !== getShare()) {
+			counts.clear();
+			revision = view.revision;
+			share = getShare();
+		}
+
+		const known = counts.get(service.name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const {length} = listServing(view, service.pool);
+		const count = getSlotShare(
+			service,
+			length,
+			share,
+			entriesSharingConnections,
+		);
+		counts.set(service.name, count);
+		return count;
+	};
+};
+
 /**
  * Slots that an even split between entries gives this one, at least one if
  * any executor serves, at most what its connections to each allow when they
--- a/packages/daemon/src/admission/service-queue.ts
+++ b/packages/daemon/src/admission/service-queue.ts
@@ -17,17 +17,25 @@
 	readonly stopListening: () => void;
 };
 
+/** What a queue needs. */
+export type ServiceQueueDeps = {
+	readonly now: () => number;
+	/** Told of each call that waits. */
+	readonly onWait: () => void;
+	/** Requests that may be in flight now. */
+	readonly getSlots: () => number;
+};
+
 /** Admission of one service. */
 export type ServiceQueue = {
 	readonly run: (call: Call, next: CallHandler) => Promise<CallResult>;
-	/** Puts changed contracts and slots in force. */
+	/** Puts changed contracts in force. */
 	readonly update: (
 		terms: readonly core.admission.CustomerTerms[],
 		share: number,
-		slots: number,
 	) => void;
 	readonly getStatus: () => core.admission.AdmissionStatus;
-	/** Drops what has become hopeless; true while calls wait. */
+	/** Fills free slots, drops the hopeless; true while calls wait. */
 	readonly expire: () => boolean;
 };
 
@@ -35,11 +43,10 @@
 const isMeasured = (result: CallResult): boolean =>
 	result.kind === 'answer' || result.error === 'upstream-timeout';
 
-/** Creates the admission of one service; `onWait` is told of each wait. */
+/** Creates the admission of one service. */
 export const createServiceQueue = (
 	settings: core.admission.AdmissionSettings,
-	now: () => number,
-	onWait: () => void,
+	{now, onWait, getSlots}: ServiceQueueDeps,
 ): ServiceQueue => {
 	const state = core.admission.createAdmission(settings, now());
 	const waiting = new Map<Ticket, Waiting>();
@@ -57,6 +64,7 @@
 	};
 
 	const drain = () => {
+		core.admission.updateSlots(state, getSlots());
 		let decision = core.admission.next(state, now());
 		while (decision) {
 			if (decision.kind === 'dropped') {
@@ -127,6 +135,7 @@
 				class: call.requestClass,
 				timeoutMs: call.deadline - at,
 			};
+			core.admission.updateSlots(state, getSlots());
 			const decision = core.admission.offer(state, request, at);
 			switch (decision.kind) {
 				case 'dispatch': {
@@ -142,9 +151,8 @@
 				}
 			}
 		},
-		update(terms, share, slots) {
+		update(terms, share) {
 			core.admission.updateTerms(state, terms, share, now());
-			core.admission.updateSlots(state, slots);
 			drain();
 		},
 		getStatus: () => core.admission.getStatus(state, now()),
@@ -153,6 +161,7 @@
 				drop(dropped);
 			}
 
+			drain();
 			return state.queued > 0;
 		},
 	};
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,7 +7,7 @@
 	Workers,
 } from '@gullstand/platform';
 import {createAdmissionLayer} from './admission/admission-layer.js';
-import {createEntryShare, getSlotShare} from './admission/entry-share.js';
+import {createEntryShare, createSlotShare} from './admission/entry-share.js';
 import {
 	agreementDefaults,
 	createAgreement,
@@ -31,7 +31,6 @@
 import {createOperatorApp} from './operator/operator-app.js';
 import type {Settings} from './settings/schema.js';
 import {createSupervisor, type Part} from './supervisor/supervisor.js';
-import {listServing} from './caller/plain-dispatch.js';
 import {createUpstreamDispatch} from './upstream/call-handler.js';
 import {defaultUpstreamConfig} from './upstream/types.js';
 import {createEnvironment} from './view/environment.js';
@@ -138,15 +137,11 @@
 		now,
 		settings: settings.admission,
 		getShare: entryShare.getShare,
-		getSlots(service) {
-			const executors = listServing(getView(), service.pool).length;
-			return getSlotShare(
-				service,
-				executors,
-				entryShare.getShare(),
-				entriesSharingConnections,
-			);
-		},
+		getSlots: createSlotShare({
+			getView,
+			getShare: entryShare.getShare,
+			entriesSharingConnections,
+		}),
 	});
 	const keyed = createKeyedCalls({
 		tables: platform.table,
