Close the guards that the models found missing

Change: forgetAfterMs covers two isolations (36 s); the own row names the quorum and both sides count in it, a set in doubt included; only a row that carries the operation id of a pending write confirms; sponsorship is by life; a life that replaced another holds drains for isolation, stall and the longest request;

Members are read before an entry registers, else its first quorum is itself alone.

--- a/packages/bench/src/benches/ownership/control.ts
+++ b/packages/bench/src/benches/ownership/control.ts
@@ -136,15 +136,15 @@
 		registration: value,
 		unchangedMs: getSilentMs(control, entry, version),
 	}));
-	for (const [entry, {version}] of rows.registrations) {
+	for (const [entry, {value, version}] of rows.registrations) {
 		const since = control.unlistedSince.get(entry);
 		const evidence = {
 			entry,
 			version,
 			unchangedMs: getSilentMs(control, entry, version),
 			unlistedMs: since === undefined ? 0 : now - since,
-			unheardBy: core.forget.countUnheard(entry, observed, settings),
-			registered: rows.registrations.length,
+			unheardBy: core.forget.countUnheard(value, observed, settings),
+			quorum: value.quorum.length,
 		};
 		const result = core.forget.forgetEntry(
 			evidence,
--- a/packages/bench/src/benches/ownership/entry.ts
+++ b/packages/bench/src/benches/ownership/entry.ts
@@ -65,6 +65,7 @@
 			.filter((each) => now - each.lastHeardAt <= settings.forgetAfterMs)
 			.map(({entry}) => entry),
 		upMs: now - state.startedAt,
+		quorum: world.hosts.map(({entry}) => entry),
 		acknowledged: core.acknowledgement.acknowledgeRevision(
 			state.life,
 			state.sequence,
--- a/packages/bench/src/benches/rollout/run-rollout.ts
+++ b/packages/bench/src/benches/rollout/run-rollout.ts
@@ -220,6 +220,7 @@
 	availabilityZone: '',
 	upMs: 0,
 	heard: [],
+	quorum: [],
 	acknowledged: {...life, sequence: 0, inForce: 0, holding: []},
 });
 
--- a/packages/core/src/instances/move.test.ts
+++ b/packages/core/src/instances/move.test.ts
@@ -41,6 +41,7 @@
 		address: '',
 		availabilityZone: '',
 		heard: [],
+		quorum: [],
 		upMs: 60_000,
 		acknowledged: {
 			entry: 'e1',
--- a/packages/core/src/instances/ownership.test.ts
+++ b/packages/core/src/instances/ownership.test.ts
@@ -141,6 +141,7 @@
 		address: '',
 		availabilityZone: '',
 		heard: [],
+		quorum: [],
 		upMs: 60_000,
 		acknowledged: acknowledgeRevision(
 			{entry: `e${index}`, incarnation: `${entry.life}`},
--- a/packages/core/src/membership/forget.ts
+++ b/packages/core/src/membership/forget.ts
@@ -21,8 +21,8 @@
 	readonly unlistedMs: number;
 	/** Registered entries that have not heard it; see `countUnheard`. */
 	readonly unheardBy: number;
-	/** Registered entries in all. */
-	readonly registered: number;
+	/** Size of the quorum that its own row names. */
+	readonly quorum: number;
 };
 
 /** A registration and how long its row has stayed the same. */
@@ -32,17 +32,19 @@
 };
 
 /**
- * Counts the entries that would have heard another but have not: their rows
- * are renewed, they have run long enough to know, and do not name it.
+ * Counts the entries that would have heard another but have not: they stand
+ * in the quorum that its own row names, their rows are renewed, they have run
+ * long enough to know, and do not name it.
  */
 export const countUnheard = (
-	entry: string,
+	{acknowledged: {entry}, quorum}: Registration,
 	rows: readonly ObservedRegistration[],
 	{stallMarginMs, forgetAfterMs}: MembershipSettings,
 ): number =>
 	rows.filter(
 		({registration, unchangedMs}) =>
 			registration.acknowledged.entry !== entry &&
+			quorum.includes(registration.acknowledged.entry) &&
 			unchangedMs < stallMarginMs &&
 			registration.upMs >= forgetAfterMs &&
 			!registration.heard.includes(entry),
@@ -65,7 +67,7 @@
 		return fail('listed');
 	}
 
-	if (evidence.unheardBy * 2 <= evidence.registered) {
+	if (evidence.unheardBy * 2 <= evidence.quorum) {
 		return fail('heard');
 	}
 
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -40,6 +40,7 @@
 	address: '127.0.0.1:1',
 	availabilityZone: 'z',
 	heard: [],
+	quorum: [],
 	upMs: 60_000,
 	acknowledged: createAck(change),
 });
@@ -187,18 +188,18 @@
 	unchangedMs: membershipDefaults.forgetAfterMs,
 	unlistedMs: membershipDefaults.forgetAfterMs,
 	unheardBy: 5,
-	registered: 9,
+	quorum: 9,
 };
 
 const silences: ReadonlyArray<
 	readonly [Partial<SilenceEvidence>, string | undefined]
 > = [
 	[{}, undefined],
-	[{unchangedMs: 29_999}, 'renewed'],
-	[{unlistedMs: 29_999}, 'listed'],
+	[{unchangedMs: 35_999}, 'renewed'],
+	[{unlistedMs: 35_999}, 'listed'],
 	[{unheardBy: 4}, 'heard'],
-	[{unheardBy: 1, registered: 2}, 'heard'],
-	[{unheardBy: 0, registered: 1}, 'heard'],
+	[{unheardBy: 1, quorum: 2}, 'heard'],
+	[{unheardBy: 0, quorum: 1}, 'heard'],
 ];
 
 for (const [change, refusal] of silences) {
@@ -218,19 +219,21 @@
 		registration: {...createRegistration({entry}), ...change},
 		unchangedMs,
 	});
+	const silent = {...createRegistration({entry: 'x'}), quorum: ['e1', 'x']};
 	const rows = [
 		createRow({}, 0),
 		createRow({heard: ['x']}, 0),
-		createRow({upMs: 29_999}, 0),
+		createRow({upMs: 35_999}, 0),
 		createRow({}, 4000),
 		createRow({}, 0, 'x'),
+		createRow({}, 0, 'outside'),
 	];
-	t.equal(countUnheard('x', rows, membershipDefaults), 1);
+	t.equal(countUnheard(silent, rows, membershipDefaults), 1);
 });
 
 tap.t.test('no entry is forgotten before it stops by itself', async (t) => {
 	t.ok(isSoundSettings(membershipDefaults));
-	t.notOk(isSoundSettings({...membershipDefaults, forgetAfterMs: 29_999}));
+	t.notOk(isSoundSettings({...membershipDefaults, forgetAfterMs: 35_999}));
 });
 
 const rings: ReadonlyArray<readonly [string, readonly string[], string]> = [
--- a/packages/core/src/membership/periods.ts
+++ b/packages/core/src/membership/periods.ts
@@ -44,7 +44,8 @@
 			listLagMs,
 			stallMarginMs,
 			longestRequestMs,
-			forgetAfterMs: isolationMs + listLagMs + stallMarginMs + longestRequestMs,
+			forgetAfterMs:
+				2 * isolationMs + listLagMs + stallMarginMs + longestRequestMs,
 		},
 	};
 };
--- a/packages/core/src/membership/registration.ts
+++ b/packages/core/src/membership/registration.ts
@@ -15,6 +15,8 @@
 	readonly address: string;
 	readonly availabilityZone: string;
 	readonly acknowledged: Acknowledgement;
+	/** Entries of which more than half confirm this one, itself included. */
+	readonly quorum: readonly string[];
 	/** How long this life has run, in milliseconds. */
 	readonly upMs: number;
 	/** Entries that asked this one to confirm them within `forgetAfterMs`. */
--- a/packages/core/src/membership/standing.ts
+++ b/packages/core/src/membership/standing.ts
@@ -67,13 +67,17 @@
 	listLagMs: 10_000,
 	stallMarginMs: 4000,
 	longestRequestMs: 10_000,
-	forgetAfterMs: 30_000,
+	forgetAfterMs: 36_000,
 };
 
-/** True if no entry is forgotten before its last request has ended. */
+/**
+ * True if no entry is forgotten before its last request has ended. The
+ * isolation counts twice: a peer may claim silence just before it is asked
+ * (spec/forget.pml, `forget_after`).
+ */
 export const isSoundSettings = (settings: MembershipSettings): boolean =>
 	settings.forgetAfterMs >=
-	settings.isolationMs +
+	2 * settings.isolationMs +
 		settings.listLagMs +
 		settings.stallMarginMs +
 		settings.longestRequestMs;
--- a/packages/daemon/src/agreement/agreement.ts
+++ b/packages/daemon/src/agreement/agreement.ts
@@ -250,7 +250,7 @@
 		objects,
 		fleet,
 		getFollowed,
-		isHolder: () => leases.getHeld(fleetShard) !== undefined,
+		getToken: () => leases.getHeld(fleetShard)?.token,
 		env: createEnvironment(),
 		minWriteMs: times.snapshotMs,
 		checkMs: snapshotCheckMs,
--- a/packages/daemon/src/membership/acknowledge.ts
+++ b/packages/daemon/src/membership/acknowledge.ts
@@ -14,6 +14,13 @@
 	return inFlight;
 };
 
+/**
+ * Executors may still run what the earlier life sent, and it may have
+ * sponsored entries that nobody else knows of (spec/sponsor.pml).
+ */
+const getInheritMs = ({settings}: MemberDeps): number =>
+	settings.isolationMs + settings.stallMarginMs + settings.longestRequestMs;
+
 /** Drops sponsored entries that have stopped by themselves by now. */
 const dropSilent = (deps: MemberDeps, state: MemberState) => {
 	for (const [entry, {askedAt}] of state.sponsored) {
@@ -41,7 +48,7 @@
 			router: {
 				routedRevision: view.revision,
 				inFlight: countInFlight(deps),
-				mayInherit: state.hasReplaced && upMs < deps.settings.longestRequestMs,
+				mayInherit: state.hasReplaced && upMs < getInheritMs(deps),
 			},
 			sponsored: [...state.sponsored.values()].map(({ack}) => ack),
 		},
@@ -50,6 +57,15 @@
 	return ack;
 };
 
+/** A set in doubt is written again until its outcome is known. */
+const chooseQuorum = (
+	deps: MemberDeps,
+	state: MemberState,
+): readonly string[] =>
+	state.pendingQuorum ?? [
+		...new Set([deps.life.entry, ...state.members.registrations.keys()]),
+	];
+
 /** Makes the row of this entry. */
 export const createRegistration = (
 	deps: MemberDeps,
@@ -65,5 +81,6 @@
 		acknowledged: createAcknowledgement(deps, state),
 		upMs: now - state.startedAt,
 		heard,
+		quorum: chooseQuorum(deps, state),
 	};
 };
--- a/packages/daemon/src/membership/forget-runner.ts
+++ b/packages/daemon/src/membership/forget-runner.ts
@@ -74,6 +74,11 @@
 			key,
 			registrations.get(key)?.version ?? 0,
 		);
+	const silent = registrations.get(entry);
+	if (!silent) {
+		return;
+	}
+
 	const rows = [...registrations].map(([key, {value: registration}]) => ({
 		registration,
 		unchangedMs: getUnchangedMs(key),
@@ -82,11 +87,11 @@
 	const result = core.forget.forgetEntry(
 		{
 			entry,
-			version: registrations.get(entry)?.version ?? 0,
+			version: silent.version,
 			unchangedMs: getUnchangedMs(entry),
 			unlistedMs: since === undefined ? 0 : deps.now() - since,
-			unheardBy: core.forget.countUnheard(entry, rows, deps.settings),
-			registered: registrations.size,
+			unheardBy: core.forget.countUnheard(silent.value, rows, deps.settings),
+			quorum: silent.value.quorum.length,
 		},
 		deps.settings,
 		deps.life.entry,
--- a/packages/daemon/src/membership/member-state.ts
+++ b/packages/daemon/src/membership/member-state.ts
@@ -38,11 +38,23 @@
 	readonly logger: Pick<Logger, 'info' | 'warn' | 'error'>;
 };
 
+/** A write of the own row. */
+export type PendingWrite = {
+	readonly askedAt: number;
+	readonly quorum: readonly string[];
+};
+
 /** State of one life; changed in place by the parts of this folder. */
 export type MemberState = {
 	readonly startedAt: number;
 	standing: standing.Standing;
 	isRegistered: boolean;
+	/** The quorum that the own committed row names. */
+	quorum: readonly string[];
+	/** A quorum whose write has had no reply yet. */
+	pendingQuorum: readonly string[] | undefined;
+	/** Writes of the own row whose outcome is unknown. */
+	readonly pendingWrites: Map<string, PendingWrite>;
 	/** Version of the own row; 0 before it is written. */
 	rowVersion: number;
 	sequence: number;
@@ -77,6 +89,9 @@
 	startedAt: now,
 	standing: {mode: 'registered', confirmedAt: Number.NEGATIVE_INFINITY},
 	isRegistered: false,
+	quorum: [],
+	pendingQuorum: undefined,
+	pendingWrites: new Map(),
 	rowVersion: 0,
 	sequence: 0,
 	hasReplaced: false,
--- a/packages/daemon/src/membership/member.ts
+++ b/packages/daemon/src/membership/member.ts
@@ -96,6 +96,12 @@
 	}
 };
 
+/** Waits, but does not keep a process alive that has nothing else to do. */
+const delayUnlessLast = async (ms: number) =>
+	new Promise<void>((resolve) => {
+		setTimeout(resolve, ms).unref();
+	});
+
 const offerAgainMs = 500;
 
 const offerForMs = 30_000;
@@ -118,7 +124,7 @@
 			return;
 		}
 
-		await delay(offerAgainMs);
+		await delayUnlessLast(offerAgainMs);
 	}
 };
 
--- a/packages/daemon/src/membership/membership-rows.ts
+++ b/packages/daemon/src/membership/membership-rows.ts
@@ -10,6 +10,11 @@
 	readonly version: number;
 };
 
+/** A registration and the operation that wrote it. */
+export type OwnRegistration = ReadRegistration & {
+	readonly operationId: string;
+};
+
 /** The registered entries, by name. */
 export type MembershipRows = {
 	/** Version of the membership row, read before the registrations. */
@@ -32,6 +37,7 @@
 	acknowledged: acknowledgementSchema,
 	upMs: z.number(),
 	heard: z.array(z.string()),
+	quorum: z.array(z.string()),
 });
 
 const pageSize = 500;
@@ -45,7 +51,7 @@
 export const readRegistration = async (
 	table: TableService,
 	entry: string,
-): Promise<Result<ReadRegistration | undefined, StoreError>> => {
+): Promise<Result<OwnRegistration | undefined, StoreError>> => {
 	const row = await table.get(core.agreementTables.entry, entry);
 	if (!row.ok) {
 		return row;
@@ -54,7 +60,11 @@
 	const parsed = registrationSchema.safeParse(row.value?.value);
 	return core.succeed(
 		row.value && parsed.success
-			? {value: parsed.data, version: row.value.version}
+			? {
+					value: parsed.data,
+					version: row.value.version,
+					operationId: row.value.operationId,
+				}
 			: undefined,
 	);
 };
--- a/packages/daemon/src/membership/outage-start.ts
+++ b/packages/daemon/src/membership/outage-start.ts
@@ -97,7 +97,10 @@
 	}
 };
 
-/** Confirms by more than half of the registered entries, this one included. */
+/**
+ * Confirms by more than half of the entries that the own row names, and of
+ * those that a row in doubt names (spec/forget.pml, `same_quorum`).
+ */
 export const confirmByMajority = async (
 	deps: MemberDeps,
 	state: MemberState,
@@ -107,18 +110,24 @@
 	const others = [...registrations].filter(
 		([entry]) => entry !== deps.life.entry,
 	);
-	const answers = await Promise.all(
-		others.map(async ([, {value}]) =>
-			deps.peers.call(
+	const heard = new Set([deps.life.entry]);
+	await Promise.all(
+		others.map(async ([entry, {value}]) => {
+			const answer = await deps.peers.call(
 				value.address,
 				'ping',
 				{entry: deps.life.entry},
 				deps.callTimeoutMs,
-			),
-		),
+			);
+			if (answer.ok) {
+				heard.add(entry);
+			}
+		}),
 	);
-	const heard = 1 + answers.filter(({ok}) => ok).length;
-	if (heard * 2 > registrations.size) {
+	const quorums = [state.quorum, state.pendingQuorum ?? state.quorum];
+	const isMajority = (quorum: readonly string[]) =>
+		quorum.filter((entry) => heard.has(entry)).length * 2 > quorum.length;
+	if (quorums.every((quorum) => isMajority(quorum))) {
 		confirm(deps, state, 'majority', askedAt);
 	}
 };
--- a/packages/daemon/src/membership/peer-members.ts
+++ b/packages/daemon/src/membership/peer-members.ts
@@ -47,7 +47,9 @@
 		deps.settings,
 		deps.now(),
 	);
-	const isKnown = state.sponsored.has(ack.entry);
+	const known = state.sponsored.get(ack.entry);
+	const isKnown =
+		known !== undefined && core.acknowledgement.isSameLife(known.ack, ack);
 	// Others may act on what this entry has acknowledged already.
 	if (!mayControl || (!isKnown && ack.inForce < state.highestInForce)) {
 		return false;
--- a/packages/daemon/src/membership/register.ts
+++ b/packages/daemon/src/membership/register.ts
@@ -1,11 +1,11 @@
 /** Registers this life and renews its row, whatever replies are lost. */
 import {randomUUID} from 'node:crypto';
 import * as core from '@gullstand/core';
-import type {standing} from '@gullstand/core';
+import type {registration, standing, StoreWrite} from '@gullstand/core';
 import VError from 'verror';
 import {createRegistration} from './acknowledge.js';
 import type {MemberDeps, MemberState} from './member-state.js';
-import {readRegistration, toWrites} from './membership-rows.js';
+import {readMembership, readRegistration, toWrites} from './membership-rows.js';
 
 /** What became of an attempt. */
 export type RegisterOutcome = 'registered' | 'moved-on' | 'unavailable';
@@ -25,36 +25,42 @@
 	);
 };
 
-const readCurrent = async (deps: MemberDeps) => {
+const readCurrent = async (deps: MemberDeps, state: MemberState) => {
 	await deps.poll();
-	const {counter, entry} = core.agreementTables;
+	const {counter} = core.agreementTables;
 	const row = await deps.table.get(counter, core.singleRowKey);
-	const earlier = await deps.table.get(entry, deps.life.entry);
-	return row.ok && earlier.ok
-		? {counter: row.value, hasEarlier: earlier.value !== undefined}
-		: undefined;
+	const members = await readMembership(deps.table);
+	if (!row.ok || !members.ok) {
+		return undefined;
+	}
+
+	state.members = members.value;
+	const hasEarlier = members.value.registrations.has(deps.life.entry);
+	return {counter: row.value, hasEarlier};
 };
 
-const setRegistered = (
-	deps: MemberDeps,
-	state: MemberState,
-	version: number,
-	askedAt: number,
-) => {
-	state.rowVersion = version;
+const setRegistered = (deps: MemberDeps, state: MemberState) => {
 	state.isRegistered = true;
-	state.renewedAt = askedAt;
-	state.standing = core.standing.changeMode('registered', askedAt);
+	state.standing = core.standing.changeMode('registered', state.renewedAt);
 	deps.logger.info('registered', {...deps.life});
 };
 
 type OwnRow =
-	| {readonly kind: 'own'; readonly version: number}
+	/** Written by a pending write of this life. */
+	| {readonly kind: 'own'; readonly version: number; readonly id: string}
+	/** Of this life, but it proves nothing. */
+	| {readonly kind: 'older'; readonly version: number}
 	| {readonly kind: 'absent' | 'unreadable'}
 	| {readonly kind: 'replaced'; readonly incarnation: string};
 
-/** What the row says, such as after a lost reply. */
-const readOwnRow = async (deps: MemberDeps): Promise<OwnRow> => {
+/**
+ * What the row says after a lost reply. A read may be old: only a row that
+ * carries the operation id of a pending write proves anything.
+ */
+const readOwnRow = async (
+	deps: MemberDeps,
+	state: MemberState,
+): Promise<OwnRow> => {
 	const row = await readRegistration(deps.table, deps.life.entry);
 	if (!row.ok) {
 		return {kind: 'unreadable'};
@@ -64,10 +70,53 @@
 		return {kind: 'absent'};
 	}
 
-	const {incarnation} = row.value.value.acknowledged;
-	return incarnation === deps.life.incarnation
-		? {kind: 'own', version: row.value.version}
-		: {kind: 'replaced', incarnation};
+	const {value, version, operationId: id} = row.value;
+	if (version < state.rowVersion) {
+		return {kind: 'unreadable'};
+	}
+
+	const {incarnation} = value.acknowledged;
+	if (incarnation !== deps.life.incarnation) {
+		return {kind: 'replaced', incarnation};
+	}
+
+	return state.pendingWrites.has(id)
+		? {kind: 'own', version, id}
+		: {kind: 'older', version};
+};
+
+/** Commits the own row; a write without a reply stays pending. */
+const commitRow = async (
+	deps: MemberDeps,
+	state: MemberState,
+	row: registration.Registration,
+	writes: ReadonlyArray<StoreWrite<unknown>>,
+) => {
+	const id = randomUUID();
+	const isChanged = row.quorum.join(' ') !== state.quorum.join(' ');
+	state.pendingQuorum = isChanged ? row.quorum : undefined;
+	state.pendingWrites.set(id, {askedAt: deps.now(), quorum: row.quorum});
+	const committed = await deps.table.commit(toWrites(writes), id);
+	const version = committed.ok ? committed.value.versions[0] : undefined;
+	if (version !== undefined) {
+		settle(state, id, version);
+	} else if (!committed.ok && committed.error.kind !== 'timeout') {
+		// Certainly not made.
+		state.pendingWrites.delete(id);
+		state.pendingQuorum = [...state.pendingWrites.values()].at(-1)?.quorum;
+	}
+
+	return committed;
+};
+
+/** A pending write has been made: it is the newest, others are over. */
+const settle = (state: MemberState, id: string, version: number) => {
+	const write = state.pendingWrites.get(id);
+	state.rowVersion = version;
+	state.quorum = write?.quorum ?? state.quorum;
+	state.pendingQuorum = undefined;
+	state.pendingWrites.clear();
+	state.renewedAt = write?.askedAt ?? state.renewedAt;
 };
 
 /**
@@ -86,7 +135,7 @@
 		);
 	}
 
-	const current = await readCurrent(deps);
+	const current = await readCurrent(deps, state);
 	if (!current) {
 		return 'unavailable';
 	}
@@ -99,25 +148,26 @@
 	}
 
 	state.hasReplaced ||= current.hasEarlier;
-	const askedAt = deps.now();
-	const committed = await deps.table.commit(
-		toWrites(
-			core.registration.registerEntry(createRegistration(deps, state), {
-				revision,
-				counterVersion,
-			}),
-		),
-		randomUUID(),
+	const row = createRegistration(deps, state);
+	const committed = await commitRow(
+		deps,
+		state,
+		row,
+		core.registration.registerEntry(row, {revision, counterVersion}),
 	);
-	const row = await readOwnRow(deps);
-	if (row.kind === 'own') {
-		setRegistered(deps, state, row.version, askedAt);
+	if (committed.ok) {
+		setRegistered(deps, state);
 		return 'registered';
 	}
 
-	return !committed.ok && committed.error.kind === 'conflict'
-		? 'moved-on'
-		: 'unavailable';
+	const own = await readOwnRow(deps, state);
+	if (own.kind === 'own') {
+		settle(state, own.id, own.version);
+		setRegistered(deps, state);
+		return 'registered';
+	}
+
+	return committed.error.kind === 'conflict' ? 'moved-on' : 'unavailable';
 };
 
 /** The row is gone: nothing may be routed until it is written anew. */
@@ -135,32 +185,45 @@
 	deps: MemberDeps,
 	state: MemberState,
 ): Promise<void> => {
-	const askedAt = deps.now();
-	const committed = await deps.table.commit(
-		toWrites(
-			core.registration.renewRegistration(
-				createRegistration(deps, state),
-				state.rowVersion,
-			),
-		),
-		randomUUID(),
+	const row = createRegistration(deps, state);
+	const committed = await commitRow(
+		deps,
+		state,
+		row,
+		core.registration.renewRegistration(row, state.rowVersion),
 	);
 	if (committed.ok) {
-		state.rowVersion = committed.value.versions[0] ?? state.rowVersion;
-		state.renewedAt = askedAt;
-		confirm(deps, state, 'table', askedAt);
+		confirm(deps, state, 'table', state.renewedAt);
 		return;
 	}
 
-	const row = await readOwnRow(deps);
-	if (row.kind === 'absent') {
-		lose(deps, state);
-	} else if (row.kind === 'replaced') {
-		lose(deps, state);
-		state.replacedBy = row.incarnation;
-	} else if (row.kind === 'own' && row.version !== state.rowVersion) {
-		state.rowVersion = row.version;
-		confirm(deps, state, 'table', askedAt);
+	const own = await readOwnRow(deps, state);
+	switch (own.kind) {
+		case 'absent': {
+			lose(deps, state);
+			break;
+		}
+
+		case 'replaced': {
+			lose(deps, state);
+			state.replacedBy = own.incarnation;
+			break;
+		}
+
+		case 'own': {
+			settle(state, own.id, own.version);
+			confirm(deps, state, 'table', state.renewedAt);
+			break;
+		}
+
+		case 'older': {
+			// The next heartbeat is conditional on it and so proves itself.
+			state.rowVersion = own.version;
+			break;
+		}
+
+		case 'unreadable':
+		// Nothing is known; the standing lapses if it stays so.
 	}
 };
 
--- a/packages/daemon/src/operator/operator.test.ts
+++ b/packages/daemon/src/operator/operator.test.ts
@@ -232,6 +232,7 @@
 	address: '127.0.0.1:1',
 	availabilityZone: 'zone-2',
 	heard: [],
+	quorum: [],
 	upMs: 60_000,
 	acknowledged: {
 		entry: 'e2',
--- a/packages/daemon/src/view/snapshot-store.ts
+++ b/packages/daemon/src/view/snapshot-store.ts
@@ -13,20 +13,24 @@
 	type SnapshotFault,
 } from './view-image.js';
 
-/** Name of the object. */
-export const snapshotName = 'view/snapshot';
+/** Objects in turn, so that a paused holder overwrites no newer one. */
+const snapshotNames = 4;
+
+/** Name of the object that the holder of a fencing token writes. */
+export const getSnapshotName = (token: number): string =>
+	`view/snapshot-${token % snapshotNames}`;
 
 /** Why there is no snapshot to start from. */
 export type SnapshotFailure =
 	| {readonly kind: ObjectError['kind'] | 'absent'}
 	| {readonly kind: 'refused'; readonly fault: SnapshotFault};
 
-/** Reads the snapshot. */
-export const readSnapshot = async (
+const readOne = async (
 	objects: ObjectStore,
 	fleet: string,
+	token: number,
 ): Promise<Result<followedView.FollowedView, SnapshotFailure>> => {
-	const read = await objects.get(snapshotName);
+	const read = await objects.get(getSnapshotName(token));
 	if (!read.ok) {
 		return read;
 	}
@@ -41,13 +45,38 @@
 		: core.fail({kind: 'refused', fault: decoded.error});
 };
 
+/**
+ * Reads the newest snapshot. If one of the objects cannot be read, it may be
+ * the newest, and the read fails.
+ */
+export const readSnapshot = async (
+	objects: ObjectStore,
+	fleet: string,
+): Promise<Result<followedView.FollowedView, SnapshotFailure>> => {
+	let newest: followedView.FollowedView | undefined;
+	let refusal: SnapshotFailure = {kind: 'absent'};
+	for (let token = 0; token < snapshotNames; token += 1) {
+		const read = await readOne(objects, fleet, token);
+		if (read.ok) {
+			const isNewer = read.value.view.revision > (newest?.view.revision ?? -1);
+			newest = isNewer ? read.value : newest;
+		} else if (read.error.kind === 'refused') {
+			refusal = read.error;
+		} else if (read.error.kind !== 'absent') {
+			return read;
+		}
+	}
+
+	return newest ? core.succeed(newest) : core.fail(refusal);
+};
+
 /** What the writer needs. */
 export type SnapshotWriterDeps = {
 	readonly objects: ObjectStore;
 	readonly fleet: string;
 	readonly getFollowed: () => followedView.FollowedView;
-	/** Whether this daemon holds the shard that writes. */
-	readonly isHolder: () => boolean;
+	/** Fencing token of the shard that writes, if this daemon holds it. */
+	readonly getToken: () => number | undefined;
 	readonly env: client.Environment;
 	/** Shortest time between two writes, in milliseconds. */
 	readonly minWriteMs: number;
@@ -64,11 +93,7 @@
 
 type WriterState = {storedRevision: number; checkedAt: number};
 
-/**
- * A paused holder may put an older snapshot over a newer one. The present
- * holder therefore reads what is stored from time to time and puts its own
- * again if that is older.
- */
+/** Reads what is stored from time to time, and puts it again if it is gone. */
 const checkStored = async (
 	{objects, fleet, env, checkMs}: SnapshotWriterDeps,
 	state: WriterState,
@@ -93,7 +118,8 @@
 ): SnapshotWriter => {
 	const state = {storedRevision: 0, checkedAt: Number.NEGATIVE_INFINITY};
 	const write = async () => {
-		if (!deps.isHolder()) {
+		const token = deps.getToken();
+		if (token === undefined) {
 			return;
 		}
 
@@ -105,7 +131,7 @@
 		}
 
 		const body = encodeSnapshot(followed, deps.fleet);
-		const put = await deps.objects.put(snapshotName, body);
+		const put = await deps.objects.put(getSnapshotName(token), body);
 		state.storedRevision = put.ok ? revision : state.storedRevision;
 	};
 
--- a/packages/daemon/src/view/view.test.ts
+++ b/packages/daemon/src/view/view.test.ts
@@ -7,7 +7,7 @@
 import {
 	createSnapshotWriter,
 	readSnapshot,
-	snapshotName,
+	getSnapshotName,
 } from './snapshot-store.js';
 import {readChanges, toJson} from './tables.js';
 import {createViewFollower, type FollowerOptions} from './view-follower.js';
@@ -156,7 +156,10 @@
 	await put('a');
 	const first = follow();
 	await first.poll();
-	await objects.put(snapshotName, encodeSnapshot(first.getFollowed(), 'f'));
+	await objects.put(
+		getSnapshotName(1),
+		encodeSnapshot(first.getFollowed(), 'f'),
+	);
 	await put('b');
 	await first.poll();
 	faults.set({isDown: true});
@@ -228,12 +231,12 @@
 for (const [name, bytes, expected] of snapshots) {
 	tap.t.test(`snapshot: ${name}`, async (t) => {
 		const {objects} = createFixture();
-		await objects.put(snapshotName, bytes);
+		await objects.put(getSnapshotName(1), bytes);
 		t.match(await readSnapshot(objects, 'f'), expected);
 	});
 }
 
-tap.t.test('the writer mends what a paused holder put', async (t) => {
+tap.t.test('a paused holder puts no older snapshot over a newer', async (t) => {
 	const {env, objects, follow, put} = createFixture();
 	await put('a');
 	const old = follow();
@@ -241,13 +244,13 @@
 	await put('b');
 	const follower = follow();
 	await follower.poll();
-	let isHolder = false;
+	const lease: {token: number | undefined} = {token: undefined};
 	const writer = createSnapshotWriter({
 		objects,
 		fleet: 'f',
 		env,
 		getFollowed: follower.getFollowed,
-		isHolder: () => isHolder,
+		getToken: () => lease.token,
 		minWriteMs: 1000,
 		checkMs: 60_000,
 	});
@@ -258,11 +261,14 @@
 
 	await writer.write();
 	t.equal(await readRevision(), undefined, 'not the holder');
-	isHolder = true;
+	lease.token = 8;
 	await writer.write();
 	t.equal(await readRevision(), 2);
-	await objects.put(snapshotName, encodeSnapshot(old.getFollowed(), 'f'));
+	const late = encodeSnapshot(old.getFollowed(), 'f');
+	await objects.put(getSnapshotName(7), late);
+	t.equal(await readRevision(), 2);
+	await objects.put(getSnapshotName(8), late);
 	await env.wait(60_000);
 	await writer.write();
-	t.equal(await readRevision(), 2);
+	t.equal(await readRevision(), 2, 'what is gone is put again');
 });
