--- /dev/null
+++ b/packages/bench/src/benches/agreement/heartbeat-bytes.ts
@@ -0,0 +1,21 @@
+/** Size of the row by which an entry shows that it lives. */
+import type {registration} from '@gullstand/core';
+
+const createRow = (entries: number): registration.Registration => ({
+	address: '10.20.30.40:8443',
+	availabilityZone: 'zone-1',
+	upMs: 123_456_789,
+	heard: [],
+	quorum: Array.from({length: entries}, (_, index) => `entry-${index}`),
+	acknowledged: {
+		entry: 'entry-100',
+		incarnation: '123e4567-e89b-12d3-a456-426614174000',
+		sequence: 123_456,
+		inForce: 123_456,
+		holding: [],
+	},
+});
+
+/** Bytes of a row whose quorum names so many entries, as JSON. */
+export const getHeartbeatBytes = (entries: number): number =>
+	JSON.stringify(createRow(entries)).length;
--- a/packages/bench/src/benches/heartbeat.ts
+++ b/packages/bench/src/benches/heartbeat.ts
@@ -6,6 +6,7 @@
 import {check} from '../frame/check.js';
 import {createRandom, drawBelow, type Random} from '../frame/random.js';
 import type {Bench, Figures} from '../frame/types.js';
+import {getHeartbeatBytes} from './agreement/heartbeat-bytes.js';
 import {getQuantile} from './agreement/quantile.js';
 
 type Scheme =
@@ -22,8 +23,6 @@
 	readonly scheme: Scheme;
 };
 
-const rowBytes = 320;
-
 const maxGapPeriods = 5;
 
 /** Today's size and the planned one. */
@@ -129,6 +128,9 @@
 	const writes = rows.length / (heartbeatMs / 1000);
 	const {watched, calls} = getWatch(fleet, rows.length);
 	const reads = (fleet.daemons * calls) / (watchMs / 1000);
+	// A row for one pool of a daemon names no quorum.
+	const isEach = fleet.scheme === 'each';
+	const rowBytes = getHeartbeatBytes(isEach ? 0 : fleet.daemons);
 	const bytes =
 		(watched * rowBytes) / (watchMs / 1000) +
 		(writes * rowBytes) / fleet.daemons;
--- a/packages/bench/src/benches/outage/daemons.ts
+++ b/packages/bench/src/benches/outage/daemons.ts
@@ -198,8 +198,9 @@
 const waitForSnapshot = async (world: World) => {
 	const deadline = now() + maxStartMs;
 	while (now() < deadline) {
-		const read = await world.embedded.platform.objects.get(daemon.snapshotName);
-		if (read.ok && read.value) {
+		const {objects} = world.embedded.platform;
+		const read = await daemon.readSnapshot(objects, daemon.fleetName);
+		if (read.ok) {
 			return;
 		}
 
--- a/packages/bench/src/benches/rollout/run-rollout.ts
+++ b/packages/bench/src/benches/rollout/run-rollout.ts
@@ -14,6 +14,7 @@
 	type Random,
 } from '../../frame/random.js';
 import {createClock, type Clock} from '../agreement/clock.js';
+import {getHeartbeatBytes} from '../agreement/heartbeat-bytes.js';
 import {
 	createLink,
 	createStore,
@@ -90,8 +91,6 @@
 
 const counterBytes = 120;
 
-const heartbeatBytes = 320;
-
 const operators = 4;
 
 const customers = ['north', 'south', 'east', 'west', 'centre'];
@@ -351,6 +350,7 @@
 const startEntry = (world: World, entry: Entry) => {
 	const {clock, random, counts} = world;
 	const periods = core.periods.getPeriods(world.entries);
+	const heartbeatBytes = getHeartbeatBytes(world.entries);
 	const repeat = async (periodMs: number, step: () => Promise<void>) => {
 		await clock.sleep(random() * periodMs);
 		while (!world.isDone) {
--- a/packages/daemon/src/agreement/agreement.ts
+++ b/packages/daemon/src/agreement/agreement.ts
@@ -97,7 +97,8 @@
 /** Shard of everything that belongs to no pool. */
 export const fleetShard = 'fleet';
 
-const fleet = 'gullstand';
+/** Snapshots carry it; those of another fleet are refused. */
+export const fleetName = 'gullstand';
 
 /** Time between two reads of the stored snapshot. */
 const snapshotCheckMs = 10_000;
@@ -165,7 +166,7 @@
 			{
 				origin: 'snapshot',
 				async read() {
-					const snapshot = await readSnapshot(objects, fleet);
+					const snapshot = await readSnapshot(objects, fleetName);
 					return snapshot.ok ? snapshot.value : undefined;
 				},
 			},
@@ -177,7 +178,7 @@
 	const {getView, getFollowed} = follower;
 	const marker = createStartMarker({
 		objects,
-		fleet,
+		fleet: fleetName,
 		getRevision: () => getView().revision,
 		waitMs: times.membership.forgetAfterMs,
 		now,
@@ -248,7 +249,7 @@
 	});
 	const snapshotWriter = createSnapshotWriter({
 		objects,
-		fleet,
+		fleet: fleetName,
 		getFollowed,
 		getToken: () => leases.getHeld(fleetShard)?.token,
 		env: createEnvironment(),
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -27,3 +27,4 @@
 export type * as upstreamTypes from './upstream/types.js';
 export {defaultUpstreamConfig} from './upstream/types.js';
 export * as idempotency from './idempotency/index.js';
+export * from './agreement/agreement.js';
