Show how an entry's view stands to the table service

Cause: an entry that refuses an older or another history of the store told nobody.

Change: /v1/status has `view` (origin and condition); `gullstand status` prints it.

Conclusion: store-behind and diverged are seen without reading logs.

--- a/packages/cli/src/commands/commands.test.ts
+++ b/packages/cli/src/commands/commands.test.ts
@@ -128,6 +128,10 @@
 });
 
 const lists: Array<[string[], RegExp]> = [
+	[
+		['status'],
+		/^ready\nrevision 1, first from table\ntable service: following$/v,
+	],
 	[['contract', 'list'], /^demo$/v],
 	[['service', 'list'], /^claims\nquoting$/v],
 	[['instance', 'list'], /claims-1\n/v],
--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -1,4 +1,4 @@
-/** `gullstand pool|move|entry|change`: what the fleet is doing. */
+/** `gullstand status|pool|move|entry|change`: what the fleet is doing. */
 import type {Command} from 'commander';
 import {callOperator, type OperatorCall} from '../client/operator-client.js';
 import {formatInForce, printAnswer, show} from './answer.js';
@@ -190,8 +190,32 @@
 		});
 };
 
+const formatCondition = (condition: Fields): string => {
+	const {kind, ...more} = condition;
+	const details = Object.keys(more).length === 0 ? '' : ` ${show(more)}`;
+	return `${show(kind)}${details}`;
+};
+
+const formatStatus = (fields: Fields): readonly string[] => {
+	const view = fields.view as Fields;
+	return [
+		fields.ready === true ? 'ready' : 'not ready',
+		`revision ${show(fields.revision)}, first from ${show(view.origin)}`,
+		`table service: ${formatCondition(view.condition as Fields)}`,
+	];
+};
+
+const registerStatus = (program: Command, io: Io) => {
+	addTargetFlags(program.command('status'))
+		.description('show one entry and how its view stands')
+		.action(async (flags: TargetFlags) =>
+			call({method: 'GET', path: '/v1/status'}, flags, io, formatStatus),
+		);
+};
+
 /** Registers the commands of this domain. */
 export const registerFleet = (program: Command, io: Io) => {
+	registerStatus(program, io);
 	registerPools(program, io);
 	registerMoves(program, io);
 	registerEntries(program, io);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -184,6 +184,10 @@
 			list: platform.list,
 			getView,
 			getFollowed,
+			getFollowState: () => ({
+				origin: follower.getOrigin(),
+				condition: follower.getCondition(),
+			}),
 			poll,
 			async onCommitted(delta) {
 				member.announce(delta);
--- a/packages/daemon/src/operator/operator-app.ts
+++ b/packages/daemon/src/operator/operator-app.ts
@@ -11,6 +11,7 @@
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
 import type {Settings} from '../settings/schema.js';
+import type {FollowCondition, ViewOrigin} from '../view/view-follower.js';
 import {authorizeOperator, type Operator} from './authorize.js';
 import {registerChanges} from './changes/app.js';
 import {registerContracts} from './contracts/app.js';
@@ -29,6 +30,11 @@
 	readonly list?: InstanceList;
 	readonly getView: () => View;
 	readonly getFollowed: () => followedView.FollowedView;
+	/** Where the first view came from, and how it stands to the store. */
+	readonly getFollowState: () => {
+		readonly origin: ViewOrigin;
+		readonly condition: FollowCondition;
+	};
 	/** Told of a change that this entry committed, before it is answered. */
 	readonly onCommitted: (delta: viewChange.ViewDelta) => Promise<void>;
 	/** Acknowledgements that peers have sent to this entry. */
--- a/packages/daemon/src/operator/operator.test.ts
+++ b/packages/daemon/src/operator/operator.test.ts
@@ -302,6 +302,9 @@
 		headers: {'if-match': etag!},
 	} as const;
 	t.match(await call(change), {status: 503, outcome: 'not-run'});
+	t.match(await call({path: '/v1/status'}), {
+		body: {view: {condition: {kind: 'store-unavailable'}}},
+	});
 	faults.set({isDown: false});
 	t.match(await call(change), {status: 200, body: {revision: 3}});
 });
--- a/packages/daemon/src/operator/status/app.ts
+++ b/packages/daemon/src/operator/status/app.ts
@@ -7,6 +7,7 @@
 		c.json({
 			revision: deps.getView().revision,
 			ready: deps.isReady(),
+			view: deps.getFollowState(),
 			instances: deps.getView().instances.size,
 			contracts: deps.getView().contracts.size,
 		}),
