Count lost executors before a move out of a pool

Cause: a move was checked against the view alone; with an executor lost and not listed, a move could take the next one and overspend the budget. Ruled out: races of moves with waves and with one another; each commits on the newest revision of the view and is judged anew. Conclusion: a list that lags delays a move and never permits one too early for a loss that it shows.

--- a/packages/daemon/src/operator/instances/move-checks.test.ts
+++ b/packages/daemon/src/operator/instances/move-checks.test.ts
@@ -84,3 +84,18 @@
 		t.same(findLeaveProblems(view, worker), []);
 	});
 }
+
+tap.t.test('an executor that is lost counts as away', async (t) => {
+	const view = createView([serving, serving, serving], 2, 1);
+	const moved = view.instances.get('x0')!;
+	const all = new Set(['x0', 'x1', 'x2']);
+	t.same(findLeaveProblems(view, moved, all), []);
+	const problems = findLeaveProblems(view, moved, new Set(['x0', 'x1']));
+	t.same(
+		problems.map(({problem, after}) => [problem, after]),
+		[
+			['keep-executors', 1],
+			['max-away', 2],
+		],
+	);
+});
--- a/packages/daemon/src/operator/instances/move-checks.ts
+++ b/packages/daemon/src/operator/instances/move-checks.ts
@@ -2,6 +2,9 @@
 import * as core from '@gullstand/core';
 import type {Instance, View} from '@gullstand/core';
 
+/** Ids of the instances that the platform lists as live. */
+export type LiveInstances = ReadonlySet<string>;
+
 /** Why an instance may not leave its pool now. */
 export type LeaveProblem = {
 	readonly customer: string;
@@ -11,25 +14,34 @@
 	readonly after: number;
 };
 
-/** Executors of a pool that serve, and those that do not. */
-const countMembers = (view: View, pool: string) => {
+/**
+ * Executors of a pool that serve, and those that do not. One that the
+ * platform does not list as live is lost: it counts as away before any plan.
+ */
+const countMembers = (view: View, pool: string, live?: LiveInstances) => {
 	const members = [...view.instances.values()].filter(
 		(each) => each.pool === pool && each.kind === 'executor',
 	);
-	const serving = members.filter(({state}) => state === 'serving').length;
+	const serving = members.filter(
+		({id, state}) => state === 'serving' && (live?.has(id) ?? true),
+	).length;
 	return {serving, away: members.length - serving};
 };
 
-/** Lists the contracts that a move out of the pool would break now. */
+/**
+ * Lists the contracts that a move out of the pool would break now. Without
+ * the platform's list, no loss is counted.
+ */
 export const findLeaveProblems = (
 	view: View,
 	{pool, kind}: Instance,
+	live?: LiveInstances,
 ): readonly LeaveProblem[] => {
 	if (kind !== 'executor') {
 		return [];
 	}
 
-	const {serving, away} = countMembers(view, pool);
+	const {serving, away} = countMembers(view, pool, live);
 	const problems: LeaveProblem[] = [];
 	for (const service of view.services.values()) {
 		const promise =
--- a/packages/daemon/src/operator/instances/moves.ts
+++ b/packages/daemon/src/operator/instances/moves.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import * as core from '@gullstand/core';
 import type {errors, move, View, viewChange} from '@gullstand/core';
-import type {StoreError} from '@gullstand/platform';
+import type {ListedInstance, StoreError} from '@gullstand/platform';
 import {commitStep, readInstance, readMoves} from '../../moves/move-rows.js';
 import {counterRow} from '../../view/tables.js';
 import {
@@ -13,7 +13,7 @@
 } from '../objects/answers.js';
 import {readRegistrations} from '../objects/in-force.js';
 import type {OperatorApp, OperatorDeps} from '../operator-app.js';
-import {findLeaveProblems} from './move-checks.js';
+import {findLeaveProblems, type LiveInstances} from './move-checks.js';
 
 const moveRequest = z.strictObject({to: z.string().min(1).max(63)});
 
@@ -45,8 +45,11 @@
 	readonly author: string;
 };
 
+const getLive = (listed: readonly ListedInstance[]): LiveInstances =>
+	new Set(listed.filter(({state}) => state === 'live').map(({id}) => id));
+
 const decideStart = async (
-	{table}: OperatorDeps,
+	{table, list}: OperatorDeps,
 	{id, to, author}: StartOrder,
 	view: View,
 ): Promise<Decision> => {
@@ -72,7 +75,13 @@
 		return refuse('bad-request', {faults: [{field: 'instance', message}]});
 	}
 
-	const problems = findLeaveProblems(view, instance.value.value);
+	const listed = await list?.list();
+	if (listed && !listed.ok) {
+		return refuseByStore({kind: 'unavailable'});
+	}
+
+	const live = listed && getLive(listed.value);
+	const problems = findLeaveProblems(view, instance.value.value, live);
 	return problems.length > 0
 		? refuse('promise-impossible', {problems})
 		: {kind: 'step', step: step.value};
