Run waves on the holder of the fleet shard

The entries are read only while something drains. The test of a contract changed in mid-round now changes it when a take reads its instances, as the read that it used before is no longer made; without the check it still fails (trial).

--- a/packages/daemon/src/agreement/agreement.ts
+++ b/packages/daemon/src/agreement/agreement.ts
@@ -90,6 +90,8 @@
 	readonly member: Member;
 	readonly leases: LeaseRunner;
 	readonly moves: MoveRunner;
+	/** What is known of entries that start in an outage. */
+	readonly readOutageStart: () => Promise<core.move.OutageStart>;
 	/** Wraps slot takers, so that picks are counted and gated. */
 	readonly inFlight: InFlight;
 };
@@ -272,6 +274,7 @@
 		member,
 		leases,
 		moves,
+		readOutageStart: marker.read,
 		inFlight,
 	};
 };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,6 +10,7 @@
 import {createEntryShare, createSlotShare} from './admission/entry-share.js';
 import {
 	agreementDefaults,
+	fleetShard,
 	createAgreement,
 	type Agreement,
 	type AgreementTimes,
@@ -106,7 +107,7 @@
 			dispatch.follow(view);
 		},
 	});
-	const {follower, member, inFlight} = agreement;
+	const {follower, member, leases, inFlight} = agreement;
 	const {getView, getFollowed, poll} = follower;
 	const {connectTimeoutMs, idleConnectionMs, maxAnswerBytes} =
 		settings.upstream;
@@ -209,6 +210,12 @@
 		poll,
 		getInFlight: inFlight.count,
 		getHeard: member.getHeard,
+		readOutageStart: agreement.readOutageStart,
+		isHolder: () => leases.getHeld(fleetShard) !== undefined,
+		getGuards() {
+			const held = leases.getHeld(fleetShard);
+			return held ? core.shardLease.writeWithToken(held, []) : [];
+		},
 		now: Date.now,
 		logger,
 		pollMs: wavePollMs,
--- a/packages/daemon/src/waves/drain-check.ts
+++ b/packages/daemon/src/waves/drain-check.ts
@@ -16,7 +16,7 @@
 	readonly getInFlight: (instance: string) => number;
 	readonly getHeard: () => lagging.HeardAcknowledgements;
 	/** What is known of entries that start from the object store's snapshot. */
-	readonly getOutageStart?: () => move.OutageStart;
+	readonly readOutageStart?: () => Promise<move.OutageStart>;
 };
 
 /** The registered entries as read, and what must still hold at a commit. */
@@ -35,6 +35,9 @@
 export const readDrain = async (
 	deps: DrainCheckDeps,
 ): Promise<DrainRead | undefined> => {
+	// Read before the entries: one that registers later is among them.
+	const outageStart =
+		(await deps.readOutageStart?.()) ?? core.move.noOutageStart;
 	const row = await deps.table.get(membership, core.singleRowKey);
 	if (!row.ok) {
 		return undefined;
@@ -51,7 +54,6 @@
 			revision,
 			instance,
 		});
-	const outageStart = deps.getOutageStart?.() ?? core.move.noOutageStart;
 	const isStartSafe = (revision: number) =>
 		outageStart.snapshotRevision >= revision &&
 		outageStart.markerUnchangedMs >= outageStart.markerWaitMs;
--- a/packages/daemon/src/waves/wave-runner.test.ts
+++ b/packages/daemon/src/waves/wave-runner.test.ts
@@ -134,13 +134,13 @@
 		},
 	} as unknown as Workers;
 
-	/** Run once when a round reads the entries: after the ledgers, before takes. */
+	/** Run once when a take reads instances: after the ledgers were followed. */
 	const hooks: Array<() => Promise<void>> = [];
 	const faulty: TableService = {
 		...table,
 		commit,
 		async get(name, key) {
-			if (name === core.agreementTables.membership) {
+			if (name === budget.tables.instances) {
 				await hooks.shift()?.();
 			}
 
@@ -162,7 +162,7 @@
 			poll: follower.poll,
 			getInFlight: () => 0,
 			getHeard: () => new Map(),
-			getOutageStart: () => outageStart,
+			readOutageStart: async () => outageStart,
 			now: () => clock.now,
 			logger: silent,
 			pollMs: 1000,
--- a/packages/daemon/src/waves/wave-runner.ts
+++ b/packages/daemon/src/waves/wave-runner.ts
@@ -41,7 +41,7 @@
 	readonly getInFlight: (instance: string) => number;
 	readonly getHeard: () => lagging.HeardAcknowledgements;
 	/** Absent: no entry of the fleet starts from the snapshot. */
-	readonly getOutageStart?: () => move.OutageStart;
+	readonly readOutageStart?: () => Promise<move.OutageStart>;
 	/** Present time in milliseconds of the wall clock, as rows keep it. */
 	readonly now: () => number;
 	readonly logger: Logger;
@@ -177,6 +177,14 @@
 	await probes.run(returning);
 };
 
+/** The entries are read only while something drains. */
+const isDraining = ({deps, loaded}: State): boolean => {
+	const {view} = deps.getFollowed();
+	return [...loaded.values()]
+		.flatMap((each) => getTakenMembers(each))
+		.some(({id}) => view.instances.get(id)?.state === 'draining');
+};
+
 /** What one round has read. */
 type Round = {
 	readonly listed: Listed;
@@ -275,10 +283,9 @@
 	}
 
 	await runProbes(state);
-	const drain = await readDrain({
-		...deps,
-		getView: () => deps.getFollowed().view,
-	});
+	const drain = isDraining(state)
+		? await readDrain({...deps, getView: () => deps.getFollowed().view})
+		: undefined;
 	for (const loaded of state.loaded.values()) {
 		await retryReboots(state, loaded, listed);
 		await stepWave(state, loaded, {listed, drain});
