Measure refusals behind real sockets

Cause: bench overload judged by a fake clock only how soon the refused are told. Change: a part with a real listener at twice the capacity, as figures; the daemon exports the caller app and the admission layer for it.

--- a/packages/bench/src/benches/overload.ts
+++ b/packages/bench/src/benches/overload.ts
@@ -6,6 +6,7 @@
 import * as policies from './overload/policies.js';
 import type {Tally} from './overload/run-entry.js';
 import * as scenarios from './overload/scenarios.js';
+import {measureSockets} from './overload/sockets.js';
 import {customerWeights, firms} from './overload/sizes.js';
 
 /** Worst value over all services of both firms. */
@@ -127,7 +128,12 @@
 		const wave = runCancelWave(options.seed);
 		const held = wave.slotsHeld + wave.queuePlacesHeld + wave.wheelPlacesHeld;
 		return {
-			figures: {...toFigures(own), ...wave, ...measureDecisions()},
+			figures: {
+				...toFigures(own),
+				...wave,
+				...measureDecisions(),
+				...(await measureSockets(options.short ? 5 : 20)),
+			},
 			baselines: {
 				'fifo without deadlines': toFigures(fifo),
 				'fifo with deadline drop': toFigures(drop),
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,8 @@
 /** The daemon as a library, for the command line, benches and tests. */
 export * from './daemon.js';
+export * from './admission/admission-layer.js';
 export * from './caller/call.js';
+export {createCallerApp, type CallerDeps} from './caller/caller-app.js';
 export * from './caller/cancellation.js';
 export * from './caller/plain-dispatch.js';
 export {headerNames} from './caller/headers.js';
