daemon: keep the row of an entry that cut requests off

Cause: an entry that ended its stop with requests cut off, or while it spoke for a sponsored one, removed its row at once; a move could then put an instance into another pool while an executor still ran such a request. Change: the row stays in these cases and is forgotten in time.

--- a/packages/daemon/src/membership/register.ts
+++ b/packages/daemon/src/membership/register.ts
@@ -227,7 +227,19 @@
 	}
 };
 
-/** Removes the own row at the end of a graceful stop. */
+const isLettingGo = (deps: MemberDeps, state: MemberState): boolean => {
+	const {instances} = deps.getFollowed().view;
+	const isHolding = [...instances.keys()].some(
+		(instance) => deps.getInFlight(instance) > 0,
+	);
+	return !isHolding && state.sponsored.size === 0;
+};
+
+/**
+ * Removes the own row at the end of a graceful stop. It stays, and others
+ * forget it in time, if requests were cut off that an executor may still run,
+ * or if this entry speaks for others.
+ */
 export const deregister = async (
 	deps: MemberDeps,
 	state: MemberState,
@@ -236,8 +248,13 @@
 		return;
 	}
 
-	const {entry} = deps.life;
 	state.isRegistered = false;
+	const {entry} = deps.life;
+	if (!isLettingGo(deps, state)) {
+		deps.logger.warn('registration left behind', {entry});
+		return;
+	}
+
 	await deps.table.commit(
 		toWrites(core.registration.removeEntry(entry, state.rowVersion, entry)),
 		randomUUID(),
