--- a/packages/bench/src/benches/calendar.ts
+++ b/packages/bench/src/benches/calendar.ts
@@ -9,7 +9,8 @@
 import type {Bench, BenchOptions, Check, Figures} from '../frame/types.js';
 import {checkBudgets, checkMoves, getFigures} from './wave/figures.js';
 import {createFleet} from './wave/fleet.js';
-import {runWave, type Plan} from './wave/run.js';
+import type {Plan} from './wave/plan.js';
+import {runWave} from './wave/run.js';
 import {
 	createDailyOutages,
 	createDomainOutages,
--- a/packages/bench/src/benches/wave.ts
+++ b/packages/bench/src/benches/wave.ts
@@ -14,7 +14,8 @@
 	getStepFigures,
 } from './wave/figures.js';
 import {createFleet} from './wave/fleet.js';
-import {runWave, type Outcome, type Plan} from './wave/run.js';
+import type {Outcome, Plan} from './wave/plan.js';
+import {runWave} from './wave/run.js';
 import {
 	createDomainOutages,
 	createZoneOutages,
--- a/packages/bench/src/benches/wave/figures.ts
+++ b/packages/bench/src/benches/wave/figures.ts
@@ -1,7 +1,7 @@
 /** Figures and checks of waves that were run. */
 import {check} from '../../frame/check.js';
 import type {Check, Figures} from '../../frame/types.js';
-import type {Outcome} from './run.js';
+import type {Outcome} from './plan.js';
 
 const round = (value: number) => Math.round(value * 100) / 100;
 
--- a/packages/bench/src/benches/wave/fleet.ts
+++ b/packages/bench/src/benches/wave/fleet.ts
@@ -12,6 +12,7 @@
 import {createEventQueue, type EventQueue} from './event-queue.js';
 import {createJobSource, type Job, type JobSource} from './jobs.js';
 import type {LogEvent} from './judge.js';
+import {createWorker, isUp, type Worker} from './worker.js';
 import {
 	createInstances,
 	createLedgers,
@@ -23,25 +24,6 @@
 const checkpointEveryMs = 30 * minuteMs;
 const listLagMs = {least: 5000, mean: 10_000} as const;
 
-/** One worker. */
-export type Worker = {
-	instance: Instance;
-	readonly services: readonly string[];
-	readonly jobs: Map<string, Job>;
-	used: number;
-	/** Outages that hold it down; it is up at none. */
-	outages: number;
-	/** Down for its own maintenance. */
-	isRebooting: boolean;
-	/** Grows with each boot. */
-	incarnation: number;
-	listedIncarnation: number;
-	isListed: boolean;
-	incarnationAtTake: number;
-	drainedAt: number;
-	provedAt: number;
-};
-
 /** The fleet, its log and its counts. */
 export type Fleet = {
 	readonly size: Size;
@@ -65,10 +47,6 @@
 	now: number;
 };
 
-/** True if the worker runs. */
-export const isUp = ({outages, isRebooting}: Worker) =>
-	outages === 0 && !isRebooting;
-
 const getFacts = (fleet: Fleet, worker: Worker): waves.InstanceFacts => ({
 	id: worker.instance.id,
 	pool: worker.instance.pool,
@@ -340,21 +318,6 @@
 	});
 };
 
-const createWorker = (instance: Instance): Worker => ({
-	instance,
-	services: [instance.pool.replace('pool', 'service')],
-	jobs: new Map(),
-	used: 0,
-	outages: 0,
-	isRebooting: false,
-	incarnation: 1,
-	listedIncarnation: 1,
-	isListed: true,
-	incarnationAtTake: 0,
-	drainedAt: 0,
-	provedAt: 0,
-});
-
 const announcePromises = (fleet: Fleet) => {
 	for (const {service, terms, entries} of fleet.ledgers.values()) {
 		fleet.log.push({
--- a/packages/bench/src/benches/wave/run.ts
+++ b/packages/bench/src/benches/wave/run.ts
@@ -3,53 +3,21 @@
 import {
 	advanceFleet,
 	fillPool,
-	isUp,
 	rebootWorker,
 	removeJob,
 	startJob,
 	submitJob,
 	type Fleet,
-	type Worker,
 } from './fleet.js';
-import {judgeLog, type Verdict} from './judge.js';
+import {judgeLog} from './judge.js';
+import type {Outcome, Plan} from './plan.js';
+import {isUp, type Worker} from './worker.js';
 
 const hourMs = 3_600_000;
 const maxWork = 24;
 const drainMs = 20_000;
 const mostShare = 0.9;
 
-/** How the wave is run. */
-export type Plan = {
-	readonly settings: waves.WaveSettings;
-	/** Baselines move jobs to any worker, also to one whose turn will come. */
-	readonly targets: 'done' | 'any';
-	readonly startAt: number;
-	readonly forMs: number;
-	/** Time between steps, in milliseconds. */
-	readonly tickMs: number;
-	/** Hours of each day in which the wave may begin a rack; all if absent. */
-	readonly windowHours?: readonly [from: number, to: number];
-};
-
-/** What a run gave. */
-export type Outcome = Verdict & {
-	hours: number;
-	/** Time until nine tenths of the instances are done. */
-	hoursToMost: number;
-	done: number;
-	skipped: number;
-	bufferCoreHours: number;
-	emptyingCoreHours: number;
-	repeatedCoreHours: number;
-	queuedJobHours: number;
-	unknownJobs: number;
-	/** Processor time of each step, in the order of the steps. */
-	stepMs: readonly number[];
-	/** Time to build the index of the wave. */
-	indexMs: number;
-	days: number;
-};
-
 type Run = {
 	readonly fleet: Fleet;
 	readonly plan: Plan;
--- a/packages/daemon/src/waves/wave-runner.ts
+++ b/packages/daemon/src/waves/wave-runner.ts
@@ -24,7 +24,8 @@
 import {readDrain, type DrainRead} from './drain-check.js';
 import {createLedgerBook, type Listed} from './ledger-book.js';
 import {createProbe, createProbes, type Probe} from './probe.js';
-import {runAction, type CommandDeps} from './wave-commands.js';
+import {runAction} from './wave-commands.js';
+import type {CommandDeps} from './wave-commit.js';
 import {createFacts, noJobs, type WaveJobs} from './wave-facts.js';
 import {loadWave, readWaves, type LoadedWave} from './wave-rows.js';
 
