Pass header fields by one rule; drop plain dispatch

Cause: hop-by-hop fields stood in two lists and every request's header was copied twice; plain dispatch, the first thin version, was no longer called. Change: http/connection-headers.ts holds the rule; a request is filtered by the caller path, an answer by its connection; listServing stands with the view. Measured: build, the tests of caller and upstream pass unchanged. Conclusion: behaviour is the same.

--- a/packages/daemon/src/admission/entry-share.ts
+++ b/packages/daemon/src/admission/entry-share.ts
@@ -4,7 +4,7 @@
  */
 import type * as core from '@gullstand/core';
 import type {InstanceList} from '@gullstand/platform';
-import {listServing} from '../caller/plain-dispatch.js';
+import {listServing} from '../view/list-serving.js';
 import type {Part} from '../supervisor/supervisor.js';
 import {createTicker} from '../view/ticker.js';
 
--- a/packages/daemon/src/upstream/headers.ts
+++ b/packages/daemon/src/http/connection-headers.ts
@@ -1,5 +1,9 @@
 /** Headers that belong to one connection and are not passed on. */
-import type {Headers} from './types.js';
+
+/** Header fields by name in lower case. */
+export type HeaderFields = Readonly<
+	Record<string, string | string[] | undefined>
+>;
 
 // RFC 9110, 7.6.1, and the lengths that are set anew on each connection.
 const connectionHeaders = new Set([
@@ -16,7 +20,7 @@
 	'upgrade',
 ]);
 
-const listNamed = (headers: Headers): Set<string> => {
+const listNamed = (headers: HeaderFields): Set<string> => {
 	const {connection = ''} = headers;
 	const names = String(connection).toLowerCase().split(',');
 	return new Set(names.map((name) => name.trim()));
@@ -24,7 +28,7 @@
 
 /** Drops the headers of one connection, also those that `connection` names. */
 export const passHeaders = (
-	headers: Headers,
+	headers: HeaderFields,
 ): Record<string, string | string[]> => {
 	const named = listNamed(headers);
 	const passed: Record<string, string | string[]> = {};
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,7 +4,6 @@
 export * from './caller/call.js';
 export {createCallerApp, type CallerDeps} from './caller/caller-app.js';
 export * from './caller/cancellation.js';
-export * from './caller/plain-dispatch.js';
 export {headerNames} from './caller/headers.js';
 export {hashToken} from './caller/parse-call.js';
 export * from './embedded/embedded-platform.js';
--- a/packages/daemon/src/upstream/call-handler.ts
+++ b/packages/daemon/src/upstream/call-handler.ts
@@ -1,9 +1,14 @@
 /** Handles callers' calls by one upstream a service, kept up with the view. */
 import {Readable} from 'node:stream';
 import type * as core from '@gullstand/core';
-import {createError, type Call, type CallResult} from '../caller/call.js';
+import {
+	createError,
+	type Call,
+	type CallHandler,
+	type CallResult,
+} from '../caller/call.js';
 import {selectAnswerHeaders, selectRequestHeaders} from '../caller/headers.js';
-import {type PlainDispatch, listServing} from '../caller/plain-dispatch.js';
+import {listServing} from '../view/list-serving.js';
 import type {AttemptResult, TakeSlot, UpstreamConfig} from './types.js';
 import * as upstreams from './upstream.js';
 
@@ -23,7 +28,11 @@
 };
 
 /** The handler and what it holds open. */
-export type UpstreamDispatch = PlainDispatch & {
+export type UpstreamDispatch = {
+	readonly handle: CallHandler;
+	/** Requests in flight from this entry to one instance. */
+	readonly getInFlight: (instance: string) => number;
+	readonly close: () => Promise<void>;
 	/** Puts a view in force: every later pick is made by it. */
 	readonly follow: (view: core.View) => void;
 	/** Health of the executors of each service. */
--- a/packages/daemon/src/upstream/exchange.ts
+++ b/packages/daemon/src/upstream/exchange.ts
@@ -7,8 +7,8 @@
 import {Readable} from 'node:stream';
 import {errors, type Dispatcher} from 'undici';
 import type * as core from '@gullstand/core';
+import {passHeaders} from '../http/connection-headers.js';
 import type {Connection} from './connection.js';
-import * as headerRules from './headers.js';
 import type {Headers, UpstreamConfig, UpstreamRequest} from './types.js';
 
 /** An answer, whole or as a stream. */
@@ -81,7 +81,7 @@
 	const headerNames = new Set(Object.keys(headers));
 	return {
 		end: {kind: 'answered', status, headerNames},
-		answer: {status, headers: headerRules.passHeaders(headers), body},
+		answer: {status, headers: passHeaders(headers), body},
 	};
 };
 
@@ -214,8 +214,7 @@
 		ended: false,
 		freed: false,
 	};
-	const {method, path, body} = req;
-	const headers = headerRules.passHeaders(req.headers);
+	const {method, path, headers, body} = req;
 	const sent = body instanceof Readable ? body : (body ?? null);
 	connection.client.dispatch(
 		{method, path, headers, body: sent},
