Hold a slot until a streamed answer has ended

Cause: admission gave the slot of a streamed answer out when its header had come, while the executor was still busy with it. Change: the slot is held until the last byte, a cut, or the caller leaves. The tests now read answers by arrayBuffer: undici's dump resolves for a cut body too and would have hidden it. Conclusion: in flight, as admission counts it, is what the executor holds.

--- a/packages/daemon/src/admission/admission.test.ts
+++ b/packages/daemon/src/admission/admission.test.ts
@@ -78,7 +78,19 @@
 		}
 	};
 
-	return {handle, running, answerAll, countCalls: () => calls};
+	const answerWith = (body: ReadableStream<Uint8Array>) => {
+		const [first] = running;
+		first?.end({
+			kind: 'answer',
+			status: 200,
+			headers: [],
+			body,
+			executor: 'e1',
+			attempts: 1,
+		});
+	};
+
+	return {handle, running, answerAll, answerWith, countCalls: () => calls};
 };
 
 const startEntry = async (t: tap.Test) => {
@@ -127,7 +139,7 @@
 			headers: {authorization: `Bearer ${customer}`},
 			...(signal && {signal}),
 		});
-		await res.body.dump();
+		await res.body.arrayBuffer();
 		const {headers} = res;
 		return {
 			status: res.statusCode,
@@ -235,6 +247,49 @@
 	t.ok(answers.every((res) => res.status === 200));
 });
 
+const streams: Array<
+	[
+		name: string,
+		end: (controller: ReadableStreamDefaultController<Uint8Array>) => void,
+	]
+> = [
+	[
+		'ends',
+		(controller) => {
+			controller.close();
+		},
+	],
+	[
+		'is cut',
+		(controller) => {
+			controller.error(new Error('cut by the test'));
+		},
+	],
+];
+
+for (const [name, end] of streams) {
+	tap.t.test(`a stream holds its slot until it ${name}`, async (t) => {
+		const entry = await startEntry(t);
+		const {executors, getStatus} = entry;
+		const sent = Promise.allSettled([entry.send('quiet')]);
+		await until(() => executors.running.size === 1);
+		let source: ReadableStreamDefaultController<Uint8Array> | undefined;
+		const body = new ReadableStream<Uint8Array>({
+			start(controller) {
+				source = controller;
+				controller.enqueue(new Uint8Array(10));
+			},
+		});
+		executors.answerWith(body);
+		await until(() => executors.running.size === 0 && body.locked);
+		t.equal(getStatus()?.inFlight, 1);
+		end(source!);
+		const [result] = await sent;
+		t.equal(result.status, name === 'ends' ? 'fulfilled' : 'rejected');
+		await until(() => getStatus()?.inFlight === 0);
+	});
+}
+
 tap.t.test('a wave of callers that leave frees slots and queue', async (t) => {
 	const entry = await startEntry(t);
 	const {executors, getStatus} = entry;
--- a/packages/daemon/src/admission/service-queue.ts
+++ b/packages/daemon/src/admission/service-queue.ts
@@ -6,6 +6,7 @@
 	type CallHandler,
 	type CallResult,
 } from '../caller/call.js';
+import {watchEnd} from './watch-end.js';
 
 type Ticket = core.admission.Ticket;
 
@@ -90,24 +91,42 @@
 		}
 	};
 
+	/** Frees the slot of a call that has ended; later calls change nothing. */
+	const finish = (ticket: Ticket, call: Call, measured: boolean) => {
+		core.admission.finish(state, ticket, {measured}, now());
+		if (call.cancellation.isCancelled()) {
+			planDrain();
+		} else {
+			drain();
+		}
+	};
+
 	const send = async (
 		ticket: Ticket,
 		call: Call,
 		next: CallHandler,
 	): Promise<CallResult> => {
-		let measured = false;
+		let result: CallResult;
 		try {
-			const result = await next(call);
-			measured = isMeasured(result);
+			result = await next(call);
+		} catch (err) {
+			finish(ticket, call, false);
+			throw err;
+		}
+
+		if (result.kind === 'error' || result.body instanceof Uint8Array) {
+			finish(ticket, call, isMeasured(result));
 			return result;
-		} finally {
-			core.admission.finish(state, ticket, {measured}, now());
-			if (call.cancellation.isCancelled()) {
-				planDrain();
-			} else {
-				drain();
-			}
 		}
+
+		// The executor is busy until the last byte of a streamed answer.
+		call.cancellation.onCancel(() => {
+			finish(ticket, call, false);
+		});
+		const body = watchEnd(result.body, () => {
+			finish(ticket, call, true);
+		});
+		return {...result, body};
 	};
 
 	const wait = async (ticket: Ticket, call: Call, next: CallHandler) =>
