--- a/packages/daemon/src/admission/admission.test.ts
+++ b/packages/daemon/src/admission/admission.test.ts
@@ -250,7 +250,10 @@
 const streams: Array<
 	[
 		name: string,
-		end: (controller: ReadableStreamDefaultController<Uint8Array>) => void,
+		end: (
+			controller: ReadableStreamDefaultController<Uint8Array>,
+			caller: AbortController,
+		) => void,
 	]
 > = [
 	[
@@ -265,13 +268,20 @@
 			controller.error(new Error('cut by the test'));
 		},
 	],
+	[
+		'is left by its caller',
+		(_controller, caller) => {
+			caller.abort();
+		},
+	],
 ];
 
 for (const [name, end] of streams) {
 	tap.t.test(`a stream holds its slot until it ${name}`, async (t) => {
 		const entry = await startEntry(t);
 		const {executors, getStatus} = entry;
-		const sent = Promise.allSettled([entry.send('quiet')]);
+		const caller = new AbortController();
+		const sent = Promise.allSettled([entry.send('quiet', caller.signal)]);
 		await until(() => executors.running.size === 1);
 		let source: ReadableStreamDefaultController<Uint8Array> | undefined;
 		const body = new ReadableStream<Uint8Array>({
@@ -283,7 +293,7 @@
 		executors.answerWith(body);
 		await until(() => executors.running.size === 0 && body.locked);
 		t.equal(getStatus()?.inFlight, 1);
-		end(source!);
+		end(source!, caller);
 		const [result] = await sent;
 		t.equal(result.status, name === 'ends' ? 'fulfilled' : 'rejected');
 		await until(() => getStatus()?.inFlight === 0);
