Split the large files of agreement

Change: fixtures of the agreement and ownership tests stand beside them; the rollout bench has a file each for entries, operators and what they share; the periods by size of the fleet are tested.

--- a/packages/bench/src/benches/rollout.ts
+++ b/packages/bench/src/benches/rollout.ts
@@ -2,11 +2,8 @@
 import {check} from '../frame/check.js';
 import type {Bench, Figures} from '../frame/types.js';
 import {getQuantile} from './agreement/quantile.js';
-import {
-	runRollout,
-	type RolloutOptions,
-	type RolloutResult,
-} from './rollout/run-rollout.js';
+import {runRollout} from './rollout/run-rollout.js';
+import type {RolloutOptions, RolloutResult} from './rollout/world.js';
 
 const changes = 1000;
 
--- /dev/null
+++ b/packages/bench/src/benches/rollout/operator.ts
@@ -0,0 +1,146 @@
+/** Racing operators, and what waits until a change is in force. */
+import * as core from '@gullstand/core';
+import type {Contract, registration, viewChange} from '@gullstand/core';
+import {drawBelow, drawExponential} from '../../frame/random.js';
+import {applyDeltas, sendAcknowledgements} from './entry.js';
+import {createContract, send, type Entry, type World} from './world.js';
+
+/** Customers whose contracts are changed. */
+export const customers = ['north', 'south', 'east', 'west', 'centre'];
+
+/** The row of a registered entry that has acknowledged nothing. */
+export const createRegistration = ({
+	life,
+}: Entry): registration.Registration => ({
+	address: '',
+	availabilityZone: '',
+	upMs: 0,
+	heard: [],
+	quorum: [],
+	acknowledged: {...life, sequence: 0, inForce: 0, holding: []},
+});
+
+const isInForce = (
+	{registrations}: World,
+	{heard}: Entry,
+	revision: number,
+): boolean =>
+	core.lagging.findLagging(registrations, heard, {revision}).length === 0;
+
+/** Offers a change to every peer again until all have acknowledged. */
+const announce = async (
+	world: World,
+	index: number,
+	delta: viewChange.ViewDelta,
+) => {
+	const {clock, nodes} = world;
+	const entry = nodes[index]!;
+	const acceptedAt = clock.now();
+	let offeredAt = Number.NEGATIVE_INFINITY;
+	applyDeltas(world, entry, [delta]);
+	while (!isInForce(world, entry, delta.revision)) {
+		if (clock.now() - offeredAt >= offerAgainMs) {
+			offeredAt = clock.now();
+			const bytes = JSON.stringify(delta).length;
+			for (const peer of listWaitedFor(world, entry, delta.revision)) {
+				void send(world, peer, bytes, () => {
+					peer.awaitedBy.add(index);
+					applyDeltas(world, peer, [delta]);
+					sendAcknowledgements(world, peer);
+				});
+			}
+		}
+
+		// The longer it has taken, the coarser the measurement may be.
+		await clock.sleep(Math.max(1, (clock.now() - acceptedAt) / 50));
+	}
+
+	world.inForceMs.push(clock.now() - acceptedAt);
+	for (const peer of nodes) {
+		peer.awaitedBy.delete(index);
+	}
+};
+
+const offerAgainMs = 500;
+
+const listWaitedFor = ({nodes}: World, entry: Entry, revision: number) =>
+	nodes.filter(
+		(peer) =>
+			peer !== entry &&
+			(entry.heard.get(peer.life.entry)?.inForce ?? 0) < revision,
+	);
+
+type Attempt = 'accepted' | 'refused' | 'unknown';
+
+/** One attempt of one change; a race for the counter alone is tried again. */
+const commit = async (
+	world: World,
+	id: string,
+	customer: string,
+): Promise<Attempt> => {
+	const {data, link, log, counts} = world;
+	counts.reads += 1;
+	const read = await link(() => data.read<Contract>('contract', customer)!);
+	if (!read.ok) {
+		return 'refused';
+	}
+
+	const contract = createContract(customer, read.value.value.weight + 1);
+	const when = {kind: 'version', version: read.value.version} as const;
+	counts.writes += 1;
+	const reply = await link(() => {
+		// The counter and the log move with the row, in one transaction.
+		const isCommitted = data.commit([
+			{kind: 'put', table: 'contract', key: customer, value: contract, when},
+		]);
+		if (isCommitted) {
+			log.push({
+				revision: log.length + 1,
+				id,
+				previousId: log.at(-1)?.id ?? '',
+				author: 'ann',
+				committedAt: world.clock.now(),
+				changes: [{kind: 'put-contract', contract}],
+			});
+		}
+
+		return isCommitted;
+	});
+	if (!reply.ok) {
+		return 'unknown';
+	}
+
+	return reply.value ? 'accepted' : 'refused';
+};
+
+const readBack = async (world: World, id: string): Promise<Attempt> => {
+	for (;;) {
+		world.counts.reads += 1;
+		const found = await world.link(() =>
+			world.log.some((delta) => delta.id === id),
+		);
+		if (found.ok) {
+			return found.value ? 'accepted' : 'refused';
+		}
+	}
+};
+
+/** Changes contracts until enough are accepted. */
+export const runOperator = async (world: World, name: number) => {
+	const {clock, random, acceptedIds, counts, log} = world;
+	for (let index = 0; acceptedIds.size < world.changes; index += 1) {
+		await clock.sleep(drawExponential(random, world.meanGapMs));
+		const id = `o${name}-${index}`;
+		const customer = customers[drawBelow(random, customers.length)]!;
+		const attempt = await commit(world, id, customer);
+		const outcome = attempt === 'unknown' ? await readBack(world, id) : attempt;
+		if (outcome === 'refused') {
+			counts.refused += 1;
+			continue;
+		}
+
+		acceptedIds.add(id);
+		const delta = log.find((each) => each.id === id)!;
+		void announce(world, drawBelow(random, world.nodes.length), delta);
+	}
+};
--- /dev/null
+++ b/packages/bench/src/benches/rollout/world.ts
@@ -0,0 +1,113 @@
+/** What entries and operators of the rollout bench share. */
+import type {
+	acknowledgement,
+	Contract,
+	followedView,
+	registration,
+	viewChange,
+} from '@gullstand/core';
+import type {Random} from '../../frame/random.js';
+import type {Clock} from '../agreement/clock.js';
+import type {Link, LinkFaults, Store} from '../agreement/store.js';
+
+/** One run. */
+export type RolloutOptions = {
+	readonly seed: number;
+	readonly entries: number;
+	readonly changes: number;
+	/** Mean time between two changes of one operator. */
+	readonly meanGapMs: number;
+	readonly store: LinkFaults;
+	/** Part of the messages between peers that are lost. */
+	readonly lostMessages: number;
+	/** True pauses one entry after another for 30 s. */
+	readonly hasPauses: boolean;
+};
+
+/** What a run showed. */
+export type RolloutResult = {
+	readonly accepted: number;
+	/** Changes that lost the race and were told so. */
+	readonly refused: number;
+	/** From accepted to in force on every entry. */
+	readonly inForceMs: readonly number[];
+	/** Accepted changes that an entry never had in force. */
+	readonly lost: number;
+	/** Times that an entry's revision or a contract went back. */
+	readonly reverted: number;
+	readonly simulatedMs: number;
+	readonly storeReads: number;
+	readonly storeWrites: number;
+	readonly storeBytes: number;
+	readonly peerBytes: number;
+};
+
+/** One entry. */
+export type Entry = {
+	readonly life: acknowledgement.EntryLife;
+	followed: followedView.FollowedView;
+	sequence: number;
+	pausedUntil: number;
+	readonly awaitedBy: Set<number>;
+	readonly heard: Map<string, acknowledgement.Acknowledgement>;
+	reverted: number;
+	isPolling: boolean;
+};
+
+/** Everything that a run shares. */
+export type World = RolloutOptions & {
+	readonly random: Random;
+	readonly clock: Clock;
+	readonly data: Store;
+	readonly link: Link;
+	readonly log: viewChange.ViewDelta[];
+	readonly nodes: readonly Entry[];
+	readonly registrations: readonly registration.Registration[];
+	readonly inForceMs: number[];
+	readonly acceptedIds: Set<string>;
+	readonly counts: {
+		refused: number;
+		reads: number;
+		writes: number;
+		storeBytes: number;
+		peerBytes: number;
+	};
+	isDone: boolean;
+};
+
+/** HTTP head, signature and JSON-RPC frame of a message, in bytes. */
+export const frameBytes = 420;
+
+/** The counter row, in bytes. */
+export const counterBytes = 120;
+
+/** A contract whose weight counts its changes. */
+export const createContract = (customer: string, weight: number): Contract => ({
+	customer,
+	weight,
+	tokenHashes: [],
+	services: [],
+	jobs: {cores: 0, memoryMb: 0, accelerators: 0, urgentStartMs: 1500},
+});
+
+/** Waits while the entry is paused. */
+export const stayAwake = async ({clock}: World, entry: Entry) => {
+	while (entry.pausedUntil > clock.now()) {
+		await clock.sleep(entry.pausedUntil - clock.now());
+	}
+};
+
+/** Brings a message to a peer, which handles it when it is awake. */
+export const send = async (
+	world: World,
+	to: Entry,
+	bytes: number,
+	handle: () => void,
+) => {
+	world.counts.peerBytes += frameBytes + bytes;
+	await world.clock.sleep(1 + 2 * world.random());
+	if (world.random() >= world.lostMessages) {
+		await stayAwake(world, to);
+		handle();
+	}
+};
