Keep workers out of the ledgers of services

Cause: keepExecutors counts executors, but every instance of a pool was booked in its ledgers, so workers in a pool let its executors go; a pool without services had no bound at all, and one that the list does not show could be emptied. Change: getServicesOf is the one place that says in which ledgers an instance stands; of a pool without services a tenth is at work at once, at least one; a rack member that is not listed waits. Conclusion: the judge of moves between pools and the ledgers now count alike.

--- a/packages/core/src/budget/budget.test.ts
+++ b/packages/core/src/budget/budget.test.ts
@@ -193,6 +193,13 @@
 	});
 }
 
+tap.t.test('a worker is in no ledger', async (t) => {
+	const worker: Instance = {...createInstance('x'), kind: 'worker'};
+	const taken = budget.reserveAway(createTake([5, 0], [], [worker]), 10);
+	t.match(taken, {value: {writes: [{table: budget.tables.instances}]}});
+	t.match(taken, {value: {writes: {length: 1}}});
+});
+
 tap.t.test('a move is booked away, then changes ledgers', async (t) => {
 	const {ledgers} = createTake([4, 1], [], []);
 	const other = budget.createLedger('rate', budget.noTerms, ['x']);
--- a/packages/core/src/budget/give-back.ts
+++ b/packages/core/src/budget/give-back.ts
@@ -5,6 +5,7 @@
 import type {Instance} from '../types/instance.js';
 import {fail, succeed, type Result} from '../types/result.js';
 import {
+	getServicesOf,
 	putLedger,
 	updateEntry,
 	type Ledger,
@@ -85,7 +86,7 @@
 	request: GiveBackRequest,
 ): Result<BudgetChange, ReturnRefusal> => {
 	const {instance, ledgers, evidence, settings, operationId} = request;
-	const {id, pool} = instance.value;
+	const {id} = instance.value;
 	const missing = getMissingProof(evidence, settings);
 	if (missing) {
 		return fail({kind: missing, instance: id});
@@ -97,7 +98,8 @@
 	}
 
 	const writes: Array<RowPut<Instance | Ledger>> = [write];
-	for (const service of request.servicesByPool.get(pool) ?? []) {
+	const services = getServicesOf(instance.value, request.servicesByPool);
+	for (const service of services) {
 		const read = ledgers.get(service);
 		if (!read) {
 			return fail({kind: 'no-ledger', instance: id});
--- a/packages/core/src/budget/ledger.ts
+++ b/packages/core/src/budget/ledger.ts
@@ -3,7 +3,8 @@
  * plan, which are lost, and the terms that bind. One row a service; every
  * change is conditional on the row's version. Source: docs/design/budget.md.
  */
-import {type CombinedTerms} from './terms.js';
+import type {Instance} from '../types/instance.js';
+import type {CombinedTerms} from './terms.js';
 import {
 	createRowInsert,
 	createRowPut,
@@ -39,6 +40,16 @@
 /** Names of the services that run on a pool, by pool. */
 export type ServicesByPool = ReadonlyMap<string, readonly string[]>;
 
+/**
+ * Services in whose ledgers an instance stands. Workers serve no requests: no
+ * contract counts them.
+ */
+export const getServicesOf = (
+	{kind, pool}: Pick<Instance, 'kind' | 'pool'>,
+	servicesByPool: ServicesByPool,
+): readonly string[] =>
+	kind === 'executor' ? (servicesByPool.get(pool) ?? []) : [];
+
 /** How a budget stands. */
 export type Usage = {
 	readonly total: number;
--- a/packages/core/src/budget/move-ledgers.ts
+++ b/packages/core/src/budget/move-ledgers.ts
@@ -7,6 +7,7 @@
 import type {Instance} from '../types/instance.js';
 import {fail, succeed, type Result} from '../types/result.js';
 import {
+	getServicesOf,
 	putLedger,
 	removeEntry,
 	updateEntry,
@@ -38,8 +39,8 @@
 	ReadonlyArray<RowPut<Ledger>>,
 	{readonly kind: 'no-ledger'; readonly service: string}
 > => {
-	const before = servicesByPool.get(instance.pool) ?? [];
-	const after = servicesByPool.get(to) ?? [];
+	const before = getServicesOf(instance, servicesByPool);
+	const after = getServicesOf({...instance, pool: to}, servicesByPool);
 	const writes: Array<RowPut<Ledger>> = [];
 	for (const service of new Set([...before, ...after])) {
 		const read = ledgers.get(service);
--- a/packages/core/src/budget/reserve-away.ts
+++ b/packages/core/src/budget/reserve-away.ts
@@ -7,6 +7,7 @@
 import type {Instance} from '../types/instance.js';
 import {fail, succeed, type Result} from '../types/result.js';
 import {
+	getServicesOf,
 	getUsage,
 	putLedger,
 	updateEntry,
@@ -132,7 +133,7 @@
 ): Result<ReadonlyArray<RowPut<Ledger>>, BudgetRefusal> => {
 	const changed = new Map<string, Ledger>();
 	for (const {value} of request.instances) {
-		for (const service of request.servicesByPool.get(value.pool) ?? []) {
+		for (const service of getServicesOf(value, request.servicesByPool)) {
 			const read = request.ledgers.get(service);
 			if (!read) {
 				return fail({kind: 'no-ledger', service});
--- a/packages/core/src/waves/allowance.ts
+++ b/packages/core/src/waves/allowance.ts
@@ -19,6 +19,7 @@
 	hasClaims: boolean,
 ): Allowance => {
 	const left = new Map<string, number>();
+	const unpromised = new Map<string, number>();
 	const getLeft = (service: string): number => {
 		const known = left.get(service);
 		if (known !== undefined) {
@@ -37,8 +38,23 @@
 		return usage.left - claimed;
 	};
 
+	/** A pool that no service runs on is bounded by a share of its size. */
+	const useUnpromised = (pool: string): boolean => {
+		const size = progress.sizes.get(pool) ?? 0;
+		const {unpromisedShare} = progress.wave.settings;
+		const most = Math.max(1, Math.floor(size * unpromisedShare));
+		const atWork = hasClaims ? (progress.atWork.get(pool) ?? 0) : 0;
+		const used = (unpromised.get(pool) ?? 0) + 1;
+		unpromised.set(pool, used);
+		return atWork + used <= most;
+	};
+
 	const use = (pool: string): boolean => {
 		const services = facts.servicesByPool.get(pool) ?? [];
+		if (services.length === 0) {
+			return useUnpromised(pool);
+		}
+
 		if (services.some((service) => getLeft(service) < 1)) {
 			return false;
 		}
--- a/packages/core/src/waves/choose-domain.ts
+++ b/packages/core/src/waves/choose-domain.ts
@@ -66,6 +66,7 @@
 	return (
 		member.phase.kind === 'pending' &&
 		instance?.state === 'serving' &&
+		instance.evidence.listed === 'live' &&
 		!isLost(instance, facts)
 	);
 };
--- a/packages/core/src/waves/progress.ts
+++ b/packages/core/src/waves/progress.ts
@@ -35,6 +35,10 @@
 	readonly active: Set<string>;
 	/** Members evacuating, by service: they have a claim on its budget. */
 	readonly claims: Map<string, number>;
+	/** Members of each pool. */
+	readonly sizes: Map<string, number>;
+	/** Members evacuating or taken, by pool. */
+	readonly atWork: Map<string, number>;
 	/** Members neither done nor skipped, by pool. */
 	readonly remaining: Map<string, number>;
 	/** Time of the last change of a phase, by pool. */
@@ -67,6 +71,10 @@
 		addTo(progress.remaining, pool, change);
 	}
 
+	if (phase.kind === 'evacuating' || phase.kind === 'taken') {
+		addTo(progress.atWork, pool, change);
+	}
+
 	if (phase.kind === 'evacuating') {
 		for (const service of progress.servicesByPool.get(pool) ?? []) {
 			addTo(progress.claims, service, change);
@@ -121,6 +129,8 @@
 		pending: [],
 		active: new Set(),
 		claims: new Map(),
+		sizes: new Map(),
+		atWork: new Map(),
 		remaining: new Map(),
 		changedAt: new Map(),
 		done: new Map(),
@@ -140,6 +150,7 @@
 		progress.domains.set(domain, list);
 		for (const member of list) {
 			progress.members.set(member.id, member);
+			addTo(progress.sizes, member.pool, 1);
 			countMember(progress, member, 1);
 		}
 
--- a/packages/core/src/waves/settings.ts
+++ b/packages/core/src/waves/settings.ts
@@ -38,6 +38,8 @@
 	readonly order: WaveOrder;
 	/** Instances of a service that are emptied ahead of its budget. */
 	readonly lookahead: number;
+	/** Part of a pool without services that is at work at once, at most. */
+	readonly unpromisedShare: number;
 	/** Instances that are emptied or away at once, at most. */
 	readonly maxInstances: number;
 	/** Racks that are emptied or away at once, at most. */
@@ -63,6 +65,7 @@
 	domains: 'prefer-whole',
 	order: 'any',
 	lookahead: 0,
+	unpromisedShare: 0.1,
 	maxInstances: Number.MAX_SAFE_INTEGER,
 	maxDomains: Number.MAX_SAFE_INTEGER,
 	deferWithinMs: 7 * 24 * 60 * minuteMs,
--- a/packages/core/src/waves/step.test.ts
+++ b/packages/core/src/waves/step.test.ts
@@ -1,160 +1,35 @@
 import * as tap from 'tap';
 import {
-	createLedger,
-	recordLoss,
-	returnDefaults,
-	type CombinedTerms,
-	type Ledger,
-} from '../budget/index.js';
-import type {Instance} from '../types/instance.js';
+	back,
+	createContext,
+	createFacts,
+	createJob,
+	done,
+	evacuating,
+	hourMs,
+	lostLedger,
+	onlyWhole,
+	taken,
+	weights,
+} from './step.test.fixture.js';
 import * as waves from './index.js';
 
-const hourMs = 3_600_000;
-const terms: CombinedTerms = {
-	keepExecutors: 1,
-	keepExecutorsFor: 'harrowby',
-	maxAway: 2,
-	maxAwayFor: 'isarwelle',
-};
-
-const createWave = (change: Partial<waves.Wave> = {}): waves.Wave => ({
-	id: 'w',
-	rows: 'w',
-	author: 'op',
-	state: 'running',
-	pools: ['quote'],
-	settings: {...waves.waveDefaults, deferWithinMs: 0},
-	createdAt: 0,
-	startedAt: 0,
-	endedAt: undefined,
-	deadline: 24 * hourMs,
-	domains: 2,
-	instances: 4,
-	...change,
-});
-
-const createJob = (
-	id: string,
-	remainingHours: number,
-	movability: waves.Movability = 'checkpoint',
-): waves.RunningJob => ({
-	id,
-	cores: 4,
-	memoryMb: 4096,
-	runMs: hourMs,
-	remainingMs: remainingHours * hourMs,
-	movability,
-});
-
-const weights = {moves: 1, bufferCoreHours: 0.01, rollOutHours: 0.1};
-/** Four instances in two racks of one pool. */
-const instances: Instance[] = ['a0', 'a1', 'b0', 'b1'].map((id) => ({
-	id,
-	kind: 'worker',
-	address: '127.0.0.1:1',
-	pool: 'quote',
-	epoch: 1,
-	state: 'serving',
-	region: 'midlands',
-	availabilityZone: 'az1',
-	rack: id[0]!,
-}));
-
-const servicesByPool = new Map([['quote', ['quote']]]);
-const createFacts = (
-	change: Record<string, Partial<waves.InstanceFacts>> = {},
-	ledger: Partial<Ledger> = {},
-): waves.WaveFacts => ({
-	instances: new Map(
-		instances.map(({id, pool, state}) => [
-			id,
-			{
-				id,
-				pool,
-				state,
-				isDrained: false,
-				evidence: {
-					listed: 'live',
-					incarnationBefore: 'x',
-					incarnation: 'x',
-					probesPassed: 0,
-				},
-				cores: 8,
-				coresFree: 8,
-				memoryMbFree: 65_536,
-				jobs: [],
-				...change[id],
-			},
-		]),
-	),
-	ledgers: new Map([
-		[
-			'quote',
-			{
-				...createLedger(
-					'quote',
-					terms,
-					instances.map(({id}) => id),
-				),
-				...ledger,
-			},
-		],
-	]),
-	servicesByPool,
-	reserves: new Map(),
-});
-
-type Phases = Record<string, waves.MemberPhase>;
-const createContext = (
-	phases: Phases = {},
-	wave: Partial<waves.Wave> = {},
-	facts = createFacts(),
-	now = hourMs,
-): waves.WaveContext => {
-	const rows = waves.createDomains('w', ['quote'], instances);
-	const progress = waves.createProgress(
-		createWave(wave),
-		rows,
-		() => 'quote',
-		servicesByPool,
-	);
-	for (const [id, phase] of Object.entries(phases)) {
-		waves.updatePhase(progress, [id], phase);
-	}
-
-	return {progress, facts, now};
-};
-
-const taken: waves.MemberPhase = {
-	kind: 'taken',
-	since: 0,
-	operationId: 'op',
-	drainRevision: 3,
-	incarnation: 'x',
-	isLost: false,
-};
-const evacuating = {kind: 'evacuating', since: hourMs} as const;
-const done = {kind: 'done', at: 0} as const;
-const back = {
-	listed: 'live',
-	incarnationBefore: 'x',
-	incarnation: 'y',
-	probesPassed: returnDefaults.probesNeeded,
-} as const;
-const lostLedger = (ids: string[]) =>
-	recordLoss({value: createFacts().ledgers.get('quote')!, version: 1}, ids, 0)!
-		.value;
-
-const onlyWhole: Partial<waves.Wave> = {
-	settings: {
-		...waves.waveDefaults,
-		deferWithinMs: 0,
-		domains: 'only-whole',
-	},
-};
-
 const stepTable: Array<[string, waves.WaveContext, string[]]> = [
 	['a whole rack is begun', createContext(), ['evacuate a0,a1']],
+	[
+		'a pool without services: a tenth at once, at least one',
+		createContext({}, {}, {...createFacts(), servicesByPool: new Map()}),
+		['evacuate a0'],
+	],
+	[
+		'an instance that the list does not show is left for later',
+		createContext(
+			{a1: done},
+			{},
+			createFacts({a0: {evidence: {...back, listed: 'absent'}}}),
+		),
+		['evacuate b0,b1'],
+	],
 	['a planned wave does nothing', createContext({}, {state: 'planned'}), []],
 	['a paused wave begins nothing', createContext({}, {state: 'paused'}), []],
 	[
--- a/packages/daemon/src/waves/ledger-book.ts
+++ b/packages/daemon/src/waves/ledger-book.ts
@@ -110,7 +110,7 @@
 	const {view, listed, now} = facts;
 	const terms = budget.combineTerms(view.contracts.values(), service);
 	const entries: Record<string, budget.LedgerEntry> = {};
-	for (const instance of members) {
+	for (const instance of members.filter(({kind}) => kind === 'executor')) {
 		const before = known?.entries[instance.id];
 		entries[instance.id] = getEntry(instance, before, listed, now);
 	}
--- a/packages/daemon/src/waves/wave-commands.ts
+++ b/packages/daemon/src/waves/wave-commands.ts
@@ -74,8 +74,8 @@
 	const followed = deps.getFollowed();
 	const {view} = followed;
 	const servicesByPool = getServicesByPool(view);
-	const services = instances.flatMap(
-		({value}) => servicesByPool.get(value.pool) ?? [],
+	const services = instances.flatMap(({value}) =>
+		budget.getServicesOf(value, servicesByPool),
 	);
 	if (!deps.book.isInStep(services, view, listed)) {
 		return false;
