--- /dev/null
+++ b/packages/bench/src/benches/placement/reports.ts
@@ -0,0 +1,117 @@
+/** What happens and is counted each minute. */
+import * as core from '@gullstand/core';
+import {placePending, relocate} from './placing.js';
+import {estimate, getUse, stop, type World} from './world.js';
+
+const {placement} = core;
+
+/** Time between two reports, in milliseconds. */
+export const reportEveryMs = 60_000;
+
+const reportLagMs = 90_000;
+
+const hourMs = 3_600_000;
+
+const starvedMs = hourMs;
+
+const minTasksForSpread = 6;
+
+/** A worker over its memory evicts its youngest jobs. */
+const evictOverfull = (world: World, now: number) => {
+	for (const load of world.cluster.loads.values()) {
+		const tasks = [...load.tasks.keys()]
+			.map((id) => world.running.get(id))
+			.filter((task) => task !== undefined)
+			.toSorted((a, b) => b.startedAt - a.startedAt);
+		let memoryMb = tasks.reduce(
+			(sum, task) => sum + getUse(task, now).memoryMb,
+			0,
+		);
+		for (const task of tasks) {
+			if (memoryMb <= load.worker.capacity.memoryMb) {
+				break;
+			}
+
+			memoryMb -= getUse(task, now).memoryMb;
+			stop(world, task.job.id);
+			world.pending.set(task.job.id, task.job);
+			world.counts.evictions += 1;
+		}
+	}
+};
+
+const account = ({cluster, running, counts}: World, now: number) => {
+	const hours = reportEveryMs / hourMs;
+	for (const load of cluster.loads.values()) {
+		if (load.tasks.size === 0) {
+			continue;
+		}
+
+		let wanted = 0;
+		for (const id of load.tasks.keys()) {
+			const task = running.get(id);
+			wanted += task ? getUse(task, now).cores : 0;
+		}
+
+		const {cores} = load.worker.capacity;
+		const used = Math.min(cores, wanted);
+		counts.bufferCoreHours += (cores - used) * hours;
+		counts.usedCoreHours += used * hours;
+		counts.overcommittedCoreHours += Math.max(0, wanted - cores) * hours;
+	}
+};
+
+const learn = (world: World, now: number) => {
+	const {running, histories, throttled, cluster} = world;
+	for (const task of running.values()) {
+		const measuredAt = now - reportLagMs;
+		if (measuredAt < task.startedAt) {
+			continue;
+		}
+
+		const {id} = task.job;
+		const use = getUse(task, measuredAt);
+		const history = placement.addSample(histories.get(id), {
+			...use,
+			measuredAt,
+		});
+		histories.set(id, history);
+		if (!throttled.has(id)) {
+			placement.updateEstimate(cluster, id, estimate(world, task.job));
+		}
+	}
+};
+
+/** A customer starves if it waits an hour in which nothing of it starts. */
+const noteWaiting = (world: World, now: number) => {
+	const {pending, cluster, quota, lastStarts, starved} = world;
+	for (const job of pending.values()) {
+		const used = placement.getCustomerUse(cluster, job.customer);
+		const need = placement.addResources(used, estimate(world, job).mean);
+		const since = Math.max(job.submittedAt, lastStarts.get(job.customer) ?? 0);
+		if (placement.fitsInto(need, quota) && now - since > starvedMs) {
+			starved.add(job.customer);
+		}
+	}
+};
+
+const noteSpread = ({cluster, counts}: World) => {
+	for (const [key, count] of cluster.spread) {
+		const [customer = '', kind] = key.split(' ');
+		const tasks = cluster.spread.get(`${customer} all`) ?? 0;
+		if (kind === 'rack' && tasks >= minTasksForSpread) {
+			counts.maxRackShare = Math.max(counts.maxRackShare, count / tasks);
+		}
+	}
+};
+
+/** One report of all workers. */
+export const report = (world: World, now: number) => {
+	account(world, now);
+	evictOverfull(world, now);
+	learn(world, now);
+	relocate(world, now);
+	placePending(world, now);
+	noteWaiting(world, now);
+	noteSpread(world);
+};
