Take the instance list down in the outage too

Cause: with the list up, bench outage did not show that entries which reach only one another go on.

Change: after the restart in the outage the instance list is down as well.

--- a/packages/bench/src/benches/outage.ts
+++ b/packages/bench/src/benches/outage.ts
@@ -119,7 +119,7 @@
 			seed,
 			healthyMs: short ? 2000 : 15_000,
 			// Longer than an entry goes on without any confirmation.
-			outageMs: short ? 13_000 : 90_000,
+			outageMs: short ? 14_000 : 90_000,
 		});
 		options.log('three daemons over sockets: done');
 		for (const client of ['guarded', 'unguarded'] as const) {
--- a/packages/bench/src/benches/outage/daemons.ts
+++ b/packages/bench/src/benches/outage/daemons.ts
@@ -92,8 +92,13 @@
 		range: async (query) => count(faulty).range(query),
 		commit: async (writes, id) => count(faulty).commit(writes, id),
 	};
+	const listState = {isDown: false};
 	const list: platform.InstanceList = {
 		async list() {
+			if (listState.isDown) {
+				return {ok: false, error: {kind: 'unavailable'}};
+			}
+
 			const [one, two] = await Promise.all([
 				embedded.platform.list.list(),
 				entries.list(),
@@ -103,7 +108,7 @@
 				: one;
 		},
 	};
-	return {embedded, faults, entries, arrivals, metered, list};
+	return {embedded, faults, entries, arrivals, metered, list, listState};
 };
 
 type World = Awaited<ReturnType<typeof startWorld>>;
@@ -239,8 +244,11 @@
 	await wait(options.outageMs / 4);
 	await stopEntry(world, last!);
 	const again = await startEntry(world, last!.id);
+	// Only their peers now tell the entries that they still count.
+	world.listState.isDown = true;
 	const during = await duringCalls;
 	entries.push(again.entry);
+	world.listState.isDown = false;
 	world.faults.set({isDown: false});
 	const returnedAt = now();
 	const after = await runPhase(entries, options.healthyMs);
