Read answers whole where tests judge them

Cause: undici's dump() resolves for a cut body too; a test or bench that dumps cannot notice a cut answer. Change: arrayBuffer() in the demo, the benches of outage and overload and the tests of agreement and the daemon. Conclusion: stricter, nothing eased.

--- a/packages/bench/src/benches/outage/daemons.ts
+++ b/packages/bench/src/benches/outage/daemons.ts
@@ -61,7 +61,7 @@
 			dispatcher: entry.agent,
 			headers: {authorization: `Bearer ${daemon.embeddedCallerToken}`},
 		});
-		await res.body.dump();
+		await res.body.arrayBuffer();
 		const outcome = res.headers[daemon.headerNames.outcome];
 		return res.statusCode === 200 && outcome === 'ran';
 	} catch {
--- a/packages/bench/src/benches/overload/sockets.ts
+++ b/packages/bench/src/benches/overload/sockets.ts
@@ -112,7 +112,7 @@
 	const send = async () => {
 		const sentAt = performance.now();
 		const res = await request(url, {dispatcher: agent, headers});
-		await res.body.dump();
+		await res.body.arrayBuffer();
 		const tookMs = performance.now() - sentAt;
 		if (res.statusCode === 200) {
 			counts[tookMs <= answerWithinMs ? 'answered' : 'late'] += 1;
--- a/packages/cli/src/demo/callers.ts
+++ b/packages/cli/src/demo/callers.ts
@@ -46,7 +46,8 @@
 			},
 			body: JSON.stringify({index}),
 		});
-		await res.body.dump();
+		// Read, not dumped: a dump does not tell a cut body.
+		await res.body.arrayBuffer();
 		addTo(statuses, String(res.statusCode));
 		addTo(outcomes, String(res.headers[headerNames.outcome]));
 	};
--- a/packages/daemon/src/agreement/agreement.test.ts
+++ b/packages/daemon/src/agreement/agreement.test.ts
@@ -78,7 +78,7 @@
 			},
 		}),
 	});
-	await res.body.dump();
+	await res.body.arrayBuffer();
 	t.equal(res.statusCode, 401);
 	t.same(await readLags(), ['e3']);
 
--- a/packages/daemon/src/daemon.test.ts
+++ b/packages/daemon/src/daemon.test.ts
@@ -165,7 +165,7 @@
 		headers: {authorization},
 	});
 	t.equal(res.statusCode, 200);
-	await res.body.dump();
+	await res.body.arrayBuffer();
 });
 
 tap.t.test('bounds the bytes that it holds', async (t) => {
@@ -181,7 +181,7 @@
 			headers: {authorization},
 			body: 'x'.repeat(bytes),
 		});
-		await res.body.dump();
+		await res.body.arrayBuffer();
 		t.equal(res.statusCode, status, `${bytes} bytes`);
 	}
 });
