Hold real entries under pairs of faults against the judges

Cause: the judges of "What must always hold" read outside records, but no bench made such records with real daemons under faults that come together.

Change: bench `invariants` runs five fault pairs at once, each with three daemons over sockets, logging executors, callers, claims repeated on other entries, racing operators, a wave and probes of the contract in force. The records come from executors, callers, the store's commits and the platform only.

Before: no such bench.

--- /dev/null
+++ b/packages/bench/src/benches/invariants/world.ts
@@ -0,0 +1,352 @@
+/** Three daemons over sockets on one platform with faults, and its records. */
+import {PassThrough} from 'node:stream';
+import {setTimeout as wait} from 'node:timers/promises';
+import * as core from '@gullstand/core';
+import type {Contract, Instance, Service} from '@gullstand/core';
+import * as daemon from '@gullstand/daemon';
+import * as platform from '@gullstand/platform';
+import {answers} from '@gullstand/stand-in';
+import {Agent} from 'undici';
+import {createRandom, type Random} from '../../frame/random.js';
+import {startExecutor, type Executor} from './executor.js';
+import {
+	createRecorder,
+	now,
+	recordTableService,
+	type Recorder,
+} from './recorder.js';
+
+/** One entry; `isCut` keeps it from the store. */
+export type Entry = {
+	readonly id: string;
+	readonly daemon: daemon.Daemon;
+	/** Connections of its callers. */
+	readonly agent: Agent;
+	readonly cut: {isCut: boolean};
+};
+
+/** What a pair of faults works on. */
+export type World = {
+	readonly random: Random;
+	readonly recorder: Recorder;
+	readonly faults: platform.faults.FaultControl;
+	readonly table: platform.TableService;
+	readonly objects: platform.ObjectStore;
+	readonly list: platform.MemoryInstanceList;
+	readonly workers: platform.Workers;
+	readonly executors: readonly Executor[];
+	/** Entries that callers may reach, one a slot. */
+	readonly slots: Array<Entry | undefined>;
+	/** Every entry that was started. */
+	readonly started: Entry[];
+	/** Highest change of the probe customer's contract that was tried. */
+	readonly changes: {highest: number};
+	/** How far the entries' clock is ahead; moved on after they have stopped. */
+	readonly clock: {aheadMs: number};
+	/** Life of each executor. */
+	readonly lives: Map<string, number>;
+};
+
+/** Services and pools, of the same names. */
+export const services = ['quote', 'claims'] as const;
+
+/** Token of the customer whose requests are the load. */
+export const callerToken = 'north-caller';
+
+/** Token that change `change` gives to the probe customer. */
+export const getProbeToken = (change: number): string => `probe-${change}`;
+
+const executorsPerPool = 6;
+
+const zones = 3;
+
+const rebootMs = 300;
+
+/** Share of requests that an executor declares not to run. */
+const refusedShare = 0.02;
+
+const offersEndAfterMs = 60_000;
+
+const storeTimeoutMs = 300;
+
+const createService = (name: string): Service => ({
+	name,
+	pool: name,
+	slotsPerExecutor: 8,
+	connectionsPerExecutor: 64,
+	idempotent: name !== 'claims',
+	nonRepeatableRoutes: [],
+	refusal: {statuses: [503], header: answers.refusalHeader},
+});
+
+const createContract = (
+	customer: string,
+	token: string,
+	keepExecutors: number,
+): Contract => ({
+	customer,
+	weight: 1,
+	tokenHashes: [daemon.hashToken(token)],
+	services: services.map((service) => ({
+		service,
+		keepExecutors,
+		maxAway: 1,
+		answerWithinMs: 2000,
+		requestsPerSecond: 200,
+	})),
+	jobs: {cores: 0, memoryMb: 0, accelerators: 0, urgentStartMs: 1500},
+});
+
+/** The contract that change `change` puts in place of the one before. */
+export const createProbeContract = (change: number): Contract =>
+	createContract('probe', getProbeToken(change), 1);
+
+const createInstance = (executor: Executor, pool: string): Instance => ({
+	id: executor.id,
+	kind: 'executor',
+	address: executor.address,
+	pool,
+	epoch: 1,
+	state: 'serving',
+	region: 'local',
+	availabilityZone: executor.availabilityZone,
+	rack: executor.id,
+});
+
+/** Shows an executor in the platform's list. */
+export const showExecutor = (
+	{list, lives}: Pick<World, 'list' | 'lives'>,
+	{id, address, availabilityZone}: Executor,
+	state: 'live' | 'leaving',
+): void => {
+	const incarnation = `${id}-${lives.get(id) ?? 1}`;
+	list.set({
+		id,
+		role: 'executor',
+		address,
+		availabilityZone,
+		state,
+		incarnation,
+	});
+};
+
+type Rebooted = Pick<World, 'recorder' | 'executors' | 'list' | 'lives'>;
+
+const reboot = async (world: Rebooted, id: string) => {
+	const executor = world.executors.find((each) => each.id === id);
+	if (!executor) {
+		return;
+	}
+
+	world.recorder.reboots.push({at: now(), instance: id});
+	executor.stop(true);
+	showExecutor(world, executor, 'leaving');
+	await wait(rebootMs);
+	await executor.listen();
+	world.lives.set(id, (world.lives.get(id) ?? 1) + 1);
+	showExecutor(world, executor, 'live');
+};
+
+const startExecutors = async (recorder: Recorder, random: Random) =>
+	Promise.all(
+		services.flatMap((service) =>
+			Array.from({length: executorsPerPool}, async (_, index) =>
+				startExecutor({
+					id: `${service}-${index}`,
+					availabilityZone: `zone-${index % zones}`,
+					recorder,
+					getPool: (name) => name,
+					drawWorkMs: () => 2 + 20 * random(),
+					drawRefusal: () => random() < refusedShare,
+				}),
+			),
+		),
+	);
+
+const getFirstChanges = (
+	executors: readonly Executor[],
+): readonly daemon.ViewChange[] => {
+	const when = {kind: 'absent'} as const;
+	const contracts = [
+		createContract('north', callerToken, 3),
+		createProbeContract(0),
+	];
+	return [
+		...services.map((key) => ({
+			table: 'service' as const,
+			key,
+			value: daemon.toJson(createService(key)),
+			when,
+		})),
+		...executors.map((executor) => ({
+			table: 'instance' as const,
+			key: executor.id,
+			value: daemon.toJson(
+				createInstance(executor, executor.id.split('-', 1)[0]!),
+			),
+			when,
+		})),
+		...contracts.map((contract) => ({
+			table: 'contract' as const,
+			key: contract.customer,
+			value: daemon.toJson(contract),
+			when,
+		})),
+	];
+};
+
+/** Makes the platform and the executors; entries start after. */
+export const createWorld = async (seed: number): Promise<World> => {
+	const random = createRandom(seed);
+	const recorder = createRecorder();
+	const executors = await startExecutors(recorder, createRandom(seed + 1));
+	const faults = platform.faults.createFaultControl({
+		random: createRandom(seed + 2),
+		wait: async (ms) => wait(ms),
+		timeoutMs: storeTimeoutMs,
+	});
+	const store = recordTableService(
+		platform.createMemoryTableService(),
+		recorder,
+	);
+	await daemon.commitChange(store, getFirstChanges(executors), 'first');
+	const list = platform.createMemoryInstanceList();
+	const lives = new Map<string, number>();
+	const shown = {recorder, executors, list, lives};
+	for (const executor of executors) {
+		showExecutor(shown, executor, 'live');
+	}
+
+	return {
+		...shown,
+		random,
+		faults,
+		table: platform.faults.wrapTableService(store, faults),
+		objects: platform.createMemoryObjectStore(),
+		workers: platform.createMemoryWorkers({
+			workers: executors.map(({id}) => id),
+			now,
+			getIncarnation: (id) => `${id}-${lives.get(id) ?? 1}`,
+			onReboot(id) {
+				void reboot(shown, id);
+			},
+		}),
+		slots: [],
+		started: [],
+		changes: {highest: 0},
+		clock: {aheadMs: 0},
+	};
+};
+
+const createCutTable = (
+	inner: platform.TableService,
+	cut: {readonly isCut: boolean},
+): platform.TableService => {
+	const call = async <Value>(action: () => Promise<Value>) =>
+		cut.isCut ? core.fail({kind: 'unavailable'} as const) : action();
+	return {
+		get: async (table, key) => call(async () => inner.get(table, key)),
+		range: async (query) => call(async () => inner.range(query)),
+		commit: async (writes, id) => call(async () => inner.commit(writes, id)),
+	};
+};
+
+const createGuardedTable = (inner: platform.TableService, entries: number) => {
+	const {defaultFleetRate, defaultGuardConfig} = platform.client;
+	const share = {
+		readsPerSecond: defaultFleetRate.readsPerSecond / entries,
+		writesPerSecond: defaultFleetRate.writesPerSecond / entries,
+	};
+	const guard = platform.client.createGuard(
+		{...defaultGuardConfig, share},
+		daemon.createEnvironment(),
+	);
+	return platform.client.createGuardedTableService(inner, guard);
+};
+
+const usualEntries = 3;
+
+/** Starts an entry in a slot and lists it. */
+export const startEntry = async (
+	world: World,
+	slot: number,
+	id: string,
+): Promise<void> => {
+	const base = daemon.createEmbeddedSettings(0, 0, 'error');
+	const settings: daemon.Settings = {
+		...base,
+		entry: {...base.entry, id},
+		peers: {address: '127.0.0.1', port: 0, keyHex: 'ab'.repeat(32)},
+	};
+	const cut = {isCut: false};
+	const created = daemon.createDaemon({
+		settings,
+		platform: {
+			table: createGuardedTable(createCutTable(world.table, cut), usualEntries),
+			objects: world.objects,
+			list: world.list,
+			workers: world.workers,
+		},
+		logger: daemon.createLogger(settings.log, id, new PassThrough().resume()),
+		now: () => now() + world.clock.aheadMs,
+	});
+	const entry = {id, daemon: created, agent: new Agent(), cut};
+	world.started.push(entry);
+	await created.start((err) => {
+		throw err;
+	});
+	world.list.set({
+		id,
+		role: 'entry',
+		address: created.agreement.peers.getAddress(),
+		availabilityZone: 'zone-1',
+		state: 'live',
+		incarnation: created.agreement.life.incarnation,
+	});
+	world.slots[slot] = entry;
+};
+
+/** Stops an entry as an operator does. */
+export const stopEntry = async (world: World, slot: number): Promise<void> => {
+	const entry = world.slots[slot];
+	if (entry) {
+		world.slots[slot] = undefined;
+		await entry.daemon.stop();
+		world.list.remove(entry.id);
+		world.started.splice(world.started.indexOf(entry), 1);
+		await entry.agent.destroy();
+	}
+};
+
+/**
+ * An entry is gone for the store, its peers, the list and its callers; what it
+ * has sent to executors goes on.
+ */
+export const killEntry = async (world: World, slot: number): Promise<void> => {
+	const entry = world.slots[slot];
+	if (entry) {
+		world.slots[slot] = undefined;
+		entry.cut.isCut = true;
+		world.list.remove(entry.id);
+		await entry.agent.destroy();
+		await entry.daemon.agreement.peers.stop(now());
+	}
+};
+
+/** Ends everything that was started. */
+export const closeWorld = async (world: World): Promise<void> => {
+	world.faults.set(platform.faults.noFaults);
+	await Promise.all(
+		world.started.map(async ({daemon: each, agent}) => {
+			await agent.destroy();
+			await each.stop();
+		}),
+	);
+	// Stopped entries go on offering changes to peers that are gone for a while.
+	world.clock.aheadMs = offersEndAfterMs;
+	// A reboot may still be under way.
+	await wait(2 * rebootMs);
+	for (const executor of world.executors) {
+		executor.stop(true);
+	}
+};
--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -19,4 +19,5 @@
 	outage: async () => import('./benches/outage.js'),
 	rollout: async () => import('./benches/rollout.js'),
 	heartbeat: async () => import('./benches/heartbeat.js'),
+	invariants: async () => import('./benches/invariants.js'),
 };
