Spread credits over executors; know peers that are not listed yet

Cause: a quiet entry kept the credits that it began with, so an executor that joined a pool got no request from it; an entry whose list had stopped at its start in a store outage took itself for alone; an isolated entry let calls wait for credits that could not come; a home set too little aside for an entry that had just come to it from another home.

Change: one request in eight gives a spare credit back, and executors equally free take turns; a peer that sends credit messages counts as a member before it is listed; while an entry may not route, or does not know its peers, calls go straight to dispatch, which refuses them or keeps to the static share. The own limit of connections keeps the home from granting what an entry cannot use. Of an entry that is joining only the credits it brought stand for its share. `createFleetLimits` builds it all from the agreement.

--- a/packages/core/src/limits/allocation.ts
+++ b/packages/core/src/limits/allocation.ts
@@ -26,13 +26,18 @@
 	return picked;
 };
 
+/** The executor with most free slots; equals take turns. */
 const pickExecutor = (
 	free: ReadonlyMap<string, number>,
 	avoid: ReadonlySet<string>,
+	turn: number,
 ): string | undefined => {
+	const names = [...free.keys()];
 	let picked: string | undefined;
 	let most = 0;
-	for (const [executor, count] of free) {
+	for (let index = 0; index < names.length; index++) {
+		const executor = names[(index + turn) % names.length]!;
+		const count = free.get(executor) ?? 0;
 		if (count > most && !avoid.has(executor)) {
 			picked = executor;
 			most = count;
@@ -42,6 +47,23 @@
 	return picked;
 };
 
+const grantOne = (
+	home: Home,
+	session: Session,
+	free: Map<string, number>,
+): boolean => {
+	const executor = pickExecutor(free, session.avoid, home.grants);
+	if (executor === undefined) {
+		return false;
+	}
+
+	messages.addCount(free, executor, -1);
+	messages.addCount(session.granted, executor, 1);
+	session.dirty = true;
+	home.grants++;
+	return true;
+};
+
 /** Grants free credits one by one, each to the earliest deadline. */
 export const grantSlots = (home: Home, free: Map<string, number>) => {
 	const unmet = new Map<Session, number[]>();
@@ -57,16 +79,11 @@
 		session;
 		session = pickMostUrgent(unmet)
 	) {
-		const executor = pickExecutor(free, session.avoid);
-		if (executor === undefined) {
+		if (grantOne(home, session, free)) {
+			unmet.get(session)?.shift();
+		} else {
 			unmet.delete(session);
-			continue;
 		}
-
-		messages.addCount(free, executor, -1);
-		messages.addCount(session.granted, executor, 1);
-		session.dirty = true;
-		unmet.get(session)?.shift();
 	}
 
 	if (unmet.size === 0) {
@@ -82,7 +99,7 @@
 	session.waiting.length;
 
 /** Free credits that stay with the home, for the next request anywhere. */
-const keptFree = 1;
+const keptFree = 2;
 
 /** Gives each entry without a spare credit one in advance, while there are. */
 const parkSlots = (home: Home, free: Map<string, number>) => {
@@ -98,13 +115,7 @@
 			home.members.includes(session.borrower) &&
 			countParked(session) <= 0
 		) {
-			const executor = pickExecutor(free, session.avoid);
-			if (executor !== undefined) {
-				messages.addCount(free, executor, -1);
-				messages.addCount(session.granted, executor, 1);
-				session.dirty = true;
-				left--;
-			}
+			left -= grantOne(home, session, free) ? 1 : 0;
 		}
 	}
 };
--- a/packages/core/src/limits/borrower-slots.ts
+++ b/packages/core/src/limits/borrower-slots.ts
@@ -57,15 +57,36 @@
 	return picked;
 };
 
+const release = (borrower: Borrower, executor: string, count: number) => {
+	if (count > 0) {
+		messages.addCount(borrower.released, executor, count);
+		borrower.dirty = true;
+	}
+};
+
 /** The request has ended, in whatever way; its credit is spare again. */
 export const finishSlot = (borrower: Borrower, executor: string) => {
 	messages.addCount(borrower.inFlight, executor, -1);
+	borrower.endedInTurn++;
 };
 
-const release = (borrower: Borrower, executor: string, count: number) => {
-	if (count > 0) {
-		messages.addCount(borrower.released, executor, count);
-		borrower.dirty = true;
+/**
+ * One request in so many gives a spare credit back, so that the home grants
+ * another: else a quiet entry would keep to the executors that it began with.
+ */
+const requestsPerTurn = 8;
+
+const takeTurn = (borrower: Borrower, waiting: number) => {
+	if (borrower.endedInTurn < requestsPerTurn || waiting > 0) {
+		return;
+	}
+
+	for (const executor of borrower.executors) {
+		if (borrowers.getSpare(borrower, executor) > 0) {
+			release(borrower, executor, 1);
+			borrower.endedInTurn = 0;
+			return;
+		}
 	}
 };
 
@@ -89,6 +110,7 @@
 	}
 
 	const limit = borrowers.isLeaving(borrower) ? 0 : borrower.spareLimit;
+	takeTurn(borrower, waiting);
 	let excess = borrowers.countSpare(borrower) - Math.max(limit, waiting);
 	for (const executor of borrower.executors) {
 		if (excess <= 0) {
--- a/packages/core/src/limits/borrower.ts
+++ b/packages/core/src/limits/borrower.ts
@@ -45,6 +45,8 @@
 	released: Map<string, number>;
 	recalled: Map<string, number>;
 	readonly inFlight: Map<string, number>;
+	/** Requests that have ended since a credit was given back in turn. */
+	endedInTurn: number;
 	/** Every executor that credits are or were held for. */
 	readonly executors: Set<string>;
 	/** Credits beyond the static share may be used until then. */
@@ -102,6 +104,7 @@
 	released: new Map(),
 	recalled: new Map(),
 	inFlight: new Map(),
+	endedInTurn: 0,
 	executors: new Set(),
 	leaseUntilMs: Number.NEGATIVE_INFINITY,
 	heardAtMs: Number.NEGATIVE_INFINITY,
--- a/packages/core/src/limits/home-books.ts
+++ b/packages/core/src/limits/home-books.ts
@@ -45,6 +45,8 @@
 	readonly settings: CreditSettings;
 	readonly startedAtMs: number;
 	readonly sessions: Map<string, Session>;
+	/** Grants so far; executors equally free take turns by it. */
+	grants: number;
 	/** Credits that borrowers have brought along. */
 	readonly brought: Map<string, number>;
 	/** Older grants of other homes have run out from here on. */
@@ -61,6 +63,8 @@
 	 * do not follow this one or have not for long.
 	 */
 	absent: readonly string[];
+	/** Those of them that have turned to this home, but not for long. */
+	joining: ReadonlySet<string>;
 	members: readonly string[];
 	slots: ReadonlyMap<string, number>;
 	shares: Shares;
@@ -86,12 +90,27 @@
 	return outstanding;
 };
 
+/**
+ * Credits of an absent entry that stand for its share. Of one that is joining
+ * only those it brought: its share may be in use by the home that it left.
+ */
+const getAccounted = (home: Home, member: string, executor: string): number => {
+	const session = home.sessions.get(member);
+	if (!session) {
+		return 0;
+	}
+
+	const outstanding = getOutstanding(session, executor);
+	return home.joining.has(member)
+		? Math.min(session.carried.get(executor) ?? 0, outstanding)
+		: outstanding;
+};
+
 /** What stays set aside for the static shares of absent entries. */
 const getReserved = (home: Home, executor: string): number => {
 	let reserved = 0;
 	for (const member of home.absent) {
-		const session = home.sessions.get(member);
-		const held = session ? getOutstanding(session, executor) : 0;
+		const held = getAccounted(home, member, executor);
 		const share = Math.max(
 			home.shares.get(member)?.get(executor) ?? 0,
 			home.formerShares.get(member)?.get(executor) ?? 0,
--- a/packages/core/src/limits/home-sessions.ts
+++ b/packages/core/src/limits/home-sessions.ts
@@ -127,6 +127,12 @@
 	const counted = followers.filter((each) => now >= each.countsFromMs);
 	const present = new Set(counted.map((each) => each.borrower));
 	home.absent = home.members.filter((member) => !present.has(member));
+	home.joining = new Set(
+		home.absent.filter((member) => {
+			const session = home.sessions.get(member);
+			return session?.open && now < session.countsFromMs;
+		}),
+	);
 	const isCounted = books.isMajority(home, counted);
 	const sinceStartMs = now - home.startedAtMs;
 	home.complete ||=
--- a/packages/daemon/src/limits/credit-channel.ts
+++ b/packages/daemon/src/limits/credit-channel.ts
@@ -10,7 +10,6 @@
 	readonly member: string;
 	/** Address and port of its peer channel. */
 	readonly address: string;
-	readonly isLeaving: boolean;
 };
 
 /** What became of messages; only `refused` tells that nobody listens. */
@@ -25,12 +24,14 @@
 	readonly send: (
 		peer: CreditPeer,
 		messages: readonly CreditMessage[],
+		isLeaving: boolean,
 	) => Promise<CreditDelivery>;
 	/** Sets the handler of messages; it returns messages for the sender. */
 	readonly onMessages: (
 		handler: (
-			from: string,
+			from: CreditPeer,
 			messages: readonly CreditMessage[],
+			isLeaving: boolean,
 		) => readonly CreditMessage[],
 	) => void;
 };
@@ -78,6 +79,8 @@
 
 /** What the method `credits` receives. */
 export const creditsSchema: PeerSchema<'credits'> = z.strictObject({
+	address: z.string(),
+	isLeaving: z.boolean(),
 	messages: z.array(
 		z.discriminatedUnion('kind', [
 			z.strictObject({kind: z.literal('report'), report}),
@@ -91,10 +94,11 @@
 
 /** Carries credits over the peer channel; call before the channel starts. */
 export const createCreditChannel = (
-	peers: Pick<PeerChannel, 'addMethod' | 'call'>,
+	peers: Pick<PeerChannel, 'addMethod' | 'call' | 'getAddress'>,
 ): CreditChannel => ({
-	async send({address}, messages) {
-		const answer = await peers.call(address, 'credits', {messages}, timeoutMs);
+	async send({address}, messages, isLeaving) {
+		const params = {messages, isLeaving, address: peers.getAddress()};
+		const answer = await peers.call(address, 'credits', params, timeoutMs);
 		if (answer.ok) {
 			return {kind: 'delivered', messages: answer.value.messages};
 		}
@@ -103,8 +107,15 @@
 		return {kind: isRefused ? 'refused' : 'lost', messages: []};
 	},
 	onMessages(handler) {
-		peers.addMethod('credits', creditsSchema, ({messages}, from) => ({
-			messages: handler(getMember(from.entry, from.incarnation), messages),
+		peers.addMethod('credits', creditsSchema, (params, from) => ({
+			messages: handler(
+				{
+					member: getMember(from.entry, from.incarnation),
+					address: params.address,
+				},
+				params.messages,
+				params.isLeaving,
+			),
 		}));
 	},
 });
--- a/packages/daemon/src/limits/credit-limits.ts
+++ b/packages/daemon/src/limits/credit-limits.ts
@@ -13,6 +13,7 @@
 	type CallResult,
 } from '../caller/call.js';
 import type {Part} from '../supervisor/supervisor.js';
+import {createLocalSlots} from '../upstream/slots.js';
 import type {TakeSlot} from '../upstream/types.js';
 import type {CreditChannel, CreditPeer} from './credit-channel.js';
 import * as gates from './pool-gate.js';
@@ -26,10 +27,19 @@
 	readonly settings: core.CreditSettings;
 	/** Silence of a peer after which another home is turned to. */
 	readonly silentAfterMs: number;
-	/** The listed entries without this one. */
-	readonly listPeers: () => readonly CreditPeer[];
+	/**
+	 * The listed entries without this one; undefined until they are known.
+	 * Until then this entry uses its static share.
+	 */
+	readonly listPeers: () => readonly CreditPeer[] | undefined;
 	/** Slots by executor of every pool that serves. */
 	readonly getSlots: () => ReadonlyMap<string, ReadonlyMap<string, number>>;
+	/** False while this entry may send nothing; dispatch refuses then. */
+	readonly mayRoute: () => boolean;
+	/** Draws a number in [0, 1). */
+	readonly random: () => number;
+	/** Requests that this entry may have on one executor of a pool, at most. */
+	readonly getOwnLimit: (pool: string) => number;
 };
 
 /** The part, the layer and the taker of slots. */
@@ -37,6 +47,11 @@
 	/** Stands inside admission and around dispatch. */
 	readonly layer: CallLayer;
 	readonly getTakeSlot: (service: core.Service) => TakeSlot;
+	/**
+	 * Slots of a pool that this entry holds, and as many more as calls may
+	 * wait for, so that the home sees the demand.
+	 */
+	readonly getOpenSlots: (pool: string, waiting: number) => number;
 	/** Connections to one executor that this entry may have open now. */
 	readonly getConnectionLimit: (
 		service: core.Service,
@@ -47,6 +62,9 @@
 	readonly getGate: (pool: string) => gates.PoolGate;
 };
 
+/** A peer that is not listed counts so long after its last message. */
+const unlistedKeptMs = 10_000;
+
 /** Creates the limits; nothing is sent before the start. */
 export const createCreditLimits = (deps: CreditLimitsDeps): CreditLimits => {
 	const {self, channel, now, settings, silentAfterMs} = deps;
@@ -54,6 +72,22 @@
 	const heardAt: core.silence.HeardAt = new Map();
 	const heard = new Set<string>();
 	const ended = new Set<string>();
+	const leaving = new Set<string>();
+	/** Peers that have sent messages, listed or not yet. */
+	const callers = new Map<string, CreditPeer>();
+
+	/** The listed entries, and those that were heard before they were listed. */
+	const listPeers = (): readonly CreditPeer[] => {
+		const listed = deps.listPeers() ?? [];
+		const names = new Set(listed.map((each) => each.member));
+		const sinceMs = now() - unlistedKeptMs;
+		const unlisted = [...callers.values()].filter(
+			({member}) =>
+				!names.has(member) && (heardAt.get(member) ?? sinceMs) > sinceMs,
+		);
+		return [...listed, ...unlisted];
+	};
+
 	let isLeaving = false;
 	let timer: NodeJS.Timeout | undefined;
 	/** What is being answered now, and to whom. */
@@ -73,7 +107,7 @@
 	};
 
 	const post = async (peer: CreditPeer, messages: readonly CreditMessage[]) => {
-		const delivery = await channel.send(peer, messages);
+		const delivery = await channel.send(peer, messages, isLeaving);
 		if (delivery.kind === 'delivered') {
 			takeIn(peer.member, delivery.messages);
 		} else if (delivery.kind === 'refused' && heard.has(peer.member)) {
@@ -83,7 +117,7 @@
 	};
 
 	const send = (envelopes: readonly CreditEnvelope[]) => {
-		const peers = new Map(deps.listPeers().map((each) => [each.member, each]));
+		const peers = new Map(listPeers().map((each) => [each.member, each]));
 		for (const {to, message} of envelopes) {
 			const peer = peers.get(to);
 			if (answering?.to === to) {
@@ -100,14 +134,25 @@
 			return known;
 		}
 
-		const gate = gates.createPoolGate({pool, self, settings, now, send});
+		const gate = gates.createPoolGate({
+			pool,
+			self,
+			settings,
+			now,
+			send,
+			getOwnLimit: () => deps.getOwnLimit(pool),
+		});
 		all.set(pool, gate);
 		return gate;
 	};
 
 	let membersForm = '';
 	const updateAll = () => {
-		const peers = deps.listPeers().filter((each) => !ended.has(each.member));
+		if (!deps.listPeers()) {
+			return;
+		}
+
+		const peers = listPeers().filter((each) => !ended.has(each.member));
 		const names = peers.map((each) => each.member);
 		const silent = core.silence.getSilentMembers(
 			heardAt,
@@ -115,13 +160,6 @@
 			now(),
 			silentAfterMs,
 		);
-		const leaving = new Set(
-			peers.filter((each) => each.isLeaving).map((each) => each.member),
-		);
-		if (isLeaving) {
-			leaving.add(self);
-		}
-
 		const slots = deps.getSlots();
 		const listed = [self, ...names].toSorted();
 		const form = JSON.stringify([
@@ -139,7 +177,7 @@
 			getGate(pool).update({
 				listed,
 				silent,
-				leaving,
+				leaving: new Set(leaving),
 				ended,
 				slots: slots.get(pool) ?? new Map<string, number>(),
 			});
@@ -149,9 +187,10 @@
 	const tick = () => {
 		updateAll();
 		const batches = new Map(
-			deps
-				.listPeers()
-				.map((peer) => [peer.member, {peer, messages: [] as CreditMessage[]}]),
+			listPeers().map((peer) => [
+				peer.member,
+				{peer, messages: [] as CreditMessage[]},
+			]),
 		);
 		for (const gate of all.values()) {
 			for (const {to, message} of gate.tick()) {
@@ -166,9 +205,14 @@
 		}
 	};
 
-	channel.onMessages((from, messages) => {
-		answering = {to: from, messages: []};
-		takeIn(from, messages);
+	channel.onMessages((from, messages, isFromLeaving) => {
+		callers.set(from.member, from);
+		if (isFromLeaving) {
+			leaving.add(from.member);
+		}
+
+		answering = {to: from.member, messages: []};
+		takeIn(from.member, messages);
 		const answer = answering.messages;
 		answering = undefined;
 		return answer;
@@ -220,8 +264,9 @@
 	const layer: CallLayer = (next) => async (call) => {
 		const gate = getGate(call.service.pool);
 		updateAll();
-		if (!deps.getSlots().get(call.service.pool)?.size) {
-			// Dispatch knows why, and no slot is spent.
+		const isOpen = deps.listPeers() && deps.mayRoute();
+		if (!isOpen || !deps.getSlots().get(call.service.pool)?.size) {
+			// Dispatch keeps to the static share, or knows why nothing may go.
 			return next(call);
 		}
 
@@ -243,7 +288,31 @@
 			clearInterval(timer);
 		},
 		layer,
-		getTakeSlot: (service) => getGate(service.pool).takeSlot,
+		getTakeSlot(service) {
+			const gate = getGate(service.pool);
+			const limit = Math.min(
+				deps.getOwnLimit(service.pool),
+				service.slotsPerExecutor,
+			);
+			const takeLocal = createLocalSlots(limit, deps.random);
+			return (candidates) =>
+				deps.listPeers() ? gate.takeSlot(candidates) : takeLocal(candidates);
+		},
+		getOpenSlots(pool, waiting) {
+			if (!deps.listPeers()) {
+				return waiting;
+			}
+
+			const {borrower} = getGate(pool).getLimits();
+			let held = 0;
+			let total = 0;
+			for (const [executor, count] of borrower.members.slots) {
+				held += core.creditBorrower.getHeld(borrower, executor);
+				total += count;
+			}
+
+			return Math.min(total, held + waiting);
+		},
 		getConnectionLimit(service, executor) {
 			const {borrower} = getGate(service.pool).getLimits();
 			return core.staticShare.getConnectionLimit(
@@ -255,7 +324,8 @@
 		},
 		leave() {
 			isLeaving = true;
-			updateAll();
+			leaving.add(self);
+			tick();
 		},
 		getGate,
 	};
--- /dev/null
+++ b/packages/daemon/src/limits/fleet-limits.ts
@@ -0,0 +1,96 @@
+/** Limits across the registered entries, for a daemon with a peer channel. */
+import * as core from '@gullstand/core';
+import type {Agreement} from '../agreement/agreement.js';
+import {listServing} from '../view/list-serving.js';
+import {createCreditChannel, getMember} from './credit-channel.js';
+import {createCreditLimits, type CreditLimits} from './credit-limits.js';
+
+/** What the limits need of a daemon. */
+export type FleetLimitsDeps = {
+	readonly agreement: Pick<Agreement, 'life' | 'peers' | 'member' | 'follower'>;
+	readonly now: () => number;
+	/** No request runs longer; the same on every entry. */
+	readonly longestRequestMs: number;
+	/** Entries that share the connections of an executor. */
+	readonly entries: number;
+};
+
+/** Half a second between heartbeats keeps the idle cost down. */
+const heartbeatMs = 500;
+
+const leaseMs = 2000;
+
+const silentAfterMs = 1500;
+
+/** One connection to each executor is kept for probes. */
+const probeConnections = 1;
+
+/** Slots by executor of each pool; the least of the services that share it. */
+const listSlots = (view: core.View) => {
+	const pools = new Map<string, Map<string, number>>();
+	for (const {pool, slotsPerExecutor} of view.services.values()) {
+		const slots = pools.get(pool) ?? new Map<string, number>();
+		pools.set(pool, slots);
+		for (const {id} of listServing(view, pool)) {
+			slots.set(id, Math.min(slots.get(id) ?? Infinity, slotsPerExecutor));
+		}
+	}
+
+	return pools;
+};
+
+/** Requests that one entry's connections to an executor can carry. */
+const getOwnLimit = (view: core.View, pool: string, entries: number) => {
+	let limit = Infinity;
+	for (const service of view.services.values()) {
+		if (service.pool === pool) {
+			const connections = Math.floor(service.connectionsPerExecutor / entries);
+			limit = Math.min(limit, connections - probeConnections);
+		}
+	}
+
+	return Math.max(1, limit);
+};
+
+/** Builds the limits; nothing is sent before the start. */
+export const createFleetLimits = (deps: FleetLimitsDeps): CreditLimits => {
+	const {life, peers, member, follower} = deps.agreement;
+	let revision = -1;
+	let slots: ReturnType<typeof listSlots> = new Map();
+	return createCreditLimits({
+		self: getMember(life.entry, life.incarnation),
+		channel: createCreditChannel(peers),
+		now: deps.now,
+		settings: {
+			...core.creditMessages.defaultSettings,
+			heartbeatMs,
+			leaseMs,
+			longestAttemptMs: deps.longestRequestMs,
+		},
+		silentAfterMs,
+		mayRoute: member.mayRoute,
+		random: Math.random,
+		listPeers() {
+			const {registrations} = member.getMembers();
+			const own = registrations.get(life.entry)?.value.acknowledged;
+			return own?.incarnation === life.incarnation
+				? [...registrations]
+						.filter(([entry]) => entry !== life.entry)
+						.map(([entry, {value}]) => ({
+							member: getMember(entry, value.acknowledged.incarnation),
+							address: value.address,
+						}))
+				: undefined;
+		},
+		getSlots() {
+			const view = follower.getView();
+			if (view.revision !== revision) {
+				revision = view.revision;
+				slots = listSlots(view);
+			}
+
+			return slots;
+		},
+		getOwnLimit: (pool) => getOwnLimit(follower.getView(), pool, deps.entries),
+	});
+};
--- a/packages/daemon/src/limits/pool-gate.ts
+++ b/packages/daemon/src/limits/pool-gate.ts
@@ -20,6 +20,8 @@
 	readonly now: () => number;
 	/** Sends without waiting; messages may be lost. */
 	readonly send: (envelopes: readonly CreditEnvelope[]) => void;
+	/** Requests that this entry may have on one executor, at most. */
+	readonly getOwnLimit: () => number;
 };
 
 /** The gate of one pool. */
@@ -61,7 +63,8 @@
 		const time = now();
 		for (const executor of borrower.members.slots.keys()) {
 			const usable = core.creditBorrower.getUsable(borrower, executor, time);
-			if (core.creditBorrower.getInFlight(borrower, executor) < usable) {
+			const inFlight = core.creditBorrower.getInFlight(borrower, executor);
+			if (inFlight < Math.min(usable, deps.getOwnLimit())) {
 				return true;
 			}
 		}
@@ -78,6 +81,18 @@
 		}
 	};
 
+	/** Keeps the home from granting what this entry has no connections for. */
+	const avoidFull = () => {
+		const limit = deps.getOwnLimit();
+		const full = [...borrower.members.slots.keys()].filter(
+			(executor) =>
+				core.creditBorrower.getInFlight(borrower, executor) >= limit,
+		);
+		if (full.join('\n') !== borrower.avoid.join('\n')) {
+			core.creditSlots.updateAvoid(borrower, full);
+		}
+	};
+
 	/** Lets pass what can, gives back what is spare, reports. */
 	const serve = () => {
 		if (isServing) {
@@ -88,6 +103,7 @@
 		const isHome = borrower.home === self;
 		for (let round = 0; round < maxRounds; round++) {
 			letPass();
+			avoidFull();
 			core.creditSlots.releaseSpares(borrower, waiting.length, now());
 			borrower.dirty ||= waiting.length > reported;
 			reported = waiting.length;
@@ -141,7 +157,10 @@
 				borrower,
 				now(),
 				turnDeadline ?? now(),
-				(id) => weights.get(id) ?? 0,
+				(id) =>
+					core.creditBorrower.getInFlight(borrower, id) < deps.getOwnLimit()
+						? (weights.get(id) ?? 0)
+						: 0,
 			);
 			return executor === undefined ? undefined : createSlot(executor);
 		},
--- a/packages/daemon/src/peers/peer-methods.ts
+++ b/packages/daemon/src/peers/peer-methods.ts
@@ -42,7 +42,13 @@
 	};
 	/** Reports and grants of slot credits; answers those for the caller. */
 	readonly credits: {
-		readonly params: {readonly messages: readonly CreditMessage[]};
+		readonly params: {
+			readonly messages: readonly CreditMessage[];
+			/** Where the caller's peer channel is reached. */
+			readonly address: string;
+			/** The caller is about to stop. */
+			readonly isLeaving: boolean;
+		};
 		readonly result: {readonly messages: readonly CreditMessage[]};
 	};
 	/** Asks a registered entry to acknowledge for an unregistered one. */
