Test an outage that is longer than the isolation time

Cause: an entry that cannot be confirmed stops routing; no test showed that a long outage of the table service does not bring that about. Change: four daemons over sockets, one of them started in the outage and sponsored, serve for four isolation times without the table service, confirmed by the list or, with the list empty, by one another. forgetAfterMs of the short settings keeps the bound with two isolations. Measured: npx tap run packages/daemon/dist/agreement: 36 asserts pass, three runs with the same verdict. Before, not covered. Conclusion: a long outage changes nothing for callers, in both cases.

--- a/packages/daemon/src/agreement/agreement.test.ts
+++ b/packages/daemon/src/agreement/agreement.test.ts
@@ -14,6 +14,19 @@
 	waitUntil,
 } from './fleet.test.fixture.js';
 
+/** An entry is isolated after half a second, and forgotten after 1.7 s. */
+const shortTimes = {
+	...times,
+	leaseMs: 600,
+	membership: {
+		isolationMs: 500,
+		listLagMs: 100,
+		stallMarginMs: 400,
+		longestRequestMs: 200,
+		forgetAfterMs: 1700,
+	},
+};
+
 tap.t.test('instances move under load without a mixed request', async (t) => {
 	const fleet = await startFleet(t);
 	const {state, stop} = startCallers(fleet);
@@ -125,17 +138,7 @@
 });
 
 tap.t.test('a killed entry is forgotten and a move goes on', async (t) => {
-	const fleet = await startFleet(t, {
-		...times,
-		leaseMs: 600,
-		membership: {
-			isolationMs: 500,
-			listLagMs: 100,
-			stallMarginMs: 400,
-			longestRequestMs: 200,
-			forgetAfterMs: 1200,
-		},
-	});
+	const fleet = await startFleet(t, shortTimes);
 	const last = fleet.entries[2]!;
 	// The process is gone as far as the platform and its peers can see.
 	last.cut.isCut = true;
@@ -152,3 +155,35 @@
 	await waitUntil(() => !member.getMembers().registrations.has('e3'));
 	t.pass('it is forgotten');
 });
+
+for (const hasList of [true, false]) {
+	const name = hasList ? 'the list' : 'each other';
+	tap.t.test(`a long outage: entries confirmed by ${name}`, async (t) => {
+		const fleet = await startFleet(t, shortTimes);
+		const late = await fleet.startEntry('e4');
+		const {entries, list} = fleet;
+		// Each entry's own row must name all three before the outage.
+		await waitUntil(() =>
+			entries.every(
+				({daemon}) =>
+					daemon.agreement.member.getMembers().registrations.size === 3,
+			),
+		);
+		await wait(2 * times.heartbeatMs);
+		for (const {cut} of [...entries, late]) {
+			cut.isCut = true;
+		}
+
+		await fleet.run(late);
+		if (!hasList) {
+			for (const {id} of entries) {
+				list.remove(id);
+			}
+		}
+
+		await wait(4 * shortTimes.membership.isolationMs);
+		for (const {daemon} of [...entries, late]) {
+			t.same(await call(daemon, 'quote'), {status: 200, text: 'quote'});
+		}
+	});
+}
