Print one row a property; pause entries that race with lost replies

Change: figures hold one row a property with checked events, violations and the records read; each pair has its own table. In the pair of lost replies two entries in turn hold every store call for 6.5 s, longer than a lease. Figures also count probes that a change was due for and answers to repeats.

--- a/packages/bench/src/benches/invariants.ts
+++ b/packages/bench/src/benches/invariants.ts
@@ -1,6 +1,7 @@
 /** What must always hold, judged by outside records: issue 6, "Judges". */
 import {check} from '../frame/check.js';
 import type {Bench, Figures} from '../frame/types.js';
+import {inForceBoundMs} from '../judges/change-judges.js';
 import {judgedProperties} from '../judges/judges.js';
 import type {Records, Verdict} from '../judges/records.js';
 import {runCallers, type Load} from './invariants/callers.js';
@@ -43,25 +44,61 @@
 	};
 };
 
-type Row = Verdict & {readonly property: string; readonly reads: string};
+type Row = {
+	readonly property: string;
+	readonly reads: string;
+	/** One a pair, in their order. */
+	readonly verdicts: readonly Verdict[];
+};
 
 const judgeAll = (all: readonly Records[]): readonly Row[] =>
-	judgedProperties.map(({property, judge, reads}) => {
-		const verdicts = all.map((records) => judge(records));
-		return {
-			property,
-			reads,
-			checked: verdicts.reduce((sum, each) => sum + each.checked, 0),
-			violations: verdicts.flatMap(({violations}, index) =>
-				violations.map((each) => `${faultPairs[index]!.name}: ${each}`),
-			),
-		};
-	});
+	judgedProperties.map(({property, judge, reads}) => ({
+		property,
+		reads,
+		verdicts: all.map((records) => judge(records)),
+	}));
+
+const sum = (numbers: readonly number[]): number =>
+	numbers.reduce((total, each) => total + each, 0);
+
+const countChecked = ({verdicts}: Row): number =>
+	sum(verdicts.map(({checked}) => checked));
+
+const countViolations = ({verdicts}: Row): number =>
+	sum(verdicts.map(({violations}) => violations.length));
+
+const describe = (row: Row): string =>
+	`${countChecked(row)} checked, ${countViolations(row)} violations, by ${row.reads}`;
+
+const describePair = ({checked, violations}: Verdict): string =>
+	`${checked} checked, ${violations.length} violations`;
+
+const logViolations = (rows: readonly Row[], log: (line: string) => void) => {
+	for (const {property, verdicts} of rows) {
+		for (const [index, {violations}] of verdicts.entries()) {
+			for (const violation of violations.slice(0, maxShown)) {
+				log(`${property}: ${faultPairs[index]!.name}: ${violation}`);
+			}
+		}
+	}
+};
 
 const count = (
 	all: readonly Records[],
 	getItems: (records: Records) => readonly unknown[],
-): number => all.reduce((sum, records) => sum + getItems(records).length, 0);
+): number => sum(all.map((records) => getItems(records).length));
+
+/** Probes that an accepted change was due for. */
+const listDueProbes = ({probes, acceptances}: Records) =>
+	probes.filter((probe) =>
+		acceptances.some(({at}) => at + inForceBoundMs <= probe.at),
+	);
+
+/** Answers to repeats of a key, after the first answer. */
+const listRepeats = ({answers}: Records) =>
+	answers.filter(({requestId}) =>
+		/^claim-.*-(?:[1-9]|.*-twin)$/v.test(requestId),
+	);
 
 const getFigures = (all: readonly Records[]): Figures => ({
 	pairs: all.length,
@@ -79,6 +116,8 @@
 	reboots: count(all, ({reboots}) => reboots),
 	losses: count(all, ({losses}) => losses.filter(({isLost}) => isLost)),
 	probes: count(all, ({probes}) => probes),
+	dueProbes: count(all, listDueProbes),
+	answersToRepeats: count(all, listRepeats),
 	acceptedChanges: count(all, ({acceptances}) => acceptances),
 });
 
@@ -96,23 +135,26 @@
 			}),
 		);
 		const rows = judgeAll(all);
-		for (const {property, violations} of rows) {
-			for (const violation of violations.slice(0, maxShown)) {
-				log(`${property}: ${violation}`);
-			}
-		}
-
+		logViolations(rows, log);
 		return {
-			figures: getFigures(all),
+			figures: {
+				...getFigures(all),
+				...Object.fromEntries(rows.map((row) => [row.property, describe(row)])),
+			},
 			baselines: Object.fromEntries(
-				rows.map(({property, reads, checked, violations}) => [
-					property,
-					{judgedBy: reads, checked, violations: violations.length},
+				faultPairs.map(({name}, index) => [
+					name,
+					Object.fromEntries(
+						rows.map(({property, verdicts}) => [
+							property,
+							describePair(verdicts[index]!),
+						]),
+					),
 				]),
 			),
-			checks: rows.flatMap(({property, checked, violations}) => [
-				check(`${property}: checked`, checked, '>=', 1),
-				check(`${property}: violations`, violations.length, '==', 0),
+			checks: rows.flatMap((row) => [
+				check(`${row.property}: checked`, countChecked(row), '>=', 1),
+				check(`${row.property}: violations`, countViolations(row), '==', 0),
 			]),
 		};
 	},
--- a/packages/bench/src/benches/invariants/fault-pairs.ts
+++ b/packages/bench/src/benches/invariants/fault-pairs.ts
@@ -19,6 +19,9 @@
 	readonly run: (world: World, load: Load, lengthMs: number) => Promise<void>;
 };
 
+/** Longer than a lease. */
+const pausedMs = 6500;
+
 const outageDuringWave = async (world: World, load: Load, lengthMs: number) => {
 	await startWave(world, load, 'quote');
 	await wait(0.15 * lengthMs);
@@ -86,11 +89,24 @@
 	await wait(0.4 * lengthMs);
 };
 
+/** What an entry has decided reaches the store after its lease is over. */
+const pauseWrites = ({slots}: World, slot: number) => {
+	const entry = slots[slot];
+	if (entry) {
+		entry.cut.heldUntil = now() + pausedMs;
+	}
+};
+
 const loseReplies = async (world: World, load: Load, lengthMs: number) => {
 	world.faults.set({replyLostShare: 0.05, requestLostShare: 0.02});
 	const moves = runMoves(world, load);
 	const wave = startWave(world, load, 'quote');
-	await wait(0.7 * lengthMs);
+	await wait(0.2 * lengthMs);
+	for (const slot of [0, 1]) {
+		pauseWrites(world, slot);
+		await wait(0.25 * lengthMs);
+	}
+
 	world.faults.set({replyLostShare: 0, requestLostShare: 0});
 	await wait(0.2 * lengthMs);
 	load.isStopped = true;
@@ -124,7 +140,7 @@
 		run: replaceDuringChange,
 	},
 	{
-		name: 'lost replies while operators race',
+		name: 'lost replies while operators race, one entry paused',
 		operators: 3,
 		run: loseReplies,
 	},
--- a/packages/bench/src/benches/invariants/world.ts
+++ b/packages/bench/src/benches/invariants/world.ts
@@ -16,13 +16,21 @@
 	type Recorder,
 } from './recorder.js';
 
-/** One entry; `isCut` keeps it from the store. */
+/** What stands between an entry and the store. */
+export type Cut = {
+	/** No call reaches the store. */
+	isCut: boolean;
+	/** Calls wait until then before they are sent, as in a paused process. */
+	heldUntil: number;
+};
+
+/** One entry. */
 export type Entry = {
 	readonly id: string;
 	readonly daemon: daemon.Daemon;
 	/** Connections of its callers. */
 	readonly agent: Agent;
-	readonly cut: {isCut: boolean};
+	readonly cut: Cut;
 };
 
 /** What a pair of faults works on. */
@@ -240,10 +248,14 @@
 
 const createCutTable = (
 	inner: platform.TableService,
-	cut: {readonly isCut: boolean},
+	cut: Readonly<Cut>,
 ): platform.TableService => {
-	const call = async <Value>(action: () => Promise<Value>) =>
-		cut.isCut ? core.fail({kind: 'unavailable'} as const) : action();
+	const call = async <Value>(action: () => Promise<Value>) => {
+		const heldMs = cut.heldUntil - now();
+		await (heldMs > 0 ? wait(heldMs) : undefined);
+		return cut.isCut ? core.fail({kind: 'unavailable'} as const) : action();
+	};
+
 	return {
 		get: async (table, key) => call(async () => inner.get(table, key)),
 		range: async (query) => call(async () => inner.range(query)),
@@ -278,7 +290,7 @@
 		entry: {...base.entry, id},
 		peers: {address: '127.0.0.1', port: 0, keyHex: 'ab'.repeat(32)},
 	};
-	const cut = {isCut: false};
+	const cut: Cut = {isCut: false, heldUntil: 0};
 	const created = daemon.createDaemon({
 		settings,
 		platform: {
