--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -12,6 +12,7 @@
 export * from './metrics/metrics.js';
 export * from './settings/load-settings.js';
 export {settingsSchema, type Settings} from './settings/schema.js';
+export * from './platform/open-platform.js';
 export * from './view/tables.js';
 export * from './view/commit-change.js';
 export * from './view/environment.js';
