Share what the tests of budgets and waves had twice

Cause: duplicates showed the same instance, proof and job in two tests each. Change: budget.test.fixture.ts, and evacuation.test.ts takes its jobs from step.test.fixture.ts. Conclusion: no test changed.

--- a/packages/core/src/budget/budget.test.ts
+++ b/packages/core/src/budget/budget.test.ts
@@ -1,24 +1,9 @@
 import * as tap from 'tap';
 import type {Contract} from '../types/contract.js';
 import type {Instance} from '../types/instance.js';
+import {createInstance, ids, proof} from './budget.test.fixture.js';
 import * as budget from './index.js';
 
-const createInstance = (
-	id: string,
-	pool = 'quote',
-	state: Instance['state'] = 'serving',
-): Instance => ({
-	id,
-	pool,
-	state,
-	kind: 'executor',
-	address: '127.0.0.1:1',
-	epoch: 1,
-	region: 'midlands',
-	availabilityZone: `az${id.at(-1)}`,
-	rack: `r${id}`,
-});
-
 const createContract = (
 	customer: string,
 	keepExecutors: number,
@@ -71,7 +56,6 @@
 	});
 }
 
-const ids = ['i0', 'i1', 'i2', 'i3', 'i4'];
 const servicesByPool = new Map([['quote', ['quote']]]);
 
 const createTake = (
@@ -150,12 +134,6 @@
 	});
 }
 
-const proof: budget.ReturnEvidence = {
-	listed: 'live',
-	incarnationBefore: 'a',
-	incarnation: 'b',
-	probesPassed: 3,
-};
 const proofTable: Array<[string, Partial<budget.ReturnEvidence>, string?]> = [
 	['listed, restarted and probed', {}],
 	['absent from the list', {listed: 'absent'}, 'not-listed'],
--- a/packages/core/src/budget/racing.test.ts
+++ b/packages/core/src/budget/racing.test.ts
@@ -1,31 +1,9 @@
 import * as fc from 'fast-check';
 import * as tap from 'tap';
 import type {Instance} from '../types/instance.js';
+import {createInstance, ids, proof} from './budget.test.fixture.js';
 import * as budget from './index.js';
 
-const createInstance = (
-	id: string,
-	pool = 'quote',
-	state: Instance['state'] = 'serving',
-): Instance => ({
-	id,
-	pool,
-	state,
-	kind: 'executor',
-	address: '127.0.0.1:1',
-	epoch: 1,
-	region: 'midlands',
-	availabilityZone: `az${id.at(-1)}`,
-	rack: `r${id}`,
-});
-
-const ids = ['i0', 'i1', 'i2', 'i3', 'i4'];
-const proof: budget.ReturnEvidence = {
-	listed: 'live',
-	incarnationBefore: 'a',
-	incarnation: 'b',
-	probesPassed: 3,
-};
 /** A table with versions, as the platform promises it. */
 type TestRow = {version: number; value: unknown; operationId: string};
 type TestTable = Map<string, TestRow>;
--- a/packages/core/src/waves/evacuation.test.ts
+++ b/packages/core/src/waves/evacuation.test.ts
@@ -1,23 +1,8 @@
 import * as fc from 'fast-check';
 import * as tap from 'tap';
+import {createJob, hourMs, weights} from './step.test.fixture.js';
 import * as waves from './index.js';
 
-const hourMs = 3_600_000;
-
-const createJob = (
-	id: string,
-	remainingHours: number,
-	movability: waves.Movability = 'checkpoint',
-): waves.RunningJob => ({
-	id,
-	cores: 4,
-	memoryMb: 4096,
-	runMs: hourMs,
-	remainingMs: remainingHours * hourMs,
-	movability,
-});
-
-const weights = {moves: 1, bufferCoreHours: 0.01, rollOutHours: 0.1};
 const evacuationTable: Array<{
 	name: string;
 	input: Partial<waves.EvacuationInput>;
