Measure what control costs an idle daemon

Cause: the costs of control at today's size and their slopes for each entry, held pool and instance were not measured on the daemon itself. Change: bench idle: real daemons on a platform in memory, metered.

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -8,6 +8,7 @@
 export const benches: Readonly<Record<string, () => Promise<BenchModule>>> = {
 	'bad-input': async () => import('./benches/bad-input.js'),
 	faults: async () => import('./benches/faults.js'),
+	idle: async () => import('./benches/idle.js'),
 	limits: async () => import('./benches/limits.js'),
 	overhead: async () => import('./benches/overhead.js'),
 	calendar: async () => import('./benches/calendar.js'),
