Free nothing for late copies or for credits whose lease is over

Late copies of a dead entry's messages opened a session anew and then gave back more than it held, which counted as free. A new home that most entries did not follow kept free credits beyond the lease on which they were brought, and granted them when it led later.

Change: a session never counts below zero; free credits that were brought end with their lease unless the home leads. A table test causes the first.

--- a/packages/core/src/limits/credits.test.ts
+++ b/packages/core/src/limits/credits.test.ts
@@ -1,5 +1,7 @@
 import * as tap from 'tap';
 import * as slots from './borrower-slots.js';
+import * as books from './home-books.js';
+import * as homes from './home.js';
 import type {PoolMembers} from './borrower.js';
 import * as borrowers from './borrower.js';
 import type {CreditSettings} from './messages.js';
@@ -251,3 +253,20 @@
 	slots.releaseSpares(borrower, 0, fleet.nowMs);
 	t.equal(borrowers.getHeld(borrower, 'x'), 0);
 });
+
+tap.t.test('late copies of a forgotten session free nothing', async (t) => {
+	const self = {self: 'a', term: 'a:1'};
+	const home = homes.createHome('pool', self, settings, 0);
+	homes.updateHome(home, getMembers({listed: ['a']}), 0);
+	const own = borrowers.createBorrower('pool', 'a', settings, 0);
+	borrowers.updateMembers(own, getMembers({listed: ['a']}), 0);
+	homes.receiveReport(home, borrowers.createReport(own, [], 0), 0);
+	const gone = borrowers.createBorrower('pool', 'gone', settings, 0);
+	const first = borrowers.createReport(gone, [], 0);
+	homes.receiveReport(home, first, 0);
+	const last = {...first, term: 'a:1', released: {x: 3}, sentAtMs: 1};
+	homes.receiveReport(home, last, 1);
+	t.equal(home.complete, true);
+	const parked = 1;
+	t.ok((books.getFree(home).get('x') ?? 0) <= 8 - parked);
+});
--- a/packages/core/src/limits/home-books.ts
+++ b/packages/core/src/limits/home-books.ts
@@ -58,6 +58,8 @@
 	 * only those count that no other home can count.
 	 */
 	leads: boolean;
+	/** When it last led, or started. */
+	ledAtMs: number;
 	/**
 	 * Listed entries whose static share another home may count on, since they
 	 * do not follow this one or have not for long.
@@ -73,15 +75,23 @@
 	formerUntilMs: number;
 };
 
-/** Credits of one executor that the borrower may hold, by this home's books. */
+/**
+ * Credits of one executor that the borrower may hold, by this home's books.
+ * Late copies from a session that the home has forgotten may give back more
+ * than this one holds; they free nothing.
+ */
 export const getOutstanding = (session: Session, executor: string): number =>
 	session.open
-		? (session.carried.get(executor) ?? 0) +
-			(session.granted.get(executor) ?? 0) -
-			(session.released.get(executor) ?? 0)
+		? Math.max(
+				0,
+				(session.carried.get(executor) ?? 0) +
+					(session.granted.get(executor) ?? 0) -
+					(session.released.get(executor) ?? 0),
+			)
 		: 0;
 
-const sumOutstanding = (home: Home, executor: string): number => {
+/** Credits of one executor that all borrowers may hold. */
+export const sumOutstanding = (home: Home, executor: string): number => {
 	let outstanding = 0;
 	for (const session of home.sessions.values()) {
 		outstanding += getOutstanding(session, executor);
--- a/packages/core/src/limits/home-sessions.ts
+++ b/packages/core/src/limits/home-sessions.ts
@@ -108,6 +108,14 @@
 	}
 };
 
+/** Free credits that were brought end with the lease that they came on. */
+const dropUnleased = (home: Home) => {
+	for (const [executor, count] of home.brought) {
+		const outstanding = books.sumOutstanding(home, executor);
+		home.brought.set(executor, Math.min(count, outstanding));
+	}
+};
+
 /** Judges whether all slots are known, and whether most entries follow. */
 export const updateComplete = (home: Home, now: number) => {
 	const followers = books.getFollowers(home, now);
@@ -140,4 +148,9 @@
 		(isCounted && sinceStartMs >= settleMs) ||
 		sinceStartMs >= 2 * settleMs;
 	home.leads = home.complete ? isCounted : books.isMajority(home, followers);
+	if (home.leads) {
+		home.ledAtMs = now;
+	} else if (!home.complete && now >= home.ledAtMs + home.settings.leaseMs) {
+		dropUnleased(home);
+	}
 };
--- a/packages/core/src/limits/home.ts
+++ b/packages/core/src/limits/home.ts
@@ -45,6 +45,7 @@
 	settledAtMs: now,
 	complete: false,
 	leads: false,
+	ledAtMs: now,
 	absent: [],
 	joining: new Set(),
 	members: [],
