Let some runs of bench invariants be long; count moves between pools

Cause: every run ended within 22 ms, before the next step of a wave, so that a drain that waits for nothing was not caught.

Change: one run in twenty takes 400 to 1200 ms. Committed changes of pool are counted.

--- a/packages/bench/src/benches/invariants.ts
+++ b/packages/bench/src/benches/invariants.ts
@@ -94,6 +94,21 @@
 		acceptances.some(({at}) => at + inForceBoundMs <= probe.at),
 	);
 
+/** Committed rows that give an instance another pool than its last row. */
+const listPoolChanges = ({store}: Records) => {
+	const pools = new Map<string, string>();
+	return store.filter((record) => {
+		if (record.kind !== 'instance') {
+			return false;
+		}
+
+		const {id, pool} = record.value;
+		const isMoved = (pools.get(id) ?? pool) !== pool;
+		pools.set(id, pool);
+		return isMoved;
+	});
+};
+
 /** Answers to repeats of a key, after the first answer. */
 const listRepeats = ({answers}: Records) =>
 	answers.filter(({requestId}) =>
@@ -113,6 +128,7 @@
 		answers.filter(({outcome}) => outcome === 'unknown'),
 	),
 	committedRows: count(all, ({store}) => store),
+	poolChanges: count(all, listPoolChanges),
 	reboots: count(all, ({reboots}) => reboots),
 	losses: count(all, ({losses}) => losses.filter(({isLost}) => isLost)),
 	probes: count(all, ({probes}) => probes),
--- a/packages/bench/src/benches/invariants/world.ts
+++ b/packages/bench/src/benches/invariants/world.ts
@@ -70,6 +70,8 @@
 
 const rebootMs = 300;
 
+const longRunShare = 0.05;
+
 /** Share of requests that an executor declares not to run. */
 const refusedShare = 0.02;
 
@@ -155,6 +157,10 @@
 	showExecutor(world, executor, 'live');
 };
 
+/** Most runs are short; some are still open when a wave's next step comes. */
+const drawWorkMs = (random: Random): number =>
+	random() < longRunShare ? 400 + 800 * random() : 2 + 20 * random();
+
 const startExecutors = async (recorder: Recorder, random: Random) =>
 	Promise.all(
 		services.flatMap((service) =>
@@ -164,7 +170,7 @@
 					availabilityZone: `zone-${index % zones}`,
 					recorder,
 					getPool: (name) => name,
-					drawWorkMs: () => 2 + 20 * random(),
+					drawWorkMs: () => drawWorkMs(random),
 					drawRefusal: () => random() < refusedShare,
 				}),
 			),
