Replace an entry while instances move, in bench invariants

Cause: moves between pools ran in one pair only, two in 22 s.

Change: the pair of a replaced entry runs moves rather than a wave, and moves are asked for every 400 ms.

--- a/packages/bench/src/benches/invariants/fault-pairs.ts
+++ b/packages/bench/src/benches/invariants/fault-pairs.ts
@@ -77,7 +77,7 @@
 	load: Load,
 	lengthMs: number,
 ) => {
-	const wave = startWave(world, load, 'quote');
+	const moves = runMoves(world, load);
 	for (const slot of [2, 0]) {
 		await wait(0.15 * lengthMs);
 		const id = world.slots[slot]?.id ?? `e${slot + 1}`;
@@ -85,8 +85,9 @@
 		await startEntry(world, slot, id);
 	}
 
-	await wave;
-	await wait(0.4 * lengthMs);
+	await wait(0.5 * lengthMs);
+	load.isStopped = true;
+	await moves;
 };
 
 /** What an entry has decided reaches the store after its lease is over. */
--- a/packages/bench/src/benches/invariants/operators.ts
+++ b/packages/bench/src/benches/invariants/operators.ts
@@ -25,7 +25,7 @@
 
 const retryMs = 250;
 
-const movePauseMs = 1500;
+const movePauseMs = 400;
 
 /** Asks any entry; undefined if it cannot be reached. */
 const ask = async (
