--- a/packages/bench/src/benches/invariants.ts
+++ b/packages/bench/src/benches/invariants.ts
@@ -5,12 +5,13 @@
 import {judgedProperties} from '../judges/judges.js';
 import type {Records, Verdict} from '../judges/records.js';
 import {runCallers, type Load} from './invariants/callers.js';
+import {startEntry} from './invariants/entries.js';
 import {
 	faultPairs,
 	runFaultPair,
 	type FaultPair,
 } from './invariants/fault-pairs.js';
-import {closeWorld, createWorld, startEntry} from './invariants/world.js';
+import {closeWorld, createWorld} from './invariants/world.js';
 
 const entries = 3;
 
--- /dev/null
+++ b/packages/bench/src/benches/invariants/entries.ts
@@ -0,0 +1,108 @@
+/** Entries of a world: real daemons that are started, stopped and killed. */
+import {PassThrough} from 'node:stream';
+import {setTimeout as wait} from 'node:timers/promises';
+import * as core from '@gullstand/core';
+import * as daemon from '@gullstand/daemon';
+import * as platform from '@gullstand/platform';
+import {Agent} from 'undici';
+import {now} from './recorder.js';
+import type {Cut, World} from './world.js';
+
+const createCutTable = (
+	inner: platform.TableService,
+	cut: Readonly<Cut>,
+): platform.TableService => {
+	const call = async <Value>(action: () => Promise<Value>) => {
+		const heldMs = cut.heldUntil - now();
+		await (heldMs > 0 ? wait(heldMs) : undefined);
+		return cut.isCut ? core.fail({kind: 'unavailable'} as const) : action();
+	};
+
+	return {
+		get: async (table, key) => call(async () => inner.get(table, key)),
+		range: async (query) => call(async () => inner.range(query)),
+		commit: async (writes, id) => call(async () => inner.commit(writes, id)),
+	};
+};
+
+const createGuardedTable = (inner: platform.TableService, entries: number) => {
+	const {defaultFleetRate, defaultGuardConfig} = platform.client;
+	const share = {
+		readsPerSecond: defaultFleetRate.readsPerSecond / entries,
+		writesPerSecond: defaultFleetRate.writesPerSecond / entries,
+	};
+	const guard = platform.client.createGuard(
+		{...defaultGuardConfig, share},
+		daemon.createEnvironment(),
+	);
+	return platform.client.createGuardedTableService(inner, guard);
+};
+
+const usualEntries = 3;
+
+/** Starts an entry in a slot and lists it. */
+export const startEntry = async (
+	world: World,
+	slot: number,
+	id: string,
+): Promise<void> => {
+	const base = daemon.createEmbeddedSettings(0, 0, 'error');
+	const settings: daemon.Settings = {
+		...base,
+		entry: {...base.entry, id},
+		peers: {address: '127.0.0.1', port: 0, keyHex: 'ab'.repeat(32)},
+	};
+	const cut: Cut = {isCut: false, heldUntil: 0};
+	const created = daemon.createDaemon({
+		settings,
+		platform: {
+			table: createGuardedTable(createCutTable(world.table, cut), usualEntries),
+			objects: world.objects,
+			list: world.list,
+			workers: world.workers,
+		},
+		logger: daemon.createLogger(settings.log, id, new PassThrough().resume()),
+		now: () => now() + world.clock.aheadMs,
+	});
+	const entry = {id, daemon: created, agent: new Agent(), cut};
+	world.started.push(entry);
+	await created.start((err) => {
+		throw err;
+	});
+	world.list.set({
+		id,
+		role: 'entry',
+		address: created.agreement.peers.getAddress(),
+		availabilityZone: 'zone-1',
+		state: 'live',
+		incarnation: created.agreement.life.incarnation,
+	});
+	world.slots[slot] = entry;
+};
+
+/** Stops an entry as an operator does. */
+export const stopEntry = async (world: World, slot: number): Promise<void> => {
+	const entry = world.slots[slot];
+	if (entry) {
+		world.slots[slot] = undefined;
+		await entry.daemon.stop();
+		world.list.remove(entry.id);
+		world.started.splice(world.started.indexOf(entry), 1);
+		await entry.agent.destroy();
+	}
+};
+
+/**
+ * An entry is gone for the store, its peers, the list and its callers; what it
+ * has sent to executors goes on.
+ */
+export const killEntry = async (world: World, slot: number): Promise<void> => {
+	const entry = world.slots[slot];
+	if (entry) {
+		world.slots[slot] = undefined;
+		entry.cut.isCut = true;
+		world.list.remove(entry.id);
+		await entry.agent.destroy();
+		await entry.daemon.agreement.peers.stop(now());
+	}
+};
--- a/packages/bench/src/benches/invariants/fault-pairs.ts
+++ b/packages/bench/src/benches/invariants/fault-pairs.ts
@@ -1,15 +1,10 @@
 /** The table of fault pairs, each on a world of its own. */
 import {setTimeout as wait} from 'node:timers/promises';
 import type {Load} from './callers.js';
+import {killEntry, startEntry, stopEntry} from './entries.js';
 import {runContractChanges, runMoves, startWave} from './operators.js';
 import {now} from './recorder.js';
-import {
-	killEntry,
-	showExecutor,
-	startEntry,
-	stopEntry,
-	type World,
-} from './world.js';
+import {showExecutor, type World} from './world.js';
 
 /** Two faults that come together; times in milliseconds. */
 export type FaultPair = {
