--- a/packages/daemon/src/agreement/agreement.test.ts
+++ b/packages/daemon/src/agreement/agreement.test.ts
@@ -123,6 +123,29 @@
 	t.equal(late.daemon.agreement.member.getStanding().mode, 'registered');
 });
 
+tap.t.test(
+	'a sponsored entry keeps its sponsor without the list',
+	async (t) => {
+		const fleet = await startFleet(t, shortTimes);
+		const late = await fleet.startEntry('e4');
+		for (const {cut} of [...fleet.entries, late]) {
+			cut.isCut = true;
+		}
+
+		await fleet.run(late);
+		const {member} = late.daemon.agreement;
+		t.equal(member.getStanding().mode, 'sponsored');
+		for (const id of ['e1', 'e2', 'e3', 'e4']) {
+			fleet.list.remove(id);
+		}
+
+		await wait(3 * shortTimes.membership.isolationMs);
+		t.equal(member.getStanding().mode, 'sponsored');
+		t.ok(member.mayRoute());
+		t.same(await call(late.daemon, 'quote'), {status: 200, text: 'quote'});
+	},
+);
+
 tap.t.test('shards spread and are handed over at a stop', async (t) => {
 	const fleet = await startFleet(t);
 	const listHeld = (index: number) =>
--- a/packages/daemon/src/membership/member-state.ts
+++ b/packages/daemon/src/membership/member-state.ts
@@ -69,6 +69,8 @@
 		string,
 		{ack: acknowledgement.Acknowledgement; askedAt: number}
 	>;
+	/** Address of the entry that speaks for this one. */
+	sponsorAddress: string | undefined;
 	/** Peers that wait for this entry's acknowledgements, and until when. */
 	readonly awaitedBy: Map<string, number>;
 	/** The registered entries, as read when the set last changed. */
@@ -98,6 +100,7 @@
 	highestInForce: 0,
 	heard: new Map(),
 	sponsored: new Map(),
+	sponsorAddress: undefined,
 	awaitedBy: new Map(),
 	members: {version: -1, registrations: new Map()},
 	lastSent: '',
--- a/packages/daemon/src/membership/outage-start.ts
+++ b/packages/daemon/src/membership/outage-start.ts
@@ -46,10 +46,23 @@
 
 	const confirmedAt = askedAt - answer.value.confirmedAgeMs;
 	setMode(state, 'sponsored', confirmedAt);
+	state.sponsorAddress = address;
 	confirm(deps, state, 'sponsor', confirmedAt);
 	return true;
 };
 
+/** The sponsor that it has first; the list may be down as well. */
+const listSponsors = async (
+	deps: MemberDeps,
+	{sponsorAddress}: MemberState,
+): Promise<ReadonlySet<string>> => {
+	const listed = await listPeerAddresses(deps);
+	return new Set([
+		...(sponsorAddress === undefined ? [] : [sponsorAddress]),
+		...listed,
+	]);
+};
+
 /**
  * Looks for a sponsor among the listed peers; with none in reach, stands on
  * the snapshot. Does nothing until there is a view.
@@ -62,7 +75,7 @@
 		return;
 	}
 
-	for (const address of await listPeerAddresses(deps)) {
+	for (const address of await listSponsors(deps, state)) {
 		if (await askSponsor(deps, state, address)) {
 			return;
 		}
