Read pages by one loop; leave a test's way to start a move to the tests

Cause: reading a table page by page stood twice, and startMove, which skips the operators' checks, stood in product code and was called by a test fixture only. Change: readTable takes a prefix; startMove moves into the fixture.

--- a/packages/daemon/src/agreement/fleet.test.fixture.ts
+++ b/packages/daemon/src/agreement/fleet.test.fixture.ts
@@ -6,7 +6,14 @@
 import {PassThrough} from 'node:stream';
 import {setTimeout as wait} from 'node:timers/promises';
 import * as core from '@gullstand/core';
-import type {Contract, Instance, Service} from '@gullstand/core';
+import type {
+	Contract,
+	followedView,
+	Instance,
+	Result,
+	Service,
+	viewChange,
+} from '@gullstand/core';
 import {
 	createMemoryInstanceList,
 	createMemoryObjectStore,
@@ -19,9 +26,9 @@
 import {createDaemon, type Daemon} from '../daemon.js';
 import {createEmbeddedSettings} from '../embedded/embedded-settings.js';
 import {createLogger} from '../log/logger.js';
-import {startMove} from '../moves/move-rows.js';
+import * as moveRows from '../moves/move-rows.js';
 import {commitChange} from '../view/commit-change.js';
-import {toJson} from '../view/tables.js';
+import {counterRow, readCounter, toJson} from '../view/tables.js';
 import {agreementDefaults} from './agreement.js';
 
 type Teardown = {
@@ -247,6 +254,63 @@
 	return {status: res.statusCode, text: await res.body.text()};
 };
 
+type MoveOrder = {
+	readonly instance: string;
+	readonly to: string;
+	readonly author: string;
+};
+
+const maxRaces = 20;
+
+/**
+ * Starts a move without the operators' checks, so that a test may order any;
+ * the revision of the drain is that of its transaction.
+ */
+const startMove = async (
+	table: TableService,
+	{instance: id, to, author}: MoveOrder,
+	known: followedView.FollowedView,
+): Promise<Result<viewChange.ViewDelta, unknown>> => {
+	for (let races = 0; ; races += 1) {
+		const current = await readCounter(table);
+		const instance = await moveRows.readInstance(table, id);
+		const row = await table.get(core.agreementTables.move, id);
+		const isRead = current.ok && instance.ok && row.ok;
+		if (!isRead || current.value.revision < known.view.revision) {
+			return core.fail({kind: 'unavailable'});
+		}
+
+		if (!instance.value) {
+			return core.fail({kind: 'not-found'});
+		}
+
+		const step = core.move.startDrain({
+			instance: instance.value,
+			to,
+			author,
+			revision: current.value.revision + 1,
+			isMoving: row.value !== undefined,
+		});
+		if (!step.ok) {
+			return step;
+		}
+
+		const {revision, deltaId} = current.value;
+		const committed = await moveRows.commitStep(table, step.value, {
+			author,
+			known: {view: {...core.emptyView, revision}, deltaId},
+			mustBeNewest: true,
+		});
+		const isRace =
+			!committed.ok &&
+			committed.error.kind === 'conflict' &&
+			committed.error.table === counterRow.table;
+		if (!isRace || races >= maxRaces) {
+			return committed;
+		}
+	}
+};
+
 /** Orders a move at the first entry. */
 export const order = async (fleet: Fleet, instance: string, to: string) => {
 	const {follower, member} = fleet.entries[0]!.daemon.agreement;
--- a/packages/daemon/src/moves/move-rows.ts
+++ b/packages/daemon/src/moves/move-rows.ts
@@ -10,7 +10,7 @@
 } from '@gullstand/core';
 import type {StoreError, TableService, Write} from '@gullstand/platform';
 import {commitChange} from '../view/commit-change.js';
-import {counterRow, readCounter, readTable, toJson} from '../view/tables.js';
+import {readTable, toJson} from '../view/tables.js';
 
 const {move: moveTable} = core.agreementTables;
 
@@ -83,62 +83,3 @@
 			)
 		: rows;
 };
-
-/** What an operator asks for. */
-export type MoveOrder = {
-	readonly instance: string;
-	readonly to: string;
-	readonly author: string;
-};
-
-/** Why a move did not start. */
-export type StartMoveError =
-	StoreError | move.MoveRefusal | {readonly kind: 'not-found'};
-
-const maxRaces = 20;
-
-/** Starts a move; the revision of the drain is that of its transaction. */
-export const startMove = async (
-	table: TableService,
-	{instance: id, to, author}: MoveOrder,
-	known: followedView.FollowedView,
-): Promise<Result<viewChange.ViewDelta, StartMoveError>> => {
-	for (let races = 0; ; races += 1) {
-		const current = await readCounter(table);
-		const instance = await readInstance(table, id);
-		const row = await table.get(moveTable, id);
-		const isRead = current.ok && instance.ok && row.ok;
-		if (!isRead || current.value.revision < known.view.revision) {
-			return core.fail({kind: 'unavailable'});
-		}
-
-		if (!instance.value) {
-			return core.fail({kind: 'not-found'});
-		}
-
-		const step = core.move.startDrain({
-			instance: instance.value,
-			to,
-			author,
-			revision: current.value.revision + 1,
-			isMoving: row.value !== undefined,
-		});
-		if (!step.ok) {
-			return step;
-		}
-
-		const {revision, deltaId} = current.value;
-		const committed = await commitStep(table, step.value, {
-			author,
-			known: {view: {...core.emptyView, revision}, deltaId},
-			mustBeNewest: true,
-		});
-		const isRace =
-			!committed.ok &&
-			committed.error.kind === 'conflict' &&
-			committed.error.table === counterRow.table;
-		if (!isRace || races >= maxRaces) {
-			return committed;
-		}
-	}
-};
--- a/packages/daemon/src/view/tables.ts
+++ b/packages/daemon/src/view/tables.ts
@@ -57,17 +57,18 @@
 export const getChangeKey = (revision: number): string =>
 	String(revision).padStart(revisionDigits, '0');
 
-/** Reads every row of a table, page by page. */
+/** Reads every row of a table whose key has the prefix, page by page. */
 export const readTable = async (
 	table: TableService,
 	name: string,
+	prefix = '',
 ): Promise<Result<readonly Row[], StoreError>> => {
 	const rows: Row[] = [];
 	for (;;) {
 		const last = rows.at(-1)?.key;
 		const page = await table.range({
 			table: name,
-			prefix: '',
+			prefix,
 			limit: pageSize,
 			...(last !== undefined && {after: last}),
 		});
--- a/packages/daemon/src/waves/wave-rows.ts
+++ b/packages/daemon/src/waves/wave-rows.ts
@@ -33,39 +33,17 @@
 	return row.ok ? succeed(row.value && toWave(row.value)) : row;
 };
 
-const pageSize = 500;
-
-const readDomains = async (
-	table: TableService,
-	prefix: string,
-): Promise<Result<readonly Row[], StoreError>> => {
-	const rows: Row[] = [];
-	for (;;) {
-		const last = rows.at(-1)?.key;
-		const page = await table.range({
-			table: budget.tables.waveDomains,
-			prefix: waves.getDomainKey(prefix, ''),
-			limit: pageSize,
-			...(last !== undefined && {after: last}),
-		});
-		if (!page.ok) {
-			return page;
-		}
-
-		rows.push(...page.value);
-		if (page.value.length < pageSize) {
-			return succeed(rows);
-		}
-	}
-};
-
 /** Reads a wave's racks and builds its index. */
 export const loadWave = async (
 	table: TableService,
 	header: budget.Versioned<waves.Wave>,
 	view: View,
 ): Promise<Result<LoadedWave, StoreError>> => {
-	const read = await readDomains(table, header.value.rows);
+	const read = await readTable(
+		table,
+		budget.tables.waveDomains,
+		waves.getDomainKey(header.value.rows, ''),
+	);
 	if (!read.ok) {
 		return read;
 	}
