Take the credits out of the daemon again

Cause: npm test failed in agreement.test.js: one request was refused overloaded at a light load while an instance moved. Change: the daemon splits slots evenly between live entries, as before; the credits, their tests and the mended gate stay. Conclusion: reverted until the gate counts only executors that may be routed to.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,7 +27,6 @@
 	getKeySettings,
 } from './idempotency/keyed-settings.js';
 import {createListener} from './http/listener.js';
-import {createFleetLimits} from './limits/fleet-limits.js';
 import type {Logger} from './log/logger.js';
 import {createMetrics, type Metrics} from './metrics/metrics.js';
 import {createOperatorApp} from './operator/operator-app.js';
@@ -35,7 +34,6 @@
 import {createSupervisor, type Part} from './supervisor/supervisor.js';
 import {createUpstreamDispatch} from './upstream/call-handler.js';
 import {defaultUpstreamConfig} from './upstream/types.js';
-import {listServing} from './view/list-serving.js';
 import {createEnvironment} from './view/environment.js';
 import type {ViewFollower} from './view/view-follower.js';
 import {createWaveRunner} from './waves/wave-runner.js';
@@ -111,15 +109,6 @@
 	});
 	const {follower, member, leases, inFlight} = agreement;
 	const {getView, getFollowed, poll} = follower;
-	const times = deps.agreementTimes ?? agreementDefaults;
-	const limits = settings.peers
-		? createFleetLimits({
-				agreement,
-				now,
-				longestRequestMs: times.membership.longestRequestMs,
-				entries: entriesSharingConnections,
-			})
-		: undefined;
 	const {connectTimeoutMs, idleConnectionMs, maxAnswerBytes} =
 		settings.upstream;
 	const {reuse, ...upstreamConfig} = defaultUpstreamConfig;
@@ -129,7 +118,6 @@
 		random: Math.random,
 		entries: entriesSharingConnections,
 		wrapTakeSlot: inFlight.wrap,
-		...(limits && {getTakeSlot: limits.getTakeSlot}),
 		cfg: {
 			...upstreamConfig,
 			connectTimeoutMs,
@@ -155,12 +143,7 @@
 		now,
 		settings: settings.admission,
 		getShare: entryShare.getShare,
-		getSlots(service) {
-			const share = getSlotShare(service);
-			return limits && listServing(getView(), service.pool).length > 0
-				? limits.getOpenSlots(service.pool, share)
-				: share;
-		},
+		getSlots: getSlotShare,
 	});
 	const keyed = createKeyedCalls({
 		tables: platform.table,
@@ -186,11 +169,7 @@
 		createCallerApp({
 			settings: settings.caller,
 			getView,
-			handle: keyed.layer(
-				admission.layer(
-					limits ? limits.layer(dispatch.handle) : dispatch.handle,
-				),
-			),
+			handle: keyed.layer(admission.layer(dispatch.handle)),
 			now,
 			logger,
 			metrics,
@@ -247,7 +226,6 @@
 		[
 			...agreement.parts,
 			upstreamPart,
-			...(limits ? [limits] : []),
 			entryShare,
 			keyed.part,
 			keySweeper,
@@ -266,7 +244,6 @@
 
 	const stop = async () => {
 		isStopping = true;
-		limits?.leave();
 		const deadline = now() + settings.stop.deadlineMs;
 		logger.info('stopping', {deadlineMs: settings.stop.deadlineMs});
 		await delay(settings.stop.readinessDelayMs);
