Rename packages/platform to packages/ports

The adapter of the users' platform gets the folder platform/ at the root; two folders of that name would be confused. Only the name of the package and its imports change.

--- a/packages/bench/src/benches/at-most-once/steps.ts
+++ b/packages/bench/src/benches/at-most-once/steps.ts
@@ -3,7 +3,7 @@
  * killed. Calls to the store also meet faults.
  */
 import * as core from '@gullstand/core';
-import type {ObjectStore, TableService} from '@gullstand/platform';
+import type {ObjectStore, TableService} from '@gullstand/ports';
 import type * as standIn from '@gullstand/stand-in';
 
 /** One life of an entry's process. */
--- a/packages/bench/src/benches/at-most-once/variants.ts
+++ b/packages/bench/src/benches/at-most-once/variants.ts
@@ -3,7 +3,7 @@
  * the judge must catch every one, or it proves nothing.
  */
 import * as core from '@gullstand/core';
-import type {TableService, Write} from '@gullstand/platform';
+import type {TableService, Write} from '@gullstand/ports';
 
 type RunResult = core.idempotency.RunResult;
 
--- a/packages/bench/src/benches/at-most-once/world.ts
+++ b/packages/bench/src/benches/at-most-once/world.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import * as core from '@gullstand/core';
 import * as daemon from '@gullstand/daemon';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import * as standIn from '@gullstand/stand-in';
 import type {Random} from '../../frame/random.js';
 import {type ExecutorKind, type Run, dispatchJob} from './executor.js';
--- a/packages/bench/src/benches/idle.ts
+++ b/packages/bench/src/benches/idle.ts
@@ -12,7 +12,7 @@
 import v8 from 'node:v8';
 import vm from 'node:vm';
 import * as daemon from '@gullstand/daemon';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {check} from '../frame/check.js';
 import type {Bench, BenchOptions} from '../frame/types.js';
 
--- a/packages/bench/src/benches/invariants/entries.ts
+++ b/packages/bench/src/benches/invariants/entries.ts
@@ -3,7 +3,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import * as core from '@gullstand/core';
 import * as daemon from '@gullstand/daemon';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {Agent} from 'undici';
 import {now} from './recorder.js';
 import type {Cut, World} from './world.js';
--- a/packages/bench/src/benches/invariants/recorder.ts
+++ b/packages/bench/src/benches/invariants/recorder.ts
@@ -1,7 +1,7 @@
 /** Collects the outside records that judges read; times are monotonic ms. */
 import {performance} from 'node:perf_hooks';
 import type {Contract, Instance, Service} from '@gullstand/core';
-import type {TableService, Write} from '@gullstand/platform';
+import type {TableService, Write} from '@gullstand/ports';
 import type {Records, RunRecord, StoreRecord} from '../../judges/records.js';
 
 type Mutable<Type> = {-readonly [Key in keyof Type]: Type[Key]};
--- a/packages/bench/src/benches/invariants/world.ts
+++ b/packages/bench/src/benches/invariants/world.ts
@@ -2,7 +2,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import type {Contract, Instance, Service} from '@gullstand/core';
 import * as daemon from '@gullstand/daemon';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {answers} from '@gullstand/stand-in';
 import type {Agent} from 'undici';
 import {createRandom, type Random} from '../../frame/random.js';
--- a/packages/bench/src/benches/outage.ts
+++ b/packages/bench/src/benches/outage.ts
@@ -1,5 +1,5 @@
 /** An outage of the table service for ten minutes: issue 4, item 3. */
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {check} from '../frame/check.js';
 import type {Bench, BenchOptions, Check, Figures} from '../frame/types.js';
 import {runDaemons, type DaemonsReport} from './outage/daemons.js';
--- a/packages/bench/src/benches/outage/daemons.ts
+++ b/packages/bench/src/benches/outage/daemons.ts
@@ -7,7 +7,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {Agent, request} from 'undici';
 import * as daemon from '@gullstand/daemon';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import * as standIn from '@gullstand/stand-in';
 import {createRandom} from '../../frame/random.js';
 import {getQuantile} from '../agreement/quantile.js';
--- a/packages/bench/src/benches/outage/fleet.ts
+++ b/packages/bench/src/benches/outage/fleet.ts
@@ -5,7 +5,7 @@
  */
 import * as core from '@gullstand/core';
 import * as daemon from '@gullstand/daemon';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {
 	createRandom,
 	drawExponential,
--- a/packages/bench/src/benches/outage/load-meter.ts
+++ b/packages/bench/src/benches/outage/load-meter.ts
@@ -1,5 +1,5 @@
 /** Counts calls that reach the store, by time of arrival. */
-import type {TableService} from '@gullstand/platform';
+import type {TableService} from '@gullstand/ports';
 
 /** Arrivals of one kind of call, in milliseconds and in order. */
 export type Arrivals = number[];
--- a/packages/bench/src/benches/overhead/gullstand-gateway.ts
+++ b/packages/bench/src/benches/overhead/gullstand-gateway.ts
@@ -16,7 +16,7 @@
 	createMemoryTableService,
 	createMemoryWorkers,
 	type JsonValue,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 
 /** Token of the bench's caller. */
 export const benchToken = 'bench-token';
--- a/packages/daemon/src/admission/entry-share.ts
+++ b/packages/daemon/src/admission/entry-share.ts
@@ -3,7 +3,7 @@
  * over the number of live entries on the lagging list.
  */
 import type * as core from '@gullstand/core';
-import type {InstanceList} from '@gullstand/platform';
+import type {InstanceList} from '@gullstand/ports';
 import {listServing} from '../view/list-serving.js';
 import type {Part} from '../supervisor/supervisor.js';
 import {createTicker} from '../view/ticker.js';
--- a/packages/daemon/src/agreement/agreement.ts
+++ b/packages/daemon/src/agreement/agreement.ts
@@ -9,7 +9,7 @@
 	InstanceList,
 	ObjectStore,
 	TableService,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import type {Logger} from '../log/logger.js';
 import {createForgetRunner} from '../membership/forget-runner.js';
 import {createInFlight, type InFlight} from '../membership/in-flight.js';
--- a/packages/daemon/src/agreement/fleet.test.fixture.ts
+++ b/packages/daemon/src/agreement/fleet.test.fixture.ts
@@ -20,7 +20,7 @@
 	createMemoryTableService,
 	createMemoryWorkers,
 	type TableService,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import {request} from 'undici';
 import {hashToken} from '../caller/parse-call.js';
 import {createDaemon, type Daemon} from '../daemon.js';
--- a/packages/daemon/src/agreement/start-marker.ts
+++ b/packages/daemon/src/agreement/start-marker.ts
@@ -6,7 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type {move} from '@gullstand/core';
-import type {ObjectStore} from '@gullstand/platform';
+import type {ObjectStore} from '@gullstand/ports';
 import {readSnapshot} from '../view/snapshot-store.js';
 
 /** Name of the object. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,7 +5,7 @@
 	ObjectStore,
 	TableService,
 	Workers,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import {createAdmissionLayer} from './admission/admission-layer.js';
 import {createEntryShare, createSlotShare} from './admission/entry-share.js';
 import {
--- a/packages/daemon/src/embedded/embedded-platform.ts
+++ b/packages/daemon/src/embedded/embedded-platform.ts
@@ -11,7 +11,7 @@
 	createMemoryWorkers,
 	type JsonValue,
 	type ListedInstance,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import {hashToken} from '../caller/parse-call.js';
 import type {Platform} from '../daemon.js';
 import {commitChange, type ViewChange} from '../view/commit-change.js';
--- a/packages/daemon/src/idempotency/attempt-runner.ts
+++ b/packages/daemon/src/idempotency/attempt-runner.ts
@@ -1,7 +1,7 @@
 /** Runs one attempt: makes the core's calls and feeds their ends back. */
 import * as core from '@gullstand/core';
 import type {Result} from '@gullstand/core';
-import type {ObjectStore, TableService} from '@gullstand/platform';
+import type {ObjectStore, TableService} from '@gullstand/ports';
 import {type GroupWriter, readStored, tableName} from './group-writer.js';
 import type {Clock} from './ports.js';
 
--- a/packages/daemon/src/idempotency/group-writer.test.ts
+++ b/packages/daemon/src/idempotency/group-writer.test.ts
@@ -1,5 +1,5 @@
 import type * as core from '@gullstand/core';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import * as standIn from '@gullstand/stand-in';
 import * as tap from 'tap';
 import {createGroupWriter, defaultGroupSettings} from './group-writer.js';
--- a/packages/daemon/src/idempotency/group-writer.ts
+++ b/packages/daemon/src/idempotency/group-writer.ts
@@ -10,7 +10,7 @@
 	Row,
 	StoreError,
 	TableService,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import type {Clock, Randomness} from './ports.js';
 
 type KeyRow = core.idempotency.KeyRow;
--- a/packages/daemon/src/idempotency/keeper.test.ts
+++ b/packages/daemon/src/idempotency/keeper.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import * as core from '@gullstand/core';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import * as standIn from '@gullstand/stand-in';
 import * as tap from 'tap';
 import {createCancellation} from '../caller/cancellation.js';
--- a/packages/daemon/src/idempotency/keyed-calls.test.ts
+++ b/packages/daemon/src/idempotency/keyed-calls.test.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {PassThrough} from 'node:stream';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import * as tap from 'tap';
 import {request} from 'undici';
 import {createError, type Call, type CallResult} from '../caller/call.js';
--- a/packages/daemon/src/idempotency/keyed-calls.ts
+++ b/packages/daemon/src/idempotency/keyed-calls.ts
@@ -5,7 +5,7 @@
  */
 import {createHash} from 'node:crypto';
 import * as core from '@gullstand/core';
-import type {ObjectStore, TableService} from '@gullstand/platform';
+import type {ObjectStore, TableService} from '@gullstand/ports';
 import {
 	createError,
 	type Call,
--- a/packages/daemon/src/idempotency/sweeper.test.ts
+++ b/packages/daemon/src/idempotency/sweeper.test.ts
@@ -1,5 +1,5 @@
 import * as core from '@gullstand/core';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import * as standIn from '@gullstand/stand-in';
 import * as tap from 'tap';
 import {tableName} from './group-writer.js';
--- a/packages/daemon/src/idempotency/sweeper.ts
+++ b/packages/daemon/src/idempotency/sweeper.ts
@@ -3,7 +3,7 @@
  * does so at its own pace; removals are conditional, so that two do no harm.
  */
 import * as core from '@gullstand/core';
-import type {ObjectStore, Row, TableService} from '@gullstand/platform';
+import type {ObjectStore, Row, TableService} from '@gullstand/ports';
 import type {Part} from '../supervisor/supervisor.js';
 import {readStored, tableName} from './group-writer.js';
 import type {Clock, Randomness} from './ports.js';
--- a/packages/daemon/src/membership/forget-runner.ts
+++ b/packages/daemon/src/membership/forget-runner.ts
@@ -5,7 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import * as core from '@gullstand/core';
 import type {acknowledgement, observation, standing} from '@gullstand/core';
-import type {InstanceList, TableService} from '@gullstand/platform';
+import type {InstanceList, TableService} from '@gullstand/ports';
 import type {Logger} from '../log/logger.js';
 import type {Part} from '../supervisor/supervisor.js';
 import {createTicker} from '../view/ticker.js';
--- a/packages/daemon/src/membership/member-state.ts
+++ b/packages/daemon/src/membership/member-state.ts
@@ -6,7 +6,7 @@
 	View,
 	viewChange,
 } from '@gullstand/core';
-import type {InstanceList, TableService} from '@gullstand/platform';
+import type {InstanceList, TableService} from '@gullstand/ports';
 import type {Logger} from '../log/logger.js';
 import type {PeerChannel} from '../peers/peer-channel.js';
 import type {MembershipRows} from './membership-rows.js';
--- a/packages/daemon/src/membership/member.ts
+++ b/packages/daemon/src/membership/member.ts
@@ -5,7 +5,7 @@
  */
 import * as core from '@gullstand/core';
 import type {lagging, Result, standing, viewChange} from '@gullstand/core';
-import type {StoreError} from '@gullstand/platform';
+import type {StoreError} from '@gullstand/ports';
 import type {PeerMethods} from '../peers/peer-methods.js';
 import type {Part} from '../supervisor/supervisor.js';
 import {createTicker} from '../view/ticker.js';
--- a/packages/daemon/src/membership/membership-rows.ts
+++ b/packages/daemon/src/membership/membership-rows.ts
@@ -1,7 +1,7 @@
 /** Reads the registered entries from the table service. */
 import * as core from '@gullstand/core';
 import type {registration, Result, StoreWrite} from '@gullstand/core';
-import type {StoreError, TableService, Write} from '@gullstand/platform';
+import type {StoreError, TableService, Write} from '@gullstand/ports';
 import {z} from 'zod';
 
 /** A registration and the version of its row. */
--- a/packages/daemon/src/membership/register.test.ts
+++ b/packages/daemon/src/membership/register.test.ts
@@ -4,7 +4,7 @@
 	createMemoryInstanceList,
 	createMemoryTableService,
 	type TableService,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import * as tap from 'tap';
 import {createMemberState, type MemberDeps} from './member-state.js';
 import {deregister, register, renew} from './register.js';
--- a/packages/daemon/src/moves/move-rows.ts
+++ b/packages/daemon/src/moves/move-rows.ts
@@ -8,7 +8,7 @@
 	Result,
 	viewChange,
 } from '@gullstand/core';
-import type {StoreError, TableService, Write} from '@gullstand/platform';
+import type {StoreError, TableService, Write} from '@gullstand/ports';
 import {commitChange} from '../view/commit-change.js';
 import {readTable, toJson} from '../view/tables.js';
 
--- a/packages/daemon/src/moves/move-runner.ts
+++ b/packages/daemon/src/moves/move-runner.ts
@@ -11,7 +11,7 @@
 	shardLease,
 	viewChange,
 } from '@gullstand/core';
-import type {TableService} from '@gullstand/platform';
+import type {TableService} from '@gullstand/ports';
 import type {Logger} from '../log/logger.js';
 import {readMembership} from '../membership/membership-rows.js';
 import type {Part} from '../supervisor/supervisor.js';
--- a/packages/daemon/src/operator/entries/app.ts
+++ b/packages/daemon/src/operator/entries/app.ts
@@ -5,7 +5,7 @@
 	type client,
 	client as storeClient,
 	type Write,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import {answerError, answerStoreError} from '../objects/answers.js';
 import {readRegistrations, type RegistrationRow} from '../objects/in-force.js';
 import {formatEtag, readPrecondition} from '../objects/preconditions.js';
--- a/packages/daemon/src/operator/instances/moves.ts
+++ b/packages/daemon/src/operator/instances/moves.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import * as core from '@gullstand/core';
 import type {errors, move, View, viewChange} from '@gullstand/core';
-import type {ListedInstance, StoreError} from '@gullstand/platform';
+import type {ListedInstance, StoreError} from '@gullstand/ports';
 import {commitStep, readInstance, readMoves} from '../../moves/move-rows.js';
 import {counterRow} from '../../view/tables.js';
 import {
--- a/packages/daemon/src/operator/objects/answers.ts
+++ b/packages/daemon/src/operator/objects/answers.ts
@@ -3,7 +3,7 @@
 import type {Context} from 'hono';
 import * as core from '@gullstand/core';
 import type {errors} from '@gullstand/core';
-import type {Row, StoreError} from '@gullstand/platform';
+import type {Row, StoreError} from '@gullstand/ports';
 import {createErrorResponse} from '../../caller/answer.js';
 import type {OperatorEnv} from '../operator-app.js';
 import {formatEtag} from './preconditions.js';
--- a/packages/daemon/src/operator/objects/apply-object.ts
+++ b/packages/daemon/src/operator/objects/apply-object.ts
@@ -1,7 +1,7 @@
 /** Applies one change of an object and, if asked, waits until in force. */
 import {randomUUID} from 'node:crypto';
 import type {errors, View, viewChange} from '@gullstand/core';
-import type {Precondition} from '@gullstand/platform';
+import type {Precondition} from '@gullstand/ports';
 import {commitChange, type CommittedChange} from '../../view/commit-change.js';
 import {counterRow, toJson} from '../../view/tables.js';
 import type {OperatorDeps} from '../operator-app.js';
--- a/packages/daemon/src/operator/objects/diff-fields.ts
+++ b/packages/daemon/src/operator/objects/diff-fields.ts
@@ -1,5 +1,5 @@
 /** Differences of two objects, field by field, for operators to read. */
-import type {JsonValue} from '@gullstand/platform';
+import type {JsonValue} from '@gullstand/ports';
 
 /** One field that differs; undefined where the field is absent. */
 export type FieldDiff = {
--- a/packages/daemon/src/operator/objects/in-force.ts
+++ b/packages/daemon/src/operator/objects/in-force.ts
@@ -1,7 +1,7 @@
 /** Whether a revision is in force on every registered entry, and who lags. */
 import * as core from '@gullstand/core';
 import type {lagging, registration, Result} from '@gullstand/core';
-import type {client, StoreError, TableService} from '@gullstand/platform';
+import type {client, StoreError, TableService} from '@gullstand/ports';
 import {readTable} from '../../view/tables.js';
 
 /** What is asked of the entries. */
--- a/packages/daemon/src/operator/objects/preconditions.ts
+++ b/packages/daemon/src/operator/objects/preconditions.ts
@@ -1,7 +1,7 @@
 /** Entity tags of rows (RFC 9110, sections 8.8.3 and 13.1). */
 import * as core from '@gullstand/core';
 import type {errors, Result} from '@gullstand/core';
-import type {Precondition} from '@gullstand/platform';
+import type {Precondition} from '@gullstand/ports';
 
 const etagPattern = /^"(\d{1,15})"$/v;
 
--- a/packages/daemon/src/operator/operator-app.ts
+++ b/packages/daemon/src/operator/operator-app.ts
@@ -6,7 +6,7 @@
 import type {HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import type {followedView, lagging, View, viewChange} from '@gullstand/core';
-import type {client, InstanceList, TableService} from '@gullstand/platform';
+import type {client, InstanceList, TableService} from '@gullstand/ports';
 import {createErrorResponse} from '../caller/answer.js';
 import type {Logger} from '../log/logger.js';
 import type {Metrics} from '../metrics/metrics.js';
--- a/packages/daemon/src/operator/operator.test.ts
+++ b/packages/daemon/src/operator/operator.test.ts
@@ -4,7 +4,7 @@
 import {request} from 'undici';
 import * as core from '@gullstand/core';
 import type {Contract} from '@gullstand/core';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {createDaemon} from '../daemon.js';
 import {startEmbeddedPlatform} from '../embedded/embedded-platform.js';
 import {
--- a/packages/daemon/src/operator/waves/app.ts
+++ b/packages/daemon/src/operator/waves/app.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import * as core from '@gullstand/core';
 import {budget, waves} from '@gullstand/core';
-import type {StoreError, Write} from '@gullstand/platform';
+import type {StoreError, Write} from '@gullstand/ports';
 import {readDrain} from '../../waves/drain-check.js';
 import {createViewLedgers, type Listed} from '../../waves/ledger-book.js';
 import {createFacts, noJobs} from '../../waves/wave-facts.js';
--- a/packages/daemon/src/platform/open-platform.test.ts
+++ b/packages/daemon/src/platform/open-platform.test.ts
@@ -1,5 +1,5 @@
 import * as tap from 'tap';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {countListed} from './open-platform.js';
 
 tap.t.test('counts the entries that the list shows', async (t) => {
--- a/packages/daemon/src/platform/open-platform.ts
+++ b/packages/daemon/src/platform/open-platform.ts
@@ -1,6 +1,6 @@
 /** Opens the platform that the settings name, behind the rate guard. */
 import {randomUUID} from 'node:crypto';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import type {Platform} from '../daemon.js';
 import type {Settings} from '../settings/schema.js';
 import {createEnvironment} from '../view/environment.js';
--- a/packages/daemon/src/shards/lease-runner.ts
+++ b/packages/daemon/src/shards/lease-runner.ts
@@ -11,7 +11,7 @@
 	shardLease,
 	StoreWrite,
 } from '@gullstand/core';
-import type {TableService} from '@gullstand/platform';
+import type {TableService} from '@gullstand/ports';
 import type {Logger} from '../log/logger.js';
 import {toWrites, type MembershipRows} from '../membership/membership-rows.js';
 import type {Part} from '../supervisor/supervisor.js';
--- a/packages/daemon/src/view/commit-change.ts
+++ b/packages/daemon/src/view/commit-change.ts
@@ -12,7 +12,7 @@
 	type StoreError,
 	type TableService,
 	type Write,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import {createEnvironment} from './environment.js';
 import {
 	changeTable,
--- a/packages/daemon/src/view/environment.ts
+++ b/packages/daemon/src/view/environment.ts
@@ -1,7 +1,7 @@
 /** Time and chance of a real process. */
 import {performance} from 'node:perf_hooks';
 import * as timers from 'node:timers/promises';
-import type {client} from '@gullstand/platform';
+import type {client} from '@gullstand/ports';
 
 /** Monotonic time, timers and random numbers of this process. */
 export const createEnvironment = (): client.Environment => ({
--- a/packages/daemon/src/view/snapshot-store.ts
+++ b/packages/daemon/src/view/snapshot-store.ts
@@ -4,7 +4,7 @@
  */
 import * as core from '@gullstand/core';
 import type {followedView, Result} from '@gullstand/core';
-import type {client, ObjectError, ObjectStore} from '@gullstand/platform';
+import type {client, ObjectError, ObjectStore} from '@gullstand/ports';
 import type {Part} from '../supervisor/supervisor.js';
 import {createTicker} from './ticker.js';
 import {
--- a/packages/daemon/src/view/tables.ts
+++ b/packages/daemon/src/view/tables.ts
@@ -17,7 +17,7 @@
 	Row,
 	StoreError,
 	TableService,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 
 /** Tables that the view is read from. */
 export const viewTables = {
--- a/packages/daemon/src/view/view-follower.ts
+++ b/packages/daemon/src/view/view-follower.ts
@@ -5,7 +5,7 @@
  */
 import * as core from '@gullstand/core';
 import type {followedView, View, viewChange} from '@gullstand/core';
-import {type client, type TableService} from '@gullstand/platform';
+import {type client, type TableService} from '@gullstand/ports';
 import type {Part} from '../supervisor/supervisor.js';
 import {createEnvironment} from './environment.js';
 import {readChanges, readCounter, readView} from './tables.js';
--- a/packages/daemon/src/view/view.test.ts
+++ b/packages/daemon/src/view/view.test.ts
@@ -2,7 +2,7 @@
 import * as tap from 'tap';
 import * as core from '@gullstand/core';
 import type {Service} from '@gullstand/core';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {commitChange, type ChangeOptions} from './commit-change.js';
 import {
 	createSnapshotWriter,
--- a/packages/daemon/src/waves/drain-check.ts
+++ b/packages/daemon/src/waves/drain-check.ts
@@ -5,7 +5,7 @@
  */
 import * as core from '@gullstand/core';
 import type {lagging, move, View} from '@gullstand/core';
-import type {TableService, Write} from '@gullstand/platform';
+import type {TableService, Write} from '@gullstand/ports';
 import {readRegistrations} from '../operator/objects/in-force.js';
 
 /** What the check looks at. */
--- a/packages/daemon/src/waves/ledger-book.ts
+++ b/packages/daemon/src/waves/ledger-book.ts
@@ -11,7 +11,7 @@
 	type View,
 	type waves,
 } from '@gullstand/core';
-import type {ListedInstance, TableService} from '@gullstand/platform';
+import type {ListedInstance, TableService} from '@gullstand/ports';
 import {readTable, toJson} from '../view/tables.js';
 
 /** The instance list by id. */
--- a/packages/daemon/src/waves/probe.ts
+++ b/packages/daemon/src/waves/probe.ts
@@ -1,7 +1,7 @@
 /** Probes of instances that come back: each must pass some in a row. */
 import {connect} from 'node:net';
 import type {Instance} from '@gullstand/core';
-import type {Workers} from '@gullstand/platform';
+import type {Workers} from '@gullstand/ports';
 
 /** Passes in a row, by instance. */
 export type Probes = {
--- a/packages/daemon/src/waves/wave-commit.ts
+++ b/packages/daemon/src/waves/wave-commit.ts
@@ -10,7 +10,7 @@
 	type viewChange,
 	type waves,
 } from '@gullstand/core';
-import type {client, TableService, Workers, Write} from '@gullstand/platform';
+import type {client, TableService, Workers, Write} from '@gullstand/ports';
 import {commitChange} from '../view/commit-change.js';
 import {toJson} from '../view/tables.js';
 import type {LedgerBook, Listed} from './ledger-book.js';
--- a/packages/daemon/src/waves/wave-fleet.test.ts
+++ b/packages/daemon/src/waves/wave-fleet.test.ts
@@ -3,7 +3,7 @@
 import {PassThrough} from 'node:stream';
 import {setTimeout as wait} from 'node:timers/promises';
 import type {waves} from '@gullstand/core';
-import type {MemoryInstanceList} from '@gullstand/platform';
+import type {MemoryInstanceList} from '@gullstand/ports';
 import * as tap from 'tap';
 import {request} from 'undici';
 import {agreementDefaults} from '../agreement/agreement.js';
--- a/packages/daemon/src/waves/wave-rows.ts
+++ b/packages/daemon/src/waves/wave-rows.ts
@@ -1,6 +1,6 @@
 /** Reads waves from the table service. */
 import {budget, succeed, waves, type Result, type View} from '@gullstand/core';
-import type {Row, StoreError, TableService} from '@gullstand/platform';
+import type {Row, StoreError, TableService} from '@gullstand/ports';
 import {readTable} from '../view/tables.js';
 import {getServicesByPool} from './ledger-book.js';
 
--- a/packages/daemon/src/waves/wave-runner.ts
+++ b/packages/daemon/src/waves/wave-runner.ts
@@ -17,7 +17,7 @@
 	TableService,
 	Workers,
 	Write,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import type {Logger} from '../log/logger.js';
 import type {Part} from '../supervisor/supervisor.js';
 import {createTicker} from '../view/ticker.js';
--- a/packages/daemon/src/waves/wave-world.test.fixture.ts
+++ b/packages/daemon/src/waves/wave-world.test.fixture.ts
@@ -7,7 +7,7 @@
 	createMemoryTableService,
 	type TableService,
 	type Workers,
-} from '@gullstand/platform';
+} from '@gullstand/ports';
 import type {Logger} from '../log/logger.js';
 import {commitChange} from '../view/commit-change.js';
 import {toJson} from '../view/tables.js';
--- a/packages/stand-in/src/platform/app.ts
+++ b/packages/stand-in/src/platform/app.ts
@@ -1,7 +1,7 @@
 /** The platform's HTTP protocol over any set of ports. */
 import type * as hono from 'hono';
 import * as core from '@gullstand/core';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 
 /** The ports that an app serves. */
 export type PlatformPorts = {
--- a/packages/stand-in/src/platform/server.test.ts
+++ b/packages/stand-in/src/platform/server.test.ts
@@ -1,5 +1,5 @@
 import * as tap from 'tap';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {startPlatformServer} from './server.js';
 
 const write: platform.Write = {
--- a/packages/stand-in/src/platform/server.ts
+++ b/packages/stand-in/src/platform/server.ts
@@ -6,7 +6,7 @@
 import * as timers from 'node:timers/promises';
 import * as nodeServer from '@hono/node-server';
 import * as hono from 'hono';
-import * as platform from '@gullstand/platform';
+import * as platform from '@gullstand/ports';
 import {addPlatformRoutes, type PlatformPorts} from './app.js';
 
 /** Settings of a stand-in platform. */
