--- a/packages/core/src/errors/error-table.ts
+++ b/packages/core/src/errors/error-table.ts
@@ -51,6 +51,42 @@
 		retry: 'never',
 		message: 'no service of that name',
 	},
+	'unknown-queue': {
+		status: 404,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'no such queue',
+	},
+	'unknown-job': {
+		status: 410,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'no such job',
+	},
+	'job-conflict': {
+		status: 409,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'another job was accepted under this id',
+	},
+	'no-configuration': {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'this entry has no configuration yet',
+	},
+	'submission-unknown': {
+		status: 504,
+		outcome: 'unknown',
+		retry: 'same-key',
+		message: 'the store did not answer; the job may have been accepted',
+	},
+	'job-unread': {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'the state of the job cannot be read now',
+	},
 	'not-found': {
 		status: 404,
 		outcome: 'not-run',
--- /dev/null
+++ b/packages/core/src/fleet/index.ts
@@ -0,0 +1,2 @@
+/** Machines: maintenance waves and moves between pools. */
+export * from './machine-wave.js';
--- /dev/null
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -0,0 +1,220 @@
+/**
+ * Maintenance of machines in a wave: which to empty next, which to order, and
+ * when all is done. What has begun is stored before it is ordered, so that the
+ * next holder goes on from there.
+ */
+
+/** A machine as the platform lists it, as far as a wave needs it. */
+export type WaveMachine = {
+	readonly id: string;
+	readonly pool: string;
+	readonly isUp: boolean;
+	readonly executorId: string | undefined;
+};
+
+/** A wave as an operator has asked for it. */
+export type MachineWaveRequest = {
+	readonly id: string;
+	readonly machines: readonly string[];
+	readonly durationMs: number;
+	/** Most machines that may be away for this wave at once. */
+	readonly maxAway: number;
+};
+
+/** One machine whose maintenance was ordered. */
+export type BegunMachine = {
+	/** Its executor before; another one shows that it is back. */
+	readonly executorId: string | undefined;
+	/** Time of day when it was ordered first. */
+	readonly begunAtEpochMs: number;
+	readonly isAnswered: boolean;
+	readonly isBack: boolean;
+};
+
+/** What is stored of a wave. */
+export type MachineWave = {
+	readonly request: MachineWaveRequest;
+	/** Time of day when it was first seen. */
+	readonly seenAtEpochMs: number;
+	readonly begun: Readonly<Record<string, BegunMachine>>;
+	readonly isCompleted: boolean;
+};
+
+/** How busy a machine is; a machine without an executor is not. */
+export type MachineLoad = {
+	readonly runs: number;
+	readonly lasting: number;
+	readonly usedCpu: number;
+};
+
+/** What to do next for a wave. */
+export type WaveStep = {
+	/** Machines to empty, also those that are being emptied already. */
+	readonly evacuate: readonly string[];
+	/** Machines whose maintenance may begin now if they are empty. */
+	readonly mayBegin: number;
+	readonly isCompleted: boolean;
+};
+
+/** A wave just seen. */
+export const createMachineWave = (
+	request: MachineWaveRequest,
+	epochNow: number,
+): MachineWave => ({
+	request,
+	seenAtEpochMs: epochNow,
+	begun: {},
+	isCompleted: false,
+});
+
+/** Notes which of the begun machines are back. */
+export const noteMachines = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+	epochNow: number,
+): MachineWave => {
+	const begun = Object.entries(wave.begun).map(([id, entry]) => {
+		const isBack = entry.isBack || hasReturned(entry, machines.get(id), epochNow);
+		return [id, {...entry, isBack}] as const;
+	});
+	return {...wave, begun: Object.fromEntries(begun)};
+};
+
+/**
+ * A machine that the platform says it has maintained and that is up, with the
+ * executor that it had when ordered, for this long was maintained by an
+ * earlier order. Longer than a maintenance takes, in milliseconds.
+ */
+const earlierOrderMs = 8000;
+
+const hasReturned = (
+	entry: BegunMachine,
+	machine: WaveMachine | undefined,
+	epochNow: number,
+): boolean => {
+	if (!machine) {
+		return true;
+	}
+
+	if (!machine.isUp) {
+		return false;
+	}
+
+	const isReplaced =
+		machine.executorId !== undefined && machine.executorId !== entry.executorId;
+	const isOld = epochNow - entry.begunAtEpochMs > earlierOrderMs;
+	return isReplaced || (entry.isAnswered && isOld);
+};
+
+/** Machines of a wave that are away for it, or may be. */
+export const countAway = ({begun}: MachineWave): number =>
+	Object.values(begun).filter(({isBack}) => !isBack).length;
+
+/** Weight of a lasting task against one that ends by itself. */
+const lastingWeight = 20;
+
+const getBurden = (load: MachineLoad | undefined): number =>
+	load ? load.runs + lastingWeight * load.lasting : 0;
+
+/** Machines that have not begun, the least busy first. */
+export const rankPending = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+	getLoad: (machine: WaveMachine) => MachineLoad | undefined,
+): readonly WaveMachine[] =>
+	wave.request.machines
+		.flatMap((id) => {
+			const machine = machines.get(id);
+			return machine && !(id in wave.begun) ? [machine] : [];
+		})
+		.filter(({isUp}) => isUp)
+		.map((machine) => ({machine, burden: getBurden(getLoad(machine))}))
+		.toSorted((one, two) => one.burden - two.burden)
+		.map(({machine}) => machine);
+
+/** Machines that are listed and have not begun. */
+const countPending = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+): number =>
+	wave.request.machines.filter((id) => machines.has(id) && !(id in wave.begun))
+		.length;
+
+/**
+ * Decides the next step. As many machines are emptied ahead as may be away, so
+ * that one can begin as soon as another is back.
+ */
+export const stepMachineWave = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+	emptying: ReadonlySet<string>,
+	getLoad: (machine: WaveMachine) => MachineLoad | undefined,
+): WaveStep => {
+	const away = countAway(wave);
+	const mayBegin = Math.max(0, wave.request.maxAway - away);
+	const ranked = rankPending(wave, machines, getLoad);
+	const begunAlready = ranked.filter(({id}) => emptying.has(id));
+	const fresh = ranked.filter(({id}) => !emptying.has(id));
+	const evacuate = [...begunAlready, ...fresh]
+		.slice(0, wave.request.maxAway)
+		.map(({id}) => id);
+	return {
+		evacuate,
+		mayBegin,
+		isCompleted: countPending(wave, machines) === 0 && away === 0,
+	};
+};
+
+/** Notes that the maintenance of a machine is about to be ordered. */
+export const beginMachine = (
+	wave: MachineWave,
+	machine: WaveMachine,
+	epochNow: number,
+): MachineWave => ({
+	...wave,
+	begun: {
+		...wave.begun,
+		[machine.id]: {
+			executorId: machine.executorId,
+			begunAtEpochMs: epochNow,
+			isAnswered: false,
+			isBack: false,
+		},
+	},
+});
+
+/** Notes that the platform has taken the order. */
+export const noteAnswered = (wave: MachineWave, id: string): MachineWave => {
+	const entry = wave.begun[id];
+	return entry
+		? {...wave, begun: {...wave.begun, [id]: {...entry, isAnswered: true}}}
+		: wave;
+};
+
+/** The platform says that the machine is not to be maintained. */
+export const skipMachine = (wave: MachineWave, id: string): MachineWave => {
+	const entry = wave.begun[id];
+	return entry
+		? {...wave, begun: {...wave.begun, [id]: {...entry, isBack: true}}}
+		: wave;
+};
+
+/** The order was certainly not carried out: the machine is pending again. */
+export const takeBackMachine = (wave: MachineWave, id: string): MachineWave => {
+	const {[id]: _, ...begun} = wave.begun;
+	return {...wave, begun};
+};
+
+/** Whether to stop what runs rather than wait: the wave's end is near. */
+export const isPressed = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+	turnMs: number,
+	epochNow: number,
+): boolean => {
+	const left = wave.seenAtEpochMs + wave.request.durationMs - epochNow;
+	const rounds = Math.ceil(
+		countPending(wave, machines) / Math.max(1, wave.request.maxAway),
+	);
+	return left < rounds * turnMs;
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -77,3 +77,5 @@
 export * as placement from './placement/index.js';
 export * as shardAssignment from './shards/shard-assignment.js';
 export * as jobs from './jobs/index.js';
+export * as scheduler from './scheduler/index.js';
+export * as fleet from './fleet/index.js';
--- /dev/null
+++ b/packages/core/src/scheduler/acknowledge.ts
@@ -0,0 +1,106 @@
+/**
+ * What may be acknowledged to executors: ends are forgotten there once they
+ * are acknowledged, so only those that the store has are.
+ */
+import type {Executor} from './executor.js';
+import type {Owner} from './owner.js';
+import {encodeProgress, type JobProgress} from './progress.js';
+import type {Job, JobEnd} from './task.js';
+import type {ListedExecutor} from './types.js';
+
+/** A job's progress that is on its way to the store. */
+export type StoredJob = {
+	readonly job: Job;
+	readonly end: JobEnd | undefined;
+	readonly progress: JobProgress;
+};
+
+/** What one flush stores. */
+export type Flush = {
+	readonly number: number;
+	readonly jobs: readonly StoredJob[];
+	/** All executors that may run tasks; absent if unchanged. */
+	readonly roster: readonly ListedExecutor[] | undefined;
+};
+
+const listRoster = (owner: Owner): readonly ListedExecutor[] =>
+	[...owner.executors.values()].map(({listed}) => listed);
+
+/** Below the number of any flush: a part of the changes proves no end stored. */
+const noFlush = 0;
+
+/** Whether there is anything to store. */
+export const needsFlush = (owner: Owner): boolean =>
+	owner.dirty.size > 0 || owner.isRosterDirty;
+
+/** Takes what is to be stored next, at most so many jobs. */
+export const beginFlush = (owner: Owner, maxJobs: number): Flush => {
+	const taken = [...owner.dirty].slice(0, maxJobs);
+	const isWhole = taken.length === owner.dirty.size;
+	const jobs = taken.map((job) => ({
+		job,
+		end: job.end,
+		progress: encodeProgress(job),
+	}));
+	for (const job of taken) {
+		owner.dirty.delete(job);
+	}
+
+	const roster = owner.isRosterDirty ? listRoster(owner) : undefined;
+	owner.isRosterDirty = false;
+	const number = owner.flush;
+	// Ends taken in from now on wait for a later flush.
+	owner.flush += isWhole ? 1 : 0;
+	return {number: isWhole ? number : noFlush, jobs, roster};
+};
+
+/** The flush failed or its outcome is unknown: all of it is stored again. */
+export const abandonFlush = (owner: Owner, flush: Flush): void => {
+	for (const {job} of flush.jobs) {
+		owner.dirty.add(job);
+	}
+
+	owner.isRosterDirty ||= flush.roster !== undefined;
+};
+
+const advanceAck = (executor: Executor, stored: number): boolean => {
+	const before = executor.ackedUpto;
+	let [first] = executor.unackedEnds;
+	while (first && first.flush <= stored) {
+		executor.ackedUpto = first.number;
+		executor.unackedEnds.shift();
+		[first] = executor.unackedEnds;
+	}
+
+	return executor.ackedUpto !== before;
+};
+
+/**
+ * The flush is stored. Answers the executors that have new ends to be
+ * acknowledged to them.
+ */
+export const completeFlush = (
+	owner: Owner,
+	flush: Flush,
+): readonly Executor[] => {
+	for (const {job, end} of flush.jobs) {
+		job.storedEnd = end;
+	}
+
+	const rostered = new Set(flush.roster?.map(({id}) => id));
+	const executors = [...owner.executors.values()];
+	for (const executor of executors) {
+		executor.isRostered ||= rostered.has(executor.id);
+	}
+
+	return executors.filter((executor) => advanceAck(executor, flush.number));
+};
+
+/**
+ * Nothing is unsaved and no flush is under way, so that all ends taken in may
+ * be acknowledged: those that changed nothing need no flush of their own.
+ */
+export const acknowledgeIdle = (owner: Owner): readonly Executor[] =>
+	[...owner.executors.values()].filter((executor) =>
+		advanceAck(executor, Number.POSITIVE_INFINITY),
+	);
--- /dev/null
+++ b/packages/core/src/scheduler/owner.ts
@@ -0,0 +1,305 @@
+/**
+ * The owner of one service: its jobs, its executors and what may be started.
+ * All of it can be rebuilt from the store and the executors by the next
+ * owner; see docs/design/platform-programs.md.
+ */
+import type {SchedulerConfig} from './config.js';
+import {createExecutor, dropRun, hasLapsed, type Executor} from './executor.js';
+import {
+	addDueOccurrences,
+	createJob,
+	isWhollyDone,
+	listTasks,
+	type Job,
+	type JobEnd,
+	type Run,
+} from './task.js';
+import type {AcceptedJob, JobState, ListedExecutor} from './types.js';
+
+/** State of one ownership: from a takeover to the loss of the service. */
+export type Owner = {
+	readonly cfg: SchedulerConfig;
+	readonly service: string;
+	/** Fencing token; every order to an executor carries it. */
+	readonly token: number;
+	readonly takenOverAt: number;
+	readonly jobs: Map<string, Job>;
+	/** Jobs without an end, in order of acceptance. */
+	readonly openJobs: Set<Job>;
+	readonly executors: Map<string, Executor>;
+	/**
+	 * Executors that may run what an earlier owner started, with the time at
+	 * which its leases there are certainly over.
+	 */
+	readonly unresolved: Map<string, number>;
+	/** Jobs whose progress differs from the store. */
+	readonly dirty: Set<Job>;
+	/** The set of executors in the store is out of date. */
+	isRosterDirty: boolean;
+	/** Number of the flush that takes in what changes now. */
+	flush: number;
+	/** Mean work of a job by queue, for the order of work. */
+	readonly meanWork: Map<string, {count: number; sum: number}>;
+};
+
+/** A job that changed and why, for the log. */
+export type JobChange = {
+	readonly job: string;
+	readonly end: JobEnd;
+	readonly reason: string;
+};
+
+/** Creates the state of a service just taken over. */
+export const createOwner = (
+	service: string,
+	token: number,
+	cfg: SchedulerConfig,
+	now: number,
+): Owner => ({
+	cfg,
+	service,
+	token,
+	takenOverAt: now,
+	jobs: new Map(),
+	openJobs: new Set(),
+	executors: new Map(),
+	unresolved: new Map(),
+	dirty: new Set(),
+	isRosterDirty: false,
+	flush: 1,
+	meanWork: new Map(),
+});
+
+const noteWork = (owner: Owner, job: Job): void => {
+	const {queue} = job.accepted.policy;
+	const mean = owner.meanWork.get(queue) ?? {count: 0, sum: 0};
+	mean.count += 1;
+	mean.sum += job.totalWork;
+	owner.meanWork.set(queue, mean);
+};
+
+/** Takes in a job; a second time it changes nothing. */
+export const addJob = (
+	owner: Owner,
+	accepted: AcceptedJob,
+	isInherited: boolean,
+): Job => {
+	const known = owner.jobs.get(accepted.id);
+	if (known) {
+		return known;
+	}
+
+	const job = createJob(accepted, isInherited);
+	owner.jobs.set(accepted.id, job);
+	owner.openJobs.add(job);
+	noteWork(owner, job);
+	return job;
+};
+
+/** Ends a job; what still runs of it is stopped by the next plan. */
+export const endJob = (
+	owner: Owner,
+	job: Job,
+	end: JobEnd,
+	now: number,
+): void => {
+	if (job.end) {
+		return;
+	}
+
+	job.end = end;
+	job.endedAt = now;
+	owner.openJobs.delete(job);
+	owner.dirty.add(job);
+};
+
+/**
+ * Cancels a job. The cancellation is a row of its own and lasting already, so
+ * it may be shown at once.
+ */
+export const cancelJob = (owner: Owner, job: Job, now: number): void => {
+	if (job.end) {
+		return;
+	}
+
+	endJob(owner, job, 'cancelled', now);
+	job.storedEnd = 'cancelled';
+};
+
+/** The state that a caller is shown; an end only once it is stored. */
+export const getJobState = (job: Job): JobState => {
+	if (job.storedEnd) {
+		return job.storedEnd;
+	}
+
+	return job.hasStarted ? 'running' : 'queued';
+};
+
+/** Jobs of a queue for which no task has started. */
+export const countPending = (owner: Owner, queue: string): number =>
+	[...owner.openJobs].filter(
+		(job) => job.accepted.policy.queue === queue && !job.hasStarted,
+	).length;
+
+/** Notes a done task's job: it may be wholly done. */
+export const completeIfDone = (owner: Owner, job: Job, now: number): void => {
+	owner.dirty.add(job);
+	if (!job.end && isWhollyDone(job)) {
+		endJob(owner, job, 'completed', now);
+	}
+};
+
+/** Adds the occurrences whose time of day has come. */
+export const advanceSchedules = (owner: Owner, epochNow: number): void => {
+	for (const job of owner.openJobs) {
+		const before = job.nextOccurrence;
+		addDueOccurrences(job, epochNow);
+		if (job.nextOccurrence !== before && job.accepted.spec.schedule) {
+			owner.dirty.add(job);
+		}
+	}
+};
+
+/** Frees what a run held, for the task to be started elsewhere. */
+export const releaseRun = (owner: Owner, run: Run): void => {
+	const executor = owner.executors.get(run.executorId);
+	if (executor) {
+		dropRun(executor, run);
+	}
+};
+
+const canForget = (executor: Executor): boolean =>
+	!executor.isListed && executor.runs.size === 0;
+
+const forgetIfGone = (owner: Owner, executor: Executor): void => {
+	if (canForget(executor) && !owner.unresolved.has(executor.id)) {
+		owner.executors.delete(executor.id);
+		owner.isRosterDirty ||= executor.isRostered;
+	}
+};
+
+/** Notes that an executor is listed as this. */
+export const listExecutor = (owner: Owner, listed: ListedExecutor): void => {
+	const known = owner.executors.get(listed.id);
+	if (known) {
+		known.listed = listed;
+		known.isListed = true;
+		return;
+	}
+
+	owner.executors.set(listed.id, createExecutor(listed));
+	owner.isRosterDirty = true;
+};
+
+/**
+ * Notes that the registry has dropped an executor. That says nothing of what
+ * runs there: only its answer, its next life or the end of its leases does.
+ */
+export const unlistExecutor = (owner: Owner, id: string): void => {
+	const executor = owner.executors.get(id);
+	if (executor) {
+		executor.isListed = false;
+		forgetIfGone(owner, executor);
+	}
+};
+
+/** All runs of an executor are certainly over; answers those freed. */
+const releaseAll = (owner: Owner, executor: Executor): readonly Run[] => {
+	const runs = [...executor.runs.values()];
+	for (const run of runs) {
+		dropRun(executor, run);
+	}
+
+	forgetIfGone(owner, executor);
+	return runs;
+};
+
+/** Another life answers at the address: this one is certainly gone. */
+export const noteOtherLife = (owner: Owner, id: string): readonly Run[] => {
+	owner.unresolved.delete(id);
+	const executor = owner.executors.get(id);
+	if (!executor) {
+		return [];
+	}
+
+	executor.isListed = false;
+	executor.unackedEnds = [];
+	return releaseAll(owner, executor);
+};
+
+/** A call to an executor had no answer. */
+export const noteSilence = (owner: Owner, id: string, now: number): void => {
+	const executor = owner.executors.get(id);
+	if (executor) {
+		executor.silentSince ??= now;
+	}
+};
+
+/**
+ * An executor on which an earlier owner may have started tasks. Until it
+ * answers, is replaced or `overAt` has passed, those may run there.
+ */
+export const inheritExecutor = (
+	owner: Owner,
+	listed: ListedExecutor,
+	overAt: number,
+): void => {
+	const executor = createExecutor(listed);
+	// The roster that names it is the one in the store.
+	executor.isRostered = true;
+	executor.isListed = false;
+	owner.executors.set(listed.id, executor);
+	owner.unresolved.set(listed.id, overAt);
+};
+
+const unlistIfUnknown = (owner: Owner, id: string): void => {
+	const executor = owner.executors.get(id);
+	if (executor) {
+		forgetIfGone(owner, executor);
+	}
+};
+
+/** Frees what lapsed on silent executors; answers the runs freed. */
+export const expireLeases = (owner: Owner, now: number): readonly Run[] => {
+	for (const [id, overAt] of owner.unresolved) {
+		if (now >= overAt) {
+			owner.unresolved.delete(id);
+			unlistIfUnknown(owner, id);
+		}
+	}
+
+	const freed: Run[] = [];
+	for (const executor of owner.executors.values()) {
+		if (executor.silentSince !== undefined && hasLapsed(executor, now)) {
+			// Nothing is assumed of it until it has answered a look again.
+			executor.isAdopted = false;
+			freed.push(...releaseAll(owner, executor));
+		}
+	}
+
+	return freed;
+};
+
+/** Removes jobs that ended so long ago that nobody may ask for them. */
+export const forgetEndedJobs = (
+	owner: Owner,
+	now: number,
+	most: number,
+): readonly string[] => {
+	const old: string[] = [];
+	for (const [id, job] of owner.jobs) {
+		if (old.length >= most) {
+			break;
+		}
+
+		const isOld =
+			job.storedEnd !== undefined &&
+			job.endedAt !== undefined &&
+			now - job.endedAt > owner.cfg.keepEndedMs;
+		if (isOld && ![...listTasks(job)].some(({runs}) => runs.length > 0)) {
+			old.push(id);
+		}
+	}
+
+	return old;
+};
--- /dev/null
+++ b/packages/core/src/scheduler/plan.ts
@@ -0,0 +1,329 @@
+/** What the owner of a service orders next. */
+import {
+	expireEvacuations,
+	listEvacuationStops,
+	mayStopLasting,
+} from './evacuation.js';
+import {
+	addRun,
+	dropRun,
+	getRack,
+	grantLease,
+	type Executor,
+} from './executor.js';
+import type {Owner} from './owner.js';
+import {findEviction, listUsable, placeTask} from './place.js';
+import {rankJobs, type RankedJob} from './rank.js';
+import {isStepOpen, isWaiting, type Run, type Step, type Task} from './task.js';
+
+/** Why a run is stopped. */
+export type StopReason =
+	| 'job-ended'
+	| 'task-done'
+	| 'duplicate'
+	| 'unanswered-start'
+	| 'hung'
+	| 'evacuation'
+	| 'preempted'
+	| 'executor-draining';
+
+/** An order to an executor. */
+export type Order =
+	| {
+			readonly kind: 'start';
+			readonly executor: Executor;
+			readonly run: Run;
+			/** Lease end, by the executor's clock. */
+			readonly untilMs: number;
+	  }
+	| {
+			readonly kind: 'stop';
+			readonly executor: Executor;
+			readonly run: Run;
+			readonly reason: StopReason;
+	  };
+
+/** Room for so many runs of one task under one owner. */
+const runsPerToken = 10_000;
+
+/** Numbers rise over all owners of a task, since fencing tokens do. */
+const nextRunNumber = (owner: Owner, task: Task): number =>
+	Math.max(task.lastRun, owner.token * runsPerToken) + 1;
+
+const createRun = (
+	task: Task,
+	number: number,
+	executorId: string,
+	now: number,
+): Run => ({
+	task,
+	number,
+	executorId,
+	state: 'asked',
+	askedAt: now,
+	confirmedAt: undefined,
+	percent: 0,
+	progressedAt: now,
+	load: 0,
+	pacePercent: 100,
+	isStopUnderWay: false,
+});
+
+const stopRun = (
+	executor: Executor,
+	run: Run,
+	reason: StopReason,
+): Order | undefined => {
+	if (run.isStopUnderWay) {
+		return undefined;
+	}
+
+	run.isStopUnderWay = true;
+	run.state = run.confirmedAt === undefined ? 'barring' : 'stopping';
+	return {kind: 'stop', executor, run, reason};
+};
+
+const isHung = (owner: Owner, run: Run, now: number): boolean => {
+	const {hangFactor, hangMs, startupLimitMs} = owner.cfg;
+	const {spec} = run.task.step;
+	if (run.state !== 'running' || spec.isGang) {
+		return false;
+	}
+
+	if (spec.isLongRunning) {
+		return run.percent < 100 && now - run.askedAt > startupLimitMs;
+	}
+
+	return (
+		now - run.askedAt > hangFactor * spec.estimateMs &&
+		now - run.progressedAt > hangMs &&
+		run.percent < 100
+	);
+};
+
+const isDuplicate = ({task, number}: Run): boolean =>
+	!task.step.spec.allowsCopies &&
+	task.runs.some((other) => other.number > number);
+
+const findStopReason = (
+	owner: Owner,
+	run: Run,
+	now: number,
+): StopReason | undefined => {
+	const {task} = run;
+	if (task.step.occurrence.job.end) {
+		return 'job-ended';
+	}
+
+	if (task.isDone) {
+		return 'task-done';
+	}
+
+	if (isDuplicate(run)) {
+		return 'duplicate';
+	}
+
+	if (run.state === 'unsettled') {
+		return 'unanswered-start';
+	}
+
+	return isHung(owner, run, now) ? 'hung' : undefined;
+};
+
+const isStoppable = ({state}: Run): boolean =>
+	state === 'running' || state === 'unsettled';
+
+const leavesSoon = ({listed}: Executor, run: Run): boolean =>
+	listed.isDraining &&
+	run.task.step.spec.isLongRunning &&
+	mayStopLasting(run.task);
+
+const planStops = (owner: Owner, now: number): readonly Order[] => {
+	const orders: Order[] = [];
+	const add = (order: Order | undefined) => {
+		if (order) {
+			orders.push(order);
+		}
+	};
+
+	for (const executor of owner.executors.values()) {
+		// A silent executor is asked again once it has answered a look.
+		if (executor.silentSince !== undefined) {
+			continue;
+		}
+
+		for (const run of executor.runs.values()) {
+			const reason = isStoppable(run)
+				? findStopReason(owner, run, now)
+				: undefined;
+			add(reason && stopRun(executor, run, reason));
+		}
+
+		for (const run of listEvacuationStops(owner, executor, now)) {
+			add(stopRun(executor, run, 'evacuation'));
+		}
+
+		for (const run of executor.runs.values()) {
+			if (isStoppable(run) && leavesSoon(executor, run)) {
+				add(stopRun(executor, run, 'executor-draining'));
+			}
+		}
+	}
+
+	return orders;
+};
+
+/**
+ * A task accepted under an earlier owner may run on an executor that has not
+ * answered yet; one that this owner has seen is where it was seen.
+ */
+const isPlaceKnown = (owner: Owner, task: Task): boolean =>
+	!task.step.occurrence.job.isInherited ||
+	owner.unresolved.size === 0 ||
+	task.lastRun > 0;
+
+type Planning = {
+	readonly owner: Owner;
+	readonly now: number;
+	readonly usable: readonly Executor[];
+	readonly orders: Order[];
+};
+
+const startTask = (
+	{owner, now}: Planning,
+	executor: Executor,
+	task: Task,
+	number: number,
+): Order | undefined => {
+	const untilMs = grantLease(executor, owner.cfg.taskLeaseMs, now);
+	if (untilMs === undefined) {
+		return undefined;
+	}
+
+	const run = createRun(task, number, executor.id, now);
+	task.lastRun = number;
+	addRun(executor, run);
+	return {kind: 'start', executor, run, untilMs};
+};
+
+const evictFor = ({usable, orders}: Planning, task: Task): void => {
+	for (const run of findEviction(usable, task)) {
+		const executor = usable.find(({id}) => id === run.executorId);
+		const order = executor && stopRun(executor, run, 'preempted');
+		if (order) {
+			orders.push(order);
+		}
+	}
+};
+
+/** Starts what it can of a step. False once the executors are full for it. */
+const planStep = (planning: Planning, step: Step): void => {
+	const {owner, usable, orders} = planning;
+	for (const task of step.tasks) {
+		if (!isWaiting(task) || !isPlaceKnown(owner, task)) {
+			continue;
+		}
+
+		const placement = placeTask(usable, task);
+		if (placement.kind === 'refused') {
+			if (placement.reason === 'noRoom' && step.spec.isLongRunning) {
+				evictFor(planning, task);
+			}
+
+			return;
+		}
+
+		const number = nextRunNumber(owner, task);
+		const order = startTask(planning, placement.executor, task, number);
+		if (order) {
+			orders.push(order);
+		}
+	}
+};
+
+const isGangReady = (owner: Owner, step: Step): boolean =>
+	step.tasks.every((task) => isWaiting(task) && isPlaceKnown(owner, task));
+
+const groupByRack = (
+	executors: readonly Executor[],
+): ReadonlyArray<readonly Executor[]> =>
+	[...new Set(executors.map((each) => getRack(each)))].map((rack) =>
+		executors.filter((each) => getRack(each) === rack),
+	);
+
+const listRackGroups = (
+	usable: readonly Executor[],
+	step: Step,
+): ReadonlyArray<readonly Executor[]> =>
+	step.spec.needsSameRack ? [...groupByRack(usable), usable] : [usable];
+
+/** Starts all tasks of a gang with one run number, or none. */
+const planGang = (planning: Planning, step: Step): void => {
+	const {owner, usable, orders} = planning;
+	if (!isGangReady(owner, step)) {
+		return;
+	}
+
+	const number = Math.max(
+		...step.tasks.map((task) => nextRunNumber(owner, task)),
+	);
+	for (const group of listRackGroups(usable, step)) {
+		const started: Order[] = [];
+		for (const task of step.tasks) {
+			const placement = placeTask(group, task);
+			const order =
+				placement.kind === 'placed'
+					? startTask(planning, placement.executor, task, number)
+					: undefined;
+			if (!order) {
+				break;
+			}
+
+			started.push(order);
+		}
+
+		if (started.length === step.tasks.length) {
+			orders.push(...started);
+			return;
+		}
+
+		for (const {executor, run} of started) {
+			dropRun(executor, run);
+		}
+	}
+};
+
+const planJob = (planning: Planning, {job}: RankedJob): void => {
+	for (const {steps} of job.occurrences.values()) {
+		for (const step of steps) {
+			if (step.doneCount === step.spec.count || !isStepOpen(step)) {
+				continue;
+			}
+
+			if (step.spec.isGang) {
+				planGang(planning, step);
+			} else {
+				planStep(planning, step);
+			}
+		}
+	}
+};
+
+/** Plans the orders of this moment; runs are noted as asked for. */
+export const planOrders = (
+	owner: Owner,
+	now: number,
+	epochNow: number,
+): readonly Order[] => {
+	expireEvacuations(owner, now);
+	const stops = planStops(owner, now);
+	const usable = listUsable(owner, now);
+	const planning: Planning = {owner, now, usable, orders: [...stops]};
+	if (usable.length > 0) {
+		for (const ranked of rankJobs(owner, epochNow)) {
+			planJob(planning, ranked);
+		}
+	}
+
+	return planning.orders;
+};
--- /dev/null
+++ b/packages/core/src/scheduler/progress.ts
@@ -0,0 +1,109 @@
+/**
+ * The progress of a job as its owner stores it: what has ended, never what
+ * runs. A new owner learns what runs from the executors themselves.
+ */
+import {
+	addOccurrence,
+	countOccurrences,
+	listTasks,
+	markDone,
+	type Job,
+	type JobEnd,
+} from './task.js';
+
+/** What is kept of a task that is not simply untouched or done. */
+export type TaskProgress = {
+	readonly failures: number;
+	readonly checkpoint?: string | undefined;
+};
+
+/** What is kept of one occurrence at hand. */
+export type OccurrenceProgress = {
+	readonly number: number;
+	/** For each step a character a task: 1 is done, 0 is not. */
+	readonly done: readonly string[];
+	readonly tasks: Readonly<Record<string, TaskProgress>>;
+};
+
+/** The row of a job's progress. */
+export type JobProgress = {
+	readonly end?: JobEnd | undefined;
+	readonly doneOccurrences: number;
+	readonly nextOccurrence: number;
+	readonly occurrences: readonly OccurrenceProgress[];
+};
+
+const describeTasks = (
+	job: Job,
+	number: number,
+): Readonly<Record<string, TaskProgress>> => {
+	const entries = [...listTasks(job)]
+		.filter(({step}) => step.occurrence.number === number)
+		.filter(({isDone}) => !isDone)
+		.filter(({failures, checkpoint}) => failures > 0 || checkpoint)
+		.map(({id, failures, checkpoint}) => [id, {failures, checkpoint}] as const);
+	return Object.fromEntries(entries);
+};
+
+/** The progress of a job now. An ended job needs no detail. */
+export const encodeProgress = (job: Job): JobProgress => ({
+	end: job.end,
+	doneOccurrences: job.doneOccurrences,
+	nextOccurrence: job.nextOccurrence,
+	occurrences: job.end
+		? []
+		: [...job.occurrences.values()].map(({number, steps}) => ({
+				number,
+				done: steps.map(({tasks}) =>
+					tasks.map(({isDone}) => (isDone ? '1' : '0')).join(''),
+				),
+				tasks: describeTasks(job, number),
+			})),
+});
+
+const applyOccurrence = (job: Job, progress: OccurrenceProgress): void => {
+	const occurrence = job.occurrences.get(progress.number);
+	for (const step of occurrence?.steps ?? []) {
+		for (const task of step.tasks) {
+			const kept = progress.tasks[task.id];
+			task.failures = kept?.failures ?? 0;
+			task.checkpoint = kept?.checkpoint;
+			if (progress.done[step.number]?.[task.index] === '1') {
+				markDone(task);
+			}
+		}
+	}
+};
+
+/** Brings a job just created to the progress that was stored. */
+export const applyProgress = (
+	job: Job,
+	progress: JobProgress,
+	now: number,
+): void => {
+	job.end = progress.end;
+	job.storedEnd = progress.end;
+	job.endedAt = progress.end ? now : undefined;
+	const known = new Map(
+		progress.occurrences.map((each) => [each.number, each]),
+	);
+	while (
+		!job.end &&
+		job.nextOccurrence <
+			Math.min(progress.nextOccurrence, countOccurrences(job))
+	) {
+		const {number} = addOccurrence(job);
+		const kept = known.get(number);
+		if (kept) {
+			applyOccurrence(job, kept);
+		} else {
+			// Begun and no longer held: it was done as a whole.
+			job.occurrences.delete(number);
+		}
+	}
+
+	job.doneOccurrences = progress.doneOccurrences;
+	job.hasStarted ||= progress.occurrences.some(({done}) =>
+		done.some((each) => each.includes('1')),
+	);
+};
--- /dev/null
+++ b/packages/core/src/scheduler/rank.ts
@@ -0,0 +1,124 @@
+/**
+ * Order of the jobs of one service. What can still meet its objective goes
+ * before what is late, and among those the job with the most value for the
+ * work that is left. Source: docs/design/platform-programs.md.
+ */
+import type {Owner} from './owner.js';
+import type {Job, Step} from './task.js';
+
+/** Times the objective up to which a late answer is still worth something. */
+const lateUntilFactor = 3;
+
+/** Value of a job that does not depend on its size, as a share. */
+const fixedValueShare = 0.3;
+
+/** Where a job stands against its objective. */
+type Standing = 'lasting' | 'in-time' | 'late' | 'worthless';
+
+const standingOrder: Readonly<Record<Standing, number>> = {
+	lasting: 0,
+	'in-time': 1,
+	late: 2,
+	worthless: 3,
+};
+
+/** Longest chain of estimated run time through the given steps. */
+const getChainMs = (
+	steps: ReadonlyArray<Pick<Step, 'spec'>>,
+	getMs: (number: number) => number,
+): number => {
+	const ends: number[] = [];
+	for (const [number, {spec}] of steps.entries()) {
+		const begin = Math.max(0, ...spec.after.map((each) => ends[each] ?? 0));
+		ends.push(begin + getMs(number));
+	}
+
+	return Math.max(0, ...ends);
+};
+
+/** Estimated time that the occurrence in hand still takes, in milliseconds. */
+export const getRemainingChainMs = (job: Job): number => {
+	const [occurrence] = job.occurrences.values();
+	const steps = occurrence?.steps ?? [];
+	return getChainMs(steps, (number) => {
+		const step = steps[number];
+		return step && step.doneCount < step.spec.count ? step.spec.estimateMs : 0;
+	});
+};
+
+/** Time within which a job is wanted, from its acceptance. */
+export const getObjectiveMs = ({accepted}: Job): number => {
+	const {steps} = accepted.spec;
+	const chain = getChainMs(
+		steps.map((spec) => ({spec})),
+		(number) => steps[number]?.estimateMs ?? 0,
+	);
+	return accepted.policy.stretch * chain + accepted.policy.targetLatencyMs;
+};
+
+const isLasting = ({accepted}: Job): boolean =>
+	accepted.spec.steps.some(({isLongRunning}) => isLongRunning);
+
+const getStart = ({accepted}: Job, number: number): number =>
+	accepted.spec.schedule
+		? accepted.spec.schedule.startAtEpochMs +
+			number * accepted.spec.schedule.intervalMs
+		: accepted.acceptedAtEpochMs;
+
+const getStanding = (job: Job, epochNow: number): Standing => {
+	if (isLasting(job)) {
+		return 'lasting';
+	}
+
+	const [occurrence] = job.occurrences.values();
+	const objective = getObjectiveMs(job);
+	const expected =
+		epochNow -
+		getStart(job, occurrence?.number ?? 0) +
+		getRemainingChainMs(job);
+	if (expected <= objective) {
+		return 'in-time';
+	}
+
+	return expected <= objective * lateUntilFactor ? 'late' : 'worthless';
+};
+
+/** Work left for each unit of value; less is better. */
+const getWorkPerValue = (owner: Owner, job: Job): number => {
+	const mean = owner.meanWork.get(job.accepted.policy.queue);
+	const meanWork = mean && mean.count > 0 ? mean.sum / mean.count : 1;
+	const value =
+		fixedValueShare + (1 - fixedValueShare) * (job.totalWork / meanWork);
+	return job.remainingWork / value;
+};
+
+/** One job in the order of work. */
+export type RankedJob = {
+	readonly job: Job;
+	readonly standing: Standing;
+	readonly workPerValue: number;
+};
+
+const compare = (one: RankedJob, two: RankedJob): number => {
+	const first = one.job.accepted.policy;
+	const second = two.job.accepted.policy;
+	return (
+		standingOrder[one.standing] - standingOrder[two.standing] ||
+		first.priority - second.priority ||
+		one.workPerValue - two.workPerValue ||
+		one.job.accepted.acceptedAtEpochMs - two.job.accepted.acceptedAtEpochMs
+	);
+};
+
+/** Open jobs, the one to serve first in front. */
+export const rankJobs = (
+	owner: Owner,
+	epochNow: number,
+): readonly RankedJob[] =>
+	[...owner.openJobs]
+		.map((job) => ({
+			job,
+			standing: getStanding(job, epochNow),
+			workPerValue: getWorkPerValue(owner, job),
+		}))
+		.toSorted(compare);
--- /dev/null
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -0,0 +1,259 @@
+/**
+ * What a caller may ask of an entry: hand a job in, ask for its state, cancel
+ * it, count what waits. Any entry answers; what it says is in the store.
+ */
+import {
+	fail,
+	scheduler,
+	succeed,
+	type errors,
+	type Result,
+} from '@gullstand/core';
+import type {QueueRoute, RowStore, StoredRow} from '@gullstand/ports';
+import {match} from 'ts-pattern';
+import type {Logger} from '../../log/logger.js';
+import type {Clock} from '../clock.js';
+import {legs, type JobMetrics, type Leg} from '../job-metrics.js';
+import {periods} from '../periods.js';
+import {
+	decodeRow,
+	getCancelKey,
+	getServiceShard,
+	jobSchema,
+	progressSchema,
+	tables,
+} from '../rows/tables.js';
+import type {OwnerChannel} from './owner-channel.js';
+import type {Routes} from './routes.js';
+import type {Submissions, SubmitOutcome} from './submissions.js';
+
+/** A call's result; an error is answered from the one table. */
+export type JobResult<Value> = Result<Value, errors.ErrorKind>;
+
+/** What the service needs. */
+export type JobServiceDeps = {
+	readonly routes: Routes;
+	readonly submissions: Submissions;
+	readonly owners: OwnerChannel;
+	readonly store: RowStore;
+	readonly clock: Clock;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	readonly metrics: JobMetrics;
+	/** Hands a job in through another entry while the store is away from here. */
+	readonly submitElsewhere: (
+		job: scheduler.AcceptedJob,
+		shard: string,
+		timeoutMs: number,
+	) => Promise<SubmitOutcome | undefined>;
+};
+
+/** The calls of callers. Deadlines are times of the steady clock. */
+export type JobService = {
+	readonly submit: (
+		route: QueueRoute,
+		id: string,
+		spec: scheduler.JobSpec,
+		deadline: number,
+	) => Promise<JobResult<{readonly isRepeat: boolean}>>;
+	readonly readState: (
+		route: QueueRoute,
+		id: string,
+	) => Promise<JobResult<scheduler.JobState>>;
+	readonly cancel: (
+		route: QueueRoute,
+		id: string,
+		deadline: number,
+	) => Promise<JobResult<void>>;
+	readonly countPending: (route: QueueRoute) => Promise<JobResult<number>>;
+};
+
+const toPolicy = (route: QueueRoute): scheduler.QueuePolicy => ({
+	queue: route.name,
+	priority: route.priority,
+	maxAttempts: route.maxAttempts,
+	stretch: route.stretch,
+	targetLatencyMs: route.targetLatencyMs,
+});
+
+const isOfQueue = (row: StoredRow, queue: string): boolean => {
+	const decoded = decodeRow(jobSchema, row.value);
+	return decoded.ok && decoded.value.policy.queue === queue;
+};
+
+/** The state that the rows of a job show. */
+const toState = (
+	progress: StoredRow | undefined,
+	isCancelled: boolean,
+): scheduler.JobState => {
+	const decoded = progress && decodeRow(progressSchema, progress.value);
+	if (decoded?.ok && decoded.value.end) {
+		return decoded.value.end;
+	}
+
+	if (isCancelled) {
+		return 'cancelled';
+	}
+
+	return decoded?.ok ? 'running' : 'queued';
+};
+
+const toResult = (
+	outcome: SubmitOutcome,
+): JobResult<{readonly isRepeat: boolean}> =>
+	match(outcome)
+		.returnType<JobResult<{readonly isRepeat: boolean}>>()
+		.with({kind: 'accepted'}, ({isRepeat}) => succeed({isRepeat}))
+		.with({kind: 'conflict'}, () => fail('job-conflict'))
+		.with({kind: 'not-stored'}, () => fail('store-unavailable'))
+		.with({kind: 'unknown'}, () => fail('submission-unknown'))
+		.exhaustive();
+
+/** Creates the service of an entry. */
+export const createJobService = (deps: JobServiceDeps): JobService => {
+	const {routes, submissions, owners, store, clock, logger, metrics} = deps;
+
+	const answer = <Value>(
+		call: string,
+		id: string,
+		startedAt: number,
+		result: JobResult<Value>,
+	): JobResult<Value> => {
+		const outcome = result.ok ? 'ok' : result.error;
+		const tookMs = Math.round(clock.now() - startedAt);
+		metrics.count('calls', `${call}:${outcome}`);
+		metrics.record(legs.call satisfies Leg, call, clock.now() - startedAt);
+		logger.info('call answered', {
+			call,
+			job: id,
+			outcome,
+			tookMs,
+			configuration: routes.get()?.version,
+		});
+		return result;
+	};
+
+	const submit: JobService['submit'] = async (route, id, spec, deadline) => {
+		const startedAt = clock.now();
+		const shard = getServiceShard(route.service);
+		const job: scheduler.AcceptedJob = {
+			id,
+			policy: toPolicy(route),
+			spec,
+			acceptedAtEpochMs: clock.epochNow(),
+		};
+		let outcome = await submissions.submit(shard, job, deadline);
+		if (outcome.kind === 'not-stored' && clock.now() < deadline) {
+			const timeoutMs = Math.min(
+				deadline - clock.now(),
+				periods.storeTimeoutMs,
+			);
+			outcome =
+				(await deps.submitElsewhere(job, shard, timeoutMs)) ?? outcome;
+		}
+
+		return answer('submit', id, startedAt, toResult(outcome));
+	};
+
+	const readJobRows = async (shard: string, id: string) =>
+		store.read(
+			{table: tables.job, part: shard, from: id, to: `${getCancelKey(id)}\0`},
+			periods.storeTimeoutMs,
+		);
+
+	/** The state as the store has it, when no owner answers. */
+	const readStored = async (
+		route: QueueRoute,
+		id: string,
+	): Promise<JobResult<scheduler.JobState>> => {
+		const shard = getServiceShard(route.service);
+		const [jobRows, progressRows] = await Promise.all([
+			readJobRows(shard, id),
+			store.read(
+				{table: tables.progress, part: shard, from: id, to: `${id}\0`},
+				periods.storeTimeoutMs,
+			),
+		]);
+		if (!jobRows.ok || !progressRows.ok) {
+			return fail('job-unread');
+		}
+
+		const job = jobRows.value.rows.find(({key}) => key === id);
+		if (!job || !isOfQueue(job, route.name)) {
+			return fail('unknown-job');
+		}
+
+		const isCancelled = jobRows.value.rows.some(
+			({key}) => key === getCancelKey(id),
+		);
+		return succeed(toState(progressRows.value.rows[0], isCancelled));
+	};
+
+	const readState: JobService['readState'] = async (route, id) => {
+		const startedAt = clock.now();
+		const shard = getServiceShard(route.service);
+		const reading = await owners.readJob(shard, route.name, id);
+		// The owner may not have heard of it yet, so absence is looked up.
+		const result =
+			reading.kind === 'state'
+				? succeed(reading.state)
+				: await readStored(route, id);
+		return answer('state', id, startedAt, result);
+	};
+
+	const storeCancel = async (
+		shard: string,
+		row: StoredRow,
+		deadline: number,
+	): Promise<JobResult<void>> => {
+		const key = {table: tables.job, part: shard, key: getCancelKey(row.key)};
+		const put = {...key, value: JSON.stringify({at: clock.epochNow()})};
+		// It changes nothing when carried out twice or late.
+		while (clock.now() < deadline) {
+			const stored = await store.transact(
+				{checks: [], puts: [put], removes: []},
+				Math.min(periods.storeTimeoutMs, Math.max(1, deadline - clock.now())),
+			);
+			if (stored.ok) {
+				const rows = [{...put, version: stored.value.version}];
+				void owners.tellRows(shard, rows);
+				return succeed(undefined);
+			}
+
+			if (stored.error.kind === 'unavailable') {
+				return fail('store-unavailable');
+			}
+		}
+
+		return fail('store-unknown');
+	};
+
+	const cancel: JobService['cancel'] = async (route, id, deadline) => {
+		const startedAt = clock.now();
+		const shard = getServiceShard(route.service);
+		const rows = await readJobRows(shard, id);
+		if (!rows.ok) {
+			return answer('cancel', id, startedAt, fail('store-unavailable'));
+		}
+
+		const row = rows.value.rows.find(({key}) => key === id);
+		const result: JobResult<void> =
+			row && isOfQueue(row, route.name)
+				? await storeCancel(shard, row, deadline)
+				: fail('unknown-job');
+		return answer('cancel', id, startedAt, result);
+	};
+
+	const countPending: JobService['countPending'] = async (route) => {
+		const startedAt = clock.now();
+		const shard = getServiceShard(route.service);
+		const pending = await owners.countPending(shard, route.name);
+		return answer(
+			'pending',
+			route.name,
+			startedAt,
+			pending === undefined ? fail('job-unread') : succeed(pending),
+		);
+	};
+
+	return {submit, readState, cancel, countPending};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -0,0 +1,260 @@
+/**
+ * Accepts jobs: a job is accepted once its row is in the store. Jobs that come
+ * while a transaction is under way go together in the next one. Each checks
+ * the lease row, so that a job belongs to the owner that is told of it.
+ */
+import {scheduler} from '@gullstand/core';
+import type {RowPut, RowStore, StoredRow} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import {delay} from '../clock.js';
+import {decodeRow, jobSchema, singleKeys, tables} from '../rows/tables.js';
+import type {LeaseBook} from '../shards/lease-book.js';
+
+/** What became of a submission. */
+export type SubmitOutcome =
+	/** It is stored, now or by an earlier request. */
+	| {readonly kind: 'accepted'; readonly isRepeat: boolean}
+	/** Another job lies under this id. */
+	| {readonly kind: 'conflict'}
+	/** Certainly not stored, and never will be. */
+	| {readonly kind: 'not-stored'}
+	/** It may be stored, or may be yet. */
+	| {readonly kind: 'unknown'};
+
+/** What the submissions need. */
+export type SubmissionsDeps = {
+	readonly store: RowStore;
+	readonly book: LeaseBook;
+	readonly now: () => number;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	/** Rows that were stored, to be told to the owner. */
+	readonly onStored: (shard: string, rows: readonly StoredRow[]) => void;
+};
+
+/** Accepts jobs. */
+export type Submissions = {
+	/** Resolves by the deadline, in milliseconds of the steady clock. */
+	readonly submit: (
+		shard: string,
+		job: scheduler.AcceptedJob,
+		deadline: number,
+	) => Promise<SubmitOutcome>;
+};
+
+/** Jobs in one transaction; origin: 100 entries and 1 MB a transaction. */
+const maxJobsPerCommit = 50;
+
+/**
+ * Bound on a commit: shorter than other calls, since a caller waits and can
+ * try another entry; the store's slowest answers take 300 ms.
+ */
+const commitTimeoutMs = 800;
+
+/** Pause before a commit whose answer was lost is asked about again ... */
+const readBackMs = 100;
+
+/** ... and how long it is asked about; the caller then tries again. */
+const maxReadBackMs = 500;
+
+/** Commits that may be tried anew after a conflict. */
+const maxTries = 4;
+
+type Waiting = {
+	readonly job: scheduler.AcceptedJob;
+	readonly text: string;
+	readonly deadline: number;
+	tries: number;
+	/** An earlier commit of it had no answer. */
+	mayBeStored: boolean;
+	readonly settle: (outcome: SubmitOutcome) => void;
+};
+
+type Queue = {waiting: Waiting[]; isBusy: boolean};
+
+/** Whether two submissions ask for the same job. */
+export const isSameJob = (
+	one: scheduler.AcceptedJob,
+	two: scheduler.AcceptedJob,
+): boolean =>
+	one.policy.queue === two.policy.queue &&
+	JSON.stringify(one.spec) === JSON.stringify(two.spec);
+
+/** Creates the submissions of an entry. */
+export const createSubmissions = (deps: SubmissionsDeps): Submissions => {
+	const {store, book, now, logger} = deps;
+	const queues = new Map<string, Queue>();
+
+	const settleByRow = (waiting: Waiting, row: StoredRow) => {
+		const decoded = decodeRow(jobSchema, row.value);
+		const isSame = decoded.ok && isSameJob(decoded.value, waiting.job);
+		waiting.settle(
+			isSame ? {kind: 'accepted', isRepeat: true} : {kind: 'conflict'},
+		);
+	};
+
+	const keyOf = (shard: string, {job}: Waiting) => ({
+		table: tables.job,
+		part: shard,
+		key: job.id,
+	});
+
+	/** Settles those that lie in the store already; answers the others. */
+	const takeConflict = (
+		shard: string,
+		batch: readonly Waiting[],
+		rows: readonly StoredRow[],
+	): readonly Waiting[] => {
+		const stored = new Map<string, StoredRow>();
+		for (const row of rows) {
+			if (row.table === tables.lease) {
+				book.note(row);
+			} else if (row.version > 0) {
+				stored.set(row.key, row);
+			}
+		}
+
+		return batch.filter((waiting) => {
+			const row = stored.get(waiting.job.id);
+			if (row) {
+				deps.onStored(shard, [row]);
+				settleByRow(waiting, row);
+			}
+
+			return !row;
+		});
+	};
+
+	const readBack = async (shard: string, waiting: Waiting): Promise<boolean> => {
+		const {id} = waiting.job;
+		const page = await store.read(
+			{table: tables.job, part: shard, from: id, to: `${id}\0`},
+			maxReadBackMs,
+		);
+		const row = page.ok ? page.value.rows[0] : undefined;
+		if (!row) {
+			return false;
+		}
+
+		deps.onStored(shard, [row]);
+		waiting.settle({kind: 'accepted', isRepeat: true});
+		return true;
+	};
+
+	/** After a lost answer: it may be stored seconds later, so no refusal. */
+	const settleLost = async (shard: string, waiting: Waiting) => {
+		const until = Math.min(waiting.deadline, now() + maxReadBackMs);
+		while (now() + readBackMs < until) {
+			if (await readBack(shard, waiting)) {
+				return;
+			}
+
+			await delay(readBackMs);
+		}
+
+		waiting.settle({kind: 'unknown'});
+	};
+
+	const refuse = (waiting: Waiting) => {
+		waiting.settle({
+			kind: waiting.mayBeStored ? 'unknown' : 'not-stored',
+		});
+	};
+
+	const tryAgain = (shard: string, batch: readonly Waiting[]) => {
+		for (const waiting of batch) {
+			waiting.tries += 1;
+			if (waiting.tries < maxTries && now() < waiting.deadline) {
+				getQueue(shard).waiting.push(waiting);
+			} else {
+				refuse(waiting);
+			}
+		}
+	};
+
+	const commit = async (shard: string, batch: readonly Waiting[]) => {
+		const lease = {table: tables.lease, part: shard, key: singleKeys.lease};
+		const puts: RowPut[] = batch.map((waiting) => ({
+			...keyOf(shard, waiting),
+			value: waiting.text,
+		}));
+		const result = await store.transact(
+			{
+				checks: [
+					{...lease, version: book.getVersion(shard)},
+					...puts.map(({table, part, key}) => ({
+						table,
+						part,
+						key,
+						version: 0,
+					})),
+				],
+				puts,
+				removes: [],
+			},
+			commitTimeoutMs,
+		);
+		if (result.ok) {
+			const {version} = result.value;
+			deps.onStored(
+				shard,
+				puts.map((put) => ({...put, version})),
+			);
+			for (const {settle} of batch) {
+				settle({kind: 'accepted', isRepeat: false});
+			}
+
+			return;
+		}
+
+		logger.warn('jobs not stored', {
+			shard,
+			jobs: batch.map(({job}) => job.id),
+			reason: result.error.kind,
+		});
+		if (result.error.kind === 'conflict') {
+			tryAgain(shard, takeConflict(shard, batch, result.error.rows));
+		} else if (result.error.kind === 'timeout') {
+			for (const waiting of batch) {
+				waiting.mayBeStored = true;
+				void settleLost(shard, waiting);
+			}
+		} else {
+			for (const waiting of batch) {
+				refuse(waiting);
+			}
+		}
+	};
+
+	const run = async (shard: string, queue: Queue) => {
+		queue.isBusy = true;
+		while (queue.waiting.length > 0) {
+			await commit(shard, queue.waiting.splice(0, maxJobsPerCommit));
+		}
+
+		queue.isBusy = false;
+	};
+
+	const getQueue = (shard: string): Queue => {
+		const known = queues.get(shard) ?? {waiting: [], isBusy: false};
+		queues.set(shard, known);
+		return known;
+	};
+
+	return {
+		submit: async (shard, job, deadline) =>
+			new Promise((settle) => {
+				const queue = getQueue(shard);
+				queue.waiting.push({
+					job,
+					text: JSON.stringify(job),
+					deadline,
+					tries: 0,
+					mayBeStored: false,
+					settle,
+				});
+				if (!queue.isBusy) {
+					void run(shard, queue);
+				}
+			}),
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -0,0 +1,529 @@
+/**
+ * One daemon of the fleet, without its listeners: follows the configuration,
+ * claims shards, runs the services that it owns, answers callers and peers.
+ */
+import {randomUUID} from 'node:crypto';
+import type {scheduler} from '@gullstand/core';
+import type {
+	ExecutorFeed,
+	Executors,
+	FeedBatch,
+	Machines,
+	OperatorEntry,
+	OperatorFeed,
+	RowStore,
+	StoredRow,
+	WaveRequest,
+} from '@gullstand/ports';
+import type {Logger} from '../log/logger.js';
+import {createPeerChannel, type PeerChannel} from '../peers/peer-channel.js';
+import type {ReportFailure} from '../supervisor/supervisor.js';
+import type {Clock} from './clock.js';
+import {createJobService, type JobService} from './entry/job-service.js';
+import {createOwnerChannel} from './entry/owner-channel.js';
+import {createRoutes, type Routes} from './entry/routes.js';
+import {createSubmissions, type SubmitOutcome} from './entry/submissions.js';
+import {createExecutorList} from './executor-list.js';
+import {
+	createFleetRunner,
+	type FleetRunner,
+	type WaveStatusPort,
+} from './fleet/fleet-runner.js';
+import {createJobMetrics, type JobMetrics} from './job-metrics.js';
+import {createOwnerRunner, type OwnerRunner} from './owner/owner-runner.js';
+import {obtainPeerKey} from './peer-key.js';
+import {jobPeerSchemas} from './peer-methods.js';
+import {followPeriods, periods} from './periods.js';
+import {createFeedFollower, type FeedFollower} from './rows/feed-follower.js';
+import {createTableFeed} from './rows/table-feed.js';
+import {fleetShard, getServiceShard, sharedPart, tables} from './rows/tables.js';
+import {createHeartbeat} from './shards/heartbeat.js';
+import {createLeaseBook} from './shards/lease-book.js';
+import {createMembers} from './shards/members.js';
+import {createShardKeeper, type HeldShard} from './shards/shard-keeper.js';
+
+/** The platform as the jobs side sees it. */
+export type JobPlatform = {
+	readonly store: RowStore;
+	readonly operator: OperatorFeed;
+	readonly executorFeed: ExecutorFeed;
+	readonly executors: Executors;
+	readonly machines: Machines;
+	readonly waveStatus: WaveStatusPort;
+};
+
+/** Settings of the jobs side. */
+export type JobDaemonSettings = {
+	readonly name: string;
+	readonly peers: {readonly address: string; readonly port: number};
+	readonly scheduler: scheduler.SchedulerConfig;
+	/** Time between orders of two holders for one machine, milliseconds. */
+	readonly machineTurnoverMs: number;
+};
+
+/** What the daemon is built of. */
+export type JobDaemonDeps = {
+	readonly settings: JobDaemonSettings;
+	readonly platform: JobPlatform;
+	readonly clock: Clock;
+	readonly random: () => number;
+	readonly logger: Logger;
+};
+
+/** The daemon. */
+export type JobDaemon = {
+	/** Resolves once it can answer callers. */
+	readonly start: (reportFailure: ReportFailure) => Promise<void>;
+	/** Gives its shards back and is not ready any more; callers are answered. */
+	readonly handOver: () => Promise<void>;
+	/** Lets go of everything. */
+	readonly stop: () => Promise<void>;
+	/** Whether callers should be sent here. */
+	readonly isReady: () => boolean;
+	readonly service: JobService;
+	readonly routes: Routes;
+	readonly metrics: JobMetrics;
+};
+
+/** Peers asked to store a job while the store is away from here. */
+const maxHelpers = 2;
+
+/** Creates a daemon. */
+export const createJobDaemon = (deps: JobDaemonDeps): JobDaemon => {
+	const {settings, platform, clock, logger} = deps;
+	const {store} = platform;
+	const {now} = clock;
+	const self = {entry: settings.name, incarnation: randomUUID()};
+	const routes = createRoutes();
+	const metrics = createJobMetrics();
+	const runners = new Map<string, OwnerRunner>();
+	const waves = new Map<string, WaveRequest>();
+	const executorList = createExecutorList();
+	let peers: PeerChannel | undefined;
+	let fleetRunner: FleetRunner | undefined;
+	let executorFollower: FeedFollower | undefined;
+	let isLeaving = false;
+	let reportFailure: ReportFailure = () => undefined;
+
+	const getAddress = (): string => peers?.getAddress() ?? '';
+
+	const members = createMembers({
+		now,
+		observationGapMs: periods.observationGapMs,
+		logger,
+	});
+	const book = createLeaseBook({
+		logger,
+		onChange(shard, lease) {
+			keeper.noteLease(shard, lease);
+		},
+	});
+
+	const hasOwner = (service: string): boolean =>
+		routes.get()?.routes.some((route) => route.service === service) ?? false;
+
+	const listShards = (): readonly string[] => {
+		const configuration = routes.get();
+		if (!configuration) {
+			return [];
+		}
+
+		const services = new Set(configuration.routes.map(({service}) => service));
+		return [fleetShard, ...[...services].map((each) => getServiceShard(each))];
+	};
+
+	const callPeers: Pick<PeerChannel, 'call'> = {
+		call: async (address, method, params, timeoutMs) =>
+			peers
+				? peers.call(address, method, params, timeoutMs)
+				: {ok: false, error: {kind: 'unreachable', message: 'not started'}},
+	};
+
+	const owners = createOwnerChannel({
+		book,
+		peers: callPeers,
+		getLocal: (shard) => runners.get(shard),
+	});
+
+	const tellOwner = async (shard: string, rows: readonly StoredRow[]) => {
+		const isTold = await owners.tellRows(shard, rows);
+		if (!isTold) {
+			logger.info('owner not told', {shard, jobs: rows.map(({key}) => key)});
+		}
+	};
+
+	const submissions = createSubmissions({
+		store,
+		book,
+		now,
+		logger,
+		onStored(shard, rows) {
+			void tellOwner(shard, rows);
+		},
+	});
+
+	const submitElsewhere = async (
+		job: scheduler.AcceptedJob,
+		shard: string,
+		timeoutMs: number,
+	): Promise<SubmitOutcome | undefined> => {
+		const helpers = members
+			.listLive(periods.leaseMs)
+			.filter((name) => name !== self.entry)
+			.slice(0, maxHelpers);
+		for (const name of helpers) {
+			const address = members.get(name)?.address ?? '';
+			const answer = await callPeers.call(
+				address,
+				'submitJob',
+				{shard, job, timeoutMs},
+				timeoutMs,
+			);
+			logger.info('job handed in elsewhere', {
+				job: job.id,
+				through: name,
+				outcome: answer.ok ? answer.value.kind : answer.error.kind,
+			});
+			if (!answer.ok && answer.error.kind !== 'unreachable') {
+				return {kind: 'unknown'};
+			}
+
+			if (answer.ok && answer.value.kind !== 'not-stored') {
+				return answer.value;
+			}
+		}
+
+		return undefined;
+	};
+
+	const service = createJobService({
+		routes,
+		submissions,
+		owners,
+		store,
+		clock,
+		logger,
+		metrics,
+		submitElsewhere,
+	});
+
+	const onOwnerLost = (shard: string, rows: readonly StoredRow[]) => {
+		for (const row of rows) {
+			book.note(row);
+		}
+
+		keeper.noteDeposed(shard);
+	};
+
+	const followExecutors = () => {
+		const note = (isWhole: boolean) => {
+			for (const runner of runners.values()) {
+				runner.noteExecutors(isWhole);
+			}
+		};
+
+		executorFollower ??= createFeedFollower({
+			name: 'executors',
+			feed: platform.executorFeed,
+			periods: followPeriods.executors,
+			clock,
+			logger,
+			onWhole(batch) {
+				executorList.applyWhole(batch);
+				note(true);
+			},
+			onChanges(batch) {
+				executorList.applyChanges(batch);
+				note(false);
+			},
+		});
+		executorFollower.start(reportFailure);
+	};
+
+	const unfollowExecutors = () => {
+		if (runners.size === 0) {
+			executorFollower?.stop();
+			executorFollower = undefined;
+		}
+	};
+
+	const runService = (held: HeldShard, serviceName: string) => {
+		const runner = createOwnerRunner({
+			held,
+			service: serviceName,
+			store,
+			executors: platform.executors,
+			clock,
+			cfg: settings.scheduler,
+			logger,
+			metrics,
+			getConfirmed: leaseFollower.getConfirmed,
+			listExecutors: executorList.list,
+			onLost(reason, rows) {
+				logger.warn('service lost', {shard: held.shard, reason});
+				onOwnerLost(held.shard, rows);
+			},
+			reportFailure,
+		});
+		runners.set(held.shard, runner);
+		if (!executorFollower) {
+			followExecutors();
+		}
+
+		runner.start().catch((err: unknown) => {
+			reportFailure(err as Error);
+		});
+	};
+
+	const runFleet = (held: HeldShard) => {
+		fleetRunner = createFleetRunner({
+			held,
+			holder: settings.name,
+			store,
+			machines: platform.machines,
+			status: platform.waveStatus,
+			owners,
+			clock,
+			logger,
+			turnoverMs: settings.machineTurnoverMs,
+			beliefMs: settings.scheduler.ownerBeliefMs,
+			getConfirmed: leaseFollower.getConfirmed,
+			listWaves: () => [...waves.values()],
+			hasOwner,
+			onLost(reason) {
+				logger.warn('fleet lost', {reason});
+				keeper.noteDeposed(fleetShard);
+			},
+			reportFailure,
+		});
+		fleetRunner.start();
+	};
+
+	const findService = (shard: string): string | undefined =>
+		routes
+			.get()
+			?.routes.map((route) => route.service)
+			.find((each) => getServiceShard(each) === shard);
+
+	const onAcquired = (held: HeldShard) => {
+		if (held.shard === fleetShard) {
+			runFleet(held);
+			return;
+		}
+
+		const serviceName = findService(held.shard);
+		if (serviceName !== undefined) {
+			runService(held, serviceName);
+		}
+	};
+
+	const onLost = (shard: string) => {
+		if (shard === fleetShard) {
+			fleetRunner?.stop();
+			fleetRunner = undefined;
+			return;
+		}
+
+		runners.get(shard)?.abandon();
+		runners.delete(shard);
+		unfollowExecutors();
+	};
+
+	const tellReleased = (shard: string) => {
+		for (const name of members.listLive(periods.leaseMs)) {
+			const address = members.get(name)?.address ?? '';
+			if (name !== self.entry && address !== '') {
+				void callPeers.call(
+					address,
+					'shardReleased',
+					{shard},
+					periods.peerTimeoutMs,
+				);
+			}
+		}
+	};
+
+	const keeper = createShardKeeper({
+		store,
+		self,
+		getAddress,
+		members,
+		book,
+		listShards,
+		now,
+		random: deps.random,
+		logger,
+		onAcquired,
+		async beforeRelease(shard) {
+			await runners.get(shard)?.stop();
+		},
+		onLost,
+		onReleased: tellReleased,
+	});
+
+	const heartbeat = createHeartbeat({
+		store,
+		name: self.entry,
+		incarnation: self.incarnation,
+		getAddress,
+		logger,
+		now,
+		random: deps.random,
+	});
+
+	const applyOperator = ({entries}: FeedBatch<OperatorEntry>) => {
+		for (const {key, value} of entries) {
+			applyOperatorEntry(key, value);
+		}
+	};
+
+	const applyOperatorEntry = (key: string, entry: OperatorEntry | undefined) => {
+		if (entry?.kind === 'configuration') {
+			const isNew = routes.apply(entry.value);
+			logger.info('configuration read', {
+				version: entry.value.version,
+				routes: entry.value.routes.length,
+				isNew,
+			});
+		} else if (entry?.kind === 'wave') {
+			waves.set(entry.value.id, entry.value);
+		} else if (entry?.kind === 'unreadable') {
+			logger.warn('row skipped', {table: 'operator', key, problem: entry.problem});
+		}
+	};
+
+	const operatorFollower = createFeedFollower({
+		name: 'operator',
+		feed: platform.operator,
+		periods: followPeriods.operator,
+		clock,
+		logger,
+		onWhole: applyOperator,
+		onChanges: applyOperator,
+	});
+
+	const leaseFollower = createFeedFollower({
+		name: 'lease',
+		feed: createTableFeed(store, tables.lease, {kind: 'all'}),
+		periods: followPeriods.lease,
+		clock,
+		logger,
+		onWhole: book.apply,
+		onChanges: book.apply,
+	});
+
+	const memberFollower = createFeedFollower({
+		name: 'daemon',
+		feed: createTableFeed(store, tables.daemon, {kind: 'one', part: sharedPart}),
+		periods: followPeriods.daemon,
+		clock,
+		logger,
+		onWhole: members.applyWhole,
+		onChanges: members.applyChanges,
+	});
+
+	const addPeerMethods = (channel: PeerChannel) => {
+		channel.addMethod('noteRows', jobPeerSchemas.noteRows, ({shard, rows}) => {
+			const runner = runners.get(shard);
+			runner?.noteRows(rows);
+			return {isOwner: runner !== undefined};
+		});
+		channel.addMethod('readJob', jobPeerSchemas.readJob, ({shard, queue, id}) =>
+			runners.get(shard)?.readJob(id, queue) ?? {kind: 'not-owner'},
+		);
+		channel.addMethod(
+			'countPending',
+			jobPeerSchemas.countPending,
+			({shard, queue}) => ({
+				pending: runners.get(shard)?.countPending(queue),
+			}),
+		);
+		channel.addMethod(
+			'submitJob',
+			jobPeerSchemas.submitJob,
+			async ({shard, job, timeoutMs}) =>
+				submissions.submit(shard, job, now() + timeoutMs),
+		);
+		channel.addMethod(
+			'evacuate',
+			jobPeerSchemas.evacuate,
+			({shard, executorId, patienceMs}) => ({
+				state: runners.get(shard)?.evacuate(executorId, patienceMs),
+			}),
+		);
+		channel.addMethod('readLoad', jobPeerSchemas.readLoad, ({shard}) => ({
+			load: runners.get(shard)?.getLoad(),
+		}));
+		channel.addMethod('shardReleased', jobPeerSchemas.shardReleased, () => {
+			leaseFollower.hasten();
+			keeper.hasten();
+			return {};
+		});
+	};
+
+	const startPeers = async (): Promise<boolean> => {
+		const keyHex = await obtainPeerKey(store, logger, () => isLeaving);
+		if (keyHex === undefined) {
+			return false;
+		}
+
+		const channel = createPeerChannel({
+			settings: {...settings.peers, keyHex},
+			life: self,
+			now,
+			wallNow: clock.epochNow,
+			logger,
+		});
+		addPeerMethods(channel);
+		await channel.start(reportFailure);
+		peers = channel;
+		return true;
+	};
+
+	const start = async (report: ReportFailure) => {
+		reportFailure = report;
+		operatorFollower.start(report);
+		leaseFollower.start(report);
+		memberFollower.start(report);
+		if (!(await startPeers()) || isLeaving) {
+			return;
+		}
+
+		await heartbeat.beatOnce();
+		await heartbeat.start(report);
+		await keeper.start(report);
+		logger.info('daemon started', {
+			incarnation: self.incarnation,
+			address: getAddress(),
+		});
+	};
+
+	const handOver = async () => {
+		isLeaving = true;
+		await keeper.stop();
+	};
+
+	const stop = async () => {
+		await handOver();
+		for (const runner of runners.values()) {
+			runner.abandon();
+		}
+
+		for (const follower of [operatorFollower, leaseFollower, memberFollower]) {
+			follower.stop();
+		}
+
+		executorFollower?.stop();
+		await heartbeat.stop();
+		await peers?.stop(now());
+	};
+
+	const isReady = (): boolean =>
+		!isLeaving &&
+		peers !== undefined &&
+		routes.get() !== undefined &&
+		!leaseFollower.isLost();
+
+	return {start, handOver, stop, isReady, service, routes, metrics};
+};
+
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -0,0 +1,286 @@
+/**
+ * The calls of one owner to one executor: looks, one after another, which
+ * renew the leases and bring what has ended, and the orders between them.
+ */
+import {scheduler} from '@gullstand/core';
+import type {Executors, ExecutorTarget, LookAnswer} from '@gullstand/ports';
+import {match} from 'ts-pattern';
+import type {Logger} from '../../log/logger.js';
+import {delay} from '../clock.js';
+import {periods} from '../periods.js';
+
+/** What a link needs. */
+export type ExecutorLinkDeps = {
+	readonly owner: scheduler.Owner;
+	readonly executor: scheduler.Executor;
+	readonly executors: Executors;
+	readonly now: () => number;
+	/** Whether this daemon may count on being the owner. */
+	readonly isBelieved: () => boolean;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	/** Something changed that may allow or call for orders. */
+	readonly onChange: () => void;
+	readonly onLook: (changes: scheduler.LookChanges) => void;
+	readonly onFenced: () => void;
+	readonly onOtherLife: () => void;
+	/** The answer to a start, for the metrics. */
+	readonly onStarted: (run: scheduler.Run, isStarted: boolean) => void;
+};
+
+/** A link at work. */
+export type ExecutorLink = {
+	/** Looks now rather than at the next occasion. */
+	readonly poke: () => void;
+	readonly close: () => void;
+	readonly send: (order: scheduler.Order) => void;
+	readonly sendPace: (order: scheduler.PaceOrder) => void;
+};
+
+type State = {
+	isClosed: boolean;
+	isPoked: boolean;
+	wake: (() => void) | undefined;
+	ackSent: number;
+	retryMs: number;
+};
+
+/** Opens a link; it looks at once. */
+export const openExecutorLink = (deps: ExecutorLinkDeps): ExecutorLink => {
+	const {owner, executor, executors, now, logger} = deps;
+	const target: ExecutorTarget = {
+		id: executor.id,
+		address: executor.listed.address,
+	};
+	const state: State = {
+		isClosed: false,
+		isPoked: true,
+		wake: undefined,
+		ackSent: 0,
+		retryMs: periods.lookRetryMs,
+	};
+
+	const needsLook = (): boolean =>
+		!executor.isAdopted ||
+		executor.runs.size > 0 ||
+		executor.ackedUpto > state.ackSent ||
+		executor.silentSince !== undefined ||
+		state.isPoked;
+
+	const sleep = async () => {
+		await new Promise<void>((resolve) => {
+			state.wake = resolve;
+		});
+		state.wake = undefined;
+	};
+
+	const takeSeen = (answer: LookAnswer & {kind: 'seen'}, sentAt: number) => {
+		state.retryMs = periods.lookRetryMs;
+		const {clockMs, running, ends} = answer;
+		const look = {sentAt, receivedAt: now(), clockMs, running, ends};
+		const wasSilentFrom = executor.silentSince;
+		const changes = scheduler.takeLook(owner, executor, look);
+		if (changes.isFirst || wasSilentFrom !== undefined) {
+			logger.info('executor answers', {
+				executor: executor.id,
+				address: target.address,
+				running: running.length,
+				ends: ends.length,
+				silentMs:
+					wasSilentFrom === undefined
+						? undefined
+						: Math.round(now() - wasSilentFrom),
+			});
+		}
+
+		for (const {taskId, run} of changes.strays) {
+			void stopStray(taskId, run);
+		}
+
+		deps.onLook(changes);
+	};
+
+	const stopStray = async (taskId: string, run: number) => {
+		const order = {taskId, run, fencingToken: owner.token};
+		const answer = await executors.stop(target, order, periods.orderTimeoutMs);
+		logger.info('run of no known task stopped', {
+			task: taskId,
+			run,
+			executor: executor.id,
+			outcome: answer.kind,
+		});
+	};
+
+	const noteNoAnswer = async () => {
+		if (executor.silentSince === undefined) {
+			logger.warn('executor does not answer', {
+				executor: executor.id,
+				address: target.address,
+				runs: executor.runs.size,
+			});
+		}
+
+		scheduler.noteSilence(owner, executor.id, now());
+		deps.onChange();
+		await delay(state.retryMs);
+		state.retryMs = Math.min(2 * state.retryMs, periods.lookRetryMaxMs);
+	};
+
+	const lookOnce = async () => {
+		const isQuiet = executor.isAdopted && executor.silentSince === undefined;
+		const ackedUpto = executor.ackedUpto;
+		const mayWait = isQuiet && !state.isPoked && executor.runs.size > 0;
+		const waitMs = mayWait ? periods.lookWaitMs : 0;
+		state.isPoked = false;
+		const untilMs =
+			executor.runs.size > 0 && deps.isBelieved()
+				? scheduler.grantLease(executor, owner.cfg.taskLeaseMs, now())
+				: undefined;
+		const sentAt = now();
+		const answer = await executors.look(
+			target,
+			{fencingToken: owner.token, ackedUpto, untilMs, waitMs},
+			waitMs + periods.lookTimeoutMs,
+		);
+		if (state.isClosed) {
+			return;
+		}
+
+		await match(answer)
+			.with({kind: 'seen'}, async (seen) => {
+				state.ackSent = Math.max(state.ackSent, ackedUpto);
+				takeSeen(seen, sentAt);
+			})
+			.with({kind: 'fenced'}, async () => {
+				deps.onFenced();
+			})
+			.with({kind: 'other-life'}, async () => {
+				deps.onOtherLife();
+			})
+			.with({kind: 'no-answer'}, noteNoAnswer)
+			.exhaustive();
+	};
+
+	const run = async () => {
+		while (!state.isClosed) {
+			await (needsLook() ? lookOnce() : sleep());
+		}
+	};
+
+	const poke = () => {
+		state.isPoked = true;
+		state.wake?.();
+	};
+
+	const follow = (effect: scheduler.AnswerEffect) => {
+		match(effect)
+			.with('none', () => undefined)
+			.with('fenced', () => {
+				deps.onFenced();
+			})
+			.with('other-life', () => {
+				deps.onOtherLife();
+			})
+			.with('look-again', poke)
+			.exhaustive();
+		state.wake?.();
+		deps.onChange();
+	};
+
+	const sendStart = async (order: scheduler.Order & {kind: 'start'}) => {
+		const {run: started, untilMs} = order;
+		const {task, number} = started;
+		const answer = await executors.start(
+			target,
+			{
+				taskId: task.id,
+				run: number,
+				payload: task.step.occurrence.job.accepted.spec.payload,
+				untilMs,
+				fencingToken: owner.token,
+				checkpoint: task.checkpoint,
+				ticket: undefined,
+			},
+			periods.orderTimeoutMs,
+		);
+		if (state.isClosed) {
+			return;
+		}
+
+		logger.info('task start', {
+			task: task.id,
+			run: number,
+			executor: executor.id,
+			outcome: answer.kind,
+			reason: answer.kind === 'refused' ? answer.reason : undefined,
+			untilMs,
+			failures: task.failures,
+			tookMs: Math.round(now() - started.askedAt),
+		});
+		deps.onStarted(started, answer.kind === 'started');
+		follow(scheduler.takeStartAnswer(owner, started, answer, now()));
+	};
+
+	const sendStop = async (order: scheduler.Order & {kind: 'stop'}) => {
+		const {run: stopped, reason} = order;
+		const {task, number} = stopped;
+		const answer = await executors.stop(
+			target,
+			{taskId: task.id, run: number, fencingToken: owner.token},
+			periods.orderTimeoutMs,
+		);
+		if (state.isClosed) {
+			return;
+		}
+
+		logger.info('task stop', {
+			task: task.id,
+			run: number,
+			executor: executor.id,
+			reason,
+			outcome: answer.kind,
+			percent: stopped.percent,
+		});
+		follow(scheduler.takeStopAnswer(owner, stopped, answer, now()));
+	};
+
+	const sendPace = async ({run: paced, percent, tailShare}: scheduler.PaceOrder) => {
+		const {task, number} = paced;
+		const before = paced.pacePercent;
+		paced.pacePercent = percent;
+		const answer = await executors.pace(
+			target,
+			{taskId: task.id, run: number, fencingToken: owner.token, percent},
+			periods.orderTimeoutMs,
+		);
+		logger.info('task paced', {
+			task: task.id,
+			run: number,
+			executor: executor.id,
+			percent,
+			before,
+			tailShare: Math.round(100 * tailShare) / 100,
+			outcome: answer.kind,
+		});
+		if (answer.kind !== 'done') {
+			paced.pacePercent = before;
+		}
+	};
+
+	void run();
+	return {
+		poke,
+		close() {
+			state.isClosed = true;
+			state.wake?.();
+			executors.forget(target);
+		},
+		send(order) {
+			void (order.kind === 'start' ? sendStart(order) : sendStop(order));
+			// A look that brings its end must be under way.
+			state.wake?.();
+		},
+		sendPace(order) {
+			void sendPace(order);
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -0,0 +1,172 @@
+/**
+ * Stores the progress of a service's jobs. Each flush checks the lease row, so
+ * that a deposed owner stores nothing, and rewrites a row of its own that the
+ * next one checks, so that a flush carried out late changes nothing.
+ */
+import {scheduler} from '@gullstand/core';
+import type {RowStore, RowTransaction, StoredRow} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import {delay} from '../clock.js';
+import {periods} from '../periods.js';
+import {singleKeys, tables} from '../rows/tables.js';
+import type {HeldShard} from '../shards/shard-keeper.js';
+
+/** Most jobs in one flush; origin: 100 entries a transaction, checks too. */
+const maxJobsPerFlush = 90;
+
+/** What a flusher needs. */
+export type FlusherDeps = {
+	readonly store: RowStore;
+	readonly owner: scheduler.Owner;
+	readonly held: HeldShard;
+	readonly flushVersion: number;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	/** Executors to which new ends are to be acknowledged. */
+	readonly onAckable: (executors: readonly scheduler.Executor[]) => void;
+	readonly onStored: (flush: scheduler.Flush) => void;
+	readonly onLost: (reason: string, rows: readonly StoredRow[]) => void;
+};
+
+/** The flusher of one ownership. */
+export type Flusher = {
+	/** Notes that something may be to store. */
+	readonly poke: () => void;
+	readonly stop: () => void;
+	/** Flushes until nothing is left or the store refuses. */
+	readonly drain: () => Promise<void>;
+};
+
+const isUrgent = ({dirty, isRosterDirty}: scheduler.Owner): boolean =>
+	isRosterDirty || [...dirty].some(({end}) => end !== undefined);
+
+/** Creates a flusher. */
+export const createFlusher = (deps: FlusherDeps): Flusher => {
+	const {store, owner, held, logger} = deps;
+	const part = held.shard;
+	const flushKey = {table: tables.owner, part, key: singleKeys.flush};
+	const leaseKey = {table: tables.lease, part, key: singleKeys.lease};
+	let {flushVersion} = deps;
+	let running: Promise<void> | undefined;
+	let timer: NodeJS.Timeout | undefined;
+	let isStopped = false;
+
+	const toTransaction = (flush: scheduler.Flush): RowTransaction => {
+		const puts = flush.jobs.map(({job, progress}) => ({
+			table: tables.progress,
+			part,
+			key: job.accepted.id,
+			value: JSON.stringify(progress),
+		}));
+		const roster = flush.roster && {
+			table: tables.owner,
+			part,
+			key: singleKeys.roster,
+			value: JSON.stringify(flush.roster),
+		};
+		return {
+			checks: [
+				{...leaseKey, version: held.version},
+				{...flushKey, version: flushVersion},
+			],
+			puts: [
+				{...flushKey, value: String(flush.number)},
+				...puts,
+				...(roster ? [roster] : []),
+			],
+			removes: [],
+		};
+	};
+
+	/** True if an earlier flush of ours was carried out after all. */
+	const takeConflict = (rows: readonly StoredRow[]): boolean => {
+		const lease = rows.find(({table}) => table === tables.lease);
+		if (lease?.version !== held.version) {
+			deps.onLost('the lease row has changed', rows);
+			return false;
+		}
+
+		const flush = rows.find(({table}) => table === tables.owner);
+		flushVersion = flush?.version ?? 0;
+		return true;
+	};
+
+	const flushOnce = async (): Promise<boolean> => {
+		const flush = scheduler.beginFlush(owner, maxJobsPerFlush);
+		const result = await store.transact(
+			toTransaction(flush),
+			periods.storeTimeoutMs,
+		);
+		if (result.ok) {
+			flushVersion = result.value.version;
+			deps.onAckable(scheduler.completeFlush(owner, flush));
+			deps.onStored(flush);
+			return true;
+		}
+
+		scheduler.abandonFlush(owner, flush);
+		logger.warn('progress not stored', {
+			shard: part,
+			flush: flush.number,
+			jobs: flush.jobs.length,
+			reason: result.error.kind,
+		});
+		if (result.error.kind === 'conflict') {
+			return takeConflict(result.error.rows);
+		}
+
+		await delay(periods.flushRetryMs);
+		return false;
+	};
+
+	const run = async () => {
+		while (!isStopped && scheduler.needsFlush(owner)) {
+			await flushOnce();
+		}
+	};
+
+	const begin = () => {
+		timer = undefined;
+		running ??= run().finally(() => {
+			running = undefined;
+			if (!isStopped) {
+				poke();
+			}
+		});
+	};
+
+	const poke = () => {
+		if (isStopped || running) {
+			return;
+		}
+
+		if (!scheduler.needsFlush(owner)) {
+			deps.onAckable(scheduler.acknowledgeIdle(owner));
+			return;
+		}
+
+		if (isUrgent(owner)) {
+			clearTimeout(timer);
+			begin();
+			return;
+		}
+
+		timer ??= setTimeout(begin, periods.flushMs);
+	};
+
+	return {
+		poke,
+		stop() {
+			isStopped = true;
+			clearTimeout(timer);
+		},
+		async drain() {
+			clearTimeout(timer);
+			await running;
+			while (!isStopped && scheduler.needsFlush(owner)) {
+				if (!(await flushOnce())) {
+					return;
+				}
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -0,0 +1,175 @@
+/** Reads all rows of a service and builds its owner's state from them. */
+import {
+	fail,
+	scheduler,
+	succeed,
+	type Result,
+} from '@gullstand/core';
+import type {RowStore, RowStoreError, StoredRow} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import {periods} from '../periods.js';
+import {readWhole} from '../rows/table-feed.js';
+import {
+	decodeRow,
+	jobSchema,
+	parseJobKey,
+	progressSchema,
+	rosterSchema,
+	singleKeys,
+	tables,
+} from '../rows/tables.js';
+import type {HeldShard} from '../shards/shard-keeper.js';
+
+/** What a load needs. */
+export type LoadDeps = {
+	readonly store: RowStore;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	readonly cfg: scheduler.SchedulerConfig;
+	readonly now: () => number;
+};
+
+/** The state of a service just taken over. */
+export type LoadedOwner = {
+	readonly owner: scheduler.Owner;
+	/** Version from which the job table is followed. */
+	readonly version: number;
+	/** Version of the row that each flush rewrites; 0 if there is none. */
+	readonly flushVersion: number;
+};
+
+type Rows = {
+	readonly jobs: readonly StoredRow[];
+	readonly progress: readonly StoredRow[];
+	readonly kept: readonly StoredRow[];
+	readonly version: number;
+};
+
+const readRows = async (
+	store: RowStore,
+	part: string,
+): Promise<Result<Rows, RowStoreError>> => {
+	const [jobs, progress, kept] = await Promise.all(
+		[tables.job, tables.progress, tables.owner].map(async (table) =>
+			readWhole(store, {table, part}, periods.storeTimeoutMs),
+		),
+	);
+	if (!jobs?.ok || !progress?.ok || !kept?.ok) {
+		const failed = [jobs, progress, kept].find((each) => !each?.ok);
+		return failed && !failed.ok ? failed : fail({kind: 'unavailable'});
+	}
+
+	return succeed({
+		jobs: jobs.value.rows,
+		progress: progress.value.rows,
+		kept: kept.value.rows,
+		version: jobs.value.version,
+	});
+};
+
+/** Rows that decode; the others are logged and skipped. */
+export function* decodeRows<Value>(
+	rows: readonly StoredRow[],
+	schema: Parameters<typeof decodeRow<Value>>[0],
+	logger: Pick<Logger, 'warn'>,
+): Generator<{readonly row: StoredRow; readonly value: Value}> {
+	for (const row of rows) {
+		const decoded = decodeRow(schema, row.value);
+		if (decoded.ok) {
+			yield {row, value: decoded.value};
+		} else {
+			const {table, part, key} = row;
+			logger.warn('row skipped', {table, part, key, ...decoded.error});
+		}
+	}
+}
+
+/**
+ * How long what the previous holder granted may last. One that gave the shard
+ * back, or whose process is replaced, grants nothing more; a silent one may
+ * go on for as long as it believes in its lease.
+ */
+export const getInheritedMs = (
+	{previous}: Pick<HeldShard, 'previous'>,
+	cfg: scheduler.SchedulerConfig,
+): number => {
+	const granted =
+		cfg.taskLeaseMs * (1 + 2 * scheduler.maxSlowdown) + cfg.maxTransitMs;
+	return previous === 'silent' ? granted + cfg.ownerBeliefMs : granted;
+};
+
+const addJobs = (
+	owner: scheduler.Owner,
+	rows: Rows,
+	{logger, now}: LoadDeps,
+): void => {
+	const jobRows = rows.jobs.filter(({key}) => !parseJobKey(key).isCancel);
+	for (const {value} of decodeRows(jobRows, jobSchema, logger)) {
+		scheduler.addJob(owner, value, true);
+	}
+
+	for (const {row, value} of decodeRows(rows.progress, progressSchema, logger)) {
+		const job = owner.jobs.get(row.key);
+		if (job) {
+			scheduler.applyProgress(job, value, now());
+		}
+	}
+
+	for (const {key} of rows.jobs) {
+		const {id, isCancel} = parseJobKey(key);
+		const job = isCancel ? owner.jobs.get(id) : undefined;
+		if (job) {
+			scheduler.cancelJob(owner, job, now());
+		}
+	}
+
+	for (const job of owner.jobs.values()) {
+		if (job.end) {
+			owner.openJobs.delete(job);
+		}
+	}
+};
+
+const addRoster = (
+	owner: scheduler.Owner,
+	held: HeldShard,
+	rows: Rows,
+	{logger, cfg, now}: LoadDeps,
+): void => {
+	const rosters = rows.kept.filter(({key}) => key === singleKeys.roster);
+	const overAt = now() + getInheritedMs(held, cfg);
+	for (const {value} of decodeRows(rosters, rosterSchema, logger)) {
+		for (const listed of value) {
+			scheduler.inheritExecutor(owner, listed, overAt);
+		}
+	}
+};
+
+/**
+ * Reads the rows after the lease row was won: nothing of an earlier owner can
+ * be stored from then on, since its writes check that row.
+ */
+export const loadOwner = async (
+	service: string,
+	held: HeldShard,
+	deps: LoadDeps,
+): Promise<Result<LoadedOwner, RowStoreError>> => {
+	const rows = await readRows(deps.store, held.shard);
+	if (!rows.ok) {
+		return rows;
+	}
+
+	const owner = scheduler.createOwner(
+		service,
+		held.token,
+		deps.cfg,
+		deps.now(),
+	);
+	addJobs(owner, rows.value, deps);
+	addRoster(owner, held, rows.value, deps);
+	const flush = rows.value.kept.find(({key}) => key === singleKeys.flush);
+	return succeed({
+		owner,
+		version: rows.value.version,
+		flushVersion: flush?.version ?? 0,
+	});
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -0,0 +1,572 @@
+/**
+ * Runs the jobs of one service for as long as this daemon owns it: takes in
+ * jobs, looks and answers, plans, sends the orders, stores what has ended.
+ */
+import {scheduler} from '@gullstand/core';
+import type {
+	ChangedRow,
+	Executors,
+	FeedBatch,
+	RowStore,
+	StoredRow,
+} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import type {ReportFailure} from '../../supervisor/supervisor.js';
+import {delay, getMostElapsedMs, type Clock, type Moment} from '../clock.js';
+import {legs, type JobMetrics} from '../job-metrics.js';
+import {followPeriods, periods} from '../periods.js';
+import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
+import {createTableFeed} from '../rows/table-feed.js';
+import {
+	decodeRow,
+	getCancelKey,
+	jobSchema,
+	parseJobKey,
+	tables,
+} from '../rows/tables.js';
+import type {HeldShard} from '../shards/shard-keeper.js';
+import {createFlusher, type Flusher} from './flusher.js';
+import {openExecutorLink, type ExecutorLink} from './executor-link.js';
+import {loadOwner} from './load-owner.js';
+
+/** What an owner's runner needs. */
+export type OwnerRunnerDeps = {
+	readonly held: HeldShard;
+	readonly service: string;
+	readonly store: RowStore;
+	readonly executors: Executors;
+	readonly clock: Clock;
+	readonly cfg: scheduler.SchedulerConfig;
+	readonly logger: Logger;
+	readonly metrics: JobMetrics;
+	/** When the leases were last confirmed by the store. */
+	readonly getConfirmed: () => Moment | undefined;
+	/** Executors listed now, of all services. */
+	readonly listExecutors: () => readonly scheduler.ListedExecutor[];
+	/** The service is another's; `rows` may say whose. */
+	readonly onLost: (reason: string, rows: readonly StoredRow[]) => void;
+	readonly reportFailure: ReportFailure;
+};
+
+/** What a caller learns of a job from its owner. */
+export type JobReading =
+	| {readonly kind: 'state'; readonly state: scheduler.JobState}
+	| {readonly kind: 'unknown'}
+	| {readonly kind: 'not-owner'};
+
+/** Load of a service, for moves between pools. */
+export type ServiceLoad = {
+	/** Cpu of the tasks that wait and may start, in thousandths of a core. */
+	readonly waitingCpu: number;
+	/** Cpu of what runs. */
+	readonly usedCpu: number;
+	/** Cpu of all executors that may take work. */
+	readonly capacityCpu: number;
+	/** Executors by id, with the runs that they hold. */
+	readonly executors: Readonly<Record<string, ExecutorLoad>>;
+};
+
+/** Load of one executor. */
+export type ExecutorLoad = {
+	readonly runs: number;
+	readonly lasting: number;
+	readonly usedCpu: number;
+};
+
+/** The runner of one ownership. */
+export type OwnerRunner = {
+	/** Resolves once the state is read; orders follow by themselves. */
+	readonly start: () => Promise<void>;
+	/** Stores what it can and lets go. */
+	readonly stop: () => Promise<void>;
+	/** Lets go at once: the service is another's. */
+	readonly abandon: () => void;
+	readonly noteExecutors: (isWhole: boolean) => void;
+	/** Takes in rows of the job table, from a peer or the store. */
+	readonly noteRows: (rows: readonly ChangedRow[]) => void;
+	readonly readJob: (id: string, queue: string) => JobReading;
+	readonly countPending: (queue: string) => number | undefined;
+	readonly evacuate: (
+		executorId: string,
+		patienceMs: number,
+	) => scheduler.EvacuationState;
+	readonly getLoad: () => ServiceLoad | undefined;
+	readonly getOwner: () => scheduler.Owner | undefined;
+};
+
+/** Jobs removed at a time; origin: 100 entries a transaction. */
+const removalBatch = 30;
+
+const removalPeriodMs = 5000;
+
+/** Bound on the last flush of an owner that lets go, in milliseconds. */
+const maxDrainMs = 400;
+
+/** Creates a runner; it does nothing before `start`. */
+export const createOwnerRunner = (deps: OwnerRunnerDeps): OwnerRunner => {
+	const {held, service, store, clock, cfg, metrics} = deps;
+	const logger = deps.logger.child({shard: held.shard});
+	const links = new Map<string, ExecutorLink>();
+	let owner: scheduler.Owner | undefined;
+	let flusher: Flusher | undefined;
+	let follower: FeedFollower | undefined;
+	let isStopped = false;
+	let isLettingGo = false;
+	let isPlanDue = false;
+	let planTimer: NodeJS.Timeout | undefined;
+	let removedAt = 0;
+	const pacedAt = new Map<string, number>();
+
+	const isBelieved = (): boolean => {
+		const confirmed = deps.getConfirmed();
+		return (
+			!isStopped &&
+			confirmed !== undefined &&
+			getMostElapsedMs(clock, confirmed) < cfg.ownerBeliefMs
+		);
+	};
+
+	const lose = (reason: string, rows: readonly StoredRow[] = []) => {
+		if (!isStopped) {
+			abandon();
+			deps.onLost(reason, rows);
+		}
+	};
+
+	const onChange = () => {
+		flusher?.poke();
+		if (!isPlanDue && !isStopped) {
+			isPlanDue = true;
+			setImmediate(runPlan);
+		}
+	};
+
+	const logJobEnd = (id: string, end: string, reason: string) => {
+		metrics.count('jobs_ended', end);
+		logger.info('job ended', {job: id, end, reason});
+	};
+
+	const takeLookChanges = (
+		executor: scheduler.Executor,
+		changes: scheduler.LookChanges,
+	) => {
+		for (const {taskId, run, how, failures} of changes.ends) {
+			metrics.count('runs_ended', how);
+			logger.info('task end', {
+				task: taskId,
+				run,
+				how,
+				failures,
+				executor: executor.id,
+			});
+		}
+
+		for (const key of changes.lost) {
+			logger.warn('run vanished', {run: key, executor: executor.id});
+		}
+
+		for (const {job, end, reason} of changes.jobEnds) {
+			logJobEnd(job, end, reason);
+		}
+
+		planPaces(executor);
+		onChange();
+	};
+
+	const planPaces = (executor: scheduler.Executor) => {
+		const last = pacedAt.get(executor.id) ?? 0;
+		if (clock.now() - last < scheduler.paceConfig.intervalMs) {
+			return;
+		}
+
+		const orders = scheduler.planPaces(executor);
+		for (const order of orders) {
+			links.get(executor.id)?.sendPace(order);
+		}
+
+		if (orders.length > 0) {
+			pacedAt.set(executor.id, clock.now());
+		}
+	};
+
+	const noteFreed = (runs: readonly scheduler.Run[], reason: string) => {
+		for (const {task, number, executorId} of runs) {
+			logger.warn('run given up', {
+				task: task.id,
+				run: number,
+				executor: executorId,
+				reason,
+			});
+		}
+	};
+
+	const openLink = (state: scheduler.Owner, executor: scheduler.Executor) => {
+		const link = openExecutorLink({
+			owner: state,
+			executor,
+			executors: deps.executors,
+			now: clock.now,
+			isBelieved,
+			logger,
+			onChange,
+			onLook(changes) {
+				takeLookChanges(executor, changes);
+			},
+			onFenced() {
+				lose('an executor has seen a higher fencing token');
+			},
+			onOtherLife() {
+				noteFreed(
+					scheduler.noteOtherLife(state, executor.id),
+					'another life answers at the address',
+				);
+				onChange();
+			},
+			onStarted(run, isStarted) {
+				noteStarted(run, isStarted);
+			},
+		});
+		links.set(executor.id, link);
+	};
+
+	const noteStarted = (run: scheduler.Run, isStarted: boolean) => {
+		const {accepted, hasStarted} = run.task.step.occurrence.job;
+		metrics.count('starts', isStarted ? 'started' : 'not-started');
+		metrics.record(legs.start, service, clock.now() - run.askedAt);
+		if (isStarted && !hasStarted) {
+			const waitedMs = clock.epochNow() - accepted.acceptedAtEpochMs;
+			metrics.record(legs.firstStart, accepted.policy.queue, waitedMs);
+		}
+	};
+
+	/** Opens links to new executors, closes those to forgotten ones. */
+	const matchLinks = (state: scheduler.Owner) => {
+		for (const executor of state.executors.values()) {
+			if (!links.has(executor.id)) {
+				openLink(state, executor);
+			}
+		}
+
+		for (const [id, link] of links) {
+			if (!state.executors.has(id)) {
+				link.close();
+				links.delete(id);
+				pacedAt.delete(id);
+			}
+		}
+	};
+
+	const runPlan = () => {
+		isPlanDue = false;
+		if (!owner || isStopped) {
+			return;
+		}
+
+		const now = clock.now();
+		noteFreed(scheduler.expireLeases(owner, now), 'its lease is over');
+		matchLinks(owner);
+		if (isBelieved() && !isLettingGo) {
+			scheduler.advanceSchedules(owner, clock.epochNow());
+			const orders = scheduler.planOrders(owner, now, clock.epochNow());
+			for (const order of orders) {
+				links.get(order.executor.id)?.send(order);
+			}
+		}
+
+		flusher?.poke();
+	};
+
+	const removeOldJobs = async (state: scheduler.Owner) => {
+		const now = clock.now();
+		if (now - removedAt < removalPeriodMs) {
+			return;
+		}
+
+		removedAt = now;
+		const ids = scheduler.forgetEndedJobs(state, now, removalBatch);
+		if (ids.length === 0) {
+			return;
+		}
+
+		const part = held.shard;
+		const result = await store.transact(
+			{
+				checks: [
+					{table: tables.lease, part, key: 'lease', version: held.version},
+				],
+				puts: [],
+				removes: ids.flatMap((id) => [
+					{table: tables.job, part, key: id},
+					{table: tables.job, part, key: getCancelKey(id)},
+					{table: tables.progress, part, key: id},
+				]),
+			},
+			periods.storeTimeoutMs,
+		);
+		logger.info('ended jobs removed', {
+			jobs: ids.length,
+			outcome: result.ok ? 'done' : result.error.kind,
+		});
+		if (result.ok) {
+			for (const id of ids) {
+				state.jobs.delete(id);
+			}
+		}
+	};
+
+	const planAgain = () => {
+		planTimer = setTimeout(() => {
+			runPlan();
+			if (owner) {
+				void removeOldJobs(owner);
+			}
+
+			if (!isStopped) {
+				planAgain();
+			}
+		}, periods.planMs);
+	};
+
+	const noteExecutors = (isWhole: boolean) => {
+		if (!owner) {
+			return;
+		}
+
+		const listed = deps
+			.listExecutors()
+			.filter((each) => each.service === service);
+		for (const each of listed) {
+			scheduler.listExecutor(owner, each);
+		}
+
+		const ids = new Set(listed.map(({id}) => id));
+		for (const {id, isListed} of owner.executors.values()) {
+			if (isListed && !ids.has(id)) {
+				logger.info('executor no longer listed', {executor: id, isWhole});
+				scheduler.unlistExecutor(owner, id);
+			}
+		}
+
+		onChange();
+	};
+
+	const noteJob = (state: scheduler.Owner, row: ChangedRow) => {
+		const decoded = decodeRow(jobSchema, row.value ?? '');
+		if (!decoded.ok) {
+			logger.warn('row skipped', {
+				table: row.table,
+				key: row.key,
+				...decoded.error,
+			});
+			return;
+		}
+
+		const {accepted} = scheduler.addJob(
+			state,
+			decoded.value,
+			row.version < held.version,
+		);
+		logger.info('job taken in', {
+			job: row.key,
+			queue: accepted.policy.queue,
+			version: row.version,
+			ageMs: Math.round(clock.epochNow() - accepted.acceptedAtEpochMs),
+			steps: accepted.spec.steps.length,
+		});
+	};
+
+	const noteCancel = (state: scheduler.Owner, id: string) => {
+		const job = state.jobs.get(id);
+		if (job && !job.end) {
+			scheduler.cancelJob(state, job, clock.now());
+			logJobEnd(id, 'cancelled', 'the caller cancelled it');
+		}
+	};
+
+	const noteRows = (rows: readonly ChangedRow[]) => {
+		if (!owner) {
+			return;
+		}
+
+		for (const row of rows) {
+			const {id, isCancel} = parseJobKey(row.key);
+			if (row.value !== undefined && !isCancel && !owner.jobs.has(id)) {
+				noteJob(owner, row);
+			}
+		}
+
+		for (const row of rows) {
+			const {id, isCancel} = parseJobKey(row.key);
+			if (row.value !== undefined && isCancel) {
+				noteCancel(owner, id);
+			}
+		}
+
+		onChange();
+	};
+
+	const applyBatch = ({entries}: FeedBatch<ChangedRow>) => {
+		noteRows(entries.flatMap(({value}) => (value ? [value] : [])));
+	};
+
+	const load = async () => {
+		while (!isStopped) {
+			const loaded = await loadOwner(service, held, {
+				store,
+				logger,
+				cfg,
+				now: clock.now,
+			});
+			if (loaded.ok) {
+				return loaded.value;
+			}
+
+			logger.warn('rows not read', {reason: loaded.error.kind});
+			await delay(periods.flushRetryMs);
+		}
+
+		return undefined;
+	};
+
+	const noteStored = ({jobs}: scheduler.Flush) => {
+		for (const {job, end} of jobs) {
+			if (end === 'completed') {
+				const tookMs = clock.epochNow() - job.accepted.acceptedAtEpochMs;
+				metrics.record(legs.job, job.accepted.policy.queue, tookMs);
+				logJobEnd(job.accepted.id, end, `all tasks done in ${tookMs} ms`);
+			}
+		}
+	};
+
+	const start = async () => {
+		const loaded = await load();
+		if (!loaded || isStopped) {
+			return;
+		}
+
+		owner = loaded.owner;
+		flusher = createFlusher({
+			store,
+			owner,
+			held,
+			flushVersion: loaded.flushVersion,
+			logger,
+			onAckable(executors) {
+				for (const {id} of executors) {
+					links.get(id)?.poke();
+				}
+			},
+			onStored: noteStored,
+			onLost: lose,
+		});
+		follower = createFeedFollower({
+			name: 'job',
+			feed: createTableFeed(store, tables.job, {kind: 'one', part: held.shard}),
+			periods: followPeriods.job,
+			startVersion: loaded.version,
+			clock,
+			logger,
+			onWhole: applyBatch,
+			onChanges: applyBatch,
+		});
+		logger.info('service taken over', {
+			fencingToken: held.token,
+			previous: held.previous,
+			jobs: owner.jobs.size,
+			open: owner.openJobs.size,
+			unresolvedExecutors: owner.unresolved.size,
+		});
+		noteExecutors(true);
+		follower.start(deps.reportFailure);
+		planAgain();
+	};
+
+	const abandon = () => {
+		isStopped = true;
+		clearTimeout(planTimer);
+		follower?.stop();
+		flusher?.stop();
+		for (const link of links.values()) {
+			link.close();
+		}
+
+		links.clear();
+	};
+
+	const getLoad = (): ServiceLoad | undefined =>
+		owner && describeLoad(owner, clock.now());
+
+	return {
+		start,
+		async stop() {
+			isLettingGo = true;
+			await Promise.race([flusher?.drain(), delay(maxDrainMs)]);
+			abandon();
+		},
+		abandon,
+		noteExecutors,
+		noteRows,
+		readJob(id, queue) {
+			if (!owner || !isBelieved()) {
+				return {kind: 'not-owner'};
+			}
+
+			const job = owner.jobs.get(id);
+			return job && job.accepted.policy.queue === queue
+				? {kind: 'state', state: scheduler.getJobState(job)}
+				: {kind: 'unknown'};
+		},
+		countPending: (queue) =>
+			owner && isBelieved()
+				? scheduler.countPending(owner, queue)
+				: undefined,
+		evacuate(executorId, patienceMs) {
+			if (!owner) {
+				return {kind: 'unknown-executor'};
+			}
+
+			const state = scheduler.requestEvacuation(
+				owner,
+				executorId,
+				patienceMs,
+				clock.now(),
+			);
+			onChange();
+			return state;
+		},
+		getLoad,
+		getOwner: () => owner,
+	};
+};
+
+const describeExecutor = (executor: scheduler.Executor): ExecutorLoad => ({
+	runs: executor.runs.size,
+	lasting: [...executor.runs.values()].filter(
+		({task}) => task.step.spec.isLongRunning,
+	).length,
+	usedCpu: executor.used.cpuMillis,
+});
+
+const describeLoad = (owner: scheduler.Owner, now: number): ServiceLoad => {
+	const usable = scheduler.listUsable(owner, now);
+	let waitingCpu = 0;
+	for (const job of owner.openJobs) {
+		for (const task of scheduler.listTasks(job)) {
+			const mayStart = scheduler.isWaiting(task) && scheduler.isStepOpen(task.step);
+			waitingCpu += mayStart ? task.step.spec.resources.cpuMillis : 0;
+		}
+	}
+
+	const all = [...owner.executors.values()];
+	return {
+		waitingCpu,
+		usedCpu: usable.reduce((sum, {used}) => sum + used.cpuMillis, 0),
+		capacityCpu: usable.reduce(
+			(sum, {listed}) => sum + listed.capacity.cpuMillis,
+			0,
+		),
+		executors: Object.fromEntries(
+			all.map((each) => [each.id, describeExecutor(each)]),
+		),
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/rows/feed-follower.ts
@@ -0,0 +1,168 @@
+/**
+ * Follows a feed: reads it whole, then its changes, and reads it whole again
+ * when the history is gone. Every call is bounded, so that a connection that
+ * has gone silent costs one time-out.
+ */
+import type {Feed, FeedBatch, RowStoreError} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import type {ReportFailure} from '../../supervisor/supervisor.js';
+import {delay, getMoment, type Clock, type Moment} from '../clock.js';
+
+/** Times of a follower, in milliseconds. */
+export type FollowPeriods = {
+	/** How long the store waits for a change before it answers. */
+	readonly waitMs: number;
+	/** Pause between an answer and the next call. */
+	readonly pauseMs: number;
+	/** Bound on a call, beyond the time that the store waits. */
+	readonly timeoutMs: number;
+	/** Pause after a call that failed. */
+	readonly retryMs: number;
+};
+
+/** What a follower needs. */
+export type FollowerDeps<Value> = {
+	readonly name: string;
+	readonly feed: Feed<Value>;
+	readonly periods: FollowPeriods;
+	/** Where to begin; absent to read the feed whole first. */
+	readonly startVersion?: number;
+	readonly clock: Clock;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	/** All entries; those missing are gone. */
+	readonly onWhole: (batch: FeedBatch<Value>) => void;
+	readonly onChanges: (batch: FeedBatch<Value>) => void;
+};
+
+/** A follower at work. */
+export type FeedFollower = {
+	/** An error of the follower's own is reported; it then stands still. */
+	readonly start: (reportFailure: ReportFailure) => void;
+	readonly stop: () => void;
+	/** When the last call that succeeded was sent. */
+	readonly getConfirmed: () => Moment | undefined;
+	/** Whether the latest call failed. */
+	readonly isLost: () => boolean;
+	/** Ends the pause that is under way. */
+	readonly hasten: () => void;
+};
+
+type State = {
+	version: number | undefined;
+	confirmed: Moment | undefined;
+	isLost: boolean;
+	isStopped: boolean;
+	wake: (() => void) | undefined;
+};
+
+/** Creates a follower; it begins with `start`. */
+export const createFeedFollower = <Value>(
+	deps: FollowerDeps<Value>,
+): FeedFollower => {
+	const {name, feed, periods, clock, logger} = deps;
+	const state: State = {
+		version: deps.startVersion,
+		confirmed: undefined,
+		isLost: false,
+		isStopped: false,
+		wake: undefined,
+	};
+
+	const pause = async (ms: number) => {
+		const {promise, resolve} = createSignal();
+		state.wake = resolve;
+		await Promise.race([promise, delay(ms)]);
+	};
+
+	const noteFailure = (error: RowStoreError) => {
+		if (error.kind === 'history-lost') {
+			logger.info('feed is read anew', {feed: name, version: state.version});
+			state.version = undefined;
+			return;
+		}
+
+		if (!state.isLost) {
+			logger.warn('feed lost', {feed: name, reason: error.kind});
+		}
+
+		state.isLost = true;
+	};
+
+	const noteSuccess = (sent: Moment) => {
+		if (state.isLost) {
+			logger.info('feed regained', {
+				feed: name,
+				awayMs: state.confirmed && Math.round(sent.at - state.confirmed.at),
+			});
+		}
+
+		state.isLost = false;
+		state.confirmed = sent;
+	};
+
+	const readOnce = async () => {
+		const {version} = state;
+		const sent = getMoment(clock);
+		const result =
+			version === undefined
+				? await feed.readAll(periods.timeoutMs)
+				: await feed.readChanges(
+						version,
+						periods.waitMs,
+						periods.waitMs + periods.timeoutMs,
+					);
+		if (state.isStopped) {
+			return;
+		}
+
+		if (!result.ok) {
+			noteFailure(result.error);
+			await pause(periods.retryMs);
+			return;
+		}
+
+		noteSuccess(sent);
+		state.version = result.value.version;
+		if (version === undefined) {
+			deps.onWhole(result.value);
+		} else if (result.value.entries.length > 0) {
+			deps.onChanges(result.value);
+		}
+
+		if (periods.pauseMs > 0) {
+			await pause(periods.pauseMs);
+		}
+	};
+
+	const run = async () => {
+		while (!state.isStopped) {
+			await readOnce();
+		}
+	};
+
+	return {
+		start(reportFailure) {
+			state.isStopped = false;
+			run().catch((err: unknown) => {
+				reportFailure(err as Error);
+			});
+		},
+		stop() {
+			state.isStopped = true;
+			state.wake?.();
+		},
+		getConfirmed: () => state.confirmed,
+		isLost: () => state.isLost,
+		hasten() {
+			state.wake?.();
+		},
+	};
+};
+
+const createSignal = () => {
+	let resolve: () => void = () => undefined;
+	const promise = new Promise<void>((done) => {
+		resolve = done;
+	});
+	return {promise, resolve};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -0,0 +1,204 @@
+/**
+ * Tables of the jobs side and the forms of their rows. Who writes which row
+ * under which condition stands in docs/design/platform-programs.md.
+ */
+import {
+	fail,
+	succeed,
+	type Result,
+	type scheduler,
+	type shardLease,
+} from '@gullstand/core';
+import * as z from 'zod';
+
+/** Names of the tables. */
+export const tables = {
+	/** Owner of a shard; one row a partition, changed at a takeover only. */
+	lease: 'lease',
+	/** Heartbeats of daemons. */
+	daemon: 'daemon',
+	/** Accepted jobs and cancellations. */
+	job: 'job',
+	/** What has ended of each job. */
+	progress: 'progress',
+	/** What else an owner keeps: its roster and the mark of its last flush. */
+	owner: 'owner',
+	/** The key that seals messages between daemons. */
+	secret: 'secret',
+} as const;
+
+/** Keys of rows that stand alone in their table and partition. */
+export const singleKeys = {
+	lease: 'lease',
+	flush: 'flush',
+	roster: 'roster',
+	peerKey: 'peers',
+} as const;
+
+/** Partition of rows that belong to no shard. */
+export const sharedPart = '';
+
+/** Shard that orders moves and maintenance of machines. */
+export const fleetShard = 'control/fleet';
+
+/** Partition and shard of a service. */
+export const getServiceShard = (service: string): string =>
+	`service/${service}`;
+
+const cancelSuffix = '/cancelled';
+
+/** Key of the row that cancels a job. */
+export const getCancelKey = (jobId: string): string =>
+	`${jobId}${cancelSuffix}`;
+
+/** The job that a row of the job table belongs to, and what it is. */
+export const parseJobKey = (
+	key: string,
+): {readonly id: string; readonly isCancel: boolean} =>
+	key.endsWith(cancelSuffix)
+		? {id: key.slice(0, -cancelSuffix.length), isCancel: true}
+		: {id: key, isCancel: false};
+
+const lifeSchema = z.object({entry: z.string(), incarnation: z.string()});
+
+/** The lease of a shard and where its holder is reached. */
+export type LeaseRow = shardLease.ShardLease & {readonly address: string};
+
+/** Form of the lease of a shard. */
+export const leaseSchema: z.ZodType<LeaseRow> = z.object({
+	shard: z.string(),
+	holder: lifeSchema.nullable(),
+	token: z.int().min(0),
+	address: z.string(),
+});
+
+/** A daemon's heartbeat. */
+export type DaemonRow = {
+	readonly incarnation: string;
+	/** Address and port of its peer channel. */
+	readonly address: string;
+	/** Grows with each heartbeat. */
+	readonly beat: number;
+};
+
+/** Form of a heartbeat. */
+export const daemonSchema: z.ZodType<DaemonRow> = z.object({
+	incarnation: z.string(),
+	address: z.string(),
+	beat: z.int().min(0),
+});
+
+const resourcesSchema: z.ZodType<scheduler.Resources> = z.object({
+	cpuMillis: z.int().min(0),
+	memoryMb: z.int().min(0),
+	accelerators: z.int().min(0),
+});
+
+const optional = <Value extends z.ZodType>(schema: Value) =>
+	schema.optional().transform((value) => value);
+
+const stepSchema = z.object({
+	count: z.int().min(1),
+	resources: resourcesSchema,
+	estimateMs: z.number().min(0),
+	after: z.array(z.int().min(0)),
+	canCheckpoint: z.boolean(),
+	isGang: z.boolean(),
+	needsSameRack: z.boolean(),
+	requiredLabel: optional(z.string()),
+	preferredRack: optional(z.string()),
+	maxPerExecutor: optional(z.int().min(1)),
+	allowsCopies: z.boolean(),
+	isLongRunning: z.boolean(),
+	image: optional(z.string()),
+	targetTailMs: optional(z.number().min(0)),
+	fillsIdleCapacity: z.boolean(),
+	mayMiss: optional(z.int().min(0)),
+});
+
+const acceptedJobSchema = z.object({
+	id: z.string(),
+	policy: z.object({
+		queue: z.string(),
+		priority: z.int(),
+		maxAttempts: z.int().min(1),
+		stretch: z.number(),
+		targetLatencyMs: z.number(),
+	}),
+	spec: z.object({
+		payload: z.string(),
+		steps: z.array(stepSchema).min(1),
+		schedule: optional(
+			z.object({
+				times: z.int().min(1),
+				startAtEpochMs: z.number(),
+				intervalMs: z.number(),
+			}),
+		),
+	}),
+	acceptedAtEpochMs: z.number(),
+});
+
+/** Form of an accepted job. */
+export const jobSchema =
+	acceptedJobSchema as unknown as z.ZodType<scheduler.AcceptedJob>;
+
+/** Form of the progress of a job. */
+export const progressSchema: z.ZodType<scheduler.JobProgress> = z.object({
+	end: z.enum(['completed', 'failed', 'cancelled']).optional(),
+	doneOccurrences: z.int().min(0),
+	nextOccurrence: z.int().min(0),
+	occurrences: z.array(
+		z.object({
+			number: z.int().min(0),
+			done: z.array(z.string()),
+			tasks: z.record(
+				z.string(),
+				z.object({
+					failures: z.int().min(0),
+					checkpoint: z.string().optional(),
+				}),
+			),
+		}),
+	),
+});
+
+const listedExecutorSchema = z.object({
+	id: z.string(),
+	service: z.string(),
+	address: z.string(),
+	availabilityZone: z.string(),
+	capacity: resourcesSchema,
+	labels: z.array(z.string()),
+	isDraining: z.boolean(),
+	remainingMs: optional(z.number()),
+});
+
+/** Form of the executors that may run tasks of a service. */
+export const rosterSchema = z.array(
+	listedExecutorSchema,
+) as unknown as z.ZodType<readonly scheduler.ListedExecutor[]>;
+
+/** Form of the key that seals messages between daemons. */
+export const peerKeySchema = z.object({keyHex: z.string().regex(/^[\da-f]{64}$/v)});
+
+/** Why a row cannot be used. */
+export type RowFault = {readonly problem: string};
+
+/** Decodes the value of a row. */
+export const decodeRow = <Value>(
+	schema: z.ZodType<Value>,
+	text: string,
+): Result<Value, RowFault> => {
+	let json: unknown;
+	try {
+		json = JSON.parse(text);
+	} catch {
+		return fail({problem: 'not JSON'});
+	}
+
+	const parsed = schema.safeParse(json);
+	return parsed.success
+		? succeed(parsed.data)
+		: fail({problem: z.prettifyError(parsed.error)});
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/run-entry.ts
@@ -0,0 +1,125 @@
+/**
+ * Runs a daemon with its listeners as a process: readiness, callers, metrics,
+ * signals, and a stop in an order that cuts off no caller.
+ */
+import process from 'node:process';
+import type {ReportFailure} from '../supervisor/supervisor.js';
+import {createListener, type FetchHandler} from '../http/listener.js';
+import type {Logger} from '../log/logger.js';
+import {exitCodes} from '../run-process.js';
+import {delay, type Clock} from './clock.js';
+import type {JobDaemon} from './job-daemon.js';
+
+/** Where a listener listens. */
+export type ListenAddress = {readonly address: string; readonly port: number};
+
+/** What an entry is run with. */
+export type EntryDeps = {
+	readonly daemon: JobDaemon;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly listen: {
+		readonly callers: ListenAddress;
+		readonly ready: ListenAddress;
+		readonly metrics: ListenAddress;
+	};
+	readonly callers: FetchHandler;
+	/** Time from the signal to the end of the process, in milliseconds. */
+	readonly graceMs: number;
+	/** Resolves once the log lines written so far are out. */
+	readonly flushLog: () => Promise<void>;
+	/** Reads the settings again. */
+	readonly reload: () => Promise<void>;
+};
+
+/** A running entry. */
+export type Entry = {
+	readonly start: () => Promise<void>;
+	readonly stop: (code: number) => Promise<void>;
+	readonly isLeaving: () => boolean;
+};
+
+/**
+ * Share of the grace in which callers are still served: new ones come until
+ * the balancer has seen two failed readiness checks, a second apart.
+ */
+const servingShare = 0.5;
+
+/** Share of the grace after which what is in flight is cut off. */
+const cutOffShare = 0.85;
+
+const limits = {
+	maxHeaderBytes: 16_384,
+	headersTimeoutMs: 5000,
+	requestTimeoutMs: 30_000,
+	maxConnections: 3000,
+} as const;
+
+const statuses = {ready: 200, notReady: 503} as const;
+
+/** Creates an entry. */
+export const createEntry = (deps: EntryDeps): Entry => {
+	const {daemon, clock, logger, listen, graceMs} = deps;
+	let isLeaving = false;
+
+	const answerReady: FetchHandler = () =>
+		new Response(null, {
+			status:
+				daemon.isReady() && !isLeaving ? statuses.ready : statuses.notReady,
+		});
+	const answerMetrics: FetchHandler = () =>
+		new Response(daemon.metrics.formatText(), {
+			headers: {'content-type': 'text/plain; version=0.0.4'},
+		});
+
+	const createPart = (
+		name: string,
+		address: ListenAddress,
+		handler: FetchHandler,
+	) => createListener(name, {...address, ...limits}, handler, clock.now);
+
+	const ready = createPart('ready', listen.ready, answerReady);
+	const callers = createPart('callers', listen.callers, deps.callers);
+	const metrics = createPart('metrics', listen.metrics, answerMetrics);
+
+	const stop = async (code: number) => {
+		if (isLeaving) {
+			return;
+		}
+
+		isLeaving = true;
+		const stoppedAt = clock.now();
+		logger.info('stopping', {code});
+		await daemon.handOver();
+		const servedMs = clock.now() - stoppedAt;
+		await delay(Math.max(0, graceMs * servingShare - servedMs));
+		await callers.stop(stoppedAt + graceMs * cutOffShare);
+		await daemon.stop();
+		logger.info('stopped', {
+			tookMs: Math.round(clock.now() - stoppedAt),
+			code,
+		});
+		await deps.flushLog();
+		process.exit(code); // eslint-disable-line unicorn/no-process-exit
+	};
+
+	const reportFailure: ReportFailure = (err) => {
+		logger.error('giving up', {error: err.message, stack: err.stack});
+		void stop(exitCodes.failed);
+	};
+
+	const start = async () => {
+		process.on('SIGTERM', () => {
+			void stop(exitCodes.stopped);
+		});
+		process.on('SIGHUP', () => {
+			void deps.reload();
+		});
+		await ready.start(reportFailure);
+		await callers.start(reportFailure);
+		await metrics.start(reportFailure);
+		await daemon.start(reportFailure);
+	};
+
+	return {start, stop, isLeaving: () => isLeaving};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/shards/heartbeat.ts
@@ -0,0 +1,72 @@
+/** Writes this daemon's heartbeat to the store. */
+import type {RowStore} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import type {ReportFailure} from '../../supervisor/supervisor.js';
+import {createTicker, type Ticker} from '../../view/ticker.js';
+import {periods} from '../periods.js';
+import {sharedPart, tables, type DaemonRow} from '../rows/tables.js';
+
+/** What a heartbeat needs. */
+export type HeartbeatDeps = {
+	readonly store: RowStore;
+	readonly name: string;
+	readonly incarnation: string;
+	readonly getAddress: () => string;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	readonly now: () => number;
+	readonly random: () => number;
+};
+
+/** The heartbeat. */
+export type Heartbeat = Ticker & {
+	/** Writes the first one now; answers whether it is in the store. */
+	readonly beatOnce: () => Promise<boolean>;
+	/** When the last one that is in the store was sent; absent before. */
+	readonly getLastWrittenAt: () => number | undefined;
+};
+
+/** Creates the heartbeat. */
+export const createHeartbeat = (deps: HeartbeatDeps): Heartbeat => {
+	const {store, name, incarnation, logger, now} = deps;
+	let beat = 0;
+	let writtenAt: number | undefined;
+	let isLost = false;
+
+	const noteResult = (isWritten: boolean, sentAt: number) => {
+		if (isWritten) {
+			writtenAt = sentAt;
+		}
+
+		if (isLost === isWritten) {
+			isLost = !isWritten;
+			logger.info(isWritten ? 'heartbeat regained' : 'heartbeat lost', {beat});
+		}
+	};
+
+	const beatOnce = async () => {
+		beat += 1;
+		const row: DaemonRow = {incarnation, address: deps.getAddress(), beat};
+		const sentAt = now();
+		const key = {table: tables.daemon, part: sharedPart, key: name};
+		const result = await store.transact(
+			{checks: [], puts: [{...key, value: JSON.stringify(row)}], removes: []},
+			periods.storeTimeoutMs,
+		);
+		noteResult(result.ok, sentAt);
+		return result.ok;
+	};
+
+	const ticker = createTicker(
+		async () => {
+			await beatOnce();
+		},
+		periods.heartbeatMs,
+		deps.random,
+	);
+	return {
+		start: async (reportFailure: ReportFailure) => ticker.start(reportFailure),
+		stop: ticker.stop,
+		beatOnce,
+		getLastWrittenAt: () => writtenAt,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/shards/lease-book.ts
@@ -0,0 +1,82 @@
+/** Leases of all shards as last read from the store. */
+import type {ChangedRow, FeedBatch, StoredRow} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import {
+	decodeRow,
+	leaseSchema,
+	singleKeys,
+	tables,
+	type LeaseRow,
+} from '../rows/tables.js';
+
+/** A lease and the version of its row. */
+export type KnownLease = {
+	readonly value: LeaseRow;
+	readonly version: number;
+};
+
+/** The leases known. */
+export type LeaseBook = {
+	readonly apply: (batch: FeedBatch<ChangedRow>) => void;
+	/** Takes in a row that came with another answer; older ones are dropped. */
+	readonly note: (row: ChangedRow | StoredRow) => void;
+	readonly get: (shard: string) => KnownLease | undefined;
+	/** Version for a check: 0 while the shard was never held. */
+	readonly getVersion: (shard: string) => number;
+};
+
+/** What the book needs. */
+export type LeaseBookDeps = {
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	/** The lease of a shard has another version. */
+	readonly onChange: (shard: string, lease: KnownLease) => void;
+};
+
+/** Creates an empty book. */
+export const createLeaseBook = (deps: LeaseBookDeps): LeaseBook => {
+	const {logger, onChange} = deps;
+	const known = new Map<string, KnownLease>();
+
+	const note: LeaseBook['note'] = ({part, key, version, value}) => {
+		if (key !== singleKeys.lease || value === undefined) {
+			return;
+		}
+
+		const decoded = decodeRow(leaseSchema, value);
+		if (!decoded.ok) {
+			logger.warn('row skipped', {
+				table: tables.lease,
+				key: part,
+				...decoded.error,
+			});
+			return;
+		}
+
+		if ((known.get(part)?.version ?? 0) >= version) {
+			return;
+		}
+
+		const lease = {value: decoded.value, version};
+		known.set(part, lease);
+		logger.info('shard owner seen', {
+			shard: part,
+			holder: lease.value.holder?.entry,
+			fencingToken: lease.value.token,
+			version,
+		});
+		onChange(part, lease);
+	};
+
+	return {
+		note,
+		apply({entries}) {
+			for (const {value} of entries) {
+				if (value) {
+					note(value);
+				}
+			}
+		},
+		get: (shard) => known.get(shard),
+		getVersion: (shard) => known.get(shard)?.version ?? 0,
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -0,0 +1,112 @@
+/** Daemons of the fleet by their heartbeats, as one daemon sees them. */
+import type {ChangedRow, FeedBatch} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import {daemonSchema, decodeRow, type DaemonRow} from '../rows/tables.js';
+
+/** One daemon. */
+export type Member = DaemonRow & {
+	readonly name: string;
+	/** When its heartbeat was last seen to change, by the own clock. */
+	readonly changedAt: number;
+};
+
+/** What is known of all daemons. */
+export type Members = {
+	readonly applyWhole: (batch: FeedBatch<ChangedRow>) => void;
+	readonly applyChanges: (batch: FeedBatch<ChangedRow>) => void;
+	readonly get: (name: string) => Member | undefined;
+	/** Whether the heartbeats were read whole, so that absence says something. */
+	readonly isRead: () => boolean;
+	/** How long a daemon's heartbeat has stood still; 0 if it is not known. */
+	readonly getSilentMs: (name: string) => number;
+	/** Names of those whose heartbeat is younger than `withinMs`. */
+	readonly listLive: (withinMs: number) => readonly string[];
+};
+
+/** What the members are kept with. */
+export type MembersDeps = {
+	readonly now: () => number;
+	/** A longer gap between two reads proves no daemon silent. */
+	readonly observationGapMs: number;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+};
+
+/** Creates an empty list of members. */
+export const createMembers = (deps: MembersDeps): Members => {
+	const {now, logger} = deps;
+	const known = new Map<string, Member>();
+	let readAt: number | undefined;
+	let isRead = false;
+
+	/** The store was away, or this daemon was: nobody's silence counts. */
+	const forgiveGap = () => {
+		const at = now();
+		if (readAt !== undefined && at - readAt > deps.observationGapMs) {
+			for (const [name, member] of known) {
+				known.set(name, {...member, changedAt: at});
+			}
+		}
+
+		readAt = at;
+	};
+
+	const noteRow = ({key, value}: ChangedRow) => {
+		const decoded =
+			value === undefined ? undefined : decodeRow(daemonSchema, value);
+		if (!decoded) {
+			known.delete(key);
+			return;
+		}
+
+		if (!decoded.ok) {
+			logger.warn('row skipped', {table: 'daemon', key, ...decoded.error});
+			return;
+		}
+
+		const before = known.get(key);
+		const {beat, incarnation} = decoded.value;
+		if (before?.beat === beat && before.incarnation === incarnation) {
+			return;
+		}
+
+		if (before?.incarnation !== incarnation) {
+			logger.info('daemon seen', {daemon: key, ...decoded.value});
+		}
+
+		known.set(key, {...decoded.value, name: key, changedAt: now()});
+	};
+
+	const applyChanges = ({entries}: FeedBatch<ChangedRow>) => {
+		forgiveGap();
+		for (const {value} of entries) {
+			if (value) {
+				noteRow(value);
+			}
+		}
+	};
+
+	return {
+		applyChanges,
+		applyWhole(batch) {
+			const present = new Set(batch.entries.map(({value}) => value?.key));
+			for (const name of known.keys()) {
+				if (!present.has(name)) {
+					known.delete(name);
+				}
+			}
+
+			applyChanges(batch);
+			isRead = true;
+		},
+		get: (name) => known.get(name),
+		isRead: () => isRead,
+		getSilentMs(name) {
+			const member = known.get(name);
+			return member ? now() - member.changedAt : 0;
+		},
+		listLive: (withinMs) =>
+			[...known.values()]
+				.filter(({changedAt}) => now() - changedAt < withinMs)
+				.map(({name}) => name),
+	};
+};
--- a/packages/daemon/src/peers/peer-methods.ts
+++ b/packages/daemon/src/peers/peer-methods.ts
@@ -4,6 +4,7 @@
  */
 import type {acknowledgement, CreditMessage, viewChange} from '@gullstand/core';
 import type {z} from 'zod';
+import type {JobPeerMethods} from '../jobs/peer-methods.js';
 
 /** One life of an entry and where it is reached. */
 export type PeerLife = {
@@ -59,7 +60,7 @@
 			readonly confirmedAgeMs: number;
 		};
 	};
-};
+} & JobPeerMethods;
 
 /** A followed view as JSON. */
 export type PeerView = {
--- a/packages/daemon/src/settings/load-settings.ts
+++ b/packages/daemon/src/settings/load-settings.ts
@@ -67,11 +67,12 @@
 	];
 };
 
-/** Checks settings text; `file` only names it in faults. */
-export const checkSettings = (
+/** Checks TOML against a form; `file` only names it in faults. */
+export const checkAgainst = <Value>(
+	schema: z.ZodType<Value>,
 	file: string,
 	text: string,
-): Result<Settings, readonly SettingsFault[]> => {
+): Result<Value, readonly SettingsFault[]> => {
 	let input: unknown;
 	try {
 		input = parse(text);
@@ -83,7 +84,7 @@
 		return fail([{file, key: '(file)', found, allowed: 'TOML is allowed'}]);
 	}
 
-	const parsed = settingsSchema.safeParse(input, {reportInput: true});
+	const parsed = schema.safeParse(input, {reportInput: true});
 	return parsed.success
 		? succeed(parsed.data)
 		: fail(
@@ -93,10 +94,18 @@
 			);
 };
 
-/** Reads and checks a settings file. */
-export const loadSettings = async (
+/** Checks settings text; `file` only names it in faults. */
+export const checkSettings = (
 	file: string,
-): Promise<Result<Settings, readonly SettingsFault[]>> => {
+	text: string,
+): Result<Settings, readonly SettingsFault[]> =>
+	checkAgainst(settingsSchema, file, text);
+
+/** Reads and checks a file against a form. */
+export const loadAgainst = async <Value>(
+	schema: z.ZodType<Value>,
+	file: string,
+): Promise<Result<Value, readonly SettingsFault[]>> => {
 	let text: string;
 	try {
 		text = await readFile(file, 'utf8');
@@ -107,9 +116,15 @@
 		]);
 	}
 
-	return checkSettings(file, text);
+	return checkAgainst(schema, file, text);
 };
 
+/** Reads and checks a settings file. */
+export const loadSettings = async (
+	file: string,
+): Promise<Result<Settings, readonly SettingsFault[]>> =>
+	loadAgainst(settingsSchema, file);
+
 /** One line for a fault. */
 export const formatFault = (fault: SettingsFault): string =>
 	`${fault.file}: ${fault.key}: found ${fault.found}; ${fault.allowed}`;
--- a/packages/ports/src/http/connection.ts
+++ b/packages/ports/src/http/connection.ts
@@ -13,6 +13,8 @@
 	readonly timeoutMs: number;
 	readonly maxConnections: number;
 	readonly maxAnswerBytes: number;
+	/** How long an idle connection is kept, in milliseconds. */
+	readonly keepIdleMs?: number;
 };
 
 /** Options in force where none are given. */
@@ -20,6 +22,7 @@
 	timeoutMs: 2000,
 	maxConnections: 8,
 	maxAnswerBytes: 64 * 1024 * 1024,
+	keepIdleMs: 4000,
 } as const;
 
 /** One HTTP request. */
@@ -27,6 +30,9 @@
 	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
 	readonly path: string;
 	readonly contentType?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	/** Time for this call, in place of the pool's. */
+	readonly timeoutMs?: number;
 	readonly body?: string | Uint8Array;
 };
 
@@ -69,8 +75,8 @@
 
 const headersOf = (request: HttpCall): Record<string, string> =>
 	request.contentType === undefined
-		? {}
-		: {'content-type': request.contentType};
+		? {...request.headers}
+		: {...request.headers, 'content-type': request.contentType};
 
 /** Opens a pool. One request is in flight on a connection at a time. */
 export const createHttpConnection = (
@@ -81,9 +87,12 @@
 		connections: options.maxConnections,
 		pipelining: 1,
 		connectTimeout: timeoutMs / 2,
-		headersTimeout: timeoutMs,
-		bodyTimeout: timeoutMs,
+		// The signal of each call bounds it; these only catch what it misses.
+		headersTimeout: 2 * timeoutMs,
+		bodyTimeout: 2 * timeoutMs,
 		maxResponseSize: options.maxAnswerBytes,
+		keepAliveTimeout: options.keepIdleMs ?? defaultHttpOptions.keepIdleMs,
+		keepAliveMaxTimeout: options.keepIdleMs ?? defaultHttpOptions.keepIdleMs,
 	});
 	return {
 		async call(request) {
@@ -93,7 +102,7 @@
 					path: request.path,
 					headers: headersOf(request),
 					body: request.body ?? null,
-					signal: AbortSignal.timeout(timeoutMs),
+					signal: AbortSignal.timeout(request.timeoutMs ?? timeoutMs),
 				});
 				return core.succeed({status: statusCode, body: await body.bytes()});
 			} catch (err) {
--- /dev/null
+++ b/packages/ports/src/ports/executors.ts
@@ -0,0 +1,76 @@
+/** Port to executors that run tasks under leases. */
+import type {scheduler} from '@gullstand/core';
+
+/** One life of an executor and where it is reached. */
+export type ExecutorTarget = {
+	readonly id: string;
+	readonly address: string;
+};
+
+/** An order to start a task. */
+export type StartOrder = {
+	readonly taskId: string;
+	readonly run: number;
+	readonly payload: string;
+	/** Lease end, by the executor's clock. */
+	readonly untilMs: number;
+	readonly fencingToken: number;
+	readonly checkpoint: string | undefined;
+	readonly ticket: string | undefined;
+};
+
+/** Names one run. */
+export type RunOrder = {
+	readonly taskId: string;
+	readonly run: number;
+	readonly fencingToken: number;
+};
+
+/** An order to renew the lease of all that runs and to list it. */
+export type LookOrder = {
+	readonly fencingToken: number;
+	/** Ends up to this number may be forgotten. */
+	readonly ackedUpto: number;
+	/** Lease end, by the executor's clock; absent to renew nothing. */
+	readonly untilMs: number | undefined;
+	/** How long to wait for a new end. */
+	readonly waitMs: number;
+};
+
+/** Answer to a look. */
+export type LookAnswer =
+	| {
+			readonly kind: 'seen';
+			readonly clockMs: number;
+			readonly running: readonly scheduler.ListedRun[];
+			readonly ends: readonly scheduler.ListedEnd[];
+	  }
+	| {readonly kind: 'fenced'}
+	| {readonly kind: 'other-life'}
+	| {readonly kind: 'no-answer'};
+
+/** Calls to executors. Each ends within the given time, in milliseconds. */
+export type Executors = {
+	readonly start: (
+		target: ExecutorTarget,
+		order: StartOrder,
+		timeoutMs: number,
+	) => Promise<scheduler.StartAnswer>;
+	readonly stop: (
+		target: ExecutorTarget,
+		order: RunOrder,
+		timeoutMs: number,
+	) => Promise<scheduler.OrderAnswer>;
+	readonly pace: (
+		target: ExecutorTarget,
+		order: RunOrder & {readonly percent: number},
+		timeoutMs: number,
+	) => Promise<scheduler.OrderAnswer>;
+	readonly look: (
+		target: ExecutorTarget,
+		order: LookOrder,
+		timeoutMs: number,
+	) => Promise<LookAnswer>;
+	/** Closes connections to a life that is gone. */
+	readonly forget: (target: ExecutorTarget) => void;
+};
