--- /dev/null
+++ b/packages/core/src/fleet/machine-wave.test.ts
@@ -0,0 +1,161 @@
+import * as tap from 'tap';
+import * as fleet from './index.js';
+
+const request = {
+	id: '1',
+	machines: ['a', 'b', 'c'],
+	durationMs: 20_000,
+	maxAway: 1,
+};
+
+const createMachine = (
+	id: string,
+	changes: Partial<fleet.WaveMachine> = {},
+): fleet.WaveMachine => ({
+	id,
+	pool: 's',
+	isUp: true,
+	executorId: `${id}-1`,
+	...changes,
+});
+
+const mapOf = (machines: readonly fleet.WaveMachine[]) =>
+	new Map(machines.map((each) => [each.id, each]));
+
+const all = mapOf(['a', 'b', 'c'].map((id) => createMachine(id)));
+
+const noLoad = () => undefined;
+
+const step = (
+	wave: fleet.MachineWave,
+	machines: ReadonlyMap<string, fleet.WaveMachine> = all,
+) => fleet.stepMachineWave(wave, machines, new Set(), noLoad);
+
+const begin = (ids: readonly string[]) => {
+	let wave = fleet.createMachineWave(request, 0);
+	for (const id of ids) {
+		wave = fleet.beginMachine(wave, all.get(id)!, 0);
+	}
+
+	return wave;
+};
+
+tap.t.test('no more begin than may be away', async (t) => {
+	t.equal(step(begin([])).mayBegin, 1);
+	t.equal(step(begin(['a'])).mayBegin, 0);
+	t.equal(step(begin(['a', 'b'])).mayBegin, 0, 'never below none');
+});
+
+type Return = {
+	readonly name: string;
+	readonly machine: fleet.WaveMachine | undefined;
+	readonly isAnswered: boolean;
+	readonly at: number;
+	readonly isBack: boolean;
+};
+
+const returns: readonly Return[] = [
+	{
+		name: 'up with another executor',
+		machine: createMachine('a', {executorId: 'a-2'}),
+		isAnswered: true,
+		at: 100,
+		isBack: true,
+	},
+	{
+		name: 'up with the same executor: not begun yet',
+		machine: createMachine('a'),
+		isAnswered: true,
+		at: 100,
+		isBack: false,
+	},
+	{
+		name: 'down',
+		machine: createMachine('a', {isUp: false, executorId: undefined}),
+		isAnswered: true,
+		at: 60_000,
+		isBack: false,
+	},
+	{
+		name: 'up with no executor yet',
+		machine: createMachine('a', {executorId: undefined}),
+		isAnswered: true,
+		at: 100,
+		isBack: false,
+	},
+	{
+		name: 'gone for good',
+		machine: undefined,
+		isAnswered: false,
+		at: 100,
+		isBack: true,
+	},
+	{
+		name: 'maintained by an earlier order',
+		machine: createMachine('a'),
+		isAnswered: true,
+		at: 20_000,
+		isBack: true,
+	},
+	{
+		name: 'not answered, and may begin yet',
+		machine: createMachine('a'),
+		isAnswered: false,
+		at: 20_000,
+		isBack: false,
+	},
+];
+
+for (const {name, machine, isAnswered, at, isBack} of returns) {
+	tap.t.test(`a machine that is ${name}`, async (t) => {
+		const begun = begin(['a']);
+		const wave = isAnswered ? fleet.noteAnswered(begun, 'a') : begun;
+		const machines = mapOf(machine ? [machine] : []);
+		t.equal(fleet.noteMachines(wave, machines, at).begun.a!.isBack, isBack);
+	});
+}
+
+tap.t.test(
+	'completed when all that are there are back, and not before',
+	async (t) => {
+		let wave = begin(['a', 'b']);
+		t.notOk(step(wave).isCompleted, 'c has not begun');
+		const without = mapOf([...all.values()].filter(({id}) => id !== 'c'));
+		t.notOk(step(wave, without).isCompleted, 'a and b are away');
+		for (const id of ['a', 'b']) {
+			wave = fleet.skipMachine(wave, id);
+		}
+
+		t.ok(step(wave, without).isCompleted);
+		t.notOk(step(wave).isCompleted);
+	},
+);
+
+tap.t.test('an order that was not carried out is pending again', async (t) => {
+	const wave = fleet.takeBackMachine(begin(['a']), 'a');
+	t.equal(step(wave).mayBegin, 1);
+	t.equal(fleet.countAway(wave), 0);
+});
+
+tap.t.test(
+	'the least busy machine is emptied first, one begun goes on',
+	async (t) => {
+		const wave = fleet.createMachineWave(request, 0);
+		const loads: Record<string, fleet.MachineLoad> = {
+			a: {runs: 3, lasting: 0, usedCpu: 1},
+			b: {runs: 1, lasting: 1, usedCpu: 1},
+			c: {runs: 1, lasting: 0, usedCpu: 1},
+		};
+		const getLoad = ({id}: fleet.WaveMachine) => loads[id];
+		const choose = (emptying: readonly string[]) =>
+			fleet.stepMachineWave(wave, all, new Set(emptying), getLoad).evacuate;
+		t.same(choose([]), ['c']);
+		t.same(choose(['a']), ['a']);
+	},
+);
+
+tap.t.test('what runs is not waited for once the time is short', async (t) => {
+	const wave = fleet.createMachineWave(request, 0);
+	t.notOk(fleet.isPressed(wave, all, 4000, 5000));
+	t.ok(fleet.isPressed(wave, all, 4000, 9000), 'three turns of 4 s in 11 s');
+});
--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -74,7 +74,8 @@
 	epochNow: number,
 ): MachineWave => {
 	const begun = Object.entries(wave.begun).map(([id, entry]) => {
-		const isBack = entry.isBack || hasReturned(entry, machines.get(id), epochNow);
+		const isBack =
+			entry.isBack || hasReturned(entry, machines.get(id), epochNow);
 		return [id, {...entry, isBack}] as const;
 	});
 	return {...wave, begun: Object.fromEntries(begun)};
--- /dev/null
+++ b/packages/core/src/scheduler/ends.test.ts
@@ -0,0 +1,231 @@
+import * as fc from 'fast-check';
+import * as tap from 'tap';
+import {
+	createAccepted,
+	createListed,
+	createTestOwner,
+	describeOrders,
+	listRuns,
+	look,
+	planAndStart,
+	store,
+	submit,
+} from './owner.test.fixture.js';
+import * as scheduler from './index.js';
+
+const fail = (
+	owner: scheduler.Owner,
+	id: string,
+	number: number,
+	at: number,
+) => {
+	const [run] = listRuns(owner, id);
+	return look(owner, id, {at, ends: [{...run!, number, how: 'failed'}]});
+};
+
+tap.t.test('a task has as many attempts as its queue allows', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	const job = submit(
+		owner,
+		createAccepted('a', [{}], {policy: {maxAttempts: 2}}),
+	);
+	planAndStart(owner, 0);
+	t.same(fail(owner, 'x', 1, 10).jobEnds, []);
+	t.equal(planAndStart(owner, 20).length, 1);
+	t.match(fail(owner, 'x', 2, 30).jobEnds, [{job: 'a', end: 'failed'}]);
+	t.same(planAndStart(owner, 40), []);
+	t.equal(scheduler.getJobState(job), 'running', 'shown once it is stored');
+	store(owner);
+	t.equal(scheduler.getJobState(job), 'failed');
+});
+
+const uncounted = ['stopped', 'lapsed', 'broken', 'alone'] as const;
+
+for (const how of uncounted) {
+	tap.t.test(`an end ${how} is no attempt`, async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		submit(owner, createAccepted('a', [{}], {policy: {maxAttempts: 1}}));
+		for (let number = 1; number < 4; number++) {
+			planAndStart(owner, number * 10);
+			const [run] = listRuns(owner, 'x');
+			look(owner, 'x', {at: number * 10 + 5, ends: [{...run!, number, how}]});
+		}
+
+		t.equal(planAndStart(owner, 90).length, 1);
+	});
+}
+
+tap.t.test('a lasting task is started again however it ends', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	submit(
+		owner,
+		createAccepted('a', [{isLongRunning: true}], {policy: {maxAttempts: 1}}),
+	);
+	for (let number = 1; number < 5; number++) {
+		t.equal(planAndStart(owner, number * 10).length, 1);
+		fail(owner, 'x', number, number * 10 + 5);
+	}
+});
+
+tap.t.test(
+	'a failed task goes to another executor if there is one',
+	async (t) => {
+		const owner = createTestOwner([createListed('x'), createListed('yy')]);
+		submit(owner, createAccepted('a'));
+		planAndStart(owner, 0);
+		fail(owner, 'x', 1, 10);
+		t.same(describeOrders(planAndStart(owner, 20)), ['start a.0.0.0 on yy']);
+	},
+);
+
+tap.t.test(
+	'an executor that fails what it starts rests, the last one not',
+	async (t) => {
+		const owner = createTestOwner(
+			['x', 'y', 'z'].map((id) => createListed(id)),
+		);
+		const {failuresUntilRest} = owner.cfg;
+		for (const [turn, id] of ['x', 'y'].entries()) {
+			for (let index = 1; index <= failuresUntilRest; index++) {
+				const job = `${id}${index}`;
+				submit(owner, createAccepted(job));
+				look(owner, id, {
+					at: 10,
+					ends: [{number: index, taskId: `${job}.0.0.0`, how: 'failed'}],
+				});
+			}
+
+			t.equal(
+				owner.executors.get(id)!.restsUntil > 10,
+				turn === 0,
+				'a third at most',
+			);
+		}
+	},
+);
+
+tap.t.test('a checkpoint goes with the next start', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	submit(owner, createAccepted('a', [{canCheckpoint: true}]));
+	planAndStart(owner, 0);
+	const [run] = listRuns(owner, 'x');
+	look(owner, 'x', {
+		at: 10,
+		ends: [{...run!, how: 'stopped', checkpoint: 'half'}],
+	});
+	const [order] = planAndStart(owner, 20);
+	t.equal(order!.run.task.checkpoint, 'half');
+});
+
+tap.t.test('one done stands for a whole gang', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	const job = submit(owner, createAccepted('a', [{count: 3, isGang: true}]));
+	planAndStart(owner, 0);
+	const [run] = listRuns(owner, 'x');
+	look(owner, 'x', {at: 10, ends: [{...run!, how: 'done'}]});
+	t.equal(job.end, 'completed');
+});
+
+tap.t.test(
+	'an end is acknowledged once it is stored, not before',
+	async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		submit(owner, createAccepted('a', [{count: 2}]));
+		planAndStart(owner, 0);
+		const [one, two] = listRuns(owner, 'x');
+		look(owner, 'x', {at: 10, ends: [{...one!, number: 1}]});
+		const executor = owner.executors.get('x')!;
+		t.equal(executor.ackedUpto, 0);
+		const flush = scheduler.beginFlush(owner, 100);
+		look(owner, 'x', {at: 20, ends: [{...two!, number: 2}]});
+		scheduler.completeFlush(owner, flush);
+		t.equal(executor.ackedUpto, 1, 'the second came after the flush began');
+		store(owner);
+		t.equal(executor.ackedUpto, 2);
+	},
+);
+
+tap.t.test('a flush that failed acknowledges nothing', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	const job = submit(owner, createAccepted('a'));
+	planAndStart(owner, 0);
+	const [run] = listRuns(owner, 'x');
+	look(owner, 'x', {at: 10, ends: [{...run!, number: 1}]});
+	scheduler.abandonFlush(owner, scheduler.beginFlush(owner, 100));
+	t.equal(owner.executors.get('x')!.ackedUpto, 0);
+	t.ok(scheduler.needsFlush(owner), 'it is stored again');
+	t.equal(scheduler.getJobState(job), 'running');
+	store(owner);
+	t.equal(owner.executors.get('x')!.ackedUpto, 1);
+	t.equal(scheduler.getJobState(job), 'completed');
+});
+
+tap.t.test('a flush of a part acknowledges nothing', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	for (const id of ['a', 'b']) {
+		submit(owner, createAccepted(id, [{}, {}]));
+	}
+
+	planAndStart(owner, 0);
+	const runs = listRuns(owner, 'x');
+	look(owner, 'x', {
+		at: 10,
+		ends: runs.map((run, index) => ({...run, number: index + 1})),
+	});
+	scheduler.completeFlush(owner, scheduler.beginFlush(owner, 1));
+	t.equal(owner.executors.get('x')!.ackedUpto, 0);
+	store(owner);
+	t.equal(owner.executors.get('x')!.ackedUpto, runs.length);
+});
+
+tap.t.test(
+	'ends that change nothing are acknowledged without a flush',
+	async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		look(owner, 'x', {at: 1, ends: [{number: 1, taskId: 'gone.0.0.0'}]});
+		t.notOk(scheduler.needsFlush(owner));
+		scheduler.acknowledgeIdle(owner);
+		t.equal(owner.executors.get('x')!.ackedUpto, 1);
+	},
+);
+
+const stepArbitrary = fc.record({
+	count: fc.integer({min: 1, max: 4}),
+	isLongRunning: fc.constant(false),
+});
+
+tap.t.test('progress is read as it was written', async (t) => {
+	const property = fc.property(
+		fc.array(stepArbitrary, {minLength: 1, maxLength: 3}),
+		fc.array(fc.tuple(fc.nat(2), fc.nat(3), fc.boolean()), {maxLength: 9}),
+		(steps, ends) => {
+			const owner = createTestOwner([createListed('x')]);
+			const accepted = createAccepted('a', steps, {policy: {maxAttempts: 20}});
+			const job = submit(owner, accepted);
+			for (const [index, [step, task, isDone]] of ends.entries()) {
+				look(owner, 'x', {
+					at: index + 1,
+					ends: [
+						{
+							number: index + 1,
+							taskId: `a.0.${step}.${task}`,
+							how: isDone ? 'done' : 'failed',
+						},
+					],
+				});
+			}
+
+			const progress = scheduler.encodeProgress(job);
+			const text = JSON.stringify(progress);
+			const again = scheduler.createJob(accepted, true);
+			scheduler.applyProgress(
+				again,
+				JSON.parse(text) as scheduler.JobProgress,
+				0,
+			);
+			return JSON.stringify(scheduler.encodeProgress(again)) === text;
+		},
+	);
+	fc.assert(property, {seed: 5, numRuns: 300});
+	t.pass();
+});
--- /dev/null
+++ b/packages/core/src/scheduler/plan.test.ts
@@ -0,0 +1,283 @@
+import * as tap from 'tap';
+import {
+	createAccepted,
+	createListed,
+	createTestOwner,
+	describeOrders,
+	listRuns,
+	look,
+	planAndStart,
+	store,
+	submit,
+	testConfig,
+} from './owner.test.fixture.js';
+import * as scheduler from './index.js';
+
+type Case = {
+	readonly name: string;
+	readonly executors: readonly scheduler.ListedExecutor[];
+	readonly jobs: readonly scheduler.AcceptedJob[];
+	readonly orders: readonly string[];
+};
+
+const full = {cpuMillis: 4000, memoryMb: 100, accelerators: 0};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a task goes to the emptiest executor',
+		executors: [
+			createListed('x'),
+			createListed('big', {
+				capacity: {cpuMillis: 8000, memoryMb: 1000, accelerators: 0},
+			}),
+		],
+		jobs: [createAccepted('a', [{resources: full}]), createAccepted('b')],
+		orders: ['start b.0.0.0 on x', 'start a.0.0.0 on big'],
+	},
+	{
+		name: 'no executor is given more than it has, in cpu',
+		executors: [createListed('x')],
+		jobs: [createAccepted('a', [{count: 6}])],
+		orders: [0, 1, 2, 3].map((index) => `start a.0.0.${index} on x`),
+	},
+	{
+		name: 'no executor is given more than it has, in memory',
+		executors: [createListed('x')],
+		jobs: [
+			createAccepted('a', [
+				{
+					count: 3,
+					resources: {cpuMillis: 1, memoryMb: 400, accelerators: 0},
+				},
+			]),
+		],
+		orders: ['start a.0.0.0 on x', 'start a.0.0.1 on x'],
+	},
+	{
+		name: 'no executor is given accelerators that it has not',
+		executors: [createListed('x')],
+		jobs: [
+			createAccepted('a', [
+				{resources: {cpuMillis: 1, memoryMb: 1, accelerators: 1}},
+			]),
+		],
+		orders: [],
+	},
+	{
+		name: 'a task that fills takes memory but no cpu',
+		executors: [createListed('x')],
+		jobs: [
+			createAccepted('a', [{resources: full}]),
+			createAccepted('f', [
+				{resources: full, fillsIdleCapacity: true, count: 12},
+			]),
+		],
+		orders: [
+			'start a.0.0.0 on x',
+			...Array.from({length: 9}, (_, index) => `start f.0.0.${index} on x`),
+		],
+	},
+	{
+		name: 'a label that is required',
+		executors: [createListed('x'), createListed('y', {labels: ['k', 'r1-1']})],
+		jobs: [createAccepted('a', [{requiredLabel: 'k'}])],
+		orders: ['start a.0.0.0 on y'],
+	},
+	{
+		name: 'the rack where the data is, though another is emptier',
+		executors: [
+			createListed('x', {labels: ['r2-1']}),
+			createListed('y', {
+				labels: ['r1-1'],
+				capacity: {cpuMillis: 16_000, memoryMb: 9000, accelerators: 0},
+			}),
+		],
+		jobs: [createAccepted('a', [{preferredRack: 'r2-1'}])],
+		orders: ['start a.0.0.0 on x'],
+	},
+	{
+		name: 'at most so many of a step on one executor',
+		executors: [createListed('x'), createListed('y')],
+		jobs: [createAccepted('a', [{count: 3, maxPerExecutor: 1}])],
+		orders: ['start a.0.0.0 on x', 'start a.0.0.1 on y'],
+	},
+	{
+		name: 'a step waits for the steps before it',
+		executors: [createListed('x')],
+		jobs: [createAccepted('a', [{}, {after: [0]}])],
+		orders: ['start a.0.0.0 on x'],
+	},
+	{
+		name: 'a draining executor gets nothing',
+		executors: [createListed('x', {isDraining: true})],
+		jobs: [createAccepted('a')],
+		orders: [],
+	},
+	{
+		name: 'a gang starts as a whole',
+		executors: [createListed('x'), createListed('y')],
+		jobs: [createAccepted('a', [{count: 5, isGang: true}])],
+		orders: [
+			'start a.0.0.0 on x',
+			'start a.0.0.1 on y',
+			'start a.0.0.2 on x',
+			'start a.0.0.3 on y',
+			'start a.0.0.4 on x',
+		],
+	},
+	{
+		name: 'a gang that does not fit starts not at all, and takes no room',
+		executors: [createListed('x')],
+		jobs: [
+			createAccepted('a', [{count: 5, isGang: true}]),
+			createAccepted('b', [{count: 8}]),
+		],
+		orders: [0, 1, 2, 3].map((index) => `start b.0.0.${index} on x`),
+	},
+	{
+		name: 'the smaller job first while both can be in time',
+		executors: [createListed('x')],
+		jobs: [
+			createAccepted('big', [{count: 4}]),
+			createAccepted('small', [{count: 1}]),
+		],
+		orders: [
+			'start small.0.0.0 on x',
+			...[0, 1, 2].map((index) => `start big.0.0.${index} on x`),
+		],
+	},
+	{
+		name: 'a job that lasts goes before all others',
+		executors: [createListed('x')],
+		jobs: [
+			createAccepted('a', [{resources: full}]),
+			createAccepted('l', [{resources: full, isLongRunning: true}]),
+		],
+		orders: ['start l.0.0.0 on x'],
+	},
+	{
+		name: 'the lower priority number first',
+		executors: [createListed('x')],
+		jobs: [
+			createAccepted('a', [{resources: full}], {policy: {priority: 1}}),
+			createAccepted('b', [{resources: full}], {policy: {priority: 0}}),
+		],
+		orders: ['start b.0.0.0 on x'],
+	},
+	{
+		name: 'what can be in time goes before what is late',
+		executors: [createListed('x')],
+		jobs: [
+			createAccepted('late', [{resources: full}], {acceptedAtEpochMs: -2000}),
+			createAccepted('fresh', [{resources: full, estimateMs: 800}]),
+		],
+		orders: ['start fresh.0.0.0 on x'],
+	},
+];
+
+for (const {name, executors, jobs, orders} of cases) {
+	tap.t.test(name, async (t) => {
+		const owner = createTestOwner(executors);
+		for (const job of jobs) {
+			submit(owner, job);
+		}
+
+		t.same(describeOrders(planAndStart(owner, 0)), orders);
+		t.same(describeOrders(planAndStart(owner, 0)), [], 'once');
+	});
+}
+
+tap.t.test(
+	'an executor is used once the store has it in its roster',
+	async (t) => {
+		const owner = scheduler.createOwner('s', 1, testConfig, 0);
+		scheduler.listExecutor(owner, createListed('x'));
+		look(owner, 'x', {at: 0});
+		submit(owner, createAccepted('a'));
+		t.same(planAndStart(owner, 0), []);
+		store(owner);
+		t.same(describeOrders(planAndStart(owner, 0)), ['start a.0.0.0 on x']);
+	},
+);
+
+tap.t.test(
+	'what is being stopped takes room until its end is listed',
+	async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		const job = submit(owner, createAccepted('a', [{resources: full}]));
+		planAndStart(owner, 0);
+		const [run] = listRuns(owner, 'x');
+		scheduler.cancelJob(owner, job, 10);
+		submit(owner, createAccepted('b', [{resources: full}]));
+		t.same(describeOrders(planAndStart(owner, 10)), [
+			'stop a.0.0.0 on x: job-ended',
+		]);
+		t.same(planAndStart(owner, 20), [], 'neither a stop nor a start');
+		look(owner, 'x', {at: 30, ends: [{...run!, how: 'stopped'}]});
+		t.same(describeOrders(planAndStart(owner, 40)), ['start b.0.0.0 on x']);
+	},
+);
+
+tap.t.test('a lasting task makes room for itself', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	submit(owner, createAccepted('a', [{count: 4}]));
+	planAndStart(owner, 0);
+	const runs = listRuns(owner, 'x');
+	look(owner, 'x', {
+		at: 50,
+		running: runs.map((run, index) => ({...run, percent: 90 - 20 * index})),
+	});
+	submit(
+		owner,
+		createAccepted('l', [
+			{
+				isLongRunning: true,
+				resources: {cpuMillis: 2000, memoryMb: 100, accelerators: 0},
+			},
+		]),
+	);
+	t.same(
+		describeOrders(planAndStart(owner, 60)),
+		['stop a.0.0.3 on x: preempted', 'stop a.0.0.2 on x: preempted'],
+		'those with the least work done',
+	);
+	t.same(planAndStart(owner, 70), [], 'no more while these end');
+});
+
+tap.t.test('occurrences start when they are due, and not before', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	const schedule = {times: 3, startAtEpochMs: 1000, intervalMs: 500};
+	scheduler.addJob(owner, createAccepted('a', [{}], {schedule}), false);
+	const started: string[] = [];
+	for (const epochNow of [0, 999, 1000, 1400, 1600, 5000]) {
+		scheduler.advanceSchedules(owner, epochNow);
+		started.push(
+			...describeOrders(scheduler.planOrders(owner, 0, epochNow)).map(
+				(order) => `${epochNow}: ${order}`,
+			),
+		);
+	}
+
+	t.same(started, [
+		'1000: start a.0.0.0 on x',
+		'1600: start a.1.0.0 on x',
+		'5000: start a.2.0.0 on x',
+	]);
+});
+
+tap.t.test(
+	'a task that stands still is stopped and started elsewhere',
+	async (t) => {
+		const owner = createTestOwner([createListed('x'), createListed('y')]);
+		submit(owner, createAccepted('a', [{estimateMs: 500}]));
+		planAndStart(owner, 0);
+		const [run] = listRuns(owner, 'x');
+		look(owner, 'x', {at: 100, running: [{...run!, percent: 10}]});
+		look(owner, 'x', {at: 1500, running: [{...run!, percent: 10}]});
+		t.same(planAndStart(owner, 1500), [], 'not yet');
+		look(owner, 'x', {at: 1700, running: [{...run!, percent: 10}]});
+		t.same(describeOrders(planAndStart(owner, 1700)), [
+			'stop a.0.0.0 on x: hung',
+		]);
+	},
+);
--- a/packages/core/src/scheduler/progress.ts
+++ b/packages/core/src/scheduler/progress.ts
@@ -103,6 +103,7 @@
 	}
 
 	job.doneOccurrences = progress.doneOccurrences;
+	job.nextOccurrence = progress.nextOccurrence;
 	job.hasStarted ||= progress.occurrences.some(({done}) =>
 		done.some((each) => each.includes('1')),
 	);
--- a/packages/daemon/src/agreement/agreement.ts
+++ b/packages/daemon/src/agreement/agreement.ts
@@ -5,11 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import * as core from '@gullstand/core';
 import type {acknowledgement, standing} from '@gullstand/core';
-import type {
-	InstanceList,
-	ObjectStore,
-	TableService,
-} from '@gullstand/ports';
+import type {InstanceList, ObjectStore, TableService} from '@gullstand/ports';
 import type {Logger} from '../log/logger.js';
 import {createForgetRunner} from '../membership/forget-runner.js';
 import {createInFlight, type InFlight} from '../membership/in-flight.js';
--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -4,7 +4,7 @@
  */
 import {
 	fail,
-	scheduler,
+	type scheduler,
 	succeed,
 	type errors,
 	type Result,
@@ -147,8 +147,7 @@
 				deadline - clock.now(),
 				periods.storeTimeoutMs,
 			);
-			outcome =
-				(await deps.submitElsewhere(job, shard, timeoutMs)) ?? outcome;
+			outcome = (await deps.submitElsewhere(job, shard, timeoutMs)) ?? outcome;
 		}
 
 		return answer('submit', id, startedAt, toResult(outcome));
--- a/packages/daemon/src/jobs/entry/owner-channel.ts
+++ b/packages/daemon/src/jobs/entry/owner-channel.ts
@@ -22,7 +22,10 @@
 
 /** Calls to owners. Those that fail say `not-owner` or nothing. */
 export type OwnerChannel = {
-	readonly tellRows: (shard: string, rows: readonly StoredRow[]) => Promise<boolean>;
+	readonly tellRows: (
+		shard: string,
+		rows: readonly StoredRow[],
+	) => Promise<boolean>;
 	readonly readJob: (
 		shard: string,
 		queue: string,
--- a/packages/daemon/src/jobs/entry/routes.ts
+++ b/packages/daemon/src/jobs/entry/routes.ts
@@ -18,7 +18,7 @@
 	/** Takes a configuration in force; false if it is not newer. */
 	readonly apply: (configuration: Configuration) => boolean;
 	readonly get: () => Configuration | undefined;
-	readonly find: (host: string, path: string) => RouteMatch;
+	readonly match: (host: string, path: string) => RouteMatch;
 	/** The route of a queue in force, by its name. */
 	readonly getByName: (queue: string) => QueueRoute | undefined;
 };
@@ -54,7 +54,7 @@
 			return true;
 		},
 		get: () => current,
-		find(host, path) {
+		match(host, path) {
 			if (!current) {
 				return {kind: 'no-configuration'};
 			}
--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -3,7 +3,7 @@
  * while a transaction is under way go together in the next one. Each checks
  * the lease row, so that a job belongs to the owner that is told of it.
  */
-import {scheduler} from '@gullstand/core';
+import {type scheduler} from '@gullstand/core';
 import type {RowPut, RowStore, StoredRow} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import {delay} from '../clock.js';
@@ -124,7 +124,10 @@
 		});
 	};
 
-	const readBack = async (shard: string, waiting: Waiting): Promise<boolean> => {
+	const readBack = async (
+		shard: string,
+		waiting: Waiting,
+	): Promise<boolean> => {
 		const {id} = waiting.job;
 		const page = await store.read(
 			{table: tables.job, part: shard, from: id, to: `${id}\0`},
@@ -242,7 +245,7 @@
 
 	return {
 		submit: async (shard, job, deadline) =>
-			new Promise((settle) => {
+			new Promise((resolve) => {
 				const queue = getQueue(shard);
 				queue.waiting.push({
 					job,
@@ -250,7 +253,7 @@
 					deadline,
 					tries: 0,
 					mayBeStored: false,
-					settle,
+					settle: resolve,
 				});
 				if (!queue.isBusy) {
 					void run(shard, queue);
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -14,6 +14,7 @@
 import {match} from 'ts-pattern';
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
+import {runInBackground} from '../background.js';
 import {delay, getMostElapsedMs, type Clock, type Moment} from '../clock.js';
 import type {OwnerChannel} from '../entry/owner-channel.js';
 import type {ServiceLoad} from '../owner/owner-runner.js';
@@ -90,11 +91,11 @@
 	const waves = new Map<string, fleet.MachineWave>();
 	const emptying = new Set<string>();
 	const acquiredAt = clock.now();
-	let isStopped = false;
+	const state = {isStopped: false};
 
 	const lose = (reason: string) => {
-		if (!isStopped) {
-			isStopped = true;
+		if (!state.isStopped) {
+			state.isStopped = true;
 			deps.onLost(reason);
 		}
 	};
@@ -102,7 +103,7 @@
 	const isBelieved = (): boolean => {
 		const confirmed = deps.getConfirmed();
 		return (
-			!isStopped &&
+			!state.isStopped &&
 			confirmed !== undefined &&
 			getMostElapsedMs(clock, confirmed) < deps.beliefMs
 		);
@@ -164,12 +165,12 @@
 			return true;
 		}
 
-		const state = await owners.evacuate(
+		const evacuation = await owners.evacuate(
 			getServiceShard(machine.pool),
 			machine.executorId,
 			patienceMs,
 		);
-		return state?.kind === 'clear';
+		return evacuation?.kind === 'clear';
 	};
 
 	const order = async (
@@ -304,11 +305,7 @@
 	};
 
 	const runWave = async (wave: fleet.MachineWave, view: View) => {
-		let current = fleet.noteMachines(
-			wave,
-			view.waveMachines,
-			clock.epochNow(),
-		);
+		let current = fleet.noteMachines(wave, view.waveMachines, clock.epochNow());
 		current = await orderUnanswered(current, view);
 		current = await emptyAndBegin(current, view);
 		waves.set(current.request.id, current);
@@ -318,7 +315,7 @@
 			emptying,
 			() => undefined,
 		);
-		if (isCompleted && !isStopped) {
+		if (isCompleted && !state.isStopped) {
 			await complete(current);
 		}
 	};
@@ -357,14 +354,14 @@
 
 		const view = await readView();
 		for (const wave of view ? open : []) {
-			if (!isStopped) {
+			if (!state.isStopped) {
 				await runWave(wave, view!);
 			}
 		}
 	};
 
 	const load = async () => {
-		while (!isStopped) {
+		while (!state.isStopped) {
 			const read = await readWaves(store, logger);
 			if (read) {
 				for (const wave of read) {
@@ -385,7 +382,7 @@
 			previous: held.previous,
 			waves: waves.size,
 		});
-		while (!isStopped) {
+		while (!state.isStopped) {
 			if (isBelieved()) {
 				await runRound();
 			}
@@ -396,12 +393,10 @@
 
 	return {
 		start() {
-			run().catch((err: unknown) => {
-				deps.reportFailure(err as Error);
-			});
+			runInBackground(run, deps.reportFailure);
 		},
 		stop() {
-			isStopped = true;
+			state.isStopped = true;
 		},
 	};
 };
--- a/packages/daemon/src/jobs/fleet/wave-rows.ts
+++ b/packages/daemon/src/jobs/fleet/wave-rows.ts
@@ -1,5 +1,5 @@
 /** The rows of waves: what has begun, under the fleet's lease. */
-import {fleet} from '@gullstand/core';
+import {type fleet} from '@gullstand/core';
 import type {RowStore} from '@gullstand/ports';
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
@@ -31,7 +31,7 @@
 		}),
 	),
 	isCompleted: z.boolean(),
-}) as unknown as z.ZodType<fleet.MachineWave>;
+});
 
 /** Outcome of a write: `unknown` may take effect later. */
 export type WaveWrite = 'stored' | 'not-stored' | 'lost-shard';
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -15,9 +15,11 @@
 	StoredRow,
 	WaveRequest,
 } from '@gullstand/ports';
+import {match} from 'ts-pattern';
 import type {Logger} from '../log/logger.js';
 import {createPeerChannel, type PeerChannel} from '../peers/peer-channel.js';
 import type {ReportFailure} from '../supervisor/supervisor.js';
+import {runInBackground} from './background.js';
 import type {Clock} from './clock.js';
 import {createJobService, type JobService} from './entry/job-service.js';
 import {createOwnerChannel} from './entry/owner-channel.js';
@@ -36,7 +38,12 @@
 import {followPeriods, periods} from './periods.js';
 import {createFeedFollower, type FeedFollower} from './rows/feed-follower.js';
 import {createTableFeed} from './rows/table-feed.js';
-import {fleetShard, getServiceShard, sharedPart, tables} from './rows/tables.js';
+import {
+	fleetShard,
+	getServiceShard,
+	sharedPart,
+	tables,
+} from './rows/tables.js';
 import {createHeartbeat} from './shards/heartbeat.js';
 import {createLeaseBook} from './shards/lease-book.js';
 import {createMembers} from './shards/members.js';
@@ -270,9 +277,7 @@
 			followExecutors();
 		}
 
-		runner.start().catch((err: unknown) => {
-			reportFailure(err as Error);
-		});
+		runInBackground(runner.start, reportFailure);
 	};
 
 	const runFleet = (held: HeldShard) => {
@@ -373,23 +378,29 @@
 
 	const applyOperator = ({entries}: FeedBatch<OperatorEntry>) => {
 		for (const {key, value} of entries) {
-			applyOperatorEntry(key, value);
+			if (value) {
+				applyOperatorEntry(key, value);
+			}
 		}
 	};
 
-	const applyOperatorEntry = (key: string, entry: OperatorEntry | undefined) => {
-		if (entry?.kind === 'configuration') {
-			const isNew = routes.apply(entry.value);
-			logger.info('configuration read', {
-				version: entry.value.version,
-				routes: entry.value.routes.length,
-				isNew,
-			});
-		} else if (entry?.kind === 'wave') {
-			waves.set(entry.value.id, entry.value);
-		} else if (entry?.kind === 'unreadable') {
-			logger.warn('row skipped', {table: 'operator', key, problem: entry.problem});
-		}
+	const applyOperatorEntry = (key: string, entry: OperatorEntry) => {
+		match(entry)
+			.with({kind: 'configuration'}, ({value}) => {
+				const isNew = routes.apply(value);
+				logger.info('configuration read', {
+					version: value.version,
+					routes: value.routes.length,
+					isNew,
+				});
+			})
+			.with({kind: 'wave'}, ({value}) => {
+				waves.set(value.id, value);
+			})
+			.with({kind: 'unreadable'}, ({problem}) => {
+				logger.warn('row skipped', {table: 'operator', key, problem});
+			})
+			.exhaustive();
 	};
 
 	const operatorFollower = createFeedFollower({
@@ -414,7 +425,10 @@
 
 	const memberFollower = createFeedFollower({
 		name: 'daemon',
-		feed: createTableFeed(store, tables.daemon, {kind: 'one', part: sharedPart}),
+		feed: createTableFeed(store, tables.daemon, {
+			kind: 'one',
+			part: sharedPart,
+		}),
 		periods: followPeriods.daemon,
 		clock,
 		logger,
@@ -428,8 +442,11 @@
 			runner?.noteRows(rows);
 			return {isOwner: runner !== undefined};
 		});
-		channel.addMethod('readJob', jobPeerSchemas.readJob, ({shard, queue, id}) =>
-			runners.get(shard)?.readJob(id, queue) ?? {kind: 'not-owner'},
+		channel.addMethod(
+			'readJob',
+			jobPeerSchemas.readJob,
+			({shard, queue, id}) =>
+				runners.get(shard)?.readJob(id, queue) ?? {kind: 'not-owner'},
 		);
 		channel.addMethod(
 			'countPending',
@@ -526,4 +543,3 @@
 
 	return {start, handOver, stop, isReady, service, routes, metrics};
 };
-
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -42,7 +42,10 @@
 		numberOfSignificantValueDigits: 2,
 	});
 
-const formatHistogram = ([key, histogram]: readonly [string, hdr.Histogram]) => {
+const formatHistogram = ([key, histogram]: readonly [
+	string,
+	hdr.Histogram,
+]) => {
 	const [leg, label] = key.split(' ');
 	const labels = `label="${label}"`;
 	return [
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -148,7 +148,7 @@
 
 	const lookOnce = async () => {
 		const isQuiet = executor.isAdopted && executor.silentSince === undefined;
-		const ackedUpto = executor.ackedUpto;
+		const {ackedUpto} = executor;
 		const mayWait = isQuiet && !state.isPoked && executor.runs.size > 0;
 		const waitMs = mayWait ? periods.lookWaitMs : 0;
 		state.isPoked = false;
@@ -266,7 +266,11 @@
 		follow(scheduler.takeStopAnswer(owner, stopped, answer, now()));
 	};
 
-	const sendPace = async ({run: paced, percent, tailShare}: scheduler.PaceOrder) => {
+	const sendPace = async ({
+		run: paced,
+		percent,
+		tailShare,
+	}: scheduler.PaceOrder) => {
 		const {task, number} = paced;
 		const before = paced.pacePercent;
 		paced.pacePercent = percent;
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -48,7 +48,7 @@
 	let {flushVersion} = deps;
 	let running: Promise<void> | undefined;
 	let timer: NodeJS.Timeout | undefined;
-	let isStopped = false;
+	const state = {isStopped: false};
 
 	const toTransaction = (flush: scheduler.Flush): RowTransaction => {
 		const puts = flush.jobs.map(({job, progress}) => ({
@@ -119,23 +119,28 @@
 	};
 
 	const run = async () => {
-		while (!isStopped && scheduler.needsFlush(owner)) {
+		while (!state.isStopped && scheduler.needsFlush(owner)) {
 			await flushOnce();
 		}
 	};
 
+	const runThenPoke = async () => {
+		try {
+			await run();
+		} finally {
+			running = undefined;
+		}
+
+		poke();
+	};
+
 	const begin = () => {
 		timer = undefined;
-		running ??= run().finally(() => {
-			running = undefined;
-			if (!isStopped) {
-				poke();
-			}
-		});
+		running ??= runThenPoke();
 	};
 
 	const poke = () => {
-		if (isStopped || running) {
+		if (state.isStopped || running) {
 			return;
 		}
 
@@ -156,13 +161,13 @@
 	return {
 		poke,
 		stop() {
-			isStopped = true;
+			state.isStopped = true;
 			clearTimeout(timer);
 		},
 		async drain() {
 			clearTimeout(timer);
 			await running;
-			while (!isStopped && scheduler.needsFlush(owner)) {
+			while (!state.isStopped && scheduler.needsFlush(owner)) {
 				if (!(await flushOnce())) {
 					return;
 				}
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -1,10 +1,5 @@
 /** Reads all rows of a service and builds its owner's state from them. */
-import {
-	fail,
-	scheduler,
-	succeed,
-	type Result,
-} from '@gullstand/core';
+import {fail, scheduler, succeed, type Result} from '@gullstand/core';
 import type {RowStore, RowStoreError, StoredRow} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
@@ -107,7 +102,11 @@
 		scheduler.addJob(owner, value, true);
 	}
 
-	for (const {row, value} of decodeRows(rows.progress, progressSchema, logger)) {
+	for (const {row, value} of decodeRows(
+		rows.progress,
+		progressSchema,
+		logger,
+	)) {
 		const job = owner.jobs.get(row.key);
 		if (job) {
 			scheduler.applyProgress(job, value, now());
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -110,8 +110,7 @@
 	let owner: scheduler.Owner | undefined;
 	let flusher: Flusher | undefined;
 	let follower: FeedFollower | undefined;
-	let isStopped = false;
-	let isLettingGo = false;
+	const state = {isStopped: false, isLettingGo: false};
 	let isPlanDue = false;
 	let planTimer: NodeJS.Timeout | undefined;
 	let removedAt = 0;
@@ -120,14 +119,14 @@
 	const isBelieved = (): boolean => {
 		const confirmed = deps.getConfirmed();
 		return (
-			!isStopped &&
+			!state.isStopped &&
 			confirmed !== undefined &&
 			getMostElapsedMs(clock, confirmed) < cfg.ownerBeliefMs
 		);
 	};
 
 	const lose = (reason: string, rows: readonly StoredRow[] = []) => {
-		if (!isStopped) {
+		if (!state.isStopped) {
 			abandon();
 			deps.onLost(reason, rows);
 		}
@@ -135,7 +134,7 @@
 
 	const onChange = () => {
 		flusher?.poke();
-		if (!isPlanDue && !isStopped) {
+		if (!isPlanDue && !state.isStopped) {
 			isPlanDue = true;
 			setImmediate(runPlan);
 		}
@@ -200,9 +199,9 @@
 		}
 	};
 
-	const openLink = (state: scheduler.Owner, executor: scheduler.Executor) => {
+	const openLink = (current: scheduler.Owner, executor: scheduler.Executor) => {
 		const link = openExecutorLink({
-			owner: state,
+			owner: current,
 			executor,
 			executors: deps.executors,
 			now: clock.now,
@@ -217,7 +216,7 @@
 			},
 			onOtherLife() {
 				noteFreed(
-					scheduler.noteOtherLife(state, executor.id),
+					scheduler.noteOtherLife(current, executor.id),
 					'another life answers at the address',
 				);
 				onChange();
@@ -240,15 +239,15 @@
 	};
 
 	/** Opens links to new executors, closes those to forgotten ones. */
-	const matchLinks = (state: scheduler.Owner) => {
-		for (const executor of state.executors.values()) {
+	const matchLinks = (current: scheduler.Owner) => {
+		for (const executor of current.executors.values()) {
 			if (!links.has(executor.id)) {
-				openLink(state, executor);
+				openLink(current, executor);
 			}
 		}
 
 		for (const [id, link] of links) {
-			if (!state.executors.has(id)) {
+			if (!current.executors.has(id)) {
 				link.close();
 				links.delete(id);
 				pacedAt.delete(id);
@@ -258,14 +257,14 @@
 
 	const runPlan = () => {
 		isPlanDue = false;
-		if (!owner || isStopped) {
+		if (!owner || state.isStopped) {
 			return;
 		}
 
 		const now = clock.now();
 		noteFreed(scheduler.expireLeases(owner, now), 'its lease is over');
 		matchLinks(owner);
-		if (isBelieved() && !isLettingGo) {
+		if (isBelieved() && !state.isLettingGo) {
 			scheduler.advanceSchedules(owner, clock.epochNow());
 			const orders = scheduler.planOrders(owner, now, clock.epochNow());
 			for (const order of orders) {
@@ -276,14 +275,14 @@
 		flusher?.poke();
 	};
 
-	const removeOldJobs = async (state: scheduler.Owner) => {
+	const removeOldJobs = async (current: scheduler.Owner) => {
 		const now = clock.now();
 		if (now - removedAt < removalPeriodMs) {
 			return;
 		}
 
 		removedAt = now;
-		const ids = scheduler.forgetEndedJobs(state, now, removalBatch);
+		const ids = scheduler.forgetEndedJobs(current, now, removalBatch);
 		if (ids.length === 0) {
 			return;
 		}
@@ -309,7 +308,7 @@
 		});
 		if (result.ok) {
 			for (const id of ids) {
-				state.jobs.delete(id);
+				current.jobs.delete(id);
 			}
 		}
 	};
@@ -321,7 +320,7 @@
 				void removeOldJobs(owner);
 			}
 
-			if (!isStopped) {
+			if (!state.isStopped) {
 				planAgain();
 			}
 		}, periods.planMs);
@@ -350,7 +349,7 @@
 		onChange();
 	};
 
-	const noteJob = (state: scheduler.Owner, row: ChangedRow) => {
+	const noteJob = (current: scheduler.Owner, row: ChangedRow) => {
 		const decoded = decodeRow(jobSchema, row.value ?? '');
 		if (!decoded.ok) {
 			logger.warn('row skipped', {
@@ -362,7 +361,7 @@
 		}
 
 		const {accepted} = scheduler.addJob(
-			state,
+			current,
 			decoded.value,
 			row.version < held.version,
 		);
@@ -375,10 +374,10 @@
 		});
 	};
 
-	const noteCancel = (state: scheduler.Owner, id: string) => {
-		const job = state.jobs.get(id);
-		if (job && !job.end) {
-			scheduler.cancelJob(state, job, clock.now());
+	const noteCancel = (current: scheduler.Owner, id: string) => {
+		const job = current.jobs.get(id);
+		if (job?.end === undefined && job) {
+			scheduler.cancelJob(current, job, clock.now());
 			logJobEnd(id, 'cancelled', 'the caller cancelled it');
 		}
 	};
@@ -410,7 +409,7 @@
 	};
 
 	const load = async () => {
-		while (!isStopped) {
+		while (!state.isStopped) {
 			const loaded = await loadOwner(service, held, {
 				store,
 				logger,
@@ -440,7 +439,7 @@
 
 	const start = async () => {
 		const loaded = await load();
-		if (!loaded || isStopped) {
+		if (!loaded || state.isStopped) {
 			return;
 		}
 
@@ -482,7 +481,7 @@
 	};
 
 	const abandon = () => {
-		isStopped = true;
+		state.isStopped = true;
 		clearTimeout(planTimer);
 		follower?.stop();
 		flusher?.stop();
@@ -499,7 +498,7 @@
 	return {
 		start,
 		async stop() {
-			isLettingGo = true;
+			state.isLettingGo = true;
 			await Promise.race([flusher?.drain(), delay(maxDrainMs)]);
 			abandon();
 		},
@@ -512,27 +511,25 @@
 			}
 
 			const job = owner.jobs.get(id);
-			return job && job.accepted.policy.queue === queue
+			return job?.accepted.policy.queue === queue
 				? {kind: 'state', state: scheduler.getJobState(job)}
 				: {kind: 'unknown'};
 		},
 		countPending: (queue) =>
-			owner && isBelieved()
-				? scheduler.countPending(owner, queue)
-				: undefined,
+			owner && isBelieved() ? scheduler.countPending(owner, queue) : undefined,
 		evacuate(executorId, patienceMs) {
 			if (!owner) {
 				return {kind: 'unknown-executor'};
 			}
 
-			const state = scheduler.requestEvacuation(
+			const evacuation = scheduler.requestEvacuation(
 				owner,
 				executorId,
 				patienceMs,
 				clock.now(),
 			);
 			onChange();
-			return state;
+			return evacuation;
 		},
 		getLoad,
 		getOwner: () => owner,
@@ -552,7 +549,8 @@
 	let waitingCpu = 0;
 	for (const job of owner.openJobs) {
 		for (const task of scheduler.listTasks(job)) {
-			const mayStart = scheduler.isWaiting(task) && scheduler.isStepOpen(task.step);
+			const mayStart =
+				scheduler.isWaiting(task) && scheduler.isStepOpen(task.step);
 			waitingCpu += mayStart ? task.step.spec.resources.cpuMillis : 0;
 		}
 	}
--- a/packages/daemon/src/jobs/rows/feed-follower.ts
+++ b/packages/daemon/src/jobs/rows/feed-follower.ts
@@ -6,6 +6,7 @@
 import type {Feed, FeedBatch, RowStoreError} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
+import {runInBackground} from '../background.js';
 import {delay, getMoment, type Clock, type Moment} from '../clock.js';
 
 /** Times of a follower, in milliseconds. */
@@ -69,8 +70,8 @@
 	};
 
 	const pause = async (ms: number) => {
-		const {promise, resolve} = createSignal();
-		state.wake = resolve;
+		const {promise, settle} = createSignal();
+		state.wake = settle;
 		await Promise.race([promise, delay(ms)]);
 	};
 
@@ -143,9 +144,7 @@
 	return {
 		start(reportFailure) {
 			state.isStopped = false;
-			run().catch((err: unknown) => {
-				reportFailure(err as Error);
-			});
+			runInBackground(run, reportFailure);
 		},
 		stop() {
 			state.isStopped = true;
@@ -160,9 +159,9 @@
 };
 
 const createSignal = () => {
-	let resolve: () => void = () => undefined;
-	const promise = new Promise<void>((done) => {
-		resolve = done;
+	let settle: () => void = () => undefined;
+	const promise = new Promise<void>((resolve) => {
+		settle = resolve;
 	});
-	return {promise, resolve};
+	return {promise, settle};
 };
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -180,7 +180,9 @@
 ) as unknown as z.ZodType<readonly scheduler.ListedExecutor[]>;
 
 /** Form of the key that seals messages between daemons. */
-export const peerKeySchema = z.object({keyHex: z.string().regex(/^[\da-f]{64}$/v)});
+export const peerKeySchema = z.object({
+	keyHex: z.string().regex(/^[\da-f]{64}$/v),
+});
 
 /** Why a row cannot be used. */
 export type RowFault = {readonly problem: string};
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -161,6 +161,15 @@
 		}
 	};
 
+	const claimOnce = async (shard: string) => {
+		claiming.add(shard);
+		try {
+			await claim(shard);
+		} finally {
+			claiming.delete(shard);
+		}
+	};
+
 	/** The lease is ours by a claim whose answer was lost. */
 	const isOwnUnadopted = (shard: string): boolean => {
 		const lease = book.get(shard);
@@ -207,10 +216,7 @@
 		const since = freeSince.get(shard) ?? now();
 		freeSince.set(shard, since);
 		if (now() - since >= getClaimDelayMs(shard, shards)) {
-			claiming.add(shard);
-			void claim(shard).finally(() => {
-				claiming.delete(shard);
-			});
+			void claimOnce(shard);
 		}
 	};
 
@@ -237,7 +243,7 @@
 		const mine = held.get(shard);
 		const lease = book.get(shard);
 		lose(shard, 'given back');
-		if (!mine || !lease || lease.version !== mine.version) {
+		if (!mine || lease?.version !== mine.version) {
 			return;
 		}
 
--- a/packages/daemon/src/log/bounded-output.ts
+++ b/packages/daemon/src/log/bounded-output.ts
@@ -39,7 +39,7 @@
 ): BoundedOutput => {
 	let waiting: Buffer[] = [];
 	let waitingBytes = 0;
-	let isWriting = false;
+	const state = {isWriting: false};
 	let dropped = 0;
 	let untold = 0;
 
@@ -59,13 +59,13 @@
 			}
 
 			// A broken output takes no lines; there is nowhere to say so.
-			isWriting = false;
+			state.isWriting = false;
 			writeNext();
 		});
 	};
 
 	const writeNext = () => {
-		if (isWriting) {
+		if (state.isWriting) {
 			return;
 		}
 
@@ -77,7 +77,7 @@
 		const bytes = Buffer.concat(waiting);
 		waiting = [];
 		waitingBytes = 0;
-		isWriting = true;
+		state.isWriting = true;
 		writeAll(bytes);
 	};
 
@@ -102,7 +102,10 @@
 		countDropped: () => dropped,
 		async flush(withinMs) {
 			const until = performance.now() + withinMs;
-			while ((isWriting || waiting.length > 0) && performance.now() < until) {
+			while (
+				(state.isWriting || waiting.length > 0) &&
+				performance.now() < until
+			) {
 				await new Promise((resolve) => {
 					setTimeout(resolve, flushPollMs);
 				});
--- a/packages/daemon/src/operator/entries/app.ts
+++ b/packages/daemon/src/operator/entries/app.ts
@@ -1,11 +1,7 @@
 /** Entries: who is registered, who lags, and forgetting one that is over. */
 import {randomUUID} from 'node:crypto';
 import * as core from '@gullstand/core';
-import {
-	type client,
-	client as storeClient,
-	type Write,
-} from '@gullstand/ports';
+import {type client, client as storeClient, type Write} from '@gullstand/ports';
 import {answerError, answerStoreError} from '../objects/answers.js';
 import {readRegistrations, type RegistrationRow} from '../objects/in-force.js';
 import {formatEtag, readPrecondition} from '../objects/preconditions.js';
--- a/packages/daemon/src/view/tables.ts
+++ b/packages/daemon/src/view/tables.ts
@@ -12,12 +12,7 @@
 	Service,
 	viewChange,
 } from '@gullstand/core';
-import type {
-	JsonValue,
-	Row,
-	StoreError,
-	TableService,
-} from '@gullstand/ports';
+import type {JsonValue, Row, StoreError, TableService} from '@gullstand/ports';
 
 /** Tables that the view is read from. */
 export const viewTables = {
--- /dev/null
+++ b/packages/ports/src/memory/task-machines.ts
@@ -0,0 +1,120 @@
+/** Machines in memory, and feeds that a test or the demo writes to. */
+import {succeed} from '@gullstand/core';
+import type {Feed, FeedEntry} from '../ports/feeds.js';
+import type {Machine, Machines} from '../ports/machines.js';
+
+/** Machines in memory. */
+export type MemoryMachines = Machines & {
+	readonly put: (machine: Machine) => void;
+	readonly remove: (id: string) => void;
+	readonly listOrders: () => readonly MachineOrder[];
+	/** Called when a machine is ordered away. */
+	onOrder: ((order: MachineOrder) => void) | undefined;
+};
+
+/** An order that was carried out. */
+export type MachineOrder = {
+	readonly kind: 'move' | 'maintain';
+	readonly machine: string;
+	readonly fencingToken: number;
+	readonly holder: string;
+};
+
+/** Creates machines; those ordered are `down` until they are put again. */
+export const createMemoryMachines = (): MemoryMachines => {
+	const machines = new Map<string, Machine>();
+	const tokens = new Map<string, number>();
+	const orders: MachineOrder[] = [];
+
+	const order = (next: MachineOrder) => {
+		const machine = machines.get(next.machine);
+		if (!machine) {
+			return 'invalid' as const;
+		}
+
+		if (next.fencingToken < (tokens.get(next.machine) ?? 0)) {
+			return 'fenced' as const;
+		}
+
+		if (machine.state !== 'up') {
+			return 'busy' as const;
+		}
+
+		tokens.set(next.machine, next.fencingToken);
+		machines.set(next.machine, {...machine, state: 'maintenance'});
+		orders.push(next);
+		memory.onOrder?.(next);
+		return 'done' as const;
+	};
+
+	const memory: MemoryMachines = {
+		onOrder: undefined,
+		list: async () => succeed([...machines.values()]),
+		move: async ({machine, fencingToken, holder}) =>
+			order({kind: 'move', machine, fencingToken, holder}),
+		maintain: async ({machine, fencingToken, holder}) =>
+			order({kind: 'maintain', machine, fencingToken, holder}),
+		put(machine) {
+			machines.set(machine.id, machine);
+		},
+		remove(id) {
+			machines.delete(id);
+		},
+		listOrders: () => orders,
+	};
+	return memory;
+};
+
+/** A feed in memory. */
+export type MemoryFeed<Value> = Feed<Value> & {
+	readonly put: (key: string, value: Value | undefined) => void;
+};
+
+/** Creates an empty feed. */
+export const createMemoryFeed = <Value>(): MemoryFeed<Value> => {
+	const entries = new Map<string, Value>();
+	const history: Array<FeedEntry<Value>> = [];
+	const waiting = new Set<() => void>();
+
+	const waitForChange = async (ms: number): Promise<void> =>
+		new Promise((resolve) => {
+			const end = () => {
+				clearTimeout(timer);
+				waiting.delete(end);
+				resolve();
+			};
+
+			const timer = setTimeout(end, ms);
+			waiting.add(end);
+		});
+
+	return {
+		put(key, value) {
+			if (value === undefined) {
+				entries.delete(key);
+			} else {
+				entries.set(key, value);
+			}
+
+			history.push({key, value});
+			for (const wake of waiting) {
+				wake();
+			}
+		},
+		readAll: async () =>
+			succeed({
+				entries: [...entries].map(([key, value]) => ({key, value})),
+				version: history.length,
+			}),
+		async readChanges(afterVersion, waitMs) {
+			if (history.length === afterVersion && waitMs > 0) {
+				await waitForChange(waitMs);
+			}
+
+			return succeed({
+				entries: history.slice(afterVersion),
+				version: history.length,
+			});
+		},
+	};
+};
--- a/packages/ports/src/ports/machines.ts
+++ b/packages/ports/src/ports/machines.ts
@@ -25,13 +25,21 @@
 
 /** Answer to an order. After `no-answer` it may have been carried out. */
 export type MachineAnswer =
-	'done' | 'fenced' | 'busy' | 'not-in-wave' | 'invalid' | 'unavailable' | 'no-answer';
+	| 'done'
+	| 'fenced'
+	| 'busy'
+	| 'not-in-wave'
+	| 'invalid'
+	| 'unavailable'
+	| 'no-answer';
 
 /** Calls to the platform. Each ends within the given time, in milliseconds. */
 export type Machines = {
 	readonly list: (
 		timeoutMs: number,
-	) => Promise<Result<readonly Machine[], {readonly kind: 'unavailable' | 'timeout'}>>;
+	) => Promise<
+		Result<readonly Machine[], {readonly kind: 'unavailable' | 'timeout'}>
+	>;
 	readonly move: (
 		order: OrderAuthority & {readonly machine: string; readonly pool: string},
 		timeoutMs: number,
