--- a/packages/core/src/scheduler/evacuation.ts
+++ b/packages/core/src/scheduler/evacuation.ts
@@ -3,7 +3,7 @@
  * is waited for, long work that can save itself is stopped, and a lasting task
  * goes only while its step's budget allows it and there is room elsewhere.
  */
-import type {Executor} from './executor.js';
+import type {Evacuation, Executor} from './executor.js';
 import type {Owner} from './owner.js';
 import {listUsable, placeTask} from './place.js';
 import type {Run, Step, Task} from './task.js';
@@ -82,25 +82,35 @@
 const hasRoomElsewhere = (owner: Owner, task: Task, now: number): boolean =>
 	placeTask(listUsable(owner, now), task).kind === 'placed';
 
-/** Runs of an executor that may be stopped now to empty it. */
-export const listEvacuationStops = (
+const mayStop = (
 	owner: Owner,
-	executor: Executor,
+	run: Run,
+	evacuation: Evacuation,
 	now: number,
-): readonly Run[] => {
-	const {evacuation} = executor;
-	if (!evacuation) {
-		return [];
+): boolean => {
+	const {task, state} = run;
+	if (state !== 'running') {
+		return false;
 	}
 
-	return [...executor.runs.values()].filter((run) => {
-		if (run.state !== 'running') {
-			return false;
-		}
-
-		const {task} = run;
-		return task.step.spec.isLongRunning
-			? mayStopLasting(task) && hasRoomElsewhere(owner, task, now)
-			: shouldStopBatch(owner, run, evacuation.stopFrom, now);
-	});
+	return task.step.spec.isLongRunning
+		? mayStopLasting(task) && hasRoomElsewhere(owner, task, now)
+		: shouldStopBatch(owner, run, evacuation.stopFrom, now);
 };
+
+/**
+ * Runs of an executor that may be stopped now to empty it, one by one: each
+ * must be noted as stopping before the next is asked for, since it spends
+ * its step's budget.
+ */
+export function* listEvacuationStops(
+	owner: Owner,
+	executor: Executor,
+	now: number,
+): Generator<Run> {
+	for (const run of executor.evacuation ? executor.runs.values() : []) {
+		if (executor.evacuation && mayStop(owner, run, executor.evacuation, now)) {
+			yield run;
+		}
+	}
+}
