--- a/packages/core/src/scheduler/evacuation.test.ts
+++ b/packages/core/src/scheduler/evacuation.test.ts
@@ -126,19 +126,25 @@
 	t.same(planAndStart(owner, 210), []);
 });
 
-tap.t.test('two lasting tasks of one step on one executor do not', async (t) => {
-	const owner = createTestOwner([createListed('e0'), createListed('e1')]);
-	submit(owner, createAccepted('a', [{isLongRunning: true, count: 2, mayMiss: 1}]));
-	look(owner, 'e0', {
-		at: 1,
-		running: ['a.0.0.0', 'a.0.0.1'].map((taskId) => ({taskId, percent: 100})),
-	});
-	scheduler.requestEvacuation(owner, 'e0', 0, 200);
-	t.same(describeOrders(planAndStart(owner, 200)), [
-		'stop a.0.0.0 on e0: evacuation',
-	]);
-	t.same(planAndStart(owner, 210), [], 'the other waits for the first');
-});
+tap.t.test(
+	'two lasting tasks of one step on one executor do not',
+	async (t) => {
+		const owner = createTestOwner([createListed('e0'), createListed('e1')]);
+		submit(
+			owner,
+			createAccepted('a', [{isLongRunning: true, count: 2, mayMiss: 1}]),
+		);
+		look(owner, 'e0', {
+			at: 1,
+			running: ['a.0.0.0', 'a.0.0.1'].map((taskId) => ({taskId, percent: 100})),
+		});
+		scheduler.requestEvacuation(owner, 'e0', 0, 200);
+		t.same(describeOrders(planAndStart(owner, 200)), [
+			'stop a.0.0.0 on e0: evacuation',
+		]);
+		t.same(planAndStart(owner, 210), [], 'the other waits for the first');
+	},
+);
 
 tap.t.test(
 	'an executor that is emptied gets nothing, and is clear when empty',
--- /dev/null
+++ b/packages/daemon/src/jobs/job-daemon.test.ts
@@ -0,0 +1,286 @@
+import * as tap from 'tap';
+import type {JobDaemon} from './job-daemon.js';
+import {
+	createId,
+	createListed,
+	createSpec,
+	createTestPlatform,
+	finishAfter,
+	now,
+	readState,
+	route,
+	startDaemon,
+	submit,
+	waitUntil,
+	type TestPlatform,
+} from './job-world.test.fixture.js';
+
+type Test = Pick<typeof tap.t, 'fail' | 'teardown'>;
+
+const createFleet = async (
+	t: Test,
+	platform: TestPlatform,
+	names: readonly string[],
+): Promise<readonly JobDaemon[]> => {
+	const daemons = await Promise.all(
+		names.map(async (name) =>
+			startDaemon(platform, name, (err) => {
+				t.fail(err.message);
+			}),
+		),
+	);
+	t.teardown(async () => {
+		await Promise.all(daemons.map(async (daemon) => daemon.stop()));
+	});
+	return daemons;
+};
+
+const holdsLease = (platform: TestPlatform) =>
+	platform.store
+		.list('lease')
+		.some(
+			({part, value}) =>
+				part === 'service/s' && !value.includes('"holder":null'),
+		);
+
+tap.t.test('a job runs through any entry, once', async (t) => {
+	const platform = createTestPlatform(['x', 'yy']);
+	finishAfter(platform, 20);
+	const daemons = await createFleet(t, platform, ['a', 'b', 'c']);
+	await waitUntil('an owner', () => holdsLease(platform));
+	const ids = Array.from({length: 12}, (_, index) => createId(index));
+	const answers = await Promise.all(
+		ids.map(async (id, index) => submit(daemons[index % 3]!, id)),
+	);
+	t.ok(answers.every((each) => each.ok));
+	const again = await submit(daemons[2]!, ids[0]!);
+	t.same(again, {ok: true, value: {isRepeat: true}});
+	const other = await submit(daemons[1]!, ids[0]!, createSpec({count: 2}));
+	t.same(other, {ok: false, error: 'job-conflict'});
+	for (const [index, id] of ids.entries()) {
+		const daemon = daemons[(index + 1) % 3]!;
+		await waitUntil(
+			`the end of ${id}`,
+			async () => (await readState(daemon, id)) === 'completed',
+		);
+	}
+
+	t.equal(platform.executors.listStarts().length, ids.length);
+	t.equal(await readState(daemons[0]!, createId(99)), 'unknown-job');
+});
+
+tap.t.test('two requests for one job at once store one', async (t) => {
+	const platform = createTestPlatform(['x']);
+	const daemons = await createFleet(t, platform, ['a', 'b']);
+	await waitUntil('an owner', () => holdsLease(platform));
+	const answers = await Promise.all(
+		[0, 1, 0, 1].map(async (each) => submit(daemons[each]!, createId(1))),
+	);
+	t.ok(answers.every((each) => each.ok));
+	t.equal(platform.store.list('job').length, 1);
+	await waitUntil(
+		'the start',
+		() => platform.executors.listStarts().length > 0,
+	);
+	t.equal(platform.executors.listStarts().length, 1);
+});
+
+tap.t.test('a job is refused only if it is not stored', async (t) => {
+	const platform = createTestPlatform(['x']);
+	const [daemon] = await createFleet(t, platform, ['a']);
+	await waitUntil('an owner', () => holdsLease(platform));
+	platform.store.setFault(() => 'unavailable');
+	t.same(await submit(daemon!, createId(1)), {
+		ok: false,
+		error: 'store-unavailable',
+	});
+	platform.store.setFault((call) =>
+		call === 'transact' ? 'lost-after' : undefined,
+	);
+	t.same(
+		await submit(daemon!, createId(2)),
+		{ok: true, value: {isRepeat: true}},
+		'read back',
+	);
+	platform.store.setFault((call) =>
+		call === 'transact' ? 'lost-before' : undefined,
+	);
+	t.same(await submit(daemon!, createId(3)), {
+		ok: false,
+		error: 'submission-unknown',
+	});
+	platform.store.setFault(() => undefined);
+	await waitUntil(
+		'the start of what was stored',
+		() => platform.executors.listStarts().length > 0,
+	);
+	t.same(
+		platform.executors.listStarts().map(({taskId}) => taskId),
+		[`${createId(2)}.0.0.0`],
+	);
+});
+
+tap.t.test('a cancelled job is stopped, and shown so everywhere', async (t) => {
+	const platform = createTestPlatform(['x']);
+	const daemons = await createFleet(t, platform, ['a', 'b']);
+	await waitUntil('an owner', () => holdsLease(platform));
+	const id = createId(1);
+	await submit(daemons[0]!, id);
+	await waitUntil(
+		'the start',
+		() => platform.executors.listRunning('x').length > 0,
+	);
+	const cancelled = await daemons[1]!.service.cancel(route, id, now() + 2000);
+	t.ok(cancelled.ok);
+	await waitUntil(
+		'the stop',
+		() => platform.executors.listRunning('x').length === 0,
+	);
+	for (const daemon of daemons) {
+		await waitUntil(
+			'the state',
+			async () => (await readState(daemon, id)) === 'cancelled',
+		);
+	}
+
+	const unknown = await daemons[0]!.service.cancel(
+		route,
+		createId(9),
+		now() + 2000,
+	);
+	t.same(unknown, {ok: false, error: 'unknown-job'});
+});
+
+tap.t.test('an owner that stops hands over; what runs goes on', async (t) => {
+	const platform = createTestPlatform(['x']);
+	const daemons = await createFleet(t, platform, ['a', 'b']);
+	await waitUntil('an owner', () => holdsLease(platform));
+	const id = createId(1);
+	await submit(daemons[0]!, id, createSpec({count: 3}));
+	await waitUntil(
+		'the starts',
+		() => platform.executors.listRunning('x').length === 3,
+	);
+	const lease = platform.store
+		.list('lease')
+		.find(({part}) => part === 'service/s');
+	const isFirst = lease!.value.includes('"entry":"a"');
+	const [owner, other] = isFirst ? daemons : daemons.toReversed();
+	await owner!.stop();
+	await waitUntil(
+		'the next owner',
+		() =>
+			holdsLease(platform) &&
+			platform.store
+				.list('lease')
+				.some(
+					({part, version}) => part === 'service/s' && version > lease!.version,
+				),
+	);
+	for (const index of [0, 1, 2]) {
+		platform.executors.finish('x', `${id}.0.0.${index}`, 'done');
+	}
+
+	await waitUntil(
+		'the end',
+		async () => (await readState(other!, id)) === 'completed',
+	);
+	t.equal(platform.executors.listStarts().length, 3, 'none started twice');
+});
+
+tap.t.test('a new life of an executor gets what the old one ran', async (t) => {
+	const platform = createTestPlatform(['x']);
+	const [daemon] = await createFleet(t, platform, ['a']);
+	await waitUntil('an owner', () => holdsLease(platform));
+	await submit(daemon!, createId(1));
+	await waitUntil(
+		'the start',
+		() => platform.executors.listRunning('x').length > 0,
+	);
+	platform.executors.remove('x');
+	const next = {...createListed('x2'), address: createListed('x').address};
+	platform.executors.add(next);
+	platform.executorFeed.put('x', undefined);
+	platform.executorFeed.put('x2', next);
+	await waitUntil(
+		'the second start',
+		() => platform.executors.listRunning('x2').length > 0,
+	);
+	const runs = platform.executors.listStarts().map(({run}) => run);
+	t.equal(runs.length, 2);
+	t.ok(runs[1]! > runs[0]!);
+});
+
+tap.t.test(
+	'a wave maintains each machine once and is told to be done',
+	async (t) => {
+		const ids = ['x', 'y', 'z'];
+		const platform = createTestPlatform(ids);
+		for (const id of ids) {
+			platform.machines.put({
+				id: `m-${id}`,
+				pool: 's',
+				state: 'up',
+				availabilityZone: 'a',
+				labels: [],
+				capacity: createListed(id).capacity,
+				executorId: id,
+			});
+		}
+
+		let away = 0;
+		let mostAway = 0;
+		platform.machines.onOrder = ({machine}) => {
+			away += 1;
+			mostAway = Math.max(mostAway, away);
+			setTimeout(() => {
+				away -= 1;
+				platform.machines.put({
+					id: machine,
+					pool: 's',
+					state: 'up',
+					availabilityZone: 'a',
+					labels: [],
+					capacity: createListed('x').capacity,
+					executorId: `${machine}-again`,
+				});
+			}, 100);
+		};
+
+		await createFleet(t, platform, ['a', 'b']);
+		platform.operator.put('wave/1', {
+			kind: 'wave',
+			value: {
+				id: '1',
+				machines: ids.map((id) => `m-${id}`),
+				durationMs: 20_000,
+				maxAway: 1,
+			},
+		});
+		await waitUntil(
+			'the end of the wave',
+			() => platform.waveStates.get('1') === 'completed',
+		);
+		t.same(
+			platform.machines
+				.listOrders()
+				.map(({machine}) => machine)
+				.toSorted(),
+			['m-x', 'm-y', 'm-z'],
+		);
+		t.equal(mostAway, 1);
+	},
+);
+
+tap.t.test(
+	'an entry without a configuration refuses, one with it knows its queues',
+	async (t) => {
+		const platform = createTestPlatform([]);
+		const [daemon] = await createFleet(t, platform, ['a']);
+		await waitUntil('the configuration', () => daemon!.isReady());
+		const {routes} = daemon!;
+		t.match(routes.match('H:8080', '/q/0123'), {kind: 'queue', rest: '0123'});
+		t.same(routes.match('h', '/r/0123'), {kind: 'unknown-queue'});
+		t.same(routes.match('other', '/q/0123'), {kind: 'unknown-queue'});
+	},
+);
--- /dev/null
+++ b/packages/daemon/src/jobs/job-world.test.fixture.ts
@@ -0,0 +1,191 @@
+/** Daemons of the jobs side over one platform in memory, for tests. */
+import {performance} from 'node:perf_hooks';
+import {scheduler} from '@gullstand/core';
+import * as ports from '@gullstand/ports';
+import winston from 'winston';
+import type {Logger} from '../log/logger.js';
+import type {WaveStatusPort} from './fleet/fleet-runner.js';
+import {createJobDaemon, type JobDaemon} from './job-daemon.js';
+
+/** A platform in memory. */
+export type TestPlatform = {
+	readonly store: ports.MemoryRowStore;
+	readonly operator: ports.MemoryFeed<ports.OperatorEntry>;
+	readonly executorFeed: ports.MemoryFeed<scheduler.ListedExecutor>;
+	readonly executors: ports.MemoryExecutors;
+	readonly machines: ports.MemoryMachines;
+	readonly waveStatus: WaveStatusPort;
+	readonly waveStates: Map<string, string>;
+};
+
+/** Monotonic time of the tests. */
+export const now = () => performance.now();
+
+/** One queue `q` of the service `s`, reached at host `h` and path `/q/`. */
+export const testConfiguration: ports.Configuration = {
+	version: 1,
+	routes: [
+		{
+			name: 'q',
+			host: 'h',
+			pathPrefix: '/q/',
+			service: 's',
+			priority: 0,
+			maxAttempts: 2,
+			stretch: 2,
+			targetLatencyMs: 600,
+			timeoutMs: 3000,
+			advice: undefined,
+		},
+	],
+	services: [{name: 's', rejectsOverload: false, isStandby: false}],
+	maxBodyBytes: 100_000,
+};
+
+/** An executor of the service `s`. */
+export const createListed = (id: string): scheduler.ListedExecutor => ({
+	id,
+	service: 's',
+	address: `address of ${id}`,
+	availabilityZone: 'a',
+	capacity: {cpuMillis: 4000, memoryMb: 4000, accelerators: 0},
+	labels: ['r1-1'],
+	isDraining: false,
+	remainingMs: undefined,
+});
+
+/** A platform with a configuration and these executors. */
+export const createTestPlatform = (
+	executorIds: readonly string[],
+): TestPlatform => {
+	const operator = ports.createMemoryFeed<ports.OperatorEntry>();
+	operator.put('configuration', {
+		kind: 'configuration',
+		value: testConfiguration,
+	});
+	const executors = ports.createMemoryExecutors(now);
+	const executorFeed = ports.createMemoryFeed<scheduler.ListedExecutor>();
+	for (const id of executorIds) {
+		executors.add(createListed(id));
+		executorFeed.put(id, createListed(id));
+	}
+
+	const waveStates = new Map<string, string>();
+	return {
+		store: ports.createMemoryRowStore(),
+		operator,
+		executorFeed,
+		executors,
+		machines: ports.createMemoryMachines(),
+		waveStates,
+		waveStatus: {
+			async write(wave, state) {
+				waveStates.set(wave, state);
+				return true;
+			},
+		},
+	};
+};
+
+const silentLogger: Logger = winston.createLogger({silent: true});
+
+/** Starts a daemon; an error of its own fails the test by `onFailure`. */
+export const startDaemon = async (
+	platform: TestPlatform,
+	name: string,
+	onFailure: (err: Error) => void,
+): Promise<JobDaemon> => {
+	const daemon = createJobDaemon({
+		settings: {
+			name,
+			peers: {address: '127.0.0.1', port: 0},
+			scheduler: scheduler.defaultSchedulerConfig,
+			machineTurnoverMs: 50,
+		},
+		platform,
+		clock: {now, epochNow: () => Date.now()},
+		random: Math.random,
+		logger: silentLogger,
+	});
+	await daemon.start(onFailure);
+	return daemon;
+};
+
+/** Waits until something holds; rejects after `withinMs`. */
+export const waitUntil = async (
+	what: string,
+	holds: () => boolean | Promise<boolean>,
+	withinMs = 15_000,
+): Promise<void> => {
+	const until = now() + withinMs;
+	while (!(await holds())) {
+		if (now() > until) {
+			throw new Error(`not in time: ${what}`);
+		}
+
+		await new Promise((resolve) => {
+			setTimeout(resolve, 5);
+		});
+	}
+};
+
+/** A job of one step. */
+export const createSpec = (
+	changes: Partial<scheduler.StepSpec> = {},
+): scheduler.JobSpec => ({
+	payload: 'payload',
+	steps: [
+		{
+			count: 1,
+			resources: {cpuMillis: 100, memoryMb: 10, accelerators: 0},
+			estimateMs: 100,
+			after: [],
+			canCheckpoint: false,
+			isGang: false,
+			needsSameRack: false,
+			requiredLabel: undefined,
+			preferredRack: undefined,
+			maxPerExecutor: undefined,
+			allowsCopies: false,
+			isLongRunning: false,
+			image: undefined,
+			targetTailMs: undefined,
+			fillsIdleCapacity: false,
+			mayMiss: undefined,
+			...changes,
+		},
+	],
+	schedule: undefined,
+});
+
+/** The route of the one queue. */
+export const [route] = testConfiguration.routes as [ports.QueueRoute];
+
+/** An id of 16 hexadecimal digits. */
+export const createId = (number: number): string =>
+	number.toString(16).padStart(16, '0');
+
+/** Hands a job in, with two seconds to do so. */
+export const submit = async (
+	daemon: JobDaemon,
+	id: string,
+	spec: scheduler.JobSpec = createSpec(),
+) => daemon.service.submit(route, id, spec, now() + 2000);
+
+/** The state that a caller is shown, or the kind of the error. */
+export const readState = async (
+	daemon: JobDaemon,
+	id: string,
+): Promise<string> => {
+	const result = await daemon.service.readState(route, id);
+	return result.ok ? result.value : result.error;
+};
+
+/** Finishes each task so long after it was started. */
+export const finishAfter = (platform: TestPlatform, ms: number): void => {
+	platform.executors.onStart = ({executorId, taskId}) => {
+		setTimeout(() => {
+			platform.executors.finish(executorId, taskId, 'done');
+		}, ms);
+	};
+};
