--- /dev/null
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -0,0 +1,181 @@
+import * as tap from 'tap';
+import * as fleet from './index.js';
+
+const cfg: fleet.PoolConfig = {
+	headroom: 1,
+	minMachines: 1,
+	spareMachines: 0,
+	shrinkAfterMs: 1000,
+	maxMoves: 4,
+};
+
+const createMachine = (
+	id: string,
+	pool: string,
+	changes: Partial<fleet.PoolMachine> = {},
+): fleet.PoolMachine => ({
+	id,
+	pool,
+	isUp: true,
+	cpuMillis: 1000,
+	runs: 0,
+	lasting: 0,
+	isTaken: false,
+	...changes,
+});
+
+const createDemand = (
+	pool: string,
+	changes: Partial<fleet.PoolDemand> = {},
+): fleet.PoolDemand => ({
+	pool,
+	waitingCpu: 0,
+	usedCpu: 0,
+	arrivingCpu: 0,
+	...changes,
+});
+
+type Case = {
+	readonly name: string;
+	readonly demands: readonly fleet.PoolDemand[];
+	readonly machines: readonly fleet.PoolMachine[];
+	readonly underWay?: fleet.MovesUnderWay;
+	/** For how long there has been too much, in milliseconds. */
+	readonly surplusMs?: number;
+	readonly moves: readonly string[];
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a queue that asks for more gets machines from standby',
+		demands: [createDemand('p', {waitingCpu: 2500, usedCpu: 500})],
+		machines: [
+			createMachine('a', 'p', {runs: 1}),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+			createMachine('s3', 'standby'),
+		],
+		moves: ['s1 to p', 's2 to p'],
+	},
+	{
+		name: 'those on their way count',
+		demands: [createDemand('p', {waitingCpu: 3000})],
+		machines: [
+			createMachine('a', 'p', {runs: 1}),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+		],
+		underWay: new Map([
+			['s1', {machine: 's1', from: 'standby', to: 'p'}],
+		]),
+		moves: ['s2 to p'],
+	},
+	{
+		name: 'a surplus that has just begun stays',
+		demands: [createDemand('p')],
+		machines: [createMachine('a', 'p'), createMachine('b', 'p')],
+		moves: [],
+	},
+	{
+		name: 'a surplus that has lasted goes to standby',
+		demands: [createDemand('p')],
+		machines: [createMachine('a', 'p'), createMachine('b', 'p')],
+		surplusMs: 1000,
+		moves: ['a to standby'],
+	},
+	{
+		name: 'a machine at work stays',
+		demands: [createDemand('p', {usedCpu: 100})],
+		machines: [
+			createMachine('a', 'p', {runs: 1}),
+			createMachine('b', 'p', {runs: 2}),
+		],
+		surplusMs: 1000,
+		moves: [],
+	},
+	{
+		name: 'a machine that is maintained or down stays',
+		demands: [createDemand('p')],
+		machines: [
+			createMachine('a', 'p', {isTaken: true}),
+			createMachine('b', 'p', {isUp: false}),
+		],
+		surplusMs: 1000,
+		moves: [],
+	},
+	{
+		name: 'a pool that lacks gets from one that has too much',
+		demands: [createDemand('p', {waitingCpu: 2000}), createDemand('r')],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'r'),
+			createMachine('c', 'r'),
+		],
+		surplusMs: 1000,
+		moves: ['b to p'],
+	},
+	{
+		name: 'the pool that lacks most comes first',
+		demands: [
+			createDemand('p', {waitingCpu: 2000}),
+			createDemand('r', {waitingCpu: 3000}),
+		],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'r'),
+			createMachine('s', 'standby'),
+		],
+		moves: ['s to r'],
+	},
+	{
+		name: 'no more moves than may be under way',
+		demands: [createDemand('p', {waitingCpu: 9000})],
+		machines: Array.from({length: 9}, (_, index) =>
+			createMachine(`s${index}`, 'standby'),
+		),
+		moves: [0, 1, 2, 3].map((index) => `s${index} to p`),
+	},
+];
+
+for (const {name, demands, machines, underWay, surplusMs, moves} of cases) {
+	tap.t.test(name, async (t) => {
+		const situation = {
+			demands,
+			machines,
+			underWay: underWay ?? new Map(),
+			standbyPool: 'standby',
+		};
+		const first = fleet.planPools(situation, fleet.emptyPoolMemory, cfg, 0);
+		const plan =
+			surplusMs === undefined
+				? first
+				: fleet.planPools(situation, first.memory, cfg, surplusMs);
+		t.same(
+			plan.moves.map(({machine, to}) => `${machine} to ${to}`),
+			moves,
+		);
+	});
+}
+
+tap.t.test('a surplus that is over begins anew', async (t) => {
+	const machines = [createMachine('a', 'p'), createMachine('b', 'p')];
+	const plan = (
+		memory: fleet.PoolMemory,
+		waitingCpu: number,
+		now: number,
+	) =>
+		fleet.planPools(
+			{
+				demands: [createDemand('p', {waitingCpu})],
+				machines,
+				underWay: new Map(),
+				standbyPool: 'standby',
+			},
+			memory,
+			cfg,
+			now,
+		);
+	const first = plan(fleet.emptyPoolMemory, 0, 0);
+	const busy = plan(first.memory, 2000, 900);
+	t.same(plan(busy.memory, 0, 1100).moves, []);
+});
--- /dev/null
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -0,0 +1,247 @@
+/**
+ * How many machines each pool should have and which move. A machine in a pool
+ * costs its time whether it works or not, one in the standby pool nothing, and
+ * each move has a price and takes a while. So a pool grows as soon as its queue
+ * asks for more than it has, and shrinks only after that has not been so for a
+ * time, by machines that are idle.
+ * Source: docs/design/pools.md.
+ */
+
+/** Settings of the pools' sizes. */
+export type PoolConfig = {
+	/** Room wanted over what runs and waits now, as a factor. */
+	readonly headroom: number;
+	/** Machines that each pool with queues keeps at the least. */
+	readonly minMachines: number;
+	/** Idle machines kept beyond the demand. */
+	readonly spareMachines: number;
+	/** Time for which a pool must have had too many before it shrinks. */
+	readonly shrinkAfterMs: number;
+	/** Most moves that are under way at once. */
+	readonly maxMoves: number;
+};
+
+/** Settings in force where none are given. */
+export const defaultPoolConfig: PoolConfig = {
+	headroom: 1.25,
+	minMachines: 3,
+	spareMachines: 1,
+	shrinkAfterMs: 1500,
+	maxMoves: 16,
+};
+
+/** What a pool's queues ask for, in thousandths of a core. */
+export type PoolDemand = {
+	readonly pool: string;
+	/** Of the tasks that wait and may start. */
+	readonly waitingCpu: number;
+	/** Of what runs. */
+	readonly usedCpu: number;
+	/** Work handed in lately, as the cores that it keeps busy. */
+	readonly arrivingCpu: number;
+};
+
+/** A machine that may move. */
+export type PoolMachine = {
+	readonly id: string;
+	readonly pool: string;
+	readonly isUp: boolean;
+	readonly cpuMillis: number;
+	/** Runs on it; absent in the standby pool. */
+	readonly runs: number;
+	/** Lasting tasks on it. */
+	readonly lasting: number;
+	/** Something else is done with it, such as maintenance. */
+	readonly isTaken: boolean;
+};
+
+/** What is remembered between two plans. */
+export type PoolMemory = {
+	/** Since when each pool has had more than it needs. */
+	readonly surplusSince: ReadonlyMap<string, number>;
+};
+
+/** A move to begin. */
+export type PoolMove = {
+	readonly machine: string;
+	readonly from: string;
+	readonly to: string;
+};
+
+/** Moves that are under way, by machine. */
+export type MovesUnderWay = ReadonlyMap<string, PoolMove>;
+
+/** What to do, and what to remember. */
+export type PoolPlan = {
+	readonly moves: readonly PoolMove[];
+	readonly memory: PoolMemory;
+	/** Machines wanted by pool, for the log. */
+	readonly targets: ReadonlyMap<string, number>;
+};
+
+/** What a plan is made from. */
+export type PoolSituation = {
+	readonly demands: readonly PoolDemand[];
+	readonly machines: readonly PoolMachine[];
+	readonly underWay: MovesUnderWay;
+	readonly standbyPool: string;
+};
+
+/** Nothing remembered. */
+export const emptyPoolMemory: PoolMemory = {surplusSince: new Map()};
+
+const getMachineCpu = (machines: readonly PoolMachine[]): number =>
+	machines.length === 0
+		? 1
+		: machines.reduce((sum, {cpuMillis}) => sum + cpuMillis, 0) /
+			machines.length;
+
+/** Machines that a demand needs. */
+export const getTarget = (
+	demand: PoolDemand,
+	machineCpu: number,
+	cfg: PoolConfig,
+): number => {
+	const present = demand.usedCpu + demand.waitingCpu;
+	const wanted = Math.max(present, demand.arrivingCpu) * cfg.headroom;
+	const machines = Math.ceil(wanted / machineCpu) + cfg.spareMachines;
+	return Math.max(cfg.minMachines, machines);
+};
+
+/** Machines that a pool has, and those that are on their way to it. */
+const countMachines = (
+	{machines, underWay}: PoolSituation,
+	pool: string,
+): number => {
+	const staying = machines.filter(
+		(each) => each.pool === pool && underWay.get(each.id)?.from !== pool,
+	);
+	const coming = [...underWay].filter(
+		([id, {to}]) =>
+			to === pool &&
+			!staying.some((each) => each.id === id),
+	);
+	return staying.length + coming.length;
+};
+
+const noteSurplus = (
+	memory: PoolMemory,
+	surplus: ReadonlyMap<string, number>,
+	now: number,
+): PoolMemory => {
+	const since = new Map<string, number>();
+	for (const [pool, machines] of surplus) {
+		if (machines > 0) {
+			since.set(pool, memory.surplusSince.get(pool) ?? now);
+		}
+	}
+
+	return {surplusSince: since};
+};
+
+/** Machines of a pool that may leave it now, the one to go first in front. */
+const listIdle = (
+	{machines, underWay}: PoolSituation,
+	pool: string,
+): readonly PoolMachine[] =>
+	machines.filter(
+		(each) =>
+			each.pool === pool &&
+			each.isUp &&
+			!each.isTaken &&
+			!underWay.has(each.id) &&
+			each.runs === 0,
+	);
+
+type Ledger = {
+	readonly situation: PoolSituation;
+	/** Machines that each pool can give now. */
+	readonly givers: Map<string, PoolMachine[]>;
+	readonly moves: PoolMove[];
+	left: number;
+};
+
+const take = (ledger: Ledger, from: string, to: string): boolean => {
+	const machine = ledger.givers.get(from)?.shift();
+	if (!machine || ledger.left <= 0) {
+		return false;
+	}
+
+	ledger.left -= 1;
+	ledger.moves.push({machine: machine.id, from, to});
+	return true;
+};
+
+/** Fills what a pool lacks, from standby first, since that costs nobody. */
+const fill = (ledger: Ledger, pool: string, lacking: number): void => {
+	const {standbyPool} = ledger.situation;
+	let left = lacking;
+	const sources = [
+		standbyPool,
+		...[...ledger.givers.keys()].filter(
+			(each) => each !== standbyPool && each !== pool,
+		),
+	];
+	for (const from of sources) {
+		while (left > 0 && take(ledger, from, pool)) {
+			left -= 1;
+		}
+	}
+};
+
+/** Plans moves for the demand of this moment. */
+export const planPools = (
+	situation: PoolSituation,
+	memory: PoolMemory,
+	cfg: PoolConfig,
+	now: number,
+): PoolPlan => {
+	const {demands, machines, underWay, standbyPool} = situation;
+	const machineCpu = getMachineCpu(machines);
+	const targets = new Map(
+		demands.map((demand) => [
+			demand.pool,
+			getTarget(demand, machineCpu, cfg),
+		]),
+	);
+	const surplus = new Map(
+		[...targets].map(([pool, target]) => [
+			pool,
+			countMachines(situation, pool) - target,
+		]),
+	);
+	const noted = noteSurplus(memory, surplus, now);
+	const mayGive = (pool: string): boolean =>
+		now - (noted.surplusSince.get(pool) ?? now) >= cfg.shrinkAfterMs;
+
+	const givers = new Map<string, PoolMachine[]>([
+		[standbyPool, [...listIdle(situation, standbyPool)]],
+	]);
+	for (const [pool, machinesOver] of surplus) {
+		if (machinesOver > 0 && mayGive(pool)) {
+			const idle = listIdle(situation, pool).slice(0, machinesOver);
+			givers.set(pool, [...idle]);
+		}
+	}
+
+	const ledger: Ledger = {
+		situation,
+		givers,
+		moves: [],
+		left: Math.max(0, cfg.maxMoves - underWay.size),
+	};
+	const lacking = [...surplus]
+		.filter(([, over]) => over < 0)
+		.toSorted(([, one], [, two]) => one - two);
+	for (const [pool, over] of lacking) {
+		fill(ledger, pool, -over);
+	}
+
+	for (const pool of surplus.keys()) {
+		while (take(ledger, pool, standbyPool)) {
+			// Each turn of the loop gives one machine back.
+		}
+	}
+
+	return {moves: ledger.moves, memory: noted, targets};
+};
