Let leases of a silent executor come to an end

Each look that was repeated carried a new lease end, so the bound on what might run there moved on with every try. Ruled out: the budget, room (both free), the roster. A silent executor is looked at without being granted more. A daemon test over the platform in memory failed first (15 s without a second start).

--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -65,9 +65,7 @@
 			createMachine('s1', 'standby'),
 			createMachine('s2', 'standby'),
 		],
-		underWay: new Map([
-			['s1', {machine: 's1', from: 'standby', to: 'p'}],
-		]),
+		underWay: new Map([['s1', {machine: 's1', from: 'standby', to: 'p'}]]),
 		moves: ['s2 to p'],
 	},
 	{
@@ -159,11 +157,7 @@
 
 tap.t.test('a surplus that is over begins anew', async (t) => {
 	const machines = [createMachine('a', 'p'), createMachine('b', 'p')];
-	const plan = (
-		memory: fleet.PoolMemory,
-		waitingCpu: number,
-		now: number,
-	) =>
+	const plan = (memory: fleet.PoolMemory, waitingCpu: number, now: number) =>
 		fleet.planPools(
 			{
 				demands: [createDemand('p', {waitingCpu})],
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -117,9 +117,7 @@
 		(each) => each.pool === pool && underWay.get(each.id)?.from !== pool,
 	);
 	const coming = [...underWay].filter(
-		([id, {to}]) =>
-			to === pool &&
-			!staying.some((each) => each.id === id),
+		([id, {to}]) => to === pool && !staying.some((each) => each.id === id),
 	);
 	return staying.length + coming.length;
 };
@@ -199,10 +197,7 @@
 	const {demands, machines, underWay, standbyPool} = situation;
 	const machineCpu = getMachineCpu(machines);
 	const targets = new Map(
-		demands.map((demand) => [
-			demand.pool,
-			getTarget(demand, machineCpu, cfg),
-		]),
+		demands.map((demand) => [demand.pool, getTarget(demand, machineCpu, cfg)]),
 	);
 	const surplus = new Map(
 		[...targets].map(([pool, target]) => [
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -9,6 +9,7 @@
 export * from './executor.js';
 export * from './owner.js';
 export * from './look.js';
+export * from './load.js';
 export * from './acknowledge.js';
 export * from './rank.js';
 export * from './place.js';
--- /dev/null
+++ b/packages/core/src/scheduler/load.ts
@@ -0,0 +1,97 @@
+/** How much the queues of a service ask for, for the sizes of its pool. */
+import type {Executor} from './executor.js';
+import type {Owner} from './owner.js';
+import {listUsable} from './place.js';
+import {isStepOpen, isWaiting, type Job} from './task.js';
+
+/** Load of one executor. */
+export type ExecutorLoad = {
+	readonly runs: number;
+	/** Runs of tasks that last. */
+	readonly lasting: number;
+	readonly usedCpu: number;
+};
+
+/** Load of a service; cpu in thousandths of a core. */
+export type ServiceLoad = {
+	/** Of the tasks that wait and may start. */
+	readonly waitingCpu: number;
+	/** Of what runs. */
+	readonly usedCpu: number;
+	/** Of all executors that may take work. */
+	readonly capacityCpu: number;
+	/** Work handed in lately, as the cores that it keeps busy. */
+	readonly arrivingCpu: number;
+	readonly executors: Readonly<Record<string, ExecutorLoad>>;
+};
+
+/** Work that came in, weighted so that older work counts less. */
+export type Arrivals = {
+	/** Weighted sum, in cpu-milliseconds. */
+	readonly work: number;
+	readonly at: number;
+};
+
+/**
+ * Time constant of the weights, in milliseconds: long enough to even out
+ * single jobs, short enough to see a rise within a second.
+ */
+const arrivalWindowMs = 1200;
+
+/** No work yet. */
+export const noArrivals: Arrivals = {work: 0, at: 0};
+
+const decay = ({work, at}: Arrivals, now: number): number =>
+	work * Math.exp(-Math.max(0, now - at) / arrivalWindowMs);
+
+/** Notes work that came in. */
+export const noteArrival = (
+	arrivals: Arrivals,
+	work: number,
+	now: number,
+): Arrivals => ({work: decay(arrivals, now) + work, at: now});
+
+/** Cores that the work of the last while keeps busy, in thousandths. */
+export const getArrivingCpu = (arrivals: Arrivals, now: number): number =>
+	decay(arrivals, now) / arrivalWindowMs;
+
+const describeExecutor = (executor: Executor): ExecutorLoad => ({
+	runs: executor.runs.size,
+	lasting: [...executor.runs.values()].filter(
+		({task}) => task.step.spec.isLongRunning,
+	).length,
+	usedCpu: executor.used.cpuMillis,
+});
+
+const getWaitingCpu = (job: Job): number => {
+	let waiting = 0;
+	for (const {steps} of job.occurrences.values()) {
+		for (const step of steps) {
+			const {resources, fillsIdleCapacity} = step.spec;
+			if (!fillsIdleCapacity && isStepOpen(step)) {
+				const tasks = step.tasks.filter((task) => isWaiting(task));
+				waiting += tasks.length * resources.cpuMillis;
+			}
+		}
+	}
+
+	return waiting;
+};
+
+const sum = (values: readonly number[]): number =>
+	values.reduce((total, value) => total + value, 0);
+
+/** Describes the load of a service now. */
+export const describeLoad = (owner: Owner, now: number): ServiceLoad => {
+	const all = [...owner.executors.values()];
+	const usable = listUsable(owner, now);
+	return {
+		waitingCpu: sum([...owner.openJobs].map((job) => getWaitingCpu(job))),
+		usedCpu: sum(all.map(({used}) => used.cpuMillis)),
+		capacityCpu: sum(usable.map(({listed}) => listed.capacity.cpuMillis)),
+		arrivingCpu: getArrivingCpu(owner.arrivals, now),
+		executors: Object.fromEntries(
+			all.map((each) => [each.id, describeExecutor(each)]),
+		),
+	};
+};
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -4,10 +4,12 @@
  * owner; see docs/design/platform-programs.md.
  */
 import type {SchedulerConfig} from './config.js';
+import {noArrivals, noteArrival, type Arrivals} from './load.js';
 import {createExecutor, dropRun, hasLapsed, type Executor} from './executor.js';
 import {
 	addDueOccurrences,
 	createJob,
+	isLasting,
 	isWhollyDone,
 	listTasks,
 	type Job,
@@ -38,6 +40,8 @@
 	isRosterDirty: boolean;
 	/** Number of the flush that takes in what changes now. */
 	flush: number;
+	/** Work handed in lately. */
+	arrivals: Arrivals;
 	/** Mean work of a job by queue, for the order of work. */
 	readonly meanWork: Map<string, {count: number; sum: number}>;
 };
@@ -67,6 +71,7 @@
 	dirty: new Set(),
 	isRosterDirty: false,
 	flush: 1,
+	arrivals: noArrivals,
 	meanWork: new Map(),
 });
 
@@ -83,6 +88,7 @@
 	owner: Owner,
 	accepted: AcceptedJob,
 	isInherited: boolean,
+	now: number = owner.takenOverAt,
 ): Job => {
 	const known = owner.jobs.get(accepted.id);
 	if (known) {
@@ -93,6 +99,10 @@
 	owner.jobs.set(accepted.id, job);
 	owner.openJobs.add(job);
 	noteWork(owner, job);
+	if (!isInherited && !isLasting(job)) {
+		owner.arrivals = noteArrival(owner.arrivals, job.totalWork, now);
+	}
+
 	return job;
 };
 
--- a/packages/core/src/scheduler/rank.ts
+++ b/packages/core/src/scheduler/rank.ts
@@ -4,7 +4,7 @@
  * work that is left. Source: docs/design/platform-programs.md.
  */
 import type {Owner} from './owner.js';
-import type {Job, Step} from './task.js';
+import {isLasting, type Job, type Step} from './task.js';
 
 /** Times the objective up to which a late answer is still worth something. */
 const lateUntilFactor = 3;
@@ -56,9 +56,6 @@
 	return accepted.policy.stretch * chain + accepted.policy.targetLatencyMs;
 };
 
-const isLasting = ({accepted}: Job): boolean =>
-	accepted.spec.steps.some(({isLongRunning}) => isLongRunning);
-
 const getStart = ({accepted}: Job, number: number): number =>
 	accepted.spec.schedule
 		? accepted.spec.schedule.startAtEpochMs +
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -202,6 +202,10 @@
 	totalWork: sumWork(accepted.spec.steps),
 });
 
+/** Whether a job runs until it is cancelled. */
+export const isLasting = ({accepted}: Job): boolean =>
+	accepted.spec.steps.some(({isLongRunning}) => isLongRunning);
+
 /** Adds the occurrences whose time has come. */
 export const addDueOccurrences = (job: Job, epochNow: number): void => {
 	const times = countOccurrences(job);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -36,7 +36,7 @@
 export * from './jobs/run-entry.js';
 export {createTableFeed} from './jobs/rows/table-feed.js';
 export {decodeRow} from './jobs/rows/tables.js';
-export type {WaveStatusPort} from './jobs/fleet/fleet-runner.js';
+export type {WaveStatusPort} from './jobs/fleet/wave-round.js';
 export {createErrorResponse} from './caller/answer.js';
 export {createByteBudget} from './http/byte-budget.js';
 export {readBody} from './http/read-body.js';
--- a/packages/daemon/src/jobs/entry/owner-channel.ts
+++ b/packages/daemon/src/jobs/entry/owner-channel.ts
@@ -5,11 +5,7 @@
 import type {scheduler} from '@gullstand/core';
 import type {ChangedRow, StoredRow} from '@gullstand/ports';
 import type {PeerChannel} from '../../peers/peer-channel.js';
-import type {
-	JobReading,
-	OwnerRunner,
-	ServiceLoad,
-} from '../owner/owner-runner.js';
+import type {JobReading, OwnerRunner} from '../owner/owner-runner.js';
 import {periods} from '../periods.js';
 import type {LeaseBook} from '../shards/lease-book.js';
 
@@ -40,7 +36,9 @@
 		executorId: string,
 		patienceMs: number,
 	) => Promise<scheduler.EvacuationState | undefined>;
-	readonly readLoad: (shard: string) => Promise<ServiceLoad | undefined>;
+	readonly readLoad: (
+		shard: string,
+	) => Promise<scheduler.ServiceLoad | undefined>;
 };
 
 /** Creates the channel. */
--- /dev/null
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -0,0 +1,102 @@
+/** What the work on machines shares while this daemon holds the fleet's shard. */
+import type {fleet, scheduler} from '@gullstand/core';
+import type {Machine, Machines, RowStore} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import type {Clock} from '../clock.js';
+import type {OwnerChannel} from '../entry/owner-channel.js';
+import {getServiceShard} from '../rows/tables.js';
+import type {HeldShard} from '../shards/shard-keeper.js';
+
+/** Times of the fleet's work, in milliseconds. */
+export const fleetPeriods = {
+	/** Between two rounds. */
+	roundMs: 150,
+	/** A call to the platform. */
+	platformTimeoutMs: 1500,
+	/** How long work may end by itself before it is stopped. */
+	patienceMs: 1400,
+	/** Time that one machine of a wave takes, emptying included. */
+	turnMs: 4500,
+	/** An idle machine that is not empty within this time does not move. */
+	emptyMs: 800,
+	/** A move that does not show in the list within this time is given up. */
+	moveMs: 15_000,
+} as const;
+
+/** What a round of work needs. */
+export type FleetContext = {
+	readonly held: HeldShard;
+	readonly holder: string;
+	readonly store: RowStore;
+	readonly machines: Machines;
+	readonly owners: OwnerChannel;
+	readonly clock: Clock;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	/** Services whose owner must agree before a machine goes. */
+	readonly hasOwner: (service: string) => boolean;
+	/** Whether an order may be given now. */
+	readonly mayOrder: () => boolean;
+	readonly isStopped: () => boolean;
+	readonly lose: (reason: string) => void;
+};
+
+/** Machines and loads as read at the beginning of a round. */
+export type FleetView = {
+	readonly machines: ReadonlyMap<string, Machine>;
+	/** By service; absent where its owner did not answer. */
+	readonly loads: ReadonlyMap<string, scheduler.ServiceLoad>;
+};
+
+/** Reads machines and loads; `undefined` if the platform does not answer. */
+export const readFleetView = async ({
+	machines,
+	owners,
+	logger,
+	hasOwner,
+}: FleetContext): Promise<FleetView | undefined> => {
+	const listed = await machines.list(fleetPeriods.platformTimeoutMs);
+	if (!listed.ok) {
+		logger.warn('machines not read', {reason: listed.error.kind});
+		return undefined;
+	}
+
+	const pools = new Set(listed.value.map(({pool}) => pool));
+	const owned = [...pools].filter((pool) => hasOwner(pool));
+	const loads = await Promise.all(
+		owned.map(async (pool) => owners.readLoad(getServiceShard(pool))),
+	);
+	return {
+		machines: new Map(listed.value.map((each) => [each.id, each])),
+		loads: new Map(
+			owned.flatMap((pool, index) => {
+				const load = loads[index];
+				return load ? [[pool, load] as const] : [];
+			}),
+		),
+	};
+};
+
+/** Load of a machine's executor, if its owner has told it. */
+export const getMachineLoad = (
+	{loads}: FleetView,
+	{pool, executorId}: Pick<Machine, 'pool' | 'executorId'>,
+): scheduler.ExecutorLoad | undefined =>
+	executorId === undefined ? undefined : loads.get(pool)?.executors[executorId];
+
+/** Whether nothing runs on a machine any more, by its pool's owner. */
+export const emptyMachine = async (
+	{owners, hasOwner}: FleetContext,
+	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
+	patienceMs: number,
+): Promise<boolean> => {
+	if (executorId === undefined || !hasOwner(pool)) {
+		return true;
+	}
+
+	const state = await owners.evacuate(
+		getServiceShard(pool),
+		executorId,
+		patienceMs,
+	);
+	return state?.kind === 'clear';
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/fleet/pool-round.ts
@@ -0,0 +1,183 @@
+/** Moves machines between pools, a round at a time. */
+import {fleet} from '@gullstand/core';
+import type {Machine, MachineAnswer} from '@gullstand/ports';
+import {match} from 'ts-pattern';
+import {
+	emptyMachine,
+	fleetPeriods,
+	getMachineLoad,
+	type FleetContext,
+	type FleetView,
+} from './fleet-context.js';
+
+/** Moves under way. */
+export type PoolRounds = {
+	readonly run: (view: FleetView) => Promise<void>;
+};
+
+/** What the moves need beside the context. */
+export type PoolRoundsDeps = {
+	readonly cfg: fleet.PoolConfig;
+	/** The pool whose machines are off; absent where there is none. */
+	readonly getStandbyPool: () => string | undefined;
+	/** Whether something else is done with a machine. */
+	readonly isTaken: (machine: string) => boolean;
+};
+
+type Phase = 'emptying' | 'ordered';
+
+type MoveUnderWay = {
+	readonly move: fleet.PoolMove;
+	readonly since: number;
+	phase: Phase;
+};
+
+/** Creates the work on moves. */
+export const createPoolRounds = (
+	context: FleetContext,
+	deps: PoolRoundsDeps,
+): PoolRounds => {
+	const {clock, logger, held} = context;
+	const underWay = new Map<string, MoveUnderWay>();
+	/** Pools that the platform says a machine cannot join. */
+	const impossible = new Set<string>();
+	let memory = fleet.emptyPoolMemory;
+
+	const end = (move: fleet.PoolMove, outcome: string) => {
+		underWay.delete(move.machine);
+		logger.info('move ended', {...move, outcome});
+	};
+
+	const takeAnswer = (entry: MoveUnderWay, answer: MachineAnswer) => {
+		const {move} = entry;
+		match(answer)
+			.with('done', 'no-answer', () => {
+				// Without an answer it may be carried out yet; the list tells.
+				entry.phase = 'ordered';
+			})
+			.with('busy', 'unavailable', 'not-in-wave', () => {
+				end(move, answer);
+			})
+			.with('invalid', () => {
+				impossible.add(`${move.machine} ${move.to}`);
+				end(move, answer);
+			})
+			.with('fenced', () => {
+				context.lose('the platform has seen a higher fencing token');
+			})
+			.exhaustive();
+	};
+
+	const order = async (entry: MoveUnderWay) => {
+		const {move} = entry;
+		const answer = await context.machines.move(
+			{
+				holder: context.holder,
+				fencingToken: held.token,
+				machine: move.machine,
+				pool: move.to,
+			},
+			fleetPeriods.platformTimeoutMs,
+		);
+		logger.info('move ordered', {...move, outcome: answer});
+		takeAnswer(entry, answer);
+	};
+
+	const carryOn = async (entry: MoveUnderWay, machine: Machine | undefined) => {
+		const {move, since, phase} = entry;
+		if (!machine) {
+			end(move, 'the machine is gone');
+			return;
+		}
+
+		const ageMs = clock.now() - since;
+		if (phase === 'ordered') {
+			const isThere = machine.pool === move.to && machine.state === 'up';
+			if (isThere || ageMs > fleetPeriods.moveMs) {
+				end(move, isThere ? 'done' : 'not seen');
+			}
+
+			return;
+		}
+
+		if (machine.state !== 'up' || ageMs > fleetPeriods.emptyMs) {
+			end(move, 'not empty in time');
+			return;
+		}
+
+		const isClear = await emptyMachine(context, machine, ageMs);
+		if (isClear && context.mayOrder() && underWay.has(move.machine)) {
+			await order(entry);
+		}
+	};
+
+	const toPoolMachine = (
+		view: FleetView,
+		machine: Machine,
+	): fleet.PoolMachine => {
+		const load = getMachineLoad(view, machine);
+		return {
+			id: machine.id,
+			pool: machine.pool,
+			isUp: machine.state === 'up',
+			cpuMillis: machine.capacity.cpuMillis,
+			runs: load?.runs ?? 0,
+			lasting: load?.lasting ?? 0,
+			isTaken: deps.isTaken(machine.id),
+		};
+	};
+
+	const toDemands = ({loads}: FleetView): readonly fleet.PoolDemand[] =>
+		[...loads].map(([pool, load]) => ({
+			pool,
+			waitingCpu: load.waitingCpu,
+			usedCpu: load.usedCpu,
+			arrivingCpu: load.arrivingCpu,
+		}));
+
+	const plan = (view: FleetView, standbyPool: string) => {
+		const planned = fleet.planPools(
+			{
+				demands: toDemands(view),
+				machines: [...view.machines.values()].map((each) =>
+					toPoolMachine(view, each),
+				),
+				underWay: new Map([...underWay].map(([id, {move}]) => [id, move])),
+				standbyPool,
+			},
+			memory,
+			deps.cfg,
+			clock.now(),
+		);
+		memory = planned.memory;
+		for (const move of planned.moves) {
+			if (!impossible.has(`${move.machine} ${move.to}`)) {
+				const since = clock.now();
+				underWay.set(move.machine, {move, since, phase: 'emptying'});
+			}
+		}
+
+		if (planned.moves.length > 0) {
+			logger.info('moves planned', {
+				moves: planned.moves.map(({machine, to}) => `${machine} to ${to}`),
+				targets: Object.fromEntries(planned.targets),
+				demands: toDemands(view),
+			});
+		}
+	};
+
+	return {
+		async run(view) {
+			const standbyPool = deps.getStandbyPool();
+			if (standbyPool !== undefined && context.mayOrder()) {
+				plan(view, standbyPool);
+			}
+
+			await Promise.all(
+				[...underWay.values()].map(async (entry) =>
+					carryOn(entry, view.machines.get(entry.move.machine)),
+				),
+			);
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/fleet/wave-round.ts
@@ -0,0 +1,263 @@
+/** Carries maintenance waves on, a round at a time. */
+import {fleet} from '@gullstand/core';
+import type {MachineAnswer, WaveRequest} from '@gullstand/ports';
+import {match} from 'ts-pattern';
+import {
+	emptyMachine,
+	fleetPeriods,
+	getMachineLoad,
+	type FleetContext,
+	type FleetView,
+} from './fleet-context.js';
+import {readWaves, storeWave} from './wave-rows.js';
+
+/** Writes for operators how far a wave is. */
+export type WaveStatusPort = {
+	readonly write: (
+		wave: string,
+		state: 'running' | 'completed',
+		timeoutMs: number,
+	) => Promise<boolean>;
+};
+
+/** Waves under way. */
+export type WaveRounds = {
+	/** Reads the waves that were begun; false if the store does not answer. */
+	readonly load: () => Promise<boolean>;
+	/** Takes in waves that were asked for since. */
+	readonly noteRequests: (requests: readonly WaveRequest[]) => Promise<void>;
+	readonly run: (view: FleetView) => Promise<void>;
+	/** Whether a machine is being emptied or maintained for a wave. */
+	readonly isTaken: (machine: string) => boolean;
+};
+
+const toWaveMachines = ({
+	machines,
+}: FleetView): ReadonlyMap<string, fleet.WaveMachine> =>
+	new Map(
+		[...machines].map(([id, machine]) => [
+			id,
+			{
+				id,
+				pool: machine.pool,
+				isUp: machine.state === 'up',
+				executorId: machine.executorId,
+			},
+		]),
+	);
+
+/** Creates the work on waves. */
+export const createWaveRounds = (
+	context: FleetContext,
+	status: WaveStatusPort,
+): WaveRounds => {
+	const {held, store, clock, logger} = context;
+	const waves = new Map<string, fleet.MachineWave>();
+	const emptying = new Set<string>();
+
+	const storeNow = async (wave: fleet.MachineWave): Promise<boolean> => {
+		const outcome = await storeWave(store, held, wave);
+		if (outcome === 'lost-shard') {
+			context.lose('the lease row has changed');
+		}
+
+		if (outcome !== 'stored') {
+			logger.warn('wave not stored', {wave: wave.request.id, outcome});
+		}
+
+		return outcome === 'stored';
+	};
+
+	const takeAnswer = (
+		wave: fleet.MachineWave,
+		id: string,
+		answer: MachineAnswer,
+	): fleet.MachineWave =>
+		match(answer)
+			.returnType<fleet.MachineWave>()
+			.with('done', () => fleet.noteAnswered(wave, id))
+			.with('busy', 'unavailable', () => fleet.takeBackMachine(wave, id))
+			.with('not-in-wave', 'invalid', () => fleet.skipMachine(wave, id))
+			.with('fenced', () => {
+				context.lose('the platform has seen a higher fencing token');
+				return wave;
+			})
+			// It may be carried out yet: it counts as away until it is back.
+			.with('no-answer', () => wave)
+			.exhaustive();
+
+	const order = async (
+		wave: fleet.MachineWave,
+		machine: fleet.WaveMachine,
+	): Promise<fleet.MachineWave> => {
+		const answer = await context.machines.maintain(
+			{
+				holder: context.holder,
+				fencingToken: held.token,
+				machine: machine.id,
+				wave: wave.request.id,
+			},
+			fleetPeriods.platformTimeoutMs,
+		);
+		logger.info('maintenance ordered', {
+			wave: wave.request.id,
+			machine: machine.id,
+			pool: machine.pool,
+			executor: machine.executorId,
+			outcome: answer,
+		});
+		return takeAnswer(wave, machine.id, answer);
+	};
+
+	const begin = async (
+		wave: fleet.MachineWave,
+		machine: fleet.WaveMachine,
+	): Promise<fleet.MachineWave> => {
+		const begun = fleet.beginMachine(wave, machine, clock.epochNow());
+		if (!(await storeNow(begun)) || !context.mayOrder()) {
+			return wave;
+		}
+
+		emptying.delete(machine.id);
+		return order(begun, machine);
+	};
+
+	/** Orders again what had no answer; done twice it changes nothing. */
+	const orderUnanswered = async (
+		wave: fleet.MachineWave,
+		machines: ReadonlyMap<string, fleet.WaveMachine>,
+	): Promise<fleet.MachineWave> => {
+		let current = wave;
+		for (const [id, entry] of Object.entries(wave.begun)) {
+			const machine = machines.get(id);
+			const isStillThere =
+				machine?.isUp && machine.executorId === entry.executorId;
+			const isOpen = !entry.isAnswered && !entry.isBack;
+			if (isOpen && isStillThere && context.mayOrder()) {
+				current = await order(current, machine);
+			}
+		}
+
+		return current;
+	};
+
+	const emptyAndBegin = async (
+		wave: fleet.MachineWave,
+		view: FleetView,
+		machines: ReadonlyMap<string, fleet.WaveMachine>,
+	): Promise<fleet.MachineWave> => {
+		const step = fleet.stepMachineWave(wave, machines, emptying, (machine) =>
+			getMachineLoad(view, machine),
+		);
+		const isPressed = fleet.isPressed(
+			wave,
+			machines,
+			fleetPeriods.turnMs,
+			clock.epochNow(),
+		);
+		const patienceMs = isPressed ? 0 : fleetPeriods.patienceMs;
+		let current = wave;
+		let {mayBegin} = step;
+		for (const id of step.evacuate) {
+			const machine = machines.get(id);
+			if (!machine) {
+				continue;
+			}
+
+			emptying.add(id);
+			const isClear = await emptyMachine(context, machine, patienceMs);
+			if (isClear && mayBegin > 0 && context.mayOrder()) {
+				mayBegin -= 1;
+				current = await begin(current, machine);
+			}
+		}
+
+		return current;
+	};
+
+	const complete = async (wave: fleet.MachineWave) => {
+		const {id, machines} = wave.request;
+		const isTold = await status.write(
+			id,
+			'completed',
+			fleetPeriods.platformTimeoutMs,
+		);
+		logger.info('wave completed', {
+			wave: id,
+			machines: machines.length,
+			tookMs: Math.round(clock.epochNow() - wave.seenAtEpochMs),
+			isTold,
+		});
+		if (isTold) {
+			const completed = {...wave, isCompleted: true};
+			waves.set(id, completed);
+			await storeNow(completed);
+		}
+	};
+
+	const runWave = async (wave: fleet.MachineWave, view: FleetView) => {
+		const machines = toWaveMachines(view);
+		let current = fleet.noteMachines(wave, machines, clock.epochNow());
+		current = await orderUnanswered(current, machines);
+		current = await emptyAndBegin(current, view, machines);
+		waves.set(current.request.id, current);
+		const {isCompleted} = fleet.stepMachineWave(
+			current,
+			machines,
+			emptying,
+			() => undefined,
+		);
+		if (isCompleted && !context.isStopped()) {
+			await complete(current);
+		}
+	};
+
+	const noteRequest = async (request: WaveRequest) => {
+		const wave = fleet.createMachineWave(request, clock.epochNow());
+		const isTold = await status.write(
+			request.id,
+			'running',
+			fleetPeriods.platformTimeoutMs,
+		);
+		if (isTold && (await storeNow(wave))) {
+			waves.set(request.id, wave);
+			const {id, machines, durationMs, maxAway} = request;
+			logger.info('wave begun', {
+				wave: id,
+				machines: machines.length,
+				durationMs,
+				maxAway,
+			});
+		}
+	};
+
+	return {
+		async load() {
+			const read = await readWaves(store, logger);
+			for (const wave of read ?? []) {
+				waves.set(wave.request.id, wave);
+			}
+
+			return read !== undefined;
+		},
+		async noteRequests(requests) {
+			for (const request of requests) {
+				if (!waves.has(request.id)) {
+					await noteRequest(request);
+				}
+			}
+		},
+		async run(view) {
+			for (const wave of waves.values()) {
+				if (!wave.isCompleted && !context.isStopped()) {
+					await runWave(wave, view);
+				}
+			}
+		},
+		isTaken: (machine) =>
+			emptying.has(machine) ||
+			[...waves.values()].some(
+				({begun}) => begun[machine] && !begun[machine].isBack,
+			),
+	};
+};
--- a/packages/daemon/src/jobs/job-daemon.test.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.ts
@@ -284,3 +284,25 @@
 		t.same(routes.match('other', '/q/0123'), {kind: 'unknown-queue'});
 	},
 );
+
+tap.t.test(
+	'work on an executor that falls silent goes elsewhere',
+	async (t) => {
+		const platform = createTestPlatform(['x', 'yy']);
+		const [daemon] = await createFleet(t, platform, ['a']);
+		await waitUntil('an owner', () => holdsLease(platform));
+		await submit(daemon!, createId(1), createSpec({isLongRunning: true}));
+		await waitUntil(
+			'the start',
+			() => platform.executors.listStarts().length > 0,
+		);
+		const [first] = platform.executors.listStarts();
+		platform.executors.setFault(first!.executorId, 'silent');
+		await waitUntil(
+			'the start elsewhere',
+			() => platform.executors.listStarts().length > 1,
+		);
+		const [, second] = platform.executors.listStarts();
+		t.not(second!.executorId, first!.executorId);
+	},
+);
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -3,7 +3,7 @@
  * claims shards, runs the services that it owns, answers callers and peers.
  */
 import {randomUUID} from 'node:crypto';
-import type {scheduler} from '@gullstand/core';
+import type {fleet, scheduler} from '@gullstand/core';
 import type {
 	ExecutorFeed,
 	Executors,
@@ -26,11 +26,8 @@
 import {createRoutes, type Routes} from './entry/routes.js';
 import {createSubmissions, type SubmitOutcome} from './entry/submissions.js';
 import {createExecutorList} from './executor-list.js';
-import {
-	createFleetRunner,
-	type FleetRunner,
-	type WaveStatusPort,
-} from './fleet/fleet-runner.js';
+import {createFleetRunner, type FleetRunner} from './fleet/fleet-runner.js';
+import type {WaveStatusPort} from './fleet/wave-round.js';
 import {createJobMetrics, type JobMetrics} from './job-metrics.js';
 import {createOwnerRunner, type OwnerRunner} from './owner/owner-runner.js';
 import {obtainPeerKey} from './peer-key.js';
@@ -64,6 +61,7 @@
 	readonly name: string;
 	readonly peers: {readonly address: string; readonly port: number};
 	readonly scheduler: scheduler.SchedulerConfig;
+	readonly pools: fleet.PoolConfig;
 	/** Time between orders of two holders for one machine, milliseconds. */
 	readonly machineTurnoverMs: number;
 };
@@ -290,11 +288,14 @@
 			owners,
 			clock,
 			logger,
+			pools: settings.pools,
 			turnoverMs: settings.machineTurnoverMs,
 			beliefMs: settings.scheduler.ownerBeliefMs,
 			getConfirmed: leaseFollower.getConfirmed,
 			listWaves: () => [...waves.values()],
 			hasOwner,
+			getStandbyPool: () =>
+				routes.get()?.services.find(({isStandby}) => isStandby)?.name,
 			onLost(reason) {
 				logger.warn('fleet lost', {reason});
 				keeper.noteDeposed(fleetShard);
--- a/packages/daemon/src/jobs/job-world.test.fixture.ts
+++ b/packages/daemon/src/jobs/job-world.test.fixture.ts
@@ -1,10 +1,10 @@
 /** Daemons of the jobs side over one platform in memory, for tests. */
 import {performance} from 'node:perf_hooks';
-import {scheduler} from '@gullstand/core';
+import {fleet, scheduler} from '@gullstand/core';
 import * as ports from '@gullstand/ports';
 import winston from 'winston';
 import type {Logger} from '../log/logger.js';
-import type {WaveStatusPort} from './fleet/fleet-runner.js';
+import type {WaveStatusPort} from './fleet/wave-round.js';
 import {createJobDaemon, type JobDaemon} from './job-daemon.js';
 
 /** A platform in memory. */
@@ -89,6 +89,12 @@
 
 const silentLogger: Logger = winston.createLogger({silent: true});
 
+/** Leases short enough for a test to see their end. */
+const testScheduler: scheduler.SchedulerConfig = {
+	...scheduler.defaultSchedulerConfig,
+	taskLeaseMs: 1500,
+};
+
 /** Starts a daemon; an error of its own fails the test by `onFailure`. */
 export const startDaemon = async (
 	platform: TestPlatform,
@@ -99,7 +105,8 @@
 		settings: {
 			name,
 			peers: {address: '127.0.0.1', port: 0},
-			scheduler: scheduler.defaultSchedulerConfig,
+			scheduler: testScheduler,
+			pools: fleet.defaultPoolConfig,
 			machineTurnoverMs: 50,
 		},
 		platform,
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -152,8 +152,10 @@
 		const mayWait = isQuiet && !state.isPoked && executor.runs.size > 0;
 		const waitMs = mayWait ? periods.lookWaitMs : 0;
 		state.isPoked = false;
+		// A silent executor is not granted more: its leases must come to an end.
+		const mayGrant = executor.silentSince === undefined && deps.isBelieved();
 		const untilMs =
-			executor.runs.size > 0 && deps.isBelieved()
+			executor.runs.size > 0 && mayGrant
 				? scheduler.grantLease(executor, owner.cfg.taskLeaseMs, now())
 				: undefined;
 		const sentAt = now();
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -54,25 +54,6 @@
 	| {readonly kind: 'unknown'}
 	| {readonly kind: 'not-owner'};
 
-/** Load of a service, for moves between pools. */
-export type ServiceLoad = {
-	/** Cpu of the tasks that wait and may start, in thousandths of a core. */
-	readonly waitingCpu: number;
-	/** Cpu of what runs. */
-	readonly usedCpu: number;
-	/** Cpu of all executors that may take work. */
-	readonly capacityCpu: number;
-	/** Executors by id, with the runs that they hold. */
-	readonly executors: Readonly<Record<string, ExecutorLoad>>;
-};
-
-/** Load of one executor. */
-export type ExecutorLoad = {
-	readonly runs: number;
-	readonly lasting: number;
-	readonly usedCpu: number;
-};
-
 /** The runner of one ownership. */
 export type OwnerRunner = {
 	/** Resolves once the state is read; orders follow by themselves. */
@@ -90,7 +71,7 @@
 		executorId: string,
 		patienceMs: number,
 	) => scheduler.EvacuationState;
-	readonly getLoad: () => ServiceLoad | undefined;
+	readonly getLoad: () => scheduler.ServiceLoad | undefined;
 	readonly getOwner: () => scheduler.Owner | undefined;
 };
 
@@ -364,6 +345,7 @@
 			current,
 			decoded.value,
 			row.version < held.version,
+			clock.now(),
 		);
 		logger.info('job taken in', {
 			job: row.key,
@@ -492,8 +474,8 @@
 		links.clear();
 	};
 
-	const getLoad = (): ServiceLoad | undefined =>
-		owner && describeLoad(owner, clock.now());
+	const getLoad = (): scheduler.ServiceLoad | undefined =>
+		owner && scheduler.describeLoad(owner, clock.now());
 
 	return {
 		start,
@@ -535,36 +517,3 @@
 		getOwner: () => owner,
 	};
 };
-
-const describeExecutor = (executor: scheduler.Executor): ExecutorLoad => ({
-	runs: executor.runs.size,
-	lasting: [...executor.runs.values()].filter(
-		({task}) => task.step.spec.isLongRunning,
-	).length,
-	usedCpu: executor.used.cpuMillis,
-});
-
-const describeLoad = (owner: scheduler.Owner, now: number): ServiceLoad => {
-	const usable = scheduler.listUsable(owner, now);
-	let waitingCpu = 0;
-	for (const job of owner.openJobs) {
-		for (const task of scheduler.listTasks(job)) {
-			const mayStart =
-				scheduler.isWaiting(task) && scheduler.isStepOpen(task.step);
-			waitingCpu += mayStart ? task.step.spec.resources.cpuMillis : 0;
-		}
-	}
-
-	const all = [...owner.executors.values()];
-	return {
-		waitingCpu,
-		usedCpu: usable.reduce((sum, {used}) => sum + used.cpuMillis, 0),
-		capacityCpu: usable.reduce(
-			(sum, {listed}) => sum + listed.capacity.cpuMillis,
-			0,
-		),
-		executors: Object.fromEntries(
-			all.map((each) => [each.id, describeExecutor(each)]),
-		),
-	};
-};
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -3,7 +3,7 @@
 import type {ChangedRow} from '@gullstand/ports';
 import * as z from 'zod';
 import type {SubmitOutcome} from './entry/submissions.js';
-import type {JobReading, ServiceLoad} from './owner/owner-runner.js';
+import type {JobReading} from './owner/owner-runner.js';
 import {jobSchema} from './rows/tables.js';
 
 /** What each method takes and answers. */
@@ -49,7 +49,7 @@
 	};
 	readonly readLoad: {
 		readonly params: {readonly shard: string};
-		readonly result: {readonly load?: ServiceLoad | undefined};
+		readonly result: {readonly load?: scheduler.ServiceLoad | undefined};
 	};
 	/** A shard has been given back and may be claimed. */
 	readonly shardReleased: {
