--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -3,7 +3,7 @@
  * costs its time whether it works or not, one in the standby pool nothing, and
  * each move has a price and takes a while. So a pool grows as soon as its queue
  * asks for more than it has, and shrinks only after that has not been so for a
- * time, by machines that are idle.
+ * time, by machines that are idle or whose work ends by itself.
  * Source: docs/design/pools.md.
  */
 
@@ -137,19 +137,24 @@
 	return {surplusSince: since};
 };
 
-/** Machines of a pool that may leave it now, the one to go first in front. */
-const listIdle = (
+/**
+ * Machines of a pool that may leave it, the one to go first in front. Those
+ * with work leave once that has ended; those with lasting tasks stay.
+ */
+const listGivable = (
 	{machines, underWay}: PoolSituation,
 	pool: string,
 ): readonly PoolMachine[] =>
-	machines.filter(
-		(each) =>
-			each.pool === pool &&
-			each.isUp &&
-			!each.isTaken &&
-			!underWay.has(each.id) &&
-			each.runs === 0,
-	);
+	machines
+		.filter(
+			(each) =>
+				each.pool === pool &&
+				each.isUp &&
+				!each.isTaken &&
+				!underWay.has(each.id) &&
+				each.lasting === 0,
+		)
+		.toSorted((one, two) => one.runs - two.runs);
 
 type Ledger = {
 	readonly situation: PoolSituation;
@@ -210,12 +215,14 @@
 		now - (noted.surplusSince.get(pool) ?? now) >= cfg.shrinkAfterMs;
 
 	const givers = new Map<string, PoolMachine[]>([
-		[standbyPool, [...listIdle(situation, standbyPool)]],
+		[standbyPool, [...listGivable(situation, standbyPool)]],
 	]);
 	for (const [pool, machinesOver] of surplus) {
 		if (machinesOver > 0 && mayGive(pool)) {
-			const idle = listIdle(situation, pool).slice(0, machinesOver);
-			givers.set(pool, [...idle]);
+			givers.set(
+				pool,
+				listGivable(situation, pool).slice(0, machinesOver),
+			);
 		}
 	}
 
--- a/packages/core/src/scheduler/place.ts
+++ b/packages/core/src/scheduler/place.ts
@@ -44,28 +44,31 @@
 	);
 };
 
-/** Weights of the wishes that a placement may have; larger goes first. */
+/**
+ * Weights of the wishes that a placement may have; larger goes first. Work is
+ * packed, so that executors fall idle and their machines can leave the pool.
+ */
 const weights = {
 	/** A task that failed there may fail there again. */
 	notWhereItFailed: 4,
 	/** Elsewhere the task takes longer by the platform's penalty. */
 	preferredRack: 2,
-	/** Free share of the executor's processors, from 0 to 1. */
-	freeShare: 1,
+	/** Used share of the executor's processors, from 0 to 1. */
+	usedShare: 1,
 } as const;
 
 const getScore = (executor: Executor, task: Task): number => {
 	const {spec} = task.step;
 	const free = getFree(executor);
-	const freeShare =
-		free.cpuMillis / Math.max(1, executor.listed.capacity.cpuMillis);
+	const usedShare =
+		1 - free.cpuMillis / Math.max(1, executor.listed.capacity.cpuMillis);
 	const isNear =
 		spec.preferredRack !== undefined &&
 		getRack(executor) === spec.preferredRack;
 	return (
 		(task.failedOn === executor.id ? 0 : weights.notWhereItFailed) +
 		(isNear ? weights.preferredRack : 0) +
-		freeShare * weights.freeShare
+		usedShare * weights.usedShare
 	);
 };
 
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -17,8 +17,10 @@
 	patienceMs: 1400,
 	/** Time that one machine of a wave takes, emptying included. */
 	turnMs: 4500,
-	/** An idle machine that is not empty within this time does not move. */
-	emptyMs: 800,
+	/** A machine that is not empty within this time does not move ... */
+	emptyMs: 4000,
+	/** ... and its work is never stopped for a move. */
+	movePatienceMs: 60_000,
 	/** A move that does not show in the list within this time is given up. */
 	moveMs: 15_000,
 } as const;
--- a/packages/daemon/src/jobs/fleet/pool-round.ts
+++ b/packages/daemon/src/jobs/fleet/pool-round.ts
@@ -105,7 +105,11 @@
 			return;
 		}
 
-		const isClear = await emptyMachine(context, machine, ageMs);
+		const isClear = await emptyMachine(
+			context,
+			machine,
+			fleetPeriods.movePatienceMs,
+		);
 		if (isClear && context.mayOrder() && underWay.has(move.machine)) {
 			await order(entry);
 		}
