--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -3,6 +3,7 @@
 
 const cfg: fleet.PoolConfig = {
 	headroom: 1,
+	surge: 0,
 	minMachines: 1,
 	spareMachines: 0,
 	shrinkAfterMs: 1000,
@@ -32,6 +33,7 @@
 	waitingCpu: 0,
 	usedCpu: 0,
 	arrivingCpu: 0,
+	minMachines: 0,
 	...changes,
 });
 
@@ -135,6 +137,13 @@
 		],
 		moves: ['s to r'],
 	},
+	{
+		name: 'tasks that must be apart keep their machines',
+		demands: [createDemand('p', {minMachines: 2})],
+		machines: [createMachine('a', 'p'), createMachine('b', 'p')],
+		surplusMs: 1000,
+		moves: [],
+	},
 	{
 		name: 'no more moves than may be under way',
 		demands: [createDemand('p', {waitingCpu: 9000})],
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -11,6 +11,11 @@
 export type PoolConfig = {
 	/** Room wanted over what runs and waits now, as a factor. */
 	readonly headroom: number;
+	/**
+	 * More room for each unit that waits: what waits shows that demand rises,
+	 * and goes on rising while machines are under way.
+	 */
+	readonly surge: number;
 	/** Machines that each pool with queues keeps at the least. */
 	readonly minMachines: number;
 	/** Idle machines kept beyond the demand. */
@@ -24,6 +29,7 @@
 /** Settings in force where none are given. */
 export const defaultPoolConfig: PoolConfig = {
 	headroom: 1.25,
+	surge: 1,
 	minMachines: 3,
 	spareMachines: 1,
 	shrinkAfterMs: 1500,
@@ -39,6 +45,8 @@
 	readonly usedCpu: number;
 	/** Work handed in lately, as the cores that it keeps busy. */
 	readonly arrivingCpu: number;
+	/** Machines that its tasks need because they must be apart. */
+	readonly minMachines: number;
 };
 
 /** A machine that may move. */
@@ -103,9 +111,11 @@
 	cfg: PoolConfig,
 ): number => {
 	const present = demand.usedCpu + demand.waitingCpu;
-	const wanted = Math.max(present, demand.arrivingCpu) * cfg.headroom;
+	const wanted =
+		Math.max(present, demand.arrivingCpu) * cfg.headroom +
+		demand.waitingCpu * cfg.surge;
 	const machines = Math.ceil(wanted / machineCpu) + cfg.spareMachines;
-	return Math.max(cfg.minMachines, machines);
+	return Math.max(cfg.minMachines, demand.minMachines, machines);
 };
 
 /** Machines that a pool has, and those that are on their way to it. */
--- a/packages/core/src/scheduler/load.ts
+++ b/packages/core/src/scheduler/load.ts
@@ -22,6 +22,8 @@
 	readonly capacityCpu: number;
 	/** Work handed in lately, as the cores that it keeps busy. */
 	readonly arrivingCpu: number;
+	/** Executors that its open steps need because their tasks must be apart. */
+	readonly minExecutors: number;
 	readonly executors: Readonly<Record<string, ExecutorLoad>>;
 };
 
@@ -78,6 +80,18 @@
 	return waiting;
 };
 
+const getMinExecutors = (job: Job): number => {
+	let most = 0;
+	for (const {steps} of job.occurrences.values()) {
+		for (const {spec, doneCount} of steps) {
+			const left = spec.count - doneCount;
+			most = Math.max(most, Math.ceil(left / (spec.maxPerExecutor ?? left)) || 0);
+		}
+	}
+
+	return most;
+};
+
 const sum = (values: readonly number[]): number =>
 	values.reduce((total, value) => total + value, 0);
 
@@ -90,6 +104,10 @@
 		usedCpu: sum(all.map(({used}) => used.cpuMillis)),
 		capacityCpu: sum(usable.map(({listed}) => listed.capacity.cpuMillis)),
 		arrivingCpu: getArrivingCpu(owner.arrivals, now),
+		minExecutors: Math.max(
+			0,
+			...[...owner.openJobs].map((job) => getMinExecutors(job)),
+		),
 		executors: Object.fromEntries(
 			all.map((each) => [each.id, describeExecutor(each)]),
 		),
--- a/packages/daemon/src/jobs/fleet/pool-round.ts
+++ b/packages/daemon/src/jobs/fleet/pool-round.ts
@@ -137,6 +137,7 @@
 			waitingCpu: load.waitingCpu,
 			usedCpu: load.usedCpu,
 			arrivingCpu: load.arrivingCpu,
+			minMachines: load.minExecutors,
 		}));
 
 	const plan = (view: FleetView, standbyPool: string) => {
