Count what still runs of ended jobs as room that is taken

Ruled out: late orders (each start was answered within 40 ms) and the sums of known runs. Such a run now stands for its room until its end is listed; an executor with runs of jobs that are not known at all gets nothing meanwhile. Two table tests failed first.

--- a/packages/core/src/scheduler/executor.ts
+++ b/packages/core/src/scheduler/executor.ts
@@ -40,6 +40,8 @@
 	grantedUntil: number;
 	readonly runs: Map<string, Run>;
 	used: Resources;
+	/** Runs of no known job; what room they take is not known. */
+	strays: number;
 	/** Number of the last end that was taken in. */
 	lastEnd: number;
 	unackedEnds: UnackedEnd[];
@@ -64,6 +66,7 @@
 	grantedUntil: 0,
 	runs: new Map(),
 	used: nothingUsed,
+	strays: 0,
 	lastEnd: 0,
 	unackedEnds: [],
 	ackedUpto: 0,
@@ -147,6 +150,7 @@
 	executor.isRostered &&
 	!executor.listed.isDraining &&
 	executor.silentSince === undefined &&
+	executor.strays === 0 &&
 	executor.evacuation === undefined &&
 	executor.restsUntil <= now;
 
--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -16,6 +16,7 @@
 } from './owner.js';
 import {
 	addDueOccurrences,
+	createPastTask,
 	markDone,
 	parseTaskId,
 	type Run,
@@ -104,6 +105,16 @@
 	];
 };
 
+/** The task of a run that an executor lists, also one that is over. */
+const findRunTask = (owner: Owner, taskId: string): Task | undefined => {
+	const task = findTask(owner, taskId);
+	const parts = parseTaskId(taskId);
+	const job = parts && owner.jobs.get(parts.jobId);
+	return task || !parts || !job
+		? task
+		: createPastTask(job, parts.occurrence, parts.step, parts.index);
+};
+
 const isGang = ({step}: Task): boolean => step.spec.isGang;
 
 /** Tasks that one `done` stands for: all members of a gang. */
@@ -236,7 +247,7 @@
 	listed: ListedRun,
 	now: number,
 ): Run | undefined => {
-	const task = findTask(owner, listed.taskId);
+	const task = findRunTask(owner, listed.taskId);
 	if (!task) {
 		return undefined;
 	}
@@ -332,6 +343,7 @@
 	executor.silentSince = undefined;
 	takeEnds(owner, executor, look, changes);
 	takeRunning(owner, executor, look, changes);
+	executor.strays = changes.strays.length;
 	executor.isAdopted = true;
 	owner.unresolved.delete(executor.id);
 	// A full page of ends may hide the end of a run that is not listed.
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -160,10 +160,8 @@
 export const countOccurrences = (job: Job): number =>
 	job.accepted.spec.schedule?.times ?? 1;
 
-/** Adds the next occurrence of a job. */
-export const addOccurrence = (job: Job): Occurrence => {
+const createOccurrence = (job: Job, number: number): Occurrence => {
 	const {spec} = job.accepted;
-	const number = job.nextOccurrence;
 	const steps: Step[] = [];
 	const occurrence: Occurrence = {
 		job,
@@ -175,12 +173,37 @@
 		steps.push(createStep(occurrence, step, index));
 	}
 
-	job.occurrences.set(number, occurrence);
+	return occurrence;
+};
+
+/** Adds the next occurrence of a job. */
+export const addOccurrence = (job: Job): Occurrence => {
+	const occurrence = createOccurrence(job, job.nextOccurrence);
+	job.occurrences.set(occurrence.number, occurrence);
 	job.nextOccurrence += 1;
-	job.remainingWork += sumWork(spec.steps);
+	job.remainingWork += sumWork(job.accepted.spec.steps);
 	return occurrence;
 };
 
+/**
+ * A task of an occurrence that is no longer at hand, since it is done or its
+ * job has ended. It stands for what may still run of it.
+ */
+export const createPastTask = (
+	job: Job,
+	occurrence: number,
+	step: number,
+	index: number,
+): Task | undefined => {
+	const past = createOccurrence(job, occurrence);
+	const task = past.steps[step]?.tasks[index];
+	if (task) {
+		task.isDone = true;
+	}
+
+	return task;
+};
+
 const sumWork = (steps: readonly StepSpec[]): number =>
 	steps.reduce((sum, step) => sum + step.count * workOfTask(step), 0);
 
--- a/packages/core/src/scheduler/twice.test.ts
+++ b/packages/core/src/scheduler/twice.test.ts
@@ -248,3 +248,45 @@
 	const {owner, run} = createWorld();
 	t.same(listRuns(owner, 'x'), [{taskId: 'a.0.0.0', run: run.number}]);
 });
+
+const whole = {cpuMillis: 4000, memoryMb: 100, accelerators: 0};
+
+tap.t.test(
+	'what runs of an ended job takes room until it has ended',
+	async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		const ended = scheduler.addJob(
+			owner,
+			createAccepted('e', [{resources: whole}]),
+			true,
+		);
+		scheduler.applyProgress(
+			ended,
+			{
+				end: 'cancelled',
+				doneOccurrences: 0,
+				nextOccurrence: 1,
+				occurrences: [],
+			},
+			0,
+		);
+		owner.openJobs.delete(ended);
+		submit(owner, createAccepted('a'));
+		const running = [{taskId: 'e.0.0.0', run: 7}];
+		look(owner, 'x', {at: 1, running});
+		t.same(describeOrders(planAndStart(owner, 2)), [
+			'stop e.0.0.0 on x: job-ended',
+		]);
+		look(owner, 'x', {at: 3, ends: [{...running[0]!, how: 'stopped'}]});
+		t.same(describeOrders(planAndStart(owner, 4)), ['start a.0.0.0 on x']);
+	},
+);
+
+tap.t.test('an executor with runs of no known job gets nothing', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	submit(owner, createAccepted('a'));
+	look(owner, 'x', {at: 1, running: [{taskId: 'gone.0.0.0', run: 1}]});
+	t.same(planAndStart(owner, 2), []);
+	look(owner, 'x', {at: 3});
+	t.same(describeOrders(planAndStart(owner, 4)), ['start a.0.0.0 on x']);
+});
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -68,6 +68,7 @@
 	const needsLook = (): boolean =>
 		!executor.isAdopted ||
 		executor.runs.size > 0 ||
+		executor.strays > 0 ||
 		executor.ackedUpto > state.ackSent ||
 		executor.silentSince !== undefined ||
 		state.isPoked;
--- /dev/null
+++ b/spec/owner.pml
@@ -0,0 +1,254 @@
+/*
+ * The owner of a service: one task, two executors, owners one after another.
+ *
+ * An owner takes the lease row, reads what is stored, looks at the executors
+ * and starts the task. It may be paused anywhere and go on later, also after
+ * the next owner has taken the lease. Starts and flushes stay in the network:
+ * they may be carried out late or never, and their replies may be lost. An
+ * executor may be out of reach of any owner at any time, and the registry may
+ * drop it while it runs on. `expire` is the end of all leases granted on an
+ * executor so far: starts under way are too late from then on.
+ *
+ * property one_run: No work doubled: a task never runs on two executors at once.
+ * property done_is_final: No work doubled: a task whose end was acknowledged, by an executor whose lease had not lapsed since, is not started again.
+ * property ack_is_stored: No work lost: an end that an executor forgets is in the store.
+ *
+ * config two-owners: -DOWNERS=2
+ *
+ * mutation fence_on_look (two-owners) breaks one_run: a look does not raise the executor's fencing token
+ * mutation resolve_all (two-owners) breaks one_run: starts before each executor of the roster has answered or expired
+ * mutation bar_unanswered (two-owners) breaks one_run: a start without an answer counts as not carried out
+ * mutation unlisted_is_gone (two-owners) breaks one_run: an executor that the registry drops counts as empty
+ * mutation silent_until_expiry (two-owners) breaks one_run: a silent executor's run is given up before its lease is over
+ * mutation store_before_ack (two-owners) breaks ack_is_stored: an end is acknowledged when it is seen
+ * mutation flush_checks_lease (two-owners) breaks done_is_final: a flush does not check the lease row
+ * mutation flush_checks_flush (two-owners) breaks done_is_final: a flush does not check the row of the last flush
+ * mutation read_after_lease (two-owners) breaks done_is_final: the rows are read before the lease is taken
+ */
+#define EXECUTORS 2
+#define STARTS(o) (2 - o)   /* starts that an owner may order */
+#define FLUSHES(o) (2 - o)  /* flushes that an owner may send */
+
+/* The store. */
+byte leaseToken;     /* token of the owner in the lease row; 0 is none */
+byte flushVersion;   /* version of the row that each flush rewrites */
+bool doneStored;
+
+/* Executors. A run number is token * 4 + n. */
+byte fence[EXECUTORS];
+byte running[EXECUTORS];  /* run number, or 0 */
+byte barred[EXECUTORS];   /* runs up to this one are refused */
+bool endDone[EXECUTORS];  /* an end `done` is listed */
+bool isGone[EXECUTORS];   /* all leases there have come to an end */
+bool acked;               /* an end `done` was acknowledged */
+
+/* In the network, by owner: run ordered on an executor, or 0. */
+byte startSent[4];        /* index owner * 2 + executor */
+/* Flushes in the network: 0, or 1 + the flush version they need. */
+byte flushSent[4];        /* index owner * 2 + number */
+bool flushDone[4];
+
+/* What an owner knows of an executor. */
+#define UNRESOLVED 0
+#define FREE 1
+#define MAY_RUN 2   /* ordered or seen there */
+
+inline runStart(o, e) {
+	if
+	:: o + 1 >= fence[e] && startSent[o * 2 + e] > barred[e] && running[e] == 0 ->
+		fence[e] = o + 1;
+		running[e] = startSent[o * 2 + e];
+		assert(running[1 - e] == 0); // one_run
+		assert(!acked) // done_is_final
+	:: else
+	fi
+}
+
+inline runFlush(i, o) {
+	if
+#ifdef MUTATE_flush_checks_lease
+	:: flushSent[i] == flushVersion + 1 ->
+#else
+#ifdef MUTATE_flush_checks_flush
+	:: leaseToken == o + 1 ->
+#else
+	:: leaseToken == o + 1 && flushSent[i] == flushVersion + 1 ->
+#endif
+#endif
+		flushVersion++;
+		doneStored = flushDone[i]
+	:: else
+	fi
+}
+
+/* Delivers orders late, ends runs and leases. */
+proctype world() {
+	byte o, e;
+	do
+	:: atomic {
+		if :: o = 0 :: o = 1 fi;
+		if :: e = 0 :: e = 1 fi;
+		if
+		:: startSent[o * 2 + e] != 0 -> runStart(o, e)
+		:: flushSent[o * 2 + e] != 0 -> runFlush(o * 2 + e, o)
+		:: running[e] != 0 -> /* the task is done */
+			barred[e] = running[e];
+			running[e] = 0;
+			endDone[e] = true
+		:: else
+		fi;
+		o = 0;
+		e = 0
+	}
+	:: atomic { /* all leases on an executor end; orders under way are late */
+		if :: e = 0 :: e = 1 fi;
+		if
+		:: !isGone[e] ->
+			running[e] = 0;
+			isGone[e] = true;
+			startSent[e] = 0;
+#if OWNERS > 1
+			startSent[2 + e] = 0
+#endif
+		:: else
+		fi;
+		e = 0
+	}
+	od
+}
+
+/* A look that is answered: the fencing token is raised, the lists are read. */
+inline look(e) {
+	atomic {
+		if
+		:: fence[e] > me + 1 -> goto deposed
+		:: else
+		fi;
+#ifndef MUTATE_fence_on_look
+		fence[e] = me + 1;
+#endif
+		if
+		:: endDone[e] -> seen = true; known[e] = FREE
+		:: !endDone[e] && running[e] != 0 -> known[e] = MAY_RUN
+		:: !endDone[e] && running[e] == 0 && known[e] == UNRESOLVED -> known[e] = FREE
+		:: else /* a start that was ordered may be under way */
+		fi
+	}
+}
+
+/* A stop that is answered: the run ends, and can never begin later. */
+inline bar(e) {
+	atomic {
+		if
+		:: fence[e] > me + 1 -> goto deposed
+		:: else
+		fi;
+		fence[e] = me + 1;
+		if
+		:: endDone[e] -> seen = true
+		:: else -> running[e] = 0
+		fi;
+		if
+		:: barred[e] < (me + 1) * 4 + started -> barred[e] = (me + 1) * 4 + started
+		:: else
+		fi;
+		known[e] = FREE
+	}
+}
+
+proctype owner(byte me) {
+	byte known[EXECUTORS];
+	byte started;   /* starts ordered */
+	byte flushes;   /* flushes sent */
+	byte version;   /* flush version that is known */
+	bool seen;      /* the task is known to be done */
+	bool stored;    /* and that is known to be stored */
+	byte e;
+
+#ifdef MUTATE_read_after_lease
+	atomic { seen = doneStored; stored = doneStored; version = flushVersion };
+	atomic { leaseToken == me -> leaseToken = me + 1 };
+#else
+	atomic { leaseToken == me -> leaseToken = me + 1 };
+	atomic { seen = doneStored; stored = doneStored; version = flushVersion };
+#endif
+	do
+	:: look(0)
+	:: look(1)
+	:: known[0] == MAY_RUN && started > 0 -> bar(0)
+	:: known[1] == MAY_RUN && started > 0 -> bar(1)
+#ifdef MUTATE_bar_unanswered
+	:: known[0] == MAY_RUN && started > 0 -> known[0] = FREE
+#endif
+#ifdef MUTATE_unlisted_is_gone
+	:: known[0] != FREE -> known[0] = FREE
+#endif
+	:: atomic { /* the leases there are over */
+		if :: e = 0 :: e = 1 fi;
+		if
+#ifdef MUTATE_silent_until_expiry
+		:: known[e] == MAY_RUN -> known[e] = FREE
+#else
+		:: isGone[e] -> known[e] = FREE
+#endif
+		:: else
+		fi;
+		e = 0
+	}
+	:: atomic { /* order a start */
+		if :: e = 0 :: e = 1 fi;
+		if
+#ifdef MUTATE_resolve_all
+		:: !seen && known[e] == FREE && known[1 - e] != MAY_RUN && started < STARTS(me) && !isGone[e] ->
+#else
+		:: !seen && known[0] == FREE && known[1] == FREE && started < STARTS(me) && !isGone[e] ->
+#endif
+			started++;
+			known[e] = MAY_RUN;
+			startSent[me * 2 + e] = (me + 1) * 4 + started
+		:: else
+		fi;
+		e = 0
+	}
+	:: atomic { /* send a flush */
+		flushes < FLUSHES(me) ->
+		flushSent[me * 2 + flushes] = version + 1;
+		flushDone[me * 2 + flushes] = seen;
+		flushes++
+	}
+	:: atomic { /* the answer to a flush, or the row read back */
+		if
+		:: leaseToken == me + 1 -> version = flushVersion; stored = doneStored
+		:: else -> goto deposed
+		fi
+	}
+	:: atomic { /* acknowledge an end */
+		if :: e = 0 :: e = 1 fi;
+		if
+#ifdef MUTATE_store_before_ack
+		:: endDone[e] && seen && fence[e] <= me + 1 ->
+#else
+		:: endDone[e] && stored && fence[e] <= me + 1 ->
+#endif
+			endDone[e] = false;
+			acked = acked || !isGone[e];
+			assert(doneStored) // ack_is_stored
+		:: else
+		fi;
+		e = 0
+	}
+	:: break /* it crashes */
+	od;
+deposed:
+	skip
+}
+
+init {
+	atomic {
+		run world();
+		run owner(0);
+#if OWNERS > 1
+		run owner(1)
+#endif
+	}
+}
