Learn sooner what can no longer run on a silent executor

Now: a partition a heartbeat; the owner before is asked and answers once it has let go; executors on no machine any more are gone; submissions go through the owner, which commits many in one transaction.

--- a/packages/core/src/scheduler/config.ts
+++ b/packages/core/src/scheduler/config.ts
@@ -8,7 +8,10 @@
 	 * executor can start elsewhere sooner.
 	 */
 	readonly taskLeaseMs: number;
-	/** How long an owner acts without having confirmed that it is the owner. */
+	/**
+	 * How long an owner acts without having confirmed that it is the owner:
+	 * outages of the store last up to six seconds, and what runs outlives them.
+	 */
 	readonly ownerBeliefMs: number;
 	/** Time in which an order that was sent may still be under way. */
 	readonly maxTransitMs: number;
@@ -37,7 +40,7 @@
 /** Settings in force where the deployment gives none. */
 export const defaultSchedulerConfig: SchedulerConfig = {
 	taskLeaseMs: 4500,
-	ownerBeliefMs: 10_000,
+	ownerBeliefMs: 7000,
 	maxTransitMs: 500,
 	startupLimitMs: 6000,
 	hangFactor: 3,
--- a/packages/core/src/scheduler/load.ts
+++ b/packages/core/src/scheduler/load.ts
@@ -25,6 +25,8 @@
 	/** Executors that its open steps need because their tasks must be apart. */
 	readonly minExecutors: number;
 	readonly executors: Readonly<Record<string, ExecutorLoad>>;
+	/** Executors that leave calls unanswered, with the time since then. */
+	readonly silent: Readonly<Record<string, number>>;
 };
 
 /** Work that came in, weighted so that older work counts less. */
@@ -114,5 +116,10 @@
 		executors: Object.fromEntries(
 			all.map((each) => [each.id, describeExecutor(each)]),
 		),
+		silent: Object.fromEntries(
+			all.flatMap(({id, silentSince}) =>
+				silentSince === undefined ? [] : [[id, now - silentSince]],
+			),
+		),
 	};
 };
--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -110,9 +110,13 @@
 	const task = findTask(owner, taskId);
 	const parts = parseTaskId(taskId);
 	const job = parts && owner.jobs.get(parts.jobId);
-	return task || !parts || !job
-		? task
-		: createPastTask(job, parts.occurrence, parts.step, parts.index);
+	if (task) {
+		return task;
+	}
+
+	return parts && job
+		? createPastTask(job, parts.occurrence, parts.step, parts.index)
+		: undefined;
 };
 
 const isGang = ({step}: Task): boolean => step.spec.isGang;
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -224,8 +224,8 @@
 	return runs;
 };
 
-/** Another life answers at the address: this one is certainly gone. */
-export const noteOtherLife = (owner: Owner, id: string): readonly Run[] => {
+/** This life of an executor is certainly gone, with all that it ran. */
+export const noteGone = (owner: Owner, id: string): readonly Run[] => {
 	owner.unresolved.delete(id);
 	const executor = owner.executors.get(id);
 	if (!executor) {
@@ -262,6 +262,15 @@
 	owner.unresolved.set(listed.id, overAt);
 };
 
+/**
+ * The owner before has let go: what it granted ends at `overAt` at the latest.
+ */
+export const shortenInheritance = (owner: Owner, overAt: number): void => {
+	for (const [id, known] of owner.unresolved) {
+		owner.unresolved.set(id, Math.min(known, overAt));
+	}
+};
+
 const unlistIfUnknown = (owner: Owner, id: string): void => {
 	const executor = owner.executors.get(id);
 	if (executor) {
--- a/packages/core/src/scheduler/twice.test.ts
+++ b/packages/core/src/scheduler/twice.test.ts
@@ -97,7 +97,7 @@
 	scheduler.unlistExecutor(owner, 'x');
 	t.same(planAndStart(owner, 10), []);
 	t.ok(owner.executors.has('x'));
-	t.equal(scheduler.noteOtherLife(owner, 'x').length, 1);
+	t.equal(scheduler.noteGone(owner, 'x').length, 1);
 	t.notOk(owner.executors.has('x'));
 	t.same(describeOrders(planAndStart(owner, 20)), ['start a.0.0.0 on yy']);
 });
@@ -162,7 +162,7 @@
 		name: 'another life answers at its address',
 		isInherited: true,
 		resolve(owner) {
-			scheduler.noteOtherLife(owner, 'old');
+			scheduler.noteGone(owner, 'old');
 		},
 		starts: 1,
 	},
--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -108,6 +108,12 @@
 		.with({kind: 'unknown'}, () => fail('submission-unknown'))
 		.exhaustive();
 
+/**
+ * Bound on a submission through the owner, milliseconds: its commit and two
+ * ways between daemons, also while the store's answers take 300 ms.
+ */
+const ownerSubmitTimeoutMs = 900;
+
 /** Creates the service of an entry. */
 export const createJobService = (deps: JobServiceDeps): JobService => {
 	const {routes, submissions, owners, store, clock, logger, metrics} = deps;
@@ -141,16 +147,47 @@
 			spec,
 			acceptedAtEpochMs: clock.epochNow(),
 		};
-		let outcome = await submissions.submit(shard, job, deadline);
-		if (outcome.kind === 'not-stored' && clock.now() < deadline) {
-			const timeoutMs = Math.min(
-				deadline - clock.now(),
-				periods.storeTimeoutMs,
-			);
-			outcome = (await deps.submitElsewhere(job, shard, timeoutMs)) ?? outcome;
+		const outcome = await submitAnywhere(shard, job, deadline);
+		return answer('submit', id, startedAt, toResult(outcome));
+	};
+
+	/**
+	 * Through the owner first, which stores many in one transaction; then from
+	 * here; then through any other entry. The id makes a second try harmless,
+	 * but after one without an answer nothing may be told as not stored.
+	 */
+	const submitAnywhere = async (
+		shard: string,
+		job: scheduler.AcceptedJob,
+		deadline: number,
+	): Promise<SubmitOutcome> => {
+		const getTimeoutMs = (most: number): number =>
+			Math.max(1, Math.min(most, deadline - clock.now()));
+		const first = await owners.submit(
+			shard,
+			job,
+			getTimeoutMs(ownerSubmitTimeoutMs),
+		);
+		const wasLost = first !== 'no-owner' && first.kind === 'unknown';
+		if (first !== 'no-owner' && !wasLost && first.kind !== 'not-stored') {
+			return first;
 		}
 
-		return answer('submit', id, startedAt, toResult(outcome));
+		const second = await submissions.submit(shard, job, deadline);
+		if (second.kind !== 'not-stored') {
+			return second;
+		}
+
+		const third =
+			clock.now() < deadline
+				? await deps.submitElsewhere(
+						job,
+						shard,
+						getTimeoutMs(periods.storeTimeoutMs),
+					)
+				: undefined;
+		const last = third ?? second;
+		return wasLost && last.kind === 'not-stored' ? {kind: 'unknown'} : last;
 	};
 
 	const readJobRows = async (shard: string, id: string) =>
--- a/packages/daemon/src/jobs/entry/owner-channel.ts
+++ b/packages/daemon/src/jobs/entry/owner-channel.ts
@@ -8,6 +8,7 @@
 import type {JobReading, OwnerRunner} from '../owner/owner-runner.js';
 import {periods} from '../periods.js';
 import type {LeaseBook} from '../shards/lease-book.js';
+import type {SubmitOutcome} from './submissions.js';
 
 /** What the channel needs. */
 export type OwnerChannelDeps = {
@@ -36,6 +37,13 @@
 		executorId: string,
 		patienceMs: number,
 	) => Promise<scheduler.EvacuationState | undefined>;
+	readonly noteGone: (shard: string, executorId: string) => Promise<void>;
+	/** Hands a job in through the owner, which stores many at once. */
+	readonly submit: (
+		shard: string,
+		job: scheduler.AcceptedJob,
+		timeoutMs: number,
+	) => Promise<SubmitOutcome | 'no-owner'>;
 	readonly readLoad: (
 		shard: string,
 	) => Promise<scheduler.ServiceLoad | undefined>;
@@ -128,6 +136,40 @@
 			);
 			return answer.ok ? answer.value.state : undefined;
 		},
+		async noteGone(shard, executorId) {
+			const local = getLocal(shard);
+			const address = getAddress(shard);
+			if (local) {
+				local.noteGone(executorId);
+			} else if (address !== undefined) {
+				await peers.call(
+					address,
+					'noteGone',
+					{shard, executorId},
+					periods.peerTimeoutMs,
+				);
+			}
+		},
+		async submit(shard, job, timeoutMs) {
+			const address = getAddress(shard);
+			if (getLocal(shard) ?? address === undefined) {
+				return 'no-owner';
+			}
+
+			const answer = await peers.call(
+				address ?? '',
+				'submitJob',
+				{shard, job, timeoutMs},
+				timeoutMs,
+			);
+			if (answer.ok) {
+				return answer.value;
+			}
+
+			return answer.error.kind === 'unreachable'
+				? 'no-owner'
+				: {kind: 'unknown'};
+		},
 		async readLoad(shard) {
 			const local = getLocal(shard);
 			if (local) {
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -44,18 +44,67 @@
 
 /** Machines and loads as read at the beginning of a round. */
 export type FleetView = {
+	/** When the list was asked for. */
+	readonly askedAt: number;
 	readonly machines: ReadonlyMap<string, Machine>;
 	/** By service; absent where its owner did not answer. */
 	readonly loads: ReadonlyMap<string, scheduler.ServiceLoad>;
 };
 
+/** Silence before it is asked whether an executor is gone, milliseconds. */
+const silentMs = 200;
+
+/**
+ * Silence after which an executor that no list has shown counts too: the list
+ * may be behind by a second when one has just started. In milliseconds.
+ */
+const neverListedMs = 3000;
+
+/** Executors that the lists have shown so far. */
+export type SeenExecutors = Set<string>;
+
+/**
+ * Tells owners which silent executors are on no machine any more: the platform
+ * knows that a machine is down before any lease there is over, and still lists
+ * one that is only cut off.
+ */
+export const tellGone = async (
+	{owners, clock, logger}: FleetContext,
+	{machines, loads, askedAt}: FleetView,
+	seen: SeenExecutors,
+): Promise<void> => {
+	const present = new Set(
+		[...machines.values()].flatMap(({executorId}) => executorId ?? []),
+	);
+	const ageMs = clock.now() - askedAt;
+	for (const [pool, {silent}] of loads) {
+		for (const [id, forMs] of Object.entries(silent)) {
+			const wasListed = seen.has(id) || forMs > neverListedMs + ageMs;
+			if (!present.has(id) && wasListed && forMs > silentMs + ageMs) {
+				logger.info('executor is on no machine', {
+					executor: id,
+					pool,
+					silentMs: Math.round(forMs),
+				});
+				await owners.noteGone(getServiceShard(pool), id);
+			}
+		}
+	}
+
+	for (const id of present) {
+		seen.add(id);
+	}
+};
+
 /** Reads machines and loads; `undefined` if the platform does not answer. */
 export const readFleetView = async ({
 	machines,
 	owners,
+	clock,
 	logger,
 	hasOwner,
 }: FleetContext): Promise<FleetView | undefined> => {
+	const askedAt = clock.now();
 	const listed = await machines.list(fleetPeriods.platformTimeoutMs);
 	if (!listed.ok) {
 		logger.warn('machines not read', {reason: listed.error.kind});
@@ -68,6 +117,7 @@
 		owned.map(async (pool) => owners.readLoad(getServiceShard(pool))),
 	);
 	return {
+		askedAt,
 		machines: new Map(listed.value.map((each) => [each.id, each])),
 		loads: new Map(
 			owned.flatMap((pool, index) => {
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -14,7 +14,9 @@
 import {
 	fleetPeriods,
 	readFleetView,
+	tellGone,
 	type FleetContext,
+	type SeenExecutors,
 } from './fleet-context.js';
 import {createPoolRounds} from './pool-round.js';
 import {createWaveRounds, type WaveStatusPort} from './wave-round.js';
@@ -54,6 +56,7 @@
 	const logger = deps.logger.child({shard: held.shard});
 	const acquiredAt = clock.now();
 	const state = {isStopped: false};
+	const seen: SeenExecutors = new Set();
 
 	const lose = (reason: string) => {
 		if (!state.isStopped) {
@@ -100,6 +103,7 @@
 		await waves.noteRequests(deps.listWaves());
 		const view = await readFleetView(context);
 		if (view) {
+			await tellGone(context, view, seen);
 			await waves.run(view);
 			await pools.run(view);
 		}
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -38,8 +38,8 @@
 import {
 	fleetShard,
 	getServiceShard,
-	sharedPart,
 	tables,
+	type LeaseRow,
 } from './rows/tables.js';
 import {createHeartbeat} from './shards/heartbeat.js';
 import {createLeaseBook} from './shards/lease-book.js';
@@ -252,6 +252,30 @@
 		}
 	};
 
+	const hasLetGo = async ({
+		shard,
+		holder,
+		address,
+		token,
+	}: LeaseRow): Promise<boolean> => {
+		const isReplaced =
+			members.isRead() &&
+			holder !== null &&
+			members.get(holder.entry)?.incarnation !== holder.incarnation;
+		if (isReplaced || holder === null) {
+			return true;
+		}
+
+		const answer = await callPeers.call(
+			address,
+			'depose',
+			{shard, token: token + 1},
+			periods.peerTimeoutMs,
+		);
+		// Whoever answers there is not that life, or has let go.
+		return answer.ok;
+	};
+
 	const runService = (held: HeldShard, serviceName: string) => {
 		const runner = createOwnerRunner({
 			held,
@@ -268,6 +292,7 @@
 				logger.warn('service lost', {shard: held.shard, reason});
 				onOwnerLost(held.shard, rows);
 			},
+			hasLetGo,
 			reportFailure,
 		});
 		runners.set(held.shard, runner);
@@ -426,10 +451,7 @@
 
 	const memberFollower = createFeedFollower({
 		name: 'daemon',
-		feed: createTableFeed(store, tables.daemon, {
-			kind: 'one',
-			part: sharedPart,
-		}),
+		feed: createTableFeed(store, tables.daemon, {kind: 'all'}),
 		periods: followPeriods.daemon,
 		clock,
 		logger,
@@ -472,6 +494,22 @@
 		channel.addMethod('readLoad', jobPeerSchemas.readLoad, ({shard}) => ({
 			load: runners.get(shard)?.getLoad(),
 		}));
+		channel.addMethod(
+			'noteGone',
+			jobPeerSchemas.noteGone,
+			({shard, executorId}) => {
+				runners.get(shard)?.noteGone(executorId);
+				return {};
+			},
+		);
+		channel.addMethod('depose', jobPeerSchemas.depose, ({shard, token}) => {
+			const mine = keeper.listHeld().find((each) => each.shard === shard);
+			if (mine && mine.token < token) {
+				keeper.noteDeposed(shard);
+			}
+
+			return {incarnation: self.incarnation};
+		});
 		channel.addMethod('shardReleased', jobPeerSchemas.shardReleased, () => {
 			leaseFollower.hasten();
 			keeper.hasten();
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -23,11 +23,12 @@
 	jobSchema,
 	parseJobKey,
 	tables,
+	type LeaseRow,
 } from '../rows/tables.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
 import {createFlusher, type Flusher} from './flusher.js';
 import {openExecutorLink, type ExecutorLink} from './executor-link.js';
-import {loadOwner} from './load-owner.js';
+import {getInheritedMs, loadOwner} from './load-owner.js';
 
 /** What an owner's runner needs. */
 export type OwnerRunnerDeps = {
@@ -43,6 +44,8 @@
 	readonly getConfirmed: () => Moment | undefined;
 	/** Executors listed now, of all services. */
 	readonly listExecutors: () => readonly scheduler.ListedExecutor[];
+	/** Whether the holder before has let go: it says so, or is another life. */
+	readonly hasLetGo: (previous: LeaseRow) => Promise<boolean>;
 	/** The service is another's; `rows` may say whose. */
 	readonly onLost: (reason: string, rows: readonly StoredRow[]) => void;
 	readonly reportFailure: ReportFailure;
@@ -71,6 +74,8 @@
 		executorId: string,
 		patienceMs: number,
 	) => scheduler.EvacuationState;
+	/** The platform says that an executor's life is over. */
+	readonly noteGone: (executorId: string) => void;
 	readonly getLoad: () => scheduler.ServiceLoad | undefined;
 	readonly getOwner: () => scheduler.Owner | undefined;
 };
@@ -180,6 +185,13 @@
 		}
 	};
 
+	const noteGone = (id: string, reason: string) => {
+		if (owner) {
+			noteFreed(scheduler.noteGone(owner, id), reason);
+			onChange();
+		}
+	};
+
 	const openLink = (current: scheduler.Owner, executor: scheduler.Executor) => {
 		const link = openExecutorLink({
 			owner: current,
@@ -196,11 +208,7 @@
 				lose('an executor has seen a higher fencing token');
 			},
 			onOtherLife() {
-				noteFreed(
-					scheduler.noteOtherLife(current, executor.id),
-					'another life answers at the address',
-				);
-				onChange();
+				noteGone(executor.id, 'another life answers at the address');
 			},
 			onStarted(run, isStarted) {
 				noteStarted(run, isStarted);
@@ -409,6 +417,27 @@
 		return undefined;
 	};
 
+	/** Until the owner before has let go, it may go on granting leases. */
+	const settlePrevious = async (current: scheduler.Owner) => {
+		const {previousHolder} = held;
+		if (!previousHolder) {
+			return;
+		}
+
+		while (!state.isStopped && current.unresolved.size > 0) {
+			if (await deps.hasLetGo(previousHolder)) {
+				const grantedMs = getInheritedMs({previous: 'released'}, cfg);
+				scheduler.shortenInheritance(current, clock.now() + grantedMs);
+				logger.info('the owner before has let go', {
+					holder: previousHolder.holder?.entry,
+				});
+				return;
+			}
+
+			await delay(periods.previousHolderMs);
+		}
+	};
+
 	const noteStored = ({jobs}: scheduler.Flush) => {
 		for (const {job, end} of jobs) {
 			if (end === 'completed') {
@@ -460,6 +489,9 @@
 		noteExecutors(true);
 		follower.start(deps.reportFailure);
 		planAgain();
+		if (held.previous === 'silent') {
+			await settlePrevious(owner);
+		}
 	};
 
 	const abandon = () => {
@@ -513,6 +545,9 @@
 			onChange();
 			return evacuation;
 		},
+		noteGone(executorId) {
+			noteGone(executorId, 'the platform lists it no more');
+		},
 		getLoad,
 		getOwner: () => owner,
 	};
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -51,6 +51,16 @@
 		readonly params: {readonly shard: string};
 		readonly result: {readonly load?: scheduler.ServiceLoad | undefined};
 	};
+	/** The platform says that an executor's life is over. */
+	readonly noteGone: {
+		readonly params: {readonly shard: string; readonly executorId: string};
+		readonly result: Record<string, never>;
+	};
+	/** A shard was taken over under a higher token; answers the own life. */
+	readonly depose: {
+		readonly params: {readonly shard: string; readonly token: number};
+		readonly result: {readonly incarnation: string};
+	};
 	/** A shard has been given back and may be claimed. */
 	readonly shardReleased: {
 		readonly params: {readonly shard: string};
@@ -86,5 +96,7 @@
 		patienceMs: z.number().min(0),
 	}),
 	readLoad: z.object({shard}),
+	noteGone: z.object({shard, executorId: z.string()}),
+	depose: z.object({shard, token: z.int().min(0)}),
 	shardReleased: z.object({shard}),
 } as const;
--- a/packages/daemon/src/jobs/shards/heartbeat.ts
+++ b/packages/daemon/src/jobs/shards/heartbeat.ts
@@ -4,7 +4,7 @@
 import type {ReportFailure} from '../../supervisor/supervisor.js';
 import {createTicker, type Ticker} from '../../view/ticker.js';
 import {periods} from '../periods.js';
-import {sharedPart, tables, type DaemonRow} from '../rows/tables.js';
+import {tables, type DaemonRow} from '../rows/tables.js';
 
 /** What a heartbeat needs. */
 export type HeartbeatDeps = {
@@ -47,7 +47,8 @@
 		beat += 1;
 		const row: DaemonRow = {incarnation, address: deps.getAddress(), beat};
 		const sentAt = now();
-		const key = {table: tables.daemon, part: sharedPart, key: name};
+		// A partition of its own: one carries out its writes one after another.
+		const key = {table: tables.daemon, part: name, key: name};
 		const result = await store.transact(
 			{checks: [], puts: [{...key, value: JSON.stringify(row)}], removes: []},
 			periods.storeTimeoutMs,
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -23,6 +23,8 @@
 	/** Version of the lease row; every write of the holder checks it. */
 	readonly version: number;
 	readonly previous: PreviousHolder;
+	/** The holder before, where it was reached; absent if there was none. */
+	readonly previousHolder: LeaseRow | undefined;
 };
 
 /** What the keeper needs. */
@@ -118,13 +120,18 @@
 			: 'replaced';
 	};
 
-	const adopt = (lease: KnownLease, previous: PreviousHolder) => {
+	const adopt = (
+		lease: KnownLease,
+		previous: PreviousHolder,
+		previousHolder: LeaseRow | undefined,
+	) => {
 		const {shard, token} = lease.value;
 		if (held.has(shard)) {
 			return;
 		}
 
-		const acquired = {shard, token, version: lease.version, previous};
+		const {version} = lease;
+		const acquired = {shard, token, version, previous, previousHolder};
 		held.set(shard, acquired);
 		freeSince.delete(shard);
 		logger.info('shard acquired', {shard, fencingToken: token, previous});
@@ -149,7 +156,7 @@
 		if (result.ok) {
 			const {version} = result.value;
 			book.note({...transaction.puts[0]!, version});
-			adopt({value: row, version}, previous);
+			adopt({value: row, version}, previous, lease?.value);
 			return;
 		}
 
@@ -204,7 +211,7 @@
 	const considerShard = (shard: string, shards: readonly string[]) => {
 		const lease = book.get(shard);
 		if (lease && isOwnUnadopted(shard)) {
-			adopt(lease, 'silent');
+			adopt(lease, 'silent', undefined);
 			return;
 		}
 
