Model the owner of a service; acknowledge nothing while the owner before may start

It also showed that the check of the lease row in a flush is not needed for safety beside the row of the last flush; it stays, since it tells a deposed owner so.

--- a/packages/core/src/scheduler/acknowledge.ts
+++ b/packages/core/src/scheduler/acknowledge.ts
@@ -63,6 +63,18 @@
 	owner.isRosterDirty ||= flush.roster !== undefined;
 };
 
+/**
+ * Nothing is acknowledged while the owner before may start tasks on an
+ * executor that has not answered this one: it knows of no end that this owner
+ * has seen, and the executor that listed it would have forgotten it.
+ */
+const acknowledge = (owner: Owner, stored: number): readonly Executor[] =>
+	owner.unresolved.size > 0
+		? []
+		: [...owner.executors.values()].filter((executor) =>
+				advanceAck(executor, stored),
+			);
+
 const advanceAck = (executor: Executor, stored: number): boolean => {
 	const before = executor.ackedUpto;
 	let [first] = executor.unackedEnds;
@@ -93,7 +105,7 @@
 		executor.isRostered ||= rostered.has(executor.id);
 	}
 
-	return executors.filter((executor) => advanceAck(executor, flush.number));
+	return acknowledge(owner, flush.number);
 };
 
 /**
@@ -101,6 +113,4 @@
  * be acknowledged: those that changed nothing need no flush of their own.
  */
 export const acknowledgeIdle = (owner: Owner): readonly Executor[] =>
-	[...owner.executors.values()].filter((executor) =>
-		advanceAck(executor, Number.POSITIVE_INFINITY),
-	);
+	acknowledge(owner, Number.POSITIVE_INFINITY);
--- a/packages/core/src/scheduler/ends.test.ts
+++ b/packages/core/src/scheduler/ends.test.ts
@@ -229,3 +229,19 @@
 	fc.assert(property, {seed: 5, numRuns: 300});
 	t.pass();
 });
+
+tap.t.test(
+	'nothing is acknowledged while the owner before may start tasks',
+	async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		scheduler.inheritExecutor(owner, createListed('old'), 9000);
+		submit(owner, createAccepted('a'), true);
+		look(owner, 'x', {at: 10, ends: [{number: 1, taskId: 'a.0.0.0'}]});
+		store(owner);
+		scheduler.acknowledgeIdle(owner);
+		t.equal(owner.executors.get('x')!.ackedUpto, 0);
+		look(owner, 'old', {at: 20});
+		scheduler.acknowledgeIdle(owner);
+		t.equal(owner.executors.get('x')!.ackedUpto, 1);
+	},
+);
--- a/spec/owner.pml
+++ b/spec/owner.pml
@@ -6,14 +6,17 @@
  * the next owner has taken the lease. Starts and flushes stay in the network:
  * they may be carried out late or never, and their replies may be lost. An
  * executor may be out of reach of any owner at any time, and the registry may
- * drop it while it runs on. `expire` is the end of all leases granted on an
+ * drop it while it runs on. That a flush checks the lease row too only tells a
+ * deposed owner so: the row of the last flush alone keeps it from harm. `expire` is the end of all leases granted on an
  * executor so far: starts under way are too late from then on.
  *
  * property one_run: No work doubled: a task never runs on two executors at once.
  * property done_is_final: No work doubled: a task whose end was acknowledged, by an executor whose lease had not lapsed since, is not started again.
  * property ack_is_stored: No work lost: an end that an executor forgets is in the store.
  *
- * config two-owners: -DOWNERS=2
+ * config two-owners: -DOWNERS=2 -DSTARTS0=2 -DSTARTS1=1 -DFLUSHES0=2 -DFLUSHES1=1
+ * config late-ack: -DOWNERS=2 -DSTARTS0=2 -DSTARTS1=0 -DFLUSHES0=0 -DFLUSHES1=1
+ * config one-executor: -DOWNERS=2 -DSTARTS0=1 -DSTARTS1=1 -DFLUSHES0=2 -DFLUSHES1=1 -DONE_EXECUTOR
  *
  * mutation fence_on_look (two-owners) breaks one_run: a look does not raise the executor's fencing token
  * mutation resolve_all (two-owners) breaks one_run: starts before each executor of the roster has answered or expired
@@ -21,13 +24,14 @@
  * mutation unlisted_is_gone (two-owners) breaks one_run: an executor that the registry drops counts as empty
  * mutation silent_until_expiry (two-owners) breaks one_run: a silent executor's run is given up before its lease is over
  * mutation store_before_ack (two-owners) breaks ack_is_stored: an end is acknowledged when it is seen
- * mutation flush_checks_lease (two-owners) breaks done_is_final: a flush does not check the lease row
- * mutation flush_checks_flush (two-owners) breaks done_is_final: a flush does not check the row of the last flush
- * mutation read_after_lease (two-owners) breaks done_is_final: the rows are read before the lease is taken
+ * mutation resolve_before_ack (late-ack) breaks done_is_final: acknowledges while an executor that the owner before may use has not answered
+ * mutation flush_checks_flush (one-executor) breaks ack_is_stored: a flush does not check the row of the last flush
+ * mutation read_after_lease (one-executor) breaks done_is_final: the rows are read before the lease is taken
  */
 #define EXECUTORS 2
-#define STARTS(o) (2 - o)   /* starts that an owner may order */
-#define FLUSHES(o) (2 - o)  /* flushes that an owner may send */
+/* Starts and flushes of the first and of the second owner. */
+#define STARTS(o) (o == 0 -> STARTS0 : STARTS1)
+#define FLUSHES(o) (o == 0 -> FLUSHES0 : FLUSHES1)
 
 /* The store. */
 byte leaseToken;     /* token of the owner in the lease row; 0 is none */
@@ -53,6 +57,16 @@
 #define FREE 1
 #define MAY_RUN 2   /* ordered or seen there */
 
+/* An executor. */
+inline pick(e) {
+	if
+	:: e = 0
+#ifndef ONE_EXECUTOR
+	:: e = 1
+#endif
+	fi
+}
+
 inline runStart(o, e) {
 	if
 	:: o + 1 >= fence[e] && startSent[o * 2 + e] > barred[e] && running[e] == 0 ->
@@ -66,17 +80,14 @@
 
 inline runFlush(i, o) {
 	if
-#ifdef MUTATE_flush_checks_lease
-	:: flushSent[i] == flushVersion + 1 ->
-#else
 #ifdef MUTATE_flush_checks_flush
 	:: leaseToken == o + 1 ->
 #else
 	:: leaseToken == o + 1 && flushSent[i] == flushVersion + 1 ->
-#endif
 #endif
 		flushVersion++;
-		doneStored = flushDone[i]
+		doneStored = flushDone[i];
+		assert(!acked || doneStored) // ack_is_stored
 	:: else
 	fi
 }
@@ -101,7 +112,7 @@
 		e = 0
 	}
 	:: atomic { /* all leases on an executor end; orders under way are late */
-		if :: e = 0 :: e = 1 fi;
+		pick(e);
 		if
 		:: !isGone[e] ->
 			running[e] = 0;
@@ -120,10 +131,7 @@
 /* A look that is answered: the fencing token is raised, the lists are read. */
 inline look(e) {
 	atomic {
-		if
-		:: fence[e] > me + 1 -> goto deposed
-		:: else
-		fi;
+		fence[e] <= me + 1;
 #ifndef MUTATE_fence_on_look
 		fence[e] = me + 1;
 #endif
@@ -131,7 +139,7 @@
 		:: endDone[e] -> seen = true; known[e] = FREE
 		:: !endDone[e] && running[e] != 0 -> known[e] = MAY_RUN
 		:: !endDone[e] && running[e] == 0 && known[e] == UNRESOLVED -> known[e] = FREE
-		:: else /* a start that was ordered may be under way */
+		:: !endDone[e] && running[e] == 0 && known[e] != UNRESOLVED -> skip
 		fi
 	}
 }
@@ -139,18 +147,15 @@
 /* A stop that is answered: the run ends, and can never begin later. */
 inline bar(e) {
 	atomic {
-		if
-		:: fence[e] > me + 1 -> goto deposed
-		:: else
-		fi;
+		fence[e] <= me + 1 && known[e] == MAY_RUN && started > 0;
 		fence[e] = me + 1;
 		if
 		:: endDone[e] -> seen = true
-		:: else -> running[e] = 0
+		:: !endDone[e] -> running[e] = 0
 		fi;
 		if
 		:: barred[e] < (me + 1) * 4 + started -> barred[e] = (me + 1) * 4 + started
-		:: else
+		:: barred[e] >= (me + 1) * 4 + started -> skip
 		fi;
 		known[e] = FREE
 	}
@@ -165,6 +170,9 @@
 	bool stored;    /* and that is known to be stored */
 	byte e;
 
+#ifdef ONE_EXECUTOR
+	known[1] = FREE;
+#endif
 #ifdef MUTATE_read_after_lease
 	atomic { seen = doneStored; stored = doneStored; version = flushVersion };
 	atomic { leaseToken == me -> leaseToken = me + 1 };
@@ -174,9 +182,13 @@
 #endif
 	do
 	:: look(0)
+#ifndef ONE_EXECUTOR
 	:: look(1)
-	:: known[0] == MAY_RUN && started > 0 -> bar(0)
-	:: known[1] == MAY_RUN && started > 0 -> bar(1)
+#endif
+	:: bar(0)
+#ifndef ONE_EXECUTOR
+	:: bar(1)
+#endif
 #ifdef MUTATE_bar_unanswered
 	:: known[0] == MAY_RUN && started > 0 -> known[0] = FREE
 #endif
@@ -184,7 +196,7 @@
 	:: known[0] != FREE -> known[0] = FREE
 #endif
 	:: atomic { /* the leases there are over */
-		if :: e = 0 :: e = 1 fi;
+		pick(e);
 		if
 #ifdef MUTATE_silent_until_expiry
 		:: known[e] == MAY_RUN -> known[e] = FREE
@@ -196,7 +208,7 @@
 		e = 0
 	}
 	:: atomic { /* order a start */
-		if :: e = 0 :: e = 1 fi;
+		pick(e);
 		if
 #ifdef MUTATE_resolve_all
 		:: !seen && known[e] == FREE && known[1 - e] != MAY_RUN && started < STARTS(me) && !isGone[e] ->
@@ -217,18 +229,21 @@
 		flushes++
 	}
 	:: atomic { /* the answer to a flush, or the row read back */
-		if
-		:: leaseToken == me + 1 -> version = flushVersion; stored = doneStored
-		:: else -> goto deposed
-		fi
+		leaseToken == me + 1;
+		version = flushVersion;
+		stored = doneStored
 	}
 	:: atomic { /* acknowledge an end */
-		if :: e = 0 :: e = 1 fi;
+		pick(e);
 		if
 #ifdef MUTATE_store_before_ack
-		:: endDone[e] && seen && fence[e] <= me + 1 ->
+		:: endDone[e] && seen && fence[e] <= me + 1 && known[0] != UNRESOLVED && known[1] != UNRESOLVED ->
 #else
+#ifdef MUTATE_resolve_before_ack
 		:: endDone[e] && stored && fence[e] <= me + 1 ->
+#else
+		:: endDone[e] && stored && fence[e] <= me + 1 && known[0] != UNRESOLVED && known[1] != UNRESOLVED ->
+#endif
 #endif
 			endDone[e] = false;
 			acked = acked || !isGone[e];
@@ -237,10 +252,8 @@
 		fi;
 		e = 0
 	}
-	:: break /* it crashes */
-	od;
-deposed:
-	skip
+	:: break /* it crashes, or learns that it is deposed */
+	od
 }
 
 init {
