Hand jobs in, list, show, cancel and explain them by the product's own interface

The embedded daemon runs the jobs side over a platform in memory; the demo runs 12 jobs through the same owner. The command line's test found that a job handed in again was told to be another one: the row's fields come back in the order of its form, and the texts were compared as they were. On the users' platform a repeated request would have been answered 409.

--- a/packages/cli/src/bin.ts
+++ b/packages/cli/src/bin.ts
@@ -5,6 +5,7 @@
 import {registerDemo} from './commands/demo.js';
 import {registerFleet} from './commands/fleet.js';
 import {processIo} from './commands/io.js';
+import {registerJob} from './commands/job.js';
 import {registerObjects} from './commands/objects.js';
 import {registerWave} from './commands/wave.js';
 
@@ -19,6 +20,8 @@
   gullstand contract show brokers > brokers.toml
   gullstand contract diff brokers.toml
   gullstand contract apply brokers.toml --wait 10000
+  gullstand job submit rating job.toml --id 0123456789abcdef
+  gullstand explain rating 0123456789abcdef
   gullstand change list --object contract/brokers
   gullstand wave plan july --pool quoting --hours 12 --weights few-moves
   gullstand wave start july && gullstand wave status july --watch
@@ -31,4 +34,5 @@
 registerObjects(program, processIo);
 registerFleet(program, processIo);
 registerWave(program, processIo);
+registerJob(program, processIo);
 await program.parseAsync();
--- /dev/null
+++ b/packages/cli/src/commands/commands.test.fixture.ts
@@ -0,0 +1,68 @@
+/** An embedded daemon and the command line against it, for tests. */
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {performance} from 'node:perf_hooks';
+import {PassThrough} from 'node:stream';
+import {Command} from 'commander';
+import type * as tap from 'tap';
+import {
+	createDaemon,
+	createEmbeddedJobs,
+	createEmbeddedSettings,
+	createLogger,
+	embeddedOperatorToken,
+	startEmbeddedPlatform,
+} from '@gullstand/daemon';
+import {registerFleet} from './fleet.js';
+import {exitCodes} from './io.js';
+import {registerJob} from './job.js';
+import {registerObjects} from './objects.js';
+
+/** Starts the daemon; `run` runs one command line. */
+export const startFixture = async (t: tap.Test) => {
+	const now = () => performance.now();
+	const settings = createEmbeddedSettings();
+	const {platform, close} = await startEmbeddedPlatform(now);
+	const logger = createLogger(settings.log, 'test', new PassThrough().resume());
+	const jobs = createEmbeddedJobs(now, logger);
+	const daemon = createDaemon({settings, platform, logger, now, jobs});
+	await daemon.start((err) => {
+		throw err;
+	});
+	const folder = await mkdtemp(join(tmpdir(), 'gullstand-'));
+	t.teardown(async () => {
+		await daemon.stop();
+		await close();
+		await rm(folder, {recursive: true});
+	});
+	const run = async (...words: string[]) => {
+		const lines: string[] = [];
+		let code: number = exitCodes.done;
+		const io = {
+			print: (text: string) => lines.push(text),
+			printError: (text: string) => lines.push(text),
+			setExitCode(exitCode: number) {
+				code = exitCode;
+			},
+			env: {
+				GULLSTAND_URL: `http://127.0.0.1:${daemon.getOperatorPort()}`,
+				GULLSTAND_TOKEN: embeddedOperatorToken,
+			},
+		};
+		const program = new Command('gullstand');
+		registerObjects(program, io);
+		registerFleet(program, io);
+		registerJob(program, io);
+		await program.parseAsync(words, {from: 'user'});
+		return {code, text: lines.join('\n')};
+	};
+
+	const write = async (name: string, text: string) => {
+		const file = join(folder, name);
+		await writeFile(file, text);
+		return file;
+	};
+
+	return {run, write};
+};
--- a/packages/cli/src/commands/demo.ts
+++ b/packages/cli/src/commands/demo.ts
@@ -14,6 +14,7 @@
 		`wave ${report.wave.id} over pool ${report.wave.pools.join(', ')}: ${report.wave.state}, ` +
 			`${report.waveDone} instances in ${report.waveSeconds.toFixed(1)} s, 0 job moves`,
 	);
+	console.log(`jobs: ${JSON.stringify(report.jobs)}`);
 	console.log(
 		`budget: ${report.budgetViolations} violations in ${report.budgetSamples} samples`,
 	);
--- /dev/null
+++ b/packages/cli/src/commands/job.ts
@@ -0,0 +1,96 @@
+/** `gullstand job` and `gullstand explain`: jobs of a queue. */
+import {readFile} from 'node:fs/promises';
+import {randomBytes} from 'node:crypto';
+import type {Command} from 'commander';
+import {parse} from 'smol-toml';
+import {callOperator, type OperatorCall} from '../client/operator-client.js';
+import {printAnswer, show} from './answer.js';
+import {addTargetFlags, readTarget, type Io, type TargetFlags} from './io.js';
+
+type Fields = Readonly<Record<string, unknown>>;
+
+type Format = (fields: Fields) => readonly string[];
+
+const idBytes = 8;
+
+const call = async (
+	request: OperatorCall,
+	flags: TargetFlags,
+	io: Io,
+	format: Format,
+) => {
+	const target = await readTarget(flags, io);
+	if (target) {
+		printAnswer(await callOperator(target, request), flags, io, format);
+	}
+};
+
+const getPath = (queue: string, id: string): string =>
+	`/v1/jobs/${encodeURIComponent(queue)}/${encodeURIComponent(id)}`;
+
+const formatJob: Format = ({job, state, isRepeat}) => [
+	[
+		show(job),
+		...(state === undefined ? [] : [show(state)]),
+		...(isRepeat === true ? ['was accepted before'] : []),
+	].join(' '),
+];
+
+const formatList: Format = ({jobs}) =>
+	(jobs as readonly Fields[]).map(
+		({job, queue, state, acceptedAtEpochMs}) =>
+			`${show(job)} ${show(queue)} ${show(state)} ${new Date(
+				Number(acceptedAtEpochMs),
+			).toISOString()}`,
+	);
+
+const formatTasks: Format = ({tasks}) =>
+	(tasks as readonly Fields[]).map(
+		({task, state, because}) =>
+			`${show(task)} ${show(state)}: ${show(because)}`,
+	);
+
+/** Registers the commands. */
+export const registerJob = (program: Command, io: Io): void => {
+	const group = program
+		.command('job')
+		.description('jobs of a queue: tasks that executors run');
+	addTargetFlags(group.command('submit <queue> <file>'))
+		.description('hand a job in from a TOML file; the same id twice is one job')
+		.option('--id <id>', '16 hexadecimal digits; made up if left out')
+		.action(
+			async (
+				queue: string,
+				file: string,
+				flags: TargetFlags & {readonly id?: string},
+			) => {
+				const id = flags.id ?? randomBytes(idBytes).toString('hex');
+				const body = parse(await readFile(file, 'utf8'));
+				const path = getPath(queue, id);
+				await call({method: 'PUT', path, body}, flags, io, formatJob);
+			},
+		);
+	addTargetFlags(group.command('list'))
+		.description('jobs of the services that this entry owns')
+		.action(async (flags: TargetFlags) => {
+			await call({method: 'GET', path: '/v1/jobs'}, flags, io, formatList);
+		});
+	addTargetFlags(group.command('show <queue> <id>'))
+		.description('the state of a job')
+		.action(async (queue: string, id: string, flags: TargetFlags) => {
+			const path = getPath(queue, id);
+			await call({method: 'GET', path}, flags, io, formatJob);
+		});
+	addTargetFlags(group.command('cancel <queue> <id>'))
+		.description('cancel a job; what runs of it is stopped')
+		.action(async (queue: string, id: string, flags: TargetFlags) => {
+			const path = getPath(queue, id);
+			await call({method: 'DELETE', path}, flags, io, formatJob);
+		});
+	addTargetFlags(program.command('explain <queue> <id>'))
+		.description('why each task of a job runs, waits or is not placed')
+		.action(async (queue: string, id: string, flags: TargetFlags) => {
+			const path = `${getPath(queue, id)}/explanation`;
+			await call({method: 'GET', path}, flags, io, formatTasks);
+		});
+};
--- a/packages/cli/src/demo/run-demo.ts
+++ b/packages/cli/src/demo/run-demo.ts
@@ -6,10 +6,12 @@
 import type {Contract, waves} from '@gullstand/core';
 import {
 	createDaemon,
+	createEmbeddedJobs,
 	createEmbeddedSettings,
 	createLogger,
 	embeddedCallerToken,
 	embeddedOperatorToken,
+	embeddedQueue,
 	hashToken,
 	startEmbeddedPlatform,
 	type Daemon,
@@ -29,6 +31,8 @@
 	/** Samples in which more instances were away than a contract allows. */
 	readonly budgetViolations: number;
 	readonly budgetSamples: number;
+	/** Jobs by the state that they were last shown in. */
+	readonly jobs: Readonly<Record<string, number>>;
 };
 
 const brokersToken = 'demo-brokers-token';
@@ -121,6 +125,56 @@
 	}
 };
 
+const demoJobs = 12;
+
+const idDigits = 16;
+
+/** Two steps; the second waits for all tasks of the first. */
+const demoJob = {
+	payload: 'a schedule of works',
+	steps: [
+		{count: 4, cpuMillis: 500, memoryMb: 256, estimateMs: 100},
+		{count: 1, cpuMillis: 1000, memoryMb: 512, estimateMs: 100, after: [0]},
+	],
+};
+
+type JobRow = {readonly state: string};
+
+/** Hands jobs in and waits until all have ended. */
+const runJobs = async (
+	target: OperatorTarget,
+): Promise<Readonly<Record<string, number>>> => {
+	for (let index = 0; index < demoJobs; index++) {
+		const id = index.toString(16).padStart(idDigits, '0');
+		const answer = await callOperator(target, {
+			method: 'PUT',
+			path: `/v1/jobs/${embeddedQueue}/${id}`,
+			body: demoJob,
+		});
+		if (answer.status !== 200) {
+			throw new Error(`job refused: ${JSON.stringify(answer.body)}`);
+		}
+	}
+
+	const until = performance.now() + maxWaveMs;
+	for (;;) {
+		const {body} = await callOperator(target, {
+			method: 'GET',
+			path: '/v1/jobs',
+		});
+		const counts: Record<string, number> = {};
+		for (const {state} of (body as {jobs: readonly JobRow[]}).jobs) {
+			counts[state] = (counts[state] ?? 0) + 1;
+		}
+
+		if (counts.completed === demoJobs || performance.now() > until) {
+			return counts;
+		}
+
+		await delay(sampleMs);
+	}
+};
+
 const runScenario = async (daemon: Daemon): Promise<DemoReport> => {
 	const url = `http://127.0.0.1:${daemon.getCallerPort()}`;
 	const target = {
@@ -129,7 +183,7 @@
 	};
 	await createContract(target);
 	const load = {url, callers: 8, pauseMs: 4};
-	const [quotes, claims, wave] = await Promise.all([
+	const [quotes, claims, wave, jobs] = await Promise.all([
 		sendLoad({
 			...load,
 			token: brokersToken,
@@ -144,9 +198,10 @@
 			createKey: (index) => `claim-${index}`,
 		}),
 		runWave(target),
+		runJobs(target),
 	]);
 	const series = daemon.metrics.getSummaries();
-	return {loads: {quotes, claims}, series, ...wave};
+	return {loads: {quotes, claims}, series, jobs, ...wave};
 };
 
 /** Runs the demo; everything that it started is stopped again. */
@@ -155,7 +210,8 @@
 	const settings = createEmbeddedSettings(0, 0, 'warn');
 	const logger = createLogger(settings.log, settings.entry.id);
 	const {platform, close} = await startEmbeddedPlatform(now);
-	const daemon = createDaemon({settings, platform, logger, now});
+	const jobs = createEmbeddedJobs(now, logger);
+	const daemon = createDaemon({settings, platform, logger, now, jobs});
 	let failure: Error | undefined;
 	await daemon.start((err) => {
 		failure = err;
@@ -177,6 +233,7 @@
 export const isDemoGood = (report: DemoReport): boolean =>
 	report.wave.state === 'done' &&
 	report.budgetViolations === 0 &&
+	report.jobs.completed === demoJobs &&
 	Object.values(report.loads).every(
 		({answers, outcomes}) => outcomes.ran === answers,
 	);
--- /dev/null
+++ b/packages/core/src/scheduler/explain.ts
@@ -0,0 +1,71 @@
+/** Why the tasks of a job do not run, in words for an operator. */
+import type {Owner} from './owner.js';
+import {listUsable, placementRefusals, placeTask} from './place.js';
+import {isStepOpen, isWaiting, type Job, type Task} from './task.js';
+
+/** Where one task stands. */
+export type TaskExplanation = {
+	readonly task: string;
+	readonly state: 'done' | 'running' | 'waiting';
+	/** Executor on which it runs, or why it does not. */
+	readonly because: string;
+};
+
+const describeRun = (task: Task): string => {
+	const [run] = task.runs;
+	return run
+		? `run ${run.number} on ${run.executorId} is ${run.state}, ${run.percent} percent`
+		: '';
+};
+
+const explainWaiting = (owner: Owner, task: Task, now: number): string => {
+	const {step} = task;
+	const {job} = step.occurrence;
+	if (job.end) {
+		return `the job is ${job.end}`;
+	}
+
+	if (!isStepOpen(step)) {
+		return `steps ${step.spec.after.join(', ')} are not all done`;
+	}
+
+	if (job.isInherited && owner.unresolved.size > 0 && task.lastRun === 0) {
+		const ids = [...owner.unresolved.keys()].join(', ');
+		return `it may still run on ${ids}, which has not answered since the takeover`;
+	}
+
+	const placement = placeTask(listUsable(owner, now), task);
+	return placement.kind === 'placed'
+		? `it is about to start on ${placement.executor.id}`
+		: placementRefusals[placement.reason];
+};
+
+const explainTask = (
+	owner: Owner,
+	task: Task,
+	now: number,
+): TaskExplanation => {
+	if (task.isDone) {
+		return {task: task.id, state: 'done', because: 'it has ended as done'};
+	}
+
+	return isWaiting(task)
+		? {
+				task: task.id,
+				state: 'waiting',
+				because: explainWaiting(owner, task, now),
+			}
+		: {task: task.id, state: 'running', because: describeRun(task)};
+};
+
+/** Explains each task of the occurrences at hand. */
+export const explainJob = (
+	owner: Owner,
+	job: Job,
+	now: number,
+): readonly TaskExplanation[] =>
+	[...job.occurrences.values()].flatMap(({steps}) =>
+		steps.flatMap(({tasks}) =>
+			tasks.map((task) => explainTask(owner, task, now)),
+		),
+	);
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -14,6 +14,7 @@
 export * from './rank.js';
 export * from './place.js';
 export * from './evacuation.js';
+export * from './explain.js';
 export * from './plan.js';
 export * from './answers.js';
 export * from './pace.js';
--- a/packages/daemon/src/bin.ts
+++ b/packages/daemon/src/bin.ts
@@ -4,6 +4,7 @@
 import process from 'node:process';
 import {Command, InvalidArgumentError, Option} from 'commander';
 import {createDaemon} from './daemon.js';
+import {createEmbeddedJobs} from './embedded/embedded-jobs.js';
 import {startEmbeddedPlatform} from './embedded/embedded-platform.js';
 import {createEmbeddedSettings} from './embedded/embedded-settings.js';
 import {createLogger} from './log/logger.js';
@@ -63,7 +64,14 @@
 	const {platform, close} = flags.embedded
 		? await startEmbeddedPlatform(now)
 		: openPlatform(settings.platform, now);
-	const daemon = createDaemon({settings, platform, logger, now});
+	const jobs = flags.embedded ? createEmbeddedJobs(now, logger) : undefined;
+	const daemon = createDaemon({
+		settings,
+		platform,
+		logger,
+		now,
+		...(jobs ? {jobs} : {}),
+	});
 	await runProcess(daemon, logger, close);
 };
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,6 +27,7 @@
 	getKeySettings,
 } from './idempotency/keyed-settings.js';
 import {createListener} from './http/listener.js';
+import type {JobDaemon} from './jobs/job-daemon.js';
 import type {Logger} from './log/logger.js';
 import {createMetrics, type Metrics} from './metrics/metrics.js';
 import {createOperatorApp} from './operator/operator-app.js';
@@ -53,6 +54,8 @@
 	readonly logger: Logger;
 	/** Monotonic time in milliseconds. */
 	readonly now: () => number;
+	/** Runs jobs beside; its interface is the operators'. */
+	readonly jobs?: JobDaemon;
 	/** Periods and bounds of agreement; tests shorten them. */
 	readonly agreementTimes?: AgreementTimes;
 };
@@ -91,6 +94,14 @@
 	follower.getOrigin() !== 'none' ||
 	follower.getCondition().kind === 'following';
 
+const createJobsPart = (jobs: JobDaemon): Part => ({
+	name: 'jobs',
+	start: jobs.start,
+	async stop() {
+		await jobs.stop();
+	},
+});
+
 /** Builds a daemon; nothing starts yet. */
 export const createDaemon = (deps: DaemonDeps): Daemon => {
 	const {settings, platform, logger, now} = deps;
@@ -196,6 +207,8 @@
 			},
 			getHeard: member.getHeard,
 			env: createEnvironment(),
+			...(deps.jobs ? {jobs: deps.jobs} : {}),
+			now,
 			metrics,
 			logger,
 			isReady: () => !isStopping && hasView(follower) && member.mayRoute(),
@@ -229,6 +242,7 @@
 			entryShare,
 			keyed.part,
 			keySweeper,
+			...(deps.jobs ? [createJobsPart(deps.jobs)] : []),
 			operatorListener,
 			waveRunner,
 			callerListener,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,6 +7,7 @@
 export {headerNames} from './caller/headers.js';
 export {hashToken} from './caller/parse-call.js';
 export * from './embedded/embedded-platform.js';
+export * from './embedded/embedded-jobs.js';
 export * from './embedded/embedded-settings.js';
 export {createLogger, type Logger} from './log/logger.js';
 export * from './metrics/metrics.js';
--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -71,13 +71,18 @@
 
 type Queue = {waiting: Waiting[]; isBusy: boolean};
 
-/** Whether two submissions ask for the same job. */
+/** The text of what is asked for, with the fields in one order. */
+const toCanonicalText = (job: scheduler.AcceptedJob): string => {
+	const decoded = decodeRow(jobSchema, JSON.stringify(job));
+	const {policy, spec} = decoded.ok ? decoded.value : job;
+	return JSON.stringify([policy.queue, spec]);
+};
+
+/** Whether two submissions ask for the same job, whatever the policy now. */
 export const isSameJob = (
 	one: scheduler.AcceptedJob,
 	two: scheduler.AcceptedJob,
-): boolean =>
-	one.policy.queue === two.policy.queue &&
-	JSON.stringify(one.spec) === JSON.stringify(two.spec);
+): boolean => toCanonicalText(one) === toCanonicalText(two);
 
 /** Creates the submissions of an entry. */
 export const createSubmissions = (deps: SubmissionsDeps): Submissions => {
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -3,7 +3,7 @@
  * claims shards, runs the services that it owns, answers callers and peers.
  */
 import {randomUUID} from 'node:crypto';
-import type {fleet, scheduler} from '@gullstand/core';
+import {scheduler, type fleet} from '@gullstand/core';
 import type {
 	ExecutorFeed,
 	Executors,
@@ -11,6 +11,7 @@
 	Machines,
 	OperatorEntry,
 	OperatorFeed,
+	QueueRoute,
 	RowStore,
 	StoredRow,
 	WaveRequest,
@@ -86,10 +87,25 @@
 	/** Whether callers should be sent here. */
 	readonly isReady: () => boolean;
 	readonly service: JobService;
+	/** Jobs of the services that this daemon owns. */
+	readonly listJobs: () => readonly JobSummary[];
+	/** Why tasks of a job do not run; absent unless this daemon owns it. */
+	readonly explain: (
+		route: QueueRoute,
+		id: string,
+	) => readonly scheduler.TaskExplanation[] | undefined;
 	readonly routes: Routes;
 	readonly metrics: JobMetrics;
 };
 
+/** A job as the list shows it. */
+export type JobSummary = {
+	readonly job: string;
+	readonly queue: string;
+	readonly state: scheduler.JobState;
+	readonly acceptedAtEpochMs: number;
+};
+
 /** Peers asked to store a job while the store is away from here. */
 const maxHelpers = 2;
 
@@ -580,5 +596,34 @@
 		routes.get() !== undefined &&
 		!leaseFollower.isLost();
 
-	return {start, handOver, stop, isReady, service, routes, metrics};
+	const listJobs = (): readonly JobSummary[] =>
+		[...runners.values()].flatMap((runner) =>
+			[...(runner.getOwner()?.jobs.values() ?? [])].map((job) => ({
+				job: job.accepted.id,
+				queue: job.accepted.policy.queue,
+				state: scheduler.getJobState(job),
+				acceptedAtEpochMs: job.accepted.acceptedAtEpochMs,
+			})),
+		);
+
+	const explain = (route: QueueRoute, id: string) => {
+		const runner = runners.get(getServiceShard(route.service));
+		const owner = runner?.getOwner();
+		const job = owner?.jobs.get(id);
+		return owner && job?.accepted.policy.queue === route.name
+			? scheduler.explainJob(owner, job, now())
+			: undefined;
+	};
+
+	return {
+		start,
+		handOver,
+		stop,
+		isReady,
+		service,
+		listJobs,
+		explain,
+		routes,
+		metrics,
+	};
 };
--- a/packages/daemon/src/operator/operator-app.ts
+++ b/packages/daemon/src/operator/operator-app.ts
@@ -12,6 +12,7 @@
 import type {Metrics} from '../metrics/metrics.js';
 import type {Settings} from '../settings/schema.js';
 import type {FollowCondition, ViewOrigin} from '../view/view-follower.js';
+import type {JobDaemon} from '../jobs/job-daemon.js';
 import {authorizeOperator, type Operator} from './authorize.js';
 import {registerChanges} from './changes/app.js';
 import {registerContracts} from './contracts/app.js';
@@ -20,6 +21,7 @@
 import {registerPools} from './pools/app.js';
 import {registerServices} from './services/app.js';
 import {registerStatus} from './status/app.js';
+import {registerJobs} from './jobs/app.js';
 import {registerWaves} from './waves/app.js';
 
 /** What the operators' interface needs. */
@@ -42,6 +44,10 @@
 	readonly env: client.Environment;
 	/** Reads the view anew after a change. */
 	readonly poll: () => Promise<void>;
+	/** The jobs side, where there is one. */
+	readonly jobs?: JobDaemon;
+	/** Steady clock, in milliseconds. */
+	readonly now?: () => number;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly isReady: () => boolean;
@@ -84,6 +90,13 @@
 	registerEntries(app, deps);
 	registerChanges(app, deps);
 	registerWaves(app, deps);
+	if (deps.jobs) {
+		registerJobs(app, {
+			jobs: deps.jobs,
+			now: deps.now ?? (() => performance.now()),
+		});
+	}
+
 	app.notFound(() => createErrorResponse('not-found', randomUUID()));
 	app.onError((err) => {
 		deps.logger.error('operator request failed', {error: err.stack});
--- a/xo.config.js
+++ b/xo.config.js
@@ -32,7 +32,7 @@
 		},
 	},
 	{
-		files: ['**/*.test.ts'],
+		files: ['**/*.test.ts', '**/*.test.fixture.ts'],
 		rules: {
 			'@typescript-eslint/no-floating-promises': 'off',
 			'max-nested-callbacks': 'off',
