--- a/packages/core/src/scheduler/acknowledge.ts
+++ b/packages/core/src/scheduler/acknowledge.ts
@@ -76,15 +76,15 @@
 			);
 
 const advanceAck = (executor: Executor, stored: number): boolean => {
-	const before = executor.ackedUpto;
+	const before = executor.acknowledgedUpto;
 	let [first] = executor.unackedEnds;
 	while (first && first.flush <= stored) {
-		executor.ackedUpto = first.number;
+		executor.acknowledgedUpto = first.number;
 		executor.unackedEnds.shift();
 		[first] = executor.unackedEnds;
 	}
 
-	return executor.ackedUpto !== before;
+	return executor.acknowledgedUpto !== before;
 };
 
 /**
--- a/packages/core/src/scheduler/config.ts
+++ b/packages/core/src/scheduler/config.ts
@@ -33,8 +33,6 @@
 	readonly evacuationTtlMs: number;
 	/** A run with at most this much left is waited for in an evacuation. */
 	readonly evacuationPatienceMs: number;
-	/** How long a stop may take on an executor. */
-	readonly stopTimeoutMs: number;
 };
 
 /** Settings in force where the deployment gives none. */
@@ -51,5 +49,4 @@
 	keepEndedMs: 120_000,
 	evacuationTtlMs: 1500,
 	evacuationPatienceMs: 1500,
-	stopTimeoutMs: 1000,
 };
--- a/packages/core/src/scheduler/ends.test.ts
+++ b/packages/core/src/scheduler/ends.test.ts
@@ -135,13 +135,17 @@
 		const [one, two] = listRuns(owner, 'x');
 		look(owner, 'x', {at: 10, ends: [{...one!, number: 1}]});
 		const executor = owner.executors.get('x')!;
-		t.equal(executor.ackedUpto, 0);
+		t.equal(executor.acknowledgedUpto, 0);
 		const flush = scheduler.beginFlush(owner, 100);
 		look(owner, 'x', {at: 20, ends: [{...two!, number: 2}]});
 		scheduler.completeFlush(owner, flush);
-		t.equal(executor.ackedUpto, 1, 'the second came after the flush began');
+		t.equal(
+			executor.acknowledgedUpto,
+			1,
+			'the second came after the flush began',
+		);
 		store(owner);
-		t.equal(executor.ackedUpto, 2);
+		t.equal(executor.acknowledgedUpto, 2);
 	},
 );
 
@@ -152,11 +156,11 @@
 	const [run] = listRuns(owner, 'x');
 	look(owner, 'x', {at: 10, ends: [{...run!, number: 1}]});
 	scheduler.abandonFlush(owner, scheduler.beginFlush(owner, 100));
-	t.equal(owner.executors.get('x')!.ackedUpto, 0);
+	t.equal(owner.executors.get('x')!.acknowledgedUpto, 0);
 	t.ok(scheduler.needsFlush(owner), 'it is stored again');
 	t.equal(scheduler.getJobState(job), 'running');
 	store(owner);
-	t.equal(owner.executors.get('x')!.ackedUpto, 1);
+	t.equal(owner.executors.get('x')!.acknowledgedUpto, 1);
 	t.equal(scheduler.getJobState(job), 'completed');
 });
 
@@ -173,9 +177,9 @@
 		ends: runs.map((run, index) => ({...run, number: index + 1})),
 	});
 	scheduler.completeFlush(owner, scheduler.beginFlush(owner, 1));
-	t.equal(owner.executors.get('x')!.ackedUpto, 0);
+	t.equal(owner.executors.get('x')!.acknowledgedUpto, 0);
 	store(owner);
-	t.equal(owner.executors.get('x')!.ackedUpto, runs.length);
+	t.equal(owner.executors.get('x')!.acknowledgedUpto, runs.length);
 });
 
 tap.t.test(
@@ -185,7 +189,7 @@
 		look(owner, 'x', {at: 1, ends: [{number: 1, taskId: 'gone.0.0.0'}]});
 		t.notOk(scheduler.needsFlush(owner));
 		scheduler.acknowledgeIdle(owner);
-		t.equal(owner.executors.get('x')!.ackedUpto, 1);
+		t.equal(owner.executors.get('x')!.acknowledgedUpto, 1);
 	},
 );
 
@@ -239,9 +243,9 @@
 		look(owner, 'x', {at: 10, ends: [{number: 1, taskId: 'a.0.0.0'}]});
 		store(owner);
 		scheduler.acknowledgeIdle(owner);
-		t.equal(owner.executors.get('x')!.ackedUpto, 0);
+		t.equal(owner.executors.get('x')!.acknowledgedUpto, 0);
 		look(owner, 'old', {at: 20});
 		scheduler.acknowledgeIdle(owner);
-		t.equal(owner.executors.get('x')!.ackedUpto, 1);
+		t.equal(owner.executors.get('x')!.acknowledgedUpto, 1);
 	},
 );
--- a/packages/core/src/scheduler/executor.ts
+++ b/packages/core/src/scheduler/executor.ts
@@ -45,7 +45,7 @@
 	/** Number of the last end that was taken in. */
 	lastEnd: number;
 	unackedEnds: UnackedEnd[];
-	ackedUpto: number;
+	acknowledgedUpto: number;
 	evacuation: Evacuation | undefined;
 	/** Failed runs in a row. */
 	failuresInRow: number;
@@ -69,7 +69,7 @@
 	strays: 0,
 	lastEnd: 0,
 	unackedEnds: [],
-	ackedUpto: 0,
+	acknowledgedUpto: 0,
 	evacuation: undefined,
 	failuresInRow: 0,
 	restsUntil: 0,
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -34,7 +34,7 @@
 			readonly executor: Executor;
 			readonly run: Run;
 			/** Lease end, by the executor's clock. */
-			readonly untilMs: number;
+			readonly leaseEndMs: number;
 	  }
 	| {
 			readonly kind: 'stop';
@@ -195,15 +195,15 @@
 	task: Task,
 	number: number,
 ): Order | undefined => {
-	const untilMs = grantLease(executor, owner.cfg.taskLeaseMs, now);
-	if (untilMs === undefined) {
+	const leaseEndMs = grantLease(executor, owner.cfg.taskLeaseMs, now);
+	if (leaseEndMs === undefined) {
 		return undefined;
 	}
 
 	const run = createRun(task, number, executor.id, now);
 	task.lastRun = number;
 	addRun(executor, run);
-	return {kind: 'start', executor, run, untilMs};
+	return {kind: 'start', executor, run, leaseEndMs};
 };
 
 const evictFor = ({usable, orders}: Planning, task: Task): void => {
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -69,12 +69,13 @@
 		!executor.isAdopted ||
 		executor.runs.size > 0 ||
 		executor.strays > 0 ||
-		executor.ackedUpto > state.ackSent ||
+		executor.acknowledgedUpto > state.ackSent ||
 		executor.silentSince !== undefined ||
 		state.isPoked;
 
 	/** Ends that the executor lists again until they are acknowledged. */
-	const hasUnacked = (): boolean => executor.lastEnd > executor.ackedUpto;
+	const hasUnacked = (): boolean =>
+		executor.lastEnd > executor.acknowledgedUpto;
 
 	const pauseForAck = async () => {
 		if (!hasUnacked() || state.isPoked) {
@@ -149,20 +150,20 @@
 
 	const lookOnce = async () => {
 		const isQuiet = executor.isAdopted && executor.silentSince === undefined;
-		const {ackedUpto} = executor;
+		const {acknowledgedUpto} = executor;
 		const mayWait = isQuiet && !state.isPoked && executor.runs.size > 0;
 		const waitMs = mayWait ? periods.lookWaitMs : 0;
 		state.isPoked = false;
 		// A silent executor is not granted more: its leases must come to an end.
 		const mayGrant = executor.silentSince === undefined && deps.isBelieved();
-		const untilMs =
+		const leaseEndMs =
 			executor.runs.size > 0 && mayGrant
 				? scheduler.grantLease(executor, owner.cfg.taskLeaseMs, now())
 				: undefined;
 		const sentAt = now();
 		const answer = await executors.look(
 			target,
-			{fencingToken: owner.token, ackedUpto, untilMs, waitMs},
+			{fencingToken: owner.token, acknowledgedUpto, leaseEndMs, waitMs},
 			waitMs + periods.lookTimeoutMs,
 		);
 		if (state.isClosed) {
@@ -171,7 +172,7 @@
 
 		await match(answer)
 			.with({kind: 'seen'}, async (seen) => {
-				state.ackSent = Math.max(state.ackSent, ackedUpto);
+				state.ackSent = Math.max(state.ackSent, acknowledgedUpto);
 				takeSeen(seen, sentAt);
 				await pauseForAck();
 			})
@@ -213,7 +214,7 @@
 	};
 
 	const sendStart = async (order: scheduler.Order & {kind: 'start'}) => {
-		const {run: started, untilMs} = order;
+		const {run: started, leaseEndMs} = order;
 		const {task, number} = started;
 		const answer = await executors.start(
 			target,
@@ -221,7 +222,7 @@
 				taskId: task.id,
 				run: number,
 				payload: task.step.occurrence.job.accepted.spec.payload,
-				untilMs,
+				leaseEndMs,
 				fencingToken: owner.token,
 				checkpoint: task.checkpoint,
 				ticket: undefined,
@@ -238,7 +239,7 @@
 			executor: executor.id,
 			outcome: answer.kind,
 			reason: answer.kind === 'refused' ? answer.reason : undefined,
-			untilMs,
+			leaseEndMs,
 			failures: task.failures,
 			tookMs: Math.round(now() - started.askedAt),
 		});
--- a/packages/ports/src/memory/task-executors.ts
+++ b/packages/ports/src/memory/task-executors.ts
@@ -123,11 +123,11 @@
 			return {kind: 'fenced'};
 		}
 
-		if (order.untilMs <= clockMs) {
+		if (order.leaseEndMs <= clockMs) {
 			return {kind: 'refused', reason: 'too-late', clockMs};
 		}
 
-		life.leaseUntil = Math.max(life.leaseUntil, order.untilMs);
+		life.leaseUntil = Math.max(life.leaseUntil, order.leaseEndMs);
 		const known = life.running.get(order.taskId);
 		if (known?.run === order.run) {
 			return {kind: 'started', clockMs};
@@ -177,9 +177,9 @@
 	};
 
 	const takeLookOrder = (life: Life, order: LookOrder) => {
-		life.ends = life.ends.filter(({number}) => number > order.ackedUpto);
-		if (order.untilMs !== undefined) {
-			life.leaseUntil = Math.max(life.leaseUntil, order.untilMs);
+		life.ends = life.ends.filter(({number}) => number > order.acknowledgedUpto);
+		if (order.leaseEndMs !== undefined) {
+			life.leaseUntil = Math.max(life.leaseUntil, order.leaseEndMs);
 		}
 	};
 
--- a/packages/ports/src/ports/executors.ts
+++ b/packages/ports/src/ports/executors.ts
@@ -13,7 +13,7 @@
 	readonly run: number;
 	readonly payload: string;
 	/** Lease end, by the executor's clock. */
-	readonly untilMs: number;
+	readonly leaseEndMs: number;
 	readonly fencingToken: number;
 	readonly checkpoint: string | undefined;
 	readonly ticket: string | undefined;
@@ -30,9 +30,9 @@
 export type LookOrder = {
 	readonly fencingToken: number;
 	/** Ends up to this number may be forgotten. */
-	readonly ackedUpto: number;
+	readonly acknowledgedUpto: number;
 	/** Lease end, by the executor's clock; absent to renew nothing. */
-	readonly untilMs: number | undefined;
+	readonly leaseEndMs: number | undefined;
 	/** How long to wait for a new end. */
 	readonly waitMs: number;
 };
