Note orders by machine; send nothing to a store that does not answer

Causes: after each of its takeovers the fleet moved no machine for 3 s, since two holders may not order one machine within that time and nobody knew which it had ordered; and each submission during an outage went out and ended as unknown, after which callers cannot try again. A stop ends at 0.95 of the grace whatever is left.

--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -25,6 +25,8 @@
 export type SubmissionsDeps = {
 	readonly store: RowStore;
 	readonly book: LeaseBook;
+	/** The store does not answer: nothing is sent to it. */
+	readonly isStoreSuspect: () => boolean;
 	readonly now: () => number;
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	/** Rows that were stored, to be told to the owner. */
@@ -168,6 +170,16 @@
 		});
 	};
 
+	const refuseAll = async (batch: readonly Waiting[]) => {
+		logger.info('jobs not sent to the store', {
+			jobs: batch.map(({job}) => job.id),
+			reason: 'it does not answer',
+		});
+		for (const waiting of batch) {
+			refuse(waiting);
+		}
+	};
+
 	const tryAgain = (shard: string, batch: readonly Waiting[]) => {
 		for (const waiting of batch) {
 			waiting.tries += 1;
@@ -236,7 +248,8 @@
 	const run = async (shard: string, queue: Queue) => {
 		queue.isBusy = true;
 		while (queue.waiting.length > 0) {
-			await commit(shard, queue.waiting.splice(0, maxJobsPerCommit));
+			const batch = queue.waiting.splice(0, maxJobsPerCommit);
+			await (deps.isStoreSuspect() ? refuseAll(batch) : commit(shard, batch));
 		}
 
 		queue.isBusy = false;
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -6,6 +6,7 @@
 import type {OwnerChannel} from '../entry/owner-channel.js';
 import {getServiceShard} from '../rows/tables.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
+import type {OrderBook} from './order-book.js';
 
 /** Times of the fleet's work, in milliseconds. */
 export const fleetPeriods = {
@@ -36,8 +37,10 @@
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	/** Services whose owner must agree before a machine goes. */
 	readonly hasOwner: (service: string) => boolean;
-	/** Whether an order may be given now. */
+	/** Whether orders may be given now. */
 	readonly mayOrder: () => boolean;
+	/** Machines ordered lately, by this holder and the one before. */
+	readonly orders: OrderBook;
 	readonly isStopped: () => boolean;
 	readonly lose: (reason: string) => void;
 };
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -18,6 +18,7 @@
 	type FleetContext,
 	type SeenExecutors,
 } from './fleet-context.js';
+import {createOrderBook} from './order-book.js';
 import {createPoolRounds} from './pool-round.js';
 import {createWaveRounds, type WaveStatusPort} from './wave-round.js';
 
@@ -54,7 +55,6 @@
 export const createFleetRunner = (deps: FleetRunnerDeps): FleetRunner => {
 	const {held, clock} = deps;
 	const logger = deps.logger.child({shard: held.shard});
-	const acquiredAt = clock.now();
 	const state = {isStopped: false};
 	const seen: SeenExecutors = new Set();
 
@@ -74,10 +74,16 @@
 		);
 	};
 
-	/** The holder before may have ordered until just before the takeover. */
-	const mayOrder = (): boolean =>
-		isBelieved() &&
-		(held.previous === 'none' || clock.now() - acquiredAt > deps.turnoverMs);
+	const orders = createOrderBook({
+		store: deps.store,
+		held,
+		now: clock.now,
+		turnoverMs: deps.turnoverMs,
+		logger,
+		onLost() {
+			lose('the lease row has changed');
+		},
+	});
 
 	const context: FleetContext = {
 		held,
@@ -88,7 +94,8 @@
 		clock,
 		logger,
 		hasOwner: deps.hasOwner,
-		mayOrder,
+		mayOrder: isBelieved,
+		orders,
 		isStopped: () => state.isStopped,
 		lose,
 	};
@@ -110,7 +117,10 @@
 	};
 
 	const run = async () => {
-		while (!state.isStopped && !(await waves.load())) {
+		while (
+			!state.isStopped &&
+			!((await waves.load()) && (await orders.load()))
+		) {
 			await delay(fleetPeriods.roundMs);
 		}
 
--- a/packages/daemon/src/jobs/fleet/pool-round.ts
+++ b/packages/daemon/src/jobs/fleet/pool-round.ts
@@ -30,6 +30,8 @@
 	readonly move: fleet.PoolMove;
 	readonly since: number;
 	phase: Phase;
+	/** Nothing ran there when its owner was last asked. */
+	isClear: boolean;
 };
 
 /** Creates the work on moves. */
@@ -105,13 +107,25 @@
 			return;
 		}
 
-		const isClear = await emptyMachine(
+		entry.isClear = await emptyMachine(
 			context,
 			machine,
 			fleetPeriods.movePatienceMs,
 		);
-		if (isClear && context.mayOrder() && underWay.has(move.machine)) {
-			await order(entry);
+	};
+
+	/** Notes all machines that are empty in one write, then orders them. */
+	const orderClear = async () => {
+		const clear = [...underWay.values()].filter(
+			({phase, isClear, move}) =>
+				phase === 'emptying' &&
+				isClear &&
+				context.orders.mayOrder(move.machine),
+		);
+		const machines = clear.map(({move}) => move.machine);
+		const mayOrder = machines.length > 0 && context.mayOrder();
+		if (mayOrder && (await context.orders.note(machines))) {
+			await Promise.all(clear.map(async (entry) => order(entry)));
 		}
 	};
 
@@ -158,7 +172,12 @@
 		for (const move of planned.moves) {
 			if (!impossible.has(`${move.machine} ${move.to}`)) {
 				const since = clock.now();
-				underWay.set(move.machine, {move, since, phase: 'emptying'});
+				underWay.set(move.machine, {
+					move,
+					since,
+					phase: 'emptying',
+					isClear: false,
+				});
 			}
 		}
 
@@ -183,6 +202,7 @@
 					carryOn(entry, view.machines.get(entry.move.machine)),
 				),
 			);
+			await orderClear();
 		},
 	};
 };
--- a/packages/daemon/src/jobs/fleet/wave-round.ts
+++ b/packages/daemon/src/jobs/fleet/wave-round.ts
@@ -114,7 +114,9 @@
 		machine: fleet.WaveMachine,
 	): Promise<fleet.MachineWave> => {
 		const begun = fleet.beginMachine(wave, machine, clock.epochNow());
-		if (!(await storeNow(begun)) || !context.mayOrder()) {
+		const isNoted =
+			(await storeNow(begun)) && (await context.orders.note([machine.id]));
+		if (!isNoted || !context.mayOrder()) {
 			return wave;
 		}
 
@@ -133,7 +135,13 @@
 			const isStillThere =
 				machine?.isUp && machine.executorId === entry.executorId;
 			const isOpen = !entry.isAnswered && !entry.isBack;
-			if (isOpen && isStillThere && context.mayOrder()) {
+			const mayOrder = context.mayOrder() && context.orders.mayOrder(id);
+			if (
+				isOpen &&
+				isStillThere &&
+				mayOrder &&
+				(await context.orders.note([id]))
+			) {
 				current = await order(current, machine);
 			}
 		}
@@ -166,7 +174,8 @@
 
 			emptying.add(id);
 			const isClear = await emptyMachine(context, machine, patienceMs);
-			if (isClear && mayBegin > 0 && context.mayOrder()) {
+			const mayOrder = context.mayOrder() && context.orders.mayOrder(id);
+			if (isClear && mayBegin > 0 && mayOrder) {
 				mayBegin -= 1;
 				current = await begin(current, machine);
 			}
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -35,6 +35,7 @@
 import {jobPeerSchemas} from './peer-methods.js';
 import {followPeriods, periods} from './periods.js';
 import {createFeedFollower, type FeedFollower} from './rows/feed-follower.js';
+import {watchStore} from './rows/store-health.js';
 import {createTableFeed} from './rows/table-feed.js';
 import {
 	fleetShard,
@@ -112,8 +113,9 @@
 /** Creates a daemon. */
 export const createJobDaemon = (deps: JobDaemonDeps): JobDaemon => {
 	const {settings, platform, clock, logger} = deps;
-	const {store} = platform;
 	const {now} = clock;
+	const watched = watchStore(platform.store, now);
+	const {store} = watched;
 	const self = {entry: settings.name, incarnation: randomUUID()};
 	const routes = createRoutes();
 	const metrics = createJobMetrics();
@@ -175,6 +177,7 @@
 
 	const submissions = createSubmissions({
 		store,
+		isStoreSuspect: watched.isSuspect,
 		book,
 		now,
 		logger,
--- a/packages/daemon/src/jobs/run-entry.ts
+++ b/packages/daemon/src/jobs/run-entry.ts
@@ -48,6 +48,9 @@
 /** Share of the grace after which what is in flight is cut off. */
 const cutOffShare = 0.85;
 
+/** Share of the grace after which the process ends, whatever is left. */
+const lastShare = 0.95;
+
 const limits = {
 	maxHeaderBytes: 16_384,
 	headersTimeoutMs: 5000,
@@ -89,6 +92,9 @@
 
 		isLeaving = true;
 		const stoppedAt = clock.now();
+		setTimeout(() => {
+			process.exit(code); // eslint-disable-line unicorn/no-process-exit
+		}, graceMs * lastShare);
 		logger.info('stopping', {code});
 		await daemon.handOver();
 		const servedMs = clock.now() - stoppedAt;
--- a/packages/ports/src/memory/row-store.ts
+++ b/packages/ports/src/memory/row-store.ts
@@ -77,7 +77,7 @@
 			wake();
 		}
 
-		return succeed({version});
+		return succeed({version, nowMs: performance.now()});
 	};
 
 	const guard = async <Value>(
@@ -132,6 +132,7 @@
 					rows: found.slice(0, pageSize),
 					version,
 					hasMore: found.length > pageSize,
+					nowMs: performance.now(),
 				});
 			}),
 		listParts: async (table) =>
--- a/packages/ports/src/ports/row-store.ts
+++ b/packages/ports/src/ports/row-store.ts
@@ -58,6 +58,15 @@
 	/** Newest version of the store at that moment. */
 	readonly version: number;
 	readonly hasMore: boolean;
+	/** Steady clock of the store, in milliseconds. */
+	readonly nowMs: number;
+};
+
+/** A transaction that has been committed. */
+export type CommittedRows = {
+	readonly version: number;
+	/** Steady clock of the store, in milliseconds. */
+	readonly nowMs: number;
 };
 
 /** A row that changed; `value` is absent once it is removed. */
@@ -86,7 +95,7 @@
 	readonly transact: (
 		transaction: RowTransaction,
 		timeoutMs: number,
-	) => Promise<Result<{readonly version: number}, RowStoreError>>;
+	) => Promise<Result<CommittedRows, RowStoreError>>;
 	readonly read: (
 		range: RowRange,
 		timeoutMs: number,
