--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -45,8 +45,18 @@
 		shard: string,
 		timeoutMs: number,
 	) => Promise<SubmitOutcome | undefined>;
+	/** Cancels a job through another entry; absent if none answers. */
+	readonly cancelElsewhere: (
+		queue: string,
+		id: string,
+		timeoutMs: number,
+	) => Promise<CancelOutcome | undefined>;
 };
 
+/** What became of a cancellation. */
+export type CancelOutcome =
+	'cancelled' | 'unknown-job' | 'store-unavailable' | 'store-unknown';
+
 /** The calls of callers. Deadlines are times of the steady clock. */
 export type JobService = {
 	readonly submit: (
@@ -64,6 +74,8 @@
 		id: string,
 		deadline: number,
 	) => Promise<JobResult<void>>;
+	/** Cancels through the store from here only, for another entry. */
+	readonly cancelHere: JobService['cancel'];
 	readonly countPending: (route: QueueRoute) => Promise<JobResult<number>>;
 };
 
@@ -263,19 +275,31 @@
 		return fail('store-unknown');
 	};
 
-	const cancel: JobService['cancel'] = async (route, id, deadline) => {
-		const startedAt = clock.now();
+	const cancelHere: JobService['cancel'] = async (route, id, deadline) => {
 		const shard = getServiceShard(route.service);
 		const rows = await readJobRows(shard, id);
 		if (!rows.ok) {
-			return answer('cancel', id, startedAt, fail('store-unavailable'));
+			return fail('store-unavailable');
 		}
 
 		const row = rows.value.rows.find(({key}) => key === id);
+		return row && isOfQueue(row, route.name)
+			? storeCancel(shard, row, deadline)
+			: fail('unknown-job');
+	};
+
+	/** From here if the store serves this entry, else through another. */
+	const cancel: JobService['cancel'] = async (route, id, deadline) => {
+		const startedAt = clock.now();
+		const here = await cancelHere(route, id, deadline);
+		if (here.ok || here.error === 'unknown-job' || clock.now() >= deadline) {
+			return answer('cancel', id, startedAt, here);
+		}
+
+		const timeoutMs = Math.min(periods.storeTimeoutMs, deadline - clock.now());
+		const there = await deps.cancelElsewhere(route.name, id, timeoutMs);
 		const result: JobResult<void> =
-			row && isOfQueue(row, route.name)
-				? await storeCancel(shard, row, deadline)
-				: fail('unknown-job');
+			there === 'cancelled' ? succeed(undefined) : fail(there ?? here.error);
 		return answer('cancel', id, startedAt, result);
 	};
 
@@ -291,5 +315,5 @@
 		);
 	};
 
-	return {submit, readState, cancel, countPending};
+	return {submit, readState, cancel, cancelHere, countPending};
 };
--- a/packages/daemon/src/jobs/job-daemon.test.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.ts
@@ -306,3 +306,37 @@
 		t.not(second!.executorId, first!.executorId);
 	},
 );
+
+tap.t.test(
+	'an entry that the store turns away works through the others',
+	async (t) => {
+		const platform = createTestPlatform(['x']);
+		const [helper] = await createFleet(t, platform, ['a']);
+		await waitUntil('an owner', () => holdsLease(platform));
+		let isTurnedAway = false;
+		const refuse = async () =>
+			({ok: false, error: {kind: 'unavailable'}}) as const;
+		const {store} = platform;
+		const away: typeof platform = {
+			...platform,
+			store: {
+				...store,
+				transact: async (...args) =>
+					isTurnedAway ? refuse() : store.transact(...args),
+				read: async (...args) =>
+					isTurnedAway ? refuse() : store.read(...args),
+			},
+		};
+		const [entry] = await createFleet(t, away, ['b']);
+		await waitUntil('readiness', () => entry!.isReady());
+		isTurnedAway = true;
+		const id = createId(1);
+		t.same(await submit(entry!, id), {ok: true, value: {isRepeat: false}});
+		const cancelled = await entry!.service.cancel(route, id, now() + 2000);
+		t.ok(cancelled.ok);
+		await waitUntil(
+			'the state',
+			async () => (await readState(helper!, id)) === 'cancelled',
+		);
+	},
+);
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -22,7 +22,11 @@
 import type {ReportFailure} from '../supervisor/supervisor.js';
 import {runInBackground} from './background.js';
 import type {Clock} from './clock.js';
-import {createJobService, type JobService} from './entry/job-service.js';
+import {
+	createJobService,
+	type CancelOutcome,
+	type JobService,
+} from './entry/job-service.js';
 import {createOwnerChannel} from './entry/owner-channel.js';
 import {createRoutes, type Routes} from './entry/routes.js';
 import {createSubmissions, type SubmitOutcome} from './entry/submissions.js';
@@ -186,16 +190,68 @@
 		},
 	});
 
+	/**
+	 * Other daemons, those heard of last in front: without the store, all
+	 * heartbeats are old here and say little.
+	 */
+	const listHelpers = (): readonly string[] =>
+		members
+			.listAll()
+			.filter((name) => name !== self.entry)
+			.slice(0, maxHelpers);
+
+	const cancelElsewhere = async (
+		queue: string,
+		id: string,
+		timeoutMs: number,
+	): Promise<CancelOutcome | undefined> => {
+		for (const name of listHelpers()) {
+			const answer = await callPeers.call(
+				members.get(name)?.address ?? '',
+				'cancelJob',
+				{queue, id, timeoutMs},
+				timeoutMs,
+			);
+			logger.info('job cancelled elsewhere', {
+				job: id,
+				through: name,
+				outcome: answer.ok ? answer.value.outcome : answer.error.kind,
+			});
+			if (answer.ok && answer.value.outcome !== 'store-unavailable') {
+				return answer.value.outcome;
+			}
+		}
+
+		return undefined;
+	};
+
+	const cancelForPeer = async (
+		queue: string,
+		id: string,
+		timeoutMs: number,
+	): Promise<CancelOutcome> => {
+		const route = routes.getByName(queue);
+		if (!route) {
+			return 'store-unavailable';
+		}
+
+		const result = await service.cancelHere(route, id, now() + timeoutMs);
+		if (result.ok) {
+			return 'cancelled';
+		}
+
+		const {error} = result;
+		return error === 'unknown-job' || error === 'store-unknown'
+			? error
+			: 'store-unavailable';
+	};
+
 	const submitElsewhere = async (
 		job: scheduler.AcceptedJob,
 		shard: string,
 		timeoutMs: number,
 	): Promise<SubmitOutcome | undefined> => {
-		const helpers = members
-			.listLive(periods.leaseMs)
-			.filter((name) => name !== self.entry)
-			.slice(0, maxHelpers);
-		for (const name of helpers) {
+		for (const name of listHelpers()) {
 			const address = members.get(name)?.address ?? '';
 			const answer = await callPeers.call(
 				address,
@@ -229,6 +285,7 @@
 		logger,
 		metrics,
 		submitElsewhere,
+		cancelElsewhere,
 	});
 
 	const onOwnerLost = (shard: string, rows: readonly StoredRow[]) => {
@@ -503,6 +560,13 @@
 			async ({shard, job, timeoutMs}) =>
 				submissions.submit(shard, job, now() + timeoutMs),
 		);
+		channel.addMethod(
+			'cancelJob',
+			jobPeerSchemas.cancelJob,
+			async ({queue, id, timeoutMs}) => ({
+				outcome: await cancelForPeer(queue, id, timeoutMs),
+			}),
+		);
 		channel.addMethod(
 			'evacuate',
 			jobPeerSchemas.evacuate,
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -2,6 +2,7 @@
 import type {scheduler} from '@gullstand/core';
 import type {ChangedRow} from '@gullstand/ports';
 import * as z from 'zod';
+import type {CancelOutcome} from './entry/job-service.js';
 import type {SubmitOutcome} from './entry/submissions.js';
 import type {JobReading} from './owner/owner-runner.js';
 import {jobSchema} from './rows/tables.js';
@@ -38,6 +39,15 @@
 		};
 		readonly result: SubmitOutcome;
 	};
+	/** Cancels a job for an entry that the store does not serve. */
+	readonly cancelJob: {
+		readonly params: {
+			readonly queue: string;
+			readonly id: string;
+			readonly timeoutMs: number;
+		};
+		readonly result: {readonly outcome: CancelOutcome};
+	};
 	/** Asks the owner to empty an executor; asked again until it is clear. */
 	readonly evacuate: {
 		readonly params: {
@@ -90,6 +100,11 @@
 		job: jobSchema,
 		timeoutMs: z.number().min(0),
 	}),
+	cancelJob: z.object({
+		queue: z.string(),
+		id: z.string(),
+		timeoutMs: z.number().min(0),
+	}),
 	evacuate: z.object({
 		shard,
 		executorId: z.string(),
--- a/packages/daemon/src/jobs/shards/members.ts
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -21,6 +21,8 @@
 	readonly getSilentMs: (name: string) => number;
 	/** Names of those whose heartbeat is younger than `withinMs`. */
 	readonly listLive: (withinMs: number) => readonly string[];
+	/** Names of all, the one heard of last in front. */
+	readonly listAll: () => readonly string[];
 };
 
 /** What the members are kept with. */
@@ -104,6 +106,10 @@
 			const member = known.get(name);
 			return member ? now() - member.changedAt : 0;
 		},
+		listAll: () =>
+			[...known.values()]
+				.toSorted((one, two) => two.changedAt - one.changedAt)
+				.map(({name}) => name),
 		listLive: (withinMs) =>
 			[...known.values()]
 				.filter(({changedAt}) => now() - changedAt < withinMs)
