Find the jobs of a queue whose service has changed

A job stays in the shard under which it was accepted. After its queue moved to another service it was looked for in the new shard only: told as unknown, not cancelled, and accepted once more. Services that a queue had before are kept in a row for daemons that start later. A daemon test failed first.

--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -24,6 +24,7 @@
 	tables,
 } from '../rows/tables.js';
 import type {OwnerChannel} from './owner-channel.js';
+import type {QueueHistory} from './queue-history.js';
 import type {Routes} from './routes.js';
 import type {Submissions, SubmitOutcome} from './submissions.js';
 
@@ -33,6 +34,8 @@
 /** What the service needs. */
 export type JobServiceDeps = {
 	readonly routes: Routes;
+	/** Services of a queue, now and before. */
+	readonly history: Pick<QueueHistory, 'listServices'>;
 	readonly submissions: Submissions;
 	readonly owners: OwnerChannel;
 	readonly store: RowStore;
@@ -130,6 +133,12 @@
 export const createJobService = (deps: JobServiceDeps): JobService => {
 	const {routes, submissions, owners, store, clock, logger, metrics} = deps;
 
+	/** Shards that may hold jobs of a queue, the present one in front. */
+	const listShards = ({name, service}: QueueRoute): readonly string[] =>
+		deps.history
+			.listServices(name, service)
+			.map((each) => getServiceShard(each));
+
 	const answer = <Value>(
 		call: string,
 		id: string,
@@ -159,10 +168,32 @@
 			spec,
 			acceptedAtEpochMs: clock.epochNow(),
 		};
-		const outcome = await submitAnywhere(shard, job, deadline);
+		const outcome =
+			(await findAccepted(route, job)) ??
+			(await submitAnywhere(shard, job, deadline));
 		return answer('submit', id, startedAt, toResult(outcome));
 	};
 
+	/** A job that was accepted before its queue moved to another service. */
+	const findAccepted = async (
+		route: QueueRoute,
+		job: scheduler.AcceptedJob,
+	): Promise<SubmitOutcome | undefined> => {
+		for (const shard of listShards(route).slice(1)) {
+			const rows = await readJobRows(shard, job.id);
+			if (!rows.ok) {
+				return {kind: 'not-stored'};
+			}
+
+			const row = rows.value.rows.find(({key}) => key === job.id);
+			if (row && isOfQueue(row, route.name)) {
+				return {kind: 'accepted', isRepeat: true};
+			}
+		}
+
+		return undefined;
+	};
+
 	/**
 	 * Through the owner first, which stores many in one transaction; then from
 	 * here; then through any other entry. The id makes a second try harmless,
@@ -211,9 +242,9 @@
 	/** The state as the store has it, when no owner answers. */
 	const readStored = async (
 		route: QueueRoute,
+		shard: string,
 		id: string,
 	): Promise<JobResult<scheduler.JobState>> => {
-		const shard = getServiceShard(route.service);
 		const [jobRows, progressRows] = await Promise.all([
 			readJobRows(shard, id),
 			store.read(
@@ -236,15 +267,28 @@
 		return succeed(toState(progressRows.value.rows[0], isCancelled));
 	};
 
-	const readState: JobService['readState'] = async (route, id) => {
-		const startedAt = clock.now();
-		const shard = getServiceShard(route.service);
+	const readFrom = async (
+		route: QueueRoute,
+		shard: string,
+		id: string,
+	): Promise<JobResult<scheduler.JobState>> => {
 		const reading = await owners.readJob(shard, route.name, id);
 		// The owner may not have heard of it yet, so absence is looked up.
-		const result =
-			reading.kind === 'state'
-				? succeed(reading.state)
-				: await readStored(route, id);
+		return reading.kind === 'state'
+			? succeed(reading.state)
+			: readStored(route, shard, id);
+	};
+
+	const readState: JobService['readState'] = async (route, id) => {
+		const startedAt = clock.now();
+		let result: JobResult<scheduler.JobState> = fail('unknown-job');
+		for (const shard of listShards(route)) {
+			result = await readFrom(route, shard, id);
+			if (result.ok || result.error !== 'unknown-job') {
+				break;
+			}
+		}
+
 		return answer('state', id, startedAt, result);
 	};
 
@@ -276,16 +320,19 @@
 	};
 
 	const cancelHere: JobService['cancel'] = async (route, id, deadline) => {
-		const shard = getServiceShard(route.service);
-		const rows = await readJobRows(shard, id);
-		if (!rows.ok) {
-			return fail('store-unavailable');
+		for (const shard of listShards(route)) {
+			const rows = await readJobRows(shard, id);
+			if (!rows.ok) {
+				return fail('store-unavailable');
+			}
+
+			const row = rows.value.rows.find(({key}) => key === id);
+			if (row && isOfQueue(row, route.name)) {
+				return storeCancel(shard, row, deadline);
+			}
 		}
 
-		const row = rows.value.rows.find(({key}) => key === id);
-		return row && isOfQueue(row, route.name)
-			? storeCancel(shard, row, deadline)
-			: fail('unknown-job');
+		return fail('unknown-job');
 	};
 
 	/** From here if the store serves this entry, else through another. */
@@ -305,14 +352,21 @@
 
 	const countPending: JobService['countPending'] = async (route) => {
 		const startedAt = clock.now();
-		const shard = getServiceShard(route.service);
-		const pending = await owners.countPending(shard, route.name);
-		return answer(
-			'pending',
-			route.name,
-			startedAt,
-			pending === undefined ? fail('job-unread') : succeed(pending),
+		const counts = await Promise.all(
+			listShards(route).map(async (shard) =>
+				owners.countPending(shard, route.name),
+			),
 		);
+		let pending = 0;
+		for (const count of counts) {
+			if (count === undefined) {
+				return answer('pending', route.name, startedAt, fail('job-unread'));
+			}
+
+			pending += count;
+		}
+
+		return answer('pending', route.name, startedAt, succeed(pending));
 	};
 
 	return {submit, readState, cancel, cancelHere, countPending};
--- a/packages/daemon/src/jobs/job-daemon.test.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.ts
@@ -11,6 +11,7 @@
 	route,
 	startDaemon,
 	submit,
+	testConfiguration,
 	waitUntil,
 	type TestPlatform,
 } from './job-world.test.fixture.js';
@@ -340,3 +341,54 @@
 		);
 	},
 );
+
+tap.t.test('a queue that moves keeps the jobs that it has', async (t) => {
+	const platform = createTestPlatform(['x']);
+	const [daemon] = await createFleet(t, platform, ['a']);
+	await waitUntil('an owner', () => holdsLease(platform));
+	const id = createId(1);
+	await submit(daemon!, id);
+	await waitUntil(
+		'the start',
+		() => platform.executors.listRunning('x').length > 0,
+	);
+	const moved = {...route, service: 'other'};
+	platform.operator.put('configuration', {
+		kind: 'configuration',
+		value: {
+			...testConfiguration,
+			version: 2,
+			routes: [moved],
+			services: ['s', 'other'].map((name) => ({
+				name,
+				rejectsOverload: false,
+				isStandby: false,
+			})),
+		},
+	});
+	await waitUntil(
+		'the configuration',
+		() => daemon!.routes.get()?.version === 2,
+	);
+	await waitUntil('the owner of the other service', () =>
+		platform.store.list('lease').some(({part}) => part === 'service/other'),
+	);
+	const state = await daemon!.service.readState(moved, id);
+	t.same(state, {ok: true, value: 'running'});
+	const again = await daemon!.service.submit(
+		moved,
+		id,
+		createSpec(),
+		now() + 2000,
+	);
+	t.same(again, {ok: true, value: {isRepeat: true}});
+	const [later] = await createFleet(t, platform, ['b']);
+	await waitUntil('readiness', () => later!.isReady());
+	const there = await later!.service.readState(moved, id);
+	t.same(there, {ok: true, value: 'running'}, 'one that came later knows too');
+	platform.executors.finish('x', `${id}.0.0.0`, 'done');
+	await waitUntil('the end', async () => {
+		const end = await daemon!.service.readState(moved, id);
+		return end.ok && end.value === 'completed';
+	});
+});
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -21,13 +21,14 @@
 import {createPeerChannel, type PeerChannel} from '../peers/peer-channel.js';
 import type {ReportFailure} from '../supervisor/supervisor.js';
 import {runInBackground} from './background.js';
-import type {Clock} from './clock.js';
+import {delay, type Clock} from './clock.js';
 import {
 	createJobService,
 	type CancelOutcome,
 	type JobService,
 } from './entry/job-service.js';
 import {createOwnerChannel} from './entry/owner-channel.js';
+import {createQueueHistory} from './entry/queue-history.js';
 import {createRoutes, type Routes} from './entry/routes.js';
 import {createSubmissions, type SubmitOutcome} from './entry/submissions.js';
 import {createExecutorList} from './executor-list.js';
@@ -129,7 +130,7 @@
 	let peers: PeerChannel | undefined;
 	let fleetRunner: FleetRunner | undefined;
 	let executorFollower: FeedFollower | undefined;
-	let isLeaving = false;
+	const state = {isLeaving: false, isStarted: false};
 	let reportFailure: ReportFailure = () => undefined;
 
 	const getAddress = (): string => peers?.getAddress() ?? '';
@@ -146,8 +147,8 @@
 		},
 	});
 
-	const hasOwner = (service: string): boolean =>
-		routes.get()?.routes.some((route) => route.service === service) ?? false;
+	const hasOwner = (serviceName: string): boolean =>
+		listShards().includes(getServiceShard(serviceName));
 
 	const listShards = (): readonly string[] => {
 		const configuration = routes.get();
@@ -155,7 +156,13 @@
 			return [];
 		}
 
-		const services = new Set(configuration.routes.map(({service}) => service));
+		// Services without a queue too: jobs stay with theirs when a queue moves.
+		const services = new Set([
+			...configuration.routes.map((each) => each.service),
+			...configuration.services
+				.filter(({isStandby}) => !isStandby)
+				.map(({name}) => name),
+		]);
 		return [fleetShard, ...[...services].map((each) => getServiceShard(each))];
 	};
 
@@ -276,8 +283,11 @@
 		return undefined;
 	};
 
+	const history = createQueueHistory({store, logger});
+
 	const service = createJobService({
 		routes,
+		history,
 		submissions,
 		owners,
 		store,
@@ -407,10 +417,10 @@
 	};
 
 	const findService = (shard: string): string | undefined =>
-		routes
-			.get()
-			?.routes.map((route) => route.service)
-			.find((each) => getServiceShard(each) === shard);
+		[
+			...(routes.get()?.services.map(({name}) => name) ?? []),
+			...(routes.get()?.routes.map((route) => route.service) ?? []),
+		].find((each) => getServiceShard(each) === shard);
 
 	const onAcquired = (held: HeldShard) => {
 		if (held.shard === fleetShard) {
@@ -489,7 +499,12 @@
 	const applyOperatorEntry = (key: string, entry: OperatorEntry) => {
 		match(entry)
 			.with({kind: 'configuration'}, ({value}) => {
+				const before = routes.get();
 				const isNew = routes.apply(value);
+				if (isNew) {
+					void history.note(before, value);
+				}
+
 				logger.info('configuration read', {
 					version: value.version,
 					routes: value.routes.length,
@@ -601,7 +616,7 @@
 	};
 
 	const startPeers = async (): Promise<boolean> => {
-		const keyHex = await obtainPeerKey(store, logger, () => isLeaving);
+		const keyHex = await obtainPeerKey(store, logger, () => state.isLeaving);
 		if (keyHex === undefined) {
 			return false;
 		}
@@ -619,15 +634,28 @@
 		return true;
 	};
 
+	const loadHistory = async (): Promise<boolean> => {
+		while (!state.isLeaving) {
+			if (await history.load()) {
+				return true;
+			}
+
+			await delay(periods.flushRetryMs);
+		}
+
+		return false;
+	};
+
 	const start = async (report: ReportFailure) => {
 		reportFailure = report;
 		operatorFollower.start(report);
 		leaseFollower.start(report);
 		memberFollower.start(report);
-		if (!(await startPeers()) || isLeaving) {
+		if (!(await startPeers()) || !(await loadHistory()) || state.isLeaving) {
 			return;
 		}
 
+		state.isStarted = true;
 		await heartbeat.beatOnce();
 		await heartbeat.start(report);
 		await keeper.start(report);
@@ -638,7 +666,7 @@
 	};
 
 	const handOver = async () => {
-		isLeaving = true;
+		state.isLeaving = true;
 		await keeper.stop();
 	};
 
@@ -658,8 +686,8 @@
 	};
 
 	const isReady = (): boolean =>
-		!isLeaving &&
-		peers !== undefined &&
+		!state.isLeaving &&
+		state.isStarted &&
 		routes.get() !== undefined &&
 		!leaseFollower.isLost();
 
