--- a/packages/core/src/scheduler/answers.ts
+++ b/packages/core/src/scheduler/answers.ts
@@ -1,5 +1,6 @@
 /** What the answers to orders change. */
 import {match} from 'ts-pattern';
+import {dropTicket} from './advice.js';
 import {dropRun, noteClock, type Executor} from './executor.js';
 import {noteSilence, type Owner} from './owner.js';
 import type {Run} from './task.js';
@@ -72,8 +73,13 @@
 			run.task.step.occurrence.job.hasStarted = true;
 			return 'none';
 		})
-		.with({kind: 'refused'}, () => {
+		.with({kind: 'refused'}, ({reason}) => {
 			dropRun(executor, run);
+			if (reason === 'ticket') {
+				dropTicket(owner, run.task.step, executor.id);
+				return 'none';
+			}
+
 			executor.restsUntil = Math.max(executor.restsUntil, now + refusalRestMs);
 			return 'none';
 		})
--- a/packages/core/src/scheduler/ends.test.ts
+++ b/packages/core/src/scheduler/ends.test.ts
@@ -8,6 +8,7 @@
 	listRuns,
 	look,
 	planAndStart,
+	runOf,
 	store,
 	submit,
 } from './owner.test.fixture.js';
@@ -114,7 +115,7 @@
 		ends: [{...run!, how: 'stopped', checkpoint: 'half'}],
 	});
 	const [order] = planAndStart(owner, 20);
-	t.equal(order!.run.task.checkpoint, 'half');
+	t.equal(runOf(order)!.task.checkpoint, 'half');
 });
 
 tap.t.test('one done stands for a whole gang', async (t) => {
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -7,6 +7,7 @@
 export * from './task.js';
 export * from './progress.js';
 export * from './executor.js';
+export * from './advice.js';
 export * from './owner.js';
 export * from './look.js';
 export * from './load.js';
--- a/packages/core/src/scheduler/owner.test.fixture.ts
+++ b/packages/core/src/scheduler/owner.test.fixture.ts
@@ -48,6 +48,7 @@
 		maxAttempts: 2,
 		stretch: 2,
 		targetLatencyMs: 600,
+		needsAdvice: false,
 		...changes.policy,
 	},
 	spec: {
@@ -140,11 +141,16 @@
 export const describeOrders = (
 	orders: readonly scheduler.Order[],
 ): readonly string[] =>
-	orders.map((order) =>
-		order.kind === 'start'
-			? `start ${order.run.task.id} on ${order.executor.id}`
-			: `stop ${order.run.task.id} on ${order.executor.id}: ${order.reason}`,
-	);
+	orders.map((order) => {
+		if (order.kind === 'advise') {
+			return `ask for ${order.stepId}: ${order.executorIds.join(', ')}`;
+		}
+
+		const {run, executor} = order;
+		return order.kind === 'start'
+			? `start ${run.task.id} on ${executor.id}`
+			: `stop ${run.task.id} on ${executor.id}: ${order.reason}`;
+	});
 
 /** Plans and lets every start be answered with success at once. */
 export const planAndStart = (
@@ -186,3 +192,9 @@
 		taskId: task.id,
 		run: number,
 	}));
+
+/** The run of an order, if it is about one. */
+export const runOf = (
+	order: scheduler.Order | undefined,
+): scheduler.Run | undefined =>
+	order && order.kind !== 'advise' ? order.run : undefined;
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -3,6 +3,7 @@
  * All of it can be rebuilt from the store and the executors by the next
  * owner; see docs/design/platform-programs.md.
  */
+import type {StepAdvice} from './advice.js';
 import type {SchedulerConfig} from './config.js';
 import {noArrivals, noteArrival, type Arrivals} from './load.js';
 import {createExecutor, dropRun, hasLapsed, type Executor} from './executor.js';
@@ -40,6 +41,8 @@
 	isRosterDirty: boolean;
 	/** Number of the flush that takes in what changes now. */
 	flush: number;
+	/** What the advice service has said, by step. */
+	readonly advice: Map<string, StepAdvice>;
 	/** Work handed in lately. */
 	arrivals: Arrivals;
 	/** Mean work of a job by queue, for the order of work. */
@@ -71,6 +74,7 @@
 	dirty: new Set(),
 	isRosterDirty: false,
 	flush: 1,
+	advice: new Map(),
 	arrivals: noArrivals,
 	meanWork: new Map(),
 });
@@ -119,6 +123,12 @@
 
 	job.end = end;
 	job.endedAt = now;
+	for (const stepId of owner.advice.keys()) {
+		if (stepId.startsWith(`${job.accepted.id}.`)) {
+			owner.advice.delete(stepId);
+		}
+	}
+
 	owner.openJobs.delete(job);
 	owner.dirty.add(job);
 };
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -1,4 +1,11 @@
 /** What the owner of a service orders next. */
+import {
+	findTicket,
+	listAdvised,
+	needsAdvice,
+	planAdvice,
+	type AdviceRequest,
+} from './advice.js';
 import {
 	expireEvacuations,
 	listEvacuationStops,
@@ -35,13 +42,17 @@
 			readonly run: Run;
 			/** Lease end, by the executor's clock. */
 			readonly leaseEndMs: number;
+			readonly ticket: string | undefined;
 	  }
 	| {
 			readonly kind: 'stop';
 			readonly executor: Executor;
 			readonly run: Run;
 			readonly reason: StopReason;
-	  };
+	  }
+	| ({readonly kind: 'advise'} & AdviceRequest);
+
+type StartOrder = Extract<Order, {readonly kind: 'start'}>;
 
 /** Room for so many runs of one task under one owner. */
 const runsPerToken = 10_000;
@@ -194,7 +205,7 @@
 	executor: Executor,
 	task: Task,
 	number: number,
-): Order | undefined => {
+): StartOrder | undefined => {
 	const leaseEndMs = grantLease(executor, owner.cfg.taskLeaseMs, now);
 	if (leaseEndMs === undefined) {
 		return undefined;
@@ -203,7 +214,10 @@
 	const run = createRun(task, number, executor.id, now);
 	task.lastRun = number;
 	addRun(executor, run);
-	return {kind: 'start', executor, run, leaseEndMs};
+	const ticket = needsAdvice(task.step)
+		? findTicket(owner, task.step, executor.id, now)
+		: undefined;
+	return {kind: 'start', executor, run, leaseEndMs, ticket};
 };
 
 const evictFor = ({usable, orders}: Planning, task: Task): void => {
@@ -216,9 +230,27 @@
 	}
 };
 
+/** Executors that may run a step; asks for advice where some are unknown. */
+const listStepExecutors = (
+	{owner, now, usable, orders}: Planning,
+	step: Step,
+): readonly Executor[] => {
+	if (!needsAdvice(step) || !step.tasks.some((task) => isWaiting(task))) {
+		return usable;
+	}
+
+	const request = planAdvice(owner, step, usable, now);
+	if (request) {
+		orders.push({kind: 'advise', ...request});
+	}
+
+	return listAdvised(owner, step, usable, now);
+};
+
 /** Starts what it can of a step. False once the executors are full for it. */
 const planStep = (planning: Planning, step: Step): void => {
-	const {owner, usable, orders} = planning;
+	const {owner, orders} = planning;
+	const usable = listStepExecutors(planning, step);
 	for (const task of step.tasks) {
 		if (!isWaiting(task) || !isPlaceKnown(owner, task)) {
 			continue;
@@ -259,7 +291,7 @@
 
 /** Starts all tasks of a gang with one run number, or none. */
 const planGang = (planning: Planning, step: Step): void => {
-	const {owner, usable, orders} = planning;
+	const {owner, orders} = planning;
 	if (!isGangReady(owner, step)) {
 		return;
 	}
@@ -267,8 +299,9 @@
 	const number = Math.max(
 		...step.tasks.map((task) => nextRunNumber(owner, task)),
 	);
-	for (const group of listRackGroups(usable, step)) {
-		const started: Order[] = [];
+	const advised = listStepExecutors(planning, step);
+	for (const group of listRackGroups(advised, step)) {
+		const started: StartOrder[] = [];
 		for (const task of step.tasks) {
 			const placement = placeTask(group, task);
 			const order =
--- a/packages/core/src/scheduler/twice.test.ts
+++ b/packages/core/src/scheduler/twice.test.ts
@@ -7,6 +7,7 @@
 	listRuns,
 	look,
 	planAndStart,
+	runOf,
 	store,
 	submit,
 	testConfig,
@@ -44,7 +45,7 @@
 	look(owner, 'x', {at: 560});
 	const orders = planAndStart(owner, 570);
 	t.equal(orders.length, 1);
-	t.ok(orders[0]!.run.number > run.number, 'run numbers rise');
+	t.ok(runOf(orders[0])!.number > run.number, 'run numbers rise');
 });
 
 tap.t.test('a start without an answer that runs is left running', async (t) => {
@@ -68,7 +69,7 @@
 	);
 	const orders = planAndStart(owner, 10);
 	t.same(describeOrders(orders), ['start a.0.0.0 on yy']);
-	t.ok(orders[0]!.run.number > run.number);
+	t.ok(runOf(orders[0])!.number > run.number);
 });
 
 tap.t.test(
@@ -211,7 +212,7 @@
 	store(later);
 	submit(later, createAccepted('a'), true);
 	const [order] = planAndStart(later, 1);
-	t.ok(order!.run.number > first.run.number);
+	t.ok(runOf(order)!.number > first.run.number);
 });
 
 tap.t.test('of two runs of one task the older is stopped', async (t) => {
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -70,6 +70,8 @@
 	readonly stretch: number;
 	/** ... and so much more, in milliseconds. */
 	readonly targetLatencyMs: number;
+	/** Only executors that the advice service names may run its tasks. */
+	readonly needsAdvice: boolean;
 };
 
 /** A job as it lies in the store. */
--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -88,6 +88,7 @@
 	maxAttempts: route.maxAttempts,
 	stretch: route.stretch,
 	targetLatencyMs: route.targetLatencyMs,
+	needsAdvice: route.advice !== undefined,
 });
 
 const isOfQueue = (row: StoredRow, queue: string): boolean => {
--- a/packages/daemon/src/jobs/entry/submissions.test.ts
+++ b/packages/daemon/src/jobs/entry/submissions.test.ts
@@ -8,6 +8,7 @@
 	maxAttempts: 2,
 	stretch: 2,
 	targetLatencyMs: 600,
+	needsAdvice: false,
 };
 
 const job = {id: '0', policy, spec: createSpec(), acceptedAtEpochMs: 1};
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -5,6 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import {scheduler, type fleet} from '@gullstand/core';
 import type {
+	AdviceService,
 	ExecutorFeed,
 	Executors,
 	FeedBatch,
@@ -60,6 +61,7 @@
 	readonly executorFeed: ExecutorFeed;
 	readonly executors: Executors;
 	readonly machines: Machines;
+	readonly advice?: AdviceService;
 	readonly waveStatus: WaveStatusPort;
 };
 
@@ -368,6 +370,7 @@
 			service: serviceName,
 			store,
 			executors: platform.executors,
+			advice: platform.advice,
 			clock,
 			cfg: settings.scheduler,
 			logger,
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -27,6 +27,9 @@
 	readonly onStarted: (run: scheduler.Run, isStarted: boolean) => void;
 };
 
+/** An order about one run. */
+type RunOrder = Exclude<scheduler.Order, {readonly kind: 'advise'}>;
+
 /** A link at work. */
 export type ExecutorLink = {
 	/** Looks now rather than at the next occasion. */
@@ -34,7 +37,7 @@
 	/** Ends may be acknowledged that could not be before. */
 	readonly noteAckable: () => void;
 	readonly close: () => void;
-	readonly send: (order: scheduler.Order) => void;
+	readonly send: (order: RunOrder) => void;
 	readonly sendPace: (order: scheduler.PaceOrder) => void;
 };
 
@@ -225,7 +228,7 @@
 				leaseEndMs,
 				fencingToken: owner.token,
 				checkpoint: task.checkpoint,
-				ticket: undefined,
+				ticket: order.ticket,
 			},
 			periods.orderTimeoutMs,
 		);
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -4,6 +4,7 @@
  */
 import {scheduler} from '@gullstand/core';
 import type {
+	AdviceService,
 	ChangedRow,
 	Executors,
 	FeedBatch,
@@ -36,6 +37,8 @@
 	readonly service: string;
 	readonly store: RowStore;
 	readonly executors: Executors;
+	/** Absent where the deployment has none. */
+	readonly advice: AdviceService | undefined;
 	readonly clock: Clock;
 	readonly cfg: scheduler.SchedulerConfig;
 	readonly logger: Logger;
@@ -244,6 +247,24 @@
 		}
 	};
 
+	const ask = async (
+		current: scheduler.Owner,
+		request: scheduler.AdviceRequest,
+	) => {
+		const askedAt = clock.now();
+		const advice = await deps.advice?.ask(request, periods.adviceTimeoutMs);
+		logger.info('advice', {
+			step: request.stepId,
+			asked: request.executorIds.length,
+			named: advice?.tickets.length,
+			validMs: advice?.validMs,
+			tookMs: Math.round(clock.now() - askedAt),
+		});
+		// Tickets are valid from the answer on, which was made before it came.
+		scheduler.takeAdvice(current, request, advice, clock.now());
+		onChange();
+	};
+
 	const runPlan = () => {
 		isPlanDue = false;
 		if (!owner || state.isStopped) {
@@ -257,7 +278,11 @@
 			scheduler.advanceSchedules(owner, clock.epochNow());
 			const orders = scheduler.planOrders(owner, now, clock.epochNow());
 			for (const order of orders) {
-				links.get(order.executor.id)?.send(order);
+				if (order.kind === 'advise') {
+					void ask(owner, order);
+				} else {
+					links.get(order.executor.id)?.send(order);
+				}
 			}
 		}
 
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -39,6 +39,8 @@
 	 * the next one waits for their flush, which takes 15 to 30 ms.
 	 */
 	ackPauseMs: 35,
+	/** A question to the advice service, which takes them one at a time. */
+	adviceTimeoutMs: 3000,
 	/** Between two questions whether the owner before has let go. */
 	previousHolderMs: 300,
 	/** First pause after a look that was not answered; it doubles ... */
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -124,6 +124,7 @@
 		maxAttempts: z.int().min(1),
 		stretch: z.number(),
 		targetLatencyMs: z.number(),
+		needsAdvice: z.boolean().default(false),
 	}),
 	spec: z.object({
 		payload: z.string(),
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -5,6 +5,7 @@
 export type * from './ports/workers.js';
 export type * from './ports/row-store.js';
 export type * from './ports/executors.js';
+export type * from './ports/advice.js';
 export type * from './ports/machines.js';
 export type * from './ports/feeds.js';
 export * from './memory/table-service.js';
