--- /dev/null
+++ b/packages/daemon/src/jobs/entry/other-entries.ts
@@ -0,0 +1,112 @@
+/** Asks other daemons to do for this one what the store does not let it do. */
+import type {scheduler} from '@gullstand/core';
+import type {Logger} from '../../log/logger.js';
+import type {PeerChannel} from '../../peers/peer-channel.js';
+import {periods} from '../periods.js';
+import type {Members} from '../shards/members.js';
+import type {CancelOutcome} from './job-service.js';
+import type {SubmitOutcome} from './submissions.js';
+
+/** What is needed to ask. */
+export type OtherEntriesDeps = {
+	/** Name of this daemon. */
+	readonly self: string;
+	readonly members: Members;
+	readonly peers: Pick<PeerChannel, 'call'>;
+	readonly logger: Pick<Logger, 'info'>;
+};
+
+/** The other daemons. */
+export type OtherEntries = {
+	/** Absent if none answers, so that it is certainly not stored by them. */
+	readonly submit: (
+		job: scheduler.AcceptedJob,
+		shard: string,
+		timeoutMs: number,
+	) => Promise<SubmitOutcome | undefined>;
+	/** Absent if none answers. */
+	readonly cancel: (
+		queue: string,
+		id: string,
+		timeoutMs: number,
+	) => Promise<CancelOutcome | undefined>;
+	/** Tells all that a shard may be claimed. */
+	readonly tellReleased: (shard: string) => void;
+};
+
+/** Daemons asked one after another. */
+const maxAsked = 2;
+
+/** Creates the calls. */
+export const createOtherEntries = (deps: OtherEntriesDeps): OtherEntries => {
+	const {self, members, peers, logger} = deps;
+
+	/**
+	 * Those heard of last in front: without the store, all heartbeats are old
+	 * here and say little.
+	 */
+	const listAddresses = (): ReadonlyArray<readonly [string, string]> =>
+		members
+			.listAll()
+			.filter((name) => name !== self)
+			.map((name) => [name, members.get(name)?.address ?? ''] as const);
+
+	return {
+		async submit(job, shard, timeoutMs) {
+			for (const [name, address] of listAddresses().slice(0, maxAsked)) {
+				const params = {shard, job, timeoutMs};
+				const answer = await peers.call(
+					address,
+					'submitJob',
+					params,
+					timeoutMs,
+				);
+				logger.info('job handed in elsewhere', {
+					job: job.id,
+					through: name,
+					outcome: answer.ok ? answer.value.kind : answer.error.kind,
+				});
+				if (!answer.ok && answer.error.kind !== 'unreachable') {
+					return {kind: 'unknown'};
+				}
+
+				if (answer.ok && answer.value.kind !== 'not-stored') {
+					return answer.value;
+				}
+			}
+
+			return undefined;
+		},
+		async cancel(queue, id, timeoutMs) {
+			for (const [name, address] of listAddresses().slice(0, maxAsked)) {
+				const params = {queue, id, timeoutMs};
+				const answer = await peers.call(
+					address,
+					'cancelJob',
+					params,
+					timeoutMs,
+				);
+				logger.info('job cancelled elsewhere', {
+					job: id,
+					through: name,
+					outcome: answer.ok ? answer.value.outcome : answer.error.kind,
+				});
+				if (answer.ok && answer.value.outcome !== 'store-unavailable') {
+					return answer.value.outcome;
+				}
+			}
+
+			return undefined;
+		},
+		tellReleased(shard) {
+			for (const [, address] of listAddresses()) {
+				void peers.call(
+					address,
+					'shardReleased',
+					{shard},
+					periods.peerTimeoutMs,
+				);
+			}
+		},
+	};
+};
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -3,7 +3,7 @@
  * claims shards, runs the services that it owns, answers callers and peers.
  */
 import {randomUUID} from 'node:crypto';
-import {scheduler, type fleet} from '@gullstand/core';
+import type {fleet, scheduler} from '@gullstand/core';
 import type {
 	AdviceService,
 	ExecutorFeed,
@@ -12,7 +12,6 @@
 	Machines,
 	OperatorEntry,
 	OperatorFeed,
-	QueueRoute,
 	RowStore,
 	StoredRow,
 	WaveRequest,
@@ -21,26 +20,24 @@
 import type {Logger} from '../log/logger.js';
 import {createPeerChannel, type PeerChannel} from '../peers/peer-channel.js';
 import type {ReportFailure} from '../supervisor/supervisor.js';
-import {runInBackground} from './background.js';
 import {delay, type Clock} from './clock.js';
-import {
-	createJobService,
-	type CancelOutcome,
-	type JobService,
-} from './entry/job-service.js';
+import {createJobService, type JobService} from './entry/job-service.js';
+import {createOtherEntries} from './entry/other-entries.js';
 import {createOwnerChannel} from './entry/owner-channel.js';
 import {createQueueHistory} from './entry/queue-history.js';
 import {createRoutes, type Routes} from './entry/routes.js';
-import {createSubmissions, type SubmitOutcome} from './entry/submissions.js';
-import {createExecutorList} from './executor-list.js';
+import {createSubmissions} from './entry/submissions.js';
 import {createFleetRunner, type FleetRunner} from './fleet/fleet-runner.js';
 import type {WaveStatusPort} from './fleet/wave-round.js';
 import {createJobMetrics, type JobMetrics} from './job-metrics.js';
-import {createOwnerRunner, type OwnerRunner} from './owner/owner-runner.js';
+import {
+	createOwnedServices,
+	type OwnedServices,
+} from './owner/owned-services.js';
 import {obtainPeerKey} from './peer-key.js';
-import {jobPeerSchemas} from './peer-methods.js';
+import {registerPeerHandlers} from './peer-handlers.js';
 import {followPeriods, periods} from './periods.js';
-import {createFeedFollower, type FeedFollower} from './rows/feed-follower.js';
+import {createFeedFollower} from './rows/feed-follower.js';
 import {watchStore} from './rows/store-health.js';
 import {createTableFeed} from './rows/table-feed.js';
 import {
@@ -96,27 +93,13 @@
 	readonly isReady: () => boolean;
 	readonly service: JobService;
 	/** Jobs of the services that this daemon owns. */
-	readonly listJobs: () => readonly JobSummary[];
+	readonly listJobs: OwnedServices['listJobs'];
 	/** Why tasks of a job do not run; absent unless this daemon owns it. */
-	readonly explain: (
-		route: QueueRoute,
-		id: string,
-	) => readonly scheduler.TaskExplanation[] | undefined;
+	readonly explain: OwnedServices['explain'];
 	readonly routes: Routes;
 	readonly metrics: JobMetrics;
 };
 
-/** A job as the list shows it. */
-export type JobSummary = {
-	readonly job: string;
-	readonly queue: string;
-	readonly state: scheduler.JobState;
-	readonly acceptedAtEpochMs: number;
-};
-
-/** Peers asked to store a job while the store is away from here. */
-const maxHelpers = 2;
-
 /** Creates a daemon. */
 export const createJobDaemon = (deps: JobDaemonDeps): JobDaemon => {
 	const {settings, platform, clock, logger} = deps;
@@ -126,12 +109,9 @@
 	const self = {entry: settings.name, incarnation: randomUUID()};
 	const routes = createRoutes();
 	const metrics = createJobMetrics();
-	const runners = new Map<string, OwnerRunner>();
 	const waves = new Map<string, WaveRequest>();
-	const executorList = createExecutorList();
 	let peers: PeerChannel | undefined;
 	let fleetRunner: FleetRunner | undefined;
-	let executorFollower: FeedFollower | undefined;
 	const state = {isLeaving: false, isStarted: false};
 	let reportFailure: ReportFailure = () => undefined;
 
@@ -178,7 +158,7 @@
 	const owners = createOwnerChannel({
 		book,
 		peers: callPeers,
-		getLocal: (shard) => runners.get(shard),
+		getLocal: (shard) => owned.get(shard),
 	});
 
 	const tellOwner = async (shard: string, rows: readonly StoredRow[]) => {
@@ -199,91 +179,12 @@
 		},
 	});
 
-	/**
-	 * Other daemons, those heard of last in front: without the store, all
-	 * heartbeats are old here and say little.
-	 */
-	const listHelpers = (): readonly string[] =>
-		members
-			.listAll()
-			.filter((name) => name !== self.entry)
-			.slice(0, maxHelpers);
-
-	const cancelElsewhere = async (
-		queue: string,
-		id: string,
-		timeoutMs: number,
-	): Promise<CancelOutcome | undefined> => {
-		for (const name of listHelpers()) {
-			const answer = await callPeers.call(
-				members.get(name)?.address ?? '',
-				'cancelJob',
-				{queue, id, timeoutMs},
-				timeoutMs,
-			);
-			logger.info('job cancelled elsewhere', {
-				job: id,
-				through: name,
-				outcome: answer.ok ? answer.value.outcome : answer.error.kind,
-			});
-			if (answer.ok && answer.value.outcome !== 'store-unavailable') {
-				return answer.value.outcome;
-			}
-		}
-
-		return undefined;
-	};
-
-	const cancelForPeer = async (
-		queue: string,
-		id: string,
-		timeoutMs: number,
-	): Promise<CancelOutcome> => {
-		const route = routes.getByName(queue);
-		if (!route) {
-			return 'store-unavailable';
-		}
-
-		const result = await service.cancelHere(route, id, now() + timeoutMs);
-		if (result.ok) {
-			return 'cancelled';
-		}
-
-		const {error} = result;
-		return error === 'unknown-job' || error === 'store-unknown'
-			? error
-			: 'store-unavailable';
-	};
-
-	const submitElsewhere = async (
-		job: scheduler.AcceptedJob,
-		shard: string,
-		timeoutMs: number,
-	): Promise<SubmitOutcome | undefined> => {
-		for (const name of listHelpers()) {
-			const address = members.get(name)?.address ?? '';
-			const answer = await callPeers.call(
-				address,
-				'submitJob',
-				{shard, job, timeoutMs},
-				timeoutMs,
-			);
-			logger.info('job handed in elsewhere', {
-				job: job.id,
-				through: name,
-				outcome: answer.ok ? answer.value.kind : answer.error.kind,
-			});
-			if (!answer.ok && answer.error.kind !== 'unreachable') {
-				return {kind: 'unknown'};
-			}
-
-			if (answer.ok && answer.value.kind !== 'not-stored') {
-				return answer.value;
-			}
-		}
-
-		return undefined;
-	};
+	const others = createOtherEntries({
+		self: self.entry,
+		members,
+		peers: callPeers,
+		logger,
+	});
 
 	const history = createQueueHistory({store, logger});
 
@@ -296,50 +197,10 @@
 		clock,
 		logger,
 		metrics,
-		submitElsewhere,
-		cancelElsewhere,
+		submitElsewhere: others.submit,
+		cancelElsewhere: others.cancel,
 	});
 
-	const onOwnerLost = (shard: string, rows: readonly StoredRow[]) => {
-		for (const row of rows) {
-			book.note(row);
-		}
-
-		keeper.noteDeposed(shard);
-	};
-
-	const followExecutors = () => {
-		const note = (isWhole: boolean) => {
-			for (const runner of runners.values()) {
-				runner.noteExecutors(isWhole);
-			}
-		};
-
-		executorFollower ??= createFeedFollower({
-			name: 'executors',
-			feed: platform.executorFeed,
-			periods: followPeriods.executors,
-			clock,
-			logger,
-			onWhole(batch) {
-				executorList.applyWhole(batch);
-				note(true);
-			},
-			onChanges(batch) {
-				executorList.applyChanges(batch);
-				note(false);
-			},
-		});
-		executorFollower.start(reportFailure);
-	};
-
-	const unfollowExecutors = () => {
-		if (runners.size === 0) {
-			executorFollower?.stop();
-			executorFollower = undefined;
-		}
-	};
-
 	const hasLetGo = async ({
 		shard,
 		holder,
@@ -364,33 +225,28 @@
 		return answer.ok;
 	};
 
-	const runService = (held: HeldShard, serviceName: string) => {
-		const runner = createOwnerRunner({
-			held,
-			service: serviceName,
-			store,
-			executors: platform.executors,
-			advice: platform.advice,
-			clock,
-			cfg: settings.scheduler,
-			logger,
-			metrics,
-			getConfirmed: leaseFollower.getConfirmed,
-			listExecutors: executorList.list,
-			onLost(reason, rows) {
-				logger.warn('service lost', {shard: held.shard, reason});
-				onOwnerLost(held.shard, rows);
-			},
-			hasLetGo,
-			reportFailure,
-		});
-		runners.set(held.shard, runner);
-		if (!executorFollower) {
-			followExecutors();
-		}
+	const owned = createOwnedServices({
+		store,
+		executors: platform.executors,
+		executorFeed: platform.executorFeed,
+		advice: platform.advice,
+		clock,
+		cfg: settings.scheduler,
+		logger,
+		metrics,
+		getConfirmed: () => leaseFollower.getConfirmed(),
+		hasLetGo,
+		onLost(shard, rows) {
+			for (const row of rows) {
+				book.note(row);
+			}
 
-		runInBackground(runner.start, reportFailure);
-	};
+			keeper.noteDeposed(shard);
+		},
+		reportFailure(err) {
+			reportFailure(err);
+		},
+	});
 
 	const runFleet = (held: HeldShard) => {
 		fleetRunner = createFleetRunner({
@@ -433,7 +289,7 @@
 
 		const serviceName = findService(held.shard);
 		if (serviceName !== undefined) {
-			runService(held, serviceName);
+			owned.take(held, serviceName);
 		}
 	};
 
@@ -444,23 +300,7 @@
 			return;
 		}
 
-		runners.get(shard)?.abandon();
-		runners.delete(shard);
-		unfollowExecutors();
-	};
-
-	const tellReleased = (shard: string) => {
-		for (const name of members.listLive(periods.leaseMs)) {
-			const address = members.get(name)?.address ?? '';
-			if (name !== self.entry && address !== '') {
-				void callPeers.call(
-					address,
-					'shardReleased',
-					{shard},
-					periods.peerTimeoutMs,
-				);
-			}
-		}
+		owned.drop(shard);
 	};
 
 	const keeper = createShardKeeper({
@@ -474,11 +314,9 @@
 		random: deps.random,
 		logger,
 		onAcquired,
-		async beforeRelease(shard) {
-			await runners.get(shard)?.stop();
-		},
+		beforeRelease: owned.letGo,
 		onLost,
-		onReleased: tellReleased,
+		onReleased: others.tellReleased,
 	});
 
 	const heartbeat = createHeartbeat({
@@ -553,71 +391,6 @@
 		onChanges: members.applyChanges,
 	});
 
-	const addPeerMethods = (channel: PeerChannel) => {
-		channel.addMethod('noteRows', jobPeerSchemas.noteRows, ({shard, rows}) => {
-			const runner = runners.get(shard);
-			runner?.noteRows(rows);
-			return {isOwner: runner !== undefined};
-		});
-		channel.addMethod(
-			'readJob',
-			jobPeerSchemas.readJob,
-			({shard, queue, id}) =>
-				runners.get(shard)?.readJob(id, queue) ?? {kind: 'not-owner'},
-		);
-		channel.addMethod(
-			'countPending',
-			jobPeerSchemas.countPending,
-			({shard, queue}) => ({
-				pending: runners.get(shard)?.countPending(queue),
-			}),
-		);
-		channel.addMethod(
-			'submitJob',
-			jobPeerSchemas.submitJob,
-			async ({shard, job, timeoutMs}) =>
-				submissions.submit(shard, job, now() + timeoutMs),
-		);
-		channel.addMethod(
-			'cancelJob',
-			jobPeerSchemas.cancelJob,
-			async ({queue, id, timeoutMs}) => ({
-				outcome: await cancelForPeer(queue, id, timeoutMs),
-			}),
-		);
-		channel.addMethod(
-			'evacuate',
-			jobPeerSchemas.evacuate,
-			({shard, executorId, patienceMs}) => ({
-				state: runners.get(shard)?.evacuate(executorId, patienceMs),
-			}),
-		);
-		channel.addMethod('readLoad', jobPeerSchemas.readLoad, ({shard}) => ({
-			load: runners.get(shard)?.getLoad(),
-		}));
-		channel.addMethod(
-			'noteGone',
-			jobPeerSchemas.noteGone,
-			({shard, executorId}) => {
-				runners.get(shard)?.noteGone(executorId);
-				return {};
-			},
-		);
-		channel.addMethod('depose', jobPeerSchemas.depose, ({shard, token}) => {
-			const mine = keeper.listHeld().find((each) => each.shard === shard);
-			if (mine && mine.token < token) {
-				keeper.noteDeposed(shard);
-			}
-
-			return {incarnation: self.incarnation};
-		});
-		channel.addMethod('shardReleased', jobPeerSchemas.shardReleased, () => {
-			leaseFollower.hasten();
-			keeper.hasten();
-			return {};
-		});
-	};
-
 	const startPeers = async (): Promise<boolean> => {
 		const keyHex = await obtainPeerKey(store, logger, () => state.isLeaving);
 		if (keyHex === undefined) {
@@ -631,7 +404,16 @@
 			wallNow: clock.epochNow,
 			logger,
 		});
-		addPeerMethods(channel);
+		registerPeerHandlers(channel, {
+			incarnation: self.incarnation,
+			owned,
+			submissions,
+			service,
+			routes,
+			keeper,
+			readLeases: leaseFollower.hasten,
+			now,
+		});
 		await channel.start(reportFailure);
 		peers = channel;
 		return true;
@@ -675,15 +457,11 @@
 
 	const stop = async () => {
 		await handOver();
-		for (const runner of runners.values()) {
-			runner.abandon();
-		}
-
+		owned.dropAll();
 		for (const follower of [operatorFollower, leaseFollower, memberFollower]) {
 			follower.stop();
 		}
 
-		executorFollower?.stop();
 		await heartbeat.stop();
 		await peers?.stop(now());
 	};
@@ -694,33 +472,14 @@
 		routes.get() !== undefined &&
 		!leaseFollower.isLost();
 
-	const listJobs = (): readonly JobSummary[] =>
-		[...runners.values()].flatMap((runner) =>
-			[...(runner.getOwner()?.jobs.values() ?? [])].map((job) => ({
-				job: job.accepted.id,
-				queue: job.accepted.policy.queue,
-				state: scheduler.getJobState(job),
-				acceptedAtEpochMs: job.accepted.acceptedAtEpochMs,
-			})),
-		);
-
-	const explain = (route: QueueRoute, id: string) => {
-		const runner = runners.get(getServiceShard(route.service));
-		const owner = runner?.getOwner();
-		const job = owner?.jobs.get(id);
-		return owner && job?.accepted.policy.queue === route.name
-			? scheduler.explainJob(owner, job, now())
-			: undefined;
-	};
-
 	return {
 		start,
 		handOver,
 		stop,
 		isReady,
 		service,
-		listJobs,
-		explain,
+		listJobs: owned.listJobs,
+		explain: owned.explain,
 		routes,
 		metrics,
 	};
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -0,0 +1,158 @@
+/** The services that this daemon owns, and the executors listed for them. */
+import {scheduler} from '@gullstand/core';
+import type {
+	AdviceService,
+	ExecutorFeed,
+	Executors,
+	QueueRoute,
+	RowStore,
+	StoredRow,
+} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import type {ReportFailure} from '../../supervisor/supervisor.js';
+import {runInBackground} from '../background.js';
+import type {Clock, Moment} from '../clock.js';
+import {createExecutorList} from '../executor-list.js';
+import type {JobMetrics} from '../job-metrics.js';
+import {followPeriods} from '../periods.js';
+import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
+import {getServiceShard, type LeaseRow} from '../rows/tables.js';
+import type {HeldShard} from '../shards/shard-keeper.js';
+import {createOwnerRunner, type OwnerRunner} from './owner-runner.js';
+
+/** What running services takes. */
+export type OwnedServicesDeps = {
+	readonly store: RowStore;
+	readonly executors: Executors;
+	readonly executorFeed: ExecutorFeed;
+	readonly advice: AdviceService | undefined;
+	readonly clock: Clock;
+	readonly cfg: scheduler.SchedulerConfig;
+	readonly logger: Logger;
+	readonly metrics: JobMetrics;
+	readonly getConfirmed: () => Moment | undefined;
+	readonly hasLetGo: (previous: LeaseRow) => Promise<boolean>;
+	/** A service turned out to be another's; `rows` may say whose. */
+	readonly onLost: (shard: string, rows: readonly StoredRow[]) => void;
+	readonly reportFailure: ReportFailure;
+};
+
+/** A job as the list shows it. */
+export type JobSummary = {
+	readonly job: string;
+	readonly queue: string;
+	readonly state: scheduler.JobState;
+	readonly acceptedAtEpochMs: number;
+};
+
+/** The services owned now. */
+export type OwnedServices = {
+	readonly get: (shard: string) => OwnerRunner | undefined;
+	/** Begins to run a service that was just acquired. */
+	readonly take: (held: HeldShard, service: string) => void;
+	/** Stores what is left and orders nothing more. */
+	readonly letGo: (shard: string) => Promise<void>;
+	/** Drops a service that is another's. */
+	readonly drop: (shard: string) => void;
+	readonly dropAll: () => void;
+	readonly listJobs: () => readonly JobSummary[];
+	/** Why tasks of a job do not run; absent unless it is owned here. */
+	readonly explain: (
+		route: QueueRoute,
+		id: string,
+	) => readonly scheduler.TaskExplanation[] | undefined;
+};
+
+/** Creates an empty set. */
+export const createOwnedServices = (deps: OwnedServicesDeps): OwnedServices => {
+	const {clock, logger, reportFailure} = deps;
+	const runners = new Map<string, OwnerRunner>();
+	const executorList = createExecutorList();
+	let follower: FeedFollower | undefined;
+
+	const noteExecutors = (isWhole: boolean) => {
+		for (const runner of runners.values()) {
+			runner.noteExecutors(isWhole);
+		}
+	};
+
+	/** Only owners read the registry, which changes all the time. */
+	const follow = () => {
+		follower = createFeedFollower({
+			name: 'executors',
+			feed: deps.executorFeed,
+			periods: followPeriods.executors,
+			clock,
+			logger,
+			onWhole(batch) {
+				executorList.applyWhole(batch);
+				noteExecutors(true);
+			},
+			onChanges(batch) {
+				executorList.applyChanges(batch);
+				noteExecutors(false);
+			},
+		});
+		follower.start(reportFailure);
+	};
+
+	const unfollow = () => {
+		follower?.stop();
+		follower = undefined;
+	};
+
+	const drop = (shard: string) => {
+		runners.get(shard)?.abandon();
+		runners.delete(shard);
+		if (runners.size === 0) {
+			unfollow();
+		}
+	};
+
+	return {
+		get: (shard) => runners.get(shard),
+		take(held, service) {
+			const runner = createOwnerRunner({
+				...deps,
+				held,
+				service,
+				listExecutors: executorList.list,
+				onLost(reason, rows) {
+					logger.warn('service lost', {shard: held.shard, reason});
+					deps.onLost(held.shard, rows);
+				},
+			});
+			runners.set(held.shard, runner);
+			if (!follower) {
+				follow();
+			}
+
+			runInBackground(runner.start, reportFailure);
+		},
+		async letGo(shard) {
+			await runners.get(shard)?.stop();
+		},
+		drop,
+		dropAll() {
+			for (const shard of runners.keys()) {
+				drop(shard);
+			}
+		},
+		listJobs: () =>
+			[...runners.values()].flatMap((runner) =>
+				[...(runner.getOwner()?.jobs.values() ?? [])].map((job) => ({
+					job: job.accepted.id,
+					queue: job.accepted.policy.queue,
+					state: scheduler.getJobState(job),
+					acceptedAtEpochMs: job.accepted.acceptedAtEpochMs,
+				})),
+			),
+		explain(route, id) {
+			const owner = runners.get(getServiceShard(route.service))?.getOwner();
+			const job = owner?.jobs.get(id);
+			return owner && job?.accepted.policy.queue === route.name
+				? scheduler.explainJob(owner, job, clock.now())
+				: undefined;
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/peer-handlers.ts
@@ -0,0 +1,126 @@
+/** Answers what other daemons ask of this one. */
+import type {PeerChannel} from '../peers/peer-channel.js';
+import type {CancelOutcome, JobService} from './entry/job-service.js';
+import type {Routes} from './entry/routes.js';
+import type {Submissions} from './entry/submissions.js';
+import type {OwnedServices} from './owner/owned-services.js';
+import {jobPeerSchemas} from './peer-methods.js';
+import type {ShardKeeper} from './shards/shard-keeper.js';
+
+/** What the answers are made from. */
+export type PeerHandlersDeps = {
+	/** Life of this daemon. */
+	readonly incarnation: string;
+	readonly owned: Pick<OwnedServices, 'get'>;
+	readonly submissions: Submissions;
+	readonly service: Pick<JobService, 'cancelHere'>;
+	readonly routes: Pick<Routes, 'getByName'>;
+	readonly keeper: ShardKeeper;
+	/** Reads the leases now. */
+	readonly readLeases: () => void;
+	readonly now: () => number;
+};
+
+const cancelForPeer = async (
+	{routes, service, now}: PeerHandlersDeps,
+	queue: string,
+	id: string,
+	timeoutMs: number,
+): Promise<CancelOutcome> => {
+	const route = routes.getByName(queue);
+	if (!route) {
+		return 'store-unavailable';
+	}
+
+	const result = await service.cancelHere(route, id, now() + timeoutMs);
+	if (result.ok) {
+		return 'cancelled';
+	}
+
+	const {error} = result;
+	return error === 'unknown-job' || error === 'store-unknown'
+		? error
+		: 'store-unavailable';
+};
+
+const registerCalls = (
+	channel: Pick<PeerChannel, 'addMethod'>,
+	deps: PeerHandlersDeps,
+): void => {
+	const {owned, submissions, now} = deps;
+	channel.addMethod('noteRows', jobPeerSchemas.noteRows, ({shard, rows}) => {
+		const runner = owned.get(shard);
+		runner?.noteRows(rows);
+		return {isOwner: runner !== undefined};
+	});
+	channel.addMethod(
+		'readJob',
+		jobPeerSchemas.readJob,
+		({shard, queue, id}) =>
+			owned.get(shard)?.readJob(id, queue) ?? {kind: 'not-owner'},
+	);
+	channel.addMethod(
+		'countPending',
+		jobPeerSchemas.countPending,
+		({shard, queue}) => ({pending: owned.get(shard)?.countPending(queue)}),
+	);
+	channel.addMethod(
+		'submitJob',
+		jobPeerSchemas.submitJob,
+		async ({shard, job, timeoutMs}) =>
+			submissions.submit(shard, job, now() + timeoutMs),
+	);
+	channel.addMethod(
+		'cancelJob',
+		jobPeerSchemas.cancelJob,
+		async ({queue, id, timeoutMs}) => ({
+			outcome: await cancelForPeer(deps, queue, id, timeoutMs),
+		}),
+	);
+};
+
+const registerControl = (
+	channel: Pick<PeerChannel, 'addMethod'>,
+	{owned, keeper, incarnation, readLeases}: PeerHandlersDeps,
+): void => {
+	channel.addMethod(
+		'evacuate',
+		jobPeerSchemas.evacuate,
+		({shard, executorId, patienceMs}) => ({
+			state: owned.get(shard)?.evacuate(executorId, patienceMs),
+		}),
+	);
+	channel.addMethod('readLoad', jobPeerSchemas.readLoad, ({shard}) => ({
+		load: owned.get(shard)?.getLoad(),
+	}));
+	channel.addMethod(
+		'noteGone',
+		jobPeerSchemas.noteGone,
+		({shard, executorId}) => {
+			owned.get(shard)?.noteGone(executorId);
+			return {};
+		},
+	);
+	channel.addMethod('depose', jobPeerSchemas.depose, ({shard, token}) => {
+		const mine = keeper.listHeld().find((each) => each.shard === shard);
+		if (mine && mine.token < token) {
+			keeper.noteDeposed(shard);
+		}
+
+		return {incarnation};
+	});
+	channel.addMethod('shardReleased', jobPeerSchemas.shardReleased, () => {
+		readLeases();
+		keeper.hasten();
+		return {};
+	});
+};
+
+/** Registers all methods of the jobs side. */
+export const registerPeerHandlers = (
+	channel: Pick<PeerChannel, 'addMethod'>,
+	deps: PeerHandlersDeps,
+): void => {
+	registerCalls(channel, deps);
+	registerControl(channel, deps);
+};
