--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -1,24 +1,8 @@
 /** `gullstand status|pool|move|entry|change`: what the fleet is doing. */
 import type {Command} from 'commander';
-import {callOperator, type OperatorCall} from '../client/operator-client.js';
-import {formatInForce, printAnswer, show} from './answer.js';
-import {addTargetFlags, readTarget, type Io, type TargetFlags} from './io.js';
-
-type Fields = Readonly<Record<string, unknown>>;
-
-type Format = (fields: Fields) => readonly string[];
-
-const call = async (
-	request: OperatorCall,
-	flags: TargetFlags,
-	io: Io,
-	format: Format,
-) => {
-	const target = await readTarget(flags, io);
-	if (target) {
-		printAnswer(await callOperator(target, request), flags, io, format);
-	}
-};
+import {formatInForce, show} from './answer.js';
+import {call, type Fields, type Format} from './call.js';
+import {addTargetFlags, type Io, type TargetFlags} from './io.js';
 
 const formatCounts = (counts: Fields): string =>
 	Object.entries(counts)
--- a/packages/cli/src/commands/job.ts
+++ b/packages/cli/src/commands/job.ts
@@ -3,28 +3,12 @@
 import {randomBytes} from 'node:crypto';
 import type {Command} from 'commander';
 import {parse} from 'smol-toml';
-import {callOperator, type OperatorCall} from '../client/operator-client.js';
-import {printAnswer, show} from './answer.js';
-import {addTargetFlags, readTarget, type Io, type TargetFlags} from './io.js';
-
-type Fields = Readonly<Record<string, unknown>>;
-
-type Format = (fields: Fields) => readonly string[];
+import {show} from './answer.js';
+import {call, type Fields, type Format} from './call.js';
+import {addTargetFlags, type Io, type TargetFlags} from './io.js';
 
 const idBytes = 8;
 
-const call = async (
-	request: OperatorCall,
-	flags: TargetFlags,
-	io: Io,
-	format: Format,
-) => {
-	const target = await readTarget(flags, io);
-	if (target) {
-		printAnswer(await callOperator(target, request), flags, io, format);
-	}
-};
-
 const getPath = (queue: string, id: string): string =>
 	`/v1/jobs/${encodeURIComponent(queue)}/${encodeURIComponent(id)}`;
 
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/job-remover.ts
@@ -0,0 +1,71 @@
+/** Removes the rows of jobs that ended so long ago that nobody may ask. */
+import {scheduler} from '@gullstand/core';
+import type {RowStore} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import {periods} from '../periods.js';
+import {getCancelKey, singleKeys, tables} from '../rows/tables.js';
+import type {HeldShard} from '../shards/shard-keeper.js';
+
+/** Jobs removed at a time, three rows each; origin: 100 entries a transaction. */
+const removalBatch = 30;
+
+const removalPeriodMs = 5000;
+
+/** What the remover needs. */
+export type JobRemoverDeps = {
+	readonly store: RowStore;
+	readonly held: HeldShard;
+	readonly now: () => number;
+	readonly logger: Pick<Logger, 'info'>;
+};
+
+/** Removes what is due, at most once in five seconds. */
+export type JobRemover = {
+	readonly run: (owner: scheduler.Owner) => Promise<void>;
+};
+
+/** Creates a remover. */
+export const createJobRemover = (deps: JobRemoverDeps): JobRemover => {
+	const {store, held, now, logger} = deps;
+	const part = held.shard;
+	let ranAt = now();
+
+	const removeRows = async (ids: readonly string[]): Promise<boolean> => {
+		const {lease, job, progress} = tables;
+		const result = await store.transact(
+			{
+				checks: [
+					{table: lease, part, key: singleKeys.lease, version: held.version},
+				],
+				puts: [],
+				removes: ids.flatMap((id) => [
+					{table: job, part, key: id},
+					{table: job, part, key: getCancelKey(id)},
+					{table: progress, part, key: id},
+				]),
+			},
+			periods.storeTimeoutMs,
+		);
+		logger.info('ended jobs removed', {
+			jobs: ids.length,
+			outcome: result.ok ? 'done' : result.error.kind,
+		});
+		return result.ok;
+	};
+
+	return {
+		async run(owner) {
+			if (now() - ranAt < removalPeriodMs) {
+				return;
+			}
+
+			ranAt = now();
+			const ids = scheduler.forgetEndedJobs(owner, now(), removalBatch);
+			if (ids.length > 0 && (await removeRows(ids))) {
+				for (const id of ids) {
+					owner.jobs.delete(id);
+				}
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -0,0 +1,93 @@
+/** Lines and figures about what an owner decides and learns. */
+import type {scheduler} from '@gullstand/core';
+import type {Logger} from '../../log/logger.js';
+import type {Clock} from '../clock.js';
+import {legs, type JobMetrics} from '../job-metrics.js';
+
+/** The log of one ownership. */
+export type OwnerLog = {
+	readonly noteJobEnd: (job: string, end: string, reason: string) => void;
+	readonly noteLook: (
+		executor: scheduler.Executor,
+		changes: scheduler.LookChanges,
+	) => void;
+	/** Runs that are certainly over without an end. */
+	readonly noteFreed: (runs: readonly scheduler.Run[], reason: string) => void;
+	/** The answer to a start. */
+	readonly noteStarted: (run: scheduler.Run, isStarted: boolean) => void;
+	readonly noteStored: (flush: scheduler.Flush) => void;
+};
+
+/** What the log writes to. */
+export type OwnerLogDeps = {
+	readonly service: string;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	readonly metrics: JobMetrics;
+	readonly clock: Clock;
+};
+
+/** Creates the log. */
+export const createOwnerLog = (deps: OwnerLogDeps): OwnerLog => {
+	const {service, logger, metrics, clock} = deps;
+
+	const noteJobEnd: OwnerLog['noteJobEnd'] = (job, end, reason) => {
+		metrics.count('jobs_ended', end);
+		logger.info('job ended', {job, end, reason});
+	};
+
+	return {
+		noteJobEnd,
+		noteLook(executor, changes) {
+			for (const {taskId, run, how, failures} of changes.ends) {
+				metrics.count('runs_ended', how);
+				logger.info('task end', {
+					task: taskId,
+					run,
+					how,
+					failures,
+					executor: executor.id,
+				});
+			}
+
+			for (const key of changes.lost) {
+				logger.warn('run vanished', {run: key, executor: executor.id});
+			}
+
+			for (const {job, end, reason} of changes.jobEnds) {
+				noteJobEnd(job, end, reason);
+			}
+		},
+		noteFreed(runs, reason) {
+			for (const {task, number, executorId} of runs) {
+				logger.warn('run given up', {
+					task: task.id,
+					run: number,
+					executor: executorId,
+					reason,
+				});
+			}
+		},
+		noteStarted(run, isStarted) {
+			const {accepted, hasStarted} = run.task.step.occurrence.job;
+			metrics.count('starts', isStarted ? 'started' : 'not-started');
+			metrics.record(legs.start, service, clock.now() - run.askedAt);
+			if (isStarted && !hasStarted) {
+				const waitedMs = clock.epochNow() - accepted.acceptedAtEpochMs;
+				metrics.record(legs.firstStart, accepted.policy.queue, waitedMs);
+			}
+		},
+		noteStored({jobs}) {
+			for (const {job, end} of jobs) {
+				if (end === 'completed') {
+					const tookMs = clock.epochNow() - job.accepted.acceptedAtEpochMs;
+					metrics.record(legs.job, job.accepted.policy.queue, tookMs);
+					noteJobEnd(
+						job.accepted.id,
+						end,
+						`all tasks done in ${Math.round(tookMs)} ms`,
+					);
+				}
+			}
+		},
+	};
+};
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -14,21 +14,17 @@
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
 import {delay, getMostElapsedMs, type Clock, type Moment} from '../clock.js';
-import {legs, type JobMetrics} from '../job-metrics.js';
+import type {JobMetrics} from '../job-metrics.js';
 import {followPeriods, periods} from '../periods.js';
 import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
 import {createTableFeed} from '../rows/table-feed.js';
-import {
-	decodeRow,
-	getCancelKey,
-	jobSchema,
-	parseJobKey,
-	tables,
-	type LeaseRow,
-} from '../rows/tables.js';
+import {tables, type LeaseRow} from '../rows/tables.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
 import {createFlusher, type Flusher} from './flusher.js';
 import {openExecutorLink, type ExecutorLink} from './executor-link.js';
+import {createJobRemover} from './job-remover.js';
+import {createOwnerLog} from './owner-log.js';
+import {takeRows} from './row-intake.js';
 import {getInheritedMs, loadOwner} from './load-owner.js';
 
 /** What an owner's runner needs. */
@@ -83,11 +79,6 @@
 	readonly getOwner: () => scheduler.Owner | undefined;
 };
 
-/** Jobs removed at a time; origin: 100 entries a transaction. */
-const removalBatch = 30;
-
-const removalPeriodMs = 5000;
-
 /** Bound on the last flush of an owner that lets go, in milliseconds. */
 const maxDrainMs = 400;
 
@@ -95,6 +86,8 @@
 export const createOwnerRunner = (deps: OwnerRunnerDeps): OwnerRunner => {
 	const {held, service, store, clock, cfg, metrics} = deps;
 	const logger = deps.logger.child({shard: held.shard});
+	const log = createOwnerLog({service, logger, metrics, clock});
+	const remover = createJobRemover({store, held, now: clock.now, logger});
 	const links = new Map<string, ExecutorLink>();
 	let owner: scheduler.Owner | undefined;
 	let flusher: Flusher | undefined;
@@ -102,7 +95,6 @@
 	const state = {isStopped: false, isLettingGo: false};
 	let isPlanDue = false;
 	let planTimer: NodeJS.Timeout | undefined;
-	let removedAt = 0;
 	const pacedAt = new Map<string, number>();
 
 	const isBelieved = (): boolean => {
@@ -129,34 +121,11 @@
 		}
 	};
 
-	const logJobEnd = (id: string, end: string, reason: string) => {
-		metrics.count('jobs_ended', end);
-		logger.info('job ended', {job: id, end, reason});
-	};
-
 	const takeLookChanges = (
 		executor: scheduler.Executor,
 		changes: scheduler.LookChanges,
 	) => {
-		for (const {taskId, run, how, failures} of changes.ends) {
-			metrics.count('runs_ended', how);
-			logger.info('task end', {
-				task: taskId,
-				run,
-				how,
-				failures,
-				executor: executor.id,
-			});
-		}
-
-		for (const key of changes.lost) {
-			logger.warn('run vanished', {run: key, executor: executor.id});
-		}
-
-		for (const {job, end, reason} of changes.jobEnds) {
-			logJobEnd(job, end, reason);
-		}
-
+		log.noteLook(executor, changes);
 		planPaces(executor);
 		onChange();
 	};
@@ -177,20 +146,9 @@
 		}
 	};
 
-	const noteFreed = (runs: readonly scheduler.Run[], reason: string) => {
-		for (const {task, number, executorId} of runs) {
-			logger.warn('run given up', {
-				task: task.id,
-				run: number,
-				executor: executorId,
-				reason,
-			});
-		}
-	};
-
 	const noteGone = (id: string, reason: string) => {
 		if (owner) {
-			noteFreed(scheduler.noteGone(owner, id), reason);
+			log.noteFreed(scheduler.noteGone(owner, id), reason);
 			onChange();
 		}
 	};
@@ -213,23 +171,11 @@
 			onOtherLife() {
 				noteGone(executor.id, 'another life answers at the address');
 			},
-			onStarted(run, isStarted) {
-				noteStarted(run, isStarted);
-			},
+			onStarted: log.noteStarted,
 		});
 		links.set(executor.id, link);
 	};
 
-	const noteStarted = (run: scheduler.Run, isStarted: boolean) => {
-		const {accepted, hasStarted} = run.task.step.occurrence.job;
-		metrics.count('starts', isStarted ? 'started' : 'not-started');
-		metrics.record(legs.start, service, clock.now() - run.askedAt);
-		if (isStarted && !hasStarted) {
-			const waitedMs = clock.epochNow() - accepted.acceptedAtEpochMs;
-			metrics.record(legs.firstStart, accepted.policy.queue, waitedMs);
-		}
-	};
-
 	/** Opens links to new executors, closes those to forgotten ones. */
 	const matchLinks = (current: scheduler.Owner) => {
 		for (const executor of current.executors.values()) {
@@ -272,7 +218,7 @@
 		}
 
 		const now = clock.now();
-		noteFreed(scheduler.expireLeases(owner, now), 'its lease is over');
+		log.noteFreed(scheduler.expireLeases(owner, now), 'its lease is over');
 		matchLinks(owner);
 		if (isBelieved() && !state.isLettingGo) {
 			scheduler.advanceSchedules(owner, clock.epochNow());
@@ -289,49 +235,11 @@
 		flusher?.poke();
 	};
 
-	const removeOldJobs = async (current: scheduler.Owner) => {
-		const now = clock.now();
-		if (now - removedAt < removalPeriodMs) {
-			return;
-		}
-
-		removedAt = now;
-		const ids = scheduler.forgetEndedJobs(current, now, removalBatch);
-		if (ids.length === 0) {
-			return;
-		}
-
-		const part = held.shard;
-		const result = await store.transact(
-			{
-				checks: [
-					{table: tables.lease, part, key: 'lease', version: held.version},
-				],
-				puts: [],
-				removes: ids.flatMap((id) => [
-					{table: tables.job, part, key: id},
-					{table: tables.job, part, key: getCancelKey(id)},
-					{table: tables.progress, part, key: id},
-				]),
-			},
-			periods.storeTimeoutMs,
-		);
-		logger.info('ended jobs removed', {
-			jobs: ids.length,
-			outcome: result.ok ? 'done' : result.error.kind,
-		});
-		if (result.ok) {
-			for (const id of ids) {
-				current.jobs.delete(id);
-			}
-		}
-	};
-
 	const planAgain = () => {
 		planTimer = setTimeout(() => {
 			runPlan();
 			if (owner) {
-				void removeOldJobs(owner);
+				void remover.run(owner);
 			}
 
 			if (!state.isStopped) {
@@ -363,59 +271,12 @@
 		onChange();
 	};
 
-	const noteJob = (current: scheduler.Owner, row: ChangedRow) => {
-		const decoded = decodeRow(jobSchema, row.value ?? '');
-		if (!decoded.ok) {
-			logger.warn('row skipped', {
-				table: row.table,
-				key: row.key,
-				...decoded.error,
-			});
-			return;
-		}
-
-		const {accepted} = scheduler.addJob(
-			current,
-			decoded.value,
-			row.version < held.version,
-			clock.now(),
-		);
-		logger.info('job taken in', {
-			job: row.key,
-			queue: accepted.policy.queue,
-			version: row.version,
-			ageMs: Math.round(clock.epochNow() - accepted.acceptedAtEpochMs),
-			steps: accepted.spec.steps.length,
-		});
-	};
-
-	const noteCancel = (current: scheduler.Owner, id: string) => {
-		const job = current.jobs.get(id);
-		if (job?.end === undefined && job) {
-			scheduler.cancelJob(current, job, clock.now());
-			logJobEnd(id, 'cancelled', 'the caller cancelled it');
-		}
-	};
-
 	const noteRows = (rows: readonly ChangedRow[]) => {
 		if (!owner) {
 			return;
 		}
 
-		for (const row of rows) {
-			const {id, isCancel} = parseJobKey(row.key);
-			if (row.value !== undefined && !isCancel && !owner.jobs.has(id)) {
-				noteJob(owner, row);
-			}
-		}
-
-		for (const row of rows) {
-			const {id, isCancel} = parseJobKey(row.key);
-			if (row.value !== undefined && isCancel) {
-				noteCancel(owner, id);
-			}
-		}
-
+		takeRows(owner, rows, {held, clock, logger, log});
 		onChange();
 	};
 
@@ -463,16 +324,6 @@
 		}
 	};
 
-	const noteStored = ({jobs}: scheduler.Flush) => {
-		for (const {job, end} of jobs) {
-			if (end === 'completed') {
-				const tookMs = clock.epochNow() - job.accepted.acceptedAtEpochMs;
-				metrics.record(legs.job, job.accepted.policy.queue, tookMs);
-				logJobEnd(job.accepted.id, end, `all tasks done in ${tookMs} ms`);
-			}
-		}
-	};
-
 	const start = async () => {
 		const loaded = await load();
 		if (!loaded || state.isStopped) {
@@ -491,7 +342,7 @@
 					links.get(id)?.noteAckable();
 				}
 			},
-			onStored: noteStored,
+			onStored: log.noteStored,
 			onLost: lose,
 		});
 		follower = createFeedFollower({
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/row-intake.ts
@@ -0,0 +1,80 @@
+/** Takes rows of the job table into an owner's state. */
+import {scheduler} from '@gullstand/core';
+import type {ChangedRow} from '@gullstand/ports';
+import type {Logger} from '../../log/logger.js';
+import type {Clock} from '../clock.js';
+import {decodeRow, jobSchema, parseJobKey} from '../rows/tables.js';
+import type {HeldShard} from '../shards/shard-keeper.js';
+import type {OwnerLog} from './owner-log.js';
+
+/** What the intake needs. */
+export type RowIntakeDeps = {
+	readonly held: HeldShard;
+	readonly clock: Clock;
+	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	readonly log: OwnerLog;
+};
+
+const takeJob = (
+	owner: scheduler.Owner,
+	row: ChangedRow,
+	{held, clock, logger}: RowIntakeDeps,
+): void => {
+	const decoded = decodeRow(jobSchema, row.value ?? '');
+	if (!decoded.ok) {
+		const {table, key} = row;
+		logger.warn('row skipped', {table, key, ...decoded.error});
+		return;
+	}
+
+	// Older than the lease: an earlier owner may have started its tasks.
+	const isInherited = row.version < held.version;
+	const {accepted} = scheduler.addJob(
+		owner,
+		decoded.value,
+		isInherited,
+		clock.now(),
+	);
+	logger.info('job taken in', {
+		job: row.key,
+		queue: accepted.policy.queue,
+		version: row.version,
+		ageMs: Math.round(clock.epochNow() - accepted.acceptedAtEpochMs),
+		steps: accepted.spec.steps.length,
+	});
+};
+
+const takeCancel = (
+	owner: scheduler.Owner,
+	id: string,
+	{clock, log}: RowIntakeDeps,
+): void => {
+	const job = owner.jobs.get(id);
+	if (job && job.end === undefined) {
+		scheduler.cancelJob(owner, job, clock.now());
+		log.noteJobEnd(id, 'cancelled', 'the caller cancelled it');
+	}
+};
+
+/** Takes rows in, from a peer or the store; known ones change nothing. */
+export const takeRows = (
+	owner: scheduler.Owner,
+	rows: readonly ChangedRow[],
+	deps: RowIntakeDeps,
+): void => {
+	const present = rows.filter(({value}) => value !== undefined);
+	for (const row of present) {
+		const {id, isCancel} = parseJobKey(row.key);
+		if (!isCancel && !owner.jobs.has(id)) {
+			takeJob(owner, row, deps);
+		}
+	}
+
+	// Jobs first: a cancellation may come in the same batch as its job.
+	for (const row of present) {
+		const {id, isCancel} = parseJobKey(row.key);
+		if (isCancel) {
+			takeCancel(owner, id, deps);
+		}
+	}
+};
--- a/packages/ports/src/memory/row-store.ts
+++ b/packages/ports/src/memory/row-store.ts
@@ -9,6 +9,7 @@
 	RowTransaction,
 	StoredRow,
 } from '../ports/row-store.js';
+import {createChangeSignal} from './change-signal.js';
 
 /** What happens to a call. */
 export type StoreFault =
@@ -48,7 +49,7 @@
 	let calls = 0;
 	let decideFault: (call: 'transact' | 'read') => StoreFault | undefined = () =>
 		undefined;
-	const waiting = new Set<() => void>();
+	const signal = createChangeSignal();
 
 	const holds = (check: RowCheck): boolean =>
 		(rows.get(toId(check))?.version ?? 0) === check.version;
@@ -73,9 +74,7 @@
 			history.push({table, part, key, value: undefined, version});
 		}
 
-		for (const wake of waiting) {
-			wake();
-		}
+		signal.notify();
 
 		return succeed({version, nowMs: performance.now()});
 	};
@@ -108,18 +107,6 @@
 	const listChanges = (table: string, after: number): readonly ChangedRow[] =>
 		history.filter((row) => row.table === table && row.version > after);
 
-	const waitForChange = async (ms: number): Promise<void> =>
-		new Promise((resolve) => {
-			const end = () => {
-				clearTimeout(timer);
-				waiting.delete(end);
-				resolve();
-			};
-
-			const timer = setTimeout(end, ms);
-			waiting.add(end);
-		});
-
 	return {
 		transact: async (transaction) =>
 			guard('transact', () => apply(transaction)),
@@ -144,7 +131,7 @@
 			}),
 		async readChanges({table, afterVersion, waitMs}) {
 			if (waitMs > 0 && listChanges(table, afterVersion).length === 0) {
-				await waitForChange(waitMs);
+				await signal.wait(waitMs);
 			}
 
 			return guard('read', () =>
--- a/packages/ports/src/memory/task-machines.ts
+++ b/packages/ports/src/memory/task-machines.ts
@@ -2,6 +2,7 @@
 import {succeed} from '@gullstand/core';
 import type {Feed, FeedEntry} from '../ports/feeds.js';
 import type {Machine, Machines} from '../ports/machines.js';
+import {createChangeSignal} from './change-signal.js';
 
 /** Machines in memory. */
 export type MemoryMachines = Machines & {
@@ -74,19 +75,7 @@
 export const createMemoryFeed = <Value>(): MemoryFeed<Value> => {
 	const entries = new Map<string, Value>();
 	const history: Array<FeedEntry<Value>> = [];
-	const waiting = new Set<() => void>();
-
-	const waitForChange = async (ms: number): Promise<void> =>
-		new Promise((resolve) => {
-			const end = () => {
-				clearTimeout(timer);
-				waiting.delete(end);
-				resolve();
-			};
-
-			const timer = setTimeout(end, ms);
-			waiting.add(end);
-		});
+	const signal = createChangeSignal();
 
 	return {
 		put(key, value) {
@@ -97,9 +86,7 @@
 			}
 
 			history.push({key, value});
-			for (const wake of waiting) {
-				wake();
-			}
+			signal.notify();
 		},
 		readAll: async () =>
 			succeed({
@@ -108,7 +95,7 @@
 			}),
 		async readChanges(afterVersion, waitMs) {
 			if (history.length === afterVersion && waitMs > 0) {
-				await waitForChange(waitMs);
+				await signal.wait(waitMs);
 			}
 
 			return succeed({
