--- a/packages/cli/src/commands/fleet.ts
+++ b/packages/cli/src/commands/fleet.ts
@@ -1,7 +1,7 @@
 /** `gullstand status|pool|move|entry|change`: what the fleet is doing. */
 import type {Command} from 'commander';
 import {formatInForce, show} from './answer.js';
-import {call, type Fields, type Format} from './call.js';
+import {call, type Fields} from './call.js';
 import {addTargetFlags, type Io, type TargetFlags} from './io.js';
 
 const formatCounts = (counts: Fields): string =>
