Count silence only while heartbeats are read; list no executor that is gone

And an executor that was known to be gone was listed, connected to and dropped again every 0.4 s until the registry forgot it.

--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -43,6 +43,8 @@
 	flush: number;
 	/** What the advice service has said, by step. */
 	readonly advice: Map<string, StepAdvice>;
+	/** Lives of executors that are over; the registry may still list them. */
+	readonly gone: Set<string>;
 	/** Work handed in lately. */
 	arrivals: Arrivals;
 	/** Mean work of a job by queue, for the order of work. */
@@ -75,6 +77,7 @@
 	isRosterDirty: false,
 	flush: 1,
 	advice: new Map(),
+	gone: new Set(),
 	arrivals: noArrivals,
 	meanWork: new Map(),
 });
@@ -207,6 +210,10 @@
 		return;
 	}
 
+	if (owner.gone.has(listed.id)) {
+		return;
+	}
+
 	owner.executors.set(listed.id, createExecutor(listed));
 	owner.isRosterDirty = true;
 };
@@ -237,6 +244,7 @@
 /** This life of an executor is certainly gone, with all that it ran. */
 export const noteGone = (owner: Owner, id: string): readonly Run[] => {
 	owner.unresolved.delete(id);
+	owner.gone.add(id);
 	const executor = owner.executors.get(id);
 	if (!executor) {
 		return [];
--- a/packages/core/src/scheduler/twice.test.ts
+++ b/packages/core/src/scheduler/twice.test.ts
@@ -291,3 +291,14 @@
 	look(owner, 'x', {at: 3});
 	t.same(describeOrders(planAndStart(owner, 4)), ['start a.0.0.0 on x']);
 });
+
+tap.t.test('an executor that is gone is not listed again', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	scheduler.noteGone(owner, 'x');
+	t.notOk(owner.executors.has('x'));
+	scheduler.listExecutor(owner, createListed('x'));
+	t.notOk(
+		owner.executors.has('x'),
+		'the registry may hold its row for seconds',
+	);
+});
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -310,6 +310,12 @@
 		members,
 		book,
 		listShards,
+		mayClaim() {
+			const writtenAt = heartbeat.getLastWrittenAt();
+			return (
+				writtenAt !== undefined && now() - writtenAt < periods.leaseMs
+			);
+		},
 		now,
 		random: deps.random,
 		logger,
--- a/packages/daemon/src/jobs/shards/members.ts
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -17,7 +17,10 @@
 	readonly get: (name: string) => Member | undefined;
 	/** Whether the heartbeats were read whole, so that absence says something. */
 	readonly isRead: () => boolean;
-	/** How long a daemon's heartbeat has stood still; 0 if it is not known. */
+	/**
+	 * How long a daemon's heartbeat has stood still; 0 if it is not known, and
+	 * while none is read: then this daemon may be the one that is cut off.
+	 */
 	readonly getSilentMs: (name: string) => number;
 	/** Names of those whose heartbeat is younger than `withinMs`. */
 	readonly listLive: (withinMs: number) => readonly string[];
@@ -104,7 +107,9 @@
 		isRead: () => isRead,
 		getSilentMs(name) {
 			const member = known.get(name);
-			return member ? now() - member.changedAt : 0;
+			const isReading =
+				readAt !== undefined && now() - readAt <= deps.observationGapMs;
+			return member && isReading ? now() - member.changedAt : 0;
 		},
 		listAll: () =>
 			[...known.values()]
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -34,6 +34,8 @@
 	readonly getAddress: () => string;
 	readonly members: Members;
 	readonly book: LeaseBook;
+	/** Whether this daemon's own heartbeat is in the store and young. */
+	readonly mayClaim: () => boolean;
 	/** All shards that somebody should hold, by the configuration. */
 	readonly listShards: () => readonly string[];
 	readonly now: () => number;
@@ -228,7 +230,7 @@
 	};
 
 	const considerAll = async () => {
-		if (isStopping) {
+		if (isStopping || !deps.mayClaim()) {
 			return;
 		}
 
