--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -312,9 +312,7 @@
 		listShards,
 		mayClaim() {
 			const writtenAt = heartbeat.getLastWrittenAt();
-			return (
-				writtenAt !== undefined && now() - writtenAt < periods.leaseMs
-			);
+			return writtenAt !== undefined && now() - writtenAt < periods.leaseMs;
 		},
 		now,
 		random: deps.random,
