Wait with the look at an executor that still stops what nobody knows

Found by reading: with nothing of its own there, a link looked again at once, for as long as the run took to stop. The test counts the looks; it failed first with one after another.

--- /dev/null
+++ b/packages/daemon/src/jobs/owner/executor-link.test.ts
@@ -0,0 +1,71 @@
+import {scheduler} from '@gullstand/core';
+import type {Executors, LookAnswer} from '@gullstand/ports';
+import * as tap from 'tap';
+import {createListed, now} from '../job-world.test.fixture.js';
+import {openExecutorLink} from './executor-link.js';
+
+type Waits = number[];
+
+/** Executors whose looks all answer the same, after the time asked for. */
+const createExecutors = (answer: LookAnswer, waits: Waits): Executors => {
+	const done = async () => ({kind: 'done', clockMs: now()}) as const;
+	return {
+		start: async () => ({kind: 'started', clockMs: now()}),
+		stop: done,
+		pace: done,
+		async look(_target, {waitMs}) {
+			waits.push(waitMs);
+			await new Promise((resolve) => {
+				setTimeout(resolve, waitMs);
+			});
+			return answer;
+		},
+		forget: () => undefined,
+	};
+};
+
+const seen = {kind: 'seen', clockMs: 1, running: [], ends: []} as const;
+
+const stray = {
+	taskId: 'gone.0.0.0',
+	run: 1,
+	checkpoint: '',
+	percent: 0,
+	load: 0,
+};
+
+const cases = [
+	['an idle executor is looked at once', seen, [0]],
+	[
+		'one with a run of no known job is waited for',
+		{...seen, running: [stray]},
+		[0, 800],
+	],
+] as const;
+
+for (const [name, answer, expected] of cases) {
+	tap.t.test(name, async (t) => {
+		const cfg = scheduler.defaultSchedulerConfig;
+		const owner = scheduler.createOwner('s', 1, cfg, 0);
+		scheduler.listExecutor(owner, createListed('x'));
+		const waits: Waits = [];
+		const link = openExecutorLink({
+			owner,
+			executor: owner.executors.get('x')!,
+			executors: createExecutors(answer, waits),
+			now,
+			isBelieved: () => true,
+			logger: {info: () => undefined as never, warn: () => undefined as never},
+			onChange: () => undefined,
+			onLook: () => undefined,
+			onFenced: () => undefined,
+			onOtherLife: () => undefined,
+			onStarted: () => undefined,
+		});
+		await new Promise((resolve) => {
+			setTimeout(resolve, 100);
+		});
+		link.close();
+		t.same(waits, expected);
+	});
+}
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -154,7 +154,8 @@
 	const lookOnce = async () => {
 		const isQuiet = executor.isAdopted && executor.silentSince === undefined;
 		const {acknowledgedUpto} = executor;
-		const mayWait = isQuiet && !state.isPoked && executor.runs.size > 0;
+		const isBusy = executor.runs.size > 0 || executor.strays > 0;
+		const mayWait = isQuiet && !state.isPoked && isBusy;
 		const waitMs = mayWait ? periods.lookWaitMs : 0;
 		state.isPoked = false;
 		// A silent executor is not granted more: its leases must come to an end.
