Make runs in one place, and ask in one place whether a lease is young

An adopted run was spelled out beside the one that makes ordered runs; it is made by that now. The owner's and the fleet's runner asked the same question of the lease in the same words: clock.isWithin answers both. releaseRun only looked up the executor that its one caller had at hand: dropRun serves.

--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -7,16 +7,11 @@
 	noteClock,
 	type Executor,
 } from './executor.js';
-import {
-	completeIfDone,
-	endJob,
-	releaseRun,
-	type JobChange,
-	type Owner,
-} from './owner.js';
+import {completeIfDone, endJob, type JobChange, type Owner} from './owner.js';
 import {
 	addDueOccurrences,
 	createPastTask,
+	createRun,
 	markDone,
 	parseTaskId,
 	type Run,
@@ -256,19 +251,11 @@
 		return undefined;
 	}
 
-	const run: Run = {
-		task,
-		number: listed.run,
-		executorId: executor.id,
-		state: 'running',
-		askedAt: now,
-		confirmedAt: now,
-		percent: listed.percent,
-		progressedAt: now,
-		load: listed.load,
-		pacePercent: 100,
-		isStopUnderWay: false,
-	};
+	const run = createRun(task, listed.run, executor.id, now);
+	run.state = 'running';
+	run.confirmedAt = now;
+	run.percent = listed.percent;
+	run.load = listed.load;
 	task.lastRun = Math.max(task.lastRun, listed.run);
 	task.step.occurrence.job.hasStarted = true;
 	addRun(executor, run);
@@ -308,7 +295,6 @@
 
 /** Runs that were proved before the look was sent and are not listed. */
 const dropVanished = (
-	owner: Owner,
 	executor: Executor,
 	look: Look,
 	changes: Changes,
@@ -320,7 +306,7 @@
 		const wasThere =
 			run.confirmedAt !== undefined && run.confirmedAt < look.sentAt;
 		if (wasThere && !listed.has(key)) {
-			releaseRun(owner, run);
+			dropRun(executor, run);
 			changes.lost.push(key);
 		}
 	}
@@ -352,7 +338,7 @@
 	owner.unresolved.delete(executor.id);
 	// A full page of ends may hide the end of a run that is not listed.
 	if (look.ends.length < endsPerLook) {
-		dropVanished(owner, executor, look, changes);
+		dropVanished(executor, look, changes);
 	}
 
 	return {isFirst, ...changes};
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -183,14 +183,6 @@
 	}
 };
 
-/** Frees what a run held, for the task to be started elsewhere. */
-export const releaseRun = (owner: Owner, run: Run): void => {
-	const executor = owner.executors.get(run.executorId);
-	if (executor) {
-		dropRun(executor, run);
-	}
-};
-
 const canForget = (executor: Executor): boolean =>
 	!executor.isListed && executor.runs.size === 0;
 
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -21,7 +21,14 @@
 import type {Owner} from './owner.js';
 import {findEviction, listUsable, placeTask} from './place.js';
 import {rankJobs, type RankedJob} from './rank.js';
-import {isStepOpen, isWaiting, type Run, type Step, type Task} from './task.js';
+import {
+	createRun,
+	isStepOpen,
+	isWaiting,
+	type Run,
+	type Step,
+	type Task,
+} from './task.js';
 
 /** Why a run is stopped. */
 export type StopReason =
@@ -61,25 +68,6 @@
 const nextRunNumber = (owner: Owner, task: Task): number =>
 	Math.max(task.lastRun, owner.token * runsPerToken) + 1;
 
-const createRun = (
-	task: Task,
-	number: number,
-	executorId: string,
-	now: number,
-): Run => ({
-	task,
-	number,
-	executorId,
-	state: 'asked',
-	askedAt: now,
-	confirmedAt: undefined,
-	percent: 0,
-	progressedAt: now,
-	load: 0,
-	pacePercent: 100,
-	isStopUnderWay: false,
-});
-
 const stopRun = (
 	executor: Executor,
 	run: Run,
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -248,6 +248,26 @@
 		return earlier !== undefined && earlier.doneCount === earlier.spec.count;
 	});
 
+/** A run that is asked for now. */
+export const createRun = (
+	task: Task,
+	number: number,
+	executorId: string,
+	now: number,
+): Run => ({
+	task,
+	number,
+	executorId,
+	state: 'asked',
+	askedAt: now,
+	confirmedAt: undefined,
+	percent: 0,
+	progressedAt: now,
+	load: 0,
+	pacePercent: 100,
+	isStopUnderWay: false,
+});
+
 /** Whether a task is neither done nor under way. */
 export const isWaiting = (task: Task): boolean =>
 	!task.isDone && task.runs.length === 0;
--- a/packages/daemon/src/jobs/clock.ts
+++ b/packages/daemon/src/jobs/clock.ts
@@ -24,6 +24,17 @@
 export const getMostElapsedMs = (clock: Clock, since: Moment): number =>
 	Math.max(clock.now() - since.at, clock.epochNow() - since.epochAt);
 
+/**
+ * Whether something that was confirmed at a moment may still be counted on.
+ * It is not before it was ever confirmed.
+ */
+export const isWithin = (
+	clock: Clock,
+	confirmed: Moment | undefined,
+	ms: number,
+): boolean =>
+	confirmed !== undefined && getMostElapsedMs(clock, confirmed) < ms;
+
 /** Resolves after a time. */
 export const delay = async (ms: number): Promise<void> =>
 	new Promise((resolve) => {
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -8,7 +8,7 @@
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
 import {runInBackground} from '../background.js';
-import {delay, getMostElapsedMs, type Clock, type Moment} from '../clock.js';
+import {delay, isWithin, type Clock, type Moment} from '../clock.js';
 import type {OwnerChannel} from '../entry/owner-channel.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
 import {
@@ -65,14 +65,8 @@
 		}
 	};
 
-	const isBelieved = (): boolean => {
-		const confirmed = deps.getConfirmed();
-		return (
-			!state.isStopped &&
-			confirmed !== undefined &&
-			getMostElapsedMs(clock, confirmed) < deps.beliefMs
-		);
-	};
+	const isBelieved = (): boolean =>
+		!state.isStopped && isWithin(clock, deps.getConfirmed(), deps.beliefMs);
 
 	const orders = createOrderBook({
 		store: deps.store,
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -13,7 +13,7 @@
 } from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
-import {delay, getMostElapsedMs, type Clock, type Moment} from '../clock.js';
+import {delay, isWithin, type Clock, type Moment} from '../clock.js';
 import type {JobMetrics} from '../job-metrics.js';
 import {followPeriods, periods} from '../periods.js';
 import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
@@ -97,14 +97,8 @@
 	let planTimer: NodeJS.Timeout | undefined;
 	const pacedAt = new Map<string, number>();
 
-	const isBelieved = (): boolean => {
-		const confirmed = deps.getConfirmed();
-		return (
-			!state.isStopped &&
-			confirmed !== undefined &&
-			getMostElapsedMs(clock, confirmed) < cfg.ownerBeliefMs
-		);
-	};
+	const isBelieved = (): boolean =>
+		!state.isStopped && isWithin(clock, deps.getConfirmed(), cfg.ownerBeliefMs);
 
 	const lose = (reason: string, rows: readonly StoredRow[] = []) => {
 		if (!state.isStopped) {
