--- a/packages/daemon/src/jobs/entry/owner-channel.ts
+++ b/packages/daemon/src/jobs/entry/owner-channel.ts
@@ -3,9 +3,10 @@
  * daemon owns it, else over the peer channel.
  */
 import type {scheduler} from '@gullstand/core';
-import type {ChangedRow, StoredRow} from '@gullstand/ports';
+import type {StoredRow} from '@gullstand/ports';
 import type {PeerChannel} from '../../peers/peer-channel.js';
 import type {JobReading, OwnerRunner} from '../owner/owner-runner.js';
+import type {JobPeerMethods} from '../peer-methods.js';
 import {periods} from '../periods.js';
 import type {LeaseBook} from '../shards/lease-book.js';
 import type {SubmitOutcome} from './submissions.js';
@@ -57,111 +58,79 @@
 		return lease?.value.holder ? lease.value.address : undefined;
 	};
 
+	/** Asks the runner here, else the owner; undefined if nobody answers. */
+	const ask = async <Name extends keyof JobPeerMethods>(
+		name: Name,
+		params: JobPeerMethods[Name]['params'] & {readonly shard: string},
+		askHere: (local: OwnerRunner) => JobPeerMethods[Name]['result'],
+	): Promise<JobPeerMethods[Name]['result'] | undefined> => {
+		const local = getLocal(params.shard);
+		if (local) {
+			return askHere(local);
+		}
+
+		const address = getAddress(params.shard);
+		if (address === undefined) {
+			return undefined;
+		}
+
+		const answer = await peers.call(
+			address,
+			name,
+			params,
+			periods.peerTimeoutMs,
+		);
+		return answer.ok ? answer.value : undefined;
+	};
+
 	return {
 		async tellRows(shard, rows) {
-			const local = getLocal(shard);
-			if (local) {
+			const answer = await ask('noteRows', {shard, rows}, (local) => {
 				local.noteRows(rows);
-				return true;
-			}
-
-			const address = getAddress(shard);
-			if (address === undefined) {
-				return false;
-			}
-
-			const changed: readonly ChangedRow[] = rows;
-			const answer = await peers.call(
-				address,
-				'noteRows',
-				{shard, rows: changed},
-				periods.peerTimeoutMs,
-			);
-			return answer.ok && answer.value.isOwner;
+				return {isOwner: true};
+			});
+			return answer?.isOwner ?? false;
 		},
 		async readJob(shard, queue, id) {
-			const local = getLocal(shard);
-			if (local) {
-				return local.readJob(id, queue);
-			}
-
-			const address = getAddress(shard);
-			if (address === undefined) {
-				return {kind: 'not-owner'};
-			}
-
-			const answer = await peers.call(
-				address,
-				'readJob',
-				{shard, queue, id},
-				periods.peerTimeoutMs,
+			const answer = await ask('readJob', {shard, queue, id}, (local) =>
+				local.readJob(id, queue),
 			);
-			return answer.ok ? answer.value : {kind: 'not-owner'};
+			return answer ?? {kind: 'not-owner'};
 		},
 		async countPending(shard, queue) {
-			const local = getLocal(shard);
-			if (local) {
-				return local.countPending(queue);
-			}
-
-			const address = getAddress(shard);
-			if (address === undefined) {
-				return undefined;
-			}
-
-			const answer = await peers.call(
-				address,
-				'countPending',
-				{shard, queue},
-				periods.peerTimeoutMs,
-			);
-			return answer.ok ? answer.value.pending : undefined;
+			const answer = await ask('countPending', {shard, queue}, (local) => ({
+				pending: local.countPending(queue),
+			}));
+			return answer?.pending;
 		},
 		async evacuate(shard, executorId, patienceMs) {
-			const local = getLocal(shard);
-			if (local) {
-				return local.evacuate(executorId, patienceMs);
-			}
-
-			const address = getAddress(shard);
-			if (address === undefined) {
-				return undefined;
-			}
-
-			const answer = await peers.call(
-				address,
-				'evacuate',
-				{shard, executorId, patienceMs},
-				periods.peerTimeoutMs,
-			);
-			return answer.ok ? answer.value.state : undefined;
+			const params = {shard, executorId, patienceMs};
+			const answer = await ask('evacuate', params, (local) => ({
+				state: local.evacuate(executorId, patienceMs),
+			}));
+			return answer?.state;
 		},
 		async noteGone(shard, executorId) {
-			const local = getLocal(shard);
-			const address = getAddress(shard);
-			if (local) {
+			await ask('noteGone', {shard, executorId}, (local) => {
 				local.noteGone(executorId);
-			} else if (address !== undefined) {
-				await peers.call(
-					address,
-					'noteGone',
-					{shard, executorId},
-					periods.peerTimeoutMs,
-				);
-			}
+				return {};
+			});
+		},
+		async readLoad(shard) {
+			const answer = await ask('readLoad', {shard}, (local) => ({
+				load: local.getLoad(),
+			}));
+			return answer?.load;
 		},
 		async submit(shard, job, timeoutMs) {
 			const address = getAddress(shard);
-			if (getLocal(shard) ?? address === undefined) {
+			// An owner here has the same store, which did not take the job.
+			if (address === undefined || getLocal(shard) !== undefined) {
 				return 'no-owner';
 			}
 
-			const answer = await peers.call(
-				address ?? '',
-				'submitJob',
-				{shard, job, timeoutMs},
-				timeoutMs,
-			);
+			const params = {shard, job, timeoutMs};
+			const answer = await peers.call(address, 'submitJob', params, timeoutMs);
 			if (answer.ok) {
 				return answer.value;
 			}
@@ -170,24 +139,5 @@
 				? 'no-owner'
 				: {kind: 'unknown'};
 		},
-		async readLoad(shard) {
-			const local = getLocal(shard);
-			if (local) {
-				return local.getLoad();
-			}
-
-			const address = getAddress(shard);
-			if (address === undefined) {
-				return undefined;
-			}
-
-			const answer = await peers.call(
-				address,
-				'readLoad',
-				{shard},
-				periods.peerTimeoutMs,
-			);
-			return answer.ok ? answer.value.load : undefined;
-		},
 	};
 };
