Let a process end though nobody reads its log

Cause: log lines went out by blocking writes on a thread of the pool. With a pipe that is full and not read such a write never returns, and a process with a held thread cannot end: process.exit() waits for it. Ruled out: process.stdout, which blocks the loop on pipes; a hard kill of itself, which loses the exit code.

--- a/packages/daemon/src/log/bounded-output.ts
+++ b/packages/daemon/src/log/bounded-output.ts
@@ -3,7 +3,8 @@
  * queue of fixed size, what does not fit is dropped and counted.
  */
 import {Buffer} from 'node:buffer';
-import {write} from 'node:fs';
+import {fstatSync, write} from 'node:fs';
+import {Socket} from 'node:net';
 import {Writable} from 'node:stream';
 
 /** Writes bytes to where the lines go; calls back once they are taken. */
@@ -12,13 +13,34 @@
 	done: (err: Error | null, written: number) => void,
 ) => void;
 
-/** Writes to a file descriptor on another thread, also if that blocks. */
-export const writeToDescriptor =
+const writeToFile =
 	(descriptor: number): WriteBytes =>
 	(bytes, done) => {
 		write(descriptor, bytes, done);
 	};
 
+const writeToPipe = (descriptor: number): WriteBytes => {
+	const socket = new Socket({fd: descriptor, readable: false, writable: true});
+	// Each write reports its own failure.
+	socket.on('error', () => undefined);
+	return (bytes, done) => {
+		socket.write(bytes, (err) => {
+			done(err ?? null, err ? 0 : bytes.length);
+		});
+	};
+};
+
+/**
+ * Writes to a file descriptor without blocking. A pipe that nobody reads must
+ * not hold a thread: a process whose threads are held cannot end.
+ */
+export const writeToDescriptor = (descriptor: number): WriteBytes => {
+	const stats = fstatSync(descriptor);
+	return stats.isFIFO() || stats.isSocket()
+		? writeToPipe(descriptor)
+		: writeToFile(descriptor);
+};
+
 /** Bytes that may wait; origin: about a second of a burst's lines. */
 export const defaultMaxWaitingBytes = 512 * 1024;
 
