Say that a daemon is stopping, so that no shard waits for it to claim

Cause: a daemon that stops goes on sending heartbeats for its three seconds of grace, so that the others counted it as the one a free shard is assigned to and gave it half a second of head start, though it claims nothing any more. A hand-over then took 555 ms, not the 150 that are meant; the fleet stood still. Ruled out: lost messages (all peers logged the release within 2 ms); conflicts of claims (one in fifteen). Now a daemon tells its peers as it begins to stop; they leave this life out of the assignment. Without the message they wait as before; its next life counts. Test: members.test.ts, two cases; the first fails on the code before.

--- a/packages/daemon/src/jobs/entry/other-entries.ts
+++ b/packages/daemon/src/jobs/entry/other-entries.ts
@@ -1,7 +1,8 @@
 /** Asks other daemons to do for this one what the store does not let it do. */
-import type {scheduler} from '@gullstand/core';
+import type {acknowledgement, scheduler} from '@gullstand/core';
 import type {Logger} from '../../log/logger.js';
 import type {PeerChannel} from '../../peers/peer-channel.js';
+import type {JobPeerMethods} from '../peer-methods.js';
 import {periods} from '../periods.js';
 import type {Members} from '../shards/members.js';
 import type {CancelOutcome} from './job-service.js';
@@ -9,8 +10,7 @@
 
 /** What is needed to ask. */
 export type OtherEntriesDeps = {
-	/** Name of this daemon. */
-	readonly self: string;
+	readonly self: acknowledgement.EntryLife;
 	readonly members: Members;
 	readonly peers: Pick<PeerChannel, 'call'>;
 	readonly logger: Pick<Logger, 'info'>;
@@ -32,6 +32,8 @@
 	) => Promise<CancelOutcome | undefined>;
 	/** Tells all that a shard may be claimed. */
 	readonly tellReleased: (shard: string) => void;
+	/** Tells all that this daemon is stopping and claims nothing. */
+	readonly tellLeaving: () => void;
 };
 
 /** Daemons asked one after another. */
@@ -48,9 +50,18 @@
 	const listAddresses = (): ReadonlyArray<readonly [string, string]> =>
 		members
 			.listAll()
-			.filter((name) => name !== self)
+			.filter((name) => name !== self.entry)
 			.map((name) => [name, members.get(name)?.address ?? ''] as const);
 
+	const tellAll = <Name extends 'shardReleased' | 'daemonLeaving'>(
+		method: Name,
+		params: JobPeerMethods[Name]['params'],
+	) => {
+		for (const [, address] of listAddresses()) {
+			void peers.call(address, method, params, periods.peerTimeoutMs);
+		}
+	};
+
 	return {
 		async submit(job, shard, timeoutMs) {
 			for (const [name, address] of listAddresses().slice(0, maxAsked)) {
@@ -99,14 +110,10 @@
 			return undefined;
 		},
 		tellReleased(shard) {
-			for (const [, address] of listAddresses()) {
-				void peers.call(
-					address,
-					'shardReleased',
-					{shard},
-					periods.peerTimeoutMs,
-				);
-			}
+			tellAll('shardReleased', {shard});
+		},
+		tellLeaving() {
+			tellAll('daemonLeaving', self);
 		},
 	};
 };
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -180,7 +180,7 @@
 	});
 
 	const others = createOtherEntries({
-		self: self.entry,
+		self,
 		members,
 		peers: callPeers,
 		logger,
@@ -415,6 +415,7 @@
 			service,
 			routes,
 			keeper,
+			members,
 			readLeases: leaseFollower.hasten,
 			now,
 		});
@@ -455,7 +456,11 @@
 	};
 
 	const handOver = async () => {
-		state.isLeaving = true;
+		if (!state.isLeaving) {
+			state.isLeaving = true;
+			others.tellLeaving();
+		}
+
 		await keeper.stop();
 	};
 
--- a/packages/daemon/src/jobs/peer-handlers.ts
+++ b/packages/daemon/src/jobs/peer-handlers.ts
@@ -5,6 +5,7 @@
 import type {Submissions} from './entry/submissions.js';
 import type {OwnedServices} from './owner/owned-services.js';
 import {jobPeerSchemas} from './peer-methods.js';
+import type {Members} from './shards/members.js';
 import type {ShardKeeper} from './shards/shard-keeper.js';
 
 /** What the answers are made from. */
@@ -16,6 +17,7 @@
 	readonly service: Pick<JobService, 'cancelHere'>;
 	readonly routes: Pick<Routes, 'getByName'>;
 	readonly keeper: ShardKeeper;
+	readonly members: Pick<Members, 'noteLeaving'>;
 	/** Reads the leases now. */
 	readonly readLeases: () => void;
 	readonly now: () => number;
@@ -81,7 +83,7 @@
 
 const registerControl = (
 	channel: Pick<PeerChannel, 'addMethod'>,
-	{owned, keeper, incarnation, readLeases}: PeerHandlersDeps,
+	{owned, keeper, members, incarnation, readLeases}: PeerHandlersDeps,
 ): void => {
 	channel.addMethod(
 		'evacuate',
@@ -114,6 +116,14 @@
 		keeper.hasten();
 		return {};
 	});
+	channel.addMethod(
+		'daemonLeaving',
+		jobPeerSchemas.daemonLeaving,
+		({entry, incarnation: life}) => {
+			members.noteLeaving(entry, life);
+			return {};
+		},
+	);
 };
 
 /** Registers all methods of the jobs side. */
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -76,6 +76,11 @@
 		readonly params: {readonly shard: string};
 		readonly result: Record<string, never>;
 	};
+	/** A daemon is stopping: no shard should wait for it to claim. */
+	readonly daemonLeaving: {
+		readonly params: {readonly entry: string; readonly incarnation: string};
+		readonly result: Record<string, never>;
+	};
 };
 
 const shard = z.string();
@@ -114,4 +119,5 @@
 	noteGone: z.object({shard, executorId: z.string()}),
 	depose: z.object({shard, token: z.int().min(0)}),
 	shardReleased: z.object({shard}),
+	daemonLeaving: z.object({entry: z.string(), incarnation: z.string()}),
 } as const;
--- a/packages/daemon/src/jobs/shards/members.test.ts
+++ b/packages/daemon/src/jobs/shards/members.test.ts
@@ -44,6 +44,26 @@
 	},
 );
 
+tap.t.test(
+	'a daemon that is stopping is alive and claims nothing',
+	async (t) => {
+		const {members, read} = createWorld();
+		read(0, {a: 1, b: 1});
+		members.noteLeaving('a', 'i');
+		t.same(members.listLive(1000), ['b']);
+		t.equal(members.get('a')?.incarnation, 'i', 'its shards are not free yet');
+		read(500, {a: 2, b: 2});
+		t.same(members.listLive(1000), ['b']);
+	},
+);
+
+tap.t.test('the next life of a daemon that stopped may claim', async (t) => {
+	const {members, read} = createWorld();
+	read(0, {a: 1, b: 1});
+	members.noteLeaving('a', 'life before');
+	t.same(members.listLive(1000), ['a', 'b']);
+});
+
 tap.t.test('while nothing is read nobody counts as silent', async (t) => {
 	const {clock, members, read} = createWorld();
 	read(0, {a: 1, b: 1});
--- a/packages/daemon/src/jobs/shards/members.ts
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -22,7 +22,12 @@
 	 * while none is read: then this daemon may be the one that is cut off.
 	 */
 	readonly getSilentMs: (name: string) => number;
-	/** Names of those whose heartbeat is younger than `withinMs`. */
+	/** Takes in that a life of a daemon is stopping. */
+	readonly noteLeaving: (name: string, incarnation: string) => void;
+	/**
+	 * Names of those whose heartbeat is younger than `withinMs`, without those
+	 * that are stopping: these still send heartbeats and claim nothing.
+	 */
 	readonly listLive: (withinMs: number) => readonly string[];
 	/** Names of all, the one heard of last in front. */
 	readonly listAll: () => readonly string[];
@@ -40,6 +45,8 @@
 export const createMembers = (deps: MembersDeps): Members => {
 	const {now, logger} = deps;
 	const known = new Map<string, Member>();
+	/** Lives that are stopping, by daemon. */
+	const leaving = new Map<string, string>();
 	let readAt: number | undefined;
 	let isRead = false;
 
@@ -115,9 +122,14 @@
 			[...known.values()]
 				.toSorted((one, two) => two.changedAt - one.changedAt)
 				.map(({name}) => name),
+		noteLeaving(name, incarnation) {
+			leaving.set(name, incarnation);
+			logger.info('daemon is stopping', {daemon: name, incarnation});
+		},
 		listLive: (withinMs) =>
 			[...known.values()]
 				.filter(({changedAt}) => now() - changedAt < withinMs)
+				.filter(({name, incarnation}) => leaving.get(name) !== incarnation)
 				.map(({name}) => name),
 	};
 };
