--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -34,7 +34,10 @@
 	readonly shrinkAfterMs: number;
 	/** The same where another pool lacks machines that standby cannot give. */
 	readonly yieldAfterMs: number;
-	/** Moves that may always be under way at once. */
+	/**
+	 * Moves that may always be under way at once. With 16 the fourth look at a
+	 * rise found none left, and the pool waited two seconds for the next.
+	 */
 	readonly maxMoves: number;
 	/** The same as a part of all machines; the larger one holds. */
 	readonly maxMoveShare: number;
@@ -49,7 +52,7 @@
 	spareMachines: 1,
 	shrinkAfterMs: 1000,
 	yieldAfterMs: 1000,
-	maxMoves: 16,
+	maxMoves: 40,
 	maxMoveShare: 0.35,
 };
 
