--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -229,3 +229,38 @@
 	const busy = plan(first.memory, 2000, 900);
 	t.same(plan(busy.memory, 0, 1100).moves, []);
 });
+
+tap.t.test('each look at a steep rise finds machines to move', async (t) => {
+	const machines = Array.from({length: 40}, (_, index) =>
+		createMachine(`m${index}`, index < 3 ? 'p' : 'standby', {
+			cpuMillis: 32_000,
+		}),
+	);
+	// Thousandths of a core, as an owner told them within two seconds.
+	const looks = [
+		{waitingCpu: 41_000, usedCpu: 91_000, arrivingCpu: 68_000},
+		{waitingCpu: 65_000, usedCpu: 87_000, arrivingCpu: 96_000},
+		{waitingCpu: 159_000, usedCpu: 93_000, arrivingCpu: 203_000},
+		{waitingCpu: 354_000, usedCpu: 96_000, arrivingCpu: 333_000},
+	];
+	const underWay = new Map<string, fleet.PoolMove>();
+	const counts = looks.map((demand, index) => {
+		const {moves} = fleet.planPools(
+			{
+				demands: [createDemand('p', demand)],
+				machines,
+				underWay,
+				standbyPool: 'standby',
+			},
+			fleet.emptyPoolMemory,
+			fleet.defaultPoolConfig,
+			index * 300,
+		);
+		for (const move of moves) {
+			underWay.set(move.machine, move);
+		}
+
+		return underWay.size;
+	});
+	t.same(counts, [6, 8, 18, 37], 'all of standby by the fourth look');
+});
