Keep lasting tasks that are starting within their step's budget

Cause: a lasting task that had not reached 100 percent when last looked at was stopped without regard to its step's budget, since one that is not at work cannot be missed. Now such a task counts as one that may be at work. Test: the case 'a lasting task that is not at work goes at any time' demanded the fault and is replaced by two: it stays while another is away (fails on the code before), and goes when the others are at work.

--- a/packages/core/src/scheduler/evacuation.test.ts
+++ b/packages/core/src/scheduler/evacuation.test.ts
@@ -80,11 +80,19 @@
 		stops: [],
 	},
 	{
-		name: 'a lasting task that is not at work goes at any time',
+		name: 'a lasting task that was starting may be at work by now',
 		step: {...lasting, count: 2, mayMiss: 1},
 		percents: {'a.0.0.0': 40, 'a.0.0.1': 40},
 		executors: 3,
 		patienceMs: 1000,
+		stops: [],
+	},
+	{
+		name: 'a lasting task that was starting goes within the budget',
+		step: {...lasting, count: 2, mayMiss: 1},
+		percents: {'a.0.0.0': 40, 'a.0.0.1': 100},
+		executors: 3,
+		patienceMs: 1000,
 		stops: ['a.0.0.0'],
 	},
 	{
--- a/packages/core/src/scheduler/evacuation.ts
+++ b/packages/core/src/scheduler/evacuation.ts
@@ -22,10 +22,11 @@
 
 /**
  * Whether a lasting task may be stopped without overspending its step's
- * budget. A step that names no budget is stopped one task at a time.
+ * budget. A step that names no budget is stopped one task at a time. One that
+ * was still starting counts too: what is known of it is up to a second old,
+ * and it may be at work by now.
  */
 export const mayStopLasting = (task: Task): boolean =>
-	!isAtWork(task) ||
 	countOthersAway(task.step, task) < (task.step.spec.mayMiss ?? 1);
 
 /** What an executor that is to be emptied still holds. */
