Count the last flush of a hand-over as one under way

Cause: the flush of a hand-over ran beside the flusher's own loop. A look that came in between found nothing left to store and no flush under way, and acknowledged every end taken in; or the loop began a second flush that overtook it. If the last flush then failed, the executors had forgotten ends that the store never had, and the next owner ran the tasks again. Ruled out: the order of reads at a takeover (the lease row is won first), and the queue's change of service (the job stayed in one service). Test: flusher.test.ts; 'a poke during the last flush acknowledges nothing' fails on the code before.

--- /dev/null
+++ b/packages/daemon/src/jobs/owner/flusher.test.ts
@@ -0,0 +1,93 @@
+/** Nothing is acknowledged while the flush that stores it is under way. */
+import {type scheduler, succeed} from '@gullstand/core';
+import * as ports from '@gullstand/ports';
+import * as tap from 'tap';
+import {createFlusher} from './flusher.js';
+
+type Answer = Awaited<ReturnType<ports.RowStore['transact']>>;
+
+/** An owner with one end to store, and a store answered by the test. */
+const createWorld = () => {
+	const owner = {
+		dirty: new Set(),
+		isRosterDirty: true,
+		flush: 1,
+		unresolved: new Map(),
+		executors: new Map([
+			[
+				'x',
+				{
+					id: 'x',
+					listed: {id: 'x'},
+					acknowledgedUpto: 0,
+					unackedEnds: [{number: 1, flush: 1}],
+				},
+			],
+		]),
+	} as unknown as scheduler.Owner;
+	const pending: Array<(answer: Answer) => void> = [];
+	const acknowledged: string[] = [];
+	const flusher = createFlusher({
+		store: {
+			...ports.createMemoryRowStore(),
+			transact: async () =>
+				new Promise((resolve) => {
+					pending.push(resolve);
+				}),
+		},
+		owner,
+		held: {
+			shard: 'service/s',
+			token: 1,
+			version: 1,
+			previous: 'none',
+			previousHolder: undefined,
+		},
+		flushVersion: 0,
+		logger: {info: () => undefined as never, warn: () => undefined as never},
+		onAckable(executors) {
+			acknowledged.push(...executors.map(({id}) => id));
+		},
+		onStored: () => undefined,
+		onLost: () => undefined,
+	});
+	return {owner, pending, acknowledged, flusher};
+};
+
+const turn = async () =>
+	new Promise((resolve) => {
+		setImmediate(resolve);
+	});
+
+tap.t.test('a poke during the last flush acknowledges nothing', async (t) => {
+	const {pending, acknowledged, flusher} = createWorld();
+	const drained = flusher.drain();
+	await turn();
+	t.equal(pending.length, 1);
+	flusher.poke();
+	t.same(acknowledged, []);
+	pending[0]!(succeed({version: 2, nowMs: 0}));
+	await drained;
+	t.same(acknowledged, ['x']);
+});
+
+tap.t.test('no second flush begins beside the last one', async (t) => {
+	const {owner, pending, flusher} = createWorld();
+	flusher.poke();
+	await turn();
+	const drained = flusher.drain();
+	owner.isRosterDirty = true;
+	pending[0]!(succeed({version: 2, nowMs: 0}));
+	await turn();
+	await turn();
+	t.equal(pending.length, 2);
+	owner.isRosterDirty = true;
+	flusher.poke();
+	await turn();
+	t.equal(pending.length, 2);
+	pending[1]!(succeed({version: 3, nowMs: 0}));
+	await turn();
+	pending[2]?.(succeed({version: 4, nowMs: 0}));
+	await drained;
+	flusher.stop();
+});
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -48,7 +48,7 @@
 	let {flushVersion} = deps;
 	let running: Promise<void> | undefined;
 	let timer: NodeJS.Timeout | undefined;
-	const state = {isStopped: false};
+	const state = {isStopped: false, isDraining: false};
 
 	const toTransaction = (flush: scheduler.Flush): RowTransaction => {
 		const puts = flush.jobs.map(({job, progress}) => ({
@@ -140,7 +140,7 @@
 	};
 
 	const poke = () => {
-		if (state.isStopped || running) {
+		if (state.isStopped || state.isDraining || running) {
 			return;
 		}
 
@@ -165,6 +165,9 @@
 			clearTimeout(timer);
 		},
 		async drain() {
+			// A flush beside this one, or an acknowledgement, would take ends for
+			// stored that are still on their way.
+			state.isDraining = true;
 			clearTimeout(timer);
 			await running;
 			while (!state.isStopped && scheduler.needsFlush(owner)) {
