Write the lease check, the skipping of rows and two loops once

Cause: found by reading the change once more. Now: getLeaseKey, getLeaseCheck, getKeyAfter and decodeRows in jobs/rows; hasSurplusFor in the plan; noteOrders asks after the note too. The line about a skipped row of waves or of the queues' history names its partition too; nothing else changes. The test of unreadable rows moved with its function.

--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -258,28 +258,27 @@
 		]),
 	);
 	const noted = noteSurplus(memory, surplus, now);
-	const listGivers = (afterMs: number) => {
-		const givers = new Map<string, PoolMachine[]>();
-		for (const [pool, over] of surplus) {
-			const ageMs = now - (noted.surplusSince.get(pool) ?? now);
-			if (over > 0 && ageMs >= afterMs) {
-				givers.set(pool, listGivable(situation, pool).slice(0, over));
-			}
-		}
-
-		return givers;
+	const hasSurplusFor = (pool: string, ms: number): boolean => {
+		const since = noted.surplusSince.get(pool);
+		return since !== undefined && now - since >= ms;
 	};
 
+	const givers = new Map([
+		[standbyPool, [...listGivable(situation, standbyPool)]],
+	]);
+	for (const [pool, over] of surplus) {
+		if (hasSurplusFor(pool, cfg.yieldAfterMs)) {
+			givers.set(pool, listGivable(situation, pool).slice(0, over));
+		}
+	}
+
 	const mostMoves = Math.max(
 		cfg.maxMoves,
 		Math.ceil(machines.length * cfg.maxMoveShare),
 	);
 	const ledger: Ledger = {
 		situation,
-		givers: new Map([
-			[standbyPool, [...listGivable(situation, standbyPool)]],
-			...listGivers(cfg.yieldAfterMs),
-		]),
+		givers,
 		moves: [],
 		left: Math.max(0, mostMoves - underWay.size),
 	};
@@ -290,8 +289,10 @@
 		fill(ledger, pool, -over);
 	}
 
-	const toStandby = new Set(listGivers(cfg.shrinkAfterMs).keys());
-	for (const pool of toStandby) {
+	const shrinking = [...surplus.keys()].filter((pool) =>
+		hasSurplusFor(pool, cfg.shrinkAfterMs),
+	);
+	for (const pool of shrinking) {
 		while (take(ledger, pool, standbyPool)) {
 			// Each turn of the loop gives one machine back.
 		}
--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -103,12 +103,12 @@
 /** The task of a run that an executor lists, also one that is over. */
 const findRunTask = (owner: Owner, taskId: string): Task | undefined => {
 	const task = findTask(owner, taskId);
-	const parts = parseTaskId(taskId);
-	const job = parts && owner.jobs.get(parts.jobId);
 	if (task) {
 		return task;
 	}
 
+	const parts = parseTaskId(taskId);
+	const job = parts && owner.jobs.get(parts.jobId);
 	return parts && job
 		? createPastTask(job, parts.occurrence, parts.step, parts.index)
 		: undefined;
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -235,7 +235,7 @@
 	return listAdvised(owner, step, usable, now);
 };
 
-/** Starts what it can of a step. False once the executors are full for it. */
+/** Starts what it can of a step, until the executors are full for it. */
 const planStep = (planning: Planning, step: Step): void => {
 	const {owner, orders} = planning;
 	const usable = listStepExecutors(planning, step);
--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -18,6 +18,7 @@
 import {
 	decodeRow,
 	getCancelKey,
+	getKeyAfter,
 	getServiceShard,
 	jobSchema,
 	progressSchema,
@@ -236,7 +237,12 @@
 
 	const readJobRows = async (shard: string, id: string) =>
 		store.read(
-			{table: tables.job, part: shard, from: id, to: `${getCancelKey(id)}\0`},
+			{
+				table: tables.job,
+				part: shard,
+				from: id,
+				to: getKeyAfter(getCancelKey(id)),
+			},
 			periods.storeTimeoutMs,
 		);
 
@@ -249,7 +255,7 @@
 		const [jobRows, progressRows] = await Promise.all([
 			readJobRows(shard, id),
 			store.read(
-				{table: tables.progress, part: shard, from: id, to: `${id}\0`},
+				{table: tables.progress, part: shard, from: id, to: getKeyAfter(id)},
 				periods.storeTimeoutMs,
 			),
 		]);
--- a/packages/daemon/src/jobs/entry/queue-history.ts
+++ b/packages/daemon/src/jobs/entry/queue-history.ts
@@ -7,8 +7,9 @@
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
+import {decodeRows} from '../rows/decode-rows.js';
 import {readWhole} from '../rows/table-feed.js';
-import {decodeRow, sharedPart} from '../rows/tables.js';
+import {sharedPart} from '../rows/tables.js';
 
 /** The history. */
 export type QueueHistory = {
@@ -84,17 +85,9 @@
 				{table: historyTable, part: sharedPart},
 				periods.storeTimeoutMs,
 			);
-			for (const {key, value} of rows.ok ? rows.value.rows : []) {
-				const decoded = decodeRow(servicesSchema, value);
-				if (decoded.ok) {
-					add(key, decoded.value);
-				} else {
-					logger.warn('row skipped', {
-						table: historyTable,
-						key,
-						...decoded.error,
-					});
-				}
+			const stored = rows.ok ? rows.value.rows : [];
+			for (const {row, value} of decodeRows(stored, servicesSchema, logger)) {
+				add(row.key, value);
 			}
 
 			return rows.ok;
--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -7,7 +7,13 @@
 import type {RowPut, RowStore, StoredRow} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import {delay} from '../clock.js';
-import {decodeRow, jobSchema, singleKeys, tables} from '../rows/tables.js';
+import {
+	decodeRow,
+	getKeyAfter,
+	getLeaseCheck,
+	jobSchema,
+	tables,
+} from '../rows/tables.js';
 import type {LeaseBook} from '../shards/lease-book.js';
 
 /** What became of a submission. */
@@ -137,7 +143,7 @@
 	): Promise<boolean> => {
 		const {id} = waiting.job;
 		const page = await store.read(
-			{table: tables.job, part: shard, from: id, to: `${id}\0`},
+			{table: tables.job, part: shard, from: id, to: getKeyAfter(id)},
 			maxReadBackMs,
 		);
 		const row = page.ok ? page.value.rows[0] : undefined;
@@ -192,7 +198,6 @@
 	};
 
 	const commit = async (shard: string, batch: readonly Waiting[]) => {
-		const lease = {table: tables.lease, part: shard, key: singleKeys.lease};
 		const puts: RowPut[] = batch.map((waiting) => ({
 			...keyOf(shard, waiting),
 			value: waiting.text,
@@ -200,7 +205,7 @@
 		const result = await store.transact(
 			{
 				checks: [
-					{...lease, version: book.getVersion(shard)},
+					getLeaseCheck({shard, version: book.getVersion(shard)}),
 					...puts.map(({table, part, key}) => ({
 						table,
 						part,
--- a/packages/daemon/src/jobs/fleet/order-book.ts
+++ b/packages/daemon/src/jobs/fleet/order-book.ts
@@ -7,7 +7,7 @@
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
-import {decodeRow, fleetShard, singleKeys, tables} from '../rows/tables.js';
+import {decodeRow, fleetShard, getLeaseCheck, tables} from '../rows/tables.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
 
 /** The book. */
@@ -97,15 +97,13 @@
 				lastOrders.set(machine, getStoreNow());
 			}
 
-			const lease = {
-				table: tables.lease,
-				part: fleetShard,
-				key: singleKeys.lease,
-				version: held.version,
-			};
 			const value = JSON.stringify(Object.fromEntries(lastOrders));
 			const result = await store.transact(
-				{checks: [lease], puts: [{...rowKey, value}], removes: []},
+				{
+					checks: [getLeaseCheck(held)],
+					puts: [{...rowKey, value}],
+					removes: [],
+				},
 				periods.storeTimeoutMs,
 			);
 			if (result.ok) {
--- a/packages/daemon/src/jobs/fleet/wave-round.ts
+++ b/packages/daemon/src/jobs/fleet/wave-round.ts
@@ -125,12 +125,14 @@
 		return current;
 	};
 
-	const isOrderNoted = async (
+	/** Notes orders; false unless they may be given after that, too. */
+	const noteOrders = async (
 		machines: readonly fleet.WaveMachine[],
 	): Promise<boolean> =>
 		machines.length > 0 &&
 		context.mayOrder() &&
-		context.orders.note(machines.map(({id}) => id));
+		(await context.orders.note(machines.map(({id}) => id))) &&
+		context.mayOrder();
 
 	const begin = async (
 		wave: fleet.MachineWave,
@@ -145,8 +147,7 @@
 			begun = fleet.beginMachine(begun, machine, clock.epochNow());
 		}
 
-		const isNoted = (await storeNow(begun)) && (await isOrderNoted(machines));
-		if (!isNoted || !context.mayOrder()) {
+		if (!(await storeNow(begun)) || !(await noteOrders(machines))) {
 			return wave;
 		}
 
@@ -171,9 +172,7 @@
 				? [machine]
 				: [];
 		});
-		return (await isOrderNoted(open)) && context.mayOrder()
-			? orderAll(wave, open)
-			: wave;
+		return (await noteOrders(open)) ? orderAll(wave, open) : wave;
 	};
 
 	const emptyAndBegin = async (
--- a/packages/daemon/src/jobs/fleet/wave-rows.ts
+++ b/packages/daemon/src/jobs/fleet/wave-rows.ts
@@ -5,7 +5,8 @@
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
 import {readWhole} from '../rows/table-feed.js';
-import {decodeRow, fleetShard, singleKeys, tables} from '../rows/tables.js';
+import {decodeRows} from '../rows/decode-rows.js';
+import {fleetShard, getLeaseCheck} from '../rows/tables.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
 
 const waveTable = 'wave';
@@ -50,15 +51,8 @@
 		return undefined;
 	}
 
-	return rows.value.rows.flatMap(({key, value}) => {
-		const decoded = decodeRow(waveSchema, value);
-		if (decoded.ok) {
-			return [decoded.value];
-		}
-
-		logger.warn('row skipped', {table: waveTable, key, ...decoded.error});
-		return [];
-	});
+	const decoded = decodeRows(rows.value.rows, waveSchema, logger);
+	return [...decoded].map(({value}) => value);
 };
 
 /** Stores a wave while the shard is held. */
@@ -69,14 +63,7 @@
 ): Promise<WaveWrite> => {
 	const result = await store.transact(
 		{
-			checks: [
-				{
-					table: tables.lease,
-					part: fleetShard,
-					key: singleKeys.lease,
-					version: held.version,
-				},
-			],
+			checks: [getLeaseCheck(held)],
 			puts: [
 				{
 					table: waveTable,
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -8,7 +8,7 @@
 import type {Logger} from '../../log/logger.js';
 import {delay} from '../clock.js';
 import {periods} from '../periods.js';
-import {singleKeys, tables} from '../rows/tables.js';
+import {getLeaseCheck, singleKeys, tables} from '../rows/tables.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
 
 /** Most jobs in one flush; origin: 100 entries a transaction, checks too. */
@@ -44,7 +44,6 @@
 	const {store, owner, held, logger} = deps;
 	const part = held.shard;
 	const flushKey = {table: tables.owner, part, key: singleKeys.flush};
-	const leaseKey = {table: tables.lease, part, key: singleKeys.lease};
 	let {flushVersion} = deps;
 	let running: Promise<void> | undefined;
 	let timer: NodeJS.Timeout | undefined;
@@ -64,10 +63,7 @@
 			value: JSON.stringify(flush.roster),
 		};
 		return {
-			checks: [
-				{...leaseKey, version: held.version},
-				{...flushKey, version: flushVersion},
-			],
+			checks: [getLeaseCheck(held), {...flushKey, version: flushVersion}],
 			puts: [
 				{...flushKey, value: String(flush.number)},
 				...puts,
--- a/packages/daemon/src/jobs/owner/job-remover.ts
+++ b/packages/daemon/src/jobs/owner/job-remover.ts
@@ -3,7 +3,7 @@
 import type {RowStore} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
-import {getCancelKey, singleKeys, tables} from '../rows/tables.js';
+import {getCancelKey, getLeaseCheck, tables} from '../rows/tables.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
 
 /** Jobs removed at a time, three rows each; origin: 100 entries a transaction. */
@@ -31,12 +31,10 @@
 	let ranAt = now();
 
 	const removeRows = async (ids: readonly string[]): Promise<boolean> => {
-		const {lease, job, progress} = tables;
+		const {job, progress} = tables;
 		const result = await store.transact(
 			{
-				checks: [
-					{table: lease, part, key: singleKeys.lease, version: held.version},
-				],
+				checks: [getLeaseCheck(held)],
 				puts: [],
 				removes: ids.flatMap((id) => [
 					{table: job, part, key: id},
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -4,8 +4,8 @@
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
 import {readWhole} from '../rows/table-feed.js';
+import {decodeRows} from '../rows/decode-rows.js';
 import {
-	decodeRow,
 	jobSchema,
 	parseJobKey,
 	progressSchema,
@@ -61,23 +61,6 @@
 	});
 };
 
-/** Rows that decode; the others are logged and skipped. */
-export function* decodeRows<Value>(
-	rows: readonly StoredRow[],
-	schema: Parameters<typeof decodeRow<Value>>[0],
-	logger: Pick<Logger, 'warn'>,
-): Generator<{readonly row: StoredRow; readonly value: Value}> {
-	for (const row of rows) {
-		const decoded = decodeRow(schema, row.value);
-		if (decoded.ok) {
-			yield {row, value: decoded.value};
-		} else {
-			const {table, part, key} = row;
-			logger.warn('row skipped', {table, part, key, ...decoded.error});
-		}
-	}
-}
-
 /**
  * How long what the previous holder granted may last. One that gave the shard
  * back, or whose process is replaced, grants nothing more; a silent one may
--- a/packages/daemon/src/jobs/owner/load-owner.test.ts
+++ b/packages/daemon/src/jobs/rows/decode-rows.test.ts
@@ -1,8 +1,8 @@
 /** Rows that cannot be read are skipped and said; the others are taken in. */
 import type {StoredRow} from '@gullstand/ports';
 import * as tap from 'tap';
-import {jobSchema, tables} from '../rows/tables.js';
-import {decodeRows} from './load-owner.js';
+import {jobSchema, tables} from './tables.js';
+import {decodeRows} from './decode-rows.js';
 
 const valid = {
 	id: 'j1',
--- a/packages/daemon/src/jobs/rows/table-feed.ts
+++ b/packages/daemon/src/jobs/rows/table-feed.ts
@@ -9,6 +9,7 @@
 	RowStoreError,
 	StoredRow,
 } from '@gullstand/ports';
+import {getKeyAfter} from './tables.js';
 
 /** All rows of a range, page by page, and the version of the first page. */
 export const readWhole = async (
@@ -37,8 +38,7 @@
 			return succeed({rows, version});
 		}
 
-		// The least key above the last one.
-		from = `${last.key}\0`;
+		from = getKeyAfter(last.key);
 	}
 };
 
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -9,6 +9,7 @@
 	type scheduler,
 	type shardLease,
 } from '@gullstand/core';
+import type {RowCheck, RowKey} from '@gullstand/ports';
 import * as z from 'zod';
 
 /** Names of the tables. */
@@ -38,6 +39,22 @@
 /** Partition of rows that belong to no shard. */
 export const sharedPart = '';
 
+/** Where the lease of a shard lies. */
+export const getLeaseKey = (shard: string): RowKey => ({
+	table: tables.lease,
+	part: shard,
+	key: singleKeys.lease,
+});
+
+/** Holds while nobody else has taken the shard; all its writes check it. */
+export const getLeaseCheck = ({
+	shard,
+	version,
+}: {
+	readonly shard: string;
+	readonly version: number;
+}): RowCheck => ({...getLeaseKey(shard), version});
+
 /** Shard that orders moves and maintenance of machines. */
 export const fleetShard = 'control/fleet';
 
@@ -51,6 +68,9 @@
 export const getCancelKey = (jobId: string): string =>
 	`${jobId}${cancelSuffix}`;
 
+/** The least key above this one. */
+export const getKeyAfter = (key: string): string => `${key}\0`;
+
 /** The job that a row of the job table belongs to, and what it is. */
 export const parseJobKey = (
 	key: string,
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -9,7 +9,7 @@
 import type {ReportFailure} from '../../supervisor/supervisor.js';
 import {createTicker} from '../../view/ticker.js';
 import {periods} from '../periods.js';
-import {singleKeys, tables, type LeaseRow} from '../rows/tables.js';
+import {getLeaseKey, type LeaseRow} from '../rows/tables.js';
 import type {KnownLease, LeaseBook} from './lease-book.js';
 import type {Members} from './members.js';
 
@@ -67,7 +67,7 @@
 };
 
 const toTransaction = (row: LeaseRow, version: number): RowTransaction => {
-	const key = {table: tables.lease, part: row.shard, key: singleKeys.lease};
+	const key = getLeaseKey(row.shard);
 	return {
 		checks: [{...key, version}],
 		puts: [{...key, value: JSON.stringify(row)}],
