Share the builders of two tests' fixtures

Cause: the facts of an instance were built by the fixture of the wave steps and again by the preview's test; the in-memory command line stood in the fixture of the commands and again in the test of waves. Ruled out: one builder of a plain step for core's, the daemon's and the platform's tests: core exports no fixtures, and the platform's is a literal expectation, which stays one. Now: createInstance, createInstanceFacts and runCommandLine serve both.

--- a/packages/cli/src/commands/commands.test.fixture.ts
+++ b/packages/cli/src/commands/commands.test.fixture.ts
@@ -15,10 +15,35 @@
 	startEmbeddedPlatform,
 } from '@gullstand/daemon';
 import {registerFleet} from './fleet.js';
-import {exitCodes} from './io.js';
+import {exitCodes, type Io} from './io.js';
 import {registerJob} from './job.js';
 import {registerObjects} from './objects.js';
 
+/** Runs a command line with the commands that `register` adds. */
+export const runCommandLine = async (
+	daemon: Pick<ReturnType<typeof createDaemon>, 'getOperatorPort'>,
+	register: (program: Command, io: Io) => void,
+	words: readonly string[],
+) => {
+	const lines: string[] = [];
+	let code: number = exitCodes.done;
+	const io: Io = {
+		print: (text) => lines.push(text),
+		printError: (text) => lines.push(text),
+		setExitCode(exitCode) {
+			code = exitCode;
+		},
+		env: {
+			GULLSTAND_URL: `http://127.0.0.1:${daemon.getOperatorPort()}`,
+			GULLSTAND_TOKEN: embeddedOperatorToken,
+		},
+	};
+	const program = new Command('gullstand');
+	register(program, io);
+	await program.parseAsync(words, {from: 'user'});
+	return {code, lines, text: lines.join('\n')};
+};
+
 /** Starts the daemon; `run` runs one command line. */
 export const startFixture = async (t: tap.Test) => {
 	const now = () => performance.now();
@@ -36,28 +61,15 @@
 		await close();
 		await rm(folder, {recursive: true});
 	});
-	const run = async (...words: string[]) => {
-		const lines: string[] = [];
-		let code: number = exitCodes.done;
-		const io = {
-			print: (text: string) => lines.push(text),
-			printError: (text: string) => lines.push(text),
-			setExitCode(exitCode: number) {
-				code = exitCode;
-			},
-			env: {
-				GULLSTAND_URL: `http://127.0.0.1:${daemon.getOperatorPort()}`,
-				GULLSTAND_TOKEN: embeddedOperatorToken,
-			},
-		};
-		const program = new Command('gullstand');
+	const register = (program: Command, io: Io) => {
 		registerObjects(program, io);
 		registerFleet(program, io);
 		registerJob(program, io);
-		await program.parseAsync(words, {from: 'user'});
-		return {code, text: lines.join('\n')};
 	};
 
+	const run = async (...words: string[]) =>
+		runCommandLine(daemon, register, words);
+
 	const write = async (name: string, text: string) => {
 		const file = join(folder, name);
 		await writeFile(file, text);
--- a/packages/cli/src/commands/wave.test.ts
+++ b/packages/cli/src/commands/wave.test.ts
@@ -1,15 +1,15 @@
 import {performance} from 'node:perf_hooks';
 import {PassThrough} from 'node:stream';
-import {Command} from 'commander';
+import type {Command} from 'commander';
 import * as tap from 'tap';
 import {
 	createDaemon,
 	createEmbeddedSettings,
 	createLogger,
-	embeddedOperatorToken,
 	startEmbeddedPlatform,
 } from '@gullstand/daemon';
-import {exitCodes} from './io.js';
+import {runCommandLine} from './commands.test.fixture.js';
+import {exitCodes, type Io} from './io.js';
 import {formatDuration, formatWait} from './wave-format.js';
 import {registerWave} from './wave.js';
 
@@ -28,26 +28,14 @@
 	});
 	const drawn: string[] = [];
 	const run = async (...words: string[]) => {
-		const lines: string[] = [];
-		let code: number = exitCodes.done;
-		const io = {
-			print: (text: string) => lines.push(text),
-			printError: (text: string) => lines.push(text),
-			setExitCode(exitCode: number) {
-				code = exitCode;
-			},
-			env: {
-				GULLSTAND_URL: `http://127.0.0.1:${daemon.getOperatorPort()}`,
-				GULLSTAND_TOKEN: embeddedOperatorToken,
-			},
+		const register = (program: Command, io: Io) => {
+			registerWave(program, io, {
+				isTerminal: words.includes('--watch') && !words.includes('--json'),
+				redraw: (text) => drawn.push(text),
+			});
 		};
-		const program = new Command('gullstand');
-		registerWave(program, io, {
-			isTerminal: words.includes('--watch') && !words.includes('--json'),
-			redraw: (text) => drawn.push(text),
-		});
-		await program.parseAsync(['wave', ...words], {from: 'user'});
-		return {code, lines, text: lines.join('\n')};
+
+		return runCommandLine(daemon, register, ['wave', ...words]);
 	};
 
 	return {run, drawn};
--- a/packages/core/src/waves/preview.test.ts
+++ b/packages/core/src/waves/preview.test.ts
@@ -1,6 +1,11 @@
 import * as tap from 'tap';
 import {createLedger, type CombinedTerms} from '../budget/index.js';
 import type {Instance} from '../types/instance.js';
+import {
+	createInstance,
+	createInstanceFacts,
+	servicesByPool,
+} from './step.test.fixture.js';
 import * as waves from './index.js';
 
 const minuteMs = 60_000;
@@ -10,20 +15,11 @@
 	maxAway: 2,
 	maxAwayFor: 'isarwelle',
 };
-const servicesByPool = new Map([['quote', ['quote']]]);
 
 const createInstances = (racks: number): Instance[] =>
-	Array.from({length: 2 * racks}, (_, index) => ({
-		id: `w${index}`,
-		kind: 'worker',
-		address: '127.0.0.1:1',
-		pool: 'quote',
-		epoch: 1,
-		state: 'serving',
-		region: 'midlands',
-		availabilityZone: 'az1',
-		rack: `r${Math.floor(index / 2)}`,
-	}));
+	Array.from({length: 2 * racks}, (_, index) =>
+		createInstance(`w${index}`, `r${Math.floor(index / 2)}`),
+	);
 
 const createContext = (
 	racks: number,
@@ -49,24 +45,12 @@
 	};
 	const facts: waves.WaveFacts = {
 		instances: new Map(
-			instances.map(({id, pool, state}) => [
-				id,
-				{
-					id,
-					pool,
-					state,
-					isDrained: false,
-					evidence: {
-						listed: 'live',
-						incarnationBefore: 'x',
-						incarnation: 'x',
-						probesPassed: 0,
-					},
-					cores: 8,
+			instances.map((instance) => [
+				instance.id,
+				createInstanceFacts(instance, {
 					coresFree: 8 - jobs.reduce((sum, {cores}) => sum + cores, 0),
-					memoryMbFree: 65_536,
 					jobs,
-				},
+				}),
 			]),
 		),
 		ledgers: new Map([
--- a/packages/core/src/waves/step.test.fixture.ts
+++ b/packages/core/src/waves/step.test.fixture.ts
@@ -47,8 +47,8 @@
 });
 
 export const weights = {moves: 1, bufferCoreHours: 0.01, rollOutHours: 0.1};
-/** Four instances in two racks of one pool. */
-const instances: Instance[] = ['a0', 'a1', 'b0', 'b1'].map((id) => ({
+/** A worker of the one pool. */
+export const createInstance = (id: string, rack: string): Instance => ({
 	id,
 	kind: 'worker',
 	address: '127.0.0.1:1',
@@ -57,34 +57,46 @@
 	state: 'serving',
 	region: 'midlands',
 	availabilityZone: 'az1',
-	rack: id[0]!,
-}));
+	rack,
+});
+
+/** Facts of an instance of 8 cores that is up and idle. */
+export const createInstanceFacts = (
+	{id, pool, state}: Instance,
+	changes: Partial<waves.InstanceFacts> = {},
+): waves.InstanceFacts => ({
+	id,
+	pool,
+	state,
+	isDrained: false,
+	evidence: {
+		listed: 'live',
+		incarnationBefore: 'x',
+		incarnation: 'x',
+		probesPassed: 0,
+	},
+	cores: 8,
+	coresFree: 8,
+	memoryMbFree: 65_536,
+	jobs: [],
+	...changes,
+});
+
+/** Four instances in two racks of one pool. */
+const instances: Instance[] = ['a0', 'a1', 'b0', 'b1'].map((id) =>
+	createInstance(id, id[0]!),
+);
+
+export const servicesByPool = new Map([['quote', ['quote']]]);
 
-const servicesByPool = new Map([['quote', ['quote']]]);
 export const createFacts = (
 	change: Record<string, Partial<waves.InstanceFacts>> = {},
 	ledger: Partial<Ledger> = {},
 ): waves.WaveFacts => ({
 	instances: new Map(
-		instances.map(({id, pool, state}) => [
-			id,
-			{
-				id,
-				pool,
-				state,
-				isDrained: false,
-				evidence: {
-					listed: 'live',
-					incarnationBefore: 'x',
-					incarnation: 'x',
-					probesPassed: 0,
-				},
-				cores: 8,
-				coresFree: 8,
-				memoryMbFree: 65_536,
-				jobs: [],
-				...change[id],
-			},
+		instances.map((instance) => [
+			instance.id,
+			createInstanceFacts(instance, change[instance.id]),
 		]),
 	),
 	ledgers: new Map([
