Log an owner's own load: plans, starts, lateness of timers, what waits

Cause: an owner that cannot keep up writes only that executors are silent, so that logs cannot tell a slow owner from silent executors or from tasks that wait for an executor of the owner before. A line each two seconds while jobs are open, half a line a second an owned service. Nothing is decided by it. Tests: overview.test.ts, load-report.test.ts.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -16,6 +16,7 @@
 export * from './place.js';
 export * from './evacuation.js';
 export * from './explain.js';
+export * from './overview.js';
 export * from './plan.js';
 export * from './answers.js';
 export * from './pace.js';
--- /dev/null
+++ b/packages/core/src/scheduler/overview.test.ts
@@ -0,0 +1,93 @@
+import * as tap from 'tap';
+import {
+	createAccepted,
+	createListed,
+	createTestOwner,
+	planAndStart,
+	submit,
+} from './owner.test.fixture.js';
+import * as scheduler from './index.js';
+
+type Case = {
+	readonly readiness: scheduler.Readiness;
+	readonly change: (executor: scheduler.Executor) => void;
+};
+
+const cases: readonly Case[] = [
+	{readiness: 'usable', change: () => undefined},
+	{
+		readiness: 'unlisted',
+		change(executor) {
+			executor.isListed = false;
+		},
+	},
+	{
+		readiness: 'draining',
+		change(executor) {
+			executor.listed = createListed('x', {isDraining: true});
+		},
+	},
+	{
+		readiness: 'silent',
+		change(executor) {
+			executor.silentSince = 5;
+		},
+	},
+	{
+		readiness: 'not-adopted',
+		change(executor) {
+			executor.isAdopted = false;
+		},
+	},
+	{
+		readiness: 'not-rostered',
+		change(executor) {
+			executor.isRostered = false;
+		},
+	},
+	{
+		readiness: 'strays',
+		change(executor) {
+			executor.strays = 1;
+		},
+	},
+	{
+		readiness: 'evacuating',
+		change(executor) {
+			executor.evacuation = {validUntil: 100, stopFrom: 100};
+		},
+	},
+	{
+		readiness: 'resting',
+		change(executor) {
+			executor.restsUntil = 100;
+		},
+	},
+];
+
+for (const {readiness, change} of cases) {
+	tap.t.test(`an executor is ${readiness}`, async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		const executor = owner.executors.get('x')!;
+		change(executor);
+		t.equal(scheduler.getReadiness(executor, 10), readiness);
+		t.equal(scheduler.isUsable(executor, 10), readiness === 'usable');
+		t.same(scheduler.describeOwner(owner, 10).executors, {[readiness]: 1});
+	});
+}
+
+tap.t.test('tasks are counted by what they wait for', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	submit(owner, createAccepted('a', [{count: 6}, {count: 2, after: [0]}]));
+	planAndStart(owner, 0);
+	scheduler.inheritExecutor(owner, createListed('old'), 9000);
+	submit(owner, createAccepted('b', [{count: 3}]), true);
+	t.match(scheduler.describeOwner(owner, 10), {
+		openJobs: 2,
+		runs: 4,
+		waitingTasks: 5,
+		tasksOfUnknownPlace: 3,
+		unresolvedExecutors: 1,
+		executors: {usable: 1, unlisted: 1},
+	});
+});
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -24,7 +24,10 @@
 	readonly onFenced: () => void;
 	readonly onOtherLife: () => void;
 	/** The answer to a start, for the metrics. */
-	readonly onStarted: (run: scheduler.Run, isStarted: boolean) => void;
+	readonly onStarted: (
+		run: scheduler.Run,
+		answer: scheduler.StartAnswer['kind'],
+	) => void;
 };
 
 /** An order about one run. */
@@ -247,7 +250,7 @@
 			failures: task.failures,
 			tookMs: Math.round(now() - started.askedAt),
 		});
-		deps.onStarted(started, answer.kind === 'started');
+		deps.onStarted(started, answer.kind);
 		follow(scheduler.takeStartAnswer(owner, started, answer, now()));
 	};
 
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/load-report.test.ts
@@ -0,0 +1,79 @@
+import {scheduler} from '@gullstand/core';
+import * as tap from 'tap';
+import winston from 'winston';
+import {createListed, createSpec} from '../job-world.test.fixture.js';
+import {createLoadReport} from './load-report.js';
+
+const createOwner = (): scheduler.Owner => {
+	const owner = scheduler.createOwner(
+		's',
+		1,
+		scheduler.defaultSchedulerConfig,
+		0,
+	);
+	scheduler.listExecutor(owner, createListed('x'));
+	scheduler.addJob(
+		owner,
+		{
+			id: 'a',
+			policy: {
+				queue: 'q',
+				priority: 0,
+				maxAttempts: 1,
+				stretch: 1,
+				targetLatencyMs: 0,
+				needsAdvice: false,
+			},
+			spec: createSpec(),
+			acceptedAtEpochMs: 0,
+		},
+		false,
+	);
+	return owner;
+};
+
+tap.t.test('a line every two seconds, with the figures since', async (t) => {
+	const lines: unknown[] = [];
+	let at = 0;
+	const logger = winston.createLogger({silent: true});
+	logger.info = ((message: string, fields: unknown) => {
+		lines.push({message, fields});
+		return logger;
+	}) as typeof logger.info;
+	const report = createLoadReport({now: () => at, logger});
+	const owner = createOwner();
+	report.notePlan(4);
+	report.notePlan(6);
+	report.noteStart(30, true);
+	report.noteStart(600, false);
+	report.noteLateTimer(12);
+	at = 1999;
+	report.writeIfDue(owner);
+	t.same(lines, []);
+	at = 2000;
+	report.writeIfDue(owner);
+	t.match(lines, [
+		{
+			message: 'owner load',
+			fields: {
+				openJobs: 1,
+				executors: {'not-adopted': 1},
+				plans: 2,
+				planMs: 10,
+				longestPlanMs: 6,
+				starts: 2,
+				meanStartMs: 315,
+				longestStartMs: 600,
+				unansweredStarts: 1,
+				longestTimerLagMs: 12,
+			},
+		},
+	]);
+	at = 4000;
+	report.writeIfDue(owner);
+	t.match(lines[1], {fields: {plans: 0, starts: 0, longestTimerLagMs: 0}});
+	owner.openJobs.clear();
+	at = 6000;
+	report.writeIfDue(owner);
+	t.equal(lines.length, 2, 'an owner with nothing to do is silent');
+});
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -23,6 +23,7 @@
 import {createFlusher, type Flusher} from './flusher.js';
 import {openExecutorLink, type ExecutorLink} from './executor-link.js';
 import {createJobRemover} from './job-remover.js';
+import {createLoadReport} from './load-report.js';
 import {createOwnerLog} from './owner-log.js';
 import {takeRows} from './row-intake.js';
 import {getInheritedMs, loadOwner} from './load-owner.js';
@@ -87,6 +88,7 @@
 	const {held, service, store, clock, cfg, metrics} = deps;
 	const logger = deps.logger.child({shard: held.shard});
 	const log = createOwnerLog({service, logger, metrics, clock});
+	const report = createLoadReport({logger, now: clock.now});
 	const remover = createJobRemover({store, held, now: clock.now, logger});
 	const links = new Map<string, ExecutorLink>();
 	let owner: scheduler.Owner | undefined;
@@ -165,7 +167,10 @@
 			onOtherLife() {
 				noteGone(executor.id, 'another life answers at the address');
 			},
-			onStarted: log.noteStarted,
+			onStarted(run, answer) {
+				log.noteStarted(run, answer === 'started');
+				report.noteStart(clock.now() - run.askedAt, answer !== 'no-answer');
+			},
 		});
 		links.set(executor.id, link);
 	};
@@ -226,13 +231,17 @@
 			}
 		}
 
+		report.notePlan(clock.now() - now);
 		flusher?.poke();
 	};
 
 	const planAgain = () => {
+		const dueAt = clock.now() + periods.planMs;
 		planTimer = setTimeout(() => {
+			report.noteLateTimer(clock.now() - dueAt);
 			runPlan();
 			if (owner) {
+				report.writeIfDue(owner);
 				void remover.run(owner);
 			}
 
