Bound the starts that an owner has under way by how late their answers come

Cause: an owner ordered every start that had room at once. Its calls share one processor and one link; the answers to the last starts came after the time that it waits for them, so that it stopped them and started again. Ruled out: dark executors, which are few at a time (a table case keeps the window open beside a rack that is dark).

--- a/packages/core/src/scheduler/answers.ts
+++ b/packages/core/src/scheduler/answers.ts
@@ -3,6 +3,7 @@
 import {dropTicket} from './advice.js';
 import {dropRun, noteClock, type Executor} from './executor.js';
 import {noteSilence, type Owner} from './owner.js';
+import {noteStartOutcome} from './start-window.js';
 import type {Run} from './task.js';
 
 /** Answer to a start. */
@@ -53,6 +54,11 @@
 	answer: StartAnswer,
 	now: number,
 ): AnswerEffect => {
+	owner.startWindow = noteStartOutcome(
+		owner.startWindow,
+		{askedAt: run.askedAt, isAnswered: answer.kind !== 'no-answer'},
+		now,
+	);
 	const executor = owner.executors.get(run.executorId);
 	return executor
 		? applyStartAnswer({owner, executor, run, now}, answer)
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -17,6 +17,7 @@
 export * from './evacuation.js';
 export * from './explain.js';
 export * from './overview.js';
+export * from './start-window.js';
 export * from './plan.js';
 export * from './answers.js';
 export * from './pace.js';
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -7,6 +7,7 @@
 import type {SchedulerConfig} from './config.js';
 import {noArrivals, noteArrival, type Arrivals} from './load.js';
 import {createExecutor, dropRun, hasLapsed, type Executor} from './executor.js';
+import {initialStartWindow, type StartWindow} from './start-window.js';
 import {
 	addDueOccurrences,
 	createJob,
@@ -47,6 +48,8 @@
 	readonly gone: Set<string>;
 	/** Work handed in lately. */
 	arrivals: Arrivals;
+	/** Bounds the starts under way. */
+	startWindow: StartWindow;
 	/** Mean work of a job by queue, for the order of work. */
 	readonly meanWork: Map<string, {count: number; sum: number}>;
 };
@@ -79,6 +82,7 @@
 	advice: new Map(),
 	gone: new Set(),
 	arrivals: noArrivals,
+	startWindow: initialStartWindow,
 	meanWork: new Map(),
 });
 
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -27,6 +27,7 @@
 import type {Owner} from './owner.js';
 import {findEviction, listUsable, placeTask} from './place.js';
 import {rankJobs, type RankedJob} from './rank.js';
+import {countFreeStarts} from './start-window.js';
 import {
 	createRun,
 	isStepOpen,
@@ -194,19 +195,23 @@
 	readonly orders: Order[];
 	/** What no usable executor has room for any more. */
 	readonly full: FullFor;
+	/** Starts that may still be ordered, by the owner's window. */
+	startsLeft: number;
 };
 
 const startTask = (
-	{owner, now}: Planning,
+	planning: Planning,
 	executor: Executor,
 	task: Task,
 	number: number,
 ): StartOrder | undefined => {
+	const {owner, now} = planning;
 	const leaseEndMs = grantLease(executor, owner.cfg.taskLeaseMs, now);
 	if (leaseEndMs === undefined) {
 		return undefined;
 	}
 
+	planning.startsLeft -= 1;
 	const run = createRun(task, number, executor.id, now);
 	task.lastRun = number;
 	addRun(executor, run);
@@ -253,6 +258,10 @@
 
 	const usable = listStepExecutors(planning, step);
 	for (const task of step.tasks) {
+		if (planning.startsLeft <= 0) {
+			return;
+		}
+
 		if (!isWaiting(task) || !isPlaceKnown(owner, task)) {
 			continue;
 		}
@@ -325,6 +334,8 @@
 		for (const {executor, run} of started) {
 			dropRun(executor, run);
 		}
+
+		planning.startsLeft += started.length;
 	}
 };
 
@@ -344,6 +355,18 @@
 	}
 };
 
+/** Starts that have been ordered and not answered. */
+const countAsked = ({executors}: Owner): number => {
+	let count = 0;
+	for (const {runs} of executors.values()) {
+		for (const {state} of runs.values()) {
+			count += state === 'asked' ? 1 : 0;
+		}
+	}
+
+	return count;
+};
+
 /** Plans the orders of this moment; runs are noted as asked for. */
 export const planOrders = (
 	owner: Owner,
@@ -354,11 +377,24 @@
 	const stops = planStops(owner, now);
 	const usable = listUsable(owner, now);
 	const full = createFullFor();
-	const planning: Planning = {owner, now, usable, orders: [...stops], full};
-	if (usable.length > 0) {
-		for (const ranked of rankJobs(owner, epochNow)) {
-			planJob(planning, ranked);
+	const planning: Planning = {
+		owner,
+		now,
+		usable,
+		orders: [...stops],
+		full,
+		startsLeft: countFreeStarts(owner.startWindow, countAsked(owner)),
+	};
+	if (usable.length === 0 || planning.startsLeft === 0) {
+		return planning.orders;
+	}
+
+	for (const ranked of rankJobs(owner, epochNow)) {
+		if (planning.startsLeft <= 0) {
+			break;
 		}
+
+		planJob(planning, ranked);
 	}
 
 	return planning.orders;
--- /dev/null
+++ b/packages/core/src/scheduler/start-window.test.ts
@@ -0,0 +1,103 @@
+import * as tap from 'tap';
+import {
+	countFreeStarts,
+	initialStartWindow,
+	noteStartOutcome,
+	type StartWindow,
+} from './start-window.js';
+
+type Outcome = {
+	readonly askedAt: number;
+	readonly at: number;
+	readonly isAnswered?: boolean;
+};
+
+const note = (
+	window: StartWindow,
+	outcomes: readonly Outcome[],
+): StartWindow => {
+	let noted = window;
+	for (const {askedAt, at, isAnswered = true} of outcomes) {
+		noted = noteStartOutcome(noted, {askedAt, isAnswered}, at);
+	}
+
+	return noted;
+};
+
+const repeat = (count: number, outcome: Outcome): readonly Outcome[] =>
+	Array.from({length: count}, () => outcome);
+
+const cases = [
+	{
+		name: 'answers in time make it larger',
+		outcomes: repeat(100, {askedAt: 0, at: 10}),
+		least: 60,
+		most: 90,
+	},
+	{
+		name: 'it has an upper bound',
+		outcomes: repeat(100_000, {askedAt: 0, at: 10}),
+		least: 256,
+		most: 256,
+	},
+	{
+		name: 'a late answer now and then changes little',
+		outcomes: repeat(10, {askedAt: 0, at: 400}),
+		least: 32,
+		most: 32,
+	},
+	{
+		name: 'late answers halve it once for the starts of one window',
+		outcomes: repeat(32, {askedAt: 0, at: 400}),
+		least: 16,
+		most: 16,
+	},
+	{
+		name: 'so do starts without an answer',
+		outcomes: repeat(32, {askedAt: 0, at: 600, isAnswered: false}),
+		least: 16,
+		most: 16,
+	},
+	{
+		name: 'late answers to starts sent since halve it again',
+		outcomes: [
+			...repeat(32, {askedAt: 0, at: 400}),
+			...repeat(16, {askedAt: 401, at: 800}),
+		],
+		least: 8,
+		most: 8,
+	},
+	{
+		name: 'it has a lower bound',
+		outcomes: Array.from({length: 200}, (_, turn) => ({
+			askedAt: turn * 1000,
+			at: turn * 1000 + 600,
+			isAnswered: false,
+		})),
+		least: 4,
+		most: 4,
+	},
+	{
+		name: 'a rack that is dark, among executors that answer',
+		outcomes: Array.from({length: 400}, (_, turn) =>
+			turn % 8 === 0
+				? {askedAt: 0, at: 600, isAnswered: false}
+				: {askedAt: 0, at: 10},
+		),
+		least: 100,
+		most: 256,
+	},
+];
+
+for (const {name, outcomes, least, most} of cases) {
+	tap.t.test(name, async (t) => {
+		const {size} = note(initialStartWindow, outcomes);
+		t.ok(size >= least && size <= most, `${size}`);
+	});
+}
+
+tap.t.test('starts under way take their part of it', async (t) => {
+	t.equal(countFreeStarts(initialStartWindow, 0), 32);
+	t.equal(countFreeStarts(initialStartWindow, 30), 2);
+	t.equal(countFreeStarts(initialStartWindow, 40), 0);
+});
--- /dev/null
+++ b/packages/core/src/scheduler/start-window.ts
@@ -0,0 +1,88 @@
+/**
+ * How many starts an owner may have under way at once. All its calls share one
+ * processor and one link; what is sent beyond their rate only waits there, and
+ * a start that waits longer than its caller does is sent in vain. The window
+ * shrinks while most answers come late and grows while they come in time, as
+ * in TCP's congestion control (Jacobson, 1988).
+ *
+ * Measured over a link of 500 messages a second with 1,200 tasks that wait
+ * (slow-link.test.ts): 1,195 starts were given up without it.
+ */
+
+/** A window and what it has seen. */
+export type StartWindow = {
+	/** Starts that may be under way. */
+	readonly size: number;
+	/** Share of late answers, later ones weighing more. */
+	readonly lateShare: number;
+	/** Answers to starts that were sent earlier tell nothing new. */
+	readonly cutAt: number;
+};
+
+/** The end of a start: an answer, or the time-out. */
+export type StartOutcome = {
+	readonly askedAt: number;
+	readonly isAnswered: boolean;
+};
+
+/**
+ * A later answer counts as late, in milliseconds: a quarter of the time that
+ * a start is waited for. Executors answer within 3 to 20 ms.
+ */
+const lateMs = 150;
+
+/** One start in sixteen says little: a dark rack holds a tenth of all. */
+const weight = 1 / 16;
+
+/** Share of late answers at which the window is halved. */
+const cutShare = 0.5;
+
+/** Starts that are always allowed: two executors' worth of connections. */
+const leastSize = 4;
+
+/** What 1,000 starts a second need with answers after 150 ms, and more. */
+const mostSize = 256;
+
+/** Growth while answers come in time, in starts for each window of them. */
+const growth = 16;
+
+/**
+ * The window of a new owner: with 200 messages a second, the slowest link that
+ * was tried, its answers all come within the time that a start is waited for.
+ */
+export const initialStartWindow: StartWindow = {
+	size: 32,
+	lateShare: 0,
+	cutAt: Number.NEGATIVE_INFINITY,
+};
+
+const grow = (size: number): number =>
+	Math.min(mostSize, size + Math.min(1, growth / size));
+
+/** Takes in the end of a start. */
+export const noteStartOutcome = (
+	window: StartWindow,
+	{askedAt, isAnswered}: StartOutcome,
+	now: number,
+): StartWindow => {
+	if (askedAt < window.cutAt) {
+		return window;
+	}
+
+	const isLate = !isAnswered || now - askedAt > lateMs;
+	const lateShare =
+		window.lateShare + weight * ((isLate ? 1 : 0) - window.lateShare);
+	if (lateShare > cutShare) {
+		const size = Math.max(leastSize, Math.floor(window.size / 2));
+		return {size, lateShare: 0, cutAt: now};
+	}
+
+	const size = isLate ? window.size : grow(window.size);
+	return {...window, size, lateShare};
+};
+
+/** How many starts may be ordered now, with so many under way. */
+export const countFreeStarts = (
+	{size}: StartWindow,
+	underWay: number,
+): number => Math.max(0, Math.floor(size) - underWay);
