Let a pause follow each plan, four times as long as the plan took

Cause: each answer was followed by a plan at once, so that an owner with a backlog planned all the time: 32 of the 32 percent of a core that it has, with two starts answered in two seconds.

--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -25,6 +25,7 @@
 import {createJobRemover} from './job-remover.js';
 import {createLoadReport} from './load-report.js';
 import {createOwnerLog} from './owner-log.js';
+import {getPlanPauseMs} from './plan-pacer.js';
 import {takeRows} from './row-intake.js';
 import {getInheritedMs, loadOwner} from './load-owner.js';
 
@@ -95,7 +96,8 @@
 	let flusher: Flusher | undefined;
 	let follower: FeedFollower | undefined;
 	const state = {isStopped: false, isLettingGo: false};
-	let isPlanDue = false;
+	let dueTimer: NodeJS.Timeout | undefined;
+	let planNotBefore = 0;
 	let planTimer: NodeJS.Timeout | undefined;
 	const pacedAt = new Map<string, number>();
 
@@ -111,9 +113,9 @@
 
 	const onChange = () => {
 		flusher?.poke();
-		if (!isPlanDue && !state.isStopped) {
-			isPlanDue = true;
-			setImmediate(runPlan);
+		if (!state.isStopped) {
+			const pauseMs = Math.max(0, planNotBefore - clock.now());
+			dueTimer ??= setTimeout(runPlan, pauseMs);
 		}
 	};
 
@@ -211,7 +213,8 @@
 	};
 
 	const runPlan = () => {
-		isPlanDue = false;
+		clearTimeout(dueTimer);
+		dueTimer = undefined;
 		if (!owner || state.isStopped) {
 			return;
 		}
@@ -231,7 +234,9 @@
 			}
 		}
 
-		report.notePlan(clock.now() - now);
+		const tookMs = clock.now() - now;
+		planNotBefore = clock.now() + getPlanPauseMs(tookMs);
+		report.notePlan(tookMs);
 		flusher?.poke();
 	};
 
@@ -239,7 +244,10 @@
 		const dueAt = clock.now() + periods.planMs;
 		planTimer = setTimeout(() => {
 			report.noteLateTimer(clock.now() - dueAt);
-			runPlan();
+			if (clock.now() >= planNotBefore) {
+				runPlan();
+			}
+
 			if (owner) {
 				report.writeIfDue(owner);
 				void remover.run(owner);
@@ -376,6 +384,7 @@
 	const abandon = () => {
 		state.isStopped = true;
 		clearTimeout(planTimer);
+		clearTimeout(dueTimer);
 		follower?.stop();
 		flusher?.stop();
 		for (const link of links.values()) {
