Read answers by a handler of the pool, and know what never left its queue

Cause: a call that waited in vain for a connection was told like one that had gone out, so that a start which certainly did not happen was stopped, looked for and given up; and each call built an abort signal and a stream.

--- /dev/null
+++ b/packages/ports/src/http/connection.test.ts
@@ -0,0 +1,119 @@
+import * as http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import * as tap from 'tap';
+import {createHttpConnection, type HttpConnection} from './connection.js';
+
+type World = {
+	readonly connection: HttpConnection;
+	/** Paths that arrived, in order. */
+	readonly arrived: readonly string[];
+	/** Answers what is held. */
+	readonly release: () => void;
+};
+
+/** A server that answers all but `/held` at once, and a pool of one. */
+const createWorld = async (
+	t: Pick<typeof tap.t, 'teardown'>,
+): Promise<World> => {
+	const arrived: string[] = [];
+	const held: http.ServerResponse[] = [];
+	const server = http.createServer((req, res) => {
+		arrived.push(req.url ?? '');
+		if (req.url === '/held') {
+			held.push(res);
+			return;
+		}
+
+		if (req.url === '/broken') {
+			res.writeHead(200, {'content-length': '10'});
+			res.write('half', () => {
+				res.destroy();
+			});
+			return;
+		}
+
+		req.resume();
+		req.on('end', () => {
+			res.statusCode = 201;
+			res.end(`answer to ${req.url}`);
+		});
+	});
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	const connection = createHttpConnection({
+		origin: `http://127.0.0.1:${port}`,
+		timeoutMs: 5000,
+		maxConnections: 1,
+		maxAnswerBytes: 100,
+	});
+	t.teardown(async () => {
+		await connection.close();
+		server.closeAllConnections();
+		server.close();
+	});
+	return {
+		connection,
+		arrived,
+		release() {
+			for (const res of held.splice(0)) {
+				res.end('late');
+			}
+		},
+	};
+};
+
+const post = {method: 'POST', body: '{"some":"body"}'} as const;
+
+tap.t.test('an answer is whole', async (t) => {
+	const {connection} = await createWorld(t);
+	const result = await connection.call({...post, path: '/one'});
+	t.ok(result.ok);
+	if (result.ok) {
+		t.equal(result.value.status, 201);
+		t.equal(new TextDecoder().decode(result.value.body), 'answer to /one');
+	}
+});
+
+const failures = [
+	{path: '/held', kind: 'timeout'},
+	{path: '/broken', kind: 'timeout'},
+] as const;
+
+for (const {path, kind} of failures) {
+	tap.t.test(`${path} may have taken effect`, async (t) => {
+		const {connection, release} = await createWorld(t);
+		const result = await connection.call({...post, path, timeoutMs: 100});
+		t.same(result, {ok: false, error: {kind}});
+		release();
+	});
+}
+
+tap.t.test(
+	'a request that waited in vain for a connection was not sent',
+	async (t) => {
+		const {connection, arrived, release} = await createWorld(t);
+		const first = connection.call({...post, path: '/held', timeoutMs: 4000});
+		const queued = await connection.call({
+			...post,
+			path: '/two',
+			timeoutMs: 50,
+		});
+		t.same(queued, {ok: false, error: {kind: 'unavailable'}});
+		release();
+		const held = await first;
+		const third = await connection.call({...post, path: '/three'});
+		t.ok(held.ok && third.ok);
+		t.same(arrived, ['/held', '/three'], 'what was given up is never sent');
+	},
+);
+
+tap.t.test('nothing listens', async (t) => {
+	const {connection} = await createWorld(t);
+	await connection.close();
+	t.same(await connection.call({...post, path: '/one'}), {
+		ok: false,
+		error: {kind: 'unavailable'},
+	});
+});
--- a/packages/ports/src/http/connection.ts
+++ b/packages/ports/src/http/connection.ts
@@ -3,7 +3,9 @@
  * timeout, and its failure says whether it may have taken effect.
  */
 import * as core from '@gullstand/core';
+import {match} from 'ts-pattern';
 import * as undici from 'undici';
+import {exchange, type ExchangeOutcome, type HttpAnswer} from './exchange.js';
 
 /** Settings of the client. */
 export type PlatformHttpOptions = {
@@ -36,12 +38,6 @@
 	readonly body?: string | Uint8Array;
 };
 
-/** A whole answer. */
-export type HttpAnswer = {
-	readonly status: number;
-	readonly body: Uint8Array;
-};
-
 /** `timeout`: the request may have gone out, and its effect is unknown. */
 export type HttpFailure =
 	{readonly kind: 'unavailable'} | {readonly kind: 'timeout'};
@@ -54,24 +50,15 @@
 	readonly close: () => Promise<void>;
 };
 
-/** Errors after which certainly no byte of the request went out. */
-const notSentCodes = new Set([
-	'ECONNREFUSED',
-	'EHOSTUNREACH',
-	'ENETUNREACH',
-	'EADDRNOTAVAIL',
-	'UND_ERR_CONNECT_TIMEOUT',
-]);
-
-const getCode = (err: unknown): string | undefined =>
-	err instanceof Error && 'code' in err && typeof err.code === 'string'
-		? err.code
-		: undefined;
-
-const classifyFailure = (err: unknown): HttpFailure =>
-	notSentCodes.has(getCode(err) ?? '')
-		? {kind: 'unavailable'}
-		: {kind: 'timeout'};
+const toResult = (
+	outcome: ExchangeOutcome,
+): core.Result<HttpAnswer, HttpFailure> =>
+	match(outcome)
+		.returnType<core.Result<HttpAnswer, HttpFailure>>()
+		.with({kind: 'answer'}, ({answer}) => core.succeed(answer))
+		.with({kind: 'not-sent'}, () => core.fail({kind: 'unavailable'}))
+		.with({kind: 'no-answer'}, () => core.fail({kind: 'timeout'}))
+		.exhaustive();
 
 const headersOf = (request: HttpCall): Record<string, string> =>
 	request.contentType === undefined
@@ -87,7 +74,7 @@
 		connections: options.maxConnections,
 		pipelining: 1,
 		connectTimeout: timeoutMs / 2,
-		// The signal of each call bounds it; these only catch what it misses.
+		// The time of each call bounds it; these only catch what it misses.
 		headersTimeout: 2 * timeoutMs,
 		bodyTimeout: 2 * timeoutMs,
 		maxResponseSize: options.maxAnswerBytes,
@@ -96,18 +83,17 @@
 	});
 	return {
 		async call(request) {
-			try {
-				const {statusCode, body} = await pool.request({
+			const outcome = await exchange(
+				pool,
+				{
 					method: request.method,
 					path: request.path,
 					headers: headersOf(request),
 					body: request.body ?? null,
-					signal: AbortSignal.timeout(request.timeoutMs ?? timeoutMs),
-				});
-				return core.succeed({status: statusCode, body: await body.bytes()});
-			} catch (err) {
-				return core.fail(classifyFailure(err));
-			}
+				},
+				request.timeoutMs ?? timeoutMs,
+			);
+			return toResult(outcome);
 		},
 		async close() {
 			await pool.destroy();
--- a/packages/ports/src/http/json-call.ts
+++ b/packages/ports/src/http/json-call.ts
@@ -1,7 +1,8 @@
 /** JSON calls over a connection, with every answer checked. */
 import * as core from '@gullstand/core';
 import type * as zod from 'zod';
-import type {HttpAnswer, HttpConnection, HttpFailure} from './connection.js';
+import type {HttpConnection, HttpFailure} from './connection.js';
+import type {HttpAnswer} from './exchange.js';
 
 /** A call and the forms of its answer and of its refusal. */
 export type JsonCall<Value, Failure> = {
