Let looks at an executor be as far apart as answers take

Cause: each end was listed by a look of its own, so that an owner made two calls for a task also when its processor or link was full. Looks at one executor now keep a gap of as long as answers to starts take of late, 250 ms at most.

--- a/packages/core/src/scheduler/start-window.test.ts
+++ b/packages/core/src/scheduler/start-window.test.ts
@@ -1,6 +1,7 @@
 import * as tap from 'tap';
 import {
 	countFreeStarts,
+	getLookGapMs,
 	initialStartWindow,
 	noteStartOutcome,
 	type StartWindow,
@@ -101,3 +102,37 @@
 	t.equal(countFreeStarts(initialStartWindow, 30), 2);
 	t.equal(countFreeStarts(initialStartWindow, 40), 0);
 });
+
+const gaps = [
+	{name: 'nothing was asked yet', tookMs: [], least: 0, most: 0},
+	{name: 'quick answers', tookMs: [3, 5, 4], least: 0, most: 2},
+	{
+		name: 'slow answers',
+		tookMs: Array.from({length: 60}, () => 120),
+		least: 100,
+		most: 120,
+	},
+	{
+		name: 'very slow ones',
+		tookMs: Array.from({length: 200}, () => 600),
+		least: 250,
+		most: 250,
+	},
+	{
+		name: 'quick ones again',
+		tookMs: [
+			...Array.from({length: 200}, () => 600),
+			...Array.from({length: 200}, () => 5),
+		],
+		least: 0,
+		most: 6,
+	},
+];
+
+for (const {name, tookMs, least, most} of gaps) {
+	tap.t.test(`the gap between looks: ${name}`, async (t) => {
+		const outcomes = tookMs.map((at) => ({askedAt: 0, at}));
+		const gapMs = getLookGapMs(note(initialStartWindow, outcomes));
+		t.ok(gapMs >= least && gapMs <= most, `${gapMs}`);
+	});
+}
--- a/packages/core/src/scheduler/start-window.ts
+++ b/packages/core/src/scheduler/start-window.ts
@@ -17,6 +17,8 @@
 	readonly lateShare: number;
 	/** Answers to starts that were sent earlier tell nothing new. */
 	readonly cutAt: number;
+	/** How long answers take of late, in milliseconds. */
+	readonly answerMs: number;
 };
 
 /** The end of a start: an answer, or the time-out. */
@@ -54,6 +56,7 @@
 	size: 32,
 	lateShare: 0,
 	cutAt: Number.NEGATIVE_INFINITY,
+	answerMs: 0,
 };
 
 const grow = (size: number): number =>
@@ -65,20 +68,22 @@
 	{askedAt, isAnswered}: StartOutcome,
 	now: number,
 ): StartWindow => {
+	const tookMs = now - askedAt;
+	const answerMs = window.answerMs + weight * (tookMs - window.answerMs);
 	if (askedAt < window.cutAt) {
-		return window;
+		return {...window, answerMs};
 	}
 
-	const isLate = !isAnswered || now - askedAt > lateMs;
+	const isLate = !isAnswered || tookMs > lateMs;
 	const lateShare =
 		window.lateShare + weight * ((isLate ? 1 : 0) - window.lateShare);
 	if (lateShare > cutShare) {
 		const size = Math.max(leastSize, Math.floor(window.size / 2));
-		return {size, lateShare: 0, cutAt: now};
+		return {size, lateShare: 0, cutAt: now, answerMs};
 	}
 
 	const size = isLate ? window.size : grow(window.size);
-	return {...window, size, lateShare};
+	return {...window, size, lateShare, answerMs};
 };
 
 /** How many starts may be ordered now, with so many under way. */
@@ -86,3 +91,14 @@
 	{size}: StartWindow,
 	underWay: number,
 ): number => Math.max(0, Math.floor(size) - underWay);
+
+/** Most that a look waits for others to end too, in milliseconds. */
+const mostLookGapMs = 250;
+
+/**
+ * Least time between two looks at one executor. Ends that come meanwhile are
+ * listed together, so that an owner whose answers are slow makes fewer calls
+ * for each task; one that is not waits for nothing.
+ */
+export const getLookGapMs = ({answerMs}: StartWindow): number =>
+	Math.min(mostLookGapMs, answerMs);
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -51,6 +51,8 @@
 	wake: (() => void) | undefined;
 	/** Ends the pause until ends may be acknowledged. */
 	endPause: (() => void) | undefined;
+	/** Ends the gap between two looks. */
+	endGap: (() => void) | undefined;
 	ackSent: number;
 	retryMs: number;
 };
@@ -67,6 +69,7 @@
 		isPoked: true,
 		wake: undefined,
 		endPause: undefined,
+		endGap: undefined,
 		ackSent: 0,
 		retryMs: periods.lookRetryMs,
 	};
@@ -95,6 +98,21 @@
 		state.endPause = undefined;
 	};
 
+	/** Ends that come meanwhile are listed together by the next look. */
+	const pauseForGap = async (seenAt: number) => {
+		const gapMs = scheduler.getLookGapMs(owner.startWindow);
+		const restMs = gapMs - (now() - seenAt);
+		if (restMs < periods.leastLookGapMs || state.isPoked) {
+			return;
+		}
+
+		const poked = new Promise<void>((resolve) => {
+			state.endGap = resolve;
+		});
+		await Promise.race([poked, delay(restMs)]);
+		state.endGap = undefined;
+	};
+
 	const sleep = async () => {
 		await new Promise<void>((resolve) => {
 			state.wake = resolve;
@@ -181,7 +199,9 @@
 			.with({kind: 'seen'}, async (seen) => {
 				state.ackSent = Math.max(state.ackSent, acknowledgedUpto);
 				takeSeen(seen, sentAt);
+				const seenAt = now();
 				await pauseForAck();
+				await pauseForGap(seenAt);
 			})
 			.with({kind: 'fenced'}, async () => {
 				deps.onFenced();
@@ -203,6 +223,7 @@
 		state.isPoked = true;
 		state.wake?.();
 		state.endPause?.();
+		state.endGap?.();
 	};
 
 	const follow = (effect: scheduler.AnswerEffect) => {
@@ -315,6 +336,7 @@
 			state.isClosed = true;
 			state.wake?.();
 			state.endPause?.();
+			state.endGap?.();
 			executors.forget(target);
 		},
 		send(order) {
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -39,6 +39,8 @@
 	 * the next one waits for their flush, which takes 15 to 30 ms.
 	 */
 	ackPauseMs: 35,
+	/** A shorter gap between two looks is not worth a timer. */
+	leastLookGapMs: 10,
 	/** A question to the advice service, which takes them one at a time. */
 	adviceTimeoutMs: 3000,
 	/** Between two questions whether the owner before has let go. */
