--- a/packages/core/src/scheduler/start-window.test.ts
+++ b/packages/core/src/scheduler/start-window.test.ts
@@ -103,7 +103,15 @@
 	t.equal(countFreeStarts(initialStartWindow, 40), 0);
 });
 
-const gaps = [
+type Gap = {
+	readonly name: string;
+	readonly tookMs: readonly number[];
+	readonly unansweredMs?: readonly number[];
+	readonly least: number;
+	readonly most: number;
+};
+
+const gaps: readonly Gap[] = [
 	{name: 'nothing was asked yet', tookMs: [], least: 0, most: 0},
 	{name: 'quick answers', tookMs: [3, 5, 4], least: 0, most: 2},
 	{
@@ -118,6 +126,13 @@
 		least: 250,
 		most: 250,
 	},
+	{
+		name: 'none from executors that are dark',
+		tookMs: [],
+		unansweredMs: Array.from({length: 32}, () => 600),
+		least: 0,
+		most: 0,
+	},
 	{
 		name: 'quick ones again',
 		tookMs: [
@@ -129,9 +144,12 @@
 	},
 ];
 
-for (const {name, tookMs, least, most} of gaps) {
+for (const {name, tookMs, unansweredMs = [], least, most} of gaps) {
 	tap.t.test(`the gap between looks: ${name}`, async (t) => {
-		const outcomes = tookMs.map((at) => ({askedAt: 0, at}));
+		const outcomes = [
+			...tookMs.map((at) => ({askedAt: 0, at})),
+			...unansweredMs.map((at) => ({askedAt: 0, at, isAnswered: false})),
+		];
 		const gapMs = getLookGapMs(note(initialStartWindow, outcomes));
 		t.ok(gapMs >= least && gapMs <= most, `${gapMs}`);
 	});
--- a/packages/core/src/scheduler/start-window.ts
+++ b/packages/core/src/scheduler/start-window.ts
@@ -69,7 +69,10 @@
 	now: number,
 ): StartWindow => {
 	const tookMs = now - askedAt;
-	const answerMs = window.answerMs + weight * (tookMs - window.answerMs);
+	// A dark executor says nothing of how long answers take.
+	const answerMs = isAnswered
+		? window.answerMs + weight * (tookMs - window.answerMs)
+		: window.answerMs;
 	if (askedAt < window.cutAt) {
 		return {...window, answerMs};
 	}
