Tests for what a repeated end, checkpoint or delisting must not change, failing

An executor lists an end until it is acknowledged, so an owner must take the same end twice without harm. Beside the two tests that were red, these fail now:

- an executor rests for failures that an earlier owner has counted
- the failures of a lasting task rise with each repeated end
- a gang that fails in one run counts twice, or, failing in another member each time, not at all
- a checkpoint of an earlier run replaces that of a later one
- a checkpoint seen while the task ran is not stored at its end
- members of a gang start with different checkpoints
- an executor off the list is forgotten with ends that are not acknowledged
- what an executor lists begins occurrences that are not due
- a flush under way shows a cancelled job as running again
- a job that has started is shown as queued by the next owner
- progress rows drop what they don't know

Cases that pass already (older rows, a later checkpoint) are there to stay so.

--- a/packages/core/src/scheduler/repeated-ends.test.ts
+++ b/packages/core/src/scheduler/repeated-ends.test.ts
@@ -72,3 +72,404 @@
 		t.equal(job.end, undefined, 'one failure of two');
 	},
 );
+
+/** The state of the next owner, read from what the one before stored. */
+const takeOver = (
+	before: scheduler.Owner,
+	spec: scheduler.AcceptedJob,
+	executors: readonly string[],
+) => {
+	const stored = scheduler.encodeProgress(before.jobs.get(spec.id)!);
+	const text = JSON.stringify(stored);
+	const row = JSON.parse(text) as scheduler.JobProgress;
+	const owner = createTestOwner(executors.map((id) => createListed(id)));
+	const job = scheduler.addJob(owner, spec, true);
+	scheduler.applyProgress(job, row, 0);
+	scheduler.advanceSchedules(owner, 0);
+	return {owner, job};
+};
+
+tap.t.test(
+	'an executor does not rest for failures that were counted before',
+	async (t) => {
+		const spec = createAccepted('a', [{count: 3}], {policy: {maxAttempts: 9}});
+		const ids = ['x', 'y', 'z'];
+		const before = createTestOwner([createListed('x')]);
+		submit(before, spec);
+		planAndStart(before, 0);
+		const ends = listRuns(before, 'x').map(
+			(run, index) => ({...run, number: index + 1, how: 'failed'}) as const,
+		);
+		look(before, 'x', {at: 10, ends});
+		const {owner} = takeOver(before, spec, ids);
+		look(owner, 'x', {at: 20, ends});
+		t.equal(owner.executors.get('x')!.restsUntil, 0);
+	},
+);
+
+tap.t.test('a lasting task keeps few of its failed runs', async (t) => {
+	const spec = createAccepted('a', [{isLongRunning: true}], {
+		policy: {maxAttempts: 3},
+	});
+	const owner = createTestOwner([createListed('x')]);
+	const job = submit(owner, spec);
+	const sizes = new Set<number>();
+	// Run numbers of two digits, so that only what is kept could grow.
+	for (let run = 10; run < 100; run++) {
+		const end = {number: run, run, taskId: 'a.0.0.0', how: 'failed'} as const;
+		look(owner, 'x', {at: run, ends: [end]});
+		if (run >= 20) {
+			sizes.add(JSON.stringify(scheduler.encodeProgress(job)).length);
+		}
+	}
+
+	t.equal(sizes.size, 1, [...sizes].join(', '));
+	const next = takeOver(owner, spec, ['x']);
+	const old = {number: 1, run: 20, taskId: 'a.0.0.0', how: 'failed'} as const;
+	look(next.owner, 'x', {at: 100, ends: [old]});
+	const [before] = scheduler.listTasks(job);
+	const [after] = scheduler.listTasks(next.job);
+	t.equal(after!.failures, before!.failures);
+});
+
+type GangCase = {
+	readonly name: string;
+	/** Failed ends: run and member. */
+	readonly failed: ReadonlyArray<readonly [run: number, member: number]>;
+	readonly isFailed: boolean;
+};
+
+const gangCases: readonly GangCase[] = [
+	{
+		name: 'two members of one run',
+		failed: [
+			[1, 0],
+			[1, 1],
+		],
+		isFailed: false,
+	},
+	{
+		name: 'one member in two runs',
+		failed: [
+			[1, 1],
+			[2, 1],
+		],
+		isFailed: true,
+	},
+	{
+		name: 'another member in each of two runs',
+		failed: [
+			[1, 0],
+			[2, 1],
+		],
+		isFailed: true,
+	},
+	{
+		name: 'the same end twice',
+		failed: [
+			[1, 1],
+			[1, 1],
+		],
+		isFailed: false,
+	},
+];
+
+const gangSpec = createAccepted('a', [{count: 2, isGang: true}], {
+	policy: {maxAttempts: 2},
+});
+
+for (const {name, failed, isFailed} of gangCases) {
+	tap.t.test(`attempts of a gang: ${name}`, async (t) => {
+		const ends = failed.map(
+			([run, member], index) =>
+				({
+					number: index + 1,
+					run,
+					taskId: `a.0.0.${member}`,
+					how: 'failed',
+				}) as const,
+		);
+		const owner = createTestOwner([createListed('x')]);
+		const job = submit(owner, gangSpec);
+		look(owner, 'x', {at: 10, ends});
+		t.equal(job.end, isFailed ? 'failed' : undefined, 'one owner');
+		const first = createTestOwner([createListed('x')]);
+		submit(first, gangSpec);
+		look(first, 'x', {at: 10, ends: ends.slice(0, 1)});
+		const next = takeOver(first, gangSpec, ['x']);
+		look(next.owner, 'x', {at: 20, ends});
+		t.equal(next.job.end, isFailed ? 'failed' : undefined, 'two owners');
+	});
+}
+
+type CheckpointCase = {
+	readonly name: string;
+	/** Ends as the executors list them: run and checkpoint. */
+	readonly ends: ReadonlyArray<readonly [run: number, checkpoint: string]>;
+	readonly expected: string;
+};
+
+const checkpointCases: readonly CheckpointCase[] = [
+	{
+		name: 'of a later run',
+		ends: [
+			[1, 'one'],
+			[2, 'two'],
+		],
+		expected: 'two',
+	},
+	{
+		name: 'of an earlier run',
+		ends: [
+			[2, 'two'],
+			[1, 'one'],
+		],
+		expected: 'two',
+	},
+	{
+		name: 'without one',
+		ends: [
+			[1, 'one'],
+			[2, ''],
+		],
+		expected: 'one',
+	},
+	{
+		name: 'of the same run',
+		ends: [
+			[1, 'one'],
+			[1, 'more'],
+		],
+		expected: 'more',
+	},
+];
+
+for (const {name, ends, expected} of checkpointCases) {
+	tap.t.test(`a checkpoint and then one ${name}`, async (t) => {
+		const spec = createAccepted('a', [{canCheckpoint: true}]);
+		const toEnds = (listed: typeof ends) =>
+			listed.map(
+				([run, checkpoint], index) =>
+					({
+						number: index + 1,
+						run,
+						taskId: 'a.0.0.0',
+						how: 'stopped',
+						checkpoint,
+					}) as const,
+			);
+		const owner = createTestOwner([createListed('x')]);
+		const job = submit(owner, spec);
+		look(owner, 'x', {at: 10, ends: toEnds(ends)});
+		t.equal([...scheduler.listTasks(job)][0]!.checkpoint, expected);
+		const first = createTestOwner([createListed('x')]);
+		submit(first, spec);
+		look(first, 'x', {at: 10, ends: toEnds(ends.slice(0, 1))});
+		const next = takeOver(first, spec, ['x']);
+		look(next.owner, 'x', {at: 20, ends: toEnds(ends.slice(1))});
+		t.equal(
+			[...scheduler.listTasks(next.job)][0]!.checkpoint,
+			expected,
+			'the second end after a takeover',
+		);
+	});
+}
+
+tap.t.test('an older run that still runs gives no checkpoint', async (t) => {
+	const owner = createTestOwner([createListed('x'), createListed('y')]);
+	const job = submit(owner, createAccepted('a', [{canCheckpoint: true}]));
+	const run = {taskId: 'a.0.0.0'};
+	look(owner, 'x', {at: 1, running: [{...run, run: 2, checkpoint: 'two'}]});
+	look(owner, 'y', {at: 2, running: [{...run, run: 1, checkpoint: 'one'}]});
+	t.equal([...scheduler.listTasks(job)][0]!.checkpoint, 'two');
+});
+
+tap.t.test(
+	'a checkpoint that was seen while it ran is stored at the end',
+	async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		const spec = createAccepted('a', [{canCheckpoint: true}]);
+		submit(owner, spec);
+		const run = {taskId: 'a.0.0.0', run: 1, checkpoint: 'half'};
+		look(owner, 'x', {at: 1, running: [run]});
+		store(owner);
+		look(owner, 'x', {at: 2, ends: [{...run, how: 'lapsed'}]});
+		t.ok(
+			scheduler.needsFlush(owner),
+			'else the end is acknowledged and the next owner starts it afresh',
+		);
+	},
+);
+
+tap.t.test('all members of a gang start with one checkpoint', async (t) => {
+	const owner = createTestOwner([createListed('x'), createListed('y')]);
+	const spec = createAccepted('a', [
+		{count: 3, isGang: true, canCheckpoint: true},
+	]);
+	submit(owner, spec);
+	planAndStart(owner, 0);
+	const run = listRuns(owner, 'x')[0]!;
+	const members = [0, 1, 2].map((index) => ({
+		taskId: `a.0.0.${index}`,
+		run: run.run,
+		checkpoint: `of ${index}`,
+	}));
+	look(owner, 'x', {at: 10, running: members.slice(0, 2)});
+	look(owner, 'y', {at: 20, running: members.slice(2)});
+	const toEnds = (listed: typeof members) =>
+		listed.map(
+			(member, index) =>
+				({...member, number: index + 1, how: 'broken'}) as const,
+		);
+	look(owner, 'x', {at: 30, ends: toEnds(members.slice(0, 2))});
+	look(owner, 'y', {at: 40, ends: toEnds(members.slice(2))});
+	const started = planAndStart(owner, 50).flatMap((order) =>
+		order.kind === 'start' ? [order.run.task.checkpoint] : [],
+	);
+	t.equal(started.length, 3);
+	t.equal(new Set(started).size, 1, started.join(', '));
+	t.ok(started[0]);
+});
+
+type ForgetCase = {
+	readonly name: string;
+	readonly act: (owner: scheduler.Owner) => void;
+	readonly isKept: boolean;
+};
+
+/** By then, all leases granted so far are over. */
+const longAfter = 60_000;
+
+const forgetCases: readonly ForgetCase[] = [
+	{name: 'its ends are not stored', act: () => undefined, isKept: true},
+	{
+		name: 'they are stored, and the acknowledgement is on its way',
+		act: store,
+		isKept: true,
+	},
+	{
+		name: 'they are acknowledged',
+		act(owner) {
+			store(owner);
+			look(owner, 'x', {at: 20});
+		},
+		isKept: false,
+	},
+	{
+		name: 'it is silent and its leases are over',
+		act(owner) {
+			scheduler.unlistExecutor(owner, 'x');
+			scheduler.noteSilence(owner, 'x', 20);
+			scheduler.expireLeases(owner, longAfter);
+		},
+		isKept: false,
+	},
+	{
+		name: 'its life is over',
+		act(owner) {
+			scheduler.noteGone(owner, 'x');
+		},
+		isKept: false,
+	},
+];
+
+for (const {name, act, isKept} of forgetCases) {
+	tap.t.test(
+		`an executor off the list is ${isKept ? 'kept' : 'forgotten'}: ${name}`,
+		async (t) => {
+			const owner = createTestOwner([createListed('x')]);
+			submit(owner, createAccepted('a'));
+			planAndStart(owner, 0);
+			const [run] = listRuns(owner, 'x');
+			look(owner, 'x', {at: 10, ends: [{...run!, number: 1}]});
+			act(owner);
+			scheduler.unlistExecutor(owner, 'x');
+			t.equal(owner.executors.has('x'), isKept);
+		},
+	);
+}
+
+tap.t.test('what an executor lists begins no later occurrence', async (t) => {
+	const schedule = {times: 3, startAtEpochMs: 0, intervalMs: 10_000};
+	const owner = createTestOwner([createListed('x')]);
+	const job = scheduler.addJob(
+		owner,
+		createAccepted('a', [{}], {schedule}),
+		true,
+	);
+	look(owner, 'x', {at: 1, ends: [{taskId: 'a.0.0.0', run: 7}]});
+	t.equal(job.nextOccurrence, 1);
+	t.same(planAndStart(owner, 2), [], 'the others are not due');
+	look(owner, 'x', {at: 3, running: [{taskId: 'a.2.0.0', run: 8}]});
+	t.equal(job.nextOccurrence, 3, 'those before it were due then');
+	look(owner, 'x', {at: 4, running: [{taskId: 'a.9.0.0', run: 8}]});
+	t.equal(job.nextOccurrence, 3, 'no more than the job has');
+});
+
+tap.t.test('a cancelled job stays so while a flush is under way', async (t) => {
+	const owner = createTestOwner([createListed('x')]);
+	const job = submit(owner, createAccepted('a', [{count: 2}]));
+	planAndStart(owner, 0);
+	look(owner, 'x', {at: 10, ends: [{...listRuns(owner, 'x')[0]!, number: 1}]});
+	const flush = scheduler.beginFlush(owner, 100);
+	scheduler.cancelJob(owner, job, 20);
+	scheduler.completeFlush(owner, flush);
+	t.equal(scheduler.getJobState(job), 'cancelled');
+});
+
+type ShownCase = {
+	readonly name: string;
+	readonly schedule?: scheduler.Schedule;
+	readonly how: scheduler.RunEnd;
+	readonly checkpoint?: string;
+};
+
+const shownCases: readonly ShownCase[] = [
+	{name: 'a failed task', how: 'failed'},
+	{name: 'a checkpoint', how: 'stopped', checkpoint: 'half'},
+	{
+		name: 'an occurrence that is done',
+		how: 'done',
+		schedule: {times: 2, startAtEpochMs: 0, intervalMs: 10_000},
+	},
+];
+
+for (const {name, schedule, how, checkpoint = ''} of shownCases) {
+	tap.t.test(`a job with ${name} is still shown as running`, async (t) => {
+		const spec = createAccepted('a', [{canCheckpoint: true}], {
+			...(schedule ? {schedule} : {}),
+		});
+		const before = createTestOwner([createListed('x')]);
+		const job = submit(before, spec);
+		look(before, 'x', {
+			at: 10,
+			ends: [{run: 1, taskId: 'a.0.0.0', how, checkpoint}],
+		});
+		t.equal(scheduler.getJobState(job), 'running');
+		const next = takeOver(before, spec, ['x']);
+		t.equal(scheduler.getJobState(next.job), 'running', 'by the next owner');
+	});
+}
+
+tap.t.test('progress of the older form is read', async (t) => {
+	const job = scheduler.createJob(accepted, true);
+	scheduler.applyProgress(
+		job,
+		{
+			doneOccurrences: 0,
+			nextOccurrence: 1,
+			occurrences: [
+				{
+					number: 0,
+					done: ['01'],
+					tasks: {'a.0.0.0': {failures: 1, checkpoint: 'half'}},
+				},
+			],
+		},
+		0,
+	);
+	t.match(
+		[...scheduler.listTasks(job)],
+		[{failures: 1, checkpoint: 'half', isDone: false}, {isDone: true}],
+	);
+});
--- a/packages/daemon/src/jobs/rows/decode-rows.test.ts
+++ b/packages/daemon/src/jobs/rows/decode-rows.test.ts
@@ -1,7 +1,7 @@
 /** Rows that cannot be read are skipped and said; the others are taken in. */
 import type {StoredRow} from '@gullstand/ports';
 import * as tap from 'tap';
-import {jobSchema, tables} from './tables.js';
+import {decodeRow, jobSchema, progressSchema, tables} from './tables.js';
 import {decodeRows} from './decode-rows.js';
 
 const valid = {
@@ -43,3 +43,32 @@
 		t.end();
 	});
 }
+
+const taskForms: ReadonlyArray<readonly [name: string, task: object]> = [
+	['counts only', {failures: 1}],
+	['a checkpoint', {failures: 0, checkpoint: 'half'}],
+	[
+		'the runs that they come from',
+		{
+			failures: 1,
+			failedRuns: [10_001],
+			checkpoint: 'half',
+			checkpointRun: 10_002,
+		},
+	],
+];
+
+for (const [name, task] of taskForms) {
+	tap.t.test(`progress of a task with ${name} is read whole`, (t) => {
+		const progress = {
+			doneOccurrences: 0,
+			nextOccurrence: 1,
+			occurrences: [{number: 0, done: ['0'], tasks: {'j1.0.0.0': task}}],
+		};
+		t.same(decodeRow(progressSchema, JSON.stringify(progress)), {
+			ok: true,
+			value: progress,
+		});
+		t.end();
+	});
+}
