Count a failed run once, by its number, also over owners

Cause: ends were told apart by their place in one owner's list of one life of an executor. The next owner, or the same one after it had forgotten the executor, took an end that was stored and not yet acknowledged for a new one: it spent a second attempt, and a job with two attempts was shown as failed after one. Run numbers rise over all owners, so the run's number tells ends apart. A task keeps the numbers of its failed runs, and its progress row too; a repeated end changes neither attempts nor the executor's failures in a row. At most maxAttempts numbers are kept: a job ends before it has more, and of a lasting task older runs are taken for counted.

A gang fails as a whole: members share the run's number, so two members that fail in one run spend one attempt, and members that fail in two runs spend two. Before, the first counted twice (of one member) and the second not at all.

Rows of the older form have a count alone and are read as before; failures under them that are listed again are counted again.

Ruled out: numbers of ends kept for each executor in the store (one more row to write for each acknowledgement, and lost with the executor); forgetting nothing (does not help the next owner).

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -5,6 +5,7 @@
 export * from './check-job.js';
 export * from './remote-clock.js';
 export * from './task.js';
+export * from './attempts.js';
 export * from './progress.js';
 export * from './executor.js';
 export * from './advice.js';
--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -1,5 +1,6 @@
 /** What an executor's list of its runs and ends says, taken in by the owner. */
 import {match} from 'ts-pattern';
+import {countFailure} from './attempts.js';
 import {
 	addRun,
 	dropRun,
@@ -12,6 +13,7 @@
 	addDueOccurrences,
 	createPastTask,
 	createRun,
+	listTogether,
 	markDone,
 	parseTaskId,
 	type Run,
@@ -114,32 +116,42 @@
 		: undefined;
 };
 
-const isGang = ({step}: Task): boolean => step.spec.isGang;
-
-/** Tasks that one `done` stands for: all members of a gang. */
-const getDoneTasks = (task: Task): readonly Task[] =>
-	isGang(task) ? task.step.tasks : [task];
-
 const noteDone = (owner: Owner, task: Task, now: number): void => {
 	const {job} = task.step.occurrence;
-	for (const each of getDoneTasks(task)) {
+	// One `done` stands for all members of a gang.
+	for (const each of listTogether(task)) {
 		markDone(each);
 	}
 
 	completeIfDone(owner, job, now);
 };
 
+const restIfFailing = (owner: Owner, executor: Executor, now: number): void => {
+	const {failuresUntilRest, restMs, maxRestShare} = owner.cfg;
+	const all = [...owner.executors.values()];
+	const resting = all.filter(({restsUntil}) => restsUntil > now).length;
+	const mayRest = (resting + 1) / all.length <= maxRestShare;
+	if (executor.failuresInRow >= failuresUntilRest && mayRest) {
+		executor.restsUntil = now + restMs;
+		executor.failuresInRow = 0;
+	}
+};
+
 const noteFailed = (
 	owner: Owner,
 	task: Task,
-	executor: Executor,
+	{executor, run}: {readonly executor: Executor; readonly run: number},
 	now: number,
 ): JobChange | undefined => {
+	if (!countFailure(task, run)) {
+		return undefined;
+	}
+
 	const {step} = task;
 	const {job} = step.occurrence;
-	task.failures += 1;
 	task.failedOn = executor.id;
 	executor.failuresInRow += 1;
+	restIfFailing(owner, executor, now);
 	owner.dirty.add(job);
 	const {maxAttempts} = job.accepted.policy;
 	if (step.spec.isLongRunning || task.failures < maxAttempts || job.end) {
@@ -151,17 +163,6 @@
 	return {job: job.accepted.id, end: 'failed', reason};
 };
 
-const restIfFailing = (owner: Owner, executor: Executor, now: number): void => {
-	const {failuresUntilRest, restMs, maxRestShare} = owner.cfg;
-	const all = [...owner.executors.values()];
-	const resting = all.filter(({restsUntil}) => restsUntil > now).length;
-	const mayRest = (resting + 1) / all.length <= maxRestShare;
-	if (executor.failuresInRow >= failuresUntilRest && mayRest) {
-		executor.restsUntil = now + restMs;
-		executor.failuresInRow = 0;
-	}
-};
-
 const keepCheckpoint = (owner: Owner, task: Task, checkpoint: string): void => {
 	if (checkpoint === '' || checkpoint === task.checkpoint) {
 		return;
@@ -196,11 +197,9 @@
 			noteDone(owner, task, now);
 			return undefined;
 		})
-		.with('failed', () => {
-			const change = noteFailed(owner, task, executor, now);
-			restIfFailing(owner, executor, now);
-			return change;
-		})
+		.with('failed', () =>
+			noteFailed(owner, task, {executor, run: end.run}, now),
+		)
 		.with('stopped', 'lapsed', 'broken', 'alone', () => undefined)
 		.exhaustive();
 };
--- a/packages/core/src/scheduler/progress.ts
+++ b/packages/core/src/scheduler/progress.ts
@@ -9,11 +9,14 @@
 	markDone,
 	type Job,
 	type JobEnd,
+	type Task,
 } from './task.js';
 
 /** What is kept of a task that is not simply untouched or done. */
 export type TaskProgress = {
 	readonly failures: number;
+	/** Absent in rows of an older form. */
+	readonly failedRuns?: readonly number[] | undefined;
 	readonly checkpoint?: string | undefined;
 };
 
@@ -33,6 +36,16 @@
 	readonly occurrences: readonly OccurrenceProgress[];
 };
 
+const describeTask = ({
+	failures,
+	failedRuns,
+	checkpoint,
+}: Task): TaskProgress => ({
+	failures,
+	failedRuns: failedRuns.length > 0 ? failedRuns : undefined,
+	checkpoint,
+});
+
 const describeTasks = (
 	job: Job,
 	number: number,
@@ -41,7 +54,7 @@
 		.filter(({step}) => step.occurrence.number === number)
 		.filter(({isDone}) => !isDone)
 		.filter(({failures, checkpoint}) => failures > 0 || checkpoint)
-		.map(({id, failures, checkpoint}) => [id, {failures, checkpoint}] as const);
+		.map((task) => [task.id, describeTask(task)] as const);
 	return Object.fromEntries(entries);
 };
 
@@ -67,6 +80,7 @@
 		for (const task of step.tasks) {
 			const kept = progress.tasks[task.id];
 			task.failures = kept?.failures ?? 0;
+			task.failedRuns = kept?.failedRuns ?? [];
 			task.checkpoint = kept?.checkpoint;
 			if (progress.done[step.number]?.[task.index] === '1') {
 				markDone(task);
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -39,7 +39,10 @@
 	readonly step: Step;
 	readonly index: number;
 	isDone: boolean;
+	/** Attempts that were spent, by it or by any member of its gang. */
 	failures: number;
+	/** Its runs that ended as failed, lowest first; see attempts.ts. */
+	failedRuns: readonly number[];
 	checkpoint: string | undefined;
 	runs: Run[];
 	/** The highest run number given so far by this owner. */
@@ -132,6 +135,7 @@
 		index,
 		isDone: false,
 		failures: 0,
+		failedRuns: [],
 		checkpoint: undefined,
 		runs: [],
 		lastRun: 0,
@@ -272,6 +276,10 @@
 export const isWaiting = (task: Task): boolean =>
 	!task.isDone && task.runs.length === 0;
 
+/** Tasks that run and end together: all members of a gang, else the task. */
+export const listTogether = (task: Task): readonly Task[] =>
+	task.step.spec.isGang ? task.step.tasks : [task];
+
 /** Marks a task as done. True if this ended its occurrence. */
 export const markDone = (task: Task): boolean => {
 	if (task.isDone) {
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -177,6 +177,7 @@
 				z.string(),
 				z.object({
 					failures: z.int().min(0),
+					failedRuns: z.array(z.int()).optional(),
 					checkpoint: z.string().optional(),
 				}),
 			),
