Keep the checkpoint of the latest run, and one for a whole gang

Cause: any end that was listed, and any run that is still there, set the task's checkpoint. An end that is listed again after a takeover, or an older run that is on its way out, so replaced the checkpoint of a later run, and the work since was done twice. The run's number is kept beside the checkpoint, in memory and in the row, and an earlier run's is not taken.

Each member of a gang kept its own. All members take the latest value.

A checkpoint that was seen while the task ran was not stored when the end brought the same one; the end was acknowledged all the same, and the next owner started the task afresh. The end is stored now.

Rows of the older form have no run beside the checkpoint, and members of a gang that differ there are brought to one value.

--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -16,6 +16,7 @@
 	listTogether,
 	markDone,
 	parseTaskId,
+	takeCheckpoint,
 	type Run,
 	type Task,
 } from './task.js';
@@ -163,15 +164,6 @@
 	return {job: job.accepted.id, end: 'failed', reason};
 };
 
-const keepCheckpoint = (owner: Owner, task: Task, checkpoint: string): void => {
-	if (checkpoint === '' || checkpoint === task.checkpoint) {
-		return;
-	}
-
-	task.checkpoint = checkpoint;
-	owner.dirty.add(task.step.occurrence.job);
-};
-
 const settleEnd = (
 	owner: Owner,
 	executor: Executor,
@@ -189,7 +181,11 @@
 	}
 
 	task.step.occurrence.job.hasStarted = true;
-	keepCheckpoint(owner, task, end.checkpoint);
+	if (takeCheckpoint(task, end.run, end.checkpoint)) {
+		// It may be known from the run itself and is not stored for all that.
+		owner.dirty.add(task.step.occurrence.job);
+	}
+
 	return match(end.how)
 		.returnType<JobChange | undefined>()
 		.with('done', () => {
@@ -281,14 +277,8 @@
 		}
 
 		noteProgress(run, listed, look.receivedAt);
-		keepLiveCheckpoint(run, listed.checkpoint);
-	}
-};
-
-/** Kept in memory only: a lost one costs work, never a promise. */
-const keepLiveCheckpoint = ({task}: Run, checkpoint: string): void => {
-	if (checkpoint !== '') {
-		task.checkpoint = checkpoint;
+		// Not stored while it runs: a lost one costs work, never a promise.
+		takeCheckpoint(run.task, run.number, listed.checkpoint);
 	}
 };
 
--- a/packages/core/src/scheduler/progress.ts
+++ b/packages/core/src/scheduler/progress.ts
@@ -7,8 +7,10 @@
 	countOccurrences,
 	listTasks,
 	markDone,
+	takeCheckpoint,
 	type Job,
 	type JobEnd,
+	type Step,
 	type Task,
 } from './task.js';
 
@@ -18,6 +20,8 @@
 	/** Absent in rows of an older form. */
 	readonly failedRuns?: readonly number[] | undefined;
 	readonly checkpoint?: string | undefined;
+	/** Absent in rows of an older form. */
+	readonly checkpointRun?: number | undefined;
 };
 
 /** What is kept of one occurrence at hand. */
@@ -40,10 +44,12 @@
 	failures,
 	failedRuns,
 	checkpoint,
+	checkpointRun,
 }: Task): TaskProgress => ({
 	failures,
 	failedRuns: failedRuns.length > 0 ? failedRuns : undefined,
 	checkpoint,
+	checkpointRun: checkpointRun > 0 ? checkpointRun : undefined,
 });
 
 const describeTasks = (
@@ -74,6 +80,21 @@
 			})),
 });
 
+/** Rows of an older form give each member of a gang its own. */
+const levelGang = ({tasks}: Step): void => {
+	const [latest] = tasks
+		.filter(({checkpoint}) => checkpoint)
+		.toSorted((one, two) => two.checkpointRun - one.checkpointRun);
+	if (latest) {
+		takeCheckpoint(latest, latest.checkpointRun, latest.checkpoint ?? '');
+	}
+
+	const failures = Math.max(...tasks.map((task) => task.failures));
+	for (const task of tasks) {
+		task.failures = failures;
+	}
+};
+
 const applyOccurrence = (job: Job, progress: OccurrenceProgress): void => {
 	const occurrence = job.occurrences.get(progress.number);
 	for (const step of occurrence?.steps ?? []) {
@@ -82,10 +103,15 @@
 			task.failures = kept?.failures ?? 0;
 			task.failedRuns = kept?.failedRuns ?? [];
 			task.checkpoint = kept?.checkpoint;
+			task.checkpointRun = kept?.checkpointRun ?? 0;
 			if (progress.done[step.number]?.[task.index] === '1') {
 				markDone(task);
 			}
 		}
+
+		if (step.spec.isGang) {
+			levelGang(step);
+		}
 	}
 };
 
--- a/packages/core/src/scheduler/repeated-ends.test.ts
+++ b/packages/core/src/scheduler/repeated-ends.test.ts
@@ -451,6 +451,30 @@
 	});
 }
 
+tap.t.test('a gang of the older form has one checkpoint', async (t) => {
+	const job = scheduler.createJob(gangSpec, true);
+	const tasks = {
+		'a.0.0.0': {failures: 0, checkpoint: 'of 0'},
+		'a.0.0.1': {failures: 1, checkpoint: 'of 1'},
+	};
+	scheduler.applyProgress(
+		job,
+		{
+			doneOccurrences: 0,
+			nextOccurrence: 1,
+			occurrences: [{number: 0, done: ['00'], tasks}],
+		},
+		0,
+	);
+	t.match(
+		[...scheduler.listTasks(job)],
+		[
+			{failures: 1, checkpoint: 'of 0'},
+			{failures: 1, checkpoint: 'of 0'},
+		],
+	);
+});
+
 tap.t.test('progress of the older form is read', async (t) => {
 	const job = scheduler.createJob(accepted, true);
 	scheduler.applyProgress(
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -44,6 +44,8 @@
 	/** Its runs that ended as failed, lowest first; see attempts.ts. */
 	failedRuns: readonly number[];
 	checkpoint: string | undefined;
+	/** The run that the checkpoint is of; 0 if that is not known. */
+	checkpointRun: number;
 	runs: Run[];
 	/** The highest run number given so far by this owner. */
 	lastRun: number;
@@ -137,6 +139,7 @@
 		failures: 0,
 		failedRuns: [],
 		checkpoint: undefined,
+		checkpointRun: 0,
 		runs: [],
 		lastRun: 0,
 		failedOn: undefined,
@@ -280,6 +283,27 @@
 export const listTogether = (task: Task): readonly Task[] =>
 	task.step.spec.isGang ? task.step.tasks : [task];
 
+/**
+ * Takes in the checkpoint of a run; false if there is none or a later run's is
+ * known. A gang has one: its members start together only with the same.
+ */
+export const takeCheckpoint = (
+	task: Task,
+	run: number,
+	checkpoint: string,
+): boolean => {
+	if (checkpoint === '' || run < task.checkpointRun) {
+		return false;
+	}
+
+	for (const each of listTogether(task)) {
+		each.checkpoint = checkpoint;
+		each.checkpointRun = run;
+	}
+
+	return true;
+};
+
 /** Marks a task as done. True if this ended its occurrence. */
 export const markDone = (task: Task): boolean => {
 	if (task.isDone) {
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -179,6 +179,7 @@
 					failures: z.int().min(0),
 					failedRuns: z.array(z.int()).optional(),
 					checkpoint: z.string().optional(),
+					checkpointRun: z.int().optional(),
 				}),
 			),
 		}),
