Tests for executors off the list that have become empty, failing

One whose last run ends after the registry dropped it stays in the roster for good: it is not called any more, so it is neither silent nor told gone, and each next owner waits for its leases. Two assertions fail.

--- a/packages/core/src/scheduler/repeated-ends.test.ts
+++ b/packages/core/src/scheduler/repeated-ends.test.ts
@@ -389,6 +389,43 @@
 	);
 }
 
+tap.t.test(
+	'an executor off the list is forgotten once it lists nothing',
+	async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		submit(owner, createAccepted('a'));
+		planAndStart(owner, 0);
+		const [run] = listRuns(owner, 'x');
+		scheduler.unlistExecutor(owner, 'x');
+		const isKept = (now: number): boolean => {
+			scheduler.expireLeases(owner, now);
+			return owner.executors.has('x');
+		};
+
+		t.ok(isKept(5), 'it runs a task');
+		look(owner, 'x', {at: 10, ends: [{...run!, number: 1}]});
+		store(owner);
+		t.ok(isKept(15), 'it has not heard that the end is stored');
+		look(owner, 'x', {at: 20});
+		t.notOk(isKept(25), 'the next owner would wait for it in vain');
+		t.ok(owner.isRosterDirty);
+	},
+);
+
+tap.t.test(
+	'an inherited executor is kept until the registry was read',
+	async (t) => {
+		const owner = createTestOwner([]);
+		scheduler.inheritExecutor(owner, createListed('x'), 9000);
+		look(owner, 'x', {at: 10});
+		scheduler.expireLeases(owner, 20);
+		t.ok(owner.executors.has('x'));
+		scheduler.listExecutor(owner, createListed('x'));
+		scheduler.unlistExecutor(owner, 'x');
+		t.notOk(owner.executors.has('x'));
+	},
+);
+
 tap.t.test('what an executor lists begins no later occurrence', async (t) => {
 	const schedule = {times: 3, startAtEpochMs: 0, intervalMs: 10_000};
 	const owner = createTestOwner([createListed('x')]);
