Forget executors off the list once they list nothing, not before

Cause: an executor that the registry dropped was forgotten as soon as it ran nothing, with ends that it still lists. They were never acknowledged unless it came back on the list, and then taken for new. It also left the roster in the same flush as, or before, the progress that its ends changed: with more jobs to store than go into one flush, an owner lost in between leaves a `done` that no later owner looks for.

The other way round, one that ran a task when it was dropped was never forgotten: nothing calls it any more, so that it is neither silent nor told gone by the fleet, and each next owner has to wait for its leases.

An executor is kept while its last look lists ends, and forgotten beside the end of its last run or acknowledgement, its silence beyond all leases, or its life. That happens in expireLeases, which the runner calls just before it matches links, so that no link outlives the executor that it serves.

Ruled out: keeping executors until the fleet says that they are gone (only silent ones are asked about), forgetting in takeLook (an inherited executor may not have been read from the registry yet, and its link would outlive it).

Not measured by itself.

--- a/packages/core/src/scheduler/executor.ts
+++ b/packages/core/src/scheduler/executor.ts
@@ -29,6 +29,8 @@
 	listed: ListedExecutor;
 	/** False once the registry has dropped it. */
 	isListed: boolean;
+	/** The registry has dropped it; one that was inherited may not be read yet. */
+	isDropped: boolean;
 	/** It has answered a look that carried this owner's fencing token. */
 	isAdopted: boolean;
 	/** The store says that runs may be here. */
@@ -46,6 +48,8 @@
 	lastEnd: number;
 	unackedEnds: UnackedEnd[];
 	acknowledgedUpto: number;
+	/** Its last look listed ends: it waits for their acknowledgement. */
+	hasListedEnds: boolean;
 	evacuation: Evacuation | undefined;
 	/** Failed runs in a row. */
 	failuresInRow: number;
@@ -59,6 +63,7 @@
 	id: listed.id,
 	listed,
 	isListed: true,
+	isDropped: false,
 	isAdopted: false,
 	isRostered: false,
 	silentSince: undefined,
@@ -70,6 +75,7 @@
 	lastEnd: 0,
 	unackedEnds: [],
 	acknowledgedUpto: 0,
+	hasListedEnds: false,
 	evacuation: undefined,
 	failuresInRow: 0,
 	restsUntil: 0,
--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -320,6 +320,7 @@
 	};
 	noteClock(executor, look.clockMs, look.receivedAt);
 	executor.silentSince = undefined;
+	executor.hasListedEnds = look.ends.length > 0;
 	takeEnds(owner, executor, look, changes);
 	takeRunning(owner, executor, look, changes);
 	executor.strays = changes.strays.length;
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -183,8 +183,12 @@
 	}
 };
 
+/**
+ * One that waits for acknowledgements is kept, and stays in the roster: what
+ * it lists may not be stored yet, and the next owner would not look at it.
+ */
 const canForget = (executor: Executor): boolean =>
-	!executor.isListed && executor.runs.size === 0;
+	!executor.isListed && executor.runs.size === 0 && !executor.hasListedEnds;
 
 const forgetIfGone = (owner: Owner, executor: Executor): void => {
 	if (canForget(executor) && !owner.unresolved.has(executor.id)) {
@@ -199,6 +203,7 @@
 	if (known) {
 		known.listed = listed;
 		known.isListed = true;
+		known.isDropped = false;
 		return;
 	}
 
@@ -218,6 +223,7 @@
 	const executor = owner.executors.get(id);
 	if (executor) {
 		executor.isListed = false;
+		executor.isDropped = true;
 		forgetIfGone(owner, executor);
 	}
 };
@@ -244,6 +250,7 @@
 
 	executor.isListed = false;
 	executor.unackedEnds = [];
+	executor.hasListedEnds = false;
 	return releaseAll(owner, executor);
 };
 
@@ -288,7 +295,10 @@
 	}
 };
 
-/** Frees what lapsed on silent executors; answers the runs freed. */
+/**
+ * Frees what lapsed on silent executors, and forgets those that are off the
+ * list and empty. Answers the runs freed.
+ */
 export const expireLeases = (owner: Owner, now: number): readonly Run[] => {
 	for (const [id, overAt] of owner.unresolved) {
 		if (now >= overAt) {
@@ -302,7 +312,11 @@
 		if (executor.silentSince !== undefined && hasLapsed(executor, now)) {
 			// Nothing is assumed of it until it has answered a look again.
 			executor.isAdopted = false;
+			executor.hasListedEnds = false;
 			freed.push(...releaseAll(owner, executor));
+		} else if (executor.isDropped) {
+			// Kept for what it ran: in the roster, the next owner would wait for it.
+			forgetIfGone(owner, executor);
 		}
 	}
 
