Begin no occurrence that is not due because an earlier one is listed

Cause: an end or a run of an occurrence that this owner had not begun made it begin all occurrences of the job, as if it had no schedule, and a plan starts whatever has begun. It happens when a look comes between the job and the first plan after it, while the owner does not count on its lease, or when the earlier owner's clock was ahead. Now those up to the listed one are begun.

Ruled out: a check of the due time in the plan (the listed occurrence has to go on, whatever the clock here says).

Tests: repeated-ends.test.ts, two assertions that failed pass. The test now also says that an occurrence beyond the last begins nothing, which is stricter than before.

--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -10,7 +10,7 @@
 } from './executor.js';
 import {completeIfDone, endJob, type JobChange, type Owner} from './owner.js';
 import {
-	addDueOccurrences,
+	addOccurrencesUpTo,
 	createPastTask,
 	createRun,
 	listTogether,
@@ -93,11 +93,7 @@
 		return undefined;
 	}
 
-	if (job.nextOccurrence <= parts.occurrence) {
-		// It was started by an earlier owner, so its time had come.
-		addDueOccurrences(job, Number.POSITIVE_INFINITY);
-	}
-
+	addOccurrencesUpTo(job, parts.occurrence);
 	return job.occurrences.get(parts.occurrence)?.steps[parts.step]?.tasks[
 		parts.index
 	];
--- a/packages/core/src/scheduler/repeated-ends.test.ts
+++ b/packages/core/src/scheduler/repeated-ends.test.ts
@@ -437,10 +437,10 @@
 	look(owner, 'x', {at: 1, ends: [{taskId: 'a.0.0.0', run: 7}]});
 	t.equal(job.nextOccurrence, 1);
 	t.same(planAndStart(owner, 2), [], 'the others are not due');
-	look(owner, 'x', {at: 3, running: [{taskId: 'a.2.0.0', run: 8}]});
+	look(owner, 'x', {at: 3, running: [{taskId: 'a.9.0.0', run: 8}]});
+	t.equal(job.nextOccurrence, 1, 'the job has no such occurrence');
+	look(owner, 'x', {at: 4, running: [{taskId: 'a.2.0.0', run: 8}]});
 	t.equal(job.nextOccurrence, 3, 'those before it were due then');
-	look(owner, 'x', {at: 4, running: [{taskId: 'a.9.0.0', run: 8}]});
-	t.equal(job.nextOccurrence, 3, 'no more than the job has');
 });
 
 tap.t.test('a cancelled job stays so while a flush is under way', async (t) => {
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -248,6 +248,17 @@
 	}
 };
 
+/**
+ * Adds the occurrences up to one that an earlier owner has started, so that
+ * its time had come, also if it has not by the clock here. Those after it are
+ * not due by that.
+ */
+export const addOccurrencesUpTo = (job: Job, number: number): void => {
+	while (job.nextOccurrence <= number && number < countOccurrences(job)) {
+		addOccurrence(job);
+	}
+};
+
 /** Whether the steps before this one are done. */
 export const isStepOpen = (step: Step): boolean =>
 	step.spec.after.every((number) => {
