Show a job that has ended or begun as such, also beside a flush or a takeover

Cause: a flush that began before a job was cancelled set the shown end back to none when it was stored, so that the job was shown as running until the next one. And a takeover took only tasks that are done for a sign that a job has begun: one with failures, with saved work or with occurrences that are over was shown as queued after it had been shown as running, and counted as pending.

Tests: repeated-ends.test.ts, four assertions that failed pass; all of its tests pass with this.

--- a/packages/core/src/scheduler/acknowledge.ts
+++ b/packages/core/src/scheduler/acknowledge.ts
@@ -96,7 +96,8 @@
 	flush: Flush,
 ): readonly Executor[] => {
 	for (const {job, end} of flush.jobs) {
-		job.storedEnd = end;
+		// A cancellation may have been stored while this was on its way.
+		job.storedEnd = end ?? job.storedEnd;
 	}
 
 	const rostered = new Set(flush.roster?.map(({id}) => id));
--- a/packages/core/src/scheduler/progress.ts
+++ b/packages/core/src/scheduler/progress.ts
@@ -115,6 +115,14 @@
 	}
 };
 
+/** Whether a run of it has ended or saved its work. */
+const hasBegun = ({doneOccurrences, occurrences}: JobProgress): boolean =>
+	doneOccurrences > 0 ||
+	occurrences.some(
+		({done, tasks}) =>
+			Object.keys(tasks).length > 0 || done.some((each) => each.includes('1')),
+	);
+
 /** Brings a job just created to the progress that was stored. */
 export const applyProgress = (
 	job: Job,
@@ -144,7 +152,5 @@
 
 	job.doneOccurrences = progress.doneOccurrences;
 	job.nextOccurrence = progress.nextOccurrence;
-	job.hasStarted ||= progress.occurrences.some(({done}) =>
-		done.some((each) => each.includes('1')),
-	);
+	job.hasStarted ||= hasBegun(progress);
 };
