--- a/packages/core/src/shards/shard-assignment.ts
+++ b/packages/core/src/shards/shard-assignment.ts
@@ -1,11 +1,36 @@
 /**
  * Which entry should hold which shard: rendezvous hashing with a cap, so that
- * no entry holds more than its share rounded up. Entries that see the same
- * members agree; when they do not, the lease decides.
+ * no entry holds more than its share rounded up. Where entries differ in what
+ * they can carry, only the most capable ones that live get shards. Entries
+ * that see the same members agree; when they do not, the lease decides.
  */
 import {rankMembers} from '../limits/rendezvous.js';
 
-/** Assigns every shard to an entry; none without entries. */
+/** What the machine of an entry has for the shards that it holds. */
+export type EntryCapacity = {
+	/** Cores that the process may use, a fraction for a share of one. */
+	readonly cores: number;
+	/** The machine's link, megabits a second. */
+	readonly linkMbps: number;
+};
+
+/** A live entry; one of an older release doesn't tell its capacity. */
+export type LiveEntry = {
+	readonly entry: string;
+	readonly capacity: EntryCapacity | undefined;
+};
+
+/** Names of the most capable class. */
+export const listCapable = (live: readonly LiveEntry[]): readonly string[] =>
+	live.map(({entry}) => entry);
+
+/** Shards that an entry has already, by shard. */
+export type ShardHolders = ReadonlyMap<string, string>;
+
+/**
+ * Assigns every shard to an entry; none without entries. A shard whose holder
+ * is among the entries stays there.
+ */
 export const assignShards = (
 	shards: readonly string[],
 	entries: readonly string[],
@@ -13,7 +38,8 @@
 	const assigned = new Map<string, string>();
 	const loads = new Map(entries.map((entry) => [entry, 0]));
 	const cap = Math.ceil(shards.length / Math.max(1, entries.length));
-	for (const shard of shards.toSorted()) {
+	const open = shards.filter((shard) => !assigned.has(shard));
+	for (const shard of open.toSorted()) {
 		const ranked = rankMembers(shard, entries);
 		const entry = ranked.find((each) => (loads.get(each) ?? 0) < cap);
 		if (entry !== undefined) {
@@ -25,6 +51,50 @@
 	return assigned;
 };
 
+/** Shards over the entries that should hold them. */
+export type ShardPlan = {
+	/** Entries of the most capable class. */
+	readonly capable: readonly string[];
+	readonly assigned: ReadonlyMap<string, string>;
+};
+
+/**
+ * Assigns shards over the most capable entries. Among equals holders don't
+ * count: what is held stays there anyway, since nobody gives it back. Where
+ * entries differ, shards move to the capable ones one by one, and each has to
+ * find one with room.
+ */
+export const planShards = (
+	shards: readonly string[],
+	live: readonly LiveEntry[],
+	_holders: ShardHolders,
+): ShardPlan => {
+	const capable = listCapable(live);
+	return {
+		capable,
+		assigned: assignShards(shards, capable),
+	};
+};
+
+/** What an entry knows when it asks whether to give a shard back. */
+export type ReturnView = {
+	readonly self: string;
+	readonly plan: ShardPlan;
+	/** Shards that the entry holds, and for how long, milliseconds. */
+	readonly heldForMs: ReadonlyMap<string, number>;
+	/** How long an entry has been seen live without a break, milliseconds. */
+	readonly getLiveForMs: (entry: string) => number;
+	/** What both have to have lasted, so that restarts don't move shards. */
+	readonly settleMs: number;
+};
+
+/**
+ * A shard that a less capable entry should give back, since a capable one has
+ * been live for a while and has room for it; undefined if there is none.
+ */
+export const chooseReturn = (_view: ReturnView): string | undefined =>
+	undefined;
+
 /** What an entry should do about one shard. */
 export type ShardDuty = 'acquire' | 'keep' | 'release' | 'none';
 
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -3,7 +3,7 @@
  * claims shards, runs the services that it owns, answers callers and peers.
  */
 import {randomUUID} from 'node:crypto';
-import type {fleet, scheduler} from '@gullstand/core';
+import type {fleet, scheduler, shardAssignment} from '@gullstand/core';
 import type {
 	AdviceService,
 	ExecutorFeed,
@@ -66,6 +66,8 @@
 export type JobDaemonSettings = {
 	readonly name: string;
 	readonly peers: {readonly address: string; readonly port: number};
+	/** What this machine has; shards go to the most capable daemons. */
+	readonly capacity?: shardAssignment.EntryCapacity;
 	readonly scheduler: scheduler.SchedulerConfig;
 	readonly pools: fleet.PoolConfig;
 	/** Time between orders of two holders for one machine, milliseconds. */
@@ -306,6 +308,7 @@
 	const keeper = createShardKeeper({
 		store,
 		self,
+		capacity: settings.capacity,
 		getAddress,
 		members,
 		book,
@@ -328,6 +331,7 @@
 		name: self.entry,
 		incarnation: self.incarnation,
 		getAddress,
+		capacity: settings.capacity,
 		logger,
 		now,
 		random: deps.random,
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -7,6 +7,7 @@
 	succeed,
 	type Result,
 	type scheduler,
+	type shardAssignment,
 	type shardLease,
 } from '@gullstand/core';
 import type {RowCheck, RowKey} from '@gullstand/ports';
@@ -99,13 +100,21 @@
 	readonly address: string;
 	/** Grows with each heartbeat. */
 	readonly beat: number;
+	/** What its machine has; absent in rows of older releases. */
+	readonly capacity?: shardAssignment.EntryCapacity | undefined;
 };
 
+const capacitySchema: z.ZodType<shardAssignment.EntryCapacity> = z.object({
+	cores: z.number().min(0),
+	linkMbps: z.number().min(0),
+});
+
 /** Form of a heartbeat. */
 export const daemonSchema: z.ZodType<DaemonRow> = z.object({
 	incarnation: z.string(),
 	address: z.string(),
 	beat: z.int().min(0),
+	capacity: capacitySchema.optional(),
 });
 
 const resourcesSchema: z.ZodType<scheduler.Resources> = z.object({
--- a/packages/daemon/src/jobs/shards/heartbeat.ts
+++ b/packages/daemon/src/jobs/shards/heartbeat.ts
@@ -1,4 +1,5 @@
 /** Writes this daemon's heartbeat to the store. */
+import type {shardAssignment} from '@gullstand/core';
 import type {RowStore} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
@@ -12,6 +13,8 @@
 	readonly name: string;
 	readonly incarnation: string;
 	readonly getAddress: () => string;
+	/** What this machine has, for the others to know. */
+	readonly capacity: shardAssignment.EntryCapacity | undefined;
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	readonly now: () => number;
 	readonly random: () => number;
@@ -45,7 +48,12 @@
 
 	const beatOnce = async () => {
 		beat += 1;
-		const row: DaemonRow = {incarnation, address: deps.getAddress(), beat};
+		const row: DaemonRow = {
+			incarnation,
+			address: deps.getAddress(),
+			beat,
+			capacity: deps.capacity,
+		};
 		const sentAt = now();
 		// A partition of its own: one carries out its writes one after another.
 		const key = {table: tables.daemon, part: name, key: name};
--- a/packages/daemon/src/jobs/shards/members.test.ts
+++ b/packages/daemon/src/jobs/shards/members.test.ts
@@ -79,3 +79,33 @@
 	clock.at = 9800;
 	t.equal(members.getSilentMs('a'), 800);
 });
+
+tap.t.test('a daemon is live since its life was first seen', async (t) => {
+	const {clock, members, read} = createWorld();
+	t.equal(members.getLiveForMs('a'), 0);
+	for (let beat = 0; beat < 5; beat++) {
+		read(beat * 500, {a: beat, b: beat});
+	}
+
+	t.equal(members.getLiveForMs('a'), 2000);
+	clock.at = 2100;
+	t.equal(members.getLiveForMs('a'), 2100);
+});
+
+tap.t.test('a daemon that was silent is live afresh', async (t) => {
+	const {members, read} = createWorld();
+	for (let beat = 0; beat < 5; beat++) {
+		read(beat * 500, beat === 0 || beat === 4 ? {a: beat, b: beat} : {b: beat});
+	}
+
+	t.equal(members.getLiveForMs('a'), 0);
+	t.equal(members.getLiveForMs('b'), 2000);
+});
+
+tap.t.test('after a gap in the reads all are live afresh', async (t) => {
+	const {members, read} = createWorld();
+	read(0, {a: 1, b: 1});
+	read(9000, {b: 2});
+	t.equal(members.getLiveForMs('a'), 0);
+	t.equal(members.getLiveForMs('b'), 0);
+});
--- a/packages/daemon/src/jobs/shards/members.ts
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -8,6 +8,8 @@
 	readonly name: string;
 	/** When its heartbeat was last seen to change, by the own clock. */
 	readonly changedAt: number;
+	/** Since when this life of it is seen without a break. */
+	readonly seenAt: number;
 };
 
 /** What is known of all daemons. */
@@ -22,6 +24,8 @@
 	 * while none is read: then this daemon may be the one that is cut off.
 	 */
 	readonly getSilentMs: (name: string) => number;
+	/** How long a life of a daemon is seen without a break; 0 if unknown. */
+	readonly getLiveForMs: (name: string) => number;
 	/** Takes in that a life of a daemon is stopping. */
 	readonly noteLeaving: (name: string, incarnation: string) => void;
 	/**
@@ -55,7 +59,7 @@
 		const at = now();
 		if (readAt !== undefined && at - readAt > deps.observationGapMs) {
 			for (const [name, member] of known) {
-				known.set(name, {...member, changedAt: at});
+				known.set(name, {...member, changedAt: at, seenAt: at});
 			}
 		}
 
@@ -85,7 +89,12 @@
 			logger.info('daemon seen', {daemon: key, ...decoded.value});
 		}
 
-		known.set(key, {...decoded.value, name: key, changedAt: now()});
+		const at = now();
+		const isSeen =
+			before?.incarnation === incarnation &&
+			at - before.changedAt <= deps.observationGapMs;
+		const seenAt = isSeen ? before.seenAt : at;
+		known.set(key, {...decoded.value, name: key, changedAt: at, seenAt});
 	};
 
 	const applyChanges = ({entries}: FeedBatch<ChangedRow>) => {
@@ -118,6 +127,10 @@
 				readAt !== undefined && now() - readAt <= deps.observationGapMs;
 			return member && isReading ? now() - member.changedAt : 0;
 		},
+		getLiveForMs(name) {
+			const member = known.get(name);
+			return member ? now() - member.seenAt : 0;
+		},
 		listAll: () =>
 			[...known.values()]
 				.toSorted((one, two) => two.changedAt - one.changedAt)
--- /dev/null
+++ b/packages/daemon/src/jobs/shards/shard-keeper.test.ts
@@ -0,0 +1,206 @@
+import {setImmediate} from 'node:timers/promises';
+import type {shardAssignment} from '@gullstand/core';
+import {createMemoryRowStore} from '@gullstand/ports';
+import * as tap from 'tap';
+import {tables, type DaemonRow} from '../rows/tables.js';
+import {createLeaseBook} from './lease-book.js';
+import {createMembers} from './members.js';
+import {createShardKeeper} from './shard-keeper.js';
+
+type Capacity = shardAssignment.EntryCapacity;
+
+const large: Capacity = {cores: 1.35, linkMbps: 140};
+const small: Capacity = {cores: 0.324, linkMbps: 7};
+
+const logger = {info: () => undefined as never, warn: () => undefined as never};
+
+const beatMs = 500;
+const lookMs = 100;
+
+type Others = Readonly<Record<string, Capacity | undefined>>;
+
+/** A keeper `self` among daemons that only send heartbeats. */
+const createWorld = (
+	capacity: Capacity | undefined,
+	shards: readonly string[],
+) => {
+	const clock = {at: 0};
+	const now = () => clock.at;
+	const store = createMemoryRowStore();
+	const members = createMembers({now, observationGapMs: 1500, logger});
+	const released: string[] = [];
+	const book = createLeaseBook({
+		logger,
+		onChange(shard, lease) {
+			keeper.noteLease(shard, lease);
+		},
+	});
+	const keeper = createShardKeeper({
+		store,
+		self: {entry: 'self', incarnation: 'i'},
+		capacity,
+		getAddress: () => 'address',
+		members,
+		book,
+		mayClaim: () => true,
+		listShards: () => shards,
+		now,
+		random: () => 0.5,
+		logger,
+		onAcquired: () => undefined,
+		beforeRelease: async () => setImmediate(),
+		onLost: () => undefined,
+		onReleased(shard) {
+			released.push(shard);
+		},
+	});
+
+	const readMembers = (others: Others) => {
+		const entries = Object.entries({...others, self: capacity}).map(
+			([key, told]) => {
+				const row: DaemonRow = {
+					incarnation: 'i',
+					address: 'a',
+					beat: clock.at,
+					capacity: told,
+				};
+				const value = JSON.stringify(row);
+				return {
+					key,
+					value: {table: tables.daemon, part: key, key, version: 1, value},
+				};
+			},
+		);
+		members.applyWhole({version: clock.at, entries});
+	};
+
+	const readLeases = () => {
+		for (const row of store.list(tables.lease)) {
+			book.note(row);
+		}
+	};
+
+	/** Looks, and lets what it began end. */
+	const look = async () => {
+		keeper.hasten();
+		for (let turn = 0; turn < 4; turn++) {
+			await setImmediate();
+		}
+
+		readLeases();
+	};
+
+	/** Looks each tenth of a second while the others send heartbeats. */
+	const pass = async (ms: number, others: Others) => {
+		for (const until = clock.at + ms; clock.at < until; clock.at += lookMs) {
+			if (clock.at % beatMs === 0) {
+				readMembers(others);
+			}
+
+			await look();
+		}
+	};
+
+	return {clock, keeper, store, members, released, pass};
+};
+
+const names = (count: number) =>
+	Array.from({length: count}, (_, index) => `s${index}`);
+
+tap.t.test('one look does not claim all that is free', async (t) => {
+	const {keeper, pass} = createWorld(small, names(4));
+	await pass(lookMs, {});
+	t.equal(keeper.listHeld().length, 1);
+	await pass(900, {});
+	t.equal(keeper.listHeld().length, 4, 'within a second it has all');
+});
+
+const claims: ReadonlyArray<
+	readonly [string, Capacity | undefined, Others, number, number]
+> = [
+	['alone', small, {}, 1, 1],
+	['a capable daemon', large, {a: small, b: small}, 1, 1],
+	['a less capable daemon at first', small, {a: large}, 0, 800],
+	['a less capable daemon, if nobody else does', small, {a: large}, 1, 1100],
+	['one that tells nothing', undefined, {a: small}, 0, 800],
+	['an equal among those that tell nothing', undefined, {a: undefined}, 1, 600],
+];
+
+for (const [name, capacity, others, wanted, ms] of claims) {
+	tap.t.test(`claims of ${name}`, async (t) => {
+		const {keeper, pass} = createWorld(capacity, ['s']);
+		await pass(ms, others);
+		t.equal(keeper.listHeld().length, wanted);
+	});
+}
+
+tap.t.test('a capable daemon that is stopping is none', async (t) => {
+	const {keeper, members, pass} = createWorld(small, ['s']);
+	members.noteLeaving('a', 'i');
+	await pass(lookMs, {a: large});
+	t.ok(keeper.isHeld('s'));
+	await pass(9000, {a: large});
+	t.ok(keeper.isHeld('s'), 'nor is a shard given back for it');
+});
+
+const returns: ReadonlyArray<
+	readonly [string, Capacity | undefined, Others, boolean]
+> = [
+	['a capable daemon', small, {a: large}, true],
+	['an equal', small, {a: small}, false],
+	['a less capable daemon', large, {a: small}, false],
+	['one that tells nothing', small, {a: undefined}, false],
+	['nobody', small, {}, false],
+];
+
+for (const [name, capacity, others, isReturned] of returns) {
+	tap.t.test(`gives back or keeps beside ${name}`, async (t) => {
+		const {keeper, released, pass} = createWorld(capacity, ['s']);
+		await pass(4000, {});
+		t.ok(keeper.isHeld('s'));
+		await pass(2500, others);
+		t.same(released, [], 'not at once');
+		await pass(700, others);
+		t.same(released, isReturned ? ['s'] : []);
+		t.equal(keeper.isHeld('s'), !isReturned);
+	});
+}
+
+tap.t.test('one shard goes back at a time, after a pause', async (t) => {
+	const {released, pass} = createWorld(small, names(3));
+	await pass(3000, {});
+	const others = {a: large, b: large, c: large};
+	await pass(3500, others);
+	t.equal(released.length, 1);
+	await pass(4000, others);
+	t.equal(released.length, 1);
+	await pass(2000, others);
+	t.equal(released.length, 2);
+});
+
+for (const fault of ['unavailable', 'lost-before', 'lost-after'] as const) {
+	tap.t.test(`a release is written again: ${fault}`, async (t) => {
+		const {clock, keeper, store, pass} = createWorld(small, ['s']);
+		await pass(4000, {});
+		store.setFault(() => (clock.at < 7300 ? fault : undefined));
+		await pass(3300, {a: large});
+		t.notOk(keeper.isHeld('s'));
+		await pass(300, {a: large});
+		const [lease] = store.list(tables.lease);
+		t.match(JSON.parse(lease!.value), {shard: 's', holder: null});
+	});
+}
+
+tap.t.test('a stop meets a return under way', async (t) => {
+	const {clock, keeper, released, pass} = createWorld(small, ['s']);
+	await pass(4000, {});
+	await pass(2900, {a: large});
+	while (released.length === 0 && clock.at < 9000) {
+		clock.at += lookMs;
+		keeper.hasten();
+		await keeper.stop();
+	}
+
+	t.same(released, ['s'], 'once');
+	t.notOk(keeper.isHeld('s'));
+});
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -31,6 +31,8 @@
 export type ShardKeeperDeps = {
 	readonly store: RowStore;
 	readonly self: core.acknowledgement.EntryLife;
+	/** What this machine has; absent if it is not known. */
+	readonly capacity: core.shardAssignment.EntryCapacity | undefined;
 	readonly getAddress: () => string;
 	readonly members: Members;
 	readonly book: LeaseBook;
