Assign shards to the most capable daemons; small ones give theirs back

Cause: owners were placed by hash alone.

Claims under way delay the next one like shards held. A lease row that could not be written at a return is written again: it names a live daemon, and nobody else could have claimed the shard.

--- a/packages/core/src/shards/shard-assignment.ts
+++ b/packages/core/src/shards/shard-assignment.ts
@@ -20,9 +20,26 @@
 	readonly capacity: EntryCapacity | undefined;
 };
 
+/** Entries within this factor of the largest are of the most capable class. */
+export const capableFactor = 2;
+
+/**
+ * Link that one core of an owner fills, megabits a second: with 0.32 cores and
+ * 7 Mbit/s both are full at some 900 starts a second.
+ */
+export const linkMbpsPerCore = 22;
+
+/** Cores, or fewer if the link fills before they do. */
+const getUsableCores = ({capacity}: LiveEntry): number =>
+	capacity ? Math.min(capacity.cores, capacity.linkMbps / linkMbpsPerCore) : 0;
+
 /** Names of the most capable class. */
-export const listCapable = (live: readonly LiveEntry[]): readonly string[] =>
-	live.map(({entry}) => entry);
+export const listCapable = (live: readonly LiveEntry[]): readonly string[] => {
+	const largest = Math.max(0, ...live.map((each) => getUsableCores(each)));
+	return live
+		.filter((each) => getUsableCores(each) * capableFactor >= largest)
+		.map(({entry}) => entry);
+};
 
 /** Shards that an entry has already, by shard. */
 export type ShardHolders = ReadonlyMap<string, string>;
@@ -34,10 +51,20 @@
 export const assignShards = (
 	shards: readonly string[],
 	entries: readonly string[],
+	holders: ShardHolders = new Map(),
 ): ReadonlyMap<string, string> => {
 	const assigned = new Map<string, string>();
 	const loads = new Map(entries.map((entry) => [entry, 0]));
 	const cap = Math.ceil(shards.length / Math.max(1, entries.length));
+	for (const shard of shards) {
+		const holder = holders.get(shard);
+		const load = holder === undefined ? undefined : loads.get(holder);
+		if (holder !== undefined && load !== undefined) {
+			loads.set(holder, load + 1);
+			assigned.set(shard, holder);
+		}
+	}
+
 	const open = shards.filter((shard) => !assigned.has(shard));
 	for (const shard of open.toSorted()) {
 		const ranked = rankMembers(shard, entries);
@@ -67,12 +94,13 @@
 export const planShards = (
 	shards: readonly string[],
 	live: readonly LiveEntry[],
-	_holders: ShardHolders,
+	holders: ShardHolders,
 ): ShardPlan => {
 	const capable = listCapable(live);
+	const areEqual = capable.length === live.length;
 	return {
 		capable,
-		assigned: assignShards(shards, capable),
+		assigned: assignShards(shards, capable, areEqual ? new Map() : holders),
 	};
 };
 
@@ -92,8 +120,26 @@
  * A shard that a less capable entry should give back, since a capable one has
  * been live for a while and has room for it; undefined if there is none.
  */
-export const chooseReturn = (_view: ReturnView): string | undefined =>
-	undefined;
+export const chooseReturn = ({
+	self,
+	plan,
+	heldForMs,
+	getLiveForMs,
+	settleMs,
+}: ReturnView): string | undefined => {
+	if (plan.capable.includes(self)) {
+		return undefined;
+	}
+
+	return [...heldForMs.keys()].toSorted().find((shard) => {
+		const next = plan.assigned.get(shard);
+		return (
+			next !== undefined &&
+			(heldForMs.get(shard) ?? 0) >= settleMs &&
+			getLiveForMs(next) >= settleMs
+		);
+	});
+};
 
 /** What an entry should do about one shard. */
 export type ShardDuty = 'acquire' | 'keep' | 'release' | 'none';
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -1,17 +1,20 @@
 /**
- * Claims shards that are free and gives them back at a stop. A lease row
- * changes only when a shard changes hands; the daemon's one heartbeat stands
- * for all its shards.
+ * Claims shards that are free and gives them back at a stop, or when a more
+ * capable daemon has room for them. A lease row changes only when a shard
+ * changes hands; the daemon's one heartbeat stands for all its shards.
  */
 import * as core from '@gullstand/core';
-import type {RowStore, RowTransaction} from '@gullstand/ports';
+import type {RowStore} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
 import {createTicker} from '../../view/ticker.js';
 import {periods} from '../periods.js';
-import {getLeaseKey, type LeaseRow} from '../rows/tables.js';
+import type {LeaseRow} from '../rows/tables.js';
 import type {KnownLease, LeaseBook} from './lease-book.js';
+import {createLeaseTransaction} from './lease-transaction.js';
 import type {Members} from './members.js';
+import {maxSpreadShards, shardPeriods} from './shard-periods.js';
+import {createShardReleases} from './shard-releases.js';
 
 /** How the last holder of a shard went, for what may still run. */
 export type PreviousHolder = 'none' | 'released' | 'replaced' | 'silent';
@@ -27,6 +30,8 @@
 	readonly previousHolder: LeaseRow | undefined;
 };
 
+type ShardPlan = core.shardAssignment.ShardPlan;
+
 /** What the keeper needs. */
 export type ShardKeeperDeps = {
 	readonly store: RowStore;
@@ -68,21 +73,14 @@
 	readonly hasten: () => void;
 };
 
-const toTransaction = (row: LeaseRow, version: number): RowTransaction => {
-	const key = getLeaseKey(row.shard);
-	return {
-		checks: [{...key, version}],
-		puts: [{...key, value: JSON.stringify(row)}],
-		removes: [],
-	};
-};
-
 /** Creates a keeper that holds nothing. */
 export const createShardKeeper = (deps: ShardKeeperDeps): ShardKeeper => {
 	const {store, self, members, book, now, logger} = deps;
 	const held = new Map<string, HeldShard>();
 	const freeSince = new Map<string, number>();
 	const claiming = new Set<string>();
+	const heldSince = new Map<string, number>();
+	let returnedAt: number | undefined;
 	/** Versions of leases that this daemon has lost and must not adopt again. */
 	const lostVersions = new Map<string, number>();
 	let isStopping = false;
@@ -91,6 +89,7 @@
 		const mine = held.get(shard);
 		if (mine) {
 			held.delete(shard);
+			heldSince.delete(shard);
 			lostVersions.set(shard, mine.version);
 			logger.info('shard lost', {shard, reason});
 			deps.onLost(shard);
@@ -137,6 +136,7 @@
 		const {version} = lease;
 		const acquired = {shard, token, version, previous, previousHolder};
 		held.set(shard, acquired);
+		heldSince.set(shard, now());
 		freeSince.delete(shard);
 		logger.info('shard acquired', {shard, fencingToken: token, previous});
 		deps.onAcquired(acquired);
@@ -155,7 +155,7 @@
 		}
 
 		const row = {...write.value.value, address: deps.getAddress()};
-		const transaction = toTransaction(row, lease?.version ?? 0);
+		const transaction = createLeaseTransaction(row, lease?.version ?? 0);
 		const result = await store.transact(transaction, periods.storeTimeoutMs);
 		if (result.ok) {
 			const {version} = result.value;
@@ -203,16 +203,46 @@
 		return result.ok;
 	};
 
-	const getClaimDelayMs = (shard: string, shards: readonly string[]) => {
-		const live = new Set([...members.listLive(periods.leaseMs), self.entry]);
-		const assigned = core.shardAssignment.assignShards(shards, [...live]);
-		const spread = held.size * periods.claimSpreadMs;
-		return assigned.get(shard) === self.entry
-			? spread
-			: periods.claimHeadStartMs + spread;
+	const listLive = (): readonly core.shardAssignment.LiveEntry[] => [
+		...members
+			.listLive(periods.leaseMs)
+			.filter((entry) => entry !== self.entry)
+			.map((entry) => ({entry, capacity: members.get(entry)?.capacity})),
+		{entry: self.entry, capacity: deps.capacity},
+	];
+
+	const listHolders = (
+		shards: readonly string[],
+	): core.shardAssignment.ShardHolders =>
+		new Map(
+			shards.flatMap((shard) => {
+				const entry = book.get(shard)?.value.holder?.entry;
+				return entry === undefined ? [] : [[shard, entry] as const];
+			}),
+		);
+
+	const planShards = (shards: readonly string[]) =>
+		core.shardAssignment.planShards(shards, listLive(), listHolders(shards));
+
+	const getHeadStartMs = (
+		shard: string,
+		{assigned, capable}: ShardPlan,
+	): number => {
+		if (assigned.get(shard) === self.entry) {
+			return 0;
+		}
+
+		return capable.includes(self.entry)
+			? periods.claimHeadStartMs
+			: shardPeriods.capableHeadStartMs;
 	};
 
-	const considerShard = (shard: string, shards: readonly string[]) => {
+	/** Claims under way count too: one look may find all shards free. */
+	const getSpreadMs = (): number =>
+		Math.min(held.size + claiming.size, maxSpreadShards) *
+		periods.claimSpreadMs;
+
+	const considerShard = (shard: string, getPlan: () => ShardPlan) => {
 		const lease = book.get(shard);
 		if (lease && isOwnUnadopted(shard)) {
 			adopt(lease, 'silent', undefined);
@@ -226,61 +256,86 @@
 
 		const since = freeSince.get(shard) ?? now();
 		freeSince.set(shard, since);
-		if (now() - since >= getClaimDelayMs(shard, shards)) {
+		if (now() - since >= getHeadStartMs(shard, getPlan()) + getSpreadMs()) {
 			void claimOnce(shard);
 		}
 	};
 
+	const releases = createShardReleases({
+		...deps,
+		async letGo(shard) {
+			// What the owner does ends before the row says that it is free.
+			await deps.beforeRelease(shard);
+			const mine = held.get(shard);
+			lose(shard, 'given back');
+			return mine;
+		},
+	});
+
+	const considerReturn = (getPlan: () => ShardPlan) => {
+		const at = now();
+		const isPausing =
+			returnedAt !== undefined && at - returnedAt < shardPeriods.returnPauseMs;
+		if (held.size === 0 || isPausing || releases.isBusy()) {
+			return;
+		}
+
+		const plan = getPlan();
+		const shard = core.shardAssignment.chooseReturn({
+			self: self.entry,
+			plan,
+			heldForMs: new Map(
+				[...heldSince].map(([each, since]) => [each, at - since]),
+			),
+			getLiveForMs: members.getLiveForMs,
+			settleMs: shardPeriods.settleMs,
+		});
+		if (shard !== undefined) {
+			returnedAt = at;
+			const next = plan.assigned.get(shard);
+			logger.info('shard goes to a more capable daemon', {shard, next});
+			void releases.release(shard);
+		}
+	};
+
 	const considerAll = async () => {
 		if (isStopping || !deps.mayClaim()) {
 			return;
 		}
 
+		releases.retry();
 		const shards = deps.listShards();
+		let plan: ShardPlan | undefined;
+		// Most looks find nothing to decide.
+		const getPlan = () => {
+			plan ??= planShards(shards);
+			return plan;
+		};
+
 		for (const shard of shards) {
-			considerShard(shard, shards);
+			considerShard(shard, getPlan);
 		}
 
+		considerReturn(getPlan);
 		for (const shard of held.keys()) {
 			if (!shards.includes(shard)) {
-				await release(shard);
+				await releases.release(shard);
 			}
 		}
 	};
 
-	const release = async (shard: string) => {
-		// What the owner does ends before the row says that it is free.
-		await deps.beforeRelease(shard);
-		const mine = held.get(shard);
-		const lease = book.get(shard);
-		lose(shard, 'given back');
-		if (!mine || lease?.version !== mine.version) {
-			return;
-		}
-
-		const row: LeaseRow = {...lease.value, holder: null, address: ''};
-		const result = await store.transact(
-			toTransaction(row, mine.version),
-			periods.storeTimeoutMs,
-		);
-		logger.info('shard released', {
-			shard,
-			outcome: result.ok ? 'done' : result.error.kind,
-		});
-		if (result.ok) {
-			deps.onReleased(shard);
-		}
-	};
-
 	const ticker = createTicker(considerAll, periods.claimMs, deps.random);
 	return {
 		start: ticker.start,
 		async stop() {
 			isStopping = true;
 			await ticker.stop();
-			await Promise.all([...held.keys()].map(async (each) => release(each)));
+			await Promise.all(
+				[...held.keys()].map(async (each) => releases.release(each)),
+			);
+			await releases.finish();
 		},
-		release,
+		release: releases.release,
 		listHeld: () => [...held.values()],
 		isHeld: (shard) => held.has(shard),
 		noteLease(shard, lease) {
