--- a/packages/daemon/src/jobs/entry/submissions.test.ts
+++ b/packages/daemon/src/jobs/entry/submissions.test.ts
@@ -1,6 +1,8 @@
+import {createMemoryRowStore} from '@gullstand/ports';
 import * as tap from 'tap';
-import {createSpec} from '../job-world.test.fixture.js';
-import {isSameJob} from './submissions.js';
+import {createSpec, now} from '../job-world.test.fixture.js';
+import {createLeaseBook} from '../shards/lease-book.js';
+import {createSubmissions, isSameJob} from './submissions.js';
 
 const policy = {
 	queue: 'q',
@@ -52,3 +54,42 @@
 		t.equal(isSameJob(job, other as typeof job), isSame);
 	});
 }
+
+/** Entries of one transaction, checks too; origin: the store's interface. */
+const mostEntries = 100;
+
+const logger = {info: () => undefined as never, warn: () => undefined as never};
+
+tap.t.test('a commit holds no more than the store takes', async (t) => {
+	const store = createMemoryRowStore();
+	const sizes: number[] = [];
+	const submissions = createSubmissions({
+		store: {
+			...store,
+			async transact(transaction, timeoutMs) {
+				const {checks, puts, removes} = transaction;
+				sizes.push(checks.length + puts.length + removes.length);
+				return store.transact(transaction, timeoutMs);
+			},
+		},
+		book: createLeaseBook({logger, onChange: () => undefined}),
+		isStoreSuspect: () => false,
+		now,
+		logger,
+		onStored: () => undefined,
+	});
+	const outcomes = await Promise.all(
+		Array.from({length: 120}, async (_, index) =>
+			submissions.submit(
+				'service/s',
+				{...job, id: String(index)},
+				now() + 3000,
+			),
+		),
+	);
+	t.ok(outcomes.every(({kind}) => kind === 'accepted'));
+	t.ok(
+		sizes.every((size) => size <= mostEntries),
+		sizes.join(', '),
+	);
+});
