Commit at most 45 jobs at once, so that the store takes them

Cause: 50 jobs made a transaction of 101 entries, where the platform's pages allow 100, checks counted. The store refuses such a call, and all 50 were answered as not stored. It takes 50 jobs that wait at one entry for one service: a burst while the store is slow, at an owner that commits for others.

45 leave room for a few more rows.

--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -49,8 +49,11 @@
 	) => Promise<SubmitOutcome>;
 };
 
-/** Jobs in one transaction; origin: 100 entries and 1 MB a transaction. */
-const maxJobsPerCommit = 50;
+/**
+ * Jobs in one transaction; origin: 100 entries and 1 MB a transaction. Each
+ * has a check and a row, beside the check of the lease.
+ */
+const maxJobsPerCommit = 45;
 
 /**
  * Bound on a commit: shorter than other calls, since a caller waits and can
