Find jobs of a queue that moved while nobody saw it

Cause: an entry knew the earlier services of a queue from having seen the change, or from a row that an entry wrote that had. A queue that moved while no entry was up, or was off the list and came back with another service, had its accepted jobs answered with 410, and its cancellations too. The row held all services of a queue and was written unconditionally, so that an entry that had missed a version overwrote what another one had seen of it; a write that failed was not tried again.

Now a row in the service's shard says which queues have jobs there. It is stored in the transaction of the first job that an entry accepts for the queue there, so it costs no call and is there whenever a job is. An entry takes each service that it sees a queue with for a possible one, and reads the rows again before it says that there is no such job: one call for the partitions and one for each of them. Rows of the older form are still read.

Not mended: an entry that has not heard of a move accepts a repeat of a job under the new service if it never saw the old one; and the count of pending jobs is refused while a queue has an earlier service that nobody owns.

--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -36,7 +36,7 @@
 export type JobServiceDeps = {
 	readonly routes: Routes;
 	/** Services of a queue, now and before. */
-	readonly history: Pick<QueueHistory, 'listServices'>;
+	readonly history: Pick<QueueHistory, 'listServices' | 'load'>;
 	readonly submissions: Submissions;
 	readonly owners: OwnerChannel;
 	readonly store: RowStore;
@@ -131,6 +131,11 @@
  */
 const ownerSubmitTimeoutMs = 900;
 
+const unknownJob: JobResult<never> = fail('unknown-job');
+
+const isUnknown = (result: JobResult<unknown>): boolean =>
+	!result.ok && result.error === 'unknown-job';
+
 /** Creates the service of an entry. */
 export const createJobService = (deps: JobServiceDeps): JobService => {
 	const {routes, submissions, owners, store, clock, logger, metrics} = deps;
@@ -286,16 +291,41 @@
 			: readStored(route, shard, id);
 	};
 
-	const readState: JobService['readState'] = async (route, id) => {
-		const startedAt = clock.now();
-		let result: JobResult<scheduler.JobState> = fail('unknown-job');
-		for (const shard of listShards(route)) {
-			result = await readFrom(route, shard, id);
-			if (result.ok || result.error !== 'unknown-job') {
-				break;
+	/**
+	 * Asks the shards that may hold a job one after another. Before it is said
+	 * that there is none, what other entries have seen of the queue is read.
+	 */
+	const findIn = async <Value>(
+		route: QueueRoute,
+		ask: (shard: string) => Promise<JobResult<Value>>,
+	): Promise<JobResult<Value>> => {
+		const asked = new Set<string>();
+		const askOthers = async (): Promise<JobResult<Value>> => {
+			for (const shard of listShards(route)) {
+				const isNew = !asked.has(shard);
+				asked.add(shard);
+				const result = isNew ? await ask(shard) : unknownJob;
+				if (!isUnknown(result)) {
+					return result;
+				}
 			}
+
+			return unknownJob;
+		};
+
+		const first = await askOthers();
+		if (!isUnknown(first)) {
+			return first;
 		}
 
+		return (await deps.history.load()) ? askOthers() : fail('job-unread');
+	};
+
+	const readState: JobService['readState'] = async (route, id) => {
+		const startedAt = clock.now();
+		const result = await findIn(route, async (shard) =>
+			readFrom(route, shard, id),
+		);
 		return answer('state', id, startedAt, result);
 	};
 
@@ -327,19 +357,20 @@
 	};
 
 	const cancelHere: JobService['cancel'] = async (route, id, deadline) => {
-		for (const shard of listShards(route)) {
+		const result = await findIn(route, async (shard) => {
 			const rows = await readJobRows(shard, id);
 			if (!rows.ok) {
 				return fail('store-unavailable');
 			}
 
 			const row = rows.value.rows.find(({key}) => key === id);
-			if (row && isOfQueue(row, route.name)) {
-				return storeCancel(shard, row, deadline);
-			}
-		}
-
-		return fail('unknown-job');
+			return row && isOfQueue(row, route.name)
+				? storeCancel(shard, row, deadline)
+				: unknownJob;
+		});
+		return !result.ok && result.error === 'job-unread'
+			? fail('store-unavailable')
+			: result;
 	};
 
 	/** From here if the store serves this entry, else through another. */
--- a/packages/daemon/src/jobs/entry/queue-history.test.ts
+++ b/packages/daemon/src/jobs/entry/queue-history.test.ts
@@ -4,12 +4,17 @@
  * service only by seeing it change answers that a job does not exist, if the
  * change came while no entry was up, or while the queue was off the list.
  */
-import type {Configuration, QueueRoute} from '@gullstand/ports';
+import {
+	createMemoryRowStore,
+	type Configuration,
+	type QueueRoute,
+} from '@gullstand/ports';
 import * as tap from 'tap';
 import type {JobDaemon} from '../job-daemon.js';
 import {
 	createId,
 	createTestPlatform,
+	now,
 	route,
 	startDaemon,
 	submit,
@@ -17,6 +22,7 @@
 	waitUntil,
 	type TestPlatform,
 } from '../job-world.test.fixture.js';
+import {createHistoryRow, createQueueHistory} from './queue-history.js';
 
 const moved: QueueRoute = {...route, service: 'other'};
 
@@ -97,3 +103,58 @@
 		t.equal(state.ok, true, JSON.stringify(state));
 	});
 }
+
+const logger = {info: () => undefined as never, warn: () => undefined as never};
+
+tap.t.test('a history is read from the rows of both forms', async (t) => {
+	const store = createMemoryRowStore();
+	const old = {table: 'queue-history', part: '', key: 'q'};
+	const puts = [
+		{...old, value: JSON.stringify(['one', 'two'])},
+		createHistoryRow('service/three', 'q'),
+		createHistoryRow('service/three', 'other'),
+	];
+	await store.transact({checks: [], puts, removes: []}, 1000);
+	const history = createQueueHistory({store, logger});
+	t.ok(await history.load());
+	t.same(history.listServices('q', 'two'), ['two', 'one', 'three']);
+	t.same(history.listServices('other', 'two'), ['two', 'three']);
+});
+
+tap.t.test(
+	'what another entry has stored is read before a refusal',
+	async (t) => {
+		const platform = createTestPlatform(['x']);
+		const daemon = await startDaemon(platform, 'a', (err) => {
+			t.fail(err.message);
+		});
+		t.teardown(async () => daemon.stop());
+		await waitUntil('readiness', () => daemon.isReady());
+		const id = createId(2);
+		const accepted = await submit(daemon, id);
+		t.ok(accepted.ok);
+		const rows = platform.store.list('job');
+		const part = 'service/elsewhere';
+		await platform.store.transact(
+			{
+				checks: [],
+				puts: [
+					...rows.map((row) => ({...row, part, key: createId(3)})),
+					createHistoryRow(part, route.name),
+				],
+				removes: [],
+			},
+			1000,
+		);
+		const state = await daemon.service.readState(route, createId(3));
+		t.same(state, {ok: true, value: 'queued'});
+		const cancelled = await daemon.service.cancel(
+			route,
+			createId(3),
+			now() + 1000,
+		);
+		t.ok(cancelled.ok);
+		const none = await daemon.service.readState(route, createId(4));
+		t.same(none, {ok: false, error: 'unknown-job'});
+	},
+);
--- a/packages/daemon/src/jobs/entry/queue-history.ts
+++ b/packages/daemon/src/jobs/entry/queue-history.ts
@@ -1,25 +1,28 @@
 /**
- * Services that each queue had before. A job stays with the service under
- * which it was accepted, so a queue that moves has jobs in several shards.
- * What one daemon has seen is kept in the store for those that start later.
+ * Services that each queue ever had. A job stays with the service under which
+ * it was accepted, so a queue that moves has jobs in several shards. A row in
+ * the service's shard says which queues have jobs there; it is stored in one
+ * transaction with the first of them, since the queue may move while no entry
+ * is up, while it is off the list, or unseen by the entry that is asked.
  */
-import type {Configuration, RowStore} from '@gullstand/ports';
+import type {
+	Configuration,
+	RowPut,
+	RowStore,
+	StoredRow,
+} from '@gullstand/ports';
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
-import {decodeRows} from '../rows/decode-rows.js';
+import {decodeRow, parseServiceShard, sharedPart} from '../rows/tables.js';
 import {readWhole} from '../rows/table-feed.js';
-import {sharedPart} from '../rows/tables.js';
 
 /** The history. */
 export type QueueHistory = {
-	/** Reads what other daemons have seen; false without an answer. */
+	/** Reads what all daemons have stored; false without an answer. */
 	readonly load: () => Promise<boolean>;
-	/** Takes in a change of the configuration. */
-	readonly note: (
-		before: Configuration | undefined,
-		after: Configuration,
-	) => Promise<void>;
+	/** Takes in a configuration that came into force. */
+	readonly note: (configuration: Configuration) => void;
 	/** Services of a queue, the present one in front. */
 	readonly listServices: (queue: string, present: string) => readonly string[];
 };
@@ -32,25 +35,16 @@
 
 const historyTable = 'queue-history';
 
-const servicesSchema = z.array(z.string());
-
-type Moved = {readonly queue: string; readonly from: string};
+/** The row that says that a queue has jobs in a shard. */
+export const createHistoryRow = (shard: string, queue: string): RowPut => ({
+	table: historyTable,
+	part: shard,
+	key: queue,
+	value: '{}',
+});
 
-/** Queues whose service differs between two configurations. */
-export const findMoved = (
-	before: Configuration | undefined,
-	after: Configuration,
-): readonly Moved[] => {
-	const present = new Map(
-		after.routes.map(({name, service}) => [name, service]),
-	);
-	return (before?.routes ?? []).flatMap(({name, service}) => {
-		const now = present.get(name);
-		return now === undefined || now === service
-			? []
-			: [{queue: name, from: service}];
-	});
-};
+/** In the older form, one row in the shared partition held all services. */
+const servicesSchema = z.array(z.string());
 
 /** Creates a history that knows nothing. */
 export const createQueueHistory = ({
@@ -63,42 +57,51 @@
 		known.set(queue, new Set([...(known.get(queue) ?? []), ...services]));
 	};
 
-	const storeQueue = async (queue: string) => {
-		const row = {table: historyTable, part: sharedPart, key: queue};
-		const value = JSON.stringify([...(known.get(queue) ?? [])]);
-		// All daemons see the same change; any one of them keeps it.
-		const result = await store.transact(
-			{checks: [], puts: [{...row, value}], removes: []},
+	const takeRow = ({part, key, value, table}: StoredRow) => {
+		const service = parseServiceShard(part);
+		if (service !== undefined) {
+			add(key, [service]);
+			return;
+		}
+
+		const decoded = decodeRow(servicesSchema, value);
+		if (decoded.ok) {
+			add(key, decoded.value);
+		} else {
+			logger.warn('row skipped', {table, key, ...decoded.error});
+		}
+	};
+
+	const readPart = async (part: string): Promise<boolean> => {
+		const rows = await readWhole(
+			store,
+			{table: historyTable, part},
 			periods.storeTimeoutMs,
 		);
-		logger.info('queue has moved', {
-			queue,
-			services: [...(known.get(queue) ?? [])],
-			outcome: result.ok ? 'stored' : result.error.kind,
-		});
+		for (const row of rows.ok ? rows.value.rows : []) {
+			takeRow(row);
+		}
+
+		return rows.ok;
 	};
 
 	return {
 		async load() {
-			const rows = await readWhole(
-				store,
-				{table: historyTable, part: sharedPart},
-				periods.storeTimeoutMs,
-			);
-			const stored = rows.ok ? rows.value.rows : [];
-			for (const {row, value} of decodeRows(stored, servicesSchema, logger)) {
-				add(row.key, value);
+			const parts = await store.listParts(historyTable, periods.storeTimeoutMs);
+			if (!parts.ok) {
+				return false;
 			}
 
-			return rows.ok;
+			const all = [...new Set([sharedPart, ...parts.value])];
+			const areRead = await Promise.all(
+				all.map(async (part) => readPart(part)),
+			);
+			return areRead.every(Boolean);
 		},
-		async note(before, after) {
-			const moved = findMoved(before, after);
-			for (const {queue, from} of moved) {
-				add(queue, [from]);
+		note({routes}) {
+			for (const {name, service} of routes) {
+				add(name, [service]);
 			}
-
-			await Promise.all(moved.map(async ({queue}) => storeQueue(queue)));
 		},
 		listServices: (queue, present) => [
 			present,
--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -15,6 +15,7 @@
 	tables,
 } from '../rows/tables.js';
 import type {LeaseBook} from '../shards/lease-book.js';
+import {createHistoryRow} from './queue-history.js';
 
 /** What became of a submission. */
 export type SubmitOutcome =
@@ -80,7 +81,12 @@
 	readonly settle: (outcome: SubmitOutcome) => void;
 };
 
-type Queue = {waiting: Waiting[]; isBusy: boolean};
+type Queue = {
+	waiting: Waiting[];
+	isBusy: boolean;
+	/** Queues whose jobs in this shard are told in the store. */
+	readonly told: Set<string>;
+};
 
 /** The text of what is asked for, with the fields in one order. */
 const toCanonicalText = (job: scheduler.AcceptedJob): string => {
@@ -95,6 +101,17 @@
 	two: scheduler.AcceptedJob,
 ): boolean => toCanonicalText(one) === toCanonicalText(two);
 
+/** Queues of a batch that are to be told; origin: room in the transaction. */
+const maxToldPerCommit = 100 - 1 - 2 * maxJobsPerCommit;
+
+const listUntold = (
+	batch: readonly Waiting[],
+	told: ReadonlySet<string>,
+): readonly string[] =>
+	[...new Set(batch.map(({job}) => job.policy.queue))]
+		.filter((queue) => !told.has(queue))
+		.slice(0, maxToldPerCommit);
+
 /** Creates the submissions of an entry. */
 export const createSubmissions = (deps: SubmissionsDeps): Submissions => {
 	const {store, book, now, logger} = deps;
@@ -205,6 +222,8 @@
 			...keyOf(shard, waiting),
 			value: waiting.text,
 		}));
+		const {told} = getQueue(shard);
+		const untold = listUntold(batch, told);
 		const result = await store.transact(
 			{
 				checks: [
@@ -216,13 +235,20 @@
 						version: 0,
 					})),
 				],
-				puts,
+				puts: [
+					...puts,
+					...untold.map((queue) => createHistoryRow(shard, queue)),
+				],
 				removes: [],
 			},
 			commitTimeoutMs,
 		);
 		if (result.ok) {
 			const {version} = result.value;
+			for (const queue of untold) {
+				told.add(queue);
+			}
+
 			deps.onStored(
 				shard,
 				puts.map((put) => ({...put, version})),
@@ -264,7 +290,11 @@
 	};
 
 	const getQueue = (shard: string): Queue => {
-		const known = queues.get(shard) ?? {waiting: [], isBusy: false};
+		const known = queues.get(shard) ?? {
+			waiting: [],
+			isBusy: false,
+			told: new Set(),
+		};
 		queues.set(shard, known);
 		return known;
 	};
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -344,10 +344,9 @@
 	const applyOperatorEntry = (key: string, entry: OperatorEntry) => {
 		match(entry)
 			.with({kind: 'configuration'}, ({value}) => {
-				const before = routes.get();
 				const isNew = routes.apply(value);
 				if (isNew) {
-					void history.note(before, value);
+					history.note(value);
 				}
 
 				logger.info('configuration read', {
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -62,6 +62,14 @@
 export const getServiceShard = (service: string): string =>
 	`service/${service}`;
 
+const servicePrefix = getServiceShard('');
+
+/** The service of a shard, if it is one of a service. */
+export const parseServiceShard = (shard: string): string | undefined =>
+	shard.startsWith(servicePrefix)
+		? shard.slice(servicePrefix.length)
+		: undefined;
+
 const cancelSuffix = '/cancelled';
 
 /** Key of the row that cancels a job. */
