--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -21,6 +21,7 @@
 	id,
 	pool,
 	isUp: true,
+	isArriving: false,
 	cpuMillis: 1000,
 	runs: 0,
 	lasting: 0,
@@ -141,6 +142,23 @@
 		],
 		moves: ['s to r'],
 	},
+	{
+		name: 'what there is goes to the pool that has the least of what it needs',
+		changes: {maxMoves: 6},
+		demands: [
+			createDemand('p', {waitingCpu: 12_000}),
+			createDemand('r', {waitingCpu: 4000}),
+		],
+		machines: [
+			...Array.from({length: 4}, (_, index) => createMachine(`p${index}`, 'p')),
+			createMachine('r0', 'r'),
+			...Array.from({length: 6}, (_, index) =>
+				createMachine(`s${index}`, 'standby'),
+			),
+		],
+		// Of 12 and 4 wanted the pools end with 8 and 3.
+		moves: ['s0 to r', 's1 to p', 's2 to p', 's3 to p', 's4 to r', 's5 to p'],
+	},
 	{
 		name: 'tasks that must be apart keep their machines',
 		demands: [createDemand('p', {minMachines: 2})],
@@ -187,6 +205,42 @@
 		surplusMs: 500,
 		moves: ['b to p'],
 	},
+	{
+		name: 'machines that are away for maintenance are made up for',
+		demands: [createDemand('p', {waitingCpu: 3000})],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'p', {isUp: false, isTaken: true}),
+			createMachine('c', 'p', {isTaken: true, runs: 1}),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+			createMachine('s3', 'standby'),
+		],
+		moves: ['s1 to p', 's2 to p'],
+	},
+	{
+		name: 'machines that are down are made up for, those that arrive count',
+		demands: [createDemand('p', {waitingCpu: 3000})],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'p', {isUp: false}),
+			createMachine('c', 'p', {isUp: false, isArriving: true}),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+		],
+		moves: ['s1 to p'],
+	},
+	{
+		name: 'machines that are away are no surplus',
+		demands: [createDemand('p', {usedCpu: 1000})],
+		machines: [
+			createMachine('a', 'p', {runs: 1}),
+			createMachine('b', 'p', {isUp: false, isTaken: true}),
+			createMachine('c', 'p', {isTaken: true}),
+		],
+		surplusMs: 1000,
+		moves: [],
+	},
 ];
 
 for (const each of cases) {
