--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -231,37 +231,20 @@
 	return true;
 };
 
-/** Takes a machine for a pool, from standby first, since that costs nobody. */
-const takeAny = (ledger: Ledger, pool: string): boolean => {
+/** Fills what a pool lacks, from standby first, since that costs nobody. */
+const fill = (ledger: Ledger, pool: string, lacking: number): void => {
 	const {standbyPool} = ledger.situation;
-	const others = [...ledger.givers.keys()].filter(
-		(each) => each !== standbyPool && each !== pool,
-	);
-	return [standbyPool, ...others].some((from) => take(ledger, from, pool));
-};
-
-/** A pool that lacks machines. */
-type Lacking = {readonly pool: string; readonly target: number; has: number};
-
-/**
- * Fills the pools that lack machines, one machine after another for the one
- * that has the least of what it needs. When all went to the one that lacks
- * most, a pool with 7 of some 20 machines got none for 4 s beside one that
- * asked for 200.
- */
-const fillAll = (ledger: Ledger, lacking: readonly Lacking[]): void => {
-	let open = lacking;
-	while (open.length > 0) {
-		const [next, ...others] = open.toSorted(
-			(one, two) => one.has / one.target - two.has / two.target,
-		);
-		if (!next || !takeAny(ledger, next.pool)) {
-			open = others;
-			continue;
+	let left = lacking;
+	const sources = [
+		standbyPool,
+		...[...ledger.givers.keys()].filter(
+			(each) => each !== standbyPool && each !== pool,
+		),
+	];
+	for (const from of sources) {
+		while (left > 0 && take(ledger, from, pool)) {
+			left -= 1;
 		}
-
-		next.has += 1;
-		open = open.filter(({has, target}) => has < target);
 	}
 };
 
@@ -314,12 +297,11 @@
 	};
 	const lacking = [...surplus]
 		.filter(([, over]) => over < 0)
-		.toSorted(([, one], [, two]) => one - two)
-		.map(([pool, over]) => {
-			const target = targets.get(pool) ?? 0;
-			return {pool, target, has: target + over};
-		});
-	fillAll(ledger, lacking);
+		.toSorted(([, one], [, two]) => one - two);
+	for (const [pool, over] of lacking) {
+		fill(ledger, pool, -over);
+	}
+
 	const shrinking = [...surplus.keys()].filter((pool) =>
 		hasSurplusFor(pool, cfg.shrinkAfterMs),
 	);
