Entries that cannot be read name no executor, are told once and counted

Cause: a row of the registry was taken if it had a service, an address and a state of any text. One without a zone, or with an address that is none, was called; one with an unknown state counted as draining; one that could not be read went off the list without a line. A value that is no base64 or no UTF-8 read as whatever text came out of it, and one of another type made the whole answer unreadable, so that its feed stood still for as long as the row was there.

Now each field is checked, a feed says why an entry cannot be read, and the list of executors keeps such an entry off. An unknown service is told and counted, and waits for its configuration. Heartbeats, leases and what operators write are told the same way. A daemon whose heartbeat cannot be read by one that has just started no longer counts as replaced: its shards would have been taken from it, and its runs given up, while it was at work.

Ruled out: that work is lost on an executor whose entry becomes unreadable. Its leases were renewed and its end taken in before, too, as for one off the list; a test now holds that.

Left: rows of jobs and progress are skipped at each load with a line and without the counter, and a job whose progress cannot be read starts anew.

--- a/packages/daemon/src/jobs/job-daemon.test.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.ts
@@ -189,6 +189,43 @@
 	t.equal(platform.executors.listStarts().length, 3, 'none started twice');
 });
 
+tap.t.test(
+	'an executor whose entry cannot be read keeps what runs, gets nothing new',
+	async (t) => {
+		const platform = createTestPlatform(['x']);
+		const [daemon] = await createFleet(t, platform, ['a']);
+		await waitUntil('an owner', () => holdsLease(platform));
+		const first = createId(1);
+		const second = createId(2);
+		await submit(daemon!, first, createSpec({estimateMs: 60_000}));
+		await waitUntil(
+			'the start',
+			() => platform.executors.listRunning('x').length > 0,
+		);
+		platform.executorFeed.spoil('x', 'no address');
+		await waitUntil('the count', () =>
+			daemon!.metrics
+				.formatText()
+				.includes('gullstand_rows_unreadable{label="executors"} 1'),
+		);
+		await submit(daemon!, second);
+		const looks = platform.executors.countLooks();
+		await waitUntil('looks', () => platform.executors.countLooks() > looks + 2);
+		platform.executors.finish('x', `${first}.0.0.0`, 'done');
+		await waitUntil(
+			'the end',
+			async () => (await readState(daemon!, first)) === 'completed',
+		);
+		t.equal(platform.executors.listStarts().length, 1, 'nothing new');
+		platform.executorFeed.put('x', createListed('x'));
+		await waitUntil(
+			'the second start',
+			() => platform.executors.listStarts().length > 1,
+		);
+		t.equal(await readState(daemon!, second), 'running');
+	},
+);
+
 tap.t.test('a new life of an executor gets what the old one ran', async (t) => {
 	const platform = createTestPlatform(['x']);
 	const [daemon] = await createFleet(t, platform, ['a']);
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -38,6 +38,7 @@
 import {registerPeerHandlers} from './peer-handlers.js';
 import {followPeriods, periods} from './periods.js';
 import {createFeedFollower} from './rows/feed-follower.js';
+import {createRowFaults} from './rows/row-faults.js';
 import {watchStore} from './rows/store-health.js';
 import {createTableFeed} from './rows/table-feed.js';
 import {
@@ -100,6 +101,9 @@
 	readonly metrics: JobMetrics;
 };
 
+/** Name of what operators write, in lines and counters. */
+const operatorName = 'operator';
+
 /** Creates a daemon. */
 export const createJobDaemon = (deps: JobDaemonDeps): JobDaemon => {
 	const {settings, platform, clock, logger} = deps;
@@ -109,6 +113,7 @@
 	const self = {entry: settings.name, incarnation: randomUUID()};
 	const routes = createRoutes();
 	const metrics = createJobMetrics();
+	const rowFaults = createRowFaults({logger, metrics});
 	const waves = new Map<string, WaveRequest>();
 	let peers: PeerChannel | undefined;
 	let fleetRunner: FleetRunner | undefined;
@@ -121,14 +126,25 @@
 		now,
 		observationGapMs: periods.observationGapMs,
 		logger,
+		rowFaults,
 	});
 	const book = createLeaseBook({
 		logger,
+		rowFaults,
 		onChange(shard, lease) {
 			keeper.noteLease(shard, lease);
 		},
 	});
 
+	const hasService = (name: string): boolean => {
+		const configuration = routes.get();
+		return (
+			configuration !== undefined &&
+			(configuration.services.some((each) => each.name === name) ||
+				configuration.routes.some(({service}) => service === name))
+		);
+	};
+
 	const hasOwner = (serviceName: string): boolean =>
 		listShards().includes(getServiceShard(serviceName));
 
@@ -208,8 +224,8 @@
 		token,
 	}: LeaseRow): Promise<boolean> => {
 		const isReplaced =
-			members.isRead() &&
 			holder !== null &&
+			members.isRead(holder.entry) &&
 			members.get(holder.entry)?.incarnation !== holder.incarnation;
 		if (isReplaced || holder === null) {
 			return true;
@@ -234,6 +250,8 @@
 		cfg: settings.scheduler,
 		logger,
 		metrics,
+		rowFaults,
+		hasService,
 		getConfirmed: () => leaseFollower.getConfirmed(),
 		hasLetGo,
 		onLost(shard, rows) {
@@ -335,6 +353,10 @@
 
 	const applyOperator = ({entries}: FeedBatch<OperatorEntry>) => {
 		for (const {key, value} of entries) {
+			if (value?.kind !== 'unreadable') {
+				rowFaults.clear(operatorName, key);
+			}
+
 			if (value) {
 				applyOperatorEntry(key, value);
 			}
@@ -360,13 +382,13 @@
 				waves.set(value.id, value);
 			})
 			.with({kind: 'unreadable'}, ({problem}) => {
-				logger.warn('row skipped', {table: 'operator', key, problem});
+				rowFaults.note({table: operatorName, key, problem});
 			})
 			.exhaustive();
 	};
 
 	const operatorFollower = createFeedFollower({
-		name: 'operator',
+		name: operatorName,
 		feed: platform.operator,
 		periods: followPeriods.operator,
 		clock,
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -16,6 +16,7 @@
 import type {JobMetrics} from '../job-metrics.js';
 import {followPeriods} from '../periods.js';
 import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
+import type {RowFaults} from '../rows/row-faults.js';
 import {getServiceShard, type LeaseRow} from '../rows/tables.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
 import {createOwnerRunner, type OwnerRunner} from './owner-runner.js';
@@ -30,6 +31,9 @@
 	readonly cfg: scheduler.SchedulerConfig;
 	readonly logger: Logger;
 	readonly metrics: JobMetrics;
+	readonly rowFaults: RowFaults;
+	/** Whether the configuration in force names the service. */
+	readonly hasService: (service: string) => boolean;
 	readonly getConfirmed: () => Moment | undefined;
 	readonly hasLetGo: (previous: LeaseRow) => Promise<boolean>;
 	/** A service turned out to be another's; `rows` may say whose. */
@@ -67,7 +71,7 @@
 export const createOwnedServices = (deps: OwnedServicesDeps): OwnedServices => {
 	const {clock, logger, reportFailure} = deps;
 	const runners = new Map<string, OwnerRunner>();
-	const executorList = createExecutorList();
+	const executorList = createExecutorList(deps);
 	let follower: FeedFollower | undefined;
 
 	const noteExecutors = (isWhole: boolean) => {
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -208,11 +208,18 @@
 /** Why a row cannot be used. */
 export type RowFault = {readonly problem: string};
 
+/** Characters of a problem that are told: a row may be wrong in many places. */
+const maxProblemLength = 300;
+
 /** Decodes the value of a row. */
 export const decodeRow = <Value>(
 	schema: z.ZodType<Value>,
 	text: string,
 ): Result<Value, RowFault> => {
+	if (text === '') {
+		return fail({problem: 'empty, or bytes that cannot be read'});
+	}
+
 	let json: unknown;
 	try {
 		json = JSON.parse(text);
@@ -223,5 +230,7 @@
 	const parsed = schema.safeParse(json);
 	return parsed.success
 		? succeed(parsed.data)
-		: fail({problem: z.prettifyError(parsed.error)});
+		: fail({
+				problem: z.prettifyError(parsed.error).slice(0, maxProblemLength),
+			});
 };
--- a/packages/daemon/src/jobs/shards/lease-book.ts
+++ b/packages/daemon/src/jobs/shards/lease-book.ts
@@ -1,6 +1,7 @@
 /** Leases of all shards as last read from the store. */
 import type {ChangedRow, FeedBatch, StoredRow} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
+import type {RowFaults} from '../rows/row-faults.js';
 import {
 	decodeRow,
 	leaseSchema,
@@ -27,14 +28,15 @@
 
 /** What the book needs. */
 export type LeaseBookDeps = {
-	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	readonly logger: Pick<Logger, 'info'>;
+	readonly rowFaults: RowFaults;
 	/** The lease of a shard has another version. */
 	readonly onChange: (shard: string, lease: KnownLease) => void;
 };
 
 /** Creates an empty book. */
 export const createLeaseBook = (deps: LeaseBookDeps): LeaseBook => {
-	const {logger, onChange} = deps;
+	const {logger, rowFaults, onChange} = deps;
 	const known = new Map<string, KnownLease>();
 
 	const note: LeaseBook['note'] = ({part, key, version, value}) => {
@@ -44,14 +46,12 @@
 
 		const decoded = decodeRow(leaseSchema, value);
 		if (!decoded.ok) {
-			logger.warn('row skipped', {
-				table: tables.lease,
-				key: part,
-				...decoded.error,
-			});
+			rowFaults.note({table: tables.lease, key: part, ...decoded.error});
 			return;
 		}
 
+		rowFaults.clear(tables.lease, part);
+
 		if ((known.get(part)?.version ?? 0) >= version) {
 			return;
 		}
--- a/packages/daemon/src/jobs/shards/members.test.ts
+++ b/packages/daemon/src/jobs/shards/members.test.ts
@@ -1,3 +1,4 @@
+import type * as ports from '@gullstand/ports';
 import * as tap from 'tap';
 import type {DaemonRow} from '../rows/tables.js';
 import {createMembers} from './members.js';
@@ -6,10 +7,18 @@
 
 const createWorld = () => {
 	const clock = {at: 0};
+	const told: string[] = [];
 	const members = createMembers({
 		now: () => clock.at,
 		observationGapMs: gapMs,
-		logger: {info: () => undefined as never, warn: () => undefined as never},
+		logger: {info: () => undefined as never},
+		rowFaults: {
+			note({key}) {
+				told.push(key);
+			},
+			clear: () => undefined,
+			keepOnly: () => undefined,
+		},
 	});
 	const read = (at: number, beats: Readonly<Record<string, number>>) => {
 		clock.at = at;
@@ -26,7 +35,7 @@
 		});
 	};
 
-	return {clock, members, read};
+	return {clock, members, read, told};
 };
 
 tap.t.test(
@@ -79,3 +88,47 @@
 	clock.at = 9800;
 	t.equal(members.getSilentMs('a'), 800);
 });
+
+const heartbeat = (
+	at: number,
+	name: string,
+	value: string,
+): ports.FeedBatch<ports.ChangedRow> => ({
+	version: at,
+	entries: [
+		{
+			key: name,
+			value: {table: 'daemon', part: name, key: name, version: at, value},
+		},
+	],
+});
+
+const unreadable: ReadonlyArray<readonly [name: string, value: string]> = [
+	['no text', ''],
+	['text that is not JSON', '{"beat":'],
+	['null', 'null'],
+	['a life that is a number', '{"incarnation":7,"address":"a","beat":1}'],
+	['a beat that is a text', '{"incarnation":"i","address":"a","beat":"1"}'],
+	['no address', '{"incarnation":"i","beat":1}'],
+];
+
+for (const [name, value] of unreadable) {
+	tap.t.test(`a heartbeat that holds ${name} replaces no life`, async (t) => {
+		const {clock, members, read, told} = createWorld();
+		members.applyWhole(heartbeat(0, 'a', value));
+		t.notOk(members.isRead('a'), 'its absence says nothing');
+		t.ok(members.isRead('b'), 'that of the others does');
+		read(500, {b: 1});
+		clock.at = 900;
+		t.equal(members.getSilentMs('a'), 900, 'its silence does');
+		read(1000, {a: 1, b: 2});
+		t.ok(members.isRead('a'));
+		t.equal(members.get('a')?.incarnation, 'i');
+		t.equal(members.getSilentMs('a'), 0);
+		clock.at = 1500;
+		members.applyChanges(heartbeat(1500, 'a', value));
+		t.equal(members.get('a')?.incarnation, 'i', 'the last that was read');
+		t.equal(members.getSilentMs('a'), 500);
+		t.same(told, ['a', 'a']);
+	});
+}
--- a/packages/daemon/src/jobs/shards/members.ts
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -1,7 +1,13 @@
 /** Daemons of the fleet by their heartbeats, as one daemon sees them. */
 import type {ChangedRow, FeedBatch} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
-import {daemonSchema, decodeRow, type DaemonRow} from '../rows/tables.js';
+import type {RowFaults} from '../rows/row-faults.js';
+import {
+	daemonSchema,
+	decodeRow,
+	tables,
+	type DaemonRow,
+} from '../rows/tables.js';
 
 /** One daemon. */
 export type Member = DaemonRow & {
@@ -15,8 +21,11 @@
 	readonly applyWhole: (batch: FeedBatch<ChangedRow>) => void;
 	readonly applyChanges: (batch: FeedBatch<ChangedRow>) => void;
 	readonly get: (name: string) => Member | undefined;
-	/** Whether the heartbeats were read whole, so that absence says something. */
-	readonly isRead: () => boolean;
+	/**
+	 * Whether the heartbeats were read whole and this daemon's, if any, can be
+	 * read, so that its absence says something.
+	 */
+	readonly isRead: (name: string) => boolean;
 	/**
 	 * How long a daemon's heartbeat has stood still; 0 if it is not known, and
 	 * while none is read: then this daemon may be the one that is cut off.
@@ -38,13 +47,16 @@
 	readonly now: () => number;
 	/** A longer gap between two reads proves no daemon silent. */
 	readonly observationGapMs: number;
-	readonly logger: Pick<Logger, 'info' | 'warn'>;
+	readonly logger: Pick<Logger, 'info'>;
+	readonly rowFaults: RowFaults;
 };
 
 /** Creates an empty list of members. */
 export const createMembers = (deps: MembersDeps): Members => {
-	const {now, logger} = deps;
+	const {now, logger, rowFaults} = deps;
 	const known = new Map<string, Member>();
+	/** Since when no heartbeat of a daemon that is not known can be read. */
+	const unreadSince = new Map<string, number>();
 	/** Lives that are stopping, by daemon. */
 	const leaving = new Map<string, string>();
 	let readAt: number | undefined;
@@ -57,21 +69,40 @@
 			for (const [name, member] of known) {
 				known.set(name, {...member, changedAt: at});
 			}
+
+			for (const name of unreadSince.keys()) {
+				unreadSince.set(name, at);
+			}
 		}
 
 		readAt = at;
 	};
 
+	const forget = (name: string) => {
+		known.delete(name);
+		unreadSince.delete(name);
+	};
+
+	/** It may be the heartbeat of a newer version: its life counts as going on. */
+	const noteUnreadable = (name: string, problem: string) => {
+		rowFaults.note({table: tables.daemon, key: name, problem});
+		if (!known.has(name) && !unreadSince.has(name)) {
+			unreadSince.set(name, now());
+		}
+	};
+
 	const noteRow = ({key, value}: ChangedRow) => {
 		const decoded =
 			value === undefined ? undefined : decodeRow(daemonSchema, value);
-		if (!decoded) {
-			known.delete(key);
+		if (decoded && !decoded.ok) {
+			noteUnreadable(key, decoded.error.problem);
 			return;
 		}
 
-		if (!decoded.ok) {
-			logger.warn('row skipped', {table: 'daemon', key, ...decoded.error});
+		rowFaults.clear(tables.daemon, key);
+		unreadSince.delete(key);
+		if (!decoded) {
+			known.delete(key);
 			return;
 		}
 
@@ -100,10 +131,13 @@
 	return {
 		applyChanges,
 		applyWhole(batch) {
-			const present = new Set(batch.entries.map(({value}) => value?.key));
-			for (const name of known.keys()) {
+			const present = new Set(
+				batch.entries.flatMap(({value}) => (value ? [value.key] : [])),
+			);
+			rowFaults.keepOnly(tables.daemon, present);
+			for (const name of [...known.keys(), ...unreadSince.keys()]) {
 				if (!present.has(name)) {
-					known.delete(name);
+					forget(name);
 				}
 			}
 
@@ -111,12 +145,12 @@
 			isRead = true;
 		},
 		get: (name) => known.get(name),
-		isRead: () => isRead,
+		isRead: (name) => isRead && !unreadSince.has(name),
 		getSilentMs(name) {
-			const member = known.get(name);
+			const since = known.get(name)?.changedAt ?? unreadSince.get(name);
 			const isReading =
 				readAt !== undefined && now() - readAt <= deps.observationGapMs;
-			return member && isReading ? now() - member.changedAt : 0;
+			return since !== undefined && isReading ? now() - since : 0;
 		},
 		listAll: () =>
 			[...known.values()]
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -99,10 +99,11 @@
 		const holder = lease?.value.holder;
 		const member = holder ? members.get(holder.entry) : undefined;
 		return {
-			// Before the heartbeats are read, a holder counts as alive.
-			registeredIncarnation: members.isRead()
-				? member?.incarnation
-				: holder?.incarnation,
+			// A holder whose heartbeat was not read counts as alive.
+			registeredIncarnation:
+				holder && members.isRead(holder.entry)
+					? member?.incarnation
+					: holder?.incarnation,
 			silentMs: holder ? members.getSilentMs(holder.entry) : 0,
 		};
 	};
--- a/packages/ports/src/memory/task-machines.ts
+++ b/packages/ports/src/memory/task-machines.ts
@@ -69,28 +69,39 @@
 /** A feed in memory. */
 export type MemoryFeed<Value> = Feed<Value> & {
 	readonly put: (key: string, value: Value | undefined) => void;
+	/** The entry cannot be read any more. */
+	readonly spoil: (key: string, problem: string) => void;
 };
 
 /** Creates an empty feed. */
 export const createMemoryFeed = <Value>(): MemoryFeed<Value> => {
-	const entries = new Map<string, Value>();
+	const entries = new Map<string, FeedEntry<Value>>();
 	const history: Array<FeedEntry<Value>> = [];
 	const signal = createChangeSignal();
 
+	const note = (entry: FeedEntry<Value>) => {
+		history.push(entry);
+		signal.notify();
+	};
+
 	return {
 		put(key, value) {
 			if (value === undefined) {
 				entries.delete(key);
 			} else {
-				entries.set(key, value);
+				entries.set(key, {key, value});
 			}
 
-			history.push({key, value});
-			signal.notify();
+			note({key, value});
+		},
+		spoil(key, problem) {
+			const entry = {key, value: undefined, problem};
+			entries.set(key, entry);
+			note(entry);
 		},
 		readAll: async () =>
 			succeed({
-				entries: [...entries].map(([key, value]) => ({key, value})),
+				entries: [...entries.values()],
 				version: history.length,
 			}),
 		async readChanges(afterVersion, waitMs) {
--- a/packages/ports/src/ports/feeds.ts
+++ b/packages/ports/src/ports/feeds.ts
@@ -57,10 +57,13 @@
 	| {readonly kind: 'wave'; readonly value: WaveRequest}
 	| {readonly kind: 'unreadable'; readonly problem: string};
 
-/** One entry of a feed; `value` is absent once it is removed. */
+/** One entry of a feed. */
 export type FeedEntry<Value> = {
 	readonly key: string;
+	/** Absent once the entry is removed, and while it cannot be read. */
 	readonly value: Value | undefined;
+	/** Why an entry that is there cannot be read; such a one names nothing. */
+	readonly problem?: string;
 };
 
 /** Entries and the version from which to go on. */
