--- a/packages/daemon/src/jobs/job-world.test.fixture.ts
+++ b/packages/daemon/src/jobs/job-world.test.fixture.ts
@@ -6,6 +6,7 @@
 import type {Logger} from '../log/logger.js';
 import type {WaveStatusPort} from './fleet/wave-round.js';
 import {createJobDaemon, type JobDaemon} from './job-daemon.js';
+import type {RowFaults} from './rows/row-faults.js';
 
 /** A platform in memory. */
 export type TestPlatform = {
@@ -87,6 +88,13 @@
 	};
 };
 
+/** Unreadable rows are not what the test is about. */
+export const noRowFaults: RowFaults = {
+	note: () => undefined,
+	clear: () => undefined,
+	keepOnly: () => undefined,
+};
+
 const silentLogger: Logger = winston.createLogger({silent: true});
 
 /** Leases short enough for a test to see their end. */
