Give an executor that was forgotten and listed again a link of its own

Cause: links were matched by the executor's id alone. One that the registry drops and lists again between two plans is another object, with a link that serves the one before: it is never adopted and nothing starts there while this owner lasts.

--- /dev/null
+++ b/packages/daemon/src/jobs/owner/executor-links.ts
@@ -0,0 +1,63 @@
+/** The links of one owner, one for each executor that it holds. */
+import type {scheduler} from '@gullstand/core';
+import type {ExecutorLink} from './executor-link.js';
+
+type Link = Pick<ExecutorLink, 'close'>;
+
+/** Links by executor. */
+export type ExecutorLinks<Opened extends Link> = {
+	readonly get: (executorId: string) => Opened | undefined;
+	/**
+	 * Opens links to new executors and closes those to forgotten ones; answers
+	 * the ids of these.
+	 */
+	readonly match: (
+		executors: ReadonlyMap<string, scheduler.Executor>,
+	) => readonly string[];
+	readonly closeAll: () => void;
+};
+
+/** Creates an empty set. */
+export const createExecutorLinks = <Opened extends Link>(
+	open: (executor: scheduler.Executor) => Opened,
+): ExecutorLinks<Opened> => {
+	const links = new Map<string, {executor: scheduler.Executor; link: Opened}>();
+
+	const closeOutdated = (
+		executors: ReadonlyMap<string, scheduler.Executor>,
+	): readonly string[] => {
+		const closed: string[] = [];
+		for (const [id, {executor, link}] of links) {
+			// One that was forgotten and listed again is another one: its answers
+			// would go to the one before, and nothing would ever start there.
+			if (executors.get(id) !== executor) {
+				link.close();
+				links.delete(id);
+				closed.push(id);
+			}
+		}
+
+		return closed;
+	};
+
+	return {
+		get: (executorId) => links.get(executorId)?.link,
+		match(executors) {
+			const closed = closeOutdated(executors);
+			for (const [id, executor] of executors) {
+				if (!links.has(id)) {
+					links.set(id, {executor, link: open(executor)});
+				}
+			}
+
+			return closed;
+		},
+		closeAll() {
+			for (const {link} of links.values()) {
+				link.close();
+			}
+
+			links.clear();
+		},
+	};
+};
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -22,6 +22,7 @@
 import type {HeldShard} from '../shards/shard-keeper.js';
 import {createFlusher, type Flusher} from './flusher.js';
 import {openExecutorLink, type ExecutorLink} from './executor-link.js';
+import {createExecutorLinks, type ExecutorLinks} from './executor-links.js';
 import {createJobRemover} from './job-remover.js';
 import {createLoadReport} from './load-report.js';
 import {createOwnerLog} from './owner-log.js';
@@ -91,8 +92,8 @@
 	const log = createOwnerLog({service, logger, metrics, clock});
 	const report = createLoadReport({logger, now: clock.now});
 	const remover = createJobRemover({store, held, now: clock.now, logger});
-	const links = new Map<string, ExecutorLink>();
 	let owner: scheduler.Owner | undefined;
+	let links: ExecutorLinks<ExecutorLink> | undefined;
 	let flusher: Flusher | undefined;
 	let follower: FeedFollower | undefined;
 	const state = {isStopped: false, isLettingGo: false};
@@ -136,7 +137,7 @@
 
 		const orders = scheduler.planPaces(executor);
 		for (const order of orders) {
-			links.get(executor.id)?.sendPace(order);
+			links?.get(executor.id)?.sendPace(order);
 		}
 
 		if (orders.length > 0) {
@@ -151,8 +152,8 @@
 		}
 	};
 
-	const openLink = (current: scheduler.Owner, executor: scheduler.Executor) => {
-		const link = openExecutorLink({
+	const openLink = (current: scheduler.Owner, executor: scheduler.Executor) =>
+		openExecutorLink({
 			owner: current,
 			executor,
 			executors: deps.executors,
@@ -174,23 +175,11 @@
 				report.noteStart(clock.now() - run.askedAt, answer !== 'no-answer');
 			},
 		});
-		links.set(executor.id, link);
-	};
 
-	/** Opens links to new executors, closes those to forgotten ones. */
 	const matchLinks = (current: scheduler.Owner) => {
-		for (const executor of current.executors.values()) {
-			if (!links.has(executor.id)) {
-				openLink(current, executor);
-			}
-		}
-
-		for (const [id, link] of links) {
-			if (!current.executors.has(id)) {
-				link.close();
-				links.delete(id);
-				pacedAt.delete(id);
-			}
+		links ??= createExecutorLinks((executor) => openLink(current, executor));
+		for (const id of links.match(current.executors)) {
+			pacedAt.delete(id);
 		}
 	};
 
@@ -229,7 +218,7 @@
 				if (order.kind === 'advise') {
 					void ask(owner, order);
 				} else {
-					links.get(order.executor.id)?.send(order);
+					links?.get(order.executor.id)?.send(order);
 				}
 			}
 		}
@@ -350,7 +339,7 @@
 			logger,
 			onAckable(executors) {
 				for (const {id} of executors) {
-					links.get(id)?.noteAckable();
+					links?.get(id)?.noteAckable();
 				}
 			},
 			onStored: log.noteStored,
@@ -387,11 +376,7 @@
 		clearTimeout(dueTimer);
 		follower?.stop();
 		flusher?.stop();
-		for (const link of links.values()) {
-			link.close();
-		}
-
-		links.clear();
+		links?.closeAll();
 	};
 
 	const getLoad = (): scheduler.ServiceLoad | undefined =>
