Let the window grow where answers are slow without a queue

Cause: answers over 150 ms counted as late whatever made them slow, so that far or slow executors shrank the window to 4 starts for good. Now the time that answers take at the least window is learnt, and twice that counts as late, 450 ms at most. Starts in 20 s at 200 and 400 ms an answer: 448 and 248 before, 21,973 and 9,173 now (start-window-far.test.ts, failing before); the slow links as before.

--- a/packages/core/src/scheduler/start-window.ts
+++ b/packages/core/src/scheduler/start-window.ts
@@ -19,6 +19,8 @@
 	readonly cutAt: number;
 	/** How long answers take of late, in milliseconds. */
 	readonly answerMs: number;
+	/** How long they took while the window was at its least, so without a queue. */
+	readonly unqueuedMs: number;
 };
 
 /** The end of a start: an answer, or the time-out. */
@@ -33,6 +35,17 @@
  */
 const lateMs = 150;
 
+/**
+ * Where answers are slow without a queue, from executors that are far or slow,
+ * only those count as late that take so many times as long, up to the bound
+ * below: a smaller window made no answer quicker and let 20 starts a second
+ * through.
+ */
+const lateFactor = 2;
+
+/** Three quarters of the time that a start is waited for, in milliseconds. */
+const mostLateMs = 450;
+
 /** One start in sixteen says little: a dark rack holds a tenth of all. */
 const weight = 1 / 16;
 
@@ -57,8 +70,26 @@
 	lateShare: 0,
 	cutAt: Number.NEGATIVE_INFINITY,
 	answerMs: 0,
+	unqueuedMs: 0,
+};
+
+const blend = (before: number, next: number): number =>
+	before + weight * (next - before);
+
+const getUnqueuedMs = (
+	{size, unqueuedMs}: StartWindow,
+	tookMs: number,
+): number => {
+	if (size <= leastSize) {
+		return unqueuedMs === 0 ? tookMs : blend(unqueuedMs, tookMs);
+	}
+
+	return tookMs < unqueuedMs ? blend(unqueuedMs, tookMs) : unqueuedMs;
 };
 
+const getLimitMs = (unqueuedMs: number): number =>
+	Math.max(lateMs, Math.min(mostLateMs, lateFactor * unqueuedMs));
+
 const grow = (size: number): number =>
 	Math.min(mostSize, size + Math.min(1, growth / size));
 
@@ -70,23 +101,25 @@
 ): StartWindow => {
 	const tookMs = now - askedAt;
 	// A dark executor says nothing of how long answers take.
-	const answerMs = isAnswered
-		? window.answerMs + weight * (tookMs - window.answerMs)
-		: window.answerMs;
+	const times = isAnswered
+		? {
+				answerMs: blend(window.answerMs, tookMs),
+				unqueuedMs: getUnqueuedMs(window, tookMs),
+			}
+		: {answerMs: window.answerMs, unqueuedMs: window.unqueuedMs};
 	if (askedAt < window.cutAt) {
-		return {...window, answerMs};
+		return {...window, ...times};
 	}
 
-	const isLate = !isAnswered || tookMs > lateMs;
-	const lateShare =
-		window.lateShare + weight * ((isLate ? 1 : 0) - window.lateShare);
+	const isLate = !isAnswered || tookMs > getLimitMs(times.unqueuedMs);
+	const lateShare = blend(window.lateShare, isLate ? 1 : 0);
 	if (lateShare > cutShare) {
 		const size = Math.max(leastSize, Math.floor(window.size / 2));
-		return {size, lateShare: 0, cutAt: now, answerMs};
+		return {size, lateShare: 0, cutAt: now, ...times};
 	}
 
 	const size = isLate ? window.size : grow(window.size);
-	return {...window, size, lateShare, answerMs};
+	return {...window, size, lateShare, ...times};
 };
 
 /** How many starts may be ordered now, with so many under way. */
