Keep the connection of a request that was given up in the queue

Cause: aborting it as it came to its turn ended the connection that had come free: 6 connections for 5 given up in place of one (given-up.test.ts, failing before).

--- a/packages/ports/src/http/exchange.ts
+++ b/packages/ports/src/http/exchange.ts
@@ -60,11 +60,13 @@
 
 		dispatcher.dispatch(request, {
 			onRequestStart(started) {
-				controller = started;
 				if (isSettled) {
-					// It was given up in the queue, and nothing of it is sent.
-					started.abort(new Error('given up before it was sent'));
+					// Nothing of it is sent, and the connection stays, which an abort
+					// would end.
+					throw new Error('given up before it was sent');
 				}
+
+				controller = started;
 			},
 			onResponseStart(_controller, statusCode) {
 				status = statusCode;
