--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -162,6 +162,28 @@
 	epochNow: number,
 ): number => seenAtEpochMs + request.durationMs - epochNow;
 
+/**
+ * Turns that a machine with lasting tasks takes, since such tasks leave one at
+ * a time. With one turn each, a wave of 40 machines, 10 of them such, ended
+ * after 20.9 of its 20 s.
+ */
+const lastingTurns = 2;
+
+const countTurns = (
+	wave: MachineWave,
+	{machines, getLoad}: WaveSituation,
+): number => {
+	let turns = countAway(wave);
+	for (const id of wave.request.machines) {
+		const machine = machines.get(id);
+		if (machine && !(id in wave.begun)) {
+			turns += (getLoad(machine)?.lasting ?? 0) > 0 ? lastingTurns : 1;
+		}
+	}
+
+	return turns;
+};
+
 /**
  * Machines that must be emptied or away at once for the wave to end with one
  * turn to spare. As many as may be away and as many again are the most, so
@@ -169,11 +191,12 @@
  */
 const getPace = (
 	wave: MachineWave,
-	{machines, turnMs}: WaveSituation,
+	situation: WaveSituation,
 	epochNow: number,
 ): number => {
+	const {turnMs} = situation;
 	const leftMs = Math.max(1, getLeftMs(wave, epochNow) - turnMs);
-	const work = (countPending(wave, machines) + countAway(wave)) * turnMs;
+	const work = countTurns(wave, situation) * turnMs;
 	return Math.min(2 * wave.request.maxAway, Math.ceil(work / leftMs));
 };
 
