--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -1,5 +1,6 @@
 /** What an executor's list of its runs and ends says, taken in by the owner. */
 import {match} from 'ts-pattern';
+import {countFailure} from './attempts.js';
 import {
 	addRun,
 	dropRun,
@@ -9,11 +10,13 @@
 } from './executor.js';
 import {completeIfDone, endJob, type JobChange, type Owner} from './owner.js';
 import {
-	addDueOccurrences,
+	addOccurrencesUpTo,
 	createPastTask,
 	createRun,
+	listTogether,
 	markDone,
 	parseTaskId,
+	takeCheckpoint,
 	type Run,
 	type Task,
 } from './task.js';
@@ -90,11 +93,7 @@
 		return undefined;
 	}
 
-	if (job.nextOccurrence <= parts.occurrence) {
-		// It was started by an earlier owner, so its time had come.
-		addDueOccurrences(job, Number.POSITIVE_INFINITY);
-	}
-
+	addOccurrencesUpTo(job, parts.occurrence);
 	return job.occurrences.get(parts.occurrence)?.steps[parts.step]?.tasks[
 		parts.index
 	];
@@ -114,32 +113,42 @@
 		: undefined;
 };
 
-const isGang = ({step}: Task): boolean => step.spec.isGang;
-
-/** Tasks that one `done` stands for: all members of a gang. */
-const getDoneTasks = (task: Task): readonly Task[] =>
-	isGang(task) ? task.step.tasks : [task];
-
 const noteDone = (owner: Owner, task: Task, now: number): void => {
 	const {job} = task.step.occurrence;
-	for (const each of getDoneTasks(task)) {
+	// One `done` stands for all members of a gang.
+	for (const each of listTogether(task)) {
 		markDone(each);
 	}
 
 	completeIfDone(owner, job, now);
 };
 
+const restIfFailing = (owner: Owner, executor: Executor, now: number): void => {
+	const {failuresUntilRest, restMs, maxRestShare} = owner.cfg;
+	const all = [...owner.executors.values()];
+	const resting = all.filter(({restsUntil}) => restsUntil > now).length;
+	const mayRest = (resting + 1) / all.length <= maxRestShare;
+	if (executor.failuresInRow >= failuresUntilRest && mayRest) {
+		executor.restsUntil = now + restMs;
+		executor.failuresInRow = 0;
+	}
+};
+
 const noteFailed = (
 	owner: Owner,
 	task: Task,
-	executor: Executor,
+	{executor, run}: {readonly executor: Executor; readonly run: number},
 	now: number,
 ): JobChange | undefined => {
+	if (!countFailure(task, run)) {
+		return undefined;
+	}
+
 	const {step} = task;
 	const {job} = step.occurrence;
-	task.failures += 1;
 	task.failedOn = executor.id;
 	executor.failuresInRow += 1;
+	restIfFailing(owner, executor, now);
 	owner.dirty.add(job);
 	const {maxAttempts} = job.accepted.policy;
 	if (step.spec.isLongRunning || task.failures < maxAttempts || job.end) {
@@ -151,26 +160,6 @@
 	return {job: job.accepted.id, end: 'failed', reason};
 };
 
-const restIfFailing = (owner: Owner, executor: Executor, now: number): void => {
-	const {failuresUntilRest, restMs, maxRestShare} = owner.cfg;
-	const all = [...owner.executors.values()];
-	const resting = all.filter(({restsUntil}) => restsUntil > now).length;
-	const mayRest = (resting + 1) / all.length <= maxRestShare;
-	if (executor.failuresInRow >= failuresUntilRest && mayRest) {
-		executor.restsUntil = now + restMs;
-		executor.failuresInRow = 0;
-	}
-};
-
-const keepCheckpoint = (owner: Owner, task: Task, checkpoint: string): void => {
-	if (checkpoint === '' || checkpoint === task.checkpoint) {
-		return;
-	}
-
-	task.checkpoint = checkpoint;
-	owner.dirty.add(task.step.occurrence.job);
-};
-
 const settleEnd = (
 	owner: Owner,
 	executor: Executor,
@@ -188,7 +177,11 @@
 	}
 
 	task.step.occurrence.job.hasStarted = true;
-	keepCheckpoint(owner, task, end.checkpoint);
+	if (takeCheckpoint(task, end.run, end.checkpoint)) {
+		// It may be known from the run itself and is not stored for all that.
+		owner.dirty.add(task.step.occurrence.job);
+	}
+
 	return match(end.how)
 		.returnType<JobChange | undefined>()
 		.with('done', () => {
@@ -196,11 +189,9 @@
 			noteDone(owner, task, now);
 			return undefined;
 		})
-		.with('failed', () => {
-			const change = noteFailed(owner, task, executor, now);
-			restIfFailing(owner, executor, now);
-			return change;
-		})
+		.with('failed', () =>
+			noteFailed(owner, task, {executor, run: end.run}, now),
+		)
 		.with('stopped', 'lapsed', 'broken', 'alone', () => undefined)
 		.exhaustive();
 };
@@ -282,14 +273,8 @@
 		}
 
 		noteProgress(run, listed, look.receivedAt);
-		keepLiveCheckpoint(run, listed.checkpoint);
-	}
-};
-
-/** Kept in memory only: a lost one costs work, never a promise. */
-const keepLiveCheckpoint = ({task}: Run, checkpoint: string): void => {
-	if (checkpoint !== '') {
-		task.checkpoint = checkpoint;
+		// Not stored while it runs: a lost one costs work, never a promise.
+		takeCheckpoint(run.task, run.number, listed.checkpoint);
 	}
 };
 
@@ -331,6 +316,7 @@
 	};
 	noteClock(executor, look.clockMs, look.receivedAt);
 	executor.silentSince = undefined;
+	executor.hasListedEnds = look.ends.length > 0;
 	takeEnds(owner, executor, look, changes);
 	takeRunning(owner, executor, look, changes);
 	executor.strays = changes.strays.length;
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -18,9 +18,16 @@
 	grantLease,
 	type Executor,
 } from './executor.js';
+import {
+	createFullFor,
+	isFullFor,
+	noteRefused,
+	type FullFor,
+} from './full-for.js';
 import type {Owner} from './owner.js';
 import {findEviction, listUsable, placeTask} from './place.js';
 import {rankJobs, type RankedJob} from './rank.js';
+import {countFreeStarts} from './start-window.js';
 import {
 	createRun,
 	isStepOpen,
@@ -186,19 +193,25 @@
 	readonly now: number;
 	readonly usable: readonly Executor[];
 	readonly orders: Order[];
+	/** What no usable executor has room for any more. */
+	readonly full: FullFor;
+	/** Starts that may still be ordered, by the owner's window. */
+	startsLeft: number;
 };
 
 const startTask = (
-	{owner, now}: Planning,
+	planning: Planning,
 	executor: Executor,
 	task: Task,
 	number: number,
 ): StartOrder | undefined => {
+	const {owner, now} = planning;
 	const leaseEndMs = grantLease(executor, owner.cfg.taskLeaseMs, now);
 	if (leaseEndMs === undefined) {
 		return undefined;
 	}
 
+	planning.startsLeft -= 1;
 	const run = createRun(task, number, executor.id, now);
 	task.lastRun = number;
 	addRun(executor, run);
@@ -237,19 +250,29 @@
 
 /** Starts what it can of a step, until the executors are full for it. */
 const planStep = (planning: Planning, step: Step): void => {
-	const {owner, orders} = planning;
+	const {owner, orders, full} = planning;
+	const isLasting = step.spec.isLongRunning;
+	if (!isLasting && isFullFor(full, step)) {
+		return;
+	}
+
 	const usable = listStepExecutors(planning, step);
 	for (const task of step.tasks) {
+		if (planning.startsLeft <= 0) {
+			return;
+		}
+
 		if (!isWaiting(task) || !isPlaceKnown(owner, task)) {
 			continue;
 		}
 
 		const placement = placeTask(usable, task);
 		if (placement.kind === 'refused') {
-			if (placement.reason === 'noRoom' && step.spec.isLongRunning) {
+			if (placement.reason === 'noRoom' && isLasting) {
 				evictFor(planning, task);
 			}
 
+			noteRefused(full, planning.usable, step);
 			return;
 		}
 
@@ -279,8 +302,8 @@
 
 /** Starts all tasks of a gang with one run number, or none. */
 const planGang = (planning: Planning, step: Step): void => {
-	const {owner, orders} = planning;
-	if (!isGangReady(owner, step)) {
+	const {owner, orders, full} = planning;
+	if (isFullFor(full, step) || !isGangReady(owner, step)) {
 		return;
 	}
 
@@ -311,6 +334,8 @@
 		for (const {executor, run} of started) {
 			dropRun(executor, run);
 		}
+
+		planning.startsLeft += started.length;
 	}
 };
 
@@ -330,6 +355,18 @@
 	}
 };
 
+/** Starts that have been ordered and not answered. */
+const countAsked = ({executors}: Owner): number => {
+	let count = 0;
+	for (const {runs} of executors.values()) {
+		for (const {state} of runs.values()) {
+			count += state === 'asked' ? 1 : 0;
+		}
+	}
+
+	return count;
+};
+
 /** Plans the orders of this moment; runs are noted as asked for. */
 export const planOrders = (
 	owner: Owner,
@@ -339,11 +376,25 @@
 	expireEvacuations(owner, now);
 	const stops = planStops(owner, now);
 	const usable = listUsable(owner, now);
-	const planning: Planning = {owner, now, usable, orders: [...stops]};
-	if (usable.length > 0) {
-		for (const ranked of rankJobs(owner, epochNow)) {
-			planJob(planning, ranked);
+	const full = createFullFor();
+	const planning: Planning = {
+		owner,
+		now,
+		usable,
+		orders: [...stops],
+		full,
+		startsLeft: countFreeStarts(owner.startWindow, countAsked(owner)),
+	};
+	if (usable.length === 0 || planning.startsLeft === 0) {
+		return planning.orders;
+	}
+
+	for (const ranked of rankJobs(owner, epochNow)) {
+		if (planning.startsLeft <= 0) {
+			break;
 		}
+
+		planJob(planning, ranked);
 	}
 
 	return planning.orders;
--- a/packages/core/src/scheduler/progress.ts
+++ b/packages/core/src/scheduler/progress.ts
@@ -7,14 +7,21 @@
 	countOccurrences,
 	listTasks,
 	markDone,
+	takeCheckpoint,
 	type Job,
 	type JobEnd,
+	type Step,
+	type Task,
 } from './task.js';
 
 /** What is kept of a task that is not simply untouched or done. */
 export type TaskProgress = {
 	readonly failures: number;
+	/** Absent in rows of an older form. */
+	readonly failedRuns?: readonly number[] | undefined;
 	readonly checkpoint?: string | undefined;
+	/** Absent in rows of an older form. */
+	readonly checkpointRun?: number | undefined;
 };
 
 /** What is kept of one occurrence at hand. */
@@ -33,6 +40,18 @@
 	readonly occurrences: readonly OccurrenceProgress[];
 };
 
+const describeTask = ({
+	failures,
+	failedRuns,
+	checkpoint,
+	checkpointRun,
+}: Task): TaskProgress => ({
+	failures,
+	failedRuns: failedRuns.length > 0 ? failedRuns : undefined,
+	checkpoint,
+	checkpointRun: checkpointRun > 0 ? checkpointRun : undefined,
+});
+
 const describeTasks = (
 	job: Job,
 	number: number,
@@ -41,7 +60,7 @@
 		.filter(({step}) => step.occurrence.number === number)
 		.filter(({isDone}) => !isDone)
 		.filter(({failures, checkpoint}) => failures > 0 || checkpoint)
-		.map(({id, failures, checkpoint}) => [id, {failures, checkpoint}] as const);
+		.map((task) => [task.id, describeTask(task)] as const);
 	return Object.fromEntries(entries);
 };
 
@@ -61,20 +80,49 @@
 			})),
 });
 
+/** Rows of an older form give each member of a gang its own. */
+const levelGang = ({tasks}: Step): void => {
+	const [latest] = tasks
+		.filter(({checkpoint}) => checkpoint)
+		.toSorted((one, two) => two.checkpointRun - one.checkpointRun);
+	if (latest) {
+		takeCheckpoint(latest, latest.checkpointRun, latest.checkpoint ?? '');
+	}
+
+	const failures = Math.max(...tasks.map((task) => task.failures));
+	for (const task of tasks) {
+		task.failures = failures;
+	}
+};
+
 const applyOccurrence = (job: Job, progress: OccurrenceProgress): void => {
 	const occurrence = job.occurrences.get(progress.number);
 	for (const step of occurrence?.steps ?? []) {
 		for (const task of step.tasks) {
 			const kept = progress.tasks[task.id];
 			task.failures = kept?.failures ?? 0;
+			task.failedRuns = kept?.failedRuns ?? [];
 			task.checkpoint = kept?.checkpoint;
+			task.checkpointRun = kept?.checkpointRun ?? 0;
 			if (progress.done[step.number]?.[task.index] === '1') {
 				markDone(task);
 			}
 		}
+
+		if (step.spec.isGang) {
+			levelGang(step);
+		}
 	}
 };
 
+/** Whether a run of it has ended or saved its work. */
+const hasBegun = ({doneOccurrences, occurrences}: JobProgress): boolean =>
+	doneOccurrences > 0 ||
+	occurrences.some(
+		({done, tasks}) =>
+			Object.keys(tasks).length > 0 || done.some((each) => each.includes('1')),
+	);
+
 /** Brings a job just created to the progress that was stored. */
 export const applyProgress = (
 	job: Job,
@@ -104,7 +152,5 @@
 
 	job.doneOccurrences = progress.doneOccurrences;
 	job.nextOccurrence = progress.nextOccurrence;
-	job.hasStarted ||= progress.occurrences.some(({done}) =>
-		done.some((each) => each.includes('1')),
-	);
+	job.hasStarted ||= hasBegun(progress);
 };
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -39,8 +39,13 @@
 	readonly step: Step;
 	readonly index: number;
 	isDone: boolean;
+	/** Attempts that were spent, by it or by any member of its gang. */
 	failures: number;
+	/** Its runs that ended as failed, lowest first; see attempts.ts. */
+	failedRuns: readonly number[];
 	checkpoint: string | undefined;
+	/** The run that the checkpoint is of; 0 if that is not known. */
+	checkpointRun: number;
 	runs: Run[];
 	/** The highest run number given so far by this owner. */
 	lastRun: number;
@@ -132,7 +137,9 @@
 		index,
 		isDone: false,
 		failures: 0,
+		failedRuns: [],
 		checkpoint: undefined,
+		checkpointRun: 0,
 		runs: [],
 		lastRun: 0,
 		failedOn: undefined,
@@ -241,6 +248,17 @@
 	}
 };
 
+/**
+ * Adds the occurrences up to one that an earlier owner has started, so that
+ * its time had come, also if it has not by the clock here. Those after it are
+ * not due by that.
+ */
+export const addOccurrencesUpTo = (job: Job, number: number): void => {
+	while (job.nextOccurrence <= number && number < countOccurrences(job)) {
+		addOccurrence(job);
+	}
+};
+
 /** Whether the steps before this one are done. */
 export const isStepOpen = (step: Step): boolean =>
 	step.spec.after.every((number) => {
@@ -272,6 +290,31 @@
 export const isWaiting = (task: Task): boolean =>
 	!task.isDone && task.runs.length === 0;
 
+/** Tasks that run and end together: all members of a gang, else the task. */
+export const listTogether = (task: Task): readonly Task[] =>
+	task.step.spec.isGang ? task.step.tasks : [task];
+
+/**
+ * Takes in the checkpoint of a run; false if there is none or a later run's is
+ * known. A gang has one: its members start together only with the same.
+ */
+export const takeCheckpoint = (
+	task: Task,
+	run: number,
+	checkpoint: string,
+): boolean => {
+	if (checkpoint === '' || run < task.checkpointRun) {
+		return false;
+	}
+
+	for (const each of listTogether(task)) {
+		each.checkpoint = checkpoint;
+		each.checkpointRun = run;
+	}
+
+	return true;
+};
+
 /** Marks a task as done. True if this ended its occurrence. */
 export const markDone = (task: Task): boolean => {
 	if (task.isDone) {
--- /dev/null
+++ b/packages/daemon/src/jobs/entry/queue-history.test.ts
@@ -0,0 +1,160 @@
+/**
+ * A job stays with the service under which it was accepted, so an entry has to
+ * know all services that its queue ever had. One that learns of a queue's
+ * service only by seeing it change answers that a job does not exist, if the
+ * change came while no entry was up, or while the queue was off the list.
+ */
+import {
+	createMemoryRowStore,
+	type Configuration,
+	type QueueRoute,
+} from '@gullstand/ports';
+import * as tap from 'tap';
+import type {JobDaemon} from '../job-daemon.js';
+import {
+	createId,
+	createTestPlatform,
+	now,
+	route,
+	startDaemon,
+	submit,
+	testConfiguration,
+	waitUntil,
+	type TestPlatform,
+} from '../job-world.test.fixture.js';
+import {createHistoryRow, createQueueHistory} from './queue-history.js';
+
+const moved: QueueRoute = {...route, service: 'other'};
+
+const withRoutes = (
+	version: number,
+	routes: readonly QueueRoute[],
+): Configuration => ({
+	...testConfiguration,
+	version,
+	routes,
+	services: ['s', 'other'].map((name) => ({
+		name,
+		rejectsOverload: false,
+		isStandby: false,
+	})),
+});
+
+const put = (platform: TestPlatform, value: Configuration) => {
+	platform.operator.put('configuration', {kind: 'configuration', value});
+};
+
+const waitForVersion = async (daemon: JobDaemon, version: number) => {
+	await waitUntil(
+		`version ${version}`,
+		() => daemon.routes.get()?.version === version,
+	);
+};
+
+type HistoryCase = {
+	readonly name: string;
+	/** Brings about the change; answers the entry that is asked then. */
+	readonly change: (
+		platform: TestPlatform,
+		before: JobDaemon,
+		start: (name: string) => Promise<JobDaemon>,
+	) => Promise<JobDaemon>;
+};
+
+const historyCases: readonly HistoryCase[] = [
+	{
+		name: 'while no entry is up',
+		async change(platform, before, start) {
+			await before.stop();
+			put(platform, withRoutes(2, [moved]));
+			return start('later');
+		},
+	},
+	{
+		name: 'while the queue is off the list',
+		async change(platform, before) {
+			put(platform, withRoutes(2, []));
+			await waitForVersion(before, 2);
+			put(platform, withRoutes(3, [moved]));
+			await waitForVersion(before, 3);
+			return before;
+		},
+	},
+];
+
+for (const {name, change} of historyCases) {
+	tap.t.test(`a queue that moves ${name} keeps its jobs`, async (t) => {
+		const platform = createTestPlatform(['x']);
+		const start = async (daemonName: string) => {
+			const daemon = await startDaemon(platform, daemonName, (err) => {
+				t.fail(err.message);
+			});
+			t.teardown(async () => daemon.stop());
+			await waitUntil('readiness', () => daemon.isReady());
+			return daemon;
+		};
+
+		const before = await start('before');
+		const id = createId(1);
+		const accepted = await submit(before, id);
+		t.ok(accepted.ok);
+		const asked = await change(platform, before, start);
+		const state = await asked.service.readState(moved, id);
+		t.equal(state.ok, true, JSON.stringify(state));
+	});
+}
+
+const logger = {info: () => undefined as never, warn: () => undefined as never};
+
+tap.t.test('a history is read from the rows of both forms', async (t) => {
+	const store = createMemoryRowStore();
+	const old = {table: 'queue-history', part: '', key: 'q'};
+	const puts = [
+		{...old, value: JSON.stringify(['one', 'two'])},
+		createHistoryRow('service/three', 'q'),
+		createHistoryRow('service/three', 'other'),
+	];
+	await store.transact({checks: [], puts, removes: []}, 1000);
+	const history = createQueueHistory({store, logger});
+	t.ok(await history.load());
+	t.same(history.listServices('q', 'two'), ['two', 'one', 'three']);
+	t.same(history.listServices('other', 'two'), ['two', 'three']);
+});
+
+tap.t.test(
+	'what another entry has stored is read before a refusal',
+	async (t) => {
+		const platform = createTestPlatform(['x']);
+		const daemon = await startDaemon(platform, 'a', (err) => {
+			t.fail(err.message);
+		});
+		t.teardown(async () => daemon.stop());
+		await waitUntil('readiness', () => daemon.isReady());
+		const id = createId(2);
+		const accepted = await submit(daemon, id);
+		t.ok(accepted.ok);
+		const rows = platform.store.list('job');
+		const part = 'service/elsewhere';
+		await platform.store.transact(
+			{
+				checks: [],
+				puts: [
+					...rows.map((row) => ({...row, part, key: createId(3)})),
+					createHistoryRow(part, route.name),
+				],
+				removes: [],
+			},
+			1000,
+		);
+		const state = await daemon.service.readState(route, createId(3));
+		t.same(state, {ok: true, value: 'queued'});
+		const cancelled = await daemon.service.cancel(
+			route,
+			createId(3),
+			now() + 1000,
+		);
+		t.ok(cancelled.ok);
+		const none = await daemon.service.readState(route, createId(4));
+		t.same(none, {ok: false, error: 'unknown-job'});
+	},
+);
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -3,7 +3,7 @@
  * claims shards, runs the services that it owns, answers callers and peers.
  */
 import {randomUUID} from 'node:crypto';
-import type {fleet, scheduler} from '@gullstand/core';
+import type {fleet, scheduler, shardAssignment} from '@gullstand/core';
 import type {
 	AdviceService,
 	ExecutorFeed,
@@ -67,6 +67,8 @@
 export type JobDaemonSettings = {
 	readonly name: string;
 	readonly peers: {readonly address: string; readonly port: number};
+	/** What this machine has; shards go to the most capable daemons. */
+	readonly capacity?: shardAssignment.EntryCapacity;
 	readonly scheduler: scheduler.SchedulerConfig;
 	readonly pools: fleet.PoolConfig;
 	/** Time between orders of two holders for one machine, milliseconds. */
@@ -324,6 +326,7 @@
 	const keeper = createShardKeeper({
 		store,
 		self,
+		capacity: settings.capacity,
 		getAddress,
 		members,
 		book,
@@ -346,6 +349,7 @@
 		name: self.entry,
 		incarnation: self.incarnation,
 		getAddress,
+		capacity: settings.capacity,
 		logger,
 		now,
 		random: deps.random,
@@ -366,10 +370,9 @@
 	const applyOperatorEntry = (key: string, entry: OperatorEntry) => {
 		match(entry)
 			.with({kind: 'configuration'}, ({value}) => {
-				const before = routes.get();
 				const isNew = routes.apply(value);
 				if (isNew) {
-					void history.note(before, value);
+					history.note(value);
 				}
 
 				logger.info('configuration read', {
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -7,6 +7,7 @@
 	succeed,
 	type Result,
 	type scheduler,
+	type shardAssignment,
 	type shardLease,
 } from '@gullstand/core';
 import type {RowCheck, RowKey} from '@gullstand/ports';
@@ -62,6 +63,14 @@
 export const getServiceShard = (service: string): string =>
 	`service/${service}`;
 
+const servicePrefix = getServiceShard('');
+
+/** The service of a shard, if it is one of a service. */
+export const parseServiceShard = (shard: string): string | undefined =>
+	shard.startsWith(servicePrefix)
+		? shard.slice(servicePrefix.length)
+		: undefined;
+
 const cancelSuffix = '/cancelled';
 
 /** Key of the row that cancels a job. */
@@ -99,13 +108,21 @@
 	readonly address: string;
 	/** Grows with each heartbeat. */
 	readonly beat: number;
+	/** What its machine has; absent in rows of older releases. */
+	readonly capacity?: shardAssignment.EntryCapacity | undefined;
 };
 
+const capacitySchema: z.ZodType<shardAssignment.EntryCapacity> = z.object({
+	cores: z.number().min(0),
+	linkMbps: z.number().min(0),
+});
+
 /** Form of a heartbeat. */
 export const daemonSchema: z.ZodType<DaemonRow> = z.object({
 	incarnation: z.string(),
 	address: z.string(),
 	beat: z.int().min(0),
+	capacity: capacitySchema.optional(),
 });
 
 const resourcesSchema: z.ZodType<scheduler.Resources> = z.object({
@@ -177,7 +194,9 @@
 				z.string(),
 				z.object({
 					failures: z.int().min(0),
+					failedRuns: z.array(z.int()).optional(),
 					checkpoint: z.string().optional(),
+					checkpointRun: z.int().optional(),
 				}),
 			),
 		}),
