Tests for repeated submissions beside others, failing

Five cases fail: jobs of a transaction with a repeat are sent up to four times and then refused, an id that waits twice lies twice in one transaction, what is stored is asked about again, and a job is sent after its caller has gone.

--- a/packages/daemon/src/jobs/entry/submissions.test.ts
+++ b/packages/daemon/src/jobs/entry/submissions.test.ts
@@ -1,6 +1,14 @@
+import * as ports from '@gullstand/ports';
 import * as tap from 'tap';
 import {createSpec} from '../job-world.test.fixture.js';
-import {isSameJob} from './submissions.js';
+import {getServiceShard, tables} from '../rows/tables.js';
+import {createLeaseBook} from '../shards/lease-book.js';
+import {createSubmissions, isSameJob} from './submissions.js';
+
+const noLogger = {
+	info: () => undefined as never,
+	warn: () => undefined as never,
+};
 
 const policy = {
 	queue: 'q',
@@ -52,3 +60,144 @@
 		t.equal(isSameJob(job, other as typeof job), isSame);
 	});
 }
+
+const shard = getServiceShard('s');
+
+/** Later than any of these cases takes, in milliseconds. */
+const farAway = 60_000;
+
+const createWorld = () => {
+	const inner = ports.createMemoryRowStore();
+	/** Ids of the jobs in each transaction that was sent. */
+	const sent: string[][] = [];
+	let beforeNext: () => Promise<void> | void = () => undefined;
+	const world = {
+		sent,
+		state: {now: 0},
+		/** Runs while each transaction is under way. */
+		onTransact(action: typeof beforeNext) {
+			beforeNext = action;
+		},
+		/** Another entry stores a job. */
+		async storeElsewhere(id: string) {
+			await inner.transact(
+				{
+					checks: [],
+					puts: [
+						{
+							table: tables.job,
+							part: shard,
+							key: id,
+							value: JSON.stringify({...job, id}),
+						},
+					],
+					removes: [],
+				},
+				farAway,
+			);
+		},
+	};
+	const submissions = createSubmissions({
+		store: {
+			...inner,
+			async transact(transaction, timeoutMs) {
+				sent.push(transaction.puts.map(({key}) => key));
+				await beforeNext();
+				return inner.transact(transaction, timeoutMs);
+			},
+		},
+		book: createLeaseBook({logger: noLogger, onChange: () => undefined}),
+		isStoreSuspect: () => false,
+		now: () => world.state.now,
+		logger: noLogger,
+		onStored: () => undefined,
+	});
+	const submitJob = async (each: typeof job, deadline = farAway) =>
+		submissions.submit(shard, each, deadline);
+	const submit = async (id: string, deadline?: number) =>
+		submitJob({...job, id}, deadline);
+	return {...world, submit, submitJob};
+};
+
+tap.t.test(
+	'jobs that come with repeats of others are stored by the next transaction',
+	async (t) => {
+		const world = createWorld();
+		for (const index of [0, 1, 2, 3, 4, 5]) {
+			await world.storeElsewhere(`r${index}`);
+		}
+
+		// One repeat more comes in while each transaction is under way.
+		const repeats = ['r1', 'r2', 'r3', 'r4', 'r5'];
+		const outcomes: Array<Promise<unknown>> = [];
+		world.onTransact(() => {
+			const next = repeats.shift();
+			if (next !== undefined) {
+				outcomes.push(world.submit(next));
+			}
+		});
+		const first = world.submit('first');
+		const [repeat, fresh] = [world.submit('r0'), world.submit('fresh')];
+		t.same(await first, {kind: 'accepted', isRepeat: false});
+		t.same(await repeat, {kind: 'accepted', isRepeat: true});
+		t.same(await fresh, {kind: 'accepted', isRepeat: false});
+		t.equal(
+			world.sent.filter((ids) => ids.includes('fresh')).length,
+			2,
+			'one that failed for the repeat and one more',
+		);
+		for (const outcome of await Promise.all(outcomes)) {
+			t.same(outcome, {kind: 'accepted', isRepeat: true});
+		}
+	},
+);
+
+tap.t.test('many repeats do not get the others refused', async (t) => {
+	const world = createWorld();
+	const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
+	const late = [...ids];
+	// Each is stored by another entry just before the transaction with it.
+	world.onTransact(async () => {
+		const next = late.shift();
+		if (next !== undefined) {
+			await world.storeElsewhere(next);
+		}
+	});
+	const outcomes = [...ids, 'fresh'].map(async (id) => world.submit(id));
+	t.same(
+		(await Promise.all(outcomes)).map(({kind}) => kind),
+		Array.from({length: 7}, () => 'accepted'),
+	);
+});
+
+tap.t.test('a job that was handed in twice is sent once', async (t) => {
+	const world = createWorld();
+	const first = world.submit('first');
+	const twice = [world.submit('a'), world.submit('a')];
+	await first;
+	t.same(await Promise.all(twice), [
+		{kind: 'accepted', isRepeat: false},
+		{kind: 'accepted', isRepeat: true},
+	]);
+	t.same(await world.submit('a'), {kind: 'accepted', isRepeat: true});
+	t.same(world.sent, [['first'], ['a']]);
+});
+
+tap.t.test('another job under the id of a stored one', async (t) => {
+	const world = createWorld();
+	await world.submit('a');
+	const other = {...job, id: 'a', spec: {...job.spec, payload: 'x'}};
+	t.same(await world.submitJob(other), {kind: 'conflict'});
+	t.same(world.sent, [['a']]);
+});
+
+tap.t.test('a job whose caller has given up is not sent', async (t) => {
+	const world = createWorld();
+	world.onTransact(() => {
+		world.state.now = 1000;
+	});
+	const [first, late] = [world.submit('first'), world.submit('late', 900)];
+	t.same(await first, {kind: 'accepted', isRepeat: false});
+	t.same(await late, {kind: 'not-stored'});
+	t.same(world.sent, [['first']]);
+});
