Let a repeated submission hold up no other job of its transaction

Cause: one id that is stored already fails the whole transaction. The others were sent again together with newcomers, and so with the next repeat, up to four times, each for 100 to 200 ms on a busy link, and then refused.

Jobs left after a conflict now go alone in the next transaction; a conflict that settled some is not held against the others; an id that waits twice is sent once; a repeat of one of the last 1,000 stored is answered from memory; what is late is not sent, since its entry has sent it itself.

--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -64,9 +64,16 @@
 /** ... and how long it is asked about; the caller then tries again. */
 const maxReadBackMs = 500;
 
-/** Commits that may be tried anew after a conflict. */
+/** Commits that may be tried anew after a conflict that settles no job. */
 const maxTries = 4;
 
+/**
+ * Jobs whose text is kept after they were stored. A caller that repeats one
+ * does so within seconds; 1,000 are 5 s of the fastest rises seen and, at some
+ * 1 KB each, 1 MB.
+ */
+const maxRecent = 1000;
+
 type Waiting = {
 	readonly job: scheduler.AcceptedJob;
 	readonly text: string;
@@ -79,6 +86,8 @@
 
 type Queue = {waiting: Waiting[]; isBusy: boolean};
 
+const getRecentKey = (shard: string, id: string): string => `${shard}\n${id}`;
+
 /** The text of what is asked for, with the fields in one order. */
 const toCanonicalText = (job: scheduler.AcceptedJob): string => {
 	const decoded = decodeRow(jobSchema, JSON.stringify(job));
@@ -96,9 +105,19 @@
 export const createSubmissions = (deps: SubmissionsDeps): Submissions => {
 	const {store, book, now, logger} = deps;
 	const queues = new Map<string, Queue>();
+	/** Texts of jobs stored lately, by shard and id, the oldest in front. */
+	const recent = new Map<string, string>();
+
+	const remember = (shard: string, id: string, text: string) => {
+		recent.set(getRecentKey(shard, id), text);
+		if (recent.size > maxRecent) {
+			const [oldest = ''] = recent.keys();
+			recent.delete(oldest);
+		}
+	};
 
-	const settleByRow = (waiting: Waiting, row: StoredRow) => {
-		const decoded = decodeRow(jobSchema, row.value);
+	const settleByText = (waiting: Waiting, text: string) => {
+		const decoded = decodeRow(jobSchema, text);
 		const isSame = decoded.ok && isSameJob(decoded.value, waiting.job);
 		waiting.settle(
 			isSame ? {kind: 'accepted', isRepeat: true} : {kind: 'conflict'},
@@ -130,7 +149,8 @@
 			const row = stored.get(waiting.job.id);
 			if (row) {
 				deps.onStored(shard, [row]);
-				settleByRow(waiting, row);
+				remember(shard, row.key, row.value);
+				settleByText(waiting, row.value);
 			}
 
 			return !row;
@@ -186,18 +206,37 @@
 		}
 	};
 
-	const tryAgain = (shard: string, batch: readonly Waiting[]) => {
-		for (const waiting of batch) {
+	/** Those of a batch that may be sent once more; the others are refused. */
+	const listNextTry = (batch: readonly Waiting[]): readonly Waiting[] =>
+		batch.filter((waiting) => {
 			waiting.tries += 1;
-			if (waiting.tries < maxTries && now() < waiting.deadline) {
-				getQueue(shard).waiting.push(waiting);
-			} else {
+			const mayTry = waiting.tries < maxTries;
+			if (!mayTry) {
 				refuse(waiting);
 			}
-		}
+
+			return mayTry;
+		});
+
+	/**
+	 * Jobs of a batch that are left after a conflict. One repeat fails a whole
+	 * transaction, so a conflict that settled some is not held against the
+	 * others: under load each batch has a repeat, and they were refused.
+	 */
+	const listLeft = (
+		shard: string,
+		batch: readonly Waiting[],
+		rows: readonly StoredRow[],
+	): readonly Waiting[] => {
+		const left = takeConflict(shard, batch, rows);
+		return left.length < batch.length ? left : listNextTry(left);
 	};
 
-	const commit = async (shard: string, batch: readonly Waiting[]) => {
+	/** Sends a batch; answers the jobs that are to be sent once more. */
+	const commit = async (
+		shard: string,
+		batch: readonly Waiting[],
+	): Promise<readonly Waiting[]> => {
 		const puts: RowPut[] = batch.map((waiting) => ({
 			...keyOf(shard, waiting),
 			value: waiting.text,
@@ -224,11 +263,12 @@
 				shard,
 				puts.map((put) => ({...put, version})),
 			);
-			for (const {settle} of batch) {
+			for (const {job, text, settle} of batch) {
+				remember(shard, job.id, text);
 				settle({kind: 'accepted', isRepeat: false});
 			}
 
-			return;
+			return [];
 		}
 
 		logger.warn('jobs not stored', {
@@ -237,24 +277,74 @@
 			reason: result.error.kind,
 		});
 		if (result.error.kind === 'conflict') {
-			tryAgain(shard, takeConflict(shard, batch, result.error.rows));
-		} else if (result.error.kind === 'timeout') {
-			for (const waiting of batch) {
+			return listLeft(shard, batch, result.error.rows);
+		}
+
+		for (const waiting of batch) {
+			if (result.error.kind === 'timeout') {
 				waiting.mayBeStored = true;
 				void settleLost(shard, waiting);
-			}
-		} else {
-			for (const waiting of batch) {
+			} else {
 				refuse(waiting);
 			}
 		}
+
+		return [];
+	};
+
+	/** Settles what needs no transaction; false if the job must be sent. */
+	const settleUnsent = (shard: string, waiting: Waiting): boolean => {
+		const text = recent.get(getRecentKey(shard, waiting.job.id));
+		if (text !== undefined) {
+			settleByText(waiting, text);
+			return true;
+		}
+
+		// Its entry has sent it by itself since: here it would be a repeat.
+		const isLate = now() >= waiting.deadline;
+		if (isLate) {
+			refuse(waiting);
+		}
+
+		return isLate;
+	};
+
+	/** Takes jobs to send; one that waits twice comes when the first is done. */
+	const takeBatch = (shard: string, queue: Queue): readonly Waiting[] => {
+		const batch = new Map<string, Waiting>();
+		const later: Waiting[] = [];
+		for (const waiting of queue.waiting) {
+			const {id} = waiting.job;
+			if (batch.size >= maxJobsPerCommit || batch.has(id)) {
+				later.push(waiting);
+			} else if (!settleUnsent(shard, waiting)) {
+				batch.set(id, waiting);
+			}
+		}
+
+		queue.waiting = later;
+		return [...batch.values()];
+	};
+
+	/** Nothing joins what is sent again: it may bring the next repeat. */
+	const sendBatch = async (shard: string, batch: readonly Waiting[]) => {
+		let left = batch;
+		while (left.length > 0) {
+			if (deps.isStoreSuspect()) {
+				await refuseAll(left);
+				return;
+			}
+
+			left = (await commit(shard, left)).filter(
+				(waiting) => !settleUnsent(shard, waiting),
+			);
+		}
 	};
 
 	const run = async (shard: string, queue: Queue) => {
 		queue.isBusy = true;
 		while (queue.waiting.length > 0) {
-			const batch = queue.waiting.splice(0, maxJobsPerCommit);
-			await (deps.isStoreSuspect() ? refuseAll(batch) : commit(shard, batch));
+			await sendBatch(shard, takeBatch(shard, queue));
 		}
 
 		queue.isBusy = false;
