--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -187,6 +187,41 @@
 		surplusMs: 500,
 		moves: ['b to p'],
 	},
+	{
+		name: 'machines that are away for maintenance are made up for',
+		demands: [createDemand('p', {waitingCpu: 3000})],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'p', {isUp: false, isTaken: true}),
+			createMachine('c', 'p', {isTaken: true, runs: 1}),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+			createMachine('s3', 'standby'),
+		],
+		moves: ['s1 to p', 's2 to p'],
+	},
+	{
+		name: 'machines that are down are made up for',
+		demands: [createDemand('p', {waitingCpu: 2000})],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'p', {isUp: false}),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+		],
+		moves: ['s1 to p'],
+	},
+	{
+		name: 'machines that are away are no surplus',
+		demands: [createDemand('p', {usedCpu: 1000})],
+		machines: [
+			createMachine('a', 'p', {runs: 1}),
+			createMachine('b', 'p', {isUp: false, isTaken: true}),
+			createMachine('c', 'p', {isTaken: true}),
+		],
+		surplusMs: 1000,
+		moves: [],
+	},
 ];
 
 for (const each of cases) {
