--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -21,6 +21,7 @@
 	id,
 	pool,
 	isUp: true,
+	isArriving: false,
 	cpuMillis: 1000,
 	runs: 0,
 	lasting: 0,
@@ -201,11 +202,12 @@
 		moves: ['s1 to p', 's2 to p'],
 	},
 	{
-		name: 'machines that are down are made up for',
-		demands: [createDemand('p', {waitingCpu: 2000})],
+		name: 'machines that are down are made up for, those that arrive count',
+		demands: [createDemand('p', {waitingCpu: 3000})],
 		machines: [
 			createMachine('a', 'p'),
 			createMachine('b', 'p', {isUp: false}),
+			createMachine('c', 'p', {isUp: false, isArriving: true}),
 			createMachine('s1', 'standby'),
 			createMachine('s2', 'standby'),
 		],
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -74,6 +74,8 @@
 	readonly id: string;
 	readonly pool: string;
 	readonly isUp: boolean;
+	/** A move to its pool is being carried out. */
+	readonly isArriving: boolean;
 	readonly cpuMillis: number;
 	/** Runs on it; absent in the standby pool. */
 	readonly runs: number;
@@ -151,13 +153,24 @@
 	return Math.max(least, demand.minMachines, machines);
 };
 
-/** Machines that a pool has, and those that are on their way to it. */
+/**
+ * Whether a machine serves its pool or soon will. One that is down or emptied
+ * for maintenance does not: a pool with 23 of its 48 machines emptied for a
+ * wave looked full while its queue waited.
+ */
+const isServing = ({isUp, isArriving, isTaken}: PoolMachine): boolean =>
+	(isUp || isArriving) && !isTaken;
+
+/** Machines that serve a pool, and those that are on their way to it. */
 const countMachines = (
 	{machines, underWay}: PoolSituation,
 	pool: string,
 ): number => {
 	const staying = machines.filter(
-		(each) => each.pool === pool && underWay.get(each.id)?.from !== pool,
+		(each) =>
+			each.pool === pool &&
+			isServing(each) &&
+			underWay.get(each.id)?.from !== pool,
 	);
 	const coming = [...underWay].filter(
 		([id, {to}]) => to === pool && !staying.some((each) => each.id === id),
--- a/packages/daemon/src/jobs/fleet/pool-round.ts
+++ b/packages/daemon/src/jobs/fleet/pool-round.ts
@@ -138,6 +138,7 @@
 			id: machine.id,
 			pool: machine.pool,
 			isUp: machine.state === 'up',
+			isArriving: machine.state === 'moving',
 			cpuMillis: machine.capacity.cpuMillis,
 			runs: load?.runs ?? 0,
 			lasting: load?.lasting ?? 0,
