Tests for a wave that empties more machines than it must, failing

All machines that may be away are emptied at once, whatever time is left, and those of an owner that does not answer count as idle: two cases fail.

--- a/packages/daemon/src/jobs/fleet/wave-round.test.ts
+++ b/packages/daemon/src/jobs/fleet/wave-round.test.ts
@@ -26,14 +26,32 @@
 	readonly answers: Map<string, ports.MachineAnswer>;
 	/** Executors on which something still runs. */
 	readonly busy: Set<string>;
+	/** Executors that were asked to be emptied. */
+	readonly asked: Set<string>;
 	readonly state: {isNoted: boolean; mayOrder: boolean};
 };
 
-const createWorld = (count: number, maxAway: number) => {
+/** Of an owner with nothing to do. */
+const noLoad: scheduler.ServiceLoad = {
+	waitingCpu: 0,
+	usedCpu: 0,
+	capacityCpu: 0,
+	arrivingCpu: 0,
+	minExecutors: 0,
+	executors: {},
+	silent: {},
+};
+
+const createWorld = (
+	count: number,
+	maxAway: number,
+	load: scheduler.ServiceLoad | 'silent' = noLoad,
+) => {
 	const world: World = {
 		events: [],
 		answers: new Map(),
 		busy: new Set(),
+		asked: new Set(),
 		state: {isNoted: true, mayOrder: true},
 	};
 	const inner = ports.createMemoryRowStore();
@@ -43,7 +61,7 @@
 	const view: FleetView = {
 		askedAt: 0,
 		machines: new Map(machines.map((each) => [each.id, each])),
-		loads: new Map(),
+		loads: new Map(load === 'silent' ? [] : [['s', load]]),
 	};
 	const clear: scheduler.EvacuationState = {kind: 'clear'};
 	const context: FleetContext = {
@@ -71,8 +89,10 @@
 			},
 		},
 		owners: {
-			evacuate: async (_shard: string, executorId: string) =>
-				world.busy.has(executorId) ? undefined : clear,
+			async evacuate(_shard: string, executorId: string) {
+				world.asked.add(executorId);
+				return world.busy.has(executorId) ? undefined : clear;
+			},
 		} as unknown as FleetContext['owners'],
 		clock: {now: () => 0, epochNow: () => 0},
 		logger: noLogger,
@@ -116,6 +136,8 @@
 	readonly answers?: Readonly<Record<string, ports.MachineAnswer>>;
 	readonly isNoted?: boolean;
 	readonly mayOrder?: boolean;
+	/** The pool's owner did not tell its load. */
+	readonly isOwnerSilent?: boolean;
 	/** What happens in each round. */
 	readonly rounds: ReadonlyArray<readonly string[]>;
 };
@@ -174,11 +196,22 @@
 		mayOrder: false,
 		rounds: [['stored']],
 	},
+	{
+		name: 'machines of an owner that is late are not taken for idle',
+		count: 4,
+		maxAway: 4,
+		isOwnerSilent: true,
+		rounds: [['stored', 'noted 1', 'm0'], []],
+	},
 ];
 
 for (const each of cases) {
 	tap.t.test(each.name, async (t) => {
-		const world = createWorld(each.count, each.maxAway);
+		const world = createWorld(
+			each.count,
+			each.maxAway,
+			each.isOwnerSilent ? 'silent' : noLoad,
+		);
 		for (const executor of each.busy ?? []) {
 			world.busy.add(executor);
 		}
@@ -197,3 +230,22 @@
 		}
 	});
 }
+
+tap.t.test(
+	'of machines at work no more are emptied than the time asks for',
+	async (t) => {
+		const ids = Array.from({length: 20}, (_, index) => `e-m${index}`);
+		const load = {runs: 1, lasting: 0, usedCpu: 1};
+		const world = createWorld(20, 20, {
+			...noLoad,
+			executors: Object.fromEntries(ids.map((id) => [id, load])),
+		});
+		for (const id of ids) {
+			world.busy.add(id);
+		}
+
+		await world.begin();
+		await world.run();
+		t.equal(world.asked.size, 2, 'at 4.5 s each, 20 in 60 s');
+	},
+);
