Empty no more machines for a wave than its time asks for

Cause: a wave emptied at all times as many machines as may be away, beside those that were away: 51 of 246, which took nothing new for up to 8 s, since what lasts there leaves slowly. It needed 23 at once to end in time. Machines whose owner had not told its load in 400 ms counted as idle and went first, which are those of the busiest owner.

Machines without work still begin at once. Of those at work as many are under way as end the wave with one turn to spare; more when time gets short. An owner that is late counts as busy.

Ruled out: late ends.

--- a/packages/core/src/fleet/machine-wave.test.ts
+++ b/packages/core/src/fleet/machine-wave.test.ts
@@ -26,10 +26,18 @@
 
 const noLoad = () => undefined;
 
+/** Time that one machine takes, in milliseconds. */
+const turnMs = 4000;
+
 const step = (
 	wave: fleet.MachineWave,
 	machines: ReadonlyMap<string, fleet.WaveMachine> = all,
-) => fleet.stepMachineWave(wave, machines, new Set(), noLoad);
+) =>
+	fleet.stepMachineWave(
+		wave,
+		{machines, emptying: new Set(), getLoad: noLoad, turnMs},
+		0,
+	);
 
 const begin = (ids: readonly string[]) => {
 	let wave = fleet.createMachineWave(request, 0);
@@ -148,7 +156,11 @@
 		};
 		const getLoad = ({id}: fleet.WaveMachine) => loads[id];
 		const choose = (emptying: readonly string[]) =>
-			fleet.stepMachineWave(wave, all, new Set(emptying), getLoad).evacuate;
+			fleet.stepMachineWave(
+				wave,
+				{machines: all, emptying: new Set(emptying), getLoad, turnMs},
+				0,
+			).evacuate;
 		t.same(choose([]), ['c']);
 		t.same(choose(['a']), ['a']);
 	},
@@ -159,3 +171,81 @@
 	t.notOk(fleet.isPressed(wave, all, 4000, 5000));
 	t.ok(fleet.isPressed(wave, all, 4000, 9000), 'three turns of 4 s in 11 s');
 });
+
+type PaceCase = {
+	readonly name: string;
+	/** Machines with work; the others have none. */
+	readonly busy: number;
+	readonly away?: number;
+	readonly emptying?: number;
+	readonly at: number;
+	/** Machines that are emptied, those with work and those without. */
+	readonly evacuated: readonly [busy: number, idle: number];
+};
+
+// 40 machines in 20 s with 16 away at most; each takes 4 s.
+const paceCases: readonly PaceCase[] = [
+	{
+		name: 'of those at work as many as end in time with one turn to spare',
+		busy: 40,
+		at: 0,
+		evacuated: [10, 0],
+	},
+	{
+		name: 'those away and those being emptied count',
+		busy: 36,
+		away: 4,
+		emptying: 3,
+		at: 0,
+		evacuated: [6, 0],
+	},
+	{
+		name: 'idle ones at once, as many as may be away',
+		busy: 20,
+		at: 0,
+		evacuated: [0, 16],
+	},
+	{
+		name: 'idle ones stay while none may begin',
+		busy: 10,
+		away: 16,
+		at: 0,
+		evacuated: [0, 0],
+	},
+	{
+		name: 'more at once when the time is short',
+		busy: 40,
+		at: 14_000,
+		evacuated: [16, 0],
+	},
+];
+
+for (const each of paceCases) {
+	tap.t.test(`machines to empty: ${each.name}`, async (t) => {
+		const ids = Array.from({length: 40}, (_, index) => `m${index}`);
+		const machines = mapOf(ids.map((id) => createMachine(id)));
+		const busy = new Set(ids.slice(40 - each.busy));
+		const emptying = new Set([...busy].slice(0, each.emptying ?? 0));
+		let wave = fleet.createMachineWave(
+			{id: '1', machines: ids, durationMs: 20_000, maxAway: 16},
+			0,
+		);
+		for (const id of ids.slice(0, each.away ?? 0)) {
+			wave = fleet.beginMachine(wave, machines.get(id)!, 0);
+		}
+
+		const {evacuate} = fleet.stepMachineWave(
+			wave,
+			{
+				machines,
+				emptying,
+				getLoad: ({id}) =>
+					busy.has(id) ? {runs: 1, lasting: 0, usedCpu: 1} : undefined,
+				turnMs,
+			},
+			each.at,
+		);
+		const ofBusy = evacuate.filter((id) => busy.has(id)).length;
+		t.same([ofBusy, evacuate.length - ofBusy], each.evacuated);
+	});
+}
--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -141,28 +141,74 @@
 	wave.request.machines.filter((id) => machines.has(id) && !(id in wave.begun))
 		.length;
 
+/** Whether all machines that are there have begun and are back. */
+export const isWaveCompleted = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+): boolean => countPending(wave, machines) === 0 && countAway(wave) === 0;
+
+/** What a step of a wave is decided from. */
+export type WaveSituation = {
+	readonly machines: ReadonlyMap<string, WaveMachine>;
+	/** Machines that are being emptied for the wave. */
+	readonly emptying: ReadonlySet<string>;
+	readonly getLoad: (machine: WaveMachine) => MachineLoad | undefined;
+	/** Time that one machine takes, emptying included, in milliseconds. */
+	readonly turnMs: number;
+};
+
+const getLeftMs = (
+	{seenAtEpochMs, request}: MachineWave,
+	epochNow: number,
+): number => seenAtEpochMs + request.durationMs - epochNow;
+
 /**
- * Decides the next step. As many machines are emptied ahead as may be away, so
+ * Machines that must be emptied or away at once for the wave to end with one
+ * turn to spare. As many as may be away and as many again are the most, so
  * that one can begin as soon as another is back.
  */
+const getPace = (
+	wave: MachineWave,
+	{machines, turnMs}: WaveSituation,
+	epochNow: number,
+): number => {
+	const leftMs = Math.max(1, getLeftMs(wave, epochNow) - turnMs);
+	const work = (countPending(wave, machines) + countAway(wave)) * turnMs;
+	return Math.min(2 * wave.request.maxAway, Math.ceil(work / leftMs));
+};
+
+/**
+ * Decides the next step. Machines without work begin at once. Of those at work
+ * no more are emptied than the time asks for: they take nothing new meanwhile,
+ * and a wave of half the fleet held 51 of 246 machines empty for 8 s while
+ * queues waited.
+ */
 export const stepMachineWave = (
 	wave: MachineWave,
-	machines: ReadonlyMap<string, WaveMachine>,
-	emptying: ReadonlySet<string>,
-	getLoad: (machine: WaveMachine) => MachineLoad | undefined,
+	situation: WaveSituation,
+	epochNow: number,
 ): WaveStep => {
+	const {machines, emptying, getLoad} = situation;
 	const away = countAway(wave);
 	const mayBegin = Math.max(0, wave.request.maxAway - away);
 	const ranked = rankPending(wave, machines, getLoad);
 	const begunAlready = ranked.filter(({id}) => emptying.has(id));
 	const fresh = ranked.filter(({id}) => !emptying.has(id));
-	const evacuate = [...begunAlready, ...fresh]
+	const isIdle = (machine: WaveMachine) => getBurden(getLoad(machine)) === 0;
+	const idle = fresh
+		.filter((machine) => isIdle(machine))
+		.slice(0, Math.max(0, mayBegin - begunAlready.length));
+	const underWay = away + begunAlready.length + idle.length;
+	const busy = fresh
+		.filter((machine) => !isIdle(machine))
+		.slice(0, Math.max(0, getPace(wave, situation, epochNow) - underWay));
+	const evacuate = [...begunAlready, ...idle, ...busy]
 		.slice(0, wave.request.maxAway)
 		.map(({id}) => id);
 	return {
 		evacuate,
 		mayBegin,
-		isCompleted: countPending(wave, machines) === 0 && away === 0,
+		isCompleted: isWaveCompleted(wave, machines),
 	};
 };
 
@@ -213,7 +259,7 @@
 	turnMs: number,
 	epochNow: number,
 ): boolean => {
-	const left = wave.seenAtEpochMs + wave.request.durationMs - epochNow;
+	const left = getLeftMs(wave, epochNow);
 	const rounds = Math.ceil(
 		countPending(wave, machines) / Math.max(1, wave.request.maxAway),
 	);
--- a/packages/daemon/src/jobs/fleet/wave-round.ts
+++ b/packages/daemon/src/jobs/fleet/wave-round.ts
@@ -46,6 +46,16 @@
 		]),
 	);
 
+/**
+ * Of a machine whose owner did not answer: an owner that has much to do is
+ * the one that is late, so its machines are not taken for idle ones.
+ */
+const unknownLoad: fleet.MachineLoad = {
+	runs: Number.POSITIVE_INFINITY,
+	lasting: 0,
+	usedCpu: 0,
+};
+
 /** Creates the work on waves. */
 export const createWaveRounds = (
 	context: FleetContext,
@@ -175,13 +185,28 @@
 		return (await noteOrders(open)) ? orderAll(wave, open) : wave;
 	};
 
+	const getLoad = (
+		view: FleetView,
+		machine: fleet.WaveMachine,
+	): fleet.MachineLoad | undefined =>
+		context.hasOwner(machine.pool) && !view.loads.has(machine.pool)
+			? unknownLoad
+			: getMachineLoad(view, machine);
+
 	const emptyAndBegin = async (
 		wave: fleet.MachineWave,
 		view: FleetView,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
 	): Promise<fleet.MachineWave> => {
-		const step = fleet.stepMachineWave(wave, machines, emptying, (machine) =>
-			getMachineLoad(view, machine),
+		const step = fleet.stepMachineWave(
+			wave,
+			{
+				machines,
+				emptying,
+				getLoad: (machine) => getLoad(view, machine),
+				turnMs: fleetPeriods.turnMs,
+			},
+			clock.epochNow(),
 		);
 		const isPressed = fleet.isPressed(
 			wave,
@@ -232,12 +257,7 @@
 		current = await orderUnanswered(current, machines);
 		current = await emptyAndBegin(current, view, machines);
 		waves.set(current.request.id, current);
-		const {isCompleted} = fleet.stepMachineWave(
-			current,
-			machines,
-			emptying,
-			() => undefined,
-		);
+		const isCompleted = fleet.isWaveCompleted(current, machines);
 		if (isCompleted && !context.isStopped()) {
 			await complete(current);
 		}
