--- a/packages/daemon/src/jobs/entry/submissions.test.ts
+++ b/packages/daemon/src/jobs/entry/submissions.test.ts
@@ -163,9 +163,11 @@
 			await world.storeElsewhere(next);
 		}
 	});
-	const outcomes = [...ids, 'fresh'].map(async (id) => world.submit(id));
+	const outcomes = await Promise.all(
+		[...ids, 'fresh'].map(async (id) => world.submit(id)),
+	);
 	t.same(
-		(await Promise.all(outcomes)).map(({kind}) => kind),
+		outcomes.map(({kind}) => kind),
 		Array.from({length: 7}, () => 'accepted'),
 	);
 });
--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -335,9 +335,8 @@
 				return;
 			}
 
-			left = (await commit(shard, left)).filter(
-				(waiting) => !settleUnsent(shard, waiting),
-			);
+			const next = await commit(shard, left);
+			left = next.filter((waiting) => !settleUnsent(shard, waiting));
 		}
 	};
 
