Let the test of the list wait until the service has an owner

The test asked 350 ms after the start. It asks until the list is not empty now, and then expects what it did before; the test of explain beside it waits alike.

--- a/packages/cli/src/commands/job.test.ts
+++ b/packages/cli/src/commands/job.test.ts
@@ -93,7 +93,6 @@
 			exitCodes.failed,
 			/unknown-job/v,
 		],
-		['list', ['job', 'list'], exitCodes.done, /0123456789abcdef rating/v],
 	];
 	for (const [name, words, code, text] of rows) {
 		await t.test(name, async (t) => {
@@ -103,6 +102,17 @@
 		});
 	}
 
+	await t.test('list, once the service has an owner', async (t) => {
+		for (;;) {
+			const {code, text} = await run('job', 'list');
+			t.equal(code, exitCodes.done, text);
+			if (text !== '') {
+				t.match(text, /0123456789abcdef rating/v);
+				return;
+			}
+		}
+	});
+
 	await t.test('explain names the step that can never be placed', async (t) => {
 		for (;;) {
 			const {text} = await run('explain', 'rating', id);
