Ask in one place why an executor takes nothing, and whether a task's place is known

Cause: the overview listed the conditions of isUsable once more, so that a new one could be in the plan and not in the log, and whether a task may run somewhere unknown stood in the plan, in explain and in the overview. isUsable is getReadiness now, in plain steps since each plan asks all executors; isPlaceKnown is the owner's.

--- a/packages/core/src/scheduler/executor.ts
+++ b/packages/core/src/scheduler/executor.ts
@@ -149,16 +149,54 @@
 export const getRack = ({listed}: Executor): string | undefined =>
 	listed.labels.find((label) => rackPattern.test(label));
 
+/** Why an executor is given no new work, or that it may be. */
+export type Readiness =
+	| 'usable'
+	| 'unlisted'
+	| 'draining'
+	| 'silent'
+	| 'not-adopted'
+	| 'not-rostered'
+	| 'strays'
+	| 'evacuating'
+	| 'resting';
+
+/** The first reason that holds; asked of each executor in each plan. */
+export const getReadiness = (executor: Executor, now: number): Readiness => {
+	if (!executor.isListed) {
+		return 'unlisted';
+	}
+
+	if (executor.listed.isDraining) {
+		return 'draining';
+	}
+
+	if (executor.silentSince !== undefined) {
+		return 'silent';
+	}
+
+	if (!executor.isAdopted) {
+		return 'not-adopted';
+	}
+
+	if (!executor.isRostered) {
+		return 'not-rostered';
+	}
+
+	if (executor.strays > 0) {
+		return 'strays';
+	}
+
+	if (executor.evacuation !== undefined) {
+		return 'evacuating';
+	}
+
+	return executor.restsUntil > now ? 'resting' : 'usable';
+};
+
 /** Whether an executor may be given new work at all. */
 export const isUsable = (executor: Executor, now: number): boolean =>
-	executor.isListed &&
-	executor.isAdopted &&
-	executor.isRostered &&
-	!executor.listed.isDraining &&
-	executor.silentSince === undefined &&
-	executor.strays === 0 &&
-	executor.evacuation === undefined &&
-	executor.restsUntil <= now;
+	getReadiness(executor, now) === 'usable';
 
 /** Notes a reading of the executor's clock. */
 export const noteClock = (
--- a/packages/core/src/scheduler/explain.ts
+++ b/packages/core/src/scheduler/explain.ts
@@ -1,5 +1,5 @@
 /** Why the tasks of a job do not run, in words for an operator. */
-import type {Owner} from './owner.js';
+import {isPlaceKnown, type Owner} from './owner.js';
 import {listUsable, placementRefusals, placeTask} from './place.js';
 import {isStepOpen, isWaiting, type Job, type Task} from './task.js';
 
@@ -29,7 +29,7 @@
 		return `steps ${step.spec.after.join(', ')} are not all done`;
 	}
 
-	if (job.isInherited && owner.unresolved.size > 0 && task.lastRun === 0) {
+	if (!isPlaceKnown(owner, task)) {
 		const ids = [...owner.unresolved.keys()].join(', ');
 		return `it may still run on ${ids}, which has not answered since the takeover`;
 	}
--- a/packages/core/src/scheduler/overview.ts
+++ b/packages/core/src/scheduler/overview.ts
@@ -1,21 +1,8 @@
 /** Where the work and the executors of a service stand, for its owner's log. */
-import {match, P} from 'ts-pattern';
-import type {Executor} from './executor.js';
-import type {Owner} from './owner.js';
+import {getReadiness, type Readiness} from './executor.js';
+import {isPlaceKnown, type Owner} from './owner.js';
 import {isStepOpen, isWaiting, listTasks} from './task.js';
 
-/** Why an executor is given no new work, or that it may be. */
-export type Readiness =
-	| 'usable'
-	| 'unlisted'
-	| 'draining'
-	| 'silent'
-	| 'not-adopted'
-	| 'not-rostered'
-	| 'strays'
-	| 'evacuating'
-	| 'resting';
-
 /** Counts of one moment. */
 export type OwnerOverview = {
 	readonly openJobs: number;
@@ -28,19 +15,6 @@
 	readonly executors: Readonly<Partial<Record<Readiness, number>>>;
 };
 
-/** Why an executor is given no new work; the first reason that holds. */
-export const getReadiness = (executor: Executor, now: number): Readiness =>
-	match(executor)
-		.returnType<Readiness>()
-		.with({isListed: false}, () => 'unlisted')
-		.with({listed: {isDraining: true}}, () => 'draining')
-		.with({silentSince: P.number}, () => 'silent')
-		.with({isAdopted: false}, () => 'not-adopted')
-		.with({isRostered: false}, () => 'not-rostered')
-		.with({strays: P.number.positive()}, () => 'strays')
-		.with({evacuation: P.nonNullable}, () => 'evacuating')
-		.otherwise(({restsUntil}) => (restsUntil > now ? 'resting' : 'usable'));
-
 const countReadiness = (
 	owner: Owner,
 	now: number,
@@ -63,11 +37,9 @@
 			(task) => isWaiting(task) && isStepOpen(task.step),
 		);
 		waitingTasks += waiting.length;
-		if (job.isInherited && owner.unresolved.size > 0) {
-			tasksOfUnknownPlace += waiting.filter(
-				({lastRun}) => lastRun === 0,
-			).length;
-		}
+		tasksOfUnknownPlace += waiting.filter(
+			(task) => !isPlaceKnown(owner, task),
+		).length;
 	}
 
 	const executors = [...owner.executors.values()];
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -17,6 +17,7 @@
 	type Job,
 	type JobEnd,
 	type Run,
+	type Task,
 } from './task.js';
 import type {AcceptedJob, JobState, ListedExecutor} from './types.js';
 
@@ -292,6 +293,15 @@
 	}
 };
 
+/**
+ * A task accepted under an earlier owner may run on an executor that has not
+ * answered yet; one that this owner has seen is where it was seen.
+ */
+export const isPlaceKnown = (owner: Owner, task: Task): boolean =>
+	!task.step.occurrence.job.isInherited ||
+	owner.unresolved.size === 0 ||
+	task.lastRun > 0;
+
 const unlistIfUnknown = (owner: Owner, id: string): void => {
 	const executor = owner.executors.get(id);
 	if (executor) {
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -24,7 +24,7 @@
 	noteRefused,
 	type FullFor,
 } from './full-for.js';
-import type {Owner} from './owner.js';
+import {isPlaceKnown, type Owner} from './owner.js';
 import {findEviction, listUsable, placeTask} from './place.js';
 import {rankJobs, type RankedJob} from './rank.js';
 import {countFreeStarts} from './start-window.js';
@@ -179,15 +179,6 @@
 	return orders;
 };
 
-/**
- * A task accepted under an earlier owner may run on an executor that has not
- * answered yet; one that this owner has seen is where it was seen.
- */
-const isPlaceKnown = (owner: Owner, task: Task): boolean =>
-	!task.step.occurrence.job.isInherited ||
-	owner.unresolved.size === 0 ||
-	task.lastRun > 0;
-
 type Planning = {
 	readonly owner: Owner;
 	readonly now: number;
