List a wave's pending machines in one place

The pace of a wave went over the machines by the same condition as the count of pending ones and their order. No behaviour changes; the tests are untouched and pass.

--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -117,35 +117,33 @@
 const getBurden = (load: MachineLoad | undefined): number =>
 	load ? load.runs + lastingWeight * load.lasting : 0;
 
+/** Machines that are listed and have not begun. */
+const listPending = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+): readonly WaveMachine[] =>
+	wave.request.machines.flatMap((id) => {
+		const machine = machines.get(id);
+		return machine && !(id in wave.begun) ? [machine] : [];
+	});
+
 /** Machines that have not begun, the least busy first. */
 export const rankPending = (
 	wave: MachineWave,
 	machines: ReadonlyMap<string, WaveMachine>,
 	getLoad: (machine: WaveMachine) => MachineLoad | undefined,
 ): readonly WaveMachine[] =>
-	wave.request.machines
-		.flatMap((id) => {
-			const machine = machines.get(id);
-			return machine && !(id in wave.begun) ? [machine] : [];
-		})
+	listPending(wave, machines)
 		.filter(({isUp}) => isUp)
 		.map((machine) => ({machine, burden: getBurden(getLoad(machine))}))
 		.toSorted((one, two) => one.burden - two.burden)
 		.map(({machine}) => machine);
 
-/** Machines that are listed and have not begun. */
-const countPending = (
-	wave: MachineWave,
-	machines: ReadonlyMap<string, WaveMachine>,
-): number =>
-	wave.request.machines.filter((id) => machines.has(id) && !(id in wave.begun))
-		.length;
-
 /** Whether all machines that are there have begun and are back. */
 export const isWaveCompleted = (
 	wave: MachineWave,
 	machines: ReadonlyMap<string, WaveMachine>,
-): boolean => countPending(wave, machines) === 0 && countAway(wave) === 0;
+): boolean => listPending(wave, machines).length === 0 && countAway(wave) === 0;
 
 /** What a step of a wave is decided from. */
 export type WaveSituation = {
@@ -174,11 +172,8 @@
 	{machines, getLoad}: WaveSituation,
 ): number => {
 	let turns = countAway(wave);
-	for (const id of wave.request.machines) {
-		const machine = machines.get(id);
-		if (machine && !(id in wave.begun)) {
-			turns += (getLoad(machine)?.lasting ?? 0) > 0 ? lastingTurns : 1;
-		}
+	for (const machine of listPending(wave, machines)) {
+		turns += (getLoad(machine)?.lasting ?? 0) > 0 ? lastingTurns : 1;
 	}
 
 	return turns;
@@ -284,7 +279,7 @@
 ): boolean => {
 	const left = getLeftMs(wave, epochNow);
 	const rounds = Math.ceil(
-		countPending(wave, machines) / Math.max(1, wave.request.maxAway),
+		listPending(wave, machines).length / Math.max(1, wave.request.maxAway),
 	);
 	return left < rounds * turnMs;
 };
