Read the service from its shard's name

findService looked for the service whose shard has the name, over the lists that hasService goes over; parseServiceShard gives it. No behaviour changes.

--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -44,6 +44,7 @@
 import {
 	fleetShard,
 	getServiceShard,
+	parseServiceShard,
 	tables,
 	type LeaseRow,
 } from './rows/tables.js';
@@ -295,20 +296,14 @@
 		fleetRunner.start();
 	};
 
-	const findService = (shard: string): string | undefined =>
-		[
-			...(routes.get()?.services.map(({name}) => name) ?? []),
-			...(routes.get()?.routes.map((route) => route.service) ?? []),
-		].find((each) => getServiceShard(each) === shard);
-
 	const onAcquired = (held: HeldShard) => {
 		if (held.shard === fleetShard) {
 			runFleet(held);
 			return;
 		}
 
-		const serviceName = findService(held.shard);
-		if (serviceName !== undefined) {
+		const serviceName = parseServiceShard(held.shard);
+		if (serviceName !== undefined && hasService(serviceName)) {
 			owned.take(held, serviceName);
 		}
 	};
