Let an exchange answer with the result that its connection gives

Its outcomes were another spelling of the connection's failures and were mapped one to one right away.

--- a/packages/ports/src/http/connection.ts
+++ b/packages/ports/src/http/connection.ts
@@ -2,10 +2,8 @@
  * One HTTP connection pool to the platform. Every call ends within its
  * timeout, and its failure says whether it may have taken effect.
  */
-import * as core from '@gullstand/core';
-import {match} from 'ts-pattern';
 import * as undici from 'undici';
-import {exchange, type ExchangeOutcome, type HttpAnswer} from './exchange.js';
+import {exchange, type HttpResult} from './exchange.js';
 
 /** Settings of the client. */
 export type PlatformHttpOptions = {
@@ -38,28 +36,12 @@
 	readonly body?: string | Uint8Array;
 };
 
-/** `timeout`: the request may have gone out, and its effect is unknown. */
-export type HttpFailure =
-	{readonly kind: 'unavailable'} | {readonly kind: 'timeout'};
-
 /** Calls to one origin. */
 export type HttpConnection = {
-	readonly call: (
-		request: HttpCall,
-	) => Promise<core.Result<HttpAnswer, HttpFailure>>;
+	readonly call: (request: HttpCall) => Promise<HttpResult>;
 	readonly close: () => Promise<void>;
 };
 
-const toResult = (
-	outcome: ExchangeOutcome,
-): core.Result<HttpAnswer, HttpFailure> =>
-	match(outcome)
-		.returnType<core.Result<HttpAnswer, HttpFailure>>()
-		.with({kind: 'answer'}, ({answer}) => core.succeed(answer))
-		.with({kind: 'not-sent'}, () => core.fail({kind: 'unavailable'}))
-		.with({kind: 'no-answer'}, () => core.fail({kind: 'timeout'}))
-		.exhaustive();
-
 const headersOf = (request: HttpCall): Record<string, string> =>
 	request.contentType === undefined
 		? {...request.headers}
@@ -82,8 +64,8 @@
 		keepAliveMaxTimeout: options.keepIdleMs ?? defaultHttpOptions.keepIdleMs,
 	});
 	return {
-		async call(request) {
-			const outcome = await exchange(
+		call: async (request) =>
+			exchange(
 				pool,
 				{
 					method: request.method,
@@ -92,9 +74,7 @@
 					body: request.body ?? null,
 				},
 				request.timeoutMs ?? timeoutMs,
-			);
-			return toResult(outcome);
-		},
+			),
 		async close() {
 			await pool.destroy();
 		},
--- a/packages/ports/src/http/exchange.ts
+++ b/packages/ports/src/http/exchange.ts
@@ -5,6 +5,7 @@
  * whether the request left the queue.
  */
 import {Buffer} from 'node:buffer';
+import {fail, succeed, type Result} from '@gullstand/core';
 import type * as undici from 'undici';
 
 /** A whole answer. */
@@ -13,13 +14,15 @@
 	readonly body: Uint8Array;
 };
 
-/** What came of a request. */
-export type ExchangeOutcome =
-	| {readonly kind: 'answer'; readonly answer: HttpAnswer}
-	/** Certainly no byte of it went out. */
-	| {readonly kind: 'not-sent'}
-	/** It went out, or may have, and no whole answer came in time. */
-	| {readonly kind: 'no-answer'};
+/**
+ * `unavailable`: certainly no byte of the request went out. `timeout`: it may
+ * have gone out, and its effect is unknown.
+ */
+export type HttpFailure =
+	{readonly kind: 'unavailable'} | {readonly kind: 'timeout'};
+
+/** A whole answer, or why there is none. */
+export type HttpResult = Result<HttpAnswer, HttpFailure>;
 
 /** Errors after which certainly no byte of the request went out. */
 const notSentCodes = new Set([
@@ -40,21 +43,21 @@
 	dispatcher: undici.Dispatcher,
 	request: undici.Dispatcher.DispatchOptions,
 	timeoutMs: number,
-): Promise<ExchangeOutcome> =>
+): Promise<HttpResult> =>
 	new Promise((resolve) => {
 		const chunks: Uint8Array[] = [];
 		let status = 0;
 		let controller: undici.Dispatcher.DispatchController | undefined;
 		let isSettled = false;
 
-		const settle = (outcome: ExchangeOutcome) => {
+		const settle = (result: HttpResult) => {
 			isSettled = true;
 			clearTimeout(timer);
-			resolve(outcome);
+			resolve(result);
 		};
 
 		const timer = setTimeout(() => {
-			settle({kind: controller ? 'no-answer' : 'not-sent'});
+			settle(fail({kind: controller ? 'timeout' : 'unavailable'}));
 			controller?.abort(new Error('no answer in time'));
 		}, timeoutMs);
 
@@ -75,12 +78,12 @@
 				chunks.push(chunk);
 			},
 			onResponseEnd() {
-				settle({kind: 'answer', answer: {status, body: Buffer.concat(chunks)}});
+				settle(succeed({status, body: Buffer.concat(chunks)}));
 			},
 			onResponseError(_controller, err) {
 				const isUnsent =
 					controller === undefined || notSentCodes.has(getCode(err) ?? '');
-				settle({kind: isUnsent ? 'not-sent' : 'no-answer'});
+				settle(fail({kind: isUnsent ? 'unavailable' : 'timeout'}));
 			},
 		});
 	});
--- a/packages/ports/src/http/json-call.ts
+++ b/packages/ports/src/http/json-call.ts
@@ -1,8 +1,8 @@
 /** JSON calls over a connection, with every answer checked. */
 import * as core from '@gullstand/core';
 import type * as zod from 'zod';
-import type {HttpConnection, HttpFailure} from './connection.js';
-import type {HttpAnswer} from './exchange.js';
+import type {HttpConnection} from './connection.js';
+import type {HttpAnswer, HttpFailure} from './exchange.js';
 
 /** A call and the forms of its answer and of its refusal. */
 export type JsonCall<Value, Failure> = {
