Write the pause that may be ended early once

A link to an executor had three of them, one added with the gap between looks, and the follower of a feed a fourth.

--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -7,6 +7,7 @@
 import {match} from 'ts-pattern';
 import type {Logger} from '../../log/logger.js';
 import {delay} from '../clock.js';
+import {createPause} from '../pause.js';
 import {periods} from '../periods.js';
 
 /** What a link needs. */
@@ -47,12 +48,6 @@
 type State = {
 	isClosed: boolean;
 	isPoked: boolean;
-	/** Ends the sleep of a link with nothing to look for. */
-	wake: (() => void) | undefined;
-	/** Ends the pause until ends may be acknowledged. */
-	endPause: (() => void) | undefined;
-	/** Ends the gap between two looks. */
-	endGap: (() => void) | undefined;
 	ackSent: number;
 	retryMs: number;
 };
@@ -67,13 +62,17 @@
 	const state: State = {
 		isClosed: false,
 		isPoked: true,
-		wake: undefined,
-		endPause: undefined,
-		endGap: undefined,
 		ackSent: 0,
 		retryMs: periods.lookRetryMs,
 	};
 
+	/** Of a link with nothing to look for. */
+	const sleep = createPause();
+	/** Until ends may be acknowledged. */
+	const ackPause = createPause();
+	/** Between two looks. */
+	const lookGap = createPause();
+
 	const needsLook = (): boolean =>
 		!executor.isAdopted ||
 		executor.runs.size > 0 ||
@@ -87,37 +86,18 @@
 		executor.lastEnd > executor.acknowledgedUpto;
 
 	const pauseForAck = async () => {
-		if (!hasUnacked() || state.isPoked) {
-			return;
+		if (hasUnacked() && !state.isPoked) {
+			await ackPause.wait(periods.ackPauseMs);
 		}
-
-		const ackable = new Promise<void>((resolve) => {
-			state.endPause = resolve;
-		});
-		await Promise.race([ackable, delay(periods.ackPauseMs)]);
-		state.endPause = undefined;
 	};
 
 	/** Ends that come meanwhile are listed together by the next look. */
 	const pauseForGap = async (seenAt: number) => {
 		const gapMs = scheduler.getLookGapMs(owner.startWindow);
 		const restMs = gapMs - (now() - seenAt);
-		if (restMs < periods.leastLookGapMs || state.isPoked) {
-			return;
+		if (restMs >= periods.leastLookGapMs && !state.isPoked) {
+			await lookGap.wait(restMs);
 		}
-
-		const poked = new Promise<void>((resolve) => {
-			state.endGap = resolve;
-		});
-		await Promise.race([poked, delay(restMs)]);
-		state.endGap = undefined;
-	};
-
-	const sleep = async () => {
-		await new Promise<void>((resolve) => {
-			state.wake = resolve;
-		});
-		state.wake = undefined;
 	};
 
 	const takeSeen = (answer: LookAnswer & {kind: 'seen'}, sentAt: number) => {
@@ -215,15 +195,15 @@
 
 	const run = async () => {
 		while (!state.isClosed) {
-			await (needsLook() ? lookOnce() : sleep());
+			await (needsLook() ? lookOnce() : sleep.wait());
 		}
 	};
 
 	const poke = () => {
 		state.isPoked = true;
-		state.wake?.();
-		state.endPause?.();
-		state.endGap?.();
+		sleep.end();
+		ackPause.end();
+		lookGap.end();
 	};
 
 	const follow = (effect: scheduler.AnswerEffect) => {
@@ -237,7 +217,7 @@
 			})
 			.with('look-again', poke)
 			.exhaustive();
-		state.wake?.();
+		sleep.end();
 		deps.onChange();
 	};
 
@@ -329,20 +309,20 @@
 	return {
 		poke,
 		noteAckable() {
-			state.wake?.();
-			state.endPause?.();
+			sleep.end();
+			ackPause.end();
 		},
 		close() {
 			state.isClosed = true;
-			state.wake?.();
-			state.endPause?.();
-			state.endGap?.();
+			sleep.end();
+			ackPause.end();
+			lookGap.end();
 			executors.forget(target);
 		},
 		send(order) {
 			void (order.kind === 'start' ? sendStart(order) : sendStop(order));
 			// A look that brings its end must be under way.
-			state.wake?.();
+			sleep.end();
 		},
 		sendPace(order) {
 			void sendPace(order);
--- a/packages/daemon/src/jobs/rows/feed-follower.ts
+++ b/packages/daemon/src/jobs/rows/feed-follower.ts
@@ -7,7 +7,8 @@
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
 import {runInBackground} from '../background.js';
-import {delay, getMoment, type Clock, type Moment} from '../clock.js';
+import {getMoment, type Clock, type Moment} from '../clock.js';
+import {createPause} from '../pause.js';
 
 /** Times of a follower, in milliseconds. */
 export type FollowPeriods = {
@@ -53,7 +54,6 @@
 	confirmed: Moment | undefined;
 	isLost: boolean;
 	isStopped: boolean;
-	wake: (() => void) | undefined;
 };
 
 /** Creates a follower; it begins with `start`. */
@@ -66,14 +66,8 @@
 		confirmed: undefined,
 		isLost: false,
 		isStopped: false,
-		wake: undefined,
-	};
-
-	const pause = async (ms: number) => {
-		const {promise, settle} = createSignal();
-		state.wake = settle;
-		await Promise.race([promise, delay(ms)]);
 	};
+	const pause = createPause();
 
 	const noteFailure = (error: RowStoreError) => {
 		if (error.kind === 'history-lost') {
@@ -118,7 +112,7 @@
 
 		if (!result.ok) {
 			noteFailure(result.error);
-			await pause(periods.retryMs);
+			await pause.wait(periods.retryMs);
 			return;
 		}
 
@@ -131,7 +125,7 @@
 		}
 
 		if (periods.pauseMs > 0) {
-			await pause(periods.pauseMs);
+			await pause.wait(periods.pauseMs);
 		}
 	};
 
@@ -148,20 +142,12 @@
 		},
 		stop() {
 			state.isStopped = true;
-			state.wake?.();
+			pause.end();
 		},
 		getConfirmed: () => state.confirmed,
 		isLost: () => state.isLost,
 		hasten() {
-			state.wake?.();
+			pause.end();
 		},
 	};
 };
-
-const createSignal = () => {
-	let settle: () => void = () => undefined;
-	const promise = new Promise<void>((resolve) => {
-		settle = resolve;
-	});
-	return {promise, settle};
-};
