Share the fixtures of tests of jobs, and one world of the connection's tests

An accepted job, a held shard and a logger that tells nobody stood in up to six tests; the test of requests given up in the queue built the server of its neighbour again.

--- a/packages/daemon/src/jobs/entry/queue-history.test.ts
+++ b/packages/daemon/src/jobs/entry/queue-history.test.ts
@@ -14,6 +14,7 @@
 import {
 	createId,
 	createTestPlatform,
+	noLogger,
 	now,
 	route,
 	startDaemon,
@@ -104,8 +105,6 @@
 	});
 }
 
-const logger = {info: () => undefined as never, warn: () => undefined as never};
-
 tap.t.test('a history is read from the rows of both forms', async (t) => {
 	const store = createMemoryRowStore();
 	const old = {table: 'queue-history', part: '', key: 'q'};
@@ -115,7 +114,7 @@
 		createHistoryRow('service/three', 'other'),
 	];
 	await store.transact({checks: [], puts, removes: []}, 1000);
-	const history = createQueueHistory({store, logger});
+	const history = createQueueHistory({store, logger: noLogger});
 	t.ok(await history.load());
 	t.same(history.listServices('q', 'two'), ['two', 'one', 'three']);
 	t.same(history.listServices('other', 'two'), ['two', 'three']);
--- a/packages/daemon/src/jobs/entry/submissions.test.ts
+++ b/packages/daemon/src/jobs/entry/submissions.test.ts
@@ -1,25 +1,16 @@
 import * as ports from '@gullstand/ports';
 import * as tap from 'tap';
-import {createSpec, noRowFaults, now} from '../job-world.test.fixture.js';
+import {
+	createAccepted,
+	noLogger,
+	noRowFaults,
+	now,
+} from '../job-world.test.fixture.js';
 import {getServiceShard, tables} from '../rows/tables.js';
 import {createLeaseBook} from '../shards/lease-book.js';
 import {createSubmissions, isSameJob} from './submissions.js';
 
-const noLogger = {
-	info: () => undefined as never,
-	warn: () => undefined as never,
-};
-
-const policy = {
-	queue: 'q',
-	priority: 0,
-	maxAttempts: 2,
-	stretch: 2,
-	targetLatencyMs: 600,
-	needsAdvice: false,
-};
-
-const job = {id: '0', policy, spec: createSpec(), acceptedAtEpochMs: 1};
+const job = createAccepted('0');
 
 const [step] = job.spec.steps;
 
@@ -45,8 +36,12 @@
 		},
 		true,
 	],
-	['under a changed policy', {...job, policy: {...policy, priority: 1}}, true],
-	['in another queue', {...job, policy: {...policy, queue: 'r'}}, false],
+	[
+		'under a changed policy',
+		{...job, policy: {...job.policy, priority: 1}},
+		true,
+	],
+	['in another queue', {...job, policy: {...job.policy, queue: 'r'}}, false],
 	['with another payload', {...job, spec: {...job.spec, payload: 'x'}}, false],
 	[
 		'with another count',
--- a/packages/daemon/src/jobs/job-world.test.fixture.ts
+++ b/packages/daemon/src/jobs/job-world.test.fixture.ts
@@ -7,6 +7,7 @@
 import type {WaveStatusPort} from './fleet/wave-round.js';
 import {createJobDaemon, type JobDaemon} from './job-daemon.js';
 import type {RowFaults} from './rows/row-faults.js';
+import type {HeldShard} from './shards/shard-keeper.js';
 
 /** A platform in memory. */
 export type TestPlatform = {
@@ -95,6 +96,21 @@
 	keepOnly: () => undefined,
 };
 
+/** A logger for parts that only tell. */
+export const noLogger = {
+	info: () => undefined as never,
+	warn: () => undefined as never,
+};
+
+/** The shard of the service `s`, held since its first lease. */
+export const heldShard: HeldShard = {
+	shard: 'service/s',
+	token: 1,
+	version: 1,
+	previous: 'none',
+	previousHolder: undefined,
+};
+
 const silentLogger: Logger = winston.createLogger({silent: true});
 
 /** Leases short enough for a test to see their end. */
@@ -173,6 +189,24 @@
 	schedule: undefined,
 });
 
+/** An accepted job of the queue `q`. */
+export const createAccepted = (
+	id: string,
+	spec: scheduler.JobSpec = createSpec(),
+): scheduler.AcceptedJob => ({
+	id,
+	policy: {
+		queue: 'q',
+		priority: 0,
+		maxAttempts: 2,
+		stretch: 2,
+		targetLatencyMs: 600,
+		needsAdvice: false,
+	},
+	spec,
+	acceptedAtEpochMs: 1,
+});
+
 /** The route of the one queue. */
 export const [route] = testConfiguration.routes as [ports.QueueRoute];
 
--- a/packages/daemon/src/jobs/owner/flusher.test.ts
+++ b/packages/daemon/src/jobs/owner/flusher.test.ts
@@ -2,6 +2,7 @@
 import {type scheduler, succeed} from '@gullstand/core';
 import * as ports from '@gullstand/ports';
 import * as tap from 'tap';
+import {heldShard, noLogger} from '../job-world.test.fixture.js';
 import {createFlusher} from './flusher.js';
 
 type Answer = Awaited<ReturnType<ports.RowStore['transact']>>;
@@ -36,15 +37,9 @@
 				}),
 		},
 		owner,
-		held: {
-			shard: 'service/s',
-			token: 1,
-			version: 1,
-			previous: 'none',
-			previousHolder: undefined,
-		},
+		held: heldShard,
 		flushVersion: 0,
-		logger: {info: () => undefined as never, warn: () => undefined as never},
+		logger: noLogger,
 		onAckable(executors) {
 			acknowledged.push(...executors.map(({id}) => id));
 		},
--- a/packages/daemon/src/jobs/owner/job-remover.test.ts
+++ b/packages/daemon/src/jobs/owner/job-remover.test.ts
@@ -5,26 +5,16 @@
 import {scheduler} from '@gullstand/core';
 import * as ports from '@gullstand/ports';
 import * as tap from 'tap';
-import {createSpec} from '../job-world.test.fixture.js';
+import {
+	createAccepted,
+	heldShard,
+	noLogger,
+} from '../job-world.test.fixture.js';
 import {createJobRemover} from './job-remover.js';
 
 const jobsPerSecond = 20;
 const keepEndedMs = 1000;
 
-const createAccepted = (id: string): scheduler.AcceptedJob => ({
-	id,
-	policy: {
-		queue: 'q',
-		priority: 0,
-		maxAttempts: 1,
-		stretch: 1,
-		targetLatencyMs: 0,
-		needsAdvice: false,
-	},
-	spec: createSpec(),
-	acceptedAtEpochMs: 0,
-});
-
 tap.t.test('jobs are removed as fast as they come', async (t) => {
 	let at = 0;
 	const owner = scheduler.createOwner(
@@ -38,15 +28,9 @@
 			...ports.createMemoryRowStore(),
 			transact: async () => ({ok: true, value: {version: 1, nowMs: 0}}),
 		},
-		held: {
-			shard: 'service/s',
-			token: 1,
-			version: 1,
-			previous: 'none',
-			previousHolder: undefined,
-		},
+		held: heldShard,
 		now: () => at,
-		logger: {info: () => undefined as never},
+		logger: noLogger,
 	});
 	for (let second = 1; second <= 120; second++) {
 		at = second * 1000;
--- a/packages/daemon/src/jobs/owner/load-owner.test.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.test.ts
@@ -7,7 +7,12 @@
 import {scheduler} from '@gullstand/core';
 import * as ports from '@gullstand/ports';
 import * as tap from 'tap';
-import {createSpec} from '../job-world.test.fixture.js';
+import {
+	createAccepted,
+	createSpec,
+	heldShard,
+	noLogger,
+} from '../job-world.test.fixture.js';
 import {loadOwner} from './load-owner.js';
 
 /** A link of 7 Mbit/s, in bytes a millisecond. */
@@ -62,19 +67,8 @@
 const createRows = (jobs: number, payloadBytes: number) =>
 	Array.from({length: jobs}, (_, index) => {
 		const id = index.toString(16).padStart(16, '0');
-		const accepted: scheduler.AcceptedJob = {
-			id,
-			policy: {
-				queue: 'q',
-				priority: 0,
-				maxAttempts: 1,
-				stretch: 1,
-				targetLatencyMs: 0,
-				needsAdvice: false,
-			},
-			spec: {...createSpec(), payload: 'x'.repeat(payloadBytes)},
-			acceptedAtEpochMs: 0,
-		};
+		const payload = 'x'.repeat(payloadBytes);
+		const accepted = createAccepted(id, {...createSpec(), payload});
 		const progress: scheduler.JobProgress = {
 			end: 'completed',
 			doneOccurrences: 1,
@@ -100,20 +94,16 @@
 		const loaded = await loadOwner(
 			's',
 			{
-				shard: 'service/s',
+				...heldShard,
 				token: 2,
 				version: 5,
 				previous: 'released',
-				previousHolder: undefined,
 			},
 			{
 				store,
 				cfg: scheduler.defaultSchedulerConfig,
 				now: () => state.now,
-				logger: {
-					info: () => undefined as never,
-					warn: () => undefined as never,
-				},
+				logger: noLogger,
 			},
 		);
 		t.comment(
--- a/packages/daemon/src/jobs/owner/load-report.test.ts
+++ b/packages/daemon/src/jobs/owner/load-report.test.ts
@@ -1,7 +1,7 @@
 import {scheduler} from '@gullstand/core';
 import * as tap from 'tap';
 import winston from 'winston';
-import {createListed, createSpec} from '../job-world.test.fixture.js';
+import {createAccepted, createListed} from '../job-world.test.fixture.js';
 import {createLoadReport} from './load-report.js';
 
 const createOwner = (): scheduler.Owner => {
@@ -12,23 +12,7 @@
 		0,
 	);
 	scheduler.listExecutor(owner, createListed('x'));
-	scheduler.addJob(
-		owner,
-		{
-			id: 'a',
-			policy: {
-				queue: 'q',
-				priority: 0,
-				maxAttempts: 1,
-				stretch: 1,
-				targetLatencyMs: 0,
-				needsAdvice: false,
-			},
-			spec: createSpec(),
-			acceptedAtEpochMs: 0,
-		},
-		false,
-	);
+	scheduler.addJob(owner, createAccepted('a'), false);
 	return owner;
 };
 
--- a/packages/daemon/src/jobs/shards/shard-keeper.test.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.test.ts
@@ -3,7 +3,7 @@
 import {createMemoryRowStore} from '@gullstand/ports';
 import * as tap from 'tap';
 import {tables, type DaemonRow} from '../rows/tables.js';
-import {noRowFaults} from '../job-world.test.fixture.js';
+import {noLogger, noRowFaults} from '../job-world.test.fixture.js';
 import {createLeaseBook} from './lease-book.js';
 import {createMembers} from './members.js';
 import {createShardKeeper} from './shard-keeper.js';
@@ -13,8 +13,6 @@
 const large: Capacity = {cores: 1.35, linkMbps: 140};
 const small: Capacity = {cores: 0.324, linkMbps: 7};
 
-const logger = {info: () => undefined as never, warn: () => undefined as never};
-
 const beatMs = 500;
 const lookMs = 100;
 
@@ -31,12 +29,12 @@
 	const members = createMembers({
 		now,
 		observationGapMs: 1500,
-		logger,
+		logger: noLogger,
 		rowFaults: noRowFaults,
 	});
 	const released: string[] = [];
 	const book = createLeaseBook({
-		logger,
+		logger: noLogger,
 		rowFaults: noRowFaults,
 		onChange(shard, lease) {
 			keeper.noteLease(shard, lease);
@@ -53,7 +51,7 @@
 		listShards: () => shards,
 		now,
 		random: () => 0.5,
-		logger,
+		logger: noLogger,
 		onAcquired: () => undefined,
 		beforeRelease: async () => setImmediate(),
 		onLost: () => undefined,
--- a/packages/ports/src/http/connection.test.ts
+++ b/packages/ports/src/http/connection.test.ts
@@ -9,6 +9,8 @@
 	readonly arrived: readonly string[];
 	/** Answers what is held. */
 	readonly release: () => void;
+	/** Connections that were opened. */
+	readonly countConnections: () => number;
 };
 
 /** A server that answers all but `/held` at once, and a pool of one. */
@@ -17,6 +19,7 @@
 ): Promise<World> => {
 	const arrived: string[] = [];
 	const held: http.ServerResponse[] = [];
+	let connections = 0;
 	const server = http.createServer((req, res) => {
 		arrived.push(req.url ?? '');
 		if (req.url === '/held') {
@@ -38,6 +41,9 @@
 			res.end(`answer to ${req.url}`);
 		});
 	});
+	server.on('connection', () => {
+		connections += 1;
+	});
 	await new Promise<void>((resolve) => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
@@ -56,6 +62,7 @@
 	return {
 		connection,
 		arrived,
+		countConnections: () => connections,
 		release() {
 			for (const res of held.splice(0)) {
 				res.end('late');
@@ -109,6 +116,28 @@
 	},
 );
 
+/**
+ * Each one that was taken out of the queue ended the connection that had come
+ * free, so that the next request paid for a new one: a burst behind a slow link
+ * cost as many connections as it had late requests.
+ */
+tap.t.test('requests given up in the queue cost no connection', async (t) => {
+	const {connection, arrived, release, countConnections} = await createWorld(t);
+	const first = connection.call({...post, path: '/held', timeoutMs: 4000});
+	await Promise.all(
+		Array.from({length: 5}, async (_, index) =>
+			connection.call({...post, path: `/late-${index}`, timeoutMs: 50}),
+		),
+	);
+	release();
+	const answered = await first;
+	t.ok(answered.ok);
+	const last = await connection.call({...post, path: '/last'});
+	t.ok(last.ok);
+	t.same(arrived, ['/held', '/last'], 'what was given up is never sent');
+	t.equal(countConnections(), 1);
+});
+
 tap.t.test('nothing listens', async (t) => {
 	const {connection} = await createWorld(t);
 	await connection.close();
