Say how much of a cut-off answer had come, and how old each feed is

Lines and metrics could not tell an answer that never began from one that was given up while it arrived: both said `timeout`, once, and nothing until the feed came back. On-call needs the first to suspect the store and the second to suspect the bound or the link.

`feed lost` says the bytes received; the metrics show the age of each feed and the version in force, so that a feed that stays away shows as long as it does.

--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -415,6 +415,20 @@
 		onChanges: members.applyChanges,
 	});
 
+	// A follower that does not get on shows here long after its line was written.
+	for (const [name, follower] of [
+		[operatorName, operatorFollower],
+		['lease', leaseFollower],
+		['daemon', memberFollower],
+	] as const) {
+		metrics.gauge('feed_age_ms', name, () => {
+			const confirmed = follower.getConfirmed();
+			return confirmed && Math.round(now() - confirmed.at);
+		});
+	}
+
+	metrics.gauge('configuration', 'version', () => routes.get()?.version);
+
 	const startPeers = async (): Promise<boolean> => {
 		const keyHex = await obtainPeerKey(store, logger, () => state.isLeaving);
 		if (keyHex === undefined) {
--- /dev/null
+++ b/packages/daemon/src/jobs/job-metrics.test.ts
@@ -0,0 +1,21 @@
+import * as tap from 'tap';
+import {createJobMetrics} from './job-metrics.js';
+
+const cases: ReadonlyArray<{
+	readonly name: string;
+	readonly value: number | undefined;
+	readonly text: string;
+}> = [
+	{name: 'a figure', value: 7, text: 'gullstand_age_ms{label="x"} 7\n'},
+	{name: 'none yet', value: undefined, text: '\n'},
+];
+
+for (const {name, value, text} of cases) {
+	tap.t.test(`a gauge shows ${name} as it is when asked`, async (t) => {
+		const metrics = createJobMetrics();
+		const state: {value: number | undefined} = {value: undefined};
+		metrics.gauge('age_ms', 'x', () => state.value);
+		state.value = value;
+		t.equal(metrics.formatText(), text);
+	});
+}
--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -21,6 +21,12 @@
 	/** Adds one to a counter with a label, such as a queue or a kind. */
 	readonly count: (name: string, label?: string) => void;
 	readonly record: (leg: Leg, label: string, ms: number) => void;
+	/** Shows a figure as it is when the text is asked for; absent is left out. */
+	readonly gauge: (
+		name: string,
+		label: string,
+		read: () => number | undefined,
+	) => void;
 	/** Text in the Prometheus exposition format. */
 	readonly formatText: () => string;
 };
@@ -63,6 +69,15 @@
 export const createJobMetrics = (): JobMetrics => {
 	const counters = new Map<string, number>();
 	const histograms = new Map<string, hdr.Histogram>();
+	const gauges = new Map<string, () => number | undefined>();
+
+	const formatGauge = ([key, read]: readonly [
+		string,
+		() => number | undefined,
+	]) => {
+		const value = read();
+		return value === undefined ? [] : [`gullstand_${key} ${value}`];
+	};
 
 	const getHistogram = (leg: Leg, label: string): hdr.Histogram => {
 		const wanted = `${leg} ${label}`;
@@ -89,8 +104,12 @@
 			const bounded = Math.min(highestMicros, Math.max(1, micros));
 			getHistogram(leg, label).recordValue(bounded);
 		},
+		gauge(name, label, read) {
+			gauges.set(`${name}{label="${label}"}`, read);
+		},
 		formatText: () =>
 			[
+				...[...gauges].flatMap((each) => formatGauge(each)),
 				...[...counters].map(([key, value]) => `gullstand_${key} ${value}`),
 				...[...histograms].flatMap((each) => formatHistogram(each)),
 			].join('\n') + '\n',
--- a/packages/daemon/src/jobs/rows/feed-follower.ts
+++ b/packages/daemon/src/jobs/rows/feed-follower.ts
@@ -77,7 +77,13 @@
 		}
 
 		if (!state.isLost) {
-			logger.warn('feed lost', {feed: name, reason: error.kind});
+			logger.warn('feed lost', {
+				feed: name,
+				reason: error.kind,
+				// Silence, or an answer that was cut off: their mends differ.
+				receivedBytes:
+					error.kind === 'timeout' ? error.receivedBytes : undefined,
+			});
 		}
 
 		state.isLost = true;
--- a/packages/ports/src/http/connection.test.ts
+++ b/packages/ports/src/http/connection.test.ts
@@ -84,15 +84,15 @@
 });
 
 const failures = [
-	{path: '/held', kind: 'timeout'},
-	{path: '/broken', kind: 'timeout'},
+	{path: '/held', error: {kind: 'timeout'}},
+	{path: '/broken', error: {kind: 'timeout', receivedBytes: 4}},
 ] as const;
 
-for (const {path, kind} of failures) {
+for (const {path, error} of failures) {
 	tap.t.test(`${path} may have taken effect`, async (t) => {
 		const {connection, release} = await createWorld(t);
 		const result = await connection.call({...post, path, timeoutMs: 100});
-		t.same(result, {ok: false, error: {kind}});
+		t.same(result, {ok: false, error});
 		release();
 	});
 }
--- a/packages/ports/src/http/exchange.ts
+++ b/packages/ports/src/http/exchange.ts
@@ -19,7 +19,12 @@
  * have gone out, and its effect is unknown.
  */
 export type HttpFailure =
-	{readonly kind: 'unavailable'} | {readonly kind: 'timeout'};
+	| {readonly kind: 'unavailable'}
+	| {
+			readonly kind: 'timeout';
+			/** Bytes of the answer's body that had come; absent if none had. */
+			readonly receivedBytes?: number;
+	  };
 
 /** A whole answer, or why there is none. */
 export type HttpResult = Result<HttpAnswer, HttpFailure>;
@@ -46,6 +51,7 @@
 ): Promise<HttpResult> =>
 	new Promise((resolve) => {
 		const chunks: Uint8Array[] = [];
+		let receivedBytes = 0;
 		let status = 0;
 		let controller: undici.Dispatcher.DispatchController | undefined;
 		let isSettled = false;
@@ -56,8 +62,19 @@
 			resolve(result);
 		};
 
+		const failUnknown = () => {
+			settle(
+				fail({kind: 'timeout', ...(receivedBytes > 0 && {receivedBytes})}),
+			);
+		};
+
 		const timer = setTimeout(() => {
-			settle(fail({kind: controller ? 'timeout' : 'unavailable'}));
+			if (controller) {
+				failUnknown();
+			} else {
+				settle(fail({kind: 'unavailable'}));
+			}
+
 			controller?.abort(new Error('no answer in time'));
 		}, timeoutMs);
 
@@ -76,6 +93,7 @@
 			},
 			onResponseData(_controller, chunk) {
 				chunks.push(chunk);
+				receivedBytes += chunk.length;
 			},
 			onResponseEnd() {
 				settle(succeed({status, body: Buffer.concat(chunks)}));
@@ -83,7 +101,11 @@
 			onResponseError(_controller, err) {
 				const isUnsent =
 					controller === undefined || notSentCodes.has(getCode(err) ?? '');
-				settle(fail({kind: isUnsent ? 'unavailable' : 'timeout'}));
+				if (isUnsent) {
+					settle(fail({kind: 'unavailable'}));
+				} else {
+					failUnknown();
+				}
 			},
 		});
 	});
--- a/packages/ports/src/ports/row-store.ts
+++ b/packages/ports/src/ports/row-store.ts
@@ -38,7 +38,11 @@
 	/** Certainly nothing was done. */
 	| {readonly kind: 'unavailable'}
 	/** It may have been done, or may be done yet. */
-	| {readonly kind: 'timeout'}
+	| {
+			readonly kind: 'timeout';
+			/** Bytes of an answer that was not whole; absent if none had come. */
+			readonly receivedBytes?: number;
+	  }
 	/** The history that a feed asks for is gone: read anew. */
 	| {readonly kind: 'history-lost'};
 
