--- a/packages/ports/src/http/object-store.ts
+++ b/packages/ports/src/http/object-store.ts
@@ -3,6 +3,7 @@
 import type {ObjectError, ObjectStore} from '../ports/object-store.js';
 import * as messages from '../wire/messages.js';
 import type {HttpCall, HttpConnection} from './connection.js';
+import {timeBounds} from './exchange.js';
 
 const statuses = {
 	ok: 200,
@@ -50,7 +51,11 @@
 	connection: HttpConnection,
 ): ObjectStore => ({
 	async get(name) {
-		const result = await connection.call({method: 'GET', path: getPath(name)});
+		const result = await connection.call({
+			method: 'GET',
+			path: getPath(name),
+			bound: timeBounds.silence,
+		});
 		if (!result.ok) {
 			return result;
 		}
