Bound the bytes of a transaction beside its entries

Progress of 90 open jobs of 10,000 tasks is 1.2 MB: the flush was refused and tried again for ever, and nothing of the service was stored.

Found by reading; not seen played. Left: a single row larger than the store takes (65,536 bytes).

--- a/packages/daemon/src/jobs/entry/submissions.test.ts
+++ b/packages/daemon/src/jobs/entry/submissions.test.ts
@@ -1,7 +1,9 @@
+import {scheduler} from '@gullstand/core';
 import * as ports from '@gullstand/ports';
 import * as tap from 'tap';
 import {
 	createAccepted,
+	createSpec,
 	noLogger,
 	noRowFaults,
 	now,
@@ -97,6 +99,63 @@
 	);
 });
 
+/**
+ * Bytes that a link of 7 Mbit/s carries while a commit is waited for, 800 ms.
+ * Values are sent in base64.
+ */
+const mostBytes = 700_000;
+
+tap.t.test('a commit arrives in time over a thin link', async (t) => {
+	const store = ports.createMemoryRowStore();
+	const sizes: number[] = [];
+	const submissions = createSubmissions({
+		store: {
+			...store,
+			async transact(transaction, timeoutMs) {
+				const bytes = transaction.puts.reduce(
+					(sum, {value}) => sum + Math.ceil((value.length * 4) / 3),
+					0,
+				);
+				sizes.push(bytes);
+				return bytes > mostBytes
+					? {ok: false, error: {kind: 'timeout'}}
+					: store.transact(transaction, timeoutMs);
+			},
+		},
+		book: createLeaseBook({
+			logger: noLogger,
+			rowFaults: noRowFaults,
+			onChange: () => undefined,
+		}),
+		isStoreSuspect: () => false,
+		now,
+		logger: noLogger,
+		onStored: () => undefined,
+	});
+	// As many steps, and as much text, as a job may have.
+	const spec = createSpec();
+	const {maxSteps, maxPayloadBytes} = scheduler.jobLimits;
+	const large = {
+		...spec,
+		payload: 'x'.repeat(maxPayloadBytes),
+		steps: Array.from({length: maxSteps}, () => spec.steps).flat(),
+	};
+	const outcomes = await Promise.all(
+		Array.from({length: 120}, async (_, index) =>
+			submissions.submit(
+				'service/s',
+				createAccepted(String(index), large),
+				now() + 3000,
+			),
+		),
+	);
+	t.ok(outcomes.every(({kind}) => kind === 'accepted'));
+	t.ok(
+		sizes.every((size) => size <= mostBytes),
+		sizes.join(', '),
+	);
+});
+
 const shard = getServiceShard('s');
 
 /** Later than any of these cases takes, in milliseconds. */
--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -14,6 +14,7 @@
 	jobSchema,
 	tables,
 } from '../rows/tables.js';
+import {getValueBytes, maxValueBytes} from '../rows/transaction-size.js';
 import type {LeaseBook} from '../shards/lease-book.js';
 import {createHistoryRow} from './queue-history.js';
 
@@ -342,12 +343,18 @@
 	const takeBatch = (shard: string, queue: Queue): readonly Waiting[] => {
 		const batch = new Map<string, Waiting>();
 		const later: Waiting[] = [];
+		let bytes = 0;
 		for (const waiting of queue.waiting) {
 			const {id} = waiting.job;
-			if (batch.size >= maxJobsPerCommit || batch.has(id)) {
+			const nextBytes = bytes + getValueBytes(waiting.text);
+			const isFull =
+				batch.size >= maxJobsPerCommit ||
+				(batch.size > 0 && nextBytes > maxValueBytes);
+			if (isFull || batch.has(id)) {
 				later.push(waiting);
 			} else if (!settleUnsent(shard, waiting)) {
 				batch.set(id, waiting);
+				bytes = nextBytes;
 			}
 		}
 
--- a/packages/daemon/src/jobs/owner/flusher.test.ts
+++ b/packages/daemon/src/jobs/owner/flusher.test.ts
@@ -1,8 +1,16 @@
 /** Nothing is acknowledged while the flush that stores it is under way. */
-import {type scheduler, succeed} from '@gullstand/core';
+import {Buffer} from 'node:buffer';
+import {fail, scheduler, succeed} from '@gullstand/core';
 import * as ports from '@gullstand/ports';
 import * as tap from 'tap';
-import {heldShard, noLogger} from '../job-world.test.fixture.js';
+import {
+	createAccepted,
+	createId,
+	createSpec,
+	heldShard,
+	noLogger,
+	waitUntil,
+} from '../job-world.test.fixture.js';
 import {createFlusher} from './flusher.js';
 
 type Answer = Awaited<ReturnType<ports.RowStore['transact']>>;
@@ -86,3 +94,66 @@
 	await drained;
 	flusher.stop();
 });
+
+/** Most bytes of a transaction on the wire; origin: the store's interface. */
+const mostBytes = 1_000_000;
+
+/** Values are sent in base64. */
+const getWireBytes = ({puts}: ports.RowTransaction): number =>
+	puts.reduce(
+		(sum, {value}) => sum + Math.ceil((Buffer.byteLength(value) * 4) / 3),
+		0,
+	);
+
+/**
+ * Progress names each task of a job. A flush that the store does not take is
+ * tried again with the same jobs, for ever: nothing of the service is stored.
+ */
+tap.t.test('a flush holds no more bytes than the store takes', async (t) => {
+	const jobs = 90;
+	const {steps} = createSpec({count: scheduler.jobLimits.maxTasksPerStep});
+	const spec = {...createSpec(), steps: [...steps, ...steps]};
+	const owner = scheduler.createOwner(
+		's',
+		1,
+		scheduler.defaultSchedulerConfig,
+		0,
+	);
+	for (let index = 0; index < jobs; index += 1) {
+		const job = scheduler.addJob(
+			owner,
+			createAccepted(createId(index), spec),
+			false,
+		);
+		scheduler.addOccurrence(job);
+		owner.dirty.add(job);
+	}
+
+	const inner = ports.createMemoryRowStore();
+	const stored = new Set<string>();
+	const flusher = createFlusher({
+		store: {
+			...inner,
+			async transact(transaction) {
+				return getWireBytes(transaction) > mostBytes
+					? fail({kind: 'unavailable'})
+					: succeed({version: 1, nowMs: 0});
+			},
+		},
+		owner,
+		held: heldShard,
+		flushVersion: 0,
+		logger: noLogger,
+		onAckable: () => undefined,
+		onStored(flush) {
+			for (const {job} of flush.jobs) {
+				stored.add(job.accepted.id);
+			}
+		},
+		onLost: () => undefined,
+	});
+	t.teardown(flusher.stop);
+	flusher.poke();
+	await waitUntil('all progress is stored', () => stored.size === jobs, 5000);
+	t.equal(stored.size, jobs);
+});
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -9,6 +9,7 @@
 import {delay} from '../clock.js';
 import {periods} from '../periods.js';
 import {getLeaseCheck, singleKeys, tables} from '../rows/tables.js';
+import {isWithinSize} from '../rows/transaction-size.js';
 import type {HeldShard} from '../shards/shard-keeper.js';
 
 /** Most jobs in one flush; origin: 100 entries a transaction, checks too. */
@@ -86,12 +87,23 @@
 		return true;
 	};
 
+	/** Takes as many jobs as one transaction holds; a job that is large, alone. */
+	const beginFlush = () => {
+		let flush = scheduler.beginFlush(owner, maxJobsPerFlush);
+		let transaction = toTransaction(flush);
+		while (flush.jobs.length > 1 && !isWithinSize(transaction)) {
+			scheduler.abandonFlush(owner, flush);
+			const half = Math.floor(flush.jobs.length / 2);
+			flush = scheduler.beginFlush(owner, half);
+			transaction = toTransaction(flush);
+		}
+
+		return {flush, transaction};
+	};
+
 	const flushOnce = async (): Promise<boolean> => {
-		const flush = scheduler.beginFlush(owner, maxJobsPerFlush);
-		const result = await store.transact(
-			toTransaction(flush),
-			periods.storeTimeoutMs,
-		);
+		const {flush, transaction} = beginFlush();
+		const result = await store.transact(transaction, periods.storeTimeoutMs);
 		if (result.ok) {
 			flushVersion = result.value.version;
 			deps.onAckable(scheduler.completeFlush(owner, flush));
