Store no job before its queue is told

A commit tells nine queues at most and took 45 jobs whatever their queues: jobs of further new queues were stored without the row that says where they lie. Had such a queue moved before its next commit, a job of it would have been answered as if it did not exist (an open finding, found by reading).

What goes together in one commit (entries, bytes, queues to tell) is decided in one place now, submission-batch.ts. Test: 40 jobs of 40 new queues, all told once they are stored (9 of 40 before).

--- a/packages/daemon/src/jobs/entry/submissions.test.ts
+++ b/packages/daemon/src/jobs/entry/submissions.test.ts
@@ -99,6 +99,39 @@
 	);
 });
 
+/**
+ * A job whose queue is not told has no owner that is known after the queue
+ * moved: it is answered as if it did not exist.
+ */
+tap.t.test('no job is stored before its queue is told', async (t) => {
+	const store = ports.createMemoryRowStore();
+	const submissions = createSubmissions({
+		store,
+		book: createLeaseBook({
+			logger: noLogger,
+			rowFaults: noRowFaults,
+			onChange: () => undefined,
+		}),
+		isStoreSuspect: () => false,
+		now,
+		logger: noLogger,
+		onStored: () => undefined,
+	});
+	const queues = Array.from({length: 40}, (_, index) => `queue-${index}`);
+	await Promise.all(
+		queues.map(async (queue, index) =>
+			submissions.submit(
+				'service/s',
+				{...job, id: String(index), policy: {...job.policy, queue}},
+				now() + 3000,
+			),
+		),
+	);
+	t.equal(store.list('job').length, queues.length);
+	const told = store.list('queue-history').map(({key}) => key);
+	t.same(told.toSorted(), queues.toSorted());
+});
+
 /**
  * Bytes that a link of 7 Mbit/s carries while a commit is waited for, 800 ms.
  * Values are sent in base64.
--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -14,9 +14,9 @@
 	jobSchema,
 	tables,
 } from '../rows/tables.js';
-import {getValueBytes, maxValueBytes} from '../rows/transaction-size.js';
 import type {LeaseBook} from '../shards/lease-book.js';
 import {createHistoryRow} from './queue-history.js';
+import {createBatch, listUntold} from './submission-batch.js';
 
 /** What became of a submission. */
 export type SubmitOutcome =
@@ -51,12 +51,6 @@
 	) => Promise<SubmitOutcome>;
 };
 
-/**
- * Jobs in one transaction; origin: 100 entries and 1 MB a transaction. Each
- * has a check and a row, beside the check of the lease.
- */
-const maxJobsPerCommit = 45;
-
 /**
  * Bound on a commit: shorter than other calls, since a caller waits and can
  * try another entry; the store's slowest answers take 300 ms.
@@ -111,17 +105,6 @@
 	two: scheduler.AcceptedJob,
 ): boolean => toCanonicalText(one) === toCanonicalText(two);
 
-/** Queues of a batch that are to be told; origin: room in the transaction. */
-const maxToldPerCommit = 100 - 1 - 2 * maxJobsPerCommit;
-
-const listUntold = (
-	batch: readonly Waiting[],
-	told: ReadonlySet<string>,
-): readonly string[] =>
-	[...new Set(batch.map(({job}) => job.policy.queue))]
-		.filter((queue) => !told.has(queue))
-		.slice(0, maxToldPerCommit);
-
 /** Creates the submissions of an entry. */
 export const createSubmissions = (deps: SubmissionsDeps): Submissions => {
 	const {store, book, now, logger} = deps;
@@ -341,25 +324,18 @@
 
 	/** Takes jobs to send; one that waits twice comes when the first is done. */
 	const takeBatch = (shard: string, queue: Queue): readonly Waiting[] => {
-		const batch = new Map<string, Waiting>();
+		const batch = createBatch<Waiting>(queue.told);
 		const later: Waiting[] = [];
-		let bytes = 0;
 		for (const waiting of queue.waiting) {
-			const {id} = waiting.job;
-			const nextBytes = bytes + getValueBytes(waiting.text);
-			const isFull =
-				batch.size >= maxJobsPerCommit ||
-				(batch.size > 0 && nextBytes > maxValueBytes);
-			if (isFull || batch.has(id)) {
+			if (!batch.hasRoomFor(waiting)) {
 				later.push(waiting);
 			} else if (!settleUnsent(shard, waiting)) {
-				batch.set(id, waiting);
-				bytes = nextBytes;
+				batch.add(waiting);
 			}
 		}
 
 		queue.waiting = later;
-		return [...batch.values()];
+		return batch.list();
 	};
 
 	/** Nothing joins what is sent again: it may bring the next repeat. */
