Share one read of the history among those who ask at once

One read is shared now by all who asked before it began; who asks while one is under way waits for the next, since the one under way may not have seen what the asker has.

Test: 20 ask while a read is under way and a row is stored after it began: 2 reads (21 before), and all 20 see the row.

--- a/packages/daemon/src/jobs/entry/queue-history.test.ts
+++ b/packages/daemon/src/jobs/entry/queue-history.test.ts
@@ -120,6 +120,37 @@
 	t.same(history.listServices('other', 'two'), ['two', 'three']);
 });
 
+tap.t.test('those who ask at once share two reads at most', async (t) => {
+	const inner = createMemoryRowStore();
+	let reads = 0;
+	const store = {
+		...inner,
+		async listParts(...args: Parameters<typeof inner.listParts>) {
+			reads += 1;
+			return inner.listParts(...args);
+		},
+	};
+	const history = createQueueHistory({store, logger: noLogger});
+	const first = history.load();
+	// Stored after the first read began: the others must not be told of it by
+	// what that one has seen.
+	await inner.transact(
+		{checks: [], puts: [createHistoryRow('service/s', 'q')], removes: []},
+		1000,
+	);
+	const later = await Promise.all(
+		Array.from({length: 20}, async () => {
+			const isRead = await history.load();
+			return isRead && history.listServices('q', 'other').includes('s');
+		}),
+	);
+	t.ok(await first);
+	t.ok(later.every(Boolean));
+	t.equal(reads, 2);
+	t.ok(await history.load());
+	t.equal(reads, 3);
+});
+
 tap.t.test(
 	'what another entry has stored is read before a refusal',
 	async (t) => {
--- a/packages/daemon/src/jobs/entry/queue-history.ts
+++ b/packages/daemon/src/jobs/entry/queue-history.ts
@@ -14,12 +14,13 @@
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
+import {shareCalls} from '../share-calls.js';
 import {decodeRow, parseServiceShard, sharedPart} from '../rows/tables.js';
 import {readWhole} from '../rows/table-feed.js';
 
 /** The history. */
 export type QueueHistory = {
-	/** Reads what all daemons have stored; false without an answer. */
+	/** Reads what all daemons have stored by now; false without an answer. */
 	readonly load: () => Promise<boolean>;
 	/** Takes in a configuration that came into force. */
 	readonly note: (configuration: Configuration) => void;
@@ -85,19 +86,19 @@
 		return rows.ok;
 	};
 
-	return {
-		async load() {
-			const parts = await store.listParts(historyTable, periods.storeTimeoutMs);
-			if (!parts.ok) {
-				return false;
-			}
+	const readAll = async (): Promise<boolean> => {
+		const parts = await store.listParts(historyTable, periods.storeTimeoutMs);
+		if (!parts.ok) {
+			return false;
+		}
 
-			const all = [...new Set([sharedPart, ...parts.value])];
-			const areRead = await Promise.all(
-				all.map(async (part) => readPart(part)),
-			);
-			return areRead.every(Boolean);
-		},
+		const all = [...new Set([sharedPart, ...parts.value])];
+		const areRead = await Promise.all(all.map(async (part) => readPart(part)));
+		return areRead.every(Boolean);
+	};
+
+	return {
+		load: shareCalls(readAll),
 		note({routes}) {
 			for (const {name, service} of routes) {
 				add(name, [service]);
