Cut the import circles by giving shared types a module of their own

Five circles stood (admission, scheduler, shards, jobs and peers, the operators' app), each closed by a type alone. These types are now in modules without logic: core/admission/records, core/scheduler/owner-state, jobs/shards/held-shard, jobs/entry/cancel-outcome, operator/types, operator/objects/types. No circle is left, by a search over all imports.

--- a/packages/core/src/admission/admission.ts
+++ b/packages/core/src/admission/admission.ts
@@ -22,14 +22,14 @@
 import * as slowdowns from './slowdown.js';
 import * as states from './state.js';
 import type {AdmissionState} from './state.js';
-import type {Ticket} from './ticket.js';
+import type {Ticket} from './records.js';
 import * as tokenBucket from './token-bucket.js';
 import type {AdmissionRequest} from './types.js';
 
 export type * from './decision.js';
 export type * from './types.js';
 export type {AdmissionState} from './state.js';
-export type {Ticket} from './ticket.js';
+export type {Ticket} from './records.js';
 export {defaultSettings} from './types.js';
 export {createAdmission} from './state.js';
 export {getTerms, updateTerms} from './terms.js';
--- a/packages/core/src/admission/assessment.ts
+++ b/packages/core/src/admission/assessment.ts
@@ -1,11 +1,10 @@
 /** Who asks, and whether the answer can be in time as far as can be told. */
-import type {Customer} from './customer.js';
+import type {Customer, Ticket} from './records.js';
 import * as forecasts from './forecast.js';
 import type {ServiceTime} from './service-time.js';
 import * as slowdowns from './slowdown.js';
 import type {AdmissionState} from './state.js';
 import * as states from './state.js';
-import type {Ticket} from './ticket.js';
 import type {AdmissionRequest} from './types.js';
 
 /** One request on its way in. */
--- a/packages/core/src/admission/customer.ts
+++ b/packages/core/src/admission/customer.ts
@@ -4,37 +4,11 @@
  * Vin and Cheng, SIGCOMM 1996).
  */
 import {requestClasses} from '../types/contract.js';
+import type {Customer, TicketQueue} from './records.js';
 import * as ticketQueue from './ticket.js';
 import * as tokenBucket from './token-bucket.js';
 import type {AdmissionSettings, CustomerTerms} from './types.js';
 
-/** One customer of one service on one entry. */
-export type Customer = {
-	terms: CustomerTerms;
-	/** True if no contract names the customer any more. */
-	removed: boolean;
-	readonly bucket: tokenBucket.TokenBucket;
-	/** One queue a class, in the order of `requestClasses`. */
-	readonly queues: readonly ticketQueue.TicketQueue[];
-	/** Delay by which each class counts as arrived later. */
-	agingMs: readonly number[];
-	queued: number;
-	maxQueued: number;
-	/** Place in the list of customers with queued requests, or -1. */
-	activeIndex: number;
-	/** Virtual start of the next request within the contracted rate. */
-	contractTag: number;
-	/** Virtual start of the next request above the contracted rate. */
-	borrowTag: number;
-	/** Slots that its dispatches by the contracted rate hold, on average. */
-	contractUse: number;
-	contractUseAt: number;
-	/** Latest time at which a refused caller was told to return. */
-	returnAt: number;
-	/** Where between two such times the next round begins, in [0, 1). */
-	returnPhase: number;
-};
-
 const getDepth = (settings: AdmissionSettings, tokensPerMs: number): number =>
 	tokensPerMs === 0
 		? 0
@@ -94,10 +68,8 @@
  * by its aging delay, so that a less urgent class waits longer but not
  * without end. Undefined if nothing is queued.
  */
-export const getNextQueue = (
-	customer: Customer,
-): ticketQueue.TicketQueue | undefined => {
-	let best: ticketQueue.TicketQueue | undefined;
+export const getNextQueue = (customer: Customer): TicketQueue | undefined => {
+	let best: TicketQueue | undefined;
 	let bestAt = Number.POSITIVE_INFINITY;
 	for (let index = 0; index < requestClasses.length; index++) {
 		const queue = customer.queues[index]!;
--- a/packages/core/src/admission/deadline-wheel.ts
+++ b/packages/core/src/admission/deadline-wheel.ts
@@ -3,7 +3,7 @@
  * Wheels", SOSP 1987): adding and removing a ticket take constant time, and
  * finding what is due costs one step a tick.
  */
-import type {Ticket} from './ticket.js';
+import type {Ticket} from './records.js';
 
 /** Resolution of the wheel. */
 const tickMs = 4;
--- a/packages/core/src/admission/decision.ts
+++ b/packages/core/src/admission/decision.ts
@@ -1,5 +1,5 @@
 /** What admission decides about one request. */
-import type {Ticket} from './ticket.js';
+import type {Ticket} from './records.js';
 import type {RefusalKind} from './types.js';
 
 /** The request goes out now; a slot is held until `finish`. */
--- a/packages/core/src/admission/dispatch.ts
+++ b/packages/core/src/admission/dispatch.ts
@@ -1,10 +1,9 @@
 /** Which customer's request gets the next slot, and what that is charged. */
 import * as customers from './customer.js';
-import type {Customer} from './customer.js';
+import {type Customer, type Ticket} from './records.js';
 import type {Dispatched} from './decision.js';
 import * as forecasts from './forecast.js';
 import type {AdmissionState} from './state.js';
-import type {Ticket} from './ticket.js';
 import * as tokenBucket from './token-bucket.js';
 
 const getNextCustomer = (
--- a/packages/core/src/admission/forecast.ts
+++ b/packages/core/src/admission/forecast.ts
@@ -4,7 +4,7 @@
  */
 import {requestClasses} from '../types/contract.js';
 import * as customers from './customer.js';
-import type {Customer} from './customer.js';
+import type {Customer} from './records.js';
 import type {AdmissionState} from './state.js';
 import * as tokenBucket from './token-bucket.js';
 
--- a/packages/core/src/admission/return-time.ts
+++ b/packages/core/src/admission/return-time.ts
@@ -3,7 +3,7 @@
  * times one after another, at half the rate at which its queue drains, so
  * that those who return find room and do not return together.
  */
-import type {Customer} from './customer.js';
+import type {Customer} from './records.js';
 import type {AdmissionSettings} from './types.js';
 
 /** Part of the drain that is given to callers who return. */
--- a/packages/core/src/admission/state.ts
+++ b/packages/core/src/admission/state.ts
@@ -1,11 +1,10 @@
 /** State of admission for one service on one entry, and its small steps. */
 import {requestClasses, type RequestClass} from '../types/contract.js';
-import type {Customer} from './customer.js';
+import {type Customer, type Ticket, type TicketQueue} from './records.js';
 import * as deadlineWheel from './deadline-wheel.js';
 import * as slowdowns from './slowdown.js';
 import * as serviceTime from './service-time.js';
 import * as ticketQueue from './ticket.js';
-import type {Ticket, TicketQueue} from './ticket.js';
 import type {AdmissionSettings} from './types.js';
 
 /** Median service time assumed as long as no customer has terms. */
--- a/packages/core/src/admission/ticket.ts
+++ b/packages/core/src/admission/ticket.ts
@@ -3,44 +3,7 @@
  * lists (its class's queue and a list of the deadline wheel), so that it
  * leaves both in constant time from any place.
  */
-import type {Customer} from './customer.js';
-import type {AdmissionRequest, TicketState} from './types.js';
-
-/** One admitted request. */
-export type Ticket = {
-	readonly request: AdmissionRequest;
-	readonly customer: Customer;
-	/** Index in `requestClasses`. */
-	readonly classIndex: number;
-	readonly arrivedAt: number;
-	/** By when the entry must have sent the answer. */
-	readonly deadlineAt: number;
-	/** From when on no answer in time is likely. */
-	readonly giveUpAt: number;
-	/** From when on it goes before all others, so that it is in time. */
-	readonly rescueAt: number;
-	/** When the deadline wheel looks at it next. */
-	dueAt: number;
-	state: TicketState;
-	dispatchedAt: number;
-	/** Slot time that its customer was charged at dispatch. */
-	chargedMs: number;
-	/** True if it was dispatched by the contracted rate. */
-	contracted: boolean;
-	/** Queue in which it stands. */
-	queue: TicketQueue | undefined;
-	queuePrevious: Ticket | undefined;
-	queueNext: Ticket | undefined;
-	wheelPrevious: Ticket | undefined;
-	wheelNext: Ticket | undefined;
-};
-
-/** First-in first-out queue of tickets of one class. */
-export type TicketQueue = {
-	head: Ticket | undefined;
-	tail: Ticket | undefined;
-	length: number;
-};
+import type {Ticket, TicketQueue} from './records.js';
 
 /** Creates an empty queue. */
 export const createTicketQueue = (): TicketQueue => ({
--- a/packages/core/src/scheduler/acknowledge.ts
+++ b/packages/core/src/scheduler/acknowledge.ts
@@ -3,7 +3,7 @@
  * are acknowledged, so only those that the store has are.
  */
 import type {Executor} from './executor.js';
-import type {Owner} from './owner.js';
+import type {Owner} from './owner-state.js';
 import {encodeProgress, type JobProgress} from './progress.js';
 import type {Job, JobEnd} from './task.js';
 import type {ListedExecutor} from './types.js';
--- a/packages/core/src/scheduler/advice.ts
+++ b/packages/core/src/scheduler/advice.ts
@@ -3,21 +3,9 @@
  * step, each with a ticket. Whom it names does not change; tickets expire.
  */
 import type {Executor} from './executor.js';
-import type {Owner} from './owner.js';
+import type {Owner, StepAdvice} from './owner-state.js';
 import type {Step} from './task.js';
 
-/** What is known of one step. */
-export type StepAdvice = {
-	readonly tickets: Map<string, string>;
-	/** Executors that were asked about and are not named. */
-	readonly refused: Set<string>;
-	/** When the tickets expire, by the own clock. */
-	validUntil: number;
-	isUnderWay: boolean;
-	/** Not asked again before. */
-	askAgainAt: number;
-};
-
 /** A question to the advice service. */
 export type AdviceRequest = {
 	readonly stepId: string;
--- a/packages/core/src/scheduler/answers.ts
+++ b/packages/core/src/scheduler/answers.ts
@@ -2,7 +2,8 @@
 import {match} from 'ts-pattern';
 import {dropTicket} from './advice.js';
 import {dropRun, noteClock, type Executor} from './executor.js';
-import {noteSilence, type Owner} from './owner.js';
+import {noteSilence} from './owner.js';
+import type {Owner} from './owner-state.js';
 import {noteStartOutcome} from './start-window.js';
 import type {Run} from './task.js';
 
--- a/packages/core/src/scheduler/evacuation.ts
+++ b/packages/core/src/scheduler/evacuation.ts
@@ -4,7 +4,7 @@
  * goes only while its step's budget allows it and there is room elsewhere.
  */
 import type {Evacuation, Executor} from './executor.js';
-import type {Owner} from './owner.js';
+import type {Owner} from './owner-state.js';
 import {listUsable, placeTask} from './place.js';
 import type {Run, Step, Task} from './task.js';
 
--- a/packages/core/src/scheduler/explain.ts
+++ b/packages/core/src/scheduler/explain.ts
@@ -1,5 +1,6 @@
 /** Why the tasks of a job do not run, in words for an operator. */
-import {isPlaceKnown, type Owner} from './owner.js';
+import {isPlaceKnown} from './owner.js';
+import type {Owner} from './owner-state.js';
 import {listUsable, placementRefusals, placeTask} from './place.js';
 import {isStepOpen, isWaiting, type Job, type Task} from './task.js';
 
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -10,6 +10,7 @@
 export * from './executor.js';
 export * from './advice.js';
 export * from './owner.js';
+export type * from './owner-state.js';
 export * from './look.js';
 export * from './load.js';
 export * from './acknowledge.js';
--- a/packages/core/src/scheduler/load.ts
+++ b/packages/core/src/scheduler/load.ts
@@ -1,6 +1,6 @@
 /** How much the queues of a service ask for, for the sizes of its pool. */
 import type {Executor} from './executor.js';
-import type {Owner} from './owner.js';
+import type {Arrivals, Owner} from './owner-state.js';
 import {listUsable} from './place.js';
 import {isStepOpen, isWaiting, type Job} from './task.js';
 
@@ -29,13 +29,6 @@
 	readonly silent: Readonly<Record<string, number>>;
 };
 
-/** Work that came in, weighted so that older work counts less. */
-export type Arrivals = {
-	/** Weighted sum, in cpu-milliseconds. */
-	readonly work: number;
-	readonly at: number;
-};
-
 /**
  * Time constant of the weights, in milliseconds: long enough to even out
  * single jobs, short enough to see a rise within a second.
--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -8,7 +8,8 @@
 	noteClock,
 	type Executor,
 } from './executor.js';
-import {completeIfDone, endJob, type JobChange, type Owner} from './owner.js';
+import {completeIfDone, endJob, type JobChange} from './owner.js';
+import type {Owner} from './owner-state.js';
 import {
 	addOccurrencesUpTo,
 	createPastTask,
--- a/packages/core/src/scheduler/overview.ts
+++ b/packages/core/src/scheduler/overview.ts
@@ -1,6 +1,7 @@
 /** Where the work and the executors of a service stand, for its owner's log. */
 import {getReadiness, type Readiness} from './executor.js';
-import {isPlaceKnown, type Owner} from './owner.js';
+import {isPlaceKnown} from './owner.js';
+import type {Owner} from './owner-state.js';
 import {isStepOpen, isWaiting, listTasks} from './task.js';
 
 /** Counts of one moment. */
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -3,11 +3,11 @@
  * All of it can be rebuilt from the store and the executors by the next
  * owner; see docs/design/platform-programs.md.
  */
-import type {StepAdvice} from './advice.js';
 import type {SchedulerConfig} from './config.js';
-import {noArrivals, noteArrival, type Arrivals} from './load.js';
+import {noArrivals, noteArrival} from './load.js';
 import {createExecutor, dropRun, hasLapsed, type Executor} from './executor.js';
-import {initialStartWindow, type StartWindow} from './start-window.js';
+import type {Owner} from './owner-state.js';
+import {initialStartWindow} from './start-window.js';
 import {
 	addDueOccurrences,
 	createJob,
@@ -21,40 +21,6 @@
 } from './task.js';
 import type {AcceptedJob, JobState, ListedExecutor} from './types.js';
 
-/** State of one ownership: from a takeover to the loss of the service. */
-export type Owner = {
-	readonly cfg: SchedulerConfig;
-	readonly service: string;
-	/** Fencing token; every order to an executor carries it. */
-	readonly token: number;
-	readonly takenOverAt: number;
-	readonly jobs: Map<string, Job>;
-	/** Jobs without an end, in order of acceptance. */
-	readonly openJobs: Set<Job>;
-	readonly executors: Map<string, Executor>;
-	/**
-	 * Executors that may run what an earlier owner started, with the time at
-	 * which its leases there are certainly over.
-	 */
-	readonly unresolved: Map<string, number>;
-	/** Jobs whose progress differs from the store. */
-	readonly dirty: Set<Job>;
-	/** The set of executors in the store is out of date. */
-	isRosterDirty: boolean;
-	/** Number of the flush that takes in what changes now. */
-	flush: number;
-	/** What the advice service has said, by step. */
-	readonly advice: Map<string, StepAdvice>;
-	/** Lives of executors that are over; the registry may still list them. */
-	readonly gone: Set<string>;
-	/** Work handed in lately. */
-	arrivals: Arrivals;
-	/** Bounds the starts under way. */
-	startWindow: StartWindow;
-	/** Mean work of a job by queue, for the order of work. */
-	readonly meanWork: Map<string, {count: number; sum: number}>;
-};
-
 /** A job that changed and why, for the log. */
 export type JobChange = {
 	readonly job: string;
--- a/packages/core/src/scheduler/place.ts
+++ b/packages/core/src/scheduler/place.ts
@@ -7,7 +7,7 @@
 	isUsable,
 	type Executor,
 } from './executor.js';
-import type {Owner} from './owner.js';
+import type {Owner} from './owner-state.js';
 import type {Run, Step, Task} from './task.js';
 
 /** Why a task is not placed, for `explain`. */
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -24,7 +24,8 @@
 	noteRefused,
 	type FullFor,
 } from './full-for.js';
-import {isPlaceKnown, type Owner} from './owner.js';
+import {isPlaceKnown} from './owner.js';
+import type {Owner} from './owner-state.js';
 import {findEviction, listUsable, placeTask} from './place.js';
 import {rankJobs, type RankedJob} from './rank.js';
 import {countFreeStarts} from './start-window.js';
--- a/packages/core/src/scheduler/rank.ts
+++ b/packages/core/src/scheduler/rank.ts
@@ -3,7 +3,7 @@
  * before what is late, and among those the job with the most value for the
  * work that is left. Source: docs/design/platform-programs.md.
  */
-import type {Owner} from './owner.js';
+import type {Owner} from './owner-state.js';
 import {isLasting, type Job, type Step} from './task.js';
 import type {AcceptedJob} from './types.js';
 
--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -24,6 +24,7 @@
 	progressSchema,
 	tables,
 } from '../rows/tables.js';
+import type {CancelOutcome} from './cancel-outcome.js';
 import type {OwnerChannel} from './owner-channel.js';
 import type {QueueHistory} from './queue-history.js';
 import type {Routes} from './routes.js';
@@ -57,10 +58,6 @@
 	) => Promise<CancelOutcome | undefined>;
 };
 
-/** What became of a cancellation. */
-export type CancelOutcome =
-	'cancelled' | 'unknown-job' | 'store-unavailable' | 'store-unknown';
-
 /** The calls of callers. Deadlines are times of the steady clock. */
 export type JobService = {
 	readonly submit: (
--- a/packages/daemon/src/jobs/entry/other-entries.ts
+++ b/packages/daemon/src/jobs/entry/other-entries.ts
@@ -5,7 +5,7 @@
 import type {JobPeerMethods} from '../peer-methods.js';
 import {periods} from '../periods.js';
 import type {Members} from '../shards/members.js';
-import type {CancelOutcome} from './job-service.js';
+import type {CancelOutcome} from './cancel-outcome.js';
 import type {SubmitOutcome} from './submissions.js';
 
 /** What is needed to ask. */
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -5,7 +5,7 @@
 import type {Clock} from '../clock.js';
 import type {OwnerChannel} from '../entry/owner-channel.js';
 import {getServiceShard} from '../rows/tables.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 import type {OrderBook} from './order-book.js';
 
 /** Times of the fleet's work, in milliseconds. */
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -10,7 +10,7 @@
 import {runInBackground} from '../background.js';
 import {delay, isWithin, type Clock, type Moment} from '../clock.js';
 import type {OwnerChannel} from '../entry/owner-channel.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 import {
 	fleetPeriods,
 	readFleetView,
--- a/packages/daemon/src/jobs/fleet/order-book.ts
+++ b/packages/daemon/src/jobs/fleet/order-book.ts
@@ -8,7 +8,7 @@
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
 import {decodeRow, fleetShard, getLeaseCheck, tables} from '../rows/tables.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 
 /** The book. */
 export type OrderBook = {
--- a/packages/daemon/src/jobs/fleet/wave-rows.ts
+++ b/packages/daemon/src/jobs/fleet/wave-rows.ts
@@ -7,7 +7,7 @@
 import {readWhole} from '../rows/table-feed.js';
 import {decodeRows} from '../rows/decode-rows.js';
 import {fleetShard, getLeaseCheck} from '../rows/tables.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 
 const waveTable = 'wave';
 
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -51,7 +51,8 @@
 import {createHeartbeat} from './shards/heartbeat.js';
 import {createLeaseBook} from './shards/lease-book.js';
 import {createMembers} from './shards/members.js';
-import {createShardKeeper, type HeldShard} from './shards/shard-keeper.js';
+import type {HeldShard} from './shards/held-shard.js';
+import {createShardKeeper} from './shards/shard-keeper.js';
 
 /** The platform as the jobs side sees it. */
 export type JobPlatform = {
--- a/packages/daemon/src/jobs/job-world.test.fixture.ts
+++ b/packages/daemon/src/jobs/job-world.test.fixture.ts
@@ -7,7 +7,7 @@
 import type {WaveStatusPort} from './fleet/wave-round.js';
 import {createJobDaemon, type JobDaemon} from './job-daemon.js';
 import type {RowFaults} from './rows/row-faults.js';
-import type {HeldShard} from './shards/shard-keeper.js';
+import type {HeldShard} from './shards/held-shard.js';
 
 /** A platform in memory. */
 export type TestPlatform = {
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -10,7 +10,7 @@
 import {periods} from '../periods.js';
 import {getLeaseCheck, singleKeys, tables} from '../rows/tables.js';
 import {isWithinSize} from '../rows/transaction-size.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 
 /** Most jobs in one flush; origin: 100 entries a transaction, checks too. */
 const maxJobsPerFlush = 90;
--- a/packages/daemon/src/jobs/owner/job-remover.ts
+++ b/packages/daemon/src/jobs/owner/job-remover.ts
@@ -4,7 +4,7 @@
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
 import {getCancelKey, getLeaseCheck, tables} from '../rows/tables.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 
 /** Jobs removed at a time, three rows each; origin: 100 entries a transaction. */
 const removalBatch = 30;
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -13,7 +13,7 @@
 	singleKeys,
 	tables,
 } from '../rows/tables.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 
 /** What a load needs. */
 export type LoadDeps = {
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -18,7 +18,7 @@
 import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
 import type {RowFaults} from '../rows/row-faults.js';
 import {getServiceShard, type LeaseRow} from '../rows/tables.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 import {createOwnerRunner, type OwnerRunner} from './owner-runner.js';
 
 /** What running services takes. */
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -19,7 +19,7 @@
 import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
 import {createTableFeed} from '../rows/table-feed.js';
 import {tables, type LeaseRow} from '../rows/tables.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 import {createFlusher, type Flusher} from './flusher.js';
 import {openExecutorLink, type ExecutorLink} from './executor-link.js';
 import {createExecutorLinks, type ExecutorLinks} from './executor-links.js';
--- a/packages/daemon/src/jobs/owner/repeated-takeovers.test.ts
+++ b/packages/daemon/src/jobs/owner/repeated-takeovers.test.ts
@@ -23,7 +23,7 @@
 	noLogger,
 } from '../job-world.test.fixture.js';
 import {getLeaseKey} from '../rows/tables.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 import {createFlusher} from './flusher.js';
 import {getInheritedMs, loadOwner} from './load-owner.js';
 
--- a/packages/daemon/src/jobs/owner/row-intake.ts
+++ b/packages/daemon/src/jobs/owner/row-intake.ts
@@ -4,7 +4,7 @@
 import type {Logger} from '../../log/logger.js';
 import type {Clock} from '../clock.js';
 import {decodeRow, jobSchema, parseJobKey} from '../rows/tables.js';
-import type {HeldShard} from '../shards/shard-keeper.js';
+import type {HeldShard} from '../shards/held-shard.js';
 import type {OwnerLog} from './owner-log.js';
 
 /** What the intake needs. */
--- a/packages/daemon/src/jobs/peer-handlers.ts
+++ b/packages/daemon/src/jobs/peer-handlers.ts
@@ -1,6 +1,7 @@
 /** Answers what other daemons ask of this one. */
 import type {PeerChannel} from '../peers/peer-channel.js';
-import type {CancelOutcome, JobService} from './entry/job-service.js';
+import type {CancelOutcome} from './entry/cancel-outcome.js';
+import type {JobService} from './entry/job-service.js';
 import type {Routes} from './entry/routes.js';
 import type {Submissions} from './entry/submissions.js';
 import type {OwnedServices} from './owner/owned-services.js';
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -2,7 +2,7 @@
 import type {scheduler} from '@gullstand/core';
 import type {ChangedRow} from '@gullstand/ports';
 import * as z from 'zod';
-import type {CancelOutcome} from './entry/job-service.js';
+import type {CancelOutcome} from './entry/cancel-outcome.js';
 import type {SubmitOutcome} from './entry/submissions.js';
 import type {JobReading} from './owner/owner-runner.js';
 import {jobSchema} from './rows/tables.js';
--- /dev/null
+++ b/packages/daemon/src/jobs/shards/held-shard.ts
@@ -0,0 +1,16 @@
+/** A shard as its holder has it. */
+import type {LeaseRow} from '../rows/tables.js';
+
+/** How the last holder of a shard went, for what may still run. */
+export type PreviousHolder = 'none' | 'released' | 'replaced' | 'silent';
+
+/** A shard that this daemon has acquired. */
+export type HeldShard = {
+	readonly shard: string;
+	readonly token: number;
+	/** Version of the lease row; every write of the holder checks it. */
+	readonly version: number;
+	readonly previous: PreviousHolder;
+	/** The holder before, where it was reached; absent if there was none. */
+	readonly previousHolder: LeaseRow | undefined;
+};
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -10,26 +10,13 @@
 import {createTicker} from '../../view/ticker.js';
 import {periods} from '../periods.js';
 import type {LeaseRow} from '../rows/tables.js';
+import type {HeldShard, PreviousHolder} from './held-shard.js';
 import type {KnownLease, LeaseBook} from './lease-book.js';
 import {createLeaseTransaction} from './lease-transaction.js';
 import type {Members} from './members.js';
 import {maxSpreadShards, shardPeriods} from './shard-periods.js';
 import {createShardReleases} from './shard-releases.js';
 
-/** How the last holder of a shard went, for what may still run. */
-export type PreviousHolder = 'none' | 'released' | 'replaced' | 'silent';
-
-/** A shard that this daemon has acquired. */
-export type HeldShard = {
-	readonly shard: string;
-	readonly token: number;
-	/** Version of the lease row; every write of the holder checks it. */
-	readonly version: number;
-	readonly previous: PreviousHolder;
-	/** The holder before, where it was reached; absent if there was none. */
-	readonly previousHolder: LeaseRow | undefined;
-};
-
 type ShardPlan = core.shardAssignment.ShardPlan;
 
 /** What the keeper needs. */
--- a/packages/daemon/src/jobs/shards/shard-releases.ts
+++ b/packages/daemon/src/jobs/shards/shard-releases.ts
@@ -9,7 +9,7 @@
 import type {LeaseRow} from '../rows/tables.js';
 import type {LeaseBook} from './lease-book.js';
 import {createLeaseTransaction} from './lease-transaction.js';
-import type {HeldShard} from './shard-keeper.js';
+import type {HeldShard} from './held-shard.js';
 
 /** What releases need. */
 export type ShardReleasesDeps = {
--- a/packages/daemon/src/operator/changes/app.ts
+++ b/packages/daemon/src/operator/changes/app.ts
@@ -3,7 +3,7 @@
 import {readChanges} from '../../view/tables.js';
 import {answerError, answerStoreError} from '../objects/answers.js';
 import {checkInForce, waitInForce} from '../objects/in-force.js';
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 
 const maxLimit = 200;
 
--- a/packages/daemon/src/operator/contracts/app.ts
+++ b/packages/daemon/src/operator/contracts/app.ts
@@ -1,8 +1,9 @@
 /** Contracts. */
 import type {Contract} from '@gullstand/core';
 import {contractSchema} from '../objects/contract-schema.js';
-import {registerObjects, type ObjectDomain} from '../objects/object-domain.js';
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import {registerObjects} from '../objects/object-domain.js';
+import type {ObjectDomain} from '../objects/types.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 
 const domain: ObjectDomain<Contract> = {
 	name: 'contract',
--- a/packages/daemon/src/operator/entries/app.ts
+++ b/packages/daemon/src/operator/entries/app.ts
@@ -5,7 +5,7 @@
 import {answerError, answerStoreError} from '../objects/answers.js';
 import {readRegistrations, type RegistrationRow} from '../objects/in-force.js';
 import {formatEtag, readPrecondition} from '../objects/preconditions.js';
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 
 const describeEntry = (
 	{version, registration}: RegistrationRow,
--- a/packages/daemon/src/operator/instances/app.ts
+++ b/packages/daemon/src/operator/instances/app.ts
@@ -5,13 +5,10 @@
  */
 import * as core from '@gullstand/core';
 import type {Instance, Result} from '@gullstand/core';
-import {
-	registerObjects,
-	type FieldFault,
-	type ObjectDomain,
-} from '../objects/object-domain.js';
+import {registerObjects} from '../objects/object-domain.js';
+import type {FieldFault, ObjectDomain} from '../objects/types.js';
 import {instanceSchema} from '../objects/schemas.js';
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 import {registerMoves} from './moves.js';
 
 const findFaults = (sent: Instance, current: Instance): FieldFault[] => {
--- a/packages/daemon/src/operator/instances/moves.ts
+++ b/packages/daemon/src/operator/instances/moves.ts
@@ -12,7 +12,7 @@
 	type OperatorContext,
 } from '../objects/answers.js';
 import {readRegistrations} from '../objects/in-force.js';
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 import {findLeaveProblems, type LiveInstances} from './move-checks.js';
 
 const moveRequest = z.strictObject({to: z.string().min(1).max(63)});
--- a/packages/daemon/src/operator/jobs/app.ts
+++ b/packages/daemon/src/operator/jobs/app.ts
@@ -10,7 +10,7 @@
 import * as z from 'zod';
 import {createErrorResponse} from '../../caller/answer.js';
 import type {JobDaemon} from '../../jobs/job-daemon.js';
-import type {OperatorApp, OperatorEnv} from '../operator-app.js';
+import type {OperatorApp, OperatorEnv} from '../types.js';
 
 /** What the handlers need. */
 export type JobsDeps = {
--- a/packages/daemon/src/operator/objects/answers.ts
+++ b/packages/daemon/src/operator/objects/answers.ts
@@ -5,7 +5,7 @@
 import type {errors} from '@gullstand/core';
 import type {Row, StoreError} from '@gullstand/ports';
 import {createErrorResponse} from '../../caller/answer.js';
-import type {OperatorEnv} from '../operator-app.js';
+import type {OperatorEnv} from '../types.js';
 import {formatEtag} from './preconditions.js';
 
 /** Context of an operator's request. */
--- a/packages/daemon/src/operator/objects/apply-object.ts
+++ b/packages/daemon/src/operator/objects/apply-object.ts
@@ -4,7 +4,7 @@
 import type {Precondition} from '@gullstand/ports';
 import {commitChange, type CommittedChange} from '../../view/commit-change.js';
 import {counterRow, toJson} from '../../view/tables.js';
-import type {OperatorDeps} from '../operator-app.js';
+import type {OperatorDeps} from '../types.js';
 import {
 	answerError,
 	answerStoreError,
@@ -12,7 +12,7 @@
 } from './answers.js';
 import {findProblems} from './find-problems.js';
 import {waitInForce} from './in-force.js';
-import type {ObjectDomain} from './object-domain.js';
+import type {ObjectDomain} from './types.js';
 import {formatEtag} from './preconditions.js';
 
 /** What an operator asked for; an undefined value deletes. */
--- a/packages/daemon/src/operator/objects/object-domain.ts
+++ b/packages/daemon/src/operator/objects/object-domain.ts
@@ -2,10 +2,8 @@
  * One kind of object of the view over HTTP: list, show, diff, apply by
  * compare-and-set, delete.
  */
-import type {z} from 'zod';
-import type {Result, View, viewChange} from '@gullstand/core';
-import {toJson, type ViewTable} from '../../view/tables.js';
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import {toJson} from '../../view/tables.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 import {
 	answerError,
 	answerStoreError,
@@ -16,27 +14,7 @@
 import {diffFields} from './diff-fields.js';
 import {findProblems} from './find-problems.js';
 import {formatEtag, readPrecondition} from './preconditions.js';
-
-/** Why a field cannot be as it was sent. */
-export type FieldFault = {readonly field: string; readonly message: string};
-
-/** A kind of object. */
-export type ObjectDomain<Value> = {
-	/** Singular name and table; the path is its plural. */
-	readonly name: ViewTable;
-	readonly schema: z.ZodType<Value>;
-	readonly getKey: (value: Value) => string;
-	readonly getAll: (view: View) => ReadonlyMap<string, Value>;
-	readonly createPut: (value: Value) => viewChange.ViewChange;
-	readonly createDelete: (key: string) => viewChange.ViewChange;
-	/** Makes what is stored of what was sent, or refuses. */
-	readonly prepare?: (
-		sent: Value,
-		current: Value | undefined,
-	) => Result<Value, readonly FieldFault[]>;
-	/** Refuses a deletion for reasons that no contract knows. */
-	readonly checkDelete?: (current: Value) => readonly FieldFault[];
-};
+import type {ObjectDomain} from './types.js';
 
 const getKeyParameter = (c: OperatorContext): string =>
 	c.req.param('key') ?? '';
--- a/packages/daemon/src/operator/pools/app.ts
+++ b/packages/daemon/src/operator/pools/app.ts
@@ -2,7 +2,7 @@
 import * as core from '@gullstand/core';
 import type {Instance, InstanceState, View} from '@gullstand/core';
 import {answerError} from '../objects/answers.js';
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 
 const countStates = (
 	instances: readonly Instance[],
--- a/packages/daemon/src/operator/services/app.ts
+++ b/packages/daemon/src/operator/services/app.ts
@@ -1,8 +1,9 @@
 /** Services. One that a contract names is not deleted. */
 import type {Service} from '@gullstand/core';
-import {registerObjects, type ObjectDomain} from '../objects/object-domain.js';
+import {registerObjects} from '../objects/object-domain.js';
+import type {ObjectDomain} from '../objects/types.js';
 import {serviceSchema} from '../objects/schemas.js';
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 
 const domain: ObjectDomain<Service> = {
 	name: 'service',
--- a/packages/daemon/src/operator/status/app.ts
+++ b/packages/daemon/src/operator/status/app.ts
@@ -1,5 +1,5 @@
 /** Status of one entry: revision, readiness, metrics. */
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 
 /** Registers the handlers of this domain. */
 export const registerStatus = (app: OperatorApp, deps: OperatorDeps) => {
--- a/packages/daemon/src/operator/waves/app.ts
+++ b/packages/daemon/src/operator/waves/app.ts
@@ -19,7 +19,7 @@
 	readJson,
 	type OperatorContext,
 } from '../objects/answers.js';
-import type {OperatorApp, OperatorDeps} from '../operator-app.js';
+import type {OperatorApp, OperatorDeps} from '../types.js';
 import {findWaveObstacles, previewWave, type PlanSources} from './plan-wave.js';
 import {
 	createSettings,
