Let a dark executor's wait outlive the owner

Cause: an owner waited one lease (5.2 s) from its own takeover for each executor of the roster that did not answer; with a takeover each 0.5 to 3 s that wait never ended, so that no inherited task started. The fleet holder's 3 s for executors that no list has shown began anew in the same way.

Change: the roster says since when nothing is granted on a dark executor, by the store's clock.

--- a/packages/core/src/scheduler/acknowledge.ts
+++ b/packages/core/src/scheduler/acknowledge.ts
@@ -2,11 +2,11 @@
  * What may be acknowledged to executors: ends are forgotten there once they
  * are acknowledged, so only those that the store has are.
  */
+import {takeRoster, type RosterEntry} from './dark.js';
 import type {Executor} from './executor.js';
 import type {Owner} from './owner-state.js';
 import {encodeProgress, type JobProgress} from './progress.js';
 import type {Job, JobEnd} from './task.js';
-import type {ListedExecutor} from './types.js';
 
 /** A job's progress that is on its way to the store. */
 export type StoredJob = {
@@ -20,12 +20,9 @@
 	readonly number: number;
 	readonly jobs: readonly StoredJob[];
 	/** All executors that may run tasks; absent if unchanged. */
-	readonly roster: readonly ListedExecutor[] | undefined;
+	readonly roster: readonly RosterEntry[] | undefined;
 };
 
-const listRoster = (owner: Owner): readonly ListedExecutor[] =>
-	[...owner.executors.values()].map(({listed}) => listed);
-
 /** Below the number of any flush: a part of the changes proves no end stored. */
 const noFlush = 0;
 
@@ -46,7 +43,7 @@
 		owner.dirty.delete(job);
 	}
 
-	const roster = owner.isRosterDirty ? listRoster(owner) : undefined;
+	const roster = owner.isRosterDirty ? takeRoster(owner) : undefined;
 	owner.isRosterDirty = false;
 	const number = owner.flush;
 	// Ends taken in from now on wait for a later flush.
@@ -100,7 +97,11 @@
 		job.storedEnd = end ?? job.storedEnd;
 	}
 
-	const rostered = new Set(flush.roster?.map(({id}) => id));
+	const rostered = new Set(
+		flush.roster
+			?.filter(({darkSince}) => darkSince === undefined)
+			.map(({listed}) => listed.id),
+	);
 	const executors = [...owner.executors.values()];
 	for (const executor of executors) {
 		executor.isRostered ||= rostered.has(executor.id);
--- a/packages/core/src/scheduler/executor.ts
+++ b/packages/core/src/scheduler/executor.ts
@@ -37,6 +37,10 @@
 	isRostered: boolean;
 	/** Since when it has left calls unanswered; absent while it answers. */
 	silentSince: number | undefined;
+	/** Its mark in the roster: since when nothing is granted there. */
+	darkSince: number | undefined;
+	/** The store has the mark, or may have it. */
+	isMarkSent: boolean;
 	clock: RemoteClock | undefined;
 	/** Latest lease end sent, by the executor's clock, answered or not. */
 	grantedUntil: number;
@@ -67,6 +71,8 @@
 	isAdopted: false,
 	isRostered: false,
 	silentSince: undefined,
+	darkSince: undefined,
+	isMarkSent: false,
 	clock: undefined,
 	grantedUntil: 0,
 	runs: new Map(),
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -8,6 +8,7 @@
 export * from './attempts.js';
 export * from './progress.js';
 export * from './executor.js';
+export * from './dark.js';
 export * from './advice.js';
 export * from './owner.js';
 export type * from './owner-state.js';
--- a/packages/core/src/scheduler/load.ts
+++ b/packages/core/src/scheduler/load.ts
@@ -110,8 +110,10 @@
 			all.map((each) => [each.id, describeExecutor(each)]),
 		),
 		silent: Object.fromEntries(
-			all.flatMap(({id, silentSince}) =>
-				silentSince === undefined ? [] : [[id, now - silentSince]],
+			all.flatMap(({id, silentSince, darkSince}) =>
+				silentSince === undefined
+					? []
+					: [[id, now - Math.min(silentSince, darkSince ?? silentSince)]],
 			),
 		),
 	};
--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -1,6 +1,7 @@
 /** What an executor's list of its runs and ends says, taken in by the owner. */
 import {match} from 'ts-pattern';
 import {countFailure} from './attempts.js';
+import {clearDark} from './dark.js';
 import {
 	addRun,
 	dropRun,
@@ -317,6 +318,7 @@
 	};
 	noteClock(executor, look.clockMs, look.receivedAt);
 	executor.silentSince = undefined;
+	clearDark(owner, executor);
 	executor.hasListedEnds = look.ends.length > 0;
 	takeEnds(owner, executor, look, changes);
 	takeRunning(owner, executor, look, changes);
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -235,14 +235,18 @@
 
 /**
  * An executor on which an earlier owner may have started tasks. Until it
- * answers, is replaced or `overAt` has passed, those may run there.
+ * answers, is replaced or `overAt` has passed, those may run there. One that
+ * was dark for an earlier owner is so since `darkSince`.
  */
 export const inheritExecutor = (
 	owner: Owner,
 	listed: ListedExecutor,
 	overAt: number,
+	darkSince?: number,
 ): void => {
 	const executor = createExecutor(listed);
+	executor.darkSince = darkSince;
+	executor.isMarkSent = darkSince !== undefined;
 	// The roster that names it is the one in the store.
 	executor.isRostered = true;
 	executor.isListed = false;
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -159,8 +159,7 @@
 		const mayWait = isQuiet && !state.isPoked && isBusy;
 		const waitMs = mayWait ? periods.lookWaitMs : 0;
 		state.isPoked = false;
-		// A silent executor is not granted more: its leases must come to an end.
-		const mayGrant = executor.silentSince === undefined && deps.isBelieved();
+		const mayGrant = scheduler.mayGrantLease(executor) && deps.isBelieved();
 		const leaseEndMs =
 			executor.runs.size > 0 && mayGrant
 				? scheduler.grantLease(executor, owner.cfg.taskLeaseMs, now())
--- a/packages/daemon/src/jobs/owner/flusher.test.ts
+++ b/packages/daemon/src/jobs/owner/flusher.test.ts
@@ -11,8 +11,11 @@
 	noLogger,
 	waitUntil,
 } from '../job-world.test.fixture.js';
+import {getMoment} from '../clock.js';
 import {createFlusher} from './flusher.js';
 
+const testClock = {now: () => performance.now(), epochNow: () => Date.now()};
+
 type Answer = Awaited<ReturnType<ports.RowStore['transact']>>;
 
 /** An owner with one end to store, and a store answered by the test. */
@@ -47,6 +50,8 @@
 		owner,
 		held: heldShard,
 		flushVersion: 0,
+		clock: testClock,
+		storeTime: {nowMs: 0, sent: getMoment(testClock)},
 		logger: noLogger,
 		onAckable(executors) {
 			acknowledged.push(...executors.map(({id}) => id));
@@ -143,6 +148,8 @@
 		owner,
 		held: heldShard,
 		flushVersion: 0,
+		clock: testClock,
+		storeTime: {nowMs: 0, sent: getMoment(testClock)},
 		logger: noLogger,
 		onAckable: () => undefined,
 		onStored(flush) {
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -6,9 +6,15 @@
 import {scheduler} from '@gullstand/core';
 import type {RowStore, RowTransaction, StoredRow} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
-import {delay} from '../clock.js';
+import {delay, getMoment, type Clock} from '../clock.js';
 import {periods} from '../periods.js';
-import {getLeaseCheck, singleKeys, tables} from '../rows/tables.js';
+import {getLatestStoreMs, type StoreTime} from '../rows/store-time.js';
+import {
+	getLeaseCheck,
+	singleKeys,
+	tables,
+	type RosterRow,
+} from '../rows/tables.js';
 import {isWithinSize} from '../rows/transaction-size.js';
 import type {HeldShard} from '../shards/held-shard.js';
 
@@ -21,6 +27,9 @@
 	readonly owner: scheduler.Owner;
 	readonly held: HeldShard;
 	readonly flushVersion: number;
+	readonly clock: Clock;
+	/** What the store's clock showed at the takeover. */
+	readonly storeTime: StoreTime;
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	/** Executors to which new ends are to be acknowledged. */
 	readonly onAckable: (executors: readonly scheduler.Executor[]) => void;
@@ -42,14 +51,25 @@
 
 /** Creates a flusher. */
 export const createFlusher = (deps: FlusherDeps): Flusher => {
-	const {store, owner, held, logger} = deps;
+	const {store, owner, held, logger, clock} = deps;
 	const part = held.shard;
 	const flushKey = {table: tables.owner, part, key: singleKeys.flush};
-	let {flushVersion} = deps;
+	let {flushVersion, storeTime} = deps;
 	let running: Promise<void> | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	const state = {isStopped: false, isDraining: false};
 
+	const toRosterRow = ({
+		listed,
+		darkSince,
+	}: scheduler.RosterEntry): RosterRow => ({
+		...listed,
+		darkSinceMs:
+			darkSince === undefined
+				? undefined
+				: getLatestStoreMs(clock, storeTime, darkSince),
+	});
+
 	const toTransaction = (flush: scheduler.Flush): RowTransaction => {
 		const puts = flush.jobs.map(({job, progress}) => ({
 			table: tables.progress,
@@ -61,7 +81,7 @@
 			table: tables.owner,
 			part,
 			key: singleKeys.roster,
-			value: JSON.stringify(flush.roster),
+			value: JSON.stringify(flush.roster.map((each) => toRosterRow(each))),
 		};
 		return {
 			checks: [getLeaseCheck(held), {...flushKey, version: flushVersion}],
@@ -103,9 +123,11 @@
 
 	const flushOnce = async (): Promise<boolean> => {
 		const {flush, transaction} = beginFlush();
+		const sent = getMoment(clock);
 		const result = await store.transact(transaction, periods.storeTimeoutMs);
 		if (result.ok) {
 			flushVersion = result.value.version;
+			storeTime = {nowMs: result.value.nowMs, sent};
 			deps.onAckable(scheduler.completeFlush(owner, flush));
 			deps.onStored(flush);
 			return true;
@@ -178,6 +200,8 @@
 			state.isDraining = true;
 			clearTimeout(timer);
 			await running;
+			// The next owner need not wait anew for those that have not answered.
+			scheduler.markDark(owner, 0, clock.now());
 			while (!state.isStopped && scheduler.needsFlush(owner)) {
 				if (!(await flushOnce())) {
 					return;
--- a/packages/daemon/src/jobs/owner/load-owner.test.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.test.ts
@@ -102,7 +102,7 @@
 			{
 				store,
 				cfg: scheduler.defaultSchedulerConfig,
-				now: () => state.now,
+				clock: {now: () => state.now, epochNow: () => state.now},
 				logger: noLogger,
 			},
 		);
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -3,6 +3,8 @@
 import type {RowStore, RowStoreError, StoredRow} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
+import {getMoment, type Clock} from '../clock.js';
+import type {StoreTime} from '../rows/store-time.js';
 import {readWhole} from '../rows/table-feed.js';
 import {decodeRows} from '../rows/decode-rows.js';
 import {
@@ -20,7 +22,7 @@
 	readonly store: RowStore;
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	readonly cfg: scheduler.SchedulerConfig;
-	readonly now: () => number;
+	readonly clock: Clock;
 };
 
 /** The state of a service just taken over. */
@@ -30,6 +32,7 @@
 	readonly version: number;
 	/** Version of the row that each flush rewrites; 0 if there is none. */
 	readonly flushVersion: number;
+	readonly storeTime: StoreTime;
 };
 
 type Rows = {
@@ -37,6 +40,7 @@
 	readonly progress: readonly StoredRow[];
 	readonly kept: readonly StoredRow[];
 	readonly version: number;
+	readonly storeTime: StoreTime;
 };
 
 /**
@@ -48,7 +52,7 @@
 const pageLimit = 100;
 
 const readRows = async (
-	store: RowStore,
+	{store, clock}: LoadDeps,
 	part: string,
 ): Promise<Result<Rows, RowStoreError>> => {
 	const readTable = async (table: string) =>
@@ -64,6 +68,7 @@
 		return progress;
 	}
 
+	const sent = getMoment(clock);
 	const kept = await readTable(tables.owner);
 	if (!kept.ok) {
 		return kept;
@@ -74,6 +79,7 @@
 		progress: progress.value.rows,
 		kept: kept.value.rows,
 		version: jobs.value.version,
+		storeTime: {nowMs: kept.value.nowMs, sent},
 	});
 };
 
@@ -86,15 +92,14 @@
 	{previous}: Pick<HeldShard, 'previous'>,
 	cfg: scheduler.SchedulerConfig,
 ): number => {
-	const granted =
-		cfg.taskLeaseMs * (1 + 2 * scheduler.maxSlowdown) + cfg.maxTransitMs;
+	const granted = scheduler.getGrantedMs(cfg);
 	return previous === 'silent' ? granted + cfg.ownerBeliefMs : granted;
 };
 
 const addJobs = (
 	owner: scheduler.Owner,
 	rows: Rows,
-	{logger, now}: LoadDeps,
+	{logger, clock: {now}}: LoadDeps,
 ): void => {
 	const jobRows = rows.jobs.filter(({key}) => !parseJobKey(key).isCancel);
 	for (const {value} of decodeRows(jobRows, jobSchema, logger)) {
@@ -131,13 +136,24 @@
 	owner: scheduler.Owner,
 	held: HeldShard,
 	rows: Rows,
-	{logger, cfg, now}: LoadDeps,
+	{logger, cfg, clock}: LoadDeps,
 ): void => {
 	const rosters = rows.kept.filter(({key}) => key === singleKeys.roster);
-	const overAt = now() + getInheritedMs(held, cfg);
+	const now = clock.now();
+	const inheritedMs = getInheritedMs(held, cfg);
 	for (const {value} of decodeRows(rosters, rosterSchema, logger)) {
-		for (const listed of value) {
-			scheduler.inheritExecutor(owner, listed, overAt);
+		for (const {darkSinceMs, ...listed} of value) {
+			const darkMs =
+				darkSinceMs === undefined
+					? undefined
+					: rows.storeTime.nowMs - darkSinceMs;
+			// A mark holds whoever owned the service since: see scheduler/dark.ts.
+			const restMs =
+				darkMs === undefined
+					? inheritedMs
+					: Math.min(inheritedMs, scheduler.getGrantedMs(cfg) - darkMs);
+			const darkSince = darkMs === undefined ? undefined : now - darkMs;
+			scheduler.inheritExecutor(owner, listed, now + restMs, darkSince);
 		}
 	}
 };
@@ -151,7 +167,7 @@
 	held: HeldShard,
 	deps: LoadDeps,
 ): Promise<Result<LoadedOwner, RowStoreError>> => {
-	const rows = await readRows(deps.store, held.shard);
+	const rows = await readRows(deps, held.shard);
 	if (!rows.ok) {
 		return rows;
 	}
@@ -160,7 +176,7 @@
 		service,
 		held.token,
 		deps.cfg,
-		deps.now(),
+		deps.clock.now(),
 	);
 	addJobs(owner, rows.value, deps);
 	addRoster(owner, held, rows.value, deps);
@@ -169,5 +185,6 @@
 		owner,
 		version: rows.value.version,
 		flushVersion: flush?.version ?? 0,
+		storeTime: rows.value.storeTime,
 	});
 };
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -210,6 +210,7 @@
 
 		const now = clock.now();
 		log.noteFreed(scheduler.expireLeases(owner, now), 'its lease is over');
+		scheduler.markDark(owner, scheduler.darkAfterMs, now);
 		matchLinks(owner);
 		if (isBelieved() && !state.isLettingGo) {
 			scheduler.advanceSchedules(owner, clock.epochNow());
@@ -290,7 +291,7 @@
 				store,
 				logger,
 				cfg,
-				now: clock.now,
+				clock,
 			});
 			if (loaded.ok) {
 				return loaded.value;
@@ -336,6 +337,8 @@
 			owner,
 			held,
 			flushVersion: loaded.flushVersion,
+			storeTime: loaded.storeTime,
+			clock,
 			logger,
 			onAckable(executors) {
 				for (const {id} of executors) {
--- a/packages/daemon/src/jobs/owner/repeated-takeovers.test.ts
+++ b/packages/daemon/src/jobs/owner/repeated-takeovers.test.ts
@@ -49,6 +49,7 @@
 const createWorld = () => {
 	const state = {now: 0, token: 0};
 	const now = () => state.now;
+	const clock = {now, epochNow: now};
 	const store = createClockedStore(now);
 
 	const takeOver = async (): Promise<HeldShard> => {
@@ -72,14 +73,14 @@
 		const loaded = await loadOwner('s', held, {
 			store,
 			cfg,
-			now,
+			clock,
 			logger: noLogger,
 		});
 		if (!loaded.ok) {
 			throw new Error('rows are not read');
 		}
 
-		const {owner, flushVersion} = loaded.value;
+		const {owner, flushVersion, storeTime} = loaded.value;
 		prepare(owner);
 		// An owner that finds another executor stores its roster.
 		scheduler.listExecutor(owner, createListed(`new-${held.token}`));
@@ -88,6 +89,8 @@
 			owner,
 			held,
 			flushVersion,
+			storeTime,
+			clock,
 			logger: noLogger,
 			onAckable: () => undefined,
 			onStored: () => undefined,
--- a/packages/daemon/src/jobs/rows/table-feed.ts
+++ b/packages/daemon/src/jobs/rows/table-feed.ts
@@ -11,17 +11,21 @@
 } from '@gullstand/ports';
 import {getKeyAfter} from './tables.js';
 
-/** All rows of a range, page by page, and the version of the first page. */
+/** Rows of a range as they were read. */
+export type WholeRange = {
+	readonly rows: readonly StoredRow[];
+	/** Version of the first page. */
+	readonly version: number;
+	/** The store's clock at the last page. */
+	readonly nowMs: number;
+};
+
+/** All rows of a range, page by page. */
 export const readWhole = async (
 	store: RowStore,
 	range: RowRange,
 	timeoutMs: number,
-): Promise<
-	Result<
-		{readonly rows: readonly StoredRow[]; readonly version: number},
-		RowStoreError
-	>
-> => {
+): Promise<Result<WholeRange, RowStoreError>> => {
 	const rows: StoredRow[] = [];
 	let version: number | undefined;
 	let from = range.from ?? '';
@@ -35,7 +39,7 @@
 		rows.push(...page.value.rows);
 		const last = page.value.rows.at(-1);
 		if (!page.value.hasMore || !last) {
-			return succeed({rows, version});
+			return succeed({rows, version, nowMs: page.value.nowMs});
 		}
 
 		from = getKeyAfter(last.key);
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -214,10 +214,16 @@
 	remainingMs: optional(z.number()),
 });
 
+/** An executor of the roster. */
+export type RosterRow = scheduler.ListedExecutor & {
+	/** Since when nothing is granted there, by the store's clock. */
+	readonly darkSinceMs?: number | undefined;
+};
+
 /** Form of the executors that may run tasks of a service. */
 export const rosterSchema = z.array(
-	listedExecutorSchema,
-) as unknown as z.ZodType<readonly scheduler.ListedExecutor[]>;
+	listedExecutorSchema.extend({darkSinceMs: z.number().optional()}),
+) as unknown as z.ZodType<readonly RosterRow[]>;
 
 /** Form of the key that seals messages between daemons. */
 export const peerKeySchema = z.object({
--- a/spec/owner.pml
+++ b/spec/owner.pml
@@ -10,6 +10,10 @@
  * deposed owner so: the row of the last flush alone keeps it from harm. `expire` is the end of all leases granted on an
  * executor so far: starts under way are too late from then on.
  *
+ * A dark executor is marked in the store, by a flush: nothing is granted there
+ * from then on until a flush without the mark is stored. `mark over` is the end
+ * of all that was granted before the mark, which the next owner may count on.
+ *
  * property one_run: No work doubled: a task never runs on two executors at once.
  * property done_is_final: No work doubled: a task whose end was acknowledged, by an executor whose lease had not lapsed since, is not started again.
  * property ack_is_stored: No work lost: an end that an executor forgets is in the store.
@@ -17,6 +21,7 @@
  * config two-owners: -DOWNERS=2 -DSTARTS0=2 -DSTARTS1=1 -DFLUSHES0=2 -DFLUSHES1=1
  * config late-ack: -DOWNERS=2 -DSTARTS0=2 -DSTARTS1=0 -DFLUSHES0=0 -DFLUSHES1=1
  * config one-executor: -DOWNERS=2 -DSTARTS0=1 -DSTARTS1=1 -DFLUSHES0=2 -DFLUSHES1=1 -DONE_EXECUTOR
+ * config marks: -DOWNERS=2 -DSTARTS0=1 -DSTARTS1=1 -DFLUSHES0=2 -DFLUSHES1=0 -DMARKS
  *
  * mutation fence_on_look (two-owners) breaks one_run: a look does not raise the executor's fencing token
  * mutation resolve_all (two-owners) breaks one_run: starts before each executor of the roster has answered or expired
@@ -27,6 +32,9 @@
  * mutation resolve_before_ack (late-ack) breaks done_is_final: acknowledges while an executor that the owner before may use has not answered
  * mutation flush_checks_flush (one-executor) breaks ack_is_stored: a flush does not check the row of the last flush
  * mutation read_after_lease (one-executor) breaks done_is_final: the rows are read before the lease is taken
+ * mutation unmark_before_grant (marks) breaks one_run: an executor that answers again is granted something before its mark is taken back in the store
+ * mutation no_grant_while_marked (marks) breaks one_run: a lease is renewed on an executor whose mark was sent
+ * mutation flush_checks_lease (marks) breaks one_run: a deposed owner takes back a mark
  */
 #define EXECUTORS 2
 /* Starts and flushes of the first and of the second owner. */
@@ -52,6 +60,22 @@
 byte flushSent[4];        /* index owner * 2 + number */
 bool flushDone[4];
 
+#ifdef MARKS
+/* Executor 0 may be marked as dark. */
+bool isMarked;       /* in the store */
+bool isMarkTaken;    /* the time of the one mark was taken */
+bool isMarkOver;     /* what was granted before the mark has come to an end */
+bool grantedSince;   /* something was granted after that time */
+bool flushMark[4];   /* a flush with the mark */
+bool flushStored[4];
+#define MARKED 1
+#define ANSWERS 2    /* it answers, and its mark may be in the store */
+/* The first owner starts on executor 0, the second on the other one. */
+#define GRANT(e) (e == me && mark * (1 - e) == 0)
+#else
+#define GRANT(e) true
+#endif
+
 /* What an owner knows of an executor. */
 #define UNRESOLVED 0
 #define FREE 1
@@ -82,11 +106,17 @@
 	if
 #ifdef MUTATE_flush_checks_flush
 	:: leaseToken == o + 1 ->
+#elif defined(MUTATE_flush_checks_lease)
+	:: flushSent[i] == flushVersion + 1 ->
 #else
 	:: leaseToken == o + 1 && flushSent[i] == flushVersion + 1 ->
 #endif
 		flushVersion++;
 		doneStored = flushDone[i];
+#ifdef MARKS
+		flushStored[i] = true;
+		isMarked = flushMark[i];
+#endif
 		assert(!acked || doneStored) // ack_is_stored
 	:: else
 	fi
@@ -102,10 +132,12 @@
 		if
 		:: startSent[o * 2 + e] != 0 -> runStart(o, e)
 		:: flushSent[o * 2 + e] != 0 -> runFlush(o * 2 + e, o)
+#ifndef MARKS /* ends are in the other configurations */
 		:: running[e] != 0 -> /* the task is done */
 			barred[e] = running[e];
 			running[e] = 0;
 			endDone[e] = true
+#endif
 		:: else
 		fi;
 		o = 0;
@@ -125,6 +157,19 @@
 		fi;
 		e = 0
 	}
+#ifdef MARKS
+	:: atomic { /* what was granted on executor 0 before its mark ends */
+		isMarkTaken && !isMarkOver ->
+		isMarkOver = true;
+		if
+		:: !grantedSince ->
+			running[0] = 0;
+			startSent[0] = 0;
+			startSent[2] = 0
+		:: grantedSince
+		fi
+	}
+#endif
 	od
 }
 
@@ -134,6 +179,16 @@
 		fence[e] <= me + 1;
 #ifndef MUTATE_fence_on_look
 		fence[e] = me + 1;
+#endif
+#ifdef MARKS
+		if
+#ifdef MUTATE_unmark_before_grant
+		:: e == 0 && mark == MARKED -> mark = 0
+#else
+		:: e == 0 && mark == MARKED -> mark = ANSWERS
+#endif
+		:: else
+		fi;
 #endif
 		if
 		:: endDone[e] -> seen = true; known[e] = FREE
@@ -169,26 +224,42 @@
 	bool seen;      /* the task is known to be done */
 	bool stored;    /* and that is known to be stored */
 	byte e;
+#ifdef MARKS
+	byte mark;      /* MARKED, ANSWERS or 0 */
+	byte unmark;    /* number of the first flush after it answered, plus 1 */
+	bool wasMarked; /* the mark that was read */
+#endif
 
 #ifdef ONE_EXECUTOR
 	known[1] = FREE;
 #endif
+#ifdef MARKS
+	known[1] = (me == 0 -> FREE : UNRESOLVED);
+#endif
 #ifdef MUTATE_read_after_lease
 	atomic { seen = doneStored; stored = doneStored; version = flushVersion };
 	atomic { leaseToken == me -> leaseToken = me + 1 };
 #else
 	atomic { leaseToken == me -> leaseToken = me + 1 };
-	atomic { seen = doneStored; stored = doneStored; version = flushVersion };
+	atomic { seen = doneStored; stored = doneStored; version = flushVersion
+#ifdef MARKS
+		; wasMarked = isMarked; mark = (isMarked -> MARKED : 0)
+#endif
+	};
 #endif
 	do
 	:: look(0)
-#ifndef ONE_EXECUTOR
+#ifdef MARKS
+	:: me == 1 -> look(1)
+#elif !defined(ONE_EXECUTOR)
 	:: look(1)
 #endif
+#ifndef MARKS
 	:: bar(0)
 #ifndef ONE_EXECUTOR
 	:: bar(1)
 #endif
+#endif
 #ifdef MUTATE_bar_unanswered
 	:: known[0] == MAY_RUN && started > 0 -> known[0] = FREE
 #endif
@@ -202,6 +273,9 @@
 		:: known[e] == MAY_RUN -> known[e] = FREE
 #else
 		:: isGone[e] -> known[e] = FREE
+#ifdef MARKS
+		:: e == 0 && wasMarked && isMarkOver && known[0] == UNRESOLVED -> known[0] = FREE
+#endif
 #endif
 		:: else
 		fi;
@@ -211,13 +285,16 @@
 		pick(e);
 		if
 #ifdef MUTATE_resolve_all
-		:: !seen && known[e] == FREE && known[1 - e] != MAY_RUN && started < STARTS(me) && !isGone[e] ->
+		:: !seen && known[e] == FREE && known[1 - e] != MAY_RUN && started < STARTS(me) && !isGone[e] && GRANT(e) ->
 #else
-		:: !seen && known[0] == FREE && known[1] == FREE && started < STARTS(me) && !isGone[e] ->
+		:: !seen && known[0] == FREE && known[1] == FREE && started < STARTS(me) && !isGone[e] && GRANT(e) ->
 #endif
 			started++;
 			known[e] = MAY_RUN;
-			startSent[me * 2 + e] = (me + 1) * 4 + started
+			startSent[me * 2 + e] = (me + 1) * 4 + started;
+#ifdef MARKS
+			grantedSince = grantedSince || (e == 0 && isMarkTaken)
+#endif
 		:: else
 		fi;
 		e = 0
@@ -226,6 +303,15 @@
 		flushes < FLUSHES(me) ->
 		flushSent[me * 2 + flushes] = version + 1;
 		flushDone[me * 2 + flushes] = seen;
+#ifdef MARKS
+		if /* it is found dark, or still is */
+		:: mark == 0 && !isMarkTaken -> mark = MARKED
+		:: mark != ANSWERS
+		:: mark == ANSWERS && unmark == 0 -> unmark = flushes + 1
+		fi;
+		flushMark[me * 2 + flushes] = (mark == MARKED);
+		isMarkTaken = isMarkTaken || mark == MARKED;
+#endif
 		flushes++
 	}
 	:: atomic { /* the answer to a flush, or the row read back */
@@ -233,6 +319,23 @@
 		version = flushVersion;
 		stored = doneStored
 	}
+#ifdef MARKS
+	:: atomic { /* the mark is taken back in the store */
+		mark == ANSWERS && unmark > 0 && flushStored[me * 2 + unmark - 1] ->
+		mark = 0;
+		unmark = 0
+	}
+	:: atomic { /* renew the lease of what runs on executor 0 */
+#ifdef MUTATE_no_grant_while_marked
+		me == 0 && known[0] == MAY_RUN && running[0] != 0 && fence[0] <= me + 1 && !isGone[0] ->
+#else
+		me == 0 && known[0] == MAY_RUN && running[0] != 0 && fence[0] <= me + 1 && !isGone[0] && mark == 0 ->
+#endif
+		fence[0] = me + 1;
+		grantedSince = grantedSince || isMarkTaken
+	}
+#endif
+#ifndef MARKS
 	:: atomic { /* acknowledge an end */
 		pick(e);
 		if
@@ -252,6 +355,7 @@
 		fi;
 		e = 0
 	}
+#endif
 	:: break /* it crashes, or learns that it is deposed */
 	od
 }
