Tell from log lines why jobs were late, one by one and by queue

A job's time is split into legs (accepted, owner told, first start, running, between steps, stored), and the leg that took most beyond the work itself is the cause; its objective is reckoned from the runs as they turned out, since callers' estimates are off by up to 0.9 and would count work that is in time as late. Lines lacked the parts of the objective; 'job taken in' tells them.

--- a/packages/cli/src/commands/job.ts
+++ b/packages/cli/src/commands/job.ts
@@ -6,6 +6,7 @@
 import {show} from './answer.js';
 import {call, type Fields, type Format} from './call.js';
 import {addTargetFlags, type Io, type TargetFlags} from './io.js';
+import {registerJobLogs} from './job-logs.js';
 
 const idBytes = 8;
 
@@ -71,6 +72,7 @@
 			const path = getPath(queue, id);
 			await call({method: 'DELETE', path}, flags, io, formatJob);
 		});
+	registerJobLogs(group, io);
 	addTargetFlags(program.command('explain <queue> <id>'))
 		.description('why each task of a job runs, waits or is not placed')
 		.action(async (queue: string, id: string, flags: TargetFlags) => {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,6 +28,7 @@
 export * as retryBudget from './retry/budget.js';
 export * as connectionReuse from './connections/reuse.js';
 export * as connectionSilence from './connections/silence.js';
+export * as jobLegs from './job-legs/index.js';
 export * as attemptOutcome from './outcome/attempt-outcome.js';
 export * as idempotency from './idempotency/index.js';
 export type * from './types/store-write.js';
--- /dev/null
+++ b/packages/core/src/job-legs/index.ts
@@ -0,0 +1,3 @@
+/** Where the time of jobs went, from the log lines of all entries. */
+export * from './read-jobs.js';
+export * from './job-legs.js';
--- a/packages/core/src/scheduler/rank.ts
+++ b/packages/core/src/scheduler/rank.ts
@@ -47,14 +47,16 @@
 	});
 };
 
-const computeObjectiveMs = ({spec, policy}: AcceptedJob): number => {
-	const {steps} = spec;
-	const chain = getChainMs(
+/** Estimated time of the longest chain of steps, in milliseconds. */
+export const getWholeChainMs = ({spec: {steps}}: AcceptedJob): number =>
+	getChainMs(
 		steps.map((each) => ({spec: each})),
 		(number) => steps[number]?.estimateMs ?? 0,
 	);
-	return policy.stretch * chain + policy.targetLatencyMs;
-};
+
+const computeObjectiveMs = (accepted: AcceptedJob): number =>
+	accepted.policy.stretch * getWholeChainMs(accepted) +
+	accepted.policy.targetLatencyMs;
 
 /** Never changes, and is asked for each open job in each plan. */
 const objectives = new WeakMap<AcceptedJob, number>();
--- a/packages/daemon/src/jobs/owner/row-intake.ts
+++ b/packages/daemon/src/jobs/owner/row-intake.ts
@@ -29,18 +29,19 @@
 
 	// Older than the lease: an earlier owner may have started its tasks.
 	const isInherited = row.version < held.version;
-	const {accepted} = scheduler.addJob(
-		owner,
-		decoded.value,
-		isInherited,
-		clock.now(),
-	);
+	const job = scheduler.addJob(owner, decoded.value, isInherited, clock.now());
+	const {accepted} = job;
 	logger.info('job taken in', {
 		job: row.key,
 		queue: accepted.policy.queue,
 		version: row.version,
 		ageMs: Math.round(clock.epochNow() - accepted.acceptedAtEpochMs),
 		steps: accepted.spec.steps.length,
+		chainMs: Math.round(scheduler.getWholeChainMs(accepted)),
+		stretch: accepted.policy.stretch,
+		targetLatencyMs: accepted.policy.targetLatencyMs,
+		work: Math.round(job.totalWork),
+		isLasting: scheduler.isLasting(job),
 	});
 };
 
