Size pools by what can still be in time, and yield at once

Hypothesis: a queue whose turn is over keeps its machines, since its backlog of late jobs asks for all of them; the next queue's rise then waits two to three seconds for room.

Change: what is late counts for no target, headroom or surge and gets what nobody else wants; a pool yields after 200 ms of surplus; a job that runs is judged by the progress of its tasks.

--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -6,6 +6,7 @@
 	surge: 0,
 	minCpu: 1000,
 	minShare: 0,
+	lateDrainMs: 1000,
 	spareMachines: 0,
 	shrinkAfterMs: 1000,
 	yieldAfterMs: 500,
@@ -36,6 +37,7 @@
 	pool,
 	waitingCpu: 0,
 	usedCpu: 0,
+	late: {waitingCpu: 0, usedCpu: 0, work: 0},
 	arrivingCpu: 0,
 	minMachines: 0,
 	...changes,
@@ -213,6 +215,75 @@
 		],
 		moves: ['s1 to p'],
 	},
+	{
+		name: 'work that is late asks for no machine while another pool lacks',
+		demands: [
+			createDemand('p', {
+				waitingCpu: 9000,
+				late: {waitingCpu: 9000, usedCpu: 0, work: 9_000_000},
+			}),
+			createDemand('r', {waitingCpu: 4000}),
+		],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'r'),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+		],
+		moves: ['s1 to r', 's2 to r'],
+	},
+	{
+		name: 'a pool at late work yields to one that can be in time',
+		demands: [
+			createDemand('p', {
+				usedCpu: 3000,
+				late: {waitingCpu: 0, usedCpu: 3000, work: 3_000_000},
+			}),
+			createDemand('r', {waitingCpu: 2000}),
+		],
+		machines: [
+			createMachine('a', 'p', {runs: 3}),
+			createMachine('b', 'p', {runs: 1}),
+			createMachine('c', 'p', {runs: 2}),
+			createMachine('d', 'r'),
+		],
+		surplusMs: 500,
+		moves: ['b to r'],
+	},
+	{
+		name: 'late work gets what nobody else wants, to be done in its time',
+		demands: [
+			createDemand('p', {
+				waitingCpu: 9000,
+				late: {waitingCpu: 9000, usedCpu: 0, work: 2_000_000},
+			}),
+			createDemand('r'),
+		],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'r'),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+			createMachine('s3', 'standby'),
+		],
+		moves: ['s1 to p', 's2 to p'],
+	},
+	{
+		name: 'what late work holds is not given to standby',
+		demands: [
+			createDemand('p', {
+				usedCpu: 2000,
+				late: {waitingCpu: 0, usedCpu: 2000, work: 1_000_000},
+			}),
+		],
+		machines: [
+			createMachine('a', 'p', {runs: 2}),
+			createMachine('b', 'p', {runs: 1}),
+			createMachine('c', 'p'),
+		],
+		surplusMs: 1000,
+		moves: ['c to standby'],
+	},
 	{
 		name: 'machines that are away are no surplus',
 		demands: [createDemand('p', {usedCpu: 1000})],
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -19,15 +19,19 @@
 	/**
 	 * Room that each pool with queues keeps at the least, in thousandths of a
 	 * core: what the first second of a rise asks for, since machines that are
-	 * sent for take two. Measured: 3 machines of 32 cores and 6 of 16 are best.
+	 * sent for take two.
 	 */
 	readonly minCpu: number;
 	/**
 	 * The same as a part of what each pool would have if all machines were
-	 * shared out evenly: a rise in a larger fleet asks for more. Measured: 15 of
-	 * 49 machines in place of 3 bring 0.83 of the worth in time, not 0.56.
+	 * shared out evenly: a rise in a larger fleet asks for more.
 	 */
 	readonly minShare: number;
+	/**
+	 * Time within which late work is done with machines that nobody else wants,
+	 * in milliseconds: they cost about what late work is still worth.
+	 */
+	readonly lateDrainMs: number;
 	/** Idle machines kept beyond the demand. */
 	readonly spareMachines: number;
 	/** Time for which a pool must have had too many before it shrinks. */
@@ -35,8 +39,8 @@
 	/** The same where another pool lacks machines that standby cannot give. */
 	readonly yieldAfterMs: number;
 	/**
-	 * Moves that may always be under way at once. With 16 the fourth look at a
-	 * rise found none left, and the pool waited two seconds for the next.
+	 * Moves that may always be under way at once: each look at a rise should find
+	 * some left.
 	 */
 	readonly maxMoves: number;
 	/** The same as a part of all machines; the larger one holds. */
@@ -49,9 +53,10 @@
 	surge: 2,
 	minCpu: 96_000,
 	minShare: 0.31,
+	lateDrainMs: 4000,
 	spareMachines: 1,
 	shrinkAfterMs: 1000,
-	yieldAfterMs: 1000,
+	yieldAfterMs: 200,
 	maxMoves: 40,
 	maxMoveShare: 0.35,
 };
@@ -63,6 +68,13 @@
 	readonly waitingCpu: number;
 	/** Of what runs. */
 	readonly usedCpu: number;
+	/** Of both, what is of jobs that can't meet their objective any more. */
+	readonly late: {
+		readonly waitingCpu: number;
+		readonly usedCpu: number;
+		/** Work that is left, in cpu-milliseconds. */
+		readonly work: number;
+	};
 	/** Work handed in lately, as the cores that it keeps busy. */
 	readonly arrivingCpu: number;
 	/** Machines that its tasks need because they must be apart. */
@@ -138,21 +150,33 @@
 	);
 };
 
-/** Machines that a demand needs. */
+/** Machines that a demand needs for the jobs that can still be in time. */
 const getTarget = (
 	demand: PoolDemand,
 	machineCpu: number,
 	least: number,
 	cfg: PoolConfig,
 ): number => {
-	const present = demand.usedCpu + demand.waitingCpu;
+	const waiting = demand.waitingCpu - demand.late.waitingCpu;
+	const present = demand.usedCpu - demand.late.usedCpu + waiting;
 	const wanted =
 		Math.max(present, demand.arrivingCpu) * cfg.headroom +
-		demand.waitingCpu * cfg.surge;
+		waiting * cfg.surge;
 	const machines = Math.ceil(wanted / machineCpu) + cfg.spareMachines;
 	return Math.max(least, demand.minMachines, machines);
 };
 
+/** Machines beyond these that late work may have while nobody else wants them. */
+const getLateMachines = (
+	{late}: PoolDemand,
+	machineCpu: number,
+	{lateDrainMs}: PoolConfig,
+): number =>
+	Math.floor(
+		Math.min(late.waitingCpu + late.usedCpu, late.work / lateDrainMs) /
+			machineCpu,
+	);
+
 /**
  * Whether a machine serves its pool or soon will. One that is down or emptied
  * for maintenance does not: a pool with 23 of its 48 machines emptied for a
@@ -248,6 +272,48 @@
 	}
 };
 
+/** Machines that a pool is over its target after the moves planned so far. */
+const countOver = ({moves}: Ledger, pool: string, over: number): number => {
+	const come = moves.filter(({to}) => to === pool).length;
+	const go = moves.filter(({from}) => from === pool).length;
+	return over + come - go;
+};
+
+/** Gives late work the standby machines that no pool lacks. */
+const serveLate = (
+	ledger: Ledger,
+	surplus: ReadonlyMap<string, number>,
+	late: ReadonlyMap<string, number>,
+): void => {
+	const {standbyPool} = ledger.situation;
+	const isLacking = [...surplus].some(
+		([pool, over]) => countOver(ledger, pool, over) < 0,
+	);
+	if (isLacking) {
+		return;
+	}
+
+	for (const [pool, over] of surplus) {
+		let wanted = (late.get(pool) ?? 0) - countOver(ledger, pool, over);
+		while (wanted > 0 && take(ledger, standbyPool, pool)) {
+			wanted -= 1;
+		}
+	}
+};
+
+/** Gives machines back that neither the target nor late work holds. */
+const shrink = (
+	ledger: Ledger,
+	pool: string,
+	over: number,
+	late: number,
+): void => {
+	let left = countOver(ledger, pool, over) - late;
+	while (left > 0 && take(ledger, pool, ledger.situation.standbyPool)) {
+		left -= 1;
+	}
+};
+
 /** Plans moves for the demand of this moment. */
 export const planPools = (
 	situation: PoolSituation,
@@ -264,6 +330,12 @@
 			getTarget(demand, machineCpu, least, cfg),
 		]),
 	);
+	const late = new Map(
+		demands.map((demand) => [
+			demand.pool,
+			getLateMachines(demand, machineCpu, cfg),
+		]),
+	);
 	const surplus = new Map(
 		[...targets].map(([pool, target]) => [
 			pool,
@@ -302,12 +374,10 @@
 		fill(ledger, pool, -over);
 	}
 
-	const shrinking = [...surplus.keys()].filter((pool) =>
-		hasSurplusFor(pool, cfg.shrinkAfterMs),
-	);
-	for (const pool of shrinking) {
-		while (take(ledger, pool, standbyPool)) {
-			// Each turn of the loop gives one machine back.
+	serveLate(ledger, surplus, late);
+	for (const [pool, over] of surplus) {
+		if (hasSurplusFor(pool, cfg.shrinkAfterMs)) {
+			shrink(ledger, pool, over, late.get(pool) ?? 0);
 		}
 	}
 
--- a/packages/core/src/scheduler/load.ts
+++ b/packages/core/src/scheduler/load.ts
@@ -1,7 +1,8 @@
 /** How much the queues of a service ask for, for the sizes of its pool. */
-import type {Executor} from './executor.js';
+import {getDemand, type Executor} from './executor.js';
 import type {Arrivals, Owner} from './owner-state.js';
 import {listUsable} from './place.js';
+import {isLate} from './rank.js';
 import {isStepOpen, isWaiting, type Job} from './task.js';
 
 /** Load of one executor. */
@@ -12,12 +13,22 @@
 	readonly usedCpu: number;
 };
 
+/** The part of a load that is of late jobs; cpu in thousandths of a core. */
+export type LateLoad = {
+	readonly waitingCpu: number;
+	readonly usedCpu: number;
+	/** Work that is left, in cpu-milliseconds. */
+	readonly work: number;
+};
+
 /** Load of a service; cpu in thousandths of a core. */
 export type ServiceLoad = {
 	/** Of the tasks that wait and may start. */
 	readonly waitingCpu: number;
 	/** Of what runs. */
 	readonly usedCpu: number;
+	/** Of both, what is of jobs that can't meet their objective any more. */
+	readonly late: LateLoad;
 	/** Of all executors that may take work. */
 	readonly capacityCpu: number;
 	/** Work handed in lately, as the cores that it keeps busy. */
@@ -75,6 +86,18 @@
 	return waiting;
 };
 
+const getUsedCpu = (job: Job): number => {
+	let used = 0;
+	for (const {steps} of job.occurrences.values()) {
+		for (const step of steps) {
+			const runs = step.tasks.reduce((sum, task) => sum + task.runs.length, 0);
+			used += runs * getDemand(step).cpuMillis;
+		}
+	}
+
+	return used;
+};
+
 const getMinExecutors = (job: Job): number => {
 	let most = 0;
 	for (const {steps} of job.occurrences.values()) {
@@ -93,13 +116,27 @@
 const sum = (values: readonly number[]): number =>
 	values.reduce((total, value) => total + value, 0);
 
+const describeLate = (owner: Owner, epochNow: number): LateLoad => {
+	const late = [...owner.openJobs].filter((job) => isLate(job, epochNow));
+	return {
+		waitingCpu: sum(late.map((job) => getWaitingCpu(job))),
+		usedCpu: sum(late.map((job) => getUsedCpu(job))),
+		work: sum(late.map(({remainingWork}) => remainingWork)),
+	};
+};
+
 /** Describes the load of a service now. */
-export const describeLoad = (owner: Owner, now: number): ServiceLoad => {
+export const describeLoad = (
+	owner: Owner,
+	now: number,
+	epochNow: number,
+): ServiceLoad => {
 	const all = [...owner.executors.values()];
 	const usable = listUsable(owner, now);
 	return {
 		waitingCpu: sum([...owner.openJobs].map((job) => getWaitingCpu(job))),
 		usedCpu: sum(all.map(({used}) => used.cpuMillis)),
+		late: describeLate(owner, epochNow),
 		capacityCpu: sum(usable.map(({listed}) => listed.capacity.cpuMillis)),
 		arrivingCpu: getArrivingCpu(owner.arrivals, now),
 		minExecutors: Math.max(
--- a/packages/core/src/scheduler/rank.ts
+++ b/packages/core/src/scheduler/rank.ts
@@ -4,7 +4,7 @@
  * work that is left. Source: docs/design/platform-programs.md.
  */
 import type {Owner} from './owner-state.js';
-import {isLasting, type Job, type Step} from './task.js';
+import {isLasting, type Job, type Step, type Task} from './task.js';
 import type {AcceptedJob} from './types.js';
 
 /** Times the objective up to which a late answer is still worth something. */
@@ -37,13 +37,24 @@
 	return Math.max(0, ...ends);
 };
 
+const whollyDone = 100;
+
+const getPercent = ({isDone, runs}: Task): number =>
+	isDone ? whollyDone : Math.max(0, ...runs.map(({percent}) => percent));
+
+/** Estimated time until the last task of a step has ended. */
+const getStepRestMs = ({spec, tasks}: Step): number => {
+	const least = Math.min(whollyDone, ...tasks.map((task) => getPercent(task)));
+	return spec.estimateMs * (1 - least / whollyDone);
+};
+
 /** Estimated time that the occurrence in hand still takes, in milliseconds. */
 export const getRemainingChainMs = (job: Job): number => {
 	const [occurrence] = job.occurrences.values();
 	const steps = occurrence?.steps ?? [];
 	return getChainMs(steps, (number) => {
 		const step = steps[number];
-		return step && step.doneCount < step.spec.count ? step.spec.estimateMs : 0;
+		return step ? getStepRestMs(step) : 0;
 	});
 };
 
@@ -92,6 +103,12 @@
 	return expected <= objective * lateUntilFactor ? 'late' : 'worthless';
 };
 
+/** Whether a job can't meet its objective any more, by the estimates. */
+export const isLate = (job: Job, epochNow: number): boolean => {
+	const standing = getStanding(job, epochNow);
+	return standing === 'late' || standing === 'worthless';
+};
+
 /** Work left for each unit of value; less is better. */
 const getWorkPerValue = (owner: Owner, job: Job): number => {
 	const mean = owner.meanWork.get(job.accepted.policy.queue);
--- a/packages/daemon/src/jobs/fleet/pool-round.ts
+++ b/packages/daemon/src/jobs/fleet/pool-round.ts
@@ -151,6 +151,7 @@
 			pool,
 			waitingCpu: load.waitingCpu,
 			usedCpu: load.usedCpu,
+			late: load.late,
 			arrivingCpu: load.arrivingCpu,
 			minMachines: load.minExecutors,
 		}));
--- a/packages/daemon/src/jobs/fleet/wave-round.test.ts
+++ b/packages/daemon/src/jobs/fleet/wave-round.test.ts
@@ -36,6 +36,7 @@
 	waitingCpu: 0,
 	usedCpu: 0,
 	capacityCpu: 0,
+	late: {waitingCpu: 0, usedCpu: 0, work: 0},
 	arrivingCpu: 0,
 	minExecutors: 0,
 	executors: {},
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -383,7 +383,8 @@
 	};
 
 	const getLoad = (): scheduler.ServiceLoad | undefined =>
-		owner && scheduler.describeLoad(owner, clock.now());
+		owner &&
+		scheduler.describeLoad(owner, clock.now(), clock.epochNow());
 
 	return {
 		start,
