Draw what was lost by cause, and the room of a pool over time

The fleet's holder tells each second what each pool holds and is asked for: until now that stood only in lines about moves, so that a pool which got none while its queue waited left no trace. Two charts are drawn from the lines by the command line.

--- /dev/null
+++ b/packages/cli/src/commands/job-logs.test.ts
@@ -0,0 +1,87 @@
+/** Ledger and charts from lines as a collector keeps them. */
+import {jobLegs} from '@gullstand/core';
+import * as tap from 'tap';
+import {
+	formatLedger,
+	formatLegs,
+	parseLines,
+	plotCauses,
+	plotRoom,
+} from './job-logs.js';
+
+const id = '0a17ce1d69eaa20e';
+
+const toLine = (ms: number, message: string, fields: object): string =>
+	` 1.0 entry-1 ${JSON.stringify({
+		timestamp: new Date(ms).toISOString(),
+		message,
+		shard: 'service/s',
+		...fields,
+	})}`;
+
+const intake = {
+	job: id,
+	queue: 'q',
+	stretch: 2,
+	targetLatencyMs: 600,
+	chainMs: 500,
+	work: 800,
+	isLasting: false,
+};
+
+const task = {task: `${id}.0.0.0`, run: 1};
+
+const text = [
+	'not one of ours',
+	'{"cut off',
+	toLine(10, 'call answered', {
+		call: 'submit',
+		job: id,
+		outcome: 'ok',
+		tookMs: 10,
+	}),
+	toLine(12, 'job taken in', intake),
+	toLine(3005, 'task start', {...task, outcome: 'started', tookMs: 5}),
+	toLine(3500, 'task end', {...task, how: 'done'}),
+	toLine(3510, 'job ended', {job: id, end: 'completed'}),
+	toLine(20, 'pools', {pools: {s: {held: 2, target: 3, asked: 4.5}}}),
+	toLine(1020, 'pools', {pools: {s: {held: 5, target: 5, asked: 4}}}),
+].join('\n');
+
+const lines = parseLines(text);
+
+const all = jobLegs.readJobs(lines);
+
+tap.t.test('only lines that an entry wrote are read', async (t) => {
+	t.equal(lines.length, 7);
+});
+
+tap.t.test('the ledger names the cause', async (t) => {
+	t.same(formatLedger(all), [
+		'q: 1 jobs, 0 in time; lost of the work asked for',
+		'  100.0% no room for its first task',
+	]);
+});
+
+tap.t.test('the legs of one job', async (t) => {
+	t.same(formatLegs(all, id), [
+		`${id} q completed, objective 1600 ms`,
+		'  accept 10 ms',
+		'  tell 2 ms',
+		'  firstStart 2988 ms',
+		'  running 500 ms',
+		'  between 0 ms',
+		'  store 10 ms',
+		'  lost: no room for its first task',
+	]);
+	t.same(formatLegs(all, 'ffff'), ['ffff is in none of these lines']);
+});
+
+tap.t.test('charts', async (t) => {
+	const causes = plotCauses(all, jobLegs.readJobs([]));
+	t.match(causes, /^<svg .*<\/svg>\n$/sv);
+	t.ok(causes.includes('no room for its first task'));
+	t.ok(causes.includes('100.0%'));
+	const room = plotRoom(lines, 's');
+	t.equal(room.match(/<polyline/gv)?.length, 2);
+});
--- a/packages/cli/src/commands/job-logs.ts
+++ b/packages/cli/src/commands/job-logs.ts
@@ -1,7 +1,8 @@
 /** `gullstand job ledger|legs`: where time went, from the entries' log lines. */
-import {readFile} from 'node:fs/promises';
+import {readFile, writeFile} from 'node:fs/promises';
 import {jobLegs} from '@gullstand/core';
 import type {Command} from 'commander';
+import {drawBars, drawLines} from '../plots/svg.js';
 import type {Io} from './io.js';
 
 /** Standard input, for a collector's output. */
@@ -27,16 +28,20 @@
 export const parseLines = (text: string): readonly jobLegs.LogLine[] =>
 	text.split('\n').flatMap((line) => parseLine(line));
 
-const readLogs = async (
+const readLines = async (
 	files: readonly string[],
-): Promise<jobLegs.LoggedJobs> => {
+): Promise<readonly jobLegs.LogLine[]> => {
 	const sources = files.length > 0 ? files : [standardInput];
 	const texts = await Promise.all(
 		sources.map(async (each) => readFile(each as string, 'utf8')),
 	);
-	return jobLegs.readJobs(texts.flatMap((text) => parseLines(text)));
+	return texts.flatMap((text) => parseLines(text));
 };
 
+const readLogs = async (
+	files: readonly string[],
+): Promise<jobLegs.LoggedJobs> => jobLegs.readJobs(await readLines(files));
+
 const formatShare = (share: number): string =>
 	`${(percent * share).toFixed(1).padStart(5)}%`;
 
@@ -72,6 +77,43 @@
 	];
 };
 
+const msPerSecond = 1000;
+
+/** A chart of what two sets of lines lost, by cause. */
+export const plotCauses = (
+	before: jobLegs.LoggedJobs,
+	after: jobLegs.LoggedJobs,
+): string => {
+	const [first, second] = [before, after].map((all) =>
+		jobLegs.sumCauses(all),
+	) as [jobLegs.CauseShares, jobLegs.CauseShares];
+	const causes = Object.keys(jobLegs.lossCauses) as jobLegs.LossCause[];
+	const rows = causes.map((cause) => ({
+		label: jobLegs.lossCauses[cause],
+		values: [first, second].map((each) => percent * (each[cause] ?? 0)),
+	}));
+	return drawBars(
+		'Work that was not in time, by cause, of the work asked for',
+		['before', 'after'],
+		rows.filter(({values}) => values.some((value) => value > 0)),
+	);
+};
+
+/** A chart of a pool's room, asked for and held. */
+export const plotRoom = (
+	lines: readonly jobLegs.LogLine[],
+	pool: string,
+): string => {
+	const room = jobLegs.readPoolRoom(lines, pool);
+	const begin = room[0]?.at ?? 0;
+	const toPoints = (get: (each: jobLegs.PoolRoom) => number) =>
+		room.map((each) => [(each.at - begin) / msPerSecond, get(each)] as const);
+	return drawLines(`Machines of ${pool}`, [
+		{name: 'asked for', points: toPoints(({asked}) => asked)},
+		{name: 'held', points: toPoints(({held}) => held)},
+	]);
+};
+
 /** Registers the commands. */
 export const registerJobLogs = (group: Command, io: Io): void => {
 	group
@@ -80,6 +122,20 @@
 		.action(async (files: readonly string[]) => {
 			io.print(formatLedger(await readLogs(files)).join('\n'));
 		});
+	group
+		.command('plot-causes <out> <before> <after>')
+		.description('an SVG of what two sets of lines lost, by cause')
+		.action(async (out: string, before: string, after: string) => {
+			const logs = [before, after].map(async (file) => readLogs([file]));
+			const [first, second] = await Promise.all(logs);
+			await writeFile(out, plotCauses(first!, second!));
+		});
+	group
+		.command('plot-room <out> <pool> [files...]')
+		.description('an SVG of the room of a pool, asked for and held')
+		.action(async (out: string, pool: string, files: readonly string[]) => {
+			await writeFile(out, plotRoom(await readLines(files), pool));
+		});
 	group
 		.command('legs <id> [files...]')
 		.description('where the time of one job went, from the same lines')
--- a/packages/core/src/job-legs/job-legs.ts
+++ b/packages/core/src/job-legs/job-legs.ts
@@ -169,13 +169,16 @@
 		.exhaustive();
 };
 
+/** Shares of all work that was asked for, by the cause of its loss. */
+export type CauseShares = Readonly<Partial<Record<LossCause, number>>>;
+
 /** Jobs of a queue and what was lost of their work, by cause. */
 export type QueueLedger = {
 	readonly queue: string;
 	readonly jobs: number;
 	readonly inTime: number;
 	/** Share of the queue's work, by cause. */
-	readonly lost: Readonly<Partial<Record<LossCause, number>>>;
+	readonly lost: CauseShares;
 };
 
 const sumQueue = (
@@ -225,3 +228,17 @@
 		.toSorted(([one], [two]) => (one < two ? -1 : 1))
 		.map(([queue, jobs]) => sumQueue(all, queue, jobs));
 };
+
+/** What was lost of all queues together, each weighing the same. */
+export const sumCauses = (all: LoggedJobs): CauseShares => {
+	const queues = sumLosses(all).filter(({queue}) => queue !== '');
+	const shares: Partial<Record<LossCause, number>> = {};
+	for (const {lost} of queues) {
+		for (const [cause, share] of Object.entries(lost)) {
+			const key = cause as LossCause;
+			shares[key] = (shares[key] ?? 0) + share / queues.length;
+		}
+	}
+
+	return shares;
+};
--- a/packages/daemon/src/jobs/fleet/pool-round.ts
+++ b/packages/daemon/src/jobs/fleet/pool-round.ts
@@ -24,6 +24,9 @@
 	readonly isTaken: (machine: string) => boolean;
 };
 
+/** Between two lines about all pools, in milliseconds. */
+const tellMs = 1000;
+
 type Phase = 'emptying' | 'ordered';
 
 type MoveUnderWay = {
@@ -44,6 +47,7 @@
 	/** Pools that the platform says a machine cannot join. */
 	const impossible = new Set<string>();
 	let memory = fleet.emptyPoolMemory;
+	let toldAt = Number.NEGATIVE_INFINITY;
 
 	const end = (move: fleet.PoolMove, outcome: string) => {
 		underWay.delete(move.machine);
@@ -156,10 +160,43 @@
 			minMachines: load.minExecutors,
 		}));
 
+	/** Told each second, so that on-call sees what a pool lacked when. */
+	const tellPools = (
+		demands: readonly fleet.PoolDemand[],
+		targets: ReadonlyMap<string, number>,
+		view: FleetView,
+	) => {
+		if (clock.now() - toldAt < tellMs) {
+			return;
+		}
+
+		toldAt = clock.now();
+		const machines = [...view.machines.values()];
+		const pools = demands.map(({pool, usedCpu, waitingCpu, late}) => {
+			const own = machines.filter((each) => each.pool === pool);
+			const machineCpu =
+				own.reduce((sum, {capacity}) => sum + capacity.cpuMillis, 0) /
+				Math.max(1, own.length);
+			const toMachines = (cpu: number) =>
+				Math.round((10 * cpu) / Math.max(1, machineCpu)) / 10;
+			return [
+				pool,
+				{
+					held: own.filter(({state}) => state === 'up').length,
+					target: targets.get(pool),
+					asked: toMachines(usedCpu + waitingCpu),
+					askedLate: toMachines(late.usedCpu + late.waitingCpu),
+				},
+			] as const;
+		});
+		logger.info('pools', {pools: Object.fromEntries(pools)});
+	};
+
 	const plan = (view: FleetView, standbyPool: string) => {
+		const demands = toDemands(view);
 		const planned = fleet.planPools(
 			{
-				demands: toDemands(view),
+				demands,
 				machines: [...view.machines.values()].map((each) =>
 					toPoolMachine(view, each),
 				),
@@ -171,6 +208,7 @@
 			clock.now(),
 		);
 		memory = planned.memory;
+		tellPools(demands, planned.targets, view);
 		for (const move of planned.moves) {
 			if (!impossible.has(`${move.machine} ${move.to}`)) {
 				const since = clock.now();
@@ -187,7 +225,7 @@
 			logger.info('moves planned', {
 				moves: planned.moves.map(({machine, to}) => `${machine} to ${to}`),
 				targets: Object.fromEntries(planned.targets),
-				demands: toDemands(view),
+				demands,
 			});
 		}
 	};
