Judge a holder only by heartbeats read since it claimed

Cause: a daemon that restarts and claims a shard at once names its new life in the lease, while others have read only the heartbeat of its life before, up to 0.4 s old. They took the holder for replaced, or for silent as long as the restart took, and took the shard over within 11 to 90 ms: two takeovers in place of one, and a new owner that counted on nothing being granted by a holder that lived.

Ruled out: the peers' word that a shard is free, which came once each time.

The evidence test fails without the guard (held 1, wanted 0).

--- a/packages/daemon/src/jobs/shards/members.ts
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -28,6 +28,11 @@
 	 * read, so that its absence says something.
 	 */
 	readonly isRead: (name: string) => boolean;
+	/**
+	 * Whether the heartbeats are read as of a version of the store, so that they
+	 * say something about what was written there by then.
+	 */
+	readonly isReadUpTo: (version: number) => boolean;
 	/**
 	 * How long a daemon's heartbeat has stood still; 0 if it is not known, and
 	 * while none is read: then this daemon may be the one that is cut off.
@@ -65,6 +70,7 @@
 	const leaving = new Map<string, string>();
 	let readAt: number | undefined;
 	let isRead = false;
+	let readVersion = 0;
 
 	/** The store was away, or this daemon was: nobody's silence counts. */
 	const forgiveGap = () => {
@@ -128,8 +134,9 @@
 		known.set(key, {...decoded.value, name: key, changedAt: at, seenAt});
 	};
 
-	const applyChanges = ({entries}: FeedBatch<ChangedRow>) => {
+	const applyChanges = ({entries, version}: FeedBatch<ChangedRow>) => {
 		forgiveGap();
+		readVersion = Math.max(readVersion, version);
 		for (const {value} of entries) {
 			if (value) {
 				noteRow(value);
@@ -155,6 +162,7 @@
 		},
 		get: (name) => known.get(name),
 		isRead: (name) => isRead && !unreadSince.has(name),
+		isReadUpTo: (version) => readVersion >= version,
 		getSilentMs(name) {
 			const since = known.get(name)?.changedAt ?? unreadSince.get(name);
 			const isReading =
--- a/packages/daemon/src/jobs/shards/shard-keeper.test.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.test.ts
@@ -2,7 +2,7 @@
 import type {shardAssignment} from '@gullstand/core';
 import {createMemoryRowStore} from '@gullstand/ports';
 import * as tap from 'tap';
-import {tables, type DaemonRow} from '../rows/tables.js';
+import {getLeaseKey, tables, type DaemonRow} from '../rows/tables.js';
 import {noLogger, noRowFaults} from '../job-world.test.fixture.js';
 import {createLeaseBook} from './lease-book.js';
 import {createMembers} from './members.js';
@@ -106,7 +106,7 @@
 		}
 	};
 
-	return {clock, keeper, store, members, released, pass};
+	return {clock, keeper, store, members, released, look, pass};
 };
 
 const names = (count: number) =>
@@ -209,3 +209,64 @@
 	t.same(released, ['s'], 'once');
 	t.notOk(keeper.isHeld('s'));
 });
+
+/** Heartbeats as they were read of `a`, whose life `now` holds the shard. */
+const evidence = [
+	{
+		name: 'one that restarted since its heartbeat was read',
+		isReadSince: false,
+		life: 'before',
+		held: 0,
+	},
+	{
+		name: 'one that another life has replaced',
+		isReadSince: true,
+		life: 'after',
+		held: 1,
+	},
+	{name: 'one that lives', isReadSince: true, life: 'now', held: 0},
+] as const;
+
+for (const {name, isReadSince, life, held} of evidence) {
+	tap.t.test(`evidence against ${name}`, async (t) => {
+		const {clock, keeper, members, store, look} = createWorld(small, ['s0']);
+		const lease = {
+			shard: 's0',
+			holder: {entry: 'a', incarnation: 'now'},
+			token: 1,
+			address: 'a',
+		};
+		const stored = await store.transact(
+			{
+				checks: [],
+				puts: [{...getLeaseKey('s0'), value: JSON.stringify(lease)}],
+				removes: [],
+			},
+			100,
+		);
+		const claimedAt = stored.ok ? stored.value.version : 0;
+		const version = isReadSince ? claimedAt : claimedAt - 1;
+		// Its life before has been silent for as long as the restart took.
+		for (clock.at = 0; clock.at < 4000; clock.at += beatMs) {
+			const beat = life === 'now' ? clock.at : 1;
+			const row: DaemonRow = {incarnation: life, address: 'a', beat};
+			const value = JSON.stringify(row);
+			members.applyWhole({
+				version,
+				entries: [
+					{
+						key: 'a',
+						value: {table: tables.daemon, part: 'a', key: 'a', version, value},
+					},
+				],
+			});
+		}
+
+		for (let looks = 0; looks < 12; looks++) {
+			clock.at += lookMs;
+			await look();
+		}
+
+		t.equal(keeper.listHeld().length, held);
+	});
+}
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -85,14 +85,17 @@
 
 	const getEvidence = (lease: KnownLease | undefined) => {
 		const holder = lease?.value.holder;
-		const member = holder ? members.get(holder.entry) : undefined;
+		// What was read before it claimed may be of the life before.
+		if (!holder || !members.isReadUpTo(lease?.version ?? 0)) {
+			return {registeredIncarnation: holder?.incarnation, silentMs: 0};
+		}
+
 		return {
 			// A holder whose heartbeat was not read counts as alive.
-			registeredIncarnation:
-				holder && members.isRead(holder.entry)
-					? member?.incarnation
-					: holder?.incarnation,
-			silentMs: holder ? members.getSilentMs(holder.entry) : 0,
+			registeredIncarnation: members.isRead(holder.entry)
+				? members.get(holder.entry)?.incarnation
+				: holder.incarnation,
+			silentMs: members.getSilentMs(holder.entry),
 		};
 	};
 
