Hold marks and loads apart from those of older releases

A mark now names the owner that says so and counts only as the word of the last one; an owner that inherits one says it again. A load without its late part counts as having none, in place of ending the fleet holder's round.

Test: repeated-takeovers.test.ts, a mark counts only as the word of the last owner.

--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -61,6 +61,17 @@
 	maxMoveShare: 0.35,
 };
 
+/** What late jobs ask for, in thousandths of a core. */
+export type LateWork = {
+	readonly waitingCpu: number;
+	readonly usedCpu: number;
+	/** Work that is left, in cpu-milliseconds. */
+	readonly work: number;
+};
+
+/** Of an owner of an older release, which does not tell. */
+export const noLateWork: LateWork = {waitingCpu: 0, usedCpu: 0, work: 0};
+
 /** What a pool's queues ask for, in thousandths of a core. */
 export type PoolDemand = {
 	readonly pool: string;
@@ -69,12 +80,7 @@
 	/** Of what runs. */
 	readonly usedCpu: number;
 	/** Of both, what is of jobs that can't meet their objective any more. */
-	readonly late: {
-		readonly waitingCpu: number;
-		readonly usedCpu: number;
-		/** Work that is left, in cpu-milliseconds. */
-		readonly work: number;
-	};
+	readonly late: LateWork;
 	/** Work handed in lately, as the cores that it keeps busy. */
 	readonly arrivingCpu: number;
 	/** Machines that its tasks need because they must be apart. */
@@ -160,8 +166,7 @@
 	const waiting = demand.waitingCpu - demand.late.waitingCpu;
 	const present = demand.usedCpu - demand.late.usedCpu + waiting;
 	const wanted =
-		Math.max(present, demand.arrivingCpu) * cfg.headroom +
-		waiting * cfg.surge;
+		Math.max(present, demand.arrivingCpu) * cfg.headroom + waiting * cfg.surge;
 	const machines = Math.ceil(wanted / machineCpu) + cfg.spareMachines;
 	return Math.max(least, demand.minMachines, machines);
 };
--- a/packages/core/src/scheduler/dark.test.ts
+++ b/packages/core/src/scheduler/dark.test.ts
@@ -149,7 +149,11 @@
 tap.t.test('a mark tells the fleet for how long it is silent', async (t) => {
 	const owner = createTestOwner([createListed('yy')]);
 	scheduler.inheritExecutor(owner, createListed('x'), 10, -4000);
-	t.same(scheduler.describeLoad(owner, 600, 600).silent, {}, 'it may answer yet');
+	t.same(
+		scheduler.describeLoad(owner, 600, 600).silent,
+		{},
+		'it may answer yet',
+	);
 	scheduler.noteSilence(owner, 'x', 600);
 	t.same(scheduler.describeLoad(owner, 700, 700).silent, {x: 4700});
 });
--- a/packages/core/src/scheduler/load.ts
+++ b/packages/core/src/scheduler/load.ts
@@ -27,8 +27,11 @@
 	readonly waitingCpu: number;
 	/** Of what runs. */
 	readonly usedCpu: number;
-	/** Of both, what is of jobs that can't meet their objective any more. */
-	readonly late: LateLoad;
+	/**
+	 * Of both, what is of jobs that can't meet their objective any more; owners
+	 * of older releases do not tell it.
+	 */
+	readonly late?: LateLoad;
 	/** Of all executors that may take work. */
 	readonly capacityCpu: number;
 	/** Work handed in lately, as the cores that it keeps busy. */
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -247,6 +247,8 @@
 	const executor = createExecutor(listed);
 	executor.darkSince = darkSince;
 	executor.isMarkSent = darkSince !== undefined;
+	// The next owner goes by the word of this one only.
+	owner.isRosterDirty ||= darkSince !== undefined;
 	// The roster that names it is the one in the store.
 	executor.isRostered = true;
 	executor.isListed = false;
--- a/packages/daemon/src/jobs/fleet/pool-round.ts
+++ b/packages/daemon/src/jobs/fleet/pool-round.ts
@@ -155,7 +155,7 @@
 			pool,
 			waitingCpu: load.waitingCpu,
 			usedCpu: load.usedCpu,
-			late: load.late,
+			late: load.late ?? fleet.noLateWork,
 			arrivingCpu: load.arrivingCpu,
 			minMachines: load.minExecutors,
 		}));
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -62,13 +62,14 @@
 	const toRosterRow = ({
 		listed,
 		darkSince,
-	}: scheduler.RosterEntry): RosterRow => ({
-		...listed,
-		darkSinceMs:
-			darkSince === undefined
-				? undefined
-				: getLatestStoreMs(clock, storeTime, darkSince),
-	});
+	}: scheduler.RosterEntry): RosterRow =>
+		darkSince === undefined
+			? listed
+			: {
+					...listed,
+					darkSinceMs: getLatestStoreMs(clock, storeTime, darkSince),
+					markedBy: owner.token,
+				};
 
 	const toTransaction = (flush: scheduler.Flush): RowTransaction => {
 		const puts = flush.jobs.map(({job, progress}) => ({
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -14,6 +14,7 @@
 	rosterSchema,
 	singleKeys,
 	tables,
+	type RosterRow,
 } from '../rows/tables.js';
 import type {HeldShard} from '../shards/held-shard.js';
 
@@ -132,6 +133,20 @@
 	}
 };
 
+/**
+ * For how long nothing has been granted on an executor; absent if something
+ * may have been. Only the word of the last owner counts: one of a release that
+ * knows no marks leaves an older mark as it is and grants on.
+ */
+const getDarkMs = (
+	{darkSinceMs, markedBy}: Pick<RosterRow, 'darkSinceMs' | 'markedBy'>,
+	held: HeldShard,
+	{storeTime}: Rows,
+): number | undefined =>
+	darkSinceMs === undefined || markedBy !== held.token - 1
+		? undefined
+		: storeTime.nowMs - darkSinceMs;
+
 const addRoster = (
 	owner: scheduler.Owner,
 	held: HeldShard,
@@ -142,12 +157,8 @@
 	const now = clock.now();
 	const inheritedMs = getInheritedMs(held, cfg);
 	for (const {value} of decodeRows(rosters, rosterSchema, logger)) {
-		for (const {darkSinceMs, ...listed} of value) {
-			const darkMs =
-				darkSinceMs === undefined
-					? undefined
-					: rows.storeTime.nowMs - darkSinceMs;
-			// A mark holds whoever owned the service since: see scheduler/dark.ts.
+		for (const {darkSinceMs, markedBy, ...listed} of value) {
+			const darkMs = getDarkMs({darkSinceMs, markedBy}, held, rows);
 			const restMs =
 				darkMs === undefined
 					? inheritedMs
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -383,8 +383,7 @@
 	};
 
 	const getLoad = (): scheduler.ServiceLoad | undefined =>
-		owner &&
-		scheduler.describeLoad(owner, clock.now(), clock.epochNow());
+		owner && scheduler.describeLoad(owner, clock.now(), clock.epochNow());
 
 	return {
 		start,
--- a/packages/daemon/src/jobs/owner/repeated-takeovers.test.ts
+++ b/packages/daemon/src/jobs/owner/repeated-takeovers.test.ts
@@ -100,7 +100,7 @@
 		return owner;
 	};
 
-	return {state, own};
+	return {state, own, takeOver};
 };
 
 /** Milliseconds between two takeovers. */
@@ -130,3 +130,22 @@
 		t.notOk(isWaitedFor, `an owner each ${intervalMs} ms`);
 	}
 });
+
+tap.t.test('a mark counts only as the word of the last owner', async (t) => {
+	for (const strangers of [0, 1]) {
+		const {state, own, takeOver} = createWorld();
+		await own((owner) => {
+			scheduler.listExecutor(owner, createListed('dark'));
+		});
+		await own(() => undefined);
+		state.now += getInheritedMs({previous: 'released'}, cfg) + 1;
+		// Of a release that knows no marks; it may have granted something since.
+		for (let count = 0; count < strangers; count++) {
+			await takeOver();
+		}
+
+		const owner = await own(() => undefined);
+		scheduler.expireLeases(owner, state.now);
+		t.equal(owner.unresolved.has('dark'), strangers > 0);
+	}
+});
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -218,11 +218,16 @@
 export type RosterRow = scheduler.ListedExecutor & {
 	/** Since when nothing is granted there, by the store's clock. */
 	readonly darkSinceMs?: number | undefined;
+	/** Fencing token of the owner that says so. */
+	readonly markedBy?: number | undefined;
 };
 
 /** Form of the executors that may run tasks of a service. */
 export const rosterSchema = z.array(
-	listedExecutorSchema.extend({darkSinceMs: z.number().optional()}),
+	listedExecutorSchema.extend({
+		darkSinceMs: z.number().optional(),
+		markedBy: z.number().optional(),
+	}),
 ) as unknown as z.ZodType<readonly RosterRow[]>;
 
 /** Form of the key that seals messages between daemons. */
