--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -184,8 +184,7 @@
 
 /**
  * Whether a machine serves its pool or soon will. One that is down or emptied
- * for maintenance does not: a pool with 23 of its 48 machines emptied for a
- * wave looked full while its queue waited.
+ * for maintenance does not: its pool would look full while its queue waits.
  */
 const isServing = ({isUp, isArriving, isTaken}: PoolMachine): boolean =>
 	(isUp || isArriving) && !isTaken;
--- a/packages/core/src/scheduler/start-window.ts
+++ b/packages/core/src/scheduler/start-window.ts
@@ -4,9 +4,6 @@
  * a start that waits longer than its caller does is sent in vain. The window
  * shrinks while most answers come late and grows while they come in time, as
  * in TCP's congestion control (Jacobson, 1988).
- *
- * Measured over a link of 500 messages a second with 1,200 tasks that wait
- * (slow-link.test.ts): 1,195 starts were given up without it.
  */
 
 /** A window and what it has seen. */
@@ -38,8 +35,7 @@
 /**
  * Where answers are slow without a queue, from executors that are far or slow,
  * only those count as late that take so many times as long, up to the bound
- * below: a smaller window made no answer quicker and let 20 starts a second
- * through.
+ * below: a smaller window makes no such answer quicker.
  */
 const lateFactor = 2;
 
@@ -62,8 +58,8 @@
 const growth = 16;
 
 /**
- * The window of a new owner: with 200 messages a second, the slowest link that
- * was tried, its answers all come within the time that a start is waited for.
+ * The window of a new owner: over 200 messages a second its answers all come
+ * within the time that a start is waited for.
  */
 export const initialStartWindow: StartWindow = {
 	size: 32,
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -47,8 +47,7 @@
 /**
  * Rows of a page: a connection that is lost costs one page, and a page of the
  * largest jobs, 4,000 bytes of payload each, lasts 0.7 s at 7 Mbit/s, also
- * where a store bounds the whole of an answer. Pages of 1 MB, three at a time,
- * never came within 1.2 s, and the service was never taken over.
+ * where a store bounds the whole of an answer.
  */
 const pageLimit = 100;
 
