Bench of what an idle entry of the jobs side costs, by size of the fleet

Real daemons over one store in memory: calls and bytes of an entry that owns nothing, and how long shards stay without an owner once entries are cut off. The store in memory woke readers that wait for a table when another one changed, which made them read again and again; it waits for its own table now.

--- a/packages/bench/src/registry.ts
+++ b/packages/bench/src/registry.ts
@@ -9,6 +9,7 @@
 	'bad-input': async () => import('./benches/bad-input.js'),
 	faults: async () => import('./benches/faults.js'),
 	idle: async () => import('./benches/idle.js'),
+	'entry-cost': async () => import('./benches/entry-cost.js'),
 	limits: async () => import('./benches/limits.js'),
 	overhead: async () => import('./benches/overhead.js'),
 	calendar: async () => import('./benches/calendar.js'),
--- a/packages/ports/src/memory/row-store.ts
+++ b/packages/ports/src/memory/row-store.ts
@@ -131,8 +131,13 @@
 				return succeed([...new Set(parts)].toSorted());
 			}),
 		async readChanges({table, afterVersion, waitMs}) {
-			if (waitMs > 0 && listChanges(table, afterVersion).length === 0) {
-				await signal.wait(waitMs);
+			// Other tables change meanwhile.
+			const until = performance.now() + waitMs;
+			while (
+				performance.now() < until &&
+				listChanges(table, afterVersion).length === 0
+			) {
+				await signal.wait(until - performance.now());
 			}
 
 			return guard('read', () =>
