--- a/packages/daemon/src/jobs/job-metrics.ts
+++ b/packages/daemon/src/jobs/job-metrics.ts
@@ -1,5 +1,7 @@
 /** Counters and latency histograms of the jobs side, as text. */
-import * as hdr from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+// The package's main module loads its log writer, too, which is slow.
+import * as hdr from 'hdr-histogram-js/dist/HistogramBuilder.js';
 
 /** Histograms kept; times in milliseconds. */
 export const legs = {
@@ -48,10 +50,7 @@
 		numberOfSignificantValueDigits: 2,
 	});
 
-const formatHistogram = ([key, histogram]: readonly [
-	string,
-	hdr.Histogram,
-]) => {
+const formatHistogram = ([key, histogram]: readonly [string, Histogram]) => {
 	const [leg, label] = key.split(' ');
 	const labels = `label="${label}"`;
 	return [
@@ -68,7 +67,7 @@
 /** Creates empty metrics. */
 export const createJobMetrics = (): JobMetrics => {
 	const counters = new Map<string, number>();
-	const histograms = new Map<string, hdr.Histogram>();
+	const histograms = new Map<string, Histogram>();
 	const gauges = new Map<string, () => number | undefined>();
 
 	const formatGauge = ([key, read]: readonly [
@@ -79,7 +78,7 @@
 		return value === undefined ? [] : [`gullstand_${key} ${value}`];
 	};
 
-	const getHistogram = (leg: Leg, label: string): hdr.Histogram => {
+	const getHistogram = (leg: Leg, label: string): Histogram => {
 		const wanted = `${leg} ${label}`;
 		const key =
 			histograms.has(wanted) || histograms.size < maxSeries
--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -3,7 +3,9 @@
  * outcome and error kind. Bounded: beyond `maxSeries` customers and services
  * share one series named `other`.
  */
-import * as hdr from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+// The package's main module loads its log writer, too, which is slow.
+import * as hdr from 'hdr-histogram-js/dist/HistogramBuilder.js';
 import type {errors, Outcome, RequestClass} from '@gullstand/core';
 
 /** What is recorded of one answered request. */
@@ -22,7 +24,7 @@
 	readonly customer: string;
 	readonly service: string;
 	readonly requestClass: RequestClass;
-	readonly histogram: hdr.Histogram;
+	readonly histogram: Histogram;
 	readonly counts: Map<string, number>;
 };
 
