Let holders and a few candidates keep heartbeats, all others observe

Cause: each entry wrote a heartbeat each 0.5 s, read everyone's each 0.4 s and read a partition for each entry at its start: at 97 entries 44 KB a second and 3.1 to 4.3% of a core each at rest.

Only holders of shards and four candidates send heartbeats; an observer reads these, and claims after the candidates. A holder that was never heard is silent since the first read. Broadcasts go to 16 daemons at most.

Found by a test: an entry that had just started knew no other to work through; it takes the holders' addresses from the leases.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -77,6 +77,7 @@
 export type * from './types/job.js';
 export * as placement from './placement/index.js';
 export * as shardAssignment from './shards/shard-assignment.js';
+export * as candidates from './shards/candidates.js';
 export * as jobs from './jobs/index.js';
 export * as scheduler from './scheduler/index.js';
 export * as fleet from './fleet/index.js';
--- a/packages/daemon/src/jobs/entry/other-entries.ts
+++ b/packages/daemon/src/jobs/entry/other-entries.ts
@@ -4,6 +4,7 @@
 import type {PeerChannel} from '../../peers/peer-channel.js';
 import type {JobPeerMethods} from '../peer-methods.js';
 import {periods} from '../periods.js';
+import type {ShardHolder} from '../shards/lease-book.js';
 import type {Members} from '../shards/members.js';
 import type {CancelOutcome} from './cancel-outcome.js';
 import type {SubmitOutcome} from './submissions.js';
@@ -12,6 +13,8 @@
 export type OtherEntriesDeps = {
 	readonly self: acknowledgement.EntryLife;
 	readonly members: Members;
+	/** Those that hold shards by the leases, for a daemon that has just started. */
+	readonly listHolders: () => readonly ShardHolder[];
 	readonly peers: Pick<PeerChannel, 'call'>;
 	readonly logger: Pick<Logger, 'info'>;
 };
@@ -30,15 +33,18 @@
 		id: string,
 		timeoutMs: number,
 	) => Promise<CancelOutcome | undefined>;
-	/** Tells all that a shard may be claimed. */
+	/** Tells holders and candidates that a shard may be claimed. */
 	readonly tellReleased: (shard: string) => void;
-	/** Tells all that this daemon is stopping and claims nothing. */
+	/** Tells the same that this daemon is stopping and claims nothing. */
 	readonly tellLeaving: () => void;
 };
 
 /** Daemons asked one after another. */
 const maxAsked = 2;
 
+/** Daemons told at once: more than there are holders and candidates. */
+const maxTold = 16;
+
 /** Creates the calls. */
 export const createOtherEntries = (deps: OtherEntriesDeps): OtherEntries => {
 	const {self, members, peers, logger} = deps;
@@ -47,24 +53,29 @@
 	 * Those heard of last in front: without the store, all heartbeats are old
 	 * here and say little.
 	 */
-	const listAddresses = (): ReadonlyArray<readonly [string, string]> =>
-		members
-			.listAll()
-			.filter((name) => name !== self.entry)
-			.map((name) => [name, members.get(name)?.address ?? ''] as const);
+	const listAddresses = (): readonly ShardHolder[] => {
+		const heard = members.listAll().map((entry) => ({
+			entry,
+			address: members.get(entry)?.address ?? '',
+		}));
+		const unheard = deps
+			.listHolders()
+			.filter(({entry}) => members.get(entry) === undefined);
+		return [...heard, ...unheard].filter(({entry}) => entry !== self.entry);
+	};
 
 	const tellAll = <Name extends 'shardReleased' | 'daemonLeaving'>(
 		method: Name,
 		params: JobPeerMethods[Name]['params'],
 	) => {
-		for (const [, address] of listAddresses()) {
+		for (const {address} of listAddresses().slice(0, maxTold)) {
 			void peers.call(address, method, params, periods.peerTimeoutMs);
 		}
 	};
 
 	return {
 		async submit(job, shard, timeoutMs) {
-			for (const [name, address] of listAddresses().slice(0, maxAsked)) {
+			for (const {entry, address} of listAddresses().slice(0, maxAsked)) {
 				const params = {shard, job, timeoutMs};
 				const answer = await peers.call(
 					address,
@@ -74,7 +85,7 @@
 				);
 				logger.info('job handed in elsewhere', {
 					job: job.id,
-					through: name,
+					through: entry,
 					outcome: answer.ok ? answer.value.kind : answer.error.kind,
 				});
 				if (!answer.ok && answer.error.kind !== 'unreachable') {
@@ -89,7 +100,7 @@
 			return undefined;
 		},
 		async cancel(queue, id, timeoutMs) {
-			for (const [name, address] of listAddresses().slice(0, maxAsked)) {
+			for (const {entry, address} of listAddresses().slice(0, maxAsked)) {
 				const params = {queue, id, timeoutMs};
 				const answer = await peers.call(
 					address,
@@ -99,7 +110,7 @@
 				);
 				logger.info('job cancelled elsewhere', {
 					job: id,
-					through: name,
+					through: entry,
 					outcome: answer.ok ? answer.value.outcome : answer.error.kind,
 				});
 				if (answer.ok && answer.value.outcome !== 'store-unavailable') {
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -40,7 +40,7 @@
 import {createFeedFollower} from './rows/feed-follower.js';
 import {createRowFaults} from './rows/row-faults.js';
 import {watchStore} from './rows/store-health.js';
-import {createTableFeed} from './rows/table-feed.js';
+import {createRecentFeed, createTableFeed} from './rows/table-feed.js';
 import {
 	fleetShard,
 	getServiceShard,
@@ -53,6 +53,7 @@
 import {createMembers} from './shards/members.js';
 import type {HeldShard} from './shards/held-shard.js';
 import {createShardKeeper} from './shards/shard-keeper.js';
+import {createEntryRole} from './shards/entry-role.js';
 
 /** The platform as the jobs side sees it. */
 export type JobPlatform = {
@@ -202,6 +203,7 @@
 	const others = createOtherEntries({
 		self,
 		members,
+		listHolders: book.listHolders,
 		peers: callPeers,
 		logger,
 	});
@@ -229,8 +231,8 @@
 	}: LeaseRow): Promise<boolean> => {
 		const isReplaced =
 			holder !== null &&
-			members.isRead(holder.entry) &&
-			members.get(holder.entry)?.incarnation !== holder.incarnation;
+			(members.get(holder.entry)?.incarnation ?? holder.incarnation) !==
+				holder.incarnation;
 		if (isReplaced || holder === null) {
 			return true;
 		}
@@ -328,9 +330,11 @@
 		book,
 		listShards,
 		mayClaim() {
-			const writtenAt = heartbeat.getLastWrittenAt();
-			return writtenAt !== undefined && now() - writtenAt < periods.leaseMs;
+			const readAt = memberFollower.getConfirmed()?.at;
+			return readAt !== undefined && now() - readAt < periods.leaseMs;
 		},
+		ensureHeartbeat: async () => heartbeat.ensure(),
+		isCandidate: () => role.isCandidate(),
 		now,
 		random: deps.random,
 		logger,
@@ -340,6 +344,15 @@
 		onReleased: others.tellReleased,
 	});
 
+	const role = createEntryRole({
+		self: {entry: self.entry, capacity: settings.capacity},
+		members,
+		book,
+		isHolding: () => keeper.isHolding(),
+		now,
+		logger,
+	});
+
 	const heartbeat = createHeartbeat({
 		store,
 		name: self.entry,
@@ -349,6 +362,7 @@
 		logger,
 		now,
 		random: deps.random,
+		isNeeded: role.step,
 	});
 
 	const applyOperator = ({entries}: FeedBatch<OperatorEntry>) => {
@@ -400,6 +414,7 @@
 		name: 'lease',
 		feed: createTableFeed(store, tables.lease, {kind: 'all'}),
 		periods: followPeriods.lease,
+		adjust: role.getLeasePeriods,
 		clock,
 		logger,
 		onWhole: book.apply,
@@ -408,12 +423,15 @@
 
 	const memberFollower = createFeedFollower({
 		name: 'daemon',
-		feed: createTableFeed(store, tables.daemon, {kind: 'all'}),
+		feed: createRecentFeed(store, tables.daemon),
 		periods: followPeriods.daemon,
+		adjust: role.getDaemonPeriods,
 		clock,
 		logger,
-		onWhole: members.applyWhole,
+		onWhole: members.applyChanges,
 		onChanges: members.applyChanges,
+		// Where all that send heartbeats are gone, nothing changes any more.
+		onUnchanged: members.applyChanges,
 	});
 
 	// A follower that does not get on shows here long after its line was written.
@@ -514,7 +532,8 @@
 		!state.isLeaving &&
 		state.isStarted &&
 		routes.get() !== undefined &&
-		!leaseFollower.isLost();
+		!leaseFollower.isLost() &&
+		!memberFollower.isLost();
 
 	return {
 		start,
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -63,3 +63,17 @@
 	/** Behind the peers' word, which is faster. */
 	job: {waitMs: 0, pauseMs: 500, timeoutMs: 1200, retryMs: 100},
 } as const satisfies Record<string, FollowPeriods>;
+
+/** Where an observer differs, which neither holds shards nor is a candidate. */
+export const observerPeriods = {
+	/** It learns of a new owner from the answers to its calls, too. */
+	lease: {waitMs: 2000},
+	/** Between reads of the heartbeats ... */
+	daemon: {pauseMs: 700},
+	/** ... and once that of a holder stands still. */
+	suspectDaemon: {pauseMs: 200},
+	/** A holder's heartbeat that stands still for longer may be missing. */
+	suspectMs: 650,
+	/** A daemon that has just started sends heartbeats, for the others to see. */
+	firstBeatsMs: 2000,
+} as const;
--- a/packages/daemon/src/jobs/rows/feed-follower.test.ts
+++ b/packages/daemon/src/jobs/rows/feed-follower.test.ts
@@ -75,3 +75,68 @@
 		]);
 	});
 }
+
+tap.t.test(
+	'an answer without changes is told to whom it matters',
+	async (t) => {
+		const told: string[] = [];
+		const answers = [
+			succeed({entries: [{key: 'k', value: 'v'}], version: 2}),
+			succeed({entries: [], version: 3}),
+		];
+		await new Promise<void>((resolve, reject) => {
+			const follower = createFeedFollower<string>({
+				name: 'f',
+				feed: {
+					readAll: async () => succeed({entries: [], version: 1}),
+					async readChanges() {
+						const answer = answers.shift();
+						if (!answer) {
+							follower.stop();
+							resolve();
+						}
+
+						return answer ?? fail({kind: 'unavailable'});
+					},
+				},
+				periods,
+				clock: {now: () => 5, epochNow: () => 5},
+				logger: winston.createLogger({silent: true}),
+				onWhole: ({version}) => told.push(`whole ${version}`),
+				onChanges: ({version}) => told.push(`changes ${version}`),
+				onUnchanged: ({version}) => told.push(`unchanged ${version}`),
+			});
+			follower.start(reject);
+		});
+		t.same(told, ['whole 1', 'changes 2', 'unchanged 3']);
+	},
+);
+
+tap.t.test('times that differ for now are asked for anew', async (t) => {
+	const waits: number[] = [];
+	await new Promise<void>((resolve, reject) => {
+		const follower = createFeedFollower<string>({
+			name: 'f',
+			feed: {
+				readAll: async () => succeed({entries: [], version: 1}),
+				async readChanges(version, waitMs) {
+					waits.push(waitMs);
+					if (waits.length === 2) {
+						follower.stop();
+						resolve();
+					}
+
+					return succeed({entries: [], version});
+				},
+			},
+			periods,
+			adjust: () => (waits.length === 0 ? {} : {waitMs: 7}),
+			clock: {now: () => 5, epochNow: () => 5},
+			logger: winston.createLogger({silent: true}),
+			onWhole: () => undefined,
+			onChanges: () => undefined,
+		});
+		follower.start(reject);
+	});
+	t.same(waits, [periods.waitMs, 7]);
+});
--- a/packages/daemon/src/jobs/rows/feed-follower.ts
+++ b/packages/daemon/src/jobs/rows/feed-follower.ts
@@ -27,6 +27,8 @@
 	readonly name: string;
 	readonly feed: Feed<Value>;
 	readonly periods: FollowPeriods;
+	/** Times that are others for now; asked before each call and pause. */
+	readonly adjust?: () => Partial<FollowPeriods>;
 	/** Where to begin; absent to read the feed whole first. */
 	readonly startVersion?: number;
 	readonly clock: Clock;
@@ -34,6 +36,8 @@
 	/** All entries; those missing are gone. */
 	readonly onWhole: (batch: FeedBatch<Value>) => void;
 	readonly onChanges: (batch: FeedBatch<Value>) => void;
+	/** An answer without changes, for whom it says something that there are none. */
+	readonly onUnchanged?: (batch: FeedBatch<Value>) => void;
 };
 
 /** A follower at work. */
@@ -60,7 +64,11 @@
 export const createFeedFollower = <Value>(
 	deps: FollowerDeps<Value>,
 ): FeedFollower => {
-	const {name, feed, periods, clock, logger} = deps;
+	const {name, feed, clock, logger} = deps;
+	const getPeriods = (): FollowPeriods => ({
+		...deps.periods,
+		...deps.adjust?.(),
+	});
 	const state: State = {
 		version: deps.startVersion,
 		confirmed: undefined,
@@ -103,6 +111,7 @@
 
 	const readOnce = async () => {
 		const {version} = state;
+		const periods = getPeriods();
 		const sent = getMoment(clock);
 		const result =
 			version === undefined
@@ -128,10 +137,13 @@
 			deps.onWhole(result.value);
 		} else if (result.value.entries.length > 0) {
 			deps.onChanges(result.value);
+		} else {
+			deps.onUnchanged?.(result.value);
 		}
 
-		if (periods.pauseMs > 0) {
-			await pause.wait(periods.pauseMs);
+		const {pauseMs} = getPeriods();
+		if (pauseMs > 0) {
+			await pause.wait(pauseMs);
 		}
 	};
 
--- a/packages/daemon/src/jobs/rows/table-feed.ts
+++ b/packages/daemon/src/jobs/rows/table-feed.ts
@@ -9,7 +9,7 @@
 	RowStoreError,
 	StoredRow,
 } from '@gullstand/ports';
-import {getKeyAfter} from './tables.js';
+import {getKeyAfter, sharedPart} from './tables.js';
 
 /** Rows of a range as they were read. */
 export type WholeRange = {
@@ -126,3 +126,23 @@
 		});
 	},
 });
+
+/**
+ * A feed of the rows that change from now on, for a table of which only what
+ * is written again and again counts. Reading it whole gives no rows; the
+ * version comes from one partition, so that the cost does not grow with the
+ * table.
+ */
+export const createRecentFeed = (
+	store: RowStore,
+	table: string,
+): Feed<ChangedRow> => ({
+	async readAll(timeoutMs) {
+		const page = await store.read(
+			{table, part: sharedPart, limit: 1},
+			timeoutMs,
+		);
+		return page.ok ? succeed({entries: [], version: page.value.version}) : page;
+	},
+	readChanges: createTableFeed(store, table, {kind: 'all'}).readChanges,
+});
--- /dev/null
+++ b/packages/daemon/src/jobs/shards/entry-role.ts
@@ -0,0 +1,93 @@
+/**
+ * Whether this daemon is a holder of shards, a candidate or an observer, and
+ * how closely it watches the others. All but a few are observers, so that
+ * heartbeats and reads of them cost the same in a fleet of any size.
+ */
+import * as core from '@gullstand/core';
+import type {Logger} from '../../log/logger.js';
+import {periods, observerPeriods} from '../periods.js';
+import type {FollowPeriods} from '../rows/feed-follower.js';
+import type {LeaseBook} from './lease-book.js';
+import type {Members} from './members.js';
+
+/** What the role of a daemon follows from. */
+export type EntryRoleDeps = {
+	readonly self: core.shardAssignment.LiveEntry;
+	readonly members: Members;
+	readonly book: Pick<LeaseBook, 'listHolders'>;
+	/** Whether this daemon holds a shard or claims one. */
+	readonly isHolding: () => boolean;
+	readonly now: () => number;
+	readonly logger: Pick<Logger, 'info'>;
+};
+
+/** The role of a daemon. */
+export type EntryRole = {
+	/** Looks at the others; answers whether they have to see that it lives. */
+	readonly step: () => boolean;
+	readonly isCandidate: () => boolean;
+	/** How the leases are followed for now. */
+	readonly getLeasePeriods: () => Partial<FollowPeriods>;
+	/** How the heartbeats are followed for now. */
+	readonly getDaemonPeriods: () => Partial<FollowPeriods>;
+};
+
+/** Creates the role of a daemon that has just started. */
+export const createEntryRole = (deps: EntryRoleDeps): EntryRole => {
+	const {self, members, book, now, logger} = deps;
+	const startedAt = now();
+	let state = core.candidates.observer;
+
+	const toEntries = (
+		names: readonly string[],
+	): readonly core.shardAssignment.LiveEntry[] =>
+		names
+			.filter((entry) => entry !== self.entry)
+			.map((entry) => ({entry, capacity: members.get(entry)?.capacity}));
+
+	const listHolders = (): readonly string[] =>
+		book.listHolders().map(({entry}) => entry);
+
+	const isStarting = (): boolean =>
+		now() - startedAt < observerPeriods.firstBeatsMs;
+
+	const isActive = (): boolean =>
+		state.isCandidate || deps.isHolding() || isStarting();
+
+	const isHolderSuspect = (): boolean =>
+		listHolders().some(
+			(entry) => members.getSilentMs(entry) >= observerPeriods.suspectMs,
+		);
+
+	return {
+		step() {
+			const view = {
+				self,
+				live: toEntries(members.listLive(periods.leaseMs)),
+				known: toEntries(members.listAll()),
+				holders: new Set(listHolders()),
+			};
+			const next = core.candidates.stepCandidate(state, view, now());
+			if (next.isCandidate !== state.isCandidate) {
+				logger.info(next.isCandidate ? 'candidate now' : 'observer now', {
+					live: view.live.length,
+					known: view.known.length,
+				});
+			}
+
+			state = next;
+			return isActive();
+		},
+		isCandidate: () => state.isCandidate || isStarting(),
+		getLeasePeriods: () => (isActive() ? {} : observerPeriods.lease),
+		getDaemonPeriods() {
+			if (isActive()) {
+				return {};
+			}
+
+			return isHolderSuspect()
+				? observerPeriods.suspectDaemon
+				: observerPeriods.daemon;
+		},
+	};
+};
--- a/packages/daemon/src/jobs/shards/heartbeat.ts
+++ b/packages/daemon/src/jobs/shards/heartbeat.ts
@@ -1,4 +1,7 @@
-/** Writes this daemon's heartbeat to the store. */
+/**
+ * Writes this daemon's heartbeat to the store: while it is a holder or a
+ * candidate, and until the first one is stored.
+ */
 import type {shardAssignment} from '@gullstand/core';
 import type {RowStore} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
@@ -18,14 +21,16 @@
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	readonly now: () => number;
 	readonly random: () => number;
+	/** Whether others have to see that this daemon lives. */
+	readonly isNeeded: () => boolean;
 };
 
 /** The heartbeat. */
 export type Heartbeat = Ticker & {
 	/** Writes the first one now; answers whether it is in the store. */
 	readonly beatOnce: () => Promise<boolean>;
-	/** When the last one that is in the store was sent; absent before. */
-	readonly getLastWrittenAt: () => number | undefined;
+	/** Sees to it that a young one is in the store; answers whether it is. */
+	readonly ensure: () => Promise<boolean>;
 };
 
 /** Creates the heartbeat. */
@@ -67,7 +72,9 @@
 
 	const ticker = createTicker(
 		async () => {
-			await beatOnce();
+			if (writtenAt === undefined || deps.isNeeded()) {
+				await beatOnce();
+			}
 		},
 		periods.heartbeatMs,
 		deps.random,
@@ -76,6 +83,10 @@
 		start: async (reportFailure: ReportFailure) => ticker.start(reportFailure),
 		stop: ticker.stop,
 		beatOnce,
-		getLastWrittenAt: () => writtenAt,
+		async ensure() {
+			const isYoung =
+				writtenAt !== undefined && now() - writtenAt < periods.heartbeatMs;
+			return isYoung || beatOnce();
+		},
 	};
 };
--- a/packages/daemon/src/jobs/shards/lease-book.ts
+++ b/packages/daemon/src/jobs/shards/lease-book.ts
@@ -16,12 +16,17 @@
 	readonly version: number;
 };
 
+/** A daemon that holds a shard. */
+export type ShardHolder = {readonly entry: string; readonly address: string};
+
 /** The leases known. */
 export type LeaseBook = {
 	readonly apply: (batch: FeedBatch<ChangedRow>) => void;
 	/** Takes in a row that came with another answer; older ones are dropped. */
 	readonly note: (row: ChangedRow | StoredRow) => void;
 	readonly get: (shard: string) => KnownLease | undefined;
+	/** Who holds shards, and where they are reached; once for each shard held. */
+	readonly listHolders: () => readonly ShardHolder[];
 	/** Version for a check: 0 while the shard was never held. */
 	readonly getVersion: (shard: string) => number;
 };
@@ -77,6 +82,10 @@
 			}
 		},
 		get: (shard) => known.get(shard),
+		listHolders: () =>
+			[...known.values()].flatMap(({value: {holder, address}}) =>
+				holder ? [{entry: holder.entry, address}] : [],
+			),
 		getVersion: (shard) => known.get(shard)?.version ?? 0,
 	};
 };
--- a/packages/daemon/src/jobs/shards/members.ts
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -1,4 +1,8 @@
-/** Daemons of the fleet by their heartbeats, as one daemon sees them. */
+/**
+ * Daemons of the fleet by their heartbeats, as one daemon sees them. Only
+ * holders of shards and candidates send heartbeats all the time, so that a
+ * daemon that is not known may well live.
+ */
 import type {ChangedRow, FeedBatch} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import type {RowFaults} from '../rows/row-faults.js';
@@ -20,22 +24,17 @@
 
 /** What is known of all daemons. */
 export type Members = {
-	readonly applyWhole: (batch: FeedBatch<ChangedRow>) => void;
 	readonly applyChanges: (batch: FeedBatch<ChangedRow>) => void;
 	readonly get: (name: string) => Member | undefined;
-	/**
-	 * Whether the heartbeats were read whole and this daemon's, if any, can be
-	 * read, so that its absence says something.
-	 */
-	readonly isRead: (name: string) => boolean;
 	/**
 	 * Whether the heartbeats are read as of a version of the store, so that they
 	 * say something about what was written there by then.
 	 */
 	readonly isReadUpTo: (version: number) => boolean;
 	/**
-	 * How long a daemon's heartbeat has stood still; 0 if it is not known, and
-	 * while none is read: then this daemon may be the one that is cut off.
+	 * How long a daemon's heartbeat has stood still, since the first read if none
+	 * of it was read; 0 while nothing is read: then this daemon may be the one
+	 * that is cut off.
 	 */
 	readonly getSilentMs: (name: string) => number;
 	/** How long a life of a daemon is seen without a break; 0 if unknown. */
@@ -60,16 +59,18 @@
 	readonly rowFaults: RowFaults;
 };
 
+/** Names in a line about daemons that were seen. */
+const maxNamesTold = 5;
+
 /** Creates an empty list of members. */
 export const createMembers = (deps: MembersDeps): Members => {
 	const {now, logger, rowFaults} = deps;
 	const known = new Map<string, Member>();
-	/** Since when no heartbeat of a daemon that is not known can be read. */
-	const unreadSince = new Map<string, number>();
 	/** Lives that are stopping, by daemon. */
 	const leaving = new Map<string, string>();
 	let readAt: number | undefined;
-	let isRead = false;
+	/** Since when the heartbeats are read without a gap. */
+	let readSince: number | undefined;
 	let readVersion = 0;
 
 	/** The store was away, or this daemon was: nobody's silence counts. */
@@ -80,37 +81,27 @@
 				known.set(name, {...member, changedAt: at, seenAt: at});
 			}
 
-			for (const name of unreadSince.keys()) {
-				unreadSince.set(name, at);
-			}
+			readSince = at;
 		}
 
 		readAt = at;
+		readSince ??= at;
 	};
 
-	const forget = (name: string) => {
-		known.delete(name);
-		unreadSince.delete(name);
-	};
-
-	/** It may be the heartbeat of a newer version: its life counts as going on. */
-	const noteUnreadable = (name: string, problem: string) => {
-		rowFaults.note({table: tables.daemon, key: name, problem});
-		if (!known.has(name) && !unreadSince.has(name)) {
-			unreadSince.set(name, now());
-		}
-	};
-
-	const noteRow = ({key, value}: ChangedRow) => {
+	const noteRow = ({key, value}: ChangedRow, newLives: string[]) => {
 		const decoded =
 			value === undefined ? undefined : decodeRow(daemonSchema, value);
 		if (decoded && !decoded.ok) {
-			noteUnreadable(key, decoded.error.problem);
+			// It may be of a newer release: the life that is known counts as going on.
+			rowFaults.note({
+				table: tables.daemon,
+				key,
+				problem: decoded.error.problem,
+			});
 			return;
 		}
 
 		rowFaults.clear(tables.daemon, key);
-		unreadSince.delete(key);
 		if (!decoded) {
 			known.delete(key);
 			return;
@@ -123,7 +114,7 @@
 		}
 
 		if (before?.incarnation !== incarnation) {
-			logger.info('daemon seen', {daemon: key, ...decoded.value});
+			newLives.push(key);
 		}
 
 		const at = now();
@@ -134,37 +125,35 @@
 		known.set(key, {...decoded.value, name: key, changedAt: at, seenAt});
 	};
 
+	/** One line for all: many daemons may start at once. */
+	const tellSeen = (names: readonly string[]) => {
+		if (names.length > 0) {
+			logger.info('daemons seen', {
+				count: names.length,
+				daemons: names.slice(0, maxNamesTold),
+			});
+		}
+	};
+
 	const applyChanges = ({entries, version}: FeedBatch<ChangedRow>) => {
 		forgiveGap();
 		readVersion = Math.max(readVersion, version);
+		const newLives: string[] = [];
 		for (const {value} of entries) {
 			if (value) {
-				noteRow(value);
+				noteRow(value, newLives);
 			}
 		}
+
+		tellSeen(newLives);
 	};
 
 	return {
 		applyChanges,
-		applyWhole(batch) {
-			const present = new Set(
-				batch.entries.flatMap(({value}) => (value ? [value.key] : [])),
-			);
-			rowFaults.keepOnly(tables.daemon, present);
-			for (const name of [...known.keys(), ...unreadSince.keys()]) {
-				if (!present.has(name)) {
-					forget(name);
-				}
-			}
-
-			applyChanges(batch);
-			isRead = true;
-		},
 		get: (name) => known.get(name),
-		isRead: (name) => isRead && !unreadSince.has(name),
 		isReadUpTo: (version) => readVersion >= version,
 		getSilentMs(name) {
-			const since = known.get(name)?.changedAt ?? unreadSince.get(name);
+			const since = known.get(name)?.changedAt ?? readSince;
 			const isReading =
 				readAt !== undefined && now() - readAt <= deps.observationGapMs;
 			return since !== undefined && isReading ? now() - since : 0;
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -28,8 +28,12 @@
 	readonly getAddress: () => string;
 	readonly members: Members;
 	readonly book: LeaseBook;
-	/** Whether this daemon's own heartbeat is in the store and young. */
+	/** Whether this daemon reads the heartbeats, so that it may judge others. */
 	readonly mayClaim: () => boolean;
+	/** Sees to it that its own heartbeat is in the store; answers whether it is. */
+	readonly ensureHeartbeat: () => Promise<boolean>;
+	/** Whether this daemon is one of those that take over from holders. */
+	readonly isCandidate: () => boolean;
 	/** All shards that somebody should hold, by the configuration. */
 	readonly listShards: () => readonly string[];
 	readonly now: () => number;
@@ -52,6 +56,8 @@
 	readonly release: (shard: string) => Promise<void>;
 	readonly listHeld: () => readonly HeldShard[];
 	readonly isHeld: (shard: string) => boolean;
+	/** Whether it holds a shard or is claiming one. */
+	readonly isHolding: () => boolean;
 	/** Takes in that the lease of a shard has changed. */
 	readonly noteLease: (shard: string, lease: KnownLease) => void;
 	/** A holder's order was refused for a higher token. */
@@ -68,6 +74,8 @@
 	const claiming = new Set<string>();
 	const heldSince = new Map<string, number>();
 	let returnedAt: number | undefined;
+	/** Where this daemon comes among observers, from 0 to 1. */
+	const claimJitter = deps.random();
 	/** Versions of leases that this daemon has lost and must not adopt again. */
 	const lostVersions = new Map<string, number>();
 	let isStopping = false;
@@ -91,10 +99,9 @@
 		}
 
 		return {
-			// A holder whose heartbeat was not read counts as alive.
-			registeredIncarnation: members.isRead(holder.entry)
-				? members.get(holder.entry)?.incarnation
-				: holder.incarnation,
+			// A holder whose heartbeat was not read counts as alive until it is silent.
+			registeredIncarnation:
+				members.get(holder.entry)?.incarnation ?? holder.incarnation,
 			silentMs: members.getSilentMs(holder.entry),
 		};
 	};
@@ -134,6 +141,12 @@
 	};
 
 	const claim = async (shard: string): Promise<void> => {
+		// The others judge a holder by its heartbeats, so one comes first.
+		if (!(await deps.ensureHeartbeat())) {
+			logger.info('shard claim failed', {shard, reason: 'no heartbeat'});
+			return;
+		}
+
 		const lease = book.get(shard);
 		const previous = describePrevious(lease);
 		const write = core.shardLease.acquireShard(shard, lease, {
@@ -215,10 +228,39 @@
 	const planShards = (shards: readonly string[]) =>
 		core.shardAssignment.planShards(shards, listLive(), listHolders(shards));
 
+	/** Less capable than some that are known, which may have gone meanwhile. */
+	const isLessCapable = (): boolean => {
+		const others = members.listAll().filter((entry) => entry !== self.entry);
+		const known = [
+			...others.map((entry) => ({
+				entry,
+				capacity: members.get(entry)?.capacity,
+			})),
+			{entry: self.entry, capacity: deps.capacity},
+		];
+		return !core.shardAssignment.listCapable(known).includes(self.entry);
+	};
+
+	/** Observers are many and see a free shard at the same time. */
+	const getObserverHeadStartMs = (): number => {
+		const isAnyLive = members
+			.listLive(periods.leaseMs)
+			.some((entry) => entry !== self.entry);
+		const candidateMs = isAnyLive ? shardPeriods.candidateHeadStartMs : 0;
+		const capableMs = isLessCapable() ? shardPeriods.observerCapableMs : 0;
+		return (
+			candidateMs + capableMs + claimJitter * shardPeriods.observerSpreadMs
+		);
+	};
+
 	const getHeadStartMs = (
 		shard: string,
 		{assigned, capable}: ShardPlan,
 	): number => {
+		if (held.size === 0 && !deps.isCandidate()) {
+			return getObserverHeadStartMs();
+		}
+
 		if (assigned.get(shard) === self.entry) {
 			return 0;
 		}
@@ -328,6 +370,7 @@
 		},
 		release: releases.release,
 		listHeld: () => [...held.values()],
+		isHolding: () => held.size + claiming.size > 0,
 		isHeld: (shard) => held.has(shard),
 		noteLease(shard, lease) {
 			const mine = held.get(shard);
--- a/packages/daemon/src/jobs/shards/shard-periods.ts
+++ b/packages/daemon/src/jobs/shards/shard-periods.ts
@@ -1,10 +1,16 @@
-/** Times by which shards move to more capable daemons, in milliseconds. */
+/** Times by which shards are claimed and given back, in milliseconds. */
 export const shardPeriods = {
 	/**
 	 * Head start of the capable daemons over all others: more than theirs
 	 * among each other, so that the others claim only what nobody else does.
 	 */
 	capableHeadStartMs: 900,
+	/** Head start of candidates over observers. */
+	candidateHeadStartMs: 300,
+	/** Among observers, head start of the more capable ones. */
+	observerCapableMs: 300,
+	/** Time over which observers spread their claims. */
+	observerSpreadMs: 200,
 	/** Before a shard moves both daemons have had their part for so long. */
 	settleMs: 3000,
 	/** Between two shards that a daemon gives back. */
