Count a task whose stop had no answer as away until a look lists it

Cause: a stop that evacuates a lasting task had no answer within 600 ms, and was carried out. Its run was put back to running at 100 percent, so the next plan, 40 ms later and before any look, found the step's budget free and stopped another of its tasks: AVAIL, twice, on a busy owner.

Ruled out: two owners at once (the stops are of one owner, after the takeover). The run counts as away now until a look lists it. evacuation.test.ts fails without.

--- a/packages/core/src/scheduler/answers.ts
+++ b/packages/core/src/scheduler/answers.ts
@@ -134,6 +134,7 @@
 			run.isStopUnderWay = false;
 			run.state = run.confirmedAt === undefined ? 'unsettled' : 'running';
 			if (kind === 'no-answer') {
+				run.mayBeStopped = true;
 				noteSilence(owner, executor.id, now);
 			}
 
--- a/packages/core/src/scheduler/evacuation.test.ts
+++ b/packages/core/src/scheduler/evacuation.test.ts
@@ -177,3 +177,34 @@
 		runs: 0,
 	});
 });
+
+tap.t.test(
+	'a stop without an answer spends the budget until its executor is heard',
+	async (t) => {
+		const owner = createTestOwner(
+			['e0', 'e1', 'e2', 'e3'].map((id) => createListed(id)),
+		);
+		submit(owner, createAccepted('a', [{...lasting, count: 2, mayMiss: 1}]));
+		planAndStart(owner, 0);
+		lookAll(owner, 100, () => 100);
+		scheduler.requestEvacuation(owner, 'e0', 0, 200);
+		scheduler.requestEvacuation(owner, 'e1', 0, 200);
+		const [stop] = planAndStart(owner, 200);
+		t.same(describeOrders(stop ? [stop] : []), [
+			'stop a.0.0.0 on e0: evacuation',
+		]);
+		if (stop?.kind === 'stop') {
+			scheduler.takeStopAnswer(owner, stop.run, {kind: 'no-answer'}, 800);
+		}
+
+		t.same(
+			describeOrders(planAndStart(owner, 810)),
+			[],
+			'it may have been carried out',
+		);
+		lookAll(owner, 900, () => 100);
+		t.same(describeOrders(planAndStart(owner, 910)), [
+			'stop a.0.0.0 on e0: evacuation',
+		]);
+	},
+);
--- a/packages/core/src/scheduler/evacuation.ts
+++ b/packages/core/src/scheduler/evacuation.ts
@@ -13,7 +13,8 @@
 
 const isAtWork = ({runs}: Task): boolean =>
 	runs.some(
-		({state, percent}) => state === 'running' && percent >= atWorkPercent,
+		({state, percent, mayBeStopped}) =>
+			state === 'running' && percent >= atWorkPercent && !mayBeStopped,
 	);
 
 /** Tasks of a step that are away, leaving out one of them. */
--- a/packages/core/src/scheduler/look.ts
+++ b/packages/core/src/scheduler/look.ts
@@ -227,6 +227,7 @@
 
 	run.percent = listed.percent;
 	run.load = listed.load;
+	run.mayBeStopped = false;
 	run.confirmedAt ??= now;
 	if (run.state === 'asked' || run.state === 'unsettled') {
 		run.state = 'running';
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -31,6 +31,8 @@
 	pacePercent: number;
 	/** A stop has been ordered and its answer has not come. */
 	isStopUnderWay: boolean;
+	/** A stop had no answer, and no look has listed the run since. */
+	mayBeStopped: boolean;
 };
 
 /** One task of one occurrence. */
@@ -284,6 +286,7 @@
 	load: 0,
 	pacePercent: 100,
 	isStopUnderWay: false,
+	mayBeStopped: false,
 });
 
 /** Whether a task is neither done nor under way. */
