Name each holder once, however many shards it holds

A daemon that has just started and is turned away by the store works through two holders by their leases. One that held several shards was listed once for each, so that both tries went to it, and it was told of a stop several times. lease-book.test.ts fails without. Found by reading.

--- a/packages/daemon/src/jobs/shards/lease-book.ts
+++ b/packages/daemon/src/jobs/shards/lease-book.ts
@@ -25,7 +25,7 @@
 	/** Takes in a row that came with another answer; older ones are dropped. */
 	readonly note: (row: ChangedRow | StoredRow) => void;
 	readonly get: (shard: string) => KnownLease | undefined;
-	/** Who holds shards, and where they are reached; once for each shard held. */
+	/** Who holds shards, and where they are reached; each once. */
 	readonly listHolders: () => readonly ShardHolder[];
 	/** Version for a check: 0 while the shard was never held. */
 	readonly getVersion: (shard: string) => number;
@@ -82,10 +82,14 @@
 			}
 		},
 		get: (shard) => known.get(shard),
-		listHolders: () =>
-			[...known.values()].flatMap(({value: {holder, address}}) =>
-				holder ? [{entry: holder.entry, address}] : [],
-			),
+		listHolders() {
+			const addresses = new Map(
+				[...known.values()].flatMap(({value: {holder, address}}) =>
+					holder ? [[holder.entry, address] as const] : [],
+				),
+			);
+			return [...addresses].map(([entry, address]) => ({entry, address}));
+		},
 		getVersion: (shard) => known.get(shard)?.version ?? 0,
 	};
 };
