List known entries only when one wants to join; one place for live entries

Each entry sorted and mapped all entries it knew twice a second to decide its role, though they matter only while it waits to join: work that grows with the fleet, which roles are there to avoid. The list is asked for when it is needed. Names became live entries in three places; toLiveEntries serves them. Decisions and their tests are as they were.

--- a/packages/core/src/shards/candidates.test.ts
+++ b/packages/core/src/shards/candidates.test.ts
@@ -57,7 +57,7 @@
 			const view = {
 				self,
 				live: live.filter(({entry}) => entry !== self.entry),
-				known: entries.filter(({entry}) => entry !== self.entry),
+				listKnown: () => entries.filter(({entry}) => entry !== self.entry),
 				holders,
 			};
 			const state = states.get(self.entry) ?? observer;
@@ -156,7 +156,7 @@
 		const view = {
 			self,
 			live: [],
-			known: entries.filter(({entry}) => entry !== self.entry),
+			listKnown: () => entries.filter(({entry}) => entry !== self.entry),
 			holders: new Set<string>(),
 		};
 		t.ok(isNeeded(view), 'without any, each is needed');
--- a/packages/core/src/shards/candidates.ts
+++ b/packages/core/src/shards/candidates.ts
@@ -25,8 +25,8 @@
 	readonly self: LiveEntry;
 	/** Others whose heartbeat is young. */
 	readonly live: readonly LiveEntry[];
-	/** All others whose heartbeat was ever read. */
-	readonly known: readonly LiveEntry[];
+	/** All others whose heartbeat was ever read: as many as the fleet has. */
+	readonly listKnown: () => readonly LiveEntry[];
 	/** Entries that hold shards. */
 	readonly holders: ReadonlySet<string>;
 };
@@ -74,7 +74,8 @@
 
 /** Those that go before this one and are no candidates yet may join first. */
 const getJoinDelayMs = (view: CandidateView): number => {
-	const absent = countAhead(view, view.known) - countAhead(view, view.live);
+	const absent =
+		countAhead(view, view.listKnown()) - countAhead(view, view.live);
 	return Math.min(maxJoinDelayMs, Math.max(0, absent) * joinStepMs);
 };
 
--- a/packages/daemon/src/jobs/shards/entry-role.ts
+++ b/packages/daemon/src/jobs/shards/entry-role.ts
@@ -8,7 +8,7 @@
 import {periods, observerPeriods} from '../periods.js';
 import type {FollowPeriods} from '../rows/feed-follower.js';
 import type {LeaseBook} from './lease-book.js';
-import type {Members} from './members.js';
+import {toLiveEntries, type Members} from './members.js';
 
 /** What the role of a daemon follows from. */
 export type EntryRoleDeps = {
@@ -38,13 +38,6 @@
 	const startedAt = now();
 	let state = core.candidates.observer;
 
-	const toEntries = (
-		names: readonly string[],
-	): readonly core.shardAssignment.LiveEntry[] =>
-		names
-			.filter((entry) => entry !== self.entry)
-			.map((entry) => ({entry, capacity: members.get(entry)?.capacity}));
-
 	const listHolders = (): readonly string[] =>
 		book.listHolders().map(({entry}) => entry);
 
@@ -63,15 +56,19 @@
 		step() {
 			const view = {
 				self,
-				live: toEntries(members.listLive(periods.leaseMs)),
-				known: toEntries(members.listAll()),
+				live: toLiveEntries(
+					members,
+					members.listLive(periods.leaseMs),
+					self.entry,
+				),
+				listKnown: () => toLiveEntries(members, members.listAll(), self.entry),
 				holders: new Set(listHolders()),
 			};
 			const next = core.candidates.stepCandidate(state, view, now());
 			if (next.isCandidate !== state.isCandidate) {
 				logger.info(next.isCandidate ? 'candidate now' : 'observer now', {
 					live: view.live.length,
-					known: view.known.length,
+					known: view.listKnown().length,
 				});
 			}
 
--- a/packages/daemon/src/jobs/shards/members.ts
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -3,6 +3,7 @@
  * holders of shards and candidates send heartbeats all the time, so that a
  * daemon that is not known may well live.
  */
+import type {shardAssignment} from '@gullstand/core';
 import type {ChangedRow, FeedBatch} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import type {RowFaults} from '../rows/row-faults.js';
@@ -50,6 +51,16 @@
 	readonly listAll: () => readonly string[];
 };
 
+/** Others of these names, with what their machines have. */
+export const toLiveEntries = (
+	members: Pick<Members, 'get'>,
+	names: readonly string[],
+	self: string,
+): readonly shardAssignment.LiveEntry[] =>
+	names
+		.filter((entry) => entry !== self)
+		.map((entry) => ({entry, capacity: members.get(entry)?.capacity}));
+
 /** What the members are kept with. */
 export type MembersDeps = {
 	readonly now: () => number;
--- a/packages/daemon/src/jobs/shards/shard-keeper.ts
+++ b/packages/daemon/src/jobs/shards/shard-keeper.ts
@@ -13,7 +13,7 @@
 import type {HeldShard, PreviousHolder} from './held-shard.js';
 import type {KnownLease, LeaseBook} from './lease-book.js';
 import {createLeaseTransaction} from './lease-transaction.js';
-import type {Members} from './members.js';
+import {toLiveEntries, type Members} from './members.js';
 import {maxSpreadShards, shardPeriods} from './shard-periods.js';
 import {createShardReleases} from './shard-releases.js';
 
@@ -207,13 +207,10 @@
 		return result.ok;
 	};
 
-	const listLive = (): readonly core.shardAssignment.LiveEntry[] => [
-		...members
-			.listLive(periods.leaseMs)
-			.filter((entry) => entry !== self.entry)
-			.map((entry) => ({entry, capacity: members.get(entry)?.capacity})),
-		{entry: self.entry, capacity: deps.capacity},
-	];
+	const own = {entry: self.entry, capacity: deps.capacity};
+
+	const listLiveOthers = (): readonly core.shardAssignment.LiveEntry[] =>
+		toLiveEntries(members, members.listLive(periods.leaseMs), self.entry);
 
 	const listHolders = (
 		shards: readonly string[],
@@ -226,26 +223,23 @@
 		);
 
 	const planShards = (shards: readonly string[]) =>
-		core.shardAssignment.planShards(shards, listLive(), listHolders(shards));
+		core.shardAssignment.planShards(
+			shards,
+			[...listLiveOthers(), own],
+			listHolders(shards),
+		);
 
 	/** Less capable than some that are known, which may have gone meanwhile. */
 	const isLessCapable = (): boolean => {
-		const others = members.listAll().filter((entry) => entry !== self.entry);
-		const known = [
-			...others.map((entry) => ({
-				entry,
-				capacity: members.get(entry)?.capacity,
-			})),
-			{entry: self.entry, capacity: deps.capacity},
-		];
-		return !core.shardAssignment.listCapable(known).includes(self.entry);
+		const known = toLiveEntries(members, members.listAll(), self.entry);
+		return !core.shardAssignment
+			.listCapable([...known, own])
+			.includes(self.entry);
 	};
 
 	/** Observers are many and see a free shard at the same time. */
 	const getObserverHeadStartMs = (): number => {
-		const isAnyLive = members
-			.listLive(periods.leaseMs)
-			.some((entry) => entry !== self.entry);
+		const isAnyLive = listLiveOthers().length > 0;
 		const candidateMs = isAnyLive ? shardPeriods.candidateHeadStartMs : 0;
 		const capableMs = isLessCapable() ? shardPeriods.observerCapableMs : 0;
 		return (
