--- a/packages/ports/src/memory/task-executors.ts
+++ b/packages/ports/src/memory/task-executors.ts
@@ -2,6 +2,7 @@
  * Executors in memory that run tasks under leases and fencing tokens. The caller
  * controls their clock and ends their runs.
  */
+import {setImmediate} from 'node:timers/promises';
 import type {scheduler} from '@gullstand/core';
 import type {
 	Executors,
@@ -222,7 +223,8 @@
 		timeoutMs: number,
 		action: (incarnation: Incarnation) => Answer | Promise<Answer>,
 	): Promise<Answer | {readonly kind: 'no-answer' | 'other-life'}> => {
-		await Promise.resolve();
+		// A call takes a turn of the event loop, also one that is refused at once.
+		await setImmediate();
 		const incarnation = findIncarnation(target);
 		if (!incarnation && isReplaced(target)) {
 			return {kind: 'other-life'};
@@ -237,7 +239,10 @@
 
 		expireLease(incarnation);
 		const result = await action(incarnation);
-		return incarnation.fault === 'lost-answer' ? {kind: 'no-answer'} : result;
+		const isTerminated = findIncarnation(target) !== incarnation;
+		return isTerminated || incarnation.fault === 'lost-answer'
+			? {kind: 'no-answer'}
+			: result;
 	};
 
 	const executors: MemoryExecutors = {
@@ -290,7 +295,9 @@
 			});
 		},
 		remove(id) {
+			const incarnation = incarnations.get(id);
 			incarnations.delete(id);
+			incarnation?.wake?.();
 		},
 		setFault(id, fault) {
 			const incarnation = incarnations.get(id);
