Count the crashes of executors against the tasks that may have caused them

Cause: a run that is lost with its executor put its task back among the waiting ones and counted nothing. Only an end that the executor lists counts as an attempt, and an executor that crashes lists none. Class of fault: repeats bounded by one kind of outcome only.

Why this works: each loss of an executor, by termination or expiry of its leases, counts against the runs that had started there shortly before, by run number, in the stored progress, and so over all owners. As any of them may be the cause, they start again in isolation: on an executor where nothing started recently and nothing starts beside them. One that survives is cleared; one whose executor crashes again twice is given up and its job fails, after three starts (four if the crash comes later than 300 ms after the start; five are allowed). Counting without isolation would fail the neighbours too: they are lost as often as the cause.

--- a/packages/core/src/scheduler/command-answers.ts
+++ b/packages/core/src/scheduler/command-answers.ts
@@ -5,7 +5,7 @@
 import {markUnresponsive} from './owner.js';
 import type {Owner} from './owner-state.js';
 import {recordStartOutcome} from './start-window.js';
-import type {Run} from './task.js';
+import {confirmRun, type Run} from './task.js';
 
 /** Answer to a start. */
 export type StartAnswer =
@@ -74,7 +74,7 @@
 		.returnType<AnswerEffect>()
 		.with({kind: 'started'}, ({clockMs}) => {
 			recordClockReading(executor, clockMs, now);
-			run.confirmedAt ??= now;
+			confirmRun(run, clockMs, now);
 			run.progressedAt = now;
 			run.state = run.state === 'asked' ? 'running' : run.state;
 			run.task.step.occurrence.job.hasStarted = true;
--- /dev/null
+++ b/packages/core/src/scheduler/crash-attribution.ts
@@ -0,0 +1,229 @@
+/**
+ * Attributes crashes of executors to tasks, so that a task that crashes each
+ * executor that starts it (a poison pill) is not started without limit.
+ *
+ * All runs that were on an executor are lost with it, and any of those that had
+ * started shortly before may be the cause. Such a task is a suspect: it is next
+ * started in isolation, where nothing else has started recently and nothing
+ * starts beside it, so that a further crash has one cause only. A suspect that
+ * outlives its probation is cleared; one whose executors crash again is given
+ * up, and its job fails.
+ *
+ * A crash that comes later after the start is weaker evidence, as executors are
+ * lost for other reasons too, and makes a suspect only if it is repeated.
+ */
+import type {Executor} from './executor.js';
+import {endJob, type EndedJob} from './job-ends.js';
+import type {Owner} from './owner-state.js';
+import {
+	listCoscheduledTasks,
+	listTasks,
+	type Crash,
+	type Job,
+	type Run,
+	type Task,
+} from './task.js';
+
+/** A crash this soon after a start makes the task a suspect, in milliseconds. */
+const promptCrashMs = 300;
+
+/** A run that has survived this long is not the cause, in milliseconds. */
+const maxCrashDelayMs = 5000;
+
+/** Crashes without isolation that make a task a suspect if none was prompt. */
+const lateCrashesOfSuspect = 2;
+
+/** Crashes in isolation after which a task is given up. */
+const maxIsolatedCrashes = 2;
+
+/** Crashes of any kind after which a task is given up. */
+const maxCrashes = 4;
+
+/** Probation as a multiple of the longest time until a crash. */
+const probationFactor = 2;
+
+/**
+ * How long a run has certainly survived, in milliseconds of the executor's
+ * clock: from the first answer that confirmed the run to the latest one.
+ */
+export const getSurvivedMs = (
+	{clock}: Executor,
+	{confirmedClockMs}: Run,
+): number =>
+	clock === undefined || confirmedClockMs === undefined
+		? 0
+		: clock.reportedMs - confirmedClockMs;
+
+/** Whether a run may still crash its executor promptly after its start. */
+const isRecent = (executor: Executor, run: Run): boolean =>
+	getSurvivedMs(executor, run) < promptCrashMs;
+
+/** Whether no run has started on an executor recently. */
+export const hasNoRecentRun = (executor: Executor): boolean =>
+	[...executor.runs.values()].every((run) => !isRecent(executor, run));
+
+/** Whether a task must start in isolation. */
+export const isCrashSuspect = ({crashes}: Task): boolean =>
+	crashes.length >= lateCrashesOfSuspect ||
+	crashes.some(({survivedMs}) => survivedMs < promptCrashMs);
+
+/** How long a run of a suspect must survive to clear it, in milliseconds. */
+export const getProbationMs = ({crashes}: Task): number =>
+	Math.max(
+		promptCrashMs,
+		...crashes.map(({survivedMs}) => probationFactor * survivedMs),
+	);
+
+/** Remaining probation of the isolated runs on an executor, in milliseconds. */
+export const getRemainingProbationMs = (
+	executor: Executor,
+): number | undefined => {
+	const isolated = [...executor.runs.values()].filter(
+		({isIsolated}) => isIsolated,
+	);
+	return isolated.length === 0
+		? undefined
+		: Math.max(
+				0,
+				...isolated.map(
+					(run) => getProbationMs(run.task) - getSurvivedMs(executor, run),
+				),
+			);
+};
+
+const countIsolated = ({crashes}: Task): number =>
+	crashes.filter(({wasIsolated}) => wasIsolated).length;
+
+const isAtFault = (task: Task): boolean =>
+	task.crashes.length >= maxCrashes ||
+	countIsolated(task) >= maxIsolatedCrashes;
+
+const addCrash = (owner: Owner, task: Task, crash: Crash): void => {
+	for (const each of listCoscheduledTasks(task)) {
+		each.crashes = [...each.crashes, crash];
+	}
+
+	owner.dirtyJobs.add(task.step.occurrence.job);
+	trackSuspect(owner, task);
+};
+
+const recordCrash = (
+	owner: Owner,
+	executor: Executor,
+	run: Run,
+	now: number,
+): EndedJob | undefined => {
+	const {task, number, isIsolated} = run;
+	const survivedMs = getSurvivedMs(executor, run);
+	const isKnown = task.crashes.some((each) => each.run === number);
+	if (isKnown || survivedMs >= maxCrashDelayMs) {
+		return undefined;
+	}
+
+	addCrash(owner, task, {run: number, survivedMs, wasIsolated: isIsolated});
+	const {job} = task.step.occurrence;
+	if (job.end !== undefined || !isAtFault(task)) {
+		return undefined;
+	}
+
+	endJob(owner, job, 'failed', now);
+	const reason = `task ${task.id} crashed ${task.crashes.length} executors`;
+	return {job: job.accepted.id, end: 'failed', reason};
+};
+
+/**
+ * Records the loss of an executor against the runs that may have caused it;
+ * returns the jobs that fail thereby. The loss of a draining one is expected.
+ */
+export const attributeCrash = (
+	owner: Owner,
+	executor: Executor,
+	now: number,
+): readonly EndedJob[] => {
+	if (executor.listed.isDraining) {
+		return [];
+	}
+
+	const runs = [...executor.runs.values()].filter(
+		({task}) => !task.isDone && !task.step.occurrence.job.end,
+	);
+	const isolated = runs.filter(({isIsolated}) => isIsolated);
+	const candidates = isolated.length > 0 ? isolated : runs;
+	return candidates.flatMap(
+		(run) => recordCrash(owner, executor, run, now) ?? [],
+	);
+};
+
+const hasOutlivedProbation = (owner: Owner, {task, number}: Run): boolean =>
+	listCoscheduledTasks(task).every((each) =>
+		each.runs.some((run) => {
+			const executor = owner.executors.get(run.executorId);
+			return (
+				run.number === number &&
+				executor !== undefined &&
+				getSurvivedMs(executor, run) >= getProbationMs(each)
+			);
+		}),
+	);
+
+/** Clears a task of its crashes once a run of it has outlived its probation. */
+export const clearIfProbationIsOver = (owner: Owner, run: Run): void => {
+	const {task} = run;
+	if (task.crashes.length === 0 || !hasOutlivedProbation(owner, run)) {
+		return;
+	}
+
+	for (const each of listCoscheduledTasks(task)) {
+		each.crashes = [];
+		for (const eachRun of each.runs) {
+			eachRun.isIsolated = false;
+		}
+
+		owner.crashSuspects.delete(each);
+	}
+
+	owner.dirtyJobs.add(task.step.occurrence.job);
+};
+
+/**
+ * Lets the next plans start a task in isolation if it is a suspect. The first
+ * task of a gang stands for all of them.
+ */
+const trackSuspect = (owner: Owner, task: Task): void => {
+	const [first] = listCoscheduledTasks(task);
+	if (first && isCrashSuspect(task)) {
+		owner.crashSuspects.add(first);
+	}
+};
+
+/** Tracks the suspects of a job whose progress was stored by another owner. */
+export const trackSuspectsOfJob = (owner: Owner, job: Job): void => {
+	for (const task of listTasks(job)) {
+		trackSuspect(owner, task);
+	}
+};
+
+const compareSuspects = (one: Task, two: Task): number => {
+	const first = one.step.occurrence.job.accepted;
+	const second = two.step.occurrence.job.accepted;
+	return (
+		countIsolated(two) - countIsolated(one) ||
+		Number(two.step.spec.isLongRunning) - Number(one.step.spec.isLongRunning) ||
+		first.acceptedAtEpochMs - second.acceptedAtEpochMs ||
+		one.index - two.index
+	);
+};
+
+/**
+ * Lists the suspects of open jobs, the likeliest cause first: once it has
+ * crashed a further executor, the tasks of its job need not be tried.
+ */
+export const listSuspects = (owner: Owner): readonly Task[] => {
+	for (const task of owner.crashSuspects) {
+		if (task.isDone || task.step.occurrence.job.end) {
+			owner.crashSuspects.delete(task);
+		}
+	}
+
+	return [...owner.crashSuspects].toSorted(compareSuspects);
+};
--- a/packages/core/src/scheduler/duplicate-runs.test.ts
+++ b/packages/core/src/scheduler/duplicate-runs.test.ts
@@ -91,11 +91,11 @@
 		const step = 250;
 		const expiresAt = testConfig.taskLeaseMs / (1 - scheduler.maxClockDrift);
 		for (let now = 100; now < expiresAt; now += step) {
-			t.same(scheduler.expireLeases(owner, now), [], `at ${now}`);
+			t.same(scheduler.expireLeases(owner, now).runs, [], `at ${now}`);
 			t.same(planAndStart(owner, now), [], `at ${now}`);
 		}
 
-		t.equal(scheduler.expireLeases(owner, expiresAt + step).length, 1);
+		t.equal(scheduler.expireLeases(owner, expiresAt + step).runs.length, 1);
 		t.same(describeCommands(planAndStart(owner, expiresAt + step)), [
 			'start a.0.0.0 on yy',
 		]);
@@ -110,7 +110,7 @@
 		scheduler.recordUnlistedExecutor(owner, 'x');
 		t.same(planAndStart(owner, 10), []);
 		t.ok(owner.executors.has('x'));
-		t.equal(scheduler.markTerminated(owner, 'x').length, 1);
+		t.equal(scheduler.markTerminated(owner, 'x', 15).runs.length, 1);
 		t.notOk(owner.executors.has('x'));
 		t.same(describeCommands(planAndStart(owner, 20)), ['start a.0.0.0 on yy']);
 	},
@@ -183,7 +183,7 @@
 		name: 'another incarnation answers at its address',
 		isInherited: true,
 		resolve(owner) {
-			scheduler.markTerminated(owner, 'old');
+			scheduler.markTerminated(owner, 'old', 10);
 		},
 		starts: 1,
 	},
@@ -317,7 +317,7 @@
 
 tap.t.test('a terminated executor is not added again', async (t) => {
 	const owner = createTestOwner([createListed('x')]);
-	scheduler.markTerminated(owner, 'x');
+	scheduler.markTerminated(owner, 'x', 10);
 	t.notOk(owner.executors.has('x'));
 	scheduler.recordListedExecutor(owner, createListed('x'));
 	t.notOk(
--- a/packages/core/src/scheduler/executor-poll.ts
+++ b/packages/core/src/scheduler/executor-poll.ts
@@ -9,12 +9,14 @@
 	recordClockReading,
 	type Executor,
 } from './executor.js';
-import {completeIfDone, endJob, type EndedJob} from './owner.js';
+import {clearIfProbationIsOver} from './crash-attribution.js';
+import {completeIfDone, endJob, type EndedJob} from './job-ends.js';
 import type {Owner} from './owner-state.js';
 import {
 	addOccurrencesUpTo,
 	createDetachedTask,
 	createRun,
+	confirmRun,
 	listCoscheduledTasks,
 	markDone,
 	parseTaskId,
@@ -237,7 +239,11 @@
 	}
 };
 
-const recordProgress = (run: Run, listed: ListedRun, now: number): void => {
+const recordProgress = (
+	run: Run,
+	listed: ListedRun,
+	{clockMs, receivedAt: now}: ExecutorPoll,
+): void => {
 	if (listed.percent > run.percent || run.confirmedAt === undefined) {
 		run.progressedAt = now;
 	}
@@ -245,7 +251,7 @@
 	run.percent = listed.percent;
 	run.load = listed.load;
 	run.mayHaveStopped = false;
-	run.confirmedAt ??= now;
+	confirmRun(run, clockMs, now);
 	if (run.state === 'asked' || run.state === 'unsettled') {
 		run.state = 'running';
 	}
@@ -255,7 +261,7 @@
 	owner: Owner,
 	executor: Executor,
 	listed: ListedRun,
-	now: number,
+	{clockMs, receivedAt: now}: ExecutorPoll,
 ): Run | undefined => {
 	const task = findRunTask(owner, listed.taskId);
 	if (!task) {
@@ -264,7 +270,7 @@
 
 	const run = createRun(task, listed.run, executor.id, now);
 	run.state = 'running';
-	run.confirmedAt = now;
+	confirmRun(run, clockMs, now);
 	run.percent = listed.percent;
 	run.load = listed.load;
 	task.lastRun = Math.max(task.lastRun, listed.run);
@@ -282,7 +288,7 @@
 	for (const listed of poll.running) {
 		const key = getRunKey(listed.taskId, listed.run);
 		const known = executor.runs.get(key);
-		const run = known ?? adoptRun(owner, executor, listed, poll.receivedAt);
+		const run = known ?? adoptRun(owner, executor, listed, poll);
 		if (!run) {
 			changes.orphanedRuns.push(listed);
 			continue;
@@ -292,7 +298,8 @@
 			changes.adopted.push(key);
 		}
 
-		recordProgress(run, listed, poll.receivedAt);
+		recordProgress(run, listed, poll);
+		clearIfProbationIsOver(owner, run);
 		// Not stored while the task runs: losing it only repeats work.
 		applyCheckpoint(run.task, run.number, listed.checkpoint);
 	}
--- a/packages/core/src/scheduler/executor.ts
+++ b/packages/core/src/scheduler/executor.ts
@@ -154,6 +154,17 @@
 export const getRack = ({listed}: Executor): string | undefined =>
 	listed.labels.find((label) => rackPattern.test(label));
 
+/** Whether an executor is kept free of other starts for a run. */
+export const hasIsolatedRun = ({runs}: Executor): boolean => {
+	for (const {isIsolated} of runs.values()) {
+		if (isIsolated) {
+			return true;
+		}
+	}
+
+	return false;
+};
+
 /** Whether an executor may be given new work, or the reason why not. */
 export type Readiness =
 	| 'usable'
@@ -164,6 +175,7 @@
 	| 'not-rostered'
 	| 'strays'
 	| 'evacuating'
+	| 'isolated'
 	| 'resting';
 
 /** Returns the first reason that applies, or `usable`. */
@@ -196,6 +208,10 @@
 		return 'evacuating';
 	}
 
+	if (hasIsolatedRun(executor)) {
+		return 'isolated';
+	}
+
 	return executor.quarantinedUntil > now ? 'resting' : 'usable';
 };
 
--- a/packages/core/src/scheduler/explain.ts
+++ b/packages/core/src/scheduler/explain.ts
@@ -1,4 +1,5 @@
 /** Explains to operators why the tasks of a job do or do not run. */
+import {isCrashSuspect} from './crash-attribution.js';
 import {isLocationKnown} from './owner.js';
 import type {Owner} from './owner-state.js';
 import {listUsable, placementRefusals, placeTask} from './place-task.js';
@@ -35,6 +36,10 @@
 		return `it may still run on ${ids}, which has not answered since the takeover`;
 	}
 
+	if (isCrashSuspect(task)) {
+		return `it may have crashed ${task.crashes.length} executors, and waits for one on which nothing else has started recently`;
+	}
+
 	const placement = placeTask(listUsable(owner, now), task);
 	return placement.kind === 'placed'
 		? `it is about to start on ${placement.executor.id}`
--- a/packages/core/src/scheduler/owner-state.ts
+++ b/packages/core/src/scheduler/owner-state.ts
@@ -2,7 +2,7 @@
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
 import type {StartWindow} from './start-window.js';
-import type {Job} from './task.js';
+import type {Job, Task} from './task.js';
 
 /** Placement advice received for one step. */
 export type StepAdvice = {
@@ -42,6 +42,8 @@
 	readonly unresolvedExecutors: Map<string, number>;
 	/** Jobs whose progress differs from the stored one. */
 	readonly dirtyJobs: Set<Job>;
+	/** Tasks that may have crashed their executors and start in isolation. */
+	readonly crashSuspects: Set<Task>;
 	/** Whether the stored roster is out of date. */
 	isRosterDirty: boolean;
 	/** Number of the flush that will store the current changes. */
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -11,27 +11,20 @@
 	haveLeasesExpired,
 	type Executor,
 } from './executor.js';
+import {attributeCrash} from './crash-attribution.js';
+import type {EndedJob} from './job-ends.js';
 import type {Owner} from './owner-state.js';
 import {initialStartWindow} from './start-window.js';
 import {
 	addDueOccurrences,
 	createJob,
 	isLongRunningJob,
-	isJobComplete,
 	listTasks,
 	type Job,
-	type JobEnd,
 	type Run,
 	type Task,
 } from './task.js';
-import type {AcceptedJob, JobState, ListedExecutor} from './types.js';
-
-/** A job that ended and the reason, for the log. */
-export type EndedJob = {
-	readonly job: string;
-	readonly end: JobEnd;
-	readonly reason: string;
-};
+import type {AcceptedJob, ListedExecutor} from './types.js';
 
 /** Creates the state of an owner that has just taken over a service. */
 export const createOwner = (
@@ -49,6 +42,7 @@
 	executors: new Map(),
 	unresolvedExecutors: new Map(),
 	dirtyJobs: new Set(),
+	crashSuspects: new Set(),
 	isRosterDirty: false,
 	flushNumber: 1,
 	advice: new Map(),
@@ -89,65 +83,12 @@
 	return job;
 };
 
-/** Ends a job. The next plan stops its remaining runs. */
-export const endJob = (
-	owner: Owner,
-	job: Job,
-	end: JobEnd,
-	now: number,
-): void => {
-	if (job.end) {
-		return;
-	}
-
-	job.end = end;
-	job.endedAt = now;
-	for (const stepId of owner.advice.keys()) {
-		if (stepId.startsWith(`${job.accepted.id}.`)) {
-			owner.advice.delete(stepId);
-		}
-	}
-
-	owner.openJobs.delete(job);
-	owner.dirtyJobs.add(job);
-};
-
-/**
- * Cancels a job. The cancellation is already stored in a row of its own, so
- * callers may see it at once.
- */
-export const cancelJob = (owner: Owner, job: Job, now: number): void => {
-	if (job.end) {
-		return;
-	}
-
-	endJob(owner, job, 'cancelled', now);
-	job.storedEnd = 'cancelled';
-};
-
-/** Returns the job state that callers see; an end only once it is stored. */
-export const getJobState = (job: Job): JobState => {
-	if (job.storedEnd) {
-		return job.storedEnd;
-	}
-
-	return job.hasStarted ? 'running' : 'queued';
-};
-
 /** Counts the jobs of a queue that have not started a task. */
 export const countPending = (owner: Owner, queue: string): number =>
 	[...owner.openJobs].filter(
 		(job) => job.accepted.policy.queue === queue && !job.hasStarted,
 	).length;
 
-/** Completes a job if all of its tasks are done. */
-export const completeIfDone = (owner: Owner, job: Job, now: number): void => {
-	owner.dirtyJobs.add(job);
-	if (!job.end && isJobComplete(job)) {
-		endJob(owner, job, 'completed', now);
-	}
-};
-
 /** Adds the occurrences that are due by the wall clock. */
 export const advanceSchedules = (owner: Owner, epochNow: number): void => {
 	for (const job of owner.openJobs) {
@@ -207,33 +148,43 @@
 	}
 };
 
-/** Removes all runs of an executor and returns them. */
-const removeAllRuns = (owner: Owner, executor: Executor): readonly Run[] => {
+/** Runs lost with their executors, and the jobs that fail thereby. */
+export type LostRuns = {
+	readonly runs: readonly Run[];
+	readonly jobEnds: readonly EndedJob[];
+};
+
+const noLostRuns: LostRuns = {runs: [], jobEnds: []};
+
+/** Removes all runs of an executor that is lost. */
+const loseRuns = (owner: Owner, executor: Executor, now: number): LostRuns => {
+	const jobEnds = attributeCrash(owner, executor, now);
 	const runs = [...executor.runs.values()];
 	for (const run of runs) {
 		removeRun(executor, run);
 	}
 
 	removeIfUnused(owner, executor);
-	return runs;
+	return {runs, jobEnds};
 };
 
-/**
- * Records that an executor has terminated, and its runs with it. Returns the
- * runs that were removed.
- */
-export const markTerminated = (owner: Owner, id: string): readonly Run[] => {
+/** Records that an executor has terminated, and its runs with it. */
+export const markTerminated = (
+	owner: Owner,
+	id: string,
+	now: number,
+): LostRuns => {
 	owner.unresolvedExecutors.delete(id);
 	owner.terminatedExecutors.add(id);
 	const executor = owner.executors.get(id);
 	if (!executor) {
-		return [];
+		return noLostRuns;
 	}
 
 	executor.isListed = false;
 	executor.unackedEnds = [];
 	executor.hasListedEnds = false;
-	return removeAllRuns(owner, executor);
+	return loseRuns(owner, executor, now);
 };
 
 /** Records that a call to an executor had no answer. */
@@ -303,9 +254,9 @@
 
 /**
  * Removes the runs of unresponsive executors whose leases have expired, and
- * executors that are unlisted and unused. Returns the runs that were removed.
+ * executors that are unlisted and unused.
  */
-export const expireLeases = (owner: Owner, now: number): readonly Run[] => {
+export const expireLeases = (owner: Owner, now: number): LostRuns => {
 	for (const [id, leasesEndAt] of owner.unresolvedExecutors) {
 		if (now >= leasesEndAt) {
 			owner.unresolvedExecutors.delete(id);
@@ -313,7 +264,7 @@
 		}
 	}
 
-	const removed: Run[] = [];
+	const lost: LostRuns[] = [];
 	for (const executor of owner.executors.values()) {
 		if (
 			executor.unresponsiveSince !== undefined &&
@@ -322,14 +273,17 @@
 			// Its state is unknown until it answers a poll again.
 			executor.isAdopted = false;
 			executor.hasListedEnds = false;
-			removed.push(...removeAllRuns(owner, executor));
+			lost.push(loseRuns(owner, executor, now));
 		} else if (executor.wasUnlisted) {
 			// If it stayed in the roster, the next owner would wait for it.
 			removeIfUnused(owner, executor);
 		}
 	}
 
-	return removed;
+	return {
+		runs: lost.flatMap(({runs}) => runs),
+		jobEnds: lost.flatMap(({jobEnds}) => jobEnds),
+	};
 };
 
 /** Lists ended jobs past their retention time, at most `limit` of them. */
--- a/packages/core/src/scheduler/place-task.ts
+++ b/packages/core/src/scheduler/place-task.ts
@@ -87,6 +87,16 @@
 	return best?.executor;
 };
 
+/** Lists the given executors on which a task fits now. */
+export const listFitting = (
+	executors: readonly Executor[],
+	{step}: Task,
+): readonly Executor[] =>
+	executors.filter(
+		(each) =>
+			couldHold(each, step) && maySpreadTo(step, each) && hasRoom(each, step),
+	);
+
 /** Selects one of the given executors for a task. */
 export const placeTask = (
 	executors: readonly Executor[],
--- /dev/null
+++ b/packages/core/src/scheduler/plan-gang.ts
@@ -0,0 +1,98 @@
+/** Plans the starts of gangs, whose tasks start together or not at all. */
+import {isCrashSuspect} from './crash-attribution.js';
+import {getRack, removeRun, type Executor} from './executor.js';
+import {isLocationKnown} from './owner.js';
+import type {Owner} from './owner-state.js';
+import {placeTask} from './place-task.js';
+import {
+	listStepExecutors,
+	nextRunNumber,
+	startTask,
+	type Planning,
+	type StartCommand,
+} from './planning.js';
+import {isKnownNotToFit} from './rejected-demands.js';
+import {isWaiting, type Step} from './task.js';
+
+/** Whether all tasks of a gang wait and run nowhere. */
+export const isGangReady = (owner: Owner, step: Step): boolean =>
+	step.tasks.every((task) => isWaiting(task) && isLocationKnown(owner, task));
+
+const groupByRack = (
+	executors: readonly Executor[],
+): ReadonlyArray<readonly Executor[]> =>
+	[...new Set(executors.map((each) => getRack(each)))].map((rack) =>
+		executors.filter((each) => getRack(each) === rack),
+	);
+
+const listRackGroups = (
+	usable: readonly Executor[],
+	step: Step,
+): ReadonlyArray<readonly Executor[]> =>
+	step.spec.needsSameRack ? [...groupByRack(usable), usable] : [usable];
+
+/** How the tasks of a gang are started. */
+export type GangStart = {
+	/** Executors that may be used. */
+	readonly executors: readonly Executor[];
+	readonly isIsolated: boolean;
+};
+
+/**
+ * Starts all tasks of a gang under one run number, or none of them. Returns the
+ * executors on which they start.
+ */
+export const startGang = (
+	planning: Planning,
+	step: Step,
+	{executors, isIsolated}: GangStart,
+): readonly Executor[] => {
+	const {owner, commands} = planning;
+	const number = Math.max(
+		...step.tasks.map((task) => nextRunNumber(owner, task)),
+	);
+	for (const group of listRackGroups(executors, step)) {
+		const started: StartCommand[] = [];
+		for (const task of step.tasks) {
+			const placement = placeTask(group, task);
+			const command =
+				placement.kind === 'placed'
+					? startTask(planning, placement.executor, task, {
+							number,
+							isIsolated,
+						})
+					: undefined;
+			if (!command) {
+				break;
+			}
+
+			started.push(command);
+		}
+
+		if (started.length === step.tasks.length) {
+			commands.push(...started);
+			return started.map(({executor}) => executor);
+		}
+
+		for (const {executor, run} of started) {
+			removeRun(executor, run);
+		}
+
+		planning.startsLeft += started.length;
+	}
+
+	return [];
+};
+
+/** Starts a gang, if its tasks wait and there is room for all of them. */
+export const planGang = (planning: Planning, step: Step): void => {
+	const {owner, rejected} = planning;
+	if (
+		!isKnownNotToFit(rejected, step) &&
+		isGangReady(owner, step) &&
+		!step.tasks.some((task) => isCrashSuspect(task))
+	) {
+		const executors = listStepExecutors(planning, step);
+		startGang(planning, step, {executors, isIsolated: false});
+	}
+};
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -1,94 +1,34 @@
 /** Plans the next commands of the owner of a service. */
-import {
-	findTicket,
-	listAdvisedExecutors,
-	needsAdvice,
-	prepareAdviceRequest,
-	type AdviceRequest,
-} from './placement-advice.js';
+import {isCrashSuspect} from './crash-attribution.js';
 import {
 	expireEvacuations,
 	listEvacuationStops,
 	mayStopLongRunning,
 } from './evacuation.js';
-import {
-	addRun,
-	removeRun,
-	getRack,
-	grantLease,
-	type Executor,
-} from './executor.js';
+import type {Executor} from './executor.js';
 import {
 	createRejectedDemands,
 	isKnownNotToFit,
 	recordRejectedDemand,
-	type RejectedDemands,
 } from './rejected-demands.js';
 import {isLocationKnown} from './owner.js';
 import type {Owner} from './owner-state.js';
-import {findEviction, listUsable, placeTask} from './place-task.js';
+import {listUsable, placeTask} from './place-task.js';
+import {planGang} from './plan-gang.js';
+import {planSuspects} from './plan-suspects.js';
+import {
+	evictFor,
+	listStepExecutors,
+	nextRunNumber,
+	startTask,
+	stopRun,
+	type Command,
+	type Planning,
+	type StopReason,
+} from './planning.js';
 import {rankJobs, type RankedJob} from './rank.js';
 import {countAvailableStarts} from './start-window.js';
-import {
-	createRun,
-	isStepReady,
-	isWaiting,
-	type Run,
-	type Step,
-	type Task,
-} from './task.js';
-
-/** Reason for which a run is stopped. */
-export type StopReason =
-	| 'job-ended'
-	| 'task-done'
-	| 'duplicate'
-	| 'unanswered-start'
-	| 'hung'
-	| 'evacuation'
-	| 'preempted'
-	| 'executor-draining';
-
-/** A command to an executor, or a request for placement advice. */
-export type Command =
-	| {
-			readonly kind: 'start';
-			readonly executor: Executor;
-			readonly run: Run;
-			/** Lease end, by the executor's clock. */
-			readonly leaseEndMs: number;
-			readonly ticket: string | undefined;
-	  }
-	| {
-			readonly kind: 'stop';
-			readonly executor: Executor;
-			readonly run: Run;
-			readonly reason: StopReason;
-	  }
-	| ({readonly kind: 'advise'} & AdviceRequest);
-
-type StartCommand = Extract<Command, {readonly kind: 'start'}>;
-
-/** Range of run numbers of one owner, by its fencing token. */
-const runsPerToken = 10_000;
-
-/** Run numbers grow across owners, since fencing tokens do. */
-const nextRunNumber = (owner: Owner, task: Task): number =>
-	Math.max(task.lastRun, owner.token * runsPerToken) + 1;
-
-const stopRun = (
-	executor: Executor,
-	run: Run,
-	reason: StopReason,
-): Command | undefined => {
-	if (run.isStopPending) {
-		return undefined;
-	}
-
-	run.isStopPending = true;
-	run.state = run.confirmedAt === undefined ? 'barring' : 'stopping';
-	return {kind: 'stop', executor, run, reason};
-};
+import {isStepReady, isWaiting, type Run, type Step} from './task.js';
 
 const isHung = (owner: Owner, run: Run, now: number): boolean => {
 	const {hangFactor, hangMs, startupLimitMs} = owner.cfg;
@@ -180,66 +120,6 @@
 	return commands;
 };
 
-type Planning = {
-	readonly owner: Owner;
-	readonly now: number;
-	readonly usable: readonly Executor[];
-	readonly commands: Command[];
-	/** Demands that fit on none of the usable executors. */
-	readonly rejected: RejectedDemands;
-	/** Number of starts that the start window still allows. */
-	startsLeft: number;
-};
-
-const startTask = (
-	planning: Planning,
-	executor: Executor,
-	task: Task,
-	number: number,
-): StartCommand | undefined => {
-	const {owner, now} = planning;
-	const leaseEndMs = grantLease(executor, owner.cfg.taskLeaseMs, now);
-	if (leaseEndMs === undefined) {
-		return undefined;
-	}
-
-	planning.startsLeft -= 1;
-	const run = createRun(task, number, executor.id, now);
-	task.lastRun = number;
-	addRun(executor, run);
-	const ticket = needsAdvice(task.step)
-		? findTicket(owner, task.step, executor.id, now)
-		: undefined;
-	return {kind: 'start', executor, run, leaseEndMs, ticket};
-};
-
-const evictFor = ({usable, commands}: Planning, task: Task): void => {
-	for (const run of findEviction(usable, task)) {
-		const executor = usable.find(({id}) => id === run.executorId);
-		const command = executor && stopRun(executor, run, 'preempted');
-		if (command) {
-			commands.push(command);
-		}
-	}
-};
-
-/** Lists the executors that may run a step; requests missing advice. */
-const listStepExecutors = (
-	{owner, now, usable, commands}: Planning,
-	step: Step,
-): readonly Executor[] => {
-	if (!needsAdvice(step) || !step.tasks.some((task) => isWaiting(task))) {
-		return usable;
-	}
-
-	const request = prepareAdviceRequest(owner, step, usable, now);
-	if (request) {
-		commands.push({kind: 'advise', ...request});
-	}
-
-	return listAdvisedExecutors(owner, step, usable, now);
-};
-
 /** Starts tasks of a step until one cannot be placed. */
 const planStep = (planning: Planning, step: Step): void => {
 	const {owner, commands, rejected} = planning;
@@ -254,7 +134,8 @@
 			return;
 		}
 
-		if (!isWaiting(task) || !isLocationKnown(owner, task)) {
+		const mayStart = isWaiting(task) && isLocationKnown(owner, task);
+		if (!mayStart || isCrashSuspect(task)) {
 			continue;
 		}
 
@@ -269,68 +150,16 @@
 		}
 
 		const number = nextRunNumber(owner, task);
-		const command = startTask(planning, placement.executor, task, number);
+		const command = startTask(planning, placement.executor, task, {
+			number,
+			isIsolated: false,
+		});
 		if (command) {
 			commands.push(command);
 		}
 	}
 };
 
-const isGangReady = (owner: Owner, step: Step): boolean =>
-	step.tasks.every((task) => isWaiting(task) && isLocationKnown(owner, task));
-
-const groupByRack = (
-	executors: readonly Executor[],
-): ReadonlyArray<readonly Executor[]> =>
-	[...new Set(executors.map((each) => getRack(each)))].map((rack) =>
-		executors.filter((each) => getRack(each) === rack),
-	);
-
-const listRackGroups = (
-	usable: readonly Executor[],
-	step: Step,
-): ReadonlyArray<readonly Executor[]> =>
-	step.spec.needsSameRack ? [...groupByRack(usable), usable] : [usable];
-
-/** Starts all tasks of a gang under one run number, or none of them. */
-const planGang = (planning: Planning, step: Step): void => {
-	const {owner, commands, rejected} = planning;
-	if (isKnownNotToFit(rejected, step) || !isGangReady(owner, step)) {
-		return;
-	}
-
-	const number = Math.max(
-		...step.tasks.map((task) => nextRunNumber(owner, task)),
-	);
-	const eligible = listStepExecutors(planning, step);
-	for (const group of listRackGroups(eligible, step)) {
-		const started: StartCommand[] = [];
-		for (const task of step.tasks) {
-			const placement = placeTask(group, task);
-			const command =
-				placement.kind === 'placed'
-					? startTask(planning, placement.executor, task, number)
-					: undefined;
-			if (!command) {
-				break;
-			}
-
-			started.push(command);
-		}
-
-		if (started.length === step.tasks.length) {
-			commands.push(...started);
-			return;
-		}
-
-		for (const {executor, run} of started) {
-			removeRun(executor, run);
-		}
-
-		planning.startsLeft += started.length;
-	}
-};
-
 const planJob = (planning: Planning, {job}: RankedJob): void => {
 	for (const {steps} of job.occurrences.values()) {
 		for (const step of steps) {
@@ -381,6 +210,7 @@
 		return planning.commands;
 	}
 
+	planSuspects(planning);
 	for (const ranked of rankJobs(owner, epochNow)) {
 		if (planning.startsLeft <= 0) {
 			break;
--- /dev/null
+++ b/packages/core/src/scheduler/planning.ts
@@ -0,0 +1,132 @@
+/** Commands of a plan, and the steps that its parts share. */
+import {
+	findTicket,
+	listAdvisedExecutors,
+	needsAdvice,
+	prepareAdviceRequest,
+	type AdviceRequest,
+} from './placement-advice.js';
+import {addRun, grantLease, type Executor} from './executor.js';
+import type {Owner} from './owner-state.js';
+import {findEviction} from './place-task.js';
+import type {RejectedDemands} from './rejected-demands.js';
+import {createRun, isWaiting, type Run, type Step, type Task} from './task.js';
+
+/** Reason for which a run is stopped. */
+export type StopReason =
+	| 'job-ended'
+	| 'task-done'
+	| 'duplicate'
+	| 'unanswered-start'
+	| 'hung'
+	| 'evacuation'
+	| 'preempted'
+	| 'executor-draining';
+
+/** A command to an executor, or a request for placement advice. */
+export type Command =
+	| {
+			readonly kind: 'start';
+			readonly executor: Executor;
+			readonly run: Run;
+			/** Lease end, by the executor's clock. */
+			readonly leaseEndMs: number;
+			readonly ticket: string | undefined;
+	  }
+	| {
+			readonly kind: 'stop';
+			readonly executor: Executor;
+			readonly run: Run;
+			readonly reason: StopReason;
+	  }
+	| ({readonly kind: 'advise'} & AdviceRequest);
+
+/** A start of a run. */
+export type StartCommand = Extract<Command, {readonly kind: 'start'}>;
+
+/** Range of run numbers of one owner, by its fencing token. */
+const runsPerToken = 10_000;
+
+/** Run numbers grow across owners, since fencing tokens do. */
+export const nextRunNumber = (owner: Owner, task: Task): number =>
+	Math.max(task.lastRun, owner.token * runsPerToken) + 1;
+
+/** Records a stop; `undefined` if one is under way already. */
+export const stopRun = (
+	executor: Executor,
+	run: Run,
+	reason: StopReason,
+): Command | undefined => {
+	if (run.isStopPending) {
+		return undefined;
+	}
+
+	run.isStopPending = true;
+	run.state = run.confirmedAt === undefined ? 'barring' : 'stopping';
+	return {kind: 'stop', executor, run, reason};
+};
+
+/** A plan in progress. */
+export type Planning = {
+	readonly owner: Owner;
+	readonly now: number;
+	/** Executors that the rest of the plan may use. */
+	usable: readonly Executor[];
+	readonly commands: Command[];
+	/** Demands that fit on none of the usable executors. */
+	readonly rejected: RejectedDemands;
+	/** Number of starts that the start window still allows. */
+	startsLeft: number;
+};
+
+/** Records a run and its lease; `undefined` while no lease can be granted. */
+export const startTask = (
+	planning: Planning,
+	executor: Executor,
+	task: Task,
+	{number, isIsolated}: Pick<Run, 'number' | 'isIsolated'>,
+): StartCommand | undefined => {
+	const {owner, now} = planning;
+	const leaseEndMs = grantLease(executor, owner.cfg.taskLeaseMs, now);
+	if (leaseEndMs === undefined) {
+		return undefined;
+	}
+
+	planning.startsLeft -= 1;
+	const run = createRun(task, number, executor.id, now);
+	run.isIsolated = isIsolated;
+	task.lastRun = number;
+	addRun(executor, run);
+	const ticket = needsAdvice(task.step)
+		? findTicket(owner, task.step, executor.id, now)
+		: undefined;
+	return {kind: 'start', executor, run, leaseEndMs, ticket};
+};
+
+/** Stops the runs that make room for a task. */
+export const evictFor = ({usable, commands}: Planning, task: Task): void => {
+	for (const run of findEviction(usable, task)) {
+		const executor = usable.find(({id}) => id === run.executorId);
+		const command = executor && stopRun(executor, run, 'preempted');
+		if (command) {
+			commands.push(command);
+		}
+	}
+};
+
+/** Lists the executors that may run a step; requests missing advice. */
+export const listStepExecutors = (
+	{owner, now, usable, commands}: Planning,
+	step: Step,
+): readonly Executor[] => {
+	if (!needsAdvice(step) || !step.tasks.some((task) => isWaiting(task))) {
+		return usable;
+	}
+
+	const request = prepareAdviceRequest(owner, step, usable, now);
+	if (request) {
+		commands.push({kind: 'advise', ...request});
+	}
+
+	return listAdvisedExecutors(owner, step, usable, now);
+};
--- a/packages/core/src/scheduler/progress.ts
+++ b/packages/core/src/scheduler/progress.ts
@@ -8,17 +8,23 @@
 	listTasks,
 	markDone,
 	applyCheckpoint,
+	type Crash,
 	type Job,
 	type JobEnd,
 	type Step,
 	type Task,
 } from './task.js';
 
-/** Stored state of a task that is not done and has failures or a checkpoint. */
+/**
+ * Stored state of a task that is not done and has failures, crashes or a
+ * checkpoint.
+ */
 export type TaskProgress = {
 	readonly failures: number;
 	/** Absent in rows of the older format. */
 	readonly failedRuns?: readonly number[] | undefined;
+	/** Absent in rows of the older format. */
+	readonly crashes?: readonly Crash[] | undefined;
 	readonly checkpoint?: string | undefined;
 	/** Absent in rows of the older format. */
 	readonly checkpointRun?: number | undefined;
@@ -43,11 +49,13 @@
 const describeTask = ({
 	failures,
 	failedRuns,
+	crashes,
 	checkpoint,
 	checkpointRun,
 }: Task): TaskProgress => ({
 	failures,
 	failedRuns: failedRuns.length > 0 ? failedRuns : undefined,
+	crashes: crashes.length > 0 ? crashes : undefined,
 	checkpoint,
 	checkpointRun: checkpointRun > 0 ? checkpointRun : undefined,
 });
@@ -59,7 +67,10 @@
 	const entries = [...listTasks(job)]
 		.filter(({step}) => step.occurrence.number === number)
 		.filter(({isDone}) => !isDone)
-		.filter(({failures, checkpoint}) => failures > 0 || checkpoint)
+		.filter(
+			({failures, crashes, checkpoint}) =>
+				failures > 0 || crashes.length > 0 || checkpoint,
+		)
 		.map((task) => [task.id, describeTask(task)] as const);
 	return Object.fromEntries(entries);
 };
@@ -105,6 +116,7 @@
 			const stored = progress.tasks[task.id];
 			task.failures = stored?.failures ?? 0;
 			task.failedRuns = stored?.failedRuns ?? [];
+			task.crashes = stored?.crashes ?? [];
 			task.checkpoint = stored?.checkpoint;
 			task.checkpointRun = stored?.checkpointRun ?? 0;
 			if (progress.done[step.number]?.[task.index] === '1') {
--- a/packages/core/src/scheduler/repeated-run-ends.test.ts
+++ b/packages/core/src/scheduler/repeated-run-ends.test.ts
@@ -376,7 +376,7 @@
 	{
 		name: 'it has terminated',
 		act(owner) {
-			scheduler.markTerminated(owner, 'x');
+			scheduler.markTerminated(owner, 'x', 20);
 		},
 		isKept: false,
 	},
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -21,6 +21,10 @@
 	readonly askedAt: number;
 	/** When an answer first confirmed that the run existed. */
 	confirmedAt: number | undefined;
+	/** The executor's clock in that answer. */
+	confirmedClockMs: number | undefined;
+	/** Nothing else starts on the executor; see crash-attribution.ts. */
+	isIsolated: boolean;
 	/** Progress that the executor reports, 0 to 100. */
 	percent: number;
 	/** When the progress last increased. */
@@ -35,6 +39,15 @@
 	mayHaveStopped: boolean;
 };
 
+/** The loss of an executor under a run; see crash-attribution.ts. */
+export type Crash = {
+	/** Number of the run. */
+	readonly run: number;
+	/** How long the run had certainly survived, by the executor's clock. */
+	readonly survivedMs: number;
+	readonly wasIsolated: boolean;
+};
+
 /** One task of one occurrence. */
 export type Task = {
 	readonly id: string;
@@ -45,6 +58,8 @@
 	failures: number;
 	/** Numbers of failed runs in ascending order; see attempts.ts. */
 	failedRuns: readonly number[];
+	/** Executors lost under the task, or under its gang, since it was cleared. */
+	crashes: readonly Crash[];
 	checkpoint: string | undefined;
 	/** Number of the run that wrote the checkpoint; 0 if unknown. */
 	checkpointRun: number;
@@ -141,6 +156,7 @@
 		isDone: false,
 		failures: 0,
 		failedRuns: [],
+		crashes: [],
 		checkpoint: undefined,
 		checkpointRun: 0,
 		runs: [],
@@ -281,6 +297,8 @@
 	state: 'asked',
 	askedAt: now,
 	confirmedAt: undefined,
+	confirmedClockMs: undefined,
+	isIsolated: false,
 	percent: 0,
 	progressedAt: now,
 	load: 0,
@@ -289,6 +307,12 @@
 	mayHaveStopped: false,
 });
 
+/** Records an answer that confirms a run, with the executor's clock in it. */
+export const confirmRun = (run: Run, clockMs: number, now: number): void => {
+	run.confirmedAt ??= now;
+	run.confirmedClockMs ??= clockMs;
+};
+
 /** Whether a task is not done and has no run. */
 export const isWaiting = (task: Task): boolean =>
 	!task.isDone && task.runs.length === 0;
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -155,13 +155,21 @@
 		state.retryMs = Math.min(2 * state.retryMs, periods.pollRetryMaxMs);
 	};
 
+	/** No longer than until the isolated run has outlived its probation. */
+	const getPollWaitMs = (): number => {
+		const probationMs = scheduler.getRemainingProbationMs(executor);
+		return probationMs === undefined
+			? periods.pollWaitMs
+			: Math.min(periods.pollWaitMs, Math.ceil(probationMs));
+	};
+
 	const pollOnce = async () => {
 		const isResponsive =
 			executor.isAdopted && executor.unresponsiveSince === undefined;
 		const {acknowledgedUpto} = executor;
 		const isBusy = executor.runs.size > 0 || executor.orphanedRunCount > 0;
 		const mayWait = isResponsive && !state.isPollRequested && isBusy;
-		const waitMs = mayWait ? periods.pollWaitMs : 0;
+		const waitMs = mayWait ? getPollWaitMs() : 0;
 		state.isPollRequested = false;
 		const mayGrant =
 			scheduler.mayGrantLease(executor) && deps.isOwnershipConfirmed();
@@ -253,6 +261,8 @@
 			reason: answer.kind === 'refused' ? answer.reason : undefined,
 			leaseEndMs,
 			failures: task.failures,
+			crashes: task.crashes.length,
+			isIsolated: started.isIsolated,
 			tookMs: Math.round(now() - started.askedAt),
 		});
 		deps.onStartAnswer(started, answer.kind);
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -112,6 +112,7 @@
 		const job = owner.jobs.get(row.key);
 		if (job) {
 			scheduler.applyProgress(job, value, now());
+			scheduler.trackSuspectsOfJob(owner, job);
 		}
 	}
 
--- a/packages/daemon/src/jobs/owner/owner-log.ts
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -12,10 +12,7 @@
 		changes: scheduler.PollChanges,
 	) => void;
 	/** Logs runs that are certainly over, without a reported end. */
-	readonly logFreedRuns: (
-		runs: readonly scheduler.Run[],
-		reason: string,
-	) => void;
+	readonly logLostRuns: (lost: scheduler.LostRuns, reason: string) => void;
 	/** Logs the answer to a start. */
 	readonly logStart: (run: scheduler.Run, isStarted: boolean) => void;
 	readonly logFlush: (flush: scheduler.Flush) => void;
@@ -36,6 +33,12 @@
 		logger.info('job ended', {job, end, reason});
 	};
 
+	const logJobEnds = (jobEnds: readonly scheduler.EndedJob[]) => {
+		for (const {job, end, reason} of jobEnds) {
+			logJobEnd(job, end, reason);
+		}
+	};
+
 	return {
 		logJobEnd,
 		logPoll(executor, changes) {
@@ -57,19 +60,23 @@
 				});
 			}
 
-			for (const {job, end, reason} of changes.jobEnds) {
-				logJobEnd(job, end, reason);
-			}
+			logJobEnds(changes.jobEnds);
 		},
-		logFreedRuns(runs, reason) {
-			for (const {task, number, executorId} of runs) {
+		logLostRuns({runs, jobEnds}, reason) {
+			for (const {task, number, executorId, isIsolated} of runs) {
+				metrics.count('runs_ended', 'lost');
 				logger.warn('run given up', {
 					task: task.id,
 					run: number,
 					executor: executorId,
 					reason,
+					crash: task.crashes.find(({run}) => run === number),
+					crashes: task.crashes.length,
+					isIsolated,
 				});
 			}
+
+			logJobEnds(jobEnds);
 		},
 		logStart(run, isStarted) {
 			const {accepted, hasStarted} = run.task.step.occurrence.job;
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -157,7 +157,8 @@
 
 	const markTerminated = (id: string, reason: string) => {
 		if (owner) {
-			log.logFreedRuns(scheduler.markTerminated(owner, id), reason);
+			const lost = scheduler.markTerminated(owner, id, clock.now());
+			log.logLostRuns(lost, reason);
 			onChange();
 		}
 	};
@@ -225,7 +226,7 @@
 		}
 
 		const now = clock.now();
-		log.logFreedRuns(
+		log.logLostRuns(
 			scheduler.expireLeases(owner, now),
 			'its lease has expired',
 		);
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -181,6 +181,12 @@
 export const jobSchema =
 	acceptedJobSchema as unknown as z.ZodType<scheduler.AcceptedJob>;
 
+const crashSchema = z.object({
+	run: z.int(),
+	survivedMs: z.number(),
+	wasIsolated: z.boolean(),
+});
+
 export const progressSchema: z.ZodType<scheduler.JobProgress> = z.object({
 	end: z.enum(['completed', 'failed', 'cancelled']).optional(),
 	doneOccurrences: z.int().min(0),
@@ -194,6 +200,7 @@
 				z.object({
 					failures: z.int().min(0),
 					failedRuns: z.array(z.int()).optional(),
+					crashes: z.array(crashSchema).optional(),
 					checkpoint: z.string().optional(),
 					checkpointRun: z.int().optional(),
 				}),
