Start nothing on capacities that were not read recently

What callers would see: an executor that starts whatever it is told is given more than it has room for (LIMIT), and all that runs there slows down. Not seen played; it follows from the platform's new term that a capacity may shrink while an executor runs, and counts after contactMs and a heartbeat.

Cause: room is counted against the capacity that the registry showed last, however long ago. An owner that cannot read the registry goes on starting tasks for up to 7 s, as long as its lease counts. Class: what an executor said, relied on without its age.

Why this works: a capacity that shrank unseen at a time s was reported before s plus a heartbeat, so the registry was read before that; nothing that starts within contactMs of the last read, less the transit of a command, can exceed what counts. Executors that reject overload are not concerned. That room follows a capacity that is read (shrinks, grows, stops in between) held before; changing-capacity.test.ts keeps it.

A gate on the rate of starts was no way out, since one start is enough to exceed a capacity.

--- a/packages/core/src/scheduler/config.ts
+++ b/packages/core/src/scheduler/config.ts
@@ -15,6 +15,11 @@
 	readonly ownershipTimeoutMs: number;
 	/** Time after which a command that was sent can no longer arrive. */
 	readonly maxTransitMs: number;
+	/**
+	 * How long after its read the registry may be relied on: nothing may start
+	 * beyond a capacity that shrank longer ago than the platform allows.
+	 */
+	readonly maxListingAgeMs: number;
 	/** A long-running task that has not started up by then is restarted. */
 	readonly startupLimitMs: number;
 	/** A task is hung if it runs for this multiple of its estimate ... */
@@ -40,6 +45,7 @@
 	taskLeaseMs: 4500,
 	ownershipTimeoutMs: 7000,
 	maxTransitMs: 500,
+	maxListingAgeMs: 2500,
 	startupLimitMs: 6000,
 	hangFactor: 3,
 	hangMs: 1500,
--- a/packages/core/src/scheduler/owner-overview.test.ts
+++ b/packages/core/src/scheduler/owner-overview.test.ts
@@ -57,6 +57,17 @@
 			executor.evacuation = {validUntil: 100, stopFrom: 100};
 		},
 	},
+	{
+		readiness: 'isolated',
+		change(executor) {
+			const job = scheduler.createJob(createAccepted('a'), false);
+			scheduler.addOccurrence(job);
+			const [task] = scheduler.listTasks(job);
+			const run = scheduler.createRun(task!, 1, executor.id, 0);
+			run.isIsolated = true;
+			scheduler.addRun(executor, run);
+		},
+	},
 	{
 		readiness: 'resting',
 		change(executor) {
@@ -85,6 +96,7 @@
 		scheduler.inheritExecutor(owner, createListed('old'), 9000);
 		submit(owner, createAccepted('b', [{count: 3}]), true);
 		t.match(scheduler.describeOwner(owner, 10), {
+			areListingsRecent: true,
 			openJobs: 2,
 			runs: 4,
 			waitingTasks: 5,
--- a/packages/core/src/scheduler/owner-overview.ts
+++ b/packages/core/src/scheduler/owner-overview.ts
@@ -13,6 +13,8 @@
 	readonly tasksOfUnknownPlace: number;
 	readonly runs: number;
 	readonly unresolvedExecutors: number;
+	/** Whether the capacities of the executors were read recently. */
+	readonly areListingsRecent: boolean;
 	readonly executors: Readonly<Partial<Record<Readiness, number>>>;
 };
 
@@ -50,6 +52,7 @@
 		tasksOfUnknownPlace,
 		runs: executors.reduce((sum, {runs}) => sum + runs.size, 0),
 		unresolvedExecutors: owner.unresolvedExecutors.size,
+		areListingsRecent: owner.areListingsRecent,
 		executors: countReadiness(owner, now),
 	};
 };
--- a/packages/core/src/scheduler/owner-state.ts
+++ b/packages/core/src/scheduler/owner-state.ts
@@ -35,6 +35,8 @@
 	/** Jobs that have not ended, in order of acceptance. */
 	readonly openJobs: Set<Job>;
 	readonly executors: Map<string, Executor>;
+	/** Whether the registry was read recently enough to rely on capacities. */
+	areListingsRecent: boolean;
 	/**
 	 * Executors that may still run tasks of an earlier owner, with the time by
 	 * which the leases of those have certainly expired.
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -40,6 +40,7 @@
 	jobs: new Map(),
 	openJobs: new Set(),
 	executors: new Map(),
+	areListingsRecent: true,
 	unresolvedExecutors: new Map(),
 	dirtyJobs: new Set(),
 	crashSuspects: new Set(),
--- a/packages/core/src/scheduler/place-task.ts
+++ b/packages/core/src/scheduler/place-task.ts
@@ -126,9 +126,14 @@
 		: {kind: 'refused', reason: 'noRoom'};
 };
 
-/** Lists the executors that may be given work now. */
+/**
+ * Lists the executors that may be given work now: none while their capacities
+ * may have shrunk unseen.
+ */
 export const listUsable = (owner: Owner, now: number): readonly Executor[] =>
-	[...owner.executors.values()].filter((each) => isUsable(each, now));
+	owner.areListingsRecent
+		? [...owner.executors.values()].filter((each) => isUsable(each, now))
+		: [];
 
 const isPreemptible = ({task, state}: Run): boolean =>
 	state === 'running' && !task.step.spec.isLongRunning;
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -146,6 +146,10 @@
 		);
 	};
 
+	const rejectsOverload = (name: string): boolean =>
+		routes.get()?.services.find((each) => each.name === name)
+			?.rejectsOverload ?? false;
+
 	const hasOwner = (serviceName: string): boolean =>
 		listShards().includes(getServiceShard(serviceName));
 
@@ -257,6 +261,7 @@
 		metrics,
 		rowFaults,
 		hasService,
+		rejectsOverload,
 		getLeasesConfirmedAt: () => leaseFollower.getConfirmedAt(),
 		hasReleased,
 		onOwnershipLost(shard, rows) {
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -33,6 +33,8 @@
 	readonly rowFaults: RowFaults;
 	/** Whether the current configuration names the service. */
 	readonly hasService: (service: string) => boolean;
+	/** Whether the executors of a service reject what exceeds their capacity. */
+	readonly rejectsOverload: (service: string) => boolean;
 	/** When the store last confirmed the leases. */
 	readonly getLeasesConfirmedAt: () => Moment | undefined;
 	/** Whether the previous holder has released the shard or was replaced. */
@@ -122,6 +124,8 @@
 				held,
 				service,
 				listExecutors: executorList.list,
+				getListedAt: () => follower?.getConfirmedAt(),
+				rejectsOverload: () => deps.rejectsOverload(service),
 				onOwnershipLost(reason, rows) {
 					logger.warn('service lost', {shard: held.shard, reason});
 					deps.onOwnershipLost(held.shard, rows);
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -45,6 +45,10 @@
 	readonly getLeasesConfirmedAt: () => Moment | undefined;
 	/** Executors that the registry lists now, of all services. */
 	readonly listExecutors: () => readonly scheduler.ListedExecutor[];
+	/** When the registry was last read. */
+	readonly getListedAt: () => Moment | undefined;
+	/** Whether the executors reject what exceeds their capacity. */
+	readonly rejectsOverload: () => boolean;
 	/** Whether the previous holder has released the shard or was replaced. */
 	readonly hasReleased: (previous: LeaseRow) => Promise<boolean>;
 	/** Called when another daemon owns the service; `rows` may name it. */
@@ -232,6 +236,9 @@
 		);
 		scheduler.markSuspected(owner, scheduler.suspectAfterMs, now);
 		reconcileLinks(owner);
+		owner.areListingsRecent =
+			deps.rejectsOverload() ||
+			isConfirmedWithin(clock, deps.getListedAt(), cfg.maxListingAgeMs);
 		if (isOwnershipConfirmed() && !state.isStopping) {
 			scheduler.advanceSchedules(owner, clock.epochNow());
 			const commands = scheduler.planCommands(owner, now, clock.epochNow());
