Show the incarnation of executors, and listed ones that count as terminated

Adds what the lines missed to tell the hypotheses on restarted executors apart: the start of the incarnation that answers a poll, and that an executor which the registry lists is not used since it counts as terminated. A start that is no whole number makes an entry unreadable, as other fields of a wrong type do.

--- a/packages/core/src/scheduler/executor-poll.ts
+++ b/packages/core/src/scheduler/executor-poll.ts
@@ -65,6 +65,8 @@
 export type ExecutorPoll = {
 	readonly sentAt: number;
 	readonly receivedAt: number;
+	/** Identifies the incarnation that answered; see `ListedExecutor`. */
+	readonly startedAtEpochMs?: number | undefined;
 	/** Reading of the executor's clock. */
 	readonly clockMs: number;
 	readonly running: readonly ListedRun[];
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -115,25 +115,29 @@
 	}
 };
 
-/** Records an executor as the registry lists it. */
+/**
+ * Records an executor as the registry lists it; returns false if it is not used
+ * since it counts as terminated.
+ */
 export const recordListedExecutor = (
 	owner: Owner,
 	listed: ListedExecutor,
-): void => {
+): boolean => {
 	const known = owner.executors.get(listed.id);
 	if (known) {
 		known.listed = listed;
 		known.isListed = true;
 		known.wasUnlisted = false;
-		return;
+		return true;
 	}
 
 	if (owner.terminatedExecutors.has(listed.id)) {
-		return;
+		return false;
 	}
 
 	owner.executors.set(listed.id, createExecutor(listed));
 	owner.isRosterDirty = true;
+	return true;
 };
 
 /**
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -96,9 +96,15 @@
 /** A job state that callers see. */
 export type JobState = (typeof jobStates)[keyof typeof jobStates];
 
-/** An executor as the registry lists it. Each incarnation has its own id. */
+/** An executor as the registry lists it. */
 export type ListedExecutor = {
 	readonly id: string;
+	/**
+	 * When this incarnation started, in milliseconds since the Unix epoch. Two
+	 * incarnations with the same id differ in it; absent if the platform does not
+	 * report it.
+	 */
+	readonly startedAtEpochMs?: number | undefined;
 	readonly service: string;
 	readonly address: string;
 	readonly availabilityZone: string;
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -101,14 +101,22 @@
 
 	const applyAnswer = (answer: PollAnswer & {kind: 'seen'}, sentAt: number) => {
 		state.retryMs = periods.pollRetryMs;
-		const {clockMs, running, ends} = answer;
-		const poll = {sentAt, receivedAt: now(), clockMs, running, ends};
+		const {startedAtEpochMs, clockMs, running, ends} = answer;
+		const poll = {
+			sentAt,
+			receivedAt: now(),
+			startedAtEpochMs,
+			clockMs,
+			running,
+			ends,
+		};
 		const wasUnresponsiveSince = executor.unresponsiveSince;
 		const changes = scheduler.applyPoll(owner, executor, poll);
 		if (changes.isFirst || wasUnresponsiveSince !== undefined) {
 			logger.info('executor responded', {
 				executor: executor.id,
 				address: target.address,
+				startedAtEpochMs,
 				running: running.length,
 				ends: ends.length,
 				silentMs:
--- a/packages/daemon/src/jobs/owner/owner-log.ts
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -16,6 +16,8 @@
 	/** Logs the answer to a start. */
 	readonly logStart: (run: scheduler.Run, isStarted: boolean) => void;
 	readonly logFlush: (flush: scheduler.Flush) => void;
+	/** Logs once that a listed executor counts as terminated. */
+	readonly logTerminatedListing: (listed: scheduler.ListedExecutor) => void;
 };
 
 export type OwnerLogDeps = {
@@ -27,6 +29,8 @@
 
 export const createOwnerLog = (deps: OwnerLogDeps): OwnerLog => {
 	const {service, logger, metrics, clock} = deps;
+	/** Start times of the terminated incarnations logged so far, by id. */
+	const terminatedListings = new Map<string, number | undefined>();
 
 	const logJobEnd: OwnerLog['logJobEnd'] = (job, end, reason) => {
 		metrics.count('jobs_ended', end);
@@ -91,6 +95,20 @@
 				);
 			}
 		},
+		logTerminatedListing({id, startedAtEpochMs}) {
+			if (
+				terminatedListings.has(id) &&
+				terminatedListings.get(id) === startedAtEpochMs
+			) {
+				return;
+			}
+
+			terminatedListings.set(id, startedAtEpochMs);
+			logger.info('listed executor not used: it counts as terminated', {
+				executor: id,
+				startedAtEpochMs,
+			});
+		},
 		logFlush({jobs}) {
 			for (const {job, end} of jobs) {
 				if (end === 'completed') {
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -285,7 +285,10 @@
 			.listExecutors()
 			.filter((each) => each.service === service);
 		for (const each of listed) {
-			scheduler.recordListedExecutor(owner, each);
+			const isUsed = scheduler.recordListedExecutor(owner, each);
+			if (!isUsed) {
+				log.logTerminatedListing(each);
+			}
 		}
 
 		const ids = new Set(listed.map(({id}) => id));
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -211,6 +211,7 @@
 
 const listedExecutorSchema = z.object({
 	id: z.string(),
+	startedAtEpochMs: optional(z.int()),
 	service: z.string(),
 	address: z.string(),
 	availabilityZone: z.string(),
--- a/packages/ports/src/ports/executors.ts
+++ b/packages/ports/src/ports/executors.ts
@@ -41,6 +41,8 @@
 export type PollAnswer =
 	| {
 			readonly kind: 'seen';
+			/** Start of the incarnation that answers; absent if not reported. */
+			readonly startedAtEpochMs?: number | undefined;
 			readonly clockMs: number;
 			readonly running: readonly scheduler.ListedRun[];
 			readonly ends: readonly scheduler.ListedEnd[];
