--- a/packages/ports/src/memory/task-executors.ts
+++ b/packages/ports/src/memory/task-executors.ts
@@ -40,6 +40,8 @@
 
 type Incarnation = {
 	readonly listed: scheduler.ListedExecutor;
+	/** Time at which its clock showed 0. */
+	readonly clockOrigin: number;
 	readonly running: Map<string, LiveRun>;
 	readonly lastEndedRuns: Map<string, number>;
 	ends: scheduler.ListedEnd[];
@@ -55,6 +57,11 @@
 	readonly add: (listed: scheduler.ListedExecutor) => void;
 	/** Terminates one incarnation with all its runs. */
 	readonly remove: (id: string) => void;
+	/**
+	 * Starts a new incarnation with the id of `listed`: it has no runs or ends,
+	 * knows no fencing token, and its clock and its numbers of ends start anew.
+	 */
+	readonly restart: (listed: scheduler.ListedExecutor) => void;
 	readonly setFault: (id: string, fault: ExecutorFault | undefined) => void;
 	/** Ends a run. */
 	readonly finish: (id: string, taskId: string, how: scheduler.RunEnd) => void;
@@ -72,7 +79,7 @@
 	onStart: ((record: StartRecord) => void) | undefined;
 };
 
-/** Creates executors whose clocks show `now`. */
+/** Creates executors whose clocks show `now`, until they are restarted. */
 export const createMemoryExecutors = (now: () => number): MemoryExecutors => {
 	const incarnations = new Map<string, Incarnation>();
 	const starts: StartRecord[] = [];
@@ -96,8 +103,11 @@
 		incarnation.wake?.();
 	};
 
+	const getClockMs = ({clockOrigin}: Incarnation): number =>
+		now() - clockOrigin;
+
 	const expireLease = (incarnation: Incarnation) => {
-		if (now() > incarnation.leaseUntil) {
+		if (getClockMs(incarnation) > incarnation.leaseUntil) {
 			for (const run of incarnation.running.values()) {
 				end(incarnation, run, 'lapsed');
 			}
@@ -129,7 +139,7 @@
 		incarnation: Incarnation,
 		command: StartCommand,
 	): scheduler.StartAnswer => {
-		const clockMs = now();
+		const clockMs = getClockMs(incarnation);
 		if (isFenced(incarnation, command.fencingToken)) {
 			return {kind: 'fenced'};
 		}
@@ -194,7 +204,7 @@
 			command.taskId,
 			Math.max(lastEndedRun, command.run),
 		);
-		return {kind: 'done', clockMs: now()};
+		return {kind: 'done', clockMs: getClockMs(incarnation)};
 	};
 
 	const applyPoll = (incarnation: Incarnation, req: PollRequest) => {
@@ -245,6 +255,30 @@
 			: result;
 	};
 
+	const startIncarnation = (
+		listed: scheduler.ListedExecutor,
+		clockOrigin: number,
+	) => {
+		incarnations.set(listed.id, {
+			listed,
+			clockOrigin,
+			running: new Map(),
+			lastEndedRuns: new Map(),
+			ends: [],
+			nextEnd: 1,
+			fencingToken: 0,
+			leaseUntil: 0,
+			fault: undefined,
+			wake: undefined,
+		});
+	};
+
+	const remove = (id: string) => {
+		const incarnation = incarnations.get(id);
+		incarnations.delete(id);
+		incarnation?.wake?.();
+	};
+
 	const executors: MemoryExecutors = {
 		onStart: undefined,
 		start: async (target, command, timeoutMs) =>
@@ -258,7 +292,7 @@
 					run.speedLimitPercent = command.percent;
 				}
 
-				return {kind: 'done', clockMs: now()};
+				return {kind: 'done', clockMs: getClockMs(incarnation)};
 			}),
 		async poll(target, req, timeoutMs) {
 			polls += 1;
@@ -274,7 +308,8 @@
 
 				return {
 					kind: 'seen',
-					clockMs: now(),
+					startedAtEpochMs: incarnation.listed.startedAtEpochMs,
+					clockMs: getClockMs(incarnation),
 					running: [...incarnation.running.values()],
 					ends: [...incarnation.ends],
 				} as const;
@@ -282,22 +317,12 @@
 		},
 		closeConnections: () => undefined,
 		add(listed) {
-			incarnations.set(listed.id, {
-				listed,
-				running: new Map(),
-				lastEndedRuns: new Map(),
-				ends: [],
-				nextEnd: 1,
-				fencingToken: 0,
-				leaseUntil: 0,
-				fault: undefined,
-				wake: undefined,
-			});
+			startIncarnation(listed, 0);
 		},
-		remove(id) {
-			const incarnation = incarnations.get(id);
-			incarnations.delete(id);
-			incarnation?.wake?.();
+		remove,
+		restart(listed) {
+			remove(listed.id);
+			startIncarnation(listed, now());
 		},
 		setFault(id, fault) {
 			const incarnation = incarnations.get(id);
