Keep what is known of an executor to one incarnation of it

Cause: an executor was known by its id alone, and one may start again under its id, unnoticed while it is idle. Its run ends count anew from 1, so the owner took them for ends that it had applied before, by their number, and its next poll acknowledged them. The run was then missing on the executor, and its task started again, until the new numbers had passed the old ones. Class: facts of one incarnation applied to the next.

Why this works: polls say when the incarnation started (where they do not, its clock went back). The first answer of another one resets all that was held of the one before: numbers of ends, acknowledgements, clock, leases, tickets and quarantine; runs that only the previous one had confirmed are gone, a start without an answer is barred first. The same cause in other places: room and labels count once the registry lists the incarnation that answers; leases are taken for the longest that an executor accepts, as one may have been granted by the old clock; the roster is stored again before anything starts, since the new incarnation knows no fencing token and would obey a former owner; ends are acknowledged once and only to an executor that answers, so that no later incarnation discards ends unseen; calls go to the address listed now. A restart counts as a crash against the runs lost with it.

--- a/packages/core/src/scheduler/config.ts
+++ b/packages/core/src/scheduler/config.ts
@@ -8,6 +8,8 @@
 	 * unresponsive executor restart elsewhere sooner.
 	 */
 	readonly taskLeaseMs: number;
+	/** Longest lease that an executor accepts; a longer one is shortened. */
+	readonly maxLeaseMs: number;
 	/**
 	 * How long an owner keeps acting after its ownership was last confirmed. It
 	 * must outlast store outages of up to six seconds.
@@ -43,6 +45,7 @@
 /** Default settings. */
 export const defaultSchedulerConfig: SchedulerConfig = {
 	taskLeaseMs: 4500,
+	maxLeaseMs: 10_000,
 	ownershipTimeoutMs: 7000,
 	maxTransitMs: 500,
 	maxListingAgeMs: 2500,
--- a/packages/core/src/scheduler/crash-attribution.test.ts
+++ b/packages/core/src/scheduler/crash-attribution.test.ts
@@ -288,8 +288,9 @@
 	const job = submit(owner, createAccepted('a'));
 	startTask(owner, job, 0);
 	const executor = owner.executors.get('x0')!;
-	scheduler.attributeCrash(owner, executor, 10);
-	scheduler.attributeCrash(owner, executor, 20);
+	const runs = [...executor.runs.values()];
+	scheduler.attributeLoss(owner, executor, runs, 10);
+	scheduler.attributeLoss(owner, executor, runs, 20);
 	t.equal(getTask(job).crashes.length, 1);
 });
 
--- a/packages/core/src/scheduler/crash-attribution.ts
+++ b/packages/core/src/scheduler/crash-attribution.ts
@@ -132,19 +132,21 @@
 };
 
 /**
- * Records the loss of an executor against the runs that may have caused it;
- * returns the jobs that fail thereby. The loss of a draining one is expected.
+ * Records the loss of an executor against those of the lost runs that may have
+ * caused it; returns the jobs that fail thereby. The loss of a draining one is
+ * expected.
  */
-export const attributeCrash = (
+export const attributeLoss = (
 	owner: Owner,
 	executor: Executor,
+	lostRuns: readonly Run[],
 	now: number,
 ): readonly EndedJob[] => {
 	if (executor.listed.isDraining) {
 		return [];
 	}
 
-	const runs = [...executor.runs.values()].filter(
+	const runs = lostRuns.filter(
 		({task}) => !task.isDone && !task.step.occurrence.job.end,
 	);
 	const isolated = runs.filter(({isIsolated}) => isIsolated);
--- a/packages/core/src/scheduler/executor-poll.ts
+++ b/packages/core/src/scheduler/executor-poll.ts
@@ -10,6 +10,8 @@
 	type Executor,
 } from './executor.js';
 import {clearIfProbationIsOver} from './crash-attribution.js';
+import {resetIncarnation} from './executor-restart.js';
+import {isRestart, type IncarnationReading} from './incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from './job-ends.js';
 import type {Owner} from './owner-state.js';
 import {
@@ -62,13 +64,9 @@
 };
 
 /** The answer of an executor to one poll. */
-export type ExecutorPoll = {
+export type ExecutorPoll = IncarnationReading & {
 	readonly sentAt: number;
 	readonly receivedAt: number;
-	/** Identifies the incarnation that answered; see `ListedExecutor`. */
-	readonly startedAtEpochMs?: number | undefined;
-	/** Reading of the executor's clock. */
-	readonly clockMs: number;
 	readonly running: readonly ListedRun[];
 	readonly ends: readonly ListedEnd[];
 };
@@ -77,6 +75,8 @@
 export type PollChanges = {
 	/** Whether the poll made this owner adopt the executor. */
 	readonly isFirst: boolean;
+	/** Whether another incarnation has answered than before. */
+	readonly isRestarted: boolean;
 	readonly ends: ReadonlyArray<ListedEnd & {readonly failures: number}>;
 	/** Keys of listed runs that were not known before. */
 	readonly adopted: readonly string[];
@@ -307,25 +307,56 @@
 	}
 };
 
-/** Removes runs that were confirmed before the poll was sent and are not listed. */
-const removeVanished = (
+/** Lists runs that were confirmed before a poll was sent and are not running. */
+const listVanished = (
 	executor: Executor,
 	poll: ExecutorPoll,
-	changes: Changes,
-): void => {
+): readonly Run[] => {
 	const listed = new Set(
 		poll.running.map(({taskId, run}) => getRunKey(taskId, run)),
 	);
-	for (const [key, run] of executor.runs) {
+	return [...executor.runs].flatMap(([key, run]) => {
 		const wasConfirmed =
 			run.confirmedAt !== undefined && run.confirmedAt < poll.sentAt;
-		if (wasConfirmed && !listed.has(key)) {
-			removeRun(executor, run);
-			changes.vanished.push(key);
-		}
+		return wasConfirmed && !listed.has(key) ? [run] : [];
+	});
+};
+
+const removeVanished = (
+	executor: Executor,
+	poll: ExecutorPoll,
+	changes: Changes,
+): void => {
+	for (const run of listVanished(executor, poll)) {
+		removeRun(executor, run);
+		changes.vanished.push(getRunKey(run.task.id, run.number));
 	}
 };
 
+/**
+ * Lists the runs that are lost with the previous incarnation of an executor. A
+ * start without an answer is among them if the executor had stopped answering,
+ * since it may have been the cause.
+ */
+const listLostRuns = (
+	executor: Executor,
+	poll: ExecutorPoll,
+): readonly Run[] => {
+	const ended = new Set(
+		poll.ends.map(({taskId, run}) => getRunKey(taskId, run)),
+	);
+	const running = new Set(
+		poll.running.map(({taskId, run}) => getRunKey(taskId, run)),
+	);
+	return [...executor.runs].flatMap(([key, run]) => {
+		const wasThere =
+			run.confirmedAt === undefined
+				? executor.unresponsiveSince !== undefined
+				: run.confirmedAt < poll.sentAt;
+		return wasThere && !ended.has(key) && !running.has(key) ? [run] : [];
+	});
+};
+
 /**
  * Applies the answer to a poll. An executor has one poll in flight at a time,
  * so answers arrive in order.
@@ -343,7 +374,17 @@
 		orphanedRuns: [],
 		jobEnds: [],
 	};
-	recordClockReading(executor, poll.clockMs, poll.receivedAt);
+	const isRestarted = isRestart(executor.incarnation, poll);
+	if (isRestarted) {
+		const lostRuns = listLostRuns(executor, poll);
+		changes.jobEnds.push(
+			...resetIncarnation(owner, executor, {...poll, lostRuns}),
+		);
+	}
+
+	const {startedAtEpochMs, clockMs} = poll;
+	executor.incarnation = {startedAtEpochMs, clockMs};
+	recordClockReading(executor, clockMs, poll.receivedAt);
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
@@ -357,7 +398,7 @@
 		removeVanished(executor, poll, changes);
 	}
 
-	return {isFirst, ...changes};
+	return {isFirst, isRestarted, ...changes};
 };
 
 /** Maximum number of ends in one poll, by the executors' interface. */
--- a/packages/core/src/scheduler/executor.ts
+++ b/packages/core/src/scheduler/executor.ts
@@ -5,6 +5,11 @@
 	estimateRemoteTime,
 	type RemoteClock,
 } from './remote-clock.js';
+import {
+	isLaterIncarnation,
+	isSameIncarnation,
+	type IncarnationReading,
+} from './incarnation.js';
 import type {Run, Step} from './task.js';
 import type {ListedExecutor, Resources} from './types.js';
 
@@ -23,10 +28,12 @@
 	readonly stopFrom: number;
 };
 
-/** One incarnation of an executor. */
+/** An executor, as its latest incarnation is known. */
 export type Executor = {
 	readonly id: string;
 	listed: ListedExecutor;
+	/** The incarnation that answered the latest poll. */
+	incarnation: IncarnationReading | undefined;
 	/** Whether the registry listed it at this owner's latest read. */
 	isListed: boolean;
 	/** The registry listed it before and does so no longer. */
@@ -65,6 +72,7 @@
 export const createExecutor = (listed: ListedExecutor): Executor => ({
 	id: listed.id,
 	listed,
+	incarnation: undefined,
 	isListed: true,
 	wasUnlisted: false,
 	isAdopted: false,
@@ -154,6 +162,10 @@
 export const getRack = ({listed}: Executor): string | undefined =>
 	listed.labels.find((label) => rackPattern.test(label));
 
+/** Whether the registry lists a later incarnation than was polled. */
+export const isRestartListed = ({listed, incarnation}: Executor): boolean =>
+	isLaterIncarnation(listed.startedAtEpochMs, incarnation?.startedAtEpochMs);
+
 /** Whether an executor is kept free of other starts for a run. */
 export const hasIsolatedRun = ({runs}: Executor): boolean => {
 	for (const {isIsolated} of runs.values()) {
@@ -192,7 +204,14 @@
 		return 'silent';
 	}
 
-	if (!executor.isAdopted) {
+	// Room and labels of a listed incarnation say nothing of another one.
+	if (
+		!executor.isAdopted ||
+		!isSameIncarnation(
+			executor.incarnation?.startedAtEpochMs,
+			executor.listed.startedAtEpochMs,
+		)
+	) {
 		return 'not-adopted';
 	}
 
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -7,6 +7,7 @@
 export * from './task.js';
 export * from './attempts.js';
 export * from './progress.js';
+export * from './incarnation.js';
 export * from './executor.js';
 export * from './suspected-executors.js';
 export * from './placement-advice.js';
--- a/packages/core/src/scheduler/owner.test.fixture.ts
+++ b/packages/core/src/scheduler/owner.test.fixture.ts
@@ -99,6 +99,9 @@
 /** Runs and run ends that an executor lists. */
 export type TestPoll = {
 	readonly at: number;
+	readonly startedAtEpochMs?: number | undefined;
+	/** The executor's clock; `at` if absent. */
+	readonly clockMs?: number;
 	readonly running?: ReadonlyArray<Partial<scheduler.ListedRun>>;
 	readonly ends?: ReadonlyArray<Partial<scheduler.ListedEnd>>;
 };
@@ -107,7 +110,7 @@
 export const pollExecutor = (
 	owner: scheduler.Owner,
 	id: string,
-	{at, running = [], ends = []}: TestPoll,
+	{at, startedAtEpochMs, clockMs = at, running = [], ends = []}: TestPoll,
 ): scheduler.PollChanges => {
 	const executor = owner.executors.get(id);
 	if (!executor) {
@@ -117,7 +120,8 @@
 	return scheduler.applyPoll(owner, executor, {
 		sentAt: at,
 		receivedAt: at,
-		clockMs: at,
+		startedAtEpochMs,
+		clockMs,
 		running: running.map((run) => ({
 			taskId: '',
 			run: 1,
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -11,7 +11,7 @@
 	haveLeasesExpired,
 	type Executor,
 } from './executor.js';
-import {attributeCrash} from './crash-attribution.js';
+import {attributeLoss} from './crash-attribution.js';
 import type {EndedJob} from './job-ends.js';
 import type {Owner} from './owner-state.js';
 import {initialStartWindow} from './start-window.js';
@@ -163,8 +163,8 @@
 
 /** Removes all runs of an executor that is lost. */
 const loseRuns = (owner: Owner, executor: Executor, now: number): LostRuns => {
-	const jobEnds = attributeCrash(owner, executor, now);
 	const runs = [...executor.runs.values()];
+	const jobEnds = attributeLoss(owner, executor, runs, now);
 	for (const run of runs) {
 		removeRun(executor, run);
 	}
--- a/packages/core/src/scheduler/placement-advice.ts
+++ b/packages/core/src/scheduler/placement-advice.ts
@@ -148,6 +148,14 @@
 		: validUntil;
 };
 
+/** Forgets the advice on an executor, which holds for one incarnation. */
+export const forgetTickets = (owner: Owner, executorId: string): void => {
+	for (const {tickets, rejectedExecutors} of owner.advice.values()) {
+		tickets.delete(executorId);
+		rejectedExecutors.delete(executorId);
+	}
+};
+
 /** Drops a ticket that an executor refused, so that a new one is requested. */
 export const dropTicket = (
 	owner: Owner,
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -54,10 +54,11 @@
 /** Opens a link and sends the first poll. */
 export const openExecutorLink = (deps: ExecutorLinkDeps): ExecutorLink => {
 	const {owner, executor, executors, now, logger} = deps;
-	const target: ExecutorTarget = {
+	/** An executor that starts again may have another address. */
+	const getTarget = (): ExecutorTarget => ({
 		id: executor.id,
 		address: executor.listed.address,
-	};
+	});
 	const state: State = {
 		isClosed: false,
 		isPollRequested: true,
@@ -78,6 +79,7 @@
 		executor.orphanedRunCount > 0 ||
 		executor.acknowledgedUpto > state.ackSent ||
 		executor.unresponsiveSince !== undefined ||
+		scheduler.isRestartListed(executor) ||
 		state.isPollRequested;
 
 	/** Whether the executor would list ends again in the next poll. */
@@ -112,10 +114,19 @@
 		};
 		const wasUnresponsiveSince = executor.unresponsiveSince;
 		const changes = scheduler.applyPoll(owner, executor, poll);
-		if (changes.isFirst || wasUnresponsiveSince !== undefined) {
+		if (changes.isRestarted) {
+			state.ackSent = 0;
+		}
+
+		if (
+			changes.isFirst ||
+			changes.isRestarted ||
+			wasUnresponsiveSince !== undefined
+		) {
 			logger.info('executor responded', {
 				executor: executor.id,
-				address: target.address,
+				isRestarted: changes.isRestarted,
+				address: executor.listed.address,
 				startedAtEpochMs,
 				running: running.length,
 				ends: ends.length,
@@ -136,7 +147,7 @@
 	const stopOrphanedRun = async (taskId: string, run: number) => {
 		const command = {taskId, run, fencingToken: owner.token};
 		const answer = await executors.stop(
-			target,
+			getTarget(),
 			command,
 			periods.commandTimeoutMs,
 		);
@@ -152,7 +163,7 @@
 		if (executor.unresponsiveSince === undefined) {
 			logger.warn('executor not responding', {
 				executor: executor.id,
-				address: target.address,
+				address: executor.listed.address,
 				runs: executor.runs.size,
 			});
 		}
@@ -174,7 +185,10 @@
 	const pollOnce = async () => {
 		const isResponsive =
 			executor.isAdopted && executor.unresponsiveSince === undefined;
-		const {acknowledgedUpto} = executor;
+		const {acknowledgedUpto: ackable} = executor;
+		// Sent once only: another incarnation would discard ends not seen yet.
+		const acknowledgedUpto =
+			isResponsive && ackable > state.ackSent ? ackable : 0;
 		const isBusy = executor.runs.size > 0 || executor.orphanedRunCount > 0;
 		const mayWait = isResponsive && !state.isPollRequested && isBusy;
 		const waitMs = mayWait ? getPollWaitMs() : 0;
@@ -187,7 +201,7 @@
 				: undefined;
 		const sentAt = now();
 		const answer = await executors.poll(
-			target,
+			getTarget(),
 			{fencingToken: owner.token, acknowledgedUpto, leaseEndMs, waitMs},
 			waitMs + periods.pollTimeoutMs,
 		);
@@ -245,7 +259,7 @@
 		const {run: started, leaseEndMs} = command;
 		const {task, number} = started;
 		const answer = await executors.start(
-			target,
+			getTarget(),
 			{
 				taskId: task.id,
 				run: number,
@@ -281,7 +295,7 @@
 		const {run: stopped, reason} = command;
 		const {task, number} = stopped;
 		const answer = await executors.stop(
-			target,
+			getTarget(),
 			{taskId: task.id, run: number, fencingToken: owner.token},
 			periods.commandTimeoutMs,
 		);
@@ -309,7 +323,7 @@
 		const before = throttled.speedLimitPercent;
 		throttled.speedLimitPercent = percent;
 		const answer = await executors.throttle(
-			target,
+			getTarget(),
 			{taskId: task.id, run: number, fencingToken: owner.token, percent},
 			periods.commandTimeoutMs,
 		);
@@ -339,7 +353,7 @@
 			idlePause.end();
 			ackPause.end();
 			pollGap.end();
-			executors.closeConnections(target);
+			executors.closeConnections(getTarget());
 		},
 		send(command) {
 			void (command.kind === 'start' ? sendStart(command) : sendStop(command));
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -291,6 +291,12 @@
 			}
 		}
 
+		for (const executor of owner.executors.values()) {
+			if (scheduler.isRestartListed(executor)) {
+				links?.get(executor.id)?.pollNow();
+			}
+		}
+
 		const ids = new Set(listed.map(({id}) => id));
 		for (const {id, isListed} of owner.executors.values()) {
 			if (isListed && !ids.has(id)) {
