Use an executor again that has started again after it terminated

Cause: an owner remembers terminated executors, since the registry may list them for some seconds more, and remembered them by id. One that the platform no longer lists while it is down, and that starts again under its id, was ignored until the service had another owner, while the pool counted its machine as serving. Class: facts of one incarnation applied to the next.

Why this works: the incarnation that terminated is remembered, and a later one is used as any new executor.

--- a/packages/core/src/scheduler/executor-restart.test.ts
+++ b/packages/core/src/scheduler/executor-restart.test.ts
@@ -231,6 +231,46 @@
 	});
 }
 
+type ListingCase = {
+	readonly name: string;
+	readonly listed: number | undefined;
+	readonly isUsed: boolean;
+};
+
+const listingCases: readonly ListingCase[] = [
+	{name: 'the incarnation that terminated', listed: first, isUsed: false},
+	{name: 'a later incarnation', listed: second, isUsed: true},
+	{name: 'an earlier incarnation', listed: first - 1, isUsed: false},
+	{name: 'an unknown incarnation', listed: undefined, isUsed: false},
+];
+
+for (const {name, listed, isUsed} of listingCases) {
+	tap.t.test(
+		`after an executor has terminated, ${name} is ${isUsed ? '' : 'not '}used`,
+		async (t) => {
+			const {owner} = createWorld();
+			scheduler.markTerminated(owner, 'x', 100);
+			scheduler.markTerminated(owner, 'x', 110);
+			t.equal(
+				scheduler.recordListedExecutor(owner, listIncarnation(listed)),
+				isUsed,
+			);
+			t.equal(owner.executors.has('x'), isUsed);
+		},
+	);
+}
+
+tap.t.test(
+	'an incarnation that terminates right after its start is given up itself',
+	async (t) => {
+		const {owner} = createWorld();
+		scheduler.markTerminated(owner, 'x', 100);
+		scheduler.recordListedExecutor(owner, listIncarnation(second));
+		scheduler.markTerminated(owner, 'x', 200);
+		t.notOk(scheduler.recordListedExecutor(owner, listIncarnation(second)));
+	},
+);
+
 for (const {name, survivedMs, isUnanswered, crashes} of [
 	{name: 'a run that had just started', survivedMs: 10, crashes: 1},
 	{name: 'a run that lived for long', survivedMs: 6000, crashes: 0},
--- a/packages/core/src/scheduler/owner-state.ts
+++ b/packages/core/src/scheduler/owner-state.ts
@@ -52,8 +52,11 @@
 	flushNumber: number;
 	/** Placement advice by step id. */
 	readonly advice: Map<string, StepAdvice>;
-	/** Terminated executors; the registry may list them for a while longer. */
-	readonly terminatedExecutors: Set<string>;
+	/**
+	 * Starts of terminated incarnations, by id; the registry may list them for a
+	 * while longer.
+	 */
+	readonly terminatedExecutors: Map<string, number | undefined>;
 	/** Work submitted recently. */
 	arrivals: Arrivals;
 	/** Limits the number of concurrent start commands. */
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -12,6 +12,7 @@
 	type Executor,
 } from './executor.js';
 import {attributeLoss} from './crash-attribution.js';
+import {isLaterIncarnation} from './incarnation.js';
 import type {EndedJob} from './job-ends.js';
 import type {Owner} from './owner-state.js';
 import {initialStartWindow} from './start-window.js';
@@ -47,7 +48,7 @@
 	isRosterDirty: false,
 	flushNumber: 1,
 	advice: new Map(),
-	terminatedExecutors: new Set(),
+	terminatedExecutors: new Map(),
 	arrivals: noArrivals,
 	startWindow: initialStartWindow,
 	meanWork: new Map(),
@@ -115,6 +116,14 @@
 	}
 };
 
+/** Whether the listed incarnation has terminated; a later one has not. */
+const isTerminated = (
+	{terminatedExecutors}: Owner,
+	{id, startedAtEpochMs}: ListedExecutor,
+): boolean =>
+	terminatedExecutors.has(id) &&
+	!isLaterIncarnation(startedAtEpochMs, terminatedExecutors.get(id));
+
 /**
  * Records an executor as the registry lists it; returns false if it is not used
  * since it counts as terminated.
@@ -131,10 +140,11 @@
 		return true;
 	}
 
-	if (owner.terminatedExecutors.has(listed.id)) {
+	if (isTerminated(owner, listed)) {
 		return false;
 	}
 
+	owner.terminatedExecutors.delete(listed.id);
 	owner.executors.set(listed.id, createExecutor(listed));
 	owner.isRosterDirty = true;
 	return true;
@@ -179,13 +189,17 @@
 	id: string,
 	now: number,
 ): LostRuns => {
-	owner.unresolvedExecutors.delete(id);
-	owner.terminatedExecutors.add(id);
 	const executor = owner.executors.get(id);
 	if (!executor) {
 		return noLostRuns;
 	}
 
+	const {incarnation, listed} = executor;
+	owner.unresolvedExecutors.delete(id);
+	owner.terminatedExecutors.set(
+		id,
+		incarnation?.startedAtEpochMs ?? listed.startedAtEpochMs,
+	);
 	executor.isListed = false;
 	executor.unackedEnds = [];
 	executor.hasListedEnds = false;
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -103,6 +103,27 @@
 			await owners.reportTerminated(getServiceShard(pool), id);
 		}),
 	);
+	updateListedIds(listedIds, present, loads);
+};
+
+/**
+ * Forgets the ids of terminated executors: one that starts again under its id
+ * may not be listed yet.
+ */
+const updateListedIds = (
+	listedIds: ListedExecutorIds,
+	present: ReadonlySet<string>,
+	loads: FleetView['loads'],
+): void => {
+	const unresponsive = new Set(
+		[...loads.values()].flatMap(({silent}) => Object.keys(silent)),
+	);
+	for (const id of listedIds) {
+		if (!present.has(id) && !unresponsive.has(id)) {
+			listedIds.delete(id);
+		}
+	}
+
 	for (const id of present) {
 		listedIds.add(id);
 	}
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -83,7 +83,10 @@
 		executorId: string,
 		patienceMs: number,
 	) => scheduler.EvacuationState;
-	/** Ends all runs of an executor that the platform no longer lists. */
+	/**
+	 * Ends all runs of an executor that the platform no longer lists, unless it
+	 * answers.
+	 */
 	readonly markTerminated: (executorId: string) => void;
 	readonly getLoad: () => scheduler.ServiceLoad | undefined;
 	readonly getOwner: () => scheduler.Owner | undefined;
@@ -460,7 +463,12 @@
 			return evacuation;
 		},
 		markTerminated(executorId) {
-			markTerminated(executorId, 'the platform no longer lists it');
+			// It may have started again since the platform was asked.
+			const isUnresponsive =
+				owner?.executors.get(executorId)?.unresponsiveSince !== undefined;
+			if (isUnresponsive) {
+				markTerminated(executorId, 'the platform no longer lists it');
+			}
 		},
 		getLoad,
 		getOwner: () => owner,
