Recognise a machine as maintained whose executor keeps its id

What callers would see: a wave that ends late. Not seen played; found by reading every place that tells incarnations by id, as an executor may start again under its id.

Cause: a machine counted as back from maintenance once it ran another executor, or 8 s after the command. One whose executor keeps its id was away for these 8 s each, however short its maintenance, and held up the next machine of the wave.

Why this works: a machine that was seen in maintenance after its command, and is up with an executor again, is back. Where the state was not seen (a takeover, a list that fails) the 8 s hold as before. machine-wave.test.ts fails before.

--- a/packages/core/src/fleet/machine-wave.test.ts
+++ b/packages/core/src/fleet/machine-wave.test.ts
@@ -15,6 +15,7 @@
 	id,
 	pool: 's',
 	isUp: true,
+	isInMaintenance: false,
 	executorId: `${id}-1`,
 	...changes,
 });
@@ -131,6 +132,28 @@
 	});
 }
 
+for (const executorId of ['a-1', undefined]) {
+	tap.t.test(
+		`a machine that was in maintenance is ${executorId ? '' : 'not '}back with ${executorId ? 'its executor under the same id' : 'no executor yet'}`,
+		async (t) => {
+			let wave = fleet.recordCommandAccepted(begin(['a']), 'a');
+			for (const [isUp, isBack] of [
+				[true, false],
+				[false, false],
+				[true, executorId !== undefined],
+			] as const) {
+				const machine = createMachine('a', {
+					isUp,
+					isInMaintenance: !isUp,
+					executorId: isUp ? executorId : undefined,
+				});
+				wave = fleet.recordReturnedMachines(wave, mapOf([machine]), 100);
+				t.equal(wave.begun.a!.isBack, isBack);
+			}
+		},
+	);
+}
+
 tap.t.test(
 	'a wave is completed once every existing machine is back',
 	async (t) => {
--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -9,6 +9,7 @@
 	readonly id: string;
 	readonly pool: string;
 	readonly isUp: boolean;
+	readonly isInMaintenance: boolean;
 	readonly executorId: string | undefined;
 };
 
@@ -33,6 +34,11 @@
 	readonly begunAtEpochMs: number;
 	/** Whether the platform accepted the command. */
 	readonly isAnswered: boolean;
+	/**
+	 * Whether the machine was seen in maintenance: its executor may start again
+	 * under the same id. Absent in rows of the older format.
+	 */
+	readonly wasInMaintenance?: boolean | undefined;
 	/** Whether the machine has returned to service. */
 	readonly isBack: boolean;
 };
@@ -81,9 +87,11 @@
 	epochNow: number,
 ): MachineWave => {
 	const begun = Object.entries(wave.begun).map(([id, entry]) => {
-		const isBack =
-			entry.isBack || hasReturned(entry, machines.get(id), epochNow);
-		return [id, {...entry, isBack}] as const;
+		const machine = machines.get(id);
+		const isBack = entry.isBack || hasReturned(entry, machine, epochNow);
+		const wasInMaintenance =
+			entry.wasInMaintenance === true || machine?.isInMaintenance === true;
+		return [id, {...entry, isBack, wasInMaintenance}] as const;
 	});
 	return {...wave, begun: Object.fromEntries(begun)};
 };
@@ -109,7 +117,9 @@
 	}
 
 	const isReplaced =
-		machine.executorId !== undefined && machine.executorId !== entry.executorId;
+		machine.executorId !== undefined &&
+		(machine.executorId !== entry.executorId ||
+			entry.wasInMaintenance === true);
 	const isOverdue = epochNow - entry.begunAtEpochMs > earlierCommandMs;
 	return isReplaced || (entry.isAnswered && isOverdue);
 };
--- a/packages/core/src/fleet/wave-long-running.test.ts
+++ b/packages/core/src/fleet/wave-long-running.test.ts
@@ -53,6 +53,7 @@
 					id,
 					pool: 's',
 					isUp: begun === undefined || isBack,
+					isInMaintenance: begun !== undefined && !isBack,
 					executorId: isBack ? `new-${id}` : `old-${id}`,
 				};
 				return [id, machine] as const;
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -41,6 +41,7 @@
 				id,
 				pool: machine.pool,
 				isUp: machine.state === 'up',
+				isInMaintenance: machine.state === 'maintenance',
 				executorId: machine.executorId,
 			},
 		]),
--- a/packages/daemon/src/jobs/fleet/wave-rows.ts
+++ b/packages/daemon/src/jobs/fleet/wave-rows.ts
@@ -28,6 +28,7 @@
 				.transform((id) => id),
 			begunAtEpochMs: z.number(),
 			isAnswered: z.boolean(),
+			wasInMaintenance: z.boolean().optional(),
 			isBack: z.boolean(),
 		}),
 	),
