Wait for the leases that a previous owner granted

What callers would see: a task that runs twice at once (TWICE).

Cause: an owner counted the leases that it had granted itself only. A run that it adopts lives on a lease of the previous owner. If the executor stopped answering before the first lease of this owner (it grants none while the stored roster marks the executor as suspected, or while its own lease is not confirmed), the run was given up at once and its task started elsewhere.

Why this works: the first poll by an owner bars the one before, so nothing is granted after it; the longest lease that may have been granted until then counts as this owner's. duplicate-runs.test.ts fails before (the run is given up 100 ms after the poll).

--- a/packages/core/src/scheduler/duplicate-runs.test.ts
+++ b/packages/core/src/scheduler/duplicate-runs.test.ts
@@ -315,6 +315,24 @@
 	t.same(describeCommands(planAndStart(owner, 4)), ['start a.0.0.0 on x']);
 });
 
+tap.t.test(
+	'a run that a previous owner started keeps the lease that it was granted',
+	async (t) => {
+		const owner = createTestOwner([]);
+		scheduler.inheritExecutor(owner, createListed('x'), 9000, 0);
+		submit(owner, createAccepted('a'), true);
+		const running = [{taskId: 'a.0.0.0', run: 1}];
+		pollExecutor(owner, 'x', {at: 100, running});
+		const executor = owner.executors.get('x')!;
+		t.notOk(scheduler.mayGrantLease(executor), 'the mark is not removed yet');
+		scheduler.markUnresponsive(owner, 'x', 200);
+		const leaseMs = scheduler.getMaxLeaseDurationMs(testConfig);
+		t.same(scheduler.expireLeases(owner, 100 + leaseMs).runs, []);
+		const latest = 110 + leaseMs / (1 - scheduler.maxClockDrift);
+		t.equal(scheduler.expireLeases(owner, latest).runs.length, 1);
+	},
+);
+
 tap.t.test('a terminated executor is not added again', async (t) => {
 	const owner = createTestOwner([createListed('x')]);
 	scheduler.markTerminated(owner, 'x', 10);
--- a/packages/core/src/scheduler/executor-poll.ts
+++ b/packages/core/src/scheduler/executor-poll.ts
@@ -1,7 +1,7 @@
 /** Applies the runs and run ends that an executor lists when it is polled. */
 import {match} from 'ts-pattern';
 import {countFailure} from './attempts.js';
-import {clearSuspicion} from './suspected-executors.js';
+import {clearSuspicion, getMaxLeaseDurationMs} from './suspected-executors.js';
 import {
 	addRun,
 	removeRun,
@@ -385,6 +385,14 @@
 	const {startedAtEpochMs, clockMs} = poll;
 	executor.incarnation = {startedAtEpochMs, clockMs};
 	recordClockReading(executor, clockMs, poll.receivedAt);
+	if (isFirst && poll.running.length > 0) {
+		// Granted by the previous owner, before this poll barred it.
+		executor.grantedUntil = Math.max(
+			executor.grantedUntil,
+			clockMs + getMaxLeaseDurationMs(owner.cfg),
+		);
+	}
+
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
