--- a/packages/daemon/src/jobs/restarted-executor.test.ts
+++ b/packages/daemon/src/jobs/restarted-executor.test.ts
@@ -3,6 +3,7 @@
  * previous incarnation: its run ends were discarded as known, so that tasks ran
  * twice, and an executor that had terminated was never used again.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import type {scheduler} from '@gullstand/core';
 import * as tap from 'tap';
 import type {JobDaemon} from './job-daemon.js';
@@ -22,6 +23,12 @@
 
 const startedAtEpochMs = 1_785_000_000_000;
 
+/** Time from a restart until the registry lists the new incarnation. */
+const listingDelayMs = 300;
+
+/** An executor that is not polled for this long is idle. */
+const idleMs = 100;
+
 const createIncarnation = (number: number): scheduler.ListedExecutor => ({
 	...createListedExecutor('x'),
 	startedAtEpochMs: startedAtEpochMs + number,
@@ -56,6 +63,15 @@
 		.listStarts()
 		.filter(({taskId}) => taskId.startsWith(`${id}.`)).length;
 
+/** Waits until the executor is not polled any more. */
+const waitUntilIdle = async ({executors}: TestPlatform): Promise<void> => {
+	let polls = -1;
+	while (polls !== executors.countPolls()) {
+		polls = executors.countPolls();
+		await delay(idleMs);
+	}
+};
+
 for (const isListed of [true, false]) {
 	tap.t.test(
 		`tasks run once after an idle executor has started again, ${isListed ? '' : 'not '}listed yet`,
@@ -70,6 +86,7 @@
 				await waitForEnd(daemon, id);
 			}
 
+			await waitUntilIdle(platform);
 			if (isListed) {
 				startIncarnation(platform, 2);
 			} else {
@@ -78,7 +95,9 @@
 
 			const id = createId(5);
 			await submit(daemon, id);
-			await waitUntil('a start', () => countStarts(platform, id) > 0);
+			// The owner may have polled the new incarnation before the start: it
+			// then waits for the listing.
+			await delay(listingDelayMs);
 			platform.executorFeed.put('x', createIncarnation(2));
 			await waitForEnd(daemon, id);
 			t.equal(countStarts(platform, id), 1);
