Bound the rate of polls that watch an isolated run or await a restart

Found by reading the links of executors after both matters: a poll that watches an isolated run asked for no wait once its probation was over and the run had not been cleared (a gang whose other members have not outlived theirs, a run that is being stopped), and an executor whose next incarnation was listed but did not answer yet was polled without a pause, so as fast as it answers. Waits are 50 ms at least now. An answer without a start no longer hides the start that was known before (executor-restart.test.ts fails before).

--- a/packages/core/src/scheduler/executor-poll.ts
+++ b/packages/core/src/scheduler/executor-poll.ts
@@ -382,8 +382,14 @@
 		);
 	}
 
-	const {startedAtEpochMs, clockMs} = poll;
-	executor.incarnation = {startedAtEpochMs, clockMs};
+	const {clockMs} = poll;
+	const knownStart = isRestarted
+		? undefined
+		: executor.incarnation?.startedAtEpochMs;
+	executor.incarnation = {
+		startedAtEpochMs: poll.startedAtEpochMs ?? knownStart,
+		clockMs,
+	};
 	recordClockReading(executor, clockMs, poll.receivedAt);
 	if (isFirst && poll.running.length > 0) {
 		// Granted by the previous owner, before this poll barred it.
--- a/packages/core/src/scheduler/executor-restart.test.ts
+++ b/packages/core/src/scheduler/executor-restart.test.ts
@@ -182,6 +182,16 @@
 	},
 );
 
+tap.t.test(
+	'an answer without a start does not hide that the next one is another',
+	async (t) => {
+		const {owner} = createWorld();
+		pollExecutor(owner, 'x', {at: 100, clockMs: 1_000_100});
+		const next = {startedAtEpochMs: second, clockMs: 2_000_000};
+		t.ok(pollExecutor(owner, 'x', {at: 200, ...next}).isRestarted);
+	},
+);
+
 type ReadinessCase = {
 	readonly name: string;
 	readonly act: (owner: scheduler.Owner) => void;
--- a/packages/daemon/src/jobs/owner/executor-link.test.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.test.ts
@@ -1,7 +1,12 @@
 import {scheduler} from '@gullstand/core';
 import type {Executors, PollAnswer} from '@gullstand/ports';
 import * as tap from 'tap';
-import {createListedExecutor, now} from '../job-daemon.test.fixture.js';
+import {
+	createAcceptedJob,
+	createId,
+	createListedExecutor,
+	now,
+} from '../job-daemon.test.fixture.js';
 import {openExecutorLink} from './executor-link.js';
 
 type Waits = number[];
@@ -34,20 +39,37 @@
 	load: 0,
 };
 
+/** Adds a run that was started in isolation and is not confirmed yet. */
+const addIsolatedRun = (owner: scheduler.Owner): void => {
+	const job = scheduler.addJob(owner, createAcceptedJob(createId(1)), false);
+	const [step] = scheduler.addOccurrence(job).steps;
+	const run = scheduler.createRun(step!.tasks[0]!, 1, 'x', now());
+	run.isIsolated = true;
+	scheduler.addRun(owner.executors.get('x')!, run);
+};
+
 const cases = [
-	['an idle executor is polled once', seen, [0]],
+	['an idle executor is polled once', seen, () => undefined, [0]],
 	[
 		'a poll of an executor with an orphaned run waits for its end',
 		{...seen, running: [orphanedRun]},
+		() => undefined,
 		[0, 800],
 	],
+	[
+		'a poll of an executor with an isolated run waits for its probation',
+		seen,
+		addIsolatedRun,
+		[0, 300],
+	],
 ] as const;
 
-for (const [name, answer, expected] of cases) {
+for (const [name, answer, prepare, expected] of cases) {
 	tap.t.test(name, async (t) => {
 		const cfg = scheduler.defaultSchedulerConfig;
 		const owner = scheduler.createOwner('s', 1, cfg, 0);
 		scheduler.recordListedExecutor(owner, createListedExecutor('x'));
+		prepare(owner);
 		const waits: Waits = [];
 		const link = openExecutorLink({
 			owner,
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -95,7 +95,11 @@
 	/** Waits, so that one poll lists several ends. */
 	const pauseForGap = async (answeredAt: number) => {
 		const gapMs = scheduler.getMinPollIntervalMs(owner.startWindow);
-		const remainingMs = gapMs - (now() - answeredAt);
+		// The listed incarnation does not answer yet, and is polled until it does.
+		const minGapMs = scheduler.isRestartListed(executor)
+			? periods.pollRetryMs
+			: 0;
+		const remainingMs = Math.max(minGapMs, gapMs) - (now() - answeredAt);
 		if (remainingMs >= periods.minPollGapMs && !state.isPollRequested) {
 			await pollGap.wait(remainingMs);
 		}
@@ -174,12 +178,15 @@
 		state.retryMs = Math.min(2 * state.retryMs, periods.pollRetryMaxMs);
 	};
 
-	/** No longer than until the isolated run has outlived its probation. */
+	/** Until the isolated run has outlived its probation, if there is one. */
 	const getPollWaitMs = (): number => {
 		const probationMs = scheduler.getRemainingProbationMs(executor);
 		return probationMs === undefined
 			? periods.pollWaitMs
-			: Math.min(periods.pollWaitMs, Math.ceil(probationMs));
+			: Math.min(
+					periods.pollWaitMs,
+					Math.max(periods.minPollWaitMs, Math.ceil(probationMs)),
+				);
 	};
 
 	const pollOnce = async () => {
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -27,6 +27,8 @@
 	planIntervalMs: 100,
 	/** How long an executor may delay the answer to a poll until a run ends. */
 	pollWaitMs: 800,
+	/** Shortest wait of a poll that watches an isolated run. */
+	minPollWaitMs: 50,
 	/** Timeout of a poll, in addition to its wait. */
 	pollTimeoutMs: 600,
 	/** Timeout of a command to start, stop or throttle a run. */
