Store the loss of executors that do not answer when an owner stops

What callers would see: a task that crashes its executors started more often than allowed (BUDGET) while entries are restarted in turn.

An owner that stops in between knows what ran there and did not say; the next one learns that the executor is gone, and not what ran there.

Why this works: the stopping owner counts the runs on executors that do not answer as lost before its last flush. If one was only disconnected, its tasks start in isolation at most, and are cleared by the next run that lives.

--- a/packages/core/src/scheduler/crash-attribution.test.ts
+++ b/packages/core/src/scheduler/crash-attribution.test.ts
@@ -309,6 +309,8 @@
 	/** Tasks of each job; the first task of the first job is the cause. */
 	readonly jobs: readonly number[];
 	readonly crashDelayMs: number;
+	/** Time between two owners of the service; absent for one owner only. */
+	readonly takeoverMs: number | undefined;
 };
 
 const stepMs = 10;
@@ -316,17 +318,59 @@
 const restartMs = 3000;
 const workMs = 500;
 
-const simulate = ({executors, jobs, crashDelayMs}: Simulation) => {
-	const owner = createTestOwner(createExecutors(executors));
-	const accepted = jobs.map((count, index) =>
-		submit(owner, createAccepted(`j${index}`, [{count}])),
-	);
+/** Hands a service over to its next owner, as after a planned stop. */
+const handOver = (
+	previous: scheduler.Owner,
+	isLost: (id: string) => boolean,
+	now: number,
+): scheduler.Owner => {
+	scheduler.attributeUnresponsive(previous, now);
+	const {service, token, cfg} = previous;
+	const owner = scheduler.createOwner(service, token + 1, cfg, now);
+	for (const job of previous.jobs.values()) {
+		const row = JSON.stringify(scheduler.encodeProgress(job));
+		const next = scheduler.addJob(owner, job.accepted, true);
+		const progress = JSON.parse(row) as scheduler.JobProgress;
+		scheduler.applyProgress(next, progress, now);
+		scheduler.trackSuspectsOfJob(owner, next);
+		if (next.end) {
+			owner.openJobs.delete(next);
+		}
+	}
+
+	scheduler.advanceSchedules(owner, now);
+	for (const {id, listed} of previous.executors.values()) {
+		if (isLost(id)) {
+			const leasesEndAt = now + scheduler.getMaxLeaseDurationMs(cfg);
+			scheduler.inheritExecutor(owner, listed, leasesEndAt);
+			scheduler.markUnresponsive(owner, id, now);
+		} else {
+			scheduler.recordListedExecutor(owner, listed);
+			pollExecutor(owner, id, {at: now, running: listRuns(previous, id)});
+		}
+	}
+
+	flushAll(owner);
+	return owner;
+};
+
+const simulate = ({executors, jobs, crashDelayMs, takeoverMs}: Simulation) => {
+	let owner = createTestOwner(createExecutors(executors));
+	for (const [index, count] of jobs.entries()) {
+		submit(owner, createAccepted(`j${index}`, [{count}]));
+	}
+
 	const cause = 'j0.0.0.0';
 	const ends = new Map<string, scheduler.ListedEnd[]>();
 	const losses: Array<{readonly id: string; readonly at: number}> = [];
 	let causeStarts = 0;
 	let nextId = executors;
+	const isLost = (id: string): boolean => losses.some((each) => each.id === id);
 	for (let now = 0; now < 60_000; now += stepMs) {
+		if (takeoverMs !== undefined && now > 0 && now % takeoverMs === 0) {
+			owner = handOver(owner, isLost, now);
+		}
+
 		for (const {id, at} of losses) {
 			if (now === at + detectionMs) {
 				scheduler.markTerminated(owner, id, now);
@@ -341,15 +385,14 @@
 
 		for (const executor of owner.executors.values()) {
 			const {id, runs} = executor;
-			const isLost = losses.some((each) => each.id === id);
 			const crash = [...runs.values()].find(
 				({task, askedAt}) =>
 					task.id === cause && askedAt + crashDelayMs === now,
 			);
-			if (crash && !isLost) {
+			if (crash && !isLost(id)) {
 				losses.push({id, at: now});
 				scheduler.markUnresponsive(owner, id, now);
-			} else if (!isLost) {
+			} else if (!isLost(id)) {
 				const listed = ends.get(id) ?? [];
 				for (const {task, number, askedAt} of runs.values()) {
 					if (task.id !== cause && askedAt + workMs <= now) {
@@ -383,7 +426,7 @@
 		causeStarts += starts.filter(({run}) => run.task.id === cause).length;
 	}
 
-	return {ends: accepted.map(({end}) => end), causeStarts};
+	return {ends: [...owner.jobs.values()].map(({end}) => end), causeStarts};
 };
 
 tap.t.test(
@@ -398,6 +441,7 @@
 						maxLength: 8,
 					}),
 					crashDelayMs: fc.constantFrom(10, 50, 250),
+					takeoverMs: fc.constantFrom(undefined, 700, 2000),
 				}),
 				(simulation) => {
 					const {ends, causeStarts} = simulate(simulation);
--- a/packages/core/src/scheduler/crash-attribution.ts
+++ b/packages/core/src/scheduler/crash-attribution.ts
@@ -156,6 +156,19 @@
 	);
 };
 
+/**
+ * Records the loss of all unresponsive executors, before the service has another
+ * owner, which does not know what runs there. A task whose executor was only
+ * disconnected is cleared by its next run.
+ */
+export const attributeUnresponsive = (owner: Owner, now: number): void => {
+	for (const executor of owner.executors.values()) {
+		if (executor.unresponsiveSince !== undefined) {
+			attributeLoss(owner, executor, [...executor.runs.values()], now);
+		}
+	}
+};
+
 const hasOutlivedProbation = (owner: Owner, {task, number}: Run): boolean =>
 	listCoscheduledTasks(task).every((each) =>
 		each.runs.some((run) => {
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
@@ -0,0 +1,65 @@
+/** Owner of the service `s` without a daemon around it, for tests. */
+import {scheduler} from '@gullstand/core';
+import type * as tap from 'tap';
+import winston from 'winston';
+import {
+	heldShard,
+	noRowFaults,
+	now,
+	type TestPlatform,
+} from '../job-daemon.test.fixture.js';
+import {createJobMetrics} from '../job-metrics.js';
+import {getLeaseKey, tables} from '../rows/tables.js';
+import {createOwnedServices, type OwnedServices} from './owned-services.js';
+
+const clock = {now, epochNow: () => Date.now()};
+
+/** Stores the lease and the jobs, and starts the owner of the service. */
+export const startOwnedService = async (
+	t: Pick<typeof tap.t, 'fail' | 'teardown'>,
+	platform: TestPlatform,
+	jobs: readonly scheduler.AcceptedJob[] = [],
+): Promise<OwnedServices> => {
+	const {shard} = heldShard;
+	const taken = await platform.store.transact(
+		{
+			checks: [],
+			puts: [
+				{...getLeaseKey(shard), value: '1'},
+				...jobs.map((job) => ({
+					table: tables.job,
+					part: shard,
+					key: job.id,
+					value: JSON.stringify(job),
+				})),
+			],
+			removes: [],
+		},
+		1000,
+	);
+	const owned = createOwnedServices({
+		store: platform.store,
+		executors: platform.executors,
+		executorFeed: platform.executorFeed,
+		advice: undefined,
+		clock,
+		cfg: scheduler.defaultSchedulerConfig,
+		logger: winston.createLogger({silent: true}),
+		metrics: createJobMetrics(),
+		rowFaults: noRowFaults,
+		hasService: () => true,
+		rejectsOverload: () => false,
+		getLeasesConfirmedAt: () => ({at: now(), epochAt: Date.now()}),
+		hasReleased: async () => true,
+		onOwnershipLost(_shard, rows) {
+			t.fail(JSON.stringify(rows));
+		},
+		reportFailure(err) {
+			t.fail(err.message);
+		},
+	});
+	t.teardown(owned.dropAll);
+	const version = taken.ok ? taken.value.version : 0;
+	owned.start({...heldShard, version}, 's');
+	return owned;
+};
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -428,6 +428,10 @@
 		start,
 		async stop() {
 			state.isStopping = true;
+			if (owner) {
+				scheduler.attributeUnresponsive(owner, clock.now());
+			}
+
 			await Promise.race([flusher?.drain(), delay(maxDrainMs)]);
 			abandon();
 		},
