--- a/packages/core/src/scheduler/executor-poll.ts
+++ b/packages/core/src/scheduler/executor-poll.ts
@@ -11,7 +11,15 @@
 } from './executor.js';
 import {clearIfProbationIsOver} from './crash-attribution.js';
 import {resetIncarnation} from './executor-restart.js';
-import {isRestart, type IncarnationReading} from './incarnation.js';
+import {isRestart} from './incarnation.js';
+import {listRunsLostByRestart, listVanishedRuns} from './missing-runs.js';
+import {
+	maxEndsPerPoll,
+	type ExecutorPoll,
+	type ListedEnd,
+	type ListedRun,
+	type PollChanges,
+} from './poll-answer.js';
 import {completeIfDone, endJob, type EndedJob} from './job-ends.js';
 import type {Owner} from './owner-state.js';
 import {
@@ -27,66 +35,6 @@
 	type Task,
 } from './task.js';
 
-/** Ways in which a run ends. */
-export const runEnds = {
-	done: 'done',
-	failed: 'failed',
-	stopped: 'stopped',
-	/** Its lease expired. */
-	lapsed: 'lapsed',
-	/** Another member of its gang ended. */
-	broken: 'broken',
-	/** The other members of its gang did not start in time. */
-	alone: 'alone',
-} as const;
-
-/** One of `runEnds`. */
-export type RunEnd = (typeof runEnds)[keyof typeof runEnds];
-
-/** A run that an executor lists as running. */
-export type ListedRun = {
-	readonly taskId: string;
-	readonly run: number;
-	readonly checkpoint: string;
-	readonly percent: number;
-	/** Tail latency in milliseconds if the task has a target, else cpu used. */
-	readonly load: number;
-};
-
-/** A run end that an executor lists until it is acknowledged. */
-export type ListedEnd = {
-	/** Counts the ends of one incarnation, from 1. */
-	readonly number: number;
-	readonly taskId: string;
-	readonly run: number;
-	readonly how: RunEnd;
-	readonly checkpoint: string;
-};
-
-/** The answer of an executor to one poll. */
-export type ExecutorPoll = IncarnationReading & {
-	readonly sentAt: number;
-	readonly receivedAt: number;
-	readonly running: readonly ListedRun[];
-	readonly ends: readonly ListedEnd[];
-};
-
-/** Changes that a poll led to, for the log. */
-export type PollChanges = {
-	/** Whether the poll made this owner adopt the executor. */
-	readonly isFirst: boolean;
-	/** Whether another incarnation has answered than before. */
-	readonly isRestarted: boolean;
-	readonly ends: ReadonlyArray<ListedEnd & {readonly failures: number}>;
-	/** Keys of listed runs that were not known before. */
-	readonly adopted: readonly string[];
-	/** Keys of known runs that are no longer listed. */
-	readonly vanished: readonly string[];
-	/** Runs of unknown tasks, to be stopped. */
-	readonly orphanedRuns: readonly ListedRun[];
-	readonly jobEnds: readonly EndedJob[];
-};
-
 type Changes = {
 	ends: Array<ListedEnd & {failures: number}>;
 	adopted: string[];
@@ -307,56 +255,17 @@
 	}
 };
 
-/** Lists runs that were confirmed before a poll was sent and are not running. */
-const listVanished = (
-	executor: Executor,
-	poll: ExecutorPoll,
-): readonly Run[] => {
-	const listed = new Set(
-		poll.running.map(({taskId, run}) => getRunKey(taskId, run)),
-	);
-	return [...executor.runs].flatMap(([key, run]) => {
-		const wasConfirmed =
-			run.confirmedAt !== undefined && run.confirmedAt < poll.sentAt;
-		return wasConfirmed && !listed.has(key) ? [run] : [];
-	});
-};
-
 const removeVanished = (
 	executor: Executor,
 	poll: ExecutorPoll,
 	changes: Changes,
 ): void => {
-	for (const run of listVanished(executor, poll)) {
+	for (const run of listVanishedRuns(executor, poll)) {
 		removeRun(executor, run);
 		changes.vanished.push(getRunKey(run.task.id, run.number));
 	}
 };
 
-/**
- * Lists the runs that are lost with the previous incarnation of an executor. A
- * start without an answer is among them if the executor had stopped answering,
- * since it may have been the cause.
- */
-const listLostRuns = (
-	executor: Executor,
-	poll: ExecutorPoll,
-): readonly Run[] => {
-	const ended = new Set(
-		poll.ends.map(({taskId, run}) => getRunKey(taskId, run)),
-	);
-	const running = new Set(
-		poll.running.map(({taskId, run}) => getRunKey(taskId, run)),
-	);
-	return [...executor.runs].flatMap(([key, run]) => {
-		const wasThere =
-			run.confirmedAt === undefined
-				? executor.unresponsiveSince !== undefined
-				: run.confirmedAt < poll.sentAt;
-		return wasThere && !ended.has(key) && !running.has(key) ? [run] : [];
-	});
-};
-
 /**
  * Applies the answer to a poll. An executor has one poll in flight at a time,
  * so answers arrive in order.
@@ -376,7 +285,7 @@
 	};
 	const isRestarted = isRestart(executor.incarnation, poll);
 	if (isRestarted) {
-		const lostRuns = listLostRuns(executor, poll);
+		const lostRuns = listRunsLostByRestart(executor, poll);
 		changes.jobEnds.push(
 			...resetIncarnation(owner, executor, {...poll, lostRuns}),
 		);
@@ -414,6 +323,3 @@
 
 	return {isFirst, isRestarted, ...changes};
 };
-
-/** Maximum number of ends in one poll, by the executors' interface. */
-export const maxEndsPerPoll = 500;
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -15,6 +15,7 @@
 export * from './crash-attribution.js';
 export * from './owner.js';
 export type * from './owner-state.js';
+export * from './poll-answer.js';
 export * from './executor-poll.js';
 export * from './service-load.js';
 export * from './flush.js';
