Clear one executor for a long-running task that finds no room

What callers see: a long-running task that does not run for many seconds while the service is full of short work (LOST).

While any run was being stopped on any executor that could hold the task, nothing was preempted for it, and in a busy pool some run always is. And the room that preemption made went to smaller tasks piece by piece, as soon as each run had ended, so that it was never large enough.

Why this works: an executor is chosen on which what is being stopped, and the runs that lose the least work, make enough room; until the task starts there, the plan gives it nothing else.

--- a/packages/core/src/scheduler/place-task.ts
+++ b/packages/core/src/scheduler/place-task.ts
@@ -1,6 +1,7 @@
 /** Selects the executor for a task, or the runs to preempt for it. */
 import {
 	couldHold,
+	getDemand,
 	getFree,
 	getRack,
 	hasRoom,
@@ -138,60 +139,84 @@
 const isPreemptible = ({task, state}: Run): boolean =>
 	state === 'running' && !task.step.spec.isLongRunning;
 
-/** Runs to stop so that a task fits, and the work lost with them. */
-type Eviction = {readonly runs: readonly Run[]; readonly lostWork: number};
+const isBeingStopped = ({state}: Run): boolean =>
+	state === 'stopping' || state === 'barring';
+
+/** An executor that is cleared for a task. */
+export type Eviction = {
+	readonly executor: Executor;
+	/** Runs to stop, beside those that are being stopped already. */
+	readonly runs: readonly Run[];
+	/** The work lost with them. */
+	readonly lostWork: number;
+};
 
 const findEvictionOn = (
 	executor: Executor,
 	step: Step,
 ): Eviction | undefined => {
-	const free = getFree(executor);
-	let {cpuMillis} = free;
-	let {memoryMb} = free;
+	let {cpuMillis, memoryMb, accelerators} = getFree(executor);
+	const addRoom = ({task}: Run): void => {
+		const freed = getDemand(task.step);
+		cpuMillis += freed.cpuMillis;
+		memoryMb += freed.memoryMb;
+		accelerators += freed.accelerators;
+	};
+
+	const demand = getDemand(step);
+	const fits = (): boolean =>
+		cpuMillis >= demand.cpuMillis &&
+		memoryMb >= demand.memoryMb &&
+		accelerators >= demand.accelerators;
+
+	const all = [...executor.runs.values()];
+	for (const run of all.filter((each) => isBeingStopped(each))) {
+		addRoom(run);
+	}
+
 	let lostWork = 0;
 	const runs: Run[] = [];
-	const demand = step.spec.resources;
-	const candidates = [...executor.runs.values()]
+	const candidates = all
 		.filter((each) => isPreemptible(each))
 		.toSorted((one, two) => one.percent - two.percent);
 	for (const run of candidates) {
-		if (cpuMillis >= demand.cpuMillis && memoryMb >= demand.memoryMb) {
+		if (fits()) {
 			break;
 		}
 
-		const {resources} = run.task.step.spec;
-		cpuMillis += resources.cpuMillis;
-		memoryMb += resources.memoryMb;
-		lostWork += resources.cpuMillis * run.percent;
+		addRoom(run);
+		lostWork += run.task.step.spec.resources.cpuMillis * run.percent;
 		runs.push(run);
 	}
 
-	return cpuMillis >= demand.cpuMillis && memoryMb >= demand.memoryMb
-		? {runs, lostWork}
-		: undefined;
+	return fits() ? {executor, runs, lostWork} : undefined;
 };
 
-/** Lists the runs to stop to make room for a task with the least lost work. */
+/**
+ * Selects the executor to clear for a task: the one on which the least work is
+ * lost, which is none if enough is being stopped there already.
+ */
 export const findEviction = (
 	executors: readonly Executor[],
 	{step}: Task,
-): readonly Run[] => {
+): Eviction | undefined => {
 	let best: Eviction | undefined;
 	for (const executor of executors) {
 		if (!couldHold(executor, step) || !maySpreadTo(step, executor)) {
 			continue;
 		}
 
-		// A run that is already being stopped will free resources.
-		if ([...executor.runs.values()].some(({state}) => state === 'stopping')) {
-			return [];
-		}
-
 		const eviction = findEvictionOn(executor, step);
-		if (eviction && (!best || eviction.lostWork < best.lostWork)) {
+		if (
+			eviction &&
+			(!best ||
+				eviction.lostWork < best.lostWork ||
+				(eviction.lostWork === best.lostWork &&
+					eviction.runs.length < best.runs.length))
+		) {
 			best = eviction;
 		}
 	}
 
-	return best?.runs ?? [];
+	return best;
 };
--- a/packages/core/src/scheduler/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan-suspects.ts
@@ -13,6 +13,7 @@
 	evictFor,
 	listStepExecutors,
 	nextRunNumber,
+	reserveExecutors,
 	startTask,
 	type Planning,
 } from './planning.js';
@@ -33,12 +34,12 @@
 	return Math.max(1, Math.floor(all * maxIsolatedShare)) - isolated;
 };
 
-/** Keeps executors from the rest of the plan. */
+/** Reserves executors for suspects; returns how many. */
 const reserve = (
 	planning: Planning,
 	executors: readonly Executor[],
 ): number => {
-	planning.usable = planning.usable.filter((each) => !executors.includes(each));
+	reserveExecutors(planning, executors);
 	return executors.length;
 };
 
@@ -87,8 +88,9 @@
 		return reserve(planning, [executor]);
 	}
 
-	if (fitting.length === 0 && step.spec.isLongRunning) {
-		evictFor(planning, task);
+	const mayEvict = fitting.length === 0 && step.spec.isLongRunning;
+	if (mayEvict && evictFor(planning, task)) {
+		return 1;
 	}
 
 	return reserveForLater(planning, step, eligible, 1);
--- a/packages/core/src/scheduler/planning.ts
+++ b/packages/core/src/scheduler/planning.ts
@@ -103,15 +103,32 @@
 	return {kind: 'start', executor, run, leaseEndMs, ticket};
 };
 
-/** Stops the runs that make room for a task. */
-export const evictFor = ({usable, commands}: Planning, task: Task): void => {
-	for (const run of findEviction(usable, task)) {
-		const executor = usable.find(({id}) => id === run.executorId);
-		const command = executor && stopRun(executor, run, 'preempted');
-		if (command) {
-			commands.push(command);
-		}
+/** Keeps executors from the rest of the plan. */
+export const reserveExecutors = (
+	planning: Planning,
+	executors: readonly Executor[],
+): void => {
+	planning.usable = planning.usable.filter((each) => !executors.includes(each));
+};
+
+/**
+ * Stops the runs that make room for a task. Until then the executor is kept
+ * free of other starts, which would take the room piece by piece. Returns
+ * whether an executor is being cleared.
+ */
+export const evictFor = (planning: Planning, task: Task): boolean => {
+	const eviction = findEviction(planning.usable, task);
+	if (!eviction) {
+		return false;
 	}
+
+	for (const run of eviction.runs) {
+		const command = stopRun(eviction.executor, run, 'preempted');
+		planning.commands.push(...(command ? [command] : []));
+	}
+
+	reserveExecutors(planning, [eviction.executor]);
+	return true;
 };
 
 /** Lists the executors that may run a step; requests missing advice. */
