Fail no job for executors that may only be disconnected

An owner that stops records the loss of executors that do not answer. One that is only disconnected lives on, and so may the task: with one crash in isolation before, its job failed on that evidence alone. The record is kept and decides with the next confirmed loss; crash-attribution.test.ts fails before, and the simulated pool still gives the cause up within five starts.

--- a/packages/core/src/scheduler/crash-attribution.test.ts
+++ b/packages/core/src/scheduler/crash-attribution.test.ts
@@ -281,6 +281,29 @@
 	t.equal(job.end, 'failed');
 });
 
+tap.t.test(
+	'no job fails for an executor that may only be disconnected',
+	async (t) => {
+		const owner = createTestOwner(createExecutors(4));
+		const job = submit(owner, createAccepted('a', [{estimateMs: 60_000}]));
+		for (const now of [0, 1000]) {
+			const run = startTask(owner, job, now);
+			scheduler.markTerminated(owner, run.executorId, now + 10);
+		}
+
+		const {executorId} = startTask(owner, job, 2000);
+		scheduler.markUnresponsive(owner, executorId, 2010);
+		scheduler.recordUnresponsive(owner);
+		t.equal(getTask(job).crashes.length, 3);
+		t.equal(job.end, undefined);
+		pollExecutor(owner, executorId, {
+			at: 3000,
+			running: listRuns(owner, executorId),
+		});
+		t.same(getTask(job).crashes, [], 'it lives');
+	},
+);
+
 tap.t.test('a crash known before is not counted again', async (t) => {
 	const owner = createTestOwner(createExecutors(1));
 	const job = submit(owner, createAccepted('a'));
--- a/packages/core/src/scheduler/crash-attribution.ts
+++ b/packages/core/src/scheduler/crash-attribution.ts
@@ -107,41 +107,24 @@
 	trackSuspect(owner, task);
 };
 
-const recordCrash = (
-	owner: Owner,
-	executor: Executor,
-	run: Run,
-	now: number,
-): EndedJob | undefined => {
+const recordCrash = (owner: Owner, executor: Executor, run: Run): void => {
 	const {task, number, isIsolated} = run;
 	const survivedMs = getSurvivedMs(executor, run);
 	const isKnown = task.crashes.some((each) => each.run === number);
-	if (isKnown || survivedMs >= maxCrashDelayMs) {
-		return undefined;
-	}
-
-	addCrash(owner, task, {run: number, survivedMs, wasIsolated: isIsolated});
-	const {job} = task.step.occurrence;
-	if (job.end !== undefined || !isAtFault(task)) {
-		return undefined;
+	if (!isKnown && survivedMs < maxCrashDelayMs) {
+		addCrash(owner, task, {run: number, survivedMs, wasIsolated: isIsolated});
 	}
-
-	endJob(owner, job, 'failed', now);
-	const reason = `task ${task.id} crashed ${task.crashes.length} executors`;
-	return {job: job.accepted.id, end: 'failed', reason};
 };
 
 /**
  * Records the loss of an executor against those of the lost runs that may have
- * caused it; returns the jobs that fail thereby. The loss of a draining one is
- * expected.
+ * caused it, and returns their tasks. The loss of a draining one is expected.
  */
-export const attributeLoss = (
+const recordLoss = (
 	owner: Owner,
 	executor: Executor,
 	lostRuns: readonly Run[],
-	now: number,
-): readonly EndedJob[] => {
+): readonly Task[] => {
 	if (executor.listed.isDraining) {
 		return [];
 	}
@@ -151,20 +134,45 @@
 	);
 	const isolated = runs.filter(({isIsolated}) => isIsolated);
 	const candidates = isolated.length > 0 ? isolated : runs;
-	return candidates.flatMap(
-		(run) => recordCrash(owner, executor, run, now) ?? [],
-	);
+	for (const run of candidates) {
+		recordCrash(owner, executor, run);
+	}
+
+	return candidates.map(({task}) => task);
 };
 
+const giveUp = (owner: Owner, task: Task, now: number): EndedJob => {
+	const {job} = task.step.occurrence;
+	endJob(owner, job, 'failed', now);
+	const reason = `task ${task.id} crashed ${task.crashes.length} executors`;
+	return {job: job.accepted.id, end: 'failed', reason};
+};
+
+/**
+ * Attributes the loss of an executor to the lost runs; returns the jobs that
+ * fail thereby.
+ */
+export const attributeLoss = (
+	owner: Owner,
+	executor: Executor,
+	lostRuns: readonly Run[],
+	now: number,
+): readonly EndedJob[] =>
+	recordLoss(owner, executor, lostRuns).flatMap((task) =>
+		isAtFault(task) && !task.step.occurrence.job.end
+			? [giveUp(owner, task, now)]
+			: [],
+	);
+
 /**
  * Records the loss of all unresponsive executors, before the service has another
- * owner, which does not know what runs there. A task whose executor was only
- * disconnected is cleared by its next run.
+ * owner, which does not know what runs there. No job fails by that: an executor
+ * may only be disconnected, and its tasks are cleared by their next runs.
  */
-export const attributeUnresponsive = (owner: Owner, now: number): void => {
+export const recordUnresponsive = (owner: Owner): void => {
 	for (const executor of owner.executors.values()) {
 		if (executor.unresponsiveSince !== undefined) {
-			attributeLoss(owner, executor, [...executor.runs.values()], now);
+			recordLoss(owner, executor, [...executor.runs.values()]);
 		}
 	}
 };
--- a/packages/core/src/scheduler/crash-simulation.test.ts
+++ b/packages/core/src/scheduler/crash-simulation.test.ts
@@ -41,7 +41,7 @@
 	isLost: (id: string) => boolean,
 	now: number,
 ): scheduler.Owner => {
-	scheduler.attributeUnresponsive(previous, now);
+	scheduler.recordUnresponsive(previous);
 	const {service, token, cfg} = previous;
 	const owner = scheduler.createOwner(service, token + 1, cfg, now);
 	for (const job of previous.jobs.values()) {
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -429,7 +429,7 @@
 		async stop() {
 			state.isStopping = true;
 			if (owner) {
-				scheduler.attributeUnresponsive(owner, clock.now());
+				scheduler.recordUnresponsive(owner);
 			}
 
 			await Promise.race([flusher?.drain(), delay(maxDrainMs)]);
