--- a/packages/core/src/scheduler/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan-suspects.ts
@@ -71,7 +71,7 @@
 	);
 
 /** Starts one suspect; returns how many executors it takes. */
-const planTask = (planning: Planning, task: Task): number => {
+const planSuspect = (planning: Planning, task: Task): number => {
 	const {step} = task;
 	const eligible = listStepExecutors(planning, step);
 	const fitting = listFitting(eligible, task);
@@ -97,7 +97,7 @@
 };
 
 /** Starts a gang of suspects; returns how many executors it takes. */
-const planGang = (
+const planSuspectGang = (
 	planning: Planning,
 	step: Step,
 	available: number,
@@ -132,7 +132,7 @@
 		}
 
 		available -= task.step.spec.isGang
-			? planGang(planning, task.step, available)
-			: planTask(planning, task);
+			? planSuspectGang(planning, task.step, available)
+			: planSuspect(planning, task);
 	}
 };
