--- a/packages/core/src/scheduler/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan-suspects.ts
@@ -13,6 +13,7 @@
 	evictFor,
 	listStepExecutors,
 	nextRunNumber,
+	reserveExecutors,
 	startTask,
 	type Planning,
 } from './planning.js';
@@ -33,12 +34,12 @@
 	return Math.max(1, Math.floor(all * maxIsolatedShare)) - isolated;
 };
 
-/** Keeps executors from the rest of the plan. */
+/** Reserves executors for suspects; returns how many. */
 const reserve = (
 	planning: Planning,
 	executors: readonly Executor[],
 ): number => {
-	planning.usable = planning.usable.filter((each) => !executors.includes(each));
+	reserveExecutors(planning, executors);
 	return executors.length;
 };
 
@@ -70,7 +71,7 @@
 	);
 
 /** Starts one suspect; returns how many executors it takes. */
-const planTask = (planning: Planning, task: Task): number => {
+const planSuspect = (planning: Planning, task: Task): number => {
 	const {step} = task;
 	const eligible = listStepExecutors(planning, step);
 	const fitting = listFitting(eligible, task);
@@ -87,15 +88,16 @@
 		return reserve(planning, [executor]);
 	}
 
-	if (fitting.length === 0 && step.spec.isLongRunning) {
-		evictFor(planning, task);
+	const mayEvict = fitting.length === 0 && step.spec.isLongRunning;
+	if (mayEvict && evictFor(planning, task)) {
+		return 1;
 	}
 
 	return reserveForLater(planning, step, eligible, 1);
 };
 
 /** Starts a gang of suspects; returns how many executors it takes. */
-const planGang = (
+const planSuspectGang = (
 	planning: Planning,
 	step: Step,
 	available: number,
@@ -130,7 +132,7 @@
 		}
 
 		available -= task.step.spec.isGang
-			? planGang(planning, task.step, available)
-			: planTask(planning, task);
+			? planSuspectGang(planning, task.step, available)
+			: planSuspect(planning, task);
 	}
 };
