Count jobs that cannot be done by when their failure is shown

The ledger listed every job that ended as failed as late, with whichever phase was the longest as the cause, though callers earn from a failure that is shown in time.

A failed job is in time if its failure was stored within its objective; its failed runs count as its work, in sequence for each task. Two cases of job-phases.test.ts, the first fails before.

--- a/packages/core/src/job-phases/job-phases.test.ts
+++ b/packages/core/src/job-phases/job-phases.test.ts
@@ -171,6 +171,29 @@
 		],
 		cause: 'repeated',
 	},
+	{
+		name: 'a job that cannot be done, failed as soon as its attempts had',
+		lines: [
+			call(10, 'ok'),
+			acceptance(12),
+			...run(20, 520, {how: 'failed'}),
+			...run(530, 1030, {number: 2, how: 'failed'}),
+			...run(1040, 1540, {number: 3, how: 'failed'}),
+			end(1550, 'failed'),
+		],
+		cause: undefined,
+	},
+	{
+		name: 'a job that cannot be done, whose second attempt came late',
+		lines: [
+			call(10, 'ok'),
+			acceptance(12),
+			...run(20, 520, {how: 'failed'}),
+			...run(4530, 5030, {number: 2, how: 'failed'}),
+			end(5040, 'failed'),
+		],
+		cause: 'repeated',
+	},
 	{
 		name: 'tasks of one step ran one after another',
 		lines: [
--- a/packages/core/src/job-phases/job-phases.ts
+++ b/packages/core/src/job-phases/job-phases.ts
@@ -3,7 +3,12 @@
  * objective: the phase that took the most time beyond the work itself.
  */
 import {match} from 'ts-pattern';
-import type {LoggedJob, LoggedJobs, TimeInterval} from './read-jobs.js';
+import type {
+	LoggedJob,
+	LoggedJobs,
+	LoggedRun,
+	TimeInterval,
+} from './read-jobs.js';
 
 /** Consecutive phases of a job, in milliseconds. */
 export type JobPhases = {
@@ -85,31 +90,42 @@
 		? undefined
 		: job.endedAt - (job.submittedAt ?? job.ownerAcceptedAt ?? job.endedAt);
 
+/**
+ * The runs that count as work. The failed runs of a job that cannot be done are
+ * its work: nothing else shows that it fails.
+ */
+const listWorkRuns = ({runs, end}: LoggedJob): readonly LoggedRun[] =>
+	runs.filter(
+		({isDone, hasFailed}) => isDone || (end === 'failed' && hasFailed),
+	);
+
 /**
  * Time of the work itself, in milliseconds: the sum over all steps of the
- * longest completed run, or the caller's estimate if none has completed.
+ * longest task, or the caller's estimate if there is no work yet.
  */
-export const getCriticalPathMs = ({
-	runs,
-	estimatedCriticalPathMs,
-}: LoggedJob): number => {
+export const getCriticalPathMs = (job: LoggedJob): number => {
+	const byTask = new Map<string, {step: number; workMs: number}>();
+	for (const {task, step, from, to} of listWorkRuns(job)) {
+		const workMs = (byTask.get(task)?.workMs ?? 0) + to - from;
+		byTask.set(task, {step, workMs});
+	}
+
 	const longest = new Map<number, number>();
-	for (const {step, from, to, isDone} of runs) {
-		const longestMs = longest.get(step) ?? 0;
-		longest.set(step, isDone ? Math.max(longestMs, to - from) : longestMs);
+	for (const {step, workMs} of byTask.values()) {
+		longest.set(step, Math.max(longest.get(step) ?? 0, workMs));
 	}
 
 	const sum = [...longest.values()].reduce((total, each) => total + each, 0);
-	return sum === 0 ? estimatedCriticalPathMs : sum;
+	return sum === 0 ? job.estimatedCriticalPathMs : sum;
 };
 
 /** Time in which a job should complete, by its actual work, in milliseconds. */
 export const getObjectiveMs = (job: LoggedJob): number =>
 	job.stretch * getCriticalPathMs(job) + job.targetLatencyMs;
 
-/** Whether a job completed within its objective. */
+/** Whether a job completed, or failed for good, within its objective. */
 export const isInTime = (job: LoggedJob): boolean =>
-	job.end === 'completed' &&
+	(job.end === 'completed' || job.end === 'failed') &&
 	(getDurationMs(job) ?? Infinity) <= getObjectiveMs(job);
 
 const findStartCause = (
--- a/packages/core/src/job-phases/read-jobs.ts
+++ b/packages/core/src/job-phases/read-jobs.ts
@@ -13,8 +13,11 @@
 
 /** A run of a task of a job. */
 export type LoggedRun = TimeInterval & {
+	readonly task: string;
 	readonly step: number;
 	readonly isDone: boolean;
+	/** Whether its executor listed it as failed. */
+	readonly hasFailed: boolean;
 };
 
 /** A job as reconstructed from the log. */
@@ -150,7 +153,14 @@
 	state.started.delete(key);
 	const job = getJob(state, getJobId(task));
 	const step = Number(task.split('.')[stepPosition]);
-	job.runs.push({from, to: at, step, isDone: fields.how === 'done'});
+	job.runs.push({
+		from,
+		to: at,
+		task,
+		step,
+		isDone: fields.how === 'done',
+		hasFailed: fields.how === 'failed',
+	});
 };
 
 const applyJobEnd = (state: ReadState, {at, fields}: LogLine): void => {
