Judge the keys of teams, and only while the configuration is known to be current

Calls on queues that are not public carry a key; the configuration holds its hash. An entry accepts a key only while the configuration it uses was certainly the latest less than revocationMs ago, counted from when the confirming read was sent, by the longer of both clocks; otherwise it answers 503. It judges a call when its head has arrived, before its body is used and before its answer. A peer's word counts from the question, less the age that the peer states. Jobs belong to their team: another one finds no such job.

--- a/packages/bench/src/benches/entry-cost.ts
+++ b/packages/bench/src/benches/entry-cost.ts
@@ -129,7 +129,8 @@
 				capacity: index < count * largeShare ? large : small,
 				scheduler: scheduler.defaultSchedulerConfig,
 				pools: fleet.defaultPoolConfig,
-				machineTurnoverMs: 50,
+				keys: {revocationMs: undefined, configurationApplyMs: 2000},
+			machineTurnoverMs: 50,
 			},
 			platform: {
 				store: meterStore(store, usage),
--- a/packages/core/src/errors/error-table.ts
+++ b/packages/core/src/errors/error-table.ts
@@ -75,6 +75,12 @@
 		retry: 'later',
 		message: 'this entry has no configuration yet',
 	},
+	'configuration-unconfirmed': {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'this entry cannot tell now whether the key is valid',
+	},
 	'submission-unknown': {
 		status: 504,
 		outcome: 'unknown',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -81,3 +81,4 @@
 export * as jobs from './jobs/index.js';
 export * as scheduler from './scheduler/index.js';
 export * as fleet from './fleet/index.js';
+export * as teams from './teams/index.js';
--- a/packages/core/src/scheduler/types.ts
+++ b/packages/core/src/scheduler/types.ts
@@ -80,6 +80,8 @@
 	readonly id: string;
 	readonly policy: QueuePolicy;
 	readonly spec: JobSpec;
+	/** Team whose key it was submitted with; absent if no key was needed. */
+	readonly team?: string | undefined;
 	/** Time of acceptance, in milliseconds since the Unix epoch. */
 	readonly acceptedAtEpochMs: number;
 };
--- /dev/null
+++ b/packages/core/src/teams/index.ts
@@ -0,0 +1,3 @@
+/** Teams: keys and caps. */
+export type * from './team.js';
+export * from './key-check.js';
--- a/packages/daemon/src/embedded/embedded-jobs.ts
+++ b/packages/daemon/src/embedded/embedded-jobs.ts
@@ -88,6 +88,7 @@
 			scheduler: scheduler.defaultSchedulerConfig,
 			pools: fleet.defaultPoolConfig,
 			machineTurnoverMs: 0,
+			keys: {revocationMs: undefined, configurationApplyMs: 2000},
 		},
 		platform,
 		clock: {now, epochNow: () => Date.now()},
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -38,6 +38,13 @@
 export {createTableFeed} from './jobs/rows/table-feed.js';
 export {createRoutes, type Routes} from './jobs/entry/routes.js';
 export type {JobService} from './jobs/entry/job-service.js';
+export {
+	anyCaller,
+	createCallerAccess,
+	hashKey,
+	type Caller,
+	type CallerAccess,
+} from './jobs/entry/caller-access.js';
 export {decodeRow} from './jobs/rows/tables.js';
 export type {WaveStatusPort} from './jobs/fleet/machine-wave-runner.js';
 export {createErrorResponse} from './caller/answer.js';
--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -28,11 +28,21 @@
 	progressSchema,
 	tables,
 } from '../rows/tables.js';
+import {
+	anyCaller,
+	maySeeJob,
+	type Caller,
+	type CallerAccess,
+} from './caller-access.js';
 import type {CancelOutcome} from './cancel-outcome.js';
 import type {OwnerChannel} from './owner-channel.js';
 import type {QueueHistory} from './queue-history.js';
 import type {Routes} from './routes.js';
-import type {Submissions, SubmitOutcome} from './submissions.js';
+import {
+	isOfSameTeam,
+	type Submissions,
+	type SubmitOutcome,
+} from './submissions.js';
 
 /** A call's result; its error is a kind of the core's error table. */
 export type JobResult<Value> = Result<Value, errors.ErrorKind>;
@@ -43,6 +53,7 @@
 	readonly history: Pick<QueueHistory, 'listServices' | 'load'>;
 	readonly submissions: Submissions;
 	readonly owners: OwnerChannel;
+	readonly access: Pick<CallerAccess, 'verify'>;
 	readonly store: RowStore;
 	readonly clock: Clock;
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
@@ -58,27 +69,37 @@
 		queue: string,
 		id: string,
 		timeoutMs: number,
+		caller: Caller,
 	) => Promise<CancelOutcome | undefined>;
 };
 
-/** The calls of callers. Deadlines are milliseconds of the monotonic clock. */
+/**
+ * The calls of callers. Deadlines are milliseconds of the monotonic clock. A
+ * job of another team is `unknown-job`. A caller with a key is verified again
+ * before an answer, as the process may have been paused meanwhile.
+ */
 export type JobService = {
 	readonly submit: (
 		route: QueueRoute,
-		id: string,
-		spec: scheduler.JobSpec,
+		job: Pick<scheduler.AcceptedJob, 'id' | 'spec'>,
 		deadline: number,
+		caller?: Caller,
 	) => Promise<JobResult<{readonly isRepeat: boolean}>>;
 	readonly readState: (
 		route: QueueRoute,
 		id: string,
+		caller?: Caller,
 	) => Promise<JobResult<scheduler.JobState>>;
 	readonly cancel: (
 		route: QueueRoute,
 		id: string,
 		deadline: number,
+		caller?: Caller,
 	) => Promise<JobResult<void>>;
-	/** Cancels through the local connection to the store, for another entry. */
+	/**
+	 * Cancels through the local connection to the store, for another entry, which
+	 * has verified the caller.
+	 */
 	readonly cancelHere: JobService['cancel'];
 	readonly countPending: (route: QueueRoute) => Promise<JobResult<number>>;
 };
@@ -92,9 +113,21 @@
 	needsAdvice: route.advice !== undefined,
 });
 
-const isOfQueue = (row: StoredRow, queue: string): boolean => {
+/** Decodes a job's row if the job is of a queue. */
+const decodeJobOfQueue = (
+	row: StoredRow,
+	queue: string,
+): scheduler.AcceptedJob | undefined => {
 	const decoded = decodeRow(jobSchema, row.value);
-	return decoded.ok && decoded.value.policy.queue === queue;
+	return decoded.ok && decoded.value.policy.queue === queue
+		? decoded.value
+		: undefined;
+};
+
+/** Whether a row is a job of the queue that the caller may see. */
+const isVisible = (row: StoredRow, queue: string, caller: Caller): boolean => {
+	const job = decodeJobOfQueue(row, queue);
+	return job !== undefined && maySeeJob(caller, job);
 };
 
 /** Derives the state of a job from its rows. */
@@ -170,19 +203,48 @@
 		return result;
 	};
 
-	const submit: JobService['submit'] = async (route, id, spec, deadline) => {
+	/** Replaces a result that its caller must not get any more. */
+	const verifyResult = <Value>(
+		caller: Caller,
+		result: JobResult<Value>,
+	): JobResult<Value> => {
+		const verified = deps.access.verify(caller);
+		return verified.ok ? result : verified;
+	};
+
+	const submit: JobService['submit'] = async (
+		route,
+		{id, spec},
+		deadline,
+		caller = anyCaller,
+	) => {
 		const startedAt = clock.now();
+		const verified = deps.access.verify(caller);
+		if (!verified.ok) {
+			return recordCall('submit', id, startedAt, verified);
+		}
+
 		const shard = getServiceShard(route.service);
 		const job: scheduler.AcceptedJob = {
 			id,
 			policy: toPolicy(route),
 			spec,
+			team: caller.kind === 'team' ? caller.team : undefined,
 			acceptedAtEpochMs: clock.epochNow(),
 		};
 		const outcome =
 			(await findAccepted(route, job)) ??
 			(await submitWithFallbacks(shard, job, deadline));
-		return recordCall('submit', id, startedAt, toResult(outcome));
+		const result = toResult(outcome);
+		// The job may be stored, so it must not be reported as not accepted.
+		const unverified: typeof result = fail('submission-unknown');
+		const isVerified = !result.ok || deps.access.verify(caller).ok;
+		return recordCall(
+			'submit',
+			id,
+			startedAt,
+			isVerified ? result : unverified,
+		);
 	};
 
 	/** Finds a job that was accepted before its queue moved to another service. */
@@ -197,8 +259,11 @@
 			}
 
 			const row = rows.value.rows.find(({key}) => key === job.id);
-			if (row && isOfQueue(row, route.name)) {
-				return {kind: 'accepted', isRepeat: true};
+			const accepted = row && decodeJobOfQueue(row, route.name);
+			if (accepted) {
+				return isOfSameTeam(accepted, job)
+					? {kind: 'accepted', isRepeat: true}
+					: {kind: 'conflict'};
 			}
 		}
 
@@ -260,6 +325,7 @@
 		route: QueueRoute,
 		shard: string,
 		id: string,
+		caller: Caller,
 	): Promise<JobResult<scheduler.JobState>> => {
 		const [jobRows, progressRows] = await Promise.all([
 			readJobRows(shard, id),
@@ -273,7 +339,7 @@
 		}
 
 		const job = jobRows.value.rows.find(({key}) => key === id);
-		if (!job || !isOfQueue(job, route.name)) {
+		if (!job || !isVisible(job, route.name, caller)) {
 			return fail('unknown-job');
 		}
 
@@ -287,12 +353,15 @@
 		route: QueueRoute,
 		shard: string,
 		id: string,
+		caller: Caller,
 	): Promise<JobResult<scheduler.JobState>> => {
 		const reading = await owners.readJob(shard, route.name, id);
+		if (reading.kind === 'state') {
+			return maySeeJob(caller, reading) ? succeed(reading.state) : unknownJob;
+		}
+
 		// The owner may not have received the job yet.
-		return reading.kind === 'state'
-			? succeed(reading.state)
-			: readStored(route, shard, id);
+		return readStored(route, shard, id, caller);
 	};
 
 	/**
@@ -325,12 +394,16 @@
 		return (await deps.history.load()) ? askNewShards() : fail('job-unread');
 	};
 
-	const readState: JobService['readState'] = async (route, id) => {
+	const readState: JobService['readState'] = async (
+		route,
+		id,
+		caller = anyCaller,
+	) => {
 		const startedAt = clock.now();
 		const result = await findInShards(route, async (shard) =>
-			readFrom(route, shard, id),
+			readFrom(route, shard, id, caller),
 		);
-		return recordCall('state', id, startedAt, result);
+		return recordCall('state', id, startedAt, verifyResult(caller, result));
 	};
 
 	const storeCancel = async (
@@ -360,7 +433,12 @@
 		return fail('store-unknown');
 	};
 
-	const cancelHere: JobService['cancel'] = async (route, id, deadline) => {
+	const cancelHere: JobService['cancel'] = async (
+		route,
+		id,
+		deadline,
+		caller = anyCaller,
+	) => {
 		const result = await findInShards(route, async (shard) => {
 			const rows = await readJobRows(shard, id);
 			if (!rows.ok) {
@@ -368,7 +446,7 @@
 			}
 
 			const row = rows.value.rows.find(({key}) => key === id);
-			return row && isOfQueue(row, route.name)
+			return row && isVisible(row, route.name, caller)
 				? storeCancel(shard, row, deadline)
 				: unknownJob;
 		});
@@ -377,18 +455,41 @@
 			: result;
 	};
 
-	/** Cancels through the store, or through another entry if that fails. */
-	const cancel: JobService['cancel'] = async (route, id, deadline) => {
-		const startedAt = clock.now();
-		const local = await cancelHere(route, id, deadline);
+	const cancelAnywhere: JobService['cancel'] = async (
+		route,
+		id,
+		deadline,
+		caller = anyCaller,
+	) => {
+		const local = await cancelHere(route, id, deadline, caller);
 		if (local.ok || local.error === 'unknown-job' || clock.now() >= deadline) {
-			return recordCall('cancel', id, startedAt, local);
+			return local;
 		}
 
 		const timeoutMs = Math.min(periods.storeTimeoutMs, deadline - clock.now());
-		const remote = await deps.cancelThroughPeer(route.name, id, timeoutMs);
-		const result: JobResult<void> =
-			remote === 'cancelled' ? succeed(undefined) : fail(remote ?? local.error);
+		const remote = await deps.cancelThroughPeer(
+			route.name,
+			id,
+			timeoutMs,
+			caller,
+		);
+		return remote === 'cancelled'
+			? succeed(undefined)
+			: fail(remote ?? local.error);
+	};
+
+	/** Cancels through the store, or through another entry if that fails. */
+	const cancel: JobService['cancel'] = async (
+		route,
+		id,
+		deadline,
+		caller = anyCaller,
+	) => {
+		const startedAt = clock.now();
+		const verified = deps.access.verify(caller);
+		const result = verified.ok
+			? await cancelAnywhere(route, id, deadline, caller)
+			: verified;
 		return recordCall('cancel', id, startedAt, result);
 	};
 
--- a/packages/daemon/src/jobs/entry/peer-entries.ts
+++ b/packages/daemon/src/jobs/entry/peer-entries.ts
@@ -6,7 +6,9 @@
 import {periods} from '../periods.js';
 import type {ShardHolder} from '../shards/lease-cache.js';
 import type {Members} from '../shards/members.js';
+import type {Caller} from './caller-access.js';
 import type {CancelOutcome} from './cancel-outcome.js';
+import type {ConfirmedVersion} from './configuration-confirmation.js';
 import type {SubmitOutcome} from './submissions.js';
 
 export type PeerEntriesDeps = {
@@ -31,7 +33,10 @@
 		queue: string,
 		id: string,
 		timeoutMs: number,
+		caller: Caller,
 	) => Promise<CancelOutcome | undefined>;
+	/** Asks for the latest version of the configuration; absent if none knows. */
+	readonly confirmConfiguration: () => Promise<ConfirmedVersion | undefined>;
 	/** Notifies holders and candidates that a shard may be claimed. */
 	readonly notifyReleased: (shard: string) => void;
 	/** Notifies holders and candidates that this daemon is stopping. */
@@ -96,9 +101,10 @@
 
 			return undefined;
 		},
-		async cancel(queue, id, timeoutMs) {
+		async cancel(queue, id, timeoutMs, caller) {
+			const team = caller.kind === 'team' ? caller.team : undefined;
 			for (const {entry, address} of listOthers().slice(0, maxAsked)) {
-				const params = {queue, id, timeoutMs};
+				const params = {queue, id, timeoutMs, team};
 				const answer = await peers.call(
 					address,
 					'cancelJob',
@@ -117,6 +123,21 @@
 
 			return undefined;
 		},
+		async confirmConfiguration() {
+			for (const {address} of listOthers().slice(0, maxAsked)) {
+				const answer = await peers.call(
+					address,
+					'confirmConfiguration',
+					{},
+					periods.peerTimeoutMs,
+				);
+				if (answer.ok && answer.value.confirmed) {
+					return answer.value.confirmed;
+				}
+			}
+
+			return undefined;
+		},
 		notifyReleased(shard) {
 			notifyAll('shardReleased', {shard});
 		},
--- a/packages/daemon/src/jobs/entry/routes.ts
+++ b/packages/daemon/src/jobs/entry/routes.ts
@@ -1,4 +1,8 @@
-/** The current configuration and the queue that a request addresses. */
+/**
+ * The current configuration: the queue that a request addresses, and the team
+ * that a key belongs to.
+ */
+import type {teams} from '@gullstand/core';
 import type {Configuration, QueueRoute} from '@gullstand/ports';
 
 /** The queue that a host and a path address. */
@@ -21,6 +25,13 @@
 	readonly match: (host: string, path: string) => RouteMatch;
 	/** Returns the current route of a queue by its name. */
 	readonly getByName: (queue: string) => QueueRoute | undefined;
+	/** Returns the team that has a key now, by the key's hash. */
+	readonly findTeamByKeyHash: (keyHash: string) => teams.Team | undefined;
+	/**
+	 * Returns a team by its name, also one that an earlier configuration of this
+	 * process named last: its jobs may still run.
+	 */
+	readonly getTeam: (name: string) => teams.Team | undefined;
 };
 
 const portSuffix = /:\d+$/v;
@@ -32,6 +43,19 @@
 export const createRoutes = (): Routes => {
 	let current: Configuration | undefined;
 	let byHost = new Map<string, QueueRoute[]>();
+	let teamByKeyHash = new Map<string, teams.Team>();
+	const teamByName = new Map<string, teams.Team>();
+
+	const applyTeams = (list: readonly teams.Team[]) => {
+		teamByKeyHash = new Map(
+			list.flatMap((team) =>
+				team.keyHashes.map((hash) => [hash, team] as const),
+			),
+		);
+		for (const team of list) {
+			teamByName.set(team.name, team);
+		}
+	};
 
 	return {
 		apply(configuration) {
@@ -40,6 +64,7 @@
 			}
 
 			current = configuration;
+			applyTeams(configuration.teams ?? []);
 			byHost = new Map();
 			for (const route of configuration.routes) {
 				const host = normalizeHost(route.host);
@@ -67,5 +92,7 @@
 				: {kind: 'unknown-queue'};
 		},
 		getByName: (queue) => current?.routes.find(({name}) => name === queue),
+		findTeamByKeyHash: (keyHash) => teamByKeyHash.get(keyHash),
+		getTeam: (name) => teamByName.get(name),
 	};
 };
--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -95,11 +95,22 @@
 	return JSON.stringify([policy.queue, spec]);
 };
 
-/** Whether two submissions request the same job, regardless of the policy. */
+/**
+ * Whether a submission is by the team of a stored job; a job that was accepted
+ * without a team may be submitted again by any.
+ */
+export const isOfSameTeam = (
+	stored: scheduler.AcceptedJob,
+	submitted: scheduler.AcceptedJob,
+): boolean => stored.team === undefined || stored.team === submitted.team;
+
+/** Whether a submission requests a stored job, regardless of the policy. */
 export const isSameJob = (
-	one: scheduler.AcceptedJob,
-	two: scheduler.AcceptedJob,
-): boolean => toCanonicalText(one) === toCanonicalText(two);
+	stored: scheduler.AcceptedJob,
+	submitted: scheduler.AcceptedJob,
+): boolean =>
+	isOfSameTeam(stored, submitted) &&
+	toCanonicalText(stored) === toCanonicalText(submitted);
 
 export const createSubmissions = (deps: SubmissionsDeps): Submissions => {
 	const {store, book, now, logger} = deps;
@@ -172,7 +183,7 @@
 		}
 
 		deps.onStored(shard, [row]);
-		waiting.resolve({kind: 'accepted', isRepeat: true});
+		resolveByText(waiting, row.value);
 		return true;
 	};
 
--- a/packages/daemon/src/jobs/job-daemon.test.fixture.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.fixture.ts
@@ -1,6 +1,6 @@
 /** Jobs sides of daemons on one in-memory platform, for tests. */
 import {performance} from 'node:perf_hooks';
-import {fleet, scheduler} from '@gullstand/core';
+import {fleet, scheduler, type teams} from '@gullstand/core';
 import * as ports from '@gullstand/ports';
 import winston from 'winston';
 import type {Logger} from '../log/logger.js';
@@ -119,6 +119,11 @@
 	taskLeaseMs: 1500,
 };
 
+export const testKeyPolicy: teams.KeyPolicy = {
+	revocationMs: 1500,
+	configurationApplyMs: 1200,
+};
+
 /** Starts a daemon; it reports its failure to `onFailure`. */
 export const startDaemon = async (
 	platform: TestPlatform,
@@ -132,6 +137,7 @@
 			scheduler: testScheduler,
 			pools: fleet.defaultPoolConfig,
 			machineTurnoverMs: 50,
+			keys: testKeyPolicy,
 		},
 		platform,
 		clock: {now, epochNow: () => Date.now()},
@@ -219,7 +225,7 @@
 	daemon: JobDaemon,
 	id: string,
 	spec: scheduler.JobSpec = createJobSpec(),
-) => daemon.service.submit(route, id, spec, now() + 2000);
+) => daemon.service.submit(route, {id, spec}, now() + 2000);
 
 /** Reads a job's state as a caller; returns the kind of an error instead. */
 export const readState = async (
--- a/packages/daemon/src/jobs/job-daemon.test.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.ts
@@ -422,8 +422,7 @@
 	t.same(state, {ok: true, value: 'running'});
 	const again = await daemon!.service.submit(
 		moved,
-		id,
-		createJobSpec(),
+		{id, spec: createJobSpec()},
 		now() + 2000,
 	);
 	t.same(again, {ok: true, value: {isRepeat: true}});
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -3,7 +3,7 @@
  * claims shards, runs the services that it owns and serves callers and peers.
  */
 import {randomUUID} from 'node:crypto';
-import type {fleet, scheduler, shardAssignment} from '@gullstand/core';
+import type {fleet, scheduler, shardAssignment, teams} from '@gullstand/core';
 import type {
 	AdviceService,
 	ExecutorFeed,
@@ -20,7 +20,10 @@
 import type {Logger} from '../log/logger.js';
 import {createPeerChannel, type PeerChannel} from '../peers/peer-channel.js';
 import type {ReportFailure} from '../supervisor/supervisor.js';
+import {createTicker} from '../view/ticker.js';
 import {delay, type Clock} from './clock.js';
+import {createCallerAccess, type CallerAccess} from './entry/caller-access.js';
+import {createConfigurationConfirmation} from './entry/configuration-confirmation.js';
 import {createJobService, type JobService} from './entry/job-service.js';
 import {createPeerEntries} from './entry/peer-entries.js';
 import {createOwnerChannel} from './entry/owner-channel.js';
@@ -73,6 +76,8 @@
 	readonly capacity?: shardAssignment.EntryCapacity;
 	readonly scheduler: scheduler.SchedulerConfig;
 	readonly pools: fleet.PoolConfig;
+	/** Bounds on keys, for deployments with teams. */
+	readonly keys: teams.KeyPolicy;
 	/** Time between commands of two holders for one machine, in milliseconds. */
 	readonly machineTurnoverMs: number;
 };
@@ -95,6 +100,7 @@
 	/** Whether the balancer should send callers to this daemon. */
 	readonly isReady: () => boolean;
 	readonly service: JobService;
+	readonly access: Pick<CallerAccess, 'authenticate'>;
 	/** Lists the jobs of the services that this daemon owns. */
 	readonly listJobs: OwnedServices['listJobs'];
 	/** Why tasks of a job do not run; absent if this daemon does not own it. */
@@ -213,11 +219,30 @@
 
 	const history = createQueueHistory({store, logger});
 
+	/** Whether the latest configuration in the store could be read. */
+	let isConfigurationReadable = true;
+
+	const confirmation = createConfigurationConfirmation({
+		getVersion: () => routes.get()?.version,
+		getStoreConfirmedAt: () => operatorFollower.getConfirmedAt(),
+		isReadable: () => isConfigurationReadable,
+		askPeer: peerEntries.confirmConfiguration,
+		clock,
+	});
+
+	const access = createCallerAccess({
+		routes,
+		getConfirmedAt: confirmation.getConfirmedAt,
+		clock,
+		policy: settings.keys,
+	});
+
 	const service = createJobService({
 		routes,
 		history,
 		submissions,
 		owners,
+		access,
 		store,
 		clock,
 		logger,
@@ -371,6 +396,12 @@
 		isNeeded: role.step,
 	});
 
+	const confirmationTicker = createTicker(
+		async () => confirmation.refresh(periods.confirmByPeerAfterMs),
+		periods.confirmIntervalMs,
+		deps.random,
+	);
+
 	const applyOperatorBatch = ({entries}: FeedBatch<OperatorEntry>) => {
 		for (const {key, value} of entries) {
 			if (value?.kind !== 'unreadable') {
@@ -386,6 +417,7 @@
 	const applyOperatorEntry = (key: string, entry: OperatorEntry) => {
 		match(entry)
 			.with({kind: 'configuration'}, ({value}) => {
+				isConfigurationReadable = true;
 				const isNew = routes.apply(value);
 				if (isNew) {
 					history.addConfiguration(value);
@@ -400,7 +432,8 @@
 			.with({kind: 'wave'}, ({value}) => {
 				waves.set(value.id, value);
 			})
-			.with({kind: 'unreadable'}, ({problem}) => {
+			.with({kind: 'unreadable'}, ({problem, isConfiguration}) => {
+				isConfigurationReadable &&= !isConfiguration;
 				rowFaults.report({table: operatorName, key, problem});
 			})
 			.exhaustive();
@@ -477,6 +510,7 @@
 			submissions,
 			service,
 			routes,
+			confirmation,
 			leaseManager,
 			members,
 			readLeases: leaseFollower.skipPause,
@@ -515,6 +549,7 @@
 		state.isStarted = true;
 		await heartbeat.writeNow();
 		await heartbeat.start(report);
+		await confirmationTicker.start(report);
 		await leaseManager.start(report);
 		logger.info('daemon started', {
 			incarnation: self.incarnation,
@@ -538,6 +573,7 @@
 			follower.stop();
 		}
 
+		await confirmationTicker.stop();
 		await heartbeat.stop();
 		await peers?.stop(now());
 	};
@@ -546,6 +582,7 @@
 		!state.isStopping &&
 		state.isStarted &&
 		routes.get() !== undefined &&
+		access.canJudge() &&
 		!leaseFollower.isLost() &&
 		!memberFollower.isLost();
 
@@ -555,6 +592,7 @@
 		stop,
 		isReady,
 		service,
+		access,
 		listJobs: owned.listJobs,
 		explain: owned.explain,
 		routes,
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -61,7 +61,12 @@
 
 /** The owner's answer to a request for a job's state. */
 export type JobStateAnswer =
-	| {readonly kind: 'state'; readonly state: scheduler.JobState}
+	| {
+			readonly kind: 'state';
+			readonly state: scheduler.JobState;
+			/** Team of the job. */
+			readonly team?: string | undefined;
+	  }
 	| {readonly kind: 'unknown'}
 	| {readonly kind: 'not-owner'};
 
@@ -445,7 +450,11 @@
 
 			const job = owner.jobs.get(id);
 			return job?.accepted.policy.queue === queue
-				? {kind: 'state', state: scheduler.getJobState(job)}
+				? {
+						kind: 'state',
+						state: scheduler.getJobState(job),
+						team: job.accepted.team,
+					}
 				: {kind: 'unknown'};
 		},
 		countPending: (queue) =>
--- a/packages/daemon/src/jobs/peer-handlers.ts
+++ b/packages/daemon/src/jobs/peer-handlers.ts
@@ -1,11 +1,13 @@
 /** Handlers of the calls from other daemons. */
 import type {PeerChannel} from '../peers/peer-channel.js';
+import {anyCaller, type Caller} from './entry/caller-access.js';
 import type {CancelOutcome} from './entry/cancel-outcome.js';
+import type {ConfigurationConfirmation} from './entry/configuration-confirmation.js';
 import type {JobService} from './entry/job-service.js';
 import type {Routes} from './entry/routes.js';
 import type {Submissions} from './entry/submissions.js';
 import type {OwnedServices} from './owner/owned-services.js';
-import {jobPeerSchemas} from './peer-methods.js';
+import {jobPeerSchemas, type JobPeerMethods} from './peer-methods.js';
 import type {Members} from './shards/members.js';
 import type {ShardLeaseManager} from './shards/shard-lease-manager.js';
 
@@ -16,6 +18,7 @@
 	readonly submissions: Submissions;
 	readonly service: Pick<JobService, 'cancelHere'>;
 	readonly routes: Pick<Routes, 'getByName'>;
+	readonly confirmation: Pick<ConfigurationConfirmation, 'describe'>;
 	readonly leaseManager: ShardLeaseManager;
 	readonly members: Pick<Members, 'noteLeaving'>;
 	/** Reads the leases without waiting for the next poll. */
@@ -25,16 +28,16 @@
 
 const cancelForPeer = async (
 	{routes, service, now}: PeerHandlersDeps,
-	queue: string,
-	id: string,
-	timeoutMs: number,
+	{queue, id, timeoutMs, team}: JobPeerMethods['cancelJob']['params'],
 ): Promise<CancelOutcome> => {
 	const route = routes.getByName(queue);
 	if (!route) {
 		return 'store-unavailable';
 	}
 
-	const result = await service.cancelHere(route, id, now() + timeoutMs);
+	const caller: Caller =
+		team === undefined ? anyCaller : {kind: 'team', team, keyHash: ''};
+	const result = await service.cancelHere(route, id, now() + timeoutMs, caller);
 	if (result.ok) {
 		return 'cancelled';
 	}
@@ -72,19 +75,21 @@
 		async ({shard, job, timeoutMs}) =>
 			submissions.submit(shard, job, now() + timeoutMs),
 	);
-	channel.addMethod(
-		'cancelJob',
-		jobPeerSchemas.cancelJob,
-		async ({queue, id, timeoutMs}) => ({
-			outcome: await cancelForPeer(deps, queue, id, timeoutMs),
-		}),
-	);
+	channel.addMethod('cancelJob', jobPeerSchemas.cancelJob, async (params) => ({
+		outcome: await cancelForPeer(deps, params),
+	}));
 };
 
 const registerControlMethods = (
 	channel: Pick<PeerChannel, 'addMethod'>,
-	{owned, leaseManager, members, incarnation, readLeases}: PeerHandlersDeps,
+	deps: PeerHandlersDeps,
 ): void => {
+	const {owned, leaseManager, members, incarnation, readLeases} = deps;
+	channel.addMethod(
+		'confirmConfiguration',
+		jobPeerSchemas.confirmConfiguration,
+		() => ({confirmed: deps.confirmation.describe()}),
+	);
 	channel.addMethod(
 		'evacuate',
 		jobPeerSchemas.evacuate,
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -3,6 +3,7 @@
 import type {ChangedRow} from '@gullstand/ports';
 import * as z from 'zod';
 import type {CancelOutcome} from './entry/cancel-outcome.js';
+import type {ConfirmedVersion} from './entry/configuration-confirmation.js';
 import type {SubmitOutcome} from './entry/submissions.js';
 import type {JobStateAnswer} from './owner/owner-runner.js';
 import {jobSchema} from './rows/tables.js';
@@ -47,6 +48,8 @@
 			readonly queue: string;
 			readonly id: string;
 			readonly timeoutMs: number;
+			/** Team whose jobs may be cancelled; absent for all. */
+			readonly team?: string | undefined;
 		};
 		readonly result: {readonly outcome: CancelOutcome};
 	};
@@ -74,6 +77,11 @@
 		readonly params: {readonly shard: string; readonly token: number};
 		readonly result: {readonly incarnation: string};
 	};
+	/** Asks which configuration is the latest by the receiver's reads of it. */
+	readonly confirmConfiguration: {
+		readonly params: Record<string, never>;
+		readonly result: {readonly confirmed?: ConfirmedVersion | undefined};
+	};
 	/** Reports that a shard was released and may be claimed. */
 	readonly shardReleased: {
 		readonly params: {readonly shard: string};
@@ -112,6 +120,7 @@
 		queue: z.string(),
 		id: z.string(),
 		timeoutMs: z.number().min(0),
+		team: z.string().optional(),
 	}),
 	evacuate: z.object({
 		shard,
@@ -121,6 +130,7 @@
 	readLoad: z.object({shard}),
 	noteGone: z.object({shard, executorId: z.string()}),
 	depose: z.object({shard, token: z.int().min(0)}),
+	confirmConfiguration: z.object({}),
 	shardReleased: z.object({shard}),
 	daemonLeaving: z.object({entry: z.string(), incarnation: z.string()}),
 } as const;
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -19,6 +19,13 @@
 	storeTimeoutMs: 1200,
 	/** Timeout of a call to another daemon. */
 	peerTimeoutMs: 400,
+	/** Between checks whether the store confirms the configuration. */
+	confirmIntervalMs: 400,
+	/**
+	 * Age of the store's confirmation from which other daemons are asked: later
+	 * than any that the feed of the configuration shows while the store answers.
+	 */
+	confirmByPeerAfterMs: 1700,
 	/** Delay of a flush of progress while no job has ended. */
 	flushDelayMs: 15,
 	/** Pause before a failed flush or read is retried. */
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -175,6 +175,7 @@
 			}),
 		),
 	}),
+	team: optional(z.string()),
 	acceptedAtEpochMs: z.number(),
 });
 
--- a/packages/daemon/src/operator/jobs/app.ts
+++ b/packages/daemon/src/operator/jobs/app.ts
@@ -148,7 +148,8 @@
 			}
 
 			const deadline = now() + changeTimeoutMs;
-			const result = await service.submit(route, id, spec.value, deadline);
+			const job = {id, spec: spec.value};
+			const result = await service.submit(route, job, deadline);
 			return answer(result, ({isRepeat}) => ({job: id, isRepeat}));
 		}),
 	);
--- a/packages/ports/src/ports/feeds.ts
+++ b/packages/ports/src/ports/feeds.ts
@@ -1,5 +1,5 @@
 /** Ports to the entries that operators and executors write. */
-import type {Result, scheduler} from '@gullstand/core';
+import type {Result, scheduler, teams} from '@gullstand/core';
 import type {RowStoreError} from './row-store.js';
 
 /** A queue of jobs and how callers reach it. */
@@ -16,6 +16,8 @@
 	readonly timeoutMs: number;
 	/** If set, only executors named by the advice service run its tasks. */
 	readonly advice: AdviceTerms | undefined;
+	/** Whether calls need no key; of no effect in a deployment without teams. */
+	readonly isPublic?: boolean;
 };
 
 /** Costs and validity of placement advice for a queue. */
@@ -40,6 +42,8 @@
 	readonly routes: readonly QueueRoute[];
 	readonly services: readonly ServiceEntry[];
 	readonly maxBodyBytes: number;
+	/** Absent if the deployment has no teams: then no call needs a key. */
+	readonly teams?: readonly teams.Team[] | undefined;
 };
 
 /** A maintenance wave that an operator requests. */
@@ -55,7 +59,12 @@
 export type OperatorEntry =
 	| {readonly kind: 'configuration'; readonly value: Configuration}
 	| {readonly kind: 'wave'; readonly value: WaveRequest}
-	| {readonly kind: 'unreadable'; readonly problem: string};
+	| {
+			readonly kind: 'unreadable';
+			readonly problem: string;
+			/** Whether it is the configuration, so that a newer one exists. */
+			readonly isConfiguration: boolean;
+	  };
 
 /** One entry of a feed. */
 export type FeedEntry<Value> = {
