--- a/packages/bench/src/benches/entry-cost.ts
+++ b/packages/bench/src/benches/entry-cost.ts
@@ -130,7 +130,7 @@
 				scheduler: scheduler.defaultSchedulerConfig,
 				pools: fleet.defaultPoolConfig,
 				keys: {revocationMs: undefined, configurationApplyMs: 2000},
-			machineTurnoverMs: 50,
+				machineTurnoverMs: 50,
 			},
 			platform: {
 				store: meterStore(store, usage),
