Keep each team within its cap over all services, by shares in one row

Owners hold shares of a cap in one row for each team and change them by conditional writes; they start nothing beyond their share. A service that lacks something says so in the row and the others return what they do not use; who lacks longest gets room for its largest task as a whole. A takeover inherits the share and fences the owner before; a write without an answer counts as the smaller share; a lowered cap stops all starts until what runs is within it. A task that is larger than the cap is refused at once. gullstand team list, gauges, log lines, operators' page.

spec/cap.pml found that a lowered cap may not be used before the row was written under it; 4,906,279 and 2,458,069 states, eight guards, each refuted without it. cap-share.test.ts: 2,000 random runs within the cap, 500 in which every task runs in the end (which found a stall of services that wait for wide tasks).

--- a/packages/cli/src/bin.ts
+++ b/packages/cli/src/bin.ts
@@ -7,6 +7,7 @@
 import {processIo} from './commands/io.js';
 import {registerJob} from './commands/job.js';
 import {registerObjects} from './commands/objects.js';
+import {registerTeam} from './commands/team.js';
 import {registerWave} from './commands/wave.js';
 
 const program = new Command('gullstand')
@@ -35,4 +36,5 @@
 registerFleet(program, processIo);
 registerWave(program, processIo);
 registerJob(program, processIo);
+registerTeam(program, processIo);
 await program.parseAsync();
--- a/packages/cli/src/commands/commands.test.fixture.ts
+++ b/packages/cli/src/commands/commands.test.fixture.ts
@@ -18,6 +18,7 @@
 import {exitCodes, type Io} from './io.js';
 import {registerJob} from './job.js';
 import {registerObjects} from './objects.js';
+import {registerTeam} from './team.js';
 
 /** Runs a command line with the commands that `register` adds. */
 export const runCommandLine = async (
@@ -65,6 +66,7 @@
 		registerObjects(program, io);
 		registerFleet(program, io);
 		registerJob(program, io);
+		registerTeam(program, io);
 	};
 
 	const run = async (...words: string[]) =>
--- a/packages/cli/src/commands/job.test.ts
+++ b/packages/cli/src/commands/job.test.ts
@@ -57,6 +57,12 @@
 			exitCodes.conflict,
 			/job-conflict/v,
 		],
+		[
+			'teams',
+			['team', 'list'],
+			exitCodes.done,
+			/^brokers: weight 10, 1 keys, cap 8 cores, 0 MB, 0 accelerators$/v,
+		],
 		[
 			'no such queue',
 			['job', 'submit', 'none', file, '--id', id],
--- a/packages/core/src/errors/error-table.ts
+++ b/packages/core/src/errors/error-table.ts
@@ -142,6 +142,12 @@
 		retry: 'never',
 		message: 'the Idempotency-Key was used with another request',
 	},
+	'over-cap': {
+		status: 422,
+		outcome: 'not-run',
+		retry: 'never',
+		message: 'a task is larger than the cap of its team',
+	},
 	'promise-impossible': {
 		status: 422,
 		outcome: 'not-run',
--- a/packages/core/src/scheduler/explain.ts
+++ b/packages/core/src/scheduler/explain.ts
@@ -4,6 +4,7 @@
 import type {Owner} from './owner-state.js';
 import {listUsable, placementRefusals, placeTask} from './place-task.js';
 import {isStepReady, isWaiting, type Job, type Task} from './task.js';
+import {computeTeamUse, mayTeamStart} from './team-use.js';
 
 /** State of one task and the reason for it. */
 export type TaskExplanation = {
@@ -40,6 +41,10 @@
 		return `it may have crashed ${task.crashes.length} executors, and waits for one on which nothing else has started recently`;
 	}
 
+	if (!mayTeamStart(owner, computeTeamUse(owner), task)) {
+		return `the cap of the team ${job.accepted.team} is used up, or its share here is`;
+	}
+
 	const placement = placeTask(listUsable(owner, now), task);
 	return placement.kind === 'placed'
 		? `it is about to start on ${placement.executor.id}`
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -18,6 +18,7 @@
 export * from './poll-answer.js';
 export * from './executor-poll.js';
 export * from './service-load.js';
+export * from './team-use.js';
 export * from './flush.js';
 export * from './rank.js';
 export * from './place-task.js';
--- a/packages/core/src/scheduler/owner-state.ts
+++ b/packages/core/src/scheduler/owner-state.ts
@@ -1,4 +1,5 @@
 /** State that the owner of a service keeps. */
+import type {CapLimit} from '../teams/cap-share.js';
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
 import type {StartWindow} from './start-window.js';
@@ -61,6 +62,8 @@
 	arrivals: Arrivals;
 	/** Limits the number of concurrent start commands. */
 	startWindow: StartWindow;
+	/** Caps of teams and the shares held of them; others have no cap. */
+	readonly capLimits: Map<string, CapLimit>;
 	/** Mean work of a job by queue, for ranking. */
 	readonly meanWork: Map<string, {count: number; sum: number}>;
 };
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -51,6 +51,7 @@
 	terminatedExecutors: new Map(),
 	arrivals: noArrivals,
 	startWindow: initialStartWindow,
+	capLimits: new Map(),
 	meanWork: new Map(),
 });
 
--- a/packages/core/src/scheduler/plan-gang.ts
+++ b/packages/core/src/scheduler/plan-gang.ts
@@ -5,6 +5,7 @@
 import type {Owner} from './owner-state.js';
 import {placeTask} from './place-task.js';
 import {
+	isWithinTeamCap,
 	listStepExecutors,
 	nextRunNumber,
 	startTask,
@@ -13,6 +14,7 @@
 } from './planning.js';
 import {isKnownNotToFit} from './rejected-demands.js';
 import {isWaiting, type Step} from './task.js';
+import {recordTeamUse} from './team-use.js';
 
 /** Whether all tasks of a gang wait and run nowhere. */
 export const isGangReady = (owner: Owner, step: Step): boolean =>
@@ -48,6 +50,11 @@
 	{executors, isIsolated}: GangStart,
 ): readonly Executor[] => {
 	const {owner, commands} = planning;
+	const [first] = step.tasks;
+	if (first && !isWithinTeamCap(planning, first, step.tasks.length)) {
+		return [];
+	}
+
 	const number = Math.max(
 		...step.tasks.map((task) => nextRunNumber(owner, task)),
 	);
@@ -76,6 +83,7 @@
 
 		for (const {executor, run} of started) {
 			removeRun(executor, run);
+			recordTeamUse(planning.teamUse, run.task, -1);
 		}
 
 		planning.startsLeft += started.length;
--- a/packages/core/src/scheduler/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan-suspects.ts
@@ -11,6 +11,7 @@
 import {isGangReady, startGang} from './plan-gang.js';
 import {
 	evictFor,
+	isWithinTeamCap,
 	listStepExecutors,
 	nextRunNumber,
 	reserveExecutors,
@@ -73,6 +74,10 @@
 /** Starts one suspect; returns how many executors it takes. */
 const planSuspect = (planning: Planning, task: Task): number => {
 	const {step} = task;
+	if (!isWithinTeamCap(planning, task)) {
+		return 0;
+	}
+
 	const eligible = listStepExecutors(planning, step);
 	const fitting = listFitting(eligible, task);
 	const [executor] = fitting
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan.ts
@@ -18,6 +18,7 @@
 import {planSuspects} from './plan-suspects.js';
 import {
 	evictFor,
+	isWithinTeamCap,
 	listStepExecutors,
 	nextRunNumber,
 	startTask,
@@ -29,6 +30,7 @@
 import {rankJobs, type RankedJob} from './rank.js';
 import {countAvailableStarts} from './start-window.js';
 import {isStepReady, isWaiting, type Run, type Step} from './task.js';
+import {computeTeamUse} from './team-use.js';
 
 const isHung = (owner: Owner, run: Run, now: number): boolean => {
 	const {hangFactor, hangMs, startupLimitMs} = owner.cfg;
@@ -139,6 +141,10 @@
 			continue;
 		}
 
+		if (!isWithinTeamCap(planning, task)) {
+			return;
+		}
+
 		const placement = placeTask(usable, task);
 		if (placement.kind === 'refused') {
 			if (placement.reason === 'noRoom' && isLongRunningStep) {
@@ -204,6 +210,7 @@
 		usable,
 		commands: [...stops],
 		rejected,
+		teamUse: computeTeamUse(owner),
 		startsLeft: countAvailableStarts(owner.startWindow, countAsked(owner)),
 	};
 	if (usable.length === 0 || planning.startsLeft === 0) {
--- a/packages/core/src/scheduler/planning.ts
+++ b/packages/core/src/scheduler/planning.ts
@@ -11,6 +11,7 @@
 import {findEviction} from './place-task.js';
 import type {RejectedDemands} from './rejected-demands.js';
 import {createRun, isWaiting, type Run, type Step, type Task} from './task.js';
+import {mayTeamStart, recordTeamUse, type TeamUse} from './team-use.js';
 
 /** Reason for which a run is stopped. */
 export type StopReason =
@@ -75,6 +76,8 @@
 	readonly commands: Command[];
 	/** Demands that fit on none of the usable executors. */
 	readonly rejected: RejectedDemands;
+	/** What the teams use, starts of this plan included. */
+	readonly teamUse: TeamUse;
 	/** Number of starts that the start window still allows. */
 	startsLeft: number;
 };
@@ -93,6 +96,7 @@
 	}
 
 	planning.startsLeft -= 1;
+	recordTeamUse(planning.teamUse, task);
 	const run = createRun(task, number, executor.id, now);
 	run.isIsolated = isIsolated;
 	task.lastRun = number;
@@ -103,6 +107,13 @@
 	return {kind: 'start', executor, run, leaseEndMs, ticket};
 };
 
+/** Whether the cap of its team allows `count` tasks like this one to start. */
+export const isWithinTeamCap = (
+	{owner, teamUse}: Planning,
+	task: Task,
+	count = 1,
+): boolean => mayTeamStart(owner, teamUse, task, count);
+
 /** Keeps executors from the rest of the plan. */
 export const reserveExecutors = (
 	planning: Planning,
--- a/packages/core/src/scheduler/service-load.ts
+++ b/packages/core/src/scheduler/service-load.ts
@@ -1,9 +1,11 @@
 /** Load of a service, from which the size of its pool is decided. */
+import {getPartWithinCap} from '../teams/cap-share.js';
 import {getDemand, type Executor} from './executor.js';
 import type {Arrivals, Owner} from './owner-state.js';
 import {listUsable} from './place-task.js';
 import {isLate} from './rank.js';
 import {isStepReady, isWaiting, type Job} from './task.js';
+import {computeTeamNeeds} from './team-use.js';
 
 /** Load of one executor. */
 export type ExecutorLoad = {
@@ -23,7 +25,7 @@
 
 /** Load of a service; cpu in thousandths of a core. */
 export type ServiceLoad = {
-	/** Demand of the tasks that wait and are ready to start. */
+	/** Demand of the tasks that wait, are ready and within their teams' caps. */
 	readonly waitingCpu: number;
 	/** Demand of the runs. */
 	readonly usedCpu: number;
@@ -119,10 +121,30 @@
 const sum = (values: readonly number[]): number =>
 	values.reduce((total, value) => total + value, 0);
 
-const describeLate = (owner: Owner, epochNow: number): LateLoad => {
+/** Returns by job the part of its demand that its team's cap leaves room for. */
+const createCapFilter = (owner: Owner): ((job: Job) => number) => {
+	if (owner.capLimits.size === 0) {
+		return () => 1;
+	}
+
+	const parts = new Map(
+		[...computeTeamNeeds(owner)].map(([team, need]) => {
+			const cap = owner.capLimits.get(team)?.cap;
+			return [team, cap ? getPartWithinCap(cap, need) : 1] as const;
+		}),
+	);
+	return ({accepted: {team}}) =>
+		team === undefined ? 1 : (parts.get(team) ?? 1);
+};
+
+const describeLate = (
+	owner: Owner,
+	epochNow: number,
+	getStartableCpu: (job: Job) => number,
+): LateLoad => {
 	const late = [...owner.openJobs].filter((job) => isLate(job, epochNow));
 	return {
-		waitingCpu: sum(late.map((job) => getWaitingCpu(job))),
+		waitingCpu: sum(late.map((job) => getStartableCpu(job))),
 		usedCpu: sum(late.map((job) => getUsedCpu(job))),
 		work: sum(late.map(({remainingWork}) => remainingWork)),
 	};
@@ -136,10 +158,13 @@
 ): ServiceLoad => {
 	const all = [...owner.executors.values()];
 	const usable = listUsable(owner, now);
+	const getCapPart = createCapFilter(owner);
+	const getStartableCpu = (job: Job): number =>
+		getWaitingCpu(job) * getCapPart(job);
 	return {
-		waitingCpu: sum([...owner.openJobs].map((job) => getWaitingCpu(job))),
+		waitingCpu: sum([...owner.openJobs].map((job) => getStartableCpu(job))),
 		usedCpu: sum(all.map(({used}) => used.cpuMillis)),
-		late: describeLate(owner, epochNow),
+		late: describeLate(owner, epochNow, getStartableCpu),
 		capacityCpu: sum(usable.map(({listed}) => listed.capacity.cpuMillis)),
 		arrivingCpu: getArrivingCpu(owner.arrivals, now),
 		minExecutors: Math.max(
--- a/packages/core/src/teams/index.ts
+++ b/packages/core/src/teams/index.ts
@@ -1,3 +1,4 @@
 /** Teams: keys and caps. */
 export type * from './team.js';
 export * from './key-check.js';
+export * from './cap-share.js';
--- a/packages/daemon/src/embedded/embedded-jobs.ts
+++ b/packages/daemon/src/embedded/embedded-jobs.ts
@@ -4,6 +4,7 @@
  */
 import {fleet, scheduler} from '@gullstand/core';
 import * as ports from '@gullstand/ports';
+import {hashKey} from '../jobs/entry/caller-access.js';
 import {createJobDaemon, type JobDaemon} from '../jobs/job-daemon.js';
 import type {Logger} from '../log/logger.js';
 
@@ -31,10 +32,19 @@
 			targetLatencyMs: 1000,
 			timeoutMs: 3000,
 			advice: undefined,
+			isPublic: true,
 		},
 	],
 	services: [{name: service, rejectsOverload: false, isStandby: false}],
 	maxBodyBytes: 262_144,
+	teams: [
+		{
+			name: 'brokers',
+			keyHashes: [hashKey('demo-team-key')],
+			weight: 10,
+			cap: {cpuMillis: 8000, memoryMb: 0, accelerators: 0},
+		},
+	],
 };
 
 const createListed = (id: string, index: number): scheduler.ListedExecutor => ({
--- a/packages/daemon/src/jobs/entry/job-service.test.ts
+++ b/packages/daemon/src/jobs/entry/job-service.test.ts
@@ -2,7 +2,13 @@
  * Guards against answers to callers whose key could no longer be judged, or was
  * removed, while their call was under way.
  */
-import {fail, succeed, type errors, type Result} from '@gullstand/core';
+import {
+	fail,
+	succeed,
+	type errors,
+	type Result,
+	type scheduler,
+} from '@gullstand/core';
 import * as ports from '@gullstand/ports';
 import * as tap from 'tap';
 import {
@@ -11,6 +17,7 @@
 	noLogger,
 	now,
 	route,
+	testConfiguration,
 } from '../job-daemon.test.fixture.js';
 import {createJobMetrics} from '../job-metrics.js';
 import type {Caller} from './caller-access.js';
@@ -27,12 +34,22 @@
 
 const removed: Verdict = fail('unauthenticated');
 
+const noCap = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+
 /** A service whose calls succeed, and whose caller is judged as given. */
-const createService = (verdicts: readonly Verdict[]) => {
+const createService = (
+	verdicts: readonly Verdict[],
+	cap: scheduler.Resources = noCap,
+) => {
 	const left = [...verdicts];
 	const submitted: string[] = [];
+	const routes = createRoutes();
+	routes.apply({
+		...testConfiguration,
+		teams: [{name: 'one', keyHashes: ['hash'], weight: 1, cap}],
+	});
 	const service = createJobService({
-		routes: createRoutes(),
+		routes,
 		history: {listServices: () => ['s'], load: async () => true},
 		submissions: {
 			submit: async () => ({kind: 'not-stored'}),
@@ -131,3 +148,30 @@
 		t.same(submitted, isSubmitted ? [id] : []);
 	});
 }
+
+const capCases: ReadonlyArray<{
+	readonly name: string;
+	readonly cap: scheduler.Resources;
+	readonly outcome: string;
+}> = [
+	{name: 'no cap', cap: noCap, outcome: 'ok'},
+	{
+		name: 'a cap that its task just fits into',
+		cap: {...noCap, cpuMillis: 100, memoryMb: 10},
+		outcome: 'ok',
+	},
+	{
+		name: 'a cap that its task exceeds in one resource',
+		cap: {...noCap, cpuMillis: 900, memoryMb: 9},
+		outcome: 'over-cap',
+	},
+];
+
+for (const {name, cap, outcome} of capCases) {
+	tap.t.test(`a submission under ${name}`, async (t) => {
+		const {service, submitted} = createService([valid, valid], cap);
+		const result = await calls.submit(service);
+		t.equal(result.ok ? 'ok' : result.error, outcome);
+		t.equal(submitted.length, result.ok ? 1 : 0);
+	});
+}
--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -4,6 +4,7 @@
  */
 import {
 	fail,
+	teams,
 	type scheduler,
 	succeed,
 	type errors,
@@ -169,6 +170,15 @@
 const isUnknown = (result: JobResult<unknown>): boolean =>
 	!result.ok && result.error === 'unknown-job';
 
+/** A call under way, for its log line. */
+type CallRecord = {
+	readonly call: string;
+	/** Id of the job, or name of the queue. */
+	readonly id: string;
+	readonly caller: Caller;
+	readonly startedAt: number;
+};
+
 export const createJobService = (deps: JobServiceDeps): JobService => {
 	const {routes, submissions, owners, store, clock, logger, metrics} = deps;
 
@@ -178,16 +188,25 @@
 			.listServices(name, service)
 			.map((each) => getServiceShard(each));
 
-	/** Logs and counts the outcome of a call. */
-	const recordCall = <Value>(
+	const beginCall = (
 		call: string,
 		id: string,
-		startedAt: number,
+		caller: Caller = anyCaller,
+	): CallRecord => ({call, id, caller, startedAt: clock.now()});
+
+	/** Logs and counts the outcome of a call. */
+	const recordCall = <Value>(
+		{call, id, startedAt, caller}: CallRecord,
 		result: JobResult<Value>,
 	): JobResult<Value> => {
 		const outcome = result.ok ? 'ok' : result.error;
 		const tookMs = Math.round(clock.now() - startedAt);
+		const team = caller.kind === 'team' ? caller.team : undefined;
 		metrics.count('calls', `${call}:${outcome}`);
+		if (team !== undefined && !result.ok) {
+			metrics.count('team_calls_failed', `${team}:${outcome}`);
+		}
+
 		metrics.record(
 			histogramNames.call satisfies HistogramName,
 			call,
@@ -196,6 +215,7 @@
 		logger.info('call answered', {
 			call,
 			job: id,
+			team,
 			outcome,
 			tookMs,
 			configuration: routes.get()?.version,
@@ -212,16 +232,30 @@
 		return verified.ok ? result : verified;
 	};
 
+	/** Whether a job has a task that the cap of its team never lets run. */
+	const isOverCap = (caller: Caller, {steps}: scheduler.JobSpec): boolean => {
+		const team =
+			caller.kind === 'team' ? routes.getTeam(caller.team) : undefined;
+		return (
+			team !== undefined &&
+			steps.some(({resources}) => !teams.isWithinCap(resources, team.cap))
+		);
+	};
+
 	const submit: JobService['submit'] = async (
 		route,
 		{id, spec},
 		deadline,
 		caller = anyCaller,
 	) => {
-		const startedAt = clock.now();
+		const record = beginCall('submit', id, caller);
 		const verified = deps.access.verify(caller);
 		if (!verified.ok) {
-			return recordCall('submit', id, startedAt, verified);
+			return recordCall(record, verified);
+		}
+
+		if (isOverCap(caller, spec)) {
+			return recordCall(record, fail('over-cap'));
 		}
 
 		const shard = getServiceShard(route.service);
@@ -239,12 +273,7 @@
 		// The job may be stored, so it must not be reported as not accepted.
 		const unverified: typeof result = fail('submission-unknown');
 		const isVerified = !result.ok || deps.access.verify(caller).ok;
-		return recordCall(
-			'submit',
-			id,
-			startedAt,
-			isVerified ? result : unverified,
-		);
+		return recordCall(record, isVerified ? result : unverified);
 	};
 
 	/** Finds a job that was accepted before its queue moved to another service. */
@@ -399,11 +428,11 @@
 		id,
 		caller = anyCaller,
 	) => {
-		const startedAt = clock.now();
+		const record = beginCall('state', id, caller);
 		const result = await findInShards(route, async (shard) =>
 			readFrom(route, shard, id, caller),
 		);
-		return recordCall('state', id, startedAt, verifyResult(caller, result));
+		return recordCall(record, verifyResult(caller, result));
 	};
 
 	const storeCancel = async (
@@ -485,16 +514,16 @@
 		deadline,
 		caller = anyCaller,
 	) => {
-		const startedAt = clock.now();
+		const record = beginCall('cancel', id, caller);
 		const verified = deps.access.verify(caller);
 		const result = verified.ok
 			? await cancelAnywhere(route, id, deadline, caller)
 			: verified;
-		return recordCall('cancel', id, startedAt, result);
+		return recordCall(record, result);
 	};
 
 	const countPending: JobService['countPending'] = async (route) => {
-		const startedAt = clock.now();
+		const record = beginCall('pending', route.name);
 		const counts = await Promise.all(
 			listShards(route).map(async (shard) =>
 				owners.countPending(shard, route.name),
@@ -503,13 +532,13 @@
 		let pending = 0;
 		for (const count of counts) {
 			if (count === undefined) {
-				return recordCall('pending', route.name, startedAt, fail('job-unread'));
+				return recordCall(record, fail('job-unread'));
 			}
 
 			pending += count;
 		}
 
-		return recordCall('pending', route.name, startedAt, succeed(pending));
+		return recordCall(record, succeed(pending));
 	};
 
 	return {submit, readState, cancel, cancelHere, countPending};
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -55,6 +55,11 @@
 import {createLeaseCache} from './shards/lease-cache.js';
 import {createMembers} from './shards/members.js';
 import type {HeldShard} from './shards/held-shard.js';
+import {
+	listTeams,
+	registerTeamGauges,
+	type TeamOverview,
+} from './team-overview.js';
 import {createShardLeaseManager} from './shards/shard-lease-manager.js';
 import {createEntryRole} from './shards/entry-role.js';
 
@@ -103,6 +108,8 @@
 	readonly access: Pick<CallerAccess, 'authenticate'>;
 	/** Lists the jobs of the services that this daemon owns. */
 	readonly listJobs: OwnedServices['listJobs'];
+	/** Lists the teams, with their shares in the services that it owns. */
+	readonly listTeams: () => readonly TeamOverview[];
 	/** Why tasks of a job do not run; absent if this daemon does not own it. */
 	readonly explain: OwnedServices['explain'];
 	readonly routes: Routes;
@@ -287,6 +294,10 @@
 		rowFaults,
 		hasService,
 		rejectsOverload,
+		teamCaps: {
+			hasTeams: () => routes.get()?.teams !== undefined,
+			getCap: (team) => routes.getTeam(team)?.cap,
+		},
 		getLeasesConfirmedAt: () => leaseFollower.getConfirmedAt(),
 		hasReleased,
 		onOwnershipLost(shard, rows) {
@@ -421,6 +432,7 @@
 				const isNew = routes.apply(value);
 				if (isNew) {
 					history.addConfiguration(value);
+					registerTeamGauges(value.teams ?? [], owned, metrics);
 				}
 
 				logger.info('configuration read', {
@@ -594,6 +606,7 @@
 		service,
 		access,
 		listJobs: owned.listJobs,
+		listTeams: () => listTeams(routes.get(), owned),
 		explain: owned.explain,
 		routes,
 		metrics,
--- a/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
@@ -49,6 +49,7 @@
 		rowFaults: noRowFaults,
 		hasService: () => true,
 		rejectsOverload: () => false,
+		teamCaps: {hasTeams: () => false, getCap: () => undefined},
 		getLeasesConfirmedAt: () => ({at: now(), epochAt: Date.now()}),
 		hasReleased: async () => true,
 		onOwnershipLost(_shard, rows) {
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -2,8 +2,10 @@
 import {scheduler} from '@gullstand/core';
 import type {
 	AdviceService,
+	ChangedRow,
 	ExecutorFeed,
 	Executors,
+	FeedBatch,
 	QueueRoute,
 	RowStore,
 	StoredRow,
@@ -17,9 +19,15 @@
 import {followPeriods} from '../periods.js';
 import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
 import type {RowFaults} from '../rows/row-faults.js';
-import {getServiceShard, type LeaseRow} from '../rows/tables.js';
+import {createChangesOnlyFeed} from '../rows/table-feed.js';
+import {getServiceShard, tables, type LeaseRow} from '../rows/tables.js';
 import type {HeldShard} from '../shards/held-shard.js';
-import {createOwnerRunner, type OwnerRunner} from './owner-runner.js';
+import type {TeamShareStatus} from './team-shares.js';
+import {
+	createOwnerRunner,
+	type OwnerRunner,
+	type OwnerRunnerDeps,
+} from './owner-runner.js';
 
 export type OwnedServicesDeps = {
 	readonly store: RowStore;
@@ -35,6 +43,8 @@
 	readonly hasService: (service: string) => boolean;
 	/** Whether the executors of a service reject what exceeds their capacity. */
 	readonly rejectsOverload: (service: string) => boolean;
+	/** Whether the deployment has teams, and their caps. */
+	readonly teamCaps: OwnerRunnerDeps['teamCaps'];
 	/** When the store last confirmed the leases. */
 	readonly getLeasesConfirmedAt: () => Moment | undefined;
 	/** Whether the previous holder has released the shard or was replaced. */
@@ -64,6 +74,10 @@
 	/** Stops all services at once. */
 	readonly dropAll: () => void;
 	readonly listJobs: () => readonly JobSummary[];
+	/** Lists the shares of the teams' caps, by service. */
+	readonly listTeamShares: () => ReadonlyArray<
+		TeamShareStatus & {readonly shard: string}
+	>;
 	/** Why tasks of a job do not run; absent if this daemon does not own it. */
 	readonly explain: (
 		route: QueueRoute,
@@ -76,6 +90,7 @@
 	const runners = new Map<string, OwnerRunner>();
 	const executorList = createExecutorList(deps);
 	let follower: FeedFollower | undefined;
+	let shareFollower: FeedFollower | undefined;
 
 	const updateExecutors = (isWhole: boolean) => {
 		for (const runner of runners.values()) {
@@ -103,16 +118,50 @@
 		follower.start(reportFailure);
 	};
 
-	const unfollowRegistry = () => {
+	/** Shows what other owners lack; own writes do not depend on it. */
+	const followShares = () => {
+		if (shareFollower !== undefined || !deps.teamCaps.hasTeams()) {
+			return;
+		}
+
+		const applyRow = (row: ChangedRow) => {
+			for (const runner of runners.values()) {
+				runner.applyShareRow(row);
+			}
+		};
+
+		const apply = ({entries}: FeedBatch<ChangedRow>) => {
+			for (const {value} of entries) {
+				if (value) {
+					applyRow(value);
+				}
+			}
+		};
+
+		shareFollower = createFeedFollower({
+			name: 'team-share',
+			feed: createChangesOnlyFeed(deps.store, tables.teamShare),
+			periods: followPeriods.teamShare,
+			clock,
+			logger,
+			onSnapshot: apply,
+			onChanges: apply,
+		});
+		shareFollower.start(reportFailure);
+	};
+
+	const unfollow = () => {
 		follower?.stop();
 		follower = undefined;
+		shareFollower?.stop();
+		shareFollower = undefined;
 	};
 
 	const drop = (shard: string) => {
 		runners.get(shard)?.abandon();
 		runners.delete(shard);
 		if (runners.size === 0) {
-			unfollowRegistry();
+			unfollow();
 		}
 	};
 
@@ -136,6 +185,7 @@
 				followRegistry();
 			}
 
+			followShares();
 			runInBackground(runner.start, reportFailure);
 		},
 		async release(shard) {
@@ -156,6 +206,10 @@
 					acceptedAtEpochMs: job.accepted.acceptedAtEpochMs,
 				})),
 			),
+		listTeamShares: () =>
+			[...runners].flatMap(([shard, runner]) =>
+				runner.listTeamShares().map((each) => ({shard, ...each})),
+			),
 		explain(route, id) {
 			const owner = runners.get(getServiceShard(route.service))?.getOwner();
 			const job = owner?.jobs.get(id);
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -29,6 +29,12 @@
 import {getPlanPauseMs} from './plan-pause.js';
 import {applyJobRows} from './apply-job-rows.js';
 import {getInheritedGrantMs, loadOwner} from './load-owner.js';
+import {
+	createTeamShares,
+	type TeamShares,
+	type TeamSharesDeps,
+	type TeamShareStatus,
+} from './team-shares.js';
 
 export type OwnerRunnerDeps = {
 	readonly held: HeldShard;
@@ -49,6 +55,8 @@
 	readonly getListedAt: () => Moment | undefined;
 	/** Whether the executors reject what exceeds their capacity. */
 	readonly rejectsOverload: () => boolean;
+	/** Whether the deployment has teams, and their caps. */
+	readonly teamCaps: Pick<TeamSharesDeps, 'hasTeams' | 'getCap'>;
 	/** Whether the previous holder has released the shard or was replaced. */
 	readonly hasReleased: (previous: LeaseRow) => Promise<boolean>;
 	/** Called when another daemon owns the service; `rows` may name it. */
@@ -82,6 +90,9 @@
 	readonly updateExecutors: (isWhole: boolean) => void;
 	/** Applies rows of the job table, from a peer or the store. */
 	readonly applyRows: (rows: readonly ChangedRow[]) => void;
+	/** Applies a row of the teams' shares, as the store shows it. */
+	readonly applyShareRow: (row: ChangedRow) => void;
+	readonly listTeamShares: () => readonly TeamShareStatus[];
 	readonly readJob: (id: string, queue: string) => JobStateAnswer;
 	readonly countPending: (queue: string) => number | undefined;
 	readonly evacuate: (
@@ -111,6 +122,7 @@
 	let links: ExecutorLinks<ExecutorLink> | undefined;
 	let flusher: Flusher | undefined;
 	let follower: FeedFollower | undefined;
+	let shares: TeamShares | undefined;
 	const state = {isStopped: false, isStopping: false};
 	/** Of the plan that a change requested. */
 	let requestedPlanTimer: NodeJS.Timeout | undefined;
@@ -249,6 +261,7 @@
 			isConfirmedWithin(clock, deps.getListedAt(), cfg.maxListingAgeMs);
 		if (isOwnershipConfirmed() && !state.isStopping) {
 			scheduler.advanceSchedules(owner, clock.epochNow());
+			shares?.prepare();
 			const commands = scheduler.planCommands(owner, now, clock.epochNow());
 			for (const command of commands) {
 				if (command.kind === 'advise') {
@@ -262,6 +275,7 @@
 		const tookMs = clock.now() - now;
 		nextPlanAt = clock.now() + getPlanPauseMs(tookMs);
 		report.recordPlan(tookMs);
+		shares?.update();
 		flusher?.requestFlush();
 	};
 
@@ -392,6 +406,15 @@
 			onStored: log.logFlush,
 			onOwnershipLost: loseOwnership,
 		});
+		shares = createTeamShares({
+			...deps.teamCaps,
+			store,
+			held,
+			owner,
+			now: clock.now,
+			logger,
+			onGrown: onChange,
+		});
 		follower = createFeedFollower({
 			name: 'job',
 			feed: createTableFeed(store, tables.job, {kind: 'one', part: held.shard}),
@@ -422,6 +445,7 @@
 		clearTimeout(periodicPlanTimer);
 		clearTimeout(requestedPlanTimer);
 		follower?.stop();
+		shares?.stop();
 		flusher?.stop();
 		links?.closeAll();
 	};
@@ -443,6 +467,10 @@
 		abandon,
 		updateExecutors,
 		applyRows,
+		applyShareRow(row) {
+			shares?.applyRow(row);
+		},
+		listTeamShares: () => shares?.describe() ?? [],
 		readJob(id, queue) {
 			if (!owner || !isOwnershipConfirmed()) {
 				return {kind: 'not-owner'};
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -66,6 +66,8 @@
 	/** Polled, since heartbeats change constantly. */
 	daemon: {waitMs: 0, pauseMs: 400, timeoutMs: 1200, retryMs: 150},
 	executors: {waitMs: 0, pauseMs: 250, timeoutMs: 1200, retryMs: 100},
+	/** Long poll at the store, since shares change rarely and waiting costs. */
+	teamShare: {waitMs: 900, pauseMs: 0, timeoutMs: 600, retryMs: 100},
 	/** Fallback for the rows that peers send, which arrive sooner. */
 	job: {waitMs: 0, pauseMs: 500, timeoutMs: 1200, retryMs: 100},
 } as const satisfies Record<string, FollowPeriods>;
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -27,6 +27,8 @@
 	progress: 'progress',
 	/** Other rows of an owner: its roster and the marker of its last flush. */
 	owner: 'owner',
+	/** Shares of the caps of teams. */
+	teamShare: 'team-share',
 	/** The key that seals messages between daemons. */
 	secret: 'secret',
 } as const;
--- a/packages/daemon/src/operator/operator-app.ts
+++ b/packages/daemon/src/operator/operator-app.ts
@@ -13,6 +13,7 @@
 import {registerPools} from './pools/app.js';
 import {registerServices} from './services/app.js';
 import {registerStatus} from './status/app.js';
+import {registerTeams} from './teams/app.js';
 import {registerJobs} from './jobs/app.js';
 import type {OperatorApp, OperatorDeps, OperatorEnv} from './types.js';
 import {registerWaves} from './waves/app.js';
@@ -50,6 +51,7 @@
 			jobs: deps.jobs,
 			now: deps.now ?? (() => performance.now()),
 		});
+		registerTeams(app, {jobs: deps.jobs});
 	}
 
 	app.notFound(() => createErrorResponse('not-found', randomUUID()));
