Split a roster that is larger than a row over several

The roster of a service was one row of some 230 bytes an executor; past some 200 executors the store refuses it (65,536 bytes), and no executor gets work before the roster that names it is stored.

--- a/packages/daemon/src/jobs/owner/flusher.test.ts
+++ b/packages/daemon/src/jobs/owner/flusher.test.ts
@@ -52,6 +52,7 @@
 		flushVersion: 0,
 		clock: testClock,
 		storeTime: {nowMs: 0, sent: getMoment(testClock)},
+		rosterKeys: [],
 		logger: noLogger,
 		onAckable(executors) {
 			acknowledged.push(...executors.map(({id}) => id));
@@ -150,6 +151,7 @@
 		flushVersion: 0,
 		clock: testClock,
 		storeTime: {nowMs: 0, sent: getMoment(testClock)},
+		rosterKeys: [],
 		logger: noLogger,
 		onAckable: () => undefined,
 		onStored(flush) {
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -17,15 +17,26 @@
 } from '../rows/tables.js';
 import {isWithinSize} from '../rows/transaction-size.js';
 import type {HeldShard} from '../shards/held-shard.js';
+import {
+	encodeRoster,
+	isRosterKey,
+	maxRosterRows,
+	planRosterWrites,
+} from './roster-rows.js';
 
-/** The store takes 100 entries a transaction, including checks. */
-const maxJobsPerFlush = 90;
+/**
+ * The store takes 100 entries a transaction: two checks, the flush row and the
+ * roster are among them.
+ */
+const maxJobsPerFlush = 100 - 3 - maxRosterRows;
 
 export type FlusherDeps = {
 	readonly store: RowStore;
 	readonly owner: scheduler.Owner;
 	readonly held: HeldShard;
 	readonly flushVersion: number;
+	/** Keys of the roster's rows that an earlier owner has stored. */
+	readonly rosterKeys: readonly string[];
 	readonly clock: Clock;
 	/** The store's clock at the takeover. */
 	readonly storeTime: StoreClockReading;
@@ -57,6 +68,10 @@
 	const part = held.shard;
 	const flushKey = {table: tables.owner, part, key: singleKeys.flush};
 	let {flushVersion, storeTime} = deps;
+	/** Stored rows of the roster; a value that is not known is undefined. */
+	const storedRoster = new Map<string, string | undefined>(
+		deps.rosterKeys.map((key) => [key, undefined]),
+	);
 	let running: Promise<void> | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	const state = {isStopped: false, isDraining: false};
@@ -73,6 +88,9 @@
 					markedBy: owner.token,
 				};
 
+	const encodeFlushed = ({roster}: scheduler.Flush) =>
+		roster && encodeRoster(roster.map((each) => toRosterRow(each)));
+
 	const toTransaction = (flush: scheduler.Flush): RowTransaction => {
 		const puts = flush.jobs.map(({job, progress}) => ({
 			table: tables.progress,
@@ -80,23 +98,43 @@
 			key: job.accepted.id,
 			value: JSON.stringify(progress),
 		}));
-		const roster = flush.roster && {
-			table: tables.owner,
-			part,
-			key: singleKeys.roster,
-			value: JSON.stringify(flush.roster.map((each) => toRosterRow(each))),
-		};
+		const rows = encodeFlushed(flush);
+		const roster = rows
+			? planRosterWrites(part, storedRoster, rows)
+			: {puts: [], removes: []};
 		return {
 			checks: [getLeaseCheck(held), {...flushKey, version: flushVersion}],
 			puts: [
 				{...flushKey, value: String(flush.number)},
 				...puts,
-				...(roster ? [roster] : []),
+				...roster.puts,
 			],
-			removes: [],
+			removes: roster.removes,
 		};
 	};
 
+	/** Records the roster's rows of a transaction that was stored. */
+	const recordRoster = ({puts, removes}: RowTransaction) => {
+		for (const {key, value} of puts) {
+			if (isRosterKey(key)) {
+				storedRoster.set(key, value);
+			}
+		}
+
+		for (const {key} of removes) {
+			storedRoster.delete(key);
+		}
+	};
+
+	/** The roster's rows that a transaction may have changed are not known. */
+	const forgetRoster = ({puts, removes}: RowTransaction) => {
+		for (const {key} of [...puts, ...removes]) {
+			if (isRosterKey(key)) {
+				storedRoster.set(key, undefined);
+			}
+		}
+	};
+
 	/** Returns whether the conflict came from a delayed flush of this owner. */
 	const resolveConflict = (rows: readonly StoredRow[]): boolean => {
 		const lease = rows.find(({table}) => table === tables.lease);
@@ -131,12 +169,14 @@
 		if (result.ok) {
 			flushVersion = result.value.version;
 			storeTime = {nowMs: result.value.nowMs, sent};
+			recordRoster(transaction);
 			deps.onAckable(scheduler.completeFlush(owner, flush));
 			deps.onStored(flush);
 			return true;
 		}
 
 		scheduler.abandonFlush(owner, flush);
+		forgetRoster(transaction);
 		logger.warn('progress not stored', {
 			shard: part,
 			flush: flush.number,
--- /dev/null
+++ b/packages/daemon/src/jobs/owner/large-roster.test.ts
@@ -0,0 +1,127 @@
+/**
+ * Guards against a service whose executors are never used since their roster
+ * is larger than a row of the store may be.
+ */
+import {Buffer} from 'node:buffer';
+import {fail, scheduler} from '@gullstand/core';
+import * as ports from '@gullstand/ports';
+import * as tap from 'tap';
+import {
+	createListedExecutor,
+	heldShard,
+	noLogger,
+	now,
+} from '../job-daemon.test.fixture.js';
+import {createFlusher} from './flusher.js';
+import {loadOwner} from './load-owner.js';
+
+/** Largest value of a row in base64; origin: the store's interface. */
+const maxRowBytes = 65_536;
+
+const clock = {now, epochNow: () => Date.now()};
+
+const createStore = (): ports.MemoryRowStore => {
+	const store = ports.createMemoryRowStore();
+	return {
+		...store,
+		async transact(transaction, timeoutMs) {
+			const isTooLarge = transaction.puts.some(
+				({value}) => Buffer.from(value).toString('base64').length > maxRowBytes,
+			);
+			return isTooLarge
+				? fail({kind: 'unavailable'})
+				: store.transact(transaction, timeoutMs);
+		},
+	};
+};
+
+const load = async (store: ports.RowStore) => {
+	const loaded = await loadOwner('s', heldShard, {
+		store,
+		logger: noLogger,
+		cfg: scheduler.defaultSchedulerConfig,
+		clock,
+	});
+	if (!loaded.ok) {
+		throw new Error('rows are not read');
+	}
+
+	return loaded.value;
+};
+
+/** Takes the service over and lists executors; returns the owner. */
+const own = async (store: ports.RowStore, ids: readonly string[]) => {
+	const {owner, ...loaded} = await load(store);
+	for (const id of ids) {
+		scheduler.recordListedExecutor(owner, createListedExecutor(id));
+	}
+
+	const flusher = createFlusher({
+		...loaded,
+		store,
+		owner,
+		held: heldShard,
+		clock,
+		logger: noLogger,
+		onAckable: () => undefined,
+		onStored: () => undefined,
+		onOwnershipLost: () => undefined,
+	});
+	await flusher.drain();
+	return owner;
+};
+
+tap.t.test('a roster of 700 executors is stored and read', async (t) => {
+	const store = createStore();
+	const lease = {table: 'lease', part: heldShard.shard, key: 'lease'};
+	await store.transact(
+		{checks: [], puts: [{...lease, value: '{}'}], removes: []},
+		100,
+	);
+	const ids = Array.from({length: 700}, (_, index) => `executor-${index}`);
+	const owner = await own(store, ids);
+	t.ok(
+		[...owner.executors.values()].every(({isRostered}) => isRostered),
+		'all of them may be given work',
+	);
+	const next = await load(store);
+	t.same(new Set(next.owner.unresolvedExecutors.keys()), new Set(ids));
+});
+
+tap.t.test(
+	'a smaller roster leaves no executors of a larger one',
+	async (t) => {
+		const store = createStore();
+		const lease = {table: 'lease', part: heldShard.shard, key: 'lease'};
+		await store.transact(
+			{checks: [], puts: [{...lease, value: '{}'}], removes: []},
+			100,
+		);
+		await own(
+			store,
+			Array.from({length: 700}, (_, index) => `executor-${index}`),
+		);
+		const {owner, ...loaded} = await load(store);
+		for (const id of owner.executors.keys()) {
+			if (id !== 'executor-1') {
+				owner.executors.delete(id);
+			}
+		}
+
+		owner.isRosterDirty = true;
+		const flusher = createFlusher({
+			...loaded,
+			store,
+			owner,
+			held: heldShard,
+			clock,
+			logger: noLogger,
+			onAckable: () => undefined,
+			onStored: () => undefined,
+			onOwnershipLost: () => undefined,
+		});
+		await flusher.drain();
+		const next = await load(store);
+		t.same([...next.owner.executors.keys()], ['executor-1']);
+	},
+);
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -17,6 +17,7 @@
 	type RosterRow,
 } from '../rows/tables.js';
 import type {HeldShard} from '../shards/held-shard.js';
+import {isRosterKey} from './roster-rows.js';
 
 export type LoadOwnerDeps = {
 	readonly store: RowStore;
@@ -33,6 +34,8 @@
 	/** Version of the row that each flush rewrites; 0 if there is none. */
 	readonly flushVersion: number;
 	readonly storeTime: StoreClockReading;
+	/** Keys of the stored rows of the roster. */
+	readonly rosterKeys: readonly string[];
 };
 
 type Rows = {
@@ -152,7 +155,7 @@
 	rows: Rows,
 	{logger, cfg, clock}: LoadOwnerDeps,
 ): void => {
-	const rosters = rows.ownerRows.filter(({key}) => key === singleKeys.roster);
+	const rosters = rows.ownerRows.filter(({key}) => isRosterKey(key));
 	const now = clock.now();
 	const inheritedMs = getInheritedGrantMs(held, cfg);
 	for (const {value} of decodeRows(rosters, rosterSchema, logger)) {
@@ -205,5 +208,8 @@
 		version: rows.value.version,
 		flushVersion: flush?.version ?? 0,
 		storeTime: rows.value.storeTime,
+		rosterKeys: rows.value.ownerRows
+			.map(({key}) => key)
+			.filter((key) => isRosterKey(key)),
 	});
 };
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -396,6 +396,7 @@
 			held,
 			flushVersion: loaded.flushVersion,
 			storeTime: loaded.storeTime,
+			rosterKeys: loaded.rosterKeys,
 			clock,
 			logger,
 			onAckable(executors) {
--- a/packages/daemon/src/jobs/owner/repeated-takeovers.test.ts
+++ b/packages/daemon/src/jobs/owner/repeated-takeovers.test.ts
@@ -70,7 +70,7 @@
 			throw new Error('rows are not read');
 		}
 
-		const {owner, flushVersion, storeTime} = loaded.value;
+		const {owner, flushVersion, storeTime, rosterKeys} = loaded.value;
 		prepare(owner);
 		// An owner that lists a new executor stores its roster.
 		scheduler.recordListedExecutor(
@@ -83,6 +83,7 @@
 			held,
 			flushVersion,
 			storeTime,
+			rosterKeys,
 			clock,
 			logger: noLogger,
 			onAckable: () => undefined,
