Rank what a team submits beyond its rate after the jobs of others

A team that sends many times its rate takes the executors from all others, since work is ranked by value without regard to whose it is.

--- a/packages/core/src/scheduler/owner-state.ts
+++ b/packages/core/src/scheduler/owner-state.ts
@@ -1,5 +1,6 @@
 /** State that the owner of a service keeps. */
 import type {CapLimit} from '../teams/cap-share.js';
+import type {TokenBucket} from '../admission/token-bucket.js';
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
 import type {StartWindow} from './start-window.js';
@@ -64,6 +65,10 @@
 	startWindow: StartWindow;
 	/** Caps of teams and the shares held of them; others have no cap. */
 	readonly capLimits: Map<string, CapLimit>;
+	/** Jobs per second that each team is owed; absent for no bound. */
+	readonly teamWeights: Map<string, number>;
+	/** What is left of the teams' rates. */
+	readonly teamRates: Map<string, TokenBucket>;
 	/** Mean work of a job by queue, for ranking. */
 	readonly meanWork: Map<string, {count: number; sum: number}>;
 };
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/owner.ts
@@ -25,6 +25,7 @@
 	type Run,
 	type Task,
 } from './task.js';
+import {recordTeamArrival} from './team-rate.js';
 import type {AcceptedJob, ListedExecutor} from './types.js';
 
 /** Creates the state of an owner that has just taken over a service. */
@@ -52,6 +53,8 @@
 	arrivals: noArrivals,
 	startWindow: initialStartWindow,
 	capLimits: new Map(),
+	teamWeights: new Map(),
+	teamRates: new Map(),
 	meanWork: new Map(),
 });
 
@@ -81,6 +84,7 @@
 	recordWork(owner, job);
 	if (!isInherited && !isLongRunningJob(job)) {
 		owner.arrivals = recordArrival(owner.arrivals, job.totalWork, now);
+		recordTeamArrival(owner, job, now);
 	}
 
 	return job;
--- a/packages/core/src/scheduler/rank.ts
+++ b/packages/core/src/scheduler/rank.ts
@@ -1,6 +1,7 @@
 /**
  * Ranks the jobs of one service: long-running jobs first, then jobs that can
- * still meet their objective, then late ones. Within each group, jobs are
+ * still meet their objective, then late ones, then those that a team submitted
+ * beyond its rate. Within each group, jobs are
  * ordered by priority and then by value per unit of remaining work. Source:
  * docs/design/platform-programs.md.
  */
@@ -15,13 +16,14 @@
 const fixedValueShare = 0.3;
 
 /** Whether a job is expected to meet its objective. */
-type Timeliness = 'lasting' | 'in-time' | 'late' | 'worthless';
+type Timeliness = 'lasting' | 'in-time' | 'late' | 'beyond-rate' | 'worthless';
 
 const timelinessOrder: Readonly<Record<Timeliness, number>> = {
 	lasting: 0,
 	'in-time': 1,
 	late: 2,
-	worthless: 3,
+	'beyond-rate': 3,
+	worthless: 4,
 };
 
 /** Length of the critical path through the given steps. */
@@ -97,6 +99,10 @@
 		epochNow -
 		getStart(job, occurrence?.number ?? 0) +
 		getRemainingCriticalPathMs(job);
+	if (job.isBeyondRate && expected <= objective * lateUntilFactor) {
+		return 'beyond-rate';
+	}
+
 	if (expected <= objective) {
 		return 'in-time';
 	}
@@ -104,10 +110,13 @@
 	return expected <= objective * lateUntilFactor ? 'late' : 'worthless';
 };
 
-/** Whether a job can no longer meet its objective, by the estimates. */
+/**
+ * Whether a job can no longer meet its objective, by the estimates, or need not
+ * meet it as it is beyond the rate of its team.
+ */
 export const isLate = (job: Job, epochNow: number): boolean => {
 	const timeliness = getTimeliness(job, epochNow);
-	return timeliness === 'late' || timeliness === 'worthless';
+	return timeliness !== 'lasting' && timeliness !== 'in-time';
 };
 
 /** Remaining work per unit of value; lower is better. */
--- a/packages/core/src/scheduler/task.ts
+++ b/packages/core/src/scheduler/task.ts
@@ -106,6 +106,8 @@
 	storedEnd: JobEnd | undefined;
 	endedAt: number | undefined;
 	hasStarted: boolean;
+	/** Submitted beyond the rate that its team is owed. */
+	isBeyondRate: boolean;
 	/** Work of the loaded tasks that are not done, in cpu-milliseconds. */
 	remainingWork: number;
 	readonly totalWork: number;
@@ -247,6 +249,7 @@
 	storedEnd: undefined,
 	endedAt: undefined,
 	hasStarted: false,
+	isBeyondRate: false,
 	remainingWork: 0,
 	totalWork: sumWork(accepted.spec.steps),
 });
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -297,6 +297,7 @@
 		teamCaps: {
 			hasTeams: () => routes.get()?.teams !== undefined,
 			getCap: (team) => routes.getTeam(team)?.cap,
+			getWeight: (team) => routes.getTeam(team)?.weight,
 		},
 		getLeasesConfirmedAt: () => leaseFollower.getConfirmedAt(),
 		hasReleased,
--- a/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
@@ -49,7 +49,11 @@
 		rowFaults: noRowFaults,
 		hasService: () => true,
 		rejectsOverload: () => false,
-		teamCaps: {hasTeams: () => false, getCap: () => undefined},
+		teamCaps: {
+			hasTeams: () => false,
+			getCap: () => undefined,
+			getWeight: () => undefined,
+		},
 		getLeasesConfirmedAt: () => ({at: now(), epochAt: Date.now()}),
 		hasReleased: async () => true,
 		onOwnershipLost(_shard, rows) {
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -56,7 +56,7 @@
 	/** Whether the executors reject what exceeds their capacity. */
 	readonly rejectsOverload: () => boolean;
 	/** Whether the deployment has teams, and their caps. */
-	readonly teamCaps: Pick<TeamSharesDeps, 'hasTeams' | 'getCap'>;
+	readonly teamCaps: Pick<TeamSharesDeps, 'hasTeams' | 'getCap' | 'getWeight'>;
 	/** Whether the previous holder has released the shard or was replaced. */
 	readonly hasReleased: (previous: LeaseRow) => Promise<boolean>;
 	/** Called when another daemon owns the service; `rows` may name it. */
--- a/packages/daemon/src/jobs/owner/team-shares.test.ts
+++ b/packages/daemon/src/jobs/owner/team-shares.test.ts
@@ -63,6 +63,7 @@
 		owner,
 		hasTeams: () => true,
 		getCap: () => toResources(world.cap),
+		getWeight: () => undefined,
 		now,
 		logger: noLogger,
 		onGrown: () => undefined,
--- a/packages/daemon/src/jobs/owner/team-shares.ts
+++ b/packages/daemon/src/jobs/owner/team-shares.ts
@@ -25,6 +25,8 @@
 	readonly hasTeams: () => boolean;
 	/** Cap of a team; absent if it is not known or has none. */
 	readonly getCap: (team: string) => scheduler.Resources | undefined;
+	/** Jobs per second that a team is owed; absent if it is not known. */
+	readonly getWeight: (team: string) => number | undefined;
 	readonly now: () => number;
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	/** Called when more may start. */
@@ -103,7 +105,7 @@
 const repeatMs = 500;
 
 /** Shortest time between two comparisons of shares with needs. */
-const updatePauseMs = 20;
+const updatePauseMs = 40;
 
 export const createTeamShares = (deps: TeamSharesDeps): TeamShares => {
 	const {store, held, owner, logger, now} = deps;
@@ -143,7 +145,15 @@
 		return least;
 	};
 
+	const refreshWeight = (team: string) => {
+		const weight = deps.getWeight(team);
+		if (weight !== undefined) {
+			owner.teamWeights.set(team, weight);
+		}
+	};
+
 	const refreshLimit = (team: string) => {
+		refreshWeight(team);
 		const cap = deps.getCap(team);
 		if (!cap || !teams.isCapped(cap)) {
 			owner.capLimits.delete(team);
