Pack tasks by the scarcer of cpu and memory

Long-running tasks take an eighth of an executor's cpu and nearly a fifth of its memory; executors full of memory looked half empty, and tasks went to executors whose cpu was used more, so that wide ones found no room as a whole.

--- a/packages/core/src/scheduler/place-task.ts
+++ b/packages/core/src/scheduler/place-task.ts
@@ -54,22 +54,25 @@
 	notWhereItFailed: 4,
 	/** The executor is on the rack that holds the task's data. */
 	preferredRack: 2,
-	/** Used share of the executor's cpu, from 0 to 1. */
+	/** Used share of its scarcer resource, cpu or memory, from 0 to 1. */
 	usedShare: 1,
 } as const;
 
 const getScore = (executor: Executor, task: Task): number => {
 	const {spec} = task.step;
 	const free = getFree(executor);
-	const usedShare =
-		1 - free.cpuMillis / Math.max(1, executor.listed.capacity.cpuMillis);
+	const {capacity} = executor.listed;
+	const freeShare = Math.min(
+		free.cpuMillis / Math.max(1, capacity.cpuMillis),
+		free.memoryMb / Math.max(1, capacity.memoryMb),
+	);
 	const isOnPreferredRack =
 		spec.preferredRack !== undefined &&
 		getRack(executor) === spec.preferredRack;
 	return (
 		(task.failedOn === executor.id ? 0 : weights.notWhereItFailed) +
 		(isOnPreferredRack ? weights.preferredRack : 0) +
-		usedShare * weights.usedShare
+		(1 - freeShare) * weights.usedShare
 	);
 };
 
--- a/packages/core/src/scheduler/plan.test.ts
+++ b/packages/core/src/scheduler/plan.test.ts
@@ -285,3 +285,25 @@
 		'stop a.0.0.0 on x: hung',
 	]);
 });
+
+tap.t.test('tasks are packed by the scarcer of cpu and memory', async (t) => {
+	const owner = createTestOwner([createListed('x'), createListed('y')]);
+	const jobs = [
+		['half of the cpu of x', {cpuMillis: 2000, memoryMb: 100}, 'x'],
+		['most of the memory of y', {cpuMillis: 100, memoryMb: 920}, 'y'],
+		['what fits into both', {cpuMillis: 1000, memoryMb: 50}, 'y'],
+		['what fits into x only', {cpuMillis: 1000, memoryMb: 100}, 'x'],
+	] as const;
+	for (const [index, [name, resources, executor]] of jobs.entries()) {
+		const id = `${index}`;
+		submit(
+			owner,
+			createAccepted(id, [{resources: {...resources, accelerators: 0}}]),
+		);
+		t.same(
+			describeCommands(planAndStart(owner, 1)),
+			[`start ${id}.0.0.0 on ${executor}`],
+			name,
+		);
+	}
+});
