Size pools by the scarcer of cpu and memory

Pools were sized by cpu alone: where memory is scarcer, a pool got too few machines for what waits in it. Demand and use are sums of both, expressed as the cpu of the same part of an executor.

--- a/packages/core/src/scheduler/service-load.ts
+++ b/packages/core/src/scheduler/service-load.ts
@@ -1,10 +1,15 @@
 /** Load of a service, from which the size of its pool is decided. */
-import {getPartWithinCap} from '../teams/cap-share.js';
+import {
+	addResources,
+	getPartWithinCap,
+	noResources,
+} from '../teams/cap-share.js';
 import {getDemand, type Executor} from './executor.js';
 import type {Arrivals, Owner} from './owner-state.js';
 import {listUsable} from './place-task.js';
 import {isLate} from './rank.js';
-import {isStepReady, isWaiting, type Job} from './task.js';
+import {isStepReady, isWaiting, type Job, type Step} from './task.js';
+import type {Resources} from './types.js';
 import {computeTeamNeeds} from './team-use.js';
 
 /** Load of one executor. */
@@ -23,7 +28,10 @@
 	readonly work: number;
 };
 
-/** Load of a service; cpu in thousandths of a core. */
+/**
+ * Load of a service; cpu in thousandths of a core. Memory counts as the cpu of
+ * the same part of an executor where it is the scarcer of the two.
+ */
 export type ServiceLoad = {
 	/** Demand of the tasks that wait, are ready and within their teams' caps. */
 	readonly waitingCpu: number;
@@ -68,6 +76,32 @@
 export const getArrivingCpu = (arrivals: Arrivals, now: number): number =>
 	decay(arrivals, now) / arrivalWindowMs;
 
+const addDemand = (sum: Resources, step: Step, count: number): Resources => {
+	const {cpuMillis, memoryMb, accelerators} = getDemand(step);
+	return addResources(sum, {
+		cpuMillis: count * cpuMillis,
+		memoryMb: count * memoryMb,
+		accelerators: count * accelerators,
+	});
+};
+
+/**
+ * Returns a function that expresses resources as cpu: that of the part of an
+ * executor which they take by the scarcer of cpu and memory.
+ */
+const createCpuMeasure = (
+	executors: readonly Executor[],
+): ((resources: Resources) => number) => {
+	let capacity = noResources;
+	for (const {listed} of executors) {
+		capacity = addResources(capacity, listed.capacity);
+	}
+
+	const cpuPerMb =
+		capacity.memoryMb > 0 ? capacity.cpuMillis / capacity.memoryMb : 0;
+	return ({cpuMillis, memoryMb}) => Math.max(cpuMillis, memoryMb * cpuPerMb);
+};
+
 const describeExecutor = (executor: Executor): ExecutorLoad => ({
 	runs: executor.runs.size,
 	lasting: [...executor.runs.values()].filter(
@@ -76,14 +110,13 @@
 	usedCpu: executor.used.cpuMillis,
 });
 
-const getWaitingCpu = (job: Job): number => {
-	let waiting = 0;
+const getWaiting = (job: Job): Resources => {
+	let waiting = noResources;
 	for (const {steps} of job.occurrences.values()) {
 		for (const step of steps) {
-			const {resources, fillsIdleCapacity} = step.spec;
-			if (!fillsIdleCapacity && isStepReady(step)) {
+			if (isStepReady(step)) {
 				const tasks = step.tasks.filter((task) => isWaiting(task));
-				waiting += tasks.length * resources.cpuMillis;
+				waiting = addDemand(waiting, step, tasks.length);
 			}
 		}
 	}
@@ -91,12 +124,16 @@
 	return waiting;
 };
 
-const getUsedCpu = (job: Job): number => {
-	let used = 0;
+const getUsed = (job: Job): Resources => {
+	let used = noResources;
 	for (const {steps} of job.occurrences.values()) {
 		for (const step of steps) {
-			const runs = step.tasks.reduce((sum, task) => sum + task.runs.length, 0);
-			used += runs * getDemand(step).cpuMillis;
+			let runs = 0;
+			for (const task of step.tasks) {
+				runs += task.runs.length;
+			}
+
+			used = addDemand(used, step, runs);
 		}
 	}
 
@@ -137,15 +174,45 @@
 		team === undefined ? 1 : (parts.get(team) ?? 1);
 };
 
+/** Expresses demand of jobs as cpu. */
+type DemandMeasure = {
+	readonly toCpu: (resources: Resources) => number;
+	/** The part of a job's demand that its team's cap leaves room for. */
+	readonly getCapPart: (job: Job) => number;
+};
+
+const sumWaitingCpu = (
+	jobs: readonly Job[],
+	{toCpu, getCapPart}: DemandMeasure,
+): number => {
+	let waiting = noResources;
+	for (const job of jobs) {
+		const part = getCapPart(job);
+		const {cpuMillis, memoryMb, accelerators} = getWaiting(job);
+		waiting = addResources(waiting, {
+			cpuMillis: part * cpuMillis,
+			memoryMb: part * memoryMb,
+			accelerators: part * accelerators,
+		});
+	}
+
+	return toCpu(waiting);
+};
+
 const describeLate = (
 	owner: Owner,
 	epochNow: number,
-	getStartableCpu: (job: Job) => number,
+	measure: DemandMeasure,
 ): LateLoad => {
 	const late = [...owner.openJobs].filter((job) => isLate(job, epochNow));
+	let used = noResources;
+	for (const job of late) {
+		used = addResources(used, getUsed(job));
+	}
+
 	return {
-		waitingCpu: sum(late.map((job) => getStartableCpu(job))),
-		usedCpu: sum(late.map((job) => getUsedCpu(job))),
+		waitingCpu: sumWaitingCpu(late, measure),
+		usedCpu: measure.toCpu(used),
 		work: sum(late.map(({remainingWork}) => remainingWork)),
 	};
 };
@@ -158,13 +225,19 @@
 ): ServiceLoad => {
 	const all = [...owner.executors.values()];
 	const usable = listUsable(owner, now);
-	const getCapPart = createCapFilter(owner);
-	const getStartableCpu = (job: Job): number =>
-		getWaitingCpu(job) * getCapPart(job);
+	const measure: DemandMeasure = {
+		toCpu: createCpuMeasure(all),
+		getCapPart: createCapFilter(owner),
+	};
+	let used = noResources;
+	for (const executor of all) {
+		used = addResources(used, executor.used);
+	}
+
 	return {
-		waitingCpu: sum([...owner.openJobs].map((job) => getStartableCpu(job))),
-		usedCpu: sum(all.map(({used}) => used.cpuMillis)),
-		late: describeLate(owner, epochNow, getStartableCpu),
+		waitingCpu: sumWaitingCpu([...owner.openJobs], measure),
+		usedCpu: measure.toCpu(used),
+		late: describeLate(owner, epochNow, measure),
 		capacityCpu: sum(usable.map(({listed}) => listed.capacity.cpuMillis)),
 		arrivingCpu: getArrivingCpu(owner.arrivals, now),
 		minExecutors: Math.max(
