Compute a team's limit only when its row or cap has changed

Limits are kept until the row, the writes under way or the cap change, and a share that covers its need while nobody waits plans nothing.

--- a/packages/core/src/teams/cap-share.test.ts
+++ b/packages/core/src/teams/cap-share.test.ts
@@ -192,6 +192,10 @@
 		const isWritten =
 			next !== undefined && teams.needsWrite(row, self, next, {...wanted, cap});
 		t.equal(isWritten ? next.share.cpuMillis : undefined, share);
+		t.notOk(
+			isWritten && teams.isSettled(row, cap, self, wanted),
+			'a share that must be written is not settled',
+		);
 		if (isWritten) {
 			t.equal(next.lacking.cpuMillis, lacking);
 			t.equal(next.token, token);
--- a/packages/core/src/teams/cap-share.ts
+++ b/packages/core/src/teams/cap-share.ts
@@ -359,6 +359,29 @@
 	};
 };
 
+/**
+ * Whether a share covers what its service needs and no service waits, so that
+ * nothing has to be planned.
+ */
+export const isSettled = (
+	row: CapRow,
+	cap: Resources,
+	{shard, token}: ShareOwner,
+	{used, waiting}: CapNeed,
+): boolean => {
+	const own = row.shares[shard];
+	return (
+		own?.token === token &&
+		resourceNames.every(
+			(name) =>
+				cap[name] === 0 || used[name] + waiting[name] <= own.share[name],
+		) &&
+		!Object.values(row.shares).some((share) => isQueued(share)) &&
+		isCapAdopted(row, cap) &&
+		!isOverCap(row, cap)
+	);
+};
+
 /** Whether a service lacks part of its share. */
 export const isLacking = ({lacking}: CapShare): boolean =>
 	isAnyPositive(lacking);
--- a/packages/daemon/src/jobs/owner/team-shares.ts
+++ b/packages/daemon/src/jobs/owner/team-shares.ts
@@ -92,6 +92,8 @@
 	row: teams.CapRow;
 	/** Shares that writes without a definite answer may have stored. */
 	possible: scheduler.Resources[];
+	/** Grows with each change of the row or the possible shares. */
+	changes: number;
 	isWriting: boolean;
 	/** No write before this time. */
 	retryAt: number;
@@ -119,6 +121,7 @@
 		const known = states.get(team) ?? {
 			row: teams.emptyCapRow,
 			possible: [],
+			changes: 0,
 			isWriting: false,
 			retryAt: 0,
 			writtenAt: Number.NEGATIVE_INFINITY,
@@ -152,15 +155,29 @@
 		}
 	};
 
+	/** Limits by team, and what they were computed from. */
+	const computedFrom = new Map<
+		string,
+		{readonly cap: scheduler.Resources; readonly changes: number}
+	>();
+
+	/** Computes the limit of a team anew if something has changed. */
 	const refreshLimit = (team: string) => {
 		refreshWeight(team);
 		const cap = deps.getCap(team);
 		if (!cap || !teams.isCapped(cap)) {
 			owner.capLimits.delete(team);
+			computedFrom.delete(team);
 			return;
 		}
 
 		const known = getState(team);
+		const last = computedFrom.get(team);
+		if (last?.cap === cap && last.changes === known.changes) {
+			return;
+		}
+
+		computedFrom.set(team, {cap, changes: known.changes});
 		owner.capLimits.set(team, {
 			cap,
 			share: teams.getUsableShare(known.row, cap, held, getCertainShare(known)),
@@ -178,6 +195,7 @@
 		// A write that checked an older version can no longer take effect.
 		known.possible = [];
 		known.row = row;
+		known.changes += 1;
 		refreshLimit(team);
 	};
 
@@ -214,6 +232,7 @@
 		const known = getState(team);
 		if (error.kind !== 'timeout') {
 			known.possible = known.possible.filter((each) => each !== proposed);
+			known.changes += 1;
 		}
 
 		if (error.kind === 'conflict') {
@@ -239,6 +258,7 @@
 		const put: RowPut = {...getRowKey(team), value: JSON.stringify(row)};
 		known.isWriting = true;
 		known.possible.push(next.share);
+		known.changes += 1;
 		known.writtenAt = now();
 		known.retryAt = now() + writePauseMs;
 		refreshLimit(team);
@@ -278,6 +298,10 @@
 			waiting: teams.noResources,
 			largest: teams.noResources,
 		};
+		if (teams.isSettled(known.row, cap, held, need)) {
+			return;
+		}
+
 		const next = teams.planShare(known.row, cap, held, need);
 		if (!next) {
 			return;
