--- a/packages/daemon/src/jobs/owner/team-shares.ts
+++ b/packages/daemon/src/jobs/owner/team-shares.ts
@@ -103,6 +103,9 @@
 /** Pause after a write that failed, and between writes of one row. */
 const writePauseMs = 15;
 
+/** The same while the shares exceed the cap: each task that ends changes one. */
+const overCapPauseMs = 100;
+
 /** A lack that nobody has met is written again, in case nobody has seen it. */
 const repeatMs = 500;
 
@@ -260,7 +263,8 @@
 		known.possible.push(next.share);
 		known.changes += 1;
 		known.writtenAt = now();
-		known.retryAt = now() + writePauseMs;
+		known.retryAt =
+			now() + (teams.isOverCap(known.row, cap) ? overCapPauseMs : writePauseMs);
 		refreshLimit(team);
 		const result = await store.transact(
 			{checks: [{...getRowKey(team), version}], puts: [put], removes: []},
