--- a/packages/core/src/scheduler/service-load.ts
+++ b/packages/core/src/scheduler/service-load.ts
@@ -1,9 +1,6 @@
 /** Load of a service, from which the size of its pool is decided. */
-import {
-	addResources,
-	getPartWithinCap,
-	noResources,
-} from '../teams/cap-share.js';
+import {getPartWithinCap} from '../teams/cap-share.js';
+import {addResources, noResources} from '../teams/resources.js';
 import {getDemand, type Executor} from './executor.js';
 import type {Arrivals, Owner} from './owner-state.js';
 import {listUsable} from './place-task.js';
--- a/packages/core/src/scheduler/team-use.ts
+++ b/packages/core/src/scheduler/team-use.ts
@@ -2,14 +2,13 @@
  * What each team uses of a service, and whether its share of the team's cap
  * allows another start.
  */
+import {mayStartWithin, type CapNeed} from '../teams/cap-share.js';
 import {
 	addResources,
 	maxResources,
-	mayStartWithin,
 	minResources,
 	noResources,
-	type CapNeed,
-} from '../teams/cap-share.js';
+} from '../teams/resources.js';
 import {isLocationKnown} from './owner.js';
 import type {Owner} from './owner-state.js';
 import {isStepReady, isWaiting, listTasks, type Task} from './task.js';
--- a/packages/core/src/teams/cap-share.ts
+++ b/packages/core/src/teams/cap-share.ts
@@ -5,6 +5,15 @@
  * runs. Source: docs/design/teams.md.
  */
 import type {Resources} from '../scheduler/types.js';
+import {
+	addResources,
+	isAnyPositive,
+	mapResources,
+	minResources,
+	noResources,
+	resourceNames,
+	type ResourceName,
+} from './resources.js';
 
 /** The part of a cap that one service holds, and what it lacks. */
 export type CapShare = {
@@ -21,7 +30,7 @@
 	 * What it used when its share became enough for its largest task. It keeps
 	 * its turn until it uses more.
 	 */
-	readonly grantedAt?: Resources | undefined;
+	readonly usedWhenGranted?: Resources | undefined;
 };
 
 /** Shares of one team's cap by service shard. */
@@ -40,33 +49,6 @@
 /** A service and its owner. */
 export type ShareOwner = {readonly shard: string; readonly token: number};
 
-const resourceNames = ['cpuMillis', 'memoryMb', 'accelerators'] as const;
-
-type ResourceName = (typeof resourceNames)[number];
-
-export const noResources: Resources = {
-	cpuMillis: 0,
-	memoryMb: 0,
-	accelerators: 0,
-};
-
-const mapResources = (compute: (name: ResourceName) => number): Resources => ({
-	cpuMillis: compute('cpuMillis'),
-	memoryMb: compute('memoryMb'),
-	accelerators: compute('accelerators'),
-});
-
-export const addResources = (one: Resources, two: Resources): Resources =>
-	mapResources((name) => one[name] + two[name]);
-
-/** Returns the larger amount of each resource. */
-export const maxResources = (one: Resources, two: Resources): Resources =>
-	mapResources((name) => Math.max(one[name], two[name]));
-
-/** Returns the smaller amount of each resource. */
-export const minResources = (one: Resources, two: Resources): Resources =>
-	mapResources((name) => Math.min(one[name], two[name]));
-
 /** Whether a cap limits any resource; 0 stands for no limit. */
 export const isCapped = (cap: Resources): boolean =>
 	resourceNames.some((name) => cap[name] > 0);
@@ -75,9 +57,6 @@
 export const isWithinCap = (demand: Resources, cap: Resources): boolean =>
 	resourceNames.every((name) => cap[name] === 0 || demand[name] <= cap[name]);
 
-const isAnyPositive = (resources: Resources): boolean =>
-	resourceNames.some((name) => resources[name] > 0);
-
 const sumShares = (shares: readonly CapShare[]): Resources => {
 	let sum = noResources;
 	for (const {share} of shares) {
@@ -172,11 +151,11 @@
 const leastPart = 0.125;
 
 /** Whether a service waits for a part of the cap, or has just got it. */
-const isQueued = ({lacking, grantedAt}: CapShare): boolean =>
-	isAnyPositive(lacking) || grantedAt !== undefined;
+const isQueued = ({lacking, usedWhenGranted}: CapShare): boolean =>
+	isAnyPositive(lacking) || usedWhenGranted !== undefined;
 
 /** Lists the other services that wait for a part, the first one to be served. */
-const listLacking = (
+const listQueued = (
 	shares: CapShares,
 	shard: string,
 ): ReadonlyArray<readonly [string, CapShare]> =>
@@ -197,7 +176,7 @@
 	shard: string,
 	isNeeding: boolean,
 ): Resources => {
-	const lacking = listLacking(shares, shard);
+	const lacking = listQueued(shares, shard);
 	const [first] = lacking;
 	if (!first) {
 		return cap;
@@ -235,7 +214,7 @@
 	{used, waiting}: CapNeed,
 ): Resources => {
 	const needed = minResources(addResources(used, waiting), cap);
-	if (listLacking(shares, shard).length > 0) {
+	if (listQueued(shares, shard).length > 0) {
 		const part = getFairPart(shares, cap, shard, isAnyPositive(needed));
 		return minResources(needed, part);
 	}
@@ -300,7 +279,7 @@
 		? need.used
 		: getTarget(shares, cap, self.shard, need);
 	const needed = minResources(addResources(need.used, need.waiting), cap);
-	const areOthersLacking = listLacking(shares, self.shard).length > 0;
+	const areOthersLacking = listQueued(shares, self.shard).length > 0;
 	const share = mapResources((name) => {
 		if (cap[name] === 0) {
 			return 0;
@@ -332,19 +311,20 @@
 	{share, lacking}: Pick<CapShare, 'share' | 'lacking'>,
 	{used, waiting, largest}: CapNeed,
 	{cap, version}: {readonly cap: Resources; readonly version: number},
-): Pick<CapShare, 'largest' | 'lackingSince' | 'grantedAt'> => {
+): Pick<CapShare, 'largest' | 'lackingSince' | 'usedWhenGranted'> => {
 	const wasQueued = own !== undefined && isQueued(own);
 	const canStart =
 		isAnyPositive(waiting) &&
 		resourceNames.every(
 			(name) => cap[name] === 0 || used[name] + largest[name] <= share[name],
 		);
-	const grantedAt = wasQueued && canStart ? (own.grantedAt ?? used) : undefined;
+	const usedWhenGranted =
+		wasQueued && canStart ? (own.usedWhenGranted ?? used) : undefined;
 	const isOver =
-		own?.grantedAt !== undefined &&
+		own?.usedWhenGranted !== undefined &&
 		(!canStart ||
-			resourceNames.some((name) => used[name] > own.grantedAt![name]));
-	if (isOver || !(isAnyPositive(lacking) || grantedAt)) {
+			resourceNames.some((name) => used[name] > own.usedWhenGranted![name]));
+	if (isOver || !(isAnyPositive(lacking) || usedWhenGranted)) {
 		const isLackingAgain = isAnyPositive(lacking);
 		return {
 			largest: isLackingAgain ? minResources(largest, cap) : noResources,
@@ -355,7 +335,7 @@
 	return {
 		largest: minResources(largest, cap),
 		lackingSince: wasQueued ? own.lackingSince : version,
-		...(grantedAt && {grantedAt}),
+		...(usedWhenGranted && {usedWhenGranted}),
 	};
 };
 
@@ -412,7 +392,8 @@
 	const hasChangedLack =
 		isQueued(own) !== isQueued(next) ||
 		own.lackingSince !== next.lackingSince ||
-		(own.grantedAt === undefined) !== (next.grantedAt === undefined) ||
+		(own.usedWhenGranted === undefined) !==
+			(next.usedWhenGranted === undefined) ||
 		resourceNames.some((name) => next.largest[name] > own.largest[name]);
 	return mustGrow || mustShrink || hasChangedLack;
 };
--- a/packages/daemon/src/jobs/owner/team-shares.ts
+++ b/packages/daemon/src/jobs/owner/team-shares.ts
@@ -73,7 +73,7 @@
 			lacking: resourcesSchema,
 			largest: resourcesSchema,
 			lackingSince: z.number(),
-			grantedAt: resourcesSchema.optional(),
+			usedWhenGranted: resourcesSchema.optional(),
 		}),
 	),
 });
