--- a/packages/daemon/src/jobs/owner/large-roster.test.ts
+++ b/packages/daemon/src/jobs/owner/large-roster.test.ts
@@ -49,17 +49,13 @@
 	return loaded.value;
 };
 
-/** Takes the service over and lists executors; returns the owner. */
-const own = async (store: ports.RowStore, ids: readonly string[]) => {
-	const {owner, ...loaded} = await load(store);
-	for (const id of ids) {
-		scheduler.recordListedExecutor(owner, createListedExecutor(id));
-	}
+type Loaded = Awaited<ReturnType<typeof load>>;
 
+/** Stores the roster of an owner. */
+const flush = async (store: ports.RowStore, loaded: Loaded) => {
 	const flusher = createFlusher({
 		...loaded,
 		store,
-		owner,
 		held: heldShard,
 		clock,
 		logger: noLogger,
@@ -68,18 +64,29 @@
 		onOwnershipLost: () => undefined,
 	});
 	await flusher.drain();
-	return owner;
 };
 
-tap.t.test('a roster of 700 executors is stored and read', async (t) => {
+const ids = Array.from({length: 700}, (_, index) => `executor-${index}`);
+
+/** A store in which an owner has listed 700 executors. */
+const createStoreWithRoster = async () => {
 	const store = createStore();
 	const lease = {table: 'lease', part: heldShard.shard, key: 'lease'};
 	await store.transact(
 		{checks: [], puts: [{...lease, value: '{}'}], removes: []},
 		100,
 	);
-	const ids = Array.from({length: 700}, (_, index) => `executor-${index}`);
-	const owner = await own(store, ids);
+	const loaded = await load(store);
+	for (const id of ids) {
+		scheduler.recordListedExecutor(loaded.owner, createListedExecutor(id));
+	}
+
+	await flush(store, loaded);
+	return {store, owner: loaded.owner};
+};
+
+tap.t.test('a roster of 700 executors is stored and read', async (t) => {
+	const {store, owner} = await createStoreWithRoster();
 	t.ok(
 		[...owner.executors.values()].every(({isRostered}) => isRostered),
 		'all of them may be given work',
@@ -91,17 +98,9 @@
 tap.t.test(
 	'a smaller roster leaves no executors of a larger one',
 	async (t) => {
-		const store = createStore();
-		const lease = {table: 'lease', part: heldShard.shard, key: 'lease'};
-		await store.transact(
-			{checks: [], puts: [{...lease, value: '{}'}], removes: []},
-			100,
-		);
-		await own(
-			store,
-			Array.from({length: 700}, (_, index) => `executor-${index}`),
-		);
-		const {owner, ...loaded} = await load(store);
+		const {store} = await createStoreWithRoster();
+		const loaded = await load(store);
+		const {owner} = loaded;
 		for (const id of owner.executors.keys()) {
 			if (id !== 'executor-1') {
 				owner.executors.delete(id);
@@ -109,18 +108,7 @@
 		}
 
 		owner.isRosterDirty = true;
-		const flusher = createFlusher({
-			...loaded,
-			store,
-			owner,
-			held: heldShard,
-			clock,
-			logger: noLogger,
-			onAckable: () => undefined,
-			onStored: () => undefined,
-			onOwnershipLost: () => undefined,
-		});
-		await flusher.drain();
+		await flush(store, loaded);
 		const next = await load(store);
 		t.same([...next.owner.executors.keys()], ['executor-1']);
 	},
