Sort the scheduler into folders by what they decide

Some forty files lay in one folder, and owner.ts, service-load.ts and team-use.ts imported one another in a circle. State, polls, placement, plan, ranking, load and reports now have a folder each; arrivals and the check of a task's location are modules of their own, which ends the circle.

--- a/packages/core/src/scheduler/service-load.test.ts
+++ b/packages/core/src/scheduler/load/service-load.test.ts
@@ -9,8 +9,8 @@
 	createTestOwner,
 	planAndStart,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 type Demand = readonly [count: number, cpuMillis: number, memoryMb: number];
 
--- a/packages/core/src/scheduler/service-load.ts
+++ b/packages/core/src/scheduler/load/service-load.ts
@@ -1,13 +1,14 @@
 /** Load of a service, from which the size of its pool is decided. */
-import {getPartWithinCap} from '../teams/cap-share.js';
-import {addResources, noResources} from '../teams/resources.js';
-import {getDemand, type Executor} from './executor.js';
-import type {Arrivals, Owner} from './owner-state.js';
-import {listUsable} from './place-task.js';
-import {isLate} from './rank.js';
-import {isStepReady, isWaiting, type Job, type Step} from './task.js';
-import type {Resources} from './types.js';
-import {computeTeamNeeds} from './team-use.js';
+import {getPartWithinCap} from '../../teams/cap-share.js';
+import {addResources, noResources} from '../../teams/resources.js';
+import {getDemand, type Executor} from '../state/executor.js';
+import type {Owner} from '../state/owner-state.js';
+import {listUsable} from '../placement/place-task.js';
+import {isLate} from '../ranking/rank.js';
+import {isStepReady, isWaiting, type Job, type Step} from '../state/task.js';
+import type {Resources} from '../state/types.js';
+import {computeTeamNeeds} from '../ranking/team-use.js';
+import {getArrivingCpu} from './arrivals.js';
 
 /** Load of one executor. */
 export type ExecutorLoad = {
@@ -50,29 +51,6 @@
 	readonly silent: Readonly<Record<string, number>>;
 };
 
-/**
- * Time constant of the exponential decay, in milliseconds: long enough to
- * smooth out single jobs, short enough to show a rise within a second.
- */
-const arrivalWindowMs = 1200;
-
-/** Arrivals of a new owner. */
-export const noArrivals: Arrivals = {work: 0, at: 0};
-
-const decay = ({work, at}: Arrivals, now: number): number =>
-	work * Math.exp(-Math.max(0, now - at) / arrivalWindowMs);
-
-/** Adds newly submitted work. */
-export const recordArrival = (
-	arrivals: Arrivals,
-	work: number,
-	now: number,
-): Arrivals => ({work: decay(arrivals, now) + work, at: now});
-
-/** Cpu that recently submitted work keeps busy, in thousandths of a core. */
-export const getArrivingCpu = (arrivals: Arrivals, now: number): number =>
-	decay(arrivals, now) / arrivalWindowMs;
-
 const addDemand = (sum: Resources, step: Step, count: number): Resources => {
 	const {cpuMillis, memoryMb, accelerators} = getDemand(step);
 	return addResources(sum, {
--- a/packages/core/src/scheduler/place-task.ts
+++ b/packages/core/src/scheduler/placement/place-task.ts
@@ -7,9 +7,9 @@
 	hasRoom,
 	isUsable,
 	type Executor,
-} from './executor.js';
-import type {Owner} from './owner-state.js';
-import type {Run, Step, Task} from './task.js';
+} from '../state/executor.js';
+import type {Owner} from '../state/owner-state.js';
+import type {Run, Step, Task} from '../state/task.js';
 
 /** Reasons why a task is not placed, as texts for operators. */
 export const placementRefusals = {
--- a/packages/core/src/scheduler/placement-advice.test.ts
+++ b/packages/core/src/scheduler/placement/placement-advice.test.ts
@@ -6,8 +6,8 @@
 	describeCommands,
 	planAndStart,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const request = {stepId: 'a.0.0', executorIds: ['x', 'yy']};
 
--- a/packages/core/src/scheduler/placement-advice.ts
+++ b/packages/core/src/scheduler/placement/placement-advice.ts
@@ -3,9 +3,9 @@
  * advice service names, each with a ticket. The set of named executors does
  * not change, but tickets expire.
  */
-import type {Executor} from './executor.js';
-import type {Owner, StepAdvice} from './owner-state.js';
-import type {Step} from './task.js';
+import type {Executor} from '../state/executor.js';
+import type {Owner, StepAdvice} from '../state/owner-state.js';
+import type {Step} from '../state/task.js';
 
 /** A request to the advice service. */
 export type AdviceRequest = {
--- a/packages/core/src/scheduler/backlog.test.ts
+++ b/packages/core/src/scheduler/plan/backlog.test.ts
@@ -3,8 +3,8 @@
  * large backlog the owner would receive answers only after their timeout.
  */
 import * as tap from 'tap';
-import {createAccepted, createListed, submit} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+import {createAccepted, createListed, submit} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 /** Creates an owner and counts how often the capacity of executors is read. */
 const createCountingOwner = (executors: number) => {
--- a/packages/core/src/scheduler/evacuation.test.ts
+++ b/packages/core/src/scheduler/plan/evacuation.test.ts
@@ -8,8 +8,8 @@
 	pollExecutor,
 	planAndStart,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const longRunning = {isLongRunning: true, maxPerExecutor: 1};
 
--- a/packages/core/src/scheduler/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -4,10 +4,10 @@
  * tasks are stopped only within the disruption budget of their step and if
  * another executor has room.
  */
-import type {Evacuation, Executor} from './executor.js';
-import type {Owner} from './owner-state.js';
-import {listUsable, placeTask} from './place-task.js';
-import type {Run, Step, Task} from './task.js';
+import type {Evacuation, Executor} from '../state/executor.js';
+import type {Owner} from '../state/owner-state.js';
+import {listUsable, placeTask} from '../placement/place-task.js';
+import type {Run, Step, Task} from '../state/task.js';
 
 /** Progress at which a long-running task has started up. */
 const readyPercent = 100;
--- a/packages/core/src/scheduler/plan-gang.ts
+++ b/packages/core/src/scheduler/plan/plan-gang.ts
@@ -1,9 +1,11 @@
 /** Plans the starts of gangs, whose tasks start together or not at all. */
-import {isCrashSuspect} from './crash-attribution.js';
-import {getRack, removeRun, type Executor} from './executor.js';
-import {isLocationKnown} from './owner.js';
-import type {Owner} from './owner-state.js';
-import {placeTask} from './place-task.js';
+import {isCrashSuspect} from '../polls/crash-attribution.js';
+import {getRack, removeRun, type Executor} from '../state/executor.js';
+import {isLocationKnown} from '../state/task-location.js';
+import type {Owner} from '../state/owner-state.js';
+import {placeTask} from '../placement/place-task.js';
+import {isWaiting, type Step} from '../state/task.js';
+import {recordTeamUse} from '../ranking/team-use.js';
 import {
 	isWithinTeamCap,
 	listStepExecutors,
@@ -13,8 +15,6 @@
 	type StartCommand,
 } from './planning.js';
 import {isKnownNotToFit} from './rejected-demands.js';
-import {isWaiting, type Step} from './task.js';
-import {recordTeamUse} from './team-use.js';
 
 /** Whether all tasks of a gang wait and run nowhere. */
 export const isGangReady = (owner: Owner, step: Step): boolean =>
--- a/packages/core/src/scheduler/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -3,11 +3,17 @@
 	hasNoRecentRun,
 	isCrashSuspect,
 	listSuspects,
-} from './crash-attribution.js';
-import {couldHold, hasIsolatedRun, hasRoom, type Executor} from './executor.js';
-import {isLocationKnown} from './owner.js';
-import type {Owner} from './owner-state.js';
-import {listFitting, maySpreadTo} from './place-task.js';
+} from '../polls/crash-attribution.js';
+import {
+	couldHold,
+	hasIsolatedRun,
+	hasRoom,
+	type Executor,
+} from '../state/executor.js';
+import {isLocationKnown} from '../state/task-location.js';
+import type {Owner} from '../state/owner-state.js';
+import {listFitting, maySpreadTo} from '../placement/place-task.js';
+import {isStepReady, isWaiting, type Step, type Task} from '../state/task.js';
 import {isGangReady, startGang} from './plan-gang.js';
 import {
 	evictFor,
@@ -18,7 +24,6 @@
 	startTask,
 	type Planning,
 } from './planning.js';
-import {isStepReady, isWaiting, type Step, type Task} from './task.js';
 
 /** Maximum share of the executors that isolation keeps from other tasks. */
 const maxIsolatedShare = 0.5;
--- a/packages/core/src/scheduler/plan.test.ts
+++ b/packages/core/src/scheduler/plan/plan.test.ts
@@ -10,8 +10,8 @@
 	flushAll,
 	submit,
 	testConfig,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 type Case = {
 	readonly name: string;
--- a/packages/core/src/scheduler/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -1,21 +1,13 @@
 /** Plans the next commands of the owner of a service. */
-import {isCrashSuspect} from './crash-attribution.js';
-import {
-	expireEvacuations,
-	listEvacuationStops,
-	mayStopLongRunning,
-} from './evacuation.js';
-import type {Executor} from './executor.js';
-import {
-	createRejectedDemands,
-	isKnownNotToFit,
-	recordRejectedDemand,
-} from './rejected-demands.js';
-import {isLocationKnown} from './owner.js';
-import type {Owner} from './owner-state.js';
-import {listUsable, placeTask} from './place-task.js';
-import {planGang} from './plan-gang.js';
-import {planSuspects} from './plan-suspects.js';
+import {isCrashSuspect} from '../polls/crash-attribution.js';
+import type {Executor} from '../state/executor.js';
+import {isLocationKnown} from '../state/task-location.js';
+import type {Owner} from '../state/owner-state.js';
+import {listUsable, placeTask} from '../placement/place-task.js';
+import {rankJobs, type RankedJob} from '../ranking/rank.js';
+import {isStepReady, isWaiting, type Run, type Step} from '../state/task.js';
+import {computeTeamUse} from '../ranking/team-use.js';
+import {countAvailableStarts} from './start-window.js';
 import {
 	evictFor,
 	isWithinTeamCap,
@@ -27,10 +19,18 @@
 	type Planning,
 	type StopReason,
 } from './planning.js';
-import {rankJobs, type RankedJob} from './rank.js';
-import {countAvailableStarts} from './start-window.js';
-import {isStepReady, isWaiting, type Run, type Step} from './task.js';
-import {computeTeamUse} from './team-use.js';
+import {planSuspects} from './plan-suspects.js';
+import {planGang} from './plan-gang.js';
+import {
+	createRejectedDemands,
+	isKnownNotToFit,
+	recordRejectedDemand,
+} from './rejected-demands.js';
+import {
+	expireEvacuations,
+	listEvacuationStops,
+	mayStopLongRunning,
+} from './evacuation.js';
 
 const isHung = (owner: Owner, run: Run, now: number): boolean => {
 	const {hangFactor, hangMs, startupLimitMs} = owner.cfg;
--- a/packages/core/src/scheduler/planning.ts
+++ b/packages/core/src/scheduler/plan/planning.ts
@@ -5,13 +5,23 @@
 	needsAdvice,
 	prepareAdviceRequest,
 	type AdviceRequest,
-} from './placement-advice.js';
-import {addRun, grantLease, type Executor} from './executor.js';
-import type {Owner} from './owner-state.js';
-import {findEviction} from './place-task.js';
+} from '../placement/placement-advice.js';
+import {addRun, grantLease, type Executor} from '../state/executor.js';
+import type {Owner} from '../state/owner-state.js';
+import {findEviction} from '../placement/place-task.js';
+import {
+	createRun,
+	isWaiting,
+	type Run,
+	type Step,
+	type Task,
+} from '../state/task.js';
+import {
+	mayTeamStart,
+	recordTeamUse,
+	type TeamUse,
+} from '../ranking/team-use.js';
 import type {RejectedDemands} from './rejected-demands.js';
-import {createRun, isWaiting, type Run, type Step, type Task} from './task.js';
-import {mayTeamStart, recordTeamUse, type TeamUse} from './team-use.js';
 
 /** Reason for which a run is stopped. */
 export type StopReason =
--- a/packages/core/src/scheduler/preemption.test.ts
+++ b/packages/core/src/scheduler/plan/preemption.test.ts
@@ -11,8 +11,8 @@
 	planAndStart,
 	pollExecutor,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const stepMs = 10;
 
--- a/packages/core/src/scheduler/rejected-demands.test.ts
+++ b/packages/core/src/scheduler/plan/rejected-demands.test.ts
@@ -1,18 +1,18 @@
 import * as fc from 'fast-check';
 import * as tap from 'tap';
-import {
-	createRejectedDemands,
-	isKnownNotToFit,
-	recordRejectedDemand,
-} from './rejected-demands.js';
 import {
 	createAccepted,
 	createListed,
 	createStepSpec,
 	createTestOwner,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
+import {
+	createRejectedDemands,
+	isKnownNotToFit,
+	recordRejectedDemand,
+} from './rejected-demands.js';
 
 const toStep = (cpuMillis: number, memoryMb: number): scheduler.Step => {
 	const owner = createTestOwner([]);
--- a/packages/core/src/scheduler/rejected-demands.ts
+++ b/packages/core/src/scheduler/plan/rejected-demands.ts
@@ -5,9 +5,9 @@
  * with 1,100 jobs and 20 executors a plan took 41,640 checks, and takes some
  * 2,600.
  */
-import {getDemand, hasRoom, type Executor} from './executor.js';
-import type {Step} from './task.js';
-import type {Resources} from './types.js';
+import {getDemand, hasRoom, type Executor} from '../state/executor.js';
+import type {Step} from '../state/task.js';
+import type {Resources} from '../state/types.js';
 
 /** The smallest demands that are known not to fit. */
 export type RejectedDemands = {demands: readonly Resources[]};
--- a/packages/core/src/scheduler/slow-link.test.ts
+++ b/packages/core/src/scheduler/plan/slow-link.test.ts
@@ -3,8 +3,8 @@
  * late answers time out, and the stops and repeated starts add to the load.
  */
 import * as tap from 'tap';
-import {createAccepted, createListed, submit} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+import {createAccepted, createListed, submit} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const executorCount = 30;
 const taskMs = 600;
--- a/packages/core/src/scheduler/throttle.test.ts
+++ b/packages/core/src/scheduler/plan/throttle.test.ts
@@ -7,8 +7,8 @@
 	pollExecutor,
 	planAndStart,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 type Case = {
 	readonly name: string;
--- a/packages/core/src/scheduler/throttle.ts
+++ b/packages/core/src/scheduler/plan/throttle.ts
@@ -3,8 +3,8 @@
  * requests next to them, so their speed limit follows the reported tail
  * latencies: it falls quickly and rises slowly.
  */
-import type {Executor} from './executor.js';
-import type {Run} from './task.js';
+import type {Executor} from '../state/executor.js';
+import type {Run} from '../state/task.js';
 
 /** Settings of the control loop. */
 export const throttleConfig = {
--- a/packages/core/src/scheduler/changing-capacity.test.ts
+++ b/packages/core/src/scheduler/polls/changing-capacity.test.ts
@@ -11,8 +11,8 @@
 	planAndStart,
 	pollExecutor,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 /** Lists `x` with the capacity for so many tasks. */
 const listWithRoomFor = (owner: scheduler.Owner, tasks: number): void => {
--- a/packages/core/src/scheduler/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -1,11 +1,15 @@
 /** Applies the answers of executors to commands. */
 import {match} from 'ts-pattern';
-import {dropTicket} from './placement-advice.js';
-import {removeRun, recordClockReading, type Executor} from './executor.js';
-import {markUnresponsive} from './owner.js';
-import type {Owner} from './owner-state.js';
-import {recordStartOutcome} from './start-window.js';
-import {confirmRun, type Run} from './task.js';
+import {dropTicket} from '../placement/placement-advice.js';
+import {
+	removeRun,
+	recordClockReading,
+	type Executor,
+} from '../state/executor.js';
+import {markUnresponsive} from '../state/owner.js';
+import type {Owner} from '../state/owner-state.js';
+import {recordStartOutcome} from '../plan/start-window.js';
+import {confirmRun, type Run} from '../state/task.js';
 
 /** Answer to a start. */
 export type StartAnswer =
--- a/packages/core/src/scheduler/crash-attribution.test.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.test.ts
@@ -13,8 +13,8 @@
 	planAndStart,
 	pollExecutor,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const createExecutors = (count: number) =>
 	Array.from({length: count}, (_, index) => createListed(`x${index}`));
--- a/packages/core/src/scheduler/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -12,9 +12,9 @@
  * A crash that comes later after the start is weaker evidence, as executors are
  * lost for other reasons too, and makes a suspect only if it is repeated.
  */
-import type {Executor} from './executor.js';
-import {endJob, type EndedJob} from './job-ends.js';
-import type {Owner} from './owner-state.js';
+import type {Executor} from '../state/executor.js';
+import {endJob, type EndedJob} from '../state/job-ends.js';
+import type {Owner} from '../state/owner-state.js';
 import {
 	listCoscheduledTasks,
 	listTasks,
@@ -22,7 +22,7 @@
 	type Job,
 	type Run,
 	type Task,
-} from './task.js';
+} from '../state/task.js';
 
 /** A crash this soon after a start makes the task a suspect, in milliseconds. */
 const promptCrashMs = 300;
--- a/packages/core/src/scheduler/duplicate-runs.test.ts
+++ b/packages/core/src/scheduler/polls/duplicate-runs.test.ts
@@ -11,8 +11,8 @@
 	flushAll,
 	submit,
 	testConfig,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 /** Creates an owner with two executors that has sent one start to the first. */
 const createWorld = () => {
--- a/packages/core/src/scheduler/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -1,27 +1,20 @@
 /** Applies the runs and run ends that an executor lists when it is polled. */
 import {match} from 'ts-pattern';
-import {countFailure} from './attempts.js';
-import {clearSuspicion, getMaxLeaseDurationMs} from './suspected-executors.js';
+import {countFailure} from '../state/attempts.js';
+import {
+	clearSuspicion,
+	getMaxLeaseDurationMs,
+} from '../state/suspected-executors.js';
 import {
 	addRun,
 	removeRun,
 	getRunKey,
 	recordClockReading,
 	type Executor,
-} from './executor.js';
-import {clearIfProbationIsOver} from './crash-attribution.js';
-import {resetIncarnation} from './executor-restart.js';
-import {isRestart} from './incarnation.js';
-import {listRunsLostByRestart, listVanishedRuns} from './missing-runs.js';
-import {
-	maxEndsPerPoll,
-	type ExecutorPoll,
-	type ListedEnd,
-	type ListedRun,
-	type PollChanges,
-} from './poll-answer.js';
-import {completeIfDone, endJob, type EndedJob} from './job-ends.js';
-import type {Owner} from './owner-state.js';
+} from '../state/executor.js';
+import {isRestart} from '../state/incarnation.js';
+import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
+import type {Owner} from '../state/owner-state.js';
 import {
 	addOccurrencesUpTo,
 	createDetachedTask,
@@ -33,7 +26,17 @@
 	applyCheckpoint,
 	type Run,
 	type Task,
-} from './task.js';
+} from '../state/task.js';
+import {clearIfProbationIsOver} from './crash-attribution.js';
+import {resetIncarnation} from './executor-restart.js';
+import {listRunsLostByRestart, listVanishedRuns} from './missing-runs.js';
+import {
+	maxEndsPerPoll,
+	type ExecutorPoll,
+	type ListedEnd,
+	type ListedRun,
+	type PollChanges,
+} from './poll-answer.js';
 
 type Changes = {
 	ends: Array<ListedEnd & {failures: number}>;
--- a/packages/core/src/scheduler/executor-restart.test.ts
+++ b/packages/core/src/scheduler/polls/executor-restart.test.ts
@@ -15,8 +15,8 @@
 	pollExecutor,
 	submit,
 	testConfig,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const first = 1_785_000_000_000;
 const second = first + 20_000;
--- a/packages/core/src/scheduler/executor-restart.ts
+++ b/packages/core/src/scheduler/polls/executor-restart.ts
@@ -1,10 +1,10 @@
 /** Forgets what an owner knows of the previous incarnation of an executor. */
+import type {Executor} from '../state/executor.js';
+import type {EndedJob} from '../state/job-ends.js';
+import type {Owner} from '../state/owner-state.js';
+import {forgetTickets} from '../placement/placement-advice.js';
+import type {Run} from '../state/task.js';
 import {attributeLoss} from './crash-attribution.js';
-import type {Executor} from './executor.js';
-import type {EndedJob} from './job-ends.js';
-import type {Owner} from './owner-state.js';
-import {forgetTickets} from './placement-advice.js';
-import type {Run} from './task.js';
 
 /** The poll that another incarnation answered first. */
 export type FirstPoll = {
--- a/packages/core/src/scheduler/missing-runs.ts
+++ b/packages/core/src/scheduler/polls/missing-runs.ts
@@ -1,7 +1,7 @@
 /** Runs that an owner knows and an executor does not list any more. */
-import {getRunKey, type Executor} from './executor.js';
+import {getRunKey, type Executor} from '../state/executor.js';
+import type {Run} from '../state/task.js';
 import type {ExecutorPoll} from './poll-answer.js';
-import type {Run} from './task.js';
 
 const toKeys = (
 	listed: ReadonlyArray<{readonly taskId: string; readonly run: number}>,
--- a/packages/core/src/scheduler/poll-answer.ts
+++ b/packages/core/src/scheduler/polls/poll-answer.ts
@@ -1,6 +1,6 @@
 /** What an executor answers to a poll, and what the answer changes. */
-import type {IncarnationReading} from './incarnation.js';
-import type {EndedJob} from './job-ends.js';
+import type {IncarnationReading} from '../state/incarnation.js';
+import type {EndedJob} from '../state/job-ends.js';
 
 /** Ways in which a run ends. */
 export const runEnds = {
--- a/packages/core/src/scheduler/repeated-run-ends.test.ts
+++ b/packages/core/src/scheduler/polls/repeated-run-ends.test.ts
@@ -12,8 +12,8 @@
 	planAndStart,
 	flushAll,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const accepted = createAccepted('a', [{count: 2}], {policy: {maxAttempts: 2}});
 
--- a/packages/core/src/scheduler/run-ends.test.ts
+++ b/packages/core/src/scheduler/polls/run-ends.test.ts
@@ -11,8 +11,8 @@
 	getCommandRun,
 	flushAll,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const fail = (
 	owner: scheduler.Owner,
--- a/packages/core/src/scheduler/rank.ts
+++ b/packages/core/src/scheduler/ranking/rank.ts
@@ -5,9 +5,14 @@
  * ordered by priority and then by value per unit of remaining work. Source:
  * docs/design/platform-programs.md.
  */
-import type {Owner} from './owner-state.js';
-import {isLongRunningJob, type Job, type Step, type Task} from './task.js';
-import type {AcceptedJob} from './types.js';
+import type {Owner} from '../state/owner-state.js';
+import {
+	isLongRunningJob,
+	type Job,
+	type Step,
+	type Task,
+} from '../state/task.js';
+import type {AcceptedJob} from '../state/types.js';
 
 /** A late job loses its value after this multiple of its objective. */
 const lateUntilFactor = 3;
--- a/packages/core/src/scheduler/team-rate.test.ts
+++ b/packages/core/src/scheduler/ranking/team-rate.test.ts
@@ -6,8 +6,8 @@
 	createTestOwner,
 	describeCommands,
 	flushAll,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const full = {cpuMillis: 4000, memoryMb: 100, accelerators: 0};
 
--- a/packages/core/src/scheduler/team-rate.ts
+++ b/packages/core/src/scheduler/ranking/team-rate.ts
@@ -7,9 +7,9 @@
 	createTokenBucket,
 	refillTokens,
 	updateTokenBucket,
-} from '../admission/token-bucket.js';
-import type {Owner} from './owner-state.js';
-import type {Job} from './task.js';
+} from '../../admission/token-bucket.js';
+import type {Owner} from '../state/owner-state.js';
+import type {Job} from '../state/task.js';
 
 const msPerSecond = 1000;
 
--- a/packages/core/src/scheduler/team-use.ts
+++ b/packages/core/src/scheduler/ranking/team-use.ts
@@ -2,17 +2,17 @@
  * What each team uses of a service, and whether its share of the team's cap
  * allows another start.
  */
-import {mayStartWithin, type CapNeed} from '../teams/cap-share.js';
+import {mayStartWithin, type CapNeed} from '../../teams/cap-share.js';
 import {
 	addResources,
 	maxResources,
 	minResources,
 	noResources,
-} from '../teams/resources.js';
-import {isLocationKnown} from './owner.js';
-import type {Owner} from './owner-state.js';
-import {isStepReady, isWaiting, listTasks, type Task} from './task.js';
-import type {Resources} from './types.js';
+} from '../../teams/resources.js';
+import {isLocationKnown} from '../state/task-location.js';
+import type {Owner} from '../state/owner-state.js';
+import {isStepReady, isWaiting, listTasks, type Task} from '../state/task.js';
+import type {Resources} from '../state/types.js';
 
 type Sum = {-readonly [name in keyof Resources]: Resources[name]};
 
--- a/packages/core/src/scheduler/explain.test.ts
+++ b/packages/core/src/scheduler/reports/explain.test.ts
@@ -5,8 +5,8 @@
 	createTestOwner,
 	planAndStart,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const huge = {cpuMillis: 9000, memoryMb: 1, accelerators: 0};
 
--- a/packages/core/src/scheduler/explain.ts
+++ b/packages/core/src/scheduler/reports/explain.ts
@@ -1,10 +1,14 @@
 /** Explains to operators why the tasks of a job do or do not run. */
-import {isCrashSuspect} from './crash-attribution.js';
-import {isLocationKnown} from './owner.js';
-import type {Owner} from './owner-state.js';
-import {listUsable, placementRefusals, placeTask} from './place-task.js';
-import {isStepReady, isWaiting, type Job, type Task} from './task.js';
-import {computeTeamUse, mayTeamStart} from './team-use.js';
+import {isCrashSuspect} from '../polls/crash-attribution.js';
+import {isLocationKnown} from '../state/task-location.js';
+import type {Owner} from '../state/owner-state.js';
+import {
+	listUsable,
+	placementRefusals,
+	placeTask,
+} from '../placement/place-task.js';
+import {isStepReady, isWaiting, type Job, type Task} from '../state/task.js';
+import {computeTeamUse, mayTeamStart} from '../ranking/team-use.js';
 
 /** State of one task and the reason for it. */
 export type TaskExplanation = {
--- a/packages/core/src/scheduler/owner-overview.test.ts
+++ b/packages/core/src/scheduler/reports/owner-overview.test.ts
@@ -5,8 +5,8 @@
 	createTestOwner,
 	planAndStart,
 	submit,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 type Case = {
 	readonly readiness: scheduler.Readiness;
--- a/packages/core/src/scheduler/owner-overview.ts
+++ b/packages/core/src/scheduler/reports/owner-overview.ts
@@ -1,8 +1,8 @@
 /** Summary of the jobs and executors of a service, for the log of its owner. */
-import {getReadiness, type Readiness} from './executor.js';
-import {isLocationKnown} from './owner.js';
-import type {Owner} from './owner-state.js';
-import {isStepReady, isWaiting, listTasks} from './task.js';
+import {getReadiness, type Readiness} from '../state/executor.js';
+import {isLocationKnown} from '../state/task-location.js';
+import type {Owner} from '../state/owner-state.js';
+import {isStepReady, isWaiting, listTasks} from '../state/task.js';
 
 /** Current counts. */
 export type OwnerOverview = {
--- a/packages/core/src/scheduler/check-job.test.ts
+++ b/packages/core/src/scheduler/state/check-job.test.ts
@@ -1,6 +1,6 @@
 import * as tap from 'tap';
-import {createAccepted} from './owner.test.fixture.js';
-import {checkJob, isJobId, jobLimits} from './index.js';
+import {createAccepted} from '../owner.test.fixture.js';
+import {checkJob, isJobId, jobLimits} from '../index.js';
 
 const valid = createAccepted('a', [{}, {after: [0]}]).spec;
 const [first, second] = valid.steps;
--- a/packages/core/src/scheduler/check-job.ts
+++ b/packages/core/src/scheduler/state/check-job.ts
@@ -1,5 +1,5 @@
 /** Validation of a submitted job beyond its schema. */
-import {fail, succeed, type Result} from '../types/result.js';
+import {fail, succeed, type Result} from '../../types/result.js';
 import type {JobSpec, StepSpec} from './types.js';
 
 /** Limits of one job, so that an owner plans it within a few milliseconds. */
--- a/packages/core/src/scheduler/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -1,9 +1,9 @@
 /** State that the owner of a service keeps. */
-import type {CapLimit} from '../teams/cap-share.js';
-import type {TokenBucket} from '../admission/token-bucket.js';
+import type {CapLimit} from '../../teams/cap-share.js';
+import type {TokenBucket} from '../../admission/token-bucket.js';
+import type {StartWindow} from '../plan/start-window.js';
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
-import type {StartWindow} from './start-window.js';
 import type {Job, Task} from './task.js';
 
 /** Placement advice received for one step. */
--- a/packages/core/src/scheduler/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -3,19 +3,20 @@
  * rebuilds this state from the store and the executors; see
  * docs/design/platform-programs.md.
  */
+import {noArrivals, recordArrival} from '../load/arrivals.js';
+import {attributeLoss} from '../polls/crash-attribution.js';
+import {initialStartWindow} from '../plan/start-window.js';
+import {recordTeamArrival} from '../ranking/team-rate.js';
 import type {SchedulerConfig} from './config.js';
-import {noArrivals, recordArrival} from './service-load.js';
 import {
 	createExecutor,
 	removeRun,
 	haveLeasesExpired,
 	type Executor,
 } from './executor.js';
-import {attributeLoss} from './crash-attribution.js';
 import {isLaterIncarnation} from './incarnation.js';
 import type {EndedJob} from './job-ends.js';
 import type {Owner} from './owner-state.js';
-import {initialStartWindow} from './start-window.js';
 import {
 	addDueOccurrences,
 	createJob,
@@ -23,9 +24,7 @@
 	listTasks,
 	type Job,
 	type Run,
-	type Task,
 } from './task.js';
-import {recordTeamArrival} from './team-rate.js';
 import type {AcceptedJob, ListedExecutor} from './types.js';
 
 /** Creates the state of an owner that has just taken over a service. */
@@ -259,16 +258,6 @@
 	}
 };
 
-/**
- * Whether it is known where a task runs, if at all. A task of an inherited job
- * may run on an executor that has not answered yet, unless this owner has
- * already seen a run of it.
- */
-export const isLocationKnown = (owner: Owner, task: Task): boolean =>
-	!task.step.occurrence.job.isInherited ||
-	owner.unresolvedExecutors.size === 0 ||
-	task.lastRun > 0;
-
 const removeByIdIfUnused = (owner: Owner, id: string): void => {
 	const executor = owner.executors.get(id);
 	if (executor) {
--- a/packages/core/src/scheduler/suspected-executors.test.ts
+++ b/packages/core/src/scheduler/state/suspected-executors.test.ts
@@ -12,8 +12,8 @@
 	flushAll,
 	submit,
 	testConfig,
-} from './owner.test.fixture.js';
-import * as scheduler from './index.js';
+} from '../owner.test.fixture.js';
+import * as scheduler from '../index.js';
 
 const {suspectAfterMs} = scheduler;
 const leaseMs = scheduler.getMaxLeaseDurationMs(testConfig);
--- a/packages/core/src/teams/cap-share.ts
+++ b/packages/core/src/teams/cap-share.ts
@@ -4,7 +4,7 @@
  * so the sum over all owners keeps the cap although each knows only its own
  * runs. Source: docs/design/teams.md.
  */
-import type {Resources} from '../scheduler/types.js';
+import type {Resources} from '../scheduler/state/types.js';
 import {
 	addResources,
 	isAnyPositive,
--- a/packages/core/src/teams/key-check.ts
+++ b/packages/core/src/teams/key-check.ts
@@ -4,7 +4,7 @@
  * store, so both the acceptance and the rejection of a key depend on when the
  * configuration in use was certainly the latest. See docs/design/teams.md.
  */
-import {maxClockDrift} from '../scheduler/remote-clock.js';
+import {maxClockDrift} from '../scheduler/state/remote-clock.js';
 
 /** Time bounds on the use of a configuration, in milliseconds. */
 export type KeyPolicy = {
--- a/packages/core/src/teams/resources.ts
+++ b/packages/core/src/teams/resources.ts
@@ -1,5 +1,5 @@
 /** Arithmetic on resources. */
-import type {Resources} from '../scheduler/types.js';
+import type {Resources} from '../scheduler/state/types.js';
 
 export const resourceNames = ['cpuMillis', 'memoryMb', 'accelerators'] as const;
 
--- a/packages/core/src/teams/team.ts
+++ b/packages/core/src/teams/team.ts
@@ -1,5 +1,5 @@
 /** Teams of a deployment: their keys, their share and their cap. */
-import type {Resources} from '../scheduler/types.js';
+import type {Resources} from '../scheduler/state/types.js';
 
 /** A team as the configuration names it. */
 export type Team = {
