--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -40,6 +40,10 @@
 	readonly evacuationTtlMs: number;
 	/** During an evacuation, runs with at most this much left may finish. */
 	readonly evacuationPatienceMs: number;
+	/** Whether jobs that certainly end too late are rejected at submission. */
+	readonly rejectsUnservableJobs: boolean;
+	/** Whether teams share scarce room by their weights. */
+	readonly sharesRoomBetweenTeams: boolean;
 };
 
 /** Default settings. */
@@ -58,4 +62,6 @@
 	keepEndedMs: 120_000,
 	evacuationTtlMs: 1500,
 	evacuationPatienceMs: 1500,
+	rejectsUnservableJobs: false,
+	sharesRoomBetweenTeams: false,
 };
