Estimate run times from the runs that a service's owner has seen

Declared run times are off by factors of up to ten, and every decision trusted them. A decayed regression of true on declared times now predicts single runs and the longest run of a step, once 20 samples show that declarations are wrong. Ranking, work, hung runs, evacuation, arrivals and late work ask it. Without a model in force they use the declared times as before.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -22,6 +22,7 @@
 export * from './load/service-load.js';
 export * from './ranking/team-use.js';
 export * from './state/flush.js';
+export * from './run-times/index.js';
 export * from './ranking/rank.js';
 export * from './placement/place-task.js';
 export * from './plan/evacuation.js';
--- a/packages/core/src/scheduler/load/service-load.ts
+++ b/packages/core/src/scheduler/load/service-load.ts
@@ -4,7 +4,8 @@
 import {getDemand, type Executor} from '../state/executor.js';
 import type {Owner} from '../state/owner-state.js';
 import {listUsable} from '../placement/place-task.js';
-import {isLate} from '../ranking/rank.js';
+import {isLate, type PresentTimes} from '../ranking/rank.js';
+import {getRemainingWork} from '../run-times/work.js';
 import {isStepReady, isWaiting, type Job, type Step} from '../state/task.js';
 import type {Resources} from '../state/types.js';
 import {computeTeamNeeds} from '../ranking/team-use.js';
@@ -176,10 +177,10 @@
 
 const describeLate = (
 	owner: Owner,
-	epochNow: number,
+	times: PresentTimes,
 	measure: DemandMeasure,
 ): LateLoad => {
-	const late = [...owner.openJobs].filter((job) => isLate(job, epochNow));
+	const late = [...owner.openJobs].filter((job) => isLate(owner, job, times));
 	let used = noResources;
 	for (const job of late) {
 		used = addResources(used, getUsed(job));
@@ -188,7 +189,7 @@
 	return {
 		waitingCpu: sumWaitingCpu(late, measure),
 		usedCpu: measure.toCpu(used),
-		work: sum(late.map(({remainingWork}) => remainingWork)),
+		work: sum(late.map((job) => getRemainingWork(owner, job))),
 	};
 };
 
@@ -212,7 +213,7 @@
 	return {
 		waitingCpu: sumWaitingCpu([...owner.openJobs], measure),
 		usedCpu: measure.toCpu(used),
-		late: describeLate(owner, epochNow, measure),
+		late: describeLate(owner, {now, epochNow}, measure),
 		capacityCpu: sum(usable.map(({listed}) => listed.capacity.cpuMillis)),
 		arrivingCpu: getArrivingCpu(owner.arrivals, now),
 		minExecutors: Math.max(
--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -7,6 +7,8 @@
 import type {Evacuation, Executor} from '../state/executor.js';
 import type {Owner} from '../state/owner-state.js';
 import {listUsable, placeTask} from '../placement/place-task.js';
+import {predictStepTime} from '../run-times/model.js';
+import {estimateRunTimeLeft} from '../run-times/remaining.js';
 import type {Run, Step, Task} from '../state/task.js';
 
 /** Progress at which a long-running task has started up. */
@@ -67,8 +69,13 @@
 	}
 };
 
-const getRemainingMs = ({task, percent}: Run): number =>
-	task.step.spec.estimateMs * (1 - percent / 100);
+const getRemainingMs = ({runTimes}: Owner, run: Run, now: number): number => {
+	const {step} = run.task;
+	const predicted = predictStepTime(runTimes, 'run', step);
+	return predicted
+		? estimateRunTimeLeft(run, predicted, now).remaining.typicalMs
+		: step.spec.estimateMs * (1 - run.percent / 100);
+};
 
 const shouldStopBatch = (
 	owner: Owner,
@@ -77,7 +84,8 @@
 	now: number,
 ): boolean => {
 	const {spec} = run.task.step;
-	const isLong = getRemainingMs(run) > owner.cfg.evacuationPatienceMs;
+	const isLong =
+		getRemainingMs(owner, run, now) > owner.cfg.evacuationPatienceMs;
 	return stopFrom <= now || (spec.canCheckpoint && isLong);
 };
 
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -5,6 +5,7 @@
 import type {Owner} from '../state/owner-state.js';
 import {listUsable, placeTask} from '../placement/place-task.js';
 import {rankJobs, type RankedJob} from '../ranking/rank.js';
+import {estimateRun} from '../run-times/model.js';
 import {isStepReady, isWaiting, type Run, type Step} from '../state/task.js';
 import {computeTeamUse} from '../ranking/team-use.js';
 import {countAvailableStarts} from './start-window.js';
@@ -43,11 +44,14 @@
 		return run.percent < 100 && now - run.askedAt > startupLimitMs;
 	}
 
-	return (
-		now - run.askedAt > hangFactor * spec.estimateMs &&
-		now - run.progressedAt > hangMs &&
-		run.percent < 100
-	);
+	if (now - run.progressedAt <= hangMs || run.percent >= 100) {
+		return false;
+	}
+
+	// Never sooner than by the declared time: a stopped run is repeated work.
+	const {typicalMs} = estimateRun(owner.runTimes, run.task.step);
+	const runMs = Math.max(spec.estimateMs, typicalMs);
+	return now - run.askedAt > hangFactor * runMs;
 };
 
 const isDuplicate = ({task, number}: Run): boolean =>
@@ -218,7 +222,7 @@
 	}
 
 	planSuspects(planning);
-	for (const ranked of rankJobs(owner, epochNow)) {
+	for (const ranked of rankJobs(owner, {now, epochNow})) {
 		if (planning.startsLeft <= 0) {
 			break;
 		}
--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -9,7 +9,7 @@
 import {markUnresponsive} from '../state/owner.js';
 import type {Owner} from '../state/owner-state.js';
 import {recordStartOutcome} from '../plan/start-window.js';
-import {confirmRun, type Run} from '../state/task.js';
+import {confirmRun, recordConfirmedStart, type Run} from '../state/task.js';
 
 /** Answer to a start. */
 export type StartAnswer =
@@ -79,6 +79,7 @@
 		.with({kind: 'started'}, ({clockMs}) => {
 			recordClockReading(executor, clockMs, now);
 			confirmRun(run, clockMs, now);
+			recordConfirmedStart(run, now);
 			run.progressedAt = now;
 			run.state = run.state === 'asked' ? 'running' : run.state;
 			run.task.step.occurrence.job.hasStarted = true;
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -15,6 +15,8 @@
 import {isRestart} from '../state/incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
 import type {Owner} from '../state/owner-state.js';
+import type {ModelChange} from '../run-times/model.js';
+import {recordRunTime} from '../run-times/samples.js';
 import {
 	addOccurrencesUpTo,
 	createDetachedTask,
@@ -38,12 +40,19 @@
 	type PollChanges,
 } from './poll-answer.js';
 
+/**
+ * A poll, and whether the executor had answered the one before. Otherwise it is
+ * not known when the listed runs ended.
+ */
+type TimedPoll = ExecutorPoll & {readonly isTimely: boolean};
+
 type Changes = {
 	ends: Array<ListedEnd & {failures: number}>;
 	adopted: string[];
 	vanished: string[];
 	orphanedRuns: ListedRun[];
 	jobEnds: EndedJob[];
+	modelChanges: ModelChange[];
 };
 
 /** Returns the task with that id if its job and occurrence are loaded. */
@@ -167,10 +176,23 @@
 		.exhaustive();
 };
 
+/** Measures a run that ended before its end is applied. */
+const measureEnd = (
+	owner: Owner,
+	executor: Executor,
+	end: ListedEnd,
+	{receivedAt, isTimely}: TimedPoll,
+): readonly ModelChange[] => {
+	const run = executor.runs.get(getRunKey(end.taskId, end.run));
+	return run && !run.task.isDone && end.how === 'done' && isTimely
+		? recordRunTime(owner, {run, executor, endedAt: receivedAt})
+		: [];
+};
+
 const applyEnds = (
 	owner: Owner,
 	executor: Executor,
-	poll: ExecutorPoll,
+	poll: TimedPoll,
 	changes: Changes,
 ): void => {
 	const fresh = poll.ends
@@ -178,6 +200,7 @@
 		.toSorted((one, two) => one.number - two.number);
 	for (const end of fresh) {
 		executor.lastEndNumber = end.number;
+		changes.modelChanges.push(...measureEnd(owner, executor, end, poll));
 		const endedJob = applyEnd(owner, executor, end, poll.receivedAt);
 		const failures = findTask(owner, end.taskId)?.failures ?? 0;
 		changes.ends.push({...end, failures});
@@ -202,6 +225,7 @@
 	}
 
 	run.percent = listed.percent;
+	run.observedFrom ??= {at: now, percent: listed.percent, isStart: false};
 	run.load = listed.load;
 	run.mayHaveStopped = false;
 	confirmRun(run, clockMs, now);
@@ -285,6 +309,7 @@
 		vanished: [],
 		orphanedRuns: [],
 		jobEnds: [],
+		modelChanges: [],
 	};
 	const isRestarted = isRestart(executor.incarnation, poll);
 	if (isRestarted) {
@@ -311,10 +336,11 @@
 		);
 	}
 
+	const isTimely = executor.unresponsiveSince === undefined;
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
-	applyEnds(owner, executor, poll, changes);
+	applyEnds(owner, executor, {...poll, isTimely}, changes);
 	applyRunning(owner, executor, poll, changes);
 	executor.orphanedRunCount = changes.orphanedRuns.length;
 	executor.isAdopted = true;
--- a/packages/core/src/scheduler/polls/poll-answer.ts
+++ b/packages/core/src/scheduler/polls/poll-answer.ts
@@ -1,5 +1,6 @@
 /** What an executor answers to a poll, and what the answer changes. */
 import type {IncarnationReading} from '../state/incarnation.js';
+import type {ModelChange} from '../run-times/model.js';
 import type {EndedJob} from '../state/job-ends.js';
 
 /** Ways in which a run ends. */
@@ -60,6 +61,8 @@
 	/** Runs of unknown tasks, to be stopped. */
 	readonly orphanedRuns: readonly ListedRun[];
 	readonly jobEnds: readonly EndedJob[];
+	/** Run-time models that came into force or went out of it. */
+	readonly modelChanges: readonly ModelChange[];
 };
 
 /** Maximum number of ends in one poll, by the executors' interface. */
--- a/packages/core/src/scheduler/ranking/rank.ts
+++ b/packages/core/src/scheduler/ranking/rank.ts
@@ -5,13 +5,19 @@
  * ordered by priority and then by value per unit of remaining work. Source:
  * docs/design/platform-programs.md.
  */
-import type {Owner} from '../state/owner-state.js';
 import {
-	isLongRunningJob,
-	type Job,
-	type Step,
-	type Task,
-} from '../state/task.js';
+	estimateCriticalPath,
+	getDeclaredRemainingMs,
+	type PathEstimate,
+} from '../run-times/critical-path.js';
+import {
+	createExactEstimate,
+	mapEstimate,
+	type RunTimeEstimate,
+} from '../run-times/estimate.js';
+import {getRemainingWork, getTotalWork} from '../run-times/work.js';
+import type {Owner} from '../state/owner-state.js';
+import {isLongRunningJob, type Job, type Step} from '../state/task.js';
 import type {AcceptedJob} from '../state/types.js';
 
 /** A late job loses its value after this multiple of its objective. */
@@ -21,7 +27,8 @@
 const fixedValueShare = 0.3;
 
 /** Whether a job is expected to meet its objective. */
-type Timeliness = 'lasting' | 'in-time' | 'late' | 'beyond-rate' | 'worthless';
+export type Timeliness =
+	'lasting' | 'in-time' | 'late' | 'beyond-rate' | 'worthless';
 
 const timelinessOrder: Readonly<Record<Timeliness, number>> = {
 	lasting: 0,
@@ -45,24 +52,12 @@
 	return Math.max(0, ...ends);
 };
 
-const donePercent = 100;
-
-const getPercent = ({isDone, runs}: Task): number =>
-	isDone ? donePercent : Math.max(0, ...runs.map(({percent}) => percent));
-
-/** Estimated time until the last task of a step has ended. */
-const getRemainingStepMs = ({spec, tasks}: Step): number => {
-	const least = Math.min(donePercent, ...tasks.map((task) => getPercent(task)));
-	return spec.estimateMs * (1 - least / donePercent);
-};
-
-/** Remaining critical path of the first loaded occurrence, in milliseconds. */
-export const getRemainingCriticalPathMs = (job: Job): number => {
+const getDeclaredRemainingPathMs = (job: Job): number => {
 	const [occurrence] = job.occurrences.values();
 	const steps = occurrence?.steps ?? [];
 	return getPathMs(steps, (number) => {
 		const step = steps[number];
-		return step ? getRemainingStepMs(step) : 0;
+		return step ? getDeclaredRemainingMs(step) : 0;
 	});
 };
 
@@ -77,50 +72,114 @@
 	accepted.policy.stretch * getCriticalPathMs(accepted) +
 	accepted.policy.targetLatencyMs;
 
-/** Cache: the objective of a job never changes, and every plan needs it. */
-const objectives = new WeakMap<AcceptedJob, number>();
+/** Cache: the declared objective of a job never changes. */
+const declaredObjectives = new WeakMap<AcceptedJob, number>();
 
-/** Returns the latency objective of a job, in milliseconds. */
-export const getObjectiveMs = ({accepted}: Job): number => {
-	const objectiveMs = objectives.get(accepted) ?? computeObjectiveMs(accepted);
-	objectives.set(accepted, objectiveMs);
+const getDeclaredObjectiveMs = ({accepted}: Job): number => {
+	const objectiveMs =
+		declaredObjectives.get(accepted) ?? computeObjectiveMs(accepted);
+	declaredObjectives.set(accepted, objectiveMs);
 	return objectiveMs;
 };
 
+const toObjective = (job: Job, path: PathEstimate | undefined) => {
+	const {stretch, targetLatencyMs} = job.accepted.policy;
+	return path
+		? mapEstimate(path.total, (ms) => stretch * ms + targetLatencyMs)
+		: createExactEstimate(getDeclaredObjectiveMs(job));
+};
+
+const toRemaining = (job: Job, path: PathEstimate | undefined) =>
+	path?.remaining ?? createExactEstimate(getDeclaredRemainingPathMs(job));
+
+/** Estimates the latency objective of a job. */
+export const estimateObjective = (
+	owner: Owner,
+	job: Job,
+	now: number,
+): RunTimeEstimate => toObjective(job, estimateCriticalPath(owner, job, now));
+
+/** Returns the typical latency objective of a job, in milliseconds. */
+export const getObjectiveMs = (owner: Owner, job: Job, now: number): number =>
+	estimateObjective(owner, job, now).typicalMs;
+
+/** Estimates the remaining critical path of the first loaded occurrence. */
+export const estimateRemainingCriticalPath = (
+	owner: Owner,
+	job: Job,
+	now: number,
+): RunTimeEstimate => toRemaining(job, estimateCriticalPath(owner, job, now));
+
+/** Typical remaining critical path of the first loaded occurrence, in ms. */
+export const getRemainingCriticalPathMs = (
+	owner: Owner,
+	job: Job,
+	now: number,
+): number => estimateRemainingCriticalPath(owner, job, now).typicalMs;
+
 const getStart = ({accepted}: Job, number: number): number =>
 	accepted.spec.schedule
 		? accepted.spec.schedule.startAtEpochMs +
 			number * accepted.spec.schedule.intervalMs
 		: accepted.acceptedAtEpochMs;
 
-const getTimeliness = (job: Job, epochNow: number): Timeliness => {
+/** Compares a job's expected latency with the given time of its objective. */
+const compareWithObjective = (
+	job: Job,
+	expectedMs: number,
+	objectiveMs: number,
+): Timeliness => {
+	if (job.isBeyondRate && expectedMs <= objectiveMs * lateUntilFactor) {
+		return 'beyond-rate';
+	}
+
+	if (expectedMs <= objectiveMs) {
+		return 'in-time';
+	}
+
+	return expectedMs <= objectiveMs * lateUntilFactor ? 'late' : 'worthless';
+};
+
+/** Present time by the local clock and by the wall clock. */
+export type PresentTimes = {readonly now: number; readonly epochNow: number};
+
+const judge = (
+	owner: Owner,
+	job: Job,
+	{now, epochNow}: PresentTimes,
+	time: keyof RunTimeEstimate,
+): Timeliness => {
 	if (isLongRunningJob(job)) {
 		return 'lasting';
 	}
 
 	const [occurrence] = job.occurrences.values();
-	const objective = getObjectiveMs(job);
-	const expected =
+	const path = estimateCriticalPath(owner, job, now);
+	const expectedMs =
 		epochNow -
 		getStart(job, occurrence?.number ?? 0) +
-		getRemainingCriticalPathMs(job);
-	if (job.isBeyondRate && expected <= objective * lateUntilFactor) {
-		return 'beyond-rate';
-	}
-
-	if (expected <= objective) {
-		return 'in-time';
-	}
-
-	return expected <= objective * lateUntilFactor ? 'late' : 'worthless';
+		toRemaining(job, path).typicalMs;
+	return compareWithObjective(job, expectedMs, toObjective(job, path)[time]);
 };
 
+/** Whether a job is expected to meet its typical objective. */
+export const getTimeliness = (
+	owner: Owner,
+	job: Job,
+	times: PresentTimes,
+): Timeliness => judge(owner, job, times, 'typicalMs');
+
 /**
- * Whether a job can no longer meet its objective, by the estimates, or need not
- * meet it as it is beyond the rate of its team.
+ * Whether a job can no longer meet its objective, by the high estimate of it,
+ * or need not meet it as it is beyond the rate of its team. A job that only
+ * seems late because its tasks run longer than predicted still needs capacity.
  */
-export const isLate = (job: Job, epochNow: number): boolean => {
-	const timeliness = getTimeliness(job, epochNow);
+export const isLate = (
+	owner: Owner,
+	job: Job,
+	times: PresentTimes,
+): boolean => {
+	const timeliness = judge(owner, job, times, 'highMs');
 	return timeliness !== 'lasting' && timeliness !== 'in-time';
 };
 
@@ -129,8 +188,9 @@
 	const mean = owner.meanWork.get(job.accepted.policy.queue);
 	const meanWork = mean && mean.count > 0 ? mean.sum / mean.count : 1;
 	const value =
-		fixedValueShare + (1 - fixedValueShare) * (job.totalWork / meanWork);
-	return job.remainingWork / value;
+		fixedValueShare +
+		(1 - fixedValueShare) * (getTotalWork(owner, job) / meanWork);
+	return getRemainingWork(owner, job) / value;
 };
 
 /** A job with the criteria by which it is ranked. */
@@ -154,12 +214,12 @@
 /** Lists the open jobs, the one to serve first in front. */
 export const rankJobs = (
 	owner: Owner,
-	epochNow: number,
+	times: PresentTimes,
 ): readonly RankedJob[] =>
 	[...owner.openJobs]
 		.map((job) => ({
 			job,
-			timeliness: getTimeliness(job, epochNow),
+			timeliness: getTimeliness(owner, job, times),
 			workPerValue: getWorkPerValue(owner, job),
 		}))
 		.toSorted(compare);
--- /dev/null
+++ b/packages/core/src/scheduler/run-times/index.ts
@@ -0,0 +1,15 @@
+/** Estimates of how long the tasks of a service really run. */
+export {createExactEstimate, type RunTimeEstimate} from './estimate.js';
+export {
+	createRunTimes,
+	estimateRun,
+	maxShapes,
+	recordSample,
+	type ModelChange,
+	type ModelKind,
+	type RunTimes,
+	type Shape,
+} from './model.js';
+export * from './critical-path.js';
+export * from './remaining.js';
+export * from './work.js';
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -1,6 +1,7 @@
 /** State that the owner of a service keeps. */
 import type {CapLimit} from '../../teams/cap-share.js';
 import type {TokenBucket} from '../../admission/token-bucket.js';
+import type {RunTimes} from '../run-times/model.js';
 import type {StartWindow} from '../plan/start-window.js';
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
@@ -69,6 +70,8 @@
 	readonly teamWeights: Map<string, number>;
 	/** What is left of the teams' rates. */
 	readonly teamRates: Map<string, TokenBucket>;
+	/** How long tasks really run. */
+	readonly runTimes: RunTimes;
 	/** Mean work of a job by queue, for ranking. */
 	readonly meanWork: Map<string, {count: number; sum: number}>;
 };
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -6,6 +6,8 @@
 import {noArrivals, recordArrival} from '../load/arrivals.js';
 import {attributeLoss} from '../polls/crash-attribution.js';
 import {initialStartWindow} from '../plan/start-window.js';
+import {createRunTimes} from '../run-times/model.js';
+import {getTotalWork} from '../run-times/work.js';
 import {recordTeamArrival} from '../ranking/team-rate.js';
 import type {SchedulerConfig} from './config.js';
 import {
@@ -54,6 +56,7 @@
 	capLimits: new Map(),
 	teamWeights: new Map(),
 	teamRates: new Map(),
+	runTimes: createRunTimes(),
 	meanWork: new Map(),
 });
 
@@ -61,7 +64,7 @@
 	const {queue} = job.accepted.policy;
 	const mean = owner.meanWork.get(queue) ?? {count: 0, sum: 0};
 	mean.count += 1;
-	mean.sum += job.totalWork;
+	mean.sum += getTotalWork(owner, job);
 	owner.meanWork.set(queue, mean);
 };
 
@@ -82,7 +85,11 @@
 	owner.openJobs.add(job);
 	recordWork(owner, job);
 	if (!isInherited && !isLongRunningJob(job)) {
-		owner.arrivals = recordArrival(owner.arrivals, job.totalWork, now);
+		owner.arrivals = recordArrival(
+			owner.arrivals,
+			getTotalWork(owner, job),
+			now,
+		);
 		recordTeamArrival(owner, job, now);
 	}
 
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -12,6 +12,15 @@
 export type RunState =
 	'asked' | 'unsettled' | 'barring' | 'running' | 'stopping';
 
+/** First observation of the progress of a run. */
+export type ObservedStart = {
+	readonly at: number;
+	/** Progress of the run at that time, 0 to 100. */
+	readonly percent: number;
+	/** Whether the run began then, and from the beginning of its task. */
+	readonly isStart: boolean;
+};
+
 /** One run, an attempt of a task on one executor. */
 export type Run = {
 	readonly task: Task;
@@ -23,6 +32,8 @@
 	confirmedAt: number | undefined;
 	/** The executor's clock in that answer. */
 	confirmedClockMs: number | undefined;
+	/** Since when its progress is known, and its progress then. */
+	observedFrom: ObservedStart | undefined;
 	/** Nothing else starts on the executor; see crash-attribution.ts. */
 	isIsolated: boolean;
 	/** Progress that the executor reports, 0 to 100. */
@@ -77,6 +88,12 @@
 	readonly spec: StepSpec;
 	readonly tasks: readonly Task[];
 	doneCount: number;
+	/** Tasks that are done and whose run time this owner has measured. */
+	measuredRuns: number;
+	/** Longest measured run time in milliseconds; 0 if there is none. */
+	longestRunMs: number;
+	/** Measured runs that count as samples; see run-times/samples.ts. */
+	sampledRuns: number;
 };
 
 /** One execution of all steps of a job. */
@@ -173,7 +190,16 @@
 	number: number,
 ): Step => {
 	const tasks: Task[] = [];
-	const step: Step = {occurrence, number, spec, tasks, doneCount: 0};
+	const step: Step = {
+		occurrence,
+		number,
+		spec,
+		tasks,
+		doneCount: 0,
+		measuredRuns: 0,
+		longestRunMs: 0,
+		sampledRuns: 0,
+	};
 	for (let index = 0; index < spec.count; index++) {
 		tasks.push(createTask(step, index));
 	}
@@ -301,6 +327,7 @@
 	askedAt: now,
 	confirmedAt: undefined,
 	confirmedClockMs: undefined,
+	observedFrom: undefined,
 	isIsolated: false,
 	percent: 0,
 	progressedAt: now,
@@ -316,6 +343,16 @@
 	run.confirmedClockMs ??= clockMs;
 };
 
+/**
+ * Records the answer that confirms a start. A run that continues from a
+ * checkpoint begins with a progress that only a poll shows.
+ */
+export const recordConfirmedStart = (run: Run, now: number): void => {
+	if (run.task.checkpoint === undefined) {
+		run.observedFrom ??= {at: now, percent: 0, isStart: true};
+	}
+};
+
 /** Whether a task is not done and has no run. */
 export const isWaiting = (task: Task): boolean =>
 	!task.isDone && task.runs.length === 0;
