Store learnt run times with flushes, log and count predictions

A new owner had to gather 20 samples of each shape anew. The models now travel in the row run-times of the service's partition: at most 8 KB, at most once in 5 s, only in a transaction that is made anyway and has room for the row. A row that cannot be read is logged and treated as absent. After a change of behaviour earlier samples keep a weight of 10, since with half of their weight runs that took three times as long were predicted a third too short after 40 samples.

--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -15,8 +15,7 @@
 import {isRestart} from '../state/incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
 import type {Owner} from '../state/owner-state.js';
-import type {ModelChange} from '../run-times/model.js';
-import {recordRunTime} from '../run-times/samples.js';
+import {recordRunTime, type MeasuredRun} from '../run-times/samples.js';
 import {
 	addOccurrencesUpTo,
 	createDetachedTask,
@@ -52,7 +51,7 @@
 	vanished: string[];
 	orphanedRuns: ListedRun[];
 	jobEnds: EndedJob[];
-	modelChanges: ModelChange[];
+	measuredRuns: MeasuredRun[];
 };
 
 /** Returns the task with that id if its job and occurrence are loaded. */
@@ -182,11 +181,11 @@
 	executor: Executor,
 	end: ListedEnd,
 	{receivedAt, isTimely}: TimedPoll,
-): readonly ModelChange[] => {
+): MeasuredRun | undefined => {
 	const run = executor.runs.get(getRunKey(end.taskId, end.run));
 	return run && !run.task.isDone && end.how === 'done' && isTimely
 		? recordRunTime(owner, {run, executor, endedAt: receivedAt})
-		: [];
+		: undefined;
 };
 
 const applyEnds = (
@@ -200,10 +199,14 @@
 		.toSorted((one, two) => one.number - two.number);
 	for (const end of fresh) {
 		executor.lastEndNumber = end.number;
-		changes.modelChanges.push(...measureEnd(owner, executor, end, poll));
+		const measured = measureEnd(owner, executor, end, poll);
 		const endedJob = applyEnd(owner, executor, end, poll.receivedAt);
 		const failures = findTask(owner, end.taskId)?.failures ?? 0;
 		changes.ends.push({...end, failures});
+		if (measured) {
+			changes.measuredRuns.push(measured);
+		}
+
 		if (endedJob) {
 			changes.jobEnds.push(endedJob);
 		}
@@ -309,7 +312,7 @@
 		vanished: [],
 		orphanedRuns: [],
 		jobEnds: [],
-		modelChanges: [],
+		measuredRuns: [],
 	};
 	const isRestarted = isRestart(executor.incarnation, poll);
 	if (isRestarted) {
--- a/packages/core/src/scheduler/polls/poll-answer.ts
+++ b/packages/core/src/scheduler/polls/poll-answer.ts
@@ -1,6 +1,6 @@
 /** What an executor answers to a poll, and what the answer changes. */
 import type {IncarnationReading} from '../state/incarnation.js';
-import type {ModelChange} from '../run-times/model.js';
+import type {MeasuredRun} from '../run-times/samples.js';
 import type {EndedJob} from '../state/job-ends.js';
 
 /** Ways in which a run ends. */
@@ -61,8 +61,8 @@
 	/** Runs of unknown tasks, to be stopped. */
 	readonly orphanedRuns: readonly ListedRun[];
 	readonly jobEnds: readonly EndedJob[];
-	/** Run-time models that came into force or went out of it. */
-	readonly modelChanges: readonly ModelChange[];
+	/** Run times that were measured. */
+	readonly measuredRuns: readonly MeasuredRun[];
 };
 
 /** Maximum number of ends in one poll, by the executors' interface. */
--- a/packages/core/src/scheduler/run-times/index.ts
+++ b/packages/core/src/scheduler/run-times/index.ts
@@ -5,6 +5,7 @@
 	estimateRun,
 	maxShapes,
 	recordSample,
+	setShape,
 	type ModelChange,
 	type ModelKind,
 	type RunTimes,
@@ -12,4 +13,13 @@
 } from './model.js';
 export * from './critical-path.js';
 export * from './remaining.js';
+export type {MeasuredRun, PredictionOutcome} from './samples.js';
 export * from './work.js';
+export {
+	encodeRunTimes,
+	maxRunTimesBytes,
+	restoreRunTimes,
+	storedRegressionLength,
+	type StoredRunTimes,
+	type StoredShape,
+} from './stored.js';
--- a/packages/core/src/scheduler/run-times/regression.ts
+++ b/packages/core/src/scheduler/run-times/regression.ts
@@ -81,8 +81,12 @@
  */
 const driftLimit = 0.85;
 
-/** Part of the earlier weight that is kept after a change of behaviour. */
-const keptAfterChange = 0.5;
+/**
+ * Weight that earlier samples keep after a change of behaviour: as many new ones
+ * count as much. With half of their weight, runs that took three times as long
+ * were predicted a third too short after 40 samples.
+ */
+const weightAfterChange = 10;
 
 /** A model comes into force from this many samples on ... */
 const minSamples = 20;
@@ -183,7 +187,7 @@
 		: {
 				...regression,
 				meanTrue: regression.meanTrue + drift * spread,
-				weight: regression.weight * keptAfterChange,
+				weight: Math.min(regression.weight, weightAfterChange),
 				drift: 0,
 			};
 };
--- a/packages/daemon/src/jobs/owner/flusher.test.ts
+++ b/packages/daemon/src/jobs/owner/flusher.test.ts
@@ -25,6 +25,7 @@
 		isRosterDirty: true,
 		flushNumber: 1,
 		unresolvedExecutors: new Map(),
+		runTimes: scheduler.createRunTimes(),
 		executors: new Map([
 			[
 				'x',
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -23,12 +23,13 @@
 	maxRosterRows,
 	planRosterWrites,
 } from './roster-rows.js';
+import {createRunTimesRow, maxTransactionEntries} from './run-times-row.js';
 
 /**
- * The store takes 100 entries a transaction: two checks, the flush row and the
- * roster are among them.
+ * Two checks, the flush row and the roster are among the entries of a
+ * transaction.
  */
-const maxJobsPerFlush = 100 - 3 - maxRosterRows;
+const maxJobsPerFlush = maxTransactionEntries - 3 - maxRosterRows;
 
 export type FlusherDeps = {
 	readonly store: RowStore;
@@ -72,6 +73,7 @@
 	const storedRoster = new Map<string, string | undefined>(
 		deps.rosterKeys.map((key) => [key, undefined]),
 	);
+	const runTimesRow = createRunTimesRow(part, owner.runTimes);
 	let running: Promise<void> | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	const state = {isStopped: false, isDraining: false};
@@ -163,7 +165,8 @@
 	};
 
 	const flushOnce = async (): Promise<boolean> => {
-		const {flush, transaction} = beginFlush();
+		const {flush, transaction: progress} = beginFlush();
+		const transaction = runTimesRow.addTo(progress, clock.now());
 		const sent = getMoment(clock);
 		const result = await store.transact(transaction, periods.storeTimeoutMs);
 		if (result.ok) {
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -12,6 +12,7 @@
 	parseJobKey,
 	progressSchema,
 	rosterSchema,
+	runTimesSchema,
 	singleKeys,
 	tables,
 	type RosterRow,
@@ -180,6 +181,18 @@
 	}
 };
 
+/** Without a row that can be read, the owner learns run times anew. */
+const addRunTimes = (
+	owner: scheduler.Owner,
+	{ownerRows}: Rows,
+	{logger}: LoadOwnerDeps,
+): void => {
+	const stored = ownerRows.filter(({key}) => key === singleKeys.runTimes);
+	for (const {value} of decodeRows(stored, runTimesSchema, logger)) {
+		scheduler.restoreRunTimes(owner.runTimes, value);
+	}
+};
+
 /**
  * Reads the rows and builds the owner's state. The lease row must have been
  * acquired before: writes of earlier owners check it, so they fail from then.
@@ -200,6 +213,7 @@
 		deps.cfg,
 		deps.clock.now(),
 	);
+	addRunTimes(owner, rows.value, deps);
 	addJobs(owner, rows.value, deps);
 	addRoster(owner, held, rows.value, deps);
 	const flush = rows.value.ownerRows.find(({key}) => key === singleKeys.flush);
--- a/packages/daemon/src/jobs/owner/load-report.ts
+++ b/packages/daemon/src/jobs/owner/load-report.ts
@@ -87,6 +87,8 @@
 					longestStartMs: Math.round(figures.longestStartMs),
 					unansweredStarts: figures.unansweredStarts,
 					longestTimerLagMs: Math.round(figures.longestTimerLagMs),
+					runTimeModels: owner.runTimes.inForce,
+					runTimeSamples: owner.runTimes.version,
 				});
 			}
 
--- a/packages/daemon/src/jobs/owner/owner-log.ts
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -43,6 +43,16 @@
 		}
 	};
 
+	const logMeasuredRun = ({outcome, changes}: scheduler.MeasuredRun) => {
+		metrics.count('run_times', outcome ?? 'declared');
+		for (const {isInForce, error, ...change} of changes) {
+			logger.info(
+				isInForce ? 'run times are predicted' : 'run times are as declared',
+				{service, ...change, error: Number(error.toFixed(2))},
+			);
+		}
+	};
+
 	return {
 		logJobEnd,
 		logPoll(executor, changes) {
@@ -64,6 +74,10 @@
 				});
 			}
 
+			for (const each of changes.measuredRuns) {
+				logMeasuredRun(each);
+			}
+
 			logJobEnds(changes.jobEnds);
 		},
 		logLostRuns({runs, jobEnds}, reason) {
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -7,7 +7,7 @@
 	fail,
 	succeed,
 	type Result,
-	type scheduler,
+	scheduler,
 	type shardAssignment,
 	type shardLease,
 } from '@gullstand/core';
@@ -25,7 +25,10 @@
 	job: 'job',
 	/** Progress of each job: its ended tasks and occurrences. */
 	progress: 'progress',
-	/** Other rows of an owner: its roster and the marker of its last flush. */
+	/**
+	 * Other rows of an owner: its roster, its run times and the marker of its last
+	 * flush.
+	 */
 	owner: 'owner',
 	/** Shares of the caps of teams. */
 	teamShare: 'team-share',
@@ -38,6 +41,7 @@
 	lease: 'lease',
 	flush: 'flush',
 	roster: 'roster',
+	runTimes: 'run-times',
 	peerKey: 'peers',
 } as const;
 
@@ -242,6 +246,23 @@
 	}),
 ) as unknown as z.ZodType<readonly RosterRow[]>;
 
+const storedRegressionSchema = z
+	.array(z.number())
+	.min(scheduler.storedRegressionLength);
+
+/** Schema of the run times that an owner has learnt. */
+export const runTimesSchema: z.ZodType<scheduler.StoredRunTimes> = z.object({
+	format: z.literal(1),
+	shapes: z.array(
+		z.object({
+			queue: z.string(),
+			image: optional(z.string()),
+			run: storedRegressionSchema,
+			step: storedRegressionSchema,
+		}),
+	),
+});
+
 /** Schema of the key that seals messages between daemons. */
 export const peerKeySchema = z.object({
 	keyHex: z.string().regex(/^[\da-f]{64}$/v),
