--- a/packages/core/src/scheduler/run-times/estimates.test.ts
+++ b/packages/core/src/scheduler/run-times/estimates.test.ts
@@ -11,7 +11,6 @@
 	planAndStart,
 	pollExecutor,
 	submit,
-	type TestPoll,
 } from '../owner.test.fixture.js';
 import {addSamples, getLastRun} from './run-times.test.fixture.js';
 
@@ -25,94 +24,53 @@
 	return {owner, job};
 };
 
-const [first, second] = ['a.0.0.0', 'a.0.0.1'];
+const taskIds = ['a.0.0.0', 'a.0.0.1'] as const;
 
-const cases: ReadonlyArray<{
-	readonly name: string;
-	readonly poll: TestPoll;
-	/** Expected paths in milliseconds; 2,000 for each step that is predicted. */
-	readonly total: number;
-	readonly remaining: number;
-}> = [
-	{
-		name: 'no progress is reported',
-		poll: {at: 1400, running: [{taskId: first}, {taskId: second}]},
-		total: 4000,
-		remaining: 1600 + 2000,
-	},
-	{
-		name: 'a run has taken longer than predicted',
-		poll: {at: 4000, running: [{taskId: first}, {taskId: second}]},
-		total: 3000 + 500 + 2000,
-		remaining: 500 + 2000,
-	},
-	{
-		name: 'one run progresses slowly',
-		poll: {
-			at: 2000,
-			running: [
-				{taskId: first, percent: 10},
-				{taskId: second, percent: 50},
-			],
-		},
-		total: 10_000 + 2000,
-		remaining: 9000 + 2000,
-	},
-	{
-		name: 'all runs progress quickly',
-		poll: {
-			at: 1400,
-			running: [
-				{taskId: first, percent: 50},
-				{taskId: second, percent: 40},
-			],
-		},
-		total: 1000 + 2000,
-		remaining: 600 + 2000,
-	},
-	{
-		name: 'one run has ended and the other one nearly',
-		poll: {
-			at: 1900,
-			running: [{taskId: second, percent: 90}],
-			ends: [{taskId: first}],
-		},
-		total: 1000 + 2000,
-		remaining: 100 + 2000,
-	},
-	{
-		name: 'a step is done',
-		poll: {at: 1700, ends: [{taskId: first}, {number: 2, taskId: second}]},
-		total: 700 + 2000,
-		remaining: 2000,
-	},
+/** Progress of the two tasks of the first step, of which 100 is an end. */
+type Progress = readonly [number, number];
+
+/** Expected paths in milliseconds, with 2,000 for each step that is predicted. */
+const cases: ReadonlyArray<
+	readonly [
+		name: string,
+		at: number,
+		progress: Progress,
+		total: number,
+		remaining: number,
+	]
+> = [
+	['no progress is reported', 1400, [0, 0], 4000, 3600],
+	['a run exceeds its prediction', 4000, [0, 0], 5500, 2500],
+	['one run progresses slowly', 2000, [10, 50], 12_000, 11_000],
+	['all runs progress quickly', 1400, [50, 40], 3000, 2600],
+	['one run has ended', 1900, [100, 90], 3000, 2100],
+	['a step is done', 1700, [100, 100], 2700, 2000],
 ];
 
-const addRunNumbers = (owner: scheduler.Owner, poll: TestPoll): TestPoll => {
-	const add = <Listed extends {taskId?: string}>(listed: Listed) => ({
-		...listed,
-		run: getLastRun(owner, listed.taskId!),
+const poll = (owner: scheduler.Owner, at: number, progress: Progress) => {
+	const listed = taskIds.map((taskId, index) => ({
+		taskId,
+		number: index + 1,
+		run: getLastRun(owner, taskId),
+		percent: progress[index]!,
+	}));
+	pollExecutor(owner, 'x', {
+		at,
+		running: listed.filter(({percent}) => percent < 100),
+		ends: listed.filter(({percent}) => percent === 100),
 	});
-	return {
-		at: poll.at,
-		running: poll.running?.map((each) => add(each)) ?? [],
-		ends: poll.ends?.map((each) => add(each)) ?? [],
-	};
 };
 
-for (const {name, poll, total, remaining} of cases) {
+for (const [name, at, progress, total, remaining] of cases) {
 	tap.t.test(`the path of a job where ${name}`, async (t) => {
 		const {owner, job} = createOwner();
-		pollExecutor(owner, 'x', addRunNumbers(owner, poll));
+		poll(owner, at, progress);
 		const isNear = (found: number, expected: number) => {
 			t.ok(Math.abs(found / expected - 1) < 0.02, `${found} for ${expected}`);
 		};
 
-		isNear(
-			scheduler.getRemainingCriticalPathMs(owner, job, poll.at),
-			remaining,
-		);
-		isNear(scheduler.getObjectiveMs(owner, job, poll.at), 2 * total + 600);
+		isNear(scheduler.getRemainingCriticalPathMs(owner, job, at), remaining);
+		isNear(scheduler.getObjectiveMs(owner, job, at), 2 * total + 600);
 	});
 }
 
@@ -121,7 +79,7 @@
 	addSamples(owner, [4]);
 	const job = submit(owner, createAccepted('a'), true);
 	const show = (at: number, percent: number) => {
-		pollExecutor(owner, 'x', {at, running: [{taskId: first, percent}]});
+		pollExecutor(owner, 'x', {at, running: [{taskId: taskIds[0], percent}]});
 		return scheduler.getRemainingCriticalPathMs(owner, job, at);
 	};
 
@@ -130,48 +88,22 @@
 	t.equal(show(300, 80), 200, 'its progress since then');
 });
 
-const isLate = (factors: readonly number[], at: number) => {
-	const owner = createTestOwner([createListed('x')]);
-	addSamples(owner, factors);
-	const job = submit(owner, createAccepted('a'));
-	const times = {now: at, epochNow: at};
-	return {
-		isLateForPool: scheduler.isLate(owner, job, times),
-		timeliness: scheduler.getTimeliness(owner, job, times),
-	};
-};
-
 // The objective is 600 ms plus twice the path, which is still to be run.
 const lateness = [
-	{
-		name: 'declared',
-		factors: [1],
-		at: 1200,
-		expected: {isLateForPool: true, timeliness: 'late'},
-	},
-	{
-		name: 'predicted as four times the declared time',
-		factors: [4],
-		at: 1200,
-		expected: {isLateForPool: false, timeliness: 'in-time'},
-	},
-	{
-		name: 'predicted as a tenth of the declared time',
-		factors: [0.1],
-		at: 800,
-		expected: {isLateForPool: true, timeliness: 'late'},
-	},
-	{
-		name: 'uncertain, and late by the typical estimate',
-		factors: [1, 1, 8, 8],
-		at: 2600,
-		expected: {isLateForPool: false, timeliness: 'late'},
-	},
-];
+	['as declared', [1], 1200, 'late', true],
+	['four times the declared one', [4], 1200, 'in-time', false],
+	['a tenth of the declared one', [0.1], 800, 'late', true],
+	['uncertain', [1, 1, 8, 8], 2600, 'late', false],
+] as const;
 
-for (const {name, factors, at, expected} of lateness) {
+for (const [name, factors, at, timeliness, isLateForPool] of lateness) {
 	tap.t.test(`a job of 500 ms whose time is ${name}`, async (t) => {
-		t.same(isLate(factors, at), expected);
+		const owner = createTestOwner([createListed('x')]);
+		addSamples(owner, factors);
+		const job = submit(owner, createAccepted('a'));
+		const times = {now: at, epochNow: at};
+		t.equal(scheduler.getTimeliness(owner, job, times), timeliness);
+		t.equal(scheduler.isLate(owner, job, times), isLateForPool);
 	});
 }
 
--- a/packages/core/src/scheduler/run-times/samples.test.ts
+++ b/packages/core/src/scheduler/run-times/samples.test.ts
@@ -14,82 +14,61 @@
 } from '../owner.test.fixture.js';
 import {getLastRun} from './run-times.test.fixture.js';
 
-const cases: ReadonlyArray<{
-	readonly name: string;
-	readonly step?: Partial<scheduler.StepSpec>;
-	readonly how?: scheduler.RunEnd;
-	/** Before the start. */
-	readonly prepare?: (owner: scheduler.Owner) => void;
-	/** After the start. */
-	readonly disturb?: (owner: scheduler.Owner) => void;
-	/** Whether only a poll confirms the start. */
-	readonly isStartUnanswered?: boolean;
-	/** Samples of single runs and of the step. */
-	readonly samples: number;
-}> = [
-	{name: 'a run that ended', samples: 2},
-	{
-		name: 'a run on the preferred rack',
-		step: {preferredRack: 'r1-1'},
-		samples: 2,
-	},
-	{name: 'a run on another rack', step: {preferredRack: 'r2-1'}, samples: 0},
-	{name: 'a failed run', how: 'failed', samples: 0},
-	{name: 'a stopped run', how: 'stopped', samples: 0},
-	{name: 'a run of a gang', step: {isGang: true}, samples: 0},
-	{name: 'a long-running task', step: {isLongRunning: true}, samples: 0},
-	{
-		name: 'a task in idle capacity',
-		step: {fillsIdleCapacity: true},
-		samples: 0,
-	},
-	{name: 'a step of which another task runs', step: {count: 2}, samples: 1},
-	{
-		name: 'a run from a checkpoint',
-		prepare(owner) {
-			const [task] = scheduler.listTasks(owner.jobs.get('a')!);
-			scheduler.applyCheckpoint(task!, 1, 'half');
-		},
-		samples: 0,
-	},
-	{name: 'a run whose start was not seen', isStartUnanswered: true, samples: 0},
-	{
-		name: 'an end that could not be polled in time',
-		disturb(owner) {
-			scheduler.markUnresponsive(owner, 'x', 50);
-		},
-		samples: 0,
-	},
-];
+type Change = (owner: scheduler.Owner) => void;
 
 const taskId = 'a.0.0.0';
 
-const start = (owner: scheduler.Owner, isUnanswered = false): void => {
-	if (!isUnanswered) {
-		planAndStart(owner, 10);
-		return;
-	}
+const start: Change = (owner) => {
+	planAndStart(owner, 10);
+};
 
+const startUnanswered: Change = (owner) => {
 	scheduler.planCommands(owner, 10, 10);
-	pollExecutor(owner, 'x', {
-		at: 40,
-		running: [{taskId: 'a.0.0.0', percent: 9}],
-	});
+	const run = getLastRun(owner, taskId);
+	pollExecutor(owner, 'x', {at: 40, running: [{taskId, run, percent: 9}]});
+};
+
+const startFromCheckpoint: Change = (owner) => {
+	scheduler.applyCheckpoint(scheduler.findTask(owner, taskId)!, 1, 'half');
+	start(owner);
 };
 
-for (const each of cases) {
-	const {name, step, how, prepare, disturb, samples} = each;
+const startAndLoseSight: Change = (owner) => {
+	start(owner);
+	scheduler.markUnresponsive(owner, 'x', 50);
+};
+
+/** The number of samples, of the run and of its step. */
+const cases: ReadonlyArray<
+	readonly [
+		name: string,
+		samples: number,
+		step?: Partial<scheduler.StepSpec>,
+		how?: scheduler.RunEnd,
+		begin?: Change,
+	]
+> = [
+	['a run that ended', 2],
+	['a run on the preferred rack', 2, {preferredRack: 'r1-1'}],
+	['a run on another rack', 0, {preferredRack: 'r2-1'}],
+	['a failed run', 0, {}, 'failed'],
+	['a stopped run', 0, {}, 'stopped'],
+	['a run of a gang', 0, {isGang: true}],
+	['a long-running task', 0, {isLongRunning: true}],
+	['a task in idle capacity', 0, {fillsIdleCapacity: true}],
+	['a step of which another task waits', 1, {count: 2}],
+	['a run from a checkpoint', 0, {}, 'done', startFromCheckpoint],
+	['a run whose start was not seen', 0, {}, 'done', startUnanswered],
+	['an end not polled in time', 0, {}, 'done', startAndLoseSight],
+];
+
+for (const [name, samples, step, how = 'done', begin = start] of cases) {
 	tap.t.test(`${name}: ${samples} samples`, async (t) => {
 		const owner = createTestOwner([createListed('x')]);
 		submit(owner, createAccepted('a', [{...step}]));
-		prepare?.(owner);
-		start(owner, each.isStartUnanswered);
-		disturb?.(owner);
-
+		begin(owner);
 		const run = getLastRun(owner, taskId);
-		const end = {taskId, run, how: how ?? scheduler.runEnds.done};
-		pollExecutor(owner, 'x', {at: 510, ends: [end]});
-		t.equal(owner.runTimes.version, samples);
+		pollExecutor(owner, 'x', {at: 510, ends: [{taskId, run, how}]});
 		const [shape] = owner.runTimes.shapes.values();
 		t.equal(shape?.models.run.samples ?? 0, Math.min(1, samples));
 		t.equal(shape?.models.step.samples ?? 0, Math.max(0, samples - 1));
--- a/packages/daemon/src/jobs/owner/run-times-row.test.ts
+++ b/packages/daemon/src/jobs/owner/run-times-row.test.ts
@@ -13,7 +13,7 @@
 } from '../job-daemon.test.fixture.js';
 import {createFlusher} from './flusher.js';
 import {loadOwner, type LoadedOwner} from './load-owner.js';
-import {createRunTimesRow, maxTransactionEntries} from './run-times-row.js';
+import {createRunTimesRow} from './run-times-row.js';
 
 const part = heldShard.shard;
 
@@ -54,27 +54,22 @@
 	t.notOk(isAdded(30_000), 'nothing has changed');
 });
 
+/** Entries, and the bytes of each. */
 const sizes = [
-	{name: 'with room', transaction: createTransaction(99), isAdded: true},
-	{
-		name: 'with as many entries as the store takes',
-		transaction: createTransaction(maxTransactionEntries),
-		isAdded: false,
-	},
-	{
-		name: 'as large as it may be',
-		transaction: createTransaction(40, 10_000),
-		isAdded: false,
-	},
-];
+	['with room', 99, 10, true],
+	['with as many entries as the store takes', 100, 10, false],
+	['as large as it may be', 40, 10_000, false],
+] as const;
 
-for (const {name, transaction, isAdded} of sizes) {
+for (const [name, puts, bytes, isAdded] of sizes) {
 	tap.t.test(`a transaction ${name}`, async (t) => {
 		const runTimes = scheduler.createRunTimes();
 		const row = createRunTimesRow(part, runTimes);
 		addSamples(runTimes, 1);
-		t.equal(hasRow(row.addTo(transaction, 1)), isAdded);
-		t.ok(hasRow(row.addTo(createTransaction(1), 2)) !== isAdded, 'or the next');
+		const first = row.addTo(createTransaction(puts, bytes), 1);
+		t.equal(hasRow(first), isAdded);
+		const next = row.addTo(createTransaction(1), 2);
+		t.equal(hasRow(next), !isAdded, 'or else to the next');
 	});
 }
 
@@ -91,23 +86,14 @@
 	return JSON.stringify({...rest, more: 1, shapes: [{...first, run, x: 2}]});
 };
 
+/** Models in force after a takeover, and warnings. */
 const rows = [
-	{name: 'as written', value: encode(), inForce: 1, warnings: 0},
-	{
-		name: 'with fields of a later release',
-		value: addUnknown(encode()),
-		inForce: 1,
-		warnings: 0,
-	},
-	{
-		name: 'of another format',
-		value: encode().replace('"format":1', '"format":2'),
-		inForce: 0,
-		warnings: 1,
-	},
-	{name: 'that is not JSON', value: '{"format":1,', inForce: 0, warnings: 1},
-	{name: 'that is missing', value: undefined, inForce: 0, warnings: 0},
-];
+	['as written', encode(), 1, 0],
+	['with fields of a later release', addUnknown(encode()), 1, 0],
+	['of another format', encode().replace('"format":1', '"format":2'), 0, 1],
+	['that is not JSON', '{"format":1,', 0, 1],
+	['that is missing', undefined, 0, 0],
+] as const;
 
 const load = async (
 	store: ports.RowStore,
@@ -126,7 +112,7 @@
 	return loaded.value;
 };
 
-for (const {name, value, inForce, warnings} of rows) {
+for (const [name, value, inForce, warnings] of rows) {
 	tap.t.test(`a takeover with a row ${name}`, async (t) => {
 		const store = ports.createMemoryRowStore();
 		const key = {table: 'owner', part, key: 'run-times'};
