--- a/packages/core/src/scheduler/run-times/estimates.test.ts
+++ b/packages/core/src/scheduler/run-times/estimates.test.ts
@@ -74,6 +74,15 @@
 	});
 }
 
+tap.t.test('time since the last poll counts as run time', async (t) => {
+	const {owner, job} = createOwner();
+	poll(owner, 1400, [50, 40]);
+	const show = (at: number) =>
+		Math.round(scheduler.getRemainingCriticalPathMs(owner, job, at));
+	t.equal(show(1500), show(1400) - 100);
+	t.equal(show(5000), show(1400) - 450, 'but a quarter of it remains');
+});
+
 tap.t.test('a run of an earlier owner counts from its adoption', async (t) => {
 	const owner = createTestOwner([createListed('x')]);
 	addSamples(owner, [4]);
