--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -15,6 +15,7 @@
 import {isRestart} from '../state/incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
 import type {Owner} from '../state/owner-state.js';
+import {recordRunTime, type MeasuredRun} from '../run-times/samples.js';
 import {
 	addOccurrencesUpTo,
 	createDetachedTask,
@@ -38,12 +39,19 @@
 	type PollChanges,
 } from './poll-answer.js';
 
+/**
+ * A poll, and whether the executor had answered the one before. Otherwise it is
+ * not known when the listed runs ended.
+ */
+type TimedPoll = ExecutorPoll & {readonly isTimely: boolean};
+
 type Changes = {
 	ends: Array<ListedEnd & {failures: number}>;
 	adopted: string[];
 	vanished: string[];
 	orphanedRuns: ListedRun[];
 	jobEnds: EndedJob[];
+	measuredRuns: MeasuredRun[];
 };
 
 /** Returns the task with that id if its job and occurrence are loaded. */
@@ -167,10 +175,23 @@
 		.exhaustive();
 };
 
+/** Measures a run that ended before its end is applied. */
+const measureEnd = (
+	owner: Owner,
+	executor: Executor,
+	end: ListedEnd,
+	{receivedAt, isTimely}: TimedPoll,
+): MeasuredRun | undefined => {
+	const run = executor.runs.get(getRunKey(end.taskId, end.run));
+	return run && !run.task.isDone && end.how === 'done' && isTimely
+		? recordRunTime(owner, {run, executor, endedAt: receivedAt})
+		: undefined;
+};
+
 const applyEnds = (
 	owner: Owner,
 	executor: Executor,
-	poll: ExecutorPoll,
+	poll: TimedPoll,
 	changes: Changes,
 ): void => {
 	const fresh = poll.ends
@@ -178,9 +199,14 @@
 		.toSorted((one, two) => one.number - two.number);
 	for (const end of fresh) {
 		executor.lastEndNumber = end.number;
+		const measured = measureEnd(owner, executor, end, poll);
 		const endedJob = applyEnd(owner, executor, end, poll.receivedAt);
 		const failures = findTask(owner, end.taskId)?.failures ?? 0;
 		changes.ends.push({...end, failures});
+		if (measured) {
+			changes.measuredRuns.push(measured);
+		}
+
 		if (endedJob) {
 			changes.jobEnds.push(endedJob);
 		}
@@ -202,6 +228,7 @@
 	}
 
 	run.percent = listed.percent;
+	run.observedFrom ??= {at: now, percent: listed.percent, isStart: false};
 	run.load = listed.load;
 	run.mayHaveStopped = false;
 	confirmRun(run, clockMs, now);
@@ -285,6 +312,7 @@
 		vanished: [],
 		orphanedRuns: [],
 		jobEnds: [],
+		measuredRuns: [],
 	};
 	const isRestarted = isRestart(executor.incarnation, poll);
 	if (isRestarted) {
@@ -311,10 +339,11 @@
 		);
 	}
 
+	const isTimely = executor.unresponsiveSince === undefined;
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
-	applyEnds(owner, executor, poll, changes);
+	applyEnds(owner, executor, {...poll, isTimely}, changes);
 	applyRunning(owner, executor, poll, changes);
 	executor.orphanedRunCount = changes.orphanedRuns.length;
 	executor.isAdopted = true;
