--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -51,6 +51,7 @@
 	readonly underWay?: fleet.MovesUnderWay;
 	/** Duration of the surplus, in milliseconds. */
 	readonly surplusMs?: number;
+	readonly expected?: fleet.ExpectedDemand;
 	readonly moves: readonly string[];
 };
 
@@ -295,10 +296,53 @@
 		surplusMs: 1000,
 		moves: [],
 	},
+	{
+		name: 'an expected rise gets machines that no demand needs',
+		demands: [createDemand('p'), createDemand('r', {waitingCpu: 2000})],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'r', {runs: 1}),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+		],
+		expected: {machines: new Map([['p', 4]]), endedRises: new Set()},
+		moves: ['s1 to r', 's2 to p'],
+	},
+	{
+		name: 'an expected rise takes no machine that its pool uses',
+		demands: [createDemand('p'), createDemand('r', {usedCpu: 2000})],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'r', {runs: 1}),
+			createMachine('c', 'r', {runs: 1}),
+		],
+		surplusMs: 1000,
+		expected: {machines: new Map([['p', 3]]), endedRises: new Set(['r'])},
+		moves: [],
+	},
+	{
+		name: 'a pool whose rise has ended releases machines to an expected rise',
+		demands: [createDemand('p'), createDemand('r'), createDemand('q')],
+		machines: [
+			createMachine('a', 'p'),
+			...['b', 'c', 'd'].map((id) => createMachine(id, 'r')),
+			...['e', 'f', 'g'].map((id) => createMachine(id, 'q')),
+		],
+		expected: {machines: new Map([['p', 2]]), endedRises: new Set(['r'])},
+		moves: ['b to p', 'c to standby'],
+	},
+	{
+		name: 'an expected rise keeps a surplus, also of an ended rise',
+		demands: [createDemand('p')],
+		machines: [createMachine('a', 'p'), createMachine('b', 'p')],
+		surplusMs: 1000,
+		expected: {machines: new Map([['p', 2]]), endedRises: new Set(['p'])},
+		moves: [],
+	},
 ];
 
 for (const each of cases) {
-	const {name, demands, machines, underWay, surplusMs, moves} = each;
+	const {name, demands, machines, underWay, surplusMs, expected, moves} = each;
 	tap.t.test(name, async (t) => {
 		const caseCfg = {...cfg, ...each.changes};
 		const situation = {
@@ -306,6 +350,7 @@
 			machines,
 			underWay: underWay ?? new Map(),
 			standbyPool: 'standby',
+			expected,
 		};
 		const first = fleet.planPools(
 			situation,
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -6,6 +6,7 @@
  * surplus, and only by machines that are idle or whose work ends by itself.
  * Source: docs/design/pools.md.
  */
+import type {ExpectedDemand} from './forecast/expected-demand.js';
 
 /** Settings of pool sizing. */
 export type PoolConfig = {
@@ -145,20 +146,25 @@
 	readonly machines: readonly PoolMachine[];
 	readonly underWay: MovesUnderWay;
 	readonly standbyPool: string;
+	/** Rises that are expected; without any, machines follow demand only. */
+	readonly expected?: ExpectedDemand | undefined;
 };
 
 /** State before the first plan. */
 export const emptyPoolPlanState: PoolPlanState = {surplusSince: new Map()};
 
-const getMachineCpu = (machines: readonly PoolMachine[]): number =>
+/** Mean capacity of a machine, in thousandths of a core. */
+export const getMachineCpu = (
+	machines: ReadonlyArray<Pick<PoolMachine, 'cpuMillis'>>,
+): number =>
 	machines.length === 0
 		? 1
 		: machines.reduce((sum, {cpuMillis}) => sum + cpuMillis, 0) /
 			machines.length;
 
 /** Minimum number of machines of each pool. */
-const getMinMachines = (
-	{demands, machines}: PoolPlanInput,
+export const getMinMachines = (
+	{demands, machines}: Pick<PoolPlanInput, 'demands' | 'machines'>,
 	cfg: PoolConfig,
 ): number => {
 	const evenSplit = machines.length / (demands.length + 1);
@@ -306,6 +312,20 @@
 	return excess + incoming - outgoing;
 };
 
+/**
+ * Moves machines ahead of expected rises. The deficits of the pools' own demand
+ * are covered before.
+ */
+const coverExpected = (
+	draft: PlanDraft,
+	surplus: ReadonlyMap<string, number>,
+): void => {
+	for (const pool of draft.input.expected?.machines.keys() ?? []) {
+		const excess = surplus.get(pool) ?? 0;
+		coverDeficit(draft, pool, -getRemainingSurplus(draft, pool, excess));
+	}
+};
+
 /** Moves standby machines to late work, unless some pool has a deficit. */
 const planForLateWork = (
 	draft: PlanDraft,
@@ -342,6 +362,15 @@
 	}
 };
 
+/**
+ * Whether a pool gives up a surplus without delay: its rise is over, and one of
+ * another pool is expected.
+ */
+const isReleasedAtOnce = ({expected}: PoolPlanInput, pool: string): boolean =>
+	expected !== undefined &&
+	expected.endedRises.has(pool) &&
+	[...expected.machines.keys()].some((each) => each !== pool);
+
 /** Plans moves for the current demand. */
 export const planPools = (
 	input: PoolPlanInput,
@@ -349,31 +378,43 @@
 	cfg: PoolConfig,
 	now: number,
 ): PoolPlan => {
-	const {demands, machines, underWay, standbyPool} = input;
+	const {demands, machines, underWay, standbyPool, expected} = input;
 	const machineCpu = getMachineCpu(machines);
 	const minPerPool = getMinMachines(input, cfg);
-	const targets = new Map(
+	const ownTargets = new Map(
 		demands.map((demand) => [
 			demand.pool,
 			getTarget(demand, machineCpu, minPerPool, cfg),
 		]),
 	);
+	const targets = new Map(
+		[...ownTargets].map(([pool, target]) => [
+			pool,
+			Math.max(target, expected?.machines.get(pool) ?? 0),
+		]),
+	);
 	const late = new Map(
 		demands.map((demand) => [
 			demand.pool,
 			getLateMachines(demand, machineCpu, cfg),
 		]),
 	);
+	const counts = new Map(
+		demands.map(({pool}) => [pool, countMachines(input, pool)]),
+	);
 	const surplus = new Map(
 		[...targets].map(([pool, target]) => [
 			pool,
-			countMachines(input, pool) - target,
+			(counts.get(pool) ?? 0) - target,
 		]),
 	);
 	const nextState = recordSurplus(state, surplus, now);
 	const hasSurplusFor = (pool: string, ms: number): boolean => {
 		const surplusSince = nextState.surplusSince.get(pool);
-		return surplusSince !== undefined && now - surplusSince >= ms;
+		return (
+			surplusSince !== undefined &&
+			(isReleasedAtOnce(input, pool) || now - surplusSince >= ms)
+		);
 	};
 
 	const movableByPool = new Map([
@@ -395,13 +436,15 @@
 		moves: [],
 		movesLeft: Math.max(0, moveLimit - underWay.size),
 	};
-	const deficits = [...surplus]
-		.filter(([, excess]) => excess < 0)
-		.toSorted(([, one], [, two]) => one - two);
-	for (const [pool, excess] of deficits) {
-		coverDeficit(draft, pool, -excess);
+	const deficits = [...ownTargets]
+		.map(([pool, target]) => [pool, target - (counts.get(pool) ?? 0)] as const)
+		.filter(([, deficit]) => deficit > 0)
+		.toSorted(([, one], [, two]) => two - one);
+	for (const [pool, deficit] of deficits) {
+		coverDeficit(draft, pool, deficit);
 	}
 
+	coverExpected(draft, surplus);
 	planForLateWork(draft, surplus, late);
 	for (const [pool, excess] of surplus) {
 		if (hasSurplusFor(pool, cfg.shrinkAfterMs)) {
--- a/packages/core/src/scheduler/load/arrivals.ts
+++ b/packages/core/src/scheduler/load/arrivals.ts
@@ -5,7 +5,7 @@
  * Time constant of the exponential decay, in milliseconds: long enough to
  * smooth out single jobs, short enough to show a rise within a second.
  */
-const arrivalWindowMs = 1200;
+export const arrivalWindowMs = 1200;
 
 /** Arrivals of a new owner. */
 export const noArrivals: Arrivals = {work: 0, at: 0};
