--- a/packages/core/src/fleet/forecast/rises.ts
+++ b/packages/core/src/fleet/forecast/rises.ts
@@ -93,12 +93,16 @@
  */
 const lookbackMs = 4000;
 
-/** Climbed part of the way to the threshold up to which a sample is the low. */
-const lowShare = 0.1;
+/**
+ * Climbed part of the way to the threshold up to which a sample is the low: a
+ * single job in the low is no start, which with 0.1 was taken for one.
+ */
+const lowShare = 0.4;
 
 /**
  * Largest part of the work of a climb that may arrive in one observation: more
- * is a single large job.
+ * is a single large job. An expected climb is not checked, since with slow
+ * rounds all of it may arrive in two.
  */
 const maxBurstShare = 0.5;
 
@@ -108,8 +112,12 @@
 	return epochMs < 0 || epochMs > maxGapMs || time.now - before.now > maxGapMs;
 };
 
+/**
+ * The level that a rise exceeds. Its floor lets rises count that exceed the
+ * base: three times the whole base is more than the turns of small queues.
+ */
 const getReference = (meanCpu: number, {baseCpu}: PoolObservation): number =>
-	Math.max(meanCpu, baseCpu);
+	Math.max(meanCpu, baseCpu / riseFactor);
 
 /**
  * Demand above which a rise begins. An expected one is recognized as soon as it
@@ -149,6 +157,7 @@
  */
 const findStart = (
 	{samples, sinceEpochMs}: PoolWatch,
+	{expectedHeightCpu}: PoolObservation,
 	reference: number,
 	threshold: number,
 ): number | undefined => {
@@ -156,8 +165,9 @@
 	const last = samples.at(-1)!;
 	if (low <= reference) {
 		const limit = low + (threshold - low) * lowShare;
-		const index = samples.findLastIndex(({cpu}) => cpu <= limit);
-		return isSpread(samples.slice(index)) ? samples[index]?.epochMs : undefined;
+		const climb = samples.slice(samples.findLastIndex(({cpu}) => cpu <= limit));
+		const isRise = expectedHeightCpu !== undefined || isSpread(climb);
+		return isRise ? climb[0]?.epochMs : undefined;
 	}
 
 	const isSettled = last.epochMs - sinceEpochMs >= meanWindowMs;
@@ -239,7 +249,9 @@
 	const reference = getReference(watch.meanCpu, observation);
 	const threshold = getThreshold(reference, observation);
 	const startEpochMs =
-		cpu > threshold ? findStart(watch, reference, threshold) : undefined;
+		cpu > threshold
+			? findStart(watch, observation, reference, threshold)
+			: undefined;
 	return startEpochMs === undefined
 		? {watch}
 		: {
