Move machines ahead of expected rises of demand

The fleet's holder observes the pools in each round, passes what is expected to the plan, and stores the ended rises in one row under its lease, at most once a second. The store is never waited for. Log lines, counters and a gauge show what was expected and whether it came.

--- a/packages/core/src/fleet/forecast/forecast.ts
+++ b/packages/core/src/fleet/forecast/forecast.ts
@@ -427,7 +427,7 @@
 	state: ForecastState,
 	stored: readonly Rise[],
 ): ForecastState => {
-	const rises = keepRecent([...stored, ...state.rises]);
+	const rises = keepRecent([...stored.slice(-maxRises), ...state.rises]);
 	const starts = listStarts({rises, watches: state.watches});
 	let patterns: Patterns = {rotation: undefined, periods: new Map()};
 	for (const [index, rise] of starts.entries()) {
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -10,6 +10,7 @@
 import {runInBackground} from '../background.js';
 import {delay, isConfirmedWithin, type Clock, type Moment} from '../clock.js';
 import type {OwnerChannel} from '../entry/owner-channel.js';
+import type {JobMetrics} from '../job-metrics.js';
 import type {HeldShard} from '../shards/held-shard.js';
 import {
 	fleetPeriods,
@@ -19,6 +20,7 @@
 	type ListedExecutorIds,
 } from './fleet-context.js';
 import {createCommandLog} from './command-log.js';
+import {createDemandForecaster} from './demand-forecaster.js';
 import {createPoolMover} from './pool-mover.js';
 import {
 	createMachineWaveRunner,
@@ -34,6 +36,7 @@
 	readonly owners: OwnerChannel;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	readonly metrics: Pick<JobMetrics, 'count' | 'registerGauge'>;
 	readonly pools: fleet.PoolConfig;
 	/**
 	 * Minimum time between commands of two holders for one machine, in
@@ -107,6 +110,10 @@
 		cfg: deps.pools,
 		getStandbyPool: deps.getStandbyPool,
 		isReserved: waves.isReserved,
+		forecaster: createDemandForecaster(context, {
+			cfg: deps.pools,
+			metrics: deps.metrics,
+		}),
 	});
 
 	const runRound = async () => {
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -2,6 +2,7 @@
 import {fleet} from '@gullstand/core';
 import type {Machine, MachineAnswer} from '@gullstand/ports';
 import {match} from 'ts-pattern';
+import type {DemandForecaster} from './demand-forecaster.js';
 import {
 	evacuateMachine,
 	fleetPeriods,
@@ -22,6 +23,7 @@
 	readonly getStandbyPool: () => string | undefined;
 	/** Whether a machine is reserved for other work, such as a wave. */
 	readonly isReserved: (machine: string) => boolean;
+	readonly forecaster: DemandForecaster;
 };
 
 /** Interval between log lines about all pools, in milliseconds. */
@@ -169,6 +171,7 @@
 	const logPools = (
 		demands: readonly fleet.PoolDemand[],
 		targets: ReadonlyMap<string, number>,
+		expected: fleet.ExpectedDemand | undefined,
 		view: FleetView,
 	) => {
 		if (clock.now() - loggedAt < logIntervalMs) {
@@ -189,6 +192,7 @@
 				{
 					held: own.filter(({state}) => state === 'up').length,
 					target: targets.get(pool),
+					expected: expected?.machines.get(pool) ?? 0,
 					asked: toMachines(usedCpu + waitingCpu),
 					askedLate: toMachines(late.usedCpu + late.waitingCpu),
 				},
@@ -199,21 +203,24 @@
 
 	const plan = (view: FleetView, standbyPool: string) => {
 		const demands = toDemands(view);
+		const machines = [...view.machines.values()].map((each) =>
+			toPoolMachine(view, each),
+		);
+		const expected = deps.forecaster.observe({demands, machines});
 		const planned = fleet.planPools(
 			{
 				demands,
-				machines: [...view.machines.values()].map((each) =>
-					toPoolMachine(view, each),
-				),
+				machines,
 				underWay: new Map([...inProgress].map(([id, {move}]) => [id, move])),
 				standbyPool,
+				expected,
 			},
 			planState,
 			deps.cfg,
 			clock.now(),
 		);
 		planState = planned.state;
-		logPools(demands, planned.targets, view);
+		logPools(demands, planned.targets, expected, view);
 		for (const move of planned.moves) {
 			if (!rejectedMoves.has(`${move.machine} ${move.to}`)) {
 				const since = clock.now();
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -323,6 +323,7 @@
 			owners,
 			clock,
 			logger,
+			metrics,
 			pools: settings.pools,
 			turnoverMs: settings.machineTurnoverMs,
 			maxUnconfirmedMs: settings.scheduler.ownershipTimeoutMs,
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -29,6 +29,8 @@
 	owner: 'owner',
 	/** Shares of the caps of teams. */
 	teamShare: 'team-share',
+	/** What the fleet's holder has learned about demand. */
+	fleetForecast: 'fleet-forecast',
 	/** The key that seals messages between daemons. */
 	secret: 'secret',
 } as const;
