Let expected rises have half of the machines first

With present demand first, all moves went to the pool in its turn, and its machines arrived when the turn was half over.

--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -267,8 +267,9 @@
 };
 
 const planMove = (draft: PlanDraft, from: string, to: string): boolean => {
-	const machine = draft.movableByPool.get(from)?.shift();
-	if (!machine || draft.movesLeft <= 0) {
+	const machine =
+		draft.movesLeft > 0 ? draft.movableByPool.get(from)?.shift() : undefined;
+	if (!machine) {
 		return false;
 	}
 
@@ -313,17 +314,36 @@
 };
 
 /**
- * Moves machines ahead of expected rises. The deficits of the pools' own demand
- * are covered before.
+ * Part of the machines and moves of a plan that expected rises get before the
+ * present demand. Machines that are sent for during a rise of 4.5 s arrive when
+ * it is half over; with present demand first, they were all taken for it and
+ * none was left for the next rise.
  */
+const expectedFirstShare = 0.5;
+
+/** Moves at most `maxMoves` machines ahead of expected rises. */
 const coverExpected = (
 	draft: PlanDraft,
 	surplus: ReadonlyMap<string, number>,
+	maxMoves: number,
 ): void => {
+	const kept = Math.max(0, draft.movesLeft - maxMoves);
+	draft.movesLeft -= kept;
 	for (const pool of draft.input.expected?.machines.keys() ?? []) {
 		const excess = surplus.get(pool) ?? 0;
 		coverDeficit(draft, pool, -getRemainingSurplus(draft, pool, excess));
 	}
+
+	draft.movesLeft += kept;
+};
+
+/** Moves that expected rises get before the present demand. */
+const countFirstMoves = ({movableByPool, movesLeft}: PlanDraft): number => {
+	const available = [...movableByPool.values()].reduce(
+		(sum, {length}) => sum + length,
+		0,
+	);
+	return Math.floor(Math.min(movesLeft, available) * expectedFirstShare);
 };
 
 /** Moves standby machines to late work, unless some pool has a deficit. */
@@ -436,15 +456,16 @@
 		moves: [],
 		movesLeft: Math.max(0, moveLimit - underWay.size),
 	};
+	coverExpected(draft, surplus, countFirstMoves(draft));
 	const deficits = [...ownTargets]
-		.map(([pool, target]) => [pool, target - (counts.get(pool) ?? 0)] as const)
-		.filter(([, deficit]) => deficit > 0)
-		.toSorted(([, one], [, two]) => two - one);
-	for (const [pool, deficit] of deficits) {
-		coverDeficit(draft, pool, deficit);
+		.map(([pool, target]) => [pool, (counts.get(pool) ?? 0) - target] as const)
+		.filter(([, excess]) => excess < 0)
+		.toSorted(([, one], [, two]) => one - two);
+	for (const [pool, excess] of deficits) {
+		coverDeficit(draft, pool, -getRemainingSurplus(draft, pool, excess));
 	}
 
-	coverExpected(draft, surplus);
+	coverExpected(draft, surplus, draft.movesLeft);
 	planForLateWork(draft, surplus, late);
 	for (const [pool, excess] of surplus) {
 		if (hasSurplusFor(pool, cfg.shrinkAfterMs)) {
