--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -6,6 +6,7 @@
  * surplus, and only by machines that are idle or whose work ends by itself.
  * Source: docs/design/pools.md.
  */
+import type {ExpectedDemand} from './forecast/expected-demand.js';
 
 /** Settings of pool sizing. */
 export type PoolConfig = {
@@ -145,20 +146,25 @@
 	readonly machines: readonly PoolMachine[];
 	readonly underWay: MovesUnderWay;
 	readonly standbyPool: string;
+	/** Rises that are expected; without any, machines follow demand only. */
+	readonly expected?: ExpectedDemand | undefined;
 };
 
 /** State before the first plan. */
 export const emptyPoolPlanState: PoolPlanState = {surplusSince: new Map()};
 
-const getMachineCpu = (machines: readonly PoolMachine[]): number =>
+/** Mean capacity of a machine, in thousandths of a core. */
+export const getMachineCpu = (
+	machines: ReadonlyArray<Pick<PoolMachine, 'cpuMillis'>>,
+): number =>
 	machines.length === 0
 		? 1
 		: machines.reduce((sum, {cpuMillis}) => sum + cpuMillis, 0) /
 			machines.length;
 
 /** Minimum number of machines of each pool. */
-const getMinMachines = (
-	{demands, machines}: PoolPlanInput,
+export const getMinMachines = (
+	{demands, machines}: Pick<PoolPlanInput, 'demands' | 'machines'>,
 	cfg: PoolConfig,
 ): number => {
 	const evenSplit = machines.length / (demands.length + 1);
@@ -261,8 +267,9 @@
 };
 
 const planMove = (draft: PlanDraft, from: string, to: string): boolean => {
-	const machine = draft.movableByPool.get(from)?.shift();
-	if (!machine || draft.movesLeft <= 0) {
+	const machine =
+		draft.movesLeft > 0 ? draft.movableByPool.get(from)?.shift() : undefined;
+	if (!machine) {
 		return false;
 	}
 
@@ -306,6 +313,39 @@
 	return excess + incoming - outgoing;
 };
 
+/**
+ * Part of the machines and moves of a plan that expected rises get before the
+ * present demand. Machines that are sent for during a rise of 4.5 s arrive when
+ * it is half over; with present demand first, they were all taken for it and
+ * none was left for the next rise.
+ */
+const expectedFirstShare = 0.5;
+
+/** Moves at most `maxMoves` machines ahead of expected rises. */
+const coverExpected = (
+	draft: PlanDraft,
+	surplus: ReadonlyMap<string, number>,
+	maxMoves: number,
+): void => {
+	const kept = Math.max(0, draft.movesLeft - maxMoves);
+	draft.movesLeft -= kept;
+	for (const pool of draft.input.expected?.machines.keys() ?? []) {
+		const excess = surplus.get(pool) ?? 0;
+		coverDeficit(draft, pool, -getRemainingSurplus(draft, pool, excess));
+	}
+
+	draft.movesLeft += kept;
+};
+
+/** Moves that expected rises get before the present demand. */
+const countFirstMoves = ({movableByPool, movesLeft}: PlanDraft): number => {
+	const available = [...movableByPool.values()].reduce(
+		(sum, {length}) => sum + length,
+		0,
+	);
+	return Math.floor(Math.min(movesLeft, available) * expectedFirstShare);
+};
+
 /** Moves standby machines to late work, unless some pool has a deficit. */
 const planForLateWork = (
 	draft: PlanDraft,
@@ -342,6 +382,15 @@
 	}
 };
 
+/**
+ * Whether a pool gives up a surplus without delay: its rise is over, and one of
+ * another pool is expected.
+ */
+const isReleasedAtOnce = ({expected}: PoolPlanInput, pool: string): boolean =>
+	expected !== undefined &&
+	expected.endedRises.has(pool) &&
+	[...expected.machines.keys()].some((each) => each !== pool);
+
 /** Plans moves for the current demand. */
 export const planPools = (
 	input: PoolPlanInput,
@@ -349,31 +398,43 @@
 	cfg: PoolConfig,
 	now: number,
 ): PoolPlan => {
-	const {demands, machines, underWay, standbyPool} = input;
+	const {demands, machines, underWay, standbyPool, expected} = input;
 	const machineCpu = getMachineCpu(machines);
 	const minPerPool = getMinMachines(input, cfg);
-	const targets = new Map(
+	const ownTargets = new Map(
 		demands.map((demand) => [
 			demand.pool,
 			getTarget(demand, machineCpu, minPerPool, cfg),
 		]),
 	);
+	const targets = new Map(
+		[...ownTargets].map(([pool, target]) => [
+			pool,
+			Math.max(target, expected?.machines.get(pool) ?? 0),
+		]),
+	);
 	const late = new Map(
 		demands.map((demand) => [
 			demand.pool,
 			getLateMachines(demand, machineCpu, cfg),
 		]),
 	);
+	const counts = new Map(
+		demands.map(({pool}) => [pool, countMachines(input, pool)]),
+	);
 	const surplus = new Map(
 		[...targets].map(([pool, target]) => [
 			pool,
-			countMachines(input, pool) - target,
+			(counts.get(pool) ?? 0) - target,
 		]),
 	);
 	const nextState = recordSurplus(state, surplus, now);
 	const hasSurplusFor = (pool: string, ms: number): boolean => {
 		const surplusSince = nextState.surplusSince.get(pool);
-		return surplusSince !== undefined && now - surplusSince >= ms;
+		return (
+			surplusSince !== undefined &&
+			(isReleasedAtOnce(input, pool) || now - surplusSince >= ms)
+		);
 	};
 
 	const movableByPool = new Map([
@@ -395,13 +456,16 @@
 		moves: [],
 		movesLeft: Math.max(0, moveLimit - underWay.size),
 	};
-	const deficits = [...surplus]
+	coverExpected(draft, surplus, countFirstMoves(draft));
+	const deficits = [...ownTargets]
+		.map(([pool, target]) => [pool, (counts.get(pool) ?? 0) - target] as const)
 		.filter(([, excess]) => excess < 0)
 		.toSorted(([, one], [, two]) => one - two);
 	for (const [pool, excess] of deficits) {
-		coverDeficit(draft, pool, -excess);
+		coverDeficit(draft, pool, -getRemainingSurplus(draft, pool, excess));
 	}
 
+	coverExpected(draft, surplus, draft.movesLeft);
 	planForLateWork(draft, surplus, late);
 	for (const [pool, excess] of surplus) {
 		if (hasSurplusFor(pool, cfg.shrinkAfterMs)) {
