--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -21,6 +21,7 @@
 export * from './load/arrivals.js';
 export * from './load/service-load.js';
 export * from './ranking/team-use.js';
+export type * from './team-shares/room-shares.js';
 export * from './state/flush.js';
 export * from './ranking/rank.js';
 export * from './placement/place-task.js';
--- /dev/null
+++ b/packages/core/src/scheduler/team-shares/waiting-jobs.ts
@@ -0,0 +1,88 @@
+/** What the open jobs wait for, and what the teams run. */
+import {isCrashSuspect} from '../polls/crash-attribution.js';
+import type {RankedJob} from '../ranking/rank.js';
+import {getDemand} from '../state/executor.js';
+import type {Owner} from '../state/owner-state.js';
+import {
+	isStepReady,
+	isWaiting,
+	type Job,
+	type Step,
+	type Task,
+} from '../state/task.js';
+import {isLocationKnown} from '../state/task-location.js';
+import {
+	addTo,
+	createSum,
+	getSum,
+	type ResourceSum,
+	type TeamKey,
+} from './dominant-share.js';
+import type {RoomClaim} from './fair-order.js';
+
+/** A ready step with tasks that could start now. */
+export type WaitingStep = {
+	readonly step: Step;
+	/** At least one. */
+	readonly tasks: readonly Task[];
+};
+
+/** A ranked job and what it waits for. */
+export type WaitingJob = RoomClaim & {
+	readonly ranked: RankedJob;
+	readonly steps: readonly WaitingStep[];
+};
+
+const mayStart = (owner: Owner, task: Task): boolean =>
+	isWaiting(task) && isLocationKnown(owner, task) && !isCrashSuspect(task);
+
+const listWaitingSteps = (owner: Owner, job: Job): readonly WaitingStep[] => {
+	const waiting: WaitingStep[] = [];
+	for (const {steps} of job.occurrences.values()) {
+		for (const step of steps) {
+			if (step.doneCount === step.spec.count || !isStepReady(step)) {
+				continue;
+			}
+
+			const tasks = step.tasks.filter((task) => mayStart(owner, task));
+			if (tasks.length > 0) {
+				waiting.push({step, tasks});
+			}
+		}
+	}
+
+	return waiting;
+};
+
+/** Adds to each ranked job what it waits for. */
+export const listWaitingJobs = (
+	owner: Owner,
+	ranked: readonly RankedJob[],
+): readonly WaitingJob[] =>
+	ranked.map((each) => {
+		const steps = listWaitingSteps(owner, each.job);
+		const demand = createSum();
+		for (const {step, tasks} of steps) {
+			addTo(demand, getDemand(step), tasks.length);
+		}
+
+		return {ranked: each, team: each.job.accepted.team, steps, demand};
+	});
+
+/**
+ * Sums what each team runs by what it takes of the room: all runs until their
+ * end is known.
+ */
+export const sumRunsByTeam = (
+	owner: Owner,
+): ReadonlyMap<TeamKey, ResourceSum> => {
+	const sums = new Map<TeamKey, ResourceSum>();
+	for (const {runs} of owner.executors.values()) {
+		for (const {task} of runs.values()) {
+			const {team} = task.step.occurrence.job.accepted;
+			addTo(getSum(sums, team), getDemand(task.step));
+		}
+	}
+
+	return sums;
+};
