Share scarce room between teams in the plan

While in-time work waits that does not fit, jobs of equal timeliness and priority get room by the shares of their teams, and an executor is kept for the first in-time job whose task fits nowhere, for 2 s at most and on a tenth of the executors.

--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -21,6 +21,7 @@
 } from './planning.js';
 import {planSuspects} from './plan-suspects.js';
 import {planGang} from './plan-gang.js';
+import {planRoomShares, reserveRoom} from './plan-room-shares.js';
 import {
 	createRejectedDemands,
 	isKnownNotToFit,
@@ -218,7 +219,8 @@
 	}
 
 	planSuspects(planning);
-	for (const ranked of rankJobs(owner, epochNow)) {
+	const jobs = planRoomShares(planning, rankJobs(owner, epochNow));
+	for (const ranked of jobs) {
 		if (planning.startsLeft <= 0) {
 			break;
 		}
@@ -226,5 +228,6 @@
 		planJob(planning, ranked);
 	}
 
+	reserveRoom(planning, jobs);
 	return planning.commands;
 };
--- a/packages/core/src/scheduler/reports/explain.ts
+++ b/packages/core/src/scheduler/reports/explain.ts
@@ -2,13 +2,10 @@
 import {isCrashSuspect} from '../polls/crash-attribution.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
-import {
-	listUsable,
-	placementRefusals,
-	placeTask,
-} from '../placement/place-task.js';
+import {listUsable} from '../placement/place-task.js';
 import {isStepReady, isWaiting, type Job, type Task} from '../state/task.js';
 import {computeTeamUse, mayTeamStart} from '../ranking/team-use.js';
+import {explainRoom} from './explain-room.js';
 
 /** State of one task and the reason for it. */
 export type TaskExplanation = {
@@ -49,10 +46,7 @@
 		return `the cap of the team ${job.accepted.team} is used up, or its share here is`;
 	}
 
-	const placement = placeTask(listUsable(owner, now), task);
-	return placement.kind === 'placed'
-		? `it is about to start on ${placement.executor.id}`
-		: placementRefusals[placement.reason];
+	return explainRoom(owner, listUsable(owner, now), task);
 };
 
 const explainTask = (
--- a/packages/core/src/scheduler/team-shares/reservation.ts
+++ b/packages/core/src/scheduler/team-shares/reservation.ts
@@ -152,12 +152,9 @@
 	return best;
 };
 
-/** Returns the first of some tasks that waits and has no reservation. */
+/** Returns the first of some waiting tasks that has no reservation. */
 export const findUnreserved = (
 	reservations: readonly Reservation[],
 	tasks: readonly Task[],
 ): Task | undefined =>
-	tasks.find(
-		(task) =>
-			isWaiting(task) && !reservations.some((each) => each.task === task),
-	);
+	tasks.find((task) => !reservations.some((each) => each.task === task));
--- a/packages/core/src/scheduler/team-shares/shortage.ts
+++ b/packages/core/src/scheduler/team-shares/shortage.ts
@@ -31,27 +31,20 @@
 	readonly teamUse: TeamUse;
 };
 
-/** A step that waits for room, and the team that it belongs to. */
-type Waiting = WaitingStep & {readonly team: TeamKey};
+const listStepsInTime = ({
+	ranked: {timeliness},
+	steps,
+}: WaitingJob): readonly WaitingStep[] =>
+	timeliness === 'in-time' || timeliness === 'lasting' ? steps : [];
 
-/** Long-running tasks go first, so in-time work gets what they leave. */
-const listWaitingForRoom = (
+/** Whether a step waits for nothing but room. */
+const isWaitingForRoom = (
 	owner: Owner,
 	{usable, teamUse}: Room,
-	jobs: readonly WaitingJob[],
-): readonly Waiting[] =>
-	jobs
-		.filter(
-			({ranked: {timeliness}}) =>
-				timeliness === 'in-time' || timeliness === 'lasting',
-		)
-		.flatMap(({team, steps}) => steps.map((each) => ({...each, team})))
-		.filter(
-			({step, tasks: [task]}) =>
-				task !== undefined &&
-				mayTeamStart(owner, teamUse, task) &&
-				usable.some((each) => couldHold(each, step)),
-		);
+	{step, first}: WaitingStep,
+): boolean =>
+	mayTeamStart(owner, teamUse, first) &&
+	usable.some((each) => couldHold(each, step));
 
 /** Lowers what a team waits for to what its share of the cap leaves. */
 const limitToCap = (
@@ -75,31 +68,22 @@
 	return limited;
 };
 
-const sumWaiting = (
+/** Whether the sums of what the teams wait for exceed the free room. */
+const exceedsFree = (
 	owner: Owner,
-	teamUse: TeamUse,
-	waiting: readonly Waiting[],
-): Resources => {
-	const sums = new Map<TeamKey, ResourceSum>();
-	for (const {team, step, tasks} of waiting) {
-		addTo(getSum(sums, team), getDemand(step), tasks.length);
+	{usable, teamUse}: Room,
+	waiting: ReadonlyMap<TeamKey, ResourceSum>,
+): boolean => {
+	const left = createSum();
+	for (const executor of usable) {
+		addTo(left, getFree(executor));
 	}
 
-	const total = createSum();
-	for (const [team, sum] of sums) {
-		addTo(total, limitToCap(owner, teamUse, team, sum));
+	for (const [team, sum] of waiting) {
+		addTo(left, limitToCap(owner, teamUse, team, sum), -1);
 	}
 
-	return total;
-};
-
-const sumFree = (usable: readonly Executor[]): Resources => {
-	const free = createSum();
-	for (const executor of usable) {
-		addTo(free, getFree(executor));
-	}
-
-	return free;
+	return resourceNames.some((name) => left[name] < 0);
 };
 
 /** Returns a check whether a task of a step fits on any of the executors. */
@@ -121,23 +105,33 @@
 	};
 };
 
-/** Whether waiting in-time work does not fit into the free room. */
+/**
+ * Whether waiting in-time work does not fit into the free room. Long-running
+ * tasks go first, so in-time work gets what they leave.
+ */
 export const isRoomShort = (
 	owner: Owner,
 	room: Room,
 	jobs: readonly WaitingJob[],
 ): boolean => {
-	const waiting = listWaitingForRoom(owner, room, jobs);
-	const inTime = waiting.filter(({step}) => !step.spec.isLongRunning);
+	const sums = new Map<TeamKey, ResourceSum>();
+	const inTime: Step[] = [];
+	for (const job of jobs) {
+		for (const waiting of listStepsInTime(job)) {
+			if (isWaitingForRoom(owner, room, waiting)) {
+				const {step, count} = waiting;
+				addTo(getSum(sums, job.team), getDemand(step), count);
+				if (!step.spec.isLongRunning) {
+					inTime.push(step);
+				}
+			}
+		}
+	}
+
 	if (inTime.length === 0) {
 		return false;
 	}
 
-	const total = sumWaiting(owner, room.teamUse, waiting);
-	const free = sumFree(room.usable);
 	const fits = createFitCheck(room.usable);
-	return (
-		resourceNames.some((name) => total[name] > free[name]) ||
-		inTime.some(({step}) => !fits(step))
-	);
+	return exceedsFree(owner, room, sums) || inTime.some((step) => !fits(step));
 };
--- a/packages/core/src/scheduler/team-shares/waiting-jobs.ts
+++ b/packages/core/src/scheduler/team-shares/waiting-jobs.ts
@@ -23,8 +23,9 @@
 /** A ready step with tasks that could start now. */
 export type WaitingStep = {
 	readonly step: Step;
-	/** At least one. */
-	readonly tasks: readonly Task[];
+	/** The first of these tasks. */
+	readonly first: Task;
+	readonly count: number;
 };
 
 /** A ranked job and what it waits for. */
@@ -33,20 +34,38 @@
 	readonly steps: readonly WaitingStep[];
 };
 
-const mayStart = (owner: Owner, task: Task): boolean =>
+/** Whether a task of a ready step could start now, given room. */
+export const couldStart = (owner: Owner, task: Task): boolean =>
 	isWaiting(task) && isLocationKnown(owner, task) && !isCrashSuspect(task);
 
-const listWaitingSteps = (owner: Owner, job: Job): readonly WaitingStep[] => {
+const findWaitingStep = (owner: Owner, step: Step): WaitingStep | undefined => {
+	if (step.doneCount === step.spec.count || !isStepReady(step)) {
+		return undefined;
+	}
+
+	let first: Task | undefined;
+	let count = 0;
+	for (const task of step.tasks) {
+		if (couldStart(owner, task)) {
+			first ??= task;
+			count += 1;
+		}
+	}
+
+	return first && {step, first, count};
+};
+
+/** Lists the ready steps of a job that wait for room. */
+export const listWaitingSteps = (
+	owner: Owner,
+	job: Job,
+): readonly WaitingStep[] => {
 	const waiting: WaitingStep[] = [];
 	for (const {steps} of job.occurrences.values()) {
 		for (const step of steps) {
-			if (step.doneCount === step.spec.count || !isStepReady(step)) {
-				continue;
-			}
-
-			const tasks = step.tasks.filter((task) => mayStart(owner, task));
-			if (tasks.length > 0) {
-				waiting.push({step, tasks});
+			const found = findWaitingStep(owner, step);
+			if (found) {
+				waiting.push(found);
 			}
 		}
 	}
@@ -62,8 +81,8 @@
 	ranked.map((each) => {
 		const steps = listWaitingSteps(owner, each.job);
 		const demand = createSum();
-		for (const {step, tasks} of steps) {
-			addTo(demand, getDemand(step), tasks.length);
+		for (const {step, count} of steps) {
+			addTo(demand, getDemand(step), count);
 		}
 
 		return {ranked: each, team: each.job.accepted.team, steps, demand};
