--- a/packages/cli/src/commands/team.ts
+++ b/packages/cli/src/commands/team.ts
@@ -25,6 +25,13 @@
 			: []),
 	].join('; ');
 
+const formatPercent = (share: unknown): string =>
+	`${Math.round(100 * Number(share))}%`;
+
+/** Shares of the resource of which a team takes the largest part. */
+const formatRoom = (room: Fields): string =>
+	`  ${formatValue(room.shard)}: runs ${formatPercent(room.running)} of the room, ran ${formatPercent(room.recent)} recently, waits for ${formatPercent(room.waiting)}`;
+
 const formatTeams: FormatAnswer = ({teams}) =>
 	(teams as readonly Fields[]).flatMap((team) => [
 		[
@@ -35,6 +42,8 @@
 				: `cap ${formatResources(team.cap)}`,
 		].join(', '),
 		...(team.shares as readonly Fields[]).map((share) => formatShare(share)),
+		// Entries of older releases do not send it.
+		...((team.room ?? []) as readonly Fields[]).map((room) => formatRoom(room)),
 	]);
 
 /** Registers `gullstand team`. */
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -78,6 +78,10 @@
 	readonly listTeamShares: () => ReadonlyArray<
 		TeamShareStatus & {readonly shard: string}
 	>;
+	/** Lists what the teams have of the room of each service. */
+	readonly listTeamRoom: () => ReadonlyArray<
+		scheduler.TeamRoom & {readonly shard: string}
+	>;
 	/** Why tasks of a job do not run; absent if this daemon does not own it. */
 	readonly explain: (
 		route: QueueRoute,
@@ -210,6 +214,10 @@
 			[...runners].flatMap(([shard, runner]) =>
 				runner.listTeamShares().map((each) => ({shard, ...each})),
 			),
+		listTeamRoom: () =>
+			[...runners].flatMap(([shard, runner]) =>
+				runner.listTeamRoom().map((each) => ({shard, ...each})),
+			),
 		explain(route, id) {
 			const owner = runners.get(getServiceShard(route.service))?.getOwner();
 			const job = owner?.jobs.get(id);
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -27,6 +27,7 @@
 import {createLoadReport} from './load-report.js';
 import {createOwnerLog} from './owner-log.js';
 import {getPlanPauseMs} from './plan-pause.js';
+import {createRoomReport} from './room-report.js';
 import {applyJobRows} from './apply-job-rows.js';
 import {getInheritedGrantMs, loadOwner} from './load-owner.js';
 import {
@@ -93,6 +94,8 @@
 	/** Applies a row of the teams' shares, as the store shows it. */
 	readonly applyShareRow: (row: ChangedRow) => void;
 	readonly listTeamShares: () => readonly TeamShareStatus[];
+	/** Lists what the teams have of the room, as of the latest plan. */
+	readonly listTeamRoom: () => readonly scheduler.TeamRoom[];
 	readonly readJob: (id: string, queue: string) => JobStateAnswer;
 	readonly countPending: (queue: string) => number | undefined;
 	readonly evacuate: (
@@ -117,6 +120,7 @@
 	const logger = deps.logger.child({shard: held.shard});
 	const log = createOwnerLog({service, logger, metrics, clock});
 	const report = createLoadReport({logger, now: clock.now});
+	const room = createRoomReport({service, logger, metrics, now: clock.now});
 	const remover = createJobRemover({store, held, now: clock.now, logger});
 	let owner: scheduler.Owner | undefined;
 	let links: ExecutorLinks<ExecutorLink> | undefined;
@@ -275,6 +279,7 @@
 		const tookMs = clock.now() - now;
 		nextPlanAt = clock.now() + getPlanPauseMs(tookMs);
 		report.recordPlan(tookMs);
+		room.recordPlan(owner);
 		shares?.update();
 		flusher?.requestFlush();
 	};
@@ -472,6 +477,7 @@
 			shares?.applyRow(row);
 		},
 		listTeamShares: () => shares?.describe() ?? [],
+		listTeamRoom: () => owner?.roomShares.teams ?? [],
 		readJob(id, queue) {
 			if (!owner || !isOwnershipConfirmed()) {
 				return {kind: 'not-owner'};
--- a/packages/daemon/src/jobs/team-overview.test.ts
+++ b/packages/daemon/src/jobs/team-overview.test.ts
@@ -32,13 +32,22 @@
 		createShare('one', 'service/a', 20),
 		createShare('one', 'service/b', 30),
 	],
+	listTeamRoom: () =>
+		[0.2, 0.1].map((running, index) => ({
+			team: 'one',
+			shard: `service/${index}`,
+			weight: 3,
+			running,
+			recent: 0.1,
+			waiting: 0.4,
+		})),
 };
 
 tap.t.test('each team has its own shares', async (t) => {
 	const list = listTeams({...testConfiguration, teams}, owned);
 	t.match(list, [
-		{team: 'one', weight: 3, keys: 1, shares: {length: 2}},
-		{team: 'two', shares: {length: 0}},
+		{team: 'one', weight: 3, keys: 1, shares: {length: 2}, room: {length: 2}},
+		{team: 'two', shares: {length: 0}, room: {length: 0}},
 	]);
 	t.notMatch(JSON.stringify(list), 'hash of one', 'no hashes');
 	t.same(listTeams(testConfiguration, owned), []);
@@ -51,5 +60,7 @@
 	t.match(text, 'gullstand_team_share_cpu_millis{label="one"} 50\n');
 	t.match(text, 'gullstand_team_used_cpu_millis{label="one"} 48\n');
 	t.match(text, 'gullstand_team_waiting_cpu_millis{label="one"} 14\n');
+	t.match(text, 'gullstand_team_room_running{label="one"} 0.2\n');
+	t.match(text, 'gullstand_team_room_waiting{label="one"} 0.4\n');
 	t.notMatch(text, 'label="two"', 'none for a team without a share here');
 });
--- a/packages/daemon/src/jobs/team-overview.ts
+++ b/packages/daemon/src/jobs/team-overview.ts
@@ -13,20 +13,24 @@
 	/** Number of its keys. */
 	readonly keys: number;
 	readonly shares: ReturnType<OwnedServices['listTeamShares']>;
+	/** Empty unless room is shared between teams. */
+	readonly room: ReturnType<OwnedServices['listTeamRoom']>;
 };
 
 /** Lists the teams of the configuration. */
 export const listTeams = (
 	configuration: Configuration | undefined,
-	owned: Pick<OwnedServices, 'listTeamShares'>,
+	owned: Pick<OwnedServices, 'listTeamShares' | 'listTeamRoom'>,
 ): readonly TeamOverview[] => {
 	const shares = owned.listTeamShares();
+	const room = owned.listTeamRoom();
 	return (configuration?.teams ?? []).map(({name, weight, cap, keyHashes}) => ({
 		team: name,
 		weight,
 		cap,
 		keys: keyHashes.length,
 		shares: shares.filter(({team}) => team === name),
+		room: room.filter(({team}) => team === name),
 	}));
 };
 
@@ -36,7 +40,7 @@
 /** Registers gauges of what a team holds, uses and waits for on this daemon. */
 export const registerTeamGauges = (
 	list: readonly teams.Team[],
-	owned: Pick<OwnedServices, 'listTeamShares'>,
+	owned: Pick<OwnedServices, 'listTeamShares' | 'listTeamRoom'>,
 	metrics: Pick<JobMetrics, 'registerGauge'>,
 ): void => {
 	const sumCpu = (team: string, field: 'share' | 'used' | 'waiting') => {
@@ -49,7 +53,21 @@
 		return shares.length > 0 ? sum : undefined;
 	};
 
+	/** The largest of the services, whose rooms differ in size. */
+	const findLargest = (team: string, field: 'running' | 'waiting') => {
+		const room = owned.listTeamRoom().filter((each) => each.team === team);
+		return room.length > 0
+			? Math.max(...room.map((each) => each[field]))
+			: undefined;
+	};
+
 	for (const {name} of list.slice(0, maxTeams)) {
+		for (const field of ['running', 'waiting'] as const) {
+			metrics.registerGauge(`team_room_${field}`, name, () =>
+				findLargest(name, field),
+			);
+		}
+
 		for (const field of ['share', 'used', 'waiting'] as const) {
 			metrics.registerGauge(`team_${field}_cpu_millis`, name, () =>
 				sumCpu(name, field),
