--- a/packages/core/src/scheduler/plan/plan-room-shares.test.ts
+++ b/packages/core/src/scheduler/plan/plan-room-shares.test.ts
@@ -16,7 +16,7 @@
 } from '../owner.test.fixture.js';
 import * as scheduler from '../index.js';
 import {rankJobs} from '../ranking/rank.js';
-import {orderJobs} from '../team-shares/room-shares.js';
+import {orderJobs} from '../team-shares/order-jobs.js';
 import {isRoomShort} from '../team-shares/shortage.js';
 import {listWaitingJobs} from '../team-shares/waiting-jobs.js';
 
--- a/packages/core/src/scheduler/plan/plan-room-shares.ts
+++ b/packages/core/src/scheduler/plan/plan-room-shares.ts
@@ -12,7 +12,7 @@
 	getMaxReservations,
 	pickSoonest,
 } from '../team-shares/reservation.js';
-import {isPaused, shareRoom} from '../team-shares/room-shares.js';
+import {isPaused, shareRoom} from '../team-shares/share-room.js';
 import {
 	couldStart,
 	listWaitingSteps,
