--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -22,6 +22,7 @@
 } from './planning.js';
 import {planSuspects} from './plan-suspects.js';
 import {planGang} from './plan-gang.js';
+import {planRoomShares, reserveRoom} from './plan-room-shares.js';
 import {
 	createRejectedDemands,
 	isKnownNotToFit,
@@ -222,7 +223,8 @@
 	}
 
 	planSuspects(planning);
-	for (const ranked of rankJobs(owner, {now, epochNow})) {
+	const jobs = planRoomShares(planning, rankJobs(owner, {now, epochNow}));
+	for (const ranked of jobs) {
 		if (planning.startsLeft <= 0) {
 			break;
 		}
@@ -230,5 +232,6 @@
 		planJob(planning, ranked);
 	}
 
+	reserveRoom(planning, jobs);
 	return planning.commands;
 };
