Decide whether a new job is served: outlook, room, rate, return times

Nothing is rejected for lack of capacity so far, and a slow store holds every caller until its deadline. The module scheduler/admission holds the pure decisions; nothing calls them yet.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -32,3 +32,7 @@
 export * from './plan/plan.js';
 export * from './polls/command-answers.js';
 export * from './plan/throttle.js';
+export * from './admission/queue-outlook.js';
+export * from './admission/decide-admission.js';
+export * from './admission/return-plan.js';
+export * from './admission/decide-commit.js';
--- a/packages/core/src/scheduler/ranking/rank.ts
+++ b/packages/core/src/scheduler/ranking/rank.ts
@@ -15,7 +15,7 @@
 import type {AcceptedJob} from '../state/types.js';
 
 /** A late job loses its value after this multiple of its objective. */
-const lateUntilFactor = 3;
+export const lateUntilFactor = 3;
 
 /** Share of a job's value that does not depend on its size. */
 const fixedValueShare = 0.3;
--- a/packages/core/src/scheduler/ranking/team-rate.ts
+++ b/packages/core/src/scheduler/ranking/team-rate.ts
@@ -40,3 +40,28 @@
 	job.isBeyondRate = refillTokens(bucket, now) < 1;
 	bucket.tokens -= job.isBeyondRate ? 0 : 1;
 };
+
+/** What is left of a team's rate at a time; times are monotonic. */
+export type TeamRate = {
+	readonly tokens: number;
+	readonly depth: number;
+	readonly tokensPerMs: number;
+	readonly at: number;
+};
+
+/** Describes the rates of the teams that have submitted jobs; charges none. */
+export const describeTeamRates = (
+	{teamRates}: Owner,
+	now: number,
+): ReadonlyMap<string, TeamRate> =>
+	new Map(
+		[...teamRates].map(([team, {tokens, depth, tokensPerMs, refilledAt}]) => [
+			team,
+			{
+				tokens: Math.min(depth, tokens + (now - refilledAt) * tokensPerMs),
+				depth,
+				tokensPerMs,
+				at: now,
+			},
+		]),
+	);
