Reject jobs that cannot be served; refuse at once while the store is slow

An entry stores every job, so the backlog of a team that sends beyond its rate holds machines, and callers wait for a slow store until their deadline. With rejectsUnservableJobs the owner now judges new jobs before they are stored and rejects only what is certainly not stored: known ids, commits under way or unanswered, and a failed read are accepted as before. The wire's field mayBeRejected keeps entries of older releases, and ids with an unanswered earlier try, from rejections. Callers get over-rate (429) or queue-overloaded (503) with a time to return.

--- a/packages/core/src/errors/error-table.ts
+++ b/packages/core/src/errors/error-table.ts
@@ -166,6 +166,12 @@
 		retry: 'later',
 		message: 'the customer is over its contract and capacity is short',
 	},
+	'over-rate': {
+		status: 429,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'the team is over its rate and capacity is short',
+	},
 	'headers-too-large': {
 		status: 431,
 		outcome: 'not-run',
@@ -202,6 +208,12 @@
 		retry: 'later',
 		message: 'the request cannot be answered in time',
 	},
+	'queue-overloaded': {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'the queue has too little capacity to end the job in time',
+	},
 	'no-executor': {
 		status: 503,
 		outcome: 'not-run',
--- a/packages/core/src/scheduler/admission/decide-commit.test.ts
+++ b/packages/core/src/scheduler/admission/decide-commit.test.ts
@@ -15,14 +15,17 @@
 /** Submissions to a store whose commits take `getMs(sentAt)` milliseconds. */
 const play = (getMs: (now: number) => number, untilMs: number) => {
 	const state = scheduler.createCommitState();
-	const pending: Array<{number: number; endAt: number; isAnswered: boolean}> =
-		[];
+	const pending: Array<{
+		number: number;
+		endAt: number;
+		end: scheduler.CommitEnd;
+	}> = [];
 	const calls: Array<{at: number; kind: string; retryAfterMs: number}> = [];
 	for (let now = 0; now < untilMs; now += everyMs) {
 		for (const each of pending.filter(({endAt}) => endAt <= now)) {
 			pending.splice(pending.indexOf(each), 1);
-			const {number, isAnswered, endAt} = each;
-			scheduler.recordCommitEnd(state, number, isAnswered, endAt);
+			const {number, end, endAt} = each;
+			scheduler.recordCommitEnd(state, number, end, endAt);
 		}
 
 		const verdict = scheduler.decideCommit(state, callerMs, now);
@@ -30,7 +33,11 @@
 			const number = scheduler.recordCommitSent(state, now);
 			const ms = getMs(now);
 			const endAt = now + Math.min(ms, giveUpMs);
-			pending.push({number, endAt, isAnswered: ms <= giveUpMs});
+			pending.push({
+				number,
+				endAt,
+				end: ms <= giveUpMs ? 'answered' : 'unanswered',
+			});
 		}
 
 		const retryAfterMs = verdict.kind === 'send' ? 0 : verdict.retryAfterMs;
--- a/packages/core/src/scheduler/admission/decide-commit.ts
+++ b/packages/core/src/scheduler/admission/decide-commit.ts
@@ -71,11 +71,17 @@
 	return state.lastNumber;
 };
 
-/** Records the end of a submission; without an answer it may still take effect. */
+/**
+ * How a submission ended: with the store's answer, without one, or without a
+ * commit, which says nothing about the store.
+ */
+export type CommitEnd = 'answered' | 'unanswered' | 'not-committed';
+
+/** Records the end of a submission. */
 export const recordCommitEnd = (
 	state: CommitState,
 	number: number,
-	isAnswered: boolean,
+	end: CommitEnd,
 	now: number,
 ): void => {
 	const sentAt = state.underWay.get(number);
@@ -84,7 +90,13 @@
 	}
 
 	state.underWay.delete(number);
-	const tookMs = isAnswered ? now - sentAt : Number.POSITIVE_INFINITY;
+	if (end === 'not-committed') {
+		// The next submission is tried in its place.
+		state.lastSentAt = Number.NEGATIVE_INFINITY;
+		return;
+	}
+
+	const tookMs = end === 'answered' ? now - sentAt : Number.POSITIVE_INFINITY;
 	state.ended = [...state.ended, {sentAt, endedAt: now, tookMs}].slice(
 		-maxEnded,
 	);
--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -39,20 +39,28 @@
 import type {OwnerChannel} from './owner-channel.js';
 import type {QueueHistory} from './queue-history.js';
 import type {Routes} from './routes.js';
+import type {SlowStoreRefusal, SubmissionGuard} from './submission-guard.js';
 import {
 	isOfSameTeam,
 	type Submissions,
 	type SubmitOutcome,
 } from './submissions.js';
 
-/** A call's result; its error is a kind of the core's error table. */
-export type JobResult<Value> = Result<Value, errors.ErrorKind>;
+/**
+ * A call's result; its error is a kind of the core's error table. A failed call
+ * may state when its caller should return, in whole milliseconds.
+ */
+export type JobResult<Value> = Result<Value, errors.ErrorKind> & {
+	readonly retryAfterMs?: number | undefined;
+};
 
 export type JobServiceDeps = {
 	readonly routes: Routes;
 	/** Present and former services of each queue. */
 	readonly history: Pick<QueueHistory, 'listServices' | 'load'>;
-	readonly submissions: Submissions;
+	readonly submissions: Pick<Submissions, 'submit'>;
+	/** Absent while no jobs are rejected for lack of capacity. */
+	readonly guard?: SubmissionGuard | undefined;
 	readonly owners: OwnerChannel;
 	readonly access: Pick<CallerAccess, 'verify'>;
 	readonly store: RowStore;
@@ -148,8 +156,14 @@
 	return decoded?.ok ? 'running' : 'queued';
 };
 
+/** Error kinds of the reasons for which an owner rejects a job. */
+const rejectionKinds = {
+	'beyond-rate': 'over-rate',
+	unservable: 'queue-overloaded',
+} as const satisfies Record<scheduler.RejectionReason, errors.ErrorKind>;
+
 const toResult = (
-	outcome: SubmitOutcome,
+	outcome: SubmitOutcome | SlowStoreRefusal,
 ): JobResult<{readonly isRepeat: boolean}> =>
 	match(outcome)
 		.returnType<JobResult<{readonly isRepeat: boolean}>>()
@@ -157,6 +171,14 @@
 		.with({kind: 'conflict'}, () => fail('job-conflict'))
 		.with({kind: 'not-stored'}, () => fail('store-unavailable'))
 		.with({kind: 'unknown'}, () => fail('submission-unknown'))
+		.with({kind: 'rejected'}, ({reason, retryAfterMs}) => ({
+			...fail(rejectionKinds[reason]),
+			retryAfterMs,
+		}))
+		.with({kind: 'store-slow'}, ({retryAfterMs}) => ({
+			...fail('store-unavailable'),
+			retryAfterMs,
+		}))
 		.exhaustive();
 
 /**
@@ -266,9 +288,17 @@
 			team: caller.kind === 'team' ? caller.team : undefined,
 			acceptedAtEpochMs: clock.epochNow(),
 		};
-		const outcome =
+		const send = async (mayBeRejected: boolean) =>
 			(await findAccepted(route, job)) ??
-			(await submitWithFallbacks(shard, job, deadline));
+			submitWithFallbacks(shard, job, deadline, mayBeRejected);
+		const outcome = deps.guard
+			? await deps.guard.submit({
+					job,
+					shards: listShards(route),
+					deadline,
+					send,
+				})
+			: await send(false);
 		const result = toResult(outcome);
 		// The job may be stored, so it must not be reported as not accepted.
 		const unverified: typeof result = fail('submission-unknown');
@@ -303,11 +333,13 @@
 	 * Submits through the owner, which stores many jobs per transaction, then
 	 * directly to the store, then through another entry. Retries are idempotent
 	 * by the job's id, but after a lost answer it is never reported as not stored.
+	 * Only the owner's first answer may be a rejection.
 	 */
 	const submitWithFallbacks = async (
 		shard: string,
 		job: scheduler.AcceptedJob,
 		deadline: number,
+		mayBeRejected: boolean,
 	): Promise<SubmitOutcome> => {
 		const getTimeoutMs = (maxMs: number): number =>
 			Math.max(1, Math.min(maxMs, deadline - clock.now()));
@@ -315,6 +347,7 @@
 			shard,
 			job,
 			getTimeoutMs(ownerSubmitTimeoutMs),
+			mayBeRejected,
 		);
 		const wasLost = first !== 'no-owner' && first.kind === 'unknown';
 		if (first !== 'no-owner' && !wasLost && first.kind !== 'not-stored') {
--- a/packages/daemon/src/jobs/entry/owner-channel.ts
+++ b/packages/daemon/src/jobs/entry/owner-channel.ts
@@ -43,11 +43,15 @@
 		shard: string,
 		executorId: string,
 	) => Promise<void>;
-	/** Submits a job through the owner, which stores many per transaction. */
+	/**
+	 * Submits a job through the owner, which stores many per transaction; it may
+	 * reject the job only if `mayBeRejected`.
+	 */
 	readonly submit: (
 		shard: string,
 		job: scheduler.AcceptedJob,
 		timeoutMs: number,
+		mayBeRejected?: boolean,
 	) => Promise<SubmitOutcome | 'no-owner'>;
 	readonly readLoad: (
 		shard: string,
@@ -129,14 +133,21 @@
 			}));
 			return answer?.load;
 		},
-		async submit(shard, job, timeoutMs) {
+		async submit(shard, job, timeoutMs, mayBeRejected) {
 			const address = getAddress(shard);
+			const local = getLocal(shard);
 			// A local owner uses the same store connection, so it cannot help.
-			if (address === undefined || getLocal(shard) !== undefined) {
-				return 'no-owner';
+			if (address === undefined || local !== undefined) {
+				const rejection = mayBeRejected ? await local?.admit(job) : undefined;
+				return rejection ?? 'no-owner';
 			}
 
-			const params = {shard, job, timeoutMs};
+			const params = {
+				shard,
+				job,
+				timeoutMs,
+				...(mayBeRejected ? {mayBeRejected} : {}),
+			};
 			const answer = await peers.call(address, 'submitJob', params, timeoutMs);
 			if (answer.ok) {
 				return answer.value;
--- a/packages/daemon/src/jobs/entry/submissions.ts
+++ b/packages/daemon/src/jobs/entry/submissions.ts
@@ -14,9 +14,11 @@
 	jobSchema,
 	tables,
 } from '../rows/tables.js';
+import type {Rejection} from '../owner/admission-gate.js';
 import type {LeaseCache} from '../shards/lease-cache.js';
 import {createHistoryRow} from './queue-history.js';
 import {createBatch, listUnrecordedQueues} from './submission-batch.js';
+import {createUnansweredTries} from './unanswered-tries.js';
 
 export type SubmitOutcome =
 	/** The job is stored, by this request or by an earlier one. */
@@ -26,7 +28,9 @@
 	/** The job is certainly not stored and will not be later. */
 	| {readonly kind: 'not-stored'}
 	/** The job may be stored already or may still be. */
-	| {readonly kind: 'unknown'};
+	| {readonly kind: 'unknown'}
+	/** The owner does not accept the job; it is not stored. */
+	| Rejection;
 
 export type SubmissionsDeps = {
 	readonly store: RowStore;
@@ -46,6 +50,8 @@
 		job: scheduler.AcceptedJob,
 		deadline: number,
 	) => Promise<SubmitOutcome>;
+	/** Whether a commit of a job is under way here or had no answer. */
+	readonly mayBeStoring: (shard: string, id: string) => boolean;
 };
 
 /**
@@ -118,6 +124,7 @@
 	const queues = new Map<string, Queue>();
 	/** Texts of recently stored jobs by shard and id, the oldest first. */
 	const recent = new Map<string, string>();
+	const tries = createUnansweredTries(now);
 
 	const cacheText = (shard: string, id: string, text: string) => {
 		recent.set(getRecentKey(shard, id), text);
@@ -384,16 +391,22 @@
 	};
 
 	return {
+		mayBeStoring: (shard, id) => tries.has(getRecentKey(shard, id)),
 		submit: async (shard, job, deadline) =>
 			new Promise((resolve) => {
 				const queue = getQueue(shard);
+				const key = getRecentKey(shard, job.id);
+				tries.begin(key);
 				queue.waiting.push({
 					job,
 					text: JSON.stringify(job),
 					deadline,
 					tries: 0,
 					mayBeStored: false,
-					resolve,
+					resolve(outcome) {
+						tries.end(key, outcome.kind !== 'unknown');
+						resolve(outcome);
+					},
 				});
 				if (!queue.isBusy) {
 					void run(shard, queue);
--- a/packages/daemon/src/jobs/job-daemon.test.fixture.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.fixture.ts
@@ -129,12 +129,13 @@
 	platform: TestPlatform,
 	name: string,
 	onFailure: (err: Error) => void,
+	changes: Partial<scheduler.SchedulerConfig> = {},
 ): Promise<JobDaemon> => {
 	const daemon = createJobDaemon({
 		settings: {
 			name,
 			peers: {address: '127.0.0.1', port: 0},
-			scheduler: testScheduler,
+			scheduler: {...testScheduler, ...changes},
 			pools: fleet.defaultPoolConfig,
 			machineTurnoverMs: 50,
 			keys: testKeyPolicy,
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -29,6 +29,7 @@
 import {createOwnerChannel} from './entry/owner-channel.js';
 import {createQueueHistory} from './entry/queue-history.js';
 import {createRoutes, type Routes} from './entry/routes.js';
+import {createSubmissionGuard} from './entry/submission-guard.js';
 import {createSubmissions} from './entry/submissions.js';
 import {createFleetRunner, type FleetRunner} from './fleet/fleet-runner.js';
 import type {WaveStatusPort} from './fleet/machine-wave-runner.js';
@@ -254,6 +255,9 @@
 		clock,
 		logger,
 		metrics,
+		guard: settings.scheduler.rejectsUnservableJobs
+			? createSubmissionGuard({owners, now, logger, metrics})
+			: undefined,
 		submitThroughPeer: peerEntries.submit,
 		cancelThroughPeer: peerEntries.cancel,
 	});
@@ -299,6 +303,10 @@
 			getCap: (team) => routes.getTeam(team)?.cap,
 			getWeight: (team) => routes.getTeam(team)?.weight,
 		},
+		commits: {
+			mayBeStoring: submissions.mayBeStoring,
+			getUnansweredAt: watched.getUnansweredCommitAt,
+		},
 		getLeasesConfirmedAt: () => leaseFollower.getConfirmedAt(),
 		hasReleased,
 		onOwnershipLost(shard, rows) {
--- a/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
@@ -54,6 +54,10 @@
 			getCap: () => undefined,
 			getWeight: () => undefined,
 		},
+		commits: {
+			mayBeStoring: () => false,
+			getUnansweredAt: () => Number.NEGATIVE_INFINITY,
+		},
 		getLeasesConfirmedAt: () => ({at: now(), epochAt: Date.now()}),
 		hasReleased: async () => true,
 		onOwnershipLost(_shard, rows) {
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -45,6 +45,8 @@
 	readonly rejectsOverload: (service: string) => boolean;
 	/** Whether the deployment has teams, and their caps. */
 	readonly teamCaps: OwnerRunnerDeps['teamCaps'];
+	/** By which a rejection of a job is checked. */
+	readonly commits: OwnerRunnerDeps['commits'];
 	/** When the store last confirmed the leases. */
 	readonly getLeasesConfirmedAt: () => Moment | undefined;
 	/** Whether the previous holder has released the shard or was replaced. */
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -20,6 +20,11 @@
 import {createTableFeed} from '../rows/table-feed.js';
 import {tables, type LeaseRow} from '../rows/tables.js';
 import type {HeldShard} from '../shards/held-shard.js';
+import {
+	createAdmissionGate,
+	type AdmissionGate,
+	type CommitWatch,
+} from './admission-gate.js';
 import {createFlusher, type Flusher} from './flusher.js';
 import {openExecutorLink, type ExecutorLink} from './executor-link.js';
 import {createExecutorLinks, type ExecutorLinks} from './executor-links.js';
@@ -57,6 +62,8 @@
 	readonly rejectsOverload: () => boolean;
 	/** Whether the deployment has teams, and their caps. */
 	readonly teamCaps: Pick<TeamSharesDeps, 'hasTeams' | 'getCap' | 'getWeight'>;
+	/** By which a rejection of a job is checked. */
+	readonly commits: CommitWatch;
 	/** Whether the previous holder has released the shard or was replaced. */
 	readonly hasReleased: (previous: LeaseRow) => Promise<boolean>;
 	/** Called when another daemon owns the service; `rows` may name it. */
@@ -95,6 +102,8 @@
 	readonly listTeamShares: () => readonly TeamShareStatus[];
 	readonly readJob: (id: string, queue: string) => JobStateAnswer;
 	readonly countPending: (queue: string) => number | undefined;
+	/** Rejects a new job, or resolves to nothing if it may be stored. */
+	readonly admit: AdmissionGate['admit'];
 	readonly evacuate: (
 		executorId: string,
 		patienceMs: number,
@@ -139,6 +148,16 @@
 			cfg.ownershipTimeoutMs,
 		);
 
+	const gate = createAdmissionGate({
+		...deps,
+		shard: held.shard,
+		logger,
+		getOwner: () =>
+			cfg.rejectsUnservableJobs && !state.isStopping && isOwnershipConfirmed()
+				? owner
+				: undefined,
+	});
+
 	const loseOwnership = (reason: string, rows: readonly StoredRow[] = []) => {
 		if (!state.isStopped) {
 			abandon();
@@ -490,6 +509,7 @@
 			owner && isOwnershipConfirmed()
 				? scheduler.countPending(owner, queue)
 				: undefined,
+		admit: gate.admit,
 		evacuate(executorId, patienceMs) {
 			if (!owner) {
 				return {kind: 'unknown-executor'};
--- a/packages/daemon/src/jobs/peer-handlers.ts
+++ b/packages/daemon/src/jobs/peer-handlers.ts
@@ -72,8 +72,12 @@
 	channel.addMethod(
 		'submitJob',
 		jobPeerSchemas.submitJob,
-		async ({shard, job, timeoutMs}) =>
-			submissions.submit(shard, job, now() + timeoutMs),
+		async ({shard, job, timeoutMs, mayBeRejected = false}) => {
+			const deadline = now() + timeoutMs;
+			const owner = mayBeRejected ? owned.get(shard) : undefined;
+			const rejection = await owner?.admit(job);
+			return rejection ?? submissions.submit(shard, job, deadline);
+		},
 	);
 	channel.addMethod('cancelJob', jobPeerSchemas.cancelJob, async (params) => ({
 		outcome: await cancelForPeer(deps, params),
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -39,6 +39,11 @@
 			readonly shard: string;
 			readonly job: scheduler.AcceptedJob;
 			readonly timeoutMs: number;
+			/**
+			 * Whether the owner may answer `rejected`; absent from entries of older
+			 * releases and after a try without an answer.
+			 */
+			readonly mayBeRejected?: boolean | undefined;
 		};
 		readonly result: SubmitOutcome;
 	};
@@ -115,6 +120,7 @@
 		shard,
 		job: jobSchema,
 		timeoutMs: z.number().min(0),
+		mayBeRejected: z.boolean().optional(),
 	}),
 	cancelJob: z.object({
 		queue: z.string(),
--- a/packages/daemon/src/jobs/rows/store-health.test.ts
+++ b/packages/daemon/src/jobs/rows/store-health.test.ts
@@ -32,3 +32,20 @@
 		t.equal(watched.isUnresponsive(), isUnresponsive);
 	});
 }
+
+const commitCases: ReadonlyArray<readonly [name: string, step: Step]> = [
+	['with an answer', 'answered'],
+	['that was refused', 'unavailable'],
+	['without an answer', 'lost-after'],
+];
+
+for (const [name, step] of commitCases) {
+	tap.t.test(`a commit ${name}`, async (t) => {
+		const inner = ports.createMemoryRowStore();
+		const watched = watchStore(inner, () => 10);
+		inner.setFault(() => (step === 'answered' ? undefined : step));
+		await watched.store.transact({checks: [], puts: [], removes: []}, 10);
+		const isUnanswered = watched.getUnansweredCommitAt() === 10;
+		t.equal(isUnanswered, step === 'lost-after');
+	});
+}
--- a/packages/daemon/src/jobs/rows/store-health.ts
+++ b/packages/daemon/src/jobs/rows/store-health.ts
@@ -10,6 +10,11 @@
 	 * may retry it.
 	 */
 	readonly isUnresponsive: () => boolean;
+	/**
+	 * Monotonic time at which the latest commit without an answer was given up;
+	 * it may take effect later.
+	 */
+	readonly getUnansweredCommitAt: () => number;
 };
 
 /** Wraps a store to watch its calls. */
@@ -19,6 +24,7 @@
 ): WatchedStore => {
 	let answeredAt = now();
 	let unansweredAt = Number.NEGATIVE_INFINITY;
+	let unansweredCommitAt = Number.NEGATIVE_INFINITY;
 
 	const watch = async <Value>(
 		call: Promise<Result<Value, RowStoreError>>,
@@ -36,10 +42,20 @@
 		return result;
 	};
 
+	const watchCommit: RowStore['transact'] = async (...args) => {
+		const result = await watch(inner.transact(...args));
+		if (!result.ok && result.error.kind === 'timeout') {
+			unansweredCommitAt = now();
+		}
+
+		return result;
+	};
+
 	return {
+		getUnansweredCommitAt: () => unansweredCommitAt,
 		isUnresponsive: () => unansweredAt > answeredAt,
 		store: {
-			transact: async (...args) => watch(inner.transact(...args)),
+			transact: watchCommit,
 			read: async (...args) => watch(inner.read(...args)),
 			listParts: async (...args) => watch(inner.listParts(...args)),
 			readChanges: async (...args) => watch(inner.readChanges(...args)),
--- a/packages/daemon/src/operator/jobs/app.ts
+++ b/packages/daemon/src/operator/jobs/app.ts
@@ -9,6 +9,7 @@
 import type {Context} from 'hono';
 import * as z from 'zod';
 import {createErrorResponse} from '../../caller/answer.js';
+import type {JobResult} from '../../jobs/entry/job-service.js';
 import type {JobDaemon} from '../../jobs/job-daemon.js';
 import type {OperatorApp, OperatorEnv} from '../types.js';
 
@@ -77,8 +78,12 @@
 type JobContext = Context<OperatorEnv>;
 
 /** Creates an error response; `problem` replaces the message of the table. */
-const refuse = (kind: errors.ErrorKind, problem?: string): Response => {
-	const res = createErrorResponse(kind, randomUUID());
+const refuse = (
+	kind: errors.ErrorKind,
+	problem?: string,
+	retryAfterMs?: number,
+): Response => {
+	const res = createErrorResponse(kind, randomUUID(), retryAfterMs);
 	if (problem === undefined) {
 		return res;
 	}
@@ -89,10 +94,12 @@
 };
 
 const answer = <Value>(
-	result: Result<Value, errors.ErrorKind>,
+	result: JobResult<Value>,
 	toBody: (value: Value) => unknown,
 ): Response =>
-	result.ok ? Response.json(toBody(result.value)) : refuse(result.error);
+	result.ok
+		? Response.json(toBody(result.value))
+		: refuse(result.error, undefined, result.retryAfterMs);
 
 const readSpec = async (
 	c: JobContext,
