Tests of job admission do not depend on the age of the configuration

On a busy machine the key of the test's caller was unconfirmed after 1.5 s (3 of 15 checks failed in a whole run of the tests).

--- a/packages/daemon/src/jobs/job-daemon.test.fixture.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.fixture.ts
@@ -129,7 +129,9 @@
 	platform: TestPlatform,
 	name: string,
 	onFailure: (err: Error) => void,
-	changes: Partial<scheduler.SchedulerConfig> = {},
+	changes: Partial<
+		Pick<scheduler.SchedulerConfig, 'rejectsUnservableJobs'> & teams.KeyPolicy
+	> = {},
 ): Promise<JobDaemon> => {
 	const daemon = createJobDaemon({
 		settings: {
@@ -138,7 +140,7 @@
 			scheduler: {...testScheduler, ...changes},
 			pools: fleet.defaultPoolConfig,
 			machineTurnoverMs: 50,
-			keys: testKeyPolicy,
+			keys: {...testKeyPolicy, ...changes},
 		},
 		platform,
 		clock: {now, epochNow: () => Date.now()},
