Rank slow executors last, and start copies of runs that are far behind

Placement prefers the fullest executor, and tasks stay longer on a slow one, so slow executors were preferred. Copies of tasks were allowed by steps but never started.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -14,6 +14,8 @@
 export * from './state/job-ends.js';
 export * from './polls/crash-attribution.js';
 export * from './state/owner.js';
+export * from './executor-speed/speed-state.js';
+export * from './executor-speed/speed-memory.js';
 export * from './state/task-location.js';
 export type * from './state/owner-state.js';
 export * from './polls/poll-answer.js';
--- a/packages/core/src/scheduler/placement/place-task.ts
+++ b/packages/core/src/scheduler/placement/place-task.ts
@@ -8,6 +8,7 @@
 	isUsable,
 	type Executor,
 } from '../state/executor.js';
+import {isSlow} from '../executor-speed/speed-state.js';
 import type {Owner} from '../state/owner-state.js';
 import type {Run, Step, Task} from '../state/task.js';
 
@@ -54,10 +55,28 @@
 	notWhereItFailed: 4,
 	/** The executor is on the rack that holds the task's data. */
 	preferredRack: 2,
+	/** The executor is slow: more than all others together. */
+	slow: -8,
+	/** It is slow and to be tested. */
+	slowTest: 8,
 	/** Used share of its scarcer resource, cpu or memory, from 0 to 1. */
 	usedShare: 1,
 } as const;
 
+/**
+ * Slow executors come last. One that is idle and may have recovered comes first
+ * for one task of a step that allows copies, so that a copy can replace it.
+ */
+const getSpeedScore = ({speed, runs}: Executor, {step}: Task): number => {
+	if (!isSlow(speed)) {
+		return 0;
+	}
+
+	const {allowsCopies, isGang} = step.spec;
+	const isTest = speed.isTestDue && runs.size === 0 && allowsCopies && !isGang;
+	return isTest ? weights.slowTest : weights.slow;
+};
+
 const getScore = (executor: Executor, task: Task): number => {
 	const {spec} = task.step;
 	const free = getFree(executor);
@@ -70,6 +89,7 @@
 		spec.preferredRack !== undefined &&
 		getRack(executor) === spec.preferredRack;
 	return (
+		getSpeedScore(executor, task) +
 		(task.failedOn === executor.id ? 0 : weights.notWhereItFailed) +
 		(isOnPreferredRack ? weights.preferredRack : 0) +
 		(1 - freeShare) * weights.usedShare
--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -5,6 +5,7 @@
  * another executor has room.
  */
 import type {Evacuation, Executor} from '../state/executor.js';
+import {getSpeedFactor} from '../executor-speed/speed-state.js';
 import type {Owner} from '../state/owner-state.js';
 import {listUsable, placeTask} from '../placement/place-task.js';
 import type {Run, Step, Task} from '../state/task.js';
@@ -67,8 +68,12 @@
 	}
 };
 
-const getRemainingMs = ({task, percent}: Run): number =>
-	task.step.spec.estimateMs * (1 - percent / 100);
+/** On a slow executor runs take longer, so those that can checkpoint move. */
+const getRemainingMs = (owner: Owner, {task, ...run}: Run): number => {
+	const executor = owner.executors.get(run.executorId);
+	const speed = executor ? getSpeedFactor(executor.speed) : 1;
+	return (task.step.spec.estimateMs * (1 - run.percent / 100)) / speed;
+};
 
 const shouldStopBatch = (
 	owner: Owner,
@@ -77,7 +82,7 @@
 	now: number,
 ): boolean => {
 	const {spec} = run.task.step;
-	const isLong = getRemainingMs(run) > owner.cfg.evacuationPatienceMs;
+	const isLong = getRemainingMs(owner, run) > owner.cfg.evacuationPatienceMs;
 	return stopFrom <= now || (spec.canCheckpoint && isLong);
 };
 
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -5,6 +5,7 @@
 import type {Owner} from '../state/owner-state.js';
 import {listUsable, placeTask} from '../placement/place-task.js';
 import {rankJobs, type RankedJob} from '../ranking/rank.js';
+import {updateSlowExecutors} from '../executor-speed/record-speeds.js';
 import {isStepReady, isWaiting, type Run, type Step} from '../state/task.js';
 import {computeTeamUse} from '../ranking/team-use.js';
 import {countAvailableStarts} from './start-window.js';
@@ -19,6 +20,7 @@
 	type Planning,
 	type StopReason,
 } from './planning.js';
+import {planCopies, settleCopies} from './plan-copies.js';
 import {planSuspects} from './plan-suspects.js';
 import {planGang} from './plan-gang.js';
 import {
@@ -203,6 +205,8 @@
 	expireEvacuations(owner, now);
 	const stops = planStops(owner, now);
 	const usable = listUsable(owner, now);
+	updateSlowExecutors(owner, usable.length, now);
+	settleCopies(owner);
 	const rejected = createRejectedDemands();
 	const planning: Planning = {
 		owner,
@@ -226,5 +230,7 @@
 		planJob(planning, ranked);
 	}
 
+	planCopies(planning);
+
 	return planning.commands;
 };
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -12,6 +12,7 @@
 	recordClockReading,
 	type Executor,
 } from '../state/executor.js';
+import {recordSpeeds} from '../executor-speed/record-speeds.js';
 import {isRestart} from '../state/incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
 import type {Owner} from '../state/owner-state.js';
@@ -314,6 +315,7 @@
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
+	recordSpeeds(owner, executor, poll);
 	applyEnds(owner, executor, poll, changes);
 	applyRunning(owner, executor, poll, changes);
 	executor.orphanedRunCount = changes.orphanedRuns.length;
--- a/packages/core/src/scheduler/reports/explain.ts
+++ b/packages/core/src/scheduler/reports/explain.ts
@@ -1,5 +1,6 @@
 /** Explains to operators why the tasks of a job do or do not run. */
 import {isCrashSuspect} from '../polls/crash-attribution.js';
+import {getSpeedFactor, isSlow} from '../executor-speed/speed-state.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
 import {
@@ -18,13 +19,22 @@
 	readonly because: string;
 };
 
-const describeRun = (task: Task): string => {
-	const [run] = task.runs;
-	return run
-		? `run ${run.number} on ${run.executorId} is ${run.state}, ${run.percent} percent`
-		: '';
+const describeExecutor = (owner: Owner, id: string): string => {
+	const speed = owner.executors.get(id)?.speed;
+	return speed && isSlow(speed)
+		? `${id} (slow: ${Math.round(100 * getSpeedFactor(speed))} percent of the usual speed)`
+		: id;
 };
 
+/** Describes all runs of a task: a copy may run beside the original. */
+const describeRuns = (owner: Owner, {runs}: Task): string =>
+	runs
+		.map(
+			({number, executorId, state, percent}) =>
+				`run ${number} on ${describeExecutor(owner, executorId)} is ${state}, ${percent} percent`,
+		)
+		.join('; its copy: ');
+
 const explainWaiting = (owner: Owner, task: Task, now: number): string => {
 	const {step} = task;
 	const {job} = step.occurrence;
@@ -70,7 +80,7 @@
 				state: 'waiting',
 				because: explainWaiting(owner, task, now),
 			}
-		: {task: task.id, state: 'running', because: describeRun(task)};
+		: {task: task.id, state: 'running', because: describeRuns(owner, task)};
 };
 
 /** Explains each task of the loaded occurrences. */
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -1,4 +1,8 @@
 /** Executors of a service as its owner tracks them. */
+import {
+	createExecutorSpeed,
+	type ExecutorSpeed,
+} from '../executor-speed/speed-state.js';
 import {
 	isCertainlyPast,
 	pickLatestReading,
@@ -64,6 +68,8 @@
 	evacuation: Evacuation | undefined;
 	consecutiveFailures: number;
 	quarantinedUntil: number;
+	/** How fast its runs make progress. */
+	readonly speed: ExecutorSpeed;
 };
 
 const noResources: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
@@ -92,6 +98,7 @@
 	evacuation: undefined,
 	consecutiveFailures: 0,
 	quarantinedUntil: 0,
+	speed: createExecutorSpeed(),
 });
 
 /** Returns the key of a run in `Executor.runs`. */
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -2,6 +2,7 @@
 import type {CapLimit} from '../../teams/cap-share.js';
 import type {TokenBucket} from '../../admission/token-bucket.js';
 import type {StartWindow} from '../plan/start-window.js';
+import type {SpeedMemory} from '../executor-speed/speed-memory.js';
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
 import type {Job, Task} from './task.js';
@@ -69,6 +70,8 @@
 	readonly teamWeights: Map<string, number>;
 	/** What is left of the teams' rates. */
 	readonly teamRates: Map<string, TokenBucket>;
+	/** Speeds of steps, and copies of slow tasks. */
+	readonly speeds: SpeedMemory;
 	/** Mean work of a job by queue, for ranking. */
 	readonly meanWork: Map<string, {count: number; sum: number}>;
 };
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -7,6 +7,7 @@
 import {attributeLoss} from '../polls/crash-attribution.js';
 import {initialStartWindow} from '../plan/start-window.js';
 import {recordTeamArrival} from '../ranking/team-rate.js';
+import {createSpeedMemory} from '../executor-speed/speed-memory.js';
 import type {SchedulerConfig} from './config.js';
 import {
 	createExecutor,
@@ -54,6 +55,7 @@
 	capLimits: new Map(),
 	teamWeights: new Map(),
 	teamRates: new Map(),
+	speeds: createSpeedMemory(),
 	meanWork: new Map(),
 });
 
