--- a/packages/core/src/scheduler/executor-speed/record-speeds.ts
+++ b/packages/core/src/scheduler/executor-speed/record-speeds.ts
@@ -28,19 +28,14 @@
 	);
 };
 
-const toReading = (
-	key: string,
-	{task, confirmedClockMs}: Run,
-	percent: number,
-	clockMs: number,
-): RunReading => ({
-	key,
-	step: task.step,
-	expectedMs: getExpectedRunMs(task.step),
+const toReading = (run: Run, percent: number, clockMs: number): RunReading => ({
+	key: run,
+	step: run.task.step,
+	expectedMs: getExpectedRunMs(run.task.step),
 	percent,
 	clockMs,
 	// From a checkpoint, a run begins with the progress that this has saved.
-	startedClockMs: task.checkpoint ? undefined : confirmedClockMs,
+	startedClockMs: run.task.checkpoint ? undefined : run.confirmedClockMs,
 });
 
 /** Records which of the original and the copy of a task was done first. */
@@ -52,42 +47,59 @@
 };
 
 /**
- * Records the progress and the ends that a poll lists. Must be called before the
- * poll is applied, which removes the runs that have ended.
+ * Records the runs that a poll lists as done. Must be called before the poll is
+ * applied, which removes them.
  */
-export const recordSpeeds = (
+export const recordDoneRuns = (
 	owner: Owner,
 	executor: Executor,
-	{running, ends, clockMs, receivedAt: now}: ExecutorPoll,
+	{ends, clockMs, receivedAt: now}: ExecutorPoll,
 ): void => {
 	const {speed, runs} = executor;
 	beginReadings(speed, clockMs);
-	for (const {taskId, run: number, percent} of running) {
-		const key = getRunKey(taskId, number);
-		const run = runs.get(key);
-		if (run && isMeasurable(executor, run)) {
-			recordRunning(speed, toReading(key, run, percent, clockMs), now);
-		}
-	}
-
 	for (const {taskId, run: number, how} of ends) {
-		const key = getRunKey(taskId, number);
-		const run = runs.get(key);
-		if (run && how === 'done') {
+		const run = how === 'done' && runs.get(getRunKey(taskId, number));
+		if (run) {
 			recordWinner(owner, run);
 			if (isMeasurable(executor, run)) {
-				recordDoneRun(speed, toReading(key, run, 100, clockMs), now);
+				recordDoneRun(speed, toReading(run, 100, clockMs), now);
 			}
 		}
 	}
+};
 
+const forgetEnded = ({speed, runs}: Executor): void => {
+	const current = new Set<object>(runs.values());
 	for (const key of speed.tracks.keys()) {
-		if (!runs.has(key)) {
+		if (!current.has(key)) {
 			speed.tracks.delete(key);
 		}
 	}
 };
 
+/** Records the progress of the runs after a poll has been applied. */
+export const recordProgresses = (
+	executor: Executor,
+	{clockMs, sentAt, receivedAt: now}: ExecutorPoll,
+): void => {
+	const {speed, runs} = executor;
+	let tracked = 0;
+	for (const run of runs.values()) {
+		// A run that was confirmed since may not be listed yet.
+		const isListed =
+			run.percent > 0 ||
+			(run.confirmedAt !== undefined && run.confirmedAt <= sentAt);
+		if (isListed && isMeasurable(executor, run)) {
+			recordRunning(speed, toReading(run, run.percent, clockMs), now);
+			tracked += 1;
+		}
+	}
+
+	if (speed.tracks.size > tracked) {
+		forgetEnded(executor);
+	}
+};
+
 /** Decides anew which executors are slow, at most every 250 ms. */
 export const updateSlowExecutors = (
 	owner: Owner,
--- a/packages/core/src/scheduler/executor-speed/relative-speed.ts
+++ b/packages/core/src/scheduler/executor-speed/relative-speed.ts
@@ -122,10 +122,7 @@
 	samples: readonly SpeedSample[],
 ): StepGroup => ({
 	step,
-	logSpeed:
-		getWeightedMedian(
-			samples.map(({logSpeed, weight}) => ({value: logSpeed, weight})),
-		) ?? 0,
+	logSpeed: getWeightedMedian(samples) ?? 0,
 	weight: Math.max(...samples.map(({weight}) => weight)),
 	runs: samples.map(({logSpeed}) => logSpeed),
 	changes: samples.flatMap(({change}) => change ?? []),
@@ -156,9 +153,7 @@
 
 const measure = ({id, samples}: ExecutorSamples): Measured | undefined => {
 	const groups = groupBySteps(samples);
-	const logSpeed = getWeightedMedian(
-		groups.map((each) => ({value: each.logSpeed, weight: each.weight})),
-	);
+	const logSpeed = getWeightedMedian(groups);
 	return logSpeed === undefined ? undefined : {id, groups, logSpeed};
 };
 
@@ -194,12 +189,16 @@
 	executorId: string,
 	minRuns = 1,
 ): number | undefined => {
+	if (speeds.length === 1 && speeds[0]?.executorId === executorId) {
+		return undefined;
+	}
+
 	const others = speeds.filter((each) => each.executorId !== executorId);
 	const runs = others.reduce((sum, each) => sum + each.runs, 0);
 	return runs < minRuns
 		? undefined
 		: getWeightedMedian(
-				others.map((each) => ({value: each.logSpeed, weight: each.runs})),
+				others.map((each) => ({logSpeed: each.logSpeed, weight: each.runs})),
 			);
 };
 
@@ -238,12 +237,14 @@
 const getSteadyPeriods = (all: readonly Measured[]): ReadonlySet<number> => {
 	const periods = new Map<number, PeriodChanges>();
 	for (const {id, groups} of all) {
-		for (const {since, by} of groups.flatMap((each) => each.changes)) {
-			const period = getPeriod(since);
-			const known = periods.get(period) ?? {ids: new Set(), changes: []};
-			periods.set(period, known);
-			known.ids.add(id);
-			known.changes.push(by);
+		for (const {changes} of groups) {
+			for (const {since, by} of changes) {
+				const period = getPeriod(since);
+				const known = periods.get(period) ?? {ids: new Set(), changes: []};
+				periods.set(period, known);
+				known.ids.add(id);
+				known.changes.push(by);
+			}
 		}
 	}
 
@@ -301,7 +302,7 @@
 
 const judge = (evidence: readonly Evidence[]): RelativeSpeed => {
 	const weighted = evidence.map(({logSpeed, weight, deviation}) => ({
-		value: logSpeed,
+		logSpeed,
 		weight: weight / deviation ** 2,
 	}));
 	const logSpeed = getWeightedMedian(weighted) ?? 0;
@@ -322,17 +323,18 @@
  * it does not seem to be. Its runs are compared with others less that.
  */
 const getApparentSlowness = (
-	{id, groups}: Measured,
-	references: References,
+	{groups, logSpeed}: Measured,
+	baseline: number,
 ): number => {
-	const {logSpeed, deviations} = judge(
-		groups.map((each) =>
-			compareWithOthers(id, each, {...references, steps: new Map()}),
-		),
-	);
-	return logSpeed < slowLogSpeed && deviations >= apparentDeviations
-		? logSpeed
-		: 0;
+	const slowness = logSpeed - baseline;
+	if (slowness >= slowLogSpeed) {
+		return 0;
+	}
+
+	const weight = groups.reduce((sum, each) => sum + each.weight, 0);
+	const deviations =
+		(-slowness * Math.sqrt(weight)) / (medianFactor * declaredDeviation);
+	return deviations >= apparentDeviations ? slowness : 0;
 };
 
 /** Compares the speeds of the executors of a service. */
@@ -348,18 +350,13 @@
 		return {executors: new Map(), steps: new Map()};
 	}
 
-	const byTimes: References = {
-		steps: new Map(),
-		baseline,
-		steadyPeriods: getSteadyPeriods(all),
-	};
 	const steps = listSteps(
 		all.map((each) => ({
 			...each,
-			slowness: getApparentSlowness(each, byTimes),
+			slowness: getApparentSlowness(each, baseline),
 		})),
 	);
-	const references = {...byTimes, steps};
+	const references = {steps, baseline, steadyPeriods: getSteadyPeriods(all)};
 	const judgeAgainstOthers = ({id, groups}: Measured) =>
 		judge(groups.map((each) => compareWithOthers(id, each, references)));
 	return {
--- a/packages/core/src/scheduler/executor-speed/run-speed.ts
+++ b/packages/core/src/scheduler/executor-speed/run-speed.ts
@@ -7,6 +7,7 @@
 import type {
 	EndedRun,
 	ExecutorSpeed,
+	RunKey,
 	RunTrack,
 	SpeedChange,
 	StepKey,
@@ -35,8 +36,7 @@
 
 /** A reading of a run in a poll. */
 export type RunReading = {
-	/** Key of the run in `Executor.runs`. */
-	readonly key: string;
+	readonly key: RunKey;
 	readonly step: StepKey;
 	readonly expectedMs: number;
 	/** Progress, 0 to 100. */
@@ -121,14 +121,19 @@
 	track.windowPercent = percent;
 };
 
+/**
+ * Returns the speed of a run that was just listed as done. It ended some time
+ * since the last poll, so its last whole window says more than the rest. A run
+ * without one is measured as a whole, if it is not too short for that.
+ */
 const measureEnd = (
 	{logSpeed, windowClockMs, windowPercent}: RunTrack,
 	{clockMs, expectedMs}: RunReading,
-): number => {
+): number | undefined => {
 	const tookMs = clockMs - windowClockMs;
-	return logSpeed !== undefined && tookMs < getWindowMs(expectedMs)
-		? logSpeed
-		: toLogSpeed(100 - windowPercent, tookMs, expectedMs);
+	return logSpeed === undefined && tookMs >= minWindowMs
+		? toLogSpeed(100 - windowPercent, tookMs, expectedMs)
+		: logSpeed;
 };
 
 /** Records that a run ended `done`. */
@@ -140,16 +145,18 @@
 	const {key, step, startedClockMs} = reading;
 	const known = speed.tracks.get(key);
 	speed.tracks.delete(key);
-	if (!known && startedClockMs === undefined) {
+	const isFromStart = known !== undefined || startedClockMs !== undefined;
+	const track = known ?? createTrack(reading, now);
+	const logSpeed = isFromStart ? measureEnd(track, reading) : undefined;
+	if (logSpeed === undefined) {
 		return;
 	}
 
-	const logSpeed = measureEnd(known ?? createTrack(reading, now), reading);
 	const ended: EndedRun = {step, logSpeed, endedAt: now};
 	speed.ended = [...speed.ended, ended].slice(-maxEnded);
-	for (const track of speed.tracks.values()) {
-		if (track.step === step) {
-			track.endedSiblings = [...track.endedSiblings, logSpeed].slice(-maxEnded);
+	for (const each of speed.tracks.values()) {
+		if (each.step === step) {
+			each.endedSiblings = [...each.endedSiblings, logSpeed].slice(-maxEnded);
 		}
 	}
 };
--- a/packages/core/src/scheduler/executor-speed/slow-executors.test.ts
+++ b/packages/core/src/scheduler/executor-speed/slow-executors.test.ts
@@ -41,7 +41,6 @@
 };
 
 type ReplayRun = {
-	readonly key: string;
 	readonly step: object;
 	readonly trueMs: number;
 	readonly startedAt: number;
@@ -65,19 +64,16 @@
 	}
 
 	const slowAt = new Map<string, number[]>([...speeds].map(([id]) => [id, []]));
-	let jobs = 0;
 	const startJob = (at: number) => {
 		const step = {};
 		const factor = Math.exp(load.sigma * drawNormal());
 		const first = Math.floor(random() * load.executors);
-		jobs += 1;
 		for (let task = 0; task < 8; task++) {
 			const long = random() < load.longShare ? 7 : 1;
 			const trueMs =
 				load.estimateMs * factor * long * Math.exp(0.2 * drawNormal());
 			const id = `e${(first + (task % load.spread)) % load.executors}`;
-			const key = `${jobs}.${task}`;
-			runs.get(id)!.push({key, step, trueMs, startedAt: at, doneMs: 0});
+			runs.get(id)!.push({step, trueMs, startedAt: at, doneMs: 0});
 		}
 	};
 
@@ -89,7 +85,7 @@
 		for (const run of runs.get(id)!) {
 			run.doneMs += isSlowed ? tickMs / 5 : tickMs;
 			const reading = {
-				key: run.key,
+				key: run,
 				step: run.step,
 				expectedMs: load.estimateMs,
 				percent: Math.min(99, Math.floor((100 * run.doneMs) / run.trueMs)),
@@ -234,13 +230,14 @@
 		(all, usable) => {
 			const ids = Array.from({length: 12}, (_, index) => `e${index}`);
 			const speeds = new Map(ids.map((id) => [id, createExecutorSpeed()]));
+			const keys = Array.from({length: 40}, () => ({}));
 			let now = 0;
 			for (const [index, {executor, percent, gapMs}] of all.entries()) {
 				now += gapMs;
 				const speed = speeds.get(`e${executor}`)!;
 				beginReadings(speed, now);
 				const reading = {
-					key: `${index % 40}`,
+					key: keys[index % 40]!,
 					step: speed,
 					expectedMs: 1000,
 					percent,
--- a/packages/core/src/scheduler/executor-speed/slow-executors.ts
+++ b/packages/core/src/scheduler/executor-speed/slow-executors.ts
@@ -30,6 +30,9 @@
  */
 const endedHalfLifeMs = 1000;
 
+/** Of more running runs on an executor, some are taken evenly. */
+const maxRunning = 32;
+
 /** Evidence of less weight is dropped. */
 const minWeight = 0.1;
 
@@ -80,8 +83,12 @@
 		}
 	};
 
+	const stride = Math.ceil(tracks.size / maxRunning);
+	let index = 0;
 	for (const track of tracks.values()) {
-		const logSpeed = getEvidence(track);
+		const isTaken = index % stride === 0;
+		index += 1;
+		const logSpeed = isTaken ? getEvidence(track) : undefined;
 		if (logSpeed !== undefined) {
 			const weight = halve(now - track.measuredAt, runningHalfLifeMs);
 			add({step: track.step, logSpeed, weight, change: getChange(track)});
--- a/packages/core/src/scheduler/executor-speed/speed-state.ts
+++ b/packages/core/src/scheduler/executor-speed/speed-state.ts
@@ -6,6 +6,9 @@
  */
 export type StepKey = object;
 
+/** Identity of a run. */
+export type RunKey = object;
+
 /** Progress of a run since the start of the current measuring window. */
 export type RunTrack = {
 	readonly step: StepKey;
@@ -45,8 +48,8 @@
 
 /** What is known of the speed of one executor. */
 export type ExecutorSpeed = {
-	/** Tracks of its runs, by run key. */
-	readonly tracks: Map<string, RunTrack>;
+	/** Tracks of its runs. */
+	readonly tracks: Map<RunKey, RunTrack>;
 	/** The runs that ended last, latest last. */
 	ended: readonly EndedRun[];
 	/** The executor's clock in the latest poll. */
--- a/packages/core/src/scheduler/executor-speed/weighted-median.ts
+++ b/packages/core/src/scheduler/executor-speed/weighted-median.ts
@@ -1,7 +1,7 @@
 /** Weighted median, which single outliers do not move. */
 
-/** A value that counts with a positive weight. */
-export type Weighted = {readonly value: number; readonly weight: number};
+/** A speed, as its natural logarithm, that counts with a positive weight. */
+export type Weighted = {readonly logSpeed: number; readonly weight: number};
 
 /**
  * Returns the value below which half of the weight lies, the mean of the two
@@ -11,20 +11,20 @@
 	values: readonly Weighted[],
 ): number | undefined => {
 	if (values.length <= 1) {
-		return values[0]?.value;
+		return values[0]?.logSpeed;
 	}
 
-	const sorted = values.toSorted((one, two) => one.value - two.value);
+	const sorted = values.toSorted((one, two) => one.logSpeed - two.logSpeed);
 	let left = sorted.reduce((sum, {weight}) => sum + weight, 0) / 2;
-	for (const [index, {value, weight}] of sorted.entries()) {
+	for (const [index, {logSpeed, weight}] of sorted.entries()) {
 		left -= weight;
 		const next = sorted[index + 1];
 		if (left < 0 || !next) {
-			return value;
+			return logSpeed;
 		}
 
 		if (left === 0) {
-			return (value + next.value) / 2;
+			return (logSpeed + next.logSpeed) / 2;
 		}
 	}
 
@@ -33,4 +33,4 @@
 
 /** Returns the median of values of equal weight. */
 export const getMedian = (values: readonly number[]): number | undefined =>
-	getWeightedMedian(values.map((value) => ({value, weight: 1})));
+	getWeightedMedian(values.map((logSpeed) => ({logSpeed, weight: 1})));
--- a/packages/core/src/scheduler/plan/plan-copies.ts
+++ b/packages/core/src/scheduler/plan/plan-copies.ts
@@ -19,7 +19,7 @@
 import {isCrashSuspect} from '../polls/crash-attribution.js';
 import {listAdvisedExecutors} from '../placement/placement-advice.js';
 import {placeTask} from '../placement/place-task.js';
-import {getDemand, getRunKey, type Executor} from '../state/executor.js';
+import {getDemand, type Executor} from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
 import {
@@ -105,13 +105,11 @@
 		id,
 		minRunsElsewhere,
 	);
-	if (elsewhere === undefined) {
-		return isSlow(speed) ? runMs * getSpeedFactor(speed) : undefined;
+	if (elsewhere !== undefined) {
+		return getExpectedRunMs(step) / Math.exp(elsewhere);
 	}
 
-	return isSlow(speed) || speed.latestLogSpeed < slowLogSpeed
-		? getExpectedRunMs(step) / Math.exp(elsewhere)
-		: undefined;
+	return isSlow(speed) ? runMs * getSpeedFactor(speed) : undefined;
 };
 
 const findBehind = (
@@ -119,8 +117,8 @@
 	executor: Executor,
 	run: Run,
 ): Behind | undefined => {
-	const {task, number, percent} = run;
-	const track = executor.speed.tracks.get(getRunKey(task.id, number));
+	const {task, percent} = run;
+	const track = executor.speed.tracks.get(run);
 	if (track?.logSpeed === undefined) {
 		return undefined;
 	}
@@ -144,13 +142,17 @@
 	}
 };
 
+const seemsSlow = ({speed}: Executor): boolean =>
+	isSlow(speed) || speed.latestLogSpeed < slowLogSpeed;
+
 /** Lists the runs for which a copy is due, the largest gain first. */
 const listBehind = (owner: Owner): readonly Behind[] => {
 	const behind: Behind[] = [];
 	for (const executor of owner.executors.values()) {
 		// A silent executor may have been crashed by the task. Its copy would
 		// crash another one before the crash is attributed.
-		const isSilent = executor.unresponsiveSince !== undefined;
+		const isSuspect =
+			executor.unresponsiveSince === undefined && seemsSlow(executor);
 		for (const run of executor.runs.values()) {
 			const {task} = run;
 			if (!task.step.spec.allowsCopies) {
@@ -160,7 +162,7 @@
 			if (task.runs.length > 1) {
 				adoptCopy(owner, task);
 			} else if (
-				!isSilent &&
+				isSuspect &&
 				mayHaveCopy(owner, run) &&
 				!hasHadCopy(owner, run)
 			) {
@@ -232,10 +234,7 @@
 	{task, executorId}: Run,
 ): readonly Executor[] =>
 	listAdvisedExecutors(owner, task.step, usable, now).filter(
-		({id, speed}) =>
-			id !== executorId &&
-			!isSlow(speed) &&
-			speed.latestLogSpeed >= slowLogSpeed,
+		(each) => each.id !== executorId && !seemsSlow(each),
 	);
 
 /** Starts a copy; returns whether it has found room. */
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -12,7 +12,10 @@
 	recordClockReading,
 	type Executor,
 } from '../state/executor.js';
-import {recordSpeeds} from '../executor-speed/record-speeds.js';
+import {
+	recordDoneRuns,
+	recordProgresses,
+} from '../executor-speed/record-speeds.js';
 import {isRestart} from '../state/incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
 import type {Owner} from '../state/owner-state.js';
@@ -315,9 +318,10 @@
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
-	recordSpeeds(owner, executor, poll);
+	recordDoneRuns(owner, executor, poll);
 	applyEnds(owner, executor, poll, changes);
 	applyRunning(owner, executor, poll, changes);
+	recordProgresses(executor, poll);
 	executor.orphanedRunCount = changes.orphanedRuns.length;
 	executor.isAdopted = true;
 	owner.unresolvedExecutors.delete(executor.id);
--- a/packages/core/src/scheduler/reports/explain.test.ts
+++ b/packages/core/src/scheduler/reports/explain.test.ts
@@ -21,6 +21,17 @@
 
 const cases: readonly Case[] = [
 	{name: 'it is running', steps: [{}], because: [/run \d+ on x is running/v]},
+	{
+		name: 'it is running on a slow executor',
+		steps: [{}],
+		prepare(owner) {
+			const {speed} = owner.executors.get('x')!;
+			owner.speeds.decidedAt = 0;
+			speed.slowSince = 0;
+			speed.logSpeed = Math.log(0.2);
+		},
+		because: [/on x \(slow: 20 percent of the usual speed\) is running/v],
+	},
 	{
 		name: 'an earlier step is not done',
 		steps: [{}, {after: [0]}],
--- a/packages/daemon/src/jobs/owner/owner-log.ts
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -1,5 +1,6 @@
 /** Log lines and metrics of one owner's decisions and observations. */
 import type {scheduler} from '@gullstand/core';
+import {match} from 'ts-pattern';
 import type {Logger} from '../../log/logger.js';
 import type {Clock} from '../clock.js';
 import {histogramNames, type JobMetrics} from '../job-metrics.js';
@@ -15,6 +16,8 @@
 	readonly logLostRuns: (lost: scheduler.LostRuns, reason: string) => void;
 	/** Logs the answer to a start. */
 	readonly logStart: (run: scheduler.Run, isStarted: boolean) => void;
+	/** Logs executors that became slow or recovered, and copies of tasks. */
+	readonly logSpeedEvents: (events: readonly scheduler.SpeedEvent[]) => void;
 	readonly logFlush: (flush: scheduler.Flush) => void;
 	/** Logs once that a listed executor counts as terminated. */
 	readonly logTerminatedListing: (listed: scheduler.ListedExecutor) => void;
@@ -43,6 +46,47 @@
 		}
 	};
 
+	const logSpeedEvent = (event: scheduler.SpeedEvent) => {
+		match(event)
+			.with({kind: 'executor-slow'}, ({executorId, speed}) => {
+				metrics.count('slow_executors', 'became-slow');
+				logger.info('executor slow', {
+					executor: executorId,
+					speed: Math.round(100 * speed) / 100,
+				});
+			})
+			.with({kind: 'executor-recovered'}, ({executorId, slowMs}) => {
+				metrics.count('slow_executors', 'recovered');
+				logger.info('executor no longer slow', {
+					executor: executorId,
+					slowMs: Math.round(slowMs),
+				});
+			})
+			.with({kind: 'copy-started'}, (copy) => {
+				metrics.count('task_copies', 'started');
+				logger.info('task copy', {
+					task: copy.taskId,
+					run: copy.run,
+					executor: copy.executorId,
+					percent: copy.percent,
+					remainingMs: Math.round(copy.remainingMs),
+					copy: copy.copy,
+					copyExecutor: copy.copyExecutorId,
+					copyMs: Math.round(copy.copyMs),
+				});
+			})
+			.with({kind: 'copy-ended'}, ({taskId, copy, executorId, outcome}) => {
+				metrics.count('task_copies', outcome);
+				logger.info('task copy settled', {
+					task: taskId,
+					copy,
+					copyExecutor: executorId,
+					outcome,
+				});
+			})
+			.exhaustive();
+	};
+
 	return {
 		logJobEnd,
 		logPoll(executor, changes) {
@@ -109,6 +153,11 @@
 				startedAtEpochMs,
 			});
 		},
+		logSpeedEvents(events) {
+			for (const event of events) {
+				logSpeedEvent(event);
+			}
+		},
 		logFlush({jobs}) {
 			for (const {job, end} of jobs) {
 				if (end === 'completed') {
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -263,6 +263,7 @@
 			scheduler.advanceSchedules(owner, clock.epochNow());
 			shares?.prepare();
 			const commands = scheduler.planCommands(owner, now, clock.epochNow());
+			log.logSpeedEvents(scheduler.takeSpeedEvents(owner.speeds));
 			for (const command of commands) {
 				if (command.kind === 'advise') {
 					void requestAdvice(owner, command);
