--- a/packages/core/src/scheduler/executor-speed/record-speeds.ts
+++ b/packages/core/src/scheduler/executor-speed/record-speeds.ts
@@ -107,7 +107,9 @@
 	now: number,
 ): void => {
 	const {speeds: memory, executors} = owner;
-	if (now - memory.decidedAt < decisionIntervalMs) {
+	// With none usable, for example while the registry cannot be read, the limit
+	// would be 0 and all slow executors would count as sound.
+	if (usable === 0 || now - memory.decidedAt < decisionIntervalMs) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/reports/explain.ts
+++ b/packages/core/src/scheduler/reports/explain.ts
@@ -33,7 +33,7 @@
 			({number, executorId, state, percent}) =>
 				`run ${number} on ${describeExecutor(owner, executorId)} is ${state}, ${percent} percent`,
 		)
-		.join('; its copy: ');
+		.join('; ');
 
 const explainWaiting = (owner: Owner, task: Task, now: number): string => {
 	const {step} = task;
