--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -8,6 +8,8 @@
 import {getSpeedFactor} from '../executor-speed/speed-state.js';
 import type {Owner} from '../state/owner-state.js';
 import {listUsable, placeTask} from '../placement/place-task.js';
+import {predictStepTime} from '../run-times/model.js';
+import {estimateRunTimeLeft} from '../run-times/remaining.js';
 import type {Run, Step, Task} from '../state/task.js';
 
 /** Progress at which a long-running task has started up. */
@@ -68,11 +70,17 @@
 	}
 };
 
-/** On a slow executor runs take longer, so those that can checkpoint move. */
-const getRemainingMs = (owner: Owner, {task, ...run}: Run): number => {
+const getRemainingMs = (owner: Owner, run: Run, now: number): number => {
+	const {step} = run.task;
+	const predicted = predictStepTime(owner.runTimes, 'run', step);
+	if (predicted) {
+		return estimateRunTimeLeft(run, predicted, now).remaining.typicalMs;
+	}
+
+	// On a slow executor runs take longer, so those that can checkpoint move.
 	const executor = owner.executors.get(run.executorId);
 	const speed = executor ? getSpeedFactor(executor.speed) : 1;
-	return (task.step.spec.estimateMs * (1 - run.percent / 100)) / speed;
+	return (step.spec.estimateMs * (1 - run.percent / 100)) / speed;
 };
 
 const shouldStopBatch = (
@@ -82,7 +90,8 @@
 	now: number,
 ): boolean => {
 	const {spec} = run.task.step;
-	const isLong = getRemainingMs(owner, run) > owner.cfg.evacuationPatienceMs;
+	const isLong =
+		getRemainingMs(owner, run, now) > owner.cfg.evacuationPatienceMs;
 	return stopFrom <= now || (spec.canCheckpoint && isLong);
 };
 
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -6,6 +6,7 @@
 import {listUsable, placeTask} from '../placement/place-task.js';
 import {rankJobs, type RankedJob} from '../ranking/rank.js';
 import {updateSlowExecutors} from '../executor-speed/record-speeds.js';
+import {estimateRun} from '../run-times/model.js';
 import {isStepReady, isWaiting, type Run, type Step} from '../state/task.js';
 import {computeTeamUse} from '../ranking/team-use.js';
 import {countAvailableStarts} from './start-window.js';
@@ -23,6 +24,7 @@
 import {planCopies, settleCopies} from './plan-copies.js';
 import {planSuspects} from './plan-suspects.js';
 import {planGang} from './plan-gang.js';
+import {planRoomShares, reserveRoom} from './plan-room-shares.js';
 import {
 	createRejectedDemands,
 	isKnownNotToFit,
@@ -45,11 +47,14 @@
 		return run.percent < 100 && now - run.askedAt > startupLimitMs;
 	}
 
-	return (
-		now - run.askedAt > hangFactor * spec.estimateMs &&
-		now - run.progressedAt > hangMs &&
-		run.percent < 100
-	);
+	if (now - run.progressedAt <= hangMs || run.percent >= 100) {
+		return false;
+	}
+
+	// Never sooner than by the declared time: a stopped run is repeated work.
+	const {typicalMs} = estimateRun(owner.runTimes, run.task.step);
+	const runMs = Math.max(spec.estimateMs, typicalMs);
+	return now - run.askedAt > hangFactor * runMs;
 };
 
 const isDuplicate = ({task, number}: Run): boolean =>
@@ -222,7 +227,8 @@
 	}
 
 	planSuspects(planning);
-	for (const ranked of rankJobs(owner, epochNow)) {
+	const jobs = planRoomShares(planning, rankJobs(owner, {now, epochNow}));
+	for (const ranked of jobs) {
 		if (planning.startsLeft <= 0) {
 			break;
 		}
@@ -231,6 +237,6 @@
 	}
 
 	planCopies(planning);
-
+	reserveRoom(planning, jobs);
 	return planning.commands;
 };
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -19,6 +19,7 @@
 import {isRestart} from '../state/incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
 import type {Owner} from '../state/owner-state.js';
+import {recordRunTime, type MeasuredRun} from '../run-times/samples.js';
 import {
 	addOccurrencesUpTo,
 	createDetachedTask,
@@ -42,12 +43,19 @@
 	type PollChanges,
 } from './poll-answer.js';
 
+/**
+ * A poll, and whether the executor had answered the one before. Otherwise it is
+ * not known when the listed runs ended.
+ */
+type TimedPoll = ExecutorPoll & {readonly isTimely: boolean};
+
 type Changes = {
 	ends: Array<ListedEnd & {failures: number}>;
 	adopted: string[];
 	vanished: string[];
 	orphanedRuns: ListedRun[];
 	jobEnds: EndedJob[];
+	measuredRuns: MeasuredRun[];
 };
 
 /** Returns the task with that id if its job and occurrence are loaded. */
@@ -171,10 +179,23 @@
 		.exhaustive();
 };
 
+/** Measures a run that ended before its end is applied. */
+const measureEnd = (
+	owner: Owner,
+	executor: Executor,
+	end: ListedEnd,
+	{receivedAt, isTimely}: TimedPoll,
+): MeasuredRun | undefined => {
+	const run = executor.runs.get(getRunKey(end.taskId, end.run));
+	return run && !run.task.isDone && end.how === 'done' && isTimely
+		? recordRunTime(owner, {run, executor, endedAt: receivedAt})
+		: undefined;
+};
+
 const applyEnds = (
 	owner: Owner,
 	executor: Executor,
-	poll: ExecutorPoll,
+	poll: TimedPoll,
 	changes: Changes,
 ): void => {
 	const fresh = poll.ends
@@ -182,9 +203,14 @@
 		.toSorted((one, two) => one.number - two.number);
 	for (const end of fresh) {
 		executor.lastEndNumber = end.number;
+		const measured = measureEnd(owner, executor, end, poll);
 		const endedJob = applyEnd(owner, executor, end, poll.receivedAt);
 		const failures = findTask(owner, end.taskId)?.failures ?? 0;
 		changes.ends.push({...end, failures});
+		if (measured) {
+			changes.measuredRuns.push(measured);
+		}
+
 		if (endedJob) {
 			changes.jobEnds.push(endedJob);
 		}
@@ -206,6 +232,7 @@
 	}
 
 	run.percent = listed.percent;
+	run.observedFrom ??= {at: now, percent: listed.percent, isStart: false};
 	run.load = listed.load;
 	run.mayHaveStopped = false;
 	confirmRun(run, clockMs, now);
@@ -289,6 +316,7 @@
 		vanished: [],
 		orphanedRuns: [],
 		jobEnds: [],
+		measuredRuns: [],
 	};
 	const isRestarted = isRestart(executor.incarnation, poll);
 	if (isRestarted) {
@@ -315,11 +343,12 @@
 		);
 	}
 
+	const isTimely = executor.unresponsiveSince === undefined;
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
 	recordDoneRuns(owner, executor, poll);
-	applyEnds(owner, executor, poll, changes);
+	applyEnds(owner, executor, {...poll, isTimely}, changes);
 	applyRunning(owner, executor, poll, changes);
 	recordProgresses(executor, poll);
 	executor.orphanedRunCount = changes.orphanedRuns.length;
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -1,8 +1,10 @@
 /** State that the owner of a service keeps. */
 import type {CapLimit} from '../../teams/cap-share.js';
 import type {TokenBucket} from '../../admission/token-bucket.js';
+import type {RunTimes} from '../run-times/model.js';
 import type {StartWindow} from '../plan/start-window.js';
 import type {SpeedMemory} from '../executor-speed/speed-memory.js';
+import type {RoomShares} from '../team-shares/room-shares.js';
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
 import type {Job, Task} from './task.js';
@@ -72,6 +74,10 @@
 	readonly teamRates: Map<string, TokenBucket>;
 	/** Speeds of steps, and copies of slow tasks. */
 	readonly speeds: SpeedMemory;
+	/** How long tasks really run. */
+	readonly runTimes: RunTimes;
+	/** What the teams have used of the room, and executors kept for tasks. */
+	readonly roomShares: RoomShares;
 	/** Mean work of a job by queue, for ranking. */
 	readonly meanWork: Map<string, {count: number; sum: number}>;
 };
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -6,8 +6,11 @@
 import {noArrivals, recordArrival} from '../load/arrivals.js';
 import {attributeLoss} from '../polls/crash-attribution.js';
 import {initialStartWindow} from '../plan/start-window.js';
+import {createRunTimes} from '../run-times/model.js';
+import {getTotalWork} from '../run-times/work.js';
 import {recordTeamArrival} from '../ranking/team-rate.js';
 import {createSpeedMemory} from '../executor-speed/speed-memory.js';
+import {createRoomShares} from '../team-shares/room-shares.js';
 import type {SchedulerConfig} from './config.js';
 import {
 	createExecutor,
@@ -56,6 +59,8 @@
 	teamWeights: new Map(),
 	teamRates: new Map(),
 	speeds: createSpeedMemory(),
+	runTimes: createRunTimes(),
+	roomShares: createRoomShares(),
 	meanWork: new Map(),
 });
 
@@ -63,7 +68,7 @@
 	const {queue} = job.accepted.policy;
 	const mean = owner.meanWork.get(queue) ?? {count: 0, sum: 0};
 	mean.count += 1;
-	mean.sum += job.totalWork;
+	mean.sum += getTotalWork(owner, job);
 	owner.meanWork.set(queue, mean);
 };
 
@@ -84,7 +89,11 @@
 	owner.openJobs.add(job);
 	recordWork(owner, job);
 	if (!isInherited && !isLongRunningJob(job)) {
-		owner.arrivals = recordArrival(owner.arrivals, job.totalWork, now);
+		owner.arrivals = recordArrival(
+			owner.arrivals,
+			getTotalWork(owner, job),
+			now,
+		);
 		recordTeamArrival(owner, job, now);
 	}
 
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -45,6 +45,8 @@
 	readonly rejectsOverload: (service: string) => boolean;
 	/** Whether the deployment has teams, and their caps. */
 	readonly teamCaps: OwnerRunnerDeps['teamCaps'];
+	/** By which a rejection of a job is checked. */
+	readonly commits: OwnerRunnerDeps['commits'];
 	/** When the store last confirmed the leases. */
 	readonly getLeasesConfirmedAt: () => Moment | undefined;
 	/** Whether the previous holder has released the shard or was replaced. */
@@ -78,6 +80,10 @@
 	readonly listTeamShares: () => ReadonlyArray<
 		TeamShareStatus & {readonly shard: string}
 	>;
+	/** Lists what the teams have of the room of each service. */
+	readonly listTeamRoom: () => ReadonlyArray<
+		scheduler.TeamRoom & {readonly shard: string}
+	>;
 	/** Why tasks of a job do not run; absent if this daemon does not own it. */
 	readonly explain: (
 		route: QueueRoute,
@@ -210,6 +216,10 @@
 			[...runners].flatMap(([shard, runner]) =>
 				runner.listTeamShares().map((each) => ({shard, ...each})),
 			),
+		listTeamRoom: () =>
+			[...runners].flatMap(([shard, runner]) =>
+				runner.listTeamRoom().map((each) => ({shard, ...each})),
+			),
 		explain(route, id) {
 			const owner = runners.get(getServiceShard(route.service))?.getOwner();
 			const job = owner?.jobs.get(id);
--- a/packages/daemon/src/jobs/owner/owner-log.ts
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -87,6 +87,16 @@
 			.exhaustive();
 	};
 
+	const logMeasuredRun = ({outcome, changes}: scheduler.MeasuredRun) => {
+		metrics.count('run_times', outcome ?? 'declared');
+		for (const {isInForce, error, ...change} of changes) {
+			logger.info(
+				isInForce ? 'run times are predicted' : 'run times are as declared',
+				{service, ...change, error: Number(error.toFixed(2))},
+			);
+		}
+	};
+
 	return {
 		logJobEnd,
 		logPoll(executor, changes) {
@@ -108,6 +118,10 @@
 				});
 			}
 
+			for (const each of changes.measuredRuns) {
+				logMeasuredRun(each);
+			}
+
 			logJobEnds(changes.jobEnds);
 		},
 		logLostRuns({runs, jobEnds}, reason) {
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -20,6 +20,11 @@
 import {createTableFeed} from '../rows/table-feed.js';
 import {tables, type LeaseRow} from '../rows/tables.js';
 import type {HeldShard} from '../shards/held-shard.js';
+import {
+	createAdmissionGate,
+	type AdmissionGate,
+	type CommitWatch,
+} from './admission-gate.js';
 import {createFlusher, type Flusher} from './flusher.js';
 import {openExecutorLink, type ExecutorLink} from './executor-link.js';
 import {createExecutorLinks, type ExecutorLinks} from './executor-links.js';
@@ -27,6 +32,7 @@
 import {createLoadReport} from './load-report.js';
 import {createOwnerLog} from './owner-log.js';
 import {getPlanPauseMs} from './plan-pause.js';
+import {createRoomReport} from './room-report.js';
 import {applyJobRows} from './apply-job-rows.js';
 import {getInheritedGrantMs, loadOwner} from './load-owner.js';
 import {
@@ -57,6 +63,8 @@
 	readonly rejectsOverload: () => boolean;
 	/** Whether the deployment has teams, and their caps. */
 	readonly teamCaps: Pick<TeamSharesDeps, 'hasTeams' | 'getCap' | 'getWeight'>;
+	/** By which a rejection of a job is checked. */
+	readonly commits: CommitWatch;
 	/** Whether the previous holder has released the shard or was replaced. */
 	readonly hasReleased: (previous: LeaseRow) => Promise<boolean>;
 	/** Called when another daemon owns the service; `rows` may name it. */
@@ -93,8 +101,12 @@
 	/** Applies a row of the teams' shares, as the store shows it. */
 	readonly applyShareRow: (row: ChangedRow) => void;
 	readonly listTeamShares: () => readonly TeamShareStatus[];
+	/** Lists what the teams have of the room, as of the latest plan. */
+	readonly listTeamRoom: () => readonly scheduler.TeamRoom[];
 	readonly readJob: (id: string, queue: string) => JobStateAnswer;
 	readonly countPending: (queue: string) => number | undefined;
+	/** Rejects a new job, or resolves to nothing if it may be stored. */
+	readonly admit: AdmissionGate['admit'];
 	readonly evacuate: (
 		executorId: string,
 		patienceMs: number,
@@ -117,6 +129,7 @@
 	const logger = deps.logger.child({shard: held.shard});
 	const log = createOwnerLog({service, logger, metrics, clock});
 	const report = createLoadReport({logger, now: clock.now});
+	const room = createRoomReport({service, logger, metrics, now: clock.now});
 	const remover = createJobRemover({store, held, now: clock.now, logger});
 	let owner: scheduler.Owner | undefined;
 	let links: ExecutorLinks<ExecutorLink> | undefined;
@@ -139,6 +152,16 @@
 			cfg.ownershipTimeoutMs,
 		);
 
+	const gate = createAdmissionGate({
+		...deps,
+		shard: held.shard,
+		logger,
+		getOwner: () =>
+			cfg.rejectsUnservableJobs && !state.isStopping && isOwnershipConfirmed()
+				? owner
+				: undefined,
+	});
+
 	const loseOwnership = (reason: string, rows: readonly StoredRow[] = []) => {
 		if (!state.isStopped) {
 			abandon();
@@ -276,6 +299,7 @@
 		const tookMs = clock.now() - now;
 		nextPlanAt = clock.now() + getPlanPauseMs(tookMs);
 		report.recordPlan(tookMs);
+		room.recordPlan(owner);
 		shares?.update();
 		flusher?.requestFlush();
 	};
@@ -473,6 +497,7 @@
 			shares?.applyRow(row);
 		},
 		listTeamShares: () => shares?.describe() ?? [],
+		listTeamRoom: () => owner?.roomShares.teams ?? [],
 		readJob(id, queue) {
 			if (!owner || !isOwnershipConfirmed()) {
 				return {kind: 'not-owner'};
@@ -491,6 +516,7 @@
 			owner && isOwnershipConfirmed()
 				? scheduler.countPending(owner, queue)
 				: undefined,
+		admit: gate.admit,
 		evacuate(executorId, patienceMs) {
 			if (!owner) {
 				return {kind: 'unknown-executor'};
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -7,7 +7,7 @@
 	fail,
 	succeed,
 	type Result,
-	type scheduler,
+	scheduler,
 	type shardAssignment,
 	type shardLease,
 } from '@gullstand/core';
@@ -25,10 +25,15 @@
 	job: 'job',
 	/** Progress of each job: its ended tasks and occurrences. */
 	progress: 'progress',
-	/** Other rows of an owner: its roster and the marker of its last flush. */
+	/**
+	 * Other rows of an owner: its roster, its run times and the marker of its last
+	 * flush.
+	 */
 	owner: 'owner',
 	/** Shares of the caps of teams. */
 	teamShare: 'team-share',
+	/** What the fleet's holder has learned about demand. */
+	fleetForecast: 'fleet-forecast',
 	/** The key that seals messages between daemons. */
 	secret: 'secret',
 } as const;
@@ -38,6 +43,7 @@
 	lease: 'lease',
 	flush: 'flush',
 	roster: 'roster',
+	runTimes: 'run-times',
 	peerKey: 'peers',
 } as const;
 
@@ -242,6 +248,23 @@
 	}),
 ) as unknown as z.ZodType<readonly RosterRow[]>;
 
+const storedRegressionSchema = z
+	.array(z.number())
+	.min(scheduler.storedRegressionLength);
+
+/** Schema of the run times that an owner has learnt. */
+export const runTimesSchema: z.ZodType<scheduler.StoredRunTimes> = z.object({
+	format: z.literal(1),
+	shapes: z.array(
+		z.object({
+			queue: z.string(),
+			image: optional(z.string()),
+			run: storedRegressionSchema,
+			step: storedRegressionSchema,
+		}),
+	),
+});
+
 /** Schema of the key that seals messages between daemons. */
 export const peerKeySchema = z.object({
 	keyHex: z.string().regex(/^[\da-f]{64}$/v),
