--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -5,6 +5,7 @@
  * another executor has room.
  */
 import type {Evacuation, Executor} from '../state/executor.js';
+import {getSpeedFactor} from '../executor-speed/speed-state.js';
 import type {Owner} from '../state/owner-state.js';
 import {listUsable, placeTask} from '../placement/place-task.js';
 import {predictStepTime} from '../run-times/model.js';
@@ -69,12 +70,17 @@
 	}
 };
 
-const getRemainingMs = ({runTimes}: Owner, run: Run, now: number): number => {
+const getRemainingMs = (owner: Owner, run: Run, now: number): number => {
 	const {step} = run.task;
-	const predicted = predictStepTime(runTimes, 'run', step);
-	return predicted
-		? estimateRunTimeLeft(run, predicted, now).remaining.typicalMs
-		: step.spec.estimateMs * (1 - run.percent / 100);
+	const predicted = predictStepTime(owner.runTimes, 'run', step);
+	if (predicted) {
+		return estimateRunTimeLeft(run, predicted, now).remaining.typicalMs;
+	}
+
+	// On a slow executor runs take longer, so those that can checkpoint move.
+	const executor = owner.executors.get(run.executorId);
+	const speed = executor ? getSpeedFactor(executor.speed) : 1;
+	return (step.spec.estimateMs * (1 - run.percent / 100)) / speed;
 };
 
 const shouldStopBatch = (
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -12,6 +12,10 @@
 	recordClockReading,
 	type Executor,
 } from '../state/executor.js';
+import {
+	recordDoneRuns,
+	recordProgresses,
+} from '../executor-speed/record-speeds.js';
 import {isRestart} from '../state/incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
 import type {Owner} from '../state/owner-state.js';
@@ -343,8 +347,10 @@
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
+	recordDoneRuns(owner, executor, poll);
 	applyEnds(owner, executor, {...poll, isTimely}, changes);
 	applyRunning(owner, executor, poll, changes);
+	recordProgresses(executor, poll);
 	executor.orphanedRunCount = changes.orphanedRuns.length;
 	executor.isAdopted = true;
 	owner.unresolvedExecutors.delete(executor.id);
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -3,6 +3,7 @@
 import type {TokenBucket} from '../../admission/token-bucket.js';
 import type {RunTimes} from '../run-times/model.js';
 import type {StartWindow} from '../plan/start-window.js';
+import type {SpeedMemory} from '../executor-speed/speed-memory.js';
 import type {RoomShares} from '../team-shares/room-shares.js';
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
@@ -71,6 +72,8 @@
 	readonly teamWeights: Map<string, number>;
 	/** What is left of the teams' rates. */
 	readonly teamRates: Map<string, TokenBucket>;
+	/** Speeds of steps, and copies of slow tasks. */
+	readonly speeds: SpeedMemory;
 	/** How long tasks really run. */
 	readonly runTimes: RunTimes;
 	/** What the teams have used of the room, and executors kept for tasks. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -9,6 +9,7 @@
 import {createRunTimes} from '../run-times/model.js';
 import {getTotalWork} from '../run-times/work.js';
 import {recordTeamArrival} from '../ranking/team-rate.js';
+import {createSpeedMemory} from '../executor-speed/speed-memory.js';
 import {createRoomShares} from '../team-shares/room-shares.js';
 import type {SchedulerConfig} from './config.js';
 import {
@@ -57,6 +58,7 @@
 	capLimits: new Map(),
 	teamWeights: new Map(),
 	teamRates: new Map(),
+	speeds: createSpeedMemory(),
 	runTimes: createRunTimes(),
 	roomShares: createRoomShares(),
 	meanWork: new Map(),
