--- a/packages/core/src/scheduler/admission/run-time-bounds.ts
+++ b/packages/core/src/scheduler/admission/run-time-bounds.ts
@@ -1,7 +1,7 @@
 /**
- * Bounds on the run times of a job that nothing is known of but its declared
- * times. The true times of most steps lie within them; they are replaced by the
- * low and high estimates of run times once there are any.
+ * Bounds on the run times of a job by its declared times. The true times of most
+ * steps lie within them. Learned run times are not used, since a rejection must
+ * hold even while they follow a change of behaviour.
  */
 import {getCriticalPathMs, lateUntilFactor} from '../ranking/rank.js';
 import type {AcceptedJob, StepSpec} from '../state/types.js';
