--- a/packages/core/src/scheduler/executor-speed/record-speeds.ts
+++ b/packages/core/src/scheduler/executor-speed/record-speeds.ts
@@ -109,7 +109,8 @@
 	const {speeds: memory, executors} = owner;
 	// With none usable, for example while the registry cannot be read, the limit
 	// would be 0 and all slow executors would count as sound.
-	if (usable === 0 || now - memory.decidedAt < decisionIntervalMs) {
+	const isDue = now - memory.decidedAt >= decisionIntervalMs;
+	if (!owner.cfg.avoidsSlowExecutors || usable === 0 || !isDue) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -44,6 +44,8 @@
 	readonly rejectsUnservableJobs: boolean;
 	/** Whether teams share scarce room by their weights. */
 	readonly sharesRoomBetweenTeams: boolean;
+	/** Whether slow executors are used last and their runs may be copied. */
+	readonly avoidsSlowExecutors: boolean;
 };
 
 /** Default settings. */
@@ -64,4 +66,5 @@
 	evacuationPatienceMs: 1500,
 	rejectsUnservableJobs: false,
 	sharesRoomBetweenTeams: false,
+	avoidsSlowExecutors: true,
 };
