Wait for a second run of a task only where copies are started

With slow executors off by the settings, inherited tasks of steps that allow copies still waited longer after a takeover than before this work, on all deployments.

--- a/packages/core/src/scheduler/executor-speed/slow-executors.ts
+++ b/packages/core/src/scheduler/executor-speed/slow-executors.ts
@@ -1,6 +1,6 @@
 /**
  * Decides which executors of a service count as slow: those that evidence has
- * shown to be slow for half a second, at most a quarter of the usable ones.
+ * shown to be slow for a second, at most a quarter of the usable ones.
  */
 import {
 	compareSpeeds,
--- a/packages/core/src/scheduler/state/task-location.ts
+++ b/packages/core/src/scheduler/state/task-location.ts
@@ -2,12 +2,15 @@
 import type {Owner} from './owner-state.js';
 import type {Task} from './task.js';
 
+const mayHaveTwoRuns = ({cfg}: Owner, {step}: Task): boolean =>
+	cfg.avoidsSlowExecutors && step.spec.allowsCopies;
+
 /**
  * Whether it is known where a task runs, if at all. A task of an inherited job
  * may run on an executor that has not answered yet, unless this owner has
- * already seen a run of it. Of a step that allows copies there may be two runs.
+ * already seen a run of it. There may be two runs where copies are started.
  */
 export const isLocationKnown = (owner: Owner, task: Task): boolean =>
 	!task.step.occurrence.job.isInherited ||
 	owner.unresolvedExecutors.size === 0 ||
-	(task.lastRun > 0 && !task.step.spec.allowsCopies);
+	(task.lastRun > 0 && !mayHaveTwoRuns(owner, task));
