Slow executors are off by default also outside the platform's settings

The default was true, while pages and settings said off: the embedded daemon had it on. Nothing looks for copies while it is off.

--- a/packages/core/src/scheduler/owner.test.fixture.ts
+++ b/packages/core/src/scheduler/owner.test.fixture.ts
@@ -6,6 +6,7 @@
 	...scheduler.defaultSchedulerConfig,
 	taskLeaseMs: 4000,
 	ownershipTimeoutMs: 10_000,
+	avoidsSlowExecutors: true,
 };
 
 /** Creates a step of one small task. */
--- a/packages/core/src/scheduler/plan/plan-copies.ts
+++ b/packages/core/src/scheduler/plan/plan-copies.ts
@@ -284,6 +284,10 @@
  */
 export const planCopies = (planning: Planning): void => {
 	const {owner, usable} = planning;
+	if (!owner.cfg.avoidsSlowExecutors) {
+		return;
+	}
+
 	const behind = listBehind(owner);
 	if (
 		behind.length === 0 ||
--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -66,5 +66,5 @@
 	evacuationPatienceMs: 1500,
 	rejectsUnservableJobs: false,
 	sharesRoomBetweenTeams: false,
-	avoidsSlowExecutors: true,
+	avoidsSlowExecutors: false,
 };
