--- a/packages/core/src/scheduler/plan/plan-copies.test.ts
+++ b/packages/core/src/scheduler/plan/plan-copies.test.ts
@@ -92,6 +92,14 @@
 const cases: readonly Case[] = [
 	{name: 'one run is five times slower', copies: 1},
 	{name: 'no run is slower', slow: [], copies: 0},
+	{
+		name: 'slow executors are not avoided by the settings',
+		prepare({owner}) {
+			const cfg = {...owner.cfg, avoidsSlowExecutors: false};
+			Object.assign(owner, {cfg});
+		},
+		copies: 0,
+	},
 	{name: 'all runs are slower', slow: ids, copies: 0},
 	{
 		name: 'the step allows no copies',
@@ -384,6 +392,17 @@
 	t.same(planAndStart(next, 2060), []);
 });
 
+for (const avoidsSlowExecutors of [true, false]) {
+	const name = `an inherited task that ran waits for its copy: ${avoidsSlowExecutors}`;
+	tap.t.test(name, async (t) => {
+		const {owner, job} = createWorld({}, true);
+		Object.assign(owner, {cfg: {...owner.cfg, avoidsSlowExecutors}});
+		scheduler.inheritExecutor(owner, createListed('old'), 9000);
+		const [task] = scheduler.listTasks(job);
+		t.equal(scheduler.isLocationKnown(owner, task!), !avoidsSlowExecutors);
+	});
+}
+
 tap.t.test('an adopted pair has no third run', async (t) => {
 	const {owner, task, copy} = createPair(t);
 	owner.speeds.openCopies.clear();
