Switches for learned run times and for the demand forecast

Both changed plans, rows or moves on deployments whose settings asked for neither, and nothing turned them off.

--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -11,6 +11,7 @@
 	shrinkAfterMs: 1000,
 	yieldAfterMs: 500,
 	maxMoves: 4,
+	usesForecast: true,
 	maxMoveShare: 0,
 };
 
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -55,6 +55,8 @@
 	 * Moves in progress as a share of all machines; the larger limit applies.
 	 */
 	readonly maxMoveShare: number;
+	/** Whether machines move ahead of rises of demand that are expected. */
+	readonly usesForecast: boolean;
 };
 
 /** Default settings. */
@@ -69,6 +71,7 @@
 	yieldAfterMs: 200,
 	maxMoves: 40,
 	maxMoveShare: 0.35,
+	usesForecast: true,
 };
 
 /**
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -187,7 +187,9 @@
 	{receivedAt, isTimely}: TimedPoll,
 ): MeasuredRun | undefined => {
 	const run = executor.runs.get(getRunKey(end.taskId, end.run));
-	return run && !run.task.isDone && end.how === 'done' && isTimely
+	const {learnsRunTimes} = owner.cfg;
+	const isMeasured = learnsRunTimes && isTimely && end.how === 'done';
+	return run && !run.task.isDone && isMeasured
 		? recordRunTime(owner, {run, executor, endedAt: receivedAt})
 		: undefined;
 };
--- a/packages/core/src/scheduler/run-times/samples.test.ts
+++ b/packages/core/src/scheduler/run-times/samples.test.ts
@@ -38,6 +38,11 @@
 	scheduler.markUnresponsive(owner, 'x', 50);
 };
 
+const startWithoutLearning: Change = (owner) => {
+	Object.assign(owner, {cfg: {...owner.cfg, learnsRunTimes: false}});
+	start(owner);
+};
+
 /** The number of samples, of the run and of its step. */
 const cases: ReadonlyArray<
 	readonly [
@@ -60,6 +65,7 @@
 	['a run from a checkpoint', 0, {}, 'done', startFromCheckpoint],
 	['a run whose start was not seen', 0, {}, 'done', startUnanswered],
 	['an end not polled in time', 0, {}, 'done', startAndLoseSight],
+	['a run while the setting is off', 0, {}, 'done', startWithoutLearning],
 ];
 
 for (const [name, samples, step, how = 'done', begin = start] of cases) {
--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -46,6 +46,8 @@
 	readonly sharesRoomBetweenTeams: boolean;
 	/** Whether slow executors are used last and their runs may be copied. */
 	readonly avoidsSlowExecutors: boolean;
+	/** Whether run times are learned where declarations prove wrong. */
+	readonly learnsRunTimes: boolean;
 };
 
 /** Default settings. */
@@ -67,4 +69,5 @@
 	rejectsUnservableJobs: false,
 	sharesRoomBetweenTeams: false,
 	avoidsSlowExecutors: false,
+	learnsRunTimes: true,
 };
--- a/packages/daemon/src/jobs/fleet/demand-forecaster.test.ts
+++ b/packages/daemon/src/jobs/fleet/demand-forecaster.test.ts
@@ -174,9 +174,11 @@
 );
 
 tap.t.test('machines move for an expected rise only', async (t) => {
-	for (const expected of [
-		undefined,
-		{machines: new Map([['p', 5]]), endedRises: new Set<string>()},
+	const rise = {machines: new Map([['p', 5]]), endedRises: new Set<string>()};
+	for (const {expected, usesForecast} of [
+		{expected: undefined, usesForecast: true},
+		{expected: rise, usesForecast: true},
+		{expected: rise, usesForecast: false},
 	]) {
 		const moved: string[] = [];
 		const context = {
@@ -194,7 +196,7 @@
 			},
 		} as unknown as FleetContext;
 		const mover = createPoolMover(context, {
-			cfg: {...fleet.defaultPoolConfig, minCpu: 0, minShare: 0},
+			cfg: {...fleet.defaultPoolConfig, minCpu: 0, minShare: 0, usesForecast},
 			getStandbyPool: () => 'standby',
 			isReserved: () => false,
 			forecaster: {observe: () => expected},
@@ -214,6 +216,7 @@
 			machines: new Map(listed as never),
 			loads: new Map([['p', {...load, executors: {}, silent: {}}]]),
 		} as unknown as FleetView);
-		t.same(moved, expected ? ['m2', 'm3', 'm4', 'm5'] : []);
+		const isUsed = expected !== undefined && usesForecast;
+		t.same(moved, isUsed ? ['m2', 'm3', 'm4', 'm5'] : []);
 	}
 });
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -206,7 +206,9 @@
 		const machines = [...view.machines.values()].map((each) =>
 			toPoolMachine(view, each),
 		);
-		const expected = deps.forecaster.observe({demands, machines});
+		const expected = deps.cfg.usesForecast
+			? deps.forecaster.observe({demands, machines})
+			: undefined;
 		const planned = fleet.planPools(
 			{
 				demands,
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -185,9 +185,11 @@
 const addRunTimes = (
 	owner: scheduler.Owner,
 	{ownerRows}: Rows,
-	{logger}: LoadOwnerDeps,
+	{logger, cfg}: LoadOwnerDeps,
 ): void => {
-	const stored = ownerRows.filter(({key}) => key === singleKeys.runTimes);
+	const stored = ownerRows.filter(
+		({key}) => cfg.learnsRunTimes && key === singleKeys.runTimes,
+	);
 	for (const {value} of decodeRows(stored, runTimesSchema, logger)) {
 		scheduler.restoreRunTimes(owner.runTimes, value);
 	}
