--- a/packages/core/src/fleet/forecast/pattern.ts
+++ b/packages/core/src/fleet/forecast/pattern.ts
@@ -111,8 +111,8 @@
 /**
  * Order of the next turns if no pool rises twice before each of the others and
  * one has risen twice; undefined otherwise. One turn of each pool is no evidence
- * that the turns repeat: where demand then ended, up to 68 of 246 machines were
- * held for rises that did not come.
+ * that the turns repeat: where demand then ended, machines were moved for rises
+ * that did not come.
  */
 const findOrder = (
 	starts: readonly RiseStart[],
