Reject nothing as unservable while learned run times decide the order

The outlook compared the remaining work of waiting jobs by learned run times with that of the new job by declared ones, so that a job whose declaration is too long could count as behind work that it goes before: a wrong rejection. With learned run times in force no order is certain.

--- a/packages/core/src/scheduler/admission/decide-admission.test.ts
+++ b/packages/core/src/scheduler/admission/decide-admission.test.ts
@@ -8,9 +8,11 @@
 import {
 	createAccepted,
 	createListed,
+	createTestOwner,
 	planAndStart,
 	submit,
 } from '../owner.test.fixture.js';
+import {addSamples} from '../run-times/run-times.test.fixture.js';
 import {
 	simulateService,
 	startAt,
@@ -56,6 +58,9 @@
 
 const unresolvedExecutors = new Map([['x0', startAt + 1000]]);
 
+const learned = createTestOwner([]);
+addSamples(learned, [4]);
+
 const cases: ReadonlyArray<readonly [name: string, Circumstances]> = [
 	['work that may be done in time', {backlog: 40}],
 	['late work, which it overtakes', {age: 2000}],
@@ -65,6 +70,7 @@
 	['capacities not read recently', {owner: {areListingsRecent: false}}],
 	['an executor that has not answered', {listed: createListed('new')}],
 	['runs of an earlier owner', {owner: {unresolvedExecutors}}],
+	['an order by learned run times', {owner: {runTimes: learned.runTimes}}],
 	['its long-running task', {step: {isLongRunning: true}}],
 	['its schedule', {schedule}],
 	['its tasks that may fit beside all', {step: {resources: smaller}}],
--- a/packages/core/src/scheduler/admission/decide-admission.ts
+++ b/packages/core/src/scheduler/admission/decide-admission.ts
@@ -133,6 +133,7 @@
 	now: number,
 ): AdmissionVerdict => {
 	const isOpen =
+		outlook.areRunTimesLearned ||
 		outlook.waiting === undefined ||
 		!needsWaitingWork(outlook, job, now) ||
 		canStartNow(outlook, job);
--- a/packages/core/src/scheduler/admission/queue-outlook.ts
+++ b/packages/core/src/scheduler/admission/queue-outlook.ts
@@ -13,7 +13,6 @@
 	lateUntilFactor,
 	type PresentTimes,
 } from '../ranking/rank.js';
-import {getRemainingWork} from '../run-times/work.js';
 import {describeTeamRates, type TeamRate} from '../ranking/team-rate.js';
 import {computeTeamUse, mayTeamStart} from '../ranking/team-use.js';
 import {couldHold, getFree, hasRoom, type Executor} from '../state/executor.js';
@@ -69,6 +68,11 @@
 	readonly takenOverAt: number;
 	/** Whether executors and their capacities are known well enough. */
 	readonly isCertain: boolean;
+	/**
+	 * Whether learned run times replace declared ones: then they decide the order
+	 * of jobs, and it changes as they do.
+	 */
+	readonly areRunTimesLearned: boolean;
 	/** Capacity of the executors that may be given work. */
 	readonly capacityCpu: number;
 	/** Capacity of the service's other executors, which may recover any time. */
@@ -203,7 +207,7 @@
 		team,
 		priority: policy.priority,
 		isBeyondRate: job.isBeyondRate,
-		remainingWork: getRemainingWork(owner, job),
+		remainingWork: job.remainingWork,
 		inTimeMs: objectiveMs - expectedMs,
 		usefulMs: lateUntilFactor * objectiveMs - expectedMs,
 		lowWork,
@@ -308,6 +312,7 @@
 		madeAt: now,
 		takenOverAt: owner.takenOverAt,
 		isCertain: areExecutorsKnown(owner),
+		areRunTimesLearned: owner.runTimes.inForce > 0,
 		capacityCpu,
 		recoverableCpu: serviceCpu - capacityCpu,
 		movableCpu: Math.max(0, fleetCpu - serviceCpu),
