Return a clearance from evacuateMachine

Evacuations resolve to a value that can say how long nothing starts on the machine, in place of a boolean. It does not limit anything yet: no change of behaviour.

--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -5,7 +5,12 @@
 import type {fleet, scheduler} from '@gullstand/core';
 import type {Machine, Machines, RowStore} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
-import type {Clock} from '../clock.js';
+import {
+	getMoment,
+	isConfirmedWithin,
+	type Clock,
+	type Moment,
+} from '../clock.js';
 import type {OwnerChannel} from '../entry/owner-channel.js';
 import {getServiceShard} from '../rows/tables.js';
 import type {HeldShard} from '../shards/held-shard.js';
@@ -170,17 +175,34 @@
 ): scheduler.ExecutorLoad | undefined =>
 	executorId === undefined ? undefined : loads.get(pool)?.executors[executorId];
 
+/** Confirmation that nothing runs on a machine, and for how long it holds. */
+export type Clearance = {
+	/** When the owner was asked, so that delays of its answer count. */
+	readonly askedAt: Moment;
+	/** How long after that nothing starts there, in milliseconds. */
+	readonly validMs: number;
+};
+
+/** Whether a machine stays clear until a command that is sent now has ended. */
+export const isStillClear = (
+	{clock}: Pick<FleetContext, 'clock'>,
+	{askedAt, validMs}: Clearance,
+): boolean =>
+	isConfirmedWithin(clock, askedAt, validMs - fleetPeriods.platformTimeoutMs);
+
 /**
- * Asks the pool's owner to evacuate a machine; resolves to whether nothing runs
- * there any more. Runs may end by themselves for `graceMs`.
+ * Asks the pool's owner to evacuate a machine; resolves to nothing while
+ * something runs there. Runs may end by themselves for `graceMs`.
  */
 export const evacuateMachine = async (
-	{owners, hasOwner}: FleetContext,
+	{owners, hasOwner, clock}: FleetContext,
 	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
 	graceMs: number,
-): Promise<boolean> => {
+): Promise<Clearance | undefined> => {
+	const askedAt = getMoment(clock);
+	const clearance = {askedAt, validMs: Number.POSITIVE_INFINITY};
 	if (executorId === undefined || !hasOwner(pool)) {
-		return true;
+		return clearance;
 	}
 
 	const state = await owners.evacuate(
@@ -188,5 +210,5 @@
 		executorId,
 		graceMs,
 	);
-	return state?.kind === 'clear';
+	return state?.kind === 'clear' ? clearance : undefined;
 };
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -225,13 +225,13 @@
 			evacuating.add(id);
 		}
 
-		const areClear = await Promise.all(
+		const clearances = await Promise.all(
 			toEvacuate.map(async (machine) =>
 				evacuateMachine(context, machine, graceMs),
 			),
 		);
 		const clear = toEvacuate.filter(
-			({id}, index) => areClear[index] && context.commandLog.mayCommand(id),
+			({id}, index) => clearances[index] && context.commandLog.mayCommand(id),
 		);
 		return begin(wave, clear.slice(0, step.maxStarts));
 	};
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -7,6 +7,7 @@
 	evacuateMachine,
 	fleetPeriods,
 	getMachineLoad,
+	type Clearance,
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
@@ -35,8 +36,8 @@
 	readonly move: fleet.PoolMove;
 	readonly since: number;
 	phase: Phase;
-	/** Whether nothing ran there at the last request to the pool's owner. */
-	isClear: boolean;
+	/** Absent if something ran there at the last request to the pool's owner. */
+	clearance: Clearance | undefined;
 };
 
 export const createPoolMover = (
@@ -118,7 +119,7 @@
 			return;
 		}
 
-		entry.isClear = await evacuateMachine(
+		entry.clearance = await evacuateMachine(
 			context,
 			machine,
 			fleetPeriods.moveEvacuationGraceMs,
@@ -128,9 +129,9 @@
 	/** Records all evacuated machines in one write, then sends their moves. */
 	const moveEvacuated = async () => {
 		const clear = [...inProgress.values()].filter(
-			({phase, isClear, move}) =>
+			({phase, clearance, move}) =>
 				phase === 'emptying' &&
-				isClear &&
+				clearance !== undefined &&
 				context.commandLog.mayCommand(move.machine),
 		);
 		const machines = clear.map(({move}) => move.machine);
@@ -230,7 +231,7 @@
 					move,
 					since,
 					phase: 'emptying',
-					isClear: false,
+					clearance: undefined,
 				});
 			}
 		}
