Count an inherited run as away until unseen stops have ended

A new owner adopts what executors list, and an executor lists a run that its predecessor has stopped as running, at 100 percent, until it has ended. The run counted as ready, so that the new owner stopped another task of the step beside it.

An adopted run now counts as away until a poll that was sent `maxStopMs` after the answer that adopted it still lists it; that answer bars further stops of the predecessor. The bound comes from the platform (1,000 ms if it gives none).

--- a/packages/core/src/scheduler/owner.test.fixture.ts
+++ b/packages/core/src/scheduler/owner.test.fixture.ts
@@ -100,6 +100,8 @@
 /** Runs and run ends that an executor lists. */
 export type TestPoll = {
 	readonly at: number;
+	/** `at` if absent. */
+	readonly sentAt?: number;
 	readonly startedAtEpochMs?: number | undefined;
 	/** The executor's clock; `at` if absent. */
 	readonly clockMs?: number;
@@ -111,7 +113,14 @@
 export const pollExecutor = (
 	owner: scheduler.Owner,
 	id: string,
-	{at, startedAtEpochMs, clockMs = at, running = [], ends = []}: TestPoll,
+	{
+		at,
+		sentAt = at,
+		startedAtEpochMs,
+		clockMs = at,
+		running = [],
+		ends = [],
+	}: TestPoll,
 ): scheduler.PollChanges => {
 	const executor = owner.executors.get(id);
 	if (!executor) {
@@ -119,7 +128,7 @@
 	}
 
 	return scheduler.applyPoll(owner, executor, {
-		sentAt: at,
+		sentAt,
 		receivedAt: at,
 		startedAtEpochMs,
 		clockMs,
--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -17,8 +17,10 @@
 
 const isReady = ({runs}: Task): boolean =>
 	runs.some(
-		({state, percent, mayHaveStopped}) =>
-			state === 'running' && percent >= readyPercent && !mayHaveStopped,
+		({state, percent, mayStopUntil}) =>
+			state === 'running' &&
+			percent >= readyPercent &&
+			mayStopUntil === undefined,
 	);
 
 /** Counts the tasks of a step that are not ready, apart from `task`. */
--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -142,7 +142,7 @@
 			run.isStopPending = false;
 			run.state = run.confirmedAt === undefined ? 'unsettled' : 'running';
 			if (kind === 'no-answer') {
-				run.mayHaveStopped = true;
+				run.mayStopUntil = now;
 				markUnresponsive(owner, executor.id, now);
 			}
 
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -227,7 +227,7 @@
 const recordProgress = (
 	run: Run,
 	listed: ListedRun,
-	{clockMs, receivedAt: now}: ExecutorPoll,
+	{clockMs, sentAt, receivedAt: now}: ExecutorPoll,
 ): void => {
 	if (listed.percent > run.percent || run.confirmedAt === undefined) {
 		run.progressedAt = now;
@@ -236,7 +236,10 @@
 	run.percent = listed.percent;
 	run.observedFrom ??= {at: now, percent: listed.percent, isStart: false};
 	run.load = listed.load;
-	run.mayHaveStopped = false;
+	if (run.mayStopUntil !== undefined && sentAt >= run.mayStopUntil) {
+		run.mayStopUntil = undefined;
+	}
+
 	confirmRun(run, clockMs, now);
 	if (run.state === 'asked' || run.state === 'unsettled') {
 		run.state = 'running';
@@ -259,6 +262,8 @@
 	confirmRun(run, clockMs, now);
 	run.percent = listed.percent;
 	run.load = listed.load;
+	// This poll barred the stops of earlier owners, but not those accepted before.
+	run.mayStopUntil = now + owner.cfg.maxStopMs;
 	task.lastRun = Math.max(task.lastRun, listed.run);
 	task.step.occurrence.job.hasStarted = true;
 	addRun(executor, run);
--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -17,6 +17,8 @@
 	readonly ownershipTimeoutMs: number;
 	/** Time after which a command that was sent can no longer arrive. */
 	readonly maxTransitMs: number;
+	/** Longest time from the acceptance of a stop to the end of the run. */
+	readonly maxStopMs: number;
 	/**
 	 * How long after its read the registry may be relied on: nothing may start
 	 * beyond a capacity that shrank longer ago than the platform allows.
@@ -56,6 +58,7 @@
 	maxLeaseMs: 10_000,
 	ownershipTimeoutMs: 7000,
 	maxTransitMs: 500,
+	maxStopMs: 1000,
 	maxListingAgeMs: 2500,
 	startupLimitMs: 6000,
 	hangFactor: 3,
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -46,8 +46,11 @@
 	speedLimitPercent: number;
 	/** A stop was planned and has no answer yet. */
 	isStopPending: boolean;
-	/** A stop had no answer, and no poll has listed the run since. */
-	mayHaveStopped: boolean;
+	/**
+	 * Until then a stop of unknown outcome may end the run; absent once a poll
+	 * that was sent later lists it.
+	 */
+	mayStopUntil: number | undefined;
 };
 
 /** The loss of an executor under a run; see crash-attribution.ts. */
@@ -334,7 +337,7 @@
 	load: 0,
 	speedLimitPercent: 100,
 	isStopPending: false,
-	mayHaveStopped: false,
+	mayStopUntil: undefined,
 });
 
 /** Records an answer that confirms a run, with the executor's clock in it. */
