Count a stop without an answer until it can no longer take effect

The next poll that listed the run cleared the mark of a stop without an answer, though the executor may have accepted the stop just before and lists the run until it has ended; the owner then stopped another task of the step (AVAIL).

Only a poll that was sent `maxTransitMs` and `maxStopMs` after the stop was given up clears the mark.

--- a/packages/core/src/scheduler/plan/unseen-stop.test.ts
+++ b/packages/core/src/scheduler/plan/unseen-stop.test.ts
@@ -2,7 +2,9 @@
 import {
 	createAccepted,
 	createListed,
+	createTestOwner,
 	describeCommands,
+	getCommandRun,
 	planAndStart,
 	pollExecutor,
 	submit,
@@ -10,7 +12,7 @@
 } from '../owner.test.fixture.js';
 import * as scheduler from '../index.js';
 
-const cfg = {...testConfig, maxStopMs: 900};
+const cfg = {...testConfig, maxStopMs: 900, evacuationTtlMs: 300};
 
 const createJob = (count: number) =>
 	createAccepted('a', [
@@ -135,3 +137,64 @@
 		t.same(describeStops(planAndStart(owner, planAt)), stops);
 	});
 }
+
+type OwnStopCase = {
+	readonly name: string;
+	readonly polls: readonly Poll[];
+	readonly stops: readonly string[];
+};
+
+const ownStops: readonly OwnStopCase[] = [
+	{
+		name: 'the next poll does not show that it failed',
+		polls: [{sentAt: 810, at: 820}],
+		stops: [],
+	},
+	{
+		name: 'nor does a poll sent while it may arrive and take its time',
+		polls: [{sentAt: 2199, at: 2300}],
+		stops: [],
+	},
+	{
+		name: 'a poll sent after that time shows that it failed',
+		polls: [{sentAt: 2200, at: 2210}],
+		stops: ['stop a.0.0.1 on e1: evacuation'],
+	},
+	{
+		name: 'a poll after that time shows that it succeeded',
+		polls: [{sentAt: 2200, at: 2210, hasEnded: true}],
+		stops: [],
+	},
+];
+
+for (const {name, polls, stops} of ownStops) {
+	tap.t.test(`stop without an answer: ${name}`, async (t) => {
+		const owner = createTestOwner(
+			['e0', 'e1', 'e2'].map((id) => createListed(id)),
+			cfg,
+		);
+		submit(owner, createJob(2));
+		const runs = planAndStart(owner, 0).map((each) => getCommandRun(each)!);
+		const [first, second] = runs.map(({task, number}) =>
+			listReady(task.id, number),
+		);
+		pollExecutor(owner, 'e0', {at: 100, running: first!});
+		pollExecutor(owner, 'e1', {at: 100, running: second!});
+		scheduler.requestEvacuation(owner, 'e0', 0, 200);
+		const [stop] = planAndStart(owner, 200);
+		t.same(describeCommands([stop!]), [evacuated]);
+		scheduler.applyStopAnswer(
+			owner,
+			getCommandRun(stop)!,
+			{kind: 'no-answer'},
+			800,
+		);
+		for (const {hasEnded, ...poll} of polls) {
+			pollExecutor(owner, 'e0', {...poll, running: hasEnded ? [] : first!});
+		}
+
+		const planAt = polls.at(-1)!.at + 10;
+		scheduler.requestEvacuation(owner, 'e1', 0, planAt);
+		t.same(describeStops(planAndStart(owner, planAt)), stops);
+	});
+}
--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -142,7 +142,7 @@
 			run.isStopPending = false;
 			run.state = run.confirmedAt === undefined ? 'unsettled' : 'running';
 			if (kind === 'no-answer') {
-				run.mayStopUntil = now;
+				run.mayStopUntil = now + owner.cfg.maxTransitMs + owner.cfg.maxStopMs;
 				markUnresponsive(owner, executor.id, now);
 			}
 
