Count the tasks of an unresponsive executor as away

A run that was ready when last listed counted as ready until its leases had expired, though its executor had stopped answering and might be lost, by a command or a crash. Such a run counts as away until the executor answers.

--- a/packages/core/src/scheduler/plan/evacuation.test.ts
+++ b/packages/core/src/scheduler/plan/evacuation.test.ts
@@ -34,6 +34,8 @@
 	readonly percents: Readonly<Record<string, number>>;
 	/** Number of executors; the first one is evacuated. */
 	readonly executors: number;
+	/** Executors that leave a call unanswered after the poll. */
+	readonly silent?: readonly string[];
 	readonly patienceMs: number;
 	readonly stops: readonly string[];
 };
@@ -95,6 +97,24 @@
 		patienceMs: 1000,
 		stops: ['a.0.0.0'],
 	},
+	{
+		name: 'a long-running task stays while the executor of another is silent',
+		step: {...longRunning, count: 2, mayMiss: 1},
+		percents: {'a.0.0.0': 100, 'a.0.0.1': 100},
+		executors: 3,
+		silent: ['e1'],
+		patienceMs: 0,
+		stops: [],
+	},
+	{
+		name: 'a long-running task is stopped while an executor without its step is silent',
+		step: {...longRunning, count: 2, mayMiss: 1},
+		percents: {'a.0.0.0': 100, 'a.0.0.1': 100},
+		executors: 4,
+		silent: ['e3'],
+		patienceMs: 0,
+		stops: ['a.0.0.0'],
+	},
 	{
 		name: 'a long-running task stays while no other executor has room',
 		step: {...longRunning, count: 2, mayMiss: 1},
@@ -105,13 +125,18 @@
 	},
 ];
 
-for (const {name, step, percents, executors, patienceMs, stops} of cases) {
+for (const {name, step, percents, executors, silent, ...rest} of cases) {
+	const {patienceMs, stops} = rest;
 	tap.t.test(name, async (t) => {
 		const ids = Array.from({length: executors}, (_, index) => `e${index}`);
 		const owner = createTestOwner(ids.map((id) => createListed(id)));
 		submit(owner, createAccepted('a', [step]));
 		planAndStart(owner, 0);
 		pollAll(owner, 100, (taskId) => percents[taskId] ?? 0);
+		for (const id of silent ?? []) {
+			scheduler.markUnresponsive(owner, id, 150);
+		}
+
 		const state = scheduler.requestEvacuation(owner, 'e0', patienceMs, 200);
 		t.same(state, {kind: 'waiting', runs: 1});
 		t.same(
--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -15,25 +15,32 @@
 /** Progress at which a long-running task has started up. */
 const readyPercent = 100;
 
-const isReady = ({runs}: Task): boolean =>
+/** An unresponsive executor may be lost, and its runs with it. */
+const isResponsive = ({executors}: Owner, {executorId}: Run): boolean => {
+	const executor = executors.get(executorId);
+	return executor !== undefined && executor.unresponsiveSince === undefined;
+};
+
+const isReady = (owner: Owner, {runs}: Task): boolean =>
 	runs.some(
-		({state, percent, mayStopUntil}) =>
-			state === 'running' &&
-			percent >= readyPercent &&
-			mayStopUntil === undefined,
+		(run) =>
+			run.state === 'running' &&
+			run.percent >= readyPercent &&
+			run.mayStopUntil === undefined &&
+			isResponsive(owner, run),
 	);
 
 /** Counts the tasks of a step that are not ready, apart from `task`. */
-const countOthersNotReady = (step: Step, task: Task): number =>
-	step.tasks.filter((each) => each !== task && !isReady(each)).length;
+const countOthersNotReady = (owner: Owner, step: Step, task: Task): number =>
+	step.tasks.filter((each) => each !== task && !isReady(owner, each)).length;
 
 /**
  * Whether a long-running task may be stopped within the disruption budget of
  * its step, which defaults to one task. This holds also for a task that was
  * starting up when last polled, since it may be ready by now.
  */
-export const mayStopLongRunning = (task: Task): boolean =>
-	countOthersNotReady(task.step, task) < (task.step.spec.mayMiss ?? 1);
+export const mayStopLongRunning = (owner: Owner, task: Task): boolean =>
+	countOthersNotReady(owner, task.step, task) < (task.step.spec.mayMiss ?? 1);
 
 /** Progress of the evacuation of an executor. */
 export type EvacuationState =
@@ -112,7 +119,7 @@
 	}
 
 	return task.step.spec.isLongRunning
-		? mayStopLongRunning(task) && hasRoomElsewhere(owner, task, now)
+		? mayStopLongRunning(owner, task) && hasRoomElsewhere(owner, task, now)
 		: shouldStopBatch(owner, run, evacuation.stopFrom, now);
 };
 
