Restart a late long-running task within its budget while it progresses

A long-running task that had not started up after `startupLimitMs` was stopped whatever else of its step was away, by a progress up to a poll old: it may have become ready since, and its end then breaks the budget (AVAIL). One that makes progress is now stopped within the budget only; one that is stuck is restarted as before, so that two stuck tasks do not wait for each other.

--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -43,11 +43,14 @@
 		return false;
 	}
 
+	const isStuck = now - run.progressedAt > hangMs;
 	if (spec.isLongRunning) {
-		return run.percent < 100 && now - run.askedAt > startupLimitMs;
+		const isLate = run.percent < 100 && now - run.askedAt > startupLimitMs;
+		// One that makes progress may be ready by now.
+		return isLate && (isStuck || mayStopLongRunning(owner, run.task));
 	}
 
-	if (now - run.progressedAt <= hangMs || run.percent >= 100) {
+	if (!isStuck || run.percent >= 100) {
 		return false;
 	}
 
