--- a/packages/core/src/scheduler/plan/evacuation.test.ts
+++ b/packages/core/src/scheduler/plan/evacuation.test.ts
@@ -34,6 +34,8 @@
 	readonly percents: Readonly<Record<string, number>>;
 	/** Number of executors; the first one is evacuated. */
 	readonly executors: number;
+	/** Executors that leave a call unanswered after the poll. */
+	readonly silent?: readonly string[];
 	readonly patienceMs: number;
 	readonly stops: readonly string[];
 };
@@ -95,6 +97,24 @@
 		patienceMs: 1000,
 		stops: ['a.0.0.0'],
 	},
+	{
+		name: 'a long-running task stays while the executor of another is silent',
+		step: {...longRunning, count: 2, mayMiss: 1},
+		percents: {'a.0.0.0': 100, 'a.0.0.1': 100},
+		executors: 3,
+		silent: ['e1'],
+		patienceMs: 0,
+		stops: [],
+	},
+	{
+		name: 'a long-running task is stopped while an executor without its step is silent',
+		step: {...longRunning, count: 2, mayMiss: 1},
+		percents: {'a.0.0.0': 100, 'a.0.0.1': 100},
+		executors: 4,
+		silent: ['e3'],
+		patienceMs: 0,
+		stops: ['a.0.0.0'],
+	},
 	{
 		name: 'a long-running task stays while no other executor has room',
 		step: {...longRunning, count: 2, mayMiss: 1},
@@ -105,13 +125,18 @@
 	},
 ];
 
-for (const {name, step, percents, executors, patienceMs, stops} of cases) {
+for (const {name, step, percents, executors, silent, ...rest} of cases) {
+	const {patienceMs, stops} = rest;
 	tap.t.test(name, async (t) => {
 		const ids = Array.from({length: executors}, (_, index) => `e${index}`);
 		const owner = createTestOwner(ids.map((id) => createListed(id)));
 		submit(owner, createAccepted('a', [step]));
 		planAndStart(owner, 0);
 		pollAll(owner, 100, (taskId) => percents[taskId] ?? 0);
+		for (const id of silent ?? []) {
+			scheduler.markUnresponsive(owner, id, 150);
+		}
+
 		const state = scheduler.requestEvacuation(owner, 'e0', patienceMs, 200);
 		t.same(state, {kind: 'waiting', runs: 1});
 		t.same(
@@ -148,16 +173,23 @@
 			owner,
 			createAccepted('a', [{isLongRunning: true, count: 2, mayMiss: 1}]),
 		);
-		pollExecutor(owner, 'e0', {
-			at: 1,
-			running: ['a.0.0.0', 'a.0.0.1'].map((taskId) => ({taskId, percent: 100})),
-		});
-		scheduler.requestEvacuation(owner, 'e0', 0, 200);
-		t.same(describeCommands(planAndStart(owner, 200)), [
+		const settledAt = 1 + owner.cfg.maxStopMs;
+		for (const at of [1, settledAt]) {
+			pollExecutor(owner, 'e0', {
+				at,
+				running: ['a.0.0.0', 'a.0.0.1'].map((taskId) => ({
+					taskId,
+					percent: 100,
+				})),
+			});
+		}
+
+		scheduler.requestEvacuation(owner, 'e0', 0, settledAt);
+		t.same(describeCommands(planAndStart(owner, settledAt)), [
 			'stop a.0.0.0 on e0: evacuation',
 		]);
 		t.same(
-			planAndStart(owner, 210),
+			planAndStart(owner, settledAt + 10),
 			[],
 			'the second stays until the first is ready again',
 		);
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -43,11 +43,14 @@
 		return false;
 	}
 
+	const isStuck = now - run.progressedAt > hangMs;
 	if (spec.isLongRunning) {
-		return run.percent < 100 && now - run.askedAt > startupLimitMs;
+		const isLate = run.percent < 100 && now - run.askedAt > startupLimitMs;
+		// One that makes progress may be ready by now.
+		return isLate && (isStuck || mayStopLongRunning(owner, run.task));
 	}
 
-	if (now - run.progressedAt <= hangMs || run.percent >= 100) {
+	if (!isStuck || run.percent >= 100) {
 		return false;
 	}
 
@@ -89,10 +92,14 @@
 const isStoppable = ({state}: Run): boolean =>
 	state === 'running' || state === 'unsettled';
 
-const mayLeaveDraining = ({listed}: Executor, run: Run): boolean =>
+const mayLeaveDraining = (
+	owner: Owner,
+	{listed}: Executor,
+	run: Run,
+): boolean =>
 	listed.isDraining &&
 	run.task.step.spec.isLongRunning &&
-	mayStopLongRunning(run.task);
+	mayStopLongRunning(owner, run.task);
 
 const planStops = (owner: Owner, now: number): readonly Command[] => {
 	const commands: Command[] = [];
@@ -120,7 +127,7 @@
 		}
 
 		for (const run of executor.runs.values()) {
-			if (isStoppable(run) && mayLeaveDraining(executor, run)) {
+			if (isStoppable(run) && mayLeaveDraining(owner, executor, run)) {
 				add(stopRun(executor, run, 'executor-draining'));
 			}
 		}
