Lines for evacuations, and the age of a clearance at each command

Two tasks of a long-running step were gone at once, and no line said why: `maintenance command sent` did not tell which owner had said that nothing runs there, nor when, and nothing told when an evacuation began or ended.

The owner of a service logs the first request for an executor, that it is clear, and the end of the evacuation; the fleet's holder logs with each command for how long it has known that the machine is clear. No new logic.

--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -6,6 +6,7 @@
 import type {Machine, Machines, RowStore} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import {
+	getMaxElapsedMs,
 	getMoment,
 	isConfirmedWithin,
 	type Clock,
@@ -183,6 +184,12 @@
 	readonly validMs: number;
 };
 
+/** How long ago the owner was asked for a clearance, in whole milliseconds. */
+export const getClearanceAgeMs = (
+	{clock}: Pick<FleetContext, 'clock'>,
+	{askedAt}: Clearance,
+): number => Math.round(getMaxElapsedMs(clock, askedAt));
+
 /** Whether a machine stays clear until a command that is sent now has ended. */
 export const isStillClear = (
 	{clock}: Pick<FleetContext, 'clock'>,
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -5,7 +5,9 @@
 import {
 	evacuateMachine,
 	fleetPeriods,
+	getClearanceAgeMs,
 	getMachineLoad,
+	type Clearance,
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
@@ -31,6 +33,13 @@
 	readonly isReserved: (machine: string) => boolean;
 };
 
+/** A machine on which nothing runs, to be commanded. */
+type ClearMachine = {
+	readonly machine: fleet.WaveMachine;
+	/** Absent if its owner was not asked again for a repeated command. */
+	readonly clearance: Clearance | undefined;
+};
+
 const toWaveMachines = ({
 	machines,
 }: FleetView): ReadonlyMap<string, fleet.WaveMachine> =>
@@ -98,8 +107,9 @@
 
 	const sendMaintenance = async (
 		wave: fleet.MachineWave,
-		machine: fleet.WaveMachine,
+		{machine, clearance}: ClearMachine,
 	): Promise<MachineAnswer> => {
+		const clearMs = clearance && getClearanceAgeMs(context, clearance);
 		const answer = await context.machines.maintain(
 			{
 				holder: context.holder,
@@ -114,6 +124,7 @@
 			machine: machine.id,
 			pool: machine.pool,
 			executor: machine.executorId,
+			clearMs,
 			outcome: answer,
 		});
 		return answer;
@@ -125,14 +136,14 @@
 	 */
 	const sendAll = async (
 		wave: fleet.MachineWave,
-		machines: readonly fleet.WaveMachine[],
+		machines: readonly ClearMachine[],
 	): Promise<fleet.MachineWave> => {
 		const answers = await Promise.all(
-			machines.map(async (machine) => sendMaintenance(wave, machine)),
+			machines.map(async (each) => sendMaintenance(wave, each)),
 		);
 		let current = wave;
 		for (const [index, answer] of answers.entries()) {
-			current = applyAnswer(current, machines[index]?.id ?? '', answer);
+			current = applyAnswer(current, machines[index]!.machine.id, answer);
 		}
 
 		return current;
@@ -140,23 +151,25 @@
 
 	/** Records commands; resolves to whether they may be sent afterwards. */
 	const recordCommands = async (
-		machines: readonly fleet.WaveMachine[],
+		machines: readonly ClearMachine[],
 	): Promise<boolean> =>
 		machines.length > 0 &&
 		context.mayCommand() &&
-		(await context.commandLog.record(machines.map(({id}) => id))) &&
+		(await context.commandLog.record(
+			machines.map(({machine}) => machine.id),
+		)) &&
 		context.mayCommand();
 
 	const begin = async (
 		wave: fleet.MachineWave,
-		machines: readonly fleet.WaveMachine[],
+		machines: readonly ClearMachine[],
 	): Promise<fleet.MachineWave> => {
 		if (machines.length === 0) {
 			return wave;
 		}
 
 		let begun = wave;
-		for (const machine of machines) {
+		for (const {machine} of machines) {
 			begun = fleet.recordMaintenanceStart(begun, machine, clock.epochNow());
 		}
 
@@ -164,8 +177,8 @@
 			return wave;
 		}
 
-		for (const {id} of machines) {
-			evacuating.delete(id);
+		for (const {machine} of machines) {
+			evacuating.delete(machine.id);
 		}
 
 		return sendAll(begun, machines);
@@ -182,7 +195,7 @@
 				machine?.isUp && machine.executorId === entry.executorId;
 			const isOpen = !entry.isAnswered && !entry.isBack;
 			return isOpen && isStillThere && context.commandLog.mayCommand(id)
-				? [machine]
+				? [{machine, clearance: undefined}]
 				: [];
 		});
 		return (await recordCommands(unanswered))
@@ -230,9 +243,12 @@
 				evacuateMachine(context, machine, graceMs),
 			),
 		);
-		const clear = toEvacuate.filter(
-			({id}, index) => clearances[index] && context.commandLog.mayCommand(id),
-		);
+		const clear = toEvacuate.flatMap((machine, index) => {
+			const clearance = clearances[index];
+			return clearance && context.commandLog.mayCommand(machine.id)
+				? [{machine, clearance}]
+				: [];
+		});
 		return begin(wave, clear.slice(0, step.maxStarts));
 	};
 
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -6,6 +6,7 @@
 import {
 	evacuateMachine,
 	fleetPeriods,
+	getClearanceAgeMs,
 	getMachineLoad,
 	type Clearance,
 	type FleetContext,
@@ -77,7 +78,8 @@
 	};
 
 	const sendMove = async (entry: MoveInProgress) => {
-		const {move} = entry;
+		const {move, clearance} = entry;
+		const clearMs = clearance && getClearanceAgeMs(context, clearance);
 		const answer = await context.machines.move(
 			{
 				holder: context.holder,
@@ -87,7 +89,7 @@
 			},
 			fleetPeriods.platformTimeoutMs,
 		);
-		logger.info('move command sent', {...move, outcome: answer});
+		logger.info('move command sent', {...move, clearMs, outcome: answer});
 		applyAnswer(entry, answer);
 	};
 
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -25,6 +25,7 @@
 	type AdmissionGate,
 	type CommitWatch,
 } from './admission-gate.js';
+import {createEvacuationLog} from './evacuation-log.js';
 import {createFlusher, type Flusher} from './flusher.js';
 import {openExecutorLink, type ExecutorLink} from './executor-link.js';
 import {createExecutorLinks, type ExecutorLinks} from './executor-links.js';
@@ -128,6 +129,7 @@
 	const {held, service, store, clock, cfg, metrics} = deps;
 	const logger = deps.logger.child({shard: held.shard});
 	const log = createOwnerLog({service, logger, metrics, clock});
+	const evacuationLog = createEvacuationLog(logger);
 	const report = createLoadReport({logger, now: clock.now});
 	const room = createRoomReport({service, logger, metrics, now: clock.now});
 	const remover = createJobRemover({store, held, now: clock.now, logger});
@@ -286,6 +288,7 @@
 			scheduler.advanceSchedules(owner, clock.epochNow());
 			shares?.prepare();
 			const commands = scheduler.planCommands(owner, now, clock.epochNow());
+			evacuationLog.logEnded(owner);
 			log.logSpeedEvents(scheduler.takeSpeedEvents(owner.speeds));
 			for (const command of commands) {
 				if (command.kind === 'advise') {
@@ -528,6 +531,7 @@
 				patienceMs,
 				clock.now(),
 			);
+			evacuationLog.logRequest(executorId, evacuation, patienceMs);
 			onChange();
 			return evacuation;
 		},
