Say that an executor is clear only under a stored reservation

Callers saw two of five tasks of a long-running step gone at once. A move or maintenance ends all that runs on a machine; `clear`, on which it rests, was an answer of a moment. The holder of the fleet then made two writes of up to 1.2 s and a call of up to 1.5 s, while the evacuation that keeps the executor empty lasted 1.5 s in the memory of one owner. The next owner knew nothing of it. Owners that were replaced, suspended or stopping said `clear` as well, and a command without an answer was repeated without asking again.

`clear` is now a promise with a length. The owner reserves the executor, stores the reservation under its lease row, and answers for how long nothing starts there; a takeover reads the row and keeps the reservations. It answers only while its ownership is confirmed. The fleet's holder sends a command only if the promise outlasts the call after both writes, and asks again before it repeats one. Otherwise the machine is pending again. Requests and releases carry the holder's token and time, so that a delayed release ends nothing newer. An executor that does not answer, or lists runs of unknown jobs, is not empty: another life of its machine may run tasks by then. A machine that is up in an owned pool and shows no executor is not clear.

Changed tests: an empty executor's request is answered `empty` by the scheduler, as only the owner's service can say `clear`; the check of each is as strict. That the plan gives no machine two commands, and that refused machines are released at once, is not part of this change.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -10,6 +10,7 @@
 export * from './state/incarnation.js';
 export * from './state/executor.js';
 export * from './state/suspected-executors.js';
+export * from './state/reservations.js';
 export * from './placement/placement-advice.js';
 export * from './state/job-ends.js';
 export * from './polls/crash-attribution.js';
--- a/packages/core/src/scheduler/plan/evacuation.test.ts
+++ b/packages/core/src/scheduler/plan/evacuation.test.ts
@@ -165,10 +165,10 @@
 );
 
 tap.t.test(
-	'an executor under evacuation gets no work, and is clear without runs',
+	'an executor under evacuation gets no work, and is empty without runs',
 	async (t) => {
 		const owner = createTestOwner([createListed('x')]);
-		t.same(scheduler.requestEvacuation(owner, 'x', 0, 0), {kind: 'clear'});
+		t.same(scheduler.requestEvacuation(owner, 'x', 0, 0), {kind: 'empty'});
 		submit(owner, createAccepted('a'));
 		t.same(planAndStart(owner, 10), []);
 		t.same(scheduler.requestEvacuation(owner, 'none', 0, 0), {
@@ -183,7 +183,7 @@
 	},
 );
 
-tap.t.test('an executor that has never answered is not clear', async (t) => {
+tap.t.test('an executor that has never answered is not empty', async (t) => {
 	const owner = createTestOwner([]);
 	scheduler.recordListedExecutor(owner, createListed('x'));
 	t.same(scheduler.requestEvacuation(owner, 'x', 0, 0), {
--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -4,7 +4,8 @@
  * tasks are stopped only within the disruption budget of their step and if
  * another executor has room.
  */
-import type {Evacuation, Executor} from '../state/executor.js';
+import type {Evacuation, Executor, RequestOrder} from '../state/executor.js';
+import {expireReservations, releaseReservation} from '../state/reservations.js';
 import {getSpeedFactor} from '../executor-speed/speed-state.js';
 import type {Owner} from '../state/owner-state.js';
 import {listUsable, placeTask} from '../placement/place-task.js';
@@ -33,19 +34,77 @@
 export const mayStopLongRunning = (task: Task): boolean =>
 	countOthersNotReady(task.step, task) < (task.step.spec.mayMiss ?? 1);
 
-/** Progress of the evacuation of an executor. */
-export type EvacuationState =
-	| {readonly kind: 'clear'}
+/** Whether something runs on an executor, as its owner knows it. */
+export type Occupancy =
+	| {readonly kind: 'empty'}
+	/** Something runs there, or it does not answer. */
 	| {readonly kind: 'waiting'; readonly runs: number}
 	| {readonly kind: 'unknown-executor'};
 
-/** Requests the evacuation of an executor, or renews the request. */
+/** Progress of the evacuation of an executor. */
+export type EvacuationState =
+	/**
+	 * Nothing runs there, and nothing starts for so long after the answer,
+	 * whoever owns the service.
+	 */
+	| {readonly kind: 'clear'; readonly remainingMs: number}
+	| Exclude<Occupancy, {readonly kind: 'empty'}>
+	/** The ownership of the service is not confirmed. */
+	| {readonly kind: 'not-owner'};
+
+const isEmpty = ({
+	runs,
+	orphanedRunCount,
+	isAdopted,
+	unresponsiveSince,
+}: Executor): boolean =>
+	runs.size === 0 &&
+	orphanedRunCount === 0 &&
+	isAdopted &&
+	unresponsiveSince === undefined;
+
+/** Returns whether something runs on an executor. */
+export const getOccupancy = (owner: Owner, executorId: string): Occupancy => {
+	const executor = owner.executors.get(executorId);
+	if (!executor) {
+		return {kind: 'unknown-executor'};
+	}
+
+	return isEmpty(executor)
+		? {kind: 'empty'}
+		: {kind: 'waiting', runs: executor.runs.size};
+};
+
+const isEarlierRequest = (
+	one: RequestOrder | undefined,
+	two: RequestOrder | undefined,
+): boolean =>
+	one !== undefined &&
+	two !== undefined &&
+	(one.token < two.token || (one.token === two.token && one.at < two.at));
+
+/** Records the order of a request to evacuate an executor. */
+export const recordRequestOrder = (
+	owner: Owner,
+	executorId: string,
+	order: RequestOrder | undefined,
+): void => {
+	const executor = owner.executors.get(executorId);
+	if (executor && !isEarlierRequest(order, executor.evacuationOrder)) {
+		executor.evacuationOrder = order;
+	}
+};
+
+/**
+ * Requests the evacuation of an executor, or renews the request. An empty
+ * executor is not clear before its reservation is stored.
+ */
 export const requestEvacuation = (
 	owner: Owner,
 	executorId: string,
 	patienceMs: number,
 	now: number,
-): EvacuationState => {
+): Occupancy => {
 	const executor = owner.executors.get(executorId);
 	if (!executor) {
 		return {kind: 'unknown-executor'};
@@ -55,19 +114,40 @@
 		validUntil: now + owner.cfg.evacuationTtlMs,
 		stopFrom: executor.evacuation?.stopFrom ?? now + patienceMs,
 	};
-	const isClear = executor.runs.size === 0 && executor.isAdopted;
-	return isClear
-		? {kind: 'clear'}
-		: {kind: 'waiting', runs: executor.runs.size};
+	return getOccupancy(owner, executorId);
+};
+
+/**
+ * Ends the evacuation and the reservation of an executor that will not be
+ * commanded. Returns false if nothing ended, as for a request that arrives
+ * after a later one to evacuate the executor.
+ */
+export const releaseEvacuation = (
+	owner: Owner,
+	executorId: string,
+	order?: RequestOrder,
+): boolean => {
+	const executor = owner.executors.get(executorId);
+	if (!executor || isEarlierRequest(order, executor.evacuationOrder)) {
+		return false;
+	}
+
+	const hasEnded =
+		executor.evacuation !== undefined || owner.reservations.has(executorId);
+	executor.evacuation = undefined;
+	releaseReservation(owner, executorId);
+	return hasEnded;
 };
 
-/** Ends evacuations whose request was not renewed. */
+/** Ends evacuations whose request was not renewed, and past reservations. */
 export const expireEvacuations = (owner: Owner, now: number): void => {
 	for (const executor of owner.executors.values()) {
 		if (executor.evacuation && executor.evacuation.validUntil < now) {
 			executor.evacuation = undefined;
 		}
 	}
+
+	expireReservations(owner, now);
 };
 
 const getRemainingMs = (owner: Owner, run: Run, now: number): number => {
--- a/packages/core/src/scheduler/reports/owner-overview.test.ts
+++ b/packages/core/src/scheduler/reports/owner-overview.test.ts
@@ -57,6 +57,12 @@
 			executor.evacuation = {validUntil: 100, stopFrom: 100};
 		},
 	},
+	{
+		readiness: 'reserved',
+		change(executor) {
+			executor.reservedUntil = 100;
+		},
+	},
 	{
 		readiness: 'isolated',
 		change(executor) {
--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -38,6 +38,8 @@
 	readonly keepEndedMs: number;
 	/** An evacuation expires unless it is requested again within this time. */
 	readonly evacuationTtlMs: number;
+	/** How long nothing starts on an executor that was said to be clear. */
+	readonly reservationMs: number;
 	/** During an evacuation, runs with at most this much left may finish. */
 	readonly evacuationPatienceMs: number;
 	/** Whether jobs that certainly end too late are rejected at submission. */
@@ -65,6 +67,7 @@
 	maxQuarantinedShare: 0.34,
 	keepEndedMs: 120_000,
 	evacuationTtlMs: 1500,
+	reservationMs: 5000,
 	evacuationPatienceMs: 1500,
 	rejectsUnservableJobs: false,
 	sharesRoomBetweenTeams: false,
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -32,6 +32,14 @@
 	readonly stopFrom: number;
 };
 
+/** Orders the requests of the holders of the fleet's shard. */
+export type RequestOrder = {
+	/** Fencing token of the holder. */
+	readonly token: number;
+	/** When it was sent, by the holder's monotonic clock. */
+	readonly at: number;
+};
+
 /** An executor, as its latest incarnation is known. */
 export type Executor = {
 	readonly id: string;
@@ -66,6 +74,10 @@
 	/** Its last poll listed ends that still need to be acknowledged. */
 	hasListedEnds: boolean;
 	evacuation: Evacuation | undefined;
+	/** Of the latest request to evacuate it. */
+	evacuationOrder: RequestOrder | undefined;
+	/** Until then nothing starts there, whoever owns the service. */
+	reservedUntil: number | undefined;
 	consecutiveFailures: number;
 	quarantinedUntil: number;
 	/** How fast its runs make progress. */
@@ -96,6 +108,8 @@
 	acknowledgedUpto: 0,
 	hasListedEnds: false,
 	evacuation: undefined,
+	evacuationOrder: undefined,
+	reservedUntil: undefined,
 	consecutiveFailures: 0,
 	quarantinedUntil: 0,
 	speed: createExecutorSpeed(),
@@ -194,6 +208,7 @@
 	| 'not-rostered'
 	| 'strays'
 	| 'evacuating'
+	| 'reserved'
 	| 'isolated'
 	| 'resting';
 
@@ -234,6 +249,10 @@
 		return 'evacuating';
 	}
 
+	if (executor.reservedUntil !== undefined && executor.reservedUntil > now) {
+		return 'reserved';
+	}
+
 	if (hasIsolatedRun(executor)) {
 		return 'isolated';
 	}
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -42,6 +42,11 @@
 	readonly executors: Map<string, Executor>;
 	/** Whether the registry was read recently enough to rely on capacities. */
 	areListingsRecent: boolean;
+	/**
+	 * When the reservations of executors end, by id; an executor need not be
+	 * listed yet.
+	 */
+	readonly reservations: Map<string, number>;
 	/**
 	 * Executors that may still run tasks of an earlier owner, with the time by
 	 * which the leases of those have certainly expired.
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -46,6 +46,7 @@
 	openJobs: new Set(),
 	executors: new Map(),
 	areListingsRecent: true,
+	reservations: new Map(),
 	unresolvedExecutors: new Map(),
 	dirtyJobs: new Set(),
 	crashSuspects: new Set(),
@@ -131,6 +132,14 @@
 	}
 };
 
+const createOwnedExecutor = (
+	{reservations}: Owner,
+	listed: ListedExecutor,
+): Executor => ({
+	...createExecutor(listed),
+	reservedUntil: reservations.get(listed.id),
+});
+
 /** Whether the listed incarnation has terminated; a later one has not. */
 const isTerminated = (
 	{terminatedExecutors}: Owner,
@@ -160,7 +169,7 @@
 	}
 
 	owner.terminatedExecutors.delete(listed.id);
-	owner.executors.set(listed.id, createExecutor(listed));
+	owner.executors.set(listed.id, createOwnedExecutor(owner, listed));
 	owner.isRosterDirty = true;
 	return true;
 };
@@ -244,7 +253,7 @@
 	leasesEndAt: number,
 	suspectedSince?: number,
 ): void => {
-	const executor = createExecutor(listed);
+	const executor = createOwnedExecutor(owner, listed);
 	executor.suspectedSince = suspectedSince;
 	executor.isSuspicionSent = suspectedSince !== undefined;
 	// The next owner only trusts marks that this owner has stored itself.
--- a/packages/daemon/src/jobs/entry/job-service.test.ts
+++ b/packages/daemon/src/jobs/entry/job-service.test.ts
@@ -59,6 +59,7 @@
 			readJob: async () => ({kind: 'state', state: 'running', team: 'one'}),
 			countPending: async () => 0,
 			evacuate: async () => undefined,
+			releaseEvacuation: async () => undefined,
 			reportTerminated: async () => undefined,
 			async submit(_, {id}) {
 				submitted.push(id);
--- a/packages/daemon/src/jobs/entry/owner-channel.ts
+++ b/packages/daemon/src/jobs/entry/owner-channel.ts
@@ -37,7 +37,14 @@
 		shard: string,
 		executorId: string,
 		patienceMs: number,
+		order: scheduler.RequestOrder,
 	) => Promise<scheduler.EvacuationState | undefined>;
+	/** Lets the owner use an executor again that will not be commanded. */
+	readonly releaseEvacuation: (
+		shard: string,
+		executorId: string,
+		order: scheduler.RequestOrder,
+	) => Promise<void>;
 	/** Reports that the platform no longer lists an executor. */
 	readonly reportTerminated: (
 		shard: string,
@@ -69,7 +76,10 @@
 	const callOwner = async <Name extends keyof JobPeerMethods>(
 		name: Name,
 		params: JobPeerMethods[Name]['params'] & {readonly shard: string},
-		callLocal: (local: OwnerRunner) => JobPeerMethods[Name]['result'],
+		callLocal: (
+			local: OwnerRunner,
+		) =>
+			JobPeerMethods[Name]['result'] | Promise<JobPeerMethods[Name]['result']>,
 	): Promise<JobPeerMethods[Name]['result'] | undefined> => {
 		const local = getLocal(params.shard);
 		if (local) {
@@ -114,13 +124,20 @@
 			);
 			return answer?.pending;
 		},
-		async evacuate(shard, executorId, patienceMs) {
-			const params = {shard, executorId, patienceMs};
-			const answer = await callOwner('evacuate', params, (local) => ({
-				state: local.evacuate(executorId, patienceMs),
+		async evacuate(shard, executorId, patienceMs, order) {
+			const params = {shard, executorId, patienceMs, order};
+			const answer = await callOwner('evacuate', params, async (local) => ({
+				state: await local.evacuate(executorId, patienceMs, order),
 			}));
 			return answer?.state;
 		},
+		async releaseEvacuation(shard, executorId, order) {
+			const params = {shard, executorId, order};
+			await callOwner('releaseEvacuation', params, (local) => {
+				local.releaseEvacuation(executorId, order);
+				return {};
+			});
+		},
 		async reportTerminated(shard, executorId) {
 			await callOwner('noteGone', {shard, executorId}, (local) => {
 				local.markTerminated(executorId);
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -198,24 +198,45 @@
 	isConfirmedWithin(clock, askedAt, validMs - fleetPeriods.platformTimeoutMs);
 
 /**
- * Asks the pool's owner to evacuate a machine; resolves to nothing while
+ * Asks the pool's owner to evacuate a machine that is up; resolves to nothing while
  * something runs there. Runs may end by themselves for `graceMs`.
  */
 export const evacuateMachine = async (
-	{owners, hasOwner, clock}: FleetContext,
+	{owners, hasOwner, clock, held}: FleetContext,
 	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
 	graceMs: number,
 ): Promise<Clearance | undefined> => {
 	const askedAt = getMoment(clock);
-	const clearance = {askedAt, validMs: Number.POSITIVE_INFINITY};
-	if (executorId === undefined || !hasOwner(pool)) {
-		return clearance;
+	if (!hasOwner(pool)) {
+		return {askedAt, validMs: Number.POSITIVE_INFINITY};
+	}
+
+	// Its executor may run tasks though the list does not show it yet.
+	if (executorId === undefined) {
+		return undefined;
 	}
 
 	const state = await owners.evacuate(
 		getServiceShard(pool),
 		executorId,
 		graceMs,
+		{token: held.token, at: askedAt.at},
 	);
-	return state?.kind === 'clear' ? clearance : undefined;
+	// Owners of older releases promise nothing.
+	return state?.kind === 'clear' && state.remainingMs > 0
+		? {askedAt, validMs: state.remainingMs}
+		: undefined;
+};
+
+/** Lets the pool's owner use a machine again that will not be commanded. */
+export const releaseMachine = async (
+	{owners, hasOwner, clock, held}: FleetContext,
+	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
+): Promise<void> => {
+	if (executorId !== undefined && hasOwner(pool)) {
+		await owners.releaseEvacuation(getServiceShard(pool), executorId, {
+			token: held.token,
+			at: clock.now(),
+		});
+	}
 };
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.test.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.test.ts
@@ -64,7 +64,7 @@
 		machines: new Map(machines.map((each) => [each.id, each])),
 		loads: new Map(load === 'silent' ? [] : [['s', load]]),
 	};
-	const clear: scheduler.EvacuationState = {kind: 'clear'};
+	const clear: scheduler.EvacuationState = {kind: 'clear', remainingMs: 5000};
 	const context: FleetContext = {
 		held: {
 			shard: fleetShard,
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -7,6 +7,7 @@
 	fleetPeriods,
 	getClearanceAgeMs,
 	getMachineLoad,
+	isStillClear,
 	type Clearance,
 	type FleetContext,
 	type FleetView,
@@ -36,8 +37,7 @@
 /** A machine on which nothing runs, to be commanded. */
 type ClearMachine = {
 	readonly machine: fleet.WaveMachine;
-	/** Absent if its owner was not asked again for a repeated command. */
-	readonly clearance: Clearance | undefined;
+	readonly clearance: Clearance;
 };
 
 const toWaveMachines = ({
@@ -109,7 +109,7 @@
 		wave: fleet.MachineWave,
 		{machine, clearance}: ClearMachine,
 	): Promise<MachineAnswer> => {
-		const clearMs = clearance && getClearanceAgeMs(context, clearance);
+		const clearMs = getClearanceAgeMs(context, clearance);
 		const answer = await context.machines.maintain(
 			{
 				holder: context.holder,
@@ -160,6 +160,26 @@
 		)) &&
 		context.mayCommand();
 
+	/** Drops the machines whose clearance has run out in the meantime. */
+	const keepClear = (
+		wave: fleet.MachineWave,
+		machines: readonly ClearMachine[],
+	): readonly ClearMachine[] =>
+		machines.filter(({machine, clearance}) => {
+			const isClear = isStillClear(context, clearance);
+			if (!isClear) {
+				logger.warn('maintenance command not sent', {
+					wave: wave.request.id,
+					machine: machine.id,
+					executor: machine.executorId,
+					reason: 'the clearance has run out',
+					clearMs: getClearanceAgeMs(context, clearance),
+				});
+			}
+
+			return isClear;
+		});
+
 	const begin = async (
 		wave: fleet.MachineWave,
 		machines: readonly ClearMachine[],
@@ -177,14 +197,41 @@
 			return wave;
 		}
 
-		for (const {machine} of machines) {
-			evacuating.delete(machine.id);
+		const clear = keepClear(wave, machines);
+		for (const each of machines) {
+			const {id} = each.machine;
+			if (clear.includes(each)) {
+				evacuating.delete(id);
+			} else {
+				begun = fleet.undoMaintenanceStart(begun, id);
+			}
 		}
 
-		return sendAll(begun, machines);
+		return sendAll(begun, clear);
+	};
+
+	/** Evacuates machines; resolves to those that may be commanded now. */
+	const evacuate = async (
+		machines: readonly fleet.WaveMachine[],
+		graceMs: number,
+	): Promise<readonly ClearMachine[]> => {
+		const clearances = await Promise.all(
+			machines.map(async (machine) =>
+				evacuateMachine(context, machine, graceMs),
+			),
+		);
+		return machines.flatMap((machine, index) => {
+			const clearance = clearances[index];
+			return clearance && context.commandLog.mayCommand(machine.id)
+				? [{machine, clearance}]
+				: [];
+		});
 	};
 
-	/** Repeats commands without an answer; they are idempotent. */
+	/**
+	 * Repeats commands without an answer; they are idempotent. Tasks may run
+	 * there again by now.
+	 */
 	const repeatUnanswered = async (
 		wave: fleet.MachineWave,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
@@ -195,11 +242,12 @@
 				machine?.isUp && machine.executorId === entry.executorId;
 			const isOpen = !entry.isAnswered && !entry.isBack;
 			return isOpen && isStillThere && context.commandLog.mayCommand(id)
-				? [{machine, clearance: undefined}]
+				? [machine]
 				: [];
 		});
-		return (await recordCommands(unanswered))
-			? sendAll(wave, unanswered)
+		const clear = await evacuate(unanswered, fleetPeriods.evacuationGraceMs);
+		return (await recordCommands(clear))
+			? sendAll(wave, keepClear(wave, clear))
 			: wave;
 	};
 
@@ -238,17 +286,7 @@
 			evacuating.add(id);
 		}
 
-		const clearances = await Promise.all(
-			toEvacuate.map(async (machine) =>
-				evacuateMachine(context, machine, graceMs),
-			),
-		);
-		const clear = toEvacuate.flatMap((machine, index) => {
-			const clearance = clearances[index];
-			return clearance && context.commandLog.mayCommand(machine.id)
-				? [{machine, clearance}]
-				: [];
-		});
+		const clear = await evacuate(toEvacuate, graceMs);
 		return begin(wave, clear.slice(0, step.maxStarts));
 	};
 
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -8,6 +8,7 @@
 	fleetPeriods,
 	getClearanceAgeMs,
 	getMachineLoad,
+	isStillClear,
 	type Clearance,
 	type FleetContext,
 	type FleetView,
@@ -128,6 +129,22 @@
 		);
 	};
 
+	/** Sends a move unless its clearance has run out in the meantime. */
+	const sendIfClear = async (entry: MoveInProgress) => {
+		const {move, clearance} = entry;
+		if (clearance && isStillClear(context, clearance)) {
+			await sendMove(entry);
+			return;
+		}
+
+		logger.warn('move command not sent', {
+			...move,
+			reason: 'the clearance has run out',
+			clearMs: clearance && getClearanceAgeMs(context, clearance),
+		});
+		entry.clearance = undefined;
+	};
+
 	/** Records all evacuated machines in one write, then sends their moves. */
 	const moveEvacuated = async () => {
 		const clear = [...inProgress.values()].filter(
@@ -139,7 +156,7 @@
 		const machines = clear.map(({move}) => move.machine);
 		const mayCommand = machines.length > 0 && context.mayCommand();
 		if (mayCommand && (await context.commandLog.record(machines))) {
-			await Promise.all(clear.map(async (entry) => sendMove(entry)));
+			await Promise.all(clear.map(async (entry) => sendIfClear(entry)));
 		}
 	};
 
--- a/packages/daemon/src/jobs/owner/evacuation-log.ts
+++ b/packages/daemon/src/jobs/owner/evacuation-log.ts
@@ -4,49 +4,70 @@
 
 /** Writes when evacuations begin, when executors are clear and when they end. */
 export type EvacuationLog = {
-	/** Logs the first request for an executor, and when it becomes clear. */
+	/** Logs the first request for an executor. */
 	readonly logRequest: (
 		executorId: string,
-		state: scheduler.EvacuationState,
+		occupancy: scheduler.Occupancy,
 		patienceMs: number,
 	) => void;
+	/**
+	 * Logs that an executor is clear, once for each reservation that says so;
+	 * `untilMs` is its end by the store's clock.
+	 */
+	readonly logState: (
+		executorId: string,
+		state: scheduler.EvacuationState,
+		untilMs: number | undefined,
+	) => void;
+	readonly logReleased: (executorId: string) => void;
 	/** Logs the evacuations that are over. */
 	readonly logEnded: (owner: scheduler.Owner) => void;
 };
 
+type LoggedEvacuation = {
+	/** End of the reservation by which it was last said to be clear. */
+	untilMs: number | undefined;
+};
+
 export const createEvacuationLog = (
 	logger: Pick<Logger, 'info'>,
 ): EvacuationLog => {
-	/** Executors under evacuation, and whether they were clear when last asked. */
-	const evacuating = new Map<string, boolean>();
+	const evacuating = new Map<string, LoggedEvacuation>();
+
+	const logEnd = (executor: string, reason: string) => {
+		evacuating.delete(executor);
+		logger.info('evacuation ended', {executor, reason});
+	};
 
 	return {
-		logRequest(executor, state, patienceMs) {
-			if (state.kind === 'unknown-executor') {
+		logRequest(executor, occupancy, patienceMs) {
+			if (occupancy.kind === 'unknown-executor' || evacuating.has(executor)) {
 				return;
 			}
 
-			if (!evacuating.has(executor)) {
-				const runs = state.kind === 'waiting' ? state.runs : 0;
-				logger.info('evacuation requested', {executor, runs, patienceMs});
-			}
-
-			const isClear = state.kind === 'clear';
-			if (isClear && evacuating.get(executor) !== true) {
-				logger.info('executor clear', {executor});
+			evacuating.set(executor, {untilMs: undefined});
+			const runs = occupancy.kind === 'waiting' ? occupancy.runs : 0;
+			logger.info('evacuation requested', {executor, runs, patienceMs});
+		},
+		logState(executor, state, untilMs) {
+			const known = evacuating.get(executor);
+			if (state.kind === 'clear' && known && known.untilMs !== untilMs) {
+				known.untilMs = untilMs;
+				logger.info('executor clear', {
+					executor,
+					remainingMs: Math.round(state.remainingMs),
+					reservedUntilMs: untilMs,
+				});
 			}
-
-			evacuating.set(executor, isClear);
+		},
+		logReleased(executor) {
+			logEnd(executor, 'released');
 		},
 		logEnded({executors}) {
 			for (const id of evacuating.keys()) {
 				const executor = executors.get(id);
 				if (!executor?.evacuation) {
-					evacuating.delete(id);
-					logger.info('evacuation ended', {
-						executor: id,
-						reason: executor ? 'lapsed' : 'executor gone',
-					});
+					logEnd(id, executor ? 'lapsed' : 'executor gone');
 				}
 			}
 		},
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -57,6 +57,8 @@
 	/** Flushes soon, or at once if a job has ended or the roster changed. */
 	readonly requestFlush: () => void;
 	readonly stop: () => void;
+	/** Returns the latest reading of the store's clock. */
+	readonly getStoreTime: () => StoreClockReading;
 	/** Stops the timer and flushes until nothing is left or a flush fails. */
 	readonly drain: () => Promise<void>;
 };
@@ -240,6 +242,7 @@
 			state.isStopped = true;
 			clearTimeout(timer);
 		},
+		getStoreTime: () => storeTime,
 		async drain() {
 			// A concurrent flush or acknowledgement would treat ends as stored while
 			// the flush that contains them is still under way.
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -4,13 +4,18 @@
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
 import {getMoment, type Clock} from '../clock.js';
-import type {StoreClockReading} from '../rows/store-clock.js';
+import {
+	getMaxRemainingMs,
+	type StoreClockReading,
+} from '../rows/store-clock.js';
 import {readRange} from '../rows/table-feed.js';
 import {decodeRows} from '../rows/decode-rows.js';
 import {
+	getServiceShard,
 	jobSchema,
 	parseJobKey,
 	progressSchema,
+	reservationsSchema,
 	rosterSchema,
 	runTimesSchema,
 	singleKeys,
@@ -34,6 +39,8 @@
 	readonly version: number;
 	/** Version of the row that each flush rewrites; 0 if there is none. */
 	readonly flushVersion: number;
+	/** Version of the row of the reservations; 0 if there is none. */
+	readonly reservationsVersion: number;
 	readonly storeTime: StoreClockReading;
 	/** Keys of the stored rows of the roster. */
 	readonly rosterKeys: readonly string[];
@@ -181,6 +188,35 @@
 	}
 };
 
+/** Number of executors that one log line names. */
+const maxLoggedExecutors = 5;
+
+/** Without a row that can be read, no reservations are known. */
+const addReservations = (
+	owner: scheduler.Owner,
+	{ownerRows, storeTime}: Rows,
+	{logger, clock}: LoadOwnerDeps,
+): void => {
+	const now = clock.now();
+	const stored = ownerRows.filter(({key}) => key === singleKeys.reservations);
+	for (const {value} of decodeRows(stored, reservationsSchema, logger)) {
+		for (const [id, untilMs] of Object.entries(value)) {
+			const remainingMs = getMaxRemainingMs(storeTime, untilMs);
+			scheduler.inheritReservation(owner, id, remainingMs, now);
+		}
+	}
+
+	const ids = [...owner.reservations.keys()];
+	if (ids.length > 0) {
+		logger.info('reservations inherited', {
+			shard: getServiceShard(owner.service),
+			count: ids.length,
+			executors: ids.slice(0, maxLoggedExecutors),
+			longestMs: Math.round(Math.max(...owner.reservations.values()) - now),
+		});
+	}
+};
+
 /** Without a row that can be read, the owner learns run times anew. */
 const addRunTimes = (
 	owner: scheduler.Owner,
@@ -217,12 +253,15 @@
 	);
 	addRunTimes(owner, rows.value, deps);
 	addJobs(owner, rows.value, deps);
+	addReservations(owner, rows.value, deps);
 	addRoster(owner, held, rows.value, deps);
-	const flush = rows.value.ownerRows.find(({key}) => key === singleKeys.flush);
+	const getVersion = (wanted: string) =>
+		rows.value.ownerRows.find(({key}) => key === wanted)?.version ?? 0;
 	return succeed({
 		owner,
 		version: rows.value.version,
-		flushVersion: flush?.version ?? 0,
+		flushVersion: getVersion(singleKeys.flush),
+		reservationsVersion: getVersion(singleKeys.reservations),
 		storeTime: rows.value.storeTime,
 		rosterKeys: rows.value.ownerRows
 			.map(({key}) => key)
--- a/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
@@ -10,15 +10,29 @@
 } from '../job-daemon.test.fixture.js';
 import {createJobMetrics} from '../job-metrics.js';
 import {getLeaseKey, tables} from '../rows/tables.js';
-import {createOwnedServices, type OwnedServices} from './owned-services.js';
+import type {HeldShard} from '../shards/held-shard.js';
+import {
+	createOwnedServices,
+	type OwnedServices,
+	type OwnedServicesDeps,
+} from './owned-services.js';
 
 const clock = {now, epochNow: () => Date.now()};
 
+/** Differences of an owner from the first one, whose ownership is confirmed. */
+export type OwnerChanges = Partial<
+	Pick<OwnedServicesDeps, 'getLeasesConfirmedAt' | 'onOwnershipLost'>
+> & {
+	readonly held?: Partial<HeldShard>;
+	readonly cfg?: Partial<scheduler.SchedulerConfig>;
+};
+
 /** Stores the lease and the jobs, and starts the owner of the service. */
 export const startOwnedService = async (
 	t: Pick<typeof tap.t, 'fail' | 'teardown'>,
 	platform: TestPlatform,
 	jobs: readonly scheduler.AcceptedJob[] = [],
+	{held, cfg, ...changes}: OwnerChanges = {},
 ): Promise<OwnedServices> => {
 	const {shard} = heldShard;
 	const taken = await platform.store.transact(
@@ -43,7 +57,7 @@
 		executorFeed: platform.executorFeed,
 		advice: undefined,
 		clock,
-		cfg: scheduler.defaultSchedulerConfig,
+		cfg: {...scheduler.defaultSchedulerConfig, ...cfg},
 		logger: winston.createLogger({silent: true}),
 		metrics: createJobMetrics(),
 		rowFaults: noRowFaults,
@@ -66,9 +80,10 @@
 		reportFailure(err) {
 			t.fail(err.message);
 		},
+		...changes,
 	});
 	t.teardown(owned.dropAll);
 	const version = taken.ok ? taken.value.version : 0;
-	owned.start({...heldShard, version}, 's');
+	owned.start({...heldShard, ...held, version}, 's');
 	return owned;
 };
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -25,7 +25,7 @@
 	type AdmissionGate,
 	type CommitWatch,
 } from './admission-gate.js';
-import {createEvacuationLog} from './evacuation-log.js';
+import {createEvacuations, type Evacuations} from './evacuations.js';
 import {createFlusher, type Flusher} from './flusher.js';
 import {openExecutorLink, type ExecutorLink} from './executor-link.js';
 import {createExecutorLinks, type ExecutorLinks} from './executor-links.js';
@@ -108,10 +108,12 @@
 	readonly countPending: (queue: string) => number | undefined;
 	/** Rejects a new job, or resolves to nothing if it may be stored. */
 	readonly admit: AdmissionGate['admit'];
+	/** Requests the evacuation of an executor; repeated until it is clear. */
 	readonly evacuate: (
-		executorId: string,
-		patienceMs: number,
-	) => scheduler.EvacuationState;
+		...args: Parameters<Evacuations['request']>
+	) => Promise<scheduler.EvacuationState>;
+	/** Lets an executor be used again that will not be commanded. */
+	readonly releaseEvacuation: Evacuations['release'];
 	/**
 	 * Ends all runs of an executor that the platform no longer lists, unless it
 	 * answers.
@@ -129,13 +131,13 @@
 	const {held, service, store, clock, cfg, metrics} = deps;
 	const logger = deps.logger.child({shard: held.shard});
 	const log = createOwnerLog({service, logger, metrics, clock});
-	const evacuationLog = createEvacuationLog(logger);
 	const report = createLoadReport({logger, now: clock.now});
 	const room = createRoomReport({service, logger, metrics, now: clock.now});
 	const remover = createJobRemover({store, held, now: clock.now, logger});
 	let owner: scheduler.Owner | undefined;
 	let links: ExecutorLinks<ExecutorLink> | undefined;
 	let flusher: Flusher | undefined;
+	let evacuations: Evacuations | undefined;
 	let follower: FeedFollower | undefined;
 	let shares: TeamShares | undefined;
 	const state = {isStopped: false, isStopping: false};
@@ -154,14 +156,15 @@
 			cfg.ownershipTimeoutMs,
 		);
 
+	const isConfirmedAndStays = (): boolean =>
+		!state.isStopping && isOwnershipConfirmed();
+
 	const gate = createAdmissionGate({
 		...deps,
 		shard: held.shard,
 		logger,
 		getOwner: () =>
-			cfg.rejectsUnservableJobs && !state.isStopping && isOwnershipConfirmed()
-				? owner
-				: undefined,
+			cfg.rejectsUnservableJobs && isConfirmedAndStays() ? owner : undefined,
 	});
 
 	const loseOwnership = (reason: string, rows: readonly StoredRow[] = []) => {
@@ -284,11 +287,11 @@
 		owner.areListingsRecent =
 			deps.rejectsOverload() ||
 			isConfirmedWithin(clock, deps.getListedAt(), cfg.maxListingAgeMs);
-		if (isOwnershipConfirmed() && !state.isStopping) {
+		if (isConfirmedAndStays()) {
 			scheduler.advanceSchedules(owner, clock.epochNow());
 			shares?.prepare();
 			const commands = scheduler.planCommands(owner, now, clock.epochNow());
-			evacuationLog.logEnded(owner);
+			evacuations?.logEnded();
 			log.logSpeedEvents(scheduler.takeSpeedEvents(owner.speeds));
 			for (const command of commands) {
 				if (command.kind === 'advise') {
@@ -435,6 +438,19 @@
 			onStored: log.logFlush,
 			onOwnershipLost: loseOwnership,
 		});
+		const {getStoreTime} = flusher;
+		evacuations = createEvacuations({
+			store,
+			owner,
+			held,
+			version: loaded.reservationsVersion,
+			clock,
+			getStoreTime,
+			logger,
+			isConfirmed: isConfirmedAndStays,
+			onChange,
+			onOwnershipLost: loseOwnership,
+		});
 		shares = createTeamShares({
 			...deps.teamCaps,
 			store,
@@ -520,20 +536,10 @@
 				? scheduler.countPending(owner, queue)
 				: undefined,
 		admit: gate.admit,
-		evacuate(executorId, patienceMs) {
-			if (!owner) {
-				return {kind: 'unknown-executor'};
-			}
-
-			const evacuation = scheduler.requestEvacuation(
-				owner,
-				executorId,
-				patienceMs,
-				clock.now(),
-			);
-			evacuationLog.logRequest(executorId, evacuation, patienceMs);
-			onChange();
-			return evacuation;
+		evacuate: async (...args) =>
+			evacuations?.request(...args) ?? {kind: 'not-owner'},
+		releaseEvacuation(...args) {
+			evacuations?.release(...args);
 		},
 		markTerminated(executorId) {
 			// It may have started again since the platform was asked.
--- a/packages/daemon/src/jobs/peer-handlers.ts
+++ b/packages/daemon/src/jobs/peer-handlers.ts
@@ -97,10 +97,18 @@
 	channel.addMethod(
 		'evacuate',
 		jobPeerSchemas.evacuate,
-		({shard, executorId, patienceMs}) => ({
-			state: owned.get(shard)?.evacuate(executorId, patienceMs),
+		async ({shard, executorId, patienceMs, order}) => ({
+			state: await owned.get(shard)?.evacuate(executorId, patienceMs, order),
 		}),
 	);
+	channel.addMethod(
+		'releaseEvacuation',
+		jobPeerSchemas.releaseEvacuation,
+		({shard, executorId, order}) => {
+			owned.get(shard)?.releaseEvacuation(executorId, order);
+			return {};
+		},
+	);
 	channel.addMethod('readLoad', jobPeerSchemas.readLoad, ({shard}) => ({
 		load: owned.get(shard)?.getLoad(),
 	}));
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -58,15 +58,29 @@
 		};
 		readonly result: {readonly outcome: CancelOutcome};
 	};
-	/** Asks the owner to evacuate an executor; repeated until it is empty. */
+	/**
+	 * Asks the owner to evacuate an executor; repeated until it is clear. Owners
+	 * of older releases answer `clear` without `remainingMs`.
+	 */
 	readonly evacuate: {
 		readonly params: {
 			readonly shard: string;
 			readonly executorId: string;
 			readonly patienceMs: number;
+			/** Absent from holders of older releases. */
+			readonly order?: scheduler.RequestOrder | undefined;
 		};
 		readonly result: {readonly state?: scheduler.EvacuationState | undefined};
 	};
+	/** Lets the owner use an executor again that will not be commanded. */
+	readonly releaseEvacuation: {
+		readonly params: {
+			readonly shard: string;
+			readonly executorId: string;
+			readonly order: scheduler.RequestOrder;
+		};
+		readonly result: Record<string, never>;
+	};
 	/** Reads the load of a service from the shard's owner. */
 	readonly readLoad: {
 		readonly params: {readonly shard: string};
@@ -101,6 +115,8 @@
 
 const shard = z.string();
 
+const order = z.object({token: z.number(), at: z.number()});
+
 const rowSchema = z.object({
 	table: z.string(),
 	part: z.string(),
@@ -132,7 +148,9 @@
 		shard,
 		executorId: z.string(),
 		patienceMs: z.number().min(0),
+		order: order.optional(),
 	}),
+	releaseEvacuation: z.object({shard, executorId: z.string(), order}),
 	readLoad: z.object({shard}),
 	noteGone: z.object({shard, executorId: z.string()}),
 	depose: z.object({shard, token: z.int().min(0)}),
--- a/packages/daemon/src/jobs/rows/store-clock.ts
+++ b/packages/daemon/src/jobs/rows/store-clock.ts
@@ -8,7 +8,8 @@
 /**
  * Returns an upper bound of the store's clock at the local time `at`, in
  * milliseconds. It allows for a reading as old as its request, and for a local
- * clock that runs slower and stops while the daemon is suspended.
+ * clock that runs slower and stops while the daemon is suspended. A future time
+ * may be given, which the store's clock may then reach faster.
  */
 export const getLatestStoreMs = (
 	clock: Clock,
@@ -16,5 +17,16 @@
 	at: number,
 ): number => {
 	const elapsedMs = getMaxElapsedMs(clock, sent);
-	return nowMs + elapsedMs * (1 + scheduler.maxClockDrift) - (clock.now() - at);
+	const agoMs = clock.now() - at;
+	const drift = 1 + scheduler.maxClockDrift;
+	return nowMs + elapsedMs * drift - (agoMs < 0 ? agoMs * drift : agoMs);
 };
+
+/**
+ * Returns an upper bound of the local time that passes until the store's clock
+ * shows `untilMs`, in milliseconds, given a reading that has arrived.
+ */
+export const getMaxRemainingMs = (
+	{nowMs}: StoreClockReading,
+	untilMs: number,
+): number => (untilMs - nowMs) * (1 + scheduler.maxClockDrift);
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -26,8 +26,8 @@
 	/** Progress of each job: its ended tasks and occurrences. */
 	progress: 'progress',
 	/**
-	 * Other rows of an owner: its roster, its run times and the marker of its last
-	 * flush.
+	 * Other rows of an owner: its roster, its run times, the reservations of its
+	 * executors and the marker of its last flush.
 	 */
 	owner: 'owner',
 	/** Shares of the caps of teams. */
@@ -44,6 +44,7 @@
 	flush: 'flush',
 	roster: 'roster',
 	runTimes: 'run-times',
+	reservations: 'reservations',
 	peerKey: 'peers',
 } as const;
 
@@ -248,6 +249,13 @@
 	}),
 ) as unknown as z.ZodType<readonly RosterRow[]>;
 
+/**
+ * Schema of the reservations: their ends by executor id, in milliseconds of the
+ * store's clock.
+ */
+export const reservationsSchema: z.ZodType<Readonly<Record<string, number>>> =
+	z.record(z.string(), z.number());
+
 const storedRegressionSchema = z
 	.array(z.number())
 	.min(scheduler.storedRegressionLength);
