Count no task as ready that may be gone or stopping

A step's disruption budget was reckoned from the last polls: a task on an executor that had stopped answering counted as ready until its lease expired, up to 4.5 s later, and a task that the earlier owner was stopping counted as ready at the next one, since an executor lists a run until it has ended. Either lets one more task be stopped than the budget allows.

A run is ready only on an executor that answers, and not within a second of the first list that a new owner gets of it: by then the stops of the earlier owner are barred, and one under way has ended.

--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -89,10 +89,15 @@
 const isStoppable = ({state}: Run): boolean =>
 	state === 'running' || state === 'unsettled';
 
-const mayLeaveDraining = ({listed}: Executor, run: Run): boolean =>
+const mayLeaveDraining = (
+	owner: Owner,
+	{listed}: Executor,
+	run: Run,
+	now: number,
+): boolean =>
 	listed.isDraining &&
 	run.task.step.spec.isLongRunning &&
-	mayStopLongRunning(run.task);
+	mayStopLongRunning(owner, run.task, now);
 
 const planStops = (owner: Owner, now: number): readonly Command[] => {
 	const commands: Command[] = [];
@@ -120,7 +125,7 @@
 		}
 
 		for (const run of executor.runs.values()) {
-			if (isStoppable(run) && mayLeaveDraining(executor, run)) {
+			if (isStoppable(run) && mayLeaveDraining(owner, executor, run, now)) {
 				add(stopRun(executor, run, 'executor-draining'));
 			}
 		}
