--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -11,50 +11,28 @@
 import {listUsable, placeTask} from '../placement/place-task.js';
 import {predictStepTime} from '../run-times/model.js';
 import {estimateRunTimeLeft} from '../run-times/remaining.js';
-import type {Run, Task} from '../state/task.js';
+import type {Run, Step, Task} from '../state/task.js';
 
 /** Progress at which a long-running task has started up. */
 const readyPercent = 100;
 
-/**
- * Time after which a stop by an earlier owner has ended a run, in milliseconds,
- * from the first answer that bars the commands of that owner.
- */
-const earlierStopMs = 1000;
-
-const isRunReady = (owner: Owner, run: Run, now: number): boolean => {
-	const {state, percent, mayHaveStopped, inheritedAt} = run;
-	const executor = owner.executors.get(run.executorId);
-	const mayBeStopping =
-		mayHaveStopped ||
-		(inheritedAt !== undefined && now - inheritedAt < earlierStopMs);
-	return (
-		state === 'running' &&
-		percent >= readyPercent &&
-		!mayBeStopping &&
-		executor !== undefined &&
-		executor.unresponsiveSince === undefined
+const isReady = ({runs}: Task): boolean =>
+	runs.some(
+		({state, percent, mayHaveStopped}) =>
+			state === 'running' && percent >= readyPercent && !mayHaveStopped,
 	);
-};
 
-/** Counts the tasks of a step that may not be ready, apart from `task`. */
-const countOthersNotReady = (owner: Owner, task: Task, now: number): number =>
-	task.step.tasks.filter(
-		(each) =>
-			each !== task && !each.runs.some((run) => isRunReady(owner, run, now)),
-	).length;
+/** Counts the tasks of a step that are not ready, apart from `task`. */
+const countOthersNotReady = (step: Step, task: Task): number =>
+	step.tasks.filter((each) => each !== task && !isReady(each)).length;
 
 /**
  * Whether a long-running task may be stopped within the disruption budget of
  * its step, which defaults to one task. This holds also for a task that was
  * starting up when last polled, since it may be ready by now.
  */
-export const mayStopLongRunning = (
-	owner: Owner,
-	task: Task,
-	now: number,
-): boolean =>
-	countOthersNotReady(owner, task, now) < (task.step.spec.mayMiss ?? 1);
+export const mayStopLongRunning = (task: Task): boolean =>
+	countOthersNotReady(task.step, task) < (task.step.spec.mayMiss ?? 1);
 
 /** Whether something runs on an executor, as its owner knows it. */
 export type Occupancy =
@@ -212,7 +190,7 @@
 	}
 
 	return task.step.spec.isLongRunning
-		? mayStopLongRunning(owner, task, now) && hasRoomElsewhere(owner, task, now)
+		? mayStopLongRunning(task) && hasRoomElsewhere(owner, task, now)
 		: shouldStopBatch(owner, run, evacuation.stopFrom, now);
 };
 
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -89,15 +89,10 @@
 const isStoppable = ({state}: Run): boolean =>
 	state === 'running' || state === 'unsettled';
 
-const mayLeaveDraining = (
-	owner: Owner,
-	{listed}: Executor,
-	run: Run,
-	now: number,
-): boolean =>
+const mayLeaveDraining = ({listed}: Executor, run: Run): boolean =>
 	listed.isDraining &&
 	run.task.step.spec.isLongRunning &&
-	mayStopLongRunning(owner, run.task, now);
+	mayStopLongRunning(run.task);
 
 const planStops = (owner: Owner, now: number): readonly Command[] => {
 	const commands: Command[] = [];
@@ -125,7 +120,7 @@
 		}
 
 		for (const run of executor.runs.values()) {
-			if (isStoppable(run) && mayLeaveDraining(owner, executor, run, now)) {
+			if (isStoppable(run) && mayLeaveDraining(executor, run)) {
 				add(stopRun(executor, run, 'executor-draining'));
 			}
 		}
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -259,7 +259,6 @@
 	confirmRun(run, clockMs, now);
 	run.percent = listed.percent;
 	run.load = listed.load;
-	run.inheritedAt = executor.isAdopted ? undefined : now;
 	task.lastRun = Math.max(task.lastRun, listed.run);
 	task.step.occurrence.job.hasStarted = true;
 	addRun(executor, run);
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -44,11 +44,6 @@
 	load: number;
 	/** Speed limit of a task that uses idle capacity, 0 to 100. */
 	speedLimitPercent: number;
-	/**
-	 * When it was first listed, if an earlier owner started it: a stop by that
-	 * owner may be under way.
-	 */
-	inheritedAt: number | undefined;
 	/** A stop was planned and has no answer yet. */
 	isStopPending: boolean;
 	/** A stop had no answer, and no poll has listed the run since. */
@@ -339,7 +334,6 @@
 	load: 0,
 	speedLimitPercent: 100,
 	isStopPending: false,
-	inheritedAt: undefined,
 	mayHaveStopped: false,
 });
 
