--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -5,7 +5,10 @@
 import {
 	evacuateMachine,
 	fleetPeriods,
+	getClearanceAgeMs,
 	getMachineLoad,
+	isStillClear,
+	type Clearance,
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
@@ -31,6 +34,12 @@
 	readonly isReserved: (machine: string) => boolean;
 };
 
+/** A machine on which nothing runs, to be commanded. */
+type ClearMachine = {
+	readonly machine: fleet.WaveMachine;
+	readonly clearance: Clearance;
+};
+
 const toWaveMachines = ({
 	machines,
 }: FleetView): ReadonlyMap<string, fleet.WaveMachine> =>
@@ -98,8 +107,9 @@
 
 	const sendMaintenance = async (
 		wave: fleet.MachineWave,
-		machine: fleet.WaveMachine,
+		{machine, clearance}: ClearMachine,
 	): Promise<MachineAnswer> => {
+		const clearMs = getClearanceAgeMs(context, clearance);
 		const answer = await context.machines.maintain(
 			{
 				holder: context.holder,
@@ -114,6 +124,7 @@
 			machine: machine.id,
 			pool: machine.pool,
 			executor: machine.executorId,
+			clearMs,
 			outcome: answer,
 		});
 		return answer;
@@ -125,14 +136,14 @@
 	 */
 	const sendAll = async (
 		wave: fleet.MachineWave,
-		machines: readonly fleet.WaveMachine[],
+		machines: readonly ClearMachine[],
 	): Promise<fleet.MachineWave> => {
 		const answers = await Promise.all(
-			machines.map(async (machine) => sendMaintenance(wave, machine)),
+			machines.map(async (each) => sendMaintenance(wave, each)),
 		);
 		let current = wave;
 		for (const [index, answer] of answers.entries()) {
-			current = applyAnswer(current, machines[index]?.id ?? '', answer);
+			current = applyAnswer(current, machines[index]!.machine.id, answer);
 		}
 
 		return current;
@@ -140,23 +151,45 @@
 
 	/** Records commands; resolves to whether they may be sent afterwards. */
 	const recordCommands = async (
-		machines: readonly fleet.WaveMachine[],
+		machines: readonly ClearMachine[],
 	): Promise<boolean> =>
 		machines.length > 0 &&
 		context.mayCommand() &&
-		(await context.commandLog.record(machines.map(({id}) => id))) &&
+		(await context.commandLog.record(
+			machines.map(({machine}) => machine.id),
+		)) &&
 		context.mayCommand();
 
+	/** Drops the machines whose clearance has run out in the meantime. */
+	const keepClear = (
+		wave: fleet.MachineWave,
+		machines: readonly ClearMachine[],
+	): readonly ClearMachine[] =>
+		machines.filter(({machine, clearance}) => {
+			const isClear = isStillClear(context, clearance);
+			if (!isClear) {
+				logger.warn('maintenance command not sent', {
+					wave: wave.request.id,
+					machine: machine.id,
+					executor: machine.executorId,
+					reason: 'the clearance has run out',
+					clearMs: getClearanceAgeMs(context, clearance),
+				});
+			}
+
+			return isClear;
+		});
+
 	const begin = async (
 		wave: fleet.MachineWave,
-		machines: readonly fleet.WaveMachine[],
+		machines: readonly ClearMachine[],
 	): Promise<fleet.MachineWave> => {
 		if (machines.length === 0) {
 			return wave;
 		}
 
 		let begun = wave;
-		for (const machine of machines) {
+		for (const {machine} of machines) {
 			begun = fleet.recordMaintenanceStart(begun, machine, clock.epochNow());
 		}
 
@@ -164,14 +197,41 @@
 			return wave;
 		}
 
-		for (const {id} of machines) {
-			evacuating.delete(id);
+		const clear = keepClear(wave, machines);
+		for (const each of machines) {
+			const {id} = each.machine;
+			if (clear.includes(each)) {
+				evacuating.delete(id);
+			} else {
+				begun = fleet.undoMaintenanceStart(begun, id);
+			}
 		}
 
-		return sendAll(begun, machines);
+		return sendAll(begun, clear);
+	};
+
+	/** Evacuates machines; resolves to those that may be commanded now. */
+	const evacuate = async (
+		machines: readonly fleet.WaveMachine[],
+		graceMs: number,
+	): Promise<readonly ClearMachine[]> => {
+		const clearances = await Promise.all(
+			machines.map(async (machine) =>
+				evacuateMachine(context, machine, graceMs),
+			),
+		);
+		return machines.flatMap((machine, index) => {
+			const clearance = clearances[index];
+			return clearance && context.commandLog.mayCommand(machine.id)
+				? [{machine, clearance}]
+				: [];
+		});
 	};
 
-	/** Repeats commands without an answer; they are idempotent. */
+	/**
+	 * Repeats commands without an answer; they are idempotent. Tasks may run
+	 * there again by now.
+	 */
 	const repeatUnanswered = async (
 		wave: fleet.MachineWave,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
@@ -185,8 +245,9 @@
 				? [machine]
 				: [];
 		});
-		return (await recordCommands(unanswered))
-			? sendAll(wave, unanswered)
+		const clear = await evacuate(unanswered, fleetPeriods.evacuationGraceMs);
+		return (await recordCommands(clear))
+			? sendAll(wave, keepClear(wave, clear))
 			: wave;
 	};
 
@@ -225,14 +286,7 @@
 			evacuating.add(id);
 		}
 
-		const clearances = await Promise.all(
-			toEvacuate.map(async (machine) =>
-				evacuateMachine(context, machine, graceMs),
-			),
-		);
-		const clear = toEvacuate.filter(
-			({id}, index) => clearances[index] && context.commandLog.mayCommand(id),
-		);
+		const clear = await evacuate(toEvacuate, graceMs);
 		return begin(wave, clear.slice(0, step.maxStarts));
 	};
 
