Log why a machine of a wave counts as maintained

The lines of the incident did not decide between the hypotheses: nothing said why a machine counts as maintained, or that the list leaves one out. Each return is logged once with its evidence, whether a command of the wave was answered, and both executors; a machine that the list leaves out, and its return to the list, once per change; each command with its attempt; and what the repeat of a command without an answer waits for.

--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -41,8 +41,23 @@
 	readonly wasInMaintenance?: boolean | undefined;
 	/** Whether the machine has returned to service. */
 	readonly isBack: boolean;
+	/** Why the machine counts as back. */
+	readonly evidence?: ReturnEvidence | undefined;
 };
 
+/** What shows that a machine is back from maintenance. */
+export type ReturnEvidence =
+	/** The platform does not list it. */
+	| 'not-listed'
+	/** It is up with another executor than at the start. */
+	| 'replaced'
+	/** It was seen in maintenance and is up with the executor of the start. */
+	| 'restarted'
+	/** It is up long after the platform accepted the command. */
+	| 'in-service'
+	/** The platform will not maintain it for the wave. */
+	| 'refused';
+
 /** Stored state of a wave. */
 export type MachineWave = {
 	readonly request: MachineWaveRequest;
@@ -88,10 +103,13 @@
 ): MachineWave => {
 	const begun = Object.entries(wave.begun).map(([id, entry]) => {
 		const machine = machines.get(id);
-		const isBack = entry.isBack || hasReturned(entry, machine, epochNow);
+		const evidence = entry.isBack
+			? entry.evidence
+			: findReturnEvidence(entry, machine, epochNow);
+		const isBack = entry.isBack || evidence !== undefined;
 		const wasInMaintenance =
 			entry.wasInMaintenance === true || machine?.isInMaintenance === true;
-		return [id, {...entry, isBack, wasInMaintenance}] as const;
+		return [id, {...entry, isBack, evidence, wasInMaintenance}] as const;
 	});
 	return {...wave, begun: Object.fromEntries(begun)};
 };
@@ -103,25 +121,31 @@
  */
 const earlierCommandMs = 8000;
 
-const hasReturned = (
+const findReturnEvidence = (
 	entry: MachineMaintenance,
 	machine: WaveMachine | undefined,
 	epochNow: number,
-): boolean => {
+): ReturnEvidence | undefined => {
 	if (!machine) {
-		return true;
+		return 'not-listed';
 	}
 
 	if (!machine.isUp) {
-		return false;
+		return undefined;
+	}
+
+	if (machine.executorId !== undefined) {
+		if (machine.executorId !== entry.executorId) {
+			return 'replaced';
+		}
+
+		if (entry.wasInMaintenance === true) {
+			return 'restarted';
+		}
 	}
 
-	const isReplaced =
-		machine.executorId !== undefined &&
-		(machine.executorId !== entry.executorId ||
-			entry.wasInMaintenance === true);
 	const isOverdue = epochNow - entry.begunAtEpochMs > earlierCommandMs;
-	return isReplaced || (entry.isAnswered && isOverdue);
+	return entry.isAnswered && isOverdue ? 'in-service' : undefined;
 };
 
 /** Counts the machines that are, or may be, in maintenance for a wave. */
@@ -293,7 +317,13 @@
 export const skipMachine = (wave: MachineWave, id: string): MachineWave => {
 	const entry = wave.begun[id];
 	return entry
-		? {...wave, begun: {...wave.begun, [id]: {...entry, isBack: true}}}
+		? {
+				...wave,
+				begun: {
+					...wave.begun,
+					[id]: {...entry, isBack: true, evidence: 'refused'},
+				},
+			}
 		: wave;
 };
 
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -9,6 +9,7 @@
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
+import {createWaveLog} from './wave-log.js';
 import {readWaves, storeWave} from './wave-rows.js';
 
 /** Publishes the state of a wave to operators. */
@@ -64,6 +65,9 @@
 	const {held, store, clock, logger} = context;
 	const waves = new Map<string, fleet.MachineWave>();
 	const evacuating = new Set<string>();
+	const log = createWaveLog(logger);
+	/** Attempts of this holder, by wave and machine. */
+	const attempts = new Map<string, number>();
 
 	const saveWave = async (wave: fleet.MachineWave): Promise<boolean> => {
 		const outcome = await storeWave(store, held, wave);
@@ -100,6 +104,9 @@
 		wave: fleet.MachineWave,
 		machine: fleet.WaveMachine,
 	): Promise<MachineAnswer> => {
+		const key = `${wave.request.id} ${machine.id}`;
+		const attempt = (attempts.get(key) ?? 0) + 1;
+		attempts.set(key, attempt);
 		const answer = await context.machines.maintain(
 			{
 				holder: context.holder,
@@ -114,6 +121,7 @@
 			machine: machine.id,
 			pool: machine.pool,
 			executor: machine.executorId,
+			attempt,
 			outcome: answer,
 		});
 		return answer;
@@ -178,12 +186,22 @@
 	): Promise<fleet.MachineWave> => {
 		const unanswered = Object.entries(wave.begun).flatMap(([id, entry]) => {
 			const machine = machines.get(id);
+			if (entry.isAnswered || entry.isBack || !machine) {
+				return [];
+			}
+
 			const isStillThere =
-				machine?.isUp && machine.executorId === entry.executorId;
-			const isOpen = !entry.isAnswered && !entry.isBack;
-			return isOpen && isStillThere && context.commandLog.mayCommand(id)
-				? [machine]
-				: [];
+				machine.isUp && machine.executorId === entry.executorId;
+			const isFree = context.commandLog.mayCommand(id);
+			if (!isStillThere || !isFree) {
+				log.reportWait(
+					wave.request.id,
+					id,
+					isStillThere ? 'end of the turnover time' : 'machine to be up',
+				);
+			}
+
+			return isStillThere && isFree ? [machine] : [];
 		});
 		return (await recordCommands(unanswered))
 			? sendAll(wave, unanswered)
@@ -263,6 +281,8 @@
 			machines,
 			clock.epochNow(),
 		);
+		log.reportListed(current, machines);
+		log.reportReturns(wave, current, machines);
 		current = await repeatUnanswered(current, machines);
 		current = await evacuateAndBegin(current, view, machines);
 		waves.set(current.request.id, current);
--- /dev/null
+++ b/packages/daemon/src/jobs/fleet/wave-log.ts
@@ -0,0 +1,78 @@
+/** Log lines about the machines of waves, one for each change. */
+import {type fleet} from '@gullstand/core';
+import type {Logger} from '../../log/logger.js';
+
+export type WaveLog = {
+	/** Logs the machines that count as maintained since `before`. */
+	readonly reportReturns: (
+		before: fleet.MachineWave,
+		after: fleet.MachineWave,
+		machines: ReadonlyMap<string, fleet.WaveMachine>,
+	) => void;
+	/** Logs the machines of a wave that the list leaves out or has again. */
+	readonly reportListed: (
+		wave: fleet.MachineWave,
+		machines: ReadonlyMap<string, fleet.WaveMachine>,
+	) => void;
+	/** Logs what the next attempt of a command without an answer waits for. */
+	readonly reportWait: (
+		wave: string,
+		machine: string,
+		waitsFor: string,
+	) => void;
+};
+
+export const createWaveLog = (logger: Pick<Logger, 'info'>): WaveLog => {
+	/** Machines that the last read of the list left out, by wave. */
+	const missing = new Map<string, ReadonlySet<string>>();
+	/** What each machine waits for, by wave and machine. */
+	const waits = new Map<string, string>();
+
+	return {
+		reportReturns(before, after, machines) {
+			for (const [machine, entry] of Object.entries(after.begun)) {
+				if (entry.isBack && before.begun[machine]?.isBack === false) {
+					logger.info('machine counts as maintained', {
+						wave: after.request.id,
+						machine,
+						evidence: entry.evidence,
+						isAnswered: entry.isAnswered,
+						executor: entry.executorId,
+						currentExecutor: machines.get(machine)?.executorId,
+					});
+				}
+			}
+		},
+		reportListed({request}, machines) {
+			const last = missing.get(request.id);
+			const current = new Set(
+				request.machines.filter((machine) => !machines.has(machine)),
+			);
+			missing.set(request.id, current);
+			for (const machine of current) {
+				if (!last?.has(machine)) {
+					logger.info('machine of a wave is not listed', {
+						wave: request.id,
+						machine,
+					});
+				}
+			}
+
+			for (const machine of last ?? []) {
+				if (!current.has(machine)) {
+					logger.info('machine of a wave is listed again', {
+						wave: request.id,
+						machine,
+					});
+				}
+			}
+		},
+		reportWait(wave, machine, waitsFor) {
+			const key = `${wave} ${machine}`;
+			if (waits.get(key) !== waitsFor) {
+				waits.set(key, waitsFor);
+				logger.info('maintenance command waits', {wave, machine, waitsFor});
+			}
+		},
+	};
+};
