Count a machine as maintained only by the answer to its wave's command

Callers saw a wave as completed with a machine whose maintenance had not begun. By reading, the same rule took a machine that one read of the list leaves out as returned or as nothing to do, a refused repeat as proof that the first command was not carried out, and a machine that the platform did not know once as done for good.

Commands are idempotent per machine and wave, and the platform also accepts one that was carried out before. So only its answer counts: - a command without an answer keeps the machine away, whatever the list shows, and is repeated by the current pool and executor, with a new evacuation and a clearance that holds after both writes to the store; - a return is judged by a list that was requested 1.5 s or more after the answer, so that an executor that the list was late to show is no return; - a machine that reads leave out for 2 s is asked about, by a command with the clearance of its last known executor; - answers are stored once a round. Rows keep the older fields; in those of the older release only an answered command has evidence.

Replaced checks: "removed", back without an answer, and the return within 100 ms contradicted the rule; 13 cases of answer and list replace 7. "An unanswered command is repeated without a new start" now also wants the record in the store before the repeat, no other start meanwhile, and no repeat while something runs there. The expected writes gain the one that stores answers.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,4 +1,6 @@
 /** Decisions on machines: maintenance waves and moves between pools. */
 export * from './forecast/index.js';
+export * from './machine-maintenance.js';
 export * from './machine-wave.js';
+export * from './missing-machines.js';
 export * from './pool-plan.js';
--- a/packages/core/src/fleet/machine-wave.test.ts
+++ b/packages/core/src/fleet/machine-wave.test.ts
@@ -48,7 +48,7 @@
 const begin = (ids: readonly string[]) => {
 	let wave = fleet.createMachineWave(request, 0);
 	for (const id of ids) {
-		wave = fleet.recordMaintenanceStart(wave, all.get(id)!, 0);
+		wave = fleet.recordCommand(wave, all.get(id)!, 0);
 	}
 
 	return wave;
@@ -63,71 +63,115 @@
 type Return = {
 	readonly name: string;
 	readonly machine: fleet.WaveMachine | undefined;
-	readonly isAnswered: boolean;
+	readonly verdict: fleet.CommandVerdict;
 	readonly at: number;
-	readonly isBack: boolean;
+	/** `undefined` once the machine is pending again. */
+	readonly kind: fleet.MaintenanceProgress['kind'] | undefined;
 };
 
+const replaced = createMachine('a', {executorId: 'a-2'});
+
 const returns: readonly Return[] = [
 	{
 		name: 'up with another executor',
-		machine: createMachine('a', {executorId: 'a-2'}),
-		isAnswered: true,
+		machine: replaced,
+		verdict: 'accepted',
+		at: 2000,
+		kind: 'returned',
+	},
+	{
+		name: 'up with another executor on a list of the past',
+		machine: replaced,
+		verdict: 'accepted',
 		at: 100,
-		isBack: true,
+		kind: 'accepted',
+	},
+	{
+		name: 'up with another executor and no answer, which a crash explains',
+		machine: replaced,
+		verdict: 'unknown',
+		at: 60_000,
+		kind: 'unanswered',
 	},
 	{
 		name: 'up with the same executor: maintenance has not started',
 		machine: createMachine('a'),
-		isAnswered: true,
-		at: 100,
-		isBack: false,
+		verdict: 'accepted',
+		at: 2000,
+		kind: 'accepted',
 	},
 	{
 		name: 'down',
 		machine: createMachine('a', {isUp: false, executorId: undefined}),
-		isAnswered: true,
+		verdict: 'accepted',
 		at: 60_000,
-		isBack: false,
+		kind: 'accepted',
 	},
 	{
 		name: 'up with no executor yet',
 		machine: createMachine('a', {executorId: undefined}),
-		isAnswered: true,
-		at: 100,
-		isBack: false,
+		verdict: 'accepted',
+		at: 4000,
+		kind: 'accepted',
 	},
 	{
-		name: 'removed',
+		name: 'not listed and accepted',
 		machine: undefined,
-		isAnswered: false,
-		at: 100,
-		isBack: true,
+		verdict: 'accepted',
+		at: 60_000,
+		kind: 'accepted',
+	},
+	{
+		name: 'not listed and not answered',
+		machine: undefined,
+		verdict: 'unknown',
+		at: 60_000,
+		kind: 'unanswered',
 	},
 	{
 		name: 'maintained by an earlier command',
 		machine: createMachine('a'),
-		isAnswered: true,
-		at: 20_000,
-		isBack: true,
+		verdict: 'accepted',
+		at: 3000,
+		kind: 'returned',
 	},
 	{
 		name: 'not accepted yet and may still start',
 		machine: createMachine('a'),
-		isAnswered: false,
+		verdict: 'unknown',
+		at: 20_000,
+		kind: 'unanswered',
+	},
+	{
+		name: 'not of the wave',
+		machine: createMachine('a'),
+		verdict: 'not-in-wave',
+		at: 20_000,
+		kind: 'not-in-wave',
+	},
+	{
+		name: 'unknown to the platform and not listed',
+		machine: undefined,
+		verdict: 'not-found',
 		at: 20_000,
-		isBack: false,
+		kind: 'not-found',
+	},
+	{
+		name: 'unknown to the platform and listed again',
+		machine: createMachine('a'),
+		verdict: 'not-found',
+		at: 2000,
+		kind: undefined,
 	},
 ];
 
-for (const {name, machine, isAnswered, at, isBack} of returns) {
+for (const {name, machine, verdict, at, kind} of returns) {
 	tap.t.test(`a machine in maintenance: ${name}`, async (t) => {
-		const begun = begin(['a']);
-		const wave = isAnswered ? fleet.recordCommandAccepted(begun, 'a') : begun;
+		const wave = fleet.recordVerdict(begin(['a']), 'a', verdict, 0);
 		const machines = mapOf(machine ? [machine] : []);
 		t.equal(
-			fleet.recordReturnedMachines(wave, machines, at).begun.a!.isBack,
-			isBack,
+			fleet.observeMachines(wave, machines, at).begun.a?.progress.kind,
+			kind,
 		);
 	});
 }
@@ -136,44 +180,92 @@
 	tap.t.test(
 		`a machine that was in maintenance is ${executorId ? '' : 'not '}back with ${executorId ? 'its executor under the same id' : 'no executor yet'}`,
 		async (t) => {
-			let wave = fleet.recordCommandAccepted(begin(['a']), 'a');
-			for (const [isUp, isBack] of [
-				[true, false],
-				[false, false],
-				[true, executorId !== undefined],
+			let wave = fleet.recordVerdict(begin(['a']), 'a', 'accepted', 0);
+			for (const [isUp, at, isBack] of [
+				[true, 100, false],
+				[false, 1000, false],
+				[true, 2000, executorId !== undefined],
 			] as const) {
 				const machine = createMachine('a', {
 					isUp,
 					isInMaintenance: !isUp,
 					executorId: isUp ? executorId : undefined,
 				});
-				wave = fleet.recordReturnedMachines(wave, mapOf([machine]), 100);
-				t.equal(wave.begun.a!.isBack, isBack);
+				wave = fleet.observeMachines(wave, mapOf([machine]), at);
+				t.equal(!fleet.isAway(wave.begun.a!), isBack);
 			}
 		},
 	);
 }
 
+type RefusalCase = {
+	readonly name: string;
+	/** Answers to the commands for the machine, in order. */
+	readonly verdicts: readonly fleet.CommandVerdict[];
+	readonly away: number;
+};
+
+const refusalCases: readonly RefusalCase[] = [
+	{
+		name: 'a refused command makes the machine pending again',
+		verdicts: ['refused'],
+		away: 0,
+	},
+	{
+		name: 'a refused repeat does not: the first may be carried out',
+		verdicts: ['unknown', 'refused', 'refused'],
+		away: 1,
+	},
+	{
+		name: 'a refused repeat of an accepted command changes nothing',
+		verdicts: ['accepted', 'refused'],
+		away: 1,
+	},
+	{
+		name: 'an accepted command stays accepted without an answer to a repeat',
+		verdicts: ['accepted', 'unknown'],
+		away: 1,
+	},
+];
+
+for (const {name, verdicts, away} of refusalCases) {
+	tap.t.test(`answers: ${name}`, async (t) => {
+		let wave = fleet.createMachineWave(request, 0);
+		for (const verdict of verdicts) {
+			wave = fleet.recordCommand(wave, all.get('a')!, 0);
+			wave = fleet.recordVerdict(wave, 'a', verdict, 0);
+		}
+
+		t.equal(fleet.countAway(wave), away);
+		t.equal(step(wave).maxStarts, request.maxAway - away);
+	});
+}
+
 tap.t.test(
-	'a wave is completed once every existing machine is back',
+	'a wave is completed once the platform has answered for every machine',
 	async (t) => {
 		let wave = begin(['a', 'b']);
 		t.notOk(step(wave).isCompleted, 'c has not started');
 		const without = mapOf([...all.values()].filter(({id}) => id !== 'c'));
 		t.notOk(step(wave, without).isCompleted, 'a and b are away');
 		for (const id of ['a', 'b']) {
-			wave = fleet.skipMachine(wave, id);
+			wave = fleet.recordVerdict(wave, id, 'not-in-wave', 0);
 		}
 
-		t.ok(step(wave, without).isCompleted);
+		t.notOk(step(wave, without).isCompleted, 'c may have been left out');
 		t.notOk(step(wave).isCompleted);
+		wave = fleet.recordCommand(wave, all.get('c')!, 0);
+		wave = fleet.recordVerdict(wave, 'c', 'not-found', 0);
+		t.ok(step(wave, without).isCompleted);
+		t.notOk(step(wave).isCompleted, 'c is listed');
 	},
 );
 
 tap.t.test(
-	'a machine is pending again if its command was not executed',
+	'a machine is pending again if its command was not sent',
 	async (t) => {
-		const wave = fleet.undoMaintenanceStart(begin(['a']), 'a');
+		const before = fleet.createMachineWave(request, 0);
+		const wave = fleet.withdrawCommand(begin(['a']), before, 'a');
 		t.equal(step(wave).maxStarts, 1);
 		t.equal(fleet.countAway(wave), 0);
 	},
@@ -273,7 +365,7 @@
 			0,
 		);
 		for (const id of ids.slice(0, each.away ?? 0)) {
-			wave = fleet.recordMaintenanceStart(wave, machines.get(id)!, 0);
+			wave = fleet.recordCommand(wave, machines.get(id)!, 0);
 		}
 
 		const {evacuate} = fleet.stepMachineWave(
--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -4,14 +4,15 @@
  * each command is sent, so that the next holder can continue the wave.
  */
 
-/** The part of the platform's machine record that a wave uses. */
-export type WaveMachine = {
-	readonly id: string;
-	readonly pool: string;
-	readonly isUp: boolean;
-	readonly isInMaintenance: boolean;
-	readonly executorId: string | undefined;
-};
+import {
+	applyVerdict,
+	isAway,
+	observeMaintenance,
+	recordAttempt,
+	type CommandVerdict,
+	type MachineMaintenance,
+	type WaveMachine,
+} from './machine-maintenance.js';
 
 /** A wave as an operator requested it. */
 export type MachineWaveRequest = {
@@ -24,40 +25,6 @@
 	readonly maxAway: number;
 };
 
-/** Maintenance of one machine, recorded before the command is sent. */
-export type MachineMaintenance = {
-	/**
-	 * Executor at the start; a different one shows that the machine is back.
-	 */
-	readonly executorId: string | undefined;
-	/** Time of the first command, in milliseconds since 1970. */
-	readonly begunAtEpochMs: number;
-	/** Whether the platform accepted the command. */
-	readonly isAnswered: boolean;
-	/**
-	 * Whether the machine was seen in maintenance: its executor may start again
-	 * under the same id. Absent in rows of the older format.
-	 */
-	readonly wasInMaintenance?: boolean | undefined;
-	/** Whether the machine has returned to service. */
-	readonly isBack: boolean;
-	/** Why the machine counts as back. */
-	readonly evidence?: ReturnEvidence | undefined;
-};
-
-/** What shows that a machine is back from maintenance. */
-export type ReturnEvidence =
-	/** The platform does not list it. */
-	| 'not-listed'
-	/** It is up with another executor than at the start. */
-	| 'replaced'
-	/** It was seen in maintenance and is up with the executor of the start. */
-	| 'restarted'
-	/** It is up long after the platform accepted the command. */
-	| 'in-service'
-	/** The platform will not maintain it for the wave. */
-	| 'refused';
-
 /** Stored state of a wave. */
 export type MachineWave = {
 	readonly request: MachineWaveRequest;
@@ -95,62 +62,52 @@
 	isCompleted: false,
 });
 
-/** Records which machines are back from maintenance. */
-export const recordReturnedMachines = (
+const putEntry = (
 	wave: MachineWave,
-	machines: ReadonlyMap<string, WaveMachine>,
-	epochNow: number,
+	id: string,
+	entry: MachineMaintenance | undefined,
 ): MachineWave => {
-	const begun = Object.entries(wave.begun).map(([id, entry]) => {
-		const machine = machines.get(id);
-		const evidence = entry.isBack
-			? entry.evidence
-			: findReturnEvidence(entry, machine, epochNow);
-		const isBack = entry.isBack || evidence !== undefined;
-		const wasInMaintenance =
-			entry.wasInMaintenance === true || machine?.isInMaintenance === true;
-		return [id, {...entry, isBack, evidence, wasInMaintenance}] as const;
-	});
-	return {...wave, begun: Object.fromEntries(begun)};
+	const {[id]: _, ...others} = wave.begun;
+	return {...wave, begun: entry ? {...others, [id]: entry} : others};
 };
 
 /**
- * Time after which a machine that is up with its original executor counts as
- * maintained by an earlier command, if the platform accepted this one. Longer
- * than any maintenance, in milliseconds.
+ * Updates the machines of a wave by a list that was requested at `viewedAt`, in
+ * milliseconds since 1970. A machine that the list leaves out stays as it is.
  */
-const earlierCommandMs = 8000;
-
-const findReturnEvidence = (
-	entry: MachineMaintenance,
-	machine: WaveMachine | undefined,
-	epochNow: number,
-): ReturnEvidence | undefined => {
-	if (!machine) {
-		return 'not-listed';
-	}
-
-	if (!machine.isUp) {
-		return undefined;
-	}
-
-	if (machine.executorId !== undefined) {
-		if (machine.executorId !== entry.executorId) {
-			return 'replaced';
-		}
-
-		if (entry.wasInMaintenance === true) {
-			return 'restarted';
-		}
-	}
-
-	const isOverdue = epochNow - entry.begunAtEpochMs > earlierCommandMs;
-	return entry.isAnswered && isOverdue ? 'in-service' : undefined;
-};
+export const observeMachines = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+	viewedAt: number,
+): MachineWave => ({
+	...wave,
+	begun: Object.fromEntries(
+		Object.entries(wave.begun).flatMap(([id, entry]) => {
+			const next = observeMaintenance(entry, machines.get(id), viewedAt);
+			return next ? [[id, next] as const] : [];
+		}),
+	),
+});
 
 /** Counts the machines that are, or may be, in maintenance for a wave. */
 export const countAway = ({begun}: MachineWave): number =>
-	Object.values(begun).filter(({isBack}) => !isBack).length;
+	Object.values(begun).filter((entry) => isAway(entry)).length;
+
+/** Lists the machines whose commands have no answer. */
+export const listUnanswered = ({begun}: MachineWave): readonly string[] =>
+	Object.entries(begun).flatMap(([id, {progress}]) =>
+		progress.kind === 'unanswered' ? [id] : [],
+	);
+
+/** Lists the machines whose maintenance is pending or not known to be over. */
+export const listUnfinished = ({
+	request,
+	begun,
+}: MachineWave): readonly string[] =>
+	request.machines.filter((id) => {
+		const entry = begun[id];
+		return !entry || isAway(entry);
+	});
 
 /** Weight of a long-running task relative to one that ends by itself. */
 const longRunningWeight = 20;
@@ -158,7 +115,7 @@
 const getLoadScore = (load: MachineLoad | undefined): number =>
 	load ? load.runs + longRunningWeight * load.lasting : 0;
 
-/** Lists existing machines whose maintenance has not started. */
+/** Lists the listed machines whose maintenance has not started. */
 const listPending = (
 	wave: MachineWave,
 	machines: ReadonlyMap<string, WaveMachine>,
@@ -183,11 +140,22 @@
 		.toSorted((one, two) => one.loadScore - two.loadScore)
 		.map(({machine}) => machine);
 
-/** Whether every existing machine of the wave has been maintained. */
+/**
+ * Whether the platform has maintained every machine of the wave that it has. One
+ * that it did not have and lists again is not done.
+ */
 export const isWaveCompleted = (
 	wave: MachineWave,
 	machines: ReadonlyMap<string, WaveMachine>,
-): boolean => listPending(wave, machines).length === 0 && countAway(wave) === 0;
+): boolean =>
+	wave.request.machines.every((id) => {
+		const kind = wave.begun[id]?.progress.kind;
+		return (
+			kind === 'returned' ||
+			kind === 'not-in-wave' ||
+			(kind === 'not-found' && !machines.has(id))
+		);
+	});
 
 /** Input of a wave step. */
 export type WaveStepInput = {
@@ -284,60 +252,40 @@
 	};
 };
 
-/** Records that maintenance of a machine is about to be commanded. */
-export const recordMaintenanceStart = (
+/** Records that a command for a machine is about to be sent. */
+export const recordCommand = (
 	wave: MachineWave,
 	machine: WaveMachine,
 	epochNow: number,
-): MachineWave => ({
-	...wave,
-	begun: {
-		...wave.begun,
-		[machine.id]: {
-			executorId: machine.executorId,
-			begunAtEpochMs: epochNow,
-			isAnswered: false,
-			isBack: false,
-		},
-	},
-});
+): MachineWave =>
+	putEntry(
+		wave,
+		machine.id,
+		recordAttempt(wave.begun[machine.id], machine, epochNow),
+	);
 
-/** Records that the platform accepted the command. */
-export const recordCommandAccepted = (
+/** Records what the answer to the last command says. */
+export const recordVerdict = (
 	wave: MachineWave,
 	id: string,
+	verdict: CommandVerdict,
+	epochNow: number,
 ): MachineWave => {
 	const entry = wave.begun[id];
 	return entry
-		? {...wave, begun: {...wave.begun, [id]: {...entry, isAnswered: true}}}
-		: wave;
-};
-
-/** Treats a machine as done because the platform will not maintain it. */
-export const skipMachine = (wave: MachineWave, id: string): MachineWave => {
-	const entry = wave.begun[id];
-	return entry
-		? {
-				...wave,
-				begun: {
-					...wave.begun,
-					[id]: {...entry, isBack: true, evidence: 'refused'},
-				},
-			}
+		? putEntry(wave, id, applyVerdict(entry, verdict, epochNow))
 		: wave;
 };
 
 /**
- * Makes a machine pending again after a command that was certainly not
- * executed.
+ * Drops the record of a command that was not sent; `before` is the wave before
+ * the record.
  */
-export const undoMaintenanceStart = (
+export const withdrawCommand = (
 	wave: MachineWave,
+	before: MachineWave,
 	id: string,
-): MachineWave => {
-	const {[id]: _, ...begun} = wave.begun;
-	return {...wave, begun};
-};
+): MachineWave => putEntry(wave, id, before.begun[id]);
 
 /** Whether too little time is left to wait for running tasks to end. */
 export const isShortOfTime = (
--- a/packages/core/src/fleet/wave-long-running.test.ts
+++ b/packages/core/src/fleet/wave-long-running.test.ts
@@ -59,7 +59,7 @@
 				return [id, machine] as const;
 			}),
 		);
-		wave = fleet.recordReturnedMachines(wave, machines, now);
+		wave = fleet.observeMachines(wave, machines, now);
 		if (fleet.isWaveCompleted(wave, machines)) {
 			return now;
 		}
@@ -87,8 +87,8 @@
 			.filter((id) => now - startedAt.get(id)! >= evacuationMs(id))
 			.slice(0, step.maxStarts);
 		for (const id of evacuated) {
-			wave = fleet.recordMaintenanceStart(wave, machines.get(id)!, now);
-			wave = fleet.recordCommandAccepted(wave, id);
+			wave = fleet.recordCommand(wave, machines.get(id)!, now);
+			wave = fleet.recordVerdict(wave, id, 'accepted', now);
 			begunAt.set(id, now);
 			evacuating.delete(id);
 		}
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -26,6 +26,8 @@
 	evacuationGraceMs: 1400,
 	/** Expected time per machine of a wave, evacuation included. */
 	machineTurnaroundMs: 4500,
+	/** Pause between two commands for a machine that is no longer listed. */
+	askMissingMs: 2000,
 	/** A move is abandoned if its machine is not evacuated within this time. */
 	moveEvacuationTimeoutMs: 4000,
 	/** Exceeds the evacuation time-out, so that no run is stopped for a move. */
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.test.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.test.ts
@@ -134,6 +134,8 @@
 	readonly count: number;
 	readonly maxAway: number;
 	readonly busy?: readonly string[];
+	/** Executors on which something runs after the first round. */
+	readonly busyAfterFirstRound?: readonly string[];
 	readonly answers?: Readonly<Record<string, ports.MachineAnswer>>;
 	readonly isRecorded?: boolean;
 	readonly mayCommand?: boolean;
@@ -148,20 +150,20 @@
 		name: 'all empty machines are stored in one write before their commands',
 		count: 4,
 		maxAway: 4,
-		rounds: [['stored', 'recorded 4', 'm0', 'm1', 'm2', 'm3'], []],
+		rounds: [['stored', 'recorded 4', 'm0', 'm1', 'm2', 'm3', 'stored'], []],
 	},
 	{
 		name: 'no more machines get commands than may be away',
 		count: 4,
 		maxAway: 2,
-		rounds: [['stored', 'recorded 2', 'm0', 'm1'], []],
+		rounds: [['stored', 'recorded 2', 'm0', 'm1', 'stored'], []],
 	},
 	{
 		name: 'a machine that is not empty blocks no other',
 		count: 3,
 		maxAway: 3,
 		busy: ['e-m0'],
-		rounds: [['stored', 'recorded 2', 'm1', 'm2'], []],
+		rounds: [['stored', 'recorded 2', 'm1', 'm2', 'stored'], []],
 	},
 	{
 		name: 'a refused command is begun again',
@@ -169,26 +171,34 @@
 		maxAway: 2,
 		answers: {m1: 'busy'},
 		rounds: [
-			['stored', 'recorded 2', 'm0', 'm1'],
-			['stored', 'recorded 1', 'm1'],
+			['stored', 'recorded 2', 'm0', 'm1', 'stored'],
+			['stored', 'recorded 1', 'm1', 'stored'],
 		],
 	},
 	{
-		name: 'an unanswered command is repeated without a new start',
-		count: 2,
+		name: 'an unanswered command is repeated and starts no other machine',
+		count: 3,
 		maxAway: 2,
 		answers: {m1: 'no-answer'},
 		rounds: [
-			['stored', 'recorded 2', 'm0', 'm1'],
-			['recorded 1', 'm1'],
+			['stored', 'recorded 2', 'm0', 'm1', 'stored'],
+			['stored', 'recorded 1', 'm1'],
 		],
 	},
+	{
+		name: 'an unanswered command is not repeated while something runs there',
+		count: 2,
+		maxAway: 2,
+		answers: {m1: 'no-answer'},
+		busyAfterFirstRound: ['e-m1'],
+		rounds: [['stored', 'recorded 2', 'm0', 'm1', 'stored'], []],
+	},
 	{
 		name: 'no command is sent that was not recorded',
 		count: 2,
 		maxAway: 2,
 		isRecorded: false,
-		rounds: [['stored', 'recorded 2']],
+		rounds: [['stored', 'recorded 2', 'stored']],
 	},
 	{
 		name: 'no command is sent without a confirmed lease',
@@ -202,7 +212,7 @@
 		count: 4,
 		maxAway: 4,
 		isOwnerUnresponsive: true,
-		rounds: [['stored', 'recorded 1', 'm0'], []],
+		rounds: [['stored', 'recorded 1', 'm0', 'stored'], []],
 	},
 ];
 
@@ -228,6 +238,9 @@
 			env.events.length = 0;
 			await env.run();
 			t.same(env.events, expected);
+			for (const executor of each.busyAfterFirstRound ?? []) {
+				env.busy.add(executor);
+			}
 		}
 	});
 }
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -1,14 +1,18 @@
 /** Runs maintenance waves of machines. */
+import {isDeepStrictEqual} from 'node:util';
 import {fleet} from '@gullstand/core';
-import type {MachineAnswer, WaveRequest} from '@gullstand/ports';
-import {match} from 'ts-pattern';
+import type {WaveRequest} from '@gullstand/ports';
+import {getMoment} from '../clock.js';
+import {getServiceShard} from '../rows/tables.js';
 import {
 	evacuateMachine,
 	fleetPeriods,
 	getMachineLoad,
+	type Clearance,
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
+import {createWaveCommands, type MaintenanceTarget} from './wave-commands.js';
 import {createWaveLog} from './wave-log.js';
 import {readWaves, storeWave} from './wave-rows.js';
 
@@ -64,10 +68,11 @@
 ): MachineWaveRunner => {
 	const {held, store, clock, logger} = context;
 	const waves = new Map<string, fleet.MachineWave>();
+	/** Waves as they are stored. */
+	const storedWaves = new Map<string, fleet.MachineWave>();
 	const evacuating = new Set<string>();
 	const log = createWaveLog(logger);
-	/** Attempts of this holder, by wave and machine. */
-	const attempts = new Map<string, number>();
+	let sightings: fleet.Sightings = new Map();
 
 	const saveWave = async (wave: fleet.MachineWave): Promise<boolean> => {
 		const outcome = await storeWave(store, held, wave);
@@ -75,137 +80,104 @@
 			context.loseShard('the lease row has changed');
 		}
 
-		if (outcome !== 'stored') {
+		if (outcome === 'stored') {
+			storedWaves.set(wave.request.id, wave);
+		} else {
 			logger.warn('wave not stored', {wave: wave.request.id, outcome});
 		}
 
 		return outcome === 'stored';
 	};
 
-	const applyAnswer = (
-		wave: fleet.MachineWave,
-		id: string,
-		answer: MachineAnswer,
-	): fleet.MachineWave =>
-		match(answer)
-			.returnType<fleet.MachineWave>()
-			.with('done', () => fleet.recordCommandAccepted(wave, id))
-			.with('busy', 'unavailable', () => fleet.undoMaintenanceStart(wave, id))
-			.with('not-in-wave', 'invalid', () => fleet.skipMachine(wave, id))
-			.with('fenced', () => {
-				context.loseShard('the platform has seen a higher fencing token');
-				return wave;
-			})
-			// It may still take effect: the machine counts as away until it is back.
-			.with('no-answer', () => wave)
-			.exhaustive();
-
-	const sendMaintenance = async (
-		wave: fleet.MachineWave,
-		machine: fleet.WaveMachine,
-	): Promise<MachineAnswer> => {
-		const key = `${wave.request.id} ${machine.id}`;
-		const attempt = (attempts.get(key) ?? 0) + 1;
-		attempts.set(key, attempt);
-		const answer = await context.machines.maintain(
-			{
-				holder: context.holder,
-				fencingToken: held.token,
-				machine: machine.id,
-				wave: wave.request.id,
-			},
-			fleetPeriods.platformTimeoutMs,
-		);
-		logger.info('maintenance command sent', {
-			wave: wave.request.id,
-			machine: machine.id,
-			pool: machine.pool,
-			executor: machine.executorId,
-			attempt,
-			outcome: answer,
-		});
-		return answer;
-	};
+	const commands = createWaveCommands(context, {log, saveWave});
 
 	/**
-	 * Sends all commands concurrently, so that a large wave does not delay the
-	 * round.
+	 * Asks the owner to evacuate the last known executor of a machine that is not
+	 * listed; an executor that its owner does not know runs nothing.
 	 */
-	const sendAll = async (
-		wave: fleet.MachineWave,
-		machines: readonly fleet.WaveMachine[],
-	): Promise<fleet.MachineWave> => {
-		const answers = await Promise.all(
-			machines.map(async (machine) => sendMaintenance(wave, machine)),
-		);
-		let current = wave;
-		for (const [index, answer] of answers.entries()) {
-			current = applyAnswer(current, machines[index]?.id ?? '', answer);
+	const evacuateMissing = async (
+		machine: fleet.WaveMachine,
+		graceMs: number,
+	): Promise<Clearance | undefined> => {
+		const clearance = await evacuateMachine(context, machine, graceMs);
+		const {pool, executorId} = machine;
+		if (clearance !== undefined || executorId === undefined) {
+			return clearance;
 		}
 
-		return current;
+		const askedAt = getMoment(clock);
+		const state = await context.owners.evacuate(
+			getServiceShard(pool),
+			executorId,
+			graceMs,
+		);
+		return state?.kind === 'unknown-executor'
+			? {askedAt, validMs: Number.POSITIVE_INFINITY}
+			: undefined;
 	};
 
-	/** Records commands; resolves to whether they may be sent afterwards. */
-	const recordCommands = async (
-		machines: readonly fleet.WaveMachine[],
-	): Promise<boolean> =>
-		machines.length > 0 &&
-		context.mayCommand() &&
-		(await context.commandLog.record(machines.map(({id}) => id))) &&
-		context.mayCommand();
-
-	const begin = async (
+	/**
+	 * A machine that was missing from the list for so long that the platform has
+	 * to be asked for it.
+	 */
+	const findLongMissing = (
 		wave: fleet.MachineWave,
-		machines: readonly fleet.WaveMachine[],
-	): Promise<fleet.MachineWave> => {
-		if (machines.length === 0) {
-			return wave;
-		}
-
-		let begun = wave;
-		for (const machine of machines) {
-			begun = fleet.recordMaintenanceStart(begun, machine, clock.epochNow());
-		}
-
-		if (!(await saveWave(begun)) || !(await recordCommands(machines))) {
-			return wave;
-		}
-
-		for (const {id} of machines) {
-			evacuating.delete(id);
+		id: string,
+	): fleet.WaveMachine | undefined => {
+		const sighting = sightings.get(id);
+		const entry = wave.begun[id];
+		const hasAnswer = entry?.progress.kind === 'accepted';
+		const isDue =
+			!hasAnswer ||
+			clock.epochNow() - entry.sinceEpochMs >= fleetPeriods.askMissingMs;
+		if (!isDue || !sighting || !fleet.isLongMissing(sighting, clock.now())) {
+			return undefined;
 		}
 
-		return sendAll(begun, machines);
+		return (
+			sighting.last ?? {
+				id,
+				pool: '',
+				isUp: false,
+				isInMaintenance: false,
+				executorId: entry?.executorId,
+			}
+		);
 	};
 
-	/** Repeats commands without an answer; they are idempotent. */
-	const repeatUnanswered = async (
+	/** Lists machines that are up and whose commands have no answer. */
+	const listRepeats = (
 		wave: fleet.MachineWave,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
-	): Promise<fleet.MachineWave> => {
-		const unanswered = Object.entries(wave.begun).flatMap(([id, entry]) => {
+	): readonly fleet.WaveMachine[] =>
+		fleet.listUnanswered(wave).flatMap((id) => {
 			const machine = machines.get(id);
-			if (entry.isAnswered || entry.isBack || !machine) {
-				return [];
+			if (!machine?.isUp) {
+				log.reportWait(wave.request.id, id, 'machine to be up');
 			}
 
-			const isStillThere =
-				machine.isUp && machine.executorId === entry.executorId;
-			const isFree = context.commandLog.mayCommand(id);
-			if (!isStillThere || !isFree) {
-				log.reportWait(
-					wave.request.id,
-					id,
-					isStillThere ? 'end of the turnover time' : 'machine to be up',
-				);
+			return machine?.isUp ? [machine] : [];
+		});
+
+	/** Evacuates machines; resolves to those that may get commands now. */
+	const evacuate = async (
+		wave: fleet.MachineWave,
+		machines: readonly fleet.WaveMachine[],
+		request: (machine: fleet.WaveMachine) => Promise<Clearance | undefined>,
+	): Promise<readonly MaintenanceTarget[]> => {
+		const clearances = await Promise.all(
+			machines.map(async (machine) => request(machine)),
+		);
+		return machines.flatMap((machine, index) => {
+			const clearance = clearances[index];
+			const isFree = context.commandLog.mayCommand(machine.id);
+			if (!clearance || !isFree) {
+				const waitsFor = clearance ? 'end of the turnover time' : 'evacuation';
+				log.reportWait(wave.request.id, machine.id, waitsFor);
 			}
 
-			return isStillThere && isFree ? [machine] : [];
+			return clearance && isFree ? [{machine, clearance}] : [];
 		});
-		return (await recordCommands(unanswered))
-			? sendAll(wave, unanswered)
-			: wave;
 	};
 
 	const getLoad = (
@@ -243,15 +215,31 @@
 			evacuating.add(id);
 		}
 
-		const clearances = await Promise.all(
-			toEvacuate.map(async (machine) =>
+		const missing = fleet
+			.listUnfinished(wave)
+			.flatMap((id) =>
+				machines.has(id) ? [] : (findLongMissing(wave, id) ?? []),
+			);
+		const [repeats, starts, asked] = await Promise.all([
+			evacuate(wave, listRepeats(wave, machines), async (machine) =>
 				evacuateMachine(context, machine, graceMs),
 			),
-		);
-		const clear = toEvacuate.filter(
-			({id}, index) => clearances[index] && context.commandLog.mayCommand(id),
-		);
-		return begin(wave, clear.slice(0, step.maxStarts));
+			evacuate(wave, toEvacuate, async (machine) =>
+				evacuateMachine(context, machine, graceMs),
+			),
+			evacuate(wave, missing, async (machine) =>
+				evacuateMissing(machine, graceMs),
+			),
+		]);
+		const isBegun = ({machine}: MaintenanceTarget) => machine.id in wave.begun;
+		return commands.send(wave, [
+			...repeats,
+			...asked.filter((each) => isBegun(each)),
+			...[...asked.filter((each) => !isBegun(each)), ...starts].slice(
+				0,
+				step.maxStarts,
+			),
+		]);
 	};
 
 	const complete = async (wave: fleet.MachineWave) => {
@@ -274,22 +262,40 @@
 		}
 	};
 
+	/** Stores a wave that has changed, so that the next holder repeats nothing. */
+	const saveChanges = async (wave: fleet.MachineWave) => {
+		const stored = storedWaves.get(wave.request.id);
+		if (!isDeepStrictEqual(wave, stored) && context.mayCommand()) {
+			await saveWave(wave);
+		}
+	};
+
 	const runWave = async (wave: fleet.MachineWave, view: FleetView) => {
 		const machines = toWaveMachines(view);
-		let current = fleet.recordReturnedMachines(
-			wave,
-			machines,
-			clock.epochNow(),
-		);
-		log.reportListed(current, machines);
-		log.reportReturns(wave, current, machines);
-		current = await repeatUnanswered(current, machines);
-		current = await evacuateAndBegin(current, view, machines);
+		const viewedAt = clock.epochNow() - (clock.now() - view.requestedAt);
+		const observed = fleet.observeMachines(wave, machines, viewedAt);
+		log.reportListed(observed, machines);
+		const current = await evacuateAndBegin(observed, view, machines);
+		log.reportFinished(wave, current, machines);
 		waves.set(current.request.id, current);
-		const isCompleted = fleet.isWaveCompleted(current, machines);
-		if (isCompleted && !context.isStopped()) {
-			await complete(current);
+		for (const id of Object.keys(current.begun)) {
+			evacuating.delete(id);
 		}
+
+		const isCompleted = fleet.isWaveCompleted(current, machines);
+		await (isCompleted && !context.isStopped()
+			? complete(current)
+			: saveChanges(current));
+	};
+
+	const observeSightings = (view: FleetView) => {
+		const open = [...waves.values()].filter(({isCompleted}) => !isCompleted);
+		sightings = fleet.observeSightings(
+			sightings,
+			new Set(open.flatMap(({request}) => request.machines)),
+			toWaveMachines(view),
+			clock.now(),
+		);
 	};
 
 	const acceptRequest = async (request: WaveRequest) => {
@@ -316,6 +322,7 @@
 			const read = await readWaves(store, logger);
 			for (const wave of read ?? []) {
 				waves.set(wave.request.id, wave);
+				storedWaves.set(wave.request.id, wave);
 			}
 
 			return read !== undefined;
@@ -328,6 +335,7 @@
 			}
 		},
 		async runRound(view) {
+			observeSightings(view);
 			for (const wave of waves.values()) {
 				if (!wave.isCompleted && !context.isStopped()) {
 					await runWave(wave, view);
@@ -337,7 +345,7 @@
 		isReserved: (machine) =>
 			evacuating.has(machine) ||
 			[...waves.values()].some(
-				({begun}) => begun[machine] && !begun[machine].isBack,
+				({begun}) => begun[machine] && fleet.isAway(begun[machine]),
 			),
 	};
 };
--- /dev/null
+++ b/packages/daemon/src/jobs/fleet/wave-commands.ts
@@ -0,0 +1,137 @@
+/** Records, sends and repeats the maintenance commands of waves. */
+import {fleet} from '@gullstand/core';
+import type {MachineAnswer} from '@gullstand/ports';
+import {match} from 'ts-pattern';
+import {
+	fleetPeriods,
+	isStillClear,
+	type Clearance,
+	type FleetContext,
+} from './fleet-context.js';
+import type {WaveLog} from './wave-log.js';
+
+/** A machine to send to maintenance and the confirmation that it is empty. */
+export type MaintenanceTarget = {
+	readonly machine: fleet.WaveMachine;
+	readonly clearance: Clearance;
+};
+
+export type WaveCommands = {
+	/**
+	 * Records the commands in the store and sends those whose clearance holds
+	 * after that; resolves to the wave with their answers.
+	 */
+	readonly send: (
+		wave: fleet.MachineWave,
+		targets: readonly MaintenanceTarget[],
+	) => Promise<fleet.MachineWave>;
+};
+
+export type WaveCommandsDeps = {
+	readonly log: WaveLog;
+	/** Stores a wave; resolves to whether it is stored. */
+	readonly saveWave: (wave: fleet.MachineWave) => Promise<boolean>;
+};
+
+export const createWaveCommands = (
+	context: FleetContext,
+	{log, saveWave}: WaveCommandsDeps,
+): WaveCommands => {
+	const {clock, held, logger} = context;
+
+	const toVerdict = (answer: MachineAnswer): fleet.CommandVerdict =>
+		match(answer)
+			.returnType<fleet.CommandVerdict>()
+			.with('done', () => 'accepted')
+			.with('busy', 'unavailable', () => 'refused')
+			.with('not-in-wave', () => 'not-in-wave')
+			.with('invalid', () => 'not-found')
+			.with('fenced', () => {
+				context.loseShard('the platform has seen a higher fencing token');
+				return 'unknown';
+			})
+			.with('no-answer', () => 'unknown')
+			.exhaustive();
+
+	const sendMaintenance = async (
+		wave: fleet.MachineWave,
+		machine: fleet.WaveMachine,
+	): Promise<fleet.CommandVerdict> => {
+		const answer = await context.machines.maintain(
+			{
+				holder: context.holder,
+				fencingToken: held.token,
+				machine: machine.id,
+				wave: wave.request.id,
+			},
+			fleetPeriods.platformTimeoutMs,
+		);
+		logger.info('maintenance command sent', {
+			wave: wave.request.id,
+			machine: machine.id,
+			pool: machine.pool,
+			executor: machine.executorId,
+			attempt: wave.begun[machine.id]?.attempts,
+			outcome: answer,
+		});
+		return toVerdict(answer);
+	};
+
+	/**
+	 * Sends all commands concurrently, so that a large wave does not delay the
+	 * round.
+	 */
+	const sendAll = async (
+		wave: fleet.MachineWave,
+		machines: readonly fleet.WaveMachine[],
+	): Promise<fleet.MachineWave> => {
+		const verdicts = await Promise.all(
+			machines.map(async (machine) => {
+				const verdict = await sendMaintenance(wave, machine);
+				return {id: machine.id, verdict, at: clock.epochNow()};
+			}),
+		);
+		let current = wave;
+		for (const {id, verdict, at} of verdicts) {
+			current = fleet.recordVerdict(current, id, verdict, at);
+		}
+
+		return current;
+	};
+
+	/** Records commands; resolves to whether they may be sent afterwards. */
+	const recordCommands = async (ids: readonly string[]): Promise<boolean> =>
+		context.mayCommand() &&
+		(await context.commandLog.record(ids)) &&
+		context.mayCommand();
+
+	return {
+		async send(wave, targets) {
+			if (targets.length === 0) {
+				return wave;
+			}
+
+			let recorded = wave;
+			for (const {machine} of targets) {
+				recorded = fleet.recordCommand(recorded, machine, clock.epochNow());
+			}
+
+			const ids = targets.map(({machine}) => machine.id);
+			if (!(await saveWave(recorded)) || !(await recordCommands(ids))) {
+				return wave;
+			}
+
+			const machines: fleet.WaveMachine[] = [];
+			for (const {machine, clearance} of targets) {
+				if (isStillClear(context, clearance)) {
+					machines.push(machine);
+				} else {
+					log.reportWait(wave.request.id, machine.id, 'a new clearance');
+					recorded = fleet.withdrawCommand(recorded, wave, machine.id);
+				}
+			}
+
+			return sendAll(recorded, machines);
+		},
+	};
+};
--- a/packages/daemon/src/jobs/fleet/wave-log.ts
+++ b/packages/daemon/src/jobs/fleet/wave-log.ts
@@ -1,10 +1,10 @@
 /** Log lines about the machines of waves, one for each change. */
-import {type fleet} from '@gullstand/core';
+import {fleet} from '@gullstand/core';
 import type {Logger} from '../../log/logger.js';
 
 export type WaveLog = {
-	/** Logs the machines that count as maintained since `before`. */
-	readonly reportReturns: (
+	/** Logs the machines that need no maintenance any more since `before`. */
+	readonly reportFinished: (
 		before: fleet.MachineWave,
 		after: fleet.MachineWave,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
@@ -14,7 +14,7 @@
 		wave: fleet.MachineWave,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
 	) => void;
-	/** Logs what the next attempt of a command without an answer waits for. */
+	/** Logs what the next command for a machine waits for. */
 	readonly reportWait: (
 		wave: string,
 		machine: string,
@@ -29,15 +29,19 @@
 	const waits = new Map<string, string>();
 
 	return {
-		reportReturns(before, after, machines) {
+		reportFinished(before, after, machines) {
 			for (const [machine, entry] of Object.entries(after.begun)) {
-				if (entry.isBack && before.begun[machine]?.isBack === false) {
+				const {progress, executorId, attempts} = entry;
+				const hasChanged =
+					progress.kind !== before.begun[machine]?.progress.kind;
+				if (hasChanged && !fleet.isAway(entry)) {
 					logger.info('machine counts as maintained', {
 						wave: after.request.id,
 						machine,
-						evidence: entry.evidence,
-						isAnswered: entry.isAnswered,
-						executor: entry.executorId,
+						evidence:
+							progress.kind === 'returned' ? progress.evidence : progress.kind,
+						attempts,
+						executor: executorId,
 						currentExecutor: machines.get(machine)?.executorId,
 					});
 				}
--- a/packages/daemon/src/jobs/fleet/wave-rows.ts
+++ b/packages/daemon/src/jobs/fleet/wave-rows.ts
@@ -1,5 +1,8 @@
-/** Reads and writes the rows of waves under the fleet's lease. */
-import {type fleet} from '@gullstand/core';
+/**
+ * Reads and writes the rows of waves under the fleet's lease. The rows have the
+ * fields of the older format too, which two releases read and write.
+ */
+import {fleet} from '@gullstand/core';
 import type {RowStore} from '@gullstand/ports';
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
@@ -11,6 +14,71 @@
 
 const waveTable = 'wave';
 
+const progressSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('unanswered')}),
+	z.object({kind: z.literal('accepted')}),
+	z.object({
+		kind: z.literal('returned'),
+		evidence: z.enum(fleet.returnEvidence),
+	}),
+	z.object({kind: z.literal('not-in-wave')}),
+	z.object({kind: z.literal('not-found')}),
+]);
+
+const maintenanceSchema = z.object({
+	executorId: z.string().optional(),
+	begunAtEpochMs: z.number(),
+	isAnswered: z.boolean(),
+	wasInMaintenance: z.boolean().optional(),
+	isBack: z.boolean(),
+	/** Absent in the older format. */
+	progress: progressSchema.optional(),
+	attempts: z.int().optional(),
+});
+
+type MaintenanceRow = z.infer<typeof maintenanceSchema>;
+
+/** In the older format, only an answered command has any evidence. */
+const toProgress = ({
+	isAnswered,
+	isBack,
+}: MaintenanceRow): fleet.MaintenanceProgress => {
+	if (!isAnswered) {
+		return {kind: 'unanswered'};
+	}
+
+	return isBack ? {kind: 'returned', evidence: 'stored'} : {kind: 'accepted'};
+};
+
+const toMaintenance = (row: MaintenanceRow): fleet.MachineMaintenance => ({
+	progress: row.progress ?? toProgress(row),
+	executorId: row.executorId,
+	sinceEpochMs: row.begunAtEpochMs,
+	attempts: row.attempts ?? 1,
+	wasInMaintenance: row.wasInMaintenance ?? false,
+});
+
+const toMaintenanceRow = (entry: fleet.MachineMaintenance): MaintenanceRow => {
+	const {progress, executorId, sinceEpochMs, attempts} = entry;
+	return {
+		executorId,
+		begunAtEpochMs: sinceEpochMs,
+		isAnswered: progress.kind === 'accepted' || progress.kind === 'returned',
+		wasInMaintenance: entry.wasInMaintenance,
+		isBack: !fleet.isAway(entry),
+		progress,
+		attempts,
+	};
+};
+
+const mapValues = <From, To>(
+	values: Readonly<Record<string, From>>,
+	convert: (value: From) => To,
+): Record<string, To> =>
+	Object.fromEntries(
+		Object.entries(values).map(([key, value]) => [key, convert(value)]),
+	);
+
 const waveSchema: z.ZodType<fleet.MachineWave> = z.object({
 	request: z.object({
 		id: z.string(),
@@ -19,19 +87,9 @@
 		maxAway: z.int(),
 	}),
 	seenAtEpochMs: z.number(),
-	begun: z.record(
-		z.string(),
-		z.object({
-			executorId: z
-				.string()
-				.optional()
-				.transform((id) => id),
-			begunAtEpochMs: z.number(),
-			isAnswered: z.boolean(),
-			wasInMaintenance: z.boolean().optional(),
-			isBack: z.boolean(),
-		}),
-	),
+	begun: z
+		.record(z.string(), maintenanceSchema)
+		.transform((rows) => mapValues(rows, toMaintenance)),
 	isCompleted: z.boolean(),
 });
 
@@ -70,7 +128,10 @@
 					table: waveTable,
 					part: fleetShard,
 					key: wave.request.id,
-					value: JSON.stringify(wave),
+					value: JSON.stringify({
+						...wave,
+						begun: mapValues(wave.begun, toMaintenanceRow),
+					}),
 				},
 			],
 			removes: [],
