Repeat a move whose command got no answer

Callers saw two tasks of a long-running step gone at once. Whether a move did that is open; by reading, it could: a move without an answer counted as ordered, its evacuation was no longer renewed, so that its executor took tasks again after 1.5 s, and the platform may still have carried it out, or never did, and the machine was lost to the plan for 15 s.

Moves are idempotent per target pool. One without an answer stays evacuated, by its current executor, and is repeated with a new clearance until the platform accepts it, it arrives, or its time is up. A refused repeat does not show that the first was not carried out. A clearance must still hold after the command is recorded, and one read of the list without the machine does not end a move that was commanded. Commands log their attempt.

--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -34,6 +34,8 @@
 	moveEvacuationGraceMs: 60_000,
 	/** A move that the list does not show within this time is abandoned. */
 	moveTimeoutMs: 15_000,
+	/** A commanded machine that is not listed for this time is gone. */
+	moveMissingMs: 2000,
 } as const;
 
 /** Dependencies of a round. */
--- a/packages/daemon/src/jobs/fleet/fleet-platform.test.fixture.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-platform.test.fixture.ts
@@ -37,6 +37,8 @@
 	readonly context: FleetContext;
 	readonly store: ports.MemoryRowStore;
 	readonly commands: readonly ReceivedCommand[];
+	/** When the evacuation of each machine was requested, in milliseconds. */
+	readonly evacuations: ReadonlyMap<string, readonly number[]>;
 	/** Broken invariants, in words. */
 	readonly violations: readonly string[];
 	/** Waves that were shown as completed. */
@@ -76,6 +78,7 @@
 	/** Pairs of wave and machine whose maintenance has begun. */
 	const maintained = new Set<string>();
 	const commands: ReceivedCommand[] = [];
+	const evacuations = new Map<string, number[]>();
 	const violations: string[] = [];
 	const completed = new Set<string>();
 	let now = 0;
@@ -204,11 +207,16 @@
 	});
 
 	const evacuate = (executorId: string): scheduler.EvacuationState => {
-		const isKnown = [...machines.values()].some(
-			(machine) => machine.executorId === executorId,
+		const machine = [...machines.values()].find(
+			(each) => each.executorId === executorId,
 		);
+		if (machine) {
+			const {id} = machine;
+			evacuations.set(id, [...(evacuations.get(id) ?? []), now]);
+		}
+
 		if (
-			!isKnown &&
+			!machine &&
 			now - (endedAt.get(executorId) ?? -ownerLagMs) >= ownerLagMs
 		) {
 			return {kind: 'unknown-executor'};
@@ -257,6 +265,7 @@
 		context,
 		store,
 		commands,
+		evacuations,
 		violations,
 		completed,
 		status: {
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -7,6 +7,7 @@
 	evacuateMachine,
 	fleetPeriods,
 	getMachineLoad,
+	isStillClear,
 	type Clearance,
 	type FleetContext,
 	type FleetView,
@@ -30,12 +31,21 @@
 /** Interval between log lines about all pools, in milliseconds. */
 const logIntervalMs = 1000;
 
-type Phase = 'emptying' | 'ordered';
+type Phase =
+	| 'emptying'
+	/** Commands were sent; each may have been carried out, or may yet be. */
+	| 'unanswered'
+	/** The platform accepted the move. */
+	| 'ordered';
 
 type MoveInProgress = {
 	readonly move: fleet.PoolMove;
 	readonly since: number;
 	phase: Phase;
+	/** Commands that were sent. */
+	attempts: number;
+	/** When reads of the list began to leave the machine out, if they do. */
+	missingSince: number | undefined;
 	/** Absent if something ran there at the last request to the pool's owner. */
 	clearance: Clearance | undefined;
 };
@@ -59,12 +69,17 @@
 	const applyAnswer = (entry: MoveInProgress, answer: MachineAnswer) => {
 		const {move} = entry;
 		match(answer)
-			.with('done', 'no-answer', () => {
-				// A command without an answer may still take effect; the list shows it.
+			.with('done', () => {
 				entry.phase = 'ordered';
 			})
+			.with('no-answer', () => {
+				entry.phase = 'unanswered';
+			})
 			.with('busy', 'unavailable', 'not-in-wave', () => {
-				end(move, answer);
+				// An earlier command without an answer may still be carried out.
+				if (entry.phase === 'emptying') {
+					end(move, answer);
+				}
 			})
 			.with('invalid', () => {
 				rejectedMoves.add(`${move.machine} ${move.to}`);
@@ -78,6 +93,7 @@
 
 	const sendMove = async (entry: MoveInProgress) => {
 		const {move} = entry;
+		entry.attempts += 1;
 		const answer = await context.machines.move(
 			{
 				holder: context.holder,
@@ -87,57 +103,88 @@
 			},
 			fleetPeriods.platformTimeoutMs,
 		);
-		logger.info('move command sent', {...move, outcome: answer});
+		logger.info('move command sent', {
+			...move,
+			attempt: entry.attempts,
+			outcome: answer,
+		});
 		applyAnswer(entry, answer);
 	};
 
-	const advance = async (
-		entry: MoveInProgress,
+	/** Returns how a move ends now, or `undefined` if it goes on. */
+	const findEnd = (
+		{move, since, phase, missingSince}: MoveInProgress,
 		machine: Machine | undefined,
-	) => {
-		const {move, since, phase} = entry;
+	): string | undefined => {
+		const now = clock.now();
+		const ageMs = now - since;
 		if (!machine) {
-			end(move, 'machine no longer listed');
-			return;
+			const missingMs = now - (missingSince ?? now);
+			const isGone =
+				phase === 'emptying' || missingMs >= fleetPeriods.moveMissingMs;
+			return isGone ? 'machine no longer listed' : undefined;
 		}
 
-		const ageMs = clock.now() - since;
-		if (phase === 'ordered') {
-			const hasArrived = machine.pool === move.to && machine.state === 'up';
-			if (hasArrived || ageMs > fleetPeriods.moveTimeoutMs) {
-				end(move, hasArrived ? 'done' : 'not arrived in time');
-			}
+		if (phase === 'emptying') {
+			const isInTime = ageMs <= fleetPeriods.moveEvacuationTimeoutMs;
+			return machine.state === 'up' && isInTime
+				? undefined
+				: 'not evacuated in time';
+		}
 
-			return;
+		if (machine.pool === move.to && machine.state === 'up') {
+			return 'done';
 		}
 
-		if (
-			machine.state !== 'up' ||
-			ageMs > fleetPeriods.moveEvacuationTimeoutMs
-		) {
-			end(move, 'not evacuated in time');
+		return ageMs > fleetPeriods.moveTimeoutMs
+			? 'not arrived in time'
+			: undefined;
+	};
+
+	/** Ends a move, or renews its evacuation until the platform accepts it. */
+	const advance = async (
+		entry: MoveInProgress,
+		machine: Machine | undefined,
+	) => {
+		entry.clearance = undefined;
+		entry.missingSince = machine
+			? undefined
+			: (entry.missingSince ?? clock.now());
+		const outcome = findEnd(entry, machine);
+		if (outcome !== undefined) {
+			end(entry.move, outcome);
 			return;
 		}
 
-		entry.clearance = await evacuateMachine(
-			context,
-			machine,
-			fleetPeriods.moveEvacuationGraceMs,
-		);
+		if (machine?.state === 'up' && entry.phase !== 'ordered') {
+			entry.clearance = await evacuateMachine(
+				context,
+				machine,
+				fleetPeriods.moveEvacuationGraceMs,
+			);
+		}
 	};
 
-	/** Records all evacuated machines in one write, then sends their moves. */
+	/**
+	 * Records all evacuated machines in one write, then sends their moves, as far
+	 * as their clearance holds after that.
+	 */
 	const moveEvacuated = async () => {
 		const clear = [...inProgress.values()].filter(
-			({phase, clearance, move}) =>
-				phase === 'emptying' &&
-				clearance !== undefined &&
-				context.commandLog.mayCommand(move.machine),
+			({clearance, move}) =>
+				clearance !== undefined && context.commandLog.mayCommand(move.machine),
 		);
 		const machines = clear.map(({move}) => move.machine);
-		const mayCommand = machines.length > 0 && context.mayCommand();
-		if (mayCommand && (await context.commandLog.record(machines))) {
-			await Promise.all(clear.map(async (entry) => sendMove(entry)));
+		const mayCommand =
+			machines.length > 0 &&
+			context.mayCommand() &&
+			(await context.commandLog.record(machines)) &&
+			context.mayCommand();
+		if (mayCommand) {
+			const stillClear = clear.filter(
+				({clearance}) => clearance && isStillClear(context, clearance),
+			);
+			await Promise.all(stillClear.map(async (entry) => sendMove(entry)));
 		}
 	};
 
@@ -231,6 +278,8 @@
 					move,
 					since,
 					phase: 'emptying',
+					attempts: 0,
+					missingSince: undefined,
 					clearance: undefined,
 				});
 			}
