Send a machine commands of one wave or one move at a time

Where the first has no answer, the list cannot tell whose command had which effect.

One record at the fleet's holder says who has a machine. A wave has those that it evacuates and those that are, or may be, in maintenance; the moves have those that were commanded, until they end. Another claimant sends nothing to such a machine, nor to one that was commanded since the list of the round was requested. A planned move is dropped once a wave has its machine. Waves claim what their stored rows say before any wave goes on.

--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -89,9 +89,12 @@
 	),
 });
 
+/** Lists the machines that are, or may be, in maintenance for a wave. */
+export const listAway = ({begun}: MachineWave): readonly string[] =>
+	Object.entries(begun).flatMap(([id, entry]) => (isAway(entry) ? [id] : []));
+
 /** Counts the machines that are, or may be, in maintenance for a wave. */
-export const countAway = ({begun}: MachineWave): number =>
-	Object.values(begun).filter((entry) => isAway(entry)).length;
+export const countAway = (wave: MachineWave): number => listAway(wave).length;
 
 /** Lists the machines whose commands have no answer. */
 export const listUnanswered = ({begun}: MachineWave): readonly string[] =>
@@ -162,6 +165,8 @@
 	readonly machines: ReadonlyMap<string, WaveMachine>;
 	/** Machines that are being evacuated for the wave. */
 	readonly evacuating: ReadonlySet<string>;
+	/** Whether another wave or a move has a machine. */
+	readonly isTaken?: (id: string) => boolean;
 	readonly getLoad: (machine: WaveMachine) => MachineLoad | undefined;
 	/**
 	 * Time from the start of evacuation to the end of maintenance of one
@@ -225,10 +230,12 @@
 	input: WaveStepInput,
 	epochNow: number,
 ): WaveStep => {
-	const {machines, evacuating, getLoad} = input;
+	const {machines, evacuating, getLoad, isTaken} = input;
 	const away = countAway(wave);
 	const maxStarts = Math.max(0, wave.request.maxAway - away);
-	const ranked = rankPending(wave, machines, getLoad);
+	const ranked = rankPending(wave, machines, getLoad).filter(
+		({id}) => !isTaken?.(id),
+	);
 	const inProgress = ranked.filter(({id}) => evacuating.has(id));
 	const notStarted = ranked.filter(({id}) => !evacuating.has(id));
 	const isIdle = (machine: WaveMachine) => getLoadScore(getLoad(machine)) === 0;
--- a/packages/daemon/src/jobs/fleet/demand-forecaster.test.ts
+++ b/packages/daemon/src/jobs/fleet/demand-forecaster.test.ts
@@ -10,6 +10,7 @@
 import {fleetShard, singleKeys, tables} from '../rows/tables.js';
 import {createDemandForecaster} from './demand-forecaster.js';
 import type {FleetContext, FleetView} from './fleet-context.js';
+import {createMachineClaims} from './machine-claims.js';
 import {createPoolMover} from './pool-mover.js';
 
 const machineCpu = 32_000;
@@ -199,6 +200,7 @@
 			cfg: {...fleet.defaultPoolConfig, minCpu: 0, minShare: 0, usesForecast},
 			getStandbyPool: () => 'standby',
 			isReserved: () => false,
+			claims: createMachineClaims(() => 0),
 			forecaster: {observe: () => expected},
 		});
 		const listed = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6', 'm7'].map((id) => [
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -21,6 +21,7 @@
 } from './fleet-context.js';
 import {createCommandLog} from './command-log.js';
 import {createDemandForecaster} from './demand-forecaster.js';
+import {createMachineClaims} from './machine-claims.js';
 import {createPoolMover} from './pool-mover.js';
 import {
 	createMachineWaveRunner,
@@ -105,11 +106,13 @@
 		isStopped: () => state.isStopped,
 		loseShard: lose,
 	};
-	const waves = createMachineWaveRunner(context, deps.status);
+	const claims = createMachineClaims(clock.now);
+	const waves = createMachineWaveRunner(context, deps.status, claims);
 	const pools = createPoolMover(context, {
 		cfg: deps.pools,
 		getStandbyPool: deps.getStandbyPool,
 		isReserved: waves.isReserved,
+		claims,
 		forecaster: createDemandForecaster(context, {
 			cfg: deps.pools,
 			metrics: deps.metrics,
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.test.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.test.ts
@@ -4,6 +4,7 @@
 import * as tap from 'tap';
 import {fleetShard} from '../rows/tables.js';
 import type {FleetContext, FleetView} from './fleet-context.js';
+import {createMachineClaims} from './machine-claims.js';
 import {createMachineWaveRunner} from './machine-wave-runner.js';
 
 const noLogger = {
@@ -110,7 +111,11 @@
 		isStopped: () => false,
 		loseShard: () => undefined,
 	};
-	const runner = createMachineWaveRunner(context, {write: async () => true});
+	const runner = createMachineWaveRunner(
+		context,
+		{write: async () => true},
+		createMachineClaims(context.clock.now),
+	);
 	return {
 		...env,
 		async begin() {
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -12,6 +12,11 @@
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
+import {
+	moveClaimant,
+	toWaveClaimant,
+	type MachineClaims,
+} from './machine-claims.js';
 import {createWaveCommands, type MaintenanceTarget} from './wave-commands.js';
 import {createWaveLog} from './wave-log.js';
 import {readWaves, storeWave} from './wave-rows.js';
@@ -65,12 +70,12 @@
 export const createMachineWaveRunner = (
 	context: FleetContext,
 	status: WaveStatusPort,
+	claims: MachineClaims,
 ): MachineWaveRunner => {
 	const {held, store, clock, logger} = context;
 	const waves = new Map<string, fleet.MachineWave>();
 	/** Waves as they are stored. */
 	const storedWaves = new Map<string, fleet.MachineWave>();
-	const evacuating = new Set<string>();
 	const log = createWaveLog(logger);
 	let sightings: fleet.Sightings = new Map();
 
@@ -89,7 +94,7 @@
 		return outcome === 'stored';
 	};
 
-	const commands = createWaveCommands(context, {log, saveWave});
+	const commands = createWaveCommands(context, {log, claims, saveWave});
 
 	/**
 	 * Asks the owner to evacuate the last known executor of a machine that is not
@@ -145,18 +150,24 @@
 		);
 	};
 
-	/** Lists machines that are up and whose commands have no answer. */
+	/**
+	 * Lists machines that are up, whose commands have no answer, and that nothing
+	 * else has.
+	 */
 	const listRepeats = (
 		wave: fleet.MachineWave,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
+		isTaken: (id: string) => boolean,
 	): readonly fleet.WaveMachine[] =>
 		fleet.listUnanswered(wave).flatMap((id) => {
 			const machine = machines.get(id);
-			if (!machine?.isUp) {
-				log.reportWait(wave.request.id, id, 'machine to be up');
+			const isFree = !isTaken(id);
+			if (!machine?.isUp || !isFree) {
+				const waitsFor = isFree ? 'machine to be up' : 'another command';
+				log.reportWait(wave.request.id, id, waitsFor);
 			}
 
-			return machine?.isUp ? [machine] : [];
+			return machine?.isUp && isFree ? [machine] : [];
 		});
 
 	/** Evacuates machines; resolves to those that may get commands now. */
@@ -188,16 +199,35 @@
 			? unknownLoad
 			: getMachineLoad(view, machine);
 
+	/** Claims the machines that are away for a wave and those given, no others. */
+	const claimOnly = (wave: fleet.MachineWave, ids: readonly string[]) => {
+		const claimant = toWaveClaimant(wave.request.id);
+		const claimed = new Set([...fleet.listAway(wave), ...ids]);
+		for (const id of claims.listClaimed(claimant)) {
+			if (!claimed.has(id)) {
+				claims.release(id, claimant);
+			}
+		}
+
+		for (const id of claimed) {
+			claims.claim(id, claimant);
+		}
+	};
+
 	const evacuateAndBegin = async (
 		wave: fleet.MachineWave,
 		view: FleetView,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
 	): Promise<fleet.MachineWave> => {
+		const claimant = toWaveClaimant(wave.request.id);
+		const isTaken = (id: string) =>
+			claims.isTaken(id, claimant, view.requestedAt);
 		const step = fleet.stepMachineWave(
 			wave,
 			{
 				machines,
-				evacuating,
+				evacuating: claims.listClaimed(claimant),
+				isTaken,
 				getLoad: (machine) => getLoad(view, machine),
 				turnaroundMs: fleetPeriods.machineTurnaroundMs,
 			},
@@ -211,17 +241,17 @@
 		);
 		const graceMs = isShortOfTime ? 0 : fleetPeriods.evacuationGraceMs;
 		const toEvacuate = step.evacuate.flatMap((id) => machines.get(id) ?? []);
-		for (const {id} of toEvacuate) {
-			evacuating.add(id);
-		}
-
 		const missing = fleet
 			.listUnfinished(wave)
 			.flatMap((id) =>
-				machines.has(id) ? [] : (findLongMissing(wave, id) ?? []),
+				machines.has(id) || isTaken(id)
+					? []
+					: (findLongMissing(wave, id) ?? []),
 			);
+		const chosen = [...toEvacuate, ...missing].map(({id}) => id);
+		claimOnly(wave, chosen);
 		const [repeats, starts, asked] = await Promise.all([
-			evacuate(wave, listRepeats(wave, machines), async (machine) =>
+			evacuate(wave, listRepeats(wave, machines, isTaken), async (machine) =>
 				evacuateMachine(context, machine, graceMs),
 			),
 			evacuate(wave, toEvacuate, async (machine) =>
@@ -258,6 +288,7 @@
 		if (isStatusWritten) {
 			const completed = {...wave, isCompleted: true};
 			waves.set(id, completed);
+			claimOnly(completed, []);
 			await saveWave(completed);
 		}
 	};
@@ -278,10 +309,6 @@
 		const current = await evacuateAndBegin(observed, view, machines);
 		log.reportFinished(wave, current, machines);
 		waves.set(current.request.id, current);
-		for (const id of Object.keys(current.begun)) {
-			evacuating.delete(id);
-		}
-
 		const isCompleted = fleet.isWaveCompleted(current, machines);
 		await (isCompleted && !context.isStopped()
 			? complete(current)
@@ -336,16 +363,21 @@
 		},
 		async runRound(view) {
 			observeSightings(view);
+			for (const wave of waves.values()) {
+				for (const id of wave.isCompleted ? [] : fleet.listAway(wave)) {
+					claims.claim(id, toWaveClaimant(wave.request.id));
+				}
+			}
+
 			for (const wave of waves.values()) {
 				if (!wave.isCompleted && !context.isStopped()) {
 					await runWave(wave, view);
 				}
 			}
 		},
-		isReserved: (machine) =>
-			evacuating.has(machine) ||
-			[...waves.values()].some(
-				({begun}) => begun[machine] && fleet.isAway(begun[machine]),
-			),
+		isReserved(machine) {
+			const claimant = claims.getClaimant(machine);
+			return claimant !== undefined && claimant !== moveClaimant;
+		},
 	};
 };
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -12,6 +12,7 @@
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
+import {moveClaimant, type MachineClaims} from './machine-claims.js';
 
 export type PoolMover = {
 	/** Plans moves and advances those in progress. */
@@ -26,6 +27,7 @@
 	/** Whether a machine is reserved for other work, such as a wave. */
 	readonly isReserved: (machine: string) => boolean;
 	readonly forecaster: DemandForecaster;
+	readonly claims: MachineClaims;
 };
 
 /** Interval between log lines about all pools, in milliseconds. */
@@ -55,6 +57,7 @@
 	deps: PoolMoverDeps,
 ): PoolMover => {
 	const {clock, logger, held} = context;
+	const {claims} = deps;
 	const inProgress = new Map<string, MoveInProgress>();
 	/** Pairs of machine and pool that the platform rejected as invalid. */
 	const rejectedMoves = new Set<string>();
@@ -63,6 +66,7 @@
 
 	const end = (move: fleet.PoolMove, outcome: string) => {
 		inProgress.delete(move.machine);
+		claims.release(move.machine, moveClaimant);
 		logger.info('move ended', {...move, outcome});
 	};
 
@@ -94,6 +98,7 @@
 	const sendMove = async (entry: MoveInProgress) => {
 		const {move} = entry;
 		entry.attempts += 1;
+		claims.recordCommand(move.machine, moveClaimant);
 		const answer = await context.machines.move(
 			{
 				holder: context.holder,
@@ -103,6 +108,7 @@
 			},
 			fleetPeriods.platformTimeoutMs,
 		);
+		claims.recordCommand(move.machine, moveClaimant);
 		logger.info('move command sent', {
 			...move,
 			attempt: entry.attempts,
@@ -165,14 +171,25 @@
 		}
 	};
 
+	/** Ends the moves that were not commanded and whose machine a wave has. */
+	const dropReserved = () => {
+		for (const {move, phase} of inProgress.values()) {
+			if (phase === 'emptying' && deps.isReserved(move.machine)) {
+				end(move, 'reserved for other work');
+			}
+		}
+	};
+
 	/**
 	 * Records all evacuated machines in one write, then sends their moves, as far
 	 * as their clearance holds after that.
 	 */
-	const moveEvacuated = async () => {
+	const moveEvacuated = async ({requestedAt}: FleetView) => {
 		const clear = [...inProgress.values()].filter(
 			({clearance, move}) =>
-				clearance !== undefined && context.commandLog.mayCommand(move.machine),
+				clearance !== undefined &&
+				context.commandLog.mayCommand(move.machine) &&
+				!claims.isTaken(move.machine, moveClaimant, requestedAt),
 		);
 		const machines = clear.map(({move}) => move.machine);
 		const mayCommand =
@@ -184,6 +201,10 @@
 			const stillClear = clear.filter(
 				({clearance}) => clearance && isStillClear(context, clearance),
 			);
+			for (const {move} of stillClear) {
+				claims.claim(move.machine, moveClaimant);
+			}
+
 			await Promise.all(stillClear.map(async (entry) => sendMove(entry)));
 		}
 	};
@@ -296,6 +317,7 @@
 
 	return {
 		async runRound(view) {
+			dropReserved();
 			const standbyPool = deps.getStandbyPool();
 			if (standbyPool !== undefined && context.mayCommand()) {
 				plan(view, standbyPool);
@@ -306,7 +328,7 @@
 					advance(entry, view.machines.get(entry.move.machine)),
 				),
 			);
-			await moveEvacuated();
+			await moveEvacuated(view);
 		},
 	};
 };
--- a/packages/daemon/src/jobs/fleet/unanswered-move.test.ts
+++ b/packages/daemon/src/jobs/fleet/unanswered-move.test.ts
@@ -6,6 +6,7 @@
 	type CommandFault,
 	type FleetPlatform,
 } from './fleet-platform.test.fixture.js';
+import {createMachineClaims} from './machine-claims.js';
 import {createPoolMover} from './pool-mover.js';
 
 const roundMs = 150;
@@ -98,6 +99,7 @@
 		},
 		getStandbyPool: () => 'standby',
 		isReserved: () => false,
+		claims: createMachineClaims(platform.now),
 		forecaster: {observe: () => undefined},
 	});
 
--- a/packages/daemon/src/jobs/fleet/unmaintained-machine.test.ts
+++ b/packages/daemon/src/jobs/fleet/unmaintained-machine.test.ts
@@ -6,6 +6,7 @@
 	createFleetPlatform,
 	type FleetPlatform,
 } from './fleet-platform.test.fixture.js';
+import {createMachineClaims} from './machine-claims.js';
 import {createMachineWaveRunner} from './machine-wave-runner.js';
 
 const roundMs = 150;
@@ -257,7 +258,11 @@
 
 	each.prepare?.(platform);
 	const open = async () => {
-		const runner = createMachineWaveRunner(platform.context, platform.status);
+		const runner = createMachineWaveRunner(
+			platform.context,
+			platform.status,
+			createMachineClaims(platform.now),
+		);
 		await runner.load();
 		return runner;
 	};
--- a/packages/daemon/src/jobs/fleet/wave-commands.ts
+++ b/packages/daemon/src/jobs/fleet/wave-commands.ts
@@ -8,6 +8,7 @@
 	type Clearance,
 	type FleetContext,
 } from './fleet-context.js';
+import {toWaveClaimant, type MachineClaims} from './machine-claims.js';
 import type {WaveLog} from './wave-log.js';
 
 /** A machine to send to maintenance and the confirmation that it is empty. */
@@ -29,13 +30,14 @@
 
 export type WaveCommandsDeps = {
 	readonly log: WaveLog;
+	readonly claims: MachineClaims;
 	/** Stores a wave; resolves to whether it is stored. */
 	readonly saveWave: (wave: fleet.MachineWave) => Promise<boolean>;
 };
 
 export const createWaveCommands = (
 	context: FleetContext,
-	{log, saveWave}: WaveCommandsDeps,
+	{log, claims, saveWave}: WaveCommandsDeps,
 ): WaveCommands => {
 	const {clock, held, logger} = context;
 
@@ -57,6 +59,8 @@
 		wave: fleet.MachineWave,
 		machine: fleet.WaveMachine,
 	): Promise<fleet.CommandVerdict> => {
+		const claimant = toWaveClaimant(wave.request.id);
+		claims.recordCommand(machine.id, claimant);
 		const answer = await context.machines.maintain(
 			{
 				holder: context.holder,
@@ -66,6 +70,7 @@
 			},
 			fleetPeriods.platformTimeoutMs,
 		);
+		claims.recordCommand(machine.id, claimant);
 		logger.info('maintenance command sent', {
 			wave: wave.request.id,
 			machine: machine.id,
