--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -27,12 +27,16 @@
 	evacuationGraceMs: 1400,
 	/** Expected time per machine of a wave, evacuation included. */
 	machineTurnaroundMs: 4500,
+	/** Pause between two commands for a machine that is no longer listed. */
+	askMissingMs: 2000,
 	/** A move is abandoned if its machine is not evacuated within this time. */
 	moveEvacuationTimeoutMs: 4000,
 	/** Exceeds the evacuation time-out, so that no run is stopped for a move. */
 	moveEvacuationGraceMs: 60_000,
 	/** A move that the list does not show within this time is abandoned. */
 	moveTimeoutMs: 15_000,
+	/** A commanded machine that is not listed for this time is gone. */
+	moveMissingMs: 2000,
 } as const;
 
 /** Dependencies of a round. */
@@ -197,17 +201,39 @@
 ): boolean =>
 	isConfirmedWithin(clock, askedAt, validMs - fleetPeriods.platformTimeoutMs);
 
+const askOwner = async (
+	{owners, held}: FleetContext,
+	{pool, executorId}: {readonly pool: string; readonly executorId: string},
+	graceMs: number,
+	askedAt: Moment,
+): Promise<Clearance | 'unknown-executor' | undefined> => {
+	const state = await owners.evacuate(
+		getServiceShard(pool),
+		executorId,
+		graceMs,
+		{token: held.token, at: askedAt.at},
+	);
+	if (state?.kind === 'unknown-executor') {
+		return 'unknown-executor';
+	}
+
+	// Owners of older releases promise nothing.
+	return state?.kind === 'clear' && state.remainingMs > 0
+		? {askedAt, validMs: state.remainingMs}
+		: undefined;
+};
+
 /**
- * Asks the pool's owner to evacuate a machine that is up; resolves to nothing while
- * something runs there. Runs may end by themselves for `graceMs`.
+ * Asks the pool's owner to evacuate a machine that is up; resolves to nothing
+ * while something runs there. Runs may end by themselves for `graceMs`.
  */
 export const evacuateMachine = async (
-	{owners, hasOwner, clock, held}: FleetContext,
+	context: FleetContext,
 	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
 	graceMs: number,
 ): Promise<Clearance | undefined> => {
-	const askedAt = getMoment(clock);
-	if (!hasOwner(pool)) {
+	const askedAt = getMoment(context.clock);
+	if (!context.hasOwner(pool)) {
 		return {askedAt, validMs: Number.POSITIVE_INFINITY};
 	}
 
@@ -216,16 +242,27 @@
 		return undefined;
 	}
 
-	const state = await owners.evacuate(
-		getServiceShard(pool),
-		executorId,
-		graceMs,
-		{token: held.token, at: askedAt.at},
-	);
-	// Owners of older releases promise nothing.
-	return state?.kind === 'clear' && state.remainingMs > 0
-		? {askedAt, validMs: state.remainingMs}
-		: undefined;
+	const answer = await askOwner(context, {pool, executorId}, graceMs, askedAt);
+	return answer === 'unknown-executor' ? undefined : answer;
+};
+
+/**
+ * Asks the pool's owner to evacuate the last known executor of a machine that is
+ * not listed; one that the owner does not know runs nothing.
+ */
+export const evacuateMissing = async (
+	context: FleetContext,
+	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
+	graceMs: number,
+): Promise<Clearance | undefined> => {
+	const askedAt = getMoment(context.clock);
+	const unlimited = {askedAt, validMs: Number.POSITIVE_INFINITY};
+	if (executorId === undefined || !context.hasOwner(pool)) {
+		return unlimited;
+	}
+
+	const answer = await askOwner(context, {pool, executorId}, graceMs, askedAt);
+	return answer === 'unknown-executor' ? unlimited : answer;
 };
 
 /** Lets the pool's owner use a machine again that will not be commanded. */
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -1,17 +1,24 @@
 /** Runs maintenance waves of machines. */
+import {isDeepStrictEqual} from 'node:util';
 import {fleet} from '@gullstand/core';
-import type {MachineAnswer, WaveRequest} from '@gullstand/ports';
-import {match} from 'ts-pattern';
+import type {WaveRequest} from '@gullstand/ports';
 import {
 	evacuateMachine,
+	evacuateMissing,
 	fleetPeriods,
-	getClearanceAgeMs,
 	getMachineLoad,
-	isStillClear,
+	releaseMachine,
 	type Clearance,
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
+import {
+	moveClaimant,
+	toWaveClaimant,
+	type MachineClaims,
+} from './machine-claims.js';
+import {createWaveCommands, type MaintenanceTarget} from './wave-commands.js';
+import {createWaveLog} from './wave-log.js';
 import {readWaves, storeWave} from './wave-rows.js';
 
 /** Publishes the state of a wave to operators. */
@@ -34,12 +41,6 @@
 	readonly isReserved: (machine: string) => boolean;
 };
 
-/** A machine on which nothing runs, to be commanded. */
-type ClearMachine = {
-	readonly machine: fleet.WaveMachine;
-	readonly clearance: Clearance;
-};
-
 const toWaveMachines = ({
 	machines,
 }: FleetView): ReadonlyMap<string, fleet.WaveMachine> =>
@@ -69,10 +70,14 @@
 export const createMachineWaveRunner = (
 	context: FleetContext,
 	status: WaveStatusPort,
+	claims: MachineClaims,
 ): MachineWaveRunner => {
 	const {held, store, clock, logger} = context;
 	const waves = new Map<string, fleet.MachineWave>();
-	const evacuating = new Set<string>();
+	/** Waves as they are stored. */
+	const storedWaves = new Map<string, fleet.MachineWave>();
+	const log = createWaveLog(logger);
+	let sightings: fleet.Sightings = new Map();
 
 	const saveWave = async (wave: fleet.MachineWave): Promise<boolean> => {
 		const outcome = await storeWave(store, held, wave);
@@ -80,175 +85,85 @@
 			context.loseShard('the lease row has changed');
 		}
 
-		if (outcome !== 'stored') {
+		if (outcome === 'stored') {
+			storedWaves.set(wave.request.id, wave);
+		} else {
 			logger.warn('wave not stored', {wave: wave.request.id, outcome});
 		}
 
 		return outcome === 'stored';
 	};
 
-	const applyAnswer = (
-		wave: fleet.MachineWave,
-		id: string,
-		answer: MachineAnswer,
-	): fleet.MachineWave =>
-		match(answer)
-			.returnType<fleet.MachineWave>()
-			.with('done', () => fleet.recordCommandAccepted(wave, id))
-			.with('busy', 'unavailable', () => fleet.undoMaintenanceStart(wave, id))
-			.with('not-in-wave', 'invalid', () => fleet.skipMachine(wave, id))
-			.with('fenced', () => {
-				context.loseShard('the platform has seen a higher fencing token');
-				return wave;
-			})
-			// It may still take effect: the machine counts as away until it is back.
-			.with('no-answer', () => wave)
-			.exhaustive();
-
-	const sendMaintenance = async (
-		wave: fleet.MachineWave,
-		{machine, clearance}: ClearMachine,
-	): Promise<MachineAnswer> => {
-		const clearMs = getClearanceAgeMs(context, clearance);
-		const answer = await context.machines.maintain(
-			{
-				holder: context.holder,
-				fencingToken: held.token,
-				machine: machine.id,
-				wave: wave.request.id,
-			},
-			fleetPeriods.platformTimeoutMs,
-		);
-		logger.info('maintenance command sent', {
-			wave: wave.request.id,
-			machine: machine.id,
-			pool: machine.pool,
-			executor: machine.executorId,
-			clearMs,
-			outcome: answer,
-		});
-		return answer;
-	};
+	const commands = createWaveCommands(context, {claims, saveWave});
 
 	/**
-	 * Sends all commands concurrently, so that a large wave does not delay the
-	 * round.
+	 * A machine that was missing from the list for so long that the platform has
+	 * to be asked for it.
 	 */
-	const sendAll = async (
+	const findLongMissing = (
 		wave: fleet.MachineWave,
-		machines: readonly ClearMachine[],
-	): Promise<fleet.MachineWave> => {
-		const answers = await Promise.all(
-			machines.map(async (each) => sendMaintenance(wave, each)),
-		);
-		let current = wave;
-		for (const [index, answer] of answers.entries()) {
-			current = applyAnswer(current, machines[index]!.machine.id, answer);
+		id: string,
+	): fleet.WaveMachine | undefined => {
+		const sighting = sightings.get(id);
+		const entry = wave.begun[id];
+		const hasAnswer = entry?.progress.kind === 'accepted';
+		const isDue =
+			!hasAnswer ||
+			clock.epochNow() - entry.sinceEpochMs >= fleetPeriods.askMissingMs;
+		if (!isDue || !sighting || !fleet.isLongMissing(sighting, clock.now())) {
+			return undefined;
 		}
 
-		return current;
+		return (
+			sighting.last ?? {
+				id,
+				pool: '',
+				isUp: false,
+				isInMaintenance: false,
+				executorId: entry?.executorId,
+			}
+		);
 	};
 
-	/** Records commands; resolves to whether they may be sent afterwards. */
-	const recordCommands = async (
-		machines: readonly ClearMachine[],
-	): Promise<boolean> =>
-		machines.length > 0 &&
-		context.mayCommand() &&
-		(await context.commandLog.record(
-			machines.map(({machine}) => machine.id),
-		)) &&
-		context.mayCommand();
-
-	/** Drops the machines whose clearance has run out in the meantime. */
-	const keepClear = (
+	/**
+	 * Lists machines that are up, whose commands have no answer, and that nothing
+	 * else has.
+	 */
+	const listRepeats = (
 		wave: fleet.MachineWave,
-		machines: readonly ClearMachine[],
-	): readonly ClearMachine[] =>
-		machines.filter(({machine, clearance}) => {
-			const isClear = isStillClear(context, clearance);
-			if (!isClear) {
-				logger.warn('maintenance command not sent', {
-					wave: wave.request.id,
-					machine: machine.id,
-					executor: machine.executorId,
-					reason: 'the clearance has run out',
-					clearMs: getClearanceAgeMs(context, clearance),
-				});
+		machines: ReadonlyMap<string, fleet.WaveMachine>,
+		isTaken: (id: string) => boolean,
+	): readonly fleet.WaveMachine[] =>
+		fleet.listUnanswered(wave).flatMap((id) => {
+			const machine = machines.get(id);
+			const isFree = !isTaken(id);
+			if (!machine?.isUp || !isFree) {
+				const waitsFor = isFree ? 'machine to be up' : 'another command';
+				log.reportWait(wave.request.id, id, waitsFor);
 			}
 
-			return isClear;
+			return machine?.isUp && isFree ? [machine] : [];
 		});
 
-	const begin = async (
-		wave: fleet.MachineWave,
-		machines: readonly ClearMachine[],
-	): Promise<fleet.MachineWave> => {
-		if (machines.length === 0) {
-			return wave;
-		}
-
-		let begun = wave;
-		for (const {machine} of machines) {
-			begun = fleet.recordMaintenanceStart(begun, machine, clock.epochNow());
-		}
-
-		if (!(await saveWave(begun)) || !(await recordCommands(machines))) {
-			return wave;
-		}
-
-		const clear = keepClear(wave, machines);
-		for (const each of machines) {
-			const {id} = each.machine;
-			if (clear.includes(each)) {
-				evacuating.delete(id);
-			} else {
-				begun = fleet.undoMaintenanceStart(begun, id);
-			}
-		}
-
-		return sendAll(begun, clear);
-	};
-
-	/** Evacuates machines; resolves to those that may be commanded now. */
+	/** Evacuates machines; resolves to those that may get commands now. */
 	const evacuate = async (
+		wave: fleet.MachineWave,
 		machines: readonly fleet.WaveMachine[],
-		graceMs: number,
-	): Promise<readonly ClearMachine[]> => {
+		request: (machine: fleet.WaveMachine) => Promise<Clearance | undefined>,
+	): Promise<readonly MaintenanceTarget[]> => {
 		const clearances = await Promise.all(
-			machines.map(async (machine) =>
-				evacuateMachine(context, machine, graceMs),
-			),
+			machines.map(async (machine) => request(machine)),
 		);
 		return machines.flatMap((machine, index) => {
 			const clearance = clearances[index];
-			return clearance && context.commandLog.mayCommand(machine.id)
-				? [{machine, clearance}]
-				: [];
-		});
-	};
+			const isFree = context.commandLog.mayCommand(machine.id);
+			if (!clearance || !isFree) {
+				const waitsFor = clearance ? 'end of the turnover time' : 'evacuation';
+				log.reportWait(wave.request.id, machine.id, waitsFor);
+			}
 
-	/**
-	 * Repeats commands without an answer; they are idempotent. Tasks may run
-	 * there again by now.
-	 */
-	const repeatUnanswered = async (
-		wave: fleet.MachineWave,
-		machines: ReadonlyMap<string, fleet.WaveMachine>,
-	): Promise<fleet.MachineWave> => {
-		const unanswered = Object.entries(wave.begun).flatMap(([id, entry]) => {
-			const machine = machines.get(id);
-			const isStillThere =
-				machine?.isUp && machine.executorId === entry.executorId;
-			const isOpen = !entry.isAnswered && !entry.isBack;
-			return isOpen && isStillThere && context.commandLog.mayCommand(id)
-				? [machine]
-				: [];
+			return clearance && isFree ? [{machine, clearance}] : [];
 		});
-		const clear = await evacuate(unanswered, fleetPeriods.evacuationGraceMs);
-		return (await recordCommands(clear))
-			? sendAll(wave, keepClear(wave, clear))
-			: wave;
 	};
 
 	const getLoad = (
@@ -259,16 +174,35 @@
 			? unknownLoad
 			: getMachineLoad(view, machine);
 
+	/** Claims the machines that are away for a wave and those given, no others. */
+	const claimOnly = (wave: fleet.MachineWave, ids: readonly string[]) => {
+		const claimant = toWaveClaimant(wave.request.id);
+		const claimed = new Set([...fleet.listAway(wave), ...ids]);
+		for (const id of claims.listClaimed(claimant)) {
+			if (!claimed.has(id)) {
+				claims.release(id, claimant);
+			}
+		}
+
+		for (const id of claimed) {
+			claims.claim(id, claimant);
+		}
+	};
+
 	const evacuateAndBegin = async (
 		wave: fleet.MachineWave,
 		view: FleetView,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
 	): Promise<fleet.MachineWave> => {
+		const claimant = toWaveClaimant(wave.request.id);
+		const isTaken = (id: string) =>
+			claims.isTaken(id, claimant, view.requestedAt);
 		const step = fleet.stepMachineWave(
 			wave,
 			{
 				machines,
-				evacuating,
+				evacuating: claims.listClaimed(claimant),
+				isTaken,
 				getLoad: (machine) => getLoad(view, machine),
 				turnaroundMs: fleetPeriods.machineTurnaroundMs,
 			},
@@ -282,12 +216,35 @@
 		);
 		const graceMs = isShortOfTime ? 0 : fleetPeriods.evacuationGraceMs;
 		const toEvacuate = step.evacuate.flatMap((id) => machines.get(id) ?? []);
-		for (const {id} of toEvacuate) {
-			evacuating.add(id);
-		}
-
-		const clear = await evacuate(toEvacuate, graceMs);
-		return begin(wave, clear.slice(0, step.maxStarts));
+		const missing = fleet
+			.listUnfinished(wave)
+			.flatMap((id) =>
+				machines.has(id) || isTaken(id)
+					? []
+					: (findLongMissing(wave, id) ?? []),
+			);
+		const chosen = [...toEvacuate, ...missing].map(({id}) => id);
+		claimOnly(wave, chosen);
+		const [repeats, starts, asked] = await Promise.all([
+			evacuate(wave, listRepeats(wave, machines, isTaken), async (machine) =>
+				evacuateMachine(context, machine, graceMs),
+			),
+			evacuate(wave, toEvacuate, async (machine) =>
+				evacuateMachine(context, machine, graceMs),
+			),
+			evacuate(wave, missing, async (machine) =>
+				evacuateMissing(context, machine, graceMs),
+			),
+		]);
+		const isBegun = ({machine}: MaintenanceTarget) => machine.id in wave.begun;
+		return commands.send(wave, [
+			...repeats,
+			...asked.filter((each) => isBegun(each)),
+			...[...asked.filter((each) => !isBegun(each)), ...starts].slice(
+				0,
+				step.maxStarts,
+			),
+		]);
 	};
 
 	const complete = async (wave: fleet.MachineWave) => {
@@ -306,24 +263,55 @@
 		if (isStatusWritten) {
 			const completed = {...wave, isCompleted: true};
 			waves.set(id, completed);
+			claimOnly(completed, []);
 			await saveWave(completed);
 		}
 	};
 
+	/** Stores a wave that has changed, so that the next holder repeats nothing. */
+	const saveChanges = async (wave: fleet.MachineWave) => {
+		const stored = storedWaves.get(wave.request.id);
+		if (!isDeepStrictEqual(wave, stored) && context.mayCommand()) {
+			await saveWave(wave);
+		}
+	};
+
+	/** Lets tasks start again on the executor that the last command named. */
+	const releaseExecutor = (
+		entry: fleet.MachineMaintenance | undefined,
+		machine: fleet.WaveMachine | undefined,
+	) => {
+		if (machine && machine.executorId === entry?.executorId) {
+			void releaseMachine(context, machine);
+		}
+	};
+
 	const runWave = async (wave: fleet.MachineWave, view: FleetView) => {
 		const machines = toWaveMachines(view);
-		let current = fleet.recordReturnedMachines(
-			wave,
-			machines,
-			clock.epochNow(),
-		);
-		current = await repeatUnanswered(current, machines);
-		current = await evacuateAndBegin(current, view, machines);
+		const viewedAt = clock.epochNow() - (clock.now() - view.requestedAt);
+		const observed = fleet.observeMachines(wave, machines, viewedAt);
+		log.reportListed(observed, machines);
+		const current = await evacuateAndBegin(observed, view, machines);
+		for (const id of fleet.listFinished(wave, current)) {
+			log.reportFinished(current, id, machines);
+			releaseExecutor(current.begun[id], machines.get(id));
+		}
+
 		waves.set(current.request.id, current);
 		const isCompleted = fleet.isWaveCompleted(current, machines);
-		if (isCompleted && !context.isStopped()) {
-			await complete(current);
-		}
+		await (isCompleted && !context.isStopped()
+			? complete(current)
+			: saveChanges(current));
+	};
+
+	const observeSightings = (view: FleetView) => {
+		const open = [...waves.values()].filter(({isCompleted}) => !isCompleted);
+		sightings = fleet.observeSightings(
+			sightings,
+			new Set(open.flatMap(({request}) => request.machines)),
+			toWaveMachines(view),
+			clock.now(),
+		);
 	};
 
 	const acceptRequest = async (request: WaveRequest) => {
@@ -350,6 +338,7 @@
 			const read = await readWaves(store, logger);
 			for (const wave of read ?? []) {
 				waves.set(wave.request.id, wave);
+				storedWaves.set(wave.request.id, wave);
 			}
 
 			return read !== undefined;
@@ -362,16 +351,22 @@
 			}
 		},
 		async runRound(view) {
+			observeSightings(view);
+			for (const wave of waves.values()) {
+				for (const id of wave.isCompleted ? [] : fleet.listAway(wave)) {
+					claims.claim(id, toWaveClaimant(wave.request.id));
+				}
+			}
+
 			for (const wave of waves.values()) {
 				if (!wave.isCompleted && !context.isStopped()) {
 					await runWave(wave, view);
 				}
 			}
 		},
-		isReserved: (machine) =>
-			evacuating.has(machine) ||
-			[...waves.values()].some(
-				({begun}) => begun[machine] && !begun[machine].isBack,
-			),
+		isReserved(machine) {
+			const claimant = claims.getClaimant(machine);
+			return claimant !== undefined && claimant !== moveClaimant;
+		},
 	};
 };
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -9,10 +9,12 @@
 	getClearanceAgeMs,
 	getMachineLoad,
 	isStillClear,
+	releaseMachine,
 	type Clearance,
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
+import {moveClaimant, type MachineClaims} from './machine-claims.js';
 
 export type PoolMover = {
 	/** Plans moves and advances those in progress. */
@@ -27,17 +29,29 @@
 	/** Whether a machine is reserved for other work, such as a wave. */
 	readonly isReserved: (machine: string) => boolean;
 	readonly forecaster: DemandForecaster;
+	readonly claims: MachineClaims;
 };
 
 /** Interval between log lines about all pools, in milliseconds. */
 const logIntervalMs = 1000;
 
-type Phase = 'emptying' | 'ordered';
+type Phase =
+	| 'emptying'
+	/** Commands were sent; each may have been carried out, or may yet be. */
+	| 'unanswered'
+	/** The platform accepted the move. */
+	| 'ordered';
 
 type MoveInProgress = {
 	readonly move: fleet.PoolMove;
 	readonly since: number;
 	phase: Phase;
+	/** Commands that were sent. */
+	attempts: number;
+	/** When reads of the list began to leave the machine out, if they do. */
+	missingSince: number | undefined;
+	/** As last listed. */
+	machine: Machine | undefined;
 	/** Absent if something ran there at the last request to the pool's owner. */
 	clearance: Clearance | undefined;
 };
@@ -47,6 +61,7 @@
 	deps: PoolMoverDeps,
 ): PoolMover => {
 	const {clock, logger, held} = context;
+	const {claims} = deps;
 	const inProgress = new Map<string, MoveInProgress>();
 	/** Pairs of machine and pool that the platform rejected as invalid. */
 	const rejectedMoves = new Set<string>();
@@ -55,18 +70,32 @@
 
 	const end = (move: fleet.PoolMove, outcome: string) => {
 		inProgress.delete(move.machine);
+		claims.release(move.machine, moveClaimant);
 		logger.info('move ended', {...move, outcome});
 	};
 
+	/** Ends a move without a command that may still be carried out. */
+	const abandon = ({move, machine}: MoveInProgress, outcome: string) => {
+		end(move, outcome);
+		if (machine) {
+			void releaseMachine(context, machine);
+		}
+	};
+
 	const applyAnswer = (entry: MoveInProgress, answer: MachineAnswer) => {
 		const {move} = entry;
 		match(answer)
-			.with('done', 'no-answer', () => {
-				// A command without an answer may still take effect; the list shows it.
+			.with('done', () => {
 				entry.phase = 'ordered';
 			})
+			.with('no-answer', () => {
+				entry.phase = 'unanswered';
+			})
 			.with('busy', 'unavailable', 'not-in-wave', () => {
-				end(move, answer);
+				// An earlier command without an answer may still be carried out.
+				if (entry.phase === 'emptying') {
+					abandon(entry, answer);
+				}
 			})
 			.with('invalid', () => {
 				rejectedMoves.add(`${move.machine} ${move.to}`);
@@ -81,6 +110,8 @@
 	const sendMove = async (entry: MoveInProgress) => {
 		const {move, clearance} = entry;
 		const clearMs = clearance && getClearanceAgeMs(context, clearance);
+		entry.attempts += 1;
+		claims.recordCommand(move.machine, moveClaimant);
 		const answer = await context.machines.move(
 			{
 				holder: context.holder,
@@ -90,73 +121,122 @@
 			},
 			fleetPeriods.platformTimeoutMs,
 		);
-		logger.info('move command sent', {...move, clearMs, outcome: answer});
+		claims.recordCommand(move.machine, moveClaimant);
+		logger.info('move command sent', {
+			...move,
+			attempt: entry.attempts,
+			clearMs,
+			outcome: answer,
+		});
 		applyAnswer(entry, answer);
 	};
 
-	const advance = async (
-		entry: MoveInProgress,
+	/** Returns how a move ends now, or `undefined` if it goes on. */
+	const findEnd = (
+		{move, since, phase, missingSince}: MoveInProgress,
 		machine: Machine | undefined,
-	) => {
-		const {move, since, phase} = entry;
+	): string | undefined => {
+		const now = clock.now();
+		const ageMs = now - since;
 		if (!machine) {
-			end(move, 'machine no longer listed');
-			return;
+			const missingMs = now - (missingSince ?? now);
+			const isGone =
+				phase === 'emptying' || missingMs >= fleetPeriods.moveMissingMs;
+			return isGone ? 'machine no longer listed' : undefined;
+		}
+
+		if (phase === 'emptying') {
+			const isInTime = ageMs <= fleetPeriods.moveEvacuationTimeoutMs;
+			return machine.state === 'up' && isInTime
+				? undefined
+				: 'not evacuated in time';
+		}
+
+		if (machine.pool === move.to && machine.state === 'up') {
+			return 'done';
 		}
 
-		const ageMs = clock.now() - since;
-		if (phase === 'ordered') {
-			const hasArrived = machine.pool === move.to && machine.state === 'up';
-			if (hasArrived || ageMs > fleetPeriods.moveTimeoutMs) {
-				end(move, hasArrived ? 'done' : 'not arrived in time');
+		return ageMs > fleetPeriods.moveTimeoutMs
+			? 'not arrived in time'
+			: undefined;
+	};
+
+	/** Ends a move, or renews its evacuation until the platform accepts it. */
+	const advance = async (
+		entry: MoveInProgress,
+		machine: Machine | undefined,
+	) => {
+		entry.clearance = undefined;
+		entry.missingSince = machine
+			? undefined
+			: (entry.missingSince ?? clock.now());
+		entry.machine = machine ?? entry.machine;
+		const outcome = findEnd(entry, machine);
+		if (outcome !== undefined) {
+			if (entry.phase === 'emptying') {
+				abandon(entry, outcome);
+			} else {
+				end(entry.move, outcome);
 			}
 
 			return;
 		}
 
-		if (
-			machine.state !== 'up' ||
-			ageMs > fleetPeriods.moveEvacuationTimeoutMs
-		) {
-			end(move, 'not evacuated in time');
-			return;
+		if (machine?.state === 'up' && entry.phase !== 'ordered') {
+			entry.clearance = await evacuateMachine(
+				context,
+				machine,
+				fleetPeriods.moveEvacuationGraceMs,
+			);
 		}
+	};
 
-		entry.clearance = await evacuateMachine(
-			context,
-			machine,
-			fleetPeriods.moveEvacuationGraceMs,
-		);
+	/** Ends the moves that were not commanded and whose machine a wave has. */
+	const dropReserved = () => {
+		for (const {move, phase} of inProgress.values()) {
+			if (phase === 'emptying' && deps.isReserved(move.machine)) {
+				end(move, 'reserved for other work');
+			}
+		}
 	};
 
-	/** Sends a move unless its clearance has run out in the meantime. */
-	const sendIfClear = async (entry: MoveInProgress) => {
-		const {move, clearance} = entry;
-		if (clearance && isStillClear(context, clearance)) {
-			await sendMove(entry);
-			return;
+	const isClearFor = ({move, clearance}: MoveInProgress): boolean => {
+		const isClear = clearance && isStillClear(context, clearance);
+		if (!isClear) {
+			logger.warn('move command not sent', {
+				...move,
+				reason: 'the clearance has run out',
+				clearMs: clearance && getClearanceAgeMs(context, clearance),
+			});
 		}
 
-		logger.warn('move command not sent', {
-			...move,
-			reason: 'the clearance has run out',
-			clearMs: clearance && getClearanceAgeMs(context, clearance),
-		});
-		entry.clearance = undefined;
+		return isClear ?? false;
 	};
 
-	/** Records all evacuated machines in one write, then sends their moves. */
-	const moveEvacuated = async () => {
+	/**
+	 * Records all evacuated machines in one write, then sends their moves, as far
+	 * as their clearance holds after that.
+	 */
+	const moveEvacuated = async ({requestedAt}: FleetView) => {
 		const clear = [...inProgress.values()].filter(
-			({phase, clearance, move}) =>
-				phase === 'emptying' &&
+			({clearance, move}) =>
 				clearance !== undefined &&
-				context.commandLog.mayCommand(move.machine),
+				context.commandLog.mayCommand(move.machine) &&
+				!claims.isTaken(move.machine, moveClaimant, requestedAt),
 		);
 		const machines = clear.map(({move}) => move.machine);
-		const mayCommand = machines.length > 0 && context.mayCommand();
-		if (mayCommand && (await context.commandLog.record(machines))) {
-			await Promise.all(clear.map(async (entry) => sendIfClear(entry)));
+		const mayCommand =
+			machines.length > 0 &&
+			context.mayCommand() &&
+			(await context.commandLog.record(machines)) &&
+			context.mayCommand();
+		if (mayCommand) {
+			const stillClear = clear.filter((entry) => isClearFor(entry));
+			for (const {move} of stillClear) {
+				claims.claim(move.machine, moveClaimant);
+			}
+
+			await Promise.all(stillClear.map(async (entry) => sendMove(entry)));
 		}
 	};
 
@@ -250,6 +330,9 @@
 					move,
 					since,
 					phase: 'emptying',
+					attempts: 0,
+					missingSince: undefined,
+					machine: undefined,
 					clearance: undefined,
 				});
 			}
@@ -266,6 +349,7 @@
 
 	return {
 		async runRound(view) {
+			dropReserved();
 			const standbyPool = deps.getStandbyPool();
 			if (standbyPool !== undefined && context.mayCommand()) {
 				plan(view, standbyPool);
@@ -276,7 +360,7 @@
 					advance(entry, view.machines.get(entry.move.machine)),
 				),
 			);
-			await moveEvacuated();
+			await moveEvacuated(view);
 		},
 	};
 };
--- a/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
+++ b/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
@@ -11,6 +11,7 @@
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
+import {createMachineClaims} from './machine-claims.js';
 import {createMachineWaveRunner} from './machine-wave-runner.js';
 import {createPoolMover} from './pool-mover.js';
 
@@ -131,7 +132,11 @@
 	Record<string, (harness: Harness) => Promise<() => Promise<void>>>
 > = {
 	async wave({context, view}) {
-		const runner = createMachineWaveRunner(context, {write: async () => true});
+		const runner = createMachineWaveRunner(
+			context,
+			{write: async () => true},
+			createMachineClaims(context.clock.now),
+		);
 		await runner.acceptRequests([
 			{id: 'w', machines: [machine.id], durationMs: 60_000, maxAway: 1},
 		]);
@@ -153,6 +158,7 @@
 			getStandbyPool: () => standbyPool,
 			isReserved: () => false,
 			forecaster: noForecaster,
+			claims: createMachineClaims(context.clock.now),
 		});
 		state.now += 1;
 		return async () => mover.runRound(view);
