Withdraw the crash of an executor that answers again

Callers saw jobs as failed whose tasks had not failed (LOST). Leases that expired on an unresponsive executor counted as its crash, though it lived and answered again; and a start whose bar the executor had confirmed, so that it never ran, counted as the cause of a later loss.

A barred start counts nothing. Leases that expire on an executor that the registry lists give up no task, and the crash is withdrawn once the executor answers in the same incarnation.

--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -9,6 +9,10 @@
  * outlives its probation is cleared; one whose executors crash again is given
  * up, and its job fails.
  *
+ * A start that was barred is not the cause. Leases that expire on an executor
+ * that the registry still lists show no crash for certain: no task is given up
+ * by that, and the crash is withdrawn if the executor answers again.
+ *
  * A crash that comes later after the start is weaker evidence, as executors are
  * lost for other reasons too, and makes a suspect only if it is repeated.
  */
@@ -107,11 +111,15 @@
 	trackSuspect(owner, task);
 };
 
+/** Whether a start was barred by a stop before it was carried out. */
+const isBarred = ({state, confirmedAt}: Run): boolean =>
+	state === 'barring' && confirmedAt !== undefined;
+
 const recordCrash = (owner: Owner, executor: Executor, run: Run): void => {
 	const {task, number, isIsolated} = run;
 	const survivedMs = getSurvivedMs(executor, run);
 	const isKnown = task.crashes.some((each) => each.run === number);
-	if (!isKnown && survivedMs < maxCrashDelayMs) {
+	if (!isKnown && !isBarred(run) && survivedMs < maxCrashDelayMs) {
 		addCrash(owner, task, {run: number, survivedMs, wasIsolated: isIsolated});
 	}
 };
@@ -164,15 +172,57 @@
 			: [],
 	);
 
+/**
+ * Records the loss of an executor that may only be disconnected. No job fails
+ * by that; the crashes are withdrawn if the executor answers again.
+ */
+export const recordPossibleLoss = (
+	owner: Owner,
+	executor: Executor,
+	lostRuns: readonly Run[],
+): void => {
+	recordLoss(owner, executor, lostRuns);
+	executor.possiblyCrashedBy = [...executor.possiblyCrashedBy, ...lostRuns];
+};
+
+const endSuspicion = (owner: Owner, task: Task): void => {
+	for (const each of listCoscheduledTasks(task)) {
+		for (const run of each.runs) {
+			run.isIsolated = false;
+		}
+
+		owner.crashSuspects.delete(each);
+	}
+};
+
+const withdrawCrash = (owner: Owner, {task, number}: Run): void => {
+	for (const each of listCoscheduledTasks(task)) {
+		each.crashes = each.crashes.filter(({run}) => run !== number);
+	}
+
+	owner.dirtyJobs.add(task.step.occurrence.job);
+	if (!isCrashSuspect(task)) {
+		endSuspicion(owner, task);
+	}
+};
+
+/** Withdraws the crashes of an executor that lives. */
+export const withdrawCrashes = (owner: Owner, executor: Executor): void => {
+	for (const run of executor.possiblyCrashedBy) {
+		withdrawCrash(owner, run);
+	}
+
+	executor.possiblyCrashedBy = [];
+};
+
 /**
  * Records the loss of all unresponsive executors, before the service has another
- * owner, which does not know what runs there. No job fails by that: an executor
- * may only be disconnected, and its tasks are cleared by their next runs.
+ * owner, which does not know what runs there.
  */
 export const recordUnresponsive = (owner: Owner): void => {
 	for (const executor of owner.executors.values()) {
 		if (executor.unresponsiveSince !== undefined) {
-			recordLoss(owner, executor, [...executor.runs.values()]);
+			recordPossibleLoss(owner, executor, [...executor.runs.values()]);
 		}
 	}
 };
@@ -198,13 +248,9 @@
 
 	for (const each of listCoscheduledTasks(task)) {
 		each.crashes = [];
-		for (const eachRun of each.runs) {
-			eachRun.isIsolated = false;
-		}
-
-		owner.crashSuspects.delete(each);
 	}
 
+	endSuspicion(owner, task);
 	owner.dirtyJobs.add(task.step.occurrence.job);
 };
 
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -32,7 +32,7 @@
 	type Run,
 	type Task,
 } from '../state/task.js';
-import {clearIfProbationIsOver} from './crash-attribution.js';
+import {clearIfProbationIsOver, withdrawCrashes} from './crash-attribution.js';
 import {resetIncarnation} from './executor-restart.js';
 import {listRunsLostByRestart, listVanishedRuns} from './missing-runs.js';
 import {
@@ -331,6 +331,8 @@
 		changes.jobEnds.push(
 			...resetIncarnation(owner, executor, {...poll, lostRuns}),
 		);
+	} else {
+		withdrawCrashes(owner, executor);
 	}
 
 	const {clockMs} = poll;
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -68,6 +68,8 @@
 	evacuation: Evacuation | undefined;
 	consecutiveFailures: number;
 	quarantinedUntil: number;
+	/** Runs lost while it was unresponsive; see crash-attribution.ts. */
+	possiblyCrashedBy: readonly Run[];
 	/** How fast its runs make progress. */
 	readonly speed: ExecutorSpeed;
 };
@@ -98,6 +100,7 @@
 	evacuation: undefined,
 	consecutiveFailures: 0,
 	quarantinedUntil: 0,
+	possiblyCrashedBy: [],
 	speed: createExecutorSpeed(),
 });
 
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -4,7 +4,7 @@
  * docs/design/platform-programs.md.
  */
 import {noArrivals, recordArrival} from '../load/arrivals.js';
-import {attributeLoss} from '../polls/crash-attribution.js';
+import {attributeLoss, recordPossibleLoss} from '../polls/crash-attribution.js';
 import {initialStartWindow} from '../plan/start-window.js';
 import {createRunTimes} from '../run-times/model.js';
 import {getTotalWork} from '../run-times/work.js';
@@ -187,15 +187,38 @@
 const noLostRuns: LostRuns = {runs: [], jobEnds: []};
 
 /** Removes all runs of an executor that is lost. */
-const loseRuns = (owner: Owner, executor: Executor, now: number): LostRuns => {
+const loseRuns = (owner: Owner, executor: Executor): readonly Run[] => {
 	const runs = [...executor.runs.values()];
-	const jobEnds = attributeLoss(owner, executor, runs, now);
 	for (const run of runs) {
 		removeRun(executor, run);
 	}
 
 	removeIfUnused(owner, executor);
-	return {runs, jobEnds};
+	return runs;
+};
+
+const loseExecutor = (
+	owner: Owner,
+	executor: Executor,
+	now: number,
+): LostRuns => {
+	const lost = [...executor.runs.values()];
+	const jobEnds = attributeLoss(owner, executor, lost, now);
+	return {runs: loseRuns(owner, executor), jobEnds};
+};
+
+/** An executor that the registry lists may live without answering. */
+const loseUnresponsive = (
+	owner: Owner,
+	executor: Executor,
+	now: number,
+): LostRuns => {
+	if (!executor.isListed) {
+		return loseExecutor(owner, executor, now);
+	}
+
+	recordPossibleLoss(owner, executor, [...executor.runs.values()]);
+	return {runs: loseRuns(owner, executor), jobEnds: []};
 };
 
 /** Records that an executor has terminated, and its runs with it. */
@@ -218,7 +241,7 @@
 	executor.isListed = false;
 	executor.unackedEnds = [];
 	executor.hasListedEnds = false;
-	return loseRuns(owner, executor, now);
+	return loseExecutor(owner, executor, now);
 };
 
 /** Records that a call to an executor had no answer. */
@@ -297,7 +320,7 @@
 			// Its state is unknown until it answers a poll again.
 			executor.isAdopted = false;
 			executor.hasListedEnds = false;
-			lost.push(loseRuns(owner, executor, now));
+			lost.push(loseUnresponsive(owner, executor, now));
 		} else if (executor.wasUnlisted) {
 			// If it stayed in the roster, the next owner would wait for it.
 			removeIfUnused(owner, executor);
