Weigh losses after unanswered starts by how often executors are lost

Callers saw jobs as failed whose tasks had not failed (LOST): where a quarter of the executors crashed every two seconds, starts in isolation had no answer and their executors crashed for themselves, twice in a row. A loss counted as the effect of a start that nothing shows to have had an effect.

While more than one and more than a tenth of the executors were lost in 10 s without a start to explain it, the loss after a start without an answer counts half; a task is given up after five crashes in any case. Answered starts, and all while losses are rare, count as before. The reasoning and what was weighed: docs/design/blame.md.

--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -13,6 +13,10 @@
  * that the registry still lists show no crash for certain: no task is given up
  * by that, and the crash is withdrawn if the executor answers again.
  *
+ * Executors are lost without a cause in what they run, too. While that is
+ * frequent, the loss after a start without an answer weighs half, since nothing
+ * shows that the task ran; see docs/design/blame.md.
+ *
  * A crash that comes later after the start is weaker evidence, as executors are
  * lost for other reasons too, and makes a suspect only if it is repeated.
  */
@@ -43,6 +47,21 @@
 /** Crashes of any kind after which a task is given up. */
 const maxCrashes = 4;
 
+/** Crashes of any kind and weight after which a task is given up. */
+const maxCrashesInAll = 5;
+
+/** How long a loss without a start to explain it is remembered, in ms. */
+const lossMemoryMs = 10_000;
+
+/**
+ * Share of the executors lost without such a start, within that time, above
+ * which a loss says little of a start without an answer.
+ */
+const frequentLossShare = 0.1;
+
+/** Weight of the crash of such a start, in place of 1. */
+const doubtfulWeight = 0.5;
+
 /** Probation as a multiple of the longest time until a crash. */
 const probationFactor = 2;
 
@@ -95,12 +114,49 @@
 			);
 };
 
-const countIsolated = ({crashes}: Task): number =>
-	crashes.filter(({wasIsolated}) => wasIsolated).length;
+const getWeight = (crashes: readonly Crash[]): number =>
+	crashes.reduce(
+		(sum, {isDoubtful}) => sum + (isDoubtful ? doubtfulWeight : 1),
+		0,
+	);
+
+const getIsolatedWeight = ({crashes}: Task): number =>
+	getWeight(crashes.filter(({wasIsolated}) => wasIsolated));
 
 const isAtFault = (task: Task): boolean =>
-	task.crashes.length >= maxCrashes ||
-	countIsolated(task) >= maxIsolatedCrashes;
+	task.crashes.length >= maxCrashesInAll ||
+	getWeight(task.crashes) >= maxCrashes ||
+	getIsolatedWeight(task) >= maxIsolatedCrashes;
+
+const listRecentLosses = (owner: Owner, now: number): readonly number[] =>
+	owner.unexplainedLosses.filter((lostAt) => lostAt > now - lossMemoryMs);
+
+/** Whether executors of the service are often lost without a cause in a start. */
+const areLossesFrequent = (owner: Owner, now: number): boolean => {
+	const {length} = listRecentLosses(owner, now);
+	return length > Math.max(1, frequentLossShare * owner.executors.size);
+};
+
+/**
+ * Remembers the loss of an executor on which nothing had started recently. One
+ * that is evacuated is lost as planned, and one whose leases had expired was
+ * lost before.
+ */
+const recordUnexplainedLoss = (
+	owner: Owner,
+	executor: Executor,
+	lostRuns: readonly Run[],
+	now: number,
+): void => {
+	const isExplained = lostRuns.some(
+		(run) => run.isIsolated || isRecent(executor, run),
+	);
+	const isExpected = executor.evacuation !== undefined;
+	const isKnown = executor.possiblyCrashedBy.length > 0;
+	if (!isExplained && !isExpected && !isKnown) {
+		owner.unexplainedLosses = [...listRecentLosses(owner, now), now];
+	}
+};
 
 const addCrash = (owner: Owner, task: Task, crash: Crash): void => {
 	for (const each of listCoscheduledTasks(task)) {
@@ -115,12 +171,24 @@
 const isBarred = ({state, confirmedAt}: Run): boolean =>
 	state === 'barring' && confirmedAt !== undefined;
 
-const recordCrash = (owner: Owner, executor: Executor, run: Run): void => {
+const recordCrash = (
+	owner: Owner,
+	executor: Executor,
+	run: Run,
+	now: number,
+): void => {
 	const {task, number, isIsolated} = run;
 	const survivedMs = getSurvivedMs(executor, run);
 	const isKnown = task.crashes.some((each) => each.run === number);
 	if (!isKnown && !isBarred(run) && survivedMs < maxCrashDelayMs) {
-		addCrash(owner, task, {run: number, survivedMs, wasIsolated: isIsolated});
+		const wasAnswered = run.confirmedAt !== undefined;
+		const isDoubtful = !wasAnswered && areLossesFrequent(owner, now);
+		addCrash(owner, task, {
+			run: number,
+			survivedMs,
+			wasIsolated: isIsolated,
+			...(isDoubtful ? {isDoubtful} : {}),
+		});
 	}
 };
 
@@ -132,18 +200,20 @@
 	owner: Owner,
 	executor: Executor,
 	lostRuns: readonly Run[],
+	now: number,
 ): readonly Task[] => {
 	if (executor.listed.isDraining) {
 		return [];
 	}
 
+	recordUnexplainedLoss(owner, executor, lostRuns, now);
 	const runs = lostRuns.filter(
 		({task}) => !task.isDone && !task.step.occurrence.job.end,
 	);
 	const isolated = runs.filter(({isIsolated}) => isIsolated);
 	const candidates = isolated.length > 0 ? isolated : runs;
 	for (const run of candidates) {
-		recordCrash(owner, executor, run);
+		recordCrash(owner, executor, run, now);
 	}
 
 	return candidates.map(({task}) => task);
@@ -166,7 +236,7 @@
 	lostRuns: readonly Run[],
 	now: number,
 ): readonly EndedJob[] =>
-	recordLoss(owner, executor, lostRuns).flatMap((task) =>
+	recordLoss(owner, executor, lostRuns, now).flatMap((task) =>
 		isAtFault(task) && !task.step.occurrence.job.end
 			? [giveUp(owner, task, now)]
 			: [],
@@ -180,8 +250,9 @@
 	owner: Owner,
 	executor: Executor,
 	lostRuns: readonly Run[],
+	now: number,
 ): void => {
-	recordLoss(owner, executor, lostRuns);
+	recordLoss(owner, executor, lostRuns, now);
 	executor.possiblyCrashedBy = [...executor.possiblyCrashedBy, ...lostRuns];
 };
 
@@ -219,10 +290,10 @@
  * Records the loss of all unresponsive executors, before the service has another
  * owner, which does not know what runs there.
  */
-export const recordUnresponsive = (owner: Owner): void => {
+export const recordUnresponsive = (owner: Owner, now: number): void => {
 	for (const executor of owner.executors.values()) {
 		if (executor.unresponsiveSince !== undefined) {
-			recordPossibleLoss(owner, executor, [...executor.runs.values()]);
+			recordPossibleLoss(owner, executor, [...executor.runs.values()], now);
 		}
 	}
 };
@@ -276,7 +347,7 @@
 	const first = one.step.occurrence.job.accepted;
 	const second = two.step.occurrence.job.accepted;
 	return (
-		countIsolated(two) - countIsolated(one) ||
+		getIsolatedWeight(two) - getIsolatedWeight(one) ||
 		Number(two.step.spec.isLongRunning) - Number(one.step.spec.isLongRunning) ||
 		first.acceptedAtEpochMs - second.acceptedAtEpochMs ||
 		one.index - two.index
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -51,6 +51,8 @@
 	readonly dirtyJobs: Set<Job>;
 	/** Tasks that may have crashed their executors and start in isolation. */
 	readonly crashSuspects: Set<Task>;
+	/** When executors were lost on which nothing had started recently. */
+	unexplainedLosses: readonly number[];
 	/** Whether the stored roster is out of date. */
 	isRosterDirty: boolean;
 	/** Number of the flush that will store the current changes. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -49,6 +49,7 @@
 	unresolvedExecutors: new Map(),
 	dirtyJobs: new Set(),
 	crashSuspects: new Set(),
+	unexplainedLosses: [],
 	isRosterDirty: false,
 	flushNumber: 1,
 	advice: new Map(),
@@ -217,7 +218,11 @@
 		return loseExecutor(owner, executor, now);
 	}
 
-	recordPossibleLoss(owner, executor, [...executor.runs.values()]);
+	if (executor.runs.size === 0) {
+		return noLostRuns;
+	}
+
+	recordPossibleLoss(owner, executor, [...executor.runs.values()], now);
 	return {runs: loseRuns(owner, executor), jobEnds: []};
 };
 
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -60,6 +60,8 @@
 	/** How long the run had certainly survived, by the executor's clock. */
 	readonly survivedMs: number;
 	readonly wasIsolated: boolean;
+	/** The start had no answer, and executors were often lost for no start. */
+	readonly isDoubtful?: boolean | undefined;
 };
 
 /** One task of one occurrence. */
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -484,7 +484,7 @@
 		async stop() {
 			state.isStopping = true;
 			if (owner) {
-				scheduler.recordUnresponsive(owner);
+				scheduler.recordUnresponsive(owner, clock.now());
 			}
 
 			await Promise.race([flusher?.drain(), delay(maxDrainMs)]);
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -194,6 +194,7 @@
 	run: z.int(),
 	survivedMs: z.number(),
 	wasIsolated: z.boolean(),
+	isDoubtful: z.boolean().optional(),
 });
 
 export const progressSchema: z.ZodType<scheduler.JobProgress> = z.object({
