--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -80,6 +80,8 @@
 	reservedUntil: number | undefined;
 	consecutiveFailures: number;
 	quarantinedUntil: number;
+	/** Runs lost while it was unresponsive; see crash-attribution.ts. */
+	possiblyCrashedBy: readonly Run[];
 	/** How fast its runs make progress. */
 	readonly speed: ExecutorSpeed;
 };
@@ -112,6 +114,7 @@
 	reservedUntil: undefined,
 	consecutiveFailures: 0,
 	quarantinedUntil: 0,
+	possiblyCrashedBy: [],
 	speed: createExecutorSpeed(),
 });
 
