Restart a long-running task whatever executors it loses

Losses of executors beside its starts gave its task up, as if it had crashed them.

A long-running task has no limit of attempts and must be restarted however it ends, so no loss ends its job. A suspect still starts in isolation, and its crashes are kept as long as they can decide something, so that the stored row does not grow.

--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -123,10 +123,12 @@
 const getIsolatedWeight = ({crashes}: Task): number =>
 	getWeight(crashes.filter(({wasIsolated}) => wasIsolated));
 
+/** A long-running task is restarted however it ends, so it is never given up. */
 const isAtFault = (task: Task): boolean =>
-	task.crashes.length >= maxCrashesInAll ||
-	getWeight(task.crashes) >= maxCrashes ||
-	getIsolatedWeight(task) >= maxIsolatedCrashes;
+	!task.step.spec.isLongRunning &&
+	(task.crashes.length >= maxCrashesInAll ||
+		getWeight(task.crashes) >= maxCrashes ||
+		getIsolatedWeight(task) >= maxIsolatedCrashes);
 
 const listRecentLosses = (owner: Owner, now: number): readonly number[] =>
 	owner.unexplainedLosses.filter((lostAt) => lostAt > now - lossMemoryMs);
@@ -160,7 +162,7 @@
 
 const addCrash = (owner: Owner, task: Task, crash: Crash): void => {
 	for (const each of listCoscheduledTasks(task)) {
-		each.crashes = [...each.crashes, crash];
+		each.crashes = [...each.crashes, crash].slice(-maxCrashesInAll);
 	}
 
 	owner.dirtyJobs.add(task.step.occurrence.job);
