Advance all waves of a round together

With eight overlapping waves and a slow store (a transaction takes 0.2 s) a round of the fleet's holder made up to three writes for each wave, one after another, while evacuations lapse after 1.5 s: machines filled up again before their turn.

Waves now evacuate concurrently, each claims its machines before it waits, and one write stores the rows of all waves that send commands, one the command log, one what the answers changed. A finished machine takes 70 bytes of the row, as evidence that follows from the other fields is left out.

New case: three waves make three writes in a round.

--- a/packages/daemon/src/jobs/fleet/lapsed-clearance.test.ts
+++ b/packages/daemon/src/jobs/fleet/lapsed-clearance.test.ts
@@ -74,7 +74,7 @@
 			},
 			{
 				claims: createMachineClaims(platform.now),
-				async saveWave() {
+				async saveWaves() {
 					platform.advance(each.saveMs);
 					return true;
 				},
@@ -93,8 +93,10 @@
 			? fleet.recordCommand(created, machine, 0)
 			: created;
 		const clearance = {askedAt: getMoment(context.clock), validMs};
-		const after = await commands.send(before, [{machine, clearance}]);
+		const [after] = await commands.send([
+			{wave: before, targets: [{machine, clearance}]},
+		]);
 		t.equal(platform.commands.length, each.isSent ? 1 : 0);
-		t.equal(after.begun.a?.progress.kind, each.kind);
+		t.equal(after?.begun.a?.progress.kind, each.kind);
 	});
 }
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.test.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.test.ts
@@ -119,15 +119,18 @@
 	);
 	return {
 		...env,
-		async begin() {
-			await runner.acceptRequests([
-				{
-					id: 'w',
-					machines: machines.map(({id}) => id),
+		/** Starts waves that share the machines evenly. */
+		async begin(waves = 1) {
+			await runner.acceptRequests(
+				Array.from({length: waves}, (_, number) => ({
+					id: `w${number}`,
+					machines: machines
+						.map(({id}) => id)
+						.filter((_id, index) => index % waves === number),
 					durationMs: 60_000,
 					maxAway,
-				},
-			]);
+				})),
+			);
 			env.events.length = 0;
 		},
 		run: async () => runner.runRound(view),
@@ -269,3 +272,20 @@
 		t.equal(env.evacuated.size, 2, '20 machines at 4.5 s each in 60 s');
 	},
 );
+
+tap.t.test('all waves share the writes of a round', async (t) => {
+	const env = createTestEnvironment(6, 2);
+	await env.begin(3);
+	await env.run();
+	t.same(env.events, [
+		'stored',
+		'recorded 6',
+		'm0',
+		'm3',
+		'm1',
+		'm4',
+		'm2',
+		'm5',
+		'stored',
+	]);
+});
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -17,9 +17,13 @@
 	toWaveClaimant,
 	type MachineClaims,
 } from './machine-claims.js';
-import {createWaveCommands, type MaintenanceTarget} from './wave-commands.js';
+import {
+	createWaveCommands,
+	type MaintenanceTarget,
+	type WaveTargets,
+} from './wave-commands.js';
 import {createWaveLog} from './wave-log.js';
-import {readWaves, storeWave} from './wave-rows.js';
+import {readWaves, storeWaves} from './wave-rows.js';
 
 /** Publishes the state of a wave to operators. */
 export type WaveStatusPort = {
@@ -79,22 +83,27 @@
 	const log = createWaveLog(logger);
 	let sightings: fleet.Sightings = new Map();
 
-	const saveWave = async (wave: fleet.MachineWave): Promise<boolean> => {
-		const outcome = await storeWave(store, held, wave);
+	const saveWaves = async (
+		changed: readonly fleet.MachineWave[],
+	): Promise<boolean> => {
+		const outcome = await storeWaves(store, held, changed);
 		if (outcome === 'lost-shard') {
 			context.loseShard('the lease row has changed');
 		}
 
-		if (outcome === 'stored') {
-			storedWaves.set(wave.request.id, wave);
-		} else {
-			logger.warn('wave not stored', {wave: wave.request.id, outcome});
+		for (const wave of changed) {
+			const {id} = wave.request;
+			if (outcome === 'stored') {
+				storedWaves.set(id, wave);
+			} else {
+				logger.warn('wave not stored', {wave: id, outcome});
+			}
 		}
 
 		return outcome === 'stored';
 	};
 
-	const commands = createWaveCommands(context, {claims, saveWave});
+	const commands = createWaveCommands(context, {claims, saveWaves});
 
 	/**
 	 * A machine that was missing from the list for so long that the platform has
@@ -189,11 +198,15 @@
 		}
 	};
 
-	const evacuateAndBegin = async (
+	/**
+	 * Evacuates machines of a wave; resolves to those to command now. Claims them
+	 * before it waits, so that waves can be advanced concurrently.
+	 */
+	const chooseTargets = async (
 		wave: fleet.MachineWave,
 		view: FleetView,
 		machines: ReadonlyMap<string, fleet.WaveMachine>,
-	): Promise<fleet.MachineWave> => {
+	): Promise<readonly MaintenanceTarget[]> => {
 		const claimant = toWaveClaimant(wave.request.id);
 		const isTaken = (id: string) =>
 			claims.isTaken(id, claimant, view.requestedAt);
@@ -237,14 +250,14 @@
 			),
 		]);
 		const isBegun = ({machine}: MaintenanceTarget) => machine.id in wave.begun;
-		return commands.send(wave, [
+		return [
 			...repeats,
 			...asked.filter((each) => isBegun(each)),
 			...[...asked.filter((each) => !isBegun(each)), ...starts].slice(
 				0,
 				step.maxStarts,
 			),
-		]);
+		];
 	};
 
 	const complete = async (wave: fleet.MachineWave) => {
@@ -264,15 +277,17 @@
 			const completed = {...wave, isCompleted: true};
 			waves.set(id, completed);
 			claimOnly(completed, []);
-			await saveWave(completed);
+			await saveWaves([completed]);
 		}
 	};
 
-	/** Stores a wave that has changed, so that the next holder repeats nothing. */
-	const saveChanges = async (wave: fleet.MachineWave) => {
-		const stored = storedWaves.get(wave.request.id);
-		if (!isDeepStrictEqual(wave, stored) && context.mayCommand()) {
-			await saveWave(wave);
+	/** Stores the waves that have changed, so that the next holder repeats nothing. */
+	const saveChanges = async (advanced: readonly fleet.MachineWave[]) => {
+		const changed = advanced.filter(
+			(wave) => !isDeepStrictEqual(wave, storedWaves.get(wave.request.id)),
+		);
+		if (changed.length > 0 && context.mayCommand()) {
+			await saveWaves(changed);
 		}
 	};
 
@@ -286,22 +301,36 @@
 		}
 	};
 
-	const runWave = async (wave: fleet.MachineWave, view: FleetView) => {
-		const machines = toWaveMachines(view);
+	const advance = async (
+		wave: fleet.MachineWave,
+		view: FleetView,
+		machines: ReadonlyMap<string, fleet.WaveMachine>,
+	): Promise<WaveTargets> => {
 		const viewedAt = clock.epochNow() - (clock.now() - view.requestedAt);
 		const observed = fleet.observeMachines(wave, machines, viewedAt);
 		log.reportListed(observed, machines);
-		const current = await evacuateAndBegin(observed, view, machines);
-		for (const id of fleet.listFinished(wave, current)) {
+		const targets = await chooseTargets(observed, view, machines);
+		return {wave: observed, targets};
+	};
+
+	/** Applies what a round changed; resolves to the wave if it is still open. */
+	const finishRound = async (
+		before: fleet.MachineWave,
+		current: fleet.MachineWave,
+		machines: ReadonlyMap<string, fleet.WaveMachine>,
+	): Promise<fleet.MachineWave | undefined> => {
+		for (const id of fleet.listFinished(before, current)) {
 			log.reportFinished(current, id, machines);
 			releaseExecutor(current.begun[id], machines.get(id));
 		}
 
 		waves.set(current.request.id, current);
-		const isCompleted = fleet.isWaveCompleted(current, machines);
-		await (isCompleted && !context.isStopped()
-			? complete(current)
-			: saveChanges(current));
+		if (fleet.isWaveCompleted(current, machines) && !context.isStopped()) {
+			await complete(current);
+			return undefined;
+		}
+
+		return current;
 	};
 
 	const observeSightings = (view: FleetView) => {
@@ -321,7 +350,7 @@
 			'running',
 			fleetPeriods.platformTimeoutMs,
 		);
-		if (isStatusWritten && (await saveWave(wave))) {
+		if (isStatusWritten && (await saveWaves([wave]))) {
 			waves.set(request.id, wave);
 			const {id, machines, durationMs, maxAway} = request;
 			logger.info('wave started', {
@@ -352,17 +381,24 @@
 		},
 		async runRound(view) {
 			observeSightings(view);
-			for (const wave of waves.values()) {
-				for (const id of wave.isCompleted ? [] : fleet.listAway(wave)) {
+			const open = [...waves.values()].filter(({isCompleted}) => !isCompleted);
+			for (const wave of open) {
+				for (const id of fleet.listAway(wave)) {
 					claims.claim(id, toWaveClaimant(wave.request.id));
 				}
 			}
 
-			for (const wave of waves.values()) {
-				if (!wave.isCompleted && !context.isStopped()) {
-					await runWave(wave, view);
-				}
-			}
+			const machines = toWaveMachines(view);
+			const batches = await Promise.all(
+				open.map(async (wave) => advance(wave, view, machines)),
+			);
+			const advanced = await commands.send(batches);
+			const stillOpen = await Promise.all(
+				advanced.map(async (wave, index) =>
+					finishRound(open[index]!, wave, machines),
+				),
+			);
+			await saveChanges(stillOpen.flatMap((wave) => wave ?? []));
 		},
 		isReserved(machine) {
 			const claimant = claims.getClaimant(machine);
--- a/packages/daemon/src/jobs/fleet/wave-commands.ts
+++ b/packages/daemon/src/jobs/fleet/wave-commands.ts
@@ -17,26 +17,31 @@
 	readonly clearance: Clearance;
 };
 
+/** A wave and the machines to command for it. */
+export type WaveTargets = {
+	readonly wave: fleet.MachineWave;
+	readonly targets: readonly MaintenanceTarget[];
+};
+
 export type WaveCommands = {
 	/**
-	 * Records the commands in the store and sends those whose clearance holds
-	 * after that; resolves to the wave with their answers.
+	 * Records the commands of all waves in the store and sends those whose
+	 * clearance holds after that; resolves to the waves with their answers.
 	 */
 	readonly send: (
-		wave: fleet.MachineWave,
-		targets: readonly MaintenanceTarget[],
-	) => Promise<fleet.MachineWave>;
+		batches: readonly WaveTargets[],
+	) => Promise<readonly fleet.MachineWave[]>;
 };
 
 export type WaveCommandsDeps = {
 	readonly claims: MachineClaims;
-	/** Stores a wave; resolves to whether it is stored. */
-	readonly saveWave: (wave: fleet.MachineWave) => Promise<boolean>;
+	/** Stores waves; resolves to whether they are stored. */
+	readonly saveWaves: (waves: readonly fleet.MachineWave[]) => Promise<boolean>;
 };
 
 export const createWaveCommands = (
 	context: FleetContext,
-	{claims, saveWave}: WaveCommandsDeps,
+	{claims, saveWaves}: WaveCommandsDeps,
 ): WaveCommands => {
 	const {clock, held, logger} = context;
 
@@ -111,40 +116,60 @@
 		(await context.commandLog.record(ids)) &&
 		context.mayCommand();
 
-	return {
-		async send(wave, targets) {
-			if (targets.length === 0) {
-				return wave;
+	/** Sends the commands whose clearance still holds, and drops the others. */
+	const sendClear = async (
+		{wave, targets}: WaveTargets,
+		before: fleet.MachineWave,
+	): Promise<fleet.MachineWave> => {
+		const clear: MaintenanceTarget[] = [];
+		let current = wave;
+		for (const target of targets) {
+			const {machine, clearance} = target;
+			if (isStillClear(context, clearance)) {
+				clear.push(target);
+			} else {
+				logger.warn('maintenance command not sent', {
+					wave: wave.request.id,
+					machine: machine.id,
+					executor: machine.executorId,
+					reason: 'the clearance has run out',
+					clearMs: getClearanceAgeMs(context, clearance),
+				});
+				current = fleet.withdrawCommand(current, before, machine.id);
 			}
+		}
 
-			let recorded = wave;
-			for (const {machine} of targets) {
-				recorded = fleet.recordCommand(recorded, machine, clock.epochNow());
-			}
+		return sendAll(current, clear);
+	};
 
-			const ids = targets.map(({machine}) => machine.id);
-			if (!(await saveWave(recorded)) || !(await recordCommands(ids))) {
-				return wave;
-			}
+	const recordTargets = ({wave, targets}: WaveTargets): WaveTargets => {
+		let recorded = wave;
+		for (const {machine} of targets) {
+			recorded = fleet.recordCommand(recorded, machine, clock.epochNow());
+		}
 
-			const clear: MaintenanceTarget[] = [];
-			for (const target of targets) {
-				const {machine, clearance} = target;
-				if (isStillClear(context, clearance)) {
-					clear.push(target);
-				} else {
-					logger.warn('maintenance command not sent', {
-						wave: wave.request.id,
-						machine: machine.id,
-						executor: machine.executorId,
-						reason: 'the clearance has run out',
-						clearMs: getClearanceAgeMs(context, clearance),
-					});
-					recorded = fleet.withdrawCommand(recorded, wave, machine.id);
-				}
-			}
+		return {wave: recorded, targets};
+	};
 
-			return sendAll(recorded, clear);
+	return {
+		async send(batches) {
+			const before = batches.map(({wave}) => wave);
+			const recorded = batches.map((batch) => recordTargets(batch));
+			const commanded = recorded.filter(({targets}) => targets.length > 0);
+			const ids = commanded.flatMap(({targets}) =>
+				targets.map(({machine}) => machine.id),
+			);
+			const isRecorded =
+				ids.length > 0 &&
+				(await saveWaves(commanded.map(({wave}) => wave))) &&
+				(await recordCommands(ids));
+			return isRecorded
+				? Promise.all(
+						recorded.map(async (batch, index) =>
+							sendClear(batch, before[index]!),
+						),
+					)
+				: before;
 		},
 	};
 };
--- a/packages/daemon/src/jobs/fleet/wave-rows.ts
+++ b/packages/daemon/src/jobs/fleet/wave-rows.ts
@@ -3,7 +3,7 @@
  * fields of the older format too, which two releases read and write.
  */
 import {fleet} from '@gullstand/core';
-import type {RowStore} from '@gullstand/ports';
+import type {RowPut, RowStore} from '@gullstand/ports';
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
@@ -31,14 +31,14 @@
 	isAnswered: z.boolean(),
 	wasInMaintenance: z.boolean().optional(),
 	isBack: z.boolean(),
-	/** Absent in the older format. */
+	/** Only if the platform has refused the machine. */
 	progress: progressSchema.optional(),
 	attempts: z.int().optional(),
 });
 
 type MaintenanceRow = z.infer<typeof maintenanceSchema>;
 
-/** In the older format, only an answered command has any evidence. */
+/** Without `progress`, only an answered command has any evidence. */
 const toProgress = ({
 	isAnswered,
 	isBack,
@@ -58,16 +58,19 @@
 	wasInMaintenance: row.wasInMaintenance ?? false,
 });
 
+/** Leaves out what the other fields say, since a wave has many machines. */
 const toMaintenanceRow = (entry: fleet.MachineMaintenance): MaintenanceRow => {
-	const {progress, executorId, sinceEpochMs, attempts} = entry;
+	const {progress, executorId, sinceEpochMs, attempts, wasInMaintenance} =
+		entry;
+	const {kind} = progress;
 	return {
 		executorId,
-		begunAtEpochMs: sinceEpochMs,
-		isAnswered: progress.kind === 'accepted' || progress.kind === 'returned',
-		wasInMaintenance: entry.wasInMaintenance,
+		begunAtEpochMs: Math.round(sinceEpochMs),
+		isAnswered: kind === 'accepted' || kind === 'returned',
 		isBack: !fleet.isAway(entry),
-		progress,
-		attempts,
+		...(wasInMaintenance ? {wasInMaintenance} : {}),
+		...(kind === 'not-in-wave' || kind === 'not-found' ? {progress} : {}),
+		...(attempts > 1 ? {attempts} : {}),
 	};
 };
 
@@ -114,26 +117,26 @@
 	return [...decoded].map(({value}) => value);
 };
 
-/** Stores a wave, provided that the shard is still held. */
-export const storeWave = async (
+const toPut = (wave: fleet.MachineWave): RowPut => ({
+	table: waveTable,
+	part: fleetShard,
+	key: wave.request.id,
+	value: JSON.stringify({
+		...wave,
+		begun: mapValues(wave.begun, toMaintenanceRow),
+	}),
+});
+
+/** Stores waves in one transaction, provided that the shard is still held. */
+export const storeWaves = async (
 	store: RowStore,
 	held: HeldShard,
-	wave: fleet.MachineWave,
+	waves: readonly fleet.MachineWave[],
 ): Promise<WaveWriteOutcome> => {
 	const result = await store.transact(
 		{
 			checks: [getLeaseCheck(held)],
-			puts: [
-				{
-					table: waveTable,
-					part: fleetShard,
-					key: wave.request.id,
-					value: JSON.stringify({
-						...wave,
-						begun: mapValues(wave.begun, toMaintenanceRow),
-					}),
-				},
-			],
+			puts: waves.map((wave) => toPut(wave)),
 			removes: [],
 		},
 		periods.storeTimeoutMs,
