Count a peer call whose connection is lost as one of unknown outcome

An entry that could not use the store handed the job to a peer; the peer stored it and stopped before it answered.

Only errors that precede the sending count as unreachable now; a lost connection has a kind of its own, and the caller is told that the outcome is unknown.

--- a/packages/daemon/src/peers/peer-client.ts
+++ b/packages/daemon/src/peers/peer-client.ts
@@ -51,9 +51,23 @@
  */
 const connectionsPerPeer = 8;
 
+/** Codes of errors that precede the sending of a call. */
+const unsentCodes: ReadonlySet<string | undefined> = new Set([
+	'ECONNREFUSED',
+	'EHOSTUNREACH',
+	'ENETUNREACH',
+	'UND_ERR_CONNECT_TIMEOUT',
+	'UND_ERR_DESTROYED',
+	'UND_ERR_CLOSED',
+]);
+
 const classifyFailure = (err: unknown): PeerError => {
-	const {name, message} = err as Error;
-	const kind = name === 'TimeoutError' ? 'timeout' : 'unreachable';
+	const {name, message, code} = err as NodeJS.ErrnoException;
+	if (name === 'TimeoutError') {
+		return {kind: 'timeout', message};
+	}
+
+	const kind = unsentCodes.has(code) ? 'unreachable' : 'connection-lost';
 	return {kind, message};
 };
 
--- a/packages/daemon/src/peers/peer-methods.ts
+++ b/packages/daemon/src/peers/peer-methods.ts
@@ -83,9 +83,17 @@
 	PeerMethods[Method]['params']
 >;
 
-/** Why a call failed; after `timeout` or `unreachable` it may have run. */
+/** Why a call failed. */
 export type PeerError = {
 	readonly kind:
-		'unreachable' | 'timeout' | 'refused' | 'not-authentic' | 'method-failed';
+		/** The call was certainly not sent. */
+		| 'unreachable'
+		/** The connection ended without an answer; it may have been carried out. */
+		| 'connection-lost'
+		/** As with a lost connection. */
+		| 'timeout'
+		| 'refused'
+		| 'not-authentic'
+		| 'method-failed';
 	readonly message: string;
 };
