Check the versions of wave rows and of the command log at each write

Found by a review, not seen played: a write without an answer may take effect seconds later and undo a newer one, as it checked the lease only. The next holder then missed a machine that was away (LIMIT), or a command within the turnover time (ONE).

Each write checks the versions of its rows, and is tried once more after a conflict with a delayed write of the same holder.

--- a/packages/daemon/src/jobs/fleet/command-log.ts
+++ b/packages/daemon/src/jobs/fleet/command-log.ts
@@ -3,7 +3,7 @@
  * fleet's shard: two holders may not command one machine within the turnover
  * time. Times are of the store's steady clock.
  */
-import type {RowStore} from '@gullstand/ports';
+import type {RowStore, StoredRow} from '@gullstand/ports';
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
@@ -42,6 +42,9 @@
 /** Maximum time from recording a command to its arrival, in milliseconds. */
 const transitMs = 300;
 
+/** The second try follows a conflict with a delayed write of this holder. */
+const maxTries = 2;
+
 export const createCommandLog = (deps: CommandLogDeps): CommandLog => {
 	const {store, held, now, turnoverMs, logger} = deps;
 	const lastCommands = new Map<string, number>();
@@ -49,6 +52,8 @@
 	 * Local time from which a machine of the previous holder may get commands.
 	 */
 	const freeAt = new Map<string, number>();
+	/** Version of the row; 0 if there is none. */
+	let version = 0;
 	let clock: {readonly storeMs: number; readonly at: number} | undefined;
 
 	const setClock = (storeMs: number) => {
@@ -81,6 +86,43 @@
 		}
 	};
 
+	/** Returns whether the conflict came from a delayed write of this holder. */
+	const resolveConflict = (rows: readonly StoredRow[]): boolean => {
+		const lease = rows.find(({table}) => table === tables.lease);
+		version = rows.find(({table}) => table === tables.owner)?.version ?? 0;
+		return lease?.version === held.version;
+	};
+
+	const write = async (tries = 1): Promise<boolean> => {
+		const value = JSON.stringify(Object.fromEntries(lastCommands));
+		const result = await store.transact(
+			{
+				// A write that takes effect late must not undo a later one.
+				checks: [getLeaseCheck(held), {...rowKey, version}],
+				puts: [{...rowKey, value}],
+				removes: [],
+			},
+			periods.storeTimeoutMs,
+		);
+		if (result.ok) {
+			version = result.value.version;
+			setClock(result.value.nowMs);
+			return true;
+		}
+
+		logger.warn('command log not stored', {reason: result.error.kind});
+		if (result.error.kind !== 'conflict') {
+			return false;
+		}
+
+		if (!resolveConflict(result.error.rows)) {
+			deps.onLost();
+			return false;
+		}
+
+		return tries < maxTries ? write(tries + 1) : false;
+	};
+
 	return {
 		async load() {
 			const page = await store.read(rowKey, periods.storeTimeoutMs);
@@ -90,6 +132,7 @@
 
 			setClock(page.value.nowMs);
 			const row = page.value.rows.find(({key}) => key === logKey);
+			version = row?.version ?? 0;
 			if (row) {
 				applyRow(row.value, page.value.nowMs);
 			}
@@ -102,26 +145,7 @@
 				lastCommands.set(machine, getStoreNow());
 			}
 
-			const value = JSON.stringify(Object.fromEntries(lastCommands));
-			const result = await store.transact(
-				{
-					checks: [getLeaseCheck(held)],
-					puts: [{...rowKey, value}],
-					removes: [],
-				},
-				periods.storeTimeoutMs,
-			);
-			if (result.ok) {
-				setClock(result.value.nowMs);
-				return true;
-			}
-
-			logger.warn('orders not noted', {reason: result.error.kind});
-			if (result.error.kind === 'conflict') {
-				deps.onLost();
-			}
-
-			return false;
+			return write();
 		},
 		mayCommand: (machine) => now() >= (freeAt.get(machine) ?? 0),
 	};
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -23,7 +23,7 @@
 	type WaveTargets,
 } from './wave-commands.js';
 import {createWaveLog} from './wave-log.js';
-import {readWaves, storeWaves} from './wave-rows.js';
+import {createWaveRows} from './wave-rows.js';
 
 /** Publishes the state of a wave to operators. */
 export type WaveStatusPort = {
@@ -80,13 +80,14 @@
 	const waves = new Map<string, fleet.MachineWave>();
 	/** Waves as they are stored. */
 	const storedWaves = new Map<string, fleet.MachineWave>();
+	const rows = createWaveRows(store, held, logger);
 	const log = createWaveLog(logger);
 	let sightings: fleet.Sightings = new Map();
 
 	const saveWaves = async (
 		changed: readonly fleet.MachineWave[],
 	): Promise<boolean> => {
-		const outcome = await storeWaves(store, held, changed);
+		const outcome = await rows.save(changed);
 		if (outcome === 'lost-shard') {
 			context.loseShard('the lease row has changed');
 		}
@@ -364,7 +365,7 @@
 
 	return {
 		async load() {
-			const read = await readWaves(store, logger);
+			const read = await rows.load();
 			for (const wave of read ?? []) {
 				waves.set(wave.request.id, wave);
 				storedWaves.set(wave.request.id, wave);
--- a/packages/daemon/src/jobs/fleet/wave-rows.ts
+++ b/packages/daemon/src/jobs/fleet/wave-rows.ts
@@ -3,13 +3,19 @@
  * fields of the older format too, which two releases read and write.
  */
 import {fleet} from '@gullstand/core';
-import type {RowPut, RowStore} from '@gullstand/ports';
+import type {
+	RowCheck,
+	RowKey,
+	RowPut,
+	RowStore,
+	StoredRow,
+} from '@gullstand/ports';
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
 import {periods} from '../periods.js';
 import {readRange} from '../rows/table-feed.js';
 import {decodeRows} from '../rows/decode-rows.js';
-import {fleetShard, getLeaseCheck} from '../rows/tables.js';
+import {fleetShard, getLeaseCheck, tables} from '../rows/tables.js';
 import type {HeldShard} from '../shards/held-shard.js';
 
 const waveTable = 'wave';
@@ -99,51 +105,114 @@
 /** Outcome of a write; one of `not-stored` may still take effect later. */
 export type WaveWriteOutcome = 'stored' | 'not-stored' | 'lost-shard';
 
-/** Reads all stored waves; `undefined` if the store does not answer. */
-export const readWaves = async (
-	store: RowStore,
-	logger: Pick<Logger, 'warn'>,
-): Promise<readonly fleet.MachineWave[] | undefined> => {
-	const rows = await readRange(
-		store,
-		{table: waveTable, part: fleetShard},
-		periods.storeTimeoutMs,
-	);
-	if (!rows.ok) {
-		return undefined;
-	}
-
-	const decoded = decodeRows(rows.value.rows, waveSchema, logger);
-	return [...decoded].map(({value}) => value);
-};
-
-const toPut = (wave: fleet.MachineWave): RowPut => ({
+const toRowKey = (key: string): RowKey => ({
 	table: waveTable,
 	part: fleetShard,
-	key: wave.request.id,
+	key,
+});
+
+const toPut = (wave: fleet.MachineWave): RowPut => ({
+	...toRowKey(wave.request.id),
 	value: JSON.stringify({
 		...wave,
 		begun: mapValues(wave.begun, toMaintenanceRow),
 	}),
 });
 
-/** Stores waves in one transaction, provided that the shard is still held. */
-export const storeWaves = async (
+/** The stored waves, while this daemon holds the shard. */
+export type WaveRows = {
+	/** Reads all waves; resolves to nothing if the store does not answer. */
+	readonly load: () => Promise<readonly fleet.MachineWave[] | undefined>;
+	/** Stores waves in one transaction, provided that the shard is still held. */
+	readonly save: (
+		waves: readonly fleet.MachineWave[],
+	) => Promise<WaveWriteOutcome>;
+};
+
+/** The second try follows a conflict with a delayed write of this holder. */
+const maxTries = 2;
+
+/**
+ * Each write checks the versions of its rows, so that a write that takes effect
+ * late undoes no later one.
+ */
+export const createWaveRows = (
 	store: RowStore,
 	held: HeldShard,
-	waves: readonly fleet.MachineWave[],
-): Promise<WaveWriteOutcome> => {
-	const result = await store.transact(
-		{
-			checks: [getLeaseCheck(held)],
-			puts: waves.map((wave) => toPut(wave)),
-			removes: [],
-		},
-		periods.storeTimeoutMs,
-	);
-	if (result.ok) {
-		return 'stored';
-	}
+	logger: Pick<Logger, 'warn'>,
+): WaveRows => {
+	const versions = new Map<string, number>();
+
+	const toCheck = ({request}: fleet.MachineWave): RowCheck => ({
+		...toRowKey(request.id),
+		version: versions.get(request.id) ?? 0,
+	});
+
+	/** Returns whether the conflict came from a delayed write of this holder. */
+	const resolveConflict = (
+		waves: readonly fleet.MachineWave[],
+		rows: readonly StoredRow[],
+	): boolean => {
+		const lease = rows.find(({table}) => table === tables.lease);
+		for (const {request} of waves) {
+			const row = rows.find(
+				({table, key}) => table === waveTable && key === request.id,
+			);
+			versions.set(request.id, row?.version ?? 0);
+		}
+
+		return lease?.version === held.version;
+	};
+
+	const save = async (
+		waves: readonly fleet.MachineWave[],
+		tries = 1,
+	): Promise<WaveWriteOutcome> => {
+		const result = await store.transact(
+			{
+				checks: [getLeaseCheck(held), ...waves.map((wave) => toCheck(wave))],
+				puts: waves.map((wave) => toPut(wave)),
+				removes: [],
+			},
+			periods.storeTimeoutMs,
+		);
+		if (result.ok) {
+			for (const {request} of waves) {
+				versions.set(request.id, result.value.version);
+			}
+
+			return 'stored';
+		}
+
+		if (result.error.kind !== 'conflict') {
+			return 'not-stored';
+		}
+
+		if (!resolveConflict(waves, result.error.rows)) {
+			return 'lost-shard';
+		}
+
+		return tries < maxTries ? save(waves, tries + 1) : 'not-stored';
+	};
 
-	return result.error.kind === 'conflict' ? 'lost-shard' : 'not-stored';
+	return {
+		async load() {
+			const read = await readRange(
+				store,
+				{table: waveTable, part: fleetShard},
+				periods.storeTimeoutMs,
+			);
+			if (!read.ok) {
+				return undefined;
+			}
+
+			for (const {key, version} of read.value.rows) {
+				versions.set(key, version);
+			}
+
+			const decoded = decodeRows(read.value.rows, waveSchema, logger);
+			return [...decoded].map(({value}) => value);
+		},
+		save: async (waves) => save(waves),
+	};
 };
