Ask about an unlisted machine at intervals, after the listed ones

unlisted-machine.test.ts: the others never got a command in 30 s before; now they do, and the machine is asked about each 2 s at most.

--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -71,6 +71,9 @@
 	usedCpu: 0,
 };
 
+const toAskKey = ({request}: fleet.MachineWave, machine: string): string =>
+	`${request.id} ${machine}`;
+
 export const createMachineWaveRunner = (
 	context: FleetContext,
 	status: WaveStatusPort,
@@ -82,6 +85,8 @@
 	const storedWaves = new Map<string, fleet.MachineWave>();
 	const rows = createWaveRows(store, held, logger);
 	const log = createWaveLog(logger);
+	/** When each unlisted machine was asked about last, by wave and machine. */
+	const askedAt = new Map<string, number>();
 	let sightings: fleet.Sightings = new Map();
 
 	const saveWaves = async (
@@ -116,10 +121,8 @@
 	): fleet.WaveMachine | undefined => {
 		const sighting = sightings.get(id);
 		const entry = wave.begun[id];
-		const hasAnswer = entry?.progress.kind === 'accepted';
-		const isDue =
-			!hasAnswer ||
-			clock.epochNow() - entry.sinceEpochMs >= fleetPeriods.askMissingMs;
+		const last = askedAt.get(toAskKey(wave, id)) ?? Number.NEGATIVE_INFINITY;
+		const isDue = clock.now() - last >= fleetPeriods.askMissingMs;
 		if (!isDue || !sighting || !fleet.isLongMissing(sighting, clock.now())) {
 			return undefined;
 		}
@@ -250,11 +253,15 @@
 				evacuateMissing(context, machine, graceMs),
 			),
 		]);
+		for (const {machine} of asked) {
+			askedAt.set(toAskKey(wave, machine.id), clock.now());
+		}
+
 		const isBegun = ({machine}: MaintenanceTarget) => machine.id in wave.begun;
 		return [
 			...repeats,
 			...asked.filter((each) => isBegun(each)),
-			...[...asked.filter((each) => !isBegun(each)), ...starts].slice(
+			...[...starts, ...asked.filter((each) => !isBegun(each))].slice(
 				0,
 				step.maxStarts,
 			),
@@ -278,6 +285,10 @@
 			const completed = {...wave, isCompleted: true};
 			waves.set(id, completed);
 			claimOnly(completed, []);
+			for (const machine of machines) {
+				askedAt.delete(toAskKey(wave, machine));
+			}
+
 			await saveWaves([completed]);
 		}
 	};
