Let no move rest on a list from before slow commands of waves

A machine that crashed meanwhile runs another executor, and the owner says `clear` of the old one (AVAIL). The machines are listed again after 0.5 s, and no move is sent by an older list.

New case of stale-clearance.test.ts: 2 checks fail before. 231 checks of the fleet's folder and of the daemon's jobs pass.

--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -21,6 +21,8 @@
 export const fleetPeriods = {
 	/** Pause between two rounds. */
 	roundMs: 150,
+	/** Moves rest on a list of machines of at most this age. */
+	maxViewAgeMs: 500,
 	/** Time-out of a call to the platform. */
 	platformTimeoutMs: 1500,
 	/** Time in which runs may end by themselves before a wave stops them. */
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -17,6 +17,7 @@
 	readFleetView,
 	reportTerminated,
 	type FleetContext,
+	type FleetView,
 	type ListedExecutorIds,
 } from './fleet-context.js';
 import {createCommandLog} from './command-log.js';
@@ -119,13 +120,22 @@
 		}),
 	});
 
+	/** Reads the machines again if the commands of waves have taken long. */
+	const renewView = async (view: FleetView) =>
+		clock.now() - view.requestedAt > fleetPeriods.maxViewAgeMs
+			? readFleetView(context)
+			: view;
+
 	const runRound = async () => {
 		await waves.acceptRequests(deps.listWaves());
 		const view = await readFleetView(context);
 		if (view) {
 			await reportTerminated(context, view, listedIds);
 			await waves.runRound(view);
-			await pools.runRound(view);
+			const current = await renewView(view);
+			if (current) {
+				await pools.runRound(current);
+			}
 		}
 	};
 
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -218,6 +218,11 @@
 	 * as their clearance holds after that.
 	 */
 	const moveEvacuated = async ({requestedAt}: FleetView) => {
+		// A machine may have crashed since, and its next executor run tasks.
+		if (clock.now() - requestedAt > fleetPeriods.maxViewAgeMs) {
+			return;
+		}
+
 		const clear = [...inProgress.values()].filter(
 			({clearance, move}) =>
 				clearance !== undefined &&
--- a/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
+++ b/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
@@ -129,7 +129,10 @@
 
 /** Each returns a function that runs one round. */
 const runners: Readonly<
-	Record<string, (harness: Harness) => Promise<() => Promise<void>>>
+	Record<
+		string,
+		(harness: Harness, viewAgeMs?: number) => Promise<() => Promise<void>>
+	>
 > = {
 	async wave({context, view}) {
 		const runner = createMachineWaveRunner(
@@ -142,7 +145,7 @@
 		]);
 		return async () => runner.runRound(view);
 	},
-	async move({context, view, state}) {
+	async move({context, view, state}, viewAgeMs = 0) {
 		const cfg = {
 			...fleet.defaultPoolConfig,
 			minCpu: 0,
@@ -161,7 +164,8 @@
 			claims: createMachineClaims(context.clock.now),
 		});
 		state.now += 1;
-		return async () => mover.runRound(view);
+		return async () =>
+			mover.runRound({...view, requestedAt: state.now - viewAgeMs});
 	},
 };
 
@@ -224,6 +228,18 @@
 	},
 );
 
+tap.t.test('no move rests on a list from before slow commands', async (t) => {
+	const harness = createHarness();
+	const {state, commands} = harness;
+	const runRound = await runners.move!(harness, 501);
+	await runRound();
+	t.same(commands, [], 'a list of 501 ms');
+	state.now += 1;
+	const runNext = await runners.move!(harness);
+	await runNext();
+	t.same(commands, [machine.id]);
+});
+
 type ClearanceCase = {
 	readonly name: string;
 	readonly pool: string;
