Say that an executor is clear only after it has answered a new poll

Found by a review, not seen played: an idle executor is not polled, so an owner said `clear` from memory for one that was lost; its machine runs the next executor by then, and the command that follows ends its tasks (AVAIL).

Before a reservation is made or renewed the executor must answer a poll that was sent after the request. Answers come one after another, so a write waits 5 ms for the reservations of others.

--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -352,6 +352,7 @@
 		);
 	}
 
+	executor.polledAt = poll.sentAt;
 	const isTimely = executor.unresponsiveSince === undefined;
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -54,6 +54,8 @@
 	isAdopted: boolean;
 	/** The stored roster has it as an executor that may run tasks. */
 	isRostered: boolean;
+	/** When the latest poll that it answered was sent. */
+	polledAt: number;
 	/** When it began to leave calls unanswered; absent while it answers. */
 	unresponsiveSince: number | undefined;
 	/** Since when no leases are granted there, as marked in the roster. */
@@ -97,6 +99,7 @@
 	wasUnlisted: false,
 	isAdopted: false,
 	isRostered: false,
+	polledAt: Number.NEGATIVE_INFINITY,
 	unresponsiveSince: undefined,
 	suspectedSince: undefined,
 	isSuspicionSent: false,
--- a/packages/daemon/src/jobs/owner/evacuations.ts
+++ b/packages/daemon/src/jobs/owner/evacuations.ts
@@ -2,6 +2,7 @@
 import {scheduler} from '@gullstand/core';
 import type {Logger} from '../../log/logger.js';
 import {delay, type Clock} from '../clock.js';
+import {coalesceCalls} from '../coalesce-calls.js';
 import {periods} from '../periods.js';
 import {createEvacuationLog} from './evacuation-log.js';
 import {
@@ -14,6 +15,8 @@
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	/** Whether the ownership is confirmed and this owner does not stop. */
 	readonly isConfirmed: () => boolean;
+	/** Polls an executor without waiting. */
+	readonly pollNow: (executorId: string) => void;
 	/** Called when a request or a release changes what may be planned. */
 	readonly onChange: () => void;
 };
@@ -35,6 +38,8 @@
 		executorId: string,
 		order?: scheduler.RequestOrder,
 	) => void;
+	/** Notes that an executor has answered a poll. */
+	readonly notePoll: (executorId: string) => void;
 	/** Logs the evacuations that are over. */
 	readonly logEnded: () => void;
 };
@@ -42,19 +47,54 @@
 /** Longest wait for the store, which leaves time for the answer to arrive. */
 const maxStoreWaitMs = periods.peerTimeoutMs / 2;
 
+/** For how long a write waits for the reservations of further executors. */
+const gatherMs = 5;
+
+/** Longest wait for the answer to a poll. */
+const maxPollWaitMs = periods.peerTimeoutMs / 4;
+
 export const createEvacuations = (deps: EvacuationsDeps): Evacuations => {
 	const {owner, clock, isConfirmed, onChange} = deps;
 	const log = createEvacuationLog(deps.logger);
 	const row = createReservationRow(deps);
+	/** Executors answer one after another; their reservations share a write. */
+	const storeSoon = coalesceCalls(async () => {
+		await delay(gatherMs);
+		await row.store();
+	});
+	/** Called when an executor has answered a poll. */
+	const pollWaiters = new Map<string, Set<() => void>>();
+
+	const waitForPoll = async (executorId: string) => {
+		const waiters = pollWaiters.get(executorId) ?? new Set();
+		pollWaiters.set(executorId, waiters);
+		const answered = new Promise<void>((resolve) => {
+			waiters.add(resolve);
+		});
+		deps.pollNow(executorId);
+		await Promise.race([answered, delay(maxPollWaitMs)]);
+		pollWaiters.delete(executorId);
+	};
+
+	/**
+	 * Whether an executor has answered a poll that was sent from now on. An idle
+	 * one is not polled, and may have been lost since it answered last.
+	 */
+	const hasAnswered = async (executorId: string): Promise<boolean> => {
+		const from = clock.now();
+		await waitForPoll(executorId);
+		return (owner.executors.get(executorId)?.polledAt ?? 0) >= from;
+	};
 
 	/** Reserves an executor if the stored reservation does not last. */
 	const reserve = async (executorId: string) => {
 		const promisedMs = row.get(executorId)?.promisedMs ?? 0;
 		if (
 			scheduler.isRenewalDue(owner.cfg, promisedMs) &&
+			(await hasAnswered(executorId)) &&
 			scheduler.reserveExecutor(owner, executorId, clock.now())
 		) {
-			await Promise.race([row.store(), delay(maxStoreWaitMs)]);
+			await Promise.race([storeSoon(), delay(maxStoreWaitMs)]);
 		}
 	};
 
@@ -104,6 +144,11 @@
 				onChange();
 			}
 		},
+		notePoll(executorId) {
+			for (const resolve of pollWaiters.get(executorId) ?? []) {
+				resolve();
+			}
+		},
 		logEnded() {
 			log.logEnded(owner);
 		},
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -186,6 +186,7 @@
 		executor: scheduler.Executor,
 		changes: scheduler.PollChanges,
 	) => {
+		evacuations?.notePoll(executor.id);
 		log.logPoll(executor, changes);
 		throttleRuns(executor);
 		onChange();
@@ -448,6 +449,9 @@
 			getStoreTime,
 			logger,
 			isConfirmed: isConfirmedAndStays,
+			pollNow(executorId) {
+				links?.get(executorId)?.pollNow();
+			},
 			onChange,
 			onOwnershipLost: loseOwnership,
 		});
