--- a/packages/daemon/src/jobs/fleet/command-log.ts
+++ b/packages/daemon/src/jobs/fleet/command-log.ts
@@ -110,7 +110,7 @@
 			return true;
 		}
 
-		logger.warn('command log not stored', {reason: result.error.kind});
+		logger.warn('orders not noted', {reason: result.error.kind});
 		if (result.error.kind !== 'conflict') {
 			return false;
 		}
--- a/spec/evacuation.pml
+++ b/spec/evacuation.pml
@@ -16,7 +16,9 @@
  * Assumed: COMMAND counts from the holder's check of its time; the answer `done`
  * comes after the effect. With SAME_ID the executor starts again under its id,
  * knows no token, and takes a start that was meant for the one before: only the
- * starts of the present owner are then kept away.
+ * starts of the present owner are then kept away. Reservations are by machine,
+ * those of the program by executor: mutation by_machine shows what that leaves
+ * open.
  *
  * property empty: a command never takes effect while a task runs on the machine.
  * property maintained: a machine counts as maintained only if a command of the wave took effect.
