--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -23,6 +23,7 @@
 	type WaveTargets,
 } from './wave-commands.js';
 import {createWaveLog} from './wave-log.js';
+import {createUnlistedMachines} from './unlisted-machines.js';
 import {createWaveRows} from './wave-rows.js';
 
 /** Publishes the state of a wave to operators. */
@@ -71,9 +72,6 @@
 	usedCpu: 0,
 };
 
-const toAskKey = ({request}: fleet.MachineWave, machine: string): string =>
-	`${request.id} ${machine}`;
-
 export const createMachineWaveRunner = (
 	context: FleetContext,
 	status: WaveStatusPort,
@@ -85,9 +83,7 @@
 	const storedWaves = new Map<string, fleet.MachineWave>();
 	const rows = createWaveRows(store, held, logger);
 	const log = createWaveLog(logger);
-	/** When each unlisted machine was asked about last, by wave and machine. */
-	const askedAt = new Map<string, number>();
-	let sightings: fleet.Sightings = new Map();
+	const unlisted = createUnlistedMachines(clock.now);
 
 	const saveWaves = async (
 		changed: readonly fleet.MachineWave[],
@@ -111,33 +107,6 @@
 
 	const commands = createWaveCommands(context, {claims, saveWaves});
 
-	/**
-	 * A machine that was missing from the list for so long that the platform has
-	 * to be asked for it.
-	 */
-	const findLongMissing = (
-		wave: fleet.MachineWave,
-		id: string,
-	): fleet.WaveMachine | undefined => {
-		const sighting = sightings.get(id);
-		const entry = wave.begun[id];
-		const last = askedAt.get(toAskKey(wave, id)) ?? Number.NEGATIVE_INFINITY;
-		const isDue = clock.now() - last >= fleetPeriods.askMissingMs;
-		if (!isDue || !sighting || !fleet.isLongMissing(sighting, clock.now())) {
-			return undefined;
-		}
-
-		return (
-			sighting.last ?? {
-				id,
-				pool: '',
-				isUp: false,
-				isInMaintenance: false,
-				executorId: entry?.executorId,
-			}
-		);
-	};
-
 	/**
 	 * Lists machines that are up, whose commands have no answer, and that nothing
 	 * else has.
@@ -238,7 +207,7 @@
 			.flatMap((id) =>
 				machines.has(id) || isTaken(id)
 					? []
-					: (findLongMissing(wave, id) ?? []),
+					: (unlisted.findDue(wave, id) ?? []),
 			);
 		const chosen = [...toEvacuate, ...missing].map(({id}) => id);
 		claimOnly(wave, chosen);
@@ -254,7 +223,7 @@
 			),
 		]);
 		for (const {machine} of asked) {
-			askedAt.set(toAskKey(wave, machine.id), clock.now());
+			unlisted.recordAsked(wave, machine.id);
 		}
 
 		const isBegun = ({machine}: MaintenanceTarget) => machine.id in wave.begun;
@@ -285,10 +254,7 @@
 			const completed = {...wave, isCompleted: true};
 			waves.set(id, completed);
 			claimOnly(completed, []);
-			for (const machine of machines) {
-				askedAt.delete(toAskKey(wave, machine));
-			}
-
+			unlisted.forget(completed);
 			await saveWaves([completed]);
 		}
 	};
@@ -345,16 +311,6 @@
 		return current;
 	};
 
-	const observeSightings = (view: FleetView) => {
-		const open = [...waves.values()].filter(({isCompleted}) => !isCompleted);
-		sightings = fleet.observeSightings(
-			sightings,
-			new Set(open.flatMap(({request}) => request.machines)),
-			toWaveMachines(view),
-			clock.now(),
-		);
-	};
-
 	const acceptRequest = async (request: WaveRequest) => {
 		const wave = fleet.createMachineWave(request, clock.epochNow());
 		const isStatusWritten = await status.write(
@@ -392,15 +348,15 @@
 			}
 		},
 		async runRound(view) {
-			observeSightings(view);
 			const open = [...waves.values()].filter(({isCompleted}) => !isCompleted);
+			const machines = toWaveMachines(view);
+			unlisted.observe(open, machines);
 			for (const wave of open) {
 				for (const id of fleet.listAway(wave)) {
 					claims.claim(id, toWaveClaimant(wave.request.id));
 				}
 			}
 
-			const machines = toWaveMachines(view);
 			const batches = await Promise.all(
 				open.map(async (wave) => advance(wave, view, machines)),
 			);
