--- a/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
+++ b/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
@@ -265,6 +265,12 @@
 		answer: {kind: 'not-owner'},
 		validMs: undefined,
 	},
+	{
+		name: 'its owner does not know the executor',
+		...owned,
+		answer: {kind: 'unknown-executor'},
+		validMs: undefined,
+	},
 	{
 		name: 'its owner does not answer',
 		...owned,
--- a/packages/daemon/src/jobs/owner/stale-evacuation.test.ts
+++ b/packages/daemon/src/jobs/owner/stale-evacuation.test.ts
@@ -273,6 +273,35 @@
 	},
 );
 
+tap.t.test('a delayed write does not undo a later one', async (t) => {
+	const inner = createTestPlatform(['x', 'y']);
+	const delayed: ports.RowTransaction[] = [];
+	const platform: TestPlatform = {
+		...inner,
+		store: {
+			...inner.store,
+			async transact(transaction, timeoutMs) {
+				if (delayed.length > 0 || !hasReservations(transaction)) {
+					return inner.store.transact(transaction, timeoutMs);
+				}
+
+				delayed.push(transaction);
+				return {ok: false, error: {kind: 'timeout'}};
+			},
+		},
+	};
+	const owned = await startOwnedService(t, platform);
+	for (const id of ['x', 'y']) {
+		await awaitExecutor(owned, id);
+	}
+
+	t.match(await evacuate(owned, 'x'), {kind: 'waiting'});
+	t.match(await evacuate(owned, 'y'), {kind: 'clear'});
+	const [before] = listReservationRows(platform);
+	await inner.store.transact(delayed[0]!, 1000);
+	t.same(listReservationRows(platform), [before]);
+});
+
 tap.t.test('a row that cannot be read is replaced', async (t) => {
 	const platform = createTestPlatform(['x']);
 	const key = {table: tables.owner, part: shard, key: singleKeys.reservations};
