Count a peer call as unsent only if no connection was made

The caller of a job could be told that it was not stored, though the peer stored it (REFUSED). Only a refused or timed out connection, and a closed client, show that.

--- a/packages/daemon/src/peers/call-lost-with-its-peer.test.ts
+++ b/packages/daemon/src/peers/call-lost-with-its-peer.test.ts
@@ -7,6 +7,8 @@
 
 type Case = {
 	readonly name: string;
+	/** Whether the caller itself stops during the call. */
+	readonly isStopping?: boolean;
 	/** What the peer does with the call; absent if nothing listens. */
 	readonly listen?: (server: Server) => void;
 	readonly kind: string;
@@ -47,6 +49,16 @@
 		},
 		kind: 'connection-lost',
 	},
+	{
+		name: 'a caller that stops during the call',
+		isStopping: true,
+		listen(server) {
+			server.on('connection', (socket) => {
+				socket.resume();
+			});
+		},
+		kind: 'connection-lost',
+	},
 	{
 		name: 'a peer that never answers',
 		listen(server) {
@@ -58,7 +70,7 @@
 	},
 ];
 
-for (const {name, listen, kind} of cases) {
+for (const {name, listen, isStopping, kind} of cases) {
 	tap.t.test(`${name}: ${kind}`, async (t) => {
 		const server = createServer();
 		listen?.(server);
@@ -83,7 +95,13 @@
 		}
 
 		const address = `127.0.0.1:${port}`;
-		const answer = await caller.call(address, 'ping', {entry: 'e1'}, 500);
+		const call = caller.call(address, 'ping', {entry: 'e1'}, 500);
+		if (isStopping) {
+			await once(server, 'connection');
+			await caller.stop(0);
+		}
+
+		const answer = await call;
 		t.match(answer, {ok: false, error: {kind}});
 	});
 }
--- a/packages/daemon/src/peers/peer-client.ts
+++ b/packages/daemon/src/peers/peer-client.ts
@@ -54,10 +54,7 @@
 /** Codes of errors that precede the sending of a call. */
 const unsentCodes: ReadonlySet<string | undefined> = new Set([
 	'ECONNREFUSED',
-	'EHOSTUNREACH',
-	'ENETUNREACH',
 	'UND_ERR_CONNECT_TIMEOUT',
-	'UND_ERR_DESTROYED',
 	'UND_ERR_CLOSED',
 ]);
 
