Count no crash for a start that never reached its executor

Cause: the loss of an executor was attributed to every run known there, including starts whose answer was not in; and the refusal itself, when it came first, led to the loss being attributed to the start that it had refused.

A start that was turned away is no run any more, and so not among the lost ones. The crash of a start whose answer is not in yet is recorded, so that the task starts in isolation, but counts only when the answer is in: withdrawn if it was turned away, else counted, and then the job may fail. The answer reaches the owner also if the link was closed by then. A later owner, which gets no answer, counts it.

--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -49,6 +49,13 @@
 	readonly now: number;
 };
 
+/** Whether a start was certainly not carried out, by the answer to it. */
+export const isTurnedAway = ({kind}: StartAnswer): boolean =>
+	match(kind)
+		.with('refused', 'fenced', 'other-life', () => true)
+		.with('started', 'no-answer', () => false)
+		.exhaustive();
+
 /** What the caller must do after an answer has been applied. */
 export type AnswerEffect = 'none' | 'fenced' | 'other-life' | 'look-again';
 
@@ -102,7 +109,11 @@
 			removeRun(executor, run);
 			return 'fenced';
 		})
-		.with({kind: 'other-life'}, () => 'other-life')
+		.with({kind: 'other-life'}, () => {
+			// The executor that was lost never had it.
+			removeRun(executor, run);
+			return 'other-life';
+		})
 		.with({kind: 'no-answer'}, () => {
 			run.state = run.state === 'asked' ? 'unsettled' : run.state;
 			markUnresponsive(owner, executor.id, now);
--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -115,10 +115,9 @@
 };
 
 const getWeight = (crashes: readonly Crash[]): number =>
-	crashes.reduce(
-		(sum, {isDoubtful}) => sum + (isDoubtful ? doubtfulWeight : 1),
-		0,
-	);
+	crashes
+		.filter(({awaitsAnswer}) => !awaitsAnswer)
+		.reduce((sum, {isDoubtful}) => sum + (isDoubtful ? doubtfulWeight : 1), 0);
 
 const getIsolatedWeight = ({crashes}: Task): number =>
 	getWeight(crashes.filter(({wasIsolated}) => wasIsolated));
@@ -126,7 +125,8 @@
 /** A long-running task is restarted however it ends, so it is never given up. */
 const isAtFault = (task: Task): boolean =>
 	!task.step.spec.isLongRunning &&
-	(task.crashes.length >= maxCrashesInAll ||
+	(task.crashes.filter(({awaitsAnswer}) => !awaitsAnswer).length >=
+		maxCrashesInAll ||
 		getWeight(task.crashes) >= maxCrashes ||
 		getIsolatedWeight(task) >= maxIsolatedCrashes);
 
@@ -190,6 +190,7 @@
 			survivedMs,
 			wasIsolated: isIsolated,
 			...(isDoubtful ? {isDoubtful} : {}),
+			...(run.state === 'asked' ? {awaitsAnswer: true} : {}),
 		});
 	}
 };
@@ -228,6 +229,15 @@
 	return {job: job.accepted.id, end: 'failed', reason};
 };
 
+const giveUpIfAtFault = (
+	owner: Owner,
+	task: Task,
+	now: number,
+): readonly EndedJob[] =>
+	isAtFault(task) && !task.step.occurrence.job.end
+		? [giveUp(owner, task, now)]
+		: [];
+
 /**
  * Attributes the loss of an executor to the lost runs; returns the jobs that
  * fail thereby.
@@ -239,9 +249,7 @@
 	now: number,
 ): readonly EndedJob[] =>
 	recordLoss(owner, executor, lostRuns, now).flatMap((task) =>
-		isAtFault(task) && !task.step.occurrence.job.end
-			? [giveUp(owner, task, now)]
-			: [],
+		giveUpIfAtFault(owner, task, now),
 	);
 
 /**
@@ -279,6 +287,45 @@
 	}
 };
 
+/** What the answer to a start made of the crash that awaited it. */
+export type SettledCrash = {
+	readonly isWithdrawn: boolean;
+	readonly jobEnds: readonly EndedJob[];
+};
+
+/**
+ * Settles the crash of a start whose executor was lost before its answer came:
+ * withdraws it if the start was turned away, else counts it. Returns `undefined`
+ * if no crash awaits the answer.
+ */
+export const settleCrash = (
+	owner: Owner,
+	run: Run,
+	isTurnedAway: boolean,
+	now: number,
+): SettledCrash | undefined => {
+	const {task, number} = run;
+	const isAwaited = task.crashes.some(
+		(each) => each.run === number && each.awaitsAnswer,
+	);
+	if (!isAwaited) {
+		return undefined;
+	}
+
+	if (isTurnedAway) {
+		withdrawCrash(owner, run);
+		return {isWithdrawn: true, jobEnds: []};
+	}
+
+	for (const each of listCoscheduledTasks(task)) {
+		each.crashes = each.crashes.map((crash) =>
+			crash.run === number ? {...crash, awaitsAnswer: undefined} : crash,
+		);
+	}
+
+	return {isWithdrawn: false, jobEnds: giveUpIfAtFault(owner, task, now)};
+};
+
 /** Withdraws the crashes of an executor that lives. */
 export const withdrawCrashes = (owner: Owner, executor: Executor): void => {
 	for (const run of executor.possiblyCrashedBy) {
--- a/packages/core/src/scheduler/state/progress.ts
+++ b/packages/core/src/scheduler/state/progress.ts
@@ -46,6 +46,9 @@
 	readonly occurrences: readonly OccurrenceProgress[];
 };
 
+/** A later owner gets no answer to a start of this one. */
+const describeCrash = ({awaitsAnswer, ...crash}: Crash): Crash => crash;
+
 const describeTask = ({
 	failures,
 	failedRuns,
@@ -55,7 +58,8 @@
 }: Task): TaskProgress => ({
 	failures,
 	failedRuns: failedRuns.length > 0 ? failedRuns : undefined,
-	crashes: crashes.length > 0 ? crashes : undefined,
+	crashes:
+		crashes.length > 0 ? crashes.map((each) => describeCrash(each)) : undefined,
 	checkpoint,
 	checkpointRun: checkpointRun > 0 ? checkpointRun : undefined,
 });
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -62,6 +62,8 @@
 	readonly wasIsolated: boolean;
 	/** The start had no answer, and executors were often lost for no start. */
 	readonly isDoubtful?: boolean | undefined;
+	/** The start has no answer yet, and may have been turned away. */
+	readonly awaitsAnswer?: boolean | undefined;
 };
 
 /** One task of one occurrence. */
--- a/packages/daemon/src/jobs/owner/executor-link.test.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.test.ts
@@ -91,3 +91,48 @@
 		t.same(waits, expected);
 	});
 }
+
+tap.t.test(
+	'the answer to a start is reported though its executor was lost meanwhile',
+	async (t) => {
+		const cfg = scheduler.defaultSchedulerConfig;
+		const owner = scheduler.createOwner('s', 1, cfg, 0);
+		scheduler.recordListedExecutor(owner, createListedExecutor('x'));
+		addIsolatedRun(owner);
+		const executor = owner.executors.get('x')!;
+		const [run] = executor.runs.values();
+		const answer = {kind: 'other-life'} as const;
+		const reported: scheduler.StartAnswer[] = [];
+		const effects: string[] = [];
+		const link = openExecutorLink({
+			owner,
+			executor,
+			executors: {...createExecutors(seen, []), start: async () => answer},
+			now,
+			isOwnershipConfirmed: () => true,
+			logger: {info: () => undefined as never, warn: () => undefined as never},
+			onChange: () => undefined,
+			onPoll: () => undefined,
+			onFenced: () => undefined,
+			onOtherIncarnation() {
+				effects.push('other incarnation');
+			},
+			onStartAnswer(_run, each) {
+				reported.push(each);
+			},
+		});
+		link.send({
+			kind: 'start',
+			executor,
+			run: run!,
+			leaseEndMs: 1,
+			ticket: undefined,
+		});
+		link.close();
+		await new Promise((resolve) => {
+			setTimeout(resolve, 20);
+		});
+		t.same(reported, [answer]);
+		t.same(effects, []);
+	},
+);
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -23,10 +23,13 @@
 	readonly onPoll: (changes: scheduler.PollChanges) => void;
 	readonly onFenced: () => void;
 	readonly onOtherIncarnation: () => void;
-	/** Called with the answer to a start, for the log and the metrics. */
+	/**
+	 * Called with the answer to a start before it is applied, and also if the
+	 * link was closed before it came.
+	 */
 	readonly onStartAnswer: (
 		run: scheduler.Run,
-		answer: scheduler.StartAnswer['kind'],
+		answer: scheduler.StartAnswer,
 	) => void;
 };
 
@@ -278,10 +281,6 @@
 			},
 			periods.commandTimeoutMs,
 		);
-		if (state.isClosed) {
-			return;
-		}
-
 		logger.info('task start', {
 			task: task.id,
 			run: number,
@@ -294,7 +293,11 @@
 			isIsolated: started.isIsolated,
 			tookMs: Math.round(now() - started.askedAt),
 		});
-		deps.onStartAnswer(started, answer.kind);
+		deps.onStartAnswer(started, answer);
+		if (state.isClosed) {
+			return;
+		}
+
 		applyEffect(scheduler.applyStartAnswer(owner, started, answer, now()));
 	};
 
--- a/packages/daemon/src/jobs/owner/owner-log.ts
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -14,6 +14,12 @@
 	) => void;
 	/** Logs runs that are certainly over, without a reported end. */
 	readonly logLostRuns: (lost: scheduler.LostRuns, reason: string) => void;
+	/** Logs the answer to a start whose executor was lost before it came. */
+	readonly logSettledCrash: (
+		run: scheduler.Run,
+		answer: scheduler.StartAnswer['kind'],
+		settled: scheduler.SettledCrash,
+	) => void;
 	/** Logs the answer to a start. */
 	readonly logStart: (run: scheduler.Run, isStarted: boolean) => void;
 	/** Logs executors that became slow or recovered, and copies of tasks. */
@@ -140,6 +146,21 @@
 
 			logJobEnds(jobEnds);
 		},
+		logSettledCrash(
+			{task, number, executorId},
+			answer,
+			{isWithdrawn, jobEnds},
+		) {
+			logger.info('crash settled', {
+				task: task.id,
+				run: number,
+				executor: executorId,
+				answer,
+				isWithdrawn,
+				crashes: task.crashes.length,
+			});
+			logJobEnds(jobEnds);
+		},
 		logStart(run, isStarted) {
 			const {accepted, hasStarted} = run.task.step.occurrence.job;
 			metrics.count('starts', isStarted ? 'started' : 'not-started');
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -216,6 +216,21 @@
 		}
 	};
 
+	const settleCrash = (
+		current: scheduler.Owner,
+		run: scheduler.Run,
+		answer: scheduler.StartAnswer,
+	) => {
+		const isTurnedAway = scheduler.isTurnedAway(answer);
+		const settled = state.isStopped
+			? undefined
+			: scheduler.settleCrash(current, run, isTurnedAway, clock.now());
+		if (settled) {
+			log.logSettledCrash(run, answer.kind, settled);
+			onChange();
+		}
+	};
+
 	const openLink = (current: scheduler.Owner, executor: scheduler.Executor) =>
 		openExecutorLink({
 			owner: current,
@@ -238,8 +253,12 @@
 				);
 			},
 			onStartAnswer(run, answer) {
-				log.logStart(run, answer === 'started');
-				report.recordStart(clock.now() - run.askedAt, answer !== 'no-answer');
+				log.logStart(run, answer.kind === 'started');
+				report.recordStart(
+					clock.now() - run.askedAt,
+					answer.kind !== 'no-answer',
+				);
+				settleCrash(current, run, answer);
 			},
 		});
 
