--- a/packages/core/src/scheduler/admission/queue-outlook.ts
+++ b/packages/core/src/scheduler/admission/queue-outlook.ts
@@ -3,7 +3,7 @@
  * waits, and the rates that the teams have left. A plain value, so that the
  * decision on a job needs nothing else of the owner.
  */
-import {isCrashSuspect} from '../polls/crash-attribution.js';
+import {isCrashSuspect} from '../polls/crash-evidence.js';
 import {listUsable, maySpreadTo} from '../placement/place-task.js';
 import {needsAdvice} from '../placement/placement-advice.js';
 import {
--- a/packages/core/src/scheduler/plan/plan-copies.ts
+++ b/packages/core/src/scheduler/plan/plan-copies.ts
@@ -16,7 +16,7 @@
 	type TaskCopy,
 } from '../executor-speed/speed-memory.js';
 import {getSpeedFactor, isSlow} from '../executor-speed/speed-state.js';
-import {isCrashSuspect} from '../polls/crash-attribution.js';
+import {isCrashSuspect} from '../polls/crash-evidence.js';
 import {listAdvisedExecutors} from '../placement/placement-advice.js';
 import {placeTask} from '../placement/place-task.js';
 import {getDemand, type Executor} from '../state/executor.js';
--- a/packages/core/src/scheduler/plan/plan-gang.ts
+++ b/packages/core/src/scheduler/plan/plan-gang.ts
@@ -1,5 +1,5 @@
 /** Plans the starts of gangs, whose tasks start together or not at all. */
-import {isCrashSuspect} from '../polls/crash-attribution.js';
+import {isCrashSuspect} from '../polls/crash-evidence.js';
 import {getRack, removeRun, type Executor} from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -1,9 +1,6 @@
 /** Starts tasks that may have crashed their executors, each in isolation. */
-import {
-	hasNoRecentRun,
-	isCrashSuspect,
-	listSuspects,
-} from '../polls/crash-attribution.js';
+import {hasNoRecentRun, isCrashSuspect} from '../polls/crash-evidence.js';
+import {listSuspects} from '../polls/crash-suspects.js';
 import {
 	couldHold,
 	hasIsolatedRun,
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -1,5 +1,5 @@
 /** Plans the next commands of the owner of a service. */
-import {isCrashSuspect} from '../polls/crash-attribution.js';
+import {isCrashSuspect} from '../polls/crash-evidence.js';
 import type {Executor} from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
--- /dev/null
+++ b/packages/core/src/scheduler/polls/crash-suspects.ts
@@ -0,0 +1,118 @@
+/**
+ * Tasks that may have crashed their executors: they start in isolation until
+ * they are cleared or given up.
+ */
+import {endJob, type EndedJob} from '../state/job-ends.js';
+import type {Owner} from '../state/owner-state.js';
+import {
+	listCoscheduledTasks,
+	listTasks,
+	type Job,
+	type Run,
+	type Task,
+} from '../state/task.js';
+import {
+	getIsolatedWeight,
+	getProbationMs,
+	getSurvivedMs,
+	isAtFault,
+	isCrashSuspect,
+} from './crash-evidence.js';
+
+const giveUp = (owner: Owner, task: Task, now: number): EndedJob => {
+	const {job} = task.step.occurrence;
+	endJob(owner, job, 'failed', now);
+	const reason = `task ${task.id} crashed ${task.crashes.length} executors`;
+	return {job: job.accepted.id, end: 'failed', reason};
+};
+
+/** Ends the job of a task that crashes its executors. */
+export const giveUpIfAtFault = (
+	owner: Owner,
+	task: Task,
+	now: number,
+): readonly EndedJob[] =>
+	isAtFault(task) && !task.step.occurrence.job.end
+		? [giveUp(owner, task, now)]
+		: [];
+
+/** Lets a task start beside others again. */
+export const endSuspicion = (owner: Owner, task: Task): void => {
+	for (const each of listCoscheduledTasks(task)) {
+		for (const run of each.runs) {
+			run.isIsolated = false;
+		}
+
+		owner.crashSuspects.delete(each);
+	}
+};
+
+const hasOutlivedProbation = (owner: Owner, {task, number}: Run): boolean =>
+	listCoscheduledTasks(task).every((each) =>
+		each.runs.some((run) => {
+			const executor = owner.executors.get(run.executorId);
+			return (
+				run.number === number &&
+				executor !== undefined &&
+				getSurvivedMs(executor, run) >= getProbationMs(each)
+			);
+		}),
+	);
+
+/** Clears a task of its crashes once a run of it has outlived its probation. */
+export const clearIfProbationIsOver = (owner: Owner, run: Run): void => {
+	const {task} = run;
+	if (task.crashes.length === 0 || !hasOutlivedProbation(owner, run)) {
+		return;
+	}
+
+	for (const each of listCoscheduledTasks(task)) {
+		each.crashes = [];
+	}
+
+	endSuspicion(owner, task);
+	owner.dirtyJobs.add(task.step.occurrence.job);
+};
+
+/**
+ * Lets the next plans start a task in isolation if it is a suspect. The first
+ * task of a gang stands for all of them.
+ */
+export const trackSuspect = (owner: Owner, task: Task): void => {
+	const [first] = listCoscheduledTasks(task);
+	if (first && isCrashSuspect(task)) {
+		owner.crashSuspects.add(first);
+	}
+};
+
+/** Tracks the suspects of a job whose progress was stored by another owner. */
+export const trackSuspectsOfJob = (owner: Owner, job: Job): void => {
+	for (const task of listTasks(job)) {
+		trackSuspect(owner, task);
+	}
+};
+
+const compareSuspects = (one: Task, two: Task): number => {
+	const first = one.step.occurrence.job.accepted;
+	const second = two.step.occurrence.job.accepted;
+	return (
+		getIsolatedWeight(two) - getIsolatedWeight(one) ||
+		Number(two.step.spec.isLongRunning) - Number(one.step.spec.isLongRunning) ||
+		first.acceptedAtEpochMs - second.acceptedAtEpochMs ||
+		one.index - two.index
+	);
+};
+
+/**
+ * Lists the suspects of open jobs, the likeliest cause first: once it has
+ * crashed a further executor, the tasks of its job need not be tried.
+ */
+export const listSuspects = (owner: Owner): readonly Task[] => {
+	for (const task of owner.crashSuspects) {
+		if (task.isDone || task.step.occurrence.job.end) {
+			owner.crashSuspects.delete(task);
+		}
+	}
+
+	return [...owner.crashSuspects].toSorted(compareSuspects);
+};
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -32,9 +32,10 @@
 	type Run,
 	type Task,
 } from '../state/task.js';
-import {clearIfProbationIsOver, withdrawCrashes} from './crash-attribution.js';
+import {clearIfProbationIsOver} from './crash-suspects.js';
 import {resetIncarnation} from './executor-restart.js';
 import {listRunsLostByRestart, listVanishedRuns} from './missing-runs.js';
+import {withdrawCrashes} from './open-crashes.js';
 import {
 	maxEndsPerPoll,
 	type ExecutorPoll,
--- a/packages/core/src/scheduler/reports/explain.ts
+++ b/packages/core/src/scheduler/reports/explain.ts
@@ -1,5 +1,5 @@
 /** Explains to operators why the tasks of a job do or do not run. */
-import {isCrashSuspect} from '../polls/crash-attribution.js';
+import {isCrashSuspect} from '../polls/crash-evidence.js';
 import {getSpeedFactor, isSlow} from '../executor-speed/speed-state.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
--- a/packages/core/src/scheduler/team-shares/waiting-jobs.ts
+++ b/packages/core/src/scheduler/team-shares/waiting-jobs.ts
@@ -1,5 +1,5 @@
 /** What the open jobs wait for, and what the teams run. */
-import {isCrashSuspect} from '../polls/crash-attribution.js';
+import {isCrashSuspect} from '../polls/crash-evidence.js';
 import type {RankedJob} from '../ranking/rank.js';
 import {getDemand} from '../state/executor.js';
 import type {Owner} from '../state/owner-state.js';
