Count a possible loss only once the executor is known to be lost

Leases that expired on an executor that the registry lists gave up no task by themselves, but counted in full when the next loss decided, and were withdrawn only when the executor answered: in the record of the failure 4.7 s after the job had failed. At a handover they were stored and could not be withdrawn any more.

The crash now names the executor and its incarnation while it is possible, in the stored progress too. It counts once the executor is known to be lost, by whichever owner, and is withdrawn if that incarnation answers. Executors that an owner neither inherits nor finds listed count as lost. So that a task that crashes its executors is not started without limit meanwhile, it waits after five crashes until it is known which of them were none.

--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -1,5 +1,9 @@
 /** Starts tasks that may have crashed their executors, each in isolation. */
-import {hasNoRecentRun, isCrashSuspect} from '../polls/crash-evidence.js';
+import {
+	hasNoRecentRun,
+	isCrashSuspect,
+	mayRestart,
+} from '../polls/crash-evidence.js';
 import {listSuspects} from '../polls/crash-suspects.js';
 import {
 	couldHold,
@@ -122,7 +126,9 @@
 	const isReady = step.spec.isGang
 		? step.tasks[0] === task && isGangReady(owner, step)
 		: isWaiting(task) && isLocationKnown(owner, task);
-	return isReady && isStepReady(step) && isCrashSuspect(task);
+	return (
+		isReady && isStepReady(step) && isCrashSuspect(task) && mayRestart(task)
+	);
 };
 
 /**
--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -10,8 +10,7 @@
  * up, and its job fails.
  *
  * A start that was barred is not the cause. Leases that expire on an executor
- * that the registry still lists show no crash for certain: no task is given up
- * by that, and the crash is withdrawn if the executor answers again.
+ * that the registry still lists show no crash for certain; see open-crashes.ts.
  *
  * Executors are lost without a cause in what they run, too. While that is
  * frequent, the loss after a start without an answer weighs half, since nothing
@@ -25,7 +24,10 @@
 import type {Owner} from '../state/owner-state.js';
 import {
 	listCoscheduledTasks,
+	listTasks,
 	type Crash,
+	type Job,
+	type PossiblyLost,
 	type Run,
 	type Task,
 } from '../state/task.js';
@@ -37,6 +39,11 @@
 	maxCrashesInAll,
 } from './crash-evidence.js';
 import {giveUpIfAtFault, trackSuspect} from './crash-suspects.js';
+import {
+	addPossibleLoss,
+	confirmLoss,
+	inheritPossibleLosses,
+} from './open-crashes.js';
 
 /** A run that has survived this long is not the cause, in milliseconds. */
 const maxCrashDelayMs = 5000;
@@ -56,7 +63,7 @@
 		(run) => run.isIsolated || isRecent(executor, run),
 	);
 	const isExpected = executor.evacuation !== undefined;
-	const isKnown = executor.possiblyCrashedBy.length > 0;
+	const isKnown = owner.possibleLosses.has(executor.id);
 	if (!isExplained && !isExpected && !isKnown) {
 		owner.unexplainedLosses = [...listRecentLosses(owner, now), now];
 	}
@@ -75,11 +82,17 @@
 const isBarred = ({state, confirmedAt}: Run): boolean =>
 	state === 'barring' && confirmedAt !== undefined;
 
+type Loss = {
+	readonly now: number;
+	/** Present if the executor may live. */
+	readonly possiblyOn?: PossiblyLost;
+};
+
 const recordCrash = (
 	owner: Owner,
 	executor: Executor,
 	run: Run,
-	now: number,
+	{now, possiblyOn}: Loss,
 ): void => {
 	const {task, number, isIsolated} = run;
 	const survivedMs = getSurvivedMs(executor, run);
@@ -93,6 +106,7 @@
 			wasIsolated: isIsolated,
 			...(isDoubtful ? {isDoubtful} : {}),
 			...(run.state === 'asked' ? {awaitsAnswer: true} : {}),
+			...(possiblyOn ? {possiblyOn} : {}),
 		});
 	}
 };
@@ -105,20 +119,20 @@
 	owner: Owner,
 	executor: Executor,
 	lostRuns: readonly Run[],
-	now: number,
+	loss: Loss,
 ): readonly Task[] => {
 	if (executor.listed.isDraining) {
 		return [];
 	}
 
-	recordUnexplainedLoss(owner, executor, lostRuns, now);
+	recordUnexplainedLoss(owner, executor, lostRuns, loss.now);
 	const runs = lostRuns.filter(
 		({task}) => !task.isDone && !task.step.occurrence.job.end,
 	);
 	const isolated = runs.filter(({isIsolated}) => isIsolated);
 	const candidates = isolated.length > 0 ? isolated : runs;
 	for (const run of candidates) {
-		recordCrash(owner, executor, run, now);
+		recordCrash(owner, executor, run, loss);
 	}
 
 	return candidates.map(({task}) => task);
@@ -133,14 +147,18 @@
 	executor: Executor,
 	lostRuns: readonly Run[],
 	now: number,
-): readonly EndedJob[] =>
-	recordLoss(owner, executor, lostRuns, now).flatMap((task) =>
-		giveUpIfAtFault(owner, task, now),
-	);
+): readonly EndedJob[] => {
+	const tasks = recordLoss(owner, executor, lostRuns, {now});
+	return [
+		...confirmLoss(owner, executor.id, now),
+		...tasks.flatMap((task) => giveUpIfAtFault(owner, task, now)),
+	];
+};
 
 /**
  * Records the loss of an executor that may only be disconnected. No job fails
- * by that; the crashes are withdrawn if the executor answers again.
+ * by that; the crashes count once the executor is known to be lost, and are
+ * withdrawn if it answers again.
  */
 export const recordPossibleLoss = (
 	owner: Owner,
@@ -148,8 +166,13 @@
 	lostRuns: readonly Run[],
 	now: number,
 ): void => {
-	recordLoss(owner, executor, lostRuns, now);
-	executor.possiblyCrashedBy = [...executor.possiblyCrashedBy, ...lostRuns];
+	const {id, incarnation, listed} = executor;
+	const possiblyOn = {
+		executorId: id,
+		startedAtEpochMs: incarnation?.startedAtEpochMs ?? listed.startedAtEpochMs,
+	};
+	const tasks = recordLoss(owner, executor, lostRuns, {now, possiblyOn});
+	addPossibleLoss(owner, possiblyOn, tasks);
 };
 
 /**
@@ -163,3 +186,14 @@
 		}
 	}
 };
+
+/**
+ * Tracks the suspects of a job whose progress was stored by another owner, and
+ * the executors that may have crashed under them.
+ */
+export const trackSuspectsOfJob = (owner: Owner, job: Job): void => {
+	for (const task of listTasks(job)) {
+		trackSuspect(owner, task);
+		inheritPossibleLosses(owner, task);
+	}
+};
--- a/packages/core/src/scheduler/polls/crash-evidence.ts
+++ b/packages/core/src/scheduler/polls/crash-evidence.ts
@@ -82,22 +82,40 @@
 			);
 };
 
+/** Whether a crash may still turn out not to be one. */
+const isOpenCrash = ({awaitsAnswer, possiblyOn}: Crash): boolean =>
+	awaitsAnswer === true || possiblyOn !== undefined;
+
+const listCertainCrashes = ({crashes}: Task): readonly Crash[] =>
+	crashes.filter((each) => !isOpenCrash(each));
+
 const getWeight = (crashes: readonly Crash[]): number =>
-	crashes
-		.filter(({awaitsAnswer}) => !awaitsAnswer)
-		.reduce((sum, {isDoubtful}) => sum + (isDoubtful ? doubtfulWeight : 1), 0);
+	crashes.reduce(
+		(sum, {isDoubtful}) => sum + (isDoubtful ? doubtfulWeight : 1),
+		0,
+	);
 
-/** Weight of the crashes in isolation. */
-export const getIsolatedWeight = ({crashes}: Task): number =>
-	getWeight(crashes.filter(({wasIsolated}) => wasIsolated));
+/** Weight of the certain crashes in isolation. */
+export const getIsolatedWeight = (task: Task): number =>
+	getWeight(listCertainCrashes(task).filter(({wasIsolated}) => wasIsolated));
 
 /** A long-running task is restarted however it ends, so it is never given up. */
-export const isAtFault = (task: Task): boolean =>
-	!task.step.spec.isLongRunning &&
-	(task.crashes.filter(({awaitsAnswer}) => !awaitsAnswer).length >=
-		maxCrashesInAll ||
-		getWeight(task.crashes) >= maxCrashes ||
-		getIsolatedWeight(task) >= maxIsolatedCrashes);
+export const isAtFault = (task: Task): boolean => {
+	const certain = listCertainCrashes(task);
+	return (
+		!task.step.spec.isLongRunning &&
+		(certain.length >= maxCrashesInAll ||
+			getWeight(certain) >= maxCrashes ||
+			getIsolatedWeight(task) >= maxIsolatedCrashes)
+	);
+};
+
+/**
+ * Whether a suspect may start. After as many crashes as give a task up it waits
+ * until it is known which of them were none.
+ */
+export const mayRestart = (task: Task): boolean =>
+	task.step.spec.isLongRunning || task.crashes.length < maxCrashesInAll;
 
 /** Lists when executors were lost recently for no start. */
 export const listRecentLosses = (
--- a/packages/core/src/scheduler/polls/crash-suspects.ts
+++ b/packages/core/src/scheduler/polls/crash-suspects.ts
@@ -4,13 +4,7 @@
  */
 import {endJob, type EndedJob} from '../state/job-ends.js';
 import type {Owner} from '../state/owner-state.js';
-import {
-	listCoscheduledTasks,
-	listTasks,
-	type Job,
-	type Run,
-	type Task,
-} from '../state/task.js';
+import {listCoscheduledTasks, type Run, type Task} from '../state/task.js';
 import {
 	getIsolatedWeight,
 	getProbationMs,
@@ -85,13 +79,6 @@
 	}
 };
 
-/** Tracks the suspects of a job whose progress was stored by another owner. */
-export const trackSuspectsOfJob = (owner: Owner, job: Job): void => {
-	for (const task of listTasks(job)) {
-		trackSuspect(owner, task);
-	}
-};
-
 const compareSuspects = (one: Task, two: Task): number => {
 	const first = one.step.occurrence.job.accepted;
 	const second = two.step.occurrence.job.accepted;
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -35,7 +35,7 @@
 import {clearIfProbationIsOver} from './crash-suspects.js';
 import {resetIncarnation} from './executor-restart.js';
 import {listRunsLostByRestart, listVanishedRuns} from './missing-runs.js';
-import {withdrawCrashes} from './open-crashes.js';
+import {settlePossibleLoss} from './open-crashes.js';
 import {
 	maxEndsPerPoll,
 	type ExecutorPoll,
@@ -333,7 +333,14 @@
 			...resetIncarnation(owner, executor, {...poll, lostRuns}),
 		);
 	} else {
-		withdrawCrashes(owner, executor);
+		changes.jobEnds.push(
+			...settlePossibleLoss(
+				owner,
+				executor.id,
+				poll.startedAtEpochMs,
+				poll.receivedAt,
+			),
+		);
 	}
 
 	const {clockMs} = poll;
--- a/packages/core/src/scheduler/polls/executor-restart.ts
+++ b/packages/core/src/scheduler/polls/executor-restart.ts
@@ -38,7 +38,6 @@
 	executor.acknowledgedUpto = 0;
 	executor.consecutiveFailures = 0;
 	executor.quarantinedUntil = 0;
-	executor.possiblyCrashedBy = [];
 	// A former owner may start tasks here, since no fencing token is known: a
 	// stored roster shows that this owner still holds the service.
 	executor.isRostered = false;
--- a/packages/core/src/scheduler/polls/open-crashes.ts
+++ b/packages/core/src/scheduler/polls/open-crashes.ts
@@ -1,12 +1,18 @@
 /** Crashes that are not certain yet: what follows withdraws or confirms them. */
-import type {Executor} from '../state/executor.js';
+import {isSameIncarnation} from '../state/incarnation.js';
 import type {EndedJob} from '../state/job-ends.js';
-import type {Owner} from '../state/owner-state.js';
-import {listCoscheduledTasks, type Run} from '../state/task.js';
+import type {Owner, PossibleLoss} from '../state/owner-state.js';
+import {
+	listCoscheduledTasks,
+	type Crash,
+	type PossiblyLost,
+	type Run,
+	type Task,
+} from '../state/task.js';
 import {isCrashSuspect} from './crash-evidence.js';
 import {endSuspicion, giveUpIfAtFault} from './crash-suspects.js';
 
-const withdrawCrash = (owner: Owner, {task, number}: Run): void => {
+const withdrawCrash = (owner: Owner, task: Task, number: number): void => {
 	for (const each of listCoscheduledTasks(task)) {
 		each.crashes = each.crashes.filter(({run}) => run !== number);
 	}
@@ -43,7 +49,7 @@
 	}
 
 	if (isTurnedAway) {
-		withdrawCrash(owner, run);
+		withdrawCrash(owner, task, number);
 		return {isWithdrawn: true, jobEnds: []};
 	}
 
@@ -56,11 +62,96 @@
 	return {isWithdrawn: false, jobEnds: giveUpIfAtFault(owner, task, now)};
 };
 
+const isPossiblyOn = (
+	{possiblyOn}: Crash,
+	{executorId, startedAtEpochMs}: PossiblyLost,
+): boolean =>
+	possiblyOn?.executorId === executorId &&
+	possiblyOn.startedAtEpochMs === startedAtEpochMs;
+
+/** Adds tasks to those that have crashed an executor if it does not live. */
+export const addPossibleLoss = (
+	owner: Owner,
+	lost: PossiblyLost,
+	tasks: readonly Task[],
+): void => {
+	const known = owner.possibleLosses.get(lost.executorId)?.tasks ?? [];
+	owner.possibleLosses.set(lost.executorId, {
+		lost,
+		tasks: [...known, ...tasks],
+	});
+};
+
 /** Withdraws the crashes of an executor that lives. */
-export const withdrawCrashes = (owner: Owner, executor: Executor): void => {
-	for (const run of executor.possiblyCrashedBy) {
-		withdrawCrash(owner, run);
+const withdrawCrashes = (owner: Owner, {lost, tasks}: PossibleLoss): void => {
+	for (const task of tasks) {
+		for (const crash of task.crashes) {
+			if (isPossiblyOn(crash, lost)) {
+				withdrawCrash(owner, task, crash.run);
+			}
+		}
+	}
+};
+
+const confirmCrashes = (owner: Owner, {lost, tasks}: PossibleLoss): void => {
+	for (const task of tasks.flatMap((each) => listCoscheduledTasks(each))) {
+		task.crashes = task.crashes.map((crash) =>
+			isPossiblyOn(crash, lost) ? {...crash, possiblyOn: undefined} : crash,
+		);
+		owner.dirtyJobs.add(task.step.occurrence.job);
+	}
+};
+
+/**
+ * Counts the crashes of an executor that is lost. Returns the jobs that fail
+ * thereby; a task that runs again is left to the end of that run.
+ */
+export const confirmLoss = (
+	owner: Owner,
+	executorId: string,
+	now: number,
+): readonly EndedJob[] => {
+	const loss = owner.possibleLosses.get(executorId);
+	if (!loss) {
+		return [];
+	}
+
+	owner.possibleLosses.delete(executorId);
+	confirmCrashes(owner, loss);
+	return loss.tasks
+		.filter(({runs}) => runs.length === 0)
+		.flatMap((task) => giveUpIfAtFault(owner, task, now));
+};
+
+/**
+ * Settles the crashes of an executor that answers: they were none if it is the
+ * incarnation that did not answer. Returns the jobs that fail otherwise.
+ */
+export const settlePossibleLoss = (
+	owner: Owner,
+	executorId: string,
+	startedAtEpochMs: number | undefined,
+	now: number,
+): readonly EndedJob[] => {
+	const loss = owner.possibleLosses.get(executorId);
+	if (!loss) {
+		return [];
+	}
+
+	if (!isSameIncarnation(loss.lost.startedAtEpochMs, startedAtEpochMs)) {
+		return confirmLoss(owner, executorId, now);
 	}
 
-	executor.possiblyCrashedBy = [];
+	owner.possibleLosses.delete(executorId);
+	withdrawCrashes(owner, loss);
+	return [];
+};
+
+/** Takes over the crashes of a task that were open under an earlier owner. */
+export const inheritPossibleLosses = (owner: Owner, task: Task): void => {
+	for (const {possiblyOn} of task.crashes) {
+		if (possiblyOn) {
+			addPossibleLoss(owner, possiblyOn, [task]);
+		}
+	}
 };
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -82,8 +82,6 @@
 	reservedUntil: number | undefined;
 	consecutiveFailures: number;
 	quarantinedUntil: number;
-	/** Runs lost while it was unresponsive; see crash-attribution.ts. */
-	possiblyCrashedBy: readonly Run[];
 	/** How fast its runs make progress. */
 	readonly speed: ExecutorSpeed;
 };
@@ -117,7 +115,6 @@
 	reservedUntil: undefined,
 	consecutiveFailures: 0,
 	quarantinedUntil: 0,
-	possiblyCrashedBy: [],
 	speed: createExecutorSpeed(),
 });
 
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -7,7 +7,7 @@
 import type {RoomShares} from '../team-shares/room-shares.js';
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
-import type {Job, Task} from './task.js';
+import type {Job, PossiblyLost, Task} from './task.js';
 
 /** Placement advice received for one step. */
 export type StepAdvice = {
@@ -29,6 +29,12 @@
 	readonly at: number;
 };
 
+/** Loss of an executor that is not certain. */
+export type PossibleLoss = {
+	readonly lost: PossiblyLost;
+	readonly tasks: readonly Task[];
+};
+
 /** State of one ownership, from the takeover to the loss of the service. */
 export type Owner = {
 	readonly cfg: SchedulerConfig;
@@ -56,6 +62,11 @@
 	readonly dirtyJobs: Set<Job>;
 	/** Tasks that may have crashed their executors and start in isolation. */
 	readonly crashSuspects: Set<Task>;
+	/**
+	 * Executors whose leases have expired and that may live, by id, with the
+	 * tasks that have crashed them if they do not; see open-crashes.ts.
+	 */
+	readonly possibleLosses: Map<string, PossibleLoss>;
 	/** When executors were lost on which nothing had started recently. */
 	unexplainedLosses: readonly number[];
 	/** Whether the stored roster is out of date. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -5,6 +5,7 @@
  */
 import {noArrivals, recordArrival} from '../load/arrivals.js';
 import {attributeLoss, recordPossibleLoss} from '../polls/crash-attribution.js';
+import {confirmLoss} from '../polls/open-crashes.js';
 import {initialStartWindow} from '../plan/start-window.js';
 import {createRunTimes} from '../run-times/model.js';
 import {getTotalWork} from '../run-times/work.js';
@@ -50,6 +51,7 @@
 	unresolvedExecutors: new Map(),
 	dirtyJobs: new Set(),
 	crashSuspects: new Set(),
+	possibleLosses: new Map(),
 	unexplainedLosses: [],
 	isRosterDirty: false,
 	flushNumber: 1,
@@ -313,6 +315,12 @@
 	}
 };
 
+/** Confirms the losses of executors that are unlisted and unused by now. */
+const confirmAbsent = (owner: Owner, now: number): readonly EndedJob[] =>
+	[...owner.possibleLosses.keys()]
+		.filter((id) => !owner.executors.has(id))
+		.flatMap((id) => confirmLoss(owner, id, now));
+
 /**
  * Removes the runs of unresponsive executors whose leases have expired, and
  * executors that are unlisted and unused.
@@ -343,7 +351,10 @@
 
 	return {
 		runs: lost.flatMap(({runs}) => runs),
-		jobEnds: lost.flatMap(({jobEnds}) => jobEnds),
+		jobEnds: [
+			...lost.flatMap(({jobEnds}) => jobEnds),
+			...confirmAbsent(owner, now),
+		],
 	};
 };
 
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -53,6 +53,13 @@
 	mayStopUntil: number | undefined;
 };
 
+/** An incarnation of an executor that does not answer and may live. */
+export type PossiblyLost = {
+	readonly executorId: string;
+	/** Absent if the platform does not report it. */
+	readonly startedAtEpochMs?: number | undefined;
+};
+
 /** The loss of an executor under a run; see crash-attribution.ts. */
 export type Crash = {
 	/** Number of the run. */
@@ -64,6 +71,8 @@
 	readonly isDoubtful?: boolean | undefined;
 	/** The start has no answer yet, and may have been turned away. */
 	readonly awaitsAnswer?: boolean | undefined;
+	/** The executor may live; absent once it is known to be lost. */
+	readonly possiblyOn?: PossiblyLost | undefined;
 };
 
 /** One task of one occurrence. */
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -196,6 +196,12 @@
 	survivedMs: z.number(),
 	wasIsolated: z.boolean(),
 	isDoubtful: z.boolean().optional(),
+	possiblyOn: z
+		.object({
+			executorId: z.string(),
+			startedAtEpochMs: z.number().optional(),
+		})
+		.optional(),
 });
 
 export const progressSchema: z.ZodType<scheduler.JobProgress> = z.object({
