Give a task up only if chance does not explain its crashes

Cause: fixed weights against fixed limits. Losses counted as frequent only by those executors on which nothing had started recently, over all executors; when losses are most frequent nearly each executor has an unanswered start or a suspect, so none was counted.

Each crash now has the probability that its executor was lost by chance, from the time in which the loss came and the rate of losses among executors without a recent start, with the rate of all losses where these are too few to tell. A task is given up if the product is at most 0.001, or after five crashes, as many as the platform allows. docs/design/blame.md has the reasoning.

--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -12,9 +12,9 @@
  * A start that was barred is not the cause. Leases that expire on an executor
  * that the registry still lists show no crash for certain; see open-crashes.ts.
  *
- * Executors are lost without a cause in what they run, too. While that is
- * frequent, the loss after a start without an answer weighs half, since nothing
- * shows that the task ran; see docs/design/blame.md.
+ * Executors are lost without a cause in what they run, too. Each crash has the
+ * probability that its executor was lost by chance, and a task is given up once
+ * chance is unlikely to explain all of them; see docs/design/blame.md.
  *
  * A crash that comes later after the start is weaker evidence, as executors are
  * lost for other reasons too, and makes a suspect only if it is repeated.
@@ -22,6 +22,7 @@
 import type {Executor} from '../state/executor.js';
 import type {EndedJob} from '../state/job-ends.js';
 import type {Owner} from '../state/owner-state.js';
+import {getMaxLeaseDurationMs} from '../state/suspected-executors.js';
 import {
 	listCoscheduledTasks,
 	listTasks,
@@ -32,7 +33,8 @@
 	type Task,
 } from '../state/task.js';
 import {
-	areLossesFrequent,
+	estimateLossChance,
+	estimateLossRate,
 	getSurvivedMs,
 	isRecent,
 	listRecentLosses,
@@ -49,23 +51,26 @@
 const maxCrashDelayMs = 5000;
 
 /**
- * Remembers the loss of an executor on which nothing had started recently. One
- * that is evacuated is lost as planned, and one whose leases had expired was
- * lost before.
+ * Remembers the loss of an executor, and whether something had started there
+ * recently. One that is evacuated is lost as planned, and one whose leases had
+ * expired was lost before.
  */
-const recordUnexplainedLoss = (
+const rememberLoss = (
 	owner: Owner,
 	executor: Executor,
 	lostRuns: readonly Run[],
 	now: number,
 ): void => {
-	const isExplained = lostRuns.some(
-		(run) => run.isIsolated || isRecent(executor, run),
-	);
 	const isExpected = executor.evacuation !== undefined;
 	const isKnown = owner.possibleLosses.has(executor.id);
-	if (!isExplained && !isExpected && !isKnown) {
-		owner.unexplainedLosses = [...listRecentLosses(owner, now), now];
+	if (!isExpected && !isKnown) {
+		const isExplained = lostRuns.some(
+			(run) => run.isIsolated || isRecent(executor, run),
+		);
+		owner.recentLosses = [
+			...listRecentLosses(owner, now),
+			{at: now, isExplained},
+		];
 	}
 };
 
@@ -82,34 +87,22 @@
 const isBarred = ({state, confirmedAt}: Run): boolean =>
 	state === 'barring' && confirmedAt !== undefined;
 
+/** When a loss is known, and how certain it is. */
 type Loss = {
 	readonly now: number;
 	/** Present if the executor may live. */
 	readonly possiblyOn?: PossiblyLost;
+	/** By when the loss is known; absent if it is now. */
+	readonly until?: number | undefined;
 };
 
-const recordCrash = (
-	owner: Owner,
-	executor: Executor,
-	run: Run,
-	{now, possiblyOn}: Loss,
-): void => {
-	const {task, number, isIsolated} = run;
-	const survivedMs = getSurvivedMs(executor, run);
-	const isKnown = task.crashes.some((each) => each.run === number);
-	if (!isKnown && !isBarred(run) && survivedMs < maxCrashDelayMs) {
-		const wasAnswered = run.confirmedAt !== undefined;
-		const isDoubtful = !wasAnswered && areLossesFrequent(owner, now);
-		addCrash(owner, task, {
-			run: number,
-			survivedMs,
-			wasIsolated: isIsolated,
-			...(isDoubtful ? {isDoubtful} : {}),
-			...(run.state === 'asked' ? {awaitsAnswer: true} : {}),
-			...(possiblyOn ? {possiblyOn} : {}),
-		});
-	}
-};
+/** Whether a run may have crashed its executor. */
+const isCandidate = (executor: Executor, run: Run): boolean =>
+	!isBarred(run) && getSurvivedMs(executor, run) < maxCrashDelayMs;
+
+const areOneTask = ([first, ...others]: readonly Run[]): boolean =>
+	first !== undefined &&
+	others.every(({task}) => listCoscheduledTasks(first.task).includes(task));
 
 /**
  * Records the loss of an executor against those of the lost runs that may have
@@ -119,20 +112,37 @@
 	owner: Owner,
 	executor: Executor,
 	lostRuns: readonly Run[],
-	loss: Loss,
+	{now, possiblyOn, until = now}: Loss,
 ): readonly Task[] => {
 	if (executor.listed.isDraining) {
 		return [];
 	}
 
-	recordUnexplainedLoss(owner, executor, lostRuns, loss.now);
+	const lossRate = estimateLossRate(owner, now);
+	rememberLoss(owner, executor, lostRuns, now);
 	const runs = lostRuns.filter(
 		({task}) => !task.isDone && !task.step.occurrence.job.end,
 	);
 	const isolated = runs.filter(({isIsolated}) => isIsolated);
-	const candidates = isolated.length > 0 ? isolated : runs;
+	const candidates = (isolated.length > 0 ? isolated : runs).filter((run) =>
+		isCandidate(executor, run),
+	);
+	// Any of several may be the cause, so the loss says little of each.
+	const isOneTask = areOneTask(candidates);
 	for (const run of candidates) {
-		recordCrash(owner, executor, run, loss);
+		const {task, number, isIsolated} = run;
+		if (!task.crashes.some((each) => each.run === number)) {
+			addCrash(owner, task, {
+				run: number,
+				survivedMs: getSurvivedMs(executor, run),
+				wasIsolated: isIsolated,
+				chance: isOneTask
+					? estimateLossChance(executor, run, {lossRate, until})
+					: 1,
+				...(run.state === 'asked' ? {awaitsAnswer: true} : {}),
+				...(possiblyOn ? {possiblyOn} : {}),
+			});
+		}
 	}
 
 	return candidates.map(({task}) => task);
@@ -157,21 +167,25 @@
 
 /**
  * Records the loss of an executor that may only be disconnected. No job fails
- * by that; the crashes count once the executor is known to be lost, and are
- * withdrawn if it answers again.
+ * by that; the crashes count once the executor is known to be lost, by `until`,
+ * and are withdrawn if it answers again.
  */
 export const recordPossibleLoss = (
 	owner: Owner,
 	executor: Executor,
 	lostRuns: readonly Run[],
-	now: number,
+	{now, until}: Pick<Loss, 'now' | 'until'>,
 ): void => {
 	const {id, incarnation, listed} = executor;
 	const possiblyOn = {
 		executorId: id,
 		startedAtEpochMs: incarnation?.startedAtEpochMs ?? listed.startedAtEpochMs,
 	};
-	const tasks = recordLoss(owner, executor, lostRuns, {now, possiblyOn});
+	const tasks = recordLoss(owner, executor, lostRuns, {
+		now,
+		possiblyOn,
+		until,
+	});
 	addPossibleLoss(owner, possiblyOn, tasks);
 };
 
@@ -180,9 +194,11 @@
  * owner, which does not know what runs there.
  */
 export const recordUnresponsive = (owner: Owner, now: number): void => {
+	const until = now + getMaxLeaseDurationMs(owner.cfg);
 	for (const executor of owner.executors.values()) {
 		if (executor.unresponsiveSince !== undefined) {
-			recordPossibleLoss(owner, executor, [...executor.runs.values()], now);
+			const runs = [...executor.runs.values()];
+			recordPossibleLoss(owner, executor, runs, {now, until});
 		}
 	}
 };
--- a/packages/core/src/scheduler/polls/crash-evidence.ts
+++ b/packages/core/src/scheduler/polls/crash-evidence.ts
@@ -1,6 +1,6 @@
 /** What crashes show of a task, and how often executors are lost anyway. */
-import type {Executor} from '../state/executor.js';
-import type {Owner} from '../state/owner-state.js';
+import {hasIsolatedRun, type Executor} from '../state/executor.js';
+import type {ExecutorLoss, Owner} from '../state/owner-state.js';
 import type {Crash, Run, Task} from '../state/task.js';
 
 /** A crash this soon after a start makes the task a suspect, in milliseconds. */
@@ -9,26 +9,32 @@
 /** Crashes without isolation that make a task a suspect if none was prompt. */
 const lateCrashesOfSuspect = 2;
 
-/** Crashes in isolation after which a task is given up. */
-const maxIsolatedCrashes = 2;
+/** Crashes in isolation without which a task is not given up. */
+const minIsolatedCrashes = 2;
 
-/** Crashes of any kind after which a task is given up. */
-const maxCrashes = 4;
+/** Crashes of any kind that stand for those in isolation. */
+const minCrashes = 4;
 
-/** Crashes of any kind and weight after which a task is given up. */
+/** Crashes of any kind after which a task is given up. */
 export const maxCrashesInAll = 5;
 
-/** How long a loss without a start to explain it is remembered, in ms. */
-const lossMemoryMs = 10_000;
+/** Probability of giving a harmless task up by chance that is accepted. */
+const maxChance = 0.001;
 
-/**
- * Share of the executors lost without such a start, within that time, above
- * which a loss says little of a start without an answer.
- */
-const frequentLossShare = 0.1;
+/** Least probability of a loss by chance: not all causes show in a rate. */
+const minLossChance = 0.03;
+
+/** Probability that a start without an answer has reached the executor. */
+const arrivalChance = 0.5;
 
-/** Weight of the crash of such a start, in place of 1. */
-const doubtfulWeight = 0.5;
+/** Probabilities of crashes in rows of the older format. */
+const storedChance = {certain: 0.03, doubtful: 0.18} as const;
+
+/** How long the loss of an executor is remembered, in milliseconds. */
+const lossMemoryMs = 10_000;
+
+/** Weight of the prior in executor-milliseconds, and the losses it assumes. */
+const prior = {exposureMs: 10_000, losses: 0.02} as const;
 
 /** Probation as a multiple of the longest time until a crash. */
 const probationFactor = 2;
@@ -89,24 +95,26 @@
 const listCertainCrashes = ({crashes}: Task): readonly Crash[] =>
 	crashes.filter((each) => !isOpenCrash(each));
 
-const getWeight = (crashes: readonly Crash[]): number =>
-	crashes.reduce(
-		(sum, {isDoubtful}) => sum + (isDoubtful ? doubtfulWeight : 1),
-		0,
-	);
+const getLossChance = ({chance, isDoubtful}: Crash): number =>
+	chance ?? storedChance[isDoubtful ? 'doubtful' : 'certain'];
 
-/** Weight of the certain crashes in isolation. */
-export const getIsolatedWeight = (task: Task): number =>
-	getWeight(listCertainCrashes(task).filter(({wasIsolated}) => wasIsolated));
+/** Probability that all certain crashes of a task are losses by chance. */
+export const getChance = (task: Task): number =>
+	listCertainCrashes(task).reduce(
+		(product, crash) => product * getLossChance(crash),
+		1,
+	);
 
 /** A long-running task is restarted however it ends, so it is never given up. */
 export const isAtFault = (task: Task): boolean => {
 	const certain = listCertainCrashes(task);
+	const isolated = certain.filter(({wasIsolated}) => wasIsolated);
+	const isEvident =
+		(isolated.length >= minIsolatedCrashes || certain.length >= minCrashes) &&
+		getChance(task) <= maxChance;
 	return (
 		!task.step.spec.isLongRunning &&
-		(certain.length >= maxCrashesInAll ||
-			getWeight(certain) >= maxCrashes ||
-			getIsolatedWeight(task) >= maxIsolatedCrashes)
+		(isEvident || certain.length >= maxCrashesInAll)
 	);
 };
 
@@ -117,15 +125,51 @@
 export const mayRestart = (task: Task): boolean =>
 	task.step.spec.isLongRunning || task.crashes.length < maxCrashesInAll;
 
-/** Lists when executors were lost recently for no start. */
+/** Lists the losses that are not too old. */
 export const listRecentLosses = (
-	owner: Owner,
+	{recentLosses}: Owner,
 	now: number,
-): readonly number[] =>
-	owner.unexplainedLosses.filter((lostAt) => lostAt > now - lossMemoryMs);
+): readonly ExecutorLoss[] =>
+	recentLosses.filter(({at}) => at > now - lossMemoryMs);
 
-/** Whether executors of the service are often lost without a cause in a start. */
-export const areLossesFrequent = (owner: Owner, now: number): boolean => {
-	const {length} = listRecentLosses(owner, now);
-	return length > Math.max(1, frequentLossShare * owner.executors.size);
+const getRate = (losses: number, executors: number): number =>
+	losses / (lossMemoryMs * Math.max(1, executors));
+
+/**
+ * Estimates how often an executor is lost by chance, per millisecond, from
+ * those on which nothing had started recently. Others are left out on both
+ * sides, so that tasks which crash executors do not excuse each other. As far
+ * as there are too few to tell, the rate of all losses stands in.
+ */
+export const estimateLossRate = (owner: Owner, now: number): number => {
+	const executors = [...owner.executors.values()];
+	const unaffected = executors.filter(
+		(each) => !hasIsolatedRun(each) && hasNoRecentRun(each),
+	);
+	const losses = listRecentLosses(owner, now);
+	const unexplained = losses.filter(({isExplained}) => !isExplained);
+	const rateOfAll = getRate(prior.losses + losses.length, executors.length);
+	const exposureMs = lossMemoryMs * unaffected.length;
+	return (
+		(unexplained.length + prior.exposureMs * rateOfAll) /
+		(exposureMs + prior.exposureMs)
+	);
+};
+
+/**
+ * Probability that an executor is lost by chance between its last sign of life
+ * before a start and `until`, by which it is known to be lost.
+ */
+export const estimateLossChance = (
+	{clock}: Executor,
+	{askedAt, confirmedAt}: Run,
+	{lossRate, until}: {readonly lossRate: number; readonly until: number},
+): number => {
+	const aliveAt = Math.min(askedAt, clock?.receivedAt ?? askedAt);
+	const chance = 1 - Math.exp(-lossRate * (until - aliveAt));
+	const weighed =
+		confirmedAt === undefined
+			? chance / (arrivalChance + (1 - arrivalChance) * chance)
+			: chance;
+	return Math.max(minLossChance, weighed);
 };
--- a/packages/core/src/scheduler/polls/crash-suspects.ts
+++ b/packages/core/src/scheduler/polls/crash-suspects.ts
@@ -6,7 +6,7 @@
 import type {Owner} from '../state/owner-state.js';
 import {listCoscheduledTasks, type Run, type Task} from '../state/task.js';
 import {
-	getIsolatedWeight,
+	getChance,
 	getProbationMs,
 	getSurvivedMs,
 	isAtFault,
@@ -83,7 +83,7 @@
 	const first = one.step.occurrence.job.accepted;
 	const second = two.step.occurrence.job.accepted;
 	return (
-		getIsolatedWeight(two) - getIsolatedWeight(one) ||
+		getChance(one) - getChance(two) ||
 		Number(two.step.spec.isLongRunning) - Number(one.step.spec.isLongRunning) ||
 		first.acceptedAtEpochMs - second.acceptedAtEpochMs ||
 		one.index - two.index
--- a/packages/core/src/scheduler/polls/turned-away-start.test.ts
+++ b/packages/core/src/scheduler/polls/turned-away-start.test.ts
@@ -99,8 +99,8 @@
 		const {owner, job, run} = createStart();
 		scheduler.markTerminated(owner, run.executorId, 10);
 		const {occurrences} = scheduler.encodeProgress(job);
-		t.same(occurrences[0]?.tasks[run.task.id]?.crashes, [
-			{run: run.number, survivedMs: 0, wasIsolated: false},
-		]);
+		const [crash] = occurrences[0]?.tasks[run.task.id]?.crashes ?? [];
+		t.match(crash, {run: run.number, survivedMs: 0, wasIsolated: false});
+		t.notOk(Object.hasOwn(crash!, 'awaitsAnswer'));
 	},
 );
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -29,6 +29,12 @@
 	readonly at: number;
 };
 
+/** When an executor was lost, and whether a start may have caused it. */
+export type ExecutorLoss = {
+	readonly at: number;
+	readonly isExplained: boolean;
+};
+
 /** Loss of an executor that is not certain. */
 export type PossibleLoss = {
 	readonly lost: PossiblyLost;
@@ -67,8 +73,8 @@
 	 * tasks that have crashed them if they do not; see open-crashes.ts.
 	 */
 	readonly possibleLosses: Map<string, PossibleLoss>;
-	/** When executors were lost on which nothing had started recently. */
-	unexplainedLosses: readonly number[];
+	/** Executors lost recently, but for those that were evacuated. */
+	recentLosses: readonly ExecutorLoss[];
 	/** Whether the stored roster is out of date. */
 	isRosterDirty: boolean;
 	/** Number of the flush that will store the current changes. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -52,7 +52,7 @@
 	dirtyJobs: new Set(),
 	crashSuspects: new Set(),
 	possibleLosses: new Map(),
-	unexplainedLosses: [],
+	recentLosses: [],
 	isRosterDirty: false,
 	flushNumber: 1,
 	advice: new Map(),
@@ -233,7 +233,7 @@
 		return noLostRuns;
 	}
 
-	recordPossibleLoss(owner, executor, [...executor.runs.values()], now);
+	recordPossibleLoss(owner, executor, [...executor.runs.values()], {now});
 	return {runs: loseRuns(owner, executor), jobEnds: []};
 };
 
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -67,7 +67,12 @@
 	/** How long the run had certainly survived, by the executor's clock. */
 	readonly survivedMs: number;
 	readonly wasIsolated: boolean;
-	/** The start had no answer, and executors were often lost for no start. */
+	/**
+	 * Probability that the executor was lost by chance, 0 to 1. Absent in rows
+	 * of the older format.
+	 */
+	readonly chance?: number | undefined;
+	/** Older format: a start without an answer while losses were frequent. */
 	readonly isDoubtful?: boolean | undefined;
 	/** The start has no answer yet, and may have been turned away. */
 	readonly awaitsAnswer?: boolean | undefined;
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -195,6 +195,7 @@
 	run: z.int(),
 	survivedMs: z.number(),
 	wasIsolated: z.boolean(),
+	chance: z.number().min(0).max(1).optional(),
 	isDoubtful: z.boolean().optional(),
 	possiblyOn: z
 		.object({
