Clear a suspect whose executor answers its stop after the probation

Only a poll that lists the run cleared it, and the executor answered no further one.

Any answer of the executor shows that it lives, so the answer to a stop of a confirmed run ends the probation too.

--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -10,6 +10,7 @@
 import type {Owner} from '../state/owner-state.js';
 import {recordStartOutcome} from '../plan/start-window.js';
 import {confirmRun, recordConfirmedStart, type Run} from '../state/task.js';
+import {clearIfProbationIsOver} from './crash-suspects.js';
 
 /** Answer to a start. */
 export type StartAnswer =
@@ -146,6 +147,7 @@
 		.with({kind: 'done'}, ({clockMs}) => {
 			recordClockReading(executor, clockMs, now);
 			run.confirmedAt ??= now;
+			clearIfProbationIsOver(owner, run);
 			return 'look-again';
 		})
 		.with({kind: 'refused'}, {kind: 'no-answer'}, ({kind}) => {
