Count the losses of idle executors in the rate of losses

Cause: the rate saw next to no losses. An idle executor is not polled; its crash shows only as its leaving the registry, and that removed it without counting it. Those that did not answer counted as exposed besides, and made losses seem rarer still.

An idle executor that leaves the registry now counts as lost, unless it was draining, evacuated or promised to be clear for a command, and executors that do not answer count as neither lost nor exposed.

--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -50,10 +50,17 @@
 /** A run that has survived this long is not the cause, in milliseconds. */
 const maxCrashDelayMs = 5000;
 
+/** Whether an executor is to leave, or a command may have ended it. */
+const isLossExpected = ({
+	listed,
+	evacuation,
+	mayBeCommanded,
+}: Executor): boolean =>
+	listed.isDraining || evacuation !== undefined || mayBeCommanded;
+
 /**
  * Remembers the loss of an executor, and whether something had started there
- * recently. One that is evacuated is lost as planned, and one whose leases had
- * expired was lost before.
+ * recently. One whose leases had expired was lost before.
  */
 const rememberLoss = (
 	owner: Owner,
@@ -61,9 +68,10 @@
 	lostRuns: readonly Run[],
 	now: number,
 ): void => {
-	const isExpected = executor.evacuation !== undefined;
-	const isKnown = owner.possibleLosses.has(executor.id);
-	if (!isExpected && !isKnown) {
+	const isKnown =
+		owner.possibleLosses.has(executor.id) ||
+		(executor.wasUnlisted && lostRuns.length === 0);
+	if (!isKnown && !isLossExpected(executor)) {
 		const isExplained = lostRuns.some(
 			(run) => run.isIsolated || isRecent(executor, run),
 		);
@@ -74,6 +82,17 @@
 	}
 };
 
+/** Remembers the loss of an executor that left the registry, if it is idle. */
+export const rememberIdleLoss = (
+	owner: Owner,
+	executor: Executor,
+	now: number,
+): void => {
+	if (executor.runs.size === 0) {
+		rememberLoss(owner, executor, [], now);
+	}
+};
+
 const addCrash = (owner: Owner, task: Task, crash: Crash): void => {
 	for (const each of listCoscheduledTasks(task)) {
 		each.crashes = [...each.crashes, crash].slice(-maxCrashesInAll);
--- a/packages/core/src/scheduler/polls/crash-evidence.ts
+++ b/packages/core/src/scheduler/polls/crash-evidence.ts
@@ -139,10 +139,13 @@
  * Estimates how often an executor is lost by chance, per millisecond, from
  * those on which nothing had started recently. Others are left out on both
  * sides, so that tasks which crash executors do not excuse each other. As far
- * as there are too few to tell, the rate of all losses stands in.
+ * as there are too few to tell, the rate of all losses stands in. Unresponsive
+ * executors may be lost already, and do not count as exposed.
  */
 export const estimateLossRate = (owner: Owner, now: number): number => {
-	const executors = [...owner.executors.values()];
+	const executors = [...owner.executors.values()].filter(
+		({unresponsiveSince}) => unresponsiveSince === undefined,
+	);
 	const unaffected = executors.filter(
 		(each) => !hasIsolatedRun(each) && hasNoRecentRun(each),
 	);
--- a/packages/core/src/scheduler/polls/disproved-crash.test.ts
+++ b/packages/core/src/scheduler/polls/disproved-crash.test.ts
@@ -103,7 +103,7 @@
 			for (const now of [0, 20_000, 40_000]) {
 				const {executorId} = startInVain(owner, now);
 				if (!isListed) {
-					scheduler.recordUnlistedExecutor(owner, executorId);
+					scheduler.recordUnlistedExecutor(owner, executorId, now);
 				}
 
 				expireLeases(owner, now + 10_000);
--- a/packages/core/src/scheduler/polls/duplicate-runs.test.ts
+++ b/packages/core/src/scheduler/polls/duplicate-runs.test.ts
@@ -107,7 +107,7 @@
 	async (t) => {
 		const {owner, run} = createWorld();
 		scheduler.applyStartAnswer(owner, run, {kind: 'started', clockMs: 0}, 0);
-		scheduler.recordUnlistedExecutor(owner, 'x');
+		scheduler.recordUnlistedExecutor(owner, 'x', 0);
 		t.same(planAndStart(owner, 10), []);
 		t.ok(owner.executors.has('x'));
 		t.equal(scheduler.markTerminated(owner, 'x', 15).runs.length, 1);
@@ -207,7 +207,7 @@
 		name: 'the registry no longer lists it, which proves nothing',
 		isInherited: true,
 		resolve(owner) {
-			scheduler.recordUnlistedExecutor(owner, 'old');
+			scheduler.recordUnlistedExecutor(owner, 'old', 0);
 		},
 		starts: 0,
 	},
--- a/packages/core/src/scheduler/polls/possible-loss.test.ts
+++ b/packages/core/src/scheduler/polls/possible-loss.test.ts
@@ -100,7 +100,7 @@
 	{
 		name: 'leaves the registry and does not answer',
 		proceed(owner, id) {
-			scheduler.recordUnlistedExecutor(owner, id);
+			scheduler.recordUnlistedExecutor(owner, id, 12_000);
 			return scheduler.expireLeases(owner, 30_000);
 		},
 		crashes: 3,
--- a/packages/core/src/scheduler/polls/repeated-run-ends.test.ts
+++ b/packages/core/src/scheduler/polls/repeated-run-ends.test.ts
@@ -62,7 +62,7 @@
 		const [run] = listRuns(owner, 'x');
 		const end = {...run!, number: 1, how: 'failed'} as const;
 		pollExecutor(owner, 'x', {at: 10, ends: [end]});
-		scheduler.recordUnlistedExecutor(owner, 'x');
+		scheduler.recordUnlistedExecutor(owner, 'x', 0);
 		scheduler.recordListedExecutor(owner, createListed('x'));
 		pollExecutor(owner, 'x', {at: 20, ends: [end]});
 		flushAll(owner);
@@ -367,7 +367,7 @@
 	{
 		name: 'it is unresponsive and its leases have expired',
 		act(owner) {
-			scheduler.recordUnlistedExecutor(owner, 'x');
+			scheduler.recordUnlistedExecutor(owner, 'x', 0);
 			scheduler.markUnresponsive(owner, 'x', 20);
 			scheduler.expireLeases(owner, afterLeasesMs);
 		},
@@ -392,7 +392,7 @@
 			const [run] = listRuns(owner, 'x');
 			pollExecutor(owner, 'x', {at: 10, ends: [{...run!, number: 1}]});
 			act(owner);
-			scheduler.recordUnlistedExecutor(owner, 'x');
+			scheduler.recordUnlistedExecutor(owner, 'x', 0);
 			t.equal(owner.executors.has('x'), isKept);
 		},
 	);
@@ -405,7 +405,7 @@
 		submit(owner, createAccepted('a'));
 		planAndStart(owner, 0);
 		const [run] = listRuns(owner, 'x');
-		scheduler.recordUnlistedExecutor(owner, 'x');
+		scheduler.recordUnlistedExecutor(owner, 'x', 0);
 		const isKept = (now: number): boolean => {
 			scheduler.expireLeases(owner, now);
 			return owner.executors.has('x');
@@ -430,7 +430,7 @@
 		scheduler.expireLeases(owner, 20);
 		t.ok(owner.executors.has('x'));
 		scheduler.recordListedExecutor(owner, createListed('x'));
-		scheduler.recordUnlistedExecutor(owner, 'x');
+		scheduler.recordUnlistedExecutor(owner, 'x', 0);
 		t.notOk(owner.executors.has('x'));
 	},
 );
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -80,6 +80,8 @@
 	evacuationOrder: RequestOrder | undefined;
 	/** Until then nothing starts there, whoever owns the service. */
 	reservedUntil: number | undefined;
+	/** It was promised to be clear, so a command may have ended it since. */
+	mayBeCommanded: boolean;
 	consecutiveFailures: number;
 	quarantinedUntil: number;
 	/** How fast its runs make progress. */
@@ -113,6 +115,7 @@
 	evacuation: undefined,
 	evacuationOrder: undefined,
 	reservedUntil: undefined,
+	mayBeCommanded: false,
 	consecutiveFailures: 0,
 	quarantinedUntil: 0,
 	speed: createExecutorSpeed(),
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -4,7 +4,11 @@
  * docs/design/platform-programs.md.
  */
 import {noArrivals, recordArrival} from '../load/arrivals.js';
-import {attributeLoss, recordPossibleLoss} from '../polls/crash-attribution.js';
+import {
+	attributeLoss,
+	recordPossibleLoss,
+	rememberIdleLoss,
+} from '../polls/crash-attribution.js';
 import {confirmLoss} from '../polls/open-crashes.js';
 import {initialStartWindow} from '../plan/start-window.js';
 import {createRunTimes} from '../run-times/model.js';
@@ -141,6 +145,7 @@
 ): Executor => ({
 	...createExecutor(listed),
 	reservedUntil: reservations.get(listed.id),
+	mayBeCommanded: reservations.has(listed.id),
 });
 
 /** Whether the listed incarnation has terminated; a later one has not. */
@@ -181,9 +186,14 @@
  * Records that the registry no longer lists an executor. Its runs are assumed
  * to continue until it answers, a new incarnation appears or its leases expire.
  */
-export const recordUnlistedExecutor = (owner: Owner, id: string): void => {
+export const recordUnlistedExecutor = (
+	owner: Owner,
+	id: string,
+	now: number,
+): void => {
 	const executor = owner.executors.get(id);
 	if (executor) {
+		rememberIdleLoss(owner, executor, now);
 		executor.isListed = false;
 		executor.wasUnlisted = true;
 		removeIfUnused(owner, executor);
--- a/packages/core/src/scheduler/state/reservations.test.ts
+++ b/packages/core/src/scheduler/state/reservations.test.ts
@@ -99,7 +99,7 @@
 		prepare(owner) {
 			scheduler.inheritReservation(owner, 'x', 3000, 0);
 			adopt(owner, 'x');
-			scheduler.recordUnlistedExecutor(owner, 'x');
+			scheduler.recordUnlistedExecutor(owner, 'x', 0);
 			adopt(owner, 'x');
 		},
 		reservedAt: 2999,
--- a/packages/core/src/scheduler/state/reservations.ts
+++ b/packages/core/src/scheduler/state/reservations.ts
@@ -20,6 +20,7 @@
 	const executor = owner.executors.get(executorId);
 	if (executor) {
 		executor.reservedUntil = until;
+		executor.mayBeCommanded = true;
 	}
 };
 
@@ -66,6 +67,7 @@
 	const executor = owner.executors.get(executorId);
 	if (executor) {
 		executor.reservedUntil = undefined;
+		executor.mayBeCommanded = false;
 	}
 };
 
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -374,7 +374,7 @@
 		for (const {id, isListed} of owner.executors.values()) {
 			if (isListed && !ids.has(id)) {
 				logger.info('executor no longer listed', {executor: id, isWhole});
-				scheduler.recordUnlistedExecutor(owner, id);
+				scheduler.recordUnlistedExecutor(owner, id, clock.now());
 			}
 		}
 
