Let the list, a majority or a sponsor renew a confirmation that expired

Callers of the daemon that serves upstreams got 503 from every entry until the table service was back, if all entries stood still for one isolation time during an outage of it: a busy host, a suspended process, garbage collection.

Within forgetAfterMs - listLagMs - 2 * stallMarginMs of its last confirmation nobody can have removed the entry, so the list and a majority renew it if their answer is in by then. spec/forget.pml has the time of the work on the executor and the delay of a peer's claim now, holds with this renewal, and breaks without the bound or if the claims are left out of it. A sponsor renews at any time: spec/sponsor.pml never had a bound there, the code did.

--- a/packages/bench/src/benches/ownership/entry.ts
+++ b/packages/bench/src/benches/ownership/entry.ts
@@ -186,11 +186,12 @@
 
 	if (row.version !== state.rowVersion) {
 		state.rowVersion = row.version;
-		confirm(state, 'table', askedAt);
+		confirm(simulation, state, 'table', askedAt);
 	}
 };
 
 const confirm = (
+	{clock}: Simulation,
 	state: EntryState,
 	source: membershipStatus.ConfirmationSource,
 	askedAt: number,
@@ -198,7 +199,7 @@
 	state.standing = core.membershipStatus.confirmMembership(
 		state.standing,
 		source,
-		askedAt,
+		{askedAt, answeredAt: clock.now()},
 		settings,
 	);
 };
@@ -217,7 +218,7 @@
 	);
 	if (reply.ok && reply.value) {
 		state.rowVersion = reply.value.version;
-		confirm(state, 'table', askedAt);
+		confirm(simulation, state, 'table', askedAt);
 	} else {
 		await readBack(simulation, state, askedAt);
 	}
@@ -318,7 +319,7 @@
 		if (isConnected(simulation, host)) {
 			host.lastHeardAt = askedAt;
 			if (isListed(simulation, host)) {
-				confirm(state, 'list', askedAt);
+				confirm(simulation, state, 'list', askedAt);
 			}
 		}
 	});
--- a/packages/core/src/membership/membership-status.ts
+++ b/packages/core/src/membership/membership-status.ts
@@ -91,30 +91,51 @@
 		settings.longestRequestMs;
 
 /**
- * Sources that can confirm an entry whose confirmation expired. The entry may
- * have been removed meanwhile, which the other sources do not show.
+ * Time after the last confirmation within which no other entry can have removed
+ * this one. A peer's claim not to have heard it may be delayed by a pause of the
+ * peer before it is written, and then counts for the stall margin
+ * (spec/forget.pml, `RENEW`).
  */
-const sourcesAfterExpiry: ReadonlySet<ConfirmationSource> = new Set([
+export const getRenewableMs = ({
+	forgetAfterMs,
+	listLagMs,
+	stallMarginMs,
+}: MembershipSettings): number => forgetAfterMs - listLagMs - 2 * stallMarginMs;
+
+/**
+ * Sources that confirm an entry however long ago its confirmation expired. The
+ * others do not show that the entry was removed meanwhile.
+ */
+const lastingSources: ReadonlySet<ConfirmationSource> = new Set([
 	'table',
+	'sponsor',
 	'snapshot',
 ]);
 
-/**
- * Applies a confirmation.
- * @param askedAt - When the request was sent, less the age that the other side
- * reported for its own confirmation; never when the response arrived.
- */
+/** Times of a confirmation, in milliseconds. */
+export type ConfirmationTimes = {
+	/**
+	 * When the request was sent, less the age that the other side reported for
+	 * its own confirmation.
+	 */
+	readonly askedAt: number;
+	readonly answeredAt: number;
+};
+
+/** Applies a confirmation, which counts from its request. */
 export const confirmMembership = (
 	status: MembershipStatus,
 	source: ConfirmationSource,
-	askedAt: number,
-	{isolationMs}: MembershipSettings,
+	{askedAt, answeredAt}: ConfirmationTimes,
+	settings: MembershipSettings,
 ): MembershipStatus => {
 	const {mode, confirmedAt} = status;
-	const hasExpired = askedAt - confirmedAt >= isolationMs;
+	const isRenewable =
+		askedAt - confirmedAt < settings.isolationMs ||
+		answeredAt - confirmedAt < getRenewableMs(settings);
 	const counts =
 		sourcesByMode[mode].includes(source) &&
-		(!hasExpired || sourcesAfterExpiry.has(source));
+		(isRenewable || lastingSources.has(source));
 	return counts && askedAt > confirmedAt
 		? {mode, confirmedAt: askedAt}
 		: status;
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -27,6 +27,7 @@
 	membershipDefaults,
 	type ConfirmationSource,
 	type EntryMode,
+	type MembershipStatus,
 } from './membership-status.js';
 
 const createAck = (change: Partial<Acknowledgement> = {}): Acknowledgement => ({
@@ -183,26 +184,37 @@
 	tap.t.test(`${mode} entry, confirmed by ${source}`, async (t) => {
 		const {isolationMs} = membershipDefaults;
 		const initial = changeMode(mode, 0);
-		const status = confirmMembership(initial, source, 5000, membershipDefaults);
+		const confirm = (
+			status: MembershipStatus,
+			askedAt: number,
+			answeredAt = askedAt,
+		) =>
+			confirmMembership(
+				status,
+				source,
+				{askedAt, answeredAt},
+				membershipDefaults,
+			);
+		const status = confirm(initial, 5000);
 		const at = isolationMs + 1000;
 		t.equal(mayRoute(status, membershipDefaults, at), isConfirmed);
 		t.equal(
 			mayControl(status, membershipDefaults, at),
 			isConfirmed && mode === 'registered',
 		);
+		t.equal(confirm(status, 1000), status);
+		// Nobody can have removed the entry within 18 s of its confirmation.
+		t.equal(confirm(initial, 10_000, 17_999) !== initial, isConfirmed);
 		t.equal(
-			confirmMembership(status, source, 1000, membershipDefaults),
-			status,
-		);
-		const afterExpiry = confirmMembership(
-			initial,
-			source,
-			10_000,
-			membershipDefaults,
+			confirm(initial, 10_000, 18_000) !== initial,
+			isConfirmed && !['list', 'majority'].includes(source),
 		);
 		t.equal(
-			afterExpiry !== initial,
-			isConfirmed && ['table', 'snapshot'].includes(source),
+			confirm(changeMode(mode, Number.NEGATIVE_INFINITY), 10_000).confirmedAt,
+			isConfirmed && !['list', 'majority'].includes(source)
+				? 10_000
+				: Number.NEGATIVE_INFINITY,
+			'an entry that was removed',
 		);
 	});
 }
--- a/packages/daemon/src/membership/register.ts
+++ b/packages/daemon/src/membership/register.ts
@@ -20,7 +20,7 @@
 	state.status = core.membershipStatus.confirmMembership(
 		state.status,
 		source,
-		askedAt,
+		{askedAt, answeredAt: deps.now()},
 		deps.settings,
 	);
 };
--- a/spec/forget.pml
+++ b/spec/forget.pml
@@ -4,17 +4,21 @@
  * from the store, dropped from the list, and paused; others may remove its row
  * when all three signs of life (heartbeat row, list, a majority of the
  * entries that E counts by) have been missing for FORGET ticks. E stops by itself
- * when nothing has confirmed it for ISOLATION ticks.
+ * when nothing has confirmed it for ISOLATION ticks. For RENEW ticks after its
+ * last confirmation nobody can have removed it yet, so that after a pause of
+ * all entries the list or a majority may confirm it again.
  *
  * Time is a count of ticks that all processes share; only elapsed time is
  * compared. Messages and replies may be lost. STALL bounds the ticks between
- * E's last check and its bytes on the wire: an assumption, not a guard, whose
- * removal (assume_stall) shows what it carries. Silence of the store or of a
+ * E's last check and its bytes on the wire, and LONGEST those until the end of
+ * the work on the executor: assumptions, not guards, whose removal
+ * (assume_stall) shows what they carry. Silence of the store or of a
  * peer towards E is a message that is lost.
  *
  * property forgotten_is_silent: Each instance belongs to exactly one pool at any moment (no move commits while an entry that it did not wait for still sends).
  *
- * config two-peers: -DISOLATION=2 -DLAG=1 -DSTALL=1
+ * config two-peers: -DISOLATION=2 -DLAG=1 -DSTALL=1 -DLONGEST=0
+ * config long-request: -DISOLATION=2 -DLAG=1 -DSTALL=1 -DLONGEST=1
  *
  * mutation assume_stall (two-peers) breaks forgotten_is_silent: E is paused for longer between its check and the send
  * mutation isolation (two-peers) breaks forgotten_is_silent: E does not stop by itself
@@ -24,7 +28,8 @@
  * mutation majority_silent (two-peers) breaks forgotten_is_silent: heartbeat row and list are enough
  * mutation row_version (two-peers) breaks forgotten_is_silent: the removal is not conditional on the row version that was judged
  * mutation asked_at (two-peers) breaks forgotten_is_silent: a confirmation counts from its answer, not from its question
- * mutation lapse_final (two-peers) breaks forgotten_is_silent: after a lapse the list or a majority confirms again
+ * mutation lapse_final (long-request) breaks forgotten_is_silent: after a lapse the list or a majority confirms again, however late
+ * mutation renew_before_claims (long-request) breaks forgotten_is_silent: the time for which a claim is fresh is not subtracted from RENEW
  * mutation read_back (two-peers) breaks forgotten_is_silent: after a heartbeat without reply any row of E that is read, perhaps an old one, confirms E from now on
  * mutation same_quorum (two-peers) breaks forgotten_is_silent: E counts its majority in the set it knows, the others in the newest set
  * mutation quorum_in_doubt (two-peers) breaks forgotten_is_silent: after a heartbeat without reply E counts by the old set only
@@ -32,12 +37,22 @@
 /* Twice ISOLATION: a question that was asked just before E lapses may be
  * answered by a peer just after it has claimed not to have heard E. */
 #ifdef MUTATE_forget_after
-#define FORGET (ISOLATION + LAG + STALL)
+#define FORGET (ISOLATION + LAG + STALL + LONGEST)
 #else
-#define FORGET (2 * ISOLATION + LAG + STALL)
+#define FORGET (2 * ISOLATION + LAG + STALL + LONGEST)
+#endif
+/* The list may show E for LAG ticks after it was dropped, and a claim that a
+ * peer has made before it hears E again counts for CLAIM ticks: it may be
+ * delayed on its way into the peer's row, and is fresh there for STALL + 1. */
+#define CLAIM (2 * STALL + 1)
+#ifdef MUTATE_renew_before_claims
+#define RENEW (FORGET - LAG)
+#else
+#define RENEW (FORGET - LAG - CLAIM)
 #endif
 #define MAX_ASK 2                     /* a call ends within so many ticks */
-#define OLDEST (ISOLATION + MAX_ASK)  /* ages are not counted further */
+/* Ages are not counted further. */
+#define OLDEST (RENEW > ISOLATION + MAX_ASK -> RENEW : ISOLATION + MAX_ASK)
 
 /* Peer 0 is there from the start; peer 1 joins later and stands for three
  * new entries that act as one, such as those put in place of a lost zone. */
@@ -69,7 +84,7 @@
 byte lostAge = OLDEST;    /* of a heartbeat that committed without reply */
 
 /* E's request between the check and the wire. */
-bool checked;
+bool checked;             /* until the work has ended */
 byte stallAge;
 
 #define GROWN(age, most) (age < most -> age + 1 : age)
@@ -78,7 +93,7 @@
 	do
 	:: d_step {
 #ifndef MUTATE_assume_stall
-		(!checked || stallAge < STALL) &&
+		(!checked || stallAge < STALL + LONGEST) &&
 #endif
 		(!asking || askAge < MAX_ASK) ->
 		confirmedAge = GROWN(confirmedAge, OLDEST);
@@ -90,7 +105,7 @@
 		claimLeft[0] = (claimLeft[0] > 0 -> claimLeft[0] - 1 : 0);
 		claimLeft[1] = (claimLeft[1] > 0 -> claimLeft[1] - 1 : 0);
 		askAge = askAge + asking;
-		stallAge = (checked && stallAge < STALL -> stallAge + 1 : stallAge)
+		stallAge = (checked && stallAge < STALL + LONGEST -> stallAge + 1 : stallAge)
 	}
 	od
 }
@@ -106,7 +121,7 @@
 	if
 	:: (
 #ifndef MUTATE_lapse_final
-		confirmedAge - askAge < ISOLATION ||
+		confirmedAge - askAge < ISOLATION || confirmedAge < RENEW ||
 #else
 		true ||
 #endif
@@ -190,8 +205,8 @@
 	bool judged;
 	do
 	/* a peer claims that it has not heard E */
-	:: d_step { heardAge[0] >= FORGET -> claimLeft[0] = STALL + 1 }
-	:: d_step { heardAge[1] >= FORGET -> claimLeft[1] = STALL + 1 }
+	:: d_step { heardAge[0] >= FORGET -> claimLeft[0] = CLAIM }
+	:: d_step { heardAge[1] >= FORGET -> claimLeft[1] = CLAIM }
 	:: d_step { /* judges the signs of life */
 #ifndef MUTATE_heartbeat_silent
 		rowAge >= FORGET &&
