Refuse calls of an isolated entry as such, after one attempt to confirm it

A call to an entry that may not route was refused as overloaded, "cannot be answered in time": the wrong reason, and after a pause of all entries in an outage every call until the next heartbeat was refused though peers would have confirmed the entry within milliseconds.

Cause: in-flight.ts gives no slot while the entry is isolated, and a dispatch without a slot is refused as overloaded. An expired confirmation was asked for again only by the heartbeat.

Calls are now refused as entry-isolated, with the time to the next heartbeat as Retry-After. A call that finds the confirmation expired starts one attempt to confirm it, shared by all calls and at most one for each heartbeat, and waits for that; a majority is enough, slow peers are not waited for. A sponsor that is asked while its own confirmation has expired confirms itself first.

--- a/packages/core/src/errors/error-table.ts
+++ b/packages/core/src/errors/error-table.ts
@@ -220,6 +220,12 @@
 		retry: 'later',
 		message: 'no executor of the service is serving',
 	},
+	'entry-isolated': {
+		status: 503,
+		outcome: 'not-run',
+		retry: 'later',
+		message: 'this entry cannot confirm its membership; others may serve',
+	},
 	'upstream-refused': {
 		status: 503,
 		outcome: 'not-run',
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -29,6 +29,7 @@
 import {createListener} from './http/listener.js';
 import type {JobDaemon} from './jobs/job-daemon.js';
 import type {Logger} from './log/logger.js';
+import {createIsolationLayer} from './membership/isolation-layer.js';
 import {createMetrics, type Metrics} from './metrics/metrics.js';
 import {createOperatorApp} from './operator/operator-app.js';
 import type {Settings} from './settings/schema.js';
@@ -128,6 +129,7 @@
 		now,
 		random: Math.random,
 		entries: entriesSharingConnections,
+		mayRoute: member.mayRoute,
 		wrapTakeSlot: inFlight.wrap,
 		cfg: {
 			...upstreamConfig,
@@ -174,13 +176,20 @@
 		clockSkewMs: settings.idempotency.clockSkewMs,
 		settings: core.idempotency.defaultSweepSettings,
 	});
+	const isolationLayer = createIsolationLayer({
+		member,
+		retryAfterMs: (deps.agreementTimes ?? agreementDefaults).heartbeatMs,
+		now,
+	});
 	const callerListener = createListener(
 		'caller',
 		settings.caller,
 		createCallerApp({
 			settings: settings.caller,
 			getView,
-			handle: idempotentCalls.layer(admission.layer(dispatch.handle)),
+			handle: idempotentCalls.layer(
+				isolationLayer(admission.layer(dispatch.handle)),
+			),
 			now,
 			logger,
 			metrics,
--- a/packages/daemon/src/membership/member-methods.ts
+++ b/packages/daemon/src/membership/member-methods.ts
@@ -67,7 +67,14 @@
 export const addMemberMethods = (
 	deps: MemberDeps,
 	state: MemberState,
-	sendAcknowledgement: () => void,
+	{
+		sendAcknowledgement,
+		confirm,
+	}: {
+		readonly sendAcknowledgement: () => void;
+		/** Confirms this entry if its confirmation has expired. */
+		readonly confirm: () => Promise<boolean>;
+	},
 ): void => {
 	const {peers} = deps;
 	peers.addMethod('ping', z.object({entry: z.string()}), (_params, from) => {
@@ -102,12 +109,15 @@
 	peers.addMethod('readView', z.object({}), () =>
 		createImage(deps.getFollowed()),
 	);
-	peers.addMethod('sponsor', acknowledgementSchema, (ack, from) => ({
-		isSponsored:
-			core.acknowledgement.isSameIncarnation(ack, from) &&
-			sponsor(deps, state, ack),
-		confirmedAgeMs: getConfirmedAgeMs(deps, state),
-	}));
+	peers.addMethod('sponsor', acknowledgementSchema, async (ack, from) => {
+		await confirm();
+		return {
+			isSponsored:
+				core.acknowledgement.isSameIncarnation(ack, from) &&
+				sponsor(deps, state, ack),
+			confirmedAgeMs: getConfirmedAgeMs(deps, state),
+		};
+	});
 };
 
 const sendToPeer = async (
--- a/packages/daemon/src/membership/member.ts
+++ b/packages/daemon/src/membership/member.ts
@@ -27,6 +27,7 @@
 import {
 	confirmByList,
 	confirmByMajority,
+	confirmBySponsor,
 	continueWithoutTable,
 } from './outage-confirmation.js';
 import {addMemberMethods, sendAcknowledgement} from './member-methods.js';
@@ -36,6 +37,12 @@
 export type Member = Part & {
 	/** True if requests may be dispatched now; called at each selection. */
 	readonly mayRoute: () => boolean;
+	/**
+	 * Asks the peers and the list at once whether this entry is still a member;
+	 * resolves to `mayRoute`. After an attempt that failed, resolves to false
+	 * until the time of the next heartbeat.
+	 */
+	readonly confirm: () => Promise<boolean>;
 	/** True if this entry may hold shards and commit changes. */
 	readonly mayControl: () => boolean;
 	/** Registered entries, reloaded when one has joined or left. */
@@ -172,6 +179,65 @@
 		: rows;
 };
 
+const mayRouteNow = ({settings, now}: MemberDeps, {status}: MemberState) =>
+	core.membershipStatus.mayRoute(status, settings, now());
+
+/** Asks all that may confirm this entry without the table service. */
+const listAttempts = (
+	deps: MemberDeps,
+	state: MemberState,
+): ReadonlyArray<Promise<unknown>> => {
+	if (state.isRegistered) {
+		return [confirmByMajority(deps, state), confirmByList(deps, state)];
+	}
+
+	return state.status.mode === 'sponsored'
+		? [confirmBySponsor(deps, state)]
+		: [];
+};
+
+/** Resolves with the first attempt that confirms this entry, or with the last. */
+const confirmWithoutTable = async (deps: MemberDeps, state: MemberState) => {
+	const attempts = listAttempts(deps, state);
+	await new Promise<void>((resolve) => {
+		const resolveIfConfirmed = async (attempt: Promise<unknown>) => {
+			await attempt;
+			if (mayRouteNow(deps, state)) {
+				resolve();
+			}
+		};
+
+		const resolveAtEnd = async () => {
+			await Promise.allSettled(
+				attempts.map(async (each) => resolveIfConfirmed(each)),
+			);
+			resolve();
+		};
+
+		void resolveAtEnd();
+	});
+};
+
+/** Simultaneous calls share an attempt; there is one for each heartbeat. */
+const createConfirm = (deps: MemberDeps, state: MemberState) => {
+	let attempt: Promise<void> | undefined;
+	let nextAttemptAt = Number.NEGATIVE_INFINITY;
+	const startAttempt = async () => {
+		nextAttemptAt = deps.now() + deps.heartbeatMs;
+		await confirmWithoutTable(deps, state);
+		attempt = undefined;
+	};
+
+	return async (): Promise<boolean> => {
+		if (!attempt && !mayRouteNow(deps, state) && deps.now() >= nextAttemptAt) {
+			attempt = startAttempt();
+		}
+
+		await attempt;
+		return mayRouteNow(deps, state);
+	};
+};
+
 /** Creates the membership of this incarnation. */
 export const createMember = (deps: MemberDeps): Member => {
 	const state = createMemberState(deps.now());
@@ -179,9 +245,9 @@
 		sendAcknowledgement(deps, state);
 	};
 
-	addMemberMethods(deps, state, acknowledge);
-	const mayRoute = () =>
-		core.membershipStatus.mayRoute(state.status, deps.settings, deps.now());
+	const confirm = createConfirm(deps, state);
+	addMemberMethods(deps, state, {sendAcknowledgement: acknowledge, confirm});
+	const mayRoute = () => mayRouteNow(deps, state);
 
 	const tickers = [
 		createTicker(
@@ -226,6 +292,7 @@
 		},
 		stop,
 		mayRoute,
+		confirm,
 		mayControl: () =>
 			state.isRegistered &&
 			core.membershipStatus.mayControl(state.status, deps.settings, deps.now()),
--- a/packages/daemon/src/membership/outage-confirmation.ts
+++ b/packages/daemon/src/membership/outage-confirmation.ts
@@ -63,6 +63,20 @@
 	]);
 };
 
+/** Confirms a sponsored entry by its sponsor or another one. */
+export const confirmBySponsor = async (
+	deps: MemberDeps,
+	state: MemberState,
+): Promise<boolean> => {
+	for (const address of await listSponsors(deps, state)) {
+		if (await requestSponsorship(deps, state, address)) {
+			return true;
+		}
+	}
+
+	return false;
+};
+
 /**
  * Looks for a sponsor among the listed peers; if none is reachable, confirms
  * membership by the snapshot. Does nothing until there is a view.
@@ -75,10 +89,8 @@
 		return;
 	}
 
-	for (const address of await listSponsors(deps, state)) {
-		if (await requestSponsorship(deps, state, address)) {
-			return;
-		}
+	if (await confirmBySponsor(deps, state)) {
+		return;
 	}
 
 	const askedAt = deps.now();
@@ -113,35 +125,47 @@
 /**
  * Confirms by a majority of the quorum in this entry's row and, if a write has
  * an unknown outcome, of that write's quorum as well (spec/forget.pml,
- * `same_quorum`).
+ * `same_quorum`). Asks all peers, and does not wait for more than a majority.
  */
 export const confirmByMajority = async (
 	deps: MemberDeps,
 	state: MemberState,
 ): Promise<void> => {
 	const askedAt = deps.now();
-	const {registrations} = state.members;
-	const others = [...registrations].filter(
-		([entry]) => entry !== deps.self.entry,
-	);
-	const reached = new Set([deps.self.entry]);
-	await Promise.all(
-		others.map(async ([entry, {value}]) => {
+	const quorums = [state.quorum, state.pendingQuorum ?? state.quorum];
+	const reached = new Set<string>();
+	const isMajority = (quorum: readonly string[]) =>
+		quorum.filter((entry) => reached.has(entry)).length * 2 > quorum.length;
+	await new Promise<void>((resolve) => {
+		const addReached = (entry: string) => {
+			reached.add(entry);
+			if (quorums.every((quorum) => isMajority(quorum))) {
+				recordConfirmation(deps, state, 'majority', askedAt);
+				resolve();
+			}
+		};
+
+		const ping = async (entry: string, address: string) => {
 			const answer = await deps.peers.call(
-				value.address,
+				address,
 				'ping',
 				{entry: deps.self.entry},
 				deps.callTimeoutMs,
 			);
 			if (answer.ok) {
-				reached.add(entry);
+				addReached(entry);
 			}
-		}),
-	);
-	const quorums = [state.quorum, state.pendingQuorum ?? state.quorum];
-	const isMajority = (quorum: readonly string[]) =>
-		quorum.filter((entry) => reached.has(entry)).length * 2 > quorum.length;
-	if (quorums.every((quorum) => isMajority(quorum))) {
-		recordConfirmation(deps, state, 'majority', askedAt);
-	}
+		};
+
+		addReached(deps.self.entry);
+		const pings = [...state.members.registrations]
+			.filter(([entry]) => entry !== deps.self.entry)
+			.map(async ([entry, {value}]) => ping(entry, value.address));
+		const resolveAtEnd = async () => {
+			await Promise.all(pings);
+			resolve();
+		};
+
+		void resolveAtEnd();
+	});
 };
--- a/packages/daemon/src/upstream/upstream-dispatch.test.ts
+++ b/packages/daemon/src/upstream/upstream-dispatch.test.ts
@@ -170,3 +170,24 @@
 		{kind: 'answer'},
 	]);
 });
+
+tap.t.test(
+	'a call of an isolated entry is refused as such, not as overloaded',
+	async (t) => {
+		const view = createView(1, []);
+		const dispatch = createUpstreamDispatch({
+			getView: () => view,
+			now: Date.now,
+			random: () => 0,
+			cfg: defaultUpstreamConfig,
+			entries: 9,
+			mayRoute: () => false,
+		});
+		t.teardown(async () => dispatch.close());
+		t.match(await dispatch.handle(createCall('a', 10)), {
+			kind: 'error',
+			error: 'entry-isolated',
+			attempts: 0,
+		});
+	},
+);
--- a/packages/daemon/src/upstream/upstream-dispatch.ts
+++ b/packages/daemon/src/upstream/upstream-dispatch.ts
@@ -23,6 +23,8 @@
 	readonly entries: number;
 	/** Takes slots of a service by limits that entries share, if configured. */
 	readonly getTakeSlot?: (service: core.Service) => TakeSlot;
+	/** Whether requests may be dispatched now; true if absent. */
+	readonly mayRoute?: () => boolean;
 	/** Wraps each function that takes slots, for example to count them. */
 	readonly wrapTakeSlot?: (takeSlot: TakeSlot) => TakeSlot;
 };
@@ -135,6 +137,10 @@
 	};
 
 	const handle = async (call: Call): Promise<CallResult> => {
+		if (deps.mayRoute?.() === false) {
+			return createError('entry-isolated');
+		}
+
 		const view = deps.getView();
 		if (view.revision !== revision) {
 			applyView(view);
