Let a call wait on when its credit goes to a more urgent one

A call with 20 s left was refused as overloaded (the slots of a stopped entry, credit-limits.test.ts, beside load).

Cause: a gate takes a waiting call out of its queue when a credit is free, and acquireSlot then gives that credit up if a request of another entry is more urgent by 50 ms. The dispatch got no slot and refused the call. The test sends the calls of its entries right after one another; a busy machine puts more than 50 ms between them, which is enough.

The gate now gives the credit up before it takes a call out of the queue. It also judges a call and takes its slot at one time, so that a lease cannot expire in between.

--- a/packages/core/src/limits/borrower-slots.ts
+++ b/packages/core/src/limits/borrower-slots.ts
@@ -15,6 +15,42 @@
 	deadlineMs: number,
 ): boolean => deadlineMs > borrower.urgentAtMs + yieldMarginMs;
 
+const releaseCredits = (
+	borrower: Borrower,
+	executor: string,
+	count: number,
+) => {
+	if (count > 0) {
+		messages.addCount(borrower.released, executor, count);
+		borrower.dirty = true;
+	}
+};
+
+/**
+ * Releases one usable credit if a request of another entry is more urgent than
+ * one that waits here. Returns whether it did; the request waits on.
+ */
+export const yieldSlot = (
+	borrower: Borrower,
+	now: number,
+	deadlineMs: number,
+): boolean => {
+	if (!isMoreUrgentElsewhere(borrower, deadlineMs)) {
+		return false;
+	}
+
+	for (const executor of borrower.members.slots.keys()) {
+		const inFlight = borrowers.getInFlight(borrower, executor);
+		if (inFlight < borrowers.getUsable(borrower, executor, now)) {
+			releaseCredits(borrower, executor, 1);
+			borrower.urgentAtMs = Number.POSITIVE_INFINITY;
+			return true;
+		}
+	}
+
+	return false;
+};
+
 /**
  * Acquires a slot for one request on the executor with a free credit and the
  * lowest load relative to its weight (from health and slow start; 0 excludes
@@ -48,9 +84,8 @@
 	}
 
 	if (isMoreUrgentElsewhere(borrower, deadlineMs)) {
-		messages.addCount(borrower.released, picked, 1);
+		releaseCredits(borrower, picked, 1);
 		borrower.urgentAtMs = Number.POSITIVE_INFINITY;
-		borrower.dirty = true;
 		return undefined;
 	}
 
@@ -58,17 +93,6 @@
 	return picked;
 };
 
-const releaseCredits = (
-	borrower: Borrower,
-	executor: string,
-	count: number,
-) => {
-	if (count > 0) {
-		messages.addCount(borrower.released, executor, count);
-		borrower.dirty = true;
-	}
-};
-
 /** Ends a request with any result; its credit is spare again. */
 export const finishSlot = (borrower: Borrower, executor: string) => {
 	messages.addCount(borrower.inFlight, executor, -1);
--- a/packages/daemon/src/limits/credit-limits.test.ts
+++ b/packages/daemon/src/limits/credit-limits.test.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {setTimeout as wait} from 'node:timers/promises';
 import * as core from '@gullstand/core';
 import * as tap from 'tap';
 import {createCancellation} from '../caller/cancellation.js';
@@ -189,10 +190,14 @@
 const answerWithinMs = 20_000;
 
 /** Sends calls concurrently; returns the kinds of the results. */
-const sendCalls = async ({handle}: Entry, count: number) => {
+const sendCalls = async (
+	{handle}: Entry,
+	count: number,
+	withinMs = answerWithinMs,
+) => {
 	const results = await Promise.all(
 		Array.from({length: count}, async () =>
-			handle(getEmptyCall(now() + answerWithinMs)),
+			handle(getEmptyCall(now() + withinMs)),
 		),
 	);
 	return new Set(
@@ -263,3 +268,24 @@
 		t.ok(counts.most >= 1);
 	},
 );
+
+// Guards against a call being refused since another entry's is more urgent.
+tap.t.test(
+	'a call whose slot passes to a more urgent one of another entry waits on',
+	async (t) => {
+		const {entries, counts} = await startFleet(t, ['e1', 'e2', 'e3']);
+		const kinds = await Promise.all(
+			entries.map(async (entry, index) => {
+				// The later they are sent, the more urgent they are.
+				await wait(30 * index);
+				return sendCalls(entry, 40, answerWithinMs / (index + 1));
+			}),
+		);
+		t.same(
+			kinds,
+			entries.map(() => new Set(['answer'])),
+		);
+		t.equal(counts.answered, 120);
+		t.equal(counts.most, slots);
+	},
+);
--- a/packages/daemon/src/limits/pool-gate.ts
+++ b/packages/daemon/src/limits/pool-gate.ts
@@ -55,15 +55,15 @@
 	const {borrower} = limits;
 	const waiting: Waiter[] = [];
 	let reportedWaiting = 0;
-	let admittedDeadline: number | undefined;
+	/** The waiter that is being admitted, and the time at which it may be. */
+	let admitted: {readonly deadline: number; readonly at: number} | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let isProcessing = false;
 	let isStopped = false;
 
 	const getDeadlines = () => waiting.map(({deadline}) => deadline);
 
-	const hasUsable = (): boolean => {
-		const time = now();
+	const hasUsable = (time: number): boolean => {
 		for (const executor of borrower.members.slots.keys()) {
 			const usable = core.creditBorrower.getUsable(borrower, executor, time);
 			const inFlight = core.creditBorrower.getInFlight(borrower, executor);
@@ -76,11 +76,20 @@
 	};
 
 	const admitWaiting = () => {
-		while (waiting[0] && hasUsable()) {
-			const waiter = waiting.shift()!;
-			admittedDeadline = waiter.deadline;
-			waiter.admit();
-			admittedDeadline = undefined;
+		for (;;) {
+			const at = now();
+			const [waiter] = waiting;
+			if (!waiter || !hasUsable(at)) {
+				return;
+			}
+
+			const {deadline} = waiter;
+			if (!core.creditSlots.yieldSlot(borrower, at, deadline)) {
+				waiting.shift();
+				admitted = {deadline, at};
+				waiter.admit();
+				admitted = undefined;
+			}
 		}
 	};
 
@@ -160,8 +169,8 @@
 			const weights = new Map(candidates.map((each) => [each.id, each.weight]));
 			const executor = core.creditSlots.acquireSlot(
 				borrower,
-				now(),
-				admittedDeadline ?? now(),
+				admitted?.at ?? now(),
+				admitted?.deadline ?? now(),
 				(id) =>
 					core.creditBorrower.getInFlight(borrower, id) < deps.getOwnLimit()
 						? (weights.get(id) ?? 0)
