--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -86,6 +86,43 @@
 		});
 	});
 
+const isFree = async (address, port) =>
+	new Promise((resolve) => {
+		const server = createTcpServer();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, address, () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+
+/** The port of the metrics, which is fixed in the program. */
+const metricsPort = 9464;
+
+/**
+ * Finds three bytes of loopback addresses that no other case uses: since the
+ * port of the metrics is fixed, each daemon has an address of its own.
+ */
+const findNetwork = async (count) => {
+	for (;;) {
+		const pick = () => 10 + Math.floor(Math.random() * 240);
+		const found = `127.${pick()}.${pick()}`;
+		const addresses = Array.from(
+			{length: count},
+			(_, index) => `${found}.${index + 1}`,
+		);
+		const areFree = await Promise.all(
+			addresses.map(async (each) => isFree(each, metricsPort)),
+		);
+		if (areFree.every(Boolean)) {
+			return found;
+		}
+	}
+};
+
 /** The command of the deploy file. */
 const readCommand = () => {
 	const text = readFileSync(path.join(root, 'deploy/system.toml'), 'utf8');
@@ -122,6 +159,7 @@
 	const agents = new Map();
 	let version = 0;
 	let cloud;
+	let network;
 
 	const writeConfiguration = (list) => {
 		version += 3;
@@ -211,8 +249,7 @@
 	});
 
 	const startDaemon = async (number, cloudAddress) => {
-		// The metrics port is fixed, so each daemon has an address of its own.
-		const ip = `127.0.${90 + (process.pid % 100)}.${number}`;
+		const ip = `${network}.${number}`;
 		const name = `front-${number}`;
 		const ports = [
 			await findFreePort(ip),
@@ -375,6 +412,7 @@
 
 			writeConfiguration(routes);
 			const cloudAddress = await startCloud();
+			network = await findNetwork(daemonCount);
 			for (let number = 1; number <= daemonCount; number++) {
 				await startDaemon(number, cloudAddress);
 			}
