--- a/review/lib/run-case.mjs
+++ b/review/lib/run-case.mjs
@@ -25,6 +25,10 @@
 		code = codes.unable;
 		await finish();
 	}, maxMs);
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, finish);
+	}
+
 	try {
 		const breaks = (await world.start()) ? await play() : undefined;
 		if (breaks) {
