--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,8 +1,11 @@
 /**
- * A queue moves to another service while the store turns one machine away. A
- * job that was accepted after the move is sent once more, to that machine.
+ * A queue moves to another service while a job of it is handed in. The job is
+ * then accepted in both services. Two ways lead to it: the store carries out the
+ * first submission late (`late`, the default), or it turns a machine away, which
+ * keeps the old manifest (`WAY=stale`).
  */
 import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {findRepeatedRuns} from '../lib/checks.mjs';
@@ -24,17 +27,9 @@
 
 const earlierJob = '/claims/1111111111111111';
 
-const job = '/claims/5c0e7a21d94b36f8';
+const id = '5c0e7a21d94b36f8';
 
-/** The machine that the store turns away: one that holds no shard. */
-const chooseMachine = () => {
-	const holders = new Set(
-		['service/quoting', 'service/claims', 'control/fleet'].map((shard) =>
-			world.getOwner(shard),
-		),
-	);
-	return world.names().find((name) => !holders.has(name));
-};
+const job = `/claims/${id}`;
 
 const submit = async (daemon, target) => {
 	const answer = await world.call(daemon, 'POST', target, body);
@@ -60,7 +55,64 @@
 	});
 };
 
-await runCase(world, async () => {
+/** One version removes the route, the next adds it for another service. */
+const moveQueue = async () => {
+	world.writeConfiguration([]);
+	await delay(200);
+	world.writeConfiguration([
+		{name: 'r-claims', pathPrefix: '/claims/', service: 'claims'},
+	]);
+};
+
+/** `platform_lost`, late: the write is done 4.5 s after its answer was lost. */
+const playLate = async () => {
+	// A machine that owns the service submits once; others would try again.
+	const first = world.getOwner('service/quoting');
+	const second = world.names().find((name) => name !== first);
+	if ((await submit(first, earlierJob)) !== 200) {
+		return undefined;
+	}
+
+	await delay(1000);
+	let losses = 0;
+	if (isTroubled) {
+		world.store.loseWrites(({puts = []}) => {
+			const isLost =
+				losses === 0 &&
+				puts.some(({table, key}) => table === 'job' && key === id);
+			losses += isLost ? 1 : 0;
+			return isLost;
+		}, 4500);
+	}
+
+	const status = await submit(first, job);
+	await moveQueue();
+	// More than the manifest takes; the client's next try after a 504.
+	await delay(500);
+	const isAccepted =
+		status === 200 || (status === 504 && (await submit(second, job)) === 200);
+	if (!isAccepted) {
+		return undefined;
+	}
+
+	await delay(9000);
+	world.store.loseNoMore();
+	await ask(second, job);
+	return findRepeatedRuns(world.events);
+};
+
+/** The machine that the store turns away: one that holds no shard. */
+const chooseMachine = () => {
+	const holders = new Set(
+		['service/quoting', 'service/claims', 'control/fleet'].map((shard) =>
+			world.getOwner(shard),
+		),
+	);
+	return world.names().find((name) => !holders.has(name));
+};
+
+/** `platform_down`, nodes reset: one machine keeps the old manifest. */
+const playStale = async () => {
 	const turnedAway = chooseMachine();
 	const other = world.names().find((name) => name !== turnedAway);
 	// A job before the move, and a connection that stays open to the machine.
@@ -78,12 +130,7 @@
 	}
 
 	await delay(1000);
-	// One version removes the route, the next adds it for another service.
-	world.writeConfiguration([]);
-	await delay(500);
-	world.writeConfiguration([
-		{name: 'r-claims', pathPrefix: '/claims/', service: 'claims'},
-	]);
+	await moveQueue();
 	// More than `configApplyMs`, in which machines in touch take the manifest.
 	await delay(2500);
 	if ((await submit(other, job)) !== 200) {
@@ -93,12 +140,13 @@
 	// The same request arrives again 1 s after its 2xx, on the open connection.
 	await delay(1000);
 	clearInterval(asking);
-	const repeated = await submit(turnedAway, job);
+	await submit(turnedAway, job);
 	await delay(1500);
 	world.note({kind: 'the store serves all machines'});
 	world.store.serveAgain(turnedAway);
 	await delay(5000);
 	await ask(other, job);
-	world.note({kind: 'answer to the repeat', status: repeated});
 	return findRepeatedRuns(world.events);
-});
+};
+
+await runCase(world, process.env.WAY === 'stale' ? playStale : playLate);
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -39,6 +39,8 @@
 	const history = [];
 	const waiting = new Set();
 	const servers = [];
+	/** Which transactions are done late, with their answer lost. */
+	let lost;
 	/** Daemons that the store turns away. */
 	const refused = new Set();
 	let version = 1;
@@ -77,6 +79,17 @@
 		return large && `value too large: ${toId(large)} ${large.value.length}`;
 	};
 
+	/** Does a transaction late; its connection delivers nothing further. */
+	const loseAnswer = (daemon, socket, body, bytes) => {
+		const {lateMs} = lost;
+		note({kind: 'a write has no answer and is done late', daemon, lateMs});
+		setTimeout(async () => {
+			const [status] = await transact(body, bytes);
+			note({kind: 'the late write is done', daemon, status});
+		}, lateMs);
+		socket.resetAndDestroy();
+	};
+
 	const transact = async (body, bytes) => {
 		const {precondition = [], puts = [], removes = []} = body;
 		const fault =
@@ -167,12 +180,18 @@
 		}
 	};
 
-	const answer = async (req) => {
+	const answer = async (daemon, req) => {
 		const url = new URL(req.url, 'http://store');
 		switch (url.pathname) {
 			case '/gullstand/rows-tx': {
 				const body = await readBody(req);
-				return transact(body, Number(req.headers['content-length'] ?? 0));
+				const bytes = Number(req.headers['content-length'] ?? 0);
+				if (lost?.isLost(body)) {
+					loseAnswer(daemon, req.socket, body, bytes);
+					return undefined;
+				}
+
+				return transact(body, bytes);
 			}
 
 			case '/gullstand/rows-get': {
@@ -201,12 +220,18 @@
 			return;
 		}
 
-		const [status, body] = await answer(req);
+		const answered = await answer(daemon, req);
+		if (answered === undefined) {
+			return;
+		}
+
 		if (refused.has(daemon)) {
 			req.socket.resetAndDestroy();
 			return;
 		}
 
+		const [status, body] = answered;
+
 		res.writeHead(status, {'content-type': 'application/json'});
 		res.end(JSON.stringify(body));
 	};
@@ -234,6 +259,13 @@
 			const row = rows.get(toId({table, part, key}));
 			return row && JSON.parse(Buffer.from(row.value, 'base64').toString());
 		},
+		/** Loses the answers to the transactions that `isLost` names. */
+		loseWrites(isLost, lateMs) {
+			lost = {isLost, lateMs};
+		},
+		loseNoMore() {
+			lost = undefined;
+		},
 		turnAway(daemon) {
 			refused.add(daemon);
 		},
