review: no folder beside the cases, and stricter stand-ins

The shared modules stand beside the cases. The grey worker of case 2 fails only what it starts; the lost answer of case 1 leaves its connection silent, and no manifest is without a route.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -8,15 +8,25 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {findRepeatedRuns} from '../lib/checks.mjs';
-import {isTroubled, runCase} from '../lib/run-case.mjs';
-import {createWorld} from '../lib/world.mjs';
+import {findRepeatedRuns} from '../checks.mjs';
+import {isTroubled, runCase} from '../run-case.mjs';
+import {createWorld} from '../world.mjs';
+
+/** A route that stays, so that no manifest is empty. */
+const otherRoute = {
+	name: 'r-quick',
+	pathPrefix: '/quick/',
+	service: 'quoting',
+};
 
 const world = createWorld({
 	directory: path.dirname(fileURLToPath(import.meta.url)),
 	daemonCount: 5,
 	services: {quoting: 6, claims: 6},
-	routes: [{name: 'r-claims', pathPrefix: '/claims/', service: 'quoting'}],
+	routes: [
+		otherRoute,
+		{name: 'r-claims', pathPrefix: '/claims/', service: 'quoting'},
+	],
 	getWork: () => ({workMs: 1700, canCheckpoint: false}),
 });
 
@@ -57,9 +67,10 @@
 
 /** One version removes the route, the next adds it for another service. */
 const moveQueue = async () => {
-	world.writeConfiguration([]);
+	world.writeConfiguration([otherRoute]);
 	await delay(200);
 	world.writeConfiguration([
+		otherRoute,
 		{name: 'r-claims', pathPrefix: '/claims/', service: 'claims'},
 	]);
 };
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # dependencies, so the build only checks that Node can read them.
 set -eu
 cd "$(dirname "$0")"
-for file in lib/*.mjs */case.mjs; do
+for file in *.mjs */case.mjs; do
 	node --check "$file"
 done
--- a/review/lib/executor.mjs
+++ b/review/executor.mjs
@@ -26,6 +26,9 @@
 	return JSON.parse(Buffer.concat(chunks).toString('utf8'));
 };
 
+/** Time after which a grey executor fails what it has started. */
+const failAfterMs = 1000;
+
 /** A checkpoint of 16 characters that holds the work done, in milliseconds. */
 const toCheckpoint = (workMs) =>
 	workMs < bounds.checkpointMs
@@ -60,7 +63,7 @@
 	let sequence = 0;
 	let isDown = false;
 	let isDraining = false;
-	/** Fails everything that it runs, in good health. */
+	/** Fails all that it starts, in good health. */
 	let isGrey = false;
 	let beats;
 	const toKey = (task, run) => `${task}/${run}`;
@@ -124,7 +127,7 @@
 		clearTimeout(entry.timer);
 		entry.timer = setTimeout(() => {
 			end(entry, 'failed');
-		}, 200);
+		}, failAfterMs);
 	};
 
 	const start = ({task, run, spec, untilMs, checkpoint = ''}) => {
@@ -307,14 +310,10 @@
 				store.remove('servers', id);
 			}, 3 * bounds.heartbeatMs);
 		},
-		/** Fails all that it runs and starts for that time. */
+		/** Fails all that it starts in that time. */
 		turnGrey(forMs) {
 			note({kind: 'grey', executor: id, runs: running.size, forMs});
 			isGrey = true;
-			for (const entry of running.values()) {
-				failSoon(entry);
-			}
-
 			setTimeout(() => {
 				isGrey = false;
 				note({kind: 'sound again', executor: id});
--- a/review/lib/store.mjs
+++ b/review/store.mjs
@@ -80,14 +80,13 @@
 	};
 
 	/** Does a transaction late; its connection delivers nothing further. */
-	const loseAnswer = (daemon, socket, body, bytes) => {
+	const loseAnswer = (daemon, body, bytes) => {
 		const {lateMs} = lost;
 		note({kind: 'a write has no answer and is done late', daemon, lateMs});
 		setTimeout(async () => {
 			const [status] = await transact(body, bytes);
 			note({kind: 'the late write is done', daemon, status});
 		}, lateMs);
-		socket.resetAndDestroy();
 	};
 
 	const transact = async (body, bytes) => {
@@ -187,7 +186,7 @@
 				const body = await readBody(req);
 				const bytes = Number(req.headers['content-length'] ?? 0);
 				if (lost?.isLost(body)) {
-					loseAnswer(daemon, req.socket, body, bytes);
+					loseAnswer(daemon, body, bytes);
 					return undefined;
 				}
 
