--- a/review/store.mjs
+++ b/review/store.mjs
@@ -76,7 +76,9 @@
 			return 'too many entries';
 		}
 
-		const large = puts.find(({value}) => value.length > limits.rowBytes);
+		const large = puts.find(
+			({value}) => Buffer.from(value, 'base64').length > limits.rowBytes,
+		);
 		return large && `value too large: ${toId(large)} ${large.value.length}`;
 	};
 
