Say in the log why no executor of a service is usable

Of jobs that stand for no-usable-executor, the line said neither why each executor takes nothing nor what the registry lists, and one that the owner had given up was in no count: with all of a service given up, `owner load` had executors {}.

`jobs stand` and the metrics count executors by status, those that the registry lists and the owner does not keep among them (`unknown`), with the age of the list; the first ten are named where none is usable. The line of a report that an executor is on no machine says what the list of machines was.

standing-report.test.ts, load-report.test.ts and owner-overview.test.ts pass; describeOwner takes the listed ids, so their calls name them.

--- a/packages/core/src/scheduler/reports/owner-overview.test.ts
+++ b/packages/core/src/scheduler/reports/owner-overview.test.ts
@@ -89,7 +89,7 @@
 		change(executor);
 		t.equal(scheduler.getReadiness(executor, 10), readiness);
 		t.equal(scheduler.isUsable(executor, 10), readiness === 'usable');
-		t.same(scheduler.describeOwner(owner, 10).executors, {[readiness]: 1});
+		t.same(scheduler.describeOwner(owner, [], 10).executors, {[readiness]: 1});
 	});
 }
 
@@ -101,7 +101,7 @@
 		planAndStart(owner, 0);
 		scheduler.inheritExecutor(owner, createListed('old'), 9000);
 		submit(owner, createAccepted('b', [{count: 3}]), true);
-		t.match(scheduler.describeOwner(owner, 10), {
+		t.match(scheduler.describeOwner(owner, [], 10), {
 			areListingsRecent: true,
 			openJobs: 2,
 			runs: 4,
--- a/packages/core/src/scheduler/reports/owner-overview.ts
+++ b/packages/core/src/scheduler/reports/owner-overview.ts
@@ -1,8 +1,12 @@
 /** Summary of the jobs and executors of a service, for the log of its owner. */
-import {getReadiness, type Readiness} from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
 import {isStepReady, isWaiting, listTasks} from '../state/task.js';
+import {
+	countStatuses,
+	describeExecutors,
+	type StatusCounts,
+} from './executor-report.js';
 
 /** Current counts. */
 export type OwnerOverview = {
@@ -15,24 +19,19 @@
 	readonly unresolvedExecutors: number;
 	/** Whether the capacities of the executors were read recently. */
 	readonly areListingsRecent: boolean;
-	readonly executors: Readonly<Partial<Record<Readiness, number>>>;
+	/** Executors by why they may or may not be given work. */
+	readonly executors: StatusCounts;
 };
 
-const countReadiness = (
+/**
+ * Counts the loaded jobs, runs and executors of an owner. `listedIds` are the
+ * executors that the registry lists for its service.
+ */
+export const describeOwner = (
 	owner: Owner,
+	listedIds: readonly string[],
 	now: number,
-): Readonly<Partial<Record<Readiness, number>>> => {
-	const counts: Partial<Record<Readiness, number>> = {};
-	for (const executor of owner.executors.values()) {
-		const readiness = getReadiness(executor, now);
-		counts[readiness] = (counts[readiness] ?? 0) + 1;
-	}
-
-	return counts;
-};
-
-/** Counts the loaded jobs, runs and executors of an owner. */
-export const describeOwner = (owner: Owner, now: number): OwnerOverview => {
+): OwnerOverview => {
 	let waitingTasks = 0;
 	let tasksOfUnknownPlace = 0;
 	for (const job of owner.openJobs) {
@@ -53,6 +52,6 @@
 		runs: executors.reduce((sum, {runs}) => sum + runs.size, 0),
 		unresolvedExecutors: owner.unresolvedExecutors.size,
 		areListingsRecent: owner.areListingsRecent,
-		executors: countReadiness(owner, now),
+		executors: countStatuses(describeExecutors(owner, listedIds, now)),
 	};
 };
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -111,6 +111,9 @@
 				executor: id,
 				pool,
 				silentMs: Math.round(forMs),
+				wasListed: listedIds.has(id),
+				machines: machines.size,
+				listAgeMs: Math.round(ageMs),
 			});
 			await owners.reportTerminated(getServiceShard(pool), id);
 		}),
--- a/packages/daemon/src/jobs/owner/load-report.test.ts
+++ b/packages/daemon/src/jobs/owner/load-report.test.ts
@@ -27,7 +27,11 @@
 		lines.push({message, fields});
 		return logger;
 	}) as typeof logger.info;
-	const report = createLoadReport({now: () => at, logger});
+	const report = createLoadReport({
+		now: () => at,
+		logger,
+		listIds: () => [],
+	});
 	const owner = createOwner();
 	report.recordPlan(4);
 	report.recordPlan(6);
--- a/packages/daemon/src/jobs/owner/load-report.ts
+++ b/packages/daemon/src/jobs/owner/load-report.ts
@@ -12,6 +12,8 @@
 export type LoadReportDeps = {
 	readonly logger: Pick<Logger, 'info'>;
 	readonly now: () => number;
+	/** Ids of the executors that the registry lists for the service. */
+	readonly listIds: () => readonly string[];
 };
 
 /** Figures of one owner since the last log line. */
@@ -49,7 +51,11 @@
 });
 
 /** Creates a report whose first period begins now. */
-export const createLoadReport = ({logger, now}: LoadReportDeps): LoadReport => {
+export const createLoadReport = ({
+	logger,
+	now,
+	listIds,
+}: LoadReportDeps): LoadReport => {
 	let figures = createFigures();
 	let periodStart = now();
 	return {
@@ -73,7 +79,7 @@
 				return;
 			}
 
-			const overview = scheduler.describeOwner(owner, at);
+			const overview = scheduler.describeOwner(owner, listIds(), at);
 			const {planMs, startMs, starts} = figures;
 			if (overview.openJobs > 0) {
 				logger.info('owner load', {
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -12,7 +12,13 @@
 	StoredRow,
 } from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
-import {delay, isConfirmedWithin, type Clock, type Moment} from '../clock.js';
+import {
+	delay,
+	getMaxElapsedMs,
+	isConfirmedWithin,
+	type Clock,
+	type Moment,
+} from '../clock.js';
 import type {JobMetrics} from '../job-metrics.js';
 import {followPeriods, periods} from '../periods.js';
 import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
@@ -141,7 +147,14 @@
 	const {held, service, store, clock, cfg, metrics} = deps;
 	const logger = deps.logger.child({shard: held.shard});
 	const log = createOwnerLog({service, logger, metrics, clock});
-	const report = createLoadReport({logger, now: clock.now});
+
+	/** Executors that the registry lists for this service. */
+	const listOwnExecutors = () =>
+		deps.listExecutors().filter((each) => each.service === service);
+
+	const listIds = () => listOwnExecutors().map(({id}) => id);
+
+	const report = createLoadReport({logger, now: clock.now, listIds});
 	const room = createRoomReport({service, logger, metrics, now: clock.now});
 	const remover = createJobRemover({store, held, now: clock.now, logger});
 	const tombstones = createTombstoneRemover({
@@ -183,6 +196,11 @@
 		metrics,
 		now: clock.now,
 		isConfirmed: isConfirmedAndStays,
+		listIds,
+		getListAgeMs() {
+			const listedAt = deps.getListedAt();
+			return listedAt && Math.round(getMaxElapsedMs(clock, listedAt));
+		},
 	});
 
 	// Grows while the owner holds its lease without planning.
@@ -434,9 +452,7 @@
 			return;
 		}
 
-		const listed = deps
-			.listExecutors()
-			.filter((each) => each.service === service);
+		const listed = listOwnExecutors();
 		for (const each of listed) {
 			const isUsed = scheduler.recordListedExecutor(owner, each);
 			if (!isUsed) {
--- a/packages/daemon/src/jobs/owner/standing-report.test.ts
+++ b/packages/daemon/src/jobs/owner/standing-report.test.ts
@@ -76,6 +76,8 @@
 		metrics,
 		now: () => at,
 		isConfirmed: () => isConfirmed,
+		listIds: () => ['x'],
+		getListAgeMs: () => 300,
 	});
 	return {
 		owner,
@@ -111,6 +113,34 @@
 	);
 });
 
+tap.t.test('why the executors are not used is logged', async (t) => {
+	const world = createWorld();
+	scheduler.recordListedExecutor(world.owner, {
+		id: 'y',
+		service: 's',
+		address: 'address of y',
+		availabilityZone: 'a',
+		capacity: {cpuMillis: 1, memoryMb: 1, accelerators: 0},
+		labels: [],
+		isDraining: false,
+		remainingMs: undefined,
+	});
+	scheduler.markUnresponsive(world.owner, 'y', 0);
+	world.advanceTo(2 * logAfterMs);
+	t.match(world.lines[0]?.[1], {
+		executors: {unknown: 1, silent: 1},
+		listedExecutors: 1,
+		executorListAgeMs: 300,
+		unusable: [
+			{executor: 'y', status: 'silent', silentMs: 2000},
+			{executor: 'x', status: 'unknown'},
+		],
+	});
+	const text = world.metrics.formatText();
+	t.match(text, /gullstand_executors\{label="s silent"\} 1/v);
+	t.match(text, /gullstand_executor_list_age_ms\{label="s"\} 300/v);
+});
+
 tap.t.test('the end of a reason is logged, and the next reason', async (t) => {
 	const world = createWorld();
 	world.advanceTo(2 * logAfterMs);
--- a/packages/daemon/src/jobs/owner/standing-report.ts
+++ b/packages/daemon/src/jobs/owner/standing-report.ts
@@ -16,6 +16,9 @@
 	repeatMs: 5000,
 } as const;
 
+/** Most executors that a line names, so that it stays short. */
+const maxNamed = 10;
+
 export type StandingReportDeps = {
 	readonly service: string;
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
@@ -23,6 +26,10 @@
 	readonly now: () => number;
 	/** Whether the owner may send commands. */
 	readonly isConfirmed: () => boolean;
+	/** Ids of the executors that the registry lists for the service. */
+	readonly listIds: () => readonly string[];
+	/** Age of that list in milliseconds; undefined before the first read. */
+	readonly getListAgeMs: () => number | undefined;
 };
 
 export type StandingReport = {
@@ -46,6 +53,8 @@
 	let standing: scheduler.StandingJobs | undefined;
 	let groups: readonly scheduler.StandingGroup[] = [];
 	let ends: scheduler.UnacknowledgedEnds | undefined;
+	let executors: readonly scheduler.ExecutorReport[] | undefined;
+	let statusCounts: scheduler.StatusCounts = {};
 	let unstoredSince: number | undefined;
 	let inspectedAt = Number.NEGATIVE_INFINITY;
 
@@ -74,6 +83,22 @@
 		() => ends?.fullExecutors,
 	);
 
+	const countExecutors = (status: scheduler.ExecutorStatus) =>
+		executors && (statusCounts[status] ?? 0);
+
+	for (const status of scheduler.executorStatuses) {
+		metrics.registerGauge('executors', `${service} ${status}`, () =>
+			countExecutors(status),
+		);
+	}
+
+	metrics.registerGauge('executor_list_age_ms', service, () =>
+		executors ? deps.getListAgeMs() : undefined,
+	);
+
+	const listUnusable = () =>
+		executors?.filter(({status}) => status !== 'usable').slice(0, maxNamed);
+
 	const logGroup = (
 		owner: scheduler.Owner,
 		{reason, jobs, oldestJob, task, since}: scheduler.StandingGroup,
@@ -99,6 +124,13 @@
 			oldestEndMs: getAgeMs(ends?.oldestSeenAt, at),
 			oldestChangeMs: getAgeMs(unstoredSince, at),
 			executorsWithFullList: ends?.fullExecutors,
+			executors: statusCounts,
+			listedExecutors: deps.listIds().length,
+			executorListAgeMs: deps.getListAgeMs(),
+			unusable:
+				reason === scheduler.standingReasons.noExecutor
+					? listUnusable()
+					: undefined,
 		});
 	};
 
@@ -132,6 +164,8 @@
 			groups = scheduler.groupStandingJobs(standing);
 			ends = scheduler.countUnacknowledgedEnds(owner);
 			unstoredSince = scheduler.getOldestUnstored(owner);
+			executors = scheduler.describeExecutors(owner, deps.listIds(), at);
+			statusCounts = scheduler.countStatuses(executors);
 			for (const group of groups) {
 				logGroup(owner, group, at);
 			}
@@ -141,6 +175,7 @@
 		stop() {
 			standing = undefined;
 			ends = undefined;
+			executors = undefined;
 		},
 	};
 };
