--- a/packages/daemon/src/jobs/job-daemon.test.fixture.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.fixture.ts
@@ -130,7 +130,8 @@
 	name: string,
 	onFailure: (err: Error) => void,
 	changes: Partial<
-		Pick<scheduler.SchedulerConfig, 'rejectsUnservableJobs'> & teams.KeyPolicy
+		Pick<scheduler.SchedulerConfig, 'rejectsUnservableJobs' | 'taskLeaseMs'> &
+			teams.KeyPolicy
 	> = {},
 ): Promise<JobDaemon> => {
 	const daemon = createJobDaemon({
