Give up no run because a list of machines lacks its executor

Callers saw jobs stand with room on all executors (LOST), and a task could have two runs at a time (TWICE).

Cause: the fleet's holder reported an executor that had left calls unanswered for 0.2 s, and was on no machine of one reading of the platform's list, as terminated. Its owner started its tasks elsewhere at once, though the leases ran on, and never used it again. A list that is late, leaves a machine out, or shows one that is cut off as down is enough, as is an executor that is slow to answer after its start and not listed yet. Nothing says that a list is whole, fresh, or of the moment at which the executor was silent.

The reports are removed: the runs of an executor are lost when its leases have expired by its own clock, which needs no list, or when another incarnation answers in its place. One that the registry lists is polled until it answers or the registry drops it, as after any silence.

Ruled out: to believe the list in some states only (down), as the pages do not say what a machine that is cut off is shown as.

What it costs is that a crash is noticed with the leases, 4.5 s, in place of about 0.5 s.

--- a/packages/core/src/scheduler/load/service-load.ts
+++ b/packages/core/src/scheduler/load/service-load.ts
@@ -48,7 +48,10 @@
 	/** Executors needed to satisfy `maxPerExecutor` of the loaded steps. */
 	readonly minExecutors: number;
 	readonly executors: Readonly<Record<string, ExecutorLoad>>;
-	/** Unresponsive executors, with the milliseconds since they became so. */
+	/**
+	 * Unresponsive executors, with the milliseconds since they became so; read by
+	 * daemons of older releases.
+	 */
 	readonly silent: Readonly<Record<string, number>>;
 };
 
--- a/packages/daemon/src/jobs/entry/job-service.test.ts
+++ b/packages/daemon/src/jobs/entry/job-service.test.ts
@@ -64,7 +64,6 @@
 			countPending: async () => 0,
 			evacuate: async () => undefined,
 			releaseEvacuation: async () => undefined,
-			reportTerminated: async () => undefined,
 			async submit({job}) {
 				submitted.push(job.id);
 				return {kind: 'accepted', isRepeat: false};
--- a/packages/daemon/src/jobs/entry/owner-channel.ts
+++ b/packages/daemon/src/jobs/entry/owner-channel.ts
@@ -53,11 +53,6 @@
 		executorId: string,
 		order: scheduler.RequestOrder,
 	) => Promise<void>;
-	/** Reports that the platform no longer lists an executor. */
-	readonly reportTerminated: (
-		shard: string,
-		executorId: string,
-	) => Promise<void>;
 	/**
 	 * Submits a job through the owner, which stores many per transaction; it may
 	 * reject the job only if `mayBeRejected`.
@@ -145,12 +140,6 @@
 				return {};
 			});
 		},
-		async reportTerminated(shard, executorId) {
-			await callOwner('noteGone', {shard, executorId}, (local) => {
-				local.markTerminated(executorId);
-				return {};
-			});
-		},
 		async readLoad(shard) {
 			const answer = await callOwner('readLoad', {shard}, (local) => ({
 				load: local.getLoad(),
--- a/packages/daemon/src/jobs/entry/refused-jobs.test.ts
+++ b/packages/daemon/src/jobs/entry/refused-jobs.test.ts
@@ -215,7 +215,6 @@
 			countPending: async () => 0,
 			evacuate: async () => undefined,
 			releaseEvacuation: async () => undefined,
-			reportTerminated: async () => undefined,
 			async submit() {
 				tried.push('owner');
 				return first;
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -15,10 +15,8 @@
 import {
 	fleetPeriods,
 	readFleetView,
-	reportTerminated,
 	type FleetContext,
 	type FleetView,
-	type ListedExecutorIds,
 } from './fleet-context.js';
 import {createCommandLog} from './command-log.js';
 import {createDemandForecaster} from './demand-forecaster.js';
@@ -65,7 +63,6 @@
 	const {held, clock} = deps;
 	const logger = deps.logger.child({shard: held.shard});
 	const state = {isStopped: false};
-	const listedIds: ListedExecutorIds = new Set();
 
 	const lose = (reason: string) => {
 		if (!state.isStopped) {
@@ -130,7 +127,6 @@
 		await waves.acceptRequests(deps.listWaves());
 		const view = await readFleetView(context);
 		if (view) {
-			await reportTerminated(context, view, listedIds);
 			await waves.runRound(view);
 			const current = await renewView(view);
 			if (current) {
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -130,11 +130,6 @@
 	) => Promise<scheduler.EvacuationState>;
 	/** Lets an executor be used again that will not be commanded. */
 	readonly releaseEvacuation: Evacuations['release'];
-	/**
-	 * Ends all runs of an executor that the platform no longer lists, unless it
-	 * answers.
-	 */
-	readonly markTerminated: (executorId: string) => void;
 	readonly getLoad: () => scheduler.ServiceLoad | undefined;
 	readonly getOwner: () => scheduler.Owner | undefined;
 };
@@ -698,14 +693,6 @@
 		releaseEvacuation(...args) {
 			evacuations?.release(...args);
 		},
-		markTerminated(executorId) {
-			// It may have started again since the platform was asked.
-			const isUnresponsive =
-				owner?.executors.get(executorId)?.unresponsiveSince !== undefined;
-			if (isUnresponsive) {
-				markTerminated(executorId, 'the platform no longer lists it');
-			}
-		},
 		getLoad,
 		getOwner: () => owner,
 	};
--- a/packages/daemon/src/jobs/peer-handlers.ts
+++ b/packages/daemon/src/jobs/peer-handlers.ts
@@ -130,14 +130,6 @@
 	channel.addMethod('readLoad', jobPeerSchemas.readLoad, ({shard}) => ({
 		load: owned.get(shard)?.getLoad(),
 	}));
-	channel.addMethod(
-		'noteGone',
-		jobPeerSchemas.noteGone,
-		({shard, executorId}) => {
-			owned.get(shard)?.markTerminated(executorId);
-			return {};
-		},
-	);
 	channel.addMethod('depose', jobPeerSchemas.depose, ({shard, token}) => {
 		const held = leaseManager.listHeld().find((each) => each.shard === shard);
 		if (held && held.token < token) {
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -101,11 +101,6 @@
 		readonly params: {readonly shard: string};
 		readonly result: {readonly load?: scheduler.ServiceLoad | undefined};
 	};
-	/** Reports that the platform no longer lists an executor. */
-	readonly noteGone: {
-		readonly params: {readonly shard: string; readonly executorId: string};
-		readonly result: Record<string, never>;
-	};
 	/** Reports a takeover under a higher token; returns the receiver's incarnation. */
 	readonly depose: {
 		readonly params: {readonly shard: string; readonly token: number};
@@ -170,7 +165,6 @@
 	}),
 	releaseEvacuation: z.object({shard, executorId: z.string(), order}),
 	readLoad: z.object({shard}),
-	noteGone: z.object({shard, executorId: z.string()}),
 	depose: z.object({shard, token: z.int().min(0)}),
 	confirmConfiguration: z.object({}),
 	shardReleased: z.object({shard}),
