Keep no executor for terminated that the registry lists

Callers saw jobs stand with room on all executors: an executor at whose address another one had answered once was refused by its owner for good, unless the registry gave a later start, which most deployments do not have. Its own answers could not change that, as nobody polled it.

Cause: the answer to one call was taken for the end of the executor. An address passes from one process to the next, and a call may still reach the one before, as on a connection that was opened earlier.

The answer counts as none now: the executor is unresponsive, its leases are not renewed, the connections to it are opened anew, and it is polled until it answers or the registry drops it. The memory of terminated executors is removed, so that nothing is believed longer than what shows it. The line says which it was (`outcome`).

The other tests of lost executors end them by what loses them in production, a registry that drops them and leases that expire; none changed what it expects.

--- a/packages/core/src/scheduler/owner.test.fixture.ts
+++ b/packages/core/src/scheduler/owner.test.fixture.ts
@@ -97,6 +97,28 @@
 	return scheduler.completeFlush(owner, flush).map(({id}) => id);
 };
 
+/**
+ * Ends an executor as a crash does, at a time when the registry has dropped it
+ * and its leases have expired; returns what is lost with it.
+ */
+export const loseExecutor = (
+	owner: scheduler.Owner,
+	id: string,
+	now: number,
+): scheduler.LostRuns => {
+	const executor = owner.executors.get(id);
+	if (!executor) {
+		return {runs: [], jobEnds: []};
+	}
+
+	owner.unresolvedExecutors.delete(id);
+	executor.clock ??= {reportedMs: now, receivedAt: now};
+	executor.grantedUntil = Number.NEGATIVE_INFINITY;
+	scheduler.markUnresponsive(owner, id, now);
+	scheduler.recordUnlistedExecutor(owner, id, now);
+	return scheduler.expireLeases(owner, now);
+};
+
 /** Runs and run ends that an executor lists. */
 export type TestPoll = {
 	readonly at: number;
--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -58,7 +58,7 @@
 		.exhaustive();
 
 /** What the caller must do after an answer has been applied. */
-export type AnswerEffect = 'none' | 'fenced' | 'other-life' | 'look-again';
+export type AnswerEffect = 'none' | 'fenced' | 'look-again';
 
 /** Applies the answer to a start. */
 export const applyStartAnswer = (
@@ -111,9 +111,10 @@
 			return 'fenced';
 		})
 		.with({kind: 'other-life'}, () => {
-			// The executor that was lost never had it.
+			// It was turned away, wherever the executor is now.
 			removeRun(executor, run);
-			return 'other-life';
+			markUnresponsive(owner, executor.id, now);
+			return 'look-again';
 		})
 		.with({kind: 'no-answer'}, () => {
 			run.state = run.state === 'asked' ? 'unsettled' : run.state;
@@ -154,17 +155,20 @@
 			{kind: 'refused'},
 			{kind: 'no-answer'},
 			{kind: 'fenced'},
+			{kind: 'other-life'},
 			({kind}) => {
 				// The stop is planned again after the next poll.
 				run.isStopPending = false;
 				run.state = run.confirmedAt === undefined ? 'unsettled' : 'running';
 				if (kind === 'no-answer') {
 					run.mayStopUntil = now + owner.cfg.maxTransitMs + owner.cfg.maxStopMs;
+				}
+
+				if (kind === 'no-answer' || kind === 'other-life') {
 					markUnresponsive(owner, executor.id, now);
 				}
 
 				return kind === 'fenced' ? kind : 'look-again';
 			},
 		)
-		.with({kind: 'other-life'}, () => 'other-life')
 		.exhaustive();
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -88,11 +88,6 @@
 	flushingJobs: ReadonlySet<Job>;
 	/** Placement advice by step id. */
 	readonly advice: Map<string, StepAdvice>;
-	/**
-	 * Starts of terminated incarnations, by id; the registry may list them for a
-	 * while longer.
-	 */
-	readonly terminatedExecutors: Map<string, number | undefined>;
 	/** Work submitted recently. */
 	arrivals: Arrivals;
 	/** Limits the number of concurrent start commands. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -23,7 +23,6 @@
 	haveLeasesExpired,
 	type Executor,
 } from './executor.js';
-import {isLaterIncarnation} from './incarnation.js';
 import type {EndedJob} from './job-ends.js';
 import type {Owner} from './owner-state.js';
 import {
@@ -62,7 +61,6 @@
 	flushNumber: 1,
 	flushingJobs: new Set(),
 	advice: new Map(),
-	terminatedExecutors: new Map(),
 	arrivals: noArrivals,
 	startWindow: initialStartWindow,
 	capLimits: new Map(),
@@ -139,38 +137,21 @@
 	mayBeCommanded: reservations.has(listed.id),
 });
 
-/** Whether the listed incarnation has terminated; a later one has not. */
-const isTerminated = (
-	{terminatedExecutors}: Owner,
-	{id, startedAtEpochMs}: ListedExecutor,
-): boolean =>
-	terminatedExecutors.has(id) &&
-	!isLaterIncarnation(startedAtEpochMs, terminatedExecutors.get(id));
-
-/**
- * Records an executor as the registry lists it; returns false if it is not used
- * since it counts as terminated.
- */
+/** Records an executor as the registry lists it. */
 export const recordListedExecutor = (
 	owner: Owner,
 	listed: ListedExecutor,
-): boolean => {
+): void => {
 	const known = owner.executors.get(listed.id);
 	if (known) {
 		known.listed = listed;
 		known.isListed = true;
 		known.wasUnlisted = false;
-		return true;
+		return;
 	}
 
-	if (isTerminated(owner, listed)) {
-		return false;
-	}
-
-	owner.terminatedExecutors.delete(listed.id);
 	owner.executors.set(listed.id, createOwnedExecutor(owner, listed));
 	owner.isRosterDirty = true;
-	return true;
 };
 
 /**
@@ -238,30 +219,6 @@
 	return {runs: loseRuns(owner, executor), jobEnds: []};
 };
 
-/** Records that an executor has terminated, and its runs with it. */
-export const markTerminated = (
-	owner: Owner,
-	id: string,
-	now: number,
-): LostRuns => {
-	const executor = owner.executors.get(id);
-	if (!executor) {
-		return noLostRuns;
-	}
-
-	const {incarnation, listed} = executor;
-	owner.unresolvedExecutors.delete(id);
-	owner.unreadExecutors.delete(id);
-	owner.terminatedExecutors.set(
-		id,
-		incarnation?.startedAtEpochMs ?? listed.startedAtEpochMs,
-	);
-	executor.isListed = false;
-	executor.unackedEnds = [];
-	executor.hasListedEnds = false;
-	return loseExecutor(owner, executor, now);
-};
-
 /** Records that a call to an executor had no answer. */
 export const markUnresponsive = (
 	owner: Owner,
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -26,7 +26,6 @@
 	readonly onChange: () => void;
 	readonly onPoll: (changes: scheduler.PollChanges) => void;
 	readonly onFenced: () => void;
-	readonly onOtherIncarnation: () => void;
 	/**
 	 * Called with the answer to a start before it is applied, and also if the
 	 * link was closed before it came.
@@ -173,11 +172,12 @@
 		});
 	};
 
-	const handleNoAnswer = async () => {
+	const handleNoAnswer = async (outcome: 'no-answer' | 'other-life') => {
 		if (executor.unresponsiveSince === undefined) {
 			logger.warn('executor not responding', {
 				executor: executor.id,
 				address: executor.listed.address,
+				outcome,
 				runs: executor.runs.size,
 			});
 		}
@@ -241,10 +241,12 @@
 				deps.onChange();
 				await pollGap.wait(periods.fencedRetryMs);
 			})
-			.with({kind: 'other-life'}, async () => {
-				deps.onOtherIncarnation();
+			.with({kind: 'other-life'}, async ({kind}) => {
+				// The connection may lead to the process that had the address before.
+				executors.closeConnections(getTarget());
+				await handleNoAnswer(kind);
 			})
-			.with({kind: 'no-answer'}, handleNoAnswer)
+			.with({kind: 'no-answer'}, async ({kind}) => handleNoAnswer(kind))
 			.exhaustive();
 	};
 
@@ -267,9 +269,6 @@
 			.with('fenced', () => {
 				deps.onFenced();
 			})
-			.with('other-life', () => {
-				deps.onOtherIncarnation();
-			})
 			.with('look-again', pollNow)
 			.exhaustive();
 		idlePause.end();
--- a/packages/daemon/src/jobs/owner/owner-log.ts
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -25,8 +25,6 @@
 	/** Logs executors that became slow or recovered, and copies of tasks. */
 	readonly logSpeedEvents: (events: readonly scheduler.SpeedEvent[]) => void;
 	readonly logFlush: (flush: scheduler.Flush) => void;
-	/** Logs once that a listed executor counts as terminated. */
-	readonly logTerminatedListing: (listed: scheduler.ListedExecutor) => void;
 };
 
 export type OwnerLogDeps = {
@@ -38,8 +36,6 @@
 
 export const createOwnerLog = (deps: OwnerLogDeps): OwnerLog => {
 	const {service, logger, metrics, clock} = deps;
-	/** Start times of the terminated incarnations logged so far, by id. */
-	const terminatedListings = new Map<string, number | undefined>();
 
 	const logJobEnd: OwnerLog['logJobEnd'] = (job, end, reason) => {
 		metrics.count('jobs_ended', end);
@@ -174,20 +170,6 @@
 				);
 			}
 		},
-		logTerminatedListing({id, startedAtEpochMs}) {
-			if (
-				terminatedListings.has(id) &&
-				terminatedListings.get(id) === startedAtEpochMs
-			) {
-				return;
-			}
-
-			terminatedListings.set(id, startedAtEpochMs);
-			logger.info('listed executor not used: it counts as terminated', {
-				executor: id,
-				startedAtEpochMs,
-			});
-		},
 		logSpeedEvents(events) {
 			for (const event of events) {
 				logSpeedEvent(event);
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -269,14 +269,6 @@
 		}
 	};
 
-	const markTerminated = (id: string, reason: string) => {
-		if (owner) {
-			const lost = scheduler.markTerminated(owner, id, clock.now());
-			log.logLostRuns(lost, reason);
-			onChange();
-		}
-	};
-
 	const settleCrash = (
 		current: scheduler.Owner,
 		run: scheduler.Run,
@@ -308,12 +300,6 @@
 			onFenced() {
 				guard.start('fence-check', async () => fences.check(executor));
 			},
-			onOtherIncarnation() {
-				markTerminated(
-					executor.id,
-					'another incarnation responds at its address',
-				);
-			},
 			onStartAnswer(run, answer) {
 				log.logStart(run, answer.kind === 'started');
 				report.recordStart(
@@ -449,10 +435,7 @@
 
 		const listed = listOwnExecutors();
 		for (const each of listed) {
-			const isUsed = scheduler.recordListedExecutor(owner, each);
-			if (!isUsed) {
-				log.logTerminatedListing(each);
-			}
+			scheduler.recordListedExecutor(owner, each);
 		}
 
 		for (const executor of owner.executors.values()) {
