Plan other machines in place of a move that was rejected once

By reading, a pool that lacks one machine went without it for as long as one daemon held the fleet, and a pool with one machine too many kept it.

Cause: the mover kept each pair of machine and pool for good after one answer `invalid`, but the planner did not know of it. It chose the same machine again in each round, the least busy first, counted its deficit as covered, and the mover dropped the move, with a line `moves planned` each time. The answer has two causes, which it does not tell apart: the platform has no such machine at that moment, or the pool takes other machines. Only the second is lasting, and even then the next machine may fit.

Fix: the planner knows the rejected moves and takes the next machine; what a pool may give up is a number now, not the first machines of a list. The machine's executor is released at once instead of after its reservation.

Ruled out: forgetting the pair when the list shows the machine changed: a list that is behind the platform shows no change.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -4,3 +4,4 @@
 export * from './machine-wave.js';
 export * from './missing-machines.js';
 export * from './pool-plan.js';
+export * from './rejected-moves.js';
--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -53,6 +53,8 @@
 	/** Duration of the surplus, in milliseconds. */
 	readonly surplusMs?: number;
 	readonly expected?: fleet.ExpectedDemand;
+	/** Moves that the platform has just rejected. */
+	readonly rejected?: ReadonlyArray<Pick<fleet.PoolMove, 'machine' | 'to'>>;
 	readonly moves: readonly string[];
 };
 
@@ -340,18 +342,53 @@
 		expected: {machines: new Map([['p', 2]]), endedRises: new Set(['p'])},
 		moves: [],
 	},
+	{
+		name: 'another machine leaves standby in place of a rejected one',
+		demands: [createDemand('p', {waitingCpu: 2000})],
+		machines: [
+			createMachine('a', 'p', {runs: 1}),
+			createMachine('s1', 'standby'),
+			createMachine('s2', 'standby'),
+		],
+		rejected: [{machine: 's1', to: 'p'}],
+		moves: ['s2 to p'],
+	},
+	{
+		name: 'a machine whose move was rejected goes to another pool',
+		demands: [
+			createDemand('p', {waitingCpu: 1000}),
+			createDemand('q', {waitingCpu: 1000}),
+		],
+		machines: [createMachine('s1', 'standby'), createMachine('s2', 'standby')],
+		rejected: [{machine: 's1', to: 'p'}],
+		moves: ['s2 to p', 's1 to q'],
+	},
+	{
+		name: 'another machine of a surplus leaves in place of a rejected one',
+		demands: [createDemand('p')],
+		machines: [createMachine('a', 'p'), createMachine('b', 'p')],
+		rejected: [{machine: 'a', to: 'standby'}],
+		surplusMs: 1000,
+		moves: ['b to standby'],
+	},
 ];
 
 for (const each of cases) {
 	const {name, demands, machines, underWay, surplusMs, expected, moves} = each;
 	tap.t.test(name, async (t) => {
 		const caseCfg = {...cfg, ...each.changes};
+		let rejected: fleet.RejectedMoves = new Map();
+		for (const move of each.rejected ?? []) {
+			rejected = fleet.recordRejectedMove(rejected, move, 0);
+		}
+
 		const situation = {
 			demands,
 			machines,
 			underWay: underWay ?? new Map(),
 			standbyPool: 'standby',
 			expected,
+			rejected,
 		};
 		const first = fleet.planPools(
 			situation,
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -7,6 +7,7 @@
  * Source: docs/design/pools.md.
  */
 import type {ExpectedDemand} from './forecast/expected-demand.js';
+import {isMoveRejected, type RejectedMoves} from './rejected-moves.js';
 
 /** Settings of pool sizing. */
 export type PoolConfig = {
@@ -151,6 +152,8 @@
 	readonly standbyPool: string;
 	/** Rises that are expected; without any, machines follow demand only. */
 	readonly expected?: ExpectedDemand | undefined;
+	/** Other machines are moved in place of those in rejected moves. */
+	readonly rejected?: RejectedMoves | undefined;
 };
 
 /** State before the first plan. */
@@ -261,17 +264,45 @@
 		)
 		.toSorted((one, two) => one.runs - two.runs);
 
+/** What a pool can release now. */
+type Movable = {
+	/** In the order in which they leave. */
+	readonly machines: PoolMachine[];
+	/** How many of them may leave. */
+	left: number;
+};
+
 type PlanDraft = {
 	readonly input: PoolPlanInput;
-	/** Machines that each pool can release now, by pool. */
-	readonly movableByPool: Map<string, PoolMachine[]>;
+	readonly now: number;
+	readonly movableByPool: Map<string, Movable>;
 	readonly moves: PoolMove[];
 	movesLeft: number;
 };
 
+/** Takes the first machine that may move to a pool out of those movable. */
+const takeMovable = (
+	{input: {rejected}, now}: PlanDraft,
+	movable: Movable,
+	to: string,
+): PoolMachine | undefined => {
+	const index = movable.machines.findIndex(
+		({id}) => !rejected || !isMoveRejected(rejected, id, to, now),
+	);
+	if (index === -1 || movable.left <= 0) {
+		return undefined;
+	}
+
+	movable.left -= 1;
+	return movable.machines.splice(index, 1)[0];
+};
+
 const planMove = (draft: PlanDraft, from: string, to: string): boolean => {
+	const movable = draft.movableByPool.get(from);
 	const machine =
-		draft.movesLeft > 0 ? draft.movableByPool.get(from)?.shift() : undefined;
+		movable && draft.movesLeft > 0
+			? takeMovable(draft, movable, to)
+			: undefined;
 	if (!machine) {
 		return false;
 	}
@@ -343,7 +374,7 @@
 /** Moves that expected rises get before the present demand. */
 const countFirstMoves = ({movableByPool, movesLeft}: PlanDraft): number => {
 	const available = [...movableByPool.values()].reduce(
-		(sum, {length}) => sum + length,
+		(sum, {machines, left}) => sum + Math.min(machines.length, left),
 		0,
 	);
 	return Math.floor(Math.min(movesLeft, available) * expectedFirstShare);
@@ -440,12 +471,15 @@
 		);
 	};
 
-	const movableByPool = new Map([
-		[standbyPool, [...listMovable(input, standbyPool)]],
-	]);
+	const movableByPool = new Map<string, Movable>();
+	const addMovable = (pool: string, left: number) => {
+		movableByPool.set(pool, {machines: [...listMovable(input, pool)], left});
+	};
+
+	addMovable(standbyPool, Number.POSITIVE_INFINITY);
 	for (const [pool, excess] of surplus) {
 		if (hasSurplusFor(pool, cfg.yieldAfterMs)) {
-			movableByPool.set(pool, listMovable(input, pool).slice(0, excess));
+			addMovable(pool, excess);
 		}
 	}
 
@@ -455,6 +489,7 @@
 	);
 	const draft: PlanDraft = {
 		input,
+		now,
 		movableByPool,
 		moves: [],
 		movesLeft: Math.max(0, moveLimit - underWay.size),
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -63,8 +63,7 @@
 	const {clock, logger, held} = context;
 	const {claims} = deps;
 	const inProgress = new Map<string, MoveInProgress>();
-	/** Pairs of machine and pool that the platform rejected as invalid. */
-	const rejectedMoves = new Set<string>();
+	let rejected: fleet.RejectedMoves = new Map();
 	let planState = fleet.emptyPoolPlanState;
 	let loggedAt = Number.NEGATIVE_INFINITY;
 
@@ -98,8 +97,12 @@
 				}
 			})
 			.with('invalid', () => {
-				rejectedMoves.add(`${move.machine} ${move.to}`);
-				end(move, answer);
+				rejected = fleet.recordRejectedMove(rejected, move, clock.now());
+				if (entry.phase === 'emptying') {
+					abandon(entry, answer);
+				} else {
+					end(move, answer);
+				}
 			})
 			.with('fenced', () => {
 				context.loseShard('the platform has seen a higher fencing token');
@@ -324,6 +327,7 @@
 				underWay: new Map([...inProgress].map(([id, {move}]) => [id, move])),
 				standbyPool,
 				expected,
+				rejected,
 			},
 			planState,
 			deps.cfg,
@@ -332,18 +336,15 @@
 		planState = planned.state;
 		logPools(demands, planned.targets, expected, view);
 		for (const move of planned.moves) {
-			if (!rejectedMoves.has(`${move.machine} ${move.to}`)) {
-				const since = clock.now();
-				inProgress.set(move.machine, {
-					move,
-					since,
-					phase: 'emptying',
-					attempts: 0,
-					missingSince: undefined,
-					machine: undefined,
-					clearance: undefined,
-				});
-			}
+			inProgress.set(move.machine, {
+				move,
+				since: clock.now(),
+				phase: 'emptying',
+				attempts: 0,
+				missingSince: undefined,
+				machine: undefined,
+				clearance: undefined,
+			});
 		}
 
 		if (planned.moves.length > 0) {
