Ask for the demand of services without a listed machine too

By reading, the jobs of a service whose last machine was lost for good or taken away, or that a configuration names without machines, waited for good: its pool was never given one again.

Cause: the fleet's holder took the pools from the platform's list of machines, and asked the owners of these services only. A service without an entry in the list had no demand, so no target.

A service counts if it has work and its owner has no executor that may take it: two sources that agree, since a list that leaves a pool out is no reason to move machines. Reports of terminated executors go by the listed pools as before.

Ruled out: a target for each configured service. One without machines and without work would be given the base of a pool, which is paid for.

--- a/packages/daemon/src/jobs/fleet/demand-forecaster.test.ts
+++ b/packages/daemon/src/jobs/fleet/demand-forecaster.test.ts
@@ -203,6 +203,7 @@
 		const mover = createPoolMover(context, {
 			cfg: {...fleet.defaultPoolConfig, minCpu: 0, minShare: 0, usesForecast},
 			getStandbyPool: () => 'standby',
+			listServices: () => [],
 			isReserved: () => false,
 			claims: createMachineClaims(() => 0),
 			forecaster: {observe: () => expected},
--- a/packages/daemon/src/jobs/fleet/fleet-platform.test.fixture.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-platform.test.fixture.ts
@@ -65,6 +65,8 @@
 	readonly setListed: (machine: string, isListed: boolean) => void;
 	/** Whether tasks run on the current executor of a machine. */
 	readonly setBusy: (machine: string, isBusy: boolean) => void;
+	/** Changes the load that the owner of the service reports. */
+	readonly setLoad: (load: Partial<scheduler.ServiceLoad>) => void;
 };
 
 export const createFleetPlatform = (ids: readonly string[]): FleetPlatform => {
@@ -86,6 +88,7 @@
 	const completed = new Set<string>();
 	let now = 0;
 	let executors = 0;
+	let reported: Partial<scheduler.ServiceLoad> = {};
 
 	const createExecutor = () => `e-${executors++}`;
 
@@ -207,6 +210,7 @@
 			[...busy].map((id) => [id, {runs: 1, lasting: 0, usedCpu: 1}]),
 		),
 		silent: {},
+		...reported,
 	});
 
 	const evacuate = (executorId: string): scheduler.EvacuationState => {
@@ -253,6 +257,7 @@
 			evacuate: async (_shard: string, executorId: string) =>
 				evacuate(executorId),
 			releaseEvacuation: async () => undefined,
+			readLoad: async () => getLoad(),
 		} as unknown as FleetContext['owners'],
 		clock: {now: () => now, epochNow: () => now},
 		logger: noLogger,
@@ -337,5 +342,8 @@
 				busy.delete(executorId);
 			}
 		},
+		setLoad(load) {
+			reported = load;
+		},
 	};
 };
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -50,6 +50,8 @@
 	readonly getLeasesConfirmedAt: () => Moment | undefined;
 	readonly listWaves: () => readonly WaveRequest[];
 	readonly hasOwner: (service: string) => boolean;
+	/** Lists the services that have an owner. */
+	readonly listServices: () => readonly string[];
 	readonly getStandbyPool: () => string | undefined;
 	readonly onLost: (reason: string) => void;
 	readonly reportFailure: ReportFailure;
@@ -112,6 +114,7 @@
 	const pools = createPoolMover(context, {
 		cfg: deps.pools,
 		getStandbyPool: deps.getStandbyPool,
+		listServices: deps.listServices,
 		isReserved: waves.isReserved,
 		claims,
 		forecaster: createDemandForecaster(context, {
--- a/packages/daemon/src/jobs/fleet/one-command-at-a-time.test.ts
+++ b/packages/daemon/src/jobs/fleet/one-command-at-a-time.test.ts
@@ -107,6 +107,7 @@
 				usesForecast: false,
 			},
 			getStandbyPool: () => (each.hasMoves ? 'standby' : undefined),
+			listServices: () => [],
 			isReserved: runner.isReserved,
 			forecaster: {observe: () => undefined},
 			claims,
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -3,6 +3,7 @@
 import type {Machine, MachineAnswer} from '@gullstand/ports';
 import {match} from 'ts-pattern';
 import type {DemandForecaster} from './demand-forecaster.js';
+import {createEmptyPools} from './empty-pools.js';
 import {
 	evacuateMachine,
 	fleetPeriods,
@@ -26,6 +27,8 @@
 	readonly cfg: fleet.PoolConfig;
 	/** Pool whose machines are switched off; `undefined` if there is none. */
 	readonly getStandbyPool: () => string | undefined;
+	/** Lists the services that have an owner. */
+	readonly listServices: () => readonly string[];
 	/** Whether a machine is reserved for other work, such as a wave. */
 	readonly isReserved: (machine: string) => boolean;
 	readonly forecaster: DemandForecaster;
@@ -63,6 +66,7 @@
 	const {clock, logger, held} = context;
 	const {claims} = deps;
 	const inProgress = new Map<string, MoveInProgress>();
+	const emptyPools = createEmptyPools(context, deps.listServices);
 	let rejected: fleet.RejectedMoves = new Map();
 	let planState = fleet.emptyPoolPlanState;
 	let loggedAt = Number.NEGATIVE_INFINITY;
@@ -268,8 +272,8 @@
 		};
 	};
 
-	const toDemands = ({loads}: FleetView): readonly fleet.PoolDemand[] =>
-		[...loads].map(([pool, load]) => ({
+	const toDemands = (view: FleetView): readonly fleet.PoolDemand[] =>
+		[...view.loads, ...emptyPools.listLoads(view)].map(([pool, load]) => ({
 			pool,
 			waitingCpu: load.waitingCpu,
 			usedCpu: load.usedCpu,
@@ -293,9 +297,10 @@
 		const machines = [...view.machines.values()];
 		const pools = demands.map(({pool, usedCpu, waitingCpu, late}) => {
 			const own = machines.filter((each) => each.pool === pool);
+			const sample = own.length > 0 ? own : machines;
 			const machineCpu =
-				own.reduce((sum, {capacity}) => sum + capacity.cpuMillis, 0) /
-				Math.max(1, own.length);
+				sample.reduce((sum, {capacity}) => sum + capacity.cpuMillis, 0) /
+				Math.max(1, sample.length);
 			const toMachines = (cpu: number) =>
 				Math.round((10 * cpu) / Math.max(1, machineCpu)) / 10;
 			return [
@@ -370,6 +375,9 @@
 				),
 			);
 			await moveEvacuated(view);
+			if (standbyPool !== undefined && context.mayCommand()) {
+				await emptyPools.refresh(view);
+			}
 		},
 	};
 };
--- a/packages/daemon/src/jobs/fleet/rejected-move.test.ts
+++ b/packages/daemon/src/jobs/fleet/rejected-move.test.ts
@@ -69,6 +69,7 @@
 			usesForecast: false,
 		},
 		getStandbyPool: () => 'standby',
+		listServices: () => [],
 		isReserved: () => false,
 		claims: createMachineClaims(platform.now),
 		forecaster: {observe: () => undefined},
--- a/packages/daemon/src/jobs/fleet/released-machine.test.ts
+++ b/packages/daemon/src/jobs/fleet/released-machine.test.ts
@@ -101,6 +101,7 @@
 			usesForecast: false,
 		},
 		getStandbyPool: () => 'standby',
+		listServices: () => [],
 		isReserved: () => false,
 		claims,
 		forecaster: {observe: () => undefined},
--- a/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
+++ b/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
@@ -160,6 +160,7 @@
 		const mover = createPoolMover(context, {
 			cfg,
 			getStandbyPool: () => standbyPool,
+			listServices: () => [],
 			isReserved: () => false,
 			forecaster: noForecaster,
 			claims: createMachineClaims(context.clock.now),
--- a/packages/daemon/src/jobs/fleet/unanswered-move.test.ts
+++ b/packages/daemon/src/jobs/fleet/unanswered-move.test.ts
@@ -98,6 +98,7 @@
 			usesForecast: false,
 		},
 		getStandbyPool: () => 'standby',
+		listServices: () => [],
 		isReserved: () => false,
 		claims: createMachineClaims(platform.now),
 		forecaster: {observe: () => undefined},
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -358,6 +358,8 @@
 			getLeasesConfirmedAt: leaseFollower.getConfirmedAt,
 			listWaves: () => [...waves.values()],
 			hasOwner,
+			listServices: () =>
+				listShards().flatMap((shard) => parseServiceShard(shard) ?? []),
 			getStandbyPool: () =>
 				routes.get()?.services.find(({isStandby}) => isStandby)?.name,
 			onLost(reason) {
