Count the age of a store's clock reading from its request

Cause: the log of commands took a reading of the store's clock as of the moment when the answer was read. If this process was paused before it read the answer, its clock was behind by the pause, commands were recorded as that much older, and the next holder waited for less than the turnover time. All other readings of the store's clock count from the request.

Fix: it is counted from the request here too, so that recorded times are late rather than early.

Test: command-log.test.ts, both cases of a delayed answer failed before.

--- a/packages/daemon/src/jobs/fleet/command-log.test.ts
+++ b/packages/daemon/src/jobs/fleet/command-log.test.ts
@@ -7,16 +7,21 @@
 
 /** Creates a store and logs whose clocks the test advances. */
 const createTestEnvironment = async () => {
-	const clock = {at: 10_000};
+	/** Answers of the store are read `delayMs` late. */
+	const clock = {at: 10_000, delayMs: 0};
 	const inner = ports.createMemoryRowStore();
 	const withClock = <Value extends {nowMs: number}, Failure>(
 		result:
 			| {readonly ok: true; readonly value: Value}
 			| {readonly ok: false; readonly error: Failure},
-	) =>
-		result.ok
-			? {ok: true as const, value: {...result.value, nowMs: clock.at + 500}}
+	) => {
+		const nowMs = clock.at + 500;
+		clock.at += clock.delayMs;
+		return result.ok
+			? {ok: true as const, value: {...result.value, nowMs}}
 			: result;
+	};
+
 	const store: ports.RowStore = {
 		...inner,
 		transact: async (...args) => withClock(await inner.transact(...args)),
@@ -74,6 +79,28 @@
 	},
 );
 
+for (const delayed of ['load', 'record'] as const) {
+	tap.t.test(
+		`the turnover time holds after a delayed answer to a ${delayed}`,
+		async (t) => {
+			const env = await createTestEnvironment();
+			env.clock.delayMs = delayed === 'load' ? 2000 : 0;
+			const first = await env.open();
+			if (delayed === 'record') {
+				env.clock.delayMs = 2000;
+				t.ok(await first.log.record(['b']));
+			}
+
+			env.clock.delayMs = 0;
+			const commandedAt = env.clock.at;
+			t.ok(await first.log.record(['a']));
+			const second = await env.open();
+			env.clock.at = commandedAt + turnoverMs;
+			t.notOk(second.log.mayCommand('a'));
+		},
+	);
+}
+
 tap.t.test(
 	'a replaced holder records nothing and loses the shard',
 	async (t) => {
--- a/packages/daemon/src/jobs/fleet/command-log.ts
+++ b/packages/daemon/src/jobs/fleet/command-log.ts
@@ -61,14 +61,16 @@
 	const freeAt = new Map<string, number>();
 	/** Version of the row; 0 if there is none. */
 	let version = 0;
-	let clock: {readonly storeMs: number; readonly at: number} | undefined;
+	let clock: {readonly storeMs: number; readonly sentAt: number} | undefined;
 
-	const setClock = (storeMs: number) => {
-		clock = {storeMs, at: now()};
+	/** A reading is as old as its request, which this process may have delayed. */
+	const setClock = (storeMs: number, sentAt: number) => {
+		clock = {storeMs, sentAt};
 	};
 
+	/** Upper bound of the store's clock. */
 	const getStoreNow = (): number =>
-		clock ? clock.storeMs + (now() - clock.at) : 0;
+		clock ? clock.storeMs + (now() - clock.sentAt) : 0;
 
 	const removeExpired = () => {
 		const oldest = getStoreNow() - 2 * turnoverMs;
@@ -102,6 +104,7 @@
 
 	const write = async (tries = 1): Promise<boolean> => {
 		const value = encodeCommands(lastCommands);
+		const sentAt = now();
 		const result = await store.transact(
 			{
 				// A write that takes effect late must not undo a later one.
@@ -113,7 +116,7 @@
 		);
 		if (result.ok) {
 			version = result.value.version;
-			setClock(result.value.nowMs);
+			setClock(result.value.nowMs, sentAt);
 			return true;
 		}
 
@@ -132,12 +135,13 @@
 
 	return {
 		async load() {
+			const sentAt = now();
 			const page = await store.read(rowKey, periods.storeTimeoutMs);
 			if (!page.ok) {
 				return false;
 			}
 
-			setClock(page.value.nowMs);
+			setClock(page.value.nowMs, sentAt);
 			const row = page.value.rows.find(({key}) => key === logKey);
 			version = row?.version ?? 0;
 			if (row) {
