Read what has arrived before a call counts as unanswered

What callers saw: none traced to it. By reading, an owner that is paused or busy for longer than a time-out (0.6 s for a start) took all executors with a start under way for not responding at once, although their answers had arrived; it closed the connections to them, and stopped the runs that they had started.

Cause: when the event loop goes on after a pause, timers that are due run before sockets are read. A time-out of the whole call gave up at once. Calls with an idle time-out (reads, polls) looked at pending data first.

Fix: both kinds of time-out read pending data once before they give up. A call that is still queued in the pool ends at once as not sent; otherwise it could be sent after its time, in the turn in which the answer before it is read.

Ruled out: longer time-outs. They would make true silence known later, and a longer pause would do the same.

--- a/packages/ports/src/http/exchange.ts
+++ b/packages/ports/src/http/exchange.ts
@@ -105,20 +105,27 @@
 			controller?.abort(new Error('no answer within the timeout'));
 		};
 
-		/** Reads pending data first, in case the process itself was paused. */
-		const abortIfIdle = () => {
+		/**
+		 * Reads pending data first: after a pause of this process, the timer is due
+		 * before an answer that came in time is read.
+		 */
+		const abortIfSilent = () => {
+			if (!controller) {
+				abort();
+				return;
+			}
+
 			const previousBytes = receivedBytes;
 			setImmediate(() => {
-				if (!isCompleted && receivedBytes === previousBytes) {
+				const isArriving =
+					timeoutKind === timeoutKinds.idle && receivedBytes > previousBytes;
+				if (!isCompleted && !isArriving) {
 					abort();
 				}
 			});
 		};
 
-		const timer = setTimeout(
-			timeoutKind === timeoutKinds.idle ? abortIfIdle : abort,
-			timeoutMs,
-		);
+		const timer = setTimeout(abortIfSilent, timeoutMs);
 
 		const extendIdleTimeout = () => {
 			if (performance.now() - sentAt > maxArrivalMs) {
