Don't believe at once that a machine is not in a wave

By reading, a wave was shown as completed without the maintenance of a machine (MIXED) if the platform learned of the wave later than the fleet's holder did.

Cause: one answer `not-in-wave` ended the maintenance of that machine for good, and the holder sends the first commands within a round of reading the wave. The row of the wave and the platform's view of it are two sources, which need not change at the same moment.

Fix: the answer counts as a refusal while the wave was first read less than 3 s ago, the time by which such a view is up to date elsewhere on this platform. The machine stays evacuated and is commanded again in the next round. No change of the stored rows.

Price: a machine that really is not in the wave is kept empty for up to 3 s, and is asked for in each round until then.

--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -281,6 +281,26 @@
 		recordAttempt(wave.begun[machine.id], machine, epochNow),
 	);
 
+/**
+ * Time after a wave was first read by which the platform knows its machines, in
+ * milliseconds.
+ */
+const maxWaveLagMs = 3000;
+
+/**
+ * Returns what an answer shows. That a machine is not in a wave is believed only
+ * of a wave that the platform must know: it is for good, and the wave may be
+ * read here first.
+ */
+const toEvidence = (
+	{seenAtEpochMs}: MachineWave,
+	verdict: CommandVerdict,
+	epochNow: number,
+): CommandVerdict =>
+	verdict === 'not-in-wave' && epochNow - seenAtEpochMs < maxWaveLagMs
+		? 'refused'
+		: verdict;
+
 /** Records what the answer to the last command says. */
 export const recordVerdict = (
 	wave: MachineWave,
@@ -290,7 +310,11 @@
 ): MachineWave => {
 	const entry = wave.begun[id];
 	return entry
-		? putEntry(wave, id, applyVerdict(entry, verdict, epochNow))
+		? putEntry(
+				wave,
+				id,
+				applyVerdict(entry, toEvidence(wave, verdict, epochNow), epochNow),
+			)
 		: wave;
 };
 
--- a/packages/daemon/src/jobs/fleet/unmaintained-machine.test.ts
+++ b/packages/daemon/src/jobs/fleet/unmaintained-machine.test.ts
@@ -195,6 +195,15 @@
 		},
 		events: [],
 	},
+	{
+		name: 'the platform does not know yet that a machine is in the wave',
+		prepare(platform) {
+			for (let answers = 0; answers < 5; answers++) {
+				platform.failNext('a', {answer: 'not-in-wave'});
+			}
+		},
+		events: [],
+	},
 	{
 		name: 'tasks start on the machine of a command without an answer',
 		prepare: lose,
