Don't leave a failed shard to other daemons if none is alive

By reading, a service stood for up to 30 s after its owner had failed several times, if all other daemons were lost; the deployments state that the loss of any number of them is to be borne.

Cause: the pause after a failure to run a shard doubles with each failure in a row, so that another daemon takes over and a fault that each holder meets does not go round. It did not ask whether there is another daemon.

Fix: without a live one (a heartbeat within the lease time, not stopping) the pause is 2.5 s after each failure. Daemons that write no heartbeats, as they are neither holders nor candidates, claim within that time anyway.

Test: shard-lease-manager.test.ts, a shard that failed three times beside no other daemon (failed before; beside another daemon the long pause stays), and shard-failures.test.ts, whose existing case keeps its figures for a daemon that is not alone.

--- a/packages/daemon/src/jobs/shards/shard-failures.test.ts
+++ b/packages/daemon/src/jobs/shards/shard-failures.test.ts
@@ -15,14 +15,28 @@
 tap.t.test('a daemon leaves a shard longer after each failure', async (t) => {
 	const clock = {at: 0};
 	const record = createShardFailures(() => clock.at);
-	t.notOk(record.isPausing('s'));
+	t.notOk(record.isPausing('s', true));
 	for (const [at, pauseMs] of failures) {
 		clock.at = at;
 		record.add('s');
 		clock.at = at + pauseMs - 1;
-		t.ok(record.isPausing('s'), `after ${at} ms`);
-		t.notOk(record.isPausing('other'));
+		t.ok(record.isPausing('s', true), `after ${at} ms`);
+		t.notOk(record.isPausing('other', true));
 		clock.at += 1;
-		t.notOk(record.isPausing('s'));
+		t.notOk(record.isPausing('s', true));
+	}
+});
+
+tap.t.test('a daemon that is alone leaves no shard for long', async (t) => {
+	const clock = {at: 0};
+	const record = createShardFailures(() => clock.at);
+	t.notOk(record.isPausing('s', false));
+	for (const [at] of failures) {
+		clock.at = at;
+		record.add('s');
+		clock.at = at + 2499;
+		t.ok(record.isPausing('s', false), `after ${at} ms`);
+		clock.at += 1;
+		t.notOk(record.isPausing('s', false));
 	}
 });
--- a/packages/daemon/src/jobs/shards/shard-failures.ts
+++ b/packages/daemon/src/jobs/shards/shard-failures.ts
@@ -7,24 +7,35 @@
 
 export type ShardFailures = {
 	readonly add: (shard: string) => void;
-	/** Whether the shard is left to other daemons. */
-	readonly isPausing: (shard: string) => boolean;
+	/**
+	 * Whether the shard is left to other daemons. Without a live one, the pause
+	 * does not grow: nobody else would claim the shard.
+	 */
+	readonly isPausing: (shard: string, areOthersLive: boolean) => boolean;
 };
 
 /** Remembers failures by the monotonic clock `now`, in milliseconds. */
 export const createShardFailures = (now: () => number): ShardFailures => {
-	const failures = new Map<string, {pauseMs: number; until: number}>();
+	const failures = new Map<
+		string,
+		{readonly pauseMs: number; readonly failedAt: number}
+	>();
 	const {failurePauseMs, maxFailurePauseMs} = shardPeriods;
 	return {
 		add(shard) {
 			const previous = failures.get(shard);
 			const isInRow =
-				previous !== undefined && now() < previous.until + maxFailurePauseMs;
+				previous !== undefined &&
+				now() < previous.failedAt + previous.pauseMs + maxFailurePauseMs;
 			const pauseMs = isInRow
 				? Math.min(maxFailurePauseMs, 2 * previous.pauseMs)
 				: failurePauseMs;
-			failures.set(shard, {pauseMs, until: now() + pauseMs});
+			failures.set(shard, {pauseMs, failedAt: now()});
+		},
+		isPausing(shard, areOthersLive) {
+			const last = failures.get(shard);
+			const pauseMs = areOthersLive ? last?.pauseMs : failurePauseMs;
+			return last !== undefined && now() < last.failedAt + (pauseMs ?? 0);
 		},
-		isPausing: (shard) => now() < (failures.get(shard)?.until ?? 0),
 	};
 };
--- a/packages/daemon/src/jobs/shards/shard-lease-manager.test.ts
+++ b/packages/daemon/src/jobs/shards/shard-lease-manager.test.ts
@@ -254,6 +254,22 @@
 	);
 }
 
+for (const [name, peers, isHeld] of [
+	['no other daemon', {}, true],
+	['another daemon', {a: small}, false],
+] as const) {
+	tap.t.test(`a shard that failed three times, beside ${name}`, async (t) => {
+		const {leaseManager, pass} = createTestEnvironment(small, ['s']);
+		await pass(1000, peers);
+		for (const pauseMs of [3500, 6000, 4000]) {
+			leaseManager.giveUp('s', 'failed');
+			await pass(pauseMs, peers);
+		}
+
+		t.equal(leaseManager.isHeld('s'), isHeld);
+	});
+}
+
 tap.t.test('a stop during a return releases the shard once', async (t) => {
 	const {clock, leaseManager, released, pass} = createTestEnvironment(small, [
 		's',
--- a/packages/daemon/src/jobs/shards/shard-lease-manager.ts
+++ b/packages/daemon/src/jobs/shards/shard-lease-manager.ts
@@ -381,7 +381,7 @@
 		if (
 			held.has(shard) ||
 			claiming.has(shard) ||
-			failures.isPausing(shard) ||
+			failures.isPausing(shard, listLivePeers().length > 0) ||
 			!isFree(shard)
 		) {
 			freeSince.delete(shard);
