Don't let a late heartbeat replace that of a later incarnation

By reading, a live owner could be replaced at once and without the wait for leases that it still granted, so that two runs of a task are possible (TWICE). It takes a daemon that is killed while a heartbeat of it is under way, a store that carries that write out after the daemon has started again and claimed a shard, and another daemon that reads it before the next heartbeat, at most 0.5 s later.

Cause: heartbeats were written without a condition. The store may carry out a call without an answer seconds later, so the row could go back to an incarnation that had ended. One look at the row was taken for the end of the holder: another incarnation than that in the lease counts as `replaced`, which may be claimed at once and whose next owner does not wait as it does after a silent one.

Fix: a heartbeat is written over the version of the row that this daemon wrote last, or met in a conflict. A delayed write meets a later version and has no effect. A daemon that starts under a known name makes one more call, as one does after a write without an answer.

Ruled out: to ignore an incarnation that was seen before. A daemon that has just started, or whose feed was away, has not seen it.

--- a/packages/daemon/src/jobs/shards/heartbeat.ts
+++ b/packages/daemon/src/jobs/shards/heartbeat.ts
@@ -2,8 +2,12 @@
  * Writes this daemon's heartbeat to the store: until the first write succeeds,
  * and then while the daemon is a holder or a candidate.
  */
-import type {shardAssignment} from '@gullstand/core';
-import type {RowStore} from '@gullstand/ports';
+import type {Result, shardAssignment} from '@gullstand/core';
+import type {
+	RowStore,
+	RowStoreError,
+	TransactionResult,
+} from '@gullstand/ports';
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
 import {createTicker, type Ticker} from '../../view/ticker.js';
@@ -38,9 +42,20 @@
 	readonly getStoreTime: () => StoreClockReading | undefined;
 };
 
+/**
+ * Attempts to write one heartbeat: each other one may meet a delayed write of
+ * this incarnation or an earlier one.
+ */
+const maxTries = 3;
+
 export const createHeartbeat = (deps: HeartbeatDeps): Heartbeat => {
 	const {store, name, incarnation, logger, clock} = deps;
 	const {now} = clock;
+	// Each daemon has its own partition, since a partition applies writes
+	// serially.
+	const key = {table: tables.daemon, part: name, key: name};
+	/** Version of the row as far as it is known; 0 if there is none. */
+	let version = 0;
 	let beat = 0;
 	let writtenAt: number | undefined;
 	let isFailing = false;
@@ -60,6 +75,32 @@
 		}
 	};
 
+	/**
+	 * Writes over the known version of the row, so that a write that the store
+	 * carries out late does not replace a later one: another incarnation in the
+	 * row shows that this one has ended.
+	 */
+	const write = async (
+		value: string,
+		tries = 1,
+	): Promise<Result<TransactionResult, RowStoreError>> => {
+		const result = await store.transact(
+			{checks: [{...key, version}], puts: [{...key, value}], removes: []},
+			periods.storeTimeoutMs,
+		);
+		if (result.ok) {
+			version = result.value.version;
+			return result;
+		}
+
+		if (result.error.kind !== 'conflict') {
+			return result;
+		}
+
+		version = result.error.rows[0]?.version ?? 0;
+		return tries < maxTries ? write(value, tries + 1) : result;
+	};
+
 	const beatOnce = async () => {
 		beat += 1;
 		const row: DaemonRow = {
@@ -69,13 +110,7 @@
 			capacity: deps.capacity,
 		};
 		const sent = getMoment(clock);
-		// Each daemon has its own partition, since a partition applies writes
-		// serially.
-		const key = {table: tables.daemon, part: name, key: name};
-		const result = await store.transact(
-			{checks: [], puts: [{...key, value: JSON.stringify(row)}], removes: []},
-			periods.storeTimeoutMs,
-		);
+		const result = await write(JSON.stringify(row));
 		recordResult(result.ok, sent.at);
 		if (result.ok) {
 			storeTime = {nowMs: result.value.nowMs, sent};
