Don't let one unreadable machine hide the whole list of machines

By reading, no machine moved between pools, no wave went on and no executor that had gone was reported for as long as one field of one machine could not be read.

Cause: the entries of a page were decoded together, so that a fault of one writer stood for all. Entries of the registry are decoded one by one.

Fix: entries are decoded one by one. A machine with a readable id and another field that is not counts as down, which nothing acts on: it gets no command, and its wave waits for it (MIXED). It is reported once, as an unreadable row is. An entry without a readable id still makes the page unread, since its machine would be missing from the list, and one that is missing may be taken for gone.

Tests: machines.test.ts, one that cannot be read does not hide others (failed before; the three cases without an id hold what was so), and unreadable-machines.test.ts (new function).

--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -36,6 +36,7 @@
 import {createTombstones} from './entry/tombstones.js';
 import {createFleetRunner, type FleetRunner} from './fleet/fleet-runner.js';
 import type {WaveStatusPort} from './fleet/machine-wave-runner.js';
+import {reportUnreadableMachines} from './fleet/unreadable-machines.js';
 import {createJobMetrics, type JobMetrics} from './job-metrics.js';
 import {
 	createOwnedServices,
@@ -346,7 +347,7 @@
 			held,
 			holder: settings.name,
 			store,
-			machines: platform.machines,
+			machines: reportUnreadableMachines(platform.machines, rowFaults),
 			status: platform.waveStatus,
 			owners,
 			clock,
--- a/packages/ports/src/ports/machines.ts
+++ b/packages/ports/src/ports/machines.ts
@@ -15,6 +15,11 @@
 	readonly capacity: scheduler.Resources;
 	/** Its current executor; every move and every maintenance replaces it. */
 	readonly executorId: string | undefined;
+	/**
+	 * Why its entry could not be read in full, if so; it then counts as down,
+	 * since nothing is known of it but its id.
+	 */
+	readonly problem?: string;
 };
 
 /** Sender of a command; the platform rejects holders that were replaced. */
