Write the release of a shard that is lost while it is being released

By reading and by a test, a service (or the fleet) stood until a process ended: its lease named that daemon, which did not hold it, and the others saw the heartbeats of a live holder.

Cause: a release first stops the owner, which stores what is pending, and then takes the shard out of those held and writes the row. If a higher fencing token or a failure of the owner came meanwhile, the shard was taken out at once; the write for that joined the release in progress and was not made, and the release then found nothing to write. The daemon does not adopt a lease that it has lost.

Fix: the lease to write is noted before the release in progress is joined, and a release writes what is noted, whoever took the shard out.

Test: shard-lease-manager.test.ts, a shard is free although a command is refused or its owner fails during its release; both failed before: the row named the daemon, and the shard was not held again within 3.5 s.

--- a/packages/daemon/src/jobs/shards/shard-lease-manager.test.ts
+++ b/packages/daemon/src/jobs/shards/shard-lease-manager.test.ts
@@ -270,6 +270,25 @@
 	});
 }
 
+for (const [name, lose] of [
+	['a command is refused', 'handleFenced'],
+	['its owner fails', 'giveUp'],
+] as const) {
+	tap.t.test(
+		`a shard is free although ${name} during its release`,
+		async (t) => {
+			const {leaseManager, store, pass} = createTestEnvironment(small, ['s']);
+			await pass(1000, {});
+			const release = leaseManager.release('s');
+			leaseManager[lose]('s', 'failed');
+			await release;
+			t.match(JSON.parse(store.list(tables.lease)[0]!.value), {holder: null});
+			await pass(3500, {});
+			t.ok(leaseManager.isHeld('s'));
+		},
+	);
+}
+
 tap.t.test('a stop during a return releases the shard once', async (t) => {
 	const {clock, leaseManager, released, pass} = createTestEnvironment(small, [
 		's',
--- a/packages/daemon/src/jobs/shards/shard-releases.ts
+++ b/packages/daemon/src/jobs/shards/shard-releases.ts
@@ -88,15 +88,16 @@
 		}
 	};
 
-	const startWrite = async (release: Unwritten) => {
-		unwritten.set(release.held.shard, release);
-		await write(release);
-	};
-
 	const stopHoldingAndWrite = async (shard: string) => {
 		const held = await deps.stopHolding(shard);
 		if (held) {
-			await startWrite({held, isTokenRaised: false});
+			unwritten.set(shard, {held, isTokenRaised: false});
+		}
+
+		// It may have been lost instead while its work was stopped.
+		const release = unwritten.get(shard);
+		if (release) {
+			await write(release);
 		}
 	};
 
@@ -118,8 +119,12 @@
 	return {
 		release: async (shard) =>
 			join(shard, async () => stopHoldingAndWrite(shard)),
-		giveBack: async (held) =>
-			join(held.shard, async () => startWrite({held, isTokenRaised: true})),
+		async giveBack(held) {
+			const release = {held, isTokenRaised: true};
+			// Noted at once, as a release in progress does not know of it.
+			unwritten.set(held.shard, release);
+			await join(held.shard, async () => write(release));
+		},
 		retry() {
 			for (const [shard, release] of unwritten) {
 				void join(shard, async () => write(release));
