Read what has arrived before a call to a peer counts as unanswered

By reading, a daemon that was paused or busy for longer than the time-out of a call between daemons (0.4 s) took the answer of a peer, which had arrived, for none: a submission was then answered as of unknown outcome, and an owner's load or clearance was missing for a round.

Test: paused-process.test.ts of the peers; the case with an answer failed before, the one without holds what was so.

--- a/packages/daemon/src/peers/peer-client.ts
+++ b/packages/daemon/src/peers/peer-client.ts
@@ -61,6 +61,28 @@
 	'UND_ERR_CLOSED',
 ]);
 
+/**
+ * Starts the time-out of a call. After a pause of this process it is due before
+ * an answer that came in time is read, so that pending data is read first.
+ */
+const startTimeout = (timeoutMs: number) => {
+	const controller = new AbortController();
+	const timer = setTimeout(
+		() => {
+			setImmediate(() => {
+				controller.abort(new DOMException('no answer in time', timeoutName));
+			});
+		},
+		Math.max(1, Math.trunc(timeoutMs)),
+	);
+	return {
+		signal: controller.signal,
+		clear() {
+			clearTimeout(timer);
+		},
+	};
+};
+
 const classifyFailure = (err: unknown): PeerError => {
 	const {name, message, code} = err as NodeJS.ErrnoException;
 	if (name === timeoutName) {
@@ -129,13 +151,14 @@
 	const post = async (address: string, body: string, timeoutMs: number) => {
 		const {nonce, headers} = createSignedHeaders(address, body);
 		const {pool, noteAnswer, noteSilence} = getPools(address).use();
+		const timeout = startTimeout(timeoutMs);
 		try {
 			const res = await pool.request({
 				path: peerPath,
 				method: 'POST',
 				headers,
 				body,
-				signal: AbortSignal.timeout(Math.max(1, Math.trunc(timeoutMs))),
+				signal: timeout.signal,
 			});
 			noteAnswer();
 			const text = await res.body.text();
@@ -146,6 +169,8 @@
 			}
 
 			throw err;
+		} finally {
+			timeout.clear();
 		}
 	};
 
