Don't take a holder for replaced by a heartbeat from before missed changes

By reading and by a test, a live owner could be replaced at once and without the wait for leases that it still granted, so that two runs of a task are possible (TWICE). It takes a daemon that starts again and claims a shard, and another whose feed of heartbeats meets a discarded history in that time, as after a cut from the store or when the store forgets its history.

Cause: that feed reads no rows when it begins anew, since live rows are written again within 0.5 s, but takes the newest version. What was known from before counted as read up to that version: the incarnation before the restart, another one than the lease names, so the holder counted as replaced.

Fix: a new beginning marks what is known as outdated. Until a heartbeat of a daemon is read again, its incarnation is no evidence, and silence counts from the new beginning, since heartbeats may have been missed. Its address is kept.

Price: a holder that is lost around a discarded history is taken over up to 1.8 s later.

Ruled out: reading all rows at a new beginning. Its cost grows with the fleet, which the feed is built to avoid.

Tests: members.test.ts and shard-lease-manager.test.ts, one case each; both failed with the new beginning handled as before (the old logic under the new name).

--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -287,7 +287,7 @@
 	}: LeaseRow): Promise<boolean> => {
 		const isReplaced =
 			holder !== null &&
-			(members.get(holder.entry)?.incarnation ?? holder.incarnation) !==
+			(members.getIncarnation(holder.entry) ?? holder.incarnation) !==
 				holder.incarnation;
 		if (isReplaced || holder === null) {
 			return true;
@@ -521,7 +521,7 @@
 		getOverrides: role.getHeartbeatPeriods,
 		clock,
 		logger,
-		onSnapshot: members.applyChanges,
+		onSnapshot: members.applySnapshot,
 		onChanges: members.applyChanges,
 		// Heartbeats age even if no daemon sends one any more.
 		onUnchanged: members.applyChanges,
--- a/packages/daemon/src/jobs/shards/members.test.ts
+++ b/packages/daemon/src/jobs/shards/members.test.ts
@@ -212,3 +212,20 @@
 	t.equal(members.getUnresponsiveMs('b'), 2100);
 	t.end();
 });
+
+tap.t.test('after changes that were not read, no incarnation is known', (t) => {
+	const {clock, members, read} = createTestEnvironment();
+	read(0, {a: 1, b: 1});
+	t.equal(members.getIncarnation('a'), 'i');
+	clock.at = 1000;
+	members.applySnapshot({version: 1000, entries: []});
+	t.equal(members.getIncarnation('a'), undefined);
+	t.equal(members.get('a')?.address, 'a', 'it may be called');
+	t.equal(members.getUnresponsiveMs('a'), 0, 'heartbeats may have been missed');
+	read(1200, {a: 1});
+	t.equal(members.getIncarnation('a'), 'i');
+	t.equal(members.getIncarnation('b'), undefined);
+	clock.at = 2400;
+	t.equal(members.getUnresponsiveMs('b'), 1400);
+	t.end();
+});
--- a/packages/daemon/src/jobs/shards/members.ts
+++ b/packages/daemon/src/jobs/shards/members.ts
@@ -25,7 +25,18 @@
 
 export type Members = {
 	readonly applyChanges: (batch: FeedBatch<ChangedRow>) => void;
+	/**
+	 * Begins anew after changes that were not read; the rows are those that come
+	 * with the new beginning, if any.
+	 */
+	readonly applySnapshot: (batch: FeedBatch<ChangedRow>) => void;
+	/** The heartbeat read last, which may not be the latest. */
 	readonly get: (name: string) => Member | undefined;
+	/**
+	 * Incarnation of a daemon by its latest heartbeat; absent if that may not
+	 * have been read.
+	 */
+	readonly getIncarnation: (name: string) => string | undefined;
 	/**
 	 * Whether heartbeats were read up to a version of the store. Only then do
 	 * they tell whether the holder in a lease of that version is alive.
@@ -77,6 +88,8 @@
 export const createMembers = (deps: MembersDeps): Members => {
 	const {now, logger, rowFaults} = deps;
 	const known = new Map<string, Member>();
+	/** Daemons whose heartbeats were last read before changes that were not. */
+	const outdated = new Set<string>();
 	/** Stopping incarnation of each daemon. */
 	const stopping = new Map<string, string>();
 	let readAt: number | undefined;
@@ -84,6 +97,15 @@
 	let readSince: number | undefined;
 	let readVersion = 0;
 
+	const restartAges = () => {
+		const at = now();
+		for (const [name, member] of known) {
+			known.set(name, {...member, changedAt: at, liveSince: at});
+		}
+
+		readSince = at;
+	};
+
 	/**
 	 * Restarts all ages after a gap in the reads, which proves nothing about
 	 * others.
@@ -91,11 +113,7 @@
 	const restartAgesAfterGap = () => {
 		const at = now();
 		if (readAt !== undefined && at - readAt > deps.observationGapMs) {
-			for (const [name, member] of known) {
-				known.set(name, {...member, changedAt: at, liveSince: at});
-			}
-
-			readSince = at;
+			restartAges();
 		}
 
 		readAt = at;
@@ -116,6 +134,7 @@
 		}
 
 		rowFaults.clear(tables.daemon, key);
+		outdated.delete(key);
 		if (!decoded) {
 			known.delete(key);
 			return;
@@ -172,7 +191,17 @@
 
 	return {
 		applyChanges,
+		applySnapshot(batch) {
+			for (const name of known.keys()) {
+				outdated.add(name);
+			}
+
+			restartAges();
+			applyChanges(batch);
+		},
 		get: (name) => known.get(name),
+		getIncarnation: (name) =>
+			outdated.has(name) ? undefined : known.get(name)?.incarnation,
 		isReadUpTo: (version) => readVersion >= version,
 		getUnresponsiveMs(name) {
 			const since = known.get(name)?.changedAt ?? readSince;
--- a/packages/daemon/src/jobs/shards/shard-lease-manager.test.ts
+++ b/packages/daemon/src/jobs/shards/shard-lease-manager.test.ts
@@ -289,6 +289,38 @@
 	);
 }
 
+tap.t.test(
+	'a holder whose new heartbeats were not read counts as live',
+	async (t) => {
+		const {clock, leaseManager, store, members, pass} = createTestEnvironment(
+			small,
+			['s'],
+		);
+		await pass(checkIntervalMs, {a: small});
+		const lease: LeaseRow = {
+			shard: 's',
+			holder: {entry: 'a', incarnation: 'next'},
+			address: 'a',
+			token: 1,
+		};
+		await store.transact(
+			{
+				checks: [],
+				puts: [{...getLeaseKey('s'), value: JSON.stringify(lease)}],
+				removes: [],
+			},
+			100,
+		);
+		members.applySnapshot({version: clock.at, entries: []});
+		clock.at += checkIntervalMs;
+		await pass(300, {});
+		t.notOk(leaseManager.isHeld('s'));
+		await pass(2000, {});
+		t.ok(leaseManager.isHeld('s'), 'it has not sent any');
+		t.match(leaseManager.listHeld(), [{previous: 'silent'}]);
+	},
+);
+
 tap.t.test('a stop during a return releases the shard once', async (t) => {
 	const {clock, leaseManager, released, pass} = createTestEnvironment(small, [
 		's',
--- a/packages/daemon/src/jobs/shards/shard-lease-manager.ts
+++ b/packages/daemon/src/jobs/shards/shard-lease-manager.ts
@@ -131,7 +131,7 @@
 		return {
 			// A holder without a heartbeat counts as alive until it is unresponsive.
 			registeredIncarnation:
-				members.get(holder.entry)?.incarnation ?? holder.incarnation,
+				members.getIncarnation(holder.entry) ?? holder.incarnation,
 			unresponsiveMs: members.getUnresponsiveMs(holder.entry),
 		};
 	};
