Remember a machine as it was listed before its entry became unreadable

A machine of a wave whose entry cannot be read in full and that is then left out of the list was remembered without its pool and executor, so that the command that asks the platform about it would have been sent without an evacuation (AVAIL).

Fix: the last entry that could be read is remembered.

--- a/packages/core/src/fleet/machine-maintenance.ts
+++ b/packages/core/src/fleet/machine-maintenance.ts
@@ -12,6 +12,8 @@
 	readonly isUp: boolean;
 	readonly isInMaintenance: boolean;
 	readonly executorId: string | undefined;
+	/** Its entry could not be read in full: only its id is certain. */
+	readonly isUnreadable?: boolean;
 };
 
 /** What shows that a machine is back from maintenance. */
--- a/packages/core/src/fleet/missing-machines.ts
+++ b/packages/core/src/fleet/missing-machines.ts
@@ -6,7 +6,7 @@
 
 /** What the reads of the list so far show of a machine. */
 export type Sighting = {
-	/** As it was last listed. */
+	/** As it was last listed by an entry that could be read. */
 	readonly last: WaveMachine | undefined;
 	/** Reads in a row that left it out. */
 	readonly missedReads: number;
@@ -27,7 +27,8 @@
 	now: number,
 ): Sighting => {
 	if (machine) {
-		return {last: machine, missedReads: 0, missedSince: now};
+		const last = machine.isUnreadable ? before?.last : machine;
+		return {last, missedReads: 0, missedSince: now};
 	}
 
 	const missedReads = before?.missedReads ?? 0;
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -60,6 +60,7 @@
 				isUp: machine.state === 'up',
 				isInMaintenance: machine.state === 'maintenance',
 				executorId: machine.executorId,
+				...(machine.problem !== undefined && {isUnreadable: true}),
 			},
 		]),
 	);
