--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -3,6 +3,7 @@
 import type {Machine, MachineAnswer} from '@gullstand/ports';
 import {match} from 'ts-pattern';
 import type {DemandForecaster} from './demand-forecaster.js';
+import {createEmptyPools} from './empty-pools.js';
 import {
 	evacuateMachine,
 	fleetPeriods,
@@ -26,6 +27,8 @@
 	readonly cfg: fleet.PoolConfig;
 	/** Pool whose machines are switched off; `undefined` if there is none. */
 	readonly getStandbyPool: () => string | undefined;
+	/** Lists the services that have an owner. */
+	readonly listServices: () => readonly string[];
 	/** Whether a machine is reserved for other work, such as a wave. */
 	readonly isReserved: (machine: string) => boolean;
 	readonly forecaster: DemandForecaster;
@@ -63,8 +66,8 @@
 	const {clock, logger, held} = context;
 	const {claims} = deps;
 	const inProgress = new Map<string, MoveInProgress>();
-	/** Pairs of machine and pool that the platform rejected as invalid. */
-	const rejectedMoves = new Set<string>();
+	const emptyPools = createEmptyPools(context, deps.listServices);
+	let rejected: fleet.RejectedMoves = new Map();
 	let planState = fleet.emptyPoolPlanState;
 	let loggedAt = Number.NEGATIVE_INFINITY;
 
@@ -98,8 +101,12 @@
 				}
 			})
 			.with('invalid', () => {
-				rejectedMoves.add(`${move.machine} ${move.to}`);
-				end(move, answer);
+				rejected = fleet.recordRejectedMove(rejected, move, clock.now());
+				if (entry.phase === 'emptying') {
+					abandon(entry, answer);
+				} else {
+					end(move, answer);
+				}
 			})
 			.with('fenced', () => {
 				context.loseShard('the platform has seen a higher fencing token');
@@ -265,8 +272,8 @@
 		};
 	};
 
-	const toDemands = ({loads}: FleetView): readonly fleet.PoolDemand[] =>
-		[...loads].map(([pool, load]) => ({
+	const toDemands = (view: FleetView): readonly fleet.PoolDemand[] =>
+		[...view.loads, ...emptyPools.listLoads(view)].map(([pool, load]) => ({
 			pool,
 			waitingCpu: load.waitingCpu,
 			usedCpu: load.usedCpu,
@@ -290,9 +297,10 @@
 		const machines = [...view.machines.values()];
 		const pools = demands.map(({pool, usedCpu, waitingCpu, late}) => {
 			const own = machines.filter((each) => each.pool === pool);
+			const sample = own.length > 0 ? own : machines;
 			const machineCpu =
-				own.reduce((sum, {capacity}) => sum + capacity.cpuMillis, 0) /
-				Math.max(1, own.length);
+				sample.reduce((sum, {capacity}) => sum + capacity.cpuMillis, 0) /
+				Math.max(1, sample.length);
 			const toMachines = (cpu: number) =>
 				Math.round((10 * cpu) / Math.max(1, machineCpu)) / 10;
 			return [
@@ -324,6 +332,7 @@
 				underWay: new Map([...inProgress].map(([id, {move}]) => [id, move])),
 				standbyPool,
 				expected,
+				rejected,
 			},
 			planState,
 			deps.cfg,
@@ -332,18 +341,15 @@
 		planState = planned.state;
 		logPools(demands, planned.targets, expected, view);
 		for (const move of planned.moves) {
-			if (!rejectedMoves.has(`${move.machine} ${move.to}`)) {
-				const since = clock.now();
-				inProgress.set(move.machine, {
-					move,
-					since,
-					phase: 'emptying',
-					attempts: 0,
-					missingSince: undefined,
-					machine: undefined,
-					clearance: undefined,
-				});
-			}
+			inProgress.set(move.machine, {
+				move,
+				since: clock.now(),
+				phase: 'emptying',
+				attempts: 0,
+				missingSince: undefined,
+				machine: undefined,
+				clearance: undefined,
+			});
 		}
 
 		if (planned.moves.length > 0) {
@@ -369,6 +375,9 @@
 				),
 			);
 			await moveEvacuated(view);
+			if (standbyPool !== undefined && context.mayCommand()) {
+				await emptyPools.refresh(view);
+			}
 		},
 	};
 };
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -36,6 +36,7 @@
 import {createTombstones} from './entry/tombstones.js';
 import {createFleetRunner, type FleetRunner} from './fleet/fleet-runner.js';
 import type {WaveStatusPort} from './fleet/machine-wave-runner.js';
+import {reportUnreadableMachines} from './fleet/unreadable-machines.js';
 import {createJobMetrics, type JobMetrics} from './job-metrics.js';
 import {
 	createOwnedServices,
@@ -286,7 +287,7 @@
 	}: LeaseRow): Promise<boolean> => {
 		const isReplaced =
 			holder !== null &&
-			(members.get(holder.entry)?.incarnation ?? holder.incarnation) !==
+			(members.getIncarnation(holder.entry) ?? holder.incarnation) !==
 				holder.incarnation;
 		if (isReplaced || holder === null) {
 			return true;
@@ -346,7 +347,7 @@
 			held,
 			holder: settings.name,
 			store,
-			machines: platform.machines,
+			machines: reportUnreadableMachines(platform.machines, rowFaults),
 			status: platform.waveStatus,
 			owners,
 			clock,
@@ -358,6 +359,8 @@
 			getLeasesConfirmedAt: leaseFollower.getConfirmedAt,
 			listWaves: () => [...waves.values()],
 			hasOwner,
+			listServices: () =>
+				listShards().flatMap((shard) => parseServiceShard(shard) ?? []),
 			getStandbyPool: () =>
 				routes.get()?.services.find(({isStandby}) => isStandby)?.name,
 			onLost(reason) {
@@ -518,7 +521,7 @@
 		getOverrides: role.getHeartbeatPeriods,
 		clock,
 		logger,
-		onSnapshot: members.applyChanges,
+		onSnapshot: members.applySnapshot,
 		onChanges: members.applyChanges,
 		// Heartbeats age even if no daemon sends one any more.
 		onUnchanged: members.applyChanges,
--- a/packages/daemon/src/jobs/shards/shard-lease-manager.test.ts
+++ b/packages/daemon/src/jobs/shards/shard-lease-manager.test.ts
@@ -254,6 +254,73 @@
 	);
 }
 
+for (const [name, peers, isHeld] of [
+	['no other daemon', {}, true],
+	['another daemon', {a: small}, false],
+] as const) {
+	tap.t.test(`a shard that failed three times, beside ${name}`, async (t) => {
+		const {leaseManager, pass} = createTestEnvironment(small, ['s']);
+		await pass(1000, peers);
+		for (const pauseMs of [3500, 6000, 4000]) {
+			leaseManager.giveUp('s', 'failed');
+			await pass(pauseMs, peers);
+		}
+
+		t.equal(leaseManager.isHeld('s'), isHeld);
+	});
+}
+
+for (const [name, lose] of [
+	['a command is refused', 'handleFenced'],
+	['its owner fails', 'giveUp'],
+] as const) {
+	tap.t.test(
+		`a shard is free although ${name} during its release`,
+		async (t) => {
+			const {leaseManager, store, pass} = createTestEnvironment(small, ['s']);
+			await pass(1000, {});
+			const release = leaseManager.release('s');
+			leaseManager[lose]('s', 'failed');
+			await release;
+			t.match(JSON.parse(store.list(tables.lease)[0]!.value), {holder: null});
+			await pass(3500, {});
+			t.ok(leaseManager.isHeld('s'));
+		},
+	);
+}
+
+tap.t.test(
+	'a holder whose new heartbeats were not read counts as live',
+	async (t) => {
+		const {clock, leaseManager, store, members, pass} = createTestEnvironment(
+			small,
+			['s'],
+		);
+		await pass(checkIntervalMs, {a: small});
+		const lease: LeaseRow = {
+			shard: 's',
+			holder: {entry: 'a', incarnation: 'next'},
+			address: 'a',
+			token: 1,
+		};
+		await store.transact(
+			{
+				checks: [],
+				puts: [{...getLeaseKey('s'), value: JSON.stringify(lease)}],
+				removes: [],
+			},
+			100,
+		);
+		members.applySnapshot({version: clock.at, entries: []});
+		clock.at += checkIntervalMs;
+		await pass(300, {});
+		t.notOk(leaseManager.isHeld('s'));
+		await pass(2000, {});
+		t.ok(leaseManager.isHeld('s'), 'it has not sent any');
+		t.match(leaseManager.listHeld(), [{previous: 'silent'}]);
+	},
+);
+
 tap.t.test('a stop during a return releases the shard once', async (t) => {
 	const {clock, leaseManager, released, pass} = createTestEnvironment(small, [
 		's',
