Spread starts that would wait for each other at one executor

Callers saw accepted jobs with nothing running for seconds while most of the room was free (LOST), after takeovers with work waiting and behind large jobs. The owner's lines had `start-limit`, `not-planned` and `start-unanswered`, 53 to 285 starts a second of 100 to 600 ms each, with eight usable executors and no lack of time in the owner.

Cause: tasks are packed onto the busiest executor, and an executor is sent two commands at a time. So all starts of a burst wait in the owner's own queue for one executor, one after another, hold the window and count as late, which halves it, while the other executors have nothing to answer. The owner starts two tasks in the time of one answer, however many executors there are.

Now an executor takes an eighth of the window, 2 to 8 starts, before the next one comes first; more go round in turns. What is preferred for a task (racks, sound executors, not where it failed) goes before that, packing after it. No start is held back, so gangs and limits are placed as before.

What packing a little less costs a deployment in machines was not measured.

--- a/packages/core/src/scheduler/placement/place-task.ts
+++ b/packages/core/src/scheduler/placement/place-task.ts
@@ -46,10 +46,7 @@
 	);
 };
 
-/**
- * Weights of the placement preferences. Tasks are packed onto busy executors,
- * so that others become idle and their machines can leave the pool.
- */
+/** Weights of what is preferred for a task. */
 const weights = {
 	/** The task has not failed there before. */
 	notWhereItFailed: 4,
@@ -59,8 +56,6 @@
 	slow: -8,
 	/** It is slow and to be tested. */
 	slowTest: 8,
-	/** Used share of its scarcer resource, cpu or memory, from 0 to 1. */
-	usedShare: 1,
 } as const;
 
 /**
@@ -77,34 +72,66 @@
 	return isTest ? weights.slowTest : weights.slow;
 };
 
-const getScore = (executor: Executor, task: Task): number => {
+const getPreference = (executor: Executor, task: Task): number => {
 	const {spec} = task.step;
-	const free = getFree(executor);
-	const {capacity} = executor.listed;
-	const freeShare = Math.min(
-		free.cpuMillis / Math.max(1, capacity.cpuMillis),
-		free.memoryMb / Math.max(1, capacity.memoryMb),
-	);
 	const isOnPreferredRack =
 		spec.preferredRack !== undefined &&
 		getRack(executor) === spec.preferredRack;
 	return (
 		getSpeedScore(executor, task) +
 		(task.failedOn === executor.id ? 0 : weights.notWhereItFailed) +
-		(isOnPreferredRack ? weights.preferredRack : 0) +
-		(1 - freeShare) * weights.usedShare
+		(isOnPreferredRack ? weights.preferredRack : 0)
+	);
+};
+
+/** Returns the used share of the scarcer resource, cpu or memory, 0 to 1. */
+const getUsedShare = (executor: Executor): number => {
+	const free = getFree(executor);
+	const {capacity} = executor.listed;
+	const freeShare = Math.min(
+		free.cpuMillis / Math.max(1, capacity.cpuMillis),
+		free.memoryMb / Math.max(1, capacity.memoryMb),
 	);
+	return 1 - freeShare;
+};
+
+/** Returns how many turns of earlier starts a start would wait for there. */
+export type GetStartTurn = (executor: Executor) => number;
+
+const getNoTurn: GetStartTurn = () => 0;
+
+type Candidate = {
+	readonly executor: Executor;
+	readonly preference: number;
+	readonly turn: number;
+	readonly usedShare: number;
 };
 
+/**
+ * Compares by preference, then by the wait for earlier starts. Beyond that tasks
+ * are packed onto busy executors, so that others become idle and their machines
+ * can leave the pool.
+ */
+const isBetter = (one: Candidate, two: Candidate): boolean =>
+	(one.preference - two.preference ||
+		two.turn - one.turn ||
+		one.usedShare - two.usedShare) > 0;
+
 const pickBest = (
 	executors: readonly Executor[],
 	task: Task,
+	getTurn: GetStartTurn,
 ): Executor | undefined => {
-	let best: {executor: Executor; score: number} | undefined;
+	let best: Candidate | undefined;
 	for (const executor of executors) {
-		const score = getScore(executor, task);
-		if (!best || score > best.score) {
-			best = {executor, score};
+		const candidate = {
+			executor,
+			preference: getPreference(executor, task),
+			turn: getTurn(executor),
+			usedShare: getUsedShare(executor),
+		};
+		if (!best || isBetter(candidate, best)) {
+			best = candidate;
 		}
 	}
 
@@ -125,6 +152,7 @@
 export const placeTask = (
 	executors: readonly Executor[],
 	task: Task,
+	getTurn: GetStartTurn = getNoTurn,
 ): Placement => {
 	const {step} = task;
 	if (executors.length === 0) {
@@ -144,6 +172,7 @@
 	const best = pickBest(
 		allowed.filter((each) => hasRoom(each, step)),
 		task,
+		getTurn,
 	);
 	return best
 		? {kind: 'placed', executor: best}
--- a/packages/core/src/scheduler/plan/plan-copies.ts
+++ b/packages/core/src/scheduler/plan/plan-copies.ts
@@ -36,6 +36,7 @@
 import {
 	isWithinTeamCap,
 	nextRunNumber,
+	placeStart,
 	startTask,
 	type Planning,
 } from './planning.js';
@@ -243,7 +244,11 @@
 	const {owner} = planning;
 	const {run, remainingMs, newRunMs} = behind;
 	const {task} = run;
-	const placement = placeTask(listCopyExecutors(planning, run), task);
+	const placement = placeStart(
+		planning,
+		listCopyExecutors(planning, run),
+		task,
+	);
 	if (placement.kind === 'refused' || !isWithinTeamCap(planning, task)) {
 		return false;
 	}
--- a/packages/core/src/scheduler/plan/plan-gang.ts
+++ b/packages/core/src/scheduler/plan/plan-gang.ts
@@ -3,18 +3,19 @@
 import {getRack, removeRun, type Executor} from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
-import {placeTask} from '../placement/place-task.js';
 import {isWaiting, type Step} from '../state/task.js';
 import {recordTeamUse} from '../ranking/team-use.js';
 import {
 	isWithinTeamCap,
 	listStepExecutors,
 	nextRunNumber,
+	placeStart,
 	startTask,
 	type Planning,
 	type StartCommand,
 } from './planning.js';
 import {isKnownNotToFit} from './rejected-demands.js';
+import {addPendingStart} from './starts-left.js';
 
 /** Whether all tasks of a gang wait and run nowhere. */
 export const isGangReady = (owner: Owner, step: Step): boolean =>
@@ -61,7 +62,7 @@
 	for (const group of listRackGroups(executors, step)) {
 		const started: StartCommand[] = [];
 		for (const task of step.tasks) {
-			const placement = placeTask(group, task);
+			const placement = placeStart(planning, group, task);
 			const command =
 				placement.kind === 'placed'
 					? startTask(planning, placement.executor, task, {
@@ -84,6 +85,7 @@
 		for (const {executor, run} of started) {
 			removeRun(executor, run);
 			recordTeamUse(planning.teamUse, run.task, -1);
+			addPendingStart(planning.pendingStarts, executor, -1);
 		}
 
 		planning.startsLeft += started.length;
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -3,18 +3,19 @@
 import type {Executor} from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
-import {listUsable, placeTask} from '../placement/place-task.js';
+import {listUsable} from '../placement/place-task.js';
 import {rankJobs, type RankedJob} from '../ranking/rank.js';
 import {updateSlowExecutors} from '../executor-speed/record-speeds.js';
 import {estimateRun} from '../run-times/model.js';
 import {isStepReady, isWaiting, type Run, type Step} from '../state/task.js';
 import {computeTeamUse} from '../ranking/team-use.js';
-import {countStartsLeft} from './starts-left.js';
+import {countPendingStarts, countStartsLeft} from './starts-left.js';
 import {
 	evictFor,
 	isWithinTeamCap,
 	listStepExecutors,
 	nextRunNumber,
+	placeStart,
 	startTask,
 	stopRun,
 	type Command,
@@ -159,7 +160,7 @@
 			return;
 		}
 
-		const placement = placeTask(usable, task);
+		const placement = placeStart(planning, usable, task);
 		if (placement.kind === 'refused') {
 			if (placement.reason === 'noRoom' && isLongRunningStep) {
 				evictFor(planning, task);
@@ -208,6 +209,7 @@
 	updateSlowExecutors(owner, usable.length, now);
 	settleCopies(owner);
 	const rejected = createRejectedDemands();
+	const pendingStarts = countPendingStarts(owner);
 	const planning: Planning = {
 		owner,
 		now,
@@ -215,7 +217,8 @@
 		commands: [...stops],
 		rejected,
 		teamUse: computeTeamUse(owner),
-		startsLeft: countStartsLeft(owner),
+		startsLeft: countStartsLeft(owner, pendingStarts),
+		pendingStarts,
 	};
 	if (usable.length === 0 || planning.startsLeft === 0) {
 		return planning.commands;
--- a/packages/core/src/scheduler/plan/planning.ts
+++ b/packages/core/src/scheduler/plan/planning.ts
@@ -8,7 +8,11 @@
 } from '../placement/placement-advice.js';
 import {addRun, grantLease, type Executor} from '../state/executor.js';
 import type {Owner} from '../state/owner-state.js';
-import {findEviction} from '../placement/place-task.js';
+import {
+	findEviction,
+	placeTask,
+	type Placement,
+} from '../placement/place-task.js';
 import {
 	createRun,
 	isWaiting,
@@ -22,6 +26,11 @@
 	type TeamUse,
 } from '../ranking/team-use.js';
 import type {RejectedDemands} from './rejected-demands.js';
+import {
+	addPendingStart,
+	getStartTurn,
+	type PendingStarts,
+} from './starts-left.js';
 
 /** Reason for which a run is stopped. */
 export type StopReason =
@@ -90,8 +99,18 @@
 	readonly teamUse: TeamUse;
 	/** Number of starts that the start window still allows. */
 	startsLeft: number;
+	/** Starts of this plan included. */
+	readonly pendingStarts: PendingStarts;
 };
 
+/** Selects one of the given executors for a start of a task. */
+export const placeStart = (
+	{pendingStarts}: Planning,
+	executors: readonly Executor[],
+	task: Task,
+): Placement =>
+	placeTask(executors, task, (each) => getStartTurn(pendingStarts, each));
+
 /** Records a run and its lease; `undefined` while no lease can be granted. */
 export const startTask = (
 	planning: Planning,
@@ -106,6 +125,7 @@
 	}
 
 	planning.startsLeft -= 1;
+	addPendingStart(planning.pendingStarts, executor, 1);
 	recordTeamUse(planning.teamUse, task);
 	const run = createRun(task, number, executor.id, now);
 	run.isIsolated = isIsolated;
--- a/packages/core/src/scheduler/plan/start-window.ts
+++ b/packages/core/src/scheduler/plan/start-window.ts
@@ -127,6 +127,22 @@
 	inFlight: number,
 ): number => Math.max(0, Math.floor(size) - inFlight);
 
+/** Bounds of the number of starts that one executor takes on at once. */
+const startsPerTurn = {min: 2, max: 8} as const;
+
+/** Share of the window that one executor may hold while others are free. */
+const turnShare = 1 / 8;
+
+/**
+ * Returns how many starts one executor takes on at once. Further ones would
+ * wait there, and fill the window while other executors have nothing to answer.
+ */
+export const getStartsPerTurn = ({size}: StartWindow): number =>
+	Math.max(
+		startsPerTurn.min,
+		Math.min(startsPerTurn.max, Math.floor(turnShare * size)),
+	);
+
 /** Upper bound of the minimum poll interval, in milliseconds. */
 const maxPollIntervalMs = 250;
 
--- a/packages/core/src/scheduler/reports/standing-jobs.ts
+++ b/packages/core/src/scheduler/reports/standing-jobs.ts
@@ -12,7 +12,7 @@
 	listAdvisedExecutors,
 	needsAdvice,
 } from '../placement/placement-advice.js';
-import {countStartsLeft} from '../plan/starts-left.js';
+import {countPendingStarts, countStartsLeft} from '../plan/starts-left.js';
 import {isCrashSuspect} from '../polls/crash-evidence.js';
 import {maxEndsPerPoll} from '../polls/poll-answer.js';
 import {
@@ -107,7 +107,7 @@
 	isConfirmed,
 	usable: listUsable(owner, now),
 	teamUse: computeTeamUse(owner),
-	areStartsLeft: countStartsLeft(owner) > 0,
+	areStartsLeft: countStartsLeft(owner, countPendingStarts(owner)) > 0,
 	placements: new Map(),
 });
 
