Take a request that was begun for one that may have arrived

A call that failed with an error of a route or of connecting (ECONNREFUSED, EHOSTUNREACH, ENETUNREACH, EADDRNOTAVAIL, a connect time-out) counted as not sent, even if the request had been begun on an open connection: a start could then be repeated elsewhere beside a run that exists. Found by reading; on Linux an open connection can end so when its route is lost after the request was written.

The client tells before the first byte that it begins a request, and only then; without that nothing was sent, with it the outcome is unknown, whatever the error.

--- a/packages/ports/src/http/exchange.ts
+++ b/packages/ports/src/http/exchange.ts
@@ -29,20 +29,6 @@
 /** A complete answer, or why there is none. */
 export type HttpResult = Result<HttpAnswer, HttpFailure>;
 
-/** Errors after which no byte of the request was sent. */
-const notSentCodes = new Set([
-	'ECONNREFUSED',
-	'EHOSTUNREACH',
-	'ENETUNREACH',
-	'EADDRNOTAVAIL',
-	'UND_ERR_CONNECT_TIMEOUT',
-]);
-
-const getCode = (err: unknown): string | undefined =>
-	err instanceof Error && 'code' in err && typeof err.code === 'string'
-		? err.code
-		: undefined;
-
 /** What the timeout of a call limits. */
 export const timeoutKinds = {
 	/** The whole call including queueing, for callers with a deadline. */
@@ -151,13 +137,13 @@
 			onResponseEnd() {
 				complete(succeed({status, body: Buffer.concat(chunks)}));
 			},
-			onResponseError(_controller, err) {
-				const isUnsent =
-					controller === undefined || notSentCodes.has(getCode(err) ?? '');
-				if (isUnsent) {
-					complete(fail({kind: 'unavailable'}));
-				} else {
+			onResponseError() {
+				// Whatever the error, even of a route: a request that was begun may
+				// have arrived before.
+				if (controller) {
 					failUnknown();
+				} else {
+					complete(fail({kind: 'unavailable'}));
 				}
 			},
 		});
