Tell a command that never left from a refusal by the executor

Operators saw starts `refused` as `unhealthy` by executors that had got no start: a command whose connection could not be opened, or that waited for a connection until its time-out, was shown as the executor's refusal.

They have an outcome of their own now, `not-sent`, for starts, stops and speed limits. What it means for the run is as before: it does not exist, and the executor rests for 200 ms. One thing more was wrong: the time that such a start had waited here counted as the executor's answer time, up to 600 ms, and made the polls of all executors rarer. A start that waited for long still counts as late, so the window shrinks as before.

--- a/packages/core/src/scheduler/plan/start-window.ts
+++ b/packages/core/src/scheduler/plan/start-window.ts
@@ -19,10 +19,12 @@
 	readonly unqueuedAnswerMs: number;
 };
 
-/** Outcome of a start: an answer or a timeout. */
+/** Outcome of a start: an answer, a timeout, or a failure to send it. */
 export type StartOutcome = {
 	readonly askedAt: number;
 	readonly isAnswered: boolean;
+	/** Whether it may have left the owner; the default is that it did. */
+	readonly wasSent?: boolean;
 };
 
 /**
@@ -92,11 +94,11 @@
 /** Returns the window after the outcome of a start. */
 export const recordStartOutcome = (
 	window: StartWindow,
-	{askedAt, isAnswered}: StartOutcome,
+	{askedAt, isAnswered, wasSent = true}: StartOutcome,
 	now: number,
 ): StartWindow => {
 	const tookMs = now - askedAt;
-	// A timeout is no measurement of the answer time.
+	// Without an answer there is no measurement of the answer time.
 	const times = isAnswered
 		? {
 				meanAnswerMs: average(window.meanAnswerMs, tookMs),
@@ -110,7 +112,9 @@
 		return {...window, ...times};
 	}
 
-	const isLate = !isAnswered || tookMs > getLateLimitMs(times.unqueuedAnswerMs);
+	const isUnanswered = wasSent && !isAnswered;
+	const isLate =
+		isUnanswered || tookMs > getLateLimitMs(times.unqueuedAnswerMs);
 	const lateShare = average(window.lateShare, isLate ? 1 : 0);
 	if (lateShare > halvingShare) {
 		const size = Math.max(minSize, Math.floor(window.size / 2));
--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -25,10 +25,12 @@
 	| {readonly kind: 'fenced'}
 	/** Another incarnation answers at the address. */
 	| {readonly kind: 'other-life'}
+	/** The command never left, so the executor has not seen it. */
+	| {readonly kind: 'not-sent'}
 	/** The command may have been executed, or may still be. */
 	| {readonly kind: 'no-answer'};
 
-/** Why a start was refused. */
+/** Why an executor refused a start. */
 export type StartRefusal =
 	'outdated-run' | 'too-late' | 'no-room' | 'ticket' | 'unhealthy' | 'invalid';
 
@@ -38,9 +40,13 @@
 	| {readonly kind: 'refused'}
 	| {readonly kind: 'fenced'}
 	| {readonly kind: 'other-life'}
+	| {readonly kind: 'not-sent'}
 	| {readonly kind: 'no-answer'};
 
-/** How long an executor gets no work after it refused a start, in milliseconds. */
+/**
+ * How long an executor gets no work after a start that it refused or that could
+ * not be sent to it, in milliseconds.
+ */
 const refusalBackoffMs = 200;
 
 type AnsweredCommand = {
@@ -53,7 +59,7 @@
 /** Whether a start was certainly not carried out, by the answer to it. */
 export const isTurnedAway = ({kind}: StartAnswer): boolean =>
 	match(kind)
-		.with('refused', 'fenced', 'other-life', () => true)
+		.with('refused', 'fenced', 'other-life', 'not-sent', () => true)
 		.with('started', 'no-answer', () => false)
 		.exhaustive();
 
@@ -69,7 +75,11 @@
 ): AnswerEffect => {
 	owner.startWindow = recordStartOutcome(
 		owner.startWindow,
-		{askedAt: run.askedAt, isAnswered: answer.kind !== 'no-answer'},
+		{
+			askedAt: run.askedAt,
+			isAnswered: answer.kind !== 'no-answer' && answer.kind !== 'not-sent',
+			wasSent: answer.kind !== 'not-sent',
+		},
 		now,
 	);
 	const executor = owner.executors.get(run.executorId);
@@ -78,6 +88,13 @@
 		: 'none';
 };
 
+const backOff = (executor: Executor, now: number): void => {
+	executor.quarantinedUntil = Math.max(
+		executor.quarantinedUntil,
+		now + refusalBackoffMs,
+	);
+};
+
 const applyStartOutcome = (
 	{owner, executor, run, now}: AnsweredCommand,
 	answer: StartAnswer,
@@ -100,10 +117,12 @@
 				return 'none';
 			}
 
-			executor.quarantinedUntil = Math.max(
-				executor.quarantinedUntil,
-				now + refusalBackoffMs,
-			);
+			backOff(executor, now);
+			return 'none';
+		})
+		.with({kind: 'not-sent'}, () => {
+			removeRun(executor, run);
+			backOff(executor, now);
 			return 'none';
 		})
 		.with({kind: 'fenced'}, () => {
@@ -152,6 +171,7 @@
 		})
 		.with(
 			{kind: 'refused'},
+			{kind: 'not-sent'},
 			{kind: 'no-answer'},
 			{kind: 'fenced'},
 			({kind}) => {
