Complete a gang of which a start was certainly not carried out

By the owner's lines the start of the fourth member had been refused as `unhealthy`, which no stand-in had done: it was never sent.

Cause: the run of a member that was refused or not sent is removed, and a gang starts as a whole only, under a new run number. So while the others are there nothing starts the missing member, and they wait, with their room held, until they end alone after 3 s. This holds for each refusal: an executor without room, an unhealthy one, another incarnation.

The owner now notes which members of which run were certainly not started, and sends their starts again in the next plan, before all other starts and whatever the start window, under the number of the others; near them if the gang needs one rack. It does so only while all other members are asked to start or run: not if one has ended, nor if it is not known whether one runs. The number may be used again since no executor has carried it out. If no executor has room, the members that have waited for 1.5 s are stopped, as work that cannot begin, and the gang starts anew as a whole.

Not covered: members in isolation after a crash, and a gang whose start has no answer, whose other members wait as before.

--- a/packages/core/src/scheduler/plan/plan-gang.ts
+++ b/packages/core/src/scheduler/plan/plan-gang.ts
@@ -3,7 +3,8 @@
 import {getRack, removeRun, type Executor} from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
-import {isWaiting, type Step} from '../state/task.js';
+import type {IncompleteGang} from '../state/incomplete-gangs.js';
+import {isWaiting, type Run, type Step} from '../state/task.js';
 import {recordTeamUse} from '../ranking/team-use.js';
 import {
 	isWithinTeamCap,
@@ -106,3 +107,73 @@
 		startGang(planning, step, {executors, isIsolated: false});
 	}
 };
+
+/** Returns the runs of the members that were started; none if one has ended. */
+const listPresentRuns = (
+	{tasks}: Step,
+	{number, missing}: IncompleteGang,
+): readonly Run[] => {
+	const others = tasks.filter((task) => !missing.has(task));
+	const runs = others.flatMap((task) =>
+		task.runs.filter(
+			(run) =>
+				run.number === number &&
+				(run.state === 'asked' || run.state === 'running'),
+		),
+	);
+	return runs.length === others.length ? runs : [];
+};
+
+const completeGang = (
+	planning: Planning,
+	step: Step,
+	gang: IncompleteGang,
+): void => {
+	const {owner, commands} = planning;
+	const runs = listPresentRuns(step, gang);
+	// A member on an executor of its own has to wait for another one.
+	if (runs.length === 0 || runs.some(({isIsolated}) => isIsolated)) {
+		return;
+	}
+
+	const racks = new Set(
+		runs.map(({executorId}) => {
+			const executor = owner.executors.get(executorId);
+			return executor && getRack(executor);
+		}),
+	);
+	const usable = listStepExecutors(planning, step);
+	const nearby = step.spec.needsSameRack
+		? usable.filter((each) => racks.has(getRack(each)))
+		: [];
+	for (const task of gang.missing) {
+		const placement = [nearby, usable]
+			.map((executors) => placeStart(planning, executors, task))
+			.find(({kind}) => kind === 'placed');
+		const command =
+			placement?.kind === 'placed' && isWithinTeamCap(planning, task)
+				? startTask(planning, placement.executor, task, {
+						number: gang.number,
+						isIsolated: false,
+					})
+				: undefined;
+		if (command) {
+			gang.missing.delete(task);
+			commands.push(command);
+		}
+	}
+
+	if (gang.missing.size === 0) {
+		owner.incompleteGangs.delete(step);
+	}
+};
+
+/**
+ * Sends the starts of missing members again, under the run number of the others,
+ * which wait for them. This goes before all other starts, whatever the window.
+ */
+export const completeGangs = (planning: Planning): void => {
+	for (const [step, gang] of planning.owner.incompleteGangs) {
+		completeGang(planning, step, gang);
+	}
+};
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -1,6 +1,7 @@
 /** Plans the next commands of the owner of a service. */
 import {isCrashSuspect} from '../polls/crash-evidence.js';
 import type {Executor} from '../state/executor.js';
+import {forgetEndedGangs, hasWaitedForGang} from '../state/incomplete-gangs.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
 import {listUsable} from '../placement/place-task.js';
@@ -24,7 +25,7 @@
 } from './planning.js';
 import {planCopies, settleCopies} from './plan-copies.js';
 import {planSuspects} from './plan-suspects.js';
-import {planGang} from './plan-gang.js';
+import {completeGangs, planGang} from './plan-gang.js';
 import {planRoomShares, reserveRoom} from './plan-room-shares.js';
 import {
 	createRejectedDemands,
@@ -87,6 +88,10 @@
 		return 'unanswered-start';
 	}
 
+	if (hasWaitedForGang(owner, run, now)) {
+		return 'gang-incomplete';
+	}
+
 	return isHung(owner, run, now) ? 'hung' : undefined;
 };
 
@@ -204,6 +209,7 @@
 	epochNow: number,
 ): readonly Command[] => {
 	expireEvacuations(owner, now);
+	forgetEndedGangs(owner);
 	const stops = planStops(owner, now);
 	const usable = listUsable(owner, now);
 	updateSlowExecutors(owner, usable.length, now);
@@ -220,7 +226,8 @@
 		startsLeft: countStartsLeft(owner, pendingStarts),
 		pendingStarts,
 	};
-	if (usable.length === 0 || planning.startsLeft === 0) {
+	completeGangs(planning);
+	if (usable.length === 0 || planning.startsLeft <= 0) {
 		return planning.commands;
 	}
 
--- a/packages/core/src/scheduler/plan/planning.ts
+++ b/packages/core/src/scheduler/plan/planning.ts
@@ -39,6 +39,7 @@
 	| 'duplicate'
 	| 'unanswered-start'
 	| 'hung'
+	| 'gang-incomplete'
 	| 'evacuation'
 	| 'preempted'
 	| 'executor-draining';
--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -6,6 +6,7 @@
 	recordClockReading,
 	type Executor,
 } from '../state/executor.js';
+import {noteTurnedAway} from '../state/incomplete-gangs.js';
 import {markUnresponsive} from '../state/owner.js';
 import type {Owner} from '../state/owner-state.js';
 import {recordStartOutcome} from '../plan/start-window.js';
@@ -112,6 +113,7 @@
 		})
 		.with({kind: 'refused'}, ({reason}) => {
 			removeRun(executor, run);
+			noteTurnedAway(owner, run);
 			if (reason === 'ticket') {
 				dropTicket(owner, run.task.step, executor.id);
 				return 'none';
@@ -122,6 +124,7 @@
 		})
 		.with({kind: 'not-sent'}, () => {
 			removeRun(executor, run);
+			noteTurnedAway(owner, run);
 			backOff(executor, now);
 			return 'none';
 		})
@@ -132,6 +135,7 @@
 		.with({kind: 'other-life'}, () => {
 			// The executor that was lost never had it.
 			removeRun(executor, run);
+			noteTurnedAway(owner, run);
 			return 'other-life';
 		})
 		.with({kind: 'no-answer'}, () => {
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -7,7 +7,8 @@
 import type {RoomShares} from '../team-shares/room-shares.js';
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
-import type {Job, PossiblyLost, Task} from './task.js';
+import type {IncompleteGang} from './incomplete-gangs.js';
+import type {Job, PossiblyLost, Step, Task} from './task.js';
 
 /** Placement advice received for one step. */
 export type StepAdvice = {
@@ -78,6 +79,8 @@
 	 * tasks that have crashed them if they do not; see open-crashes.ts.
 	 */
 	readonly possibleLosses: Map<string, PossibleLoss>;
+	/** Gangs that miss members; see incomplete-gangs.ts. */
+	readonly incompleteGangs: Map<Step, IncompleteGang>;
 	/** Executors lost recently, but for those that were evacuated. */
 	recentLosses: readonly ExecutorLoss[];
 	/** Whether the stored roster is out of date. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -57,6 +57,7 @@
 	dirtyJobs: new Set(),
 	crashSuspects: new Set(),
 	possibleLosses: new Map(),
+	incompleteGangs: new Map(),
 	recentLosses: [],
 	isRosterDirty: false,
 	flushNumber: 1,
