Stop the members of a gang whose start had no answer and was barred

A member whose start has no answer is stopped, so that it can't begin later. The others of its gang went on waiting with their room held, until they ended alone (GANG) after 3 s. Found by reading, after the gang of which a start was not sent.

Members that have waited for 1.5 s, without any progress, while the owner knows of no run of another member under their number are now stopped, whatever became of that member, and the gang starts anew as a whole. Runs of earlier owners are left alone, since not all of them need be known. A member whose start had no answer and which is then listed counts as there.

incomplete-gang.test.ts, a member was barred after a start without an answer: fails on the code before; the three other new cases pass on both.

Not covered: a member whose executor stays silent, so that it can't be barred; the others end alone then, beside a disruption.

--- a/packages/core/src/scheduler/plan/incomplete-gang.test.ts
+++ b/packages/core/src/scheduler/plan/incomplete-gang.test.ts
@@ -207,3 +207,78 @@
 		'stop g.0.0.2 on x2: gang-incomplete',
 	]);
 });
+
+const stops = [0, 1, 2].map(
+	(index) => `stop g.0.0.${index} on x${index}: gang-incomplete`,
+);
+
+type WaitCase = {
+	readonly name: string;
+	/** What becomes of the last member until 700. */
+	readonly change: (gang: Gang) => void;
+	/** Progress of the others at 1600. */
+	readonly percent: number;
+	readonly stops: readonly string[];
+};
+
+/** A start without an answer, of which the executor knows nothing. */
+const barLast = ({owner, runs}: Gang) => {
+	const run = runs[3]!;
+	scheduler.applyStartAnswer(owner, run, {kind: 'no-answer'}, 600);
+	pollExecutor(owner, run.executorId, {at: 610});
+	scheduler.planCommands(owner, 620, 620);
+	scheduler.applyStopAnswer(owner, run, {kind: 'done', clockMs: 630}, 630);
+	pollExecutor(owner, run.executorId, {at: 640});
+};
+
+const waitCases: readonly WaitCase[] = [
+	{
+		name: 'a member was barred after a start without an answer',
+		change: barLast,
+		percent: 0,
+		stops,
+	},
+	{
+		name: 'a member has gone, and the others have worked',
+		change: barLast,
+		percent: 1,
+		stops: [],
+	},
+	{
+		name: 'a member whose start had no answer runs',
+		change({owner, runs}) {
+			const {task, number, executorId} = runs[3]!;
+			scheduler.applyStartAnswer(owner, runs[3]!, {kind: 'no-answer'}, 600);
+			const running = [{taskId: task.id, run: number}];
+			pollExecutor(owner, executorId, {at: 610, running});
+		},
+		percent: 0,
+		stops: [],
+	},
+];
+
+for (const {name, change, percent, stops: expected} of waitCases) {
+	tap.t.test(`members that wait are stopped or not: ${name}`, async (t) => {
+		const gang = sendGang(ids.slice(0, size));
+		const {owner, runs} = gang;
+		answer(gang, [started, started, started], 5);
+		change(gang);
+		t.same(scheduler.planCommands(owner, 1400, 1400), []);
+		for (const {executorId, task, number} of runs.slice(0, 3)) {
+			const running = [{taskId: task.id, run: number, percent}];
+			pollExecutor(owner, executorId, {at: 1600, running});
+		}
+
+		const commands = scheduler.planCommands(owner, 1610, 1610);
+		t.same(describeCommands(commands), expected);
+	});
+}
+
+tap.t.test('members that an earlier owner started go on', async (t) => {
+	const owner = createTestOwner(ids.map((id) => createListed(id)));
+	submit(owner, createAccepted('g', [{count: size, isGang: true}]), true);
+	const running = [{taskId: 'g.0.0.0', run: 7}];
+	pollExecutor(owner, 'x0', {at: 10, running});
+	pollExecutor(owner, 'x0', {at: 5000, running});
+	t.same(scheduler.planCommands(owner, 5010, 5010), []);
+});
--- a/packages/core/src/scheduler/plan/plan-copies.ts
+++ b/packages/core/src/scheduler/plan/plan-copies.ts
@@ -23,6 +23,7 @@
 import {isLocationKnown} from '../state/task-location.js';
 import {isInheritanceKnown} from '../state/unread-ends.js';
 import type {Owner} from '../state/owner-state.js';
+import {nextRunNumber} from '../state/run-numbers.js';
 import {
 	isStepReady,
 	isWaiting,
@@ -35,7 +36,6 @@
 import {isGangReady} from './plan-gang.js';
 import {
 	isWithinTeamCap,
-	nextRunNumber,
 	placeStart,
 	startTask,
 	type Planning,
--- a/packages/core/src/scheduler/plan/plan-gang.ts
+++ b/packages/core/src/scheduler/plan/plan-gang.ts
@@ -4,12 +4,12 @@
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
 import type {IncompleteGang} from '../state/incomplete-gangs.js';
+import {nextRunNumber} from '../state/run-numbers.js';
 import {isWaiting, type Run, type Step} from '../state/task.js';
 import {recordTeamUse} from '../ranking/team-use.js';
 import {
 	isWithinTeamCap,
 	listStepExecutors,
-	nextRunNumber,
 	placeStart,
 	startTask,
 	type Planning,
--- a/packages/core/src/scheduler/plan/plan-room-shares.ts
+++ b/packages/core/src/scheduler/plan/plan-room-shares.ts
@@ -1,3 +1,4 @@
+import {nextRunNumber} from '../state/run-numbers.js';
 /**
  * The parts of a plan that share room between teams: the order of the jobs, and
  * executors that are kept for wide tasks. Without shortage they change nothing.
@@ -20,7 +21,6 @@
 } from '../team-shares/waiting-jobs.js';
 import {
 	isWithinTeamCap,
-	nextRunNumber,
 	reserveExecutors,
 	startTask,
 	type Planning,
--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -14,13 +14,13 @@
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
 import {listFitting, maySpreadTo} from '../placement/place-task.js';
+import {nextRunNumber} from '../state/run-numbers.js';
 import {isStepReady, isWaiting, type Step, type Task} from '../state/task.js';
 import {isGangReady, startGang} from './plan-gang.js';
 import {
 	evictFor,
 	isWithinTeamCap,
 	listStepExecutors,
-	nextRunNumber,
 	reserveExecutors,
 	startTask,
 	type Planning,
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -8,6 +8,7 @@
 import {rankJobs, type RankedJob} from '../ranking/rank.js';
 import {updateSlowExecutors} from '../executor-speed/record-speeds.js';
 import {estimateRun} from '../run-times/model.js';
+import {nextRunNumber} from '../state/run-numbers.js';
 import {isStepReady, isWaiting, type Run, type Step} from '../state/task.js';
 import {computeTeamUse} from '../ranking/team-use.js';
 import {countPendingStarts, countStartsLeft} from './starts-left.js';
@@ -15,7 +16,6 @@
 	evictFor,
 	isWithinTeamCap,
 	listStepExecutors,
-	nextRunNumber,
 	placeStart,
 	startTask,
 	stopRun,
--- a/packages/core/src/scheduler/plan/planning.ts
+++ b/packages/core/src/scheduler/plan/planning.ts
@@ -65,13 +65,6 @@
 /** A start of a run. */
 export type StartCommand = Extract<Command, {readonly kind: 'start'}>;
 
-/** Range of run numbers of one owner, by its fencing token. */
-const runsPerToken = 10_000;
-
-/** Run numbers grow across owners, since fencing tokens do. */
-export const nextRunNumber = (owner: Owner, task: Task): number =>
-	Math.max(task.lastRun, owner.token * runsPerToken) + 1;
-
 /** Records a stop; `undefined` if one is under way already. */
 export const stopRun = (
 	executor: Executor,
--- a/packages/core/src/scheduler/state/incomplete-gangs.ts
+++ b/packages/core/src/scheduler/state/incomplete-gangs.ts
@@ -3,6 +3,7 @@
  * of such a gang works, and its members end alone unless it is completed.
  */
 import type {Owner} from './owner-state.js';
+import {isOwnRunNumber} from './run-numbers.js';
 import type {Run, Step, Task} from './task.js';
 
 /** The run of a gang that misses members. */
@@ -58,11 +59,18 @@
  */
 const maxIncompleteMs = 1500;
 
-/** Whether a member has waited too long for others of its gang. */
+/**
+ * Whether a member has waited too long for others of its gang, whatever became
+ * of these. Of the runs of earlier owners not all need be known.
+ */
 export const hasWaitedForGang = (
-	{incompleteGangs}: Owner,
-	run: Run,
+	owner: Owner,
+	{task: {step}, number, state, percent, askedAt}: Run,
 	now: number,
 ): boolean =>
-	incompleteGangs.get(run.task.step)?.number === run.number &&
-	now - run.askedAt > maxIncompleteMs;
+	step.spec.isGang &&
+	state === 'running' &&
+	percent === 0 &&
+	now - askedAt > maxIncompleteMs &&
+	isOwnRunNumber(owner, number) &&
+	step.tasks.some((task) => !task.isDone && !isPresent(task, number));
