--- a/packages/core/src/scheduler/plan/plan-copies.ts
+++ b/packages/core/src/scheduler/plan/plan-copies.ts
@@ -23,6 +23,7 @@
 import {isLocationKnown} from '../state/task-location.js';
 import {isInheritanceKnown} from '../state/unread-ends.js';
 import type {Owner} from '../state/owner-state.js';
+import {nextRunNumber} from '../state/run-numbers.js';
 import {
 	isStepReady,
 	isWaiting,
@@ -35,7 +36,7 @@
 import {isGangReady} from './plan-gang.js';
 import {
 	isWithinTeamCap,
-	nextRunNumber,
+	placeStart,
 	startTask,
 	type Planning,
 } from './planning.js';
@@ -243,7 +244,11 @@
 	const {owner} = planning;
 	const {run, remainingMs, newRunMs} = behind;
 	const {task} = run;
-	const placement = placeTask(listCopyExecutors(planning, run), task);
+	const placement = placeStart(
+		planning,
+		listCopyExecutors(planning, run),
+		task,
+	);
 	if (placement.kind === 'refused' || !isWithinTeamCap(planning, task)) {
 		return false;
 	}
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -1,20 +1,22 @@
 /** Plans the next commands of the owner of a service. */
 import {isCrashSuspect} from '../polls/crash-evidence.js';
 import type {Executor} from '../state/executor.js';
+import {forgetEndedGangs, hasWaitedForGang} from '../state/incomplete-gangs.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
-import {listUsable, placeTask} from '../placement/place-task.js';
+import {listUsable} from '../placement/place-task.js';
 import {rankJobs, type RankedJob} from '../ranking/rank.js';
 import {updateSlowExecutors} from '../executor-speed/record-speeds.js';
 import {estimateRun} from '../run-times/model.js';
+import {nextRunNumber} from '../state/run-numbers.js';
 import {isStepReady, isWaiting, type Run, type Step} from '../state/task.js';
 import {computeTeamUse} from '../ranking/team-use.js';
-import {countStartsLeft} from './starts-left.js';
+import {countPendingStarts, countStartsLeft} from './starts-left.js';
 import {
 	evictFor,
 	isWithinTeamCap,
 	listStepExecutors,
-	nextRunNumber,
+	placeStart,
 	startTask,
 	stopRun,
 	type Command,
@@ -23,7 +25,7 @@
 } from './planning.js';
 import {planCopies, settleCopies} from './plan-copies.js';
 import {planSuspects} from './plan-suspects.js';
-import {planGang} from './plan-gang.js';
+import {completeGangs, planGang} from './plan-gang.js';
 import {planRoomShares, reserveRoom} from './plan-room-shares.js';
 import {
 	createRejectedDemands,
@@ -86,6 +88,10 @@
 		return 'unanswered-start';
 	}
 
+	if (hasWaitedForGang(owner, run, now)) {
+		return 'gang-incomplete';
+	}
+
 	return isHung(owner, run, now) ? 'hung' : undefined;
 };
 
@@ -159,7 +165,7 @@
 			return;
 		}
 
-		const placement = placeTask(usable, task);
+		const placement = placeStart(planning, usable, task);
 		if (placement.kind === 'refused') {
 			if (placement.reason === 'noRoom' && isLongRunningStep) {
 				evictFor(planning, task);
@@ -203,11 +209,13 @@
 	epochNow: number,
 ): readonly Command[] => {
 	expireEvacuations(owner, now);
+	forgetEndedGangs(owner);
 	const stops = planStops(owner, now);
 	const usable = listUsable(owner, now);
 	updateSlowExecutors(owner, usable.length, now);
 	settleCopies(owner);
 	const rejected = createRejectedDemands();
+	const pendingStarts = countPendingStarts(owner);
 	const planning: Planning = {
 		owner,
 		now,
@@ -215,9 +223,11 @@
 		commands: [...stops],
 		rejected,
 		teamUse: computeTeamUse(owner),
-		startsLeft: countStartsLeft(owner),
+		startsLeft: countStartsLeft(owner, pendingStarts),
+		pendingStarts,
 	};
-	if (usable.length === 0 || planning.startsLeft === 0) {
+	completeGangs(planning);
+	if (usable.length === 0 || planning.startsLeft <= 0) {
 		return planning.commands;
 	}
 
--- a/packages/core/src/scheduler/plan/start-window.ts
+++ b/packages/core/src/scheduler/plan/start-window.ts
@@ -19,10 +19,12 @@
 	readonly unqueuedAnswerMs: number;
 };
 
-/** Outcome of a start: an answer or a timeout. */
+/** Outcome of a start: an answer, a timeout, or a failure to send it. */
 export type StartOutcome = {
 	readonly askedAt: number;
 	readonly isAnswered: boolean;
+	/** Whether it may have left the owner; the default is that it did. */
+	readonly wasSent?: boolean;
 };
 
 /**
@@ -92,11 +94,11 @@
 /** Returns the window after the outcome of a start. */
 export const recordStartOutcome = (
 	window: StartWindow,
-	{askedAt, isAnswered}: StartOutcome,
+	{askedAt, isAnswered, wasSent = true}: StartOutcome,
 	now: number,
 ): StartWindow => {
 	const tookMs = now - askedAt;
-	// A timeout is no measurement of the answer time.
+	// Without an answer there is no measurement of the answer time.
 	const times = isAnswered
 		? {
 				meanAnswerMs: average(window.meanAnswerMs, tookMs),
@@ -110,7 +112,9 @@
 		return {...window, ...times};
 	}
 
-	const isLate = !isAnswered || tookMs > getLateLimitMs(times.unqueuedAnswerMs);
+	const isUnanswered = wasSent && !isAnswered;
+	const isLate =
+		isUnanswered || tookMs > getLateLimitMs(times.unqueuedAnswerMs);
 	const lateShare = average(window.lateShare, isLate ? 1 : 0);
 	if (lateShare > halvingShare) {
 		const size = Math.max(minSize, Math.floor(window.size / 2));
@@ -127,6 +131,22 @@
 	inFlight: number,
 ): number => Math.max(0, Math.floor(size) - inFlight);
 
+/** Bounds of the number of starts that one executor takes on at once. */
+const startsPerTurn = {min: 2, max: 8} as const;
+
+/** Share of the window that one executor may hold while others are free. */
+const turnShare = 1 / 8;
+
+/**
+ * Returns how many starts one executor takes on at once. Further ones would
+ * wait there, and fill the window while other executors have nothing to answer.
+ */
+export const getStartsPerTurn = ({size}: StartWindow): number =>
+	Math.max(
+		startsPerTurn.min,
+		Math.min(startsPerTurn.max, Math.floor(turnShare * size)),
+	);
+
 /** Upper bound of the minimum poll interval, in milliseconds. */
 const maxPollIntervalMs = 250;
 
