Quarantine no more than a share of the executors that take work

What callers saw: nothing by a record; found by reading. The share of the executors that may be quarantined after three failed runs in a row was taken of all that the owner keeps. With four of six silent, draining or evacuated, the other two could rest at once, so that nothing of the service could start for 3 s, and again after three more failed runs each.

Now the share is taken of those that may otherwise be given work.

`run-ends.test.ts`, three cases (beside silent, draining and evacuated ones), failed before: neither of two executors was usable. All 2,730 checks of `core/dist/scheduler` pass. What remains: if others stop answering after one was quarantined, it still rests to the end of its 3 s.

--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -8,6 +8,7 @@
 import {
 	addRun,
 	removeRun,
+	getReadiness,
 	getRunKey,
 	recordClockReading,
 	type Executor,
@@ -113,11 +114,14 @@
 ): void => {
 	const {failuresUntilQuarantine, quarantineMs, maxQuarantinedShare} =
 		owner.cfg;
-	const all = [...owner.executors.values()];
-	const quarantined = all.filter(
-		({quarantinedUntil}) => quarantinedUntil > now,
-	).length;
-	const isWithinShare = (quarantined + 1) / all.length <= maxQuarantinedShare;
+	// Others take no work anyway, so they leave all of it to those that do.
+	const readiness = [...owner.executors.values()]
+		.filter((each) => each !== executor)
+		.map((each) => getReadiness(each, now));
+	const usable = readiness.filter((each) => each === 'usable').length;
+	const quarantined = readiness.filter((each) => each === 'resting').length;
+	const isWithinShare =
+		(quarantined + 1) / (usable + quarantined + 1) <= maxQuarantinedShare;
 	if (
 		executor.consecutiveFailures >= failuresUntilQuarantine &&
 		isWithinShare
--- a/packages/core/src/scheduler/polls/run-ends.test.ts
+++ b/packages/core/src/scheduler/polls/run-ends.test.ts
@@ -118,6 +118,65 @@
 	},
 );
 
+const otherwiseUnusable = [
+	[
+		'silent',
+		(owner: scheduler.Owner, id: string) => {
+			scheduler.markUnresponsive(owner, id, 0);
+		},
+	],
+	[
+		'draining',
+		(owner: scheduler.Owner, id: string) => {
+			scheduler.recordListedExecutor(
+				owner,
+				createListed(id, {isDraining: true}),
+			);
+		},
+	],
+	[
+		'being evacuated',
+		(owner: scheduler.Owner, id: string) => {
+			scheduler.requestEvacuation(owner, id, 1000, 0);
+		},
+	],
+] as const;
+
+for (const [name, takeOut] of otherwiseUnusable) {
+	tap.t.test(
+		`not all executors that may be given work are quarantined beside others that are ${name}`,
+		async (t) => {
+			const owner = createTestOwner(
+				['x', 'y', 'u', 'v', 'w', 'z'].map((id) => createListed(id)),
+			);
+			for (const id of ['u', 'v', 'w', 'z']) {
+				takeOut(owner, id);
+			}
+
+			for (const id of ['x', 'y']) {
+				for (
+					let index = 1;
+					index <= owner.cfg.failuresUntilQuarantine;
+					index++
+				) {
+					const job = `${id}${index}`;
+					submit(owner, createAccepted(job));
+					pollExecutor(owner, id, {
+						at: 10,
+						ends: [{number: index, taskId: `${job}.0.0.0`, how: 'failed'}],
+					});
+				}
+			}
+
+			t.ok(
+				['x', 'y'].some((id) =>
+					scheduler.isUsable(owner.executors.get(id)!, 10),
+				),
+			);
+		},
+	);
+}
+
 tap.t.test('the next start carries the checkpoint', async (t) => {
 	const owner = createTestOwner([createListed('x')]);
 	submit(owner, createAccepted('a', [{canCheckpoint: true}]));
--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -34,7 +34,10 @@
 	readonly failuresUntilQuarantine: number;
 	/** ... for this long. */
 	readonly quarantineMs: number;
-	/** Maximum share of a service's executors in quarantine at once. */
+	/**
+	 * Maximum share of the executors that may otherwise be given work in quarantine
+	 * at once.
+	 */
 	readonly maxQuarantinedShare: number;
 	/** How long ended jobs are kept for queries. */
 	readonly keepEndedMs: number;
