Keep connections to executors by id and address

An executor that starts again under its id for another service has a new address; the owner of the service before still polls the old one until the leases there expire. With both owners in one daemon each call of one closed the connections of the other, as there was one set for an id: its polls and starts ended without an answer every 0.05 to 0.4 s, so that the executor that lives counted as silent for most of 4.7 s, and starts on it were in doubt.

Now connections are kept by id and address. A link closes those to the address before when its executor is listed with another one, as the client did.

What remains: at one address the connections are still shared, and a link that closes ends the other's calls once.

--- a/packages/daemon/src/jobs/owner/executor-link.test.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.test.ts
@@ -138,3 +138,54 @@
 		t.equal(executor.runs.size, 1, 'the closed link applies nothing');
 	},
 );
+
+tap.t.test(
+	'connections to an earlier address of an executor are closed',
+	async (t) => {
+		const cfg = scheduler.defaultSchedulerConfig;
+		const owner = scheduler.createOwner('s', 1, cfg, 0);
+		const addresses = ['10.0.0.1:1', '10.0.0.2:1'] as const;
+		const closed: string[] = [];
+		const listAt = (address: string) => {
+			scheduler.recordListedExecutor(owner, {
+				...createListedExecutor('x'),
+				address,
+			});
+		};
+
+		listAt(addresses[0]);
+		const link = openExecutorLink({
+			owner,
+			executor: owner.executors.get('x')!,
+			executors: {
+				...createExecutors(seen, []),
+				closeConnections({address}) {
+					closed.push(address);
+				},
+			},
+			now,
+			isOwnershipConfirmed: () => true,
+			logger: {info: () => undefined as never, warn: () => undefined as never},
+			reportFailure(err) {
+				t.fail(err.message);
+			},
+			onChange: () => undefined,
+			onPoll: () => undefined,
+			onFenced: () => undefined,
+			onOtherIncarnation: () => undefined,
+			onStartAnswer: () => undefined,
+		});
+		await new Promise((resolve) => {
+			setTimeout(resolve, 20);
+		});
+		t.same(closed, []);
+		listAt(addresses[1]);
+		link.pollNow();
+		await new Promise((resolve) => {
+			setTimeout(resolve, 20);
+		});
+		t.same(closed, [addresses[0]]);
+		link.close();
+		t.same(closed, addresses);
+	},
+);
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -60,11 +60,22 @@
 /** Opens a link and sends the first poll. */
 export const openExecutorLink = (deps: ExecutorLinkDeps): ExecutorLink => {
 	const {owner, executor, executors, now, logger} = deps;
-	/** An executor that starts again may have another address. */
-	const getTarget = (): ExecutorTarget => ({
+	let target: ExecutorTarget = {
 		id: executor.id,
 		address: executor.listed.address,
-	});
+	};
+
+	/** An executor that starts again may have another address. */
+	const getTarget = (): ExecutorTarget => {
+		const {address} = executor.listed;
+		if (address !== target.address) {
+			executors.closeConnections(target);
+			target = {id: executor.id, address};
+		}
+
+		return target;
+	};
+
 	const state: State = {
 		isClosed: false,
 		isPollRequested: true,
@@ -373,7 +384,7 @@
 			idlePause.end();
 			ackPause.end();
 			pollGap.end();
-			executors.closeConnections(getTarget());
+			executors.closeConnections(target);
 		},
 		send(command) {
 			runInBackground(
--- a/packages/ports/src/ports/executors.ts
+++ b/packages/ports/src/ports/executors.ts
@@ -73,6 +73,6 @@
 		req: PollRequest,
 		timeoutMs: number,
 	) => Promise<PollAnswer>;
-	/** Closes the connections to an incarnation that has terminated. */
+	/** Closes the connections to an executor at an address. */
 	readonly closeConnections: (target: ExecutorTarget) => void;
 };
