Raise a fencing token that no executor of a service accepts

What callers saw: jobs of a service stand for good, `no-usable-executor`, all executors `silent`, though they live, are listed and answer.

Cause: an executor that refuses the owner's token counts as silent. If the lease row is unchanged and no known lease has a higher token (`unknown`), the owner keeps the service, which is right for one executor beside others. For all of them nothing ended it: the owner sent the same token every 3 s. So it is where the store was set up anew while the executors live on, or where a lease that held the higher token cannot be read.

Whoever claims it next waits for leases as after any release; no token goes down and none is used by two. The raises end past 2^26, as the numbers of runs contain tokens. The fleet's shard, whose token the platform may refuse alike, is released in the same way.

--- a/packages/core/src/shards/shard-lease.test.ts
+++ b/packages/core/src/shards/shard-lease.test.ts
@@ -12,6 +12,8 @@
 	releaseShard,
 	isLeaseCurrent,
 	guardWithLease,
+	mayRaiseRefused,
+	raiseRefusedToken,
 	raiseToken,
 	type HeldShard,
 	type HolderEvidence,
@@ -193,3 +195,19 @@
 	t.equal(raiseToken(3, [2, 9]), 9);
 	t.equal(raiseToken(3, []), 3);
 });
+
+tap.t.test('a refused token is raised', async (t) => {
+	t.equal(raiseRefusedToken(3, [2, 9]), 9, 'to the highest that is known');
+	t.ok(raiseRefusedToken(3, [2, 3]) > 3, 'though none that is known is higher');
+	let token = 1;
+	let raises = 0;
+	while (mayRaiseRefused(token)) {
+		token = raiseRefusedToken(token, []) + 1;
+		raises += 1;
+	}
+
+	t.ok(raises < 10);
+	t.ok(token > 1_000_000);
+	t.ok(Number.isSafeInteger(token * 10_000 + 9999), 'for the numbers of runs');
+	t.equal(raiseRefusedToken(token, []), token, 'not without limit');
+});
--- a/packages/core/src/shards/shard-lease.ts
+++ b/packages/core/src/shards/shard-lease.ts
@@ -143,6 +143,31 @@
 	knownTokens: readonly number[],
 ): number => Math.max(token, ...knownTokens);
 
+/** By which a token is multiplied that is refused for an unknown higher one. */
+const refusedTokenFactor = 16;
+
+/** Highest token that is multiplied; run numbers contain tokens. */
+const maxRefusedToken = 2 ** 26;
+
+/** Whether a token may be raised without knowing the one that is higher. */
+export const mayRaiseRefused = (token: number): boolean =>
+	token <= maxRefusedToken;
+
+/**
+ * Returns the token to store with the release of a shard after a command under
+ * `token` was refused. If no known token is higher, as of a store that was set
+ * up anew beside instances that live on, repeated raises exceed it.
+ */
+export const raiseRefusedToken = (
+	token: number,
+	knownTokens: readonly number[],
+): number => {
+	const raised = raiseToken(token, knownTokens);
+	return raised === token && mayRaiseRefused(token)
+		? token * refusedTokenFactor
+		: raised;
+};
+
 /** Whether a read of the lease row shows that the shard is lost. */
 export const isShardLost = (held: HeldShard, read: ReadLease): boolean =>
 	read?.version !== held.version;
--- a/packages/daemon/src/jobs/fenced-owner.test.ts
+++ b/packages/daemon/src/jobs/fenced-owner.test.ts
@@ -53,6 +53,32 @@
 	});
 }
 
+for (const token of [2, 100]) {
+	tap.t.test(
+		`all executors of a service have seen the unknown token ${token}`,
+		async (t) => {
+			const platform = createTestPlatform(['x', 'y']);
+			finishTasksAfter(platform, 20);
+			await fence(platform, 'x', token);
+			await fence(platform, 'y', token);
+			const daemon = await startDaemon(platform, 'a', (err) => {
+				t.fail(err.message);
+			});
+			t.teardown(daemon.stop);
+			await waitUntil('readiness', daemon.isReady);
+			const id = createId(1);
+			await submit(daemon, id);
+			await waitUntil(
+				'the end of the job',
+				async () => (await readState(daemon, id)) === 'completed',
+				20_000,
+			);
+			const [start] = platform.executors.listStarts();
+			t.ok(start!.fencingToken > token);
+		},
+	);
+}
+
 /** Stores that a shard was held under these tokens and released. */
 const storeReleasedLease = async (
 	{store}: TestPlatform,
--- a/packages/daemon/src/jobs/owner/fence-check.test.ts
+++ b/packages/daemon/src/jobs/owner/fence-check.test.ts
@@ -27,6 +27,7 @@
 			previousHolder: undefined,
 		},
 		listTokens: () => [],
+		isTokenAccepted: () => true,
 		isStopped: () => state.isStopped,
 		logger: noLogger,
 		metrics: createJobMetrics(),
--- a/packages/daemon/src/jobs/owner/fence-check.ts
+++ b/packages/daemon/src/jobs/owner/fence-check.ts
@@ -1,8 +1,8 @@
 /**
  * Finds out why an executor refuses commands for a higher fencing token. A later
  * owner of the service shows in the lease row. If the row is unchanged, another
- * shard's owner has reached the executor under the same id, and this owner keeps
- * the service.
+ * shard's owner has reached the executor under the same id. If no known token is
+ * higher, this owner keeps the service, unless no executor takes its own one.
  */
 import {shardLease, type scheduler} from '@gullstand/core';
 import type {RowStore, StoredRow} from '@gullstand/ports';
@@ -20,6 +20,8 @@
 	readonly held: HeldShard;
 	/** Lists the fencing tokens of all known shards. */
 	readonly listTokens: () => readonly number[];
+	/** Whether an executor that is listed has taken this owner's token. */
+	readonly isTokenAccepted: () => boolean;
 	readonly isStopped: () => boolean;
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	readonly metrics: Pick<JobMetrics, 'count'>;
@@ -111,7 +113,13 @@
 					);
 				})
 				.with('unknown', () => {
+					// Other shards' tokens may be known later than they are sent.
+					const isLasting = cleared.has(id) && isListed;
 					cleared.add(id);
+					const mayRaise = shardLease.mayRaiseRefused(held.token);
+					if (isLasting && mayRaise && !deps.isTokenAccepted()) {
+						deps.onOwnershipLost('no executor accepts the fencing token', []);
+					}
 				})
 				.exhaustive();
 		},
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -231,6 +231,10 @@
 	const fences = createFenceCheck({
 		...deps,
 		logger,
+		isTokenAccepted: () =>
+			[...(owner?.executors.values() ?? [])].some(
+				({isListed, isAdopted}) => isListed && isAdopted,
+			),
 		isStopped: () => state.isStopped,
 		onOwnershipLost: loseOwnership,
 	});
--- a/packages/daemon/src/jobs/shards/shard-lease-manager.ts
+++ b/packages/daemon/src/jobs/shards/shard-lease-manager.ts
@@ -19,7 +19,7 @@
 import {toLiveEntries, type Members} from './members.js';
 import {maxSpreadShards, shardPeriods} from './shard-periods.js';
 import {createShardFailures} from './shard-failures.js';
-import {createShardReleases} from './shard-releases.js';
+import {createShardReleases, type TokenRaise} from './shard-releases.js';
 
 type PreviousHolderState = core.earlierHolders.PreviousHolderState;
 
@@ -409,11 +409,11 @@
 		},
 	});
 
-	const loseAndRelease = (shard: string, reason: string) => {
+	const loseAndRelease = (shard: string, reason: string, raise: TokenRaise) => {
 		const lost = held.get(shard);
 		lose(shard, reason);
 		if (lost) {
-			void releases.giveBack(lost);
+			void releases.giveBack(lost, raise);
 		}
 	};
 
@@ -495,11 +495,11 @@
 			}
 		},
 		handleFenced(shard) {
-			loseAndRelease(shard, 'a higher fencing token was seen');
+			loseAndRelease(shard, 'a higher fencing token was seen', 'refused');
 		},
 		giveUp(shard, reason) {
 			failures.add(shard);
-			loseAndRelease(shard, reason);
+			loseAndRelease(shard, reason, 'known');
 		},
 		checkNow() {
 			void considerAll();
--- a/packages/daemon/src/jobs/shards/shard-releases.ts
+++ b/packages/daemon/src/jobs/shards/shard-releases.ts
@@ -31,9 +31,10 @@
 	readonly release: (shard: string) => Promise<void>;
 	/**
 	 * Releases a shard on which this daemon has stopped all work, unless the row
-	 * shows another holder. The next token exceeds those of all known leases.
+	 * shows another holder. The next token exceeds those of all known leases, and
+	 * by far its own one if that was refused and no known one is higher.
 	 */
-	readonly giveBack: (lost: HeldShard) => Promise<void>;
+	readonly giveBack: (lost: HeldShard, raise: TokenRaise) => Promise<void>;
 	/** Retries lease writes that failed. */
 	readonly retry: () => void;
 	/** Whether a release is in progress or its lease is still to be written. */
@@ -42,7 +43,19 @@
 	readonly waitForAll: () => Promise<void>;
 };
 
-type Unwritten = {readonly held: HeldShard; readonly isTokenRaised: boolean};
+/** How the token of the next lease is chosen. */
+export type TokenRaise = 'known' | 'refused';
+
+const raiseToken = {
+	known: shardLease.raiseToken,
+	refused: shardLease.raiseRefusedToken,
+} as const satisfies Record<TokenRaise, typeof shardLease.raiseToken>;
+
+type Unwritten = {
+	readonly held: HeldShard;
+	/** Absent if the token stays as it is. */
+	readonly raise?: TokenRaise;
+};
 
 export const createShardReleases = (deps: ShardReleasesDeps): ShardReleases => {
 	const {store, leases, logger} = deps;
@@ -52,7 +65,7 @@
 
 	const write = async ({
 		held: {shard, version},
-		isTokenRaised,
+		raise,
 	}: Unwritten): Promise<void> => {
 		const lease = leases.get(shard);
 		if (lease?.version !== version) {
@@ -66,9 +79,7 @@
 			...deps.describeEarlier(lease),
 			holder: null,
 			address: '',
-			token: isTokenRaised
-				? shardLease.raiseToken(token, leases.listTokens())
-				: token,
+			token: raise ? raiseToken[raise](token, leases.listTokens()) : token,
 		};
 		const result = await store.transact(
 			createLeaseTransaction(row, version),
@@ -76,6 +87,7 @@
 		);
 		logger.info('shard released', {
 			shard,
+			fencingToken: row.token,
 			outcome: result.ok ? 'done' : result.error.kind,
 		});
 		// After a conflict the row has changed; the feed delivers the new one.
@@ -91,7 +103,7 @@
 	const stopHoldingAndWrite = async (shard: string) => {
 		const held = await deps.stopHolding(shard);
 		if (held) {
-			unwritten.set(shard, {held, isTokenRaised: false});
+			unwritten.set(shard, {held});
 		}
 
 		// It may have been lost instead while its work was stopped.
@@ -119,8 +131,8 @@
 	return {
 		release: async (shard) =>
 			join(shard, async () => stopHoldingAndWrite(shard)),
-		async giveBack(held) {
-			const release = {held, isTokenRaised: true};
+		async giveBack(held, raise) {
+			const release = {held, raise};
 			// Noted at once, as a release in progress does not know of it.
 			unwritten.set(held.shard, release);
 			await join(held.shard, async () => write(release));
