Say in the log why a poll has no answer

What operators saw: `executor not responding`, whatever the reason was. An executor that cannot be reached, one whose answers come too late, one that answers 503 and one whose answers cannot be read (one end of an unknown kind is enough) looked the same, though the last three live, and the last stays unused for as long as its answers have that form.

The line has the `reason` and the `status` of the answer now; what follows is unchanged.

--- a/packages/daemon/src/jobs/owner/executor-link.test.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.test.ts
@@ -172,7 +172,6 @@
 			onChange: () => undefined,
 			onPoll: () => undefined,
 			onFenced: () => undefined,
-			onOtherIncarnation: () => undefined,
 			onStartAnswer: () => undefined,
 		});
 		await new Promise((resolve) => {
@@ -189,3 +188,46 @@
 		t.same(closed, addresses);
 	},
 );
+
+tap.t.test('the line of an executor that is silent says why', async (t) => {
+	const cfg = scheduler.defaultSchedulerConfig;
+	const owner = scheduler.createOwner('s', 1, cfg, 0);
+	scheduler.recordListedExecutor(owner, createListedExecutor('x'));
+	const lines: unknown[] = [];
+	const answer = {
+		kind: 'no-answer',
+		reason: 'unreadable',
+		status: 200,
+	} as const;
+	const link = openExecutorLink({
+		owner,
+		executor: owner.executors.get('x')!,
+		executors: createExecutors(answer, []),
+		now,
+		isOwnershipConfirmed: () => true,
+		logger: {
+			info: () => undefined as never,
+			warn(...args: unknown[]) {
+				lines.push(args);
+				return undefined as never;
+			},
+		},
+		reportFailure(err) {
+			t.fail(err.message);
+		},
+		onChange: () => undefined,
+		onPoll: () => undefined,
+		onFenced: () => undefined,
+		onStartAnswer: () => undefined,
+	});
+	await new Promise((resolve) => {
+		setTimeout(resolve, 20);
+	});
+	link.close();
+	t.match(lines, [
+		[
+			'executor not responding',
+			{executor: 'x', reason: 'unreadable', status: 200},
+		],
+	]);
+});
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -183,13 +183,16 @@
 		});
 	};
 
-	const handleNoAnswer = async (outcome: 'no-answer' | 'other-life') => {
+	const handleNoAnswer = async (
+		answer: PollAnswer & {kind: 'no-answer' | 'other-life'},
+	) => {
 		if (executor.unresponsiveSince === undefined) {
 			logger.warn('executor not responding', {
 				executor: executor.id,
 				address: executor.listed.address,
-				outcome,
 				runs: executor.runs.size,
+				reason: answer.kind === 'no-answer' ? answer.reason : answer.kind,
+				status: answer.kind === 'no-answer' ? answer.status : undefined,
 			});
 		}
 
@@ -252,12 +255,12 @@
 				deps.onChange();
 				await pollGap.wait(periods.fencedRetryMs);
 			})
-			.with({kind: 'other-life'}, async ({kind}) => {
+			.with({kind: 'other-life'}, async (other) => {
 				// The connection may lead to the process that had the address before.
 				executors.closeConnections(getTarget());
-				await handleNoAnswer(kind);
+				await handleNoAnswer(other);
 			})
-			.with({kind: 'no-answer'}, async ({kind}) => handleNoAnswer(kind))
+			.with({kind: 'no-answer'}, handleNoAnswer)
 			.exhaustive();
 	};
 
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -4,7 +4,7 @@
 export type * from './ports/instance-list.js';
 export type * from './ports/workers.js';
 export type * from './ports/row-store.js';
-export type * from './ports/executors.js';
+export * from './ports/executors.js';
 export type * from './ports/advice.js';
 export type * from './ports/machines.js';
 export type * from './ports/feeds.js';
--- a/packages/ports/src/ports/executors.ts
+++ b/packages/ports/src/ports/executors.ts
@@ -37,6 +37,21 @@
 	readonly waitMs: number;
 };
 
+/** Why a poll has no answer that can be used. */
+export const pollFailures = {
+	/** No connection was free or could be opened in time. */
+	notSent: 'not-sent',
+	/** No complete answer came in time, or the connection broke. */
+	timeout: 'timeout',
+	/** The executor answered with a status that is not expected. */
+	status: 'status',
+	/** The body of the answer does not have the expected form. */
+	unreadable: 'unreadable',
+} as const;
+
+/** One of `pollFailures`. */
+export type PollFailure = (typeof pollFailures)[keyof typeof pollFailures];
+
 /** Answer to a poll. */
 export type PollAnswer =
 	| {
@@ -49,7 +64,13 @@
 	  }
 	| {readonly kind: 'fenced'}
 	| {readonly kind: 'other-life'}
-	| {readonly kind: 'no-answer'};
+	| {
+			readonly kind: 'no-answer';
+			/** Absent if it is not known. */
+			readonly reason?: PollFailure;
+			/** Status of an answer that cannot be used. */
+			readonly status?: number;
+	  };
 
 /** Calls to executors. Each ends within `timeoutMs` milliseconds. */
 export type Executors = {
