Store a roster without the executors that the store refuses

A roster that the store refuses for good was sent again as it was, every 0.2 s. Until one is stored, no executor that is not in it gets work (`not-rostered`), so that one refused executor kept all new ones from work, for as long as it was listed. After many moves all executors of a pool are new.

Why a store would refuse one is not known: the sizes of rows, transactions and keys are bounded.

Now a refused roster is written with half of the executors that it adds, down to one. An executor that is refused alone is set aside, with a line, and tried again after 2 s; the others are stored. Only executors that no stored row may contain are ever left out: the next owner polls those of the roster, so none on which tasks may run can miss from it. Those of a write without an answer count as stored. If nothing was added, the roster is sent again as before.

`refused-rows.test.ts`, three cases, failed before (none of the others was in the stored roster after 15 s): one and three refused executors among 21 listed ones, each named once, in the roster once the store takes them; and an executor that was stored stays in the roster though it is to be stored anew.

--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -6,6 +6,7 @@
  */
 import {scheduler} from '@gullstand/core';
 import type {RowStore, RowTransaction, StoredRow} from '@gullstand/ports';
+import {match} from 'ts-pattern';
 import type {Logger} from '../../log/logger.js';
 import type {ReportFailure} from '../../supervisor/supervisor.js';
 import {runInBackground} from '../background.js';
@@ -80,6 +81,7 @@
 	const rosterWriter = createRosterWriter({
 		part,
 		storedKeys: deps.rosterKeys,
+		storedIds: owner.executors.keys(),
 		limits: store.limits,
 		token: owner.token,
 		toStoreMs: (at) => getLatestStoreMs(clock, storeTime, at),
@@ -95,6 +97,9 @@
 	let scope = scheduler.createFlushScope(maxRowsPerFlush);
 	/** Until then the roster, which the store refused, is not stored. */
 	let rosterRetryAt = 0;
+	/** Until the executors are tried again that the store refused in the roster. */
+	let setAsideTimer: NodeJS.Timeout | undefined;
+	const loggedSetAside = new Set<string>();
 	const log = createFlushLog(deps, part);
 	const held = createHeldJobs({
 		owner,
@@ -192,8 +197,47 @@
 		});
 	};
 
+	const retryRosterLater = () => {
+		rosterRetryAt = clock.now() + periods.refusedRetryMs;
+		setTimeout(requestFlush, periods.refusedRetryMs).unref();
+	};
+
+	const retrySetAside = () => {
+		setAsideTimer = undefined;
+		rosterWriter.retrySetAside();
+		owner.isRosterDirty = true;
+		requestFlush();
+	};
+
+	const noteSetAside = (executor: string) => {
+		const retryMs = periods.refusedExecutorRetryMs;
+		setAsideTimer ??= setTimeout(retrySetAside, retryMs).unref();
+		if (!loggedSetAside.has(executor)) {
+			loggedSetAside.add(executor);
+			logger.warn('executor not used: the store refuses it in the roster', {
+				shard: part,
+				executor,
+				retryMs,
+			});
+		}
+	};
+
+	const handleRosterRefusal = (step: RosterStep) => {
+		match(rosterWriter.recordRefusal(step))
+			.with({kind: 'narrowed'}, () => undefined)
+			.with({kind: 'set-aside'}, ({executor}) => {
+				noteSetAside(executor);
+			})
+			.with({kind: 'unexplained'}, retryRosterLater)
+			.exhaustive();
+	};
+
 	/** Makes the next flush smaller, or holds back what cannot be smaller. */
-	const handleRefusal = (flush: scheduler.Flush, hadRunTimes: boolean) => {
+	const handleRefusal = (
+		flush: scheduler.Flush,
+		roster: RosterStep | undefined,
+		hadRunTimes: boolean,
+	) => {
 		const narrower = scheduler.narrowScope(scope, flush);
 		const [only] = flush.jobs;
 		if (hadRunTimes) {
@@ -205,9 +249,8 @@
 			scope = narrower;
 		} else if (only) {
 			held.hold(only.job, only.rows[0]?.bytes ?? 0);
-		} else if (flush.roster) {
-			rosterRetryAt = clock.now() + periods.refusedRetryMs;
-			setTimeout(requestFlush, periods.refusedRetryMs).unref();
+		} else if (roster) {
+			handleRosterRefusal(roster);
 		}
 	};
 
@@ -228,7 +271,7 @@
 			flushVersion = result.value.version;
 			storeTime = {nowMs: result.value.nowMs, sent};
 			scope = scheduler.widenScope(scope, maxRowsPerFlush);
-			rosterWriter.record(transaction);
+			rosterWriter.record(transaction, roster);
 			log.logStored(flush);
 			deps.onAckable(complete(flush, roster));
 			held.recordTaken(flush);
@@ -237,14 +280,15 @@
 		}
 
 		scheduler.abandonFlush(owner, flush);
-		rosterWriter.forget(transaction);
+		const mayBeStored = result.error.kind === 'timeout';
+		rosterWriter.forget(transaction, mayBeStored ? roster : undefined);
 		log.logNotStored(flush, result.error);
 		if (result.error.kind === 'conflict') {
 			return resolveConflict(result.error.rows);
 		}
 
 		if (result.error.kind === 'rejected') {
-			handleRefusal(flush, transaction !== progress);
+			handleRefusal(flush, roster, transaction !== progress);
 			return true;
 		}
 
@@ -328,6 +372,7 @@
 		stop() {
 			state.isStopped = true;
 			clearTimeout(timer);
+			clearTimeout(setAsideTimer);
 			held.stop();
 		},
 		getStoreTime: () => storeTime,
--- a/packages/daemon/src/jobs/owner/refused-rows.test.ts
+++ b/packages/daemon/src/jobs/owner/refused-rows.test.ts
@@ -327,6 +327,89 @@
 	t.equal(world.store.list('progress').length, otherIds.length);
 });
 
+/** Ids of executors that are listed one after another. */
+const listedIds = Array.from({length: 20}, (_, index) => `e-${index}`);
+
+const refusedIds = [
+	['one executor', ['e-7']],
+	['three executors', ['e-0', 'e-7', 'e-19']],
+] as const;
+
+for (const [name, refused] of refusedIds) {
+	tap.t.test(`a roster with ${name} that the store refuses`, async (t) => {
+		const state = {isRefusing: true};
+		const world = await createWorld((_call, transaction) =>
+			state.isRefusing &&
+			transaction?.puts.some(
+				({key, value}) =>
+					key.startsWith('roster') &&
+					refused.some((id) => value.includes(`"${id}"`)),
+			)
+				? 'rejected'
+				: undefined,
+		);
+		t.teardown(world.flusher.stop);
+		for (const id of listedIds) {
+			scheduler.recordListedExecutor(world.owner, createListedExecutor(id));
+		}
+
+		const listUnrostered = () =>
+			[...world.owner.executors.values()].flatMap(({id, isRostered}) =>
+				isRostered ? [] : [id],
+			);
+
+		world.flusher.requestFlush();
+		await waitUntil(
+			'the others are in the stored roster',
+			() => listUnrostered().length <= refused.length,
+		);
+		t.same(listUnrostered(), refused);
+		t.same(
+			world.lines
+				.filter(({message}) => message.startsWith('executor not used'))
+				.map(({fields}) => (fields as {executor: string}).executor)
+				.toSorted(),
+			[...refused].toSorted(),
+			'each is named once',
+		);
+		const next = await world.load();
+		t.equal(next!.executors.size, 1 + listedIds.length - refused.length);
+		state.isRefusing = false;
+		await waitUntil(
+			'all are in the stored roster',
+			() => listUnrostered().length === 0,
+		);
+	});
+}
+
+tap.t.test('an executor that was stored stays in the roster', async (t) => {
+	const state = {refused: ''};
+	const world = await createWorld((_call, transaction) =>
+		state.refused !== '' &&
+		transaction?.puts.some(({value}) => value.includes(state.refused))
+			? 'rejected'
+			: undefined,
+	);
+	t.teardown(world.flusher.stop);
+	world.flusher.requestFlush();
+	const stored = world.owner.executors.get('x')!;
+	await waitUntil('a stored roster', () => stored.isRostered);
+	state.refused = '"refused"';
+	stored.isRostered = false;
+	for (const id of ['refused', 'y']) {
+		scheduler.recordListedExecutor(world.owner, createListedExecutor(id));
+	}
+
+	world.flusher.requestFlush();
+	await waitUntil(
+		'the others are in the stored roster',
+		() => world.owner.executors.get('y')!.isRostered,
+	);
+	t.ok(stored.isRostered);
+	const next = await world.load();
+	t.same([...next!.executors.keys()].toSorted(), ['x', 'y']);
+});
+
 tap.t.test('a checkpoint that is too large is left out', async (t) => {
 	const world = await createWorld(() => undefined, {count: 3});
 	t.teardown(world.flusher.stop);
--- a/packages/daemon/src/jobs/owner/roster-writer.ts
+++ b/packages/daemon/src/jobs/owner/roster-writer.ts
@@ -1,6 +1,8 @@
 /**
  * Writes an owner's roster, as many rows at a time as a transaction has room
- * for. Knows which rows are stored, and which executors they contain.
+ * for. Knows which rows are stored, and which executors they contain. Of a
+ * roster that the store refuses, it finds the executors that are the cause and
+ * leaves them out for a while, so that the others can be used.
  */
 import type {scheduler} from '@gullstand/core';
 import type {RowLimits, RowTransaction} from '@gullstand/ports';
@@ -27,6 +29,8 @@
 	readonly part: string;
 	/** Keys of the rows that an earlier owner has stored. */
 	readonly storedKeys: readonly string[];
+	/** Executors of these rows. */
+	readonly storedIds: Iterable<string>;
 	readonly limits: RowLimits;
 	/** Fencing token of the owner. */
 	readonly token: number;
@@ -41,16 +45,40 @@
 	readonly entries: readonly scheduler.RosterEntry[];
 	/** Executors that no row can hold, which must not be used. */
 	readonly leftOut: readonly string[];
+	/** Executors that no stored row has contained so far. */
+	readonly added: readonly string[];
 };
 
+/** What follows from a refusal of the roster alone. */
+export type RosterRefusal =
+	/** A smaller part of it is to be written next. */
+	| {readonly kind: 'narrowed'}
+	/** The others can be written without this executor. */
+	| {readonly kind: 'set-aside'; readonly executor: string}
+	/** No executor is the cause. */
+	| {readonly kind: 'unexplained'};
+
 export type RosterWriter = {
 	/** Bytes that the writes of one transaction have at most. */
 	readonly maxBytes: number;
 	readonly plan: (roster: readonly scheduler.RosterEntry[]) => RosterStep;
-	/** Records a transaction that was stored. */
-	readonly record: (transaction: RowTransaction) => void;
-	/** Forgets the rows that a transaction without an answer may have changed. */
-	readonly forget: (transaction: RowTransaction) => void;
+	/** Records a transaction that was stored, with its part of the roster. */
+	readonly record: (
+		transaction: RowTransaction,
+		step: RosterStep | undefined,
+	) => void;
+	/**
+	 * Forgets the rows that a transaction which failed may have changed; with the
+	 * part of the roster that may be stored, if any.
+	 */
+	readonly forget: (
+		transaction: RowTransaction,
+		step: RosterStep | undefined,
+	) => void;
+	/** Records that the store has refused a part of the roster for good. */
+	readonly recordRefusal: (step: RosterStep) => RosterRefusal;
+	/** Lets the executors that were set aside be written again. */
+	readonly retrySetAside: () => void;
 };
 
 type Mark = {readonly since: number; readonly darkSinceMs: number};
@@ -64,6 +92,12 @@
 	/** Marks by executor, so that a row is the same each time it is encoded. */
 	let marks = new Map<string, Mark>();
 	let loggedLeftOut = new Set<string>();
+	/** Executors that stored rows may contain, so that none may lack them. */
+	let mayBeStored = new Set(deps.storedIds);
+	/** Executors that the store refuses. */
+	const setAside = new Set<string>();
+	/** Executors that the next part of the roster may add. */
+	let maxAdded = Number.POSITIVE_INFINITY;
 
 	const getMark = (id: string, since: number): Mark => {
 		const known = marks.get(id);
@@ -102,6 +136,12 @@
 		loggedLeftOut = new Set(ids);
 	};
 
+	const noteStored = (step: RosterStep | undefined) => {
+		for (const {listed} of step?.entries ?? []) {
+			mayBeStored.add(listed.id);
+		}
+	};
+
 	const maxBytes = Math.max(
 		limits.safeValueBytes,
 		limits.maxTransactionBytes * rosterShare,
@@ -110,7 +150,14 @@
 	return {
 		maxBytes,
 		plan(roster) {
-			const encoded = encodeRoster(toRows(roster), limits.safeValueBytes);
+			const added = roster
+				.map(({listed}) => listed.id)
+				.filter((id) => !mayBeStored.has(id) && !setAside.has(id));
+			const included = new Set(added.slice(0, maxAdded));
+			const chosen = roster.filter(
+				({listed: {id}}) => mayBeStored.has(id) || included.has(id),
+			);
+			const encoded = encodeRoster(toRows(chosen), limits.safeValueBytes);
 			logLeftOut(encoded.leftOut);
 			const writes = planRosterWrites(part, stored, encoded, {
 				entries: maxRosterWrites,
@@ -124,11 +171,19 @@
 			);
 			return {
 				...writes,
-				entries: roster.filter(({listed}) => ids.has(listed.id)),
+				isComplete: writes.isComplete && included.size === added.length,
+				entries: chosen.filter(({listed}) => ids.has(listed.id)),
 				leftOut: encoded.leftOut,
+				added: [...included],
 			};
 		},
-		record({puts, removes}) {
+		record({puts, removes}, step) {
+			maxAdded *= step ? 2 : 1;
+			if (step?.isComplete) {
+				mayBeStored = new Set();
+			}
+
+			noteStored(step);
 			for (const {key, value} of puts) {
 				if (isRosterKey(key)) {
 					stored.set(key, value);
@@ -139,12 +194,30 @@
 				stored.delete(key);
 			}
 		},
-		forget({puts, removes}) {
+		forget({puts, removes}, step) {
+			noteStored(step);
 			for (const {key} of [...puts, ...removes]) {
 				if (isRosterKey(key)) {
 					stored.set(key, undefined);
 				}
 			}
 		},
+		recordRefusal({added}) {
+			const [first] = added;
+			if (first === undefined) {
+				return {kind: 'unexplained'};
+			}
+
+			if (added.length > 1) {
+				maxAdded = Math.ceil(added.length / 2);
+				return {kind: 'narrowed'};
+			}
+
+			setAside.add(first);
+			return {kind: 'set-aside', executor: first};
+		},
+		retrySetAside() {
+			setAside.clear();
+		},
 	};
 };
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -32,6 +32,8 @@
 	flushRetryMs: 100,
 	/** Between looks at rows that the store refuses for good. */
 	refusedRetryMs: 200,
+	/** Until an executor that the store refuses in a roster is tried again. */
+	refusedExecutorRetryMs: 2000,
 	/** Between two plans while nothing changes. */
 	planIntervalMs: 100,
 	/** How long an executor may delay the answer to a poll until a run ends. */
