Keep the machines of a pool that serve until those on their way have come

What callers saw: nothing by a record; found by reading. A pool that had just grown and whose demand fell again had more machines than its target, of which part were still on their way. Its surplus was counted with them, and taken from those that served: all of them could be evacuated and sent away, and nothing of the service could start until the others had arrived, registered and answered (`jobs stand`, `evacuating` and `not-adopted`), or for good if these never came.

Now only machines by which the present ones exceed the target may leave. Those on their way count as before where a pool needs more.

`pool-plan.test.ts`, two cases, failed before: of a pool of two that serve and two that arrive, with a target of two, both that serve were sent to standby; of three that serve and one under way, two in place of one. The tests of `core/dist/fleet` and `daemon/dist/jobs/fleet` pass.

--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -371,6 +371,33 @@
 		surplusMs: 1000,
 		moves: ['b to standby'],
 	},
+	{
+		name: 'machines that serve stay until those on their way have arrived',
+		changes: {minCpu: 2000},
+		demands: [createDemand('p')],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'p'),
+			createMachine('c', 'p', {isUp: false, isArriving: true}),
+			createMachine('d', 'p', {isUp: false, isArriving: true}),
+		],
+		surplusMs: 1000,
+		moves: [],
+	},
+	{
+		name: 'machines that serve stay until those under way have arrived',
+		changes: {minCpu: 2000},
+		demands: [createDemand('p')],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'p'),
+			createMachine('c', 'p'),
+			createMachine('s', 'standby'),
+		],
+		underWay: new Map([['s', {machine: 's', from: 'standby', to: 'p'}]]),
+		surplusMs: 1000,
+		moves: ['a to standby'],
+	},
 ];
 
 for (const each of cases) {
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -108,8 +108,9 @@
 export type PoolMachine = {
 	readonly id: string;
 	readonly pool: string;
+	/** Whether it serves its pool, or is ready to leave the standby pool. */
 	readonly isUp: boolean;
-	/** Whether the platform is moving it to its pool. */
+	/** Whether it will serve its pool soon, as the platform is moving it there. */
 	readonly isArriving: boolean;
 	readonly cpuMillis: number;
 	/** Runs on it; 0 in the standby pool. */
@@ -230,6 +231,22 @@
 	return inService.length + arriving.length;
 };
 
+/**
+ * Counts the machines of a pool that serve it now and stay. Those on their way
+ * may come late or not at all, so no machine leaves in exchange for them.
+ */
+const countPresent = (
+	{machines, underWay}: PoolPlanInput,
+	pool: string,
+): number =>
+	machines.filter(
+		(each) =>
+			each.pool === pool &&
+			each.isUp &&
+			!each.isReserved &&
+			underWay.get(each.id)?.from !== pool,
+	).length;
+
 const recordSurplus = (
 	state: PoolPlanState,
 	surplus: ReadonlyMap<string, number>,
@@ -479,7 +496,8 @@
 	addMovable(standbyPool, Number.POSITIVE_INFINITY);
 	for (const [pool, excess] of surplus) {
 		if (hasSurplusFor(pool, cfg.yieldAfterMs)) {
-			addMovable(pool, excess);
+			const present = countPresent(input, pool) - (targets.get(pool) ?? 0);
+			addMovable(pool, Math.max(0, Math.min(excess, present)));
 		}
 	}
 
