Count a machine whose executor does not answer as away from its pool

The holder of the fleet took each machine that the platform lists as `up` for one that serves its pool. With three of six cut off and three needed, it saw three too many; those with runs go last, so it moved away the three that answered. From then on no executor of the service was usable (`silent` for all) for as long as the cut lasted, and the fleet saw no deficit. Machines that do not answer were evacuated in vain, too, for 4 s at a time.

Now a machine whose executor has left the owner's calls unanswered for a second (the time after which the owner suspects it) counts like one that is down: others come in its place, and it is not chosen to leave. One that is up and whose executor the owner does not know has not registered yet, and counts as on its way.

The load in `stale-clearance.test.ts` named no executor though its owner answers requests about one; it names it now. No check of it is changed.

--- a/packages/core/src/scheduler/load/service-load.ts
+++ b/packages/core/src/scheduler/load/service-load.ts
@@ -48,10 +48,7 @@
 	/** Executors needed to satisfy `maxPerExecutor` of the loaded steps. */
 	readonly minExecutors: number;
 	readonly executors: Readonly<Record<string, ExecutorLoad>>;
-	/**
-	 * Unresponsive executors, with the milliseconds since they became so; read by
-	 * daemons of older releases.
-	 */
+	/** Unresponsive executors, with the milliseconds since they became so. */
 	readonly silent: Readonly<Record<string, number>>;
 };
 
--- a/packages/daemon/src/jobs/fleet/fleet-platform.test.fixture.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-platform.test.fixture.ts
@@ -63,6 +63,10 @@
 	readonly remove: (machine: string) => void;
 	/** Leaves a machine out of the list, or lists it again. */
 	readonly setListed: (machine: string, isListed: boolean) => void;
+	/** For how long the current executor of a machine leaves calls unanswered. */
+	readonly setSilent: (machine: string, forMs: number) => void;
+	/** Whether the owner knows the executors; it does by default. */
+	readonly setKnown: (machine: string, isKnown: boolean) => void;
 	/** Whether tasks run on the current executor of a machine. */
 	readonly setBusy: (machine: string, isBusy: boolean) => void;
 	/** Changes the load that the owner of the service reports. */
@@ -77,6 +81,8 @@
 	const late: Array<{at: number; run: () => void}> = [];
 	const unlisted = new Set<string>();
 	const busy = new Set<string>();
+	const silent = new Map<string, number>();
+	const unknown = new Set<string>();
 	/** When each executor ended, in milliseconds. */
 	const endedAt = new Map<string, number>();
 	const requests = new Map<string, ports.WaveRequest>();
@@ -207,9 +213,14 @@
 		arrivingCpu: 0,
 		minExecutors: 0,
 		executors: Object.fromEntries(
-			[...busy].map((id) => [id, {runs: 1, lasting: 0, usedCpu: 1}]),
+			[...machines.values()].flatMap(({executorId: id}) => {
+				const runs = Number(busy.has(id ?? ''));
+				return id === undefined || unknown.has(id)
+					? []
+					: [[id, {runs, lasting: 0, usedCpu: runs}]];
+			}),
 		),
-		silent: {},
+		silent: Object.fromEntries(silent),
 		...reported,
 	});
 
@@ -334,6 +345,17 @@
 				unlisted.add(machine);
 			}
 		},
+		setSilent(id, forMs) {
+			silent.set(machines.get(id)?.executorId ?? '', forMs);
+		},
+		setKnown(id, isKnown) {
+			const executorId = machines.get(id)?.executorId ?? '';
+			if (isKnown) {
+				unknown.delete(executorId);
+			} else {
+				unknown.add(executorId);
+			}
+		},
 		setBusy(id, isBusy) {
 			const executorId = machines.get(id)?.executorId ?? '';
 			if (isBusy) {
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -1,5 +1,5 @@
 /** Moves machines between pools. */
-import {fleet} from '@gullstand/core';
+import {fleet, scheduler} from '@gullstand/core';
 import type {Machine, MachineAnswer} from '@gullstand/ports';
 import {match} from 'ts-pattern';
 import type {DemandForecaster} from './demand-forecaster.js';
@@ -59,6 +59,13 @@
 	clearance: Clearance | undefined;
 };
 
+/** Whether a machine's executor has left its owner's calls unanswered for long. */
+const isUnresponsive = (
+	{loads}: FleetView,
+	{pool, executorId = ''}: Machine,
+): boolean =>
+	(loads.get(pool)?.silent[executorId] ?? 0) >= scheduler.suspectAfterMs;
+
 export const createPoolMover = (
 	context: FleetContext,
 	deps: PoolMoverDeps,
@@ -260,11 +267,14 @@
 		machine: Machine,
 	): fleet.PoolMachine => {
 		const load = getMachineLoad(view, machine);
+		const isUp = machine.state === 'up';
+		// An executor that its owner does not know has not registered yet.
+		const isKnown = !view.loads.has(machine.pool) || load !== undefined;
 		return {
 			id: machine.id,
 			pool: machine.pool,
-			isUp: machine.state === 'up',
-			isArriving: machine.state === 'moving',
+			isUp: isUp && isKnown && !isUnresponsive(view, machine),
+			isArriving: machine.state === 'moving' || (isUp && !isKnown),
 			cpuMillis: machine.capacity.cpuMillis,
 			runs: load?.runs ?? 0,
 			longRunning: load?.lasting ?? 0,
--- a/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
+++ b/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
@@ -34,7 +34,7 @@
 	late: {waitingCpu: 0, usedCpu: 0, work: 0},
 	arrivingCpu: 0,
 	minExecutors: 0,
-	executors: {},
+	executors: {x: {runs: 0, lasting: 0, usedCpu: 0}},
 	silent: {},
 };
 
