Cut executors of a service off in the soak

Callers saw accepted jobs with nothing running though there was room (LOST). The soak could not show it: it cut off one executor at a time, and its list of machines always had it.

`service-cut` cuts some or all executors of a service off from the daemons and the store for 2 to 9 s, while they run on, with a list of machines that is late, leaves machines out of a reading, or has those that are cut off as down without an executor. It is drawn beside the other disruptions, which stay as they were. The record has the cuts and returns.

--- a/packages/bench/src/benches/soak.ts
+++ b/packages/bench/src/benches/soak.ts
@@ -20,6 +20,7 @@
 	writeLines,
 	type Recorder,
 } from './soak/record.js';
+import {drawFleetDisruptions} from './soak/fleet-disruptions.js';
 import {drawQueueMoves, getQueueMovesMs} from './soak/queue-moves.js';
 import {drawSchedule} from './soak/schedule.js';
 import {soakSizes, type SoakSizes} from './soak/sizes.js';
@@ -72,7 +73,13 @@
 		count: sizes.queueMoves,
 		schedule: others,
 	});
-	const schedule = [...others, ...moves];
+	const fleet = drawFleetDisruptions({
+		...drawn,
+		random: createRandom(seed + 6),
+		count: sizes.fleetDisruptions,
+		schedule: others,
+	});
+	const schedule = [...others, ...moves, ...fleet];
 	const traffic = {
 		queues: environment.queues.map(({pathPrefix}) => pathPrefix),
 		...sizes,
@@ -131,6 +138,8 @@
 	'late write',
 	'upkeep begins',
 	'machine moves',
+	'cut',
+	'back',
 	'lag',
 ] as const;
 
--- a/packages/bench/src/benches/soak/checks/checks.test.ts
+++ b/packages/bench/src/benches/soak/checks/checks.test.ts
@@ -156,6 +156,19 @@
 		createJob({states: [completed]}),
 		['TWICE'],
 	],
+	[
+		'a second run beside one on an executor that is cut off',
+		[
+			start(300),
+			{kind: 'cut', ...one, atMs: 350},
+			start(400, '0.0.0', {...two, run: 2}),
+			end(800),
+			{kind: 'back', ...one, atMs: 850},
+			acknowledge(900),
+		],
+		createJob({cancelSentMs: 900}),
+		['TWICE'],
+	],
 	[
 		'a start after an end that is taken note of later',
 		[
--- a/packages/bench/src/benches/soak/disruptions.ts
+++ b/packages/bench/src/benches/soak/disruptions.ts
@@ -5,6 +5,7 @@
 	commandModes,
 	linkStates,
 	type Executor,
+	type ListTrouble,
 	type StoreFault,
 } from '@gullstand/users-platform/stand-ins';
 import {drawBelow, type Random} from '../../frame/random.js';
@@ -13,6 +14,7 @@
 import {getQueueMovesMs} from './queue-moves.js';
 import type {
 	Disrupting,
+	MachineListTrouble,
 	OfKind,
 	StoreTrouble,
 	TimedDisruption,
@@ -121,6 +123,25 @@
 			!each.isMute(),
 	).length;
 
+const toListTrouble = (
+	kind: Exclude<MachineListTrouble, 'sound'>,
+	random: Random,
+): ListTrouble => {
+	switch (kind) {
+		case 'late': {
+			return {kind, lateMs: 1000 + drawBelow(random, 5000)};
+		}
+
+		case 'omits': {
+			return {kind, isOmitted: () => random() < 0.3};
+		}
+
+		case 'down': {
+			return {kind};
+		}
+	}
+};
+
 /** Requests a wave and waits for its end, for some time. */
 const maintainMachines = async (
 	{operator}: SoakEnvironment,
@@ -297,6 +318,28 @@
 		await delay(forMs);
 		executors[executor]!.setLink(linkStates.open, true);
 	},
+	async 'service-cut'(disruption, {executors, machines}, random) {
+		const {executor, share, state, list, forMs} = disruption;
+		const service = executors[executor]!.getService();
+		const cut = executors.filter(
+			(each) =>
+				each.getService() === service && each.isUp() && random() < share,
+		);
+		const endTrouble =
+			list === 'sound'
+				? undefined
+				: machines.trouble(toListTrouble(list, random));
+		for (const each of cut) {
+			each.setLink(state, false);
+		}
+
+		await delay(forMs);
+		for (const each of cut) {
+			each.setLink(linkStates.open, true);
+		}
+
+		endTrouble?.();
+	},
 	async 'executor-resize'({executor, share, forMs}, {executors}) {
 		executors[executor]!.resize(share);
 		await delay(forMs);
--- a/packages/bench/src/benches/soak/environment.ts
+++ b/packages/bench/src/benches/soak/environment.ts
@@ -8,6 +8,7 @@
 	createStore,
 	startMachineList,
 	type Executor,
+	type MachineList,
 	type Operator,
 	type Queue,
 	type Store,
@@ -28,6 +29,7 @@
 	readonly operator: Operator;
 	readonly daemons: readonly Daemon[];
 	readonly executors: readonly Executor[];
+	readonly machines: MachineList;
 	readonly queues: Queue[];
 	/** Whether executors reach the store. */
 	reachesStore: boolean;
@@ -130,6 +132,7 @@
 		operator,
 		daemons,
 		executors,
+		machines,
 		queues: createQueues(sizes),
 		reachesStore: true,
 		async start() {
--- a/packages/bench/src/benches/soak/schedule.ts
+++ b/packages/bench/src/benches/soak/schedule.ts
@@ -4,12 +4,16 @@
 	linkStates,
 	type CommandMode,
 	type LinkState,
+	type ListTrouble,
 } from '@gullstand/users-platform/stand-ins';
 import {drawBelow, type Random} from '../../frame/random.js';
 
 export type StoreTrouble =
 	'refuses' | 'resets' | 'silent' | 'slow' | 'loses' | 'loses-late';
 
+/** What the list of machines shows meanwhile. */
+export type MachineListTrouble = 'sound' | ListTrouble['kind'];
+
 /** A disruption; daemons and executors are given by their index. */
 export type Disruption =
 	| {
@@ -79,6 +83,17 @@
 			readonly isListed: boolean;
 			readonly forMs: number;
 	  }
+	/** Executors of a service are cut off with their entries, and run on. */
+	| {
+			readonly kind: 'service-cut';
+			/** One of the executors of the service. */
+			readonly executor: number;
+			/** Share of the executors that are cut off. */
+			readonly share: number;
+			readonly state: LinkState;
+			readonly list: MachineListTrouble;
+			readonly forMs: number;
+	  }
 	| {
 			readonly kind: 'executor-resize';
 			readonly executor: number;
@@ -139,6 +154,8 @@
 const weights: Readonly<Record<Disrupting, number>> = {
 	// Drawn beside the others, as jobs are handed in for each.
 	'queue-moves': 0,
+	// Drawn beside the others, so that these stay as they are.
+	'service-cut': 0,
 	'daemon-kill': 4,
 	'daemon-terminate': 4,
 	'daemon-pause': 4,
@@ -304,6 +321,14 @@
 		isListed: random() < 0.5,
 		forMs: drawMs(500, 12_000),
 	}),
+	'service-cut': ({random, executor, drawMs}) => ({
+		kind: 'service-cut',
+		executor,
+		share: pick(random, [0.4, 1, 1]),
+		state: pick(random, brokenStates),
+		list: pick(random, ['sound', 'late', 'omits', 'down', 'down']),
+		forMs: drawMs(2000, 9000),
+	}),
 	'executor-resize': ({random, executor, drawMs}) => ({
 		kind: 'executor-resize',
 		executor,
--- a/packages/bench/src/benches/soak/sizes.ts
+++ b/packages/bench/src/benches/soak/sizes.ts
@@ -18,6 +18,8 @@
 	/** Series of moves of a queue, and the jobs handed in to it meanwhile. */
 	readonly queueMoves: number;
 	readonly movedJobsPerS: number;
+	/** Disruptions of the fleet beside the others. */
+	readonly fleetDisruptions: number;
 	/** Traffic before the first disruption. */
 	readonly quietMs: number;
 	readonly disturbedMs: number;
@@ -45,6 +47,7 @@
 		burstJobs: 30,
 		queueMoves: 1,
 		movedJobsPerS: 4,
+		fleetDisruptions: 3,
 		quietMs: 2000,
 		disturbedMs: 20_000,
 		settledMs: 9000,
@@ -66,6 +69,7 @@
 		burstJobs: 70,
 		queueMoves: 4,
 		movedJobsPerS: 6,
+		fleetDisruptions: 12,
 		quietMs: 3000,
 		disturbedMs: 70_000,
 		settledMs: 12_000,
@@ -88,6 +92,7 @@
 		burstJobs: 70,
 		queueMoves: 4,
 		movedJobsPerS: 6,
+		fleetDisruptions: 12,
 		quietMs: 3000,
 		disturbedMs: 60_000,
 		settledMs: 12_000,
