Move, add, remove and replace executors in the soak

Callers saw accepted jobs with nothing running though there was room, on a deployment on which executors come and go while machines move between pools. The soak moved no machine and hardly began an upkeep, so no check of it could meet that.

- `executor-add`: listed at once, answers and is on the list of machines seconds later.
`executor-remove`: drained and taken away.
`entries-lapse`: entries lapse while executors live, also as the store is away.
- Checks: a move or an upkeep that ends a task which lasts counts as an order (AVAIL), and no more as a crash that lets a job fail (LOST); a wave is not judged by machines that have gone (MIXED, as it says 'that stays').
- The figures count cuts, returns, added and taken away machines, lapses.

checks.test.ts: the new cases of moves, crashes and waves fail without the changes of the checks, by type or by rule.

--- a/packages/bench/src/benches/soak.ts
+++ b/packages/bench/src/benches/soak.ts
@@ -140,6 +140,9 @@
 	'machine moves',
 	'cut',
 	'back',
+	'machine added',
+	'machine gone',
+	'entry lapses',
 	'lag',
 ] as const;
 
--- a/packages/bench/src/benches/soak/checks/checks.test.ts
+++ b/packages/bench/src/benches/soak/checks/checks.test.ts
@@ -1,4 +1,7 @@
-import type {StandInEvent} from '@gullstand/users-platform/stand-ins';
+import type {
+	DownCause,
+	StandInEvent,
+} from '@gullstand/users-platform/stand-ins';
 import * as tap from 'tap';
 import {encodeJobPayload, type JobPlan} from '../jobs.js';
 import type {HarnessEvent, SoakEvent} from '../record.js';
@@ -141,6 +144,34 @@
 
 const cancelledMs = 1000;
 
+/** A run that ends with its executor, which starts again. */
+const moved = (run: number, cause: DownCause = 'order'): readonly Timed[] => [
+	start(300 * run, '0.0.0', {run, bornMs: run}),
+	{kind: 'down', ...one, bornMs: run, runs: 1, cause, atMs: 300 * run + 100},
+	{
+		kind: 'up',
+		...one,
+		bornMs: run + 1,
+		service: 'quoting',
+		labels: [],
+		...capacity,
+		atMs: 300 * run + 200,
+	},
+];
+
+const lasting: JobPlan = {
+	...plan,
+	kind: 'long-running',
+	steps: [{...step, count: 2, longRunning: true, mayMiss: 1}],
+};
+
+const wave = {kind: 'wave', wave: 1, machines: ['m-1'], cap: 1} as const;
+
+const completeWave: readonly Timed[] = [
+	{...wave, state: 'requested', atMs: 2000},
+	{...wave, state: 'completed', atMs: 3000},
+];
+
 const cases: ReadonlyArray<
 	readonly [
 		name: string,
@@ -240,6 +271,49 @@
 		createJob({states: [completed]}),
 		['UNASKED'],
 	],
+	[
+		'a job given up after its machines were moved',
+		[...moved(1), ...moved(2)],
+		createJob({states: [{...completed, state: 'failed'}]}),
+		['LOST'],
+	],
+	[
+		'a job given up after it crashed two executors',
+		[...moved(1, 'crash'), ...moved(2, 'crash')],
+		createJob({states: [{...completed, state: 'failed'}]}),
+		[],
+	],
+	[
+		'a move of a machine beside a lasting task that is away',
+		[
+			start(300, '0.0.0', {spec: encodeJobPayload(lasting)}),
+			start(310, '0.0.1', {
+				...two,
+				run: 2,
+				spec: encodeJobPayload(lasting),
+			}),
+			{kind: 'down', ...one, runs: 1, cause: 'order', atMs: 1500},
+			{kind: 'down', ...two, runs: 1, cause: 'order', atMs: 1600},
+		],
+		createJob({plan: lasting, cancelSentMs: 2000}),
+		['AVAIL'],
+	],
+	[
+		'a wave that is completed without a machine',
+		[...whole, ...completeWave],
+		createJob({states: [completed]}),
+		['MIXED'],
+	],
+	[
+		'a wave that is completed without a machine that has gone',
+		[
+			...whole,
+			...completeWave,
+			{kind: 'machine gone', machine: 'm-1', atMs: 2500},
+		],
+		createJob({states: [completed]}),
+		[],
+	],
 	[
 		'a job that was rejected',
 		whole,
--- a/packages/bench/src/benches/soak/schedule.ts
+++ b/packages/bench/src/benches/soak/schedule.ts
@@ -83,6 +83,31 @@
 			readonly isListed: boolean;
 			readonly forMs: number;
 	  }
+	/** An empty executor comes. */
+	| {
+			readonly kind: 'executor-add';
+			/** One of the executors of the service. */
+			readonly executor: number;
+			readonly answersAfterMs: number;
+			/** Until the list of machines has it. */
+			readonly shownAfterMs: number;
+	  }
+	/** The executor is drained and taken away. */
+	| {readonly kind: 'executor-remove'; readonly executor: number}
+	/** The executor ends; one of another service has its address after it. */
+	| {
+			readonly kind: 'executor-replace';
+			readonly executor: number;
+			readonly answersAfterMs: number;
+			readonly shownAfterMs: number;
+	  }
+	/** Entries lapse while their executors live, also as the store is away. */
+	| {
+			readonly kind: 'entries-lapse';
+			readonly share: number;
+			readonly trouble: StoreTrouble | undefined;
+			readonly forMs: number;
+	  }
 	/** Executors of a service are cut off with their entries, and run on. */
 	| {
 			readonly kind: 'service-cut';
@@ -156,6 +181,10 @@
 	'queue-moves': 0,
 	// Drawn beside the others, so that these stay as they are.
 	'service-cut': 0,
+	'executor-add': 0,
+	'executor-remove': 0,
+	'executor-replace': 0,
+	'entries-lapse': 0,
 	'daemon-kill': 4,
 	'daemon-terminate': 4,
 	'daemon-pause': 4,
@@ -321,6 +350,25 @@
 		isListed: random() < 0.5,
 		forMs: drawMs(500, 12_000),
 	}),
+	'executor-add': ({executor, drawMs}) => ({
+		kind: 'executor-add',
+		executor,
+		answersAfterMs: drawMs(0, 5600),
+		shownAfterMs: drawMs(0, 6000),
+	}),
+	'executor-remove': ({executor}) => ({kind: 'executor-remove', executor}),
+	'executor-replace': ({executor, drawMs}) => ({
+		kind: 'executor-replace',
+		executor,
+		answersAfterMs: drawMs(0, 1000),
+		shownAfterMs: drawMs(0, 4000),
+	}),
+	'entries-lapse': ({random, drawMs}) => ({
+		kind: 'entries-lapse',
+		share: pick(random, [0.5, 1]),
+		trouble: pick(random, [undefined, 'refuses', 'silent']),
+		forMs: drawMs(2000, 7000),
+	}),
 	'service-cut': ({random, executor, drawMs}) => ({
 		kind: 'service-cut',
 		executor,
