--- a/packages/bench/src/benches/soak.test.ts
+++ b/packages/bench/src/benches/soak.test.ts
@@ -12,7 +12,7 @@
 	{timeout: maxMs},
 	async (t) => {
 		execFileSync('npm', ['run', '--silent', 'bundle'], {cwd: root});
-		const {checks} = await bench.run({
+		const {checks, figures} = await bench.run({
 			seed: 1,
 			short: true,
 			log(line) {
@@ -22,5 +22,9 @@
 		for (const {name, value, holds} of checks) {
 			t.ok(holds, `${name}: ${value}`);
 		}
+
+		for (const kind of ['cut', 'back', 'machine moves', 'upkeep begins']) {
+			t.ok(Number(figures[`${kind}, times`]) > 0, `it plays: ${kind}`);
+		}
 	},
 );
