Check in the soak that one holder orders a machine

Now that machines move in the soak, the rule of orders can be judged (ONE): two holders with one fencing token, or in turns within the lease while all is calm.

checks.test.ts: three cases, two of which break the rule.

--- a/packages/bench/src/benches/soak/checks/checks.test.ts
+++ b/packages/bench/src/benches/soak/checks/checks.test.ts
@@ -159,6 +159,14 @@
 	},
 ];
 
+const order = (atMs: number, holder: string, token: number): Timed => ({
+	kind: 'machine ordered',
+	machine: 'm-1',
+	holder,
+	token,
+	atMs,
+});
+
 const lasting: JobPlan = {
 	...plan,
 	kind: 'long-running',
@@ -314,6 +322,24 @@
 		createJob({states: [completed]}),
 		[],
 	],
+	[
+		'orders of two holders with one token',
+		[...whole, order(2000, 'front-1', 1), order(9000, 'front-2', 1)],
+		createJob({states: [completed]}),
+		['ONE'],
+	],
+	[
+		'orders of two holders in turns',
+		[...whole, order(2000, 'front-1', 1), order(4000, 'front-2', 2)],
+		createJob({states: [completed]}),
+		['ONE'],
+	],
+	[
+		'orders of a holder and a later one',
+		[...whole, order(2000, 'front-1', 1), order(5500, 'front-2', 2)],
+		createJob({states: [completed]}),
+		[],
+	],
 	[
 		'a job that was rejected',
 		whole,
--- a/packages/bench/src/benches/soak/checks/waves.ts
+++ b/packages/bench/src/benches/soak/checks/waves.ts
@@ -1,5 +1,6 @@
-/** Rules on waves: LIMIT and MIXED. */
-import {isKind, type Break, type History} from './history.js';
+/** Rules on machines and their waves: LIMIT, MIXED and ONE. */
+import {ruleBounds} from '@gullstand/users-platform/stand-ins';
+import {isKind, type Break, type EventOf, type History} from './history.js';
 
 /** Upkeeps that begin while too many machines of their wave are away. */
 export const findCrowdedWaves = (history: History): readonly Break[] => {
@@ -60,3 +61,30 @@
 					]
 				: [];
 		});
+
+/** Orders of two holders with one token, or in turns within a lease in calm. */
+export const findContestedOrders = (history: History): readonly Break[] => {
+	const last = new Map<string, EventOf<'machine ordered'>>();
+	const holders = new Map<string, string>();
+	return history.events.filter(isKind('machine ordered')).flatMap((order) => {
+		const {machine, holder, token, atMs} = order;
+		const earlier = last.get(machine);
+		const key = `${machine} ${token}`;
+		const first = holders.get(key) ?? holder;
+		last.set(machine, order);
+		holders.set(key, first);
+		const isTurn =
+			earlier !== undefined &&
+			earlier.holder !== holder &&
+			atMs - earlier.atMs < ruleBounds.leaseMs &&
+			history.isCalm(earlier.atMs - ruleBounds.contactMs, atMs);
+		return first !== holder || isTurn
+			? [
+					{
+						rule: 'ONE',
+						text: `${machine} is ordered by ${holder} with ${token} at ${atMs} ms after ${earlier?.holder} with ${earlier?.token} at ${earlier?.atMs} ms`,
+					},
+				]
+			: [];
+	});
+};
