--- a/packages/bench/src/benches/soak/daemons.ts
+++ b/packages/bench/src/benches/soak/daemons.ts
@@ -38,6 +38,8 @@
 	readonly isRunning: () => boolean;
 	readonly isRetired: () => boolean;
 	readonly isReady: (timeoutMs?: number) => Promise<boolean>;
+	/** Its metrics as text; empty if it does not answer. */
+	readonly readMetrics: () => Promise<string>;
 };
 
 export type DaemonOptions = {
@@ -183,6 +185,16 @@
 		},
 		isRunning: () => child !== undefined,
 		isRetired: () => isRetired,
+		async readMetrics() {
+			try {
+				const res = await fetch(`http://${ip}:${daemonPorts.metrics}/metrics`, {
+					signal: AbortSignal.timeout(1000),
+				});
+				return await res.text();
+			} catch {
+				return '';
+			}
+		},
 		isReady: async (timeoutMs = 1000) =>
 			new Promise((resolve) => {
 				const req = request(
