--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -130,11 +130,6 @@
 	) => Promise<scheduler.EvacuationState>;
 	/** Lets an executor be used again that will not be commanded. */
 	readonly releaseEvacuation: Evacuations['release'];
-	/**
-	 * Ends all runs of an executor that the platform no longer lists, unless it
-	 * answers.
-	 */
-	readonly markTerminated: (executorId: string) => void;
 	readonly getLoad: () => scheduler.ServiceLoad | undefined;
 	readonly getOwner: () => scheduler.Owner | undefined;
 };
@@ -274,14 +269,6 @@
 		}
 	};
 
-	const markTerminated = (id: string, reason: string) => {
-		if (owner) {
-			const lost = scheduler.markTerminated(owner, id, clock.now());
-			log.logLostRuns(lost, reason);
-			onChange();
-		}
-	};
-
 	const settleCrash = (
 		current: scheduler.Owner,
 		run: scheduler.Run,
@@ -313,12 +300,6 @@
 			onFenced() {
 				guard.start('fence-check', async () => fences.check(executor));
 			},
-			onOtherIncarnation() {
-				markTerminated(
-					executor.id,
-					'another incarnation responds at its address',
-				);
-			},
 			onStartAnswer(run, answer) {
 				log.logStart(run, answer.kind === 'started');
 				report.recordStart(
@@ -454,10 +435,7 @@
 
 		const listed = listOwnExecutors();
 		for (const each of listed) {
-			const isUsed = scheduler.recordListedExecutor(owner, each);
-			if (!isUsed) {
-				log.logTerminatedListing(each);
-			}
+			scheduler.recordListedExecutor(owner, each);
 		}
 
 		for (const executor of owner.executors.values()) {
@@ -698,14 +676,6 @@
 		releaseEvacuation(...args) {
 			evacuations?.release(...args);
 		},
-		markTerminated(executorId) {
-			// It may have started again since the platform was asked.
-			const isUnresponsive =
-				owner?.executors.get(executorId)?.unresponsiveSince !== undefined;
-			if (isUnresponsive) {
-				markTerminated(executorId, 'the platform no longer lists it');
-			}
-		},
 		getLoad,
 		getOwner: () => owner,
 	};
