--- a/packages/bench/src/benches/soak.ts
+++ b/packages/bench/src/benches/soak.ts
@@ -20,6 +20,7 @@
 	writeLines,
 	type Recorder,
 } from './soak/record.js';
+import {drawFleetDisruptions} from './soak/fleet-disruptions.js';
 import {drawQueueMoves, getQueueMovesMs} from './soak/queue-moves.js';
 import {drawSchedule} from './soak/schedule.js';
 import {soakSizes, type SoakSizes} from './soak/sizes.js';
@@ -72,7 +73,13 @@
 		count: sizes.queueMoves,
 		schedule: others,
 	});
-	const schedule = [...others, ...moves];
+	const fleet = drawFleetDisruptions({
+		...drawn,
+		random: createRandom(seed + 6),
+		count: sizes.fleetDisruptions,
+		schedule: others,
+	});
+	const schedule = [...others, ...moves, ...fleet];
 	const traffic = {
 		queues: environment.queues.map(({pathPrefix}) => pathPrefix),
 		...sizes,
@@ -131,6 +138,11 @@
 	'late write',
 	'upkeep begins',
 	'machine moves',
+	'cut',
+	'back',
+	'machine added',
+	'machine gone',
+	'entry lapses',
 	'lag',
 ] as const;
 
@@ -142,6 +154,27 @@
 		]),
 	);
 
+const unknownPattern =
+	/gullstand_executors\{label="[\w\-]+ unknown"\} (?<count>\d+)/gv;
+
+/**
+ * Counts executors that the registry lists and that their owner has given up,
+ * without those that answer nothing any more.
+ */
+const countUnknown = async ({
+	daemons,
+	executors,
+}: SoakEnvironment): Promise<number> => {
+	const texts = await Promise.all(
+		daemons.map(async (each) => each.readMetrics()),
+	);
+	const counts = texts.flatMap((text) =>
+		[...text.matchAll(unknownPattern)].map(({groups}) => Number(groups?.count)),
+	);
+	const mute = executors.filter((each) => each.isUp() && each.isMute()).length;
+	return Math.max(0, counts.reduce((sum, each) => sum + each, 0) - mute);
+};
+
 const run = async (options: BenchOptions): Promise<BenchResult> => {
 	const {seed, log} = options;
 	if (!existsSync(path.join(root, 'target/gullstandd.cjs'))) {
@@ -165,10 +198,12 @@
 	);
 	const stopWatching = watchLag(recorder);
 	let isReady = false;
+	let unknown = 0;
 	try {
 		isReady = await environment.start();
 		if (isReady) {
 			await play(options, {sizes, environment, clients, recorder, folder});
+			unknown = await countUnknown(environment);
 		}
 	} finally {
 		clients.close();
@@ -197,7 +232,7 @@
 		}
 	}
 
-	if (breaks.length > 0 || !isReady || options.keep) {
+	if (breaks.length + unknown > 0 || !isReady || options.keep) {
 		writeLines(folder, 'record.jsonl', recorder.events);
 		writeLines(folder, 'jobs.jsonl', [...clients.jobs.values()]);
 		writeLines(folder, 'breaks.jsonl', breaks);
@@ -222,6 +257,7 @@
 		baselines: {},
 		checks: [
 			check('daemons that are ready at the start', isReady ? 1 : 0, '==', 1),
+			check('listed executors that owners do not keep', unknown, '==', 0),
 			check('starts', history.runs.length, '>=', 1),
 			...found.map(([name, each]) => check(name, each.length, '==', 0)),
 		],
--- a/packages/bench/src/benches/soak/checks/checks.test.ts
+++ b/packages/bench/src/benches/soak/checks/checks.test.ts
@@ -1,4 +1,7 @@
-import type {StandInEvent} from '@gullstand/users-platform/stand-ins';
+import type {
+	DownCause,
+	StandInEvent,
+} from '@gullstand/users-platform/stand-ins';
 import * as tap from 'tap';
 import {encodeJobPayload, type JobPlan} from '../jobs.js';
 import type {HarnessEvent, SoakEvent} from '../record.js';
@@ -141,6 +144,42 @@
 
 const cancelledMs = 1000;
 
+/** A run that ends with its executor, which starts again. */
+const moved = (run: number, cause: DownCause = 'order'): readonly Timed[] => [
+	start(300 * run, '0.0.0', {run, bornMs: run}),
+	{kind: 'down', ...one, bornMs: run, runs: 1, cause, atMs: 300 * run + 100},
+	{
+		kind: 'up',
+		...one,
+		bornMs: run + 1,
+		service: 'quoting',
+		labels: [],
+		...capacity,
+		atMs: 300 * run + 200,
+	},
+];
+
+const order = (atMs: number, holder: string, token: number): Timed => ({
+	kind: 'machine ordered',
+	machine: 'm-1',
+	holder,
+	token,
+	atMs,
+});
+
+const lasting: JobPlan = {
+	...plan,
+	kind: 'long-running',
+	steps: [{...step, count: 2, longRunning: true, mayMiss: 1}],
+};
+
+const wave = {kind: 'wave', wave: 1, machines: ['m-1'], cap: 1} as const;
+
+const completeWave: readonly Timed[] = [
+	{...wave, state: 'requested', atMs: 2000},
+	{...wave, state: 'completed', atMs: 3000},
+];
+
 const cases: ReadonlyArray<
 	readonly [
 		name: string,
@@ -156,6 +195,19 @@
 		createJob({states: [completed]}),
 		['TWICE'],
 	],
+	[
+		'a second run beside one on an executor that is cut off',
+		[
+			start(300),
+			{kind: 'cut', ...one, atMs: 350},
+			start(400, '0.0.0', {...two, run: 2}),
+			end(800),
+			{kind: 'back', ...one, atMs: 850},
+			acknowledge(900),
+		],
+		createJob({cancelSentMs: 900}),
+		['TWICE'],
+	],
 	[
 		'a start after an end that is taken note of later',
 		[
@@ -227,6 +279,67 @@
 		createJob({states: [completed]}),
 		['UNASKED'],
 	],
+	[
+		'a job given up after its machines were moved',
+		[...moved(1), ...moved(2)],
+		createJob({states: [{...completed, state: 'failed'}]}),
+		['LOST'],
+	],
+	[
+		'a job given up after it crashed two executors',
+		[...moved(1, 'crash'), ...moved(2, 'crash')],
+		createJob({states: [{...completed, state: 'failed'}]}),
+		[],
+	],
+	[
+		'a move of a machine beside a lasting task that is away',
+		[
+			start(300, '0.0.0', {spec: encodeJobPayload(lasting)}),
+			start(310, '0.0.1', {
+				...two,
+				run: 2,
+				spec: encodeJobPayload(lasting),
+			}),
+			{kind: 'down', ...one, runs: 1, cause: 'order', atMs: 1500},
+			{kind: 'down', ...two, runs: 1, cause: 'order', atMs: 1600},
+		],
+		createJob({plan: lasting, cancelSentMs: 2000}),
+		['AVAIL'],
+	],
+	[
+		'a wave that is completed without a machine',
+		[...whole, ...completeWave],
+		createJob({states: [completed]}),
+		['MIXED'],
+	],
+	[
+		'a wave that is completed without a machine that has gone',
+		[
+			...whole,
+			...completeWave,
+			{kind: 'machine gone', machine: 'm-1', atMs: 2500},
+		],
+		createJob({states: [completed]}),
+		[],
+	],
+	[
+		'orders of two holders with one token',
+		[...whole, order(2000, 'front-1', 1), order(9000, 'front-2', 1)],
+		createJob({states: [completed]}),
+		['ONE'],
+	],
+	[
+		'orders of two holders in turns',
+		[...whole, order(2000, 'front-1', 1), order(4000, 'front-2', 2)],
+		createJob({states: [completed]}),
+		['ONE'],
+	],
+	[
+		'orders of a holder and a later one',
+		[...whole, order(2000, 'front-1', 1), order(5500, 'front-2', 2)],
+		createJob({states: [completed]}),
+		[],
+	],
 	[
 		'a job that was rejected',
 		whole,
--- a/packages/bench/src/benches/soak/disruptions.ts
+++ b/packages/bench/src/benches/soak/disruptions.ts
@@ -5,6 +5,7 @@
 	commandModes,
 	linkStates,
 	type Executor,
+	type ListTrouble,
 	type StoreFault,
 } from '@gullstand/users-platform/stand-ins';
 import {drawBelow, type Random} from '../../frame/random.js';
@@ -13,6 +14,7 @@
 import {getQueueMovesMs} from './queue-moves.js';
 import type {
 	Disrupting,
+	MachineListTrouble,
 	OfKind,
 	StoreTrouble,
 	TimedDisruption,
@@ -112,6 +114,19 @@
 	operator.configure(queues);
 };
 
+/** The executor of an index, or the next one that is up and answers. */
+const findSound = (
+	executors: readonly Executor[],
+	index: number,
+): Executor | undefined =>
+	[...executors.slice(index), ...executors.slice(0, index)].find(
+		(each) => each.isUp() && !each.isMute() && !each.isDraining(),
+	);
+
+/** The service of an executor, or of the next one that is up. */
+const findService = (executors: readonly Executor[], index: number): string =>
+	(findSound(executors, index) ?? executors[0]!).getService();
+
 /** Executors of the same service that are up and answer. */
 const countSound = (executors: readonly Executor[], index: number): number =>
 	executors.filter(
@@ -121,6 +136,25 @@
 			!each.isMute(),
 	).length;
 
+const toListTrouble = (
+	kind: Exclude<MachineListTrouble, 'sound'>,
+	random: Random,
+): ListTrouble => {
+	switch (kind) {
+		case 'late': {
+			return {kind, lateMs: 1000 + drawBelow(random, 5000)};
+		}
+
+		case 'omits': {
+			return {kind, isOmitted: () => random() < 0.3};
+		}
+
+		case 'down': {
+			return {kind};
+		}
+	}
+};
+
 /** Requests a wave and waits for its end, for some time. */
 const maintainMachines = async (
 	{operator}: SoakEnvironment,
@@ -233,13 +267,10 @@
 		await maintainMachines(
 			environment,
 			recorder,
-			Array.from(
-				{length: machines},
-				(_, index) =>
-					environment.executors[
-						(executor + index) % environment.executors.length
-					]!.machine,
-			),
+			[...environment.fleet.listShown()]
+				.slice(executor % environment.fleet.listShown().length)
+				.slice(0, machines)
+				.map(({machine}) => machine),
 			cap,
 		);
 	},
@@ -259,6 +290,32 @@
 	},
 } satisfies Partial<Handlers>;
 
+const cutService = async (
+	disruption: OfKind<'service-cut' | 'service-cut-unlisted'>,
+	{executors, machines}: SoakEnvironment,
+	random: Random,
+): Promise<void> => {
+	const {executor, share, state, list, forMs} = disruption;
+	const service = findService(executors, executor);
+	const cut = executors.filter(
+		(each) => each.getService() === service && each.isUp() && random() < share,
+	);
+	const endTrouble =
+		list === 'sound'
+			? undefined
+			: machines.trouble(toListTrouble(list, random));
+	for (const each of cut) {
+		each.setLink(state, false);
+	}
+
+	await delay(forMs);
+	for (const each of cut) {
+		each.setLink(linkStates.open, true);
+	}
+
+	endTrouble?.();
+};
+
 const executorHandlers = {
 	async 'executors-half-open'({share}, {executors}, random) {
 		for (const each of executors) {
@@ -297,6 +354,39 @@
 		await delay(forMs);
 		executors[executor]!.setLink(linkStates.open, true);
 	},
+	'service-cut': cutService,
+	'service-cut-unlisted': cutService,
+	async 'executor-add'({executor, ...added}, {executors, fleet}) {
+		await fleet.add({...added, service: findService(executors, executor)});
+	},
+	async 'executor-remove'({executor}, {executors, fleet}) {
+		const removed = findSound(executors, executor);
+		if (removed && fleet.canSpare(removed)) {
+			await fleet.remove(removed);
+		}
+	},
+	async 'executor-replace'({executor, ...added}, {executors, fleet}) {
+		const replaced = findSound(executors, executor);
+		const other = executors.find(
+			(each) => each.isUp() && each.getService() !== replaced?.getService(),
+		);
+		if (replaced && other && fleet.canSpare(replaced)) {
+			await fleet.replace(replaced, {...added, service: other.getService()});
+		}
+	},
+	async 'entries-lapse'({share, trouble, forMs}, environment, random) {
+		const {executors} = environment;
+		for (const each of executors.filter(
+			(executor) => executor.isUp() && random() < share,
+		)) {
+			each.unlist(forMs);
+		}
+
+		await (trouble === undefined
+			? delay(forMs)
+			: troubleStore({daemon: undefined, trouble, forMs}, environment, random));
+		await delay(heartbeatMs);
+	},
 	async 'executor-resize'({executor, share, forMs}, {executors}) {
 		executors[executor]!.resize(share);
 		await delay(forMs);
@@ -332,6 +422,7 @@
 	'daemon-settings',
 	'rolling-restart',
 	'executor-drain',
+	'executor-remove',
 	'queue-move',
 	'wave',
 ]);
--- a/packages/bench/src/benches/soak/schedule.ts
+++ b/packages/bench/src/benches/soak/schedule.ts
@@ -4,12 +4,26 @@
 	linkStates,
 	type CommandMode,
 	type LinkState,
+	type ListTrouble,
 } from '@gullstand/users-platform/stand-ins';
 import {drawBelow, type Random} from '../../frame/random.js';
 
 export type StoreTrouble =
 	'refuses' | 'resets' | 'silent' | 'slow' | 'loses' | 'loses-late';
 
+/** What the list of machines shows meanwhile. */
+export type MachineListTrouble = 'sound' | ListTrouble['kind'];
+
+/** Executors of a service are cut off with their entries, and run on. */
+type ServiceCut = {
+	/** One of the executors of the service. */
+	readonly executor: number;
+	/** Share of the executors that are cut off. */
+	readonly share: number;
+	readonly state: LinkState;
+	readonly forMs: number;
+};
+
 /** A disruption; daemons and executors are given by their index. */
 export type Disruption =
 	| {
@@ -79,6 +93,41 @@
 			readonly isListed: boolean;
 			readonly forMs: number;
 	  }
+	/** An empty executor comes. */
+	| {
+			readonly kind: 'executor-add';
+			/** One of the executors of the service. */
+			readonly executor: number;
+			readonly answersAfterMs: number;
+			/** Until the list of machines has it. */
+			readonly shownAfterMs: number;
+	  }
+	/** The executor is drained and taken away. */
+	| {readonly kind: 'executor-remove'; readonly executor: number}
+	/** The executor ends; one of another service has its address after it. */
+	| {
+			readonly kind: 'executor-replace';
+			readonly executor: number;
+			readonly answersAfterMs: number;
+			readonly shownAfterMs: number;
+	  }
+	/** Entries lapse while their executors live, also as the store is away. */
+	| {
+			readonly kind: 'entries-lapse';
+			readonly share: number;
+			readonly trouble: StoreTrouble | undefined;
+			readonly forMs: number;
+	  }
+	/** Their machines are listed, in some cases as of some time ago. */
+	| (ServiceCut & {
+			readonly kind: 'service-cut';
+			readonly list: 'sound' | 'late';
+	  })
+	/** Their machines are left out of readings, or shown as down. */
+	| (ServiceCut & {
+			readonly kind: 'service-cut-unlisted';
+			readonly list: 'omits' | 'down';
+	  })
 	| {
 			readonly kind: 'executor-resize';
 			readonly executor: number;
@@ -139,6 +188,13 @@
 const weights: Readonly<Record<Disrupting, number>> = {
 	// Drawn beside the others, as jobs are handed in for each.
 	'queue-moves': 0,
+	// Drawn beside the others, so that these stay as they are.
+	'service-cut': 0,
+	'service-cut-unlisted': 0,
+	'executor-add': 0,
+	'executor-remove': 0,
+	'executor-replace': 0,
+	'entries-lapse': 0,
 	'daemon-kill': 4,
 	'daemon-terminate': 4,
 	'daemon-pause': 4,
@@ -221,6 +277,13 @@
 
 const halfOpenShares = [0.3, 0.6, 1] as const;
 
+const drawServiceCut = ({random, executor, drawMs}: Draws): ServiceCut => ({
+	executor,
+	share: pick(random, [0.4, 1]),
+	state: pick(random, brokenStates),
+	forMs: drawMs(2000, 9000),
+});
+
 const drawers: {
 	readonly [Kind in Disrupting]: (draws: Draws) => OfKind<Kind>;
 } = {
@@ -304,6 +367,35 @@
 		isListed: random() < 0.5,
 		forMs: drawMs(500, 12_000),
 	}),
+	'executor-add': ({executor, drawMs}) => ({
+		kind: 'executor-add',
+		executor,
+		answersAfterMs: drawMs(0, 5600),
+		shownAfterMs: drawMs(0, 6000),
+	}),
+	'executor-remove': ({executor}) => ({kind: 'executor-remove', executor}),
+	'executor-replace': ({executor, drawMs}) => ({
+		kind: 'executor-replace',
+		executor,
+		answersAfterMs: drawMs(0, 1000),
+		shownAfterMs: drawMs(0, 4000),
+	}),
+	'entries-lapse': ({random, drawMs}) => ({
+		kind: 'entries-lapse',
+		share: pick(random, [0.5, 1]),
+		trouble: pick(random, [undefined, 'refuses', 'silent']),
+		forMs: drawMs(2000, 7000),
+	}),
+	'service-cut': (draws) => ({
+		kind: 'service-cut',
+		...drawServiceCut(draws),
+		list: pick(draws.random, ['sound', 'late']),
+	}),
+	'service-cut-unlisted': (draws) => ({
+		kind: 'service-cut-unlisted',
+		...drawServiceCut(draws),
+		list: pick(draws.random, ['omits', 'down']),
+	}),
 	'executor-resize': ({random, executor, drawMs}) => ({
 		kind: 'executor-resize',
 		executor,
