Await no executor at a takeover that its command has ended for longer

Callers saw inherited tasks wait after a takeover for an executor that a move or a maintenance had ended, as before such executors were left out of the roster.

Cause: what counts as vacant was asked of the state of the moment, and a vacant executor had to have answered. One that its command has ended does not answer any more; as nothing is leased there, the next plan takes its leases for expired and its state for unknown, so it was no longer vacant. The next change of the roster, for any other executor, stored it again, without a mark at first, and the next owner waited a full lease for it: the very case for which it is left out.

An executor that was left out as vacant stays so now while it is reserved and has listed no run and no end since. Nothing starts on it meanwhile, as it is not in the stored roster. One that has answered with a run or an end since is stored again, also if that was given up later.

reservations.test.ts: 'the next owner does not await an executor that was ended by its command, however long ago' failed before (2 checks), and passes now; the two cases of runs and ends that were given up pass on both. All tests of scheduler/state and scheduler/polls pass (2,039 checks).

--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -382,6 +382,8 @@
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
+	executor.isKnownVacant &&=
+		!executor.hasListedEnds && poll.running.length === 0;
 	recordDoneRuns(owner, executor, poll);
 	applyEnds(owner, executor, {...poll, isTimely}, changes);
 	applyRunning(owner, executor, poll, changes);
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -86,6 +86,8 @@
 	reservedUntil: number | undefined;
 	/** It was promised to be clear, so a command may have ended it since. */
 	mayBeCommanded: boolean;
+	/** It was vacant when it was left out of the roster, and still is. */
+	isKnownVacant: boolean;
 	consecutiveFailures: number;
 	quarantinedUntil: number;
 	/** How fast its runs make progress. */
@@ -120,6 +122,7 @@
 	evacuationOrder: undefined,
 	reservedUntil: undefined,
 	mayBeCommanded: false,
+	isKnownVacant: false,
 	consecutiveFailures: 0,
 	quarantinedUntil: 0,
 	speed: createExecutorSpeed(),
--- a/packages/core/src/scheduler/state/reservations.test.ts
+++ b/packages/core/src/scheduler/state/reservations.test.ts
@@ -52,6 +52,40 @@
 		},
 		isAwaited: false,
 	},
+	{
+		name: 'that was ended by its command, however long ago',
+		prepare(owner) {
+			scheduler.reserveExecutor(owner, 'x', 0);
+			flushAll(owner);
+			scheduler.markUnresponsive(owner, 'x', 10);
+			scheduler.expireLeases(owner, 20);
+		},
+		isAwaited: false,
+	},
+	{
+		name: 'whose runs were given up while it was reserved',
+		prepare(owner) {
+			submit(owner, createAccepted('a'));
+			scheduler.reserveExecutor(owner, 'x', 0);
+			flushAll(owner);
+			pollExecutor(owner, 'x', {at: 5, running: [{taskId: 'a.0.0.0'}]});
+			scheduler.markUnresponsive(owner, 'x', 10);
+			scheduler.expireLeases(owner, 60_000);
+		},
+		isAwaited: true,
+	},
+	{
+		name: 'whose ends were given up while it was reserved',
+		prepare(owner) {
+			submit(owner, createAccepted('a'));
+			scheduler.reserveExecutor(owner, 'x', 0);
+			flushAll(owner);
+			pollExecutor(owner, 'x', {at: 5, ends: [{taskId: 'a.0.0.0'}]});
+			scheduler.markUnresponsive(owner, 'x', 10);
+			scheduler.expireLeases(owner, 20);
+		},
+		isAwaited: true,
+	},
 	{
 		name: 'on which a task runs',
 		prepare(owner) {
--- a/packages/core/src/scheduler/state/suspected-executors.ts
+++ b/packages/core/src/scheduler/state/suspected-executors.ts
@@ -114,7 +114,8 @@
  */
 const isVacant = (executor: Executor): boolean =>
 	executor.reservedUntil !== undefined &&
-	executor.isAdopted &&
+	// One that has been ended no longer answers, so it does not stay adopted.
+	(executor.isAdopted || executor.isKnownVacant) &&
 	executor.runs.size === 0 &&
 	executor.orphanedRunCount === 0 &&
 	!executor.hasListedEnds;
@@ -127,7 +128,8 @@
 	const roster: RosterEntry[] = [];
 	for (const executor of owner.executors.values()) {
 		const {listed, suspectedSince} = executor;
-		if (isVacant(executor)) {
+		executor.isKnownVacant = isVacant(executor);
+		if (executor.isKnownVacant) {
 			executor.isRostered = false;
 		} else {
 			executor.isSuspicionSent ||= suspectedSince !== undefined;
