Open connections anew after a command that another executor answers

Callers would see an executor that lives, answers and is listed get no work. Found by reading, shown at the link; no record shows it.

Cause: polls and commands have connections of their own. An answer of another incarnation counts as none and opens them anew, but only if a poll gets it. If a connection for commands alone leads to the process that had the address before, each start there is turned away, the next poll is answered and clears the silence, and the next start goes the same way, for as long as that connection is open. A stop of an orphaned run that is turned away so leaves the executor without work too, as it goes on listing the run.

Starts, stops and stops of orphaned runs open the connections anew as well. Calls in flight there end without an answer, as after such a poll.

executor-link.test.ts: the three cases failed before and pass now; the tests of links, of executors that were cut off and of restarted ones pass (42 checks).

--- a/packages/daemon/src/jobs/owner/executor-link.test.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.test.ts
@@ -231,3 +231,64 @@
 		],
 	]);
 });
+
+const commandKinds = ['start', 'stop', 'stop of an orphaned run'] as const;
+
+const answers = {
+	start: seen,
+	stop: seen,
+	'stop of an orphaned run': {...seen, running: [orphanedRun]},
+} as const;
+
+for (const kind of commandKinds) {
+	tap.t.test(
+		`a ${kind} that another executor answers opens the connections anew`,
+		async (t) => {
+			const cfg = scheduler.defaultSchedulerConfig;
+			const owner = scheduler.createOwner('s', 1, cfg, 0);
+			scheduler.recordListedExecutor(owner, createListedExecutor('x'));
+			addIsolatedRun(owner);
+			const executor = owner.executors.get('x')!;
+			const [run] = executor.runs.values();
+			const otherLife = async () => ({kind: 'other-life'}) as const;
+			const closed: string[] = [];
+			const link = openExecutorLink({
+				owner,
+				executor,
+				executors: {
+					...createExecutors(answers[kind], []),
+					start: otherLife,
+					stop: otherLife,
+					closeConnections({id}) {
+						closed.push(id);
+					},
+				},
+				now,
+				isOwnershipConfirmed: () => true,
+				logger: {
+					info: () => undefined as never,
+					warn: () => undefined as never,
+				},
+				reportFailure(err) {
+					t.fail(err.message);
+				},
+				onChange: () => undefined,
+				onPoll: () => undefined,
+				onFenced: () => undefined,
+				onStartAnswer: () => undefined,
+			});
+			if (kind === 'start') {
+				const rest = {leaseEndMs: 1, ticket: undefined};
+				link.send({kind, executor, run: run!, ...rest});
+			} else if (kind === 'stop') {
+				link.send({kind, executor, run: run!, reason: 'task-done'});
+			}
+
+			await new Promise((resolve) => {
+				setTimeout(resolve, 20);
+			});
+			t.same(closed, ['x']);
+			link.close();
+		},
+	);
+}
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -76,6 +76,19 @@
 		return target;
 	};
 
+	/** The connections may lead to the process that had the address before. */
+	const reconnectAfter = ({
+		kind,
+	}: {
+		readonly kind:
+			| (scheduler.StartAnswer | scheduler.CommandAnswer)['kind']
+			| PollAnswer['kind'];
+	}) => {
+		if (kind === 'other-life') {
+			executors.closeConnections(getTarget());
+		}
+	};
+
 	const state: State = {
 		isClosed: false,
 		isPollRequested: true,
@@ -181,6 +194,7 @@
 			executor: executor.id,
 			outcome: answer.kind,
 		});
+		reconnectAfter(answer);
 	};
 
 	const handleNoAnswer = async (
@@ -256,8 +270,7 @@
 				await pollGap.wait(periods.fencedRetryMs);
 			})
 			.with({kind: 'other-life'}, async (other) => {
-				// The connection may lead to the process that had the address before.
-				executors.closeConnections(getTarget());
+				reconnectAfter(other);
 				await handleNoAnswer(other);
 			})
 			.with({kind: 'no-answer'}, handleNoAnswer)
@@ -322,6 +335,7 @@
 			return;
 		}
 
+		reconnectAfter(answer);
 		applyEffect(scheduler.applyStartAnswer(owner, started, answer, now()));
 	};
 
@@ -345,6 +359,7 @@
 			outcome: answer.kind,
 			percent: stopped.percent,
 		});
+		reconnectAfter(answer);
 		applyEffect(scheduler.applyStopAnswer(owner, stopped, answer, now()));
 	};
 
