Complete no gang with another checkpoint than its members carry

All members of a gang must carry the same checkpoint. Found by reading, shown by a test; no record shows it.

Cause: the start of a member that was turned away is sent again under the number of the others, with the checkpoint that the task has by then. Meanwhile an executor that answers again, or whose list was full, may list the end of an earlier run of the gang with a later checkpoint.

A run keeps the checkpoint that its start carries. If the task has another one by now the gang is not completed: its members are stopped, as those of a gang that can't be completed, and it starts anew as a whole from the later one.

incomplete-gang.test.ts, a later checkpoint is listed than the others started from: failed before and passes now; the tests of scheduler/plan and scheduler/polls pass (982 checks).

--- a/packages/core/src/scheduler/plan/incomplete-gang.test.ts
+++ b/packages/core/src/scheduler/plan/incomplete-gang.test.ts
@@ -172,6 +172,15 @@
 			scheduler.applyStartAnswer(owner, runs[0]!, {kind: 'no-answer'}, 8);
 		},
 	},
+	{
+		name: 'a later checkpoint is listed than the others started from',
+		change({owner}) {
+			pollExecutor(owner, 'x4', {
+				at: 8,
+				ends: [{taskId: 'g.0.0.0', run: 1, how: 'lapsed', checkpoint: 'later'}],
+			});
+		},
+	},
 	{
 		name: 'the job has ended',
 		change({owner, job}) {
--- a/packages/core/src/scheduler/plan/plan-gang.ts
+++ b/packages/core/src/scheduler/plan/plan-gang.ts
@@ -136,6 +136,11 @@
 		return;
 	}
 
+	// All members carry the same one; a later one may have been listed since.
+	if (runs.some((run) => run.startCheckpoint !== run.task.checkpoint)) {
+		return;
+	}
+
 	const racks = new Set(
 		runs.map(({executorId}) => {
 			const executor = owner.executors.get(executorId);
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -30,6 +30,8 @@
 	readonly executorId: string;
 	state: RunState;
 	readonly askedAt: number;
+	/** The task's checkpoint then, which its start carries. */
+	readonly startCheckpoint: string | undefined;
 	/** When an answer first confirmed that the run existed. */
 	confirmedAt: number | undefined;
 	/** The executor's clock in that answer. */
@@ -392,6 +394,7 @@
 	executorId,
 	state: 'asked',
 	askedAt: now,
+	startCheckpoint: task.checkpoint,
 	confirmedAt: undefined,
 	confirmedClockMs: undefined,
 	observedFrom: undefined,
