Leave a reserved executor out of the roster once it is empty

Callers saw inherited tasks wait after a takeover for an executor that a move or a maintenance had ended.

Cause: the roster is due again when an executor is reserved, and that is the only time at which its being vacant is asked. An executor is cleared right after its last run has ended, so its ends are often still listed then; it is stored as one to await, and nothing makes the roster due when the ends are acknowledged. The same holds for one that is reserved by an earlier owner and answers this one only after its first roster.

An answer that shows a reserved executor of the roster as vacant makes the roster due. It does so once, as the executor is not in the roster any more.

reservations.test.ts: both cases of 'a reserved executor leaves the roster once' failed before (4 checks) and pass now. All tests of scheduler/state and scheduler/polls pass (2,049 checks).

--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -4,6 +4,7 @@
 import {
 	clearSuspicion,
 	getMaxLeaseDurationMs,
+	noteVacancy,
 } from '../state/suspected-executors.js';
 import {
 	addRun,
@@ -397,5 +398,6 @@
 		removeVanished(executor, poll, changes);
 	}
 
+	noteVacancy(owner, executor);
 	return {isFirst, isRestarted, ...changes};
 };
--- a/packages/core/src/scheduler/state/reservations.test.ts
+++ b/packages/core/src/scheduler/state/reservations.test.ts
@@ -145,6 +145,47 @@
 	);
 }
 
+/** How a reserved executor is empty only after the roster was stored. */
+const laterVacantCases: ReadonlyArray<{
+	readonly name: string;
+	readonly prepare: (owner: scheduler.Owner) => void;
+}> = [
+	{
+		name: 'its last ends are acknowledged',
+		prepare(owner) {
+			submit(owner, createAccepted('a'));
+			pollExecutor(owner, 'x', {at: 5, ends: [{taskId: 'a.0.0.0'}]});
+			scheduler.reserveExecutor(owner, 'x', 5);
+		},
+	},
+	{
+		name: 'it answers the next owner',
+		prepare(owner) {
+			scheduler.inheritReservation(owner, 'x', reservationMs, 5);
+			owner.executors.get('x')!.isAdopted = false;
+		},
+	},
+];
+
+for (const {name, prepare} of laterVacantCases) {
+	tap.t.test(
+		`a reserved executor leaves the roster once ${name}`,
+		async (t) => {
+			const owner = createTestOwner([createListed('x')]);
+			prepare(owner);
+			flushAll(owner);
+			t.ok(owner.executors.get('x')!.isRostered);
+			t.notOk(owner.isRosterDirty);
+			pollExecutor(owner, 'x', {at: 10});
+			t.ok(scheduler.needsFlush(owner));
+			flushAll(owner);
+			t.notOk(owner.executors.get('x')!.isRostered);
+			pollExecutor(owner, 'x', {at: 15});
+			t.notOk(owner.isRosterDirty);
+		},
+	);
+}
+
 for (const isReleased of [true, false]) {
 	tap.t.test(
 		`nothing starts before the roster is stored after a reservation ${isReleased ? 'was released' : 'has ended'}`,
--- a/packages/core/src/scheduler/state/suspected-executors.ts
+++ b/packages/core/src/scheduler/state/suspected-executors.ts
@@ -120,6 +120,11 @@
 	executor.orphanedRunCount === 0 &&
 	!executor.hasListedEnds;
 
+/** Has the roster stored without an executor that has become vacant. */
+export const noteVacancy = (owner: Owner, executor: Executor): void => {
+	owner.isRosterDirty ||= executor.isRostered && isVacant(executor);
+};
+
 /**
  * Returns the roster to store and records that its marks were sent. Executors
  * that are left out get no work before a later roster with them is stored.
