Don't expect a machine whose executor does not register for long

Callers would see jobs stand for want of executors while machines are on standby.

Cause: a machine that is listed as up, and whose executor the owner does not know, counts as on its way, without a limit. One that is cut off counts as away while it is silent, but once the registry has dropped its executor and the owner its state, it counts as on its way for as long as the list shows it as up. So others that came in its place are too many again, and none comes for one that never registers.

It counts so for 5 s at most now, and as away after that until the owner knows its executor.

unusable-machines.test.ts, three machines are needed and the owner knows none of them for long: no machine came within 12 s before, three come now. The case in which the owner knows them passes on both.

--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -59,6 +59,9 @@
 	clearance: Clearance | undefined;
 };
 
+/** How long an executor may take to register, in milliseconds. */
+const maxRegistrationMs = 5000;
+
 /** Whether a machine's executor has left its owner's calls unanswered for long. */
 const isUnresponsive = (
 	{loads}: FleetView,
@@ -74,6 +77,8 @@
 	const {claims} = deps;
 	const inProgress = new Map<string, MoveInProgress>();
 	const emptyPools = createEmptyPools(context, deps.listServices);
+	/** Since when owners do not know executors of machines that are up, by id. */
+	let unknownSince: ReadonlyMap<string, number> = new Map();
 	let rejected: fleet.RejectedMoves = new Map();
 	let planState = fleet.emptyPoolPlanState;
 	let loggedAt = Number.NEGATIVE_INFINITY;
@@ -262,19 +267,36 @@
 		}
 	};
 
+	/** An executor that its owner does not know may not have registered yet. */
+	const isUnknown = (view: FleetView, machine: Machine): boolean =>
+		machine.state === 'up' &&
+		view.loads.has(machine.pool) &&
+		getMachineLoad(view, machine) === undefined;
+
+	const noteUnknown = (view: FleetView) => {
+		unknownSince = new Map(
+			[...view.machines.values()].flatMap((machine) =>
+				isUnknown(view, machine)
+					? [[machine.id, unknownSince.get(machine.id) ?? clock.now()]]
+					: [],
+			),
+		);
+	};
+
 	const toPoolMachine = (
 		view: FleetView,
 		machine: Machine,
 	): fleet.PoolMachine => {
 		const load = getMachineLoad(view, machine);
 		const isUp = machine.state === 'up';
-		// An executor that its owner does not know has not registered yet.
-		const isKnown = !view.loads.has(machine.pool) || load !== undefined;
+		const since = unknownSince.get(machine.id);
+		const isRegistering =
+			since !== undefined && clock.now() - since < maxRegistrationMs;
 		return {
 			id: machine.id,
 			pool: machine.pool,
-			isUp: isUp && isKnown && !isUnresponsive(view, machine),
-			isArriving: machine.state === 'moving' || (isUp && !isKnown),
+			isUp: isUp && since === undefined && !isUnresponsive(view, machine),
+			isArriving: machine.state === 'moving' || isRegistering,
 			cpuMillis: machine.capacity.cpuMillis,
 			runs: load?.runs ?? 0,
 			longRunning: load?.lasting ?? 0,
@@ -328,6 +350,7 @@
 	};
 
 	const plan = (view: FleetView, standbyPool: string) => {
+		noteUnknown(view);
 		const demands = toDemands(view);
 		const machines = [...view.machines.values()].map((each) =>
 			toPoolMachine(view, each),
--- a/packages/daemon/src/jobs/fleet/unusable-machines.test.ts
+++ b/packages/daemon/src/jobs/fleet/unusable-machines.test.ts
@@ -98,3 +98,32 @@
 		);
 	});
 }
+
+const lasting = [
+	{name: 'knows none of them for long', isKnown: false, moved: ['d', 'e', 'f']},
+	{name: 'knows them', isKnown: true, moved: []},
+] as const;
+
+for (const {name, isKnown, moved} of lasting) {
+	tap.t.test(`three machines are needed and the owner ${name}`, async (t) => {
+		const platform = createFleetPlatform(['a', 'b', 'c', 'd', 'e', 'f']);
+		for (const id of ['d', 'e', 'f']) {
+			platform.move(id, 'standby');
+		}
+
+		platform.advance(durationMs);
+		for (const id of ['a', 'b', 'c']) {
+			platform.setKnown(id, isKnown);
+		}
+
+		const mover = createMover(platform);
+		const from = platform.now();
+		while (platform.now() < from + 4 * durationMs) {
+			await mover.runRound(platform.getView());
+			platform.advance(roundMs);
+		}
+
+		t.same(platform.commands.map(({machine}) => machine).toSorted(), moved);
+		t.ok(platform.commands.every(({at}) => at > from + durationMs));
+	});
+}
