--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -4,6 +4,7 @@
 import {
 	clearSuspicion,
 	getMaxLeaseDurationMs,
+	noteVacancy,
 } from '../state/suspected-executors.js';
 import {
 	addRun,
@@ -382,6 +383,8 @@
 	executor.unresponsiveSince = undefined;
 	clearSuspicion(owner, executor);
 	executor.hasListedEnds = poll.ends.length > 0;
+	executor.isKnownVacant &&=
+		!executor.hasListedEnds && poll.running.length === 0;
 	recordDoneRuns(owner, executor, poll);
 	applyEnds(owner, executor, {...poll, isTimely}, changes);
 	applyRunning(owner, executor, poll, changes);
@@ -395,5 +398,6 @@
 		removeVanished(executor, poll, changes);
 	}
 
+	noteVacancy(owner, executor);
 	return {isFirst, isRestarted, ...changes};
 };
--- a/packages/core/src/scheduler/state/suspected-executors.ts
+++ b/packages/core/src/scheduler/state/suspected-executors.ts
@@ -114,11 +114,17 @@
  */
 const isVacant = (executor: Executor): boolean =>
 	executor.reservedUntil !== undefined &&
-	executor.isAdopted &&
+	// One that has been ended no longer answers, so it does not stay adopted.
+	(executor.isAdopted || executor.isKnownVacant) &&
 	executor.runs.size === 0 &&
 	executor.orphanedRunCount === 0 &&
 	!executor.hasListedEnds;
 
+/** Has the roster stored without an executor that has become vacant. */
+export const noteVacancy = (owner: Owner, executor: Executor): void => {
+	owner.isRosterDirty ||= executor.isRostered && isVacant(executor);
+};
+
 /**
  * Returns the roster to store and records that its marks were sent. Executors
  * that are left out get no work before a later roster with them is stored.
@@ -127,7 +133,8 @@
 	const roster: RosterEntry[] = [];
 	for (const executor of owner.executors.values()) {
 		const {listed, suspectedSince} = executor;
-		if (isVacant(executor)) {
+		executor.isKnownVacant = isVacant(executor);
+		if (executor.isKnownVacant) {
 			executor.isRostered = false;
 		} else {
 			executor.isSuspicionSent ||= suspectedSince !== undefined;
