--- a/packages/core/src/fleet/rejected-moves.ts
+++ b/packages/core/src/fleet/rejected-moves.ts
@@ -14,7 +14,7 @@
 /** Rejections by machine and target pool. */
 export type RejectedMoves = ReadonlyMap<string, Rejection>;
 
-/** First pause, longer than the platform's list may be behind. */
+/** Pause after the first rejection, in milliseconds. */
 const firstPauseMs = 5000;
 
 const maxPauseMs = 60_000;
