--- a/review/review-2/cut-off.mjs
+++ b/review/review-2/cut-off.mjs
@@ -1,3 +1,4 @@
+/* eslint "@typescript-eslint/no-floating-promises": "off" -- XO has no types of JavaScript here. */
 /** A job whose executors are cut off, one after another, and never crash. */
 import {randomBytes} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
--- a/review/review-2/two-runs.mjs
+++ b/review/review-2/two-runs.mjs
@@ -1,3 +1,4 @@
+/* eslint "@typescript-eslint/no-floating-promises": "off" -- XO has no types of JavaScript here. */
 /**
  * A task starts after a long idle time on an executor whose clock is 2 % slow.
  * The executor is cut off, and the owner of its service is stopped in a planned
--- a/review/review-2/world.mjs
+++ b/review/review-2/world.mjs
@@ -1,3 +1,4 @@
+/* eslint "@typescript-eslint/no-floating-promises": "off" -- XO has no types of JavaScript here. */
 /**
  * A small deployment for the scripts of cases: daemons of the deploy file as
  * processes, beside the project's own stand-ins of the platform.
