--- a/review/review-2/world.mjs
+++ b/review/review-2/world.mjs
@@ -200,7 +200,7 @@
 	services,
 	cpu = 32_000,
 	memMb = 64_000,
-	hasBorn = false,
+	hasBorn = true,
 	hasStandby = false,
 	clockRate = 1,
 }) => {
