--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -287,6 +287,12 @@
 	executor.clock = pickLatestReading(executor.clock, {reportedMs, receivedAt});
 };
 
+/** Age of the latest reading of the executor's clock, in milliseconds. */
+export const getClockReadingAge = (
+	{clock}: Executor,
+	now: number,
+): number | undefined => clock && now - clock.receivedAt;
+
 /**
  * Records a lease of `leaseMs` from now and returns its end in whole
  * milliseconds of the executor's clock; `undefined` while that is unknown.
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -49,6 +49,15 @@
 	readonly sendThrottle: (command: scheduler.ThrottleCommand) => void;
 };
 
+/** Rest of a lease by the executor's clock in its answer, in milliseconds. */
+const getLeaseLeft = (
+	answer: scheduler.StartAnswer,
+	leaseEndMs: number,
+): number | undefined =>
+	'clockMs' in answer && answer.clockMs !== undefined
+		? leaseEndMs - answer.clockMs
+		: undefined;
+
 type State = {
 	isClosed: boolean;
 	isPollRequested: boolean;
@@ -305,6 +314,10 @@
 	const sendStart = async (command: scheduler.Command & {kind: 'start'}) => {
 		const {run: started, leaseEndMs} = command;
 		const {task, number} = started;
+		const readingAgeMs = scheduler.getClockReadingAge(
+			executor,
+			started.askedAt,
+		);
 		const answer = await executors.start(
 			getTarget(),
 			{
@@ -325,6 +338,8 @@
 			outcome: answer.kind,
 			reason: answer.kind === 'refused' ? answer.reason : undefined,
 			leaseEndMs,
+			leaseLeftMs: getLeaseLeft(answer, leaseEndMs),
+			readingAgeMs: readingAgeMs && Math.round(readingAgeMs),
 			failures: task.failures,
 			crashes: task.crashes.length,
 			isIsolated: started.isIsolated,
