fix: a lease lasts as long as later owners believe, whatever the age of the reading

Cause: the lease was added to an estimate of the executor's clock that runs ahead of a slow clock by 2% of the age of its latest reading, which is the idle time, as idle executors are not polled. getMaxLeaseDurationMs allows for drift over the lease alone. Evidence: readingAgeMs 99,901 and leaseLeftMs 6,485 in the line of the start; the lease lapsed 6.64 s after it was granted. Ruled out: no wait at all (5.2 s), renewals after the release, a stand-in that ends leases late (both by the time of the lapse).

A lease is now computed from the slowest clock that the reading allows, so by any clock it lasts no longer than taskLeaseMs; leases.ts says so for all. Since the same bound decides when a lease has ended, the owner itself no longer waits 2% of the idle time longer for an executor that crashed. A reading is renewed after 30 s, so that a first lease is short by 0.6 s at most; after a pause of the process the first poll does not wait. A start that is refused as too late renews the reading too.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -12,6 +12,7 @@
 export * from './state/split-progress.js';
 export * from './state/incarnation.js';
 export * from './state/executor.js';
+export * from './state/leases.js';
 export * from './state/suspected-executors.js';
 export * from './state/reservations.js';
 export * from './placement/placement-advice.js';
--- a/packages/core/src/scheduler/plan/planning.ts
+++ b/packages/core/src/scheduler/plan/planning.ts
@@ -6,7 +6,8 @@
 	prepareAdviceRequest,
 	type AdviceRequest,
 } from '../placement/placement-advice.js';
-import {addRun, grantLease, type Executor} from '../state/executor.js';
+import {addRun, type Executor} from '../state/executor.js';
+import {grantLease} from '../state/leases.js';
 import type {Owner} from '../state/owner-state.js';
 import {
 	findEviction,
--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -111,7 +111,12 @@
 			run.task.step.occurrence.job.hasStarted = true;
 			return 'none';
 		})
-		.with({kind: 'refused'}, ({reason}) => {
+		.with({kind: 'refused'}, ({reason, clockMs}) => {
+			if (clockMs !== undefined) {
+				// The lease of the start may have rested on an old reading.
+				recordClockReading(executor, clockMs, now);
+			}
+
 			removeRun(executor, run);
 			noteTurnedAway(owner, run);
 			if (reason === 'ticket') {
--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -22,8 +22,8 @@
 import type {Executor} from '../state/executor.js';
 import type {EndedJob} from '../state/job-ends.js';
 import {markTaskDirty} from '../state/split-progress.js';
+import {getMaxLeaseDurationMs} from '../state/leases.js';
 import type {Owner} from '../state/owner-state.js';
-import {getMaxLeaseDurationMs} from '../state/suspected-executors.js';
 import {
 	listCoscheduledTasks,
 	listTasks,
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -1,11 +1,7 @@
 /** Applies the runs and run ends that an executor lists when it is polled. */
 import {match} from 'ts-pattern';
 import {countFailure} from '../state/attempts.js';
-import {
-	clearSuspicion,
-	getMaxLeaseDurationMs,
-	noteVacancy,
-} from '../state/suspected-executors.js';
+import {clearSuspicion, noteVacancy} from '../state/suspected-executors.js';
 import {
 	addRun,
 	removeRun,
@@ -20,6 +16,7 @@
 } from '../executor-speed/record-speeds.js';
 import {isRestart} from '../state/incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
+import {getMaxLeaseDurationMs} from '../state/leases.js';
 import {markTaskDirty} from '../state/split-progress.js';
 import type {Owner} from '../state/owner-state.js';
 import {recordRunTime, type MeasuredRun} from '../run-times/samples.js';
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -3,12 +3,7 @@
 	createExecutorSpeed,
 	type ExecutorSpeed,
 } from '../executor-speed/speed-state.js';
-import {
-	isCertainlyPast,
-	pickLatestReading,
-	estimateRemoteTime,
-	type RemoteClock,
-} from './remote-clock.js';
+import {pickLatestReading, type RemoteClock} from './remote-clock.js';
 import {
 	isLaterIncarnation,
 	isSameIncarnation,
@@ -292,26 +287,3 @@
 	{clock}: Executor,
 	now: number,
 ): number | undefined => clock && now - clock.receivedAt;
-
-/**
- * Records a lease of `leaseMs` from now and returns its end in whole
- * milliseconds of the executor's clock; `undefined` while that is unknown.
- */
-export const grantLease = (
-	executor: Executor,
-	leaseMs: number,
-	now: number,
-): number | undefined => {
-	if (!executor.clock) {
-		return undefined;
-	}
-
-	const until = Math.floor(estimateRemoteTime(executor.clock, now) + leaseMs);
-	executor.grantedUntil = Math.max(executor.grantedUntil, until);
-	return until;
-};
-
-/** Whether all leases that this owner has granted have certainly expired. */
-export const haveLeasesExpired = (executor: Executor, now: number): boolean =>
-	executor.clock !== undefined &&
-	isCertainlyPast(executor.clock, executor.grantedUntil, now);
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -17,13 +17,9 @@
 import {createSpeedMemory} from '../executor-speed/speed-memory.js';
 import {createRoomShares} from '../team-shares/room-shares.js';
 import type {SchedulerConfig} from './config.js';
-import {
-	createExecutor,
-	removeRun,
-	haveLeasesExpired,
-	type Executor,
-} from './executor.js';
+import {createExecutor, removeRun, type Executor} from './executor.js';
 import type {EndedJob} from './job-ends.js';
+import {haveLeasesExpired} from './leases.js';
 import type {Owner} from './owner-state.js';
 import {
 	createJob,
--- a/packages/core/src/scheduler/state/suspected-executors.ts
+++ b/packages/core/src/scheduler/state/suspected-executors.ts
@@ -7,10 +7,9 @@
  * The next owner trusts the mark, so an executor that answers again gets no
  * work or leases until a roster without the mark is stored.
  */
-import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
+import {getMaxLeaseDurationMs} from './leases.js';
 import type {Owner} from './owner-state.js';
-import {maxClockDrift} from './remote-clock.js';
 import type {ListedExecutor} from './types.js';
 
 /** Milliseconds without an answer after which an executor is suspected. */
@@ -31,13 +30,6 @@
 	readonly suspectedSince: number | undefined;
 };
 
-/** Upper bound on the time until a lease granted now expires, in milliseconds. */
-export const getMaxLeaseDurationMs = ({
-	taskLeaseMs,
-	maxTransitMs,
-}: SchedulerConfig): number =>
-	taskLeaseMs * (1 + 2 * maxClockDrift) + maxTransitMs;
-
 /** Returns since when no leases are granted on an unresponsive executor. */
 const getNoLeasesSince = (
 	{cfg, unresolvedExecutors}: Owner,
--- a/packages/core/src/scheduler/state/unread-ends.ts
+++ b/packages/core/src/scheduler/state/unread-ends.ts
@@ -4,8 +4,8 @@
  * an inherited job may have ended there unseen, so that it must not start again.
  */
 import type {Executor} from './executor.js';
+import {getMaxLeaseDurationMs} from './leases.js';
 import type {Owner} from './owner-state.js';
-import {getMaxLeaseDurationMs} from './suspected-executors.js';
 
 /**
  * Records whether an executor has listed all of its ends. Called before the
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -112,8 +112,15 @@
 	/** Between two polls. */
 	const pollGap = createPause();
 
+	/** Time until the reading of its clock must be renewed. */
+	const getReadingLeftMs = (): number => {
+		const ageMs = scheduler.getClockReadingAge(executor, now());
+		return Math.max(0, periods.idlePollMs - (ageMs ?? 0));
+	};
+
 	const needsPoll = (): boolean =>
 		!executor.isAdopted ||
+		getReadingLeftMs() === 0 ||
 		executor.runs.size > 0 ||
 		executor.orphanedRunCount > 0 ||
 		executor.acknowledgedUpto > state.ackSent ||
@@ -244,7 +251,12 @@
 		const acknowledgedUpto =
 			isResponsive && ackable > state.ackSent ? ackable : 0;
 		const isBusy = executor.runs.size > 0 || executor.orphanedRunCount > 0;
-		const mayWait = isResponsive && !state.isPollRequested && isBusy;
+		// A lease that rests on an old reading is short, and renewed at once.
+		const mayWait =
+			isResponsive &&
+			!state.isPollRequested &&
+			isBusy &&
+			getReadingLeftMs() > 0;
 		const waitMs = mayWait ? getPollWaitMs() : 0;
 		state.isPollRequested = false;
 		const mayGrant =
@@ -288,7 +300,7 @@
 
 	const run = async () => {
 		while (!state.isClosed) {
-			await (needsPoll() ? pollOnce() : idlePause.wait());
+			await (needsPoll() ? pollOnce() : idlePause.wait(getReadingLeftMs()));
 		}
 	};
 
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -36,6 +36,11 @@
 	refusedExecutorRetryMs: 2000,
 	/** Between two plans while nothing changes. */
 	planIntervalMs: 100,
+	/**
+	 * Age from which the reading of an executor's clock is renewed, though nothing
+	 * runs there. The lease of a first start is shorter by the drift over it.
+	 */
+	idlePollMs: 30_000,
 	/** How long an executor may delay the answer to a poll until a run ends. */
 	pollWaitMs: 800,
 	/** Shortest wait of a poll that watches an isolated run. */
--- a/spec/owner.pml
+++ b/spec/owner.pml
@@ -14,6 +14,12 @@
  * from then on until a flush without the mark is stored. `mark over` is the end
  * of all that was granted before the mark, which the next owner may count on.
  *
+ * An owner knows an executor's clock by a reading, which gets old while nothing
+ * runs there. By the slowest clock that the reading allows, a lease lasts no
+ * longer than `bound over`: the time for which the next owner waits once the one
+ * before grants no more. By a faster clock it may outlast that, if the reading is
+ * old and the executor's clock slow.
+ *
  * property one_run: No work doubled: a task never runs on two executors at once.
  * property done_is_final: No work doubled: a task whose end was acknowledged, by an executor whose lease had not lapsed since, is not started again.
  * property ack_is_stored: No work lost: an end that an executor forgets is in the store.
@@ -22,6 +28,7 @@
  * config late-ack: -DOWNERS=2 -DSTARTS0=2 -DSTARTS1=0 -DFLUSHES0=0 -DFLUSHES1=1
  * config one-executor: -DOWNERS=2 -DSTARTS0=1 -DSTARTS1=1 -DFLUSHES0=2 -DFLUSHES1=1 -DONE_EXECUTOR
  * config marks: -DOWNERS=2 -DSTARTS0=1 -DSTARTS1=1 -DFLUSHES0=2 -DFLUSHES1=0 -DMARKS
+ * config idle: -DOWNERS=2 -DSTARTS0=1 -DSTARTS1=1 -DFLUSHES0=1 -DFLUSHES1=0 -DIDLE
  *
  * mutation fence_on_look (two-owners) breaks one_run: a look does not raise the executor's fencing token
  * mutation resolve_all (two-owners) breaks one_run: starts before each executor of the roster has answered or expired
@@ -35,6 +42,8 @@
  * mutation unmark_before_grant (marks) breaks one_run: an executor that answers again is granted something before its mark is taken back in the store
  * mutation no_grant_while_marked (marks) breaks one_run: a lease is renewed on an executor whose mark was sent
  * mutation flush_checks_lease (marks) breaks one_run: a deposed owner takes back a mark
+ * mutation slowest_clock (idle) breaks one_run: a lease is computed from a clock that a slow one lags behind by more the older its reading is
+ * mutation grants_end (idle) breaks one_run: an owner grants leases on while the next one counts the time since it stopped
  */
 #define EXECUTORS 2
 /* Starts and flushes of the first and of the second owner. */
@@ -76,6 +85,25 @@
 #define GRANT(e) true
 #endif
 
+#ifdef IDLE
+bool isReadingOld;       /* nothing was read of the executors' clocks for long */
+bool isGrantingOver;     /* the first owner grants no more */
+bool isBoundOver;        /* since then the longest lease by the bound has ended */
+bool isLong[EXECUTORS];  /* a lease there lasts longer than the bound says */
+#ifdef MUTATE_slowest_clock
+#define LONG_GRANT isReadingOld
+#else
+#define LONG_GRANT false
+#endif
+#ifdef MUTATE_grants_end
+#define MAY_GRANT true
+#else
+#define MAY_GRANT (me == 1 || !isGrantingOver)
+#endif
+#else
+#define MAY_GRANT true
+#endif
+
 /* What an owner knows of an executor. */
 #define UNRESOLVED 0
 #define FREE 1
@@ -157,6 +185,22 @@
 		fi;
 		e = 0
 	}
+#ifdef IDLE
+	:: atomic { !isReadingOld -> isReadingOld = true }
+	:: atomic { !isGrantingOver -> isGrantingOver = true }
+	:: atomic { /* all leases of the first owner end that the bound covers */
+		isGrantingOver && !isBoundOver ->
+		isBoundOver = true;
+		if
+		:: !isLong[0] -> startSent[0] = 0; running[0] = (running[0] < 8 -> 0 : running[0])
+		:: isLong[0]
+		fi;
+		if
+		:: !isLong[1] -> startSent[1] = 0; running[1] = (running[1] < 8 -> 0 : running[1])
+		:: isLong[1]
+		fi
+	}
+#endif
 #ifdef MARKS
 	:: atomic { /* what was granted on executor 0 before its mark ends */
 		isMarkTaken && !isMarkOver ->
@@ -273,6 +317,9 @@
 		:: known[e] == MAY_RUN -> known[e] = FREE
 #else
 		:: isGone[e] -> known[e] = FREE
+#ifdef IDLE
+		:: me == 1 && isBoundOver && known[e] == UNRESOLVED -> known[e] = FREE
+#endif
 #ifdef MARKS
 		:: e == 0 && wasMarked && isMarkOver && known[0] == UNRESOLVED -> known[0] = FREE
 #endif
@@ -285,13 +332,16 @@
 		pick(e);
 		if
 #ifdef MUTATE_resolve_all
-		:: !seen && known[e] == FREE && known[1 - e] != MAY_RUN && started < STARTS(me) && !isGone[e] && GRANT(e) ->
+		:: !seen && known[e] == FREE && known[1 - e] != MAY_RUN && started < STARTS(me) && !isGone[e] && GRANT(e) && MAY_GRANT ->
 #else
-		:: !seen && known[0] == FREE && known[1] == FREE && started < STARTS(me) && !isGone[e] && GRANT(e) ->
+		:: !seen && known[0] == FREE && known[1] == FREE && started < STARTS(me) && !isGone[e] && GRANT(e) && MAY_GRANT ->
 #endif
 			started++;
 			known[e] = MAY_RUN;
 			startSent[me * 2 + e] = (me + 1) * 4 + started;
+#ifdef IDLE
+			isLong[e] = isLong[e] || LONG_GRANT;
+#endif
 #ifdef MARKS
 			grantedSince = grantedSince || (e == 0 && isMarkTaken)
 #endif
