fix: an executor that is cut off counts as crashed only once a sign shows it

Cause: the entry of a cut executor lapses before its leases do, so that its loss was recorded as certain (loseUnresponsive took the branch for executors that are not listed), and nothing takes a certain crash back when the same incarnation answers. Evidence: run given up has a crash without possiblyOn, and executor responded says isRestarted false with the same start. Ruled out: an open crash that was confirmed too early, a return taken for another incarnation, failed attempts.

A loss is open until a sign shows what became of the executor: another incarnation answers or is listed, a new executor is listed at its address, or it has stayed away for 30 s in which the registry could be read. The same incarnation withdraws the crash whenever it answers, under later owners too, and its loss leaves the rate of losses by chance. An executor that stays listed for 30 s without an answer lives, so that no task waits for ever. Rows of earlier releases, which name no sign, count 30 s after the takeover. The reason of a job that is given up names executors, signs and ages.

--- a/packages/core/src/scheduler/owner.test.fixture.ts
+++ b/packages/core/src/scheduler/owner.test.fixture.ts
@@ -98,8 +98,9 @@
 };
 
 /**
- * Ends an executor as a crash does, at a time when the registry has dropped it
- * and its leases have expired; returns what is lost with it.
+ * Ends an executor as a crash does, at a time when the registry has dropped it,
+ * its leases have expired and another incarnation has answered at its id, which
+ * the owner does not keep; returns what is lost with it.
  */
 export const loseExecutor = (
 	owner: scheduler.Owner,
@@ -108,7 +109,7 @@
 ): scheduler.LostRuns => {
 	const executor = owner.executors.get(id);
 	if (!executor) {
-		return {runs: [], jobEnds: []};
+		return {runs: [], settledLosses: [], jobEnds: []};
 	}
 
 	owner.unresolvedExecutors.delete(id);
@@ -116,7 +117,14 @@
 	executor.grantedUntil = Number.NEGATIVE_INFINITY;
 	scheduler.markUnresponsive(owner, id, now);
 	scheduler.recordUnlistedExecutor(owner, id, now);
-	return scheduler.expireLeases(owner, now);
+	const lost = scheduler.expireLeases(owner, now);
+	const restarted = {clockMs: Number.NEGATIVE_INFINITY};
+	const settled = scheduler.settleAnswered(owner, id, restarted, now);
+	return {
+		runs: lost.runs,
+		settledLosses: [...lost.settledLosses, ...settled.losses],
+		jobEnds: [...lost.jobEnds, ...settled.jobEnds],
+	};
 };
 
 /** Runs and run ends that an executor lists. */
--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -10,7 +10,7 @@
  * up, and its job fails.
  *
  * A start that was barred is not the cause. Leases that expire on an executor
- * that the registry still lists show no crash for certain; see open-crashes.ts.
+ * show no crash for certain, as it may be cut off; see open-crashes.ts.
  *
  * Executors are lost without a cause in what they run, too. Each crash has the
  * probability that its executor was lost by chance, and a task is given up once
@@ -20,15 +20,18 @@
  * lost for other reasons too, and makes a suspect only if it is repeated.
  */
 import type {Executor} from '../state/executor.js';
+import {isSameIncarnation} from '../state/incarnation.js';
 import type {EndedJob} from '../state/job-ends.js';
 import {markTaskDirty} from '../state/split-progress.js';
 import {getMaxLeaseDurationMs} from '../state/leases.js';
-import type {Owner} from '../state/owner-state.js';
+import type {ExecutorLoss, Owner} from '../state/owner-state.js';
 import {
 	listCoscheduledTasks,
 	listTasks,
+	lossSigns,
 	type Crash,
 	type Job,
+	type LossSign,
 	type PossiblyLost,
 	type Run,
 	type Task,
@@ -42,11 +45,7 @@
 	maxCrashesInAll,
 } from './crash-evidence.js';
 import {giveUpIfAtFault, trackSuspect} from './crash-suspects.js';
-import {
-	addPossibleLoss,
-	confirmLoss,
-	inheritPossibleLosses,
-} from './open-crashes.js';
+import {addPossibleLoss, inheritPossibleLosses} from './open-crashes.js';
 
 /** A run that has survived this long is not the cause, in milliseconds. */
 const maxCrashDelayMs = 5000;
@@ -59,6 +58,11 @@
 }: Executor): boolean =>
 	listed.isDraining || evacuation !== undefined || mayBeCommanded;
 
+const describeIncarnation = ({id, incarnation, listed}: Executor) => ({
+	executorId: id,
+	startedAtEpochMs: incarnation?.startedAtEpochMs ?? listed.startedAtEpochMs,
+});
+
 /**
  * Remembers the loss of an executor, and whether something had started there
  * recently. One whose leases had expired was lost before.
@@ -78,11 +82,27 @@
 		);
 		owner.recentLosses = [
 			...listRecentLosses(owner, now),
-			{at: now, isExplained},
+			{at: now, isExplained, ...describeIncarnation(executor)},
 		];
 	}
 };
 
+/** Forgets the loss of an executor that answers again: it was cut off. */
+export const forgetLoss = (
+	owner: Owner,
+	executorId: string,
+	startedAtEpochMs: number | undefined,
+): void => {
+	const isDisproved = (loss: ExecutorLoss) =>
+		loss.executorId === executorId &&
+		isSameIncarnation(loss.startedAtEpochMs, startedAtEpochMs);
+	if (owner.recentLosses.some((each) => isDisproved(each))) {
+		owner.recentLosses = owner.recentLosses.filter(
+			(each) => !isDisproved(each),
+		);
+	}
+};
+
 /** Remembers the loss of an executor that left the registry, if it is idle. */
 export const rememberIdleLoss = (
 	owner: Owner,
@@ -112,6 +132,8 @@
 	readonly now: number;
 	/** Present if the executor may live. */
 	readonly possiblyOn?: PossiblyLost;
+	/** Absent if the executor may live. */
+	readonly sign?: LossSign;
 	/** By when the loss is known; absent if it is now. */
 	readonly until?: number | undefined;
 };
@@ -132,7 +154,7 @@
 	owner: Owner,
 	executor: Executor,
 	lostRuns: readonly Run[],
-	{now, possiblyOn, until = now}: Loss,
+	{now, possiblyOn, sign, until = now}: Loss,
 ): readonly Task[] => {
 	if (executor.listed.isDraining) {
 		return [];
@@ -159,8 +181,12 @@
 				chance: isOneTask
 					? estimateLossChance(executor, run, {lossRate, until})
 					: 1,
+				executorId: executor.id,
+				wasAnswered: run.confirmedAt !== undefined,
+				lostAt: now,
 				...(run.state === 'asked' ? {awaitsAnswer: true} : {}),
 				...(possiblyOn ? {possiblyOn} : {}),
+				...(sign ? {sign} : {}),
 			});
 		}
 	}
@@ -169,26 +195,24 @@
 };
 
 /**
- * Attributes the loss of an executor to the lost runs; returns the jobs that
- * fail thereby.
+ * Attributes the end of an incarnation, of which another one gives evidence, to
+ * the lost runs; returns the jobs that fail thereby.
  */
 export const attributeLoss = (
 	owner: Owner,
 	executor: Executor,
 	lostRuns: readonly Run[],
 	now: number,
-): readonly EndedJob[] => {
-	const tasks = recordLoss(owner, executor, lostRuns, {now});
-	return [
-		...confirmLoss(owner, executor.id, now),
-		...tasks.flatMap((task) => giveUpIfAtFault(owner, task, now)),
-	];
-};
+): readonly EndedJob[] =>
+	recordLoss(owner, executor, lostRuns, {
+		now,
+		sign: lossSigns.restarted,
+	}).flatMap((task) => giveUpIfAtFault(owner, task, now));
 
 /**
  * Records the loss of an executor that may only be disconnected. No job fails
- * by that; the crashes count once the executor is known to be lost, by `until`,
- * and are withdrawn if it answers again.
+ * by that; the crashes count once a sign shows that the executor is lost, by
+ * `until`, and are withdrawn if it answers again.
  */
 export const recordPossibleLoss = (
 	owner: Owner,
@@ -196,17 +220,17 @@
 	lostRuns: readonly Run[],
 	{now, until}: Pick<Loss, 'now' | 'until'>,
 ): void => {
-	const {id, incarnation, listed} = executor;
 	const possiblyOn = {
-		executorId: id,
-		startedAtEpochMs: incarnation?.startedAtEpochMs ?? listed.startedAtEpochMs,
+		...describeIncarnation(executor),
+		clockMs: executor.clock?.reportedMs,
+		address: executor.listed.address,
 	};
 	const tasks = recordLoss(owner, executor, lostRuns, {
 		now,
 		possiblyOn,
 		until,
 	});
-	addPossibleLoss(owner, possiblyOn, tasks);
+	addPossibleLoss(owner, executor, possiblyOn, {tasks, now});
 };
 
 /**
--- a/packages/core/src/scheduler/polls/crash-evidence.ts
+++ b/packages/core/src/scheduler/polls/crash-evidence.ts
@@ -88,39 +88,40 @@
 			);
 };
 
-/** Whether a crash may still turn out not to be one. */
-const isOpenCrash = ({awaitsAnswer, possiblyOn}: Crash): boolean =>
-	awaitsAnswer === true || possiblyOn !== undefined;
+/** Whether a crash does not count yet. */
+const isOpenCrash = ({awaitsAnswer, sign}: Crash): boolean =>
+	awaitsAnswer === true || sign === undefined;
 
-const listCertainCrashes = ({crashes}: Task): readonly Crash[] =>
+/** Lists the crashes that count against a task. */
+export const listCountedCrashes = ({crashes}: Task): readonly Crash[] =>
 	crashes.filter((each) => !isOpenCrash(each));
 
 const getLossChance = ({chance, isDoubtful}: Crash): number =>
 	chance ?? storedChance[isDoubtful ? 'doubtful' : 'certain'];
 
-/** Probability that all certain crashes of a task are losses by chance. */
+/** Probability that all counted crashes of a task are losses by chance. */
 export const getChance = (task: Task): number =>
-	listCertainCrashes(task).reduce(
+	listCountedCrashes(task).reduce(
 		(product, crash) => product * getLossChance(crash),
 		1,
 	);
 
 /** A long-running task is restarted however it ends, so it is never given up. */
 export const isAtFault = (task: Task): boolean => {
-	const certain = listCertainCrashes(task);
-	const isolated = certain.filter(({wasIsolated}) => wasIsolated);
+	const counted = listCountedCrashes(task);
+	const isolated = counted.filter(({wasIsolated}) => wasIsolated);
 	const isEvident =
-		(isolated.length >= minIsolatedCrashes || certain.length >= minCrashes) &&
+		(isolated.length >= minIsolatedCrashes || counted.length >= minCrashes) &&
 		getChance(task) <= maxChance;
 	return (
 		!task.step.spec.isLongRunning &&
-		(isEvident || certain.length >= maxCrashesInAll)
+		(isEvident || counted.length >= maxCrashesInAll)
 	);
 };
 
 /**
  * Whether a suspect may start. After as many crashes as give a task up it waits
- * until it is known which of them were none.
+ * until it is known which of them were none, for `absenceMs` at most.
  */
 export const mayRestart = (task: Task): boolean =>
 	task.step.spec.isLongRunning || task.crashes.length < maxCrashesInAll;
--- a/packages/core/src/scheduler/polls/crash-suspects.ts
+++ b/packages/core/src/scheduler/polls/crash-suspects.ts
@@ -5,19 +5,49 @@
 import {endJob, type EndedJob} from '../state/job-ends.js';
 import {markTaskDirty} from '../state/split-progress.js';
 import type {Owner} from '../state/owner-state.js';
-import {listCoscheduledTasks, type Run, type Task} from '../state/task.js';
+import {
+	listCoscheduledTasks,
+	type Crash,
+	type LossSign,
+	type Run,
+	type Task,
+} from '../state/task.js';
 import {
 	getChance,
 	getProbationMs,
 	getSurvivedMs,
 	isAtFault,
 	isCrashSuspect,
+	listCountedCrashes,
 } from './crash-evidence.js';
 
+const signTexts: Readonly<Record<LossSign, string>> = {
+	restarted: 'started again',
+	replaced: 'another one has its address',
+	absent: 'has not come back',
+};
+
+const describeCrash = (
+	{executorId, sign, wasAnswered, lostAt}: Crash,
+	now: number,
+): string => {
+	const parts = [
+		sign ? signTexts[sign] : undefined,
+		wasAnswered === false ? 'start unanswered' : undefined,
+		lostAt === undefined
+			? 'lost under an earlier owner'
+			: `lost ${Math.round((now - lostAt) / 1000)} s ago`,
+	];
+	const details = parts.filter((each) => each !== undefined).join(', ');
+	return `${executorId ?? 'unknown'} (${details})`;
+};
+
 const giveUp = (owner: Owner, task: Task, now: number): EndedJob => {
 	const {job} = task.step.occurrence;
 	endJob(owner, job, 'failed', now);
-	const reason = `task ${task.id} crashed ${task.crashes.length} executors`;
+	const crashes = listCountedCrashes(task);
+	const executors = crashes.map((each) => describeCrash(each, now)).join(', ');
+	const reason = `task ${task.id} crashed ${crashes.length} executors: ${executors}`;
 	return {job: job.accepted.id, end: 'failed', reason};
 };
 
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -34,10 +34,11 @@
 	type Task,
 } from '../state/task.js';
 import {recordListing} from '../state/unread-ends.js';
+import {forgetLoss} from './crash-attribution.js';
 import {clearIfProbationIsOver} from './crash-suspects.js';
 import {resetIncarnation} from './executor-restart.js';
 import {listRunsLostByRestart, listVanishedRuns} from './missing-runs.js';
-import {settlePossibleLoss} from './open-crashes.js';
+import {settleAnswered, type SettledLoss} from './open-crashes.js';
 import {
 	maxEndsPerPoll,
 	type ExecutorPoll,
@@ -57,6 +58,7 @@
 	adopted: string[];
 	vanished: string[];
 	orphanedRuns: ListedRun[];
+	settledLosses: SettledLoss[];
 	jobEnds: EndedJob[];
 	measuredRuns: MeasuredRun[];
 };
@@ -337,6 +339,7 @@
 		adopted: [],
 		vanished: [],
 		orphanedRuns: [],
+		settledLosses: [],
 		jobEnds: [],
 		measuredRuns: [],
 	};
@@ -346,17 +349,14 @@
 		changes.jobEnds.push(
 			...resetIncarnation(owner, executor, {...poll, lostRuns}),
 		);
-	} else {
-		changes.jobEnds.push(
-			...settlePossibleLoss(
-				owner,
-				executor.id,
-				poll.startedAtEpochMs,
-				poll.receivedAt,
-			),
-		);
+	} else if (isFirst || executor.unresponsiveSince !== undefined) {
+		forgetLoss(owner, executor.id, poll.startedAtEpochMs);
 	}
 
+	const settled = settleAnswered(owner, executor.id, poll, poll.receivedAt);
+	changes.settledLosses.push(...settled.losses);
+	changes.jobEnds.push(...settled.jobEnds);
+
 	const {clockMs} = poll;
 	const knownStart = isRestarted
 		? undefined
--- a/packages/core/src/scheduler/polls/idle-executors-lost.test.ts
+++ b/packages/core/src/scheduler/polls/idle-executors-lost.test.ts
@@ -7,6 +7,7 @@
 	createListed,
 	createTestOwner,
 	loseExecutor,
+	pollExecutor,
 } from '../owner.test.fixture.js';
 import * as scheduler from '../index.js';
 
@@ -77,3 +78,21 @@
 		t.ok(scheduler.estimateLossRate(owner, 30) > 1.5 * before);
 	},
 );
+
+for (const {name, startedAtEpochMs, losses} of [
+	{name: 'the same incarnation', startedAtEpochMs: 1, losses: 0},
+	{name: 'another incarnation', startedAtEpochMs: 2, losses: 1},
+]) {
+	tap.t.test(
+		`an idle executor that was lost and answers again, ${name}`,
+		async (t) => {
+			const listed = createListed('x0', {startedAtEpochMs: 1});
+			const owner = createTestOwner([listed]);
+			scheduler.recordUnlistedExecutor(owner, 'x0', 20);
+			t.equal(owner.recentLosses.length, 1);
+			scheduler.recordListedExecutor(owner, {...listed, startedAtEpochMs});
+			pollExecutor(owner, 'x0', {at: 30, startedAtEpochMs});
+			t.equal(owner.recentLosses.length, losses);
+		},
+	);
+}
--- a/packages/core/src/scheduler/polls/poll-answer.ts
+++ b/packages/core/src/scheduler/polls/poll-answer.ts
@@ -2,6 +2,7 @@
 import type {IncarnationReading} from '../state/incarnation.js';
 import type {MeasuredRun} from '../run-times/samples.js';
 import type {EndedJob} from '../state/job-ends.js';
+import type {SettledLoss} from './open-crashes.js';
 
 /** Ways in which a run ends. */
 export const runEnds = {
@@ -60,6 +61,8 @@
 	readonly vanished: readonly string[];
 	/** Runs of unknown tasks, to be stopped. */
 	readonly orphanedRuns: readonly ListedRun[];
+	/** Executors of which it is known by now what became of them. */
+	readonly settledLosses: readonly SettledLoss[];
 	readonly jobEnds: readonly EndedJob[];
 	/** Run times that were measured. */
 	readonly measuredRuns: readonly MeasuredRun[];
--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -47,6 +47,11 @@
 	readonly reservationMs: number;
 	/** During an evacuation, runs with at most this much left may finish. */
 	readonly evacuationPatienceMs: number;
+	/**
+	 * How long an executor must be away, neither answering nor listed, until it
+	 * counts as crashed: much longer than one that is disconnected may be.
+	 */
+	readonly absenceMs: number;
 	/** Whether jobs that certainly end too late are rejected at submission. */
 	readonly rejectsUnservableJobs: boolean;
 	/** Whether teams share scarce room by their weights. */
@@ -75,6 +80,7 @@
 	evacuationTtlMs: 1500,
 	reservationMs: 5000,
 	evacuationPatienceMs: 1500,
+	absenceMs: 30_000,
 	rejectsUnservableJobs: false,
 	sharesRoomBetweenTeams: false,
 	avoidsSlowExecutors: false,
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -57,6 +57,8 @@
 	polledAt: number;
 	/** When it began to leave calls unanswered; absent while it answers. */
 	unresponsiveSince: number | undefined;
+	/** Ids of the executors that were listed at its address then. */
+	neighborIds: ReadonlySet<string> | undefined;
 	/** Since when no leases are granted there, as marked in the roster. */
 	suspectedSince: number | undefined;
 	/** A roster with the mark is stored or was sent to the store. */
@@ -102,6 +104,7 @@
 	isRostered: false,
 	polledAt: Number.NEGATIVE_INFINITY,
 	unresponsiveSince: undefined,
+	neighborIds: undefined,
 	suspectedSince: undefined,
 	isSuspicionSent: false,
 	clock: undefined,
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -8,7 +8,7 @@
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
 import type {IncompleteGang} from './incomplete-gangs.js';
-import type {Job, PossiblyLost, Step, Task} from './task.js';
+import type {Job, LossSign, PossiblyLost, Step, Task} from './task.js';
 
 /** Placement advice received for one step. */
 export type StepAdvice = {
@@ -34,12 +34,26 @@
 export type ExecutorLoss = {
 	readonly at: number;
 	readonly isExplained: boolean;
+	readonly executorId: string;
+	readonly startedAtEpochMs?: number | undefined;
 };
 
-/** Loss of an executor that is not certain. */
+/** Loss of an incarnation of an executor that its answer would disprove. */
 export type PossibleLoss = {
 	readonly lost: PossiblyLost;
-	readonly tasks: readonly Task[];
+	/** Tasks that have crashed it if it does not live. */
+	readonly tasks: ReadonlySet<Task>;
+	/**
+	 * Ids of the executors that were listed at its address then; absent if that is
+	 * not known.
+	 */
+	readonly neighborIds: ReadonlySet<string> | undefined;
+	/** Since when it has been away, as far as the registry could be read. */
+	since: number;
+	/** The registry has dropped it since, as this owner has seen. */
+	wasUnlisted: boolean;
+	/** Why its crashes count; absent while they do not. */
+	sign: LossSign | undefined;
 };
 
 /** State of one ownership, from the takeover to the loss of the service. */
@@ -53,7 +67,9 @@
 	/** Jobs that have not ended, in order of acceptance. */
 	readonly openJobs: Set<Job>;
 	readonly executors: Map<string, Executor>;
-	/** Whether the registry was read recently enough to rely on capacities. */
+	/** Whether the registry was read recently. */
+	isRegistryCurrent: boolean;
+	/** Whether it was read recently enough to rely on capacities. */
 	areListingsRecent: boolean;
 	/**
 	 * When the reservations of executors end, by id; an executor need not be
@@ -75,10 +91,10 @@
 	/** Tasks that may have crashed their executors and start in isolation. */
 	readonly crashSuspects: Set<Task>;
 	/**
-	 * Executors whose leases have expired and that may live, by id, with the
-	 * tasks that have crashed them if they do not; see open-crashes.ts.
+	 * Losses that an answer would disprove, by the id of the executor: one for
+	 * each of its incarnations; see open-crashes.ts.
 	 */
-	readonly possibleLosses: Map<string, PossibleLoss>;
+	readonly possibleLosses: Map<string, readonly PossibleLoss[]>;
 	/** Gangs that miss members; see incomplete-gangs.ts. */
 	readonly incompleteGangs: Map<Step, IncompleteGang>;
 	/** Executors lost recently, but for those that were evacuated. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -5,11 +5,14 @@
  */
 import {noArrivals, recordArrival} from '../load/arrivals.js';
 import {
-	attributeLoss,
 	recordPossibleLoss,
 	rememberIdleLoss,
 } from '../polls/crash-attribution.js';
-import {confirmLoss} from '../polls/open-crashes.js';
+import {
+	noteUnlisted,
+	settleByRegistry,
+	type SettledLoss,
+} from '../polls/open-crashes.js';
 import {initialStartWindow} from '../plan/start-window.js';
 import {createRunTimes} from '../run-times/model.js';
 import {getTotalWork} from '../run-times/work.js';
@@ -45,6 +48,7 @@
 	jobs: new Map(),
 	openJobs: new Set(),
 	executors: new Map(),
+	isRegistryCurrent: true,
 	areListingsRecent: true,
 	reservations: new Map(),
 	unresolvedExecutors: new Map(),
@@ -165,6 +169,7 @@
 		rememberIdleLoss(owner, executor, now);
 		executor.isListed = false;
 		executor.wasUnlisted = true;
+		noteUnlisted(owner, id);
 		removeIfUnused(owner, executor);
 	}
 };
@@ -172,11 +177,11 @@
 /** Runs lost with their executors, and the jobs that fail thereby. */
 export type LostRuns = {
 	readonly runs: readonly Run[];
+	/** Executors of which it is known by now what became of them. */
+	readonly settledLosses: readonly SettledLoss[];
 	readonly jobEnds: readonly EndedJob[];
 };
 
-const noLostRuns: LostRuns = {runs: [], jobEnds: []};
-
 /** Removes all runs of an executor that is lost. */
 const loseRuns = (owner: Owner, executor: Executor): readonly Run[] => {
 	const runs = [...executor.runs.values()];
@@ -188,34 +193,29 @@
 	return runs;
 };
 
-const loseExecutor = (
-	owner: Owner,
-	executor: Executor,
-	now: number,
-): LostRuns => {
-	const lost = [...executor.runs.values()];
-	const jobEnds = attributeLoss(owner, executor, lost, now);
-	return {runs: loseRuns(owner, executor), jobEnds};
-};
-
-/** An executor that the registry lists may live without answering. */
+/** Removes the runs of an executor whose leases have expired; it may live. */
 const loseUnresponsive = (
 	owner: Owner,
 	executor: Executor,
 	now: number,
-): LostRuns => {
-	if (!executor.isListed) {
-		return loseExecutor(owner, executor, now);
-	}
-
-	if (executor.runs.size === 0) {
-		return noLostRuns;
+): readonly Run[] => {
+	const runs = [...executor.runs.values()];
+	if (runs.length > 0) {
+		recordPossibleLoss(owner, executor, runs, {now});
+	} else if (!executor.isListed) {
+		rememberIdleLoss(owner, executor, now);
 	}
 
-	recordPossibleLoss(owner, executor, [...executor.runs.values()], {now});
-	return {runs: loseRuns(owner, executor), jobEnds: []};
+	return loseRuns(owner, executor);
 };
 
+const listIdsAt = ({executors}: Owner, address: string): ReadonlySet<string> =>
+	new Set(
+		[...executors.values()]
+			.filter(({listed}) => listed.address === address)
+			.map(({id}) => id),
+	);
+
 /** Records that a call to an executor had no answer. */
 export const markUnresponsive = (
 	owner: Owner,
@@ -223,8 +223,9 @@
 	now: number,
 ): void => {
 	const executor = owner.executors.get(id);
-	if (executor) {
-		executor.unresponsiveSince ??= now;
+	if (executor && executor.unresponsiveSince === undefined) {
+		executor.unresponsiveSince = now;
+		executor.neighborIds = listIdsAt(owner, executor.listed.address);
 	}
 };
 
@@ -271,15 +272,10 @@
 	}
 };
 
-/** Confirms the losses of executors that are unlisted and unused by now. */
-const confirmAbsent = (owner: Owner, now: number): readonly EndedJob[] =>
-	[...owner.possibleLosses.keys()]
-		.filter((id) => !owner.executors.has(id))
-		.flatMap((id) => confirmLoss(owner, id, now));
-
 /**
  * Removes the runs of unresponsive executors whose leases have expired, and
- * executors that are unlisted and unused.
+ * executors that are unlisted and unused. Settles what became of those that were
+ * lost before.
  */
 export const expireLeases = (owner: Owner, now: number): LostRuns => {
 	// Before executors count as resolved, since nothing was acknowledged so far.
@@ -291,7 +287,7 @@
 		}
 	}
 
-	const lost: LostRuns[] = [];
+	const lost: Run[] = [];
 	for (const executor of owner.executors.values()) {
 		if (
 			executor.unresponsiveSince !== undefined &&
@@ -301,20 +297,15 @@
 			executor.isAdopted = false;
 			executor.hasListedEnds = false;
 			owner.unreadExecutors.delete(executor.id);
-			lost.push(loseUnresponsive(owner, executor, now));
+			lost.push(...loseUnresponsive(owner, executor, now));
 		} else if (executor.wasUnlisted) {
 			// If it stayed in the roster, the next owner would wait for it.
 			removeIfUnused(owner, executor);
 		}
 	}
 
-	return {
-		runs: lost.flatMap(({runs}) => runs),
-		jobEnds: [
-			...lost.flatMap(({jobEnds}) => jobEnds),
-			...confirmAbsent(owner, now),
-		],
-	};
+	const {losses, jobEnds} = settleByRegistry(owner, now);
+	return {runs: lost, settledLosses: losses, jobEnds};
 };
 
 /** Lists ended jobs past their retention time, at most `limit` of them. */
--- a/packages/core/src/scheduler/state/progress.ts
+++ b/packages/core/src/scheduler/state/progress.ts
@@ -57,8 +57,8 @@
 	readonly occurrences: readonly OccurrenceProgress[];
 };
 
-/** A later owner gets no answer to a start of this one. */
-const describeCrash = ({awaitsAnswer, ...crash}: Crash): Crash => crash;
+/** A later owner gets no answer to a start of this one, and has another clock. */
+const describeCrash = ({awaitsAnswer, lostAt, ...crash}: Crash): Crash => crash;
 
 export const describeTask = ({
 	failures,
--- a/packages/daemon/src/jobs/owner/owner-log.ts
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -99,6 +99,19 @@
 		}
 	};
 
+	const logSettledLosses = (losses: readonly scheduler.SettledLoss[]) => {
+		for (const {executorId, outcome, taskIds} of losses) {
+			if (taskIds.length > 0) {
+				logger.info('lost executor settled', {
+					executor: executorId,
+					outcome,
+					tasks: taskIds.length,
+					task: taskIds[0],
+				});
+			}
+		}
+	};
+
 	return {
 		logJobEnd,
 		logPoll(executor, changes) {
@@ -124,9 +137,10 @@
 				logMeasuredRun(each);
 			}
 
+			logSettledLosses(changes.settledLosses);
 			logJobEnds(changes.jobEnds);
 		},
-		logLostRuns({runs, jobEnds}, reason) {
+		logLostRuns({runs, settledLosses, jobEnds}, reason) {
 			for (const {task, number, executorId, isIsolated} of runs) {
 				metrics.count('runs_ended', 'lost');
 				logger.warn('run given up', {
@@ -140,6 +154,7 @@
 				});
 			}
 
+			logSettledLosses(settledLosses);
 			logJobEnds(jobEnds);
 		},
 		logSettledCrash(
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -351,15 +351,18 @@
 
 		const now = clock.now();
 		plannedAt = now;
+		owner.isRegistryCurrent = isConfirmedWithin(
+			clock,
+			deps.getListedAt(),
+			cfg.maxListingAgeMs,
+		);
+		owner.areListingsRecent = deps.rejectsOverload() || owner.isRegistryCurrent;
 		log.logLostRuns(
 			scheduler.expireLeases(owner, now),
 			'its lease has expired',
 		);
 		scheduler.markSuspected(owner, scheduler.suspectAfterMs, now);
 		reconcileLinks(owner);
-		owner.areListingsRecent =
-			deps.rejectsOverload() ||
-			isConfirmedWithin(clock, deps.getListedAt(), cfg.maxListingAgeMs);
 		if (isConfirmedAndStays()) {
 			scheduler.advanceSchedules(owner, clock.epochNow());
 			shares?.prepare();
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -249,8 +249,19 @@
 		.object({
 			executorId: z.string(),
 			startedAtEpochMs: z.number().optional(),
+			clockMs: z.number().optional(),
+			address: z.string().optional(),
 		})
 		.optional(),
+	// One that a later release adds leaves the crash open.
+	sign: z
+		.string()
+		.optional()
+		.transform((sign) =>
+			Object.values(scheduler.lossSigns).find((each) => each === sign),
+		),
+	executorId: z.string().optional(),
+	wasAnswered: z.boolean().optional(),
 });
 
 const taskProgressSchema: z.ZodType<scheduler.TaskProgress> = z.object({
