fix: the next owner counts a crash that its killed predecessor did not see

A task that crashes its executors was started seven times where its owner was killed 0.3 s after each second crash (BUDGET leaves five): the next owner found another incarnation and no run, so that the crash counted for nobody.

The row of a task that has crashed an executor now has its runs too, as crashes that do not count yet, on the incarnation that runs them. An answer of the same incarnation withdraws them, that of another one counts them, as for losses. The row is written when such a run starts, ends, vanishes or is turned away: some writes more for suspects, which are few. Their chance is 1, as a new owner does not know the rate of losses; they count for the limit of five. Not covered: the first crash of a task, and gangs.

cut-off-executors.test.ts: the three cases with killed owners and the random one failed before.

--- a/packages/core/src/scheduler/plan/planning.ts
+++ b/packages/core/src/scheduler/plan/planning.ts
@@ -6,7 +6,8 @@
 	prepareAdviceRequest,
 	type AdviceRequest,
 } from '../placement/placement-advice.js';
-import {addRun, type Executor} from '../state/executor.js';
+import {addRun, describeIncarnation, type Executor} from '../state/executor.js';
+import {noteRunOfSuspect} from '../polls/crash-suspects.js';
 import {grantLease} from '../state/leases.js';
 import type {Owner} from '../state/owner-state.js';
 import {
@@ -124,7 +125,9 @@
 	recordTeamUse(planning.teamUse, task);
 	const run = createRun(task, number, executor.id, now);
 	run.isIsolated = isIsolated;
+	run.incarnation = describeIncarnation(executor);
 	task.lastRun = number;
+	noteRunOfSuspect(owner, task);
 	addRun(executor, run);
 	const ticket = needsAdvice(task.step)
 		? findTicket(owner, task.step, executor.id, now)
--- a/packages/core/src/scheduler/polls/command-answers.ts
+++ b/packages/core/src/scheduler/polls/command-answers.ts
@@ -11,7 +11,7 @@
 import type {Owner} from '../state/owner-state.js';
 import {recordStartOutcome} from '../plan/start-window.js';
 import {confirmRun, recordConfirmedStart, type Run} from '../state/task.js';
-import {clearIfProbationIsOver} from './crash-suspects.js';
+import {clearIfProbationIsOver, noteRunOfSuspect} from './crash-suspects.js';
 
 /** Answer to a start. */
 export type StartAnswer =
@@ -89,6 +89,13 @@
 		: 'none';
 };
 
+/** Removes a run whose start was certainly not carried out. */
+const removeTurnedAway = (owner: Owner, executor: Executor, run: Run): void => {
+	removeRun(executor, run);
+	noteTurnedAway(owner, run);
+	noteRunOfSuspect(owner, run.task);
+};
+
 const backOff = (executor: Executor, now: number): void => {
 	executor.quarantinedUntil = Math.max(
 		executor.quarantinedUntil,
@@ -117,8 +124,7 @@
 				recordClockReading(executor, clockMs, now);
 			}
 
-			removeRun(executor, run);
-			noteTurnedAway(owner, run);
+			removeTurnedAway(owner, executor, run);
 			if (reason === 'ticket') {
 				dropTicket(owner, run.task.step, executor.id);
 				return 'none';
@@ -128,8 +134,7 @@
 			return 'none';
 		})
 		.with({kind: 'not-sent'}, () => {
-			removeRun(executor, run);
-			noteTurnedAway(owner, run);
+			removeTurnedAway(owner, executor, run);
 			backOff(executor, now);
 			return 'none';
 		})
@@ -139,8 +144,7 @@
 		})
 		.with({kind: 'other-life'}, () => {
 			// It was turned away, wherever the executor is now.
-			removeRun(executor, run);
-			noteTurnedAway(owner, run);
+			removeTurnedAway(owner, executor, run);
 			markUnresponsive(owner, executor.id, now);
 			return 'look-again';
 		})
--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -19,7 +19,7 @@
  * A crash that comes later after the start is weaker evidence, as executors are
  * lost for other reasons too, and makes a suspect only if it is repeated.
  */
-import type {Executor} from '../state/executor.js';
+import {describeIncarnation, type Executor} from '../state/executor.js';
 import {isSameIncarnation} from '../state/incarnation.js';
 import type {EndedJob} from '../state/job-ends.js';
 import {markTaskDirty} from '../state/split-progress.js';
@@ -58,11 +58,6 @@
 }: Executor): boolean =>
 	listed.isDraining || evacuation !== undefined || mayBeCommanded;
 
-const describeIncarnation = ({id, incarnation, listed}: Executor) => ({
-	executorId: id,
-	startedAtEpochMs: incarnation?.startedAtEpochMs ?? listed.startedAtEpochMs,
-});
-
 /**
  * Remembers the loss of an executor, and whether something had started there
  * recently. One whose leases had expired was lost before.
@@ -80,9 +75,10 @@
 		const isExplained = lostRuns.some(
 			(run) => run.isIsolated || isRecent(executor, run),
 		);
+		const {executorId, startedAtEpochMs} = describeIncarnation(executor);
 		owner.recentLosses = [
 			...listRecentLosses(owner, now),
-			{at: now, isExplained, ...describeIncarnation(executor)},
+			{at: now, isExplained, executorId, startedAtEpochMs},
 		];
 	}
 };
@@ -220,11 +216,7 @@
 	lostRuns: readonly Run[],
 	{now, until}: Pick<Loss, 'now' | 'until'>,
 ): void => {
-	const possiblyOn = {
-		...describeIncarnation(executor),
-		clockMs: executor.clock?.reportedMs,
-		address: executor.listed.address,
-	};
+	const possiblyOn = describeIncarnation(executor);
 	const tasks = recordLoss(owner, executor, lostRuns, {
 		now,
 		possiblyOn,
--- a/packages/core/src/scheduler/polls/crash-suspects.ts
+++ b/packages/core/src/scheduler/polls/crash-suspects.ts
@@ -61,6 +61,16 @@
 		? [giveUp(owner, task, now)]
 		: [];
 
+/**
+ * Has the runs of a task stored that has crashed an executor: the next owner may
+ * find another incarnation there, and must know what ran.
+ */
+export const noteRunOfSuspect = (owner: Owner, task: Task): void => {
+	if (task.crashes.length > 0) {
+		markTaskDirty(owner, task);
+	}
+};
+
 /** Lets a task start beside others again. */
 export const endSuspicion = (owner: Owner, task: Task): void => {
 	for (const each of listCoscheduledTasks(task)) {
--- a/packages/core/src/scheduler/polls/cut-off-executors.test.ts
+++ b/packages/core/src/scheduler/polls/cut-off-executors.test.ts
@@ -25,6 +25,9 @@
 const stepMs = 100;
 const workMs = 20_000;
 const lapseMs = 4500;
+/** From a crash until the owner is killed, and until the next one takes over. */
+const killAfterMs = 300;
+const takeoverMs = 2500;
 const returnMs = 3000;
 
 /** What happens to an executor under a run of the task. */
@@ -60,6 +63,10 @@
 	readonly delayMs: number;
 	/** Times of planned changes of the owner. */
 	readonly handOvers?: readonly number[];
+	/** Times at which the owner is killed. */
+	readonly killTimes?: readonly number[];
+	/** Numbers of the crashes soon after which the owner is killed. */
+	readonly kills?: readonly number[];
 	readonly durationMs?: number;
 	/** Turns the stored rows into those of an earlier release. */
 	readonly isOldFormat?: boolean;
@@ -93,6 +100,8 @@
 	fates,
 	delayMs,
 	handOvers = [],
+	killTimes = [],
+	kills = [],
 	durationMs = 150_000,
 	isOldFormat = false,
 }: Play) => {
@@ -126,8 +135,23 @@
 	/** The run on an executor, as the executor knows it. */
 	const running = new Map<string, {run: number; until: number; from: number}>();
 
+	const handOver = (now: number) => {
+		scheduler.recordUnresponsive(owner, now);
+		store();
+		takeOver(now, now);
+	};
+
 	const crash = (executor: Executor, now: number) => {
 		realCrashes += 1;
+		if (kills.includes(realCrashes)) {
+			due.push({
+				at: now + killAfterMs,
+				act() {
+					takeoverAt = now + killAfterMs + takeoverMs;
+				},
+			});
+		}
+
 		executor.isUp = false;
 		running.delete(executor.id);
 		if (executor.fate.kind === 'restart') {
@@ -171,10 +195,21 @@
 		}
 	};
 
-	const handOver = (now: number) => {
-		scheduler.recordUnresponsive(owner, now);
-		const encoded = JSON.stringify(scheduler.encodeProgress(job));
-		const stored = JSON.parse(encoded) as scheduler.JobProgress;
+	/** The stored row of the job. */
+	let row = JSON.stringify(scheduler.encodeProgress(job));
+	/** While the owner is killed and has no successor. */
+	let takeoverAt: number | undefined;
+
+	const store = () => {
+		if (owner.dirtyJobs.size > 0) {
+			row = JSON.stringify(scheduler.encodeProgress(job));
+		}
+
+		flushAll(owner);
+	};
+
+	const takeOver = (now: number, grantsEndAt: number) => {
+		const stored = JSON.parse(row) as scheduler.JobProgress;
 		const next = scheduler.createOwner('s', owner.token + 1, cfg, now);
 		job = scheduler.addJob(next, job.accepted, true);
 		scheduler.applyProgress(
@@ -186,7 +221,7 @@
 		scheduler.advanceSchedules(next, now);
 		for (const {listed, isRostered} of owner.executors.values()) {
 			if (isRostered) {
-				const leasesEndAt = now + scheduler.getMaxLeaseDurationMs(cfg);
+				const leasesEndAt = grantsEndAt + scheduler.getMaxLeaseDurationMs(cfg);
 				scheduler.inheritExecutor(next, listed, leasesEndAt);
 			}
 		}
@@ -202,6 +237,10 @@
 			executor.isListed = false;
 		}
 
+		if (takeoverAt !== undefined) {
+			return;
+		}
+
 		if (executor.isListed) {
 			scheduler.recordListedExecutor(owner, toListed(executor));
 		} else if (owner.executors.get(executor.id)?.isListed) {
@@ -216,7 +255,7 @@
 			running.delete(executor.id);
 		}
 
-		if (!owner.executors.has(executor.id)) {
+		if (takeoverAt !== undefined || !owner.executors.has(executor.id)) {
 			return;
 		}
 
@@ -249,17 +288,30 @@
 			each.act();
 		}
 
+		if (killTimes.includes(now)) {
+			takeoverAt ??= now + takeoverMs;
+		}
+
+		if (takeoverAt !== undefined && now >= takeoverAt) {
+			takeOver(now, now + cfg.ownershipTimeoutMs);
+			takeoverAt = undefined;
+		}
+
 		for (const executor of executors) {
 			updateRegistry(executor, now);
 			poll(executor, now);
 		}
 
+		if (takeoverAt !== undefined) {
+			continue;
+		}
+
 		if (handOvers.includes(now)) {
 			handOver(now);
 		}
 
 		ends.push(...scheduler.expireLeases(owner, now).jobEnds);
-		flushAll(owner);
+		store();
 		for (const command of scheduler.planCommands(owner, now, now)) {
 			if (command.kind === 'start') {
 				const executor = executors.find(({id}) => id === command.executor.id)!;
@@ -395,6 +447,27 @@
 		handOvers: [10_000, 20_000, 30_000],
 		end: 'failed',
 	},
+	{
+		name: 'the owner is killed soon after each second crash',
+		fates: [restart],
+		delayMs: 800,
+		kills: [2, 4, 6, 8],
+		end: 'failed',
+	},
+	{
+		name: 'the owner is killed soon after each crash but the first',
+		fates: [restart],
+		delayMs: 800,
+		kills: [2, 3, 4, 5, 6, 7, 8],
+		end: 'failed',
+	},
+	{
+		name: 'two cuts come first, and the owner is killed soon after each second crash',
+		fates: [cut, cut, replace],
+		delayMs: 800,
+		kills: [2, 4, 6, 8],
+		end: 'failed',
+	},
 	{
 		name: 'executors are cut off twice, then the owner is replaced by a newer release',
 		fates: [cut, cut, cut, cut, cut, none],
@@ -450,6 +523,10 @@
 						fc.integer({min: 1, max: 60}).map((each) => each * 1000),
 						{maxLength: 3},
 					),
+					killTimes: fc.array(
+						fc.integer({min: 1, max: 600}).map((each) => each * 100),
+						{maxLength: 3},
+					),
 				}),
 				(drawn) => {
 					const {end, realCrashes} = play(drawn);
@@ -472,6 +549,7 @@
 					cuts: fc.integer({min: 0, max: 3}),
 					fates: fc.array(deadly, {minLength: 1, maxLength: 5}),
 					delayMs: fc.constantFrom(100, 300, 800, 2500),
+					kills: fc.subarray([2, 3, 4, 5]),
 				}),
 				({cuts, fates, ...rest}) => {
 					const {end, realCrashes} = play({
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -4,6 +4,7 @@
 import {clearSuspicion, noteVacancy} from '../state/suspected-executors.js';
 import {
 	addRun,
+	describeIncarnation,
 	removeRun,
 	getReadiness,
 	getRunKey,
@@ -35,7 +36,7 @@
 } from '../state/task.js';
 import {recordListing} from '../state/unread-ends.js';
 import {forgetLoss} from './crash-attribution.js';
-import {clearIfProbationIsOver} from './crash-suspects.js';
+import {clearIfProbationIsOver, noteRunOfSuspect} from './crash-suspects.js';
 import {resetIncarnation} from './executor-restart.js';
 import {listRunsLostByRestart, listVanishedRuns} from './missing-runs.js';
 import {settleAnswered, type SettledLoss} from './open-crashes.js';
@@ -174,6 +175,7 @@
 	}
 
 	task.step.occurrence.job.hasStarted = true;
+	noteRunOfSuspect(owner, task);
 	if (applyCheckpoint(task, end.run, end.checkpoint)) {
 		// Checkpoints of running tasks are not stored, so this one may not be.
 		markTaskDirty(owner, task);
@@ -275,6 +277,7 @@
 
 	const run = createRun(task, listed.run, executor.id, now);
 	run.state = 'running';
+	run.incarnation = describeIncarnation(executor);
 	confirmRun(run, clockMs, now);
 	run.percent = listed.percent;
 	run.load = listed.load;
@@ -283,6 +286,7 @@
 	task.lastRun = Math.max(task.lastRun, listed.run);
 	task.step.occurrence.job.hasStarted = true;
 	addRun(executor, run);
+	noteRunOfSuspect(owner, task);
 	owner.isRosterDirty ||= !executor.isRostered;
 	return run;
 };
@@ -314,12 +318,14 @@
 };
 
 const removeVanished = (
+	owner: Owner,
 	executor: Executor,
 	poll: ExecutorPoll,
 	changes: Changes,
 ): void => {
 	for (const run of listVanishedRuns(executor, poll)) {
 		removeRun(executor, run);
+		noteRunOfSuspect(owner, run.task);
 		changes.vanished.push(getRunKey(run.task.id, run.number));
 	}
 };
@@ -392,7 +398,7 @@
 	owner.unresolvedExecutors.delete(executor.id);
 	// With a full page of ends, the end of an unlisted run may be on the next.
 	if (isWhole) {
-		removeVanished(executor, poll, changes);
+		removeVanished(owner, executor, poll, changes);
 	}
 
 	noteVacancy(owner, executor);
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -9,7 +9,7 @@
 	isSameIncarnation,
 	type IncarnationReading,
 } from './incarnation.js';
-import type {Job, Run, Step} from './task.js';
+import type {Job, PossiblyLost, Run, Step} from './task.js';
 import type {ListedExecutor, Resources} from './types.js';
 
 /** A run end that can be acknowledged once what it changed is stored. */
@@ -91,6 +91,19 @@
 	readonly speed: ExecutorSpeed;
 };
 
+/** Describes the incarnation that is known, to tell it from a later one. */
+export const describeIncarnation = ({
+	id,
+	incarnation,
+	listed,
+	clock,
+}: Executor): PossiblyLost => ({
+	executorId: id,
+	startedAtEpochMs: incarnation?.startedAtEpochMs ?? listed.startedAtEpochMs,
+	clockMs: clock?.reportedMs,
+	address: listed.address,
+});
+
 const noResources: Resources = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
 
 /** Creates the state of an executor that has just been listed. */
--- a/packages/core/src/scheduler/state/progress.ts
+++ b/packages/core/src/scheduler/state/progress.ts
@@ -60,20 +60,41 @@
 /** A later owner gets no answer to a start of this one, and has another clock. */
 const describeCrash = ({awaitsAnswer, lostAt, ...crash}: Crash): Crash => crash;
 
-export const describeTask = ({
-	failures,
-	failedRuns,
-	crashes,
-	checkpoint,
-	checkpointRun,
-}: Task): TaskProgress => ({
-	failures,
-	failedRuns: failedRuns.length > 0 ? failedRuns : undefined,
-	crashes:
-		crashes.length > 0 ? crashes.map((each) => describeCrash(each)) : undefined,
-	checkpoint,
-	checkpointRun: checkpointRun > 0 ? checkpointRun : undefined,
-});
+/**
+ * Describes the runs of a task that has crashed an executor as crashes which do
+ * not count yet. A later owner withdraws them if it finds the same incarnation,
+ * and counts them if it finds another one. How likely that is by chance is not
+ * known. The members of a gang are not told apart by their run.
+ */
+const describeRuns = ({step, crashes, runs}: Task): readonly Crash[] =>
+	crashes.length === 0 || step.spec.isGang
+		? []
+		: runs
+				.filter(({number}) => !crashes.some(({run}) => run === number))
+				.map(({number, isIsolated, incarnation, confirmedAt}) => ({
+					run: number,
+					survivedMs: Math.max(...crashes.map(({survivedMs}) => survivedMs)),
+					wasIsolated: isIsolated,
+					chance: 1,
+					possiblyOn: incarnation,
+					executorId: incarnation?.executorId,
+					wasAnswered: confirmedAt !== undefined,
+				}));
+
+export const describeTask = (task: Task): TaskProgress => {
+	const {failures, failedRuns, crashes, checkpoint, checkpointRun} = task;
+	const described = [...crashes, ...describeRuns(task)];
+	return {
+		failures,
+		failedRuns: failedRuns.length > 0 ? failedRuns : undefined,
+		crashes:
+			described.length > 0
+				? described.map((each) => describeCrash(each))
+				: undefined,
+		checkpoint,
+		checkpointRun: checkpointRun > 0 ? checkpointRun : undefined,
+	};
+};
 
 /** Failed runs and crashes of a task that alone is too large for a row. */
 const maxKeptRuns = 8;
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -28,6 +28,8 @@
 	readonly task: Task;
 	readonly number: number;
 	readonly executorId: string;
+	/** The incarnation that runs it; absent if this owner has not seen it. */
+	incarnation: PossiblyLost | undefined;
 	state: RunState;
 	readonly askedAt: number;
 	/** The task's checkpoint then, which its start carries. */
@@ -420,6 +422,7 @@
 	task,
 	number,
 	executorId,
+	incarnation: undefined,
 	state: 'asked',
 	askedAt: now,
 	startCheckpoint: task.checkpoint,
