fix: a crash after a takeover does not clear its task too early

A task that crashes its executors 2.5 s after each start was started six times (BUDGET leaves five) in simulations in which the owner changed under its first run.

Cause: the survival of a run that an earlier owner had started was counted from the takeover. Half a second of it made a probation of one, which the next run outlived before it crashed its executor too; so the first crash was forgotten. It also made a crash of any older run in the first 300 ms after a takeover a prompt one. Found by the random case of cut-off-executors.test.ts once its owners changed; not seen with real processes.

Such a run now counts as 5 s old, the longest that counts.

--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -138,6 +138,13 @@
 const isCandidate = (executor: Executor, run: Run): boolean =>
 	!isBarred(run) && getSurvivedMs(executor, run) < maxCrashDelayMs;
 
+/**
+ * How long a candidate may have survived. A run of an earlier owner is older than
+ * this one knows: a short time would let the next run pass for harmless.
+ */
+const getMaxSurvivedMs = (executor: Executor, run: Run): number =>
+	run.isAdopted ? maxCrashDelayMs : getSurvivedMs(executor, run);
+
 const areOneTask = ([first, ...others]: readonly Run[]): boolean =>
 	first !== undefined &&
 	others.every(({task}) => listCoscheduledTasks(first.task).includes(task));
@@ -172,7 +179,7 @@
 		if (!task.crashes.some((each) => each.run === number)) {
 			addCrash(owner, task, {
 				run: number,
-				survivedMs: getSurvivedMs(executor, run),
+				survivedMs: getMaxSurvivedMs(executor, run),
 				wasIsolated: isIsolated,
 				chance: isOneTask
 					? estimateLossChance(executor, run, {lossRate, until})
--- a/packages/core/src/scheduler/polls/cut-off-executors.test.ts
+++ b/packages/core/src/scheduler/polls/cut-off-executors.test.ts
@@ -447,6 +447,14 @@
 		handOvers: [10_000, 20_000, 30_000],
 		end: 'failed',
 	},
+	{
+		name: 'the owner changes under the first run that crashes its executor',
+		fates: [restart],
+		delayMs: 2500,
+		handOvers: [2000],
+		kills: [2, 3, 4, 5],
+		end: 'failed',
+	},
 	{
 		name: 'the owner is killed soon after each second crash',
 		fates: [restart],
@@ -549,6 +557,10 @@
 					cuts: fc.integer({min: 0, max: 3}),
 					fates: fc.array(deadly, {minLength: 1, maxLength: 5}),
 					delayMs: fc.constantFrom(100, 300, 800, 2500),
+					handOvers: fc.array(
+						fc.integer({min: 1, max: 60}).map((each) => each * 1000),
+						{maxLength: 3},
+					),
 					kills: fc.subarray([2, 3, 4, 5]),
 				}),
 				({cuts, fates, ...rest}) => {
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -277,6 +277,7 @@
 
 	const run = createRun(task, listed.run, executor.id, now);
 	run.state = 'running';
+	run.isAdopted = true;
 	run.incarnation = describeIncarnation(executor);
 	confirmRun(run, clockMs, now);
 	run.percent = listed.percent;
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -28,6 +28,8 @@
 	readonly task: Task;
 	readonly number: number;
 	readonly executorId: string;
+	/** Started by an earlier owner, so that its age is not known. */
+	isAdopted: boolean;
 	/** The incarnation that runs it; absent if this owner has not seen it. */
 	incarnation: PossiblyLost | undefined;
 	state: RunState;
@@ -87,7 +89,10 @@
 export type Crash = {
 	/** Number of the run. */
 	readonly run: number;
-	/** How long the run had certainly survived, by the executor's clock. */
+	/**
+	 * How long the run had certainly survived, by the executor's clock; 5,000 for a
+	 * run of an earlier owner.
+	 */
 	readonly survivedMs: number;
 	readonly wasIsolated: boolean;
 	/**
@@ -422,6 +427,7 @@
 	task,
 	number,
 	executorId,
+	isAdopted: false,
 	incarnation: undefined,
 	state: 'asked',
 	askedAt: now,
