fix: bounds by the store's clock do not get looser or wrong with its reading's age

The fleet's log of commands said to stamp a command by an upper bound of the store's clock, but added the local time since its last read or write as it was: 2% of that age too early by a slow local clock, and by all of a suspension of the machine, in which the monotonic clock stands still. It now uses the bound that all other rows use, and for what is left of it too.

command-log.test.ts: two of the three new cases fail with the stamp as it was; the third holds how late it may be.

--- a/packages/daemon/src/jobs/fleet/command-log.test.ts
+++ b/packages/daemon/src/jobs/fleet/command-log.test.ts
@@ -1,6 +1,7 @@
 import * as ports from '@gullstand/ports';
 import * as tap from 'tap';
 import {fleetShard, singleKeys, tables} from '../rows/tables.js';
+import type {StoreClockReading} from '../rows/store-clock.js';
 import {createCommandLog} from './command-log.js';
 
 const turnoverMs = 3000;
@@ -8,14 +9,21 @@
 /** Creates a store and logs whose clocks the test advances. */
 const createTestEnvironment = async () => {
 	/** Answers of the store are read `delayMs` late. */
-	const clock = {at: 10_000, delayMs: 0};
+	const clock: {
+		at: number;
+		delayMs: number;
+		/** Time in which the local clock stood still. */
+		suspendedMs: number;
+		/** By other calls of the daemon. */
+		reading: StoreClockReading | undefined;
+	} = {at: 10_000, delayMs: 0, suspendedMs: 0, reading: undefined};
 	const inner = ports.createMemoryRowStore();
 	const withClock = <Value extends {nowMs: number}, Failure>(
 		result:
 			| {readonly ok: true; readonly value: Value}
 			| {readonly ok: false; readonly error: Failure},
 	) => {
-		const nowMs = clock.at + 500;
+		const nowMs = clock.at + clock.suspendedMs + 500;
 		clock.at += clock.delayMs;
 		return result.ok
 			? {ok: true as const, value: {...result.value, nowMs}}
@@ -47,7 +55,11 @@
 				previous: 'silent',
 				previousHolder: undefined,
 			},
-			now: () => clock.at,
+			clock: {
+				now: () => clock.at,
+				epochNow: () => clock.at + clock.suspendedMs,
+			},
+			getStoreTime: () => clock.reading,
 			turnoverMs,
 			logger: {warn: () => undefined as never},
 			onLost() {
@@ -101,6 +113,64 @@
 	);
 }
 
+type AgeCase = {
+	readonly name: string;
+	readonly idleMs: number;
+	readonly suspendedMs: number;
+	readonly hasReading: boolean;
+	/** How much later than the store's clock a stamp may be. */
+	readonly maxLateMs: number;
+};
+
+const ageCases: readonly AgeCase[] = [
+	{
+		name: 'after a suspension',
+		idleMs: 0,
+		suspendedMs: 5000,
+		hasReading: false,
+		maxLateMs: 100,
+	},
+	{
+		name: 'after ten minutes without one, by an old reading',
+		idleMs: 600_000,
+		suspendedMs: 0,
+		hasReading: false,
+		maxLateMs: 12_000,
+	},
+	{
+		name: 'after ten minutes without one, by a recent reading',
+		idleMs: 600_000,
+		suspendedMs: 0,
+		hasReading: true,
+		maxLateMs: 20,
+	},
+];
+
+for (const {name, idleMs, suspendedMs, hasReading, maxLateMs} of ageCases) {
+	tap.t.test(
+		`a command ${name} is not stamped before it was sent`,
+		async (t) => {
+			const env = await createTestEnvironment();
+			const {log} = await env.open();
+			env.clock.at += idleMs;
+			env.clock.suspendedMs = suspendedMs;
+			const {at} = env.clock;
+			env.clock.reading = hasReading
+				? {nowMs: at + 500, sent: {at, epochAt: at}}
+				: undefined;
+			// The local clock may run 2% slow.
+			const storeMs = at + 500 + suspendedMs + (hasReading ? 0 : 0.02 * idleMs);
+			t.ok(await log.record(['a']));
+			const row = env.inner
+				.list(tables.owner)
+				.find(({value}) => value.startsWith('{"a":'));
+			const {a} = JSON.parse(row!.value) as {a: number};
+			t.ok(a >= storeMs, `${a} is not before ${storeMs}`);
+			t.ok(a <= at + 500 + suspendedMs + maxLateMs, 'nor much later');
+		},
+	);
+}
+
 tap.t.test(
 	'a replaced holder records nothing and loses the shard',
 	async (t) => {
--- a/packages/daemon/src/jobs/fleet/command-log.ts
+++ b/packages/daemon/src/jobs/fleet/command-log.ts
@@ -6,7 +6,14 @@
 import type {RowStore, StoredRow} from '@gullstand/ports';
 import * as z from 'zod';
 import type {Logger} from '../../log/logger.js';
+import {getMoment, type Clock} from '../clock.js';
 import {periods} from '../periods.js';
+import {
+	getLatestStoreMs,
+	getMaxRemainingMs,
+	pickLatestStoreReading,
+	type StoreClockReading,
+} from '../rows/store-clock.js';
 import {describeStoreError} from '../rows/store-error.js';
 import {getValueBytes} from '../rows/transaction-size.js';
 import {decodeRow, fleetShard, getLeaseCheck, tables} from '../rows/tables.js';
@@ -31,7 +38,9 @@
 export type CommandLogDeps = {
 	readonly store: RowStore;
 	readonly held: HeldShard;
-	readonly now: () => number;
+	readonly clock: Clock;
+	/** Returns the latest reading of the store's clock by other calls. */
+	readonly getStoreTime: () => StoreClockReading | undefined;
 	readonly turnoverMs: number;
 	readonly logger: Pick<Logger, 'warn'>;
 	readonly onLost: () => void;
@@ -53,7 +62,7 @@
 const maxTries = 2;
 
 export const createCommandLog = (deps: CommandLogDeps): CommandLog => {
-	const {store, held, now, turnoverMs, logger} = deps;
+	const {store, held, clock, turnoverMs, logger} = deps;
 	const lastCommands = new Map<string, number>();
 	/**
 	 * Local time from which a machine of the previous holder may get commands.
@@ -61,16 +70,17 @@
 	const freeAt = new Map<string, number>();
 	/** Version of the row; 0 if there is none. */
 	let version = 0;
-	let clock: {readonly storeMs: number; readonly sentAt: number} | undefined;
+	let storeTime: StoreClockReading | undefined;
 
-	/** A reading is as old as its request, which this process may have delayed. */
-	const setClock = (storeMs: number, sentAt: number) => {
-		clock = {storeMs, sentAt};
-	};
-
-	/** Upper bound of the store's clock. */
+	/** Upper bound of the store's clock; 0 before the log was read. */
 	const getStoreNow = (): number =>
-		clock ? clock.storeMs + (now() - clock.sentAt) : 0;
+		storeTime
+			? getLatestStoreMs(
+					clock,
+					pickLatestStoreReading(storeTime, deps.getStoreTime()),
+					clock.now(),
+				)
+			: 0;
 
 	const removeExpired = () => {
 		const oldest = getStoreNow() - 2 * turnoverMs;
@@ -81,7 +91,7 @@
 		}
 	};
 
-	const applyRow = (value: string, nowMs: number) => {
+	const applyRow = (value: string, reading: StoreClockReading) => {
 		const decoded = decodeRow(logSchema, value);
 		if (!decoded.ok) {
 			logger.warn('row skipped', {...rowKey, ...decoded.error});
@@ -89,9 +99,10 @@
 		}
 
 		for (const [machine, at] of Object.entries(decoded.value)) {
-			const leftMs = turnoverMs + transitMs - (nowMs - at);
+			const endsAtMs = at + turnoverMs + transitMs;
+			const leftMs = getMaxRemainingMs(reading, endsAtMs);
 			lastCommands.set(machine, at);
-			freeAt.set(machine, now() + leftMs);
+			freeAt.set(machine, clock.now() + leftMs);
 		}
 	};
 
@@ -104,7 +115,7 @@
 
 	const write = async (tries = 1): Promise<boolean> => {
 		const value = encodeCommands(lastCommands);
-		const sentAt = now();
+		const sent = getMoment(clock);
 		const result = await store.transact(
 			{
 				// A write that takes effect late must not undo a later one.
@@ -116,7 +127,7 @@
 		);
 		if (result.ok) {
 			version = result.value.version;
-			setClock(result.value.nowMs, sentAt);
+			storeTime = {nowMs: result.value.nowMs, sent};
 			return true;
 		}
 
@@ -135,17 +146,17 @@
 
 	return {
 		async load() {
-			const sentAt = now();
+			const sent = getMoment(clock);
 			const page = await store.read(rowKey, periods.storeTimeoutMs);
 			if (!page.ok) {
 				return false;
 			}
 
-			setClock(page.value.nowMs, sentAt);
+			storeTime = {nowMs: page.value.nowMs, sent};
 			const row = page.value.rows.find(({key}) => key === logKey);
 			version = row?.version ?? 0;
 			if (row) {
-				applyRow(row.value, page.value.nowMs);
+				applyRow(row.value, storeTime);
 			}
 
 			return true;
@@ -170,6 +181,6 @@
 
 			return write();
 		},
-		mayCommand: (machine) => now() >= (freeAt.get(machine) ?? 0),
+		mayCommand: (machine) => clock.now() >= (freeAt.get(machine) ?? 0),
 	};
 };
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -11,6 +11,7 @@
 import {delay, isConfirmedWithin, type Clock, type Moment} from '../clock.js';
 import type {OwnerChannel} from '../entry/owner-channel.js';
 import type {JobMetrics} from '../job-metrics.js';
+import type {StoreClockReading} from '../rows/store-clock.js';
 import type {HeldShard} from '../shards/held-shard.js';
 import {
 	fleetPeriods,
@@ -35,6 +36,8 @@
 	readonly status: WaveStatusPort;
 	readonly owners: OwnerChannel;
 	readonly clock: Clock;
+	/** Returns the latest reading of the store's clock, if there is one. */
+	readonly getStoreTime: () => StoreClockReading | undefined;
 	readonly logger: Logger;
 	readonly metrics: Pick<JobMetrics, 'count' | 'registerGauge'>;
 	readonly pools: fleet.PoolConfig;
@@ -84,7 +87,8 @@
 	const commandLog = createCommandLog({
 		store: deps.store,
 		held,
-		now: clock.now,
+		clock,
+		getStoreTime: deps.getStoreTime,
 		turnoverMs: deps.turnoverMs,
 		logger,
 		onLost() {
--- a/packages/daemon/src/jobs/fleet/late-fleet-writes.test.ts
+++ b/packages/daemon/src/jobs/fleet/late-fleet-writes.test.ts
@@ -75,7 +75,8 @@
 		const log = createCommandLog({
 			store,
 			held: {...context.held, shard: fleetShard},
-			now: () => 0,
+			clock: {now: () => 0, epochNow: () => 0},
+			getStoreTime: () => undefined,
 			turnoverMs: 3000,
 			logger: context.logger,
 			onLost: () => undefined,
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -12,7 +12,11 @@
 import {runInBackground} from '../background.js';
 import {delay, getMoment, type Clock} from '../clock.js';
 import {periods} from '../periods.js';
-import {getLatestStoreMs, type StoreClockReading} from '../rows/store-clock.js';
+import {
+	getLatestStoreMs,
+	pickLatestStoreReading,
+	type StoreClockReading,
+} from '../rows/store-clock.js';
 import {
 	getLeaseCheck,
 	getProgressKey,
@@ -44,6 +48,8 @@
 	readonly clock: Clock;
 	/** The store's clock at the takeover. */
 	readonly storeTime: StoreClockReading;
+	/** Returns the latest reading of the store's clock by other calls. */
+	readonly getStoreTime?: (() => StoreClockReading | undefined) | undefined;
 	readonly logger: Pick<Logger, 'info' | 'warn'>;
 	/** Called with the executors whose latest ends may be acknowledged. */
 	readonly onAckable: (executors: readonly scheduler.Executor[]) => void;
@@ -78,13 +84,15 @@
 	const part = deps.held.shard;
 	const flushKey = {table: tables.owner, part, key: singleKeys.flush};
 	let {flushVersion, storeTime} = deps;
+	const getStoreTime = (): StoreClockReading =>
+		pickLatestStoreReading(storeTime, deps.getStoreTime?.());
 	const rosterWriter = createRosterWriter({
 		part,
 		storedKeys: deps.rosterKeys,
 		storedIds: owner.executors.keys(),
 		limits: store.limits,
 		token: owner.token,
-		toStoreMs: (at) => getLatestStoreMs(clock, storeTime, at),
+		toStoreMs: (at) => getLatestStoreMs(clock, getStoreTime(), at),
 		logger,
 	});
 	const {maxEntries, maxTransactionBytes, safeValueBytes} = store.limits;
@@ -375,7 +383,7 @@
 			clearTimeout(setAsideTimer);
 			held.stop();
 		},
-		getStoreTime: () => storeTime,
+		getStoreTime,
 		async drain() {
 			// A concurrent flush or acknowledgement would treat ends as stored while
 			// the flush that contains them is still under way.
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -35,6 +35,7 @@
 	readonly executorFeed: ExecutorFeed;
 	readonly advice: AdviceService | undefined;
 	readonly clock: Clock;
+	readonly getStoreTime?: OwnerRunnerDeps['getStoreTime'];
 	readonly cfg: scheduler.SchedulerConfig;
 	readonly logger: Logger;
 	readonly metrics: JobMetrics;
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -23,6 +23,7 @@
 import {followPeriods, periods} from '../periods.js';
 import {createFeedFollower, type FeedFollower} from '../rows/feed-follower.js';
 import {createTableFeed} from '../rows/table-feed.js';
+import type {StoreClockReading} from '../rows/store-clock.js';
 import {describeStoreError} from '../rows/store-error.js';
 import {tables, type LeaseRow} from '../rows/tables.js';
 import type {HeldShard} from '../shards/held-shard.js';
@@ -61,6 +62,8 @@
 	/** Absent if the deployment has no advice service. */
 	readonly advice: AdviceService | undefined;
 	readonly clock: Clock;
+	/** Returns the latest reading of the store's clock, if there is one. */
+	readonly getStoreTime?: (() => StoreClockReading | undefined) | undefined;
 	readonly cfg: scheduler.SchedulerConfig;
 	readonly logger: Logger;
 	readonly metrics: JobMetrics;
@@ -541,6 +544,7 @@
 			held,
 			flushVersion: loaded.flushVersion,
 			storeTime: loaded.storeTime,
+			getStoreTime: deps.getStoreTime,
 			rosterKeys: loaded.rosterKeys,
 			clock,
 			logger,
--- a/packages/daemon/src/jobs/rows/store-clock.ts
+++ b/packages/daemon/src/jobs/rows/store-clock.ts
@@ -5,6 +5,12 @@
 /** Reading of the store's clock, and when it was requested. */
 export type StoreClockReading = {readonly nowMs: number; readonly sent: Moment};
 
+/** Returns the reading that was requested last. */
+export const pickLatestStoreReading = (
+	one: StoreClockReading,
+	other: StoreClockReading | undefined,
+): StoreClockReading => (other && other.sent.at > one.sent.at ? other : one);
+
 /**
  * Returns an upper bound of the store's clock at the local time `at`, in
  * milliseconds. It allows for a reading as old as its request, and for a local
