soak: cuts that follow a task, and a start after an idle time beside a stopped owner

The soak never had an executor that was idle for minutes, so its slow clocks could not show a lease that outlasts its bound, and its cuts chose executors at random, so that no task was hit four times.

task-cuts: a job of one task of 9 s is handed in, and its executors are cut off in turn, 5 to 7 times. idle-start: after the traffic all open jobs are cancelled, a minute passes, a job starts on half of the executors of a service, its owner is terminated and these executors are cut off.

--- a/packages/bench/src/benches/soak.ts
+++ b/packages/bench/src/benches/soak.ts
@@ -22,7 +22,9 @@
 } from './soak/record.js';
 import {drawFleetDisruptions} from './soak/fleet-disruptions.js';
 import {drawQueueMoves, getQueueMovesMs} from './soak/queue-moves.js';
-import {drawSchedule} from './soak/schedule.js';
+import {createIdleJob} from './soak/idle-start.js';
+import {createCutJob, drawTaskCuts} from './soak/repeated-cuts.js';
+import {drawDisruption, drawSchedule, type OfKind} from './soak/schedule.js';
 import {soakSizes, type SoakSizes} from './soak/sizes.js';
 import {createClients, type Clients} from './soak/traffic.js';
 import {
@@ -50,10 +52,29 @@
 	readonly folder: string;
 };
 
+/** Waits without jobs, then starts one under a disruption. */
+const playIdleStart = async (
+	disruption: OfKind<'idle-start'>,
+	{sizes, environment, clients, recorder}: Soak,
+): Promise<void> => {
+	await clients.cancelOpen();
+	await delay(sizes.idleMs);
+	await Promise.all([
+		clients.run([createIdleJob(disruption, environment)]),
+		playSchedule(
+			[{...disruption, id: 3000, atMs: 0}],
+			environment,
+			recorder,
+			createRandom(0),
+		),
+	]);
+};
+
 const play = async (
 	{seed, log, only}: BenchOptions,
-	{sizes, environment, clients, recorder, folder}: Soak,
+	soak: Soak,
 ): Promise<void> => {
+	const {sizes, environment, clients, recorder, folder} = soak;
 	const trafficMs = sizes.quietMs + sizes.disturbedMs + sizes.settledMs;
 	const drawn = {
 		daemons: sizes.daemons,
@@ -79,7 +100,13 @@
 		count: sizes.fleetDisruptions,
 		schedule: others,
 	});
-	const schedule = [...others, ...moves, ...fleet];
+	const taskCuts = drawTaskCuts({
+		...drawn,
+		random: createRandom(seed + 7),
+		count: sizes.taskCuts,
+		schedule: others,
+	});
+	const schedule = [...others, ...moves, ...fleet, ...taskCuts];
 	const traffic = {
 		queues: environment.queues.map(({pathPrefix}) => pathPrefix),
 		...sizes,
@@ -99,6 +126,7 @@
 			),
 		),
 	];
+	jobs.push(...taskCuts.map((each) => createCutJob(each, traffic.queues)));
 	writeLines(folder, 'schedule.jsonl', schedule);
 	log(`${jobs.length} jobs, ${schedule.length} disruptions`);
 	recorder.note({kind: 'phase', phase: 'traffic'});
@@ -112,6 +140,14 @@
 	await delay(sizes.finishMs);
 	clients.stopAsking();
 	await clientsDone;
+	if (!only || only.includes('idle-start')) {
+		const idleStart = drawDisruption('idle-start', {
+			...drawn,
+			random: createRandom(seed + 8),
+		});
+		await playIdleStart(idleStart, soak);
+	}
+
 	await clients.askForAll();
 	recorder.note({kind: 'phase', phase: 'verdict'});
 };
--- a/packages/bench/src/benches/soak/disruptions.ts
+++ b/packages/bench/src/benches/soak/disruptions.ts
@@ -10,7 +10,9 @@
 } from '@gullstand/users-platform/stand-ins';
 import {drawBelow, type Random} from '../../frame/random.js';
 import {waitUntil, type Daemon} from './daemons.js';
+import {stopOwnerAtStart} from './idle-start.js';
 import type {Recorder} from './record.js';
+import {cutTask} from './repeated-cuts.js';
 import {getQueueMovesMs} from './queue-moves.js';
 import type {
 	Disrupting,
@@ -356,6 +358,12 @@
 	},
 	'service-cut': cutService,
 	'service-cut-unlisted': cutService,
+	async 'task-cuts'(disruption, {executors}, _random, recorder) {
+		await cutTask(disruption, executors, recorder);
+	},
+	async 'idle-start'(disruption, environment, _random, recorder) {
+		await stopOwnerAtStart(disruption, environment, recorder);
+	},
 	async 'executor-add'({executor, ...added}, {executors, fleet}) {
 		await fleet.add({...added, service: findService(executors, executor)});
 	},
--- a/packages/bench/src/benches/soak/jobs.ts
+++ b/packages/bench/src/benches/soak/jobs.ts
@@ -60,6 +60,27 @@
 	...step,
 });
 
+/** Creates a job of one step that nobody cancels or hands in again. */
+export const createPlainJob = ({
+	id,
+	queue,
+	atMs,
+	...step
+}: Pick<JobPlan, 'id' | 'queue' | 'atMs'> &
+	Pick<JobStep, 'count' | 'workMs'> &
+	Partial<JobStep>): JobPlan => ({
+	id,
+	kind: jobKinds.quick,
+	queue,
+	steps: [createStep({cpu: 1000, memMb: 500, ...step})],
+	times: 0,
+	intervalMs: 0,
+	atMs,
+	cancelAfterMs: undefined,
+	repeatAfterMs: undefined,
+	cancelUnclear: undefined,
+});
+
 export type TrafficOptions = {
 	readonly random: Random;
 	readonly queues: readonly string[];
--- a/packages/bench/src/benches/soak/schedule.ts
+++ b/packages/bench/src/benches/soak/schedule.ts
@@ -128,6 +128,26 @@
 			readonly kind: 'service-cut-unlisted';
 			readonly list: 'omits' | 'down';
 	  })
+	/** The executors of one task are cut off in turn, each under a run of it. */
+	| {
+			readonly kind: 'task-cuts';
+			readonly queue: number;
+			/** Its job, which comes with the cuts. */
+			readonly job: string;
+			readonly times: number;
+			/** From a start of the task until the cut. */
+			readonly afterMs: number;
+			readonly forMs: number;
+	  }
+	/**
+	 * After an idle time the owner of a service stops as a job has just started,
+	 * and the executors of the job are cut off.
+	 */
+	| {
+			readonly kind: 'idle-start';
+			readonly queue: number;
+			readonly forMs: number;
+	  }
 	| {
 			readonly kind: 'executor-resize';
 			readonly executor: number;
@@ -191,6 +211,9 @@
 	// Drawn beside the others, so that these stay as they are.
 	'service-cut': 0,
 	'service-cut-unlisted': 0,
+	'task-cuts': 0,
+	// Comes after the traffic.
+	'idle-start': 0,
 	'executor-add': 0,
 	'executor-remove': 0,
 	'executor-replace': 0,
@@ -396,6 +419,21 @@
 		...drawServiceCut(draws),
 		list: pick(draws.random, ['omits', 'down']),
 	}),
+	'task-cuts': ({random, queue, drawMs}) => ({
+		kind: 'task-cuts',
+		queue,
+		job: `7a5c${drawBelow(random, 2 ** 32)
+			.toString(16)
+			.padStart(12, '0')}`,
+		times: 5 + drawBelow(random, 3),
+		afterMs: drawMs(20, 500),
+		forMs: drawMs(5000, 8000),
+	}),
+	'idle-start': ({queue, drawMs}) => ({
+		kind: 'idle-start',
+		queue,
+		forMs: drawMs(5500, 8000),
+	}),
 	'executor-resize': ({random, executor, drawMs}) => ({
 		kind: 'executor-resize',
 		executor,
--- a/packages/bench/src/benches/soak/sizes.ts
+++ b/packages/bench/src/benches/soak/sizes.ts
@@ -33,6 +33,10 @@
 	readonly settledMs: number;
 	/** Until jobs are asked for, after the traffic. */
 	readonly finishMs: number;
+	/** Time without jobs after that, before a last one starts. */
+	readonly idleMs: number;
+	/** Series of cuts on one task. */
+	readonly taskCuts: number;
 };
 
 const finishMs = 14_000;
@@ -61,6 +65,8 @@
 		disturbedMs: 20_000,
 		settledMs: 9000,
 		finishMs,
+		idleMs: 60_000,
+		taskCuts: 1,
 	},
 	usual: {
 		daemons: 5,
@@ -86,6 +92,8 @@
 		disturbedMs: 70_000,
 		settledMs: 12_000,
 		finishMs,
+		idleMs: 60_000,
+		taskCuts: 4,
 	},
 	large: {
 		daemons: 24,
@@ -112,5 +120,7 @@
 		disturbedMs: 60_000,
 		settledMs: 12_000,
 		finishMs,
+		idleMs: 60_000,
+		taskCuts: 4,
 	},
 } as const satisfies Readonly<Record<string, SoakSizes>>;
--- a/packages/bench/src/benches/soak/traffic.ts
+++ b/packages/bench/src/benches/soak/traffic.ts
@@ -43,6 +43,8 @@
 	readonly run: (plans: readonly JobPlan[]) => Promise<void>;
 	/** Asks for all accepted jobs that have not been seen to end. */
 	readonly askForAll: () => Promise<void>;
+	/** Cancels all accepted jobs that have not been seen to end. */
+	readonly cancelOpen: () => Promise<void>;
 	/** Stops asking for states from time to time. */
 	readonly stopAsking: () => void;
 	readonly close: () => void;
@@ -313,6 +315,11 @@
 		]);
 	};
 
+	const listOpen = (): readonly JobRecord[] =>
+		[...jobs.values()].filter(
+			(job) => job.acceptedMs !== undefined && !hasEnded(job),
+		);
+
 	return {
 		jobs,
 		async run(plans) {
@@ -320,9 +327,7 @@
 			await Promise.all(plans.map(async (plan) => runJob(plan, startedAtMs)));
 		},
 		async askForAll() {
-			const open = [...jobs.values()].filter(
-				(job) => job.acceptedMs !== undefined && !hasEnded(job),
-			);
+			const open = listOpen();
 			const askOne = async (job: JobRecord) => {
 				for (let tries = 0; tries < 3; tries += 1) {
 					if ((await ask(job)) !== undefined) {
@@ -340,6 +345,12 @@
 				);
 			}
 		},
+		async cancelOpen() {
+			const open = listOpen().filter(
+				({cancelSentMs}) => cancelSentMs === undefined,
+			);
+			await Promise.all(open.map(async (job) => cancel(job, 0)));
+		},
 		stopAsking() {
 			asking.isOn = false;
 		},
