--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -21,6 +21,7 @@
 export * from './polls/crash-evidence.js';
 export * from './polls/crash-suspects.js';
 export * from './polls/open-crashes.js';
+export * from './polls/possible-losses.js';
 export * from './state/owner.js';
 export * from './executor-speed/speed-state.js';
 export * from './executor-speed/speed-memory.js';
--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -10,7 +10,7 @@
  * up, and its job fails.
  *
  * A start that was barred is not the cause. Leases that expire on an executor
- * show no crash for certain, as it may be cut off; see open-crashes.ts.
+ * show no crash for certain, as it may be cut off; see possible-losses.ts.
  *
  * Executors are lost without a cause in what they run, too. Each crash has the
  * probability that its executor was lost by chance, and a task is given up once
@@ -45,7 +45,7 @@
 	maxCrashesInAll,
 } from './crash-evidence.js';
 import {giveUpIfAtFault, trackSuspect} from './crash-suspects.js';
-import {addPossibleLoss, inheritPossibleLosses} from './open-crashes.js';
+import {addPossibleLoss, inheritPossibleLosses} from './possible-losses.js';
 
 /** A run that has survived this long is not the cause, in milliseconds. */
 const maxCrashDelayMs = 5000;
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -39,7 +39,7 @@
 import {clearIfProbationIsOver, noteRunOfSuspect} from './crash-suspects.js';
 import {resetIncarnation} from './executor-restart.js';
 import {listRunsLostByRestart, listVanishedRuns} from './missing-runs.js';
-import {settleAnswered, type SettledLoss} from './open-crashes.js';
+import {settleAnswered, type SettledLoss} from './possible-losses.js';
 import {
 	maxEndsPerPoll,
 	type ExecutorPoll,
--- a/packages/core/src/scheduler/polls/poll-answer.ts
+++ b/packages/core/src/scheduler/polls/poll-answer.ts
@@ -2,7 +2,7 @@
 import type {IncarnationReading} from '../state/incarnation.js';
 import type {MeasuredRun} from '../run-times/samples.js';
 import type {EndedJob} from '../state/job-ends.js';
-import type {SettledLoss} from './open-crashes.js';
+import type {SettledLoss} from './possible-losses.js';
 
 /** Ways in which a run ends. */
 export const runEnds = {
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -92,7 +92,7 @@
 	readonly crashSuspects: Set<Task>;
 	/**
 	 * Losses that an answer would disprove, by the id of the executor: one for
-	 * each of its incarnations; see open-crashes.ts.
+	 * each of its incarnations; see possible-losses.ts.
 	 */
 	readonly possibleLosses: Map<string, readonly PossibleLoss[]>;
 	/** Gangs that miss members; see incomplete-gangs.ts. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -12,7 +12,7 @@
 	noteUnlisted,
 	settleByRegistry,
 	type SettledLoss,
-} from '../polls/open-crashes.js';
+} from '../polls/possible-losses.js';
 import {initialStartWindow} from '../plan/start-window.js';
 import {createRunTimes} from '../run-times/model.js';
 import {getTotalWork} from '../run-times/work.js';
--- a/packages/core/src/scheduler/state/task.ts
+++ b/packages/core/src/scheduler/state/task.ts
@@ -72,7 +72,7 @@
 	readonly address?: string | undefined;
 };
 
-/** Signs by which an executor counts as lost; see open-crashes.ts. */
+/** Signs by which an executor counts as lost; see possible-losses.ts. */
 export const lossSigns = {
 	/** Another incarnation answers at its id, or is listed there. */
 	restarted: 'restarted',
