--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -4,6 +4,7 @@
 export * from './state/config.js';
 export * from './state/check-job.js';
 export * from './state/remote-clock.js';
+export * from './state/crash.js';
 export * from './state/task.js';
 export * from './state/due-occurrences.js';
 export * from './state/attempts.js';
--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -26,13 +26,15 @@
 import {getMaxLeaseDurationMs} from '../state/leases.js';
 import type {ExecutorLoss, Owner} from '../state/owner-state.js';
 import {
-	listCoscheduledTasks,
-	listTasks,
 	lossSigns,
 	type Crash,
-	type Job,
 	type LossSign,
 	type PossiblyLost,
+} from '../state/crash.js';
+import {
+	listCoscheduledTasks,
+	listTasks,
+	type Job,
 	type Run,
 	type Task,
 } from '../state/task.js';
--- a/packages/core/src/scheduler/polls/crash-evidence.ts
+++ b/packages/core/src/scheduler/polls/crash-evidence.ts
@@ -1,7 +1,8 @@
 /** What crashes show of a task, and how often executors are lost anyway. */
 import {hasIsolatedRun, type Executor} from '../state/executor.js';
 import type {ExecutorLoss, Owner} from '../state/owner-state.js';
-import type {Crash, Run, Task} from '../state/task.js';
+import type {Crash} from '../state/crash.js';
+import type {Run, Task} from '../state/task.js';
 
 /** A crash this soon after a start makes the task a suspect, in milliseconds. */
 const promptCrashMs = 300;
--- a/packages/core/src/scheduler/polls/crash-suspects.ts
+++ b/packages/core/src/scheduler/polls/crash-suspects.ts
@@ -5,13 +5,8 @@
 import {endJob, type EndedJob} from '../state/job-ends.js';
 import {markTaskDirty} from '../state/split-progress.js';
 import type {Owner} from '../state/owner-state.js';
-import {
-	listCoscheduledTasks,
-	type Crash,
-	type LossSign,
-	type Run,
-	type Task,
-} from '../state/task.js';
+import type {Crash, LossSign} from '../state/crash.js';
+import {listCoscheduledTasks, type Run, type Task} from '../state/task.js';
 import {
 	getChance,
 	getProbationMs,
--- a/packages/core/src/scheduler/polls/possible-loss.test.ts
+++ b/packages/core/src/scheduler/polls/possible-loss.test.ts
@@ -201,6 +201,15 @@
 
 const lookAfterMs = 60_000;
 
+/** The registry lists the incarnation that started then. */
+const listAgain =
+	(startedAtEpochMs: number): AbsenceCase['proceed'] =>
+	(owner, id) => {
+		const listed = createListed(id, {startedAtEpochMs});
+		scheduler.recordListedExecutor(owner, listed);
+		scheduler.expireLeases(owner, 7000);
+	};
+
 const absenceCases: readonly AbsenceCase[] = [
 	{
 		name: 'stays away',
@@ -218,21 +227,13 @@
 	},
 	{
 		name: 'is listed again and does not answer',
-		proceed(owner, id) {
-			const listed = createListed(id, {startedAtEpochMs: 1});
-			scheduler.recordListedExecutor(owner, listed);
-			scheduler.expireLeases(owner, 7000);
-		},
+		proceed: listAgain(1),
 		sign: undefined,
 		crashes: 0,
 	},
 	{
 		name: 'is listed as another incarnation and does not answer',
-		proceed(owner, id) {
-			const listed = createListed(id, {startedAtEpochMs: 2});
-			scheduler.recordListedExecutor(owner, listed);
-			scheduler.expireLeases(owner, 7000);
-		},
+		proceed: listAgain(2),
 		sign: 'restarted',
 		crashes: 1,
 	},
--- a/packages/core/src/scheduler/polls/possible-losses.ts
+++ b/packages/core/src/scheduler/polls/possible-losses.ts
@@ -21,13 +21,12 @@
 import {markTaskDirty} from '../state/split-progress.js';
 import type {Owner, PossibleLoss} from '../state/owner-state.js';
 import {
-	listCoscheduledTasks,
 	lossSigns,
 	type Crash,
 	type LossSign,
 	type PossiblyLost,
-	type Task,
-} from '../state/task.js';
+} from '../state/crash.js';
+import {listCoscheduledTasks, type Task} from '../state/task.js';
 import {giveUpIfAtFault} from './crash-suspects.js';
 import {withdrawCrash} from './open-crashes.js';
 
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -9,7 +9,8 @@
 	isSameIncarnation,
 	type IncarnationReading,
 } from './incarnation.js';
-import type {Job, PossiblyLost, Run, Step} from './task.js';
+import type {PossiblyLost} from './crash.js';
+import type {Job, Run, Step} from './task.js';
 import type {ListedExecutor, Resources} from './types.js';
 
 /** A run end that can be acknowledged once what it changed is stored. */
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -8,7 +8,8 @@
 import type {SchedulerConfig} from './config.js';
 import type {Executor} from './executor.js';
 import type {IncompleteGang} from './incomplete-gangs.js';
-import type {Job, LossSign, PossiblyLost, Step, Task} from './task.js';
+import type {LossSign, PossiblyLost} from './crash.js';
+import type {Job, Step, Task} from './task.js';
 
 /** Placement advice received for one step. */
 export type StepAdvice = {
--- a/packages/core/src/scheduler/state/progress.ts
+++ b/packages/core/src/scheduler/state/progress.ts
@@ -10,6 +10,7 @@
 	type RangeProgress,
 	type StoredRange,
 } from './split-progress.js';
+import type {Crash} from './crash.js';
 import {
 	addOccurrence,
 	addOccurrencesUpTo,
@@ -18,7 +19,6 @@
 	isJobComplete,
 	markDone,
 	applyCheckpoint,
-	type Crash,
 	type Job,
 	type JobEnd,
 	type Occurrence,
