lines and metrics that tell who holds an executor

Operators saw jobs that stand beside executors that were all evacuating, and no line said for whom, for how long or what for, so that the hypotheses of the incident could not be told apart.

Each evacuation carries the name of who asks for it (a wave, or moves; optional on the wire for daemons of older releases). 'evacuation lasts' is written after 3 s and every 5 s, with what the executor waits for, 'evacuation ended' has its age, 'jobs stand' lists the executors that are held, and two gauges count them. No decision changes. executor-holds.test.ts, evacuation-log.test.ts, standing-report.test.ts.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -42,6 +42,7 @@
 export * from './placement/place-task.js';
 export * from './plan/evacuation.js';
 export * from './reports/explain.js';
+export * from './reports/executor-holds.js';
 export * from './reports/executor-report.js';
 export * from './reports/owner-overview.js';
 export * from './reports/standing-jobs.js';
--- a/packages/core/src/scheduler/plan/evacuation.test.ts
+++ b/packages/core/src/scheduler/plan/evacuation.test.ts
@@ -137,7 +137,7 @@
 			scheduler.markUnresponsive(owner, id, 150);
 		}
 
-		const state = scheduler.requestEvacuation(owner, 'e0', patienceMs, 200);
+		const state = scheduler.requestEvacuation(owner, 'e0', {patienceMs}, 200);
 		t.same(state, {kind: 'waiting', runs: 1});
 		t.same(
 			describeCommands(planAndStart(owner, 200)),
@@ -158,8 +158,8 @@
 		);
 		planAndStart(owner, 0);
 		pollAll(owner, 100, () => 100);
-		scheduler.requestEvacuation(owner, 'e0', 0, 200);
-		scheduler.requestEvacuation(owner, 'e1', 0, 200);
+		scheduler.requestEvacuation(owner, 'e0', {patienceMs: 0}, 200);
+		scheduler.requestEvacuation(owner, 'e1', {patienceMs: 0}, 200);
 		t.equal(planAndStart(owner, 200).length, 1);
 		t.same(planAndStart(owner, 210), []);
 	},
@@ -184,7 +184,7 @@
 			});
 		}
 
-		scheduler.requestEvacuation(owner, 'e0', 0, settledAt);
+		scheduler.requestEvacuation(owner, 'e0', {patienceMs: 0}, settledAt);
 		t.same(describeCommands(planAndStart(owner, settledAt)), [
 			'stop a.0.0.0 on e0: evacuation',
 		]);
@@ -200,10 +200,12 @@
 	'an executor under evacuation gets no work, and is empty without runs',
 	async (t) => {
 		const owner = createTestOwner([createListed('x')]);
-		t.same(scheduler.requestEvacuation(owner, 'x', 0, 0), {kind: 'empty'});
+		t.same(scheduler.requestEvacuation(owner, 'x', {patienceMs: 0}, 0), {
+			kind: 'empty',
+		});
 		submit(owner, createAccepted('a'));
 		t.same(planAndStart(owner, 10), []);
-		t.same(scheduler.requestEvacuation(owner, 'none', 0, 0), {
+		t.same(scheduler.requestEvacuation(owner, 'none', {patienceMs: 0}, 0), {
 			kind: 'unknown-executor',
 		});
 		const after = owner.cfg.evacuationTtlMs + 1;
@@ -218,7 +220,7 @@
 tap.t.test('an executor that has never answered is not empty', async (t) => {
 	const owner = createTestOwner([]);
 	scheduler.recordListedExecutor(owner, createListed('x'));
-	t.same(scheduler.requestEvacuation(owner, 'x', 0, 0), {
+	t.same(scheduler.requestEvacuation(owner, 'x', {patienceMs: 0}, 0), {
 		kind: 'waiting',
 		runs: 0,
 	});
@@ -236,8 +238,8 @@
 		);
 		planAndStart(owner, 0);
 		pollAll(owner, 100, () => 100);
-		scheduler.requestEvacuation(owner, 'e0', 0, 200);
-		scheduler.requestEvacuation(owner, 'e1', 0, 200);
+		scheduler.requestEvacuation(owner, 'e0', {patienceMs: 0}, 200);
+		scheduler.requestEvacuation(owner, 'e1', {patienceMs: 0}, 200);
 		const [stop] = planAndStart(owner, 200);
 		t.same(describeCommands(stop ? [stop] : []), [
 			'stop a.0.0.0 on e0: evacuation',
--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -104,6 +104,19 @@
 	}
 };
 
+/** What the fleet's holder asks of an executor. */
+export type EvacuationRequest = {
+	/** How long runs may end by themselves, in milliseconds. */
+	readonly patienceMs: number;
+	/**
+	 * Who asks for it, such as a wave, for the log; absent from holders of older
+	 * releases.
+	 */
+	readonly claimant?: string | undefined;
+	/** Absent from holders of older releases. */
+	readonly order?: RequestOrder | undefined;
+};
+
 /**
  * Requests the evacuation of an executor, or renews the request. An empty
  * executor is not clear before its reservation is stored.
@@ -111,7 +124,7 @@
 export const requestEvacuation = (
 	owner: Owner,
 	executorId: string,
-	patienceMs: number,
+	{patienceMs, claimant}: EvacuationRequest,
 	now: number,
 ): Occupancy => {
 	const executor = owner.executors.get(executorId);
@@ -120,6 +133,8 @@
 	}
 
 	executor.evacuation = {
+		claimant,
+		since: executor.evacuation?.since ?? now,
 		validUntil: now + owner.cfg.evacuationTtlMs,
 		stopFrom: executor.evacuation?.stopFrom ?? now + patienceMs,
 	};
@@ -184,8 +199,12 @@
 	return stopFrom <= now || (spec.canCheckpoint && isLong);
 };
 
-const hasRoomElsewhere = (owner: Owner, task: Task, now: number): boolean =>
-	placeTask(listUsable(owner, now), task).kind === 'placed';
+/** Whether an executor that may be given work has room for a task. */
+export const hasRoomElsewhere = (
+	owner: Owner,
+	task: Task,
+	now: number,
+): boolean => placeTask(listUsable(owner, now), task).kind === 'placed';
 
 const mayStop = (
 	owner: Owner,
--- a/packages/core/src/scheduler/plan/plan-copies.test.ts
+++ b/packages/core/src/scheduler/plan/plan-copies.test.ts
@@ -448,7 +448,7 @@
 	speed.slowSince = 0;
 	speed.logSpeed = Math.log(0.2);
 	for (const id of ['e0', 'e1']) {
-		scheduler.requestEvacuation(owner, id, 2000, 200);
+		scheduler.requestEvacuation(owner, id, {patienceMs: 2000}, 200);
 	}
 
 	const stops = describeCommands(planAndStart(owner, 200));
--- a/packages/core/src/scheduler/plan/unseen-stop.test.ts
+++ b/packages/core/src/scheduler/plan/unseen-stop.test.ts
@@ -131,7 +131,7 @@
 		}
 
 		if (cause === 'evacuation') {
-			scheduler.requestEvacuation(owner, 'e0', 0, planAt);
+			scheduler.requestEvacuation(owner, 'e0', {patienceMs: 0}, planAt);
 		}
 
 		t.same(describeStops(planAndStart(owner, planAt)), stops);
@@ -180,7 +180,7 @@
 		);
 		pollExecutor(owner, 'e0', {at: 100, running: first!});
 		pollExecutor(owner, 'e1', {at: 100, running: second!});
-		scheduler.requestEvacuation(owner, 'e0', 0, 200);
+		scheduler.requestEvacuation(owner, 'e0', {patienceMs: 0}, 200);
 		const [stop] = planAndStart(owner, 200);
 		t.same(describeCommands([stop!]), [evacuated]);
 		scheduler.applyStopAnswer(
@@ -194,7 +194,7 @@
 		}
 
 		const planAt = polls.at(-1)!.at + 10;
-		scheduler.requestEvacuation(owner, 'e1', 0, planAt);
+		scheduler.requestEvacuation(owner, 'e1', {patienceMs: 0}, planAt);
 		t.same(describeStops(planAndStart(owner, planAt)), stops);
 	});
 }
--- a/packages/core/src/scheduler/polls/idle-executors-lost.test.ts
+++ b/packages/core/src/scheduler/polls/idle-executors-lost.test.ts
@@ -24,7 +24,7 @@
 	{
 		name: 'leaves the registry while it is evacuated',
 		prepare(owner) {
-			scheduler.requestEvacuation(owner, 'x0', 0, 10);
+			scheduler.requestEvacuation(owner, 'x0', {patienceMs: 0}, 10);
 		},
 		losses: 0,
 	},
--- a/packages/core/src/scheduler/polls/run-ends.test.ts
+++ b/packages/core/src/scheduler/polls/run-ends.test.ts
@@ -137,7 +137,7 @@
 	[
 		'being evacuated',
 		(owner: scheduler.Owner, id: string) => {
-			scheduler.requestEvacuation(owner, id, 1000, 0);
+			scheduler.requestEvacuation(owner, id, {patienceMs: 1000}, 0);
 		},
 	],
 ] as const;
--- a/packages/core/src/scheduler/reports/owner-overview.test.ts
+++ b/packages/core/src/scheduler/reports/owner-overview.test.ts
@@ -54,7 +54,12 @@
 	{
 		readiness: 'evacuating',
 		change(executor) {
-			executor.evacuation = {validUntil: 100, stopFrom: 100};
+			executor.evacuation = {
+				claimant: 'wave 1',
+				since: 0,
+				validUntil: 100,
+				stopFrom: 100,
+			};
 		},
 	},
 	{
--- a/packages/core/src/scheduler/run-times/unchanged.test.ts
+++ b/packages/core/src/scheduler/run-times/unchanged.test.ts
@@ -41,7 +41,7 @@
 		}),
 	);
 	pollExecutor(owner, 'x', {at: 400, running});
-	scheduler.requestEvacuation(owner, 'x', 5000, 450);
+	scheduler.requestEvacuation(owner, 'x', {patienceMs: 5000}, 450);
 	return owner;
 };
 
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -26,6 +26,10 @@
 
 /** An evacuation in progress. */
 export type Evacuation = {
+	/** Who asks for it; absent for holders of older releases. */
+	readonly claimant: string | undefined;
+	/** When it was requested first. */
+	readonly since: number;
 	/** When it expires unless it is requested again. */
 	readonly validUntil: number;
 	/** From then on, runs are stopped instead of being waited for. */
--- a/packages/core/src/scheduler/state/reservations.test.ts
+++ b/packages/core/src/scheduler/state/reservations.test.ts
@@ -33,7 +33,7 @@
 	{
 		name: 'that is not reserved',
 		prepare(owner) {
-			scheduler.requestEvacuation(owner, 'x', 0, 0);
+			scheduler.requestEvacuation(owner, 'x', {patienceMs: 0}, 0);
 		},
 		isAwaited: true,
 	},
@@ -225,7 +225,7 @@
 		name: 'after its evacuation has lapsed',
 		executors: ['x'],
 		prepare(owner) {
-			scheduler.requestEvacuation(owner, 'x', 0, 0);
+			scheduler.requestEvacuation(owner, 'x', {patienceMs: 0}, 0);
 			scheduler.reserveExecutor(owner, 'x', 0);
 		},
 		reservedAt: evacuationTtlMs + 1,
@@ -245,7 +245,7 @@
 		name: 'until it is released',
 		executors: ['x'],
 		prepare(owner) {
-			scheduler.requestEvacuation(owner, 'x', 0, 0);
+			scheduler.requestEvacuation(owner, 'x', {patienceMs: 0}, 0);
 			scheduler.reserveExecutor(owner, 'x', 0);
 		},
 		isReleased: true,
@@ -401,7 +401,10 @@
 		const owner = createTestOwner([createListed('x')]);
 		change(owner);
 		t.same(scheduler.getOccupancy(owner, 'x'), occupancy);
-		t.same(scheduler.requestEvacuation(owner, 'x', 0, 20), occupancy);
+		t.same(
+			scheduler.requestEvacuation(owner, 'x', {patienceMs: 0}, 20),
+			occupancy,
+		);
 	});
 }
 
@@ -461,7 +464,7 @@
 	tap.t.test(`a release ${name}`, async (t) => {
 		const owner = createTestOwner([createListed('x')]);
 		for (const order of requested) {
-			scheduler.requestEvacuation(owner, 'x', 0, 0);
+			scheduler.requestEvacuation(owner, 'x', {patienceMs: 0}, 0);
 			scheduler.recordRequestOrder(owner, 'x', order);
 		}
 
--- a/packages/daemon/src/jobs/entry/owner-channel.ts
+++ b/packages/daemon/src/jobs/entry/owner-channel.ts
@@ -44,8 +44,7 @@
 	readonly evacuate: (
 		shard: string,
 		executorId: string,
-		patienceMs: number,
-		order: scheduler.RequestOrder,
+		request: scheduler.EvacuationRequest,
 	) => Promise<scheduler.EvacuationState | undefined>;
 	/** Lets the owner use an executor again that will not be commanded. */
 	readonly releaseEvacuation: (
@@ -126,10 +125,10 @@
 			);
 			return answer?.pending;
 		},
-		async evacuate(shard, executorId, patienceMs, order) {
-			const params = {shard, executorId, patienceMs, order};
+		async evacuate(shard, executorId, request) {
+			const params = {shard, executorId, ...request};
 			const answer = await callOwner('evacuate', params, async (local) => ({
-				state: await local.evacuate(executorId, patienceMs, order),
+				state: await local.evacuate(executorId, request),
 			}));
 			return answer?.state;
 		},
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -131,18 +131,19 @@
 ): boolean =>
 	isConfirmedWithin(clock, askedAt, validMs - fleetPeriods.platformTimeoutMs);
 
+/** How an evacuation is requested. */
+export type EvacuationTerms = Omit<scheduler.EvacuationRequest, 'order'>;
+
 const askOwner = async (
 	{owners, held}: FleetContext,
 	{pool, executorId}: {readonly pool: string; readonly executorId: string},
-	graceMs: number,
+	terms: EvacuationTerms,
 	askedAt: Moment,
 ): Promise<Clearance | 'unknown-executor' | undefined> => {
-	const state = await owners.evacuate(
-		getServiceShard(pool),
-		executorId,
-		graceMs,
-		{token: held.token, at: askedAt.at},
-	);
+	const state = await owners.evacuate(getServiceShard(pool), executorId, {
+		...terms,
+		order: {token: held.token, at: askedAt.at},
+	});
 	if (state?.kind === 'unknown-executor') {
 		return 'unknown-executor';
 	}
@@ -155,12 +156,12 @@
 
 /**
  * Asks the pool's owner to evacuate a machine that is up; resolves to nothing
- * while something runs there. Runs may end by themselves for `graceMs`.
+ * while something runs there.
  */
 export const evacuateMachine = async (
 	context: FleetContext,
 	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
-	graceMs: number,
+	terms: EvacuationTerms,
 ): Promise<Clearance | undefined> => {
 	const askedAt = getMoment(context.clock);
 	if (!context.hasOwner(pool)) {
@@ -172,7 +173,7 @@
 		return undefined;
 	}
 
-	const answer = await askOwner(context, {pool, executorId}, graceMs, askedAt);
+	const answer = await askOwner(context, {pool, executorId}, terms, askedAt);
 	return answer === 'unknown-executor' ? undefined : answer;
 };
 
@@ -183,7 +184,7 @@
 export const evacuateMissing = async (
 	context: FleetContext,
 	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
-	graceMs: number,
+	terms: EvacuationTerms,
 ): Promise<Clearance | undefined> => {
 	const askedAt = getMoment(context.clock);
 	const unlimited = {askedAt, validMs: Number.POSITIVE_INFINITY};
@@ -191,7 +192,7 @@
 		return unlimited;
 	}
 
-	const answer = await askOwner(context, {pool, executorId}, graceMs, askedAt);
+	const answer = await askOwner(context, {pool, executorId}, terms, askedAt);
 	return answer === 'unknown-executor' ? unlimited : answer;
 };
 
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -219,7 +219,10 @@
 			fleetPeriods.machineTurnaroundMs,
 			clock.epochNow(),
 		);
-		const graceMs = isShortOfTime ? 0 : fleetPeriods.evacuationGraceMs;
+		const terms = {
+			claimant,
+			patienceMs: isShortOfTime ? 0 : fleetPeriods.evacuationGraceMs,
+		};
 		const toEvacuate = step.evacuate.flatMap((id) => machines.get(id) ?? []);
 		const missing = fleet
 			.listUnfinished(wave)
@@ -232,13 +235,13 @@
 		claimOnly(wave, chosen);
 		const [repeats, starts, asked] = await Promise.all([
 			evacuate(wave, listRepeats(wave, machines, isTaken), async (machine) =>
-				evacuateMachine(context, machine, graceMs),
+				evacuateMachine(context, machine, terms),
 			),
 			evacuate(wave, toEvacuate, async (machine) =>
-				evacuateMachine(context, machine, graceMs),
+				evacuateMachine(context, machine, terms),
 			),
 			evacuate(wave, missing, async (machine) =>
-				evacuateMissing(context, machine, graceMs),
+				evacuateMissing(context, machine, terms),
 			),
 		]);
 		for (const {machine} of asked) {
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -202,11 +202,10 @@
 		}
 
 		if (machine?.state === 'up' && entry.phase !== 'ordered') {
-			entry.clearance = await evacuateMachine(
-				context,
-				machine,
-				fleetPeriods.moveEvacuationGraceMs,
-			);
+			entry.clearance = await evacuateMachine(context, machine, {
+				claimant: moveClaimant,
+				patienceMs: fleetPeriods.moveEvacuationGraceMs,
+			});
 		}
 	};
 
@@ -339,6 +338,9 @@
 				pool,
 				{
 					held: own.filter(({state}) => state === 'up').length,
+					inWaves: own.filter(({id}) => deps.isReserved(id)).length,
+					leaving: own.filter(({id}) => inProgress.get(id)?.move.from === pool)
+						.length,
 					target: targets.get(pool),
 					expected: expected?.machines.get(pool) ?? 0,
 					asked: toMachines(usedCpu + waitingCpu),
--- a/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
+++ b/packages/daemon/src/jobs/fleet/stale-clearance.test.ts
@@ -307,7 +307,11 @@
 		async (t) => {
 			const {context, state} = createHarness();
 			state.answer = answer;
-			const clearance = await evacuateMachine(context, {pool, executorId}, 0);
+			const clearance = await evacuateMachine(
+				context,
+				{pool, executorId},
+				{patienceMs: 0},
+			);
 			t.equal(clearance?.validMs, validMs);
 		},
 	);
@@ -315,7 +319,7 @@
 
 tap.t.test('a release is ordered after the request', async (t) => {
 	const {context, calls, state} = createHarness();
-	await evacuateMachine(context, owned, 0);
+	await evacuateMachine(context, owned, {patienceMs: 0});
 	state.now += 5;
 	await releaseMachine(context, owned);
 	await releaseMachine(context, {pool: standbyPool, executorId: 'y'});
--- a/packages/daemon/src/jobs/owner/evacuation-log.ts
+++ b/packages/daemon/src/jobs/owner/evacuation-log.ts
@@ -1,5 +1,5 @@
 /** Log lines of the evacuations that an owner was asked for. */
-import type {scheduler} from '@gullstand/core';
+import {scheduler} from '@gullstand/core';
 import type {Logger} from '../../log/logger.js';
 
 /** Writes when evacuations begin, when executors are clear and when they end. */
@@ -8,7 +8,7 @@
 	readonly logRequest: (
 		executorId: string,
 		occupancy: scheduler.Occupancy,
-		patienceMs: number,
+		request: scheduler.EvacuationRequest,
 	) => void;
 	/**
 	 * Logs that an executor is clear, once for each reservation that says so;
@@ -20,41 +20,96 @@
 		untilMs: number | undefined,
 	) => void;
 	readonly logReleased: (executorId: string) => void;
-	/** Logs the evacuations that are over. */
-	readonly logEnded: (owner: scheduler.Owner) => void;
+	/** Logs the evacuations that are over, and those that last. */
+	readonly logCurrent: (owner: scheduler.Owner) => void;
 };
 
+/** Age from which an evacuation that lasts is logged, in milliseconds. */
+const logAfterMs = 3000;
+
+/** Time between two lines for one that lasts, in milliseconds. */
+const repeatMs = 5000;
+
 type LoggedEvacuation = {
+	readonly claimant: string | undefined;
+	readonly since: number;
+	/** When it was clear first. */
+	clearSince: number | undefined;
 	/** End of the reservation by which it was last said to be clear. */
 	untilMs: number | undefined;
+	/** When a line is due if it lasts. */
+	dueAt: number;
 };
 
+/** `now` returns monotonic milliseconds. */
 export const createEvacuationLog = (
-	logger: Pick<Logger, 'info'>,
+	logger: Pick<Logger, 'info' | 'warn'>,
+	now: () => number,
 ): EvacuationLog => {
 	const evacuating = new Map<string, LoggedEvacuation>();
 
 	const logEnd = (executor: string, reason: string) => {
+		const known = evacuating.get(executor);
 		evacuating.delete(executor);
-		logger.info('evacuation ended', {executor, reason});
+		const at = now();
+		logger.info('evacuation ended', {
+			executor,
+			reason,
+			claimant: known?.claimant,
+			heldMs: known && Math.round(at - known.since),
+			clearMs:
+				known?.clearSince === undefined
+					? undefined
+					: Math.round(at - known.clearSince),
+		});
+	};
+
+	const logLasting = (owner: scheduler.Owner, at: number) => {
+		for (const hold of scheduler.listHolds(owner, at)) {
+			const known = evacuating.get(hold.executor);
+			if (known && known.dueAt <= at) {
+				known.dueAt = at + repeatMs;
+				logger.warn('evacuation lasts', {
+					...hold,
+					clearMs:
+						known.clearSince === undefined
+							? undefined
+							: Math.round(at - known.clearSince),
+				});
+			}
+		}
 	};
 
 	return {
-		logRequest(executor, occupancy, patienceMs) {
+		logRequest(executor, occupancy, {patienceMs, claimant}) {
 			if (occupancy.kind === 'unknown-executor' || evacuating.has(executor)) {
 				return;
 			}
 
-			evacuating.set(executor, {untilMs: undefined});
+			const at = now();
+			evacuating.set(executor, {
+				claimant,
+				since: at,
+				clearSince: undefined,
+				untilMs: undefined,
+				dueAt: at + logAfterMs,
+			});
 			const runs = occupancy.kind === 'waiting' ? occupancy.runs : 0;
-			logger.info('evacuation requested', {executor, runs, patienceMs});
+			logger.info('evacuation requested', {
+				executor,
+				claimant,
+				runs,
+				patienceMs,
+			});
 		},
 		logState(executor, state, untilMs) {
 			const known = evacuating.get(executor);
 			if (state.kind === 'clear' && known && known.untilMs !== untilMs) {
 				known.untilMs = untilMs;
+				known.clearSince ??= now();
 				logger.info('executor clear', {
 					executor,
+					claimant: known.claimant,
 					remainingMs: Math.round(state.remainingMs),
 					reservedUntilMs: untilMs,
 				});
@@ -63,13 +118,18 @@
 		logReleased(executor) {
 			logEnd(executor, 'released');
 		},
-		logEnded({executors}) {
+		logCurrent(owner) {
 			for (const id of evacuating.keys()) {
-				const executor = executors.get(id);
+				const executor = owner.executors.get(id);
 				if (!executor?.evacuation) {
 					logEnd(id, executor ? 'lapsed' : 'executor gone');
 				}
 			}
+
+			const at = now();
+			if ([...evacuating.values()].some(({dueAt}) => dueAt <= at)) {
+				logLasting(owner, at);
+			}
 		},
 	};
 };
--- a/packages/daemon/src/jobs/owner/evacuations.ts
+++ b/packages/daemon/src/jobs/owner/evacuations.ts
@@ -30,8 +30,7 @@
 	 */
 	readonly request: (
 		executorId: string,
-		patienceMs: number,
-		order?: scheduler.RequestOrder,
+		request: scheduler.EvacuationRequest,
 	) => Promise<scheduler.EvacuationState>;
 	/** Lets an executor be used again that will not be commanded. */
 	readonly release: (
@@ -40,8 +39,8 @@
 	) => void;
 	/** Notes that an executor has answered a poll. */
 	readonly notePoll: (executorId: string) => void;
-	/** Logs the evacuations that are over. */
-	readonly logEnded: () => void;
+	/** Logs the evacuations that are over, and those that last. */
+	readonly logCurrent: () => void;
 };
 
 /** Longest wait for the store, which leaves time for the answer to arrive. */
@@ -55,7 +54,7 @@
 
 export const createEvacuations = (deps: EvacuationsDeps): Evacuations => {
 	const {owner, clock, isConfirmed, onChange} = deps;
-	const log = createEvacuationLog(deps.logger);
+	const log = createEvacuationLog(deps.logger, clock.now);
 	const row = createReservationRow(deps);
 	/** Executors answer one after another; their reservations share a write. */
 	const storeSoon = coalesceCalls(async () => {
@@ -116,7 +115,7 @@
 	};
 
 	return {
-		async request(executorId, patienceMs, order) {
+		async request(executorId, request) {
 			if (!isConfirmed()) {
 				return {kind: 'not-owner'};
 			}
@@ -124,11 +123,11 @@
 			const occupancy = scheduler.requestEvacuation(
 				owner,
 				executorId,
-				patienceMs,
+				request,
 				clock.now(),
 			);
-			scheduler.recordRequestOrder(owner, executorId, order);
-			log.logRequest(executorId, occupancy, patienceMs);
+			scheduler.recordRequestOrder(owner, executorId, request.order);
+			log.logRequest(executorId, occupancy, request);
 			onChange();
 			if (occupancy.kind === 'empty') {
 				await reserve(executorId);
@@ -149,8 +148,8 @@
 				resolve();
 			}
 		},
-		logEnded() {
-			log.logEnded(owner);
+		logCurrent() {
+			log.logCurrent(owner);
 		},
 	};
 };
--- a/packages/daemon/src/jobs/owner/idle-executor-lost.test.ts
+++ b/packages/daemon/src/jobs/owner/idle-executor-lost.test.ts
@@ -23,7 +23,10 @@
 			}
 
 			const request = async () =>
-				getRunner()!.evacuate('x', 0, {token: 1, at: 0});
+				getRunner()!.evacuate('x', {
+					patienceMs: 0,
+					order: {token: 1, at: 0},
+				});
 			const state = await request();
 			t.equal(state.kind === 'clear', !isLost);
 		},
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -370,7 +370,7 @@
 			scheduler.advanceSchedules(owner, clock.epochNow());
 			shares?.prepare();
 			const commands = scheduler.planCommands(owner, now, clock.epochNow());
-			evacuations?.logEnded();
+			evacuations?.logCurrent();
 			log.logSpeedEvents(scheduler.takeSpeedEvents(owner.speeds));
 			for (const command of commands) {
 				if (command.kind === 'advise') {
--- a/packages/daemon/src/jobs/owner/stale-evacuation.test.ts
+++ b/packages/daemon/src/jobs/owner/stale-evacuation.test.ts
@@ -32,7 +32,7 @@
 };
 
 const evacuate = async (owned: OwnedServices, id = 'x') =>
-	owned.get(shard)!.evacuate(id, 0, order);
+	owned.get(shard)!.evacuate(id, {patienceMs: 0, order});
 
 /** A platform whose store calls `before` ahead of each transaction. */
 const interceptTransactions = (
--- a/packages/daemon/src/jobs/owner/standing-report.test.ts
+++ b/packages/daemon/src/jobs/owner/standing-report.test.ts
@@ -141,6 +141,32 @@
 	t.match(text, /gullstand_executor_list_age_ms\{label="s"\} 300/v);
 });
 
+tap.t.test(
+	'who holds the executors of jobs that stand is logged',
+	async (t) => {
+		const world = createWorld();
+		scheduler.recordListedExecutor(world.owner, {
+			id: 'y',
+			service: 's',
+			address: 'address of y',
+			availabilityZone: 'a',
+			capacity: {cpuMillis: 1, memoryMb: 1, accelerators: 0},
+			labels: [],
+			isDraining: false,
+			remainingMs: undefined,
+		});
+		const request = {patienceMs: 0, claimant: 'wave 1'};
+		scheduler.requestEvacuation(world.owner, 'y', request, 0);
+		world.advanceTo(2 * logAfterMs);
+		const hold = {executor: 'y', claimant: 'wave 1', waitsFor: 'answer'};
+		t.match(world.lines[0], ['jobs stand', {held: [hold]}]);
+		t.match(
+			world.metrics.formatText(),
+			/gullstand_held_executors\{label="s"\} 1/v,
+		);
+	},
+);
+
 tap.t.test('the end of a reason is logged, and the next reason', async (t) => {
 	const world = createWorld();
 	world.advanceTo(2 * logAfterMs);
--- a/packages/daemon/src/jobs/owner/standing-report.ts
+++ b/packages/daemon/src/jobs/owner/standing-report.ts
@@ -55,6 +55,7 @@
 	let ends: scheduler.UnacknowledgedEnds | undefined;
 	let executors: readonly scheduler.ExecutorReport[] | undefined;
 	let statusCounts: scheduler.StatusCounts = {};
+	let holds: readonly scheduler.ExecutorHold[] | undefined;
 	let unstoredSince: number | undefined;
 	let inspectedAt = Number.NEGATIVE_INFINITY;
 
@@ -92,6 +93,12 @@
 		);
 	}
 
+	metrics.registerGauge('held_executors', service, () => holds?.length);
+	metrics.registerGauge(
+		'longest_hold_ms',
+		service,
+		() => holds && (holds[0]?.heldMs ?? 0),
+	);
 	metrics.registerGauge('executor_list_age_ms', service, () =>
 		executors ? deps.getListAgeMs() : undefined,
 	);
@@ -125,6 +132,7 @@
 			oldestChangeMs: getAgeMs(unstoredSince, at),
 			executorsWithFullList: ends?.fullExecutors,
 			executors: statusCounts,
+			held: holds && holds.length > 0 ? holds.slice(0, maxNamed) : undefined,
 			listedExecutors: deps.listIds().length,
 			executorListAgeMs: deps.getListAgeMs(),
 			unusable:
@@ -166,6 +174,7 @@
 			unstoredSince = scheduler.getOldestUnstored(owner);
 			executors = scheduler.describeExecutors(owner, deps.listIds(), at);
 			statusCounts = scheduler.countStatuses(executors);
+			holds = scheduler.listHolds(owner, at);
 			for (const group of groups) {
 				logGroup(owner, group, at);
 			}
@@ -176,6 +185,7 @@
 			standing = undefined;
 			ends = undefined;
 			executors = undefined;
+			holds = undefined;
 		},
 	};
 };
--- a/packages/daemon/src/jobs/peer-handlers.ts
+++ b/packages/daemon/src/jobs/peer-handlers.ts
@@ -115,8 +115,8 @@
 	channel.addMethod(
 		'evacuate',
 		jobPeerSchemas.evacuate,
-		async ({shard, executorId, patienceMs, order}) => ({
-			state: await owned.get(shard)?.evacuate(executorId, patienceMs, order),
+		async ({shard, executorId, ...request}) => ({
+			state: await owned.get(shard)?.evacuate(executorId, request),
 		}),
 	);
 	channel.addMethod(
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -81,10 +81,7 @@
 		readonly params: {
 			readonly shard: string;
 			readonly executorId: string;
-			readonly patienceMs: number;
-			/** Absent from holders of older releases. */
-			readonly order?: scheduler.RequestOrder | undefined;
-		};
+		} & scheduler.EvacuationRequest;
 		readonly result: {readonly state?: scheduler.EvacuationState | undefined};
 	};
 	/** Lets the owner use an executor again that will not be commanded. */
@@ -161,6 +158,7 @@
 		shard,
 		executorId: z.string(),
 		patienceMs: z.number().min(0),
+		claimant: z.string().optional(),
 		order: order.optional(),
 	}),
 	releaseEvacuation: z.object({shard, executorId: z.string(), order}),
