fix: executors that are evacuated together wait for each other

Callers saw accepted jobs with nothing running for seconds, beside executors that were all being evacuated for waves and moves.

Cause: a long-running task was stopped for an evacuation only if an executor that is not being evacuated had room. With all executors of a service asked for, none may stop, none becomes clear, the requests go on, and nothing else starts on any of them. Nothing in the owner ended that: a request holds its executor at once, whatever is left to the service.

Now the owner decides whose turn it is. An executor leaves only if those that stay could run each open step, also a gang; the last one leaves only for an urgent request or an idle service, and not while another is on its way back. Before its turn it takes all work, after others; while its long-running tasks leave it, it takes short tasks; nothing starts there once they all may leave. A task that fits nowhere else is stopped within the budget, if all of its step on that executor may leave at once. A turn that gets no further for 6 s is given to others. A command without an answer keeps its executor empty as before, and so does a promise of 'clear'.

--- a/packages/core/src/scheduler/admission/queue-outlook.ts
+++ b/packages/core/src/scheduler/admission/queue-outlook.ts
@@ -4,7 +4,7 @@
  * decision on a job needs nothing else of the owner.
  */
 import {isCrashSuspect} from '../polls/crash-evidence.js';
-import {listUsable, maySpreadTo} from '../placement/place-task.js';
+import {listUsable, mayTakeTaskOf} from '../placement/place-task.js';
 import {needsAdvice} from '../placement/placement-advice.js';
 import {
 	getObjectiveMs,
@@ -239,7 +239,7 @@
 const waitsForRoom = (usable: readonly Executor[], step: Step): boolean => {
 	let isHeldBySome = false;
 	for (const each of usable) {
-		if (couldHold(each, step) && maySpreadTo(step, each)) {
+		if (couldHold(each, step) && mayTakeTaskOf(step, each)) {
 			if (hasRoom(each, step)) {
 				return false;
 			}
--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -41,6 +41,7 @@
 export * from './ranking/rank.js';
 export * from './placement/place-task.js';
 export * from './plan/evacuation.js';
+export * from './plan/long-running-stops.js';
 export * from './reports/explain.js';
 export * from './reports/executor-holds.js';
 export * from './reports/executor-report.js';
--- a/packages/core/src/scheduler/placement/place-task.ts
+++ b/packages/core/src/scheduler/placement/place-task.ts
@@ -1,5 +1,6 @@
 /** Selects the executor for a task, or the runs to preempt for it. */
 import {
+	acceptsDuration,
 	couldHold,
 	getDemand,
 	getFree,
@@ -16,7 +17,8 @@
 export const placementRefusals = {
 	noExecutor: 'no executor of the service may take work now',
 	tooLarge: 'no executor is large enough or has the label',
-	spread: 'all executors that fit hold their share of the step already',
+	spread:
+		'all executors that fit hold their share of the step already or are being evacuated',
 	noRoom: 'all executors that fit are full',
 } as const;
 
@@ -37,12 +39,16 @@
 	return count;
 };
 
-/** Whether `maxPerExecutor` of a step allows another task on an executor. */
-export const maySpreadTo = (step: Step, executor: Executor): boolean => {
+/**
+ * Whether an executor may take another task of a step: by `maxPerExecutor`, and
+ * unless it is about to leave and the task would outlast that.
+ */
+export const mayTakeTaskOf = (step: Step, executor: Executor): boolean => {
 	const {maxPerExecutor} = step.spec;
 	return (
-		maxPerExecutor === undefined ||
-		countOnExecutor(step, executor) < maxPerExecutor
+		acceptsDuration(executor, step) &&
+		(maxPerExecutor === undefined ||
+			countOnExecutor(step, executor) < maxPerExecutor)
 	);
 };
 
@@ -56,6 +62,8 @@
 	slow: -8,
 	/** It is slow and to be tested. */
 	slowTest: 8,
+	/** Its evacuation is requested. */
+	isToLeave: -16,
 } as const;
 
 /**
@@ -79,6 +87,7 @@
 		getRack(executor) === spec.preferredRack;
 	return (
 		getSpeedScore(executor, task) +
+		(executor.evacuation ? weights.isToLeave : 0) +
 		(task.failedOn === executor.id ? 0 : weights.notWhereItFailed) +
 		(isOnPreferredRack ? weights.preferredRack : 0)
 	);
@@ -145,7 +154,7 @@
 ): readonly Executor[] =>
 	executors.filter(
 		(each) =>
-			couldHold(each, step) && maySpreadTo(step, each) && hasRoom(each, step),
+			couldHold(each, step) && mayTakeTaskOf(step, each) && hasRoom(each, step),
 	);
 
 /** Selects one of the given executors for a task. */
@@ -164,7 +173,7 @@
 		return {kind: 'refused', reason: 'tooLarge'};
 	}
 
-	const allowed = capable.filter((each) => maySpreadTo(step, each));
+	const allowed = capable.filter((each) => mayTakeTaskOf(step, each));
 	if (allowed.length === 0) {
 		return {kind: 'refused', reason: 'spread'};
 	}
@@ -254,7 +263,7 @@
 ): Eviction | undefined => {
 	let best: Eviction | undefined;
 	for (const executor of executors) {
-		if (!couldHold(executor, step) || !maySpreadTo(step, executor)) {
+		if (!couldHold(executor, step) || !mayTakeTaskOf(step, executor)) {
 			continue;
 		}
 
--- /dev/null
+++ b/packages/core/src/scheduler/plan/evacuation-turns.ts
@@ -0,0 +1,244 @@
+/**
+ * Turns of the executors whose evacuation is requested. An executor has its turn
+ * only if those that stay can run what the service has to run, so that the
+ * others serve until one has left and another came in its place. Whoever asks,
+ * a wave, a move or several of them, the owner of the service decides.
+ */
+import {
+	couldHold,
+	evacuationPhases,
+	evacuationUrgencies,
+	getDemand,
+	getRack,
+	isUsableUnlessEvacuated,
+	type Evacuation,
+	type Executor,
+} from '../state/executor.js';
+import type {Owner} from '../state/owner-state.js';
+import {isStepReady, type Step} from '../state/task.js';
+import {areLongRunningStoppable} from './long-running-stops.js';
+
+/** An executor whose evacuation is requested. */
+type Leaver = {readonly executor: Executor; readonly evacuation: Evacuation};
+
+const urgencyRanks = {
+	[evacuationUrgencies.commanded]: 0,
+	[evacuationUrgencies.urgent]: 1,
+	[evacuationUrgencies.normal]: 2,
+} as const;
+
+const isCommanded = ({urgency}: Evacuation): boolean =>
+	urgency === evacuationUrgencies.commanded;
+
+/** Those that have their turn come first, then the most urgent and oldest. */
+const compareLeavers = (
+	{evacuation: one, executor: {id: oneId}}: Leaver,
+	{evacuation: two, executor: {id: twoId}}: Leaver,
+): number =>
+	Number(isCommanded(two)) - Number(isCommanded(one)) ||
+	Number(one.turnSince === undefined) - Number(two.turnSince === undefined) ||
+	(one.turnSince ?? 0) - (two.turnSince ?? 0) ||
+	urgencyRanks[one.urgency] - urgencyRanks[two.urgency] ||
+	one.since - two.since ||
+	Number(oneId > twoId) - Number(oneId < twoId);
+
+const listLeavers = (owner: Owner): readonly Leaver[] => {
+	const leavers: Leaver[] = [];
+	for (const executor of owner.executors.values()) {
+		if (executor.evacuation) {
+			leavers.push({executor, evacuation: executor.evacuation});
+		}
+	}
+
+	return leavers.toSorted((one, two) => compareLeavers(one, two));
+};
+
+/** Identifies steps that the same executors could run. */
+const getPlaceKey = (step: Step): string | Step => {
+	const {resources, requiredLabel, isGang} = step.spec;
+	const {cpuMillis, memoryMb, accelerators} = resources;
+	return isGang
+		? step
+		: `${cpuMillis} ${memoryMb} ${accelerators} ${requiredLabel}`;
+};
+
+/** Lists steps that are ready and not done, one for each kind of place. */
+const listOpenSteps = (owner: Owner): readonly Step[] => {
+	const steps = new Map<string | Step, Step>();
+	for (const {occurrences} of owner.openJobs) {
+		for (const {steps: all} of occurrences.values()) {
+			for (const step of all) {
+				if (step.doneCount < step.spec.count && isStepReady(step)) {
+					steps.set(getPlaceKey(step), step);
+				}
+			}
+		}
+	}
+
+	return [...steps.values()];
+};
+
+/** How many tasks of a step an empty executor holds at once. */
+const countPlaces = (executor: Executor, step: Step): number => {
+	if (!couldHold(executor, step)) {
+		return 0;
+	}
+
+	const {cpuMillis, memoryMb, accelerators} = executor.listed.capacity;
+	const demand = getDemand(step);
+	const fit = (free: number, needed: number) =>
+		needed > 0 ? Math.floor(free / needed) : Number.POSITIVE_INFINITY;
+	return Math.min(
+		step.spec.maxPerExecutor ?? Number.POSITIVE_INFINITY,
+		fit(cpuMillis, demand.cpuMillis),
+		fit(memoryMb, demand.memoryMb),
+		fit(accelerators, demand.accelerators),
+	);
+};
+
+const couldHoldGang = (
+	executors: ReadonlySet<Executor>,
+	step: Step,
+): boolean => {
+	const placesByRack = new Map<string | undefined, number>();
+	for (const executor of executors) {
+		const rack = step.spec.needsSameRack ? getRack(executor) : undefined;
+		const places = placesByRack.get(rack) ?? 0;
+		placesByRack.set(rack, places + countPlaces(executor, step));
+	}
+
+	return [...placesByRack.values()].some((places) => places >= step.spec.count);
+};
+
+/** Whether executors could run a step if they were empty. */
+const couldRun = (executors: ReadonlySet<Executor>, step: Step): boolean =>
+	step.spec.isGang
+		? couldHoldGang(executors, step)
+		: [...executors].some((each) => couldHold(each, step));
+
+/** What is left to a service as executors get their turns. */
+type Draft = {
+	readonly owner: Owner;
+	/** Executors that may be given work and have no turn. */
+	readonly staying: Set<Executor>;
+	readonly openSteps: readonly Step[];
+	/** Whether an executor is leaving, so that another may come in its place. */
+	isOneLeaving: boolean;
+};
+
+/**
+ * Whether a service can do without an executor. The last one that could run
+ * something leaves only if no other is on its way back, and only for an urgent
+ * request while there is work.
+ */
+const canSpare = (
+	{staying, openSteps, isOneLeaving}: Draft,
+	{executor, evacuation}: Leaver,
+): boolean => {
+	const others = new Set([...staying].filter((each) => each !== executor));
+	const needed = openSteps.some(
+		(step) => couldRun(staying, step) && !couldRun(others, step),
+	);
+	if (others.size > 0 && !needed) {
+		return true;
+	}
+
+	const isIdle = openSteps.length === 0;
+	return (
+		!isOneLeaving &&
+		(isIdle || evacuation.urgency === evacuationUrgencies.urgent)
+	);
+};
+
+/** What has to leave an executor until it is empty. */
+const countLeft = ({runs}: Executor): number => {
+	let longRunning = 0;
+	for (const {task} of runs.values()) {
+		longRunning += task.step.spec.isLongRunning ? 1 : 0;
+	}
+
+	return longRunning + Number(runs.size > 0);
+};
+
+const wait = (evacuation: Evacuation): void => {
+	evacuation.phase = evacuationPhases.waiting;
+	evacuation.turnSince = undefined;
+	evacuation.heldSince = undefined;
+};
+
+const beginTurn = (
+	owner: Owner,
+	{executor, evacuation}: Leaver,
+	now: number,
+): void => {
+	const left = countLeft(executor);
+	if (evacuation.turnSince === undefined || left < evacuation.left) {
+		evacuation.progressAt = now;
+	}
+
+	evacuation.turnSince ??= now;
+	evacuation.left = left;
+	if (
+		isCommanded(evacuation) ||
+		areLongRunningStoppable(owner, executor, now)
+	) {
+		evacuation.phase = evacuationPhases.held;
+		evacuation.heldSince ??= now;
+	} else {
+		evacuation.phase = evacuationPhases.leaving;
+		evacuation.heldSince = undefined;
+	}
+};
+
+/** Ends a turn that does not get further. */
+const restIfStuck = (
+	owner: Owner,
+	evacuation: Evacuation,
+	now: number,
+): void => {
+	const {turnSince, progressAt} = evacuation;
+	const {evacuationTurnMs, evacuationRestMs} = owner.cfg;
+	if (turnSince !== undefined && now - progressAt > evacuationTurnMs) {
+		wait(evacuation);
+		evacuation.restsUntil = now + evacuationRestMs;
+	}
+};
+
+/** Decides which requested evacuations have their turn now. */
+export const updateEvacuationTurns = (owner: Owner, now: number): void => {
+	const leavers = listLeavers(owner);
+	if (leavers.length === 0) {
+		return;
+	}
+
+	const executors = [...owner.executors.values()];
+	const draft: Draft = {
+		owner,
+		staying: new Set(
+			executors.filter((each) => isUsableUnlessEvacuated(each, now)),
+		),
+		openSteps: listOpenSteps(owner),
+		isOneLeaving: executors.some(
+			({reservedUntil}) => reservedUntil !== undefined && reservedUntil > now,
+		),
+	};
+	for (const leaver of leavers) {
+		const {executor, evacuation} = leaver;
+		if (!isCommanded(evacuation)) {
+			restIfStuck(owner, evacuation, now);
+			if (evacuation.restsUntil > now) {
+				continue;
+			}
+		}
+
+		const isServing = draft.staying.has(executor);
+		if (isServing && !isCommanded(evacuation) && !canSpare(draft, leaver)) {
+			wait(evacuation);
+			continue;
+		}
+
+		draft.staying.delete(executor);
+		draft.isOneLeaving ||= isServing;
+		beginTurn(owner, leaver, now);
+	}
+};
--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -1,47 +1,24 @@
 /**
- * Evacuation of an executor before its machine is moved or maintained. Short
- * runs may finish, long ones that can checkpoint are stopped, and long-running
- * tasks are stopped only within the disruption budget of their step and if
- * another executor has room.
+ * Evacuation of an executor before its machine is moved or maintained. It has to
+ * wait for its turn; then long-running tasks leave, and once they all may, short
+ * runs may finish and long ones that can checkpoint are stopped.
  */
-import type {Evacuation, Executor, RequestOrder} from '../state/executor.js';
+import {
+	evacuationPhases,
+	evacuationUrgencies,
+	type Evacuation,
+	type EvacuationUrgency,
+	type Executor,
+	type RequestOrder,
+} from '../state/executor.js';
 import {expireReservations, releaseReservation} from '../state/reservations.js';
 import {getSpeedFactor} from '../executor-speed/speed-state.js';
 import type {Owner} from '../state/owner-state.js';
-import {listUsable, placeTask} from '../placement/place-task.js';
 import {predictStepTime} from '../run-times/model.js';
 import {estimateRunTimeLeft} from '../run-times/remaining.js';
-import type {Run, Step, Task} from '../state/task.js';
-
-/** Progress at which a long-running task has started up. */
-const readyPercent = 100;
-
-/** An unresponsive executor may be lost, and its runs with it. */
-const isResponsive = ({executors}: Owner, {executorId}: Run): boolean => {
-	const executor = executors.get(executorId);
-	return executor !== undefined && executor.unresponsiveSince === undefined;
-};
-
-const isReady = (owner: Owner, {runs}: Task): boolean =>
-	runs.some(
-		(run) =>
-			run.state === 'running' &&
-			run.percent >= readyPercent &&
-			run.mayStopUntil === undefined &&
-			isResponsive(owner, run),
-	);
-
-/** Counts the tasks of a step that are not ready, apart from `task`. */
-const countOthersNotReady = (owner: Owner, step: Step, task: Task): number =>
-	step.tasks.filter((each) => each !== task && !isReady(owner, each)).length;
-
-/**
- * Whether a long-running task may be stopped within the disruption budget of
- * its step, which defaults to one task. This holds also for a task that was
- * starting up when last polled, since it may be ready by now.
- */
-export const mayStopLongRunning = (owner: Owner, task: Task): boolean =>
-	countOthersNotReady(owner, task.step, task) < (task.step.spec.mayMiss ?? 1);
+import type {Run} from '../state/task.js';
+import {updateEvacuationTurns} from './evacuation-turns.js';
+import {mayStopToLeave} from './long-running-stops.js';
 
 /** Whether something runs on an executor, as its owner knows it. */
 export type Occupancy =
@@ -58,6 +35,11 @@
 	 */
 	| {readonly kind: 'clear'; readonly remainingMs: number}
 	| Exclude<Occupancy, {readonly kind: 'empty'}>
+	/**
+	 * It serves on, since the service can't do without it now. Owners of older
+	 * releases never answer so.
+	 */
+	| {readonly kind: 'deferred'}
 	/** The ownership of the service is not confirmed. */
 	| {readonly kind: 'not-owner'};
 
@@ -113,10 +95,21 @@
 	 * releases.
 	 */
 	readonly claimant?: string | undefined;
+	/** Absent from holders of older releases: `normal`. */
+	readonly urgency?: EvacuationUrgency | undefined;
 	/** Absent from holders of older releases. */
 	readonly order?: RequestOrder | undefined;
 };
 
+/** Whether an evacuation waits for its turn; a promise that was made holds. */
+export const isDeferred = (owner: Owner, executorId: string): boolean =>
+	owner.executors.get(executorId)?.evacuation?.phase ===
+	evacuationPhases.waiting;
+
+/** What an owner knows at once of an executor that it is to evacuate. */
+export type EvacuationRequestOutcome =
+	Occupancy | Extract<EvacuationState, {readonly kind: 'deferred'}>;
+
 /**
  * Requests the evacuation of an executor, or renews the request. An empty
  * executor is not clear before its reservation is stored.
@@ -124,21 +117,33 @@
 export const requestEvacuation = (
 	owner: Owner,
 	executorId: string,
-	{patienceMs, claimant}: EvacuationRequest,
+	{patienceMs, claimant, urgency}: EvacuationRequest,
 	now: number,
-): Occupancy => {
+): EvacuationRequestOutcome => {
 	const executor = owner.executors.get(executorId);
 	if (!executor) {
 		return {kind: 'unknown-executor'};
 	}
 
+	const {evacuation} = executor;
 	executor.evacuation = {
+		since: now,
+		phase: evacuationPhases.waiting,
+		turnSince: undefined,
+		heldSince: undefined,
+		progressAt: now,
+		left: 0,
+		restsUntil: now,
+		...evacuation,
 		claimant,
-		since: executor.evacuation?.since ?? now,
+		urgency: urgency ?? evacuationUrgencies.normal,
 		validUntil: now + owner.cfg.evacuationTtlMs,
-		stopFrom: executor.evacuation?.stopFrom ?? now + patienceMs,
+		patienceMs: Math.min(evacuation?.patienceMs ?? patienceMs, patienceMs),
 	};
-	return getOccupancy(owner, executorId);
+	updateEvacuationTurns(owner, now);
+	return isDeferred(owner, executorId)
+		? {kind: 'deferred'}
+		: getOccupancy(owner, executorId);
 };
 
 /**
@@ -190,36 +195,36 @@
 const shouldStopBatch = (
 	owner: Owner,
 	run: Run,
-	stopFrom: number,
+	{heldSince, patienceMs}: Evacuation,
 	now: number,
 ): boolean => {
 	const {spec} = run.task.step;
 	const isLong =
 		getRemainingMs(owner, run, now) > owner.cfg.evacuationPatienceMs;
-	return stopFrom <= now || (spec.canCheckpoint && isLong);
+	const isPatienceOver =
+		heldSince !== undefined && now - heldSince >= patienceMs;
+	return isPatienceOver || (spec.canCheckpoint && isLong);
 };
 
-/** Whether an executor that may be given work has room for a task. */
-export const hasRoomElsewhere = (
-	owner: Owner,
-	task: Task,
-	now: number,
-): boolean => placeTask(listUsable(owner, now), task).kind === 'placed';
-
 const mayStop = (
 	owner: Owner,
+	executor: Executor,
 	run: Run,
-	evacuation: Evacuation,
 	now: number,
 ): boolean => {
-	const {task, state} = run;
-	if (state !== 'running') {
+	const {evacuation} = executor;
+	if (
+		run.state !== 'running' ||
+		!evacuation ||
+		evacuation.phase === evacuationPhases.waiting
+	) {
 		return false;
 	}
 
-	return task.step.spec.isLongRunning
-		? mayStopLongRunning(owner, task) && hasRoomElsewhere(owner, task, now)
-		: shouldStopBatch(owner, run, evacuation.stopFrom, now);
+	return run.task.step.spec.isLongRunning
+		? mayStopToLeave(owner, executor, run.task, now)
+		: evacuation.phase === evacuationPhases.held &&
+				shouldStopBatch(owner, run, evacuation, now);
 };
 
 /**
@@ -233,7 +238,7 @@
 	now: number,
 ): Generator<Run> {
 	for (const run of executor.evacuation ? executor.runs.values() : []) {
-		if (executor.evacuation && mayStop(owner, run, executor.evacuation, now)) {
+		if (mayStop(owner, executor, run, now)) {
 			yield run;
 		}
 	}
--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -13,7 +13,7 @@
 } from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
-import {listFitting, maySpreadTo} from '../placement/place-task.js';
+import {listFitting, mayTakeTaskOf} from '../placement/place-task.js';
 import {nextRunNumber} from '../state/run-numbers.js';
 import {isStepReady, isWaiting, type Step, type Task} from '../state/task.js';
 import {isGangReady, startGang} from './plan-gang.js';
@@ -72,7 +72,7 @@
 	reserve(
 		planning,
 		eligible
-			.filter((each) => couldHold(each, step) && maySpreadTo(step, each))
+			.filter((each) => couldHold(each, step) && mayTakeTaskOf(step, each))
 			.toSorted((one, two) => compareForIsolation(step, one, two))
 			.slice(0, count),
 	);
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -32,11 +32,9 @@
 	isKnownNotToFit,
 	recordRejectedDemand,
 } from './rejected-demands.js';
-import {
-	expireEvacuations,
-	listEvacuationStops,
-	mayStopLongRunning,
-} from './evacuation.js';
+import {expireEvacuations, listEvacuationStops} from './evacuation.js';
+import {updateEvacuationTurns} from './evacuation-turns.js';
+import {mayStopLongRunning} from './long-running-stops.js';
 
 const isHung = (owner: Owner, run: Run, now: number): boolean => {
 	const {hangFactor, hangMs, startupLimitMs} = owner.cfg;
@@ -209,6 +207,7 @@
 	epochNow: number,
 ): readonly Command[] => {
 	expireEvacuations(owner, now);
+	updateEvacuationTurns(owner, now);
 	forgetEndedGangs(owner);
 	const stops = planStops(owner, now);
 	const usable = listUsable(owner, now);
--- a/packages/core/src/scheduler/polls/crash-attribution.ts
+++ b/packages/core/src/scheduler/polls/crash-attribution.ts
@@ -19,7 +19,11 @@
  * A crash that comes later after the start is weaker evidence, as executors are
  * lost for other reasons too, and makes a suspect only if it is repeated.
  */
-import {describeIncarnation, type Executor} from '../state/executor.js';
+import {
+	describeIncarnation,
+	evacuationPhases,
+	type Executor,
+} from '../state/executor.js';
 import {isSameIncarnation} from '../state/incarnation.js';
 import type {EndedJob} from '../state/job-ends.js';
 import {markTaskDirty} from '../state/split-progress.js';
@@ -58,7 +62,9 @@
 	evacuation,
 	mayBeCommanded,
 }: Executor): boolean =>
-	listed.isDraining || evacuation !== undefined || mayBeCommanded;
+	listed.isDraining ||
+	evacuation?.phase === evacuationPhases.held ||
+	mayBeCommanded;
 
 /**
  * Remembers the loss of an executor, and whether something had started there
--- a/packages/core/src/scheduler/reports/executor-holds.ts
+++ b/packages/core/src/scheduler/reports/executor-holds.ts
@@ -1,14 +1,23 @@
 /**
- * Executors that are kept free for commands of the fleet's holder, with what
+ * Executors that are to be free for commands of the fleet's holder, with what
  * each waits for. For the log and the metrics of their owner.
  */
-import {hasRoomElsewhere, mayStopLongRunning} from '../plan/evacuation.js';
-import type {Executor} from '../state/executor.js';
+import {
+	hasRoomElsewhere,
+	mayStopLongRunning,
+} from '../plan/long-running-stops.js';
+import {
+	evacuationPhases,
+	type EvacuationPhase,
+	type Executor,
+} from '../state/executor.js';
 import type {Owner} from '../state/owner-state.js';
 import type {Run} from '../state/task.js';
 
 /** What an executor that is being evacuated waits for. */
 export const holdWaits = {
+	/** The service can't do without it now. */
+	turn: 'turn',
 	/** It does not answer. */
 	answer: 'answer',
 	/** Runs of unknown jobs. */
@@ -37,6 +46,8 @@
 	readonly claimant: string | undefined;
 	/** Since the first request, in milliseconds; absent if no longer asked. */
 	readonly heldMs: number | undefined;
+	/** Which work it takes meanwhile; absent if no longer asked. */
+	readonly phase: EvacuationPhase | undefined;
 	readonly waitsFor: HoldWait;
 	readonly runs: number;
 };
@@ -64,9 +75,13 @@
 
 const findWait = (
 	owner: Owner,
-	{runs, orphanedRunCount, unresponsiveSince, isAdopted}: Executor,
+	{runs, orphanedRunCount, unresponsiveSince, isAdopted, evacuation}: Executor,
 	now: number,
 ): HoldWait => {
+	if (evacuation?.phase === evacuationPhases.waiting) {
+		return holdWaits.turn;
+	}
+
 	if (unresponsiveSince !== undefined || !isAdopted) {
 		return holdWaits.answer;
 	}
@@ -105,6 +120,7 @@
 			executor: id,
 			claimant: evacuation?.claimant,
 			heldMs: evacuation && Math.round(now - evacuation.since),
+			phase: evacuation?.phase,
 			waitsFor: isReserved ? holdWaits.command : findWait(owner, executor, now),
 			runs: runs.size,
 		});
--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -43,6 +43,18 @@
 	readonly keepEndedMs: number;
 	/** An evacuation expires unless it is requested again within this time. */
 	readonly evacuationTtlMs: number;
+	/**
+	 * How long an evacuation may have its turn without getting further, such as
+	 * a command that is not sent, ...
+	 */
+	readonly evacuationTurnMs: number;
+	/** ... and how long the executor serves before it has another turn. */
+	readonly evacuationRestMs: number;
+	/**
+	 * How long a long-running task that fits nowhere else keeps its executor from
+	 * leaving, beyond the patience of the request.
+	 */
+	readonly roomWaitMs: number;
 	/** How long nothing starts on an executor that was said to be clear. */
 	readonly reservationMs: number;
 	/** During an evacuation, runs with at most this much left may finish. */
@@ -78,6 +90,9 @@
 	maxQuarantinedShare: 0.34,
 	keepEndedMs: 120_000,
 	evacuationTtlMs: 1500,
+	evacuationTurnMs: 6000,
+	evacuationRestMs: 3000,
+	roomWaitMs: 2500,
 	reservationMs: 5000,
 	evacuationPatienceMs: 1500,
 	absenceMs: 30_000,
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -24,16 +24,55 @@
 	readonly seenAt?: number | undefined;
 };
 
-/** An evacuation in progress. */
+/** Which work an executor still takes once its evacuation is requested. */
+export const evacuationPhases = {
+	/** All work: others go first. */
+	waiting: 'waiting',
+	/** Short tasks only, while long-running ones move elsewhere. */
+	leaving: 'leaving',
+	/** None. */
+	held: 'held',
+} as const;
+
+/** One of `evacuationPhases`. */
+export type EvacuationPhase =
+	(typeof evacuationPhases)[keyof typeof evacuationPhases];
+
+/** How much an evacuation is worth to who asks for it. */
+export const evacuationUrgencies = {
+	normal: 'normal',
+	/** The claimant is late otherwise. */
+	urgent: 'urgent',
+	/** A command without an answer may yet end all tasks there. */
+	commanded: 'commanded',
+} as const;
+
+/** One of `evacuationUrgencies`. */
+export type EvacuationUrgency =
+	(typeof evacuationUrgencies)[keyof typeof evacuationUrgencies];
+
+/** A requested evacuation. */
 export type Evacuation = {
 	/** Who asks for it; absent for holders of older releases. */
 	readonly claimant: string | undefined;
 	/** When it was requested first. */
 	readonly since: number;
+	readonly urgency: EvacuationUrgency;
+	phase: EvacuationPhase;
+	/** When its turn began; absent while it waits. */
+	turnSince: number | undefined;
+	/** Since when nothing starts there; absent while it takes work. */
+	heldSince: number | undefined;
+	/** When its turn got further last: fewer long-running tasks, or none. */
+	progressAt: number;
+	/** What had to leave then: long-running tasks, and whatever else runs. */
+	left: number;
+	/** It gave way to others, and waits until then. */
+	restsUntil: number;
 	/** When it expires unless it is requested again. */
 	readonly validUntil: number;
-	/** From then on, runs are stopped instead of being waited for. */
-	readonly stopFrom: number;
+	/** How long runs may end by themselves in its turn, in milliseconds. */
+	readonly patienceMs: number;
 };
 
 /** Orders the requests of the holders of the fleet's shard. */
@@ -194,6 +233,20 @@
 	);
 };
 
+/**
+ * Longest task that an executor takes while long-running ones leave it, in
+ * milliseconds.
+ */
+const maxShortTaskMs = 1500;
+
+/** Whether a task may start that takes as long as those of a step. */
+export const acceptsDuration = (
+	{evacuation}: Executor,
+	{spec}: Step,
+): boolean =>
+	evacuation?.phase !== evacuationPhases.leaving ||
+	(!spec.isLongRunning && spec.estimateMs <= maxShortTaskMs);
+
 /** Whether a task of a step would fit if the executor were empty. */
 export const couldHold = ({listed}: Executor, {spec}: Step): boolean => {
 	const {capacity, labels} = listed;
@@ -241,8 +294,11 @@
 	| 'isolated'
 	| 'resting';
 
-/** Returns the first reason that applies, or `usable`. */
-export const getReadiness = (executor: Executor, now: number): Readiness => {
+/** Returns the first reason that applies, evacuations apart, or `usable`. */
+const getOtherReadiness = (
+	executor: Executor,
+	now: number,
+): Exclude<Readiness, 'evacuating'> => {
 	if (!executor.isListed) {
 		return 'unlisted';
 	}
@@ -279,10 +335,6 @@
 		return 'strays';
 	}
 
-	if (executor.evacuation !== undefined) {
-		return 'evacuating';
-	}
-
 	if (hasIsolatedRun(executor)) {
 		return 'isolated';
 	}
@@ -290,6 +342,23 @@
 	return executor.quarantinedUntil > now ? 'resting' : 'usable';
 };
 
+/** Whether an executor could be given new work if it were not evacuated. */
+export const isUsableUnlessEvacuated = (
+	executor: Executor,
+	now: number,
+): boolean => getOtherReadiness(executor, now) === 'usable';
+
+/** Returns the first reason that applies, or `usable`. */
+export const getReadiness = (executor: Executor, now: number): Readiness => {
+	const other = getOtherReadiness(executor, now);
+	const isOtherwiseInService =
+		other === 'usable' || other === 'isolated' || other === 'resting';
+	return isOtherwiseInService &&
+		executor.evacuation?.phase === evacuationPhases.held
+		? 'evacuating'
+		: other;
+};
+
 /** Whether an executor may be given new work. */
 export const isUsable = (executor: Executor, now: number): boolean =>
 	getReadiness(executor, now) === 'usable';
--- a/packages/core/src/scheduler/team-shares/reservation.ts
+++ b/packages/core/src/scheduler/team-shares/reservation.ts
@@ -4,7 +4,7 @@
  * long as they keep coming. An executor is therefore kept free of other starts
  * for it, for a bounded time and on a bounded part of the executors.
  */
-import {maySpreadTo} from '../placement/place-task.js';
+import {mayTakeTaskOf} from '../placement/place-task.js';
 import {createExactEstimate} from '../run-times/estimate.js';
 import {estimateRunTimeLeft} from '../run-times/remaining.js';
 import {
@@ -130,7 +130,7 @@
 	let best: Executor | undefined;
 	let bestMs = Number.POSITIVE_INFINITY;
 	for (const executor of executors) {
-		if (!couldHold(executor, step) || !maySpreadTo(step, executor)) {
+		if (!couldHold(executor, step) || !mayTakeTaskOf(step, executor)) {
 			continue;
 		}
 
--- a/packages/core/src/scheduler/team-shares/shortage.ts
+++ b/packages/core/src/scheduler/team-shares/shortage.ts
@@ -4,7 +4,7 @@
  * as the cap of its team or an executor that is large enough, does not count.
  */
 import {resourceNames} from '../../teams/resources.js';
-import {maySpreadTo} from '../placement/place-task.js';
+import {mayTakeTaskOf} from '../placement/place-task.js';
 import {mayTeamStart, type TeamUse} from '../ranking/team-use.js';
 import {
 	couldHold,
@@ -98,7 +98,7 @@
 		}
 
 		const allowed = usable.filter(
-			(each) => couldHold(each, step) && maySpreadTo(step, each),
+			(each) => couldHold(each, step) && mayTakeTaskOf(step, each),
 		);
 		latest = allowed.find((each) => hasRoom(each, step));
 		return latest !== undefined || allowed.length === 0;
--- a/packages/daemon/src/jobs/owner/evacuation-log.ts
+++ b/packages/daemon/src/jobs/owner/evacuation-log.ts
@@ -7,7 +7,7 @@
 	/** Logs the first request for an executor. */
 	readonly logRequest: (
 		executorId: string,
-		occupancy: scheduler.Occupancy,
+		outcome: scheduler.EvacuationRequestOutcome,
 		request: scheduler.EvacuationRequest,
 	) => void;
 	/**
@@ -81,8 +81,8 @@
 	};
 
 	return {
-		logRequest(executor, occupancy, {patienceMs, claimant}) {
-			if (occupancy.kind === 'unknown-executor' || evacuating.has(executor)) {
+		logRequest(executor, outcome, {patienceMs, claimant, urgency}) {
+			if (outcome.kind === 'unknown-executor' || evacuating.has(executor)) {
 				return;
 			}
 
@@ -94,11 +94,12 @@
 				untilMs: undefined,
 				dueAt: at + logAfterMs,
 			});
-			const runs = occupancy.kind === 'waiting' ? occupancy.runs : 0;
 			logger.info('evacuation requested', {
 				executor,
 				claimant,
-				runs,
+				urgency,
+				state: outcome.kind,
+				runs: outcome.kind === 'waiting' ? outcome.runs : 0,
 				patienceMs,
 			});
 		},
--- a/packages/daemon/src/jobs/owner/evacuations.ts
+++ b/packages/daemon/src/jobs/owner/evacuations.ts
@@ -91,6 +91,7 @@
 		if (
 			scheduler.isRenewalDue(owner.cfg, promisedMs) &&
 			(await hasAnswered(executorId)) &&
+			!scheduler.isDeferred(owner, executorId) &&
 			scheduler.reserveExecutor(owner, executorId, clock.now())
 		) {
 			await Promise.race([storeSoon(), delay(maxStoreWaitMs)]);
@@ -104,14 +105,16 @@
 		}
 
 		const occupancy = scheduler.getOccupancy(owner, executorId);
-		if (occupancy.kind !== 'empty') {
-			return occupancy;
+		const promisedMs = row.get(executorId)?.promisedMs ?? 0;
+		if (occupancy.kind === 'empty' && promisedMs > 0) {
+			return {kind: 'clear', remainingMs: promisedMs};
 		}
 
-		const promisedMs = row.get(executorId)?.promisedMs ?? 0;
-		return promisedMs > 0
-			? {kind: 'clear', remainingMs: promisedMs}
-			: {kind: 'waiting', runs: 0};
+		if (scheduler.isDeferred(owner, executorId)) {
+			return {kind: 'deferred'};
+		}
+
+		return occupancy.kind === 'empty' ? {kind: 'waiting', runs: 0} : occupancy;
 	};
 
 	return {
@@ -120,16 +123,16 @@
 				return {kind: 'not-owner'};
 			}
 
-			const occupancy = scheduler.requestEvacuation(
+			const outcome = scheduler.requestEvacuation(
 				owner,
 				executorId,
 				request,
 				clock.now(),
 			);
 			scheduler.recordRequestOrder(owner, executorId, request.order);
-			log.logRequest(executorId, occupancy, request);
+			log.logRequest(executorId, outcome, request);
 			onChange();
-			if (occupancy.kind === 'empty') {
+			if (outcome.kind === 'empty') {
 				await reserve(executorId);
 			}
 
