a machine that its pool needs again stays, if its move is not commanded

A machine that is emptied for a move takes no new work. Nothing looked at its pool again: if demand came back, other machines of the pool failed or went into a wave, it stayed out of use until it was empty, and then left, or for the 4 s after which a move is given up, while work waited in its pool; machines were fetched from elsewhere for it. Two pools whose demands changed places went on sending each other their machines.

Each plan now cancels moves that have not been commanded while a pool has less than its target of machines that serve and stay: the same count that lets a machine be planned at all (machines on their way do not count). Those that would leave last stay first. The owner is released at once. Commanded moves go on, as the platform may have carried them out.

Six cases in pool-plan.test.ts are new.

--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -44,18 +44,25 @@
 	...changes,
 });
 
+const leaveP = (ids: readonly string[], to: string): fleet.MovesUnderWay =>
+	new Map(ids.map((machine) => [machine, {machine, from: 'p', to}]));
+
 type Case = {
 	readonly name: string;
 	readonly changes?: Partial<fleet.PoolConfig>;
 	readonly demands: readonly fleet.PoolDemand[];
 	readonly machines: readonly fleet.PoolMachine[];
 	readonly underWay?: fleet.MovesUnderWay;
+	/** Moves under way that have been commanded; none by default. */
+	readonly commanded?: ReadonlySet<string>;
 	/** Duration of the surplus, in milliseconds. */
 	readonly surplusMs?: number;
 	readonly expected?: fleet.ExpectedDemand;
 	/** Moves that the platform has just rejected. */
 	readonly rejected?: ReadonlyArray<Pick<fleet.PoolMove, 'machine' | 'to'>>;
 	readonly moves: readonly string[];
+	/** Machines whose moves are cancelled; none by default. */
+	readonly cancelled?: readonly string[];
 };
 
 const cases: readonly Case[] = [
@@ -398,6 +405,79 @@
 		surplusMs: 1000,
 		moves: ['a to standby'],
 	},
+	{
+		name: 'a pool whose demand is back keeps the machines that would leave last',
+		demands: [createDemand('p', {waitingCpu: 2000})],
+		machines: [
+			createMachine('a', 'p', {runs: 1}),
+			createMachine('b', 'p', {runs: 3}),
+			createMachine('c', 'p', {runs: 2}),
+		],
+		underWay: leaveP(['a', 'b', 'c'], 'standby'),
+		moves: [],
+		cancelled: ['b', 'c'],
+	},
+	{
+		name: 'a commanded move is not cancelled',
+		demands: [createDemand('p', {waitingCpu: 2000})],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'p'),
+			createMachine('s', 'standby'),
+		],
+		underWay: leaveP(['a', 'b'], 'standby'),
+		commanded: new Set(['b']),
+		moves: ['s to p'],
+		cancelled: ['a'],
+	},
+	{
+		name: 'two pools do not exchange machines',
+		demands: [createDemand('p', {waitingCpu: 2000}), createDemand('r')],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'p'),
+			createMachine('c', 'r'),
+			createMachine('d', 'r'),
+		],
+		surplusMs: 500,
+		underWay: leaveP(['b'], 'r'),
+		moves: [],
+		cancelled: ['b'],
+	},
+	{
+		name: 'a machine that fails is replaced by one that is leaving',
+		demands: [createDemand('p')],
+		machines: [
+			createMachine('a', 'p', {isUp: false}),
+			createMachine('b', 'p', {runs: 1}),
+		],
+		underWay: leaveP(['b'], 'standby'),
+		moves: [],
+		cancelled: ['b'],
+	},
+	{
+		name: 'machines on their way do not stand in for one that is leaving',
+		demands: [createDemand('p')],
+		machines: [
+			createMachine('b', 'p', {runs: 1}),
+			createMachine('c', 'p', {isUp: false, isArriving: true}),
+		],
+		underWay: leaveP(['b'], 'standby'),
+		moves: [],
+		cancelled: ['b'],
+	},
+	{
+		name: 'a machine that is down or in a wave is not kept for its pool',
+		demands: [createDemand('p', {waitingCpu: 3000})],
+		machines: [
+			createMachine('a', 'p', {isUp: false}),
+			createMachine('b', 'p', {isReserved: true}),
+			createMachine('c', 'p'),
+		],
+		underWay: leaveP(['a', 'b', 'c'], 'standby'),
+		moves: [],
+		cancelled: ['c'],
+	},
 ];
 
 for (const each of cases) {
@@ -413,6 +493,9 @@
 			demands,
 			machines,
 			underWay: underWay ?? new Map(),
+			revocable: new Set(
+				[...(underWay?.keys() ?? [])].filter((id) => !each.commanded?.has(id)),
+			),
 			standbyPool: 'standby',
 			expected,
 			rejected,
@@ -431,6 +514,10 @@
 			plan.moves.map(({machine, to}) => `${machine} to ${to}`),
 			moves,
 		);
+		t.same(
+			plan.cancelled.map(({machine}) => machine),
+			each.cancelled ?? [],
+		);
 	});
 }
 
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -7,6 +7,7 @@
  * Source: docs/design/pools.md.
  */
 import type {ExpectedDemand} from './forecast/expected-demand.js';
+import {listMovesToCancel} from './needed-again.js';
 import {isMoveRejected, type RejectedMoves} from './rejected-moves.js';
 
 /** Settings of pool sizing. */
@@ -137,9 +138,11 @@
 /** Moves in progress, by machine. */
 export type MovesUnderWay = ReadonlyMap<string, PoolMove>;
 
-/** Moves to start and the state for the next plan. */
+/** Moves to start or to cancel, and the state for the next plan. */
 export type PoolPlan = {
 	readonly moves: readonly PoolMove[];
+	/** Moves whose machine its pool needs again. */
+	readonly cancelled: readonly PoolMove[];
 	readonly state: PoolPlanState;
 	/** Target number of machines by pool, for the log. */
 	readonly targets: ReadonlyMap<string, number>;
@@ -150,6 +153,8 @@
 	readonly demands: readonly PoolDemand[];
 	readonly machines: readonly PoolMachine[];
 	readonly underWay: MovesUnderWay;
+	/** Machines whose move may be cancelled, as it has not been commanded. */
+	readonly revocable?: ReadonlySet<string> | undefined;
 	readonly standbyPool: string;
 	/** Rises that are expected; without any, machines follow demand only. */
 	readonly expected?: ExpectedDemand | undefined;
@@ -442,16 +447,49 @@
 	expected.endedRises.has(pool) &&
 	[...expected.machines.keys()].some((each) => each !== pool);
 
+/**
+ * Lists the moves to cancel, as their pools would be left with less than their
+ * target.
+ */
+const listCancelled = (
+	input: PoolPlanInput,
+	targets: ReadonlyMap<string, number>,
+): readonly PoolMove[] =>
+	listMovesToCancel({
+		machines: input.machines,
+		underWay: input.underWay,
+		revocable: input.revocable ?? new Set(),
+		missing: new Map(
+			[...targets].map(([pool, target]) => [
+				pool,
+				target - countPresent(input, pool),
+			]),
+		),
+	});
+
+const withoutMoves = (
+	input: PoolPlanInput,
+	cancelled: readonly PoolMove[],
+): PoolPlanInput => {
+	const machines = new Set(cancelled.map(({machine}) => machine));
+	return {
+		...input,
+		underWay: new Map(
+			[...input.underWay].filter(([machine]) => !machines.has(machine)),
+		),
+	};
+};
+
 /** Plans moves for the current demand. */
 export const planPools = (
-	input: PoolPlanInput,
+	requested: PoolPlanInput,
 	state: PoolPlanState,
 	cfg: PoolConfig,
 	now: number,
 ): PoolPlan => {
-	const {demands, machines, underWay, standbyPool, expected} = input;
+	const {demands, machines, standbyPool, expected} = requested;
 	const machineCpu = getMachineCpu(machines);
-	const minPerPool = getMinMachines(input, cfg);
+	const minPerPool = getMinMachines(requested, cfg);
 	const ownTargets = new Map(
 		demands.map((demand) => [
 			demand.pool,
@@ -464,6 +502,8 @@
 			Math.max(target, expected?.machines.get(pool) ?? 0),
 		]),
 	);
+	const cancelled = listCancelled(requested, targets);
+	const input = withoutMoves(requested, cancelled);
 	const late = new Map(
 		demands.map((demand) => [
 			demand.pool,
@@ -510,7 +550,7 @@
 		now,
 		movableByPool,
 		moves: [],
-		movesLeft: Math.max(0, moveLimit - underWay.size),
+		movesLeft: Math.max(0, moveLimit - input.underWay.size),
 	};
 	coverExpected(draft, surplus, countFirstMoves(draft));
 	const deficits = [...ownTargets]
@@ -529,5 +569,5 @@
 		}
 	}
 
-	return {moves: draft.moves, state: nextState, targets};
+	return {moves: draft.moves, cancelled, state: nextState, targets};
 };
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -365,6 +365,11 @@
 				demands,
 				machines,
 				underWay: new Map([...inProgress].map(([id, {move}]) => [id, move])),
+				revocable: new Set(
+					[...inProgress].flatMap(([id, {phase}]) =>
+						phase === 'emptying' ? [id] : [],
+					),
+				),
 				standbyPool,
 				expected,
 				rejected,
@@ -375,6 +380,13 @@
 		);
 		planState = planned.state;
 		logPools(demands, planned.targets, expected, view);
+		for (const {machine} of planned.cancelled) {
+			const entry = inProgress.get(machine);
+			if (entry) {
+				abandon(entry, 'needed by its pool again');
+			}
+		}
+
 		for (const move of planned.moves) {
 			inProgress.set(move.machine, {
 				move,
