a machine that could not be emptied for a move serves before the next attempt

A move whose machine is not empty after 4 s is given up, and stops no run for it.

The mover remembers such machines for 5 s, in which no move of theirs is planned; another machine of the pool leaves instead if there is one.

Two cases in pool-plan.test.ts are new.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -1,4 +1,5 @@
 /** Decisions on machines: maintenance waves and moves between pools. */
+export * from './failed-evacuations.js';
 export * from './forecast/index.js';
 export * from './machine-maintenance.js';
 export * from './machine-wave.js';
--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -58,6 +58,8 @@
 	/** Duration of the surplus, in milliseconds. */
 	readonly surplusMs?: number;
 	readonly expected?: fleet.ExpectedDemand;
+	/** Machines whose evacuation has just failed. */
+	readonly failed?: readonly string[];
 	/** Moves that the platform has just rejected. */
 	readonly rejected?: ReadonlyArray<Pick<fleet.PoolMove, 'machine' | 'to'>>;
 	readonly moves: readonly string[];
@@ -378,6 +380,30 @@
 		surplusMs: 1000,
 		moves: ['b to standby'],
 	},
+	{
+		name: 'another machine leaves in place of one that was not emptied',
+		demands: [createDemand('p'), createDemand('r', {waitingCpu: 2000})],
+		machines: [
+			createMachine('a', 'p', {runs: 1}),
+			createMachine('b', 'p', {runs: 2}),
+			createMachine('c', 'p', {runs: 3}),
+			createMachine('d', 'r'),
+		],
+		failed: ['a'],
+		surplusMs: 500,
+		moves: ['b to r'],
+	},
+	{
+		name: 'a machine that was not emptied is tried again later',
+		demands: [createDemand('p')],
+		machines: [
+			createMachine('a', 'p', {runs: 1}),
+			createMachine('b', 'p', {runs: 2}),
+		],
+		failed: ['a'],
+		surplusMs: 5000,
+		moves: ['a to standby'],
+	},
 	{
 		name: 'machines that serve stay until those on their way have arrived',
 		changes: {minCpu: 2000},
@@ -489,6 +515,11 @@
 			rejected = fleet.recordRejectedMove(rejected, move, 0);
 		}
 
+		let failed: fleet.FailedEvacuations = new Map();
+		for (const machine of each.failed ?? []) {
+			failed = fleet.recordFailedEvacuation(failed, machine, 0);
+		}
+
 		const situation = {
 			demands,
 			machines,
@@ -499,6 +530,7 @@
 			standbyPool: 'standby',
 			expected,
 			rejected,
+			failed,
 		};
 		const first = fleet.planPools(
 			situation,
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -7,6 +7,10 @@
  * Source: docs/design/pools.md.
  */
 import type {ExpectedDemand} from './forecast/expected-demand.js';
+import {
+	isEvacuationPaused,
+	type FailedEvacuations,
+} from './failed-evacuations.js';
 import {listMovesToCancel} from './needed-again.js';
 import {isMoveRejected, type RejectedMoves} from './rejected-moves.js';
 
@@ -160,6 +164,8 @@
 	readonly expected?: ExpectedDemand | undefined;
 	/** Other machines are moved in place of those in rejected moves. */
 	readonly rejected?: RejectedMoves | undefined;
+	/** Machines that serve for now, after an evacuation that failed. */
+	readonly failed?: FailedEvacuations | undefined;
 };
 
 /** State before the first plan. */
@@ -272,8 +278,9 @@
  * with work leaves once that work has ended; one with long-running tasks stays.
  */
 const listMovable = (
-	{machines, underWay}: PoolPlanInput,
+	{machines, underWay, failed = new Map()}: PoolPlanInput,
 	pool: string,
+	now: number,
 ): readonly PoolMachine[] =>
 	machines
 		.filter(
@@ -282,6 +289,7 @@
 				each.isUp &&
 				!each.isReserved &&
 				!underWay.has(each.id) &&
+				!isEvacuationPaused(failed, each.id, now) &&
 				each.longRunning === 0,
 		)
 		.toSorted((one, two) => one.runs - two.runs);
@@ -530,7 +538,10 @@
 
 	const movableByPool = new Map<string, Movable>();
 	const addMovable = (pool: string, left: number) => {
-		movableByPool.set(pool, {machines: [...listMovable(input, pool)], left});
+		movableByPool.set(pool, {
+			machines: [...listMovable(input, pool, now)],
+			left,
+		});
 	};
 
 	addMovable(standbyPool, Number.POSITIVE_INFINITY);
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -59,6 +59,9 @@
 	clearance: Clearance | undefined;
 };
 
+/** Outcome of a move whose machine was not emptied in time. */
+const lateOutcome = 'not evacuated in time';
+
 /** How long an executor may take to register, in milliseconds. */
 const maxRegistrationMs = 5000;
 
@@ -80,6 +83,7 @@
 	/** Since when owners do not know executors of machines that are up, by id. */
 	let unknownSince: ReadonlyMap<string, number> = new Map();
 	let rejected: fleet.RejectedMoves = new Map();
+	let failed: fleet.FailedEvacuations = new Map();
 	let planState = fleet.emptyPoolPlanState;
 	let loggedAt = Number.NEGATIVE_INFINITY;
 
@@ -166,9 +170,7 @@
 
 		if (phase === 'emptying') {
 			const isInTime = ageMs <= fleetPeriods.moveEvacuationTimeoutMs;
-			return machine.state === 'up' && isInTime
-				? undefined
-				: 'not evacuated in time';
+			return machine.state === 'up' && isInTime ? undefined : lateOutcome;
 		}
 
 		if (machine.pool === move.to && machine.state === 'up') {
@@ -192,6 +194,14 @@
 		entry.machine = machine ?? entry.machine;
 		const outcome = findEnd(entry, machine);
 		if (outcome !== undefined) {
+			if (outcome === lateOutcome) {
+				failed = fleet.recordFailedEvacuation(
+					failed,
+					entry.move.machine,
+					clock.now(),
+				);
+			}
+
 			if (entry.phase === 'emptying') {
 				abandon(entry, outcome);
 			} else {
@@ -373,6 +383,7 @@
 				standbyPool,
 				expected,
 				rejected,
+				failed,
 			},
 			planState,
 			deps.cfg,
