--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -7,6 +7,11 @@
  * Source: docs/design/pools.md.
  */
 import type {ExpectedDemand} from './forecast/expected-demand.js';
+import {
+	isEvacuationPaused,
+	type FailedEvacuations,
+} from './failed-evacuations.js';
+import {listMovesToCancel} from './needed-again.js';
 import {isMoveRejected, type RejectedMoves} from './rejected-moves.js';
 
 /** Settings of pool sizing. */
@@ -137,9 +142,11 @@
 /** Moves in progress, by machine. */
 export type MovesUnderWay = ReadonlyMap<string, PoolMove>;
 
-/** Moves to start and the state for the next plan. */
+/** Moves to start or to cancel, and the state for the next plan. */
 export type PoolPlan = {
 	readonly moves: readonly PoolMove[];
+	/** Moves whose machine its pool needs again. */
+	readonly cancelled: readonly PoolMove[];
 	readonly state: PoolPlanState;
 	/** Target number of machines by pool, for the log. */
 	readonly targets: ReadonlyMap<string, number>;
@@ -150,11 +157,15 @@
 	readonly demands: readonly PoolDemand[];
 	readonly machines: readonly PoolMachine[];
 	readonly underWay: MovesUnderWay;
+	/** Machines whose move may be cancelled, as it has not been commanded. */
+	readonly revocable?: ReadonlySet<string> | undefined;
 	readonly standbyPool: string;
 	/** Rises that are expected; without any, machines follow demand only. */
 	readonly expected?: ExpectedDemand | undefined;
 	/** Other machines are moved in place of those in rejected moves. */
 	readonly rejected?: RejectedMoves | undefined;
+	/** Machines that serve for now, after an evacuation that failed. */
+	readonly failed?: FailedEvacuations | undefined;
 };
 
 /** State before the first plan. */
@@ -267,8 +278,9 @@
  * with work leaves once that work has ended; one with long-running tasks stays.
  */
 const listMovable = (
-	{machines, underWay}: PoolPlanInput,
+	{machines, underWay, failed = new Map()}: PoolPlanInput,
 	pool: string,
+	now: number,
 ): readonly PoolMachine[] =>
 	machines
 		.filter(
@@ -277,6 +289,7 @@
 				each.isUp &&
 				!each.isReserved &&
 				!underWay.has(each.id) &&
+				!isEvacuationPaused(failed, each.id, now) &&
 				each.longRunning === 0,
 		)
 		.toSorted((one, two) => one.runs - two.runs);
@@ -442,16 +455,49 @@
 	expected.endedRises.has(pool) &&
 	[...expected.machines.keys()].some((each) => each !== pool);
 
+/**
+ * Lists the moves to cancel, as their pools would be left with less than their
+ * target.
+ */
+const listCancelled = (
+	input: PoolPlanInput,
+	targets: ReadonlyMap<string, number>,
+): readonly PoolMove[] =>
+	listMovesToCancel({
+		machines: input.machines,
+		underWay: input.underWay,
+		revocable: input.revocable ?? new Set(),
+		missing: new Map(
+			[...targets].map(([pool, target]) => [
+				pool,
+				target - countPresent(input, pool),
+			]),
+		),
+	});
+
+const withoutMoves = (
+	input: PoolPlanInput,
+	cancelled: readonly PoolMove[],
+): PoolPlanInput => {
+	const machines = new Set(cancelled.map(({machine}) => machine));
+	return {
+		...input,
+		underWay: new Map(
+			[...input.underWay].filter(([machine]) => !machines.has(machine)),
+		),
+	};
+};
+
 /** Plans moves for the current demand. */
 export const planPools = (
-	input: PoolPlanInput,
+	requested: PoolPlanInput,
 	state: PoolPlanState,
 	cfg: PoolConfig,
 	now: number,
 ): PoolPlan => {
-	const {demands, machines, underWay, standbyPool, expected} = input;
+	const {demands, machines, standbyPool, expected} = requested;
 	const machineCpu = getMachineCpu(machines);
-	const minPerPool = getMinMachines(input, cfg);
+	const minPerPool = getMinMachines(requested, cfg);
 	const ownTargets = new Map(
 		demands.map((demand) => [
 			demand.pool,
@@ -464,6 +510,8 @@
 			Math.max(target, expected?.machines.get(pool) ?? 0),
 		]),
 	);
+	const cancelled = listCancelled(requested, targets);
+	const input = withoutMoves(requested, cancelled);
 	const late = new Map(
 		demands.map((demand) => [
 			demand.pool,
@@ -490,7 +538,10 @@
 
 	const movableByPool = new Map<string, Movable>();
 	const addMovable = (pool: string, left: number) => {
-		movableByPool.set(pool, {machines: [...listMovable(input, pool)], left});
+		movableByPool.set(pool, {
+			machines: [...listMovable(input, pool, now)],
+			left,
+		});
 	};
 
 	addMovable(standbyPool, Number.POSITIVE_INFINITY);
@@ -510,7 +561,7 @@
 		now,
 		movableByPool,
 		moves: [],
-		movesLeft: Math.max(0, moveLimit - underWay.size),
+		movesLeft: Math.max(0, moveLimit - input.underWay.size),
 	};
 	coverExpected(draft, surplus, countFirstMoves(draft));
 	const deficits = [...ownTargets]
@@ -529,5 +580,5 @@
 		}
 	}
 
-	return {moves: draft.moves, state: nextState, targets};
+	return {moves: draft.moves, cancelled, state: nextState, targets};
 };
