fix: waves and moves leave nothing to a service that has work

Callers saw jobs that stand while all machines of their service were away, or kept free for a command that did not come.

Cause: a wave took up to as many machines as may be away, whatever pool they are of and whatever another wave or a move takes; it asked for machines that it could not command (turnover time of the previous holder), kept asking for one whose long-running tasks could not leave, which counted against all others, and what it no longer wanted, or could not command as the machine API was away, stayed reserved for up to 5 s.

Now pools keep what their queues need, up to half of their machines and at least one, over all that take machines; a wave that is late otherwise keeps one, and counts its turns by pool. A machine that its service needs is asked for again 0.6 s later, and others meanwhile. What is not commanded is released, also when the list of machines fails twice in a row. A move whose machine is needed by its service ends at once.

whole-pool-waves.test.ts: with the bound of pools taken out 7 of 11 cases fail, with no machine left in six. Tests of what one round sends list one machine more in the pool, which no wave has; what they check is unchanged.

--- a/packages/core/src/fleet/index.ts
+++ b/packages/core/src/fleet/index.ts
@@ -5,4 +5,5 @@
 export * from './machine-wave.js';
 export * from './missing-machines.js';
 export * from './pool-plan.js';
+export * from './pool-spares.js';
 export * from './rejected-moves.js';
--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -13,6 +13,7 @@
 	type MachineMaintenance,
 	type WaveMachine,
 } from './machine-maintenance.js';
+import {getMaxTurn, type PoolSpare} from './pool-spares.js';
 
 /** A wave as an operator requested it. */
 export type MachineWaveRequest = {
@@ -175,8 +176,15 @@
 	readonly machines: ReadonlyMap<string, WaveMachine>;
 	/** Machines that are being evacuated for the wave. */
 	readonly evacuating: ReadonlySet<string>;
-	/** Whether another wave or a move has a machine. */
+	/** Whether another wave or a move has a machine, or it can't leave now. */
 	readonly isTaken?: (id: string) => boolean;
+	/**
+	 * Machines that each pool can spare beside those that are evacuated or away;
+	 * absent for no bound.
+	 */
+	readonly spares?: ReadonlyMap<string, PoolSpare>;
+	/** Whether a machine is emptied for a move, so that its pool has spared it. */
+	readonly isLeaving?: (id: string) => boolean;
 	readonly getLoad: (machine: WaveMachine) => MachineLoad | undefined;
 	/**
 	 * Time from the start of evacuation to the end of maintenance of one
@@ -229,11 +237,70 @@
 	return Math.min(2 * wave.request.maxAway, Math.ceil(workMs / remainingMs));
 };
 
+const countByPool = (
+	machines: Iterable<WaveMachine>,
+): ReadonlyMap<string, number> => {
+	const counts = new Map<string, number>();
+	for (const {pool} of machines) {
+		counts.set(pool, (counts.get(pool) ?? 0) + 1);
+	}
+
+	return counts;
+};
+
 /**
- * Decides the next step. Idle machines start at once. Of the busy ones, only as
- * many are evacuated as the deadline requires, since a machine that is being
- * evacuated accepts no tasks while queues wait: a wave of half the fleet held 51
- * of 246 machines empty for 8 s.
+ * Turns that the rest of a wave takes: as many machines at once as may be away,
+ * and of each pool as many as it can always spare.
+ */
+const countRounds = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+): number => {
+	const pending = listPending(wave, machines);
+	const totals = countByPool(machines.values());
+	const roundsOfPools = [...countByPool(pending)].map(([pool, count]) =>
+		Math.ceil(count / getMaxTurn(totals.get(pool) ?? 0)),
+	);
+	const rounds = Math.ceil(pending.length / Math.max(1, wave.request.maxAway));
+	return Math.max(rounds, ...roundsOfPools);
+};
+
+/** Whether too little time is left to wait for running tasks to end. */
+export const isShortOfTime = (
+	wave: MachineWave,
+	machines: ReadonlyMap<string, WaveMachine>,
+	turnaroundMs: number,
+	epochNow: number,
+): boolean =>
+	getRemainingMs(wave, epochNow) < countRounds(wave, machines) * turnaroundMs;
+
+/** Returns a filter that takes as many machines of each pool as it can spare. */
+const createSpareFilter = (
+	{spares, isLeaving}: WaveStepInput,
+	isUrgent: boolean,
+): ((machine: WaveMachine) => boolean) => {
+	const taken = new Map<string, number>();
+	return ({id, pool}) => {
+		if (isLeaving?.(id)) {
+			return true;
+		}
+
+		const spare = spares?.get(pool);
+		const count = taken.get(pool) ?? 0;
+		if (spare && count >= (isUrgent ? spare.urgent : spare.normal)) {
+			return false;
+		}
+
+		taken.set(pool, count + 1);
+		return true;
+	};
+};
+
+/**
+ * Decides the next step. Idle machines start at once, as far as their pools can
+ * spare them. Of the busy ones, only as many are evacuated as the deadline
+ * requires, since a machine that is being evacuated accepts no tasks while
+ * queues wait: a wave of half the fleet held 51 of 246 machines empty for 8 s.
  */
 export const stepMachineWave = (
 	wave: MachineWave,
@@ -249,12 +316,18 @@
 	const inProgress = ranked.filter(({id}) => evacuating.has(id));
 	const notStarted = ranked.filter(({id}) => !evacuating.has(id));
 	const isIdle = (machine: WaveMachine) => getLoadScore(getLoad(machine)) === 0;
+	const isSpared = createSpareFilter(
+		input,
+		isShortOfTime(wave, machines, input.turnaroundMs, epochNow),
+	);
 	const idle = notStarted
 		.filter((machine) => isIdle(machine))
+		.filter((machine) => isSpared(machine))
 		.slice(0, Math.max(0, maxStarts - inProgress.length));
 	const startedCount = away + inProgress.length + idle.length;
 	const busy = notStarted
 		.filter((machine) => !isIdle(machine))
+		.filter((machine) => isSpared(machine))
 		.slice(
 			0,
 			Math.max(0, getConcurrencyLimit(wave, input, epochNow) - startedCount),
@@ -327,17 +400,3 @@
 	before: MachineWave,
 	id: string,
 ): MachineWave => putEntry(wave, id, before.begun[id]);
-
-/** Whether too little time is left to wait for running tasks to end. */
-export const isShortOfTime = (
-	wave: MachineWave,
-	machines: ReadonlyMap<string, WaveMachine>,
-	turnaroundMs: number,
-	epochNow: number,
-): boolean => {
-	const remainingMs = getRemainingMs(wave, epochNow);
-	const rounds = Math.ceil(
-		listPending(wave, machines).length / Math.max(1, wave.request.maxAway),
-	);
-	return remainingMs < rounds * turnaroundMs;
-};
--- a/packages/daemon/src/jobs/fleet/fleet-context.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-context.ts
@@ -29,6 +29,8 @@
 	evacuationGraceMs: 1400,
 	/** Expected time per machine of a wave, evacuation included. */
 	machineTurnaroundMs: 4500,
+	/** Until a machine that its service needs is asked for again. */
+	deferMs: 600,
 	/** Pause between two commands for a machine that is no longer listed. */
 	askMissingMs: 2000,
 	/** A move is abandoned if its machine is not evacuated within this time. */
@@ -131,50 +133,67 @@
 ): boolean =>
 	isConfirmedWithin(clock, askedAt, validMs - fleetPeriods.platformTimeoutMs);
 
+/** What became of a request to evacuate a machine. */
+export type EvacuationAnswer =
+	| {readonly kind: 'clear'; readonly clearance: Clearance}
+	/** Something runs there, or its owner does not answer. */
+	| {readonly kind: 'waiting'}
+	/** Its service can't do without it now. */
+	| {readonly kind: 'deferred'};
+
+/** Returns the confirmation that nothing runs on a machine, if there is one. */
+export const getClearance = (
+	answer: EvacuationAnswer,
+): Clearance | undefined =>
+	answer.kind === 'clear' ? answer.clearance : undefined;
+
 /** How an evacuation is requested. */
 export type EvacuationTerms = Omit<scheduler.EvacuationRequest, 'order'>;
 
+/** A machine that no owner uses stays clear. */
+const createUnlimited = (askedAt: Moment): Clearance => ({
+	askedAt,
+	validMs: Number.POSITIVE_INFINITY,
+});
+
 const askOwner = async (
 	{owners, held}: FleetContext,
 	{pool, executorId}: {readonly pool: string; readonly executorId: string},
 	terms: EvacuationTerms,
 	askedAt: Moment,
-): Promise<Clearance | 'unknown-executor' | undefined> => {
+): Promise<EvacuationAnswer | {readonly kind: 'unknown-executor'}> => {
 	const state = await owners.evacuate(getServiceShard(pool), executorId, {
 		...terms,
 		order: {token: held.token, at: askedAt.at},
 	});
-	if (state?.kind === 'unknown-executor') {
-		return 'unknown-executor';
+	if (state?.kind === 'unknown-executor' || state?.kind === 'deferred') {
+		return {kind: state.kind};
 	}
 
 	// Owners of older releases promise nothing.
 	return state?.kind === 'clear' && state.remainingMs > 0
-		? {askedAt, validMs: state.remainingMs}
-		: undefined;
+		? {kind: 'clear', clearance: {askedAt, validMs: state.remainingMs}}
+		: {kind: 'waiting'};
 };
 
-/**
- * Asks the pool's owner to evacuate a machine that is up; resolves to nothing
- * while something runs there.
- */
+/** Asks the pool's owner to evacuate a machine that is up. */
 export const evacuateMachine = async (
 	context: FleetContext,
 	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
 	terms: EvacuationTerms,
-): Promise<Clearance | undefined> => {
+): Promise<EvacuationAnswer> => {
 	const askedAt = getMoment(context.clock);
 	if (!context.hasOwner(pool)) {
-		return {askedAt, validMs: Number.POSITIVE_INFINITY};
+		return {kind: 'clear', clearance: createUnlimited(askedAt)};
 	}
 
 	// Its executor may run tasks though the list does not show it yet.
 	if (executorId === undefined) {
-		return undefined;
+		return {kind: 'waiting'};
 	}
 
 	const answer = await askOwner(context, {pool, executorId}, terms, askedAt);
-	return answer === 'unknown-executor' ? undefined : answer;
+	return answer.kind === 'unknown-executor' ? {kind: 'waiting'} : answer;
 };
 
 /**
@@ -185,15 +204,18 @@
 	context: FleetContext,
 	{pool, executorId}: Pick<fleet.WaveMachine, 'pool' | 'executorId'>,
 	terms: EvacuationTerms,
-): Promise<Clearance | undefined> => {
+): Promise<EvacuationAnswer> => {
 	const askedAt = getMoment(context.clock);
-	const unlimited = {askedAt, validMs: Number.POSITIVE_INFINITY};
+	const unlimited = {
+		kind: 'clear',
+		clearance: createUnlimited(askedAt),
+	} as const;
 	if (executorId === undefined || !context.hasOwner(pool)) {
 		return unlimited;
 	}
 
 	const answer = await askOwner(context, {pool, executorId}, terms, askedAt);
-	return answer === 'unknown-executor' ? unlimited : answer;
+	return answer.kind === 'unknown-executor' ? unlimited : answer;
 };
 
 /** Lets the pool's owner use a machine again that will not be commanded. */
--- a/packages/daemon/src/jobs/fleet/fleet-platform.test.fixture.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-platform.test.fixture.ts
@@ -42,6 +42,8 @@
 	readonly commands: readonly ReceivedCommand[];
 	/** When the evacuation of each machine was requested, in milliseconds. */
 	readonly evacuations: ReadonlyMap<string, readonly number[]>;
+	/** Machines whose evacuation was released. */
+	readonly released: readonly string[];
 	/** Broken invariants, in words. */
 	readonly violations: readonly string[];
 	/** Waves that were shown as completed. */
@@ -69,6 +71,10 @@
 	readonly setKnown: (machine: string, isKnown: boolean) => void;
 	/** Whether tasks run on the current executor of a machine. */
 	readonly setBusy: (machine: string, isBusy: boolean) => void;
+	/** Whether the owner says that its service can't do without a machine. */
+	readonly setNeeded: (machine: string, isNeeded: boolean) => void;
+	/** Until when the turnover time of a machine lasts, in milliseconds. */
+	readonly setTurnover: (machine: string, until: number) => void;
 	/** Changes the load that the owner of the service reports. */
 	readonly setLoad: (load: Partial<scheduler.ServiceLoad>) => void;
 };
@@ -83,6 +89,9 @@
 	const busy = new Set<string>();
 	const silent = new Map<string, number>();
 	const unknown = new Set<string>();
+	const needed = new Set<string>();
+	const turnovers = new Map<string, number>();
+	const released: string[] = [];
 	/** When each executor ended, in milliseconds. */
 	const endedAt = new Map<string, number>();
 	const requests = new Map<string, ports.WaveRequest>();
@@ -240,6 +249,10 @@
 			return {kind: 'unknown-executor'};
 		}
 
+		if (machine && needed.has(machine.id)) {
+			return {kind: 'deferred'};
+		}
+
 		return busy.has(executorId)
 			? {kind: 'waiting', runs: 1}
 			: {kind: 'clear', remainingMs: reservationMs};
@@ -267,7 +280,13 @@
 		owners: {
 			evacuate: async (_shard: string, executorId: string) =>
 				evacuate(executorId),
-			releaseEvacuation: async () => undefined,
+			async releaseEvacuation(_shard: string, executorId: string) {
+				released.push(
+					...[...machines.values()].flatMap((each) =>
+						each.executorId === executorId ? [each.id] : [],
+					),
+				);
+			},
 			readLoad: async () => getLoad(),
 		} as unknown as FleetContext['owners'],
 		clock: {now: () => now, epochNow: () => now},
@@ -278,7 +297,7 @@
 			load: async () => true,
 			listFitting: (ids) => ids,
 			record: async () => true,
-			mayCommand: () => true,
+			mayCommand: (machine) => now >= (turnovers.get(machine) ?? 0),
 		},
 		isStopped: () => false,
 		loseShard: () => undefined,
@@ -289,6 +308,7 @@
 		store,
 		commands,
 		evacuations,
+		released,
 		violations,
 		completed,
 		status: {
@@ -364,6 +384,16 @@
 				busy.delete(executorId);
 			}
 		},
+		setNeeded(machine, isNeeded) {
+			if (isNeeded) {
+				needed.add(machine);
+			} else {
+				needed.delete(machine);
+			}
+		},
+		setTurnover(machine, until) {
+			turnovers.set(machine, until);
+		},
 		setLoad(load) {
 			reported = load;
 		},
--- a/packages/daemon/src/jobs/fleet/fleet-runner.ts
+++ b/packages/daemon/src/jobs/fleet/fleet-runner.ts
@@ -63,11 +63,16 @@
 	readonly stop: () => void;
 };
 
+/** Failed reads of the machines in a row after which none is kept free. */
+const readsUntilRelease = 2;
+
 /** Creates a runner; it is idle until `start` is called. */
 export const createFleetRunner = (deps: FleetRunnerDeps): FleetRunner => {
 	const {held, clock} = deps;
 	const logger = deps.logger.child({shard: held.shard});
 	const state = {isStopped: false};
+	/** Reads of the machines that failed in a row. */
+	let failedReads = 0;
 
 	const lose = (reason: string) => {
 		if (!state.isStopped) {
@@ -130,15 +135,27 @@
 			? readFleetView(context)
 			: view;
 
+	/** No command can be sent while the machines can't be listed. */
+	const releaseHolds = () => {
+		failedReads += 1;
+		if (failedReads === readsUntilRelease) {
+			waves.releaseHolds();
+			pools.releaseHolds();
+		}
+	};
+
 	const runRound = async () => {
 		await waves.acceptRequests(deps.listWaves());
 		const view = await readFleetView(context);
 		if (view) {
+			failedReads = 0;
 			await waves.runRound(view);
 			const current = await renewView(view);
 			if (current) {
 				await pools.runRound(current);
 			}
+		} else {
+			releaseHolds();
 		}
 	};
 
--- a/packages/daemon/src/jobs/fleet/machine-claims.ts
+++ b/packages/daemon/src/jobs/fleet/machine-claims.ts
@@ -1,6 +1,7 @@
 /**
  * Who has a machine at the holder of the fleet's shard: a wave, or the moves
- * between pools. Only one of them commands a machine at a time, since the list
+ * between pools. A machine that is emptied for a move goes to a wave that wants
+ * it. Only one of them commands a machine at a time, since the list
  * does not tell whose command had which effect.
  */
 
@@ -17,6 +18,10 @@
 	readonly release: (machine: string, claimant: string) => void;
 	readonly getClaimant: (machine: string) => string | undefined;
 	readonly listClaimed: (claimant: string) => ReadonlySet<string>;
+	/** Replaces the machines that are emptied for moves. */
+	readonly setLeaving: (machines: Iterable<string>) => void;
+	/** Whether a machine is emptied for a move. */
+	readonly isLeaving: (machine: string) => boolean;
 	/** Records that a command for a machine is sent or has ended now. */
 	readonly recordCommand: (machine: string, claimant: string) => void;
 	/**
@@ -32,6 +37,7 @@
 
 export const createMachineClaims = (now: () => number): MachineClaims => {
 	const claims = new Map<string, string>();
+	let leaving: ReadonlySet<string> = new Set();
 	const commands = new Map<
 		string,
 		{readonly claimant: string; readonly at: number}
@@ -63,6 +69,10 @@
 					each === claimant ? [machine] : [],
 				),
 			),
+		setLeaving(machines) {
+			leaving = new Set(machines);
+		},
+		isLeaving: (machine) => leaving.has(machine),
 		recordCommand(machine, claimant) {
 			commands.set(machine, {claimant, at: now()});
 		},
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -1,6 +1,6 @@
 /** Runs maintenance waves of machines. */
 import {isDeepStrictEqual} from 'node:util';
-import {fleet} from '@gullstand/core';
+import {fleet, scheduler} from '@gullstand/core';
 import type {WaveRequest} from '@gullstand/ports';
 import {match} from 'ts-pattern';
 import {describeStoreError} from '../rows/store-error.js';
@@ -8,9 +8,10 @@
 	evacuateMachine,
 	evacuateMissing,
 	fleetPeriods,
+	getClearance,
 	getMachineLoad,
 	releaseMachine,
-	type Clearance,
+	type EvacuationAnswer,
 	type FleetContext,
 	type FleetView,
 } from './fleet-context.js';
@@ -46,6 +47,8 @@
 	readonly runRound: (view: FleetView) => Promise<void>;
 	/** Whether a machine is being evacuated or maintained for a wave. */
 	readonly isReserved: (machine: string) => boolean;
+	/** Lets the machines serve that are evacuated and not commanded. */
+	readonly releaseHolds: () => void;
 };
 
 const toWaveMachines = ({
@@ -77,6 +80,14 @@
 
 const noWaves: ReadonlySet<string> = new Set();
 
+/** What the queues of a service need, in thousandths of a core. */
+const getNeededCpu = ({
+	waitingCpu,
+	usedCpu,
+	arrivingCpu,
+}: scheduler.ServiceLoad): number =>
+	Math.max(waitingCpu + usedCpu, arrivingCpu);
+
 export const createMachineWaveRunner = (
 	context: FleetContext,
 	status: WaveStatusPort,
@@ -89,6 +100,10 @@
 	const rows = createWaveRows(store, held, logger);
 	const log = createWaveLog(logger);
 	const unlisted = createUnlistedMachines(clock.now);
+	/** Until when machines that their services need are not asked for, by id. */
+	const deferredUntil = new Map<string, number>();
+	/** Machines as the last round saw them. */
+	let lastMachines: ReadonlyMap<string, fleet.WaveMachine> = new Map();
 
 	const recordSaved = (
 		wave: fleet.MachineWave,
@@ -146,19 +161,29 @@
 			return machine?.isUp && isFree ? [machine] : [];
 		});
 
+	/** Asks for other machines first, as the service of this one needs it. */
+	const defer = ({request}: fleet.MachineWave, machine: string) => {
+		log.reportWait(request.id, machine, 'its service');
+		deferredUntil.set(machine, clock.now() + fleetPeriods.deferMs);
+		claims.release(machine, toWaveClaimant(request.id));
+	};
+
 	/** Evacuates machines; resolves to those that may get commands now. */
 	const evacuate = async (
 		wave: fleet.MachineWave,
 		machines: readonly fleet.WaveMachine[],
-		request: (machine: fleet.WaveMachine) => Promise<Clearance | undefined>,
+		request: (machine: fleet.WaveMachine) => Promise<EvacuationAnswer>,
 	): Promise<readonly MaintenanceTarget[]> => {
-		const clearances = await Promise.all(
+		const answers = await Promise.all(
 			machines.map(async (machine) => request(machine)),
 		);
 		return machines.flatMap((machine, index) => {
-			const clearance = clearances[index];
+			const answer = answers[index]!;
+			const clearance = getClearance(answer);
 			const isFree = context.commandLog.mayCommand(machine.id);
-			if (!clearance || !isFree) {
+			if (answer.kind === 'deferred') {
+				defer(wave, machine.id);
+			} else if (!clearance || !isFree) {
 				const waitsFor = clearance ? 'end of the turnover time' : 'evacuation';
 				log.reportWait(wave.request.id, machine.id, waitsFor);
 			}
@@ -175,13 +200,55 @@
 			? unknownLoad
 			: getMachineLoad(view, machine);
 
+	/** Lets tasks start again on a machine that a wave will not command. */
+	const release = (
+		wave: fleet.MachineWave,
+		id: string,
+		machines: ReadonlyMap<string, fleet.WaveMachine>,
+	) => {
+		const machine = machines.get(id);
+		claims.release(id, toWaveClaimant(wave.request.id));
+		if (machine && !(id in wave.begun)) {
+			void releaseMachine(context, machine);
+		}
+	};
+
+	/** Machines that pools can spare beside those that are taken already. */
+	const countSpares = (
+		view: FleetView,
+	): ReadonlyMap<string, fleet.PoolSpare> => {
+		const machines = [...view.machines.values()];
+		const owned = new Set(
+			machines.flatMap(({pool}) => (context.hasOwner(pool) ? [pool] : [])),
+		);
+		return fleet.countSpares(
+			machines.map(({id, pool, state, capacity}) => {
+				const claimant = claims.getClaimant(id);
+				const isLeaving = claims.isLeaving(id) || claimant === moveClaimant;
+				const isAway = state === 'maintenance' || state === 'moving';
+				return {
+					pool,
+					isServing: state === 'up' && claimant === undefined && !isLeaving,
+					isReturning: !isLeaving && (isAway || claimant !== undefined),
+					cpuMillis: capacity.cpuMillis,
+				};
+			}),
+			new Map(
+				[...owned].map((pool) => {
+					const load = view.loads.get(pool);
+					return [pool, load ? getNeededCpu(load) : 'unknown'] as const;
+				}),
+			),
+		);
+	};
+
 	/** Claims the machines that are away for a wave and those given, no others. */
 	const claimOnly = (wave: fleet.MachineWave, ids: readonly string[]) => {
 		const claimant = toWaveClaimant(wave.request.id);
 		const claimed = new Set([...fleet.listAway(wave), ...ids]);
 		for (const id of claims.listClaimed(claimant)) {
 			if (!claimed.has(id)) {
-				claims.release(id, claimant);
+				release(wave, id, lastMachines);
 			}
 		}
 
@@ -202,12 +269,17 @@
 		const claimant = toWaveClaimant(wave.request.id);
 		const isTaken = (id: string) =>
 			claims.isTaken(id, claimant, view.requestedAt);
+		const mayLeave = (id: string) =>
+			context.commandLog.mayCommand(id) &&
+			clock.now() >= (deferredUntil.get(id) ?? Number.NEGATIVE_INFINITY);
 		const step = fleet.stepMachineWave(
 			wave,
 			{
 				machines,
 				evacuating: claims.listClaimed(claimant),
-				isTaken,
+				isTaken: (id) => isTaken(id) || !mayLeave(id),
+				spares: countSpares(view),
+				isLeaving: claims.isLeaving,
 				getLoad: (machine) => getLoad(view, machine),
 				turnaroundMs: fleetPeriods.machineTurnaroundMs,
 			},
@@ -219,10 +291,13 @@
 			fleetPeriods.machineTurnaroundMs,
 			clock.epochNow(),
 		);
+		const {normal, urgent, commanded} = scheduler.evacuationUrgencies;
 		const terms = {
 			claimant,
 			patienceMs: isShortOfTime ? 0 : fleetPeriods.evacuationGraceMs,
+			urgency: isShortOfTime ? urgent : normal,
 		};
+		const repeatTerms = {...terms, urgency: commanded};
 		const toEvacuate = step.evacuate.flatMap((id) => machines.get(id) ?? []);
 		const missing = fleet
 			.listUnfinished(wave)
@@ -235,7 +310,7 @@
 		claimOnly(wave, chosen);
 		const [repeats, starts, asked] = await Promise.all([
 			evacuate(wave, listRepeats(wave, machines, isTaken), async (machine) =>
-				evacuateMachine(context, machine, terms),
+				evacuateMachine(context, machine, repeatTerms),
 			),
 			evacuate(wave, toEvacuate, async (machine) =>
 				evacuateMachine(context, machine, terms),
@@ -373,6 +448,7 @@
 		async runRound(view) {
 			const open = [...waves.values()].filter(({isCompleted}) => !isCompleted);
 			const machines = toWaveMachines(view);
+			lastMachines = machines;
 			unlisted.observe(open, machines);
 			for (const wave of open) {
 				for (const id of fleet.listAway(wave)) {
@@ -391,6 +467,11 @@
 			);
 			await saveChanges(stillOpen.flatMap((wave) => wave ?? []));
 		},
+		releaseHolds() {
+			for (const wave of waves.values()) {
+				claimOnly(wave, []);
+			}
+		},
 		isReserved(machine) {
 			const claimant = claims.getClaimant(machine);
 			return claimant !== undefined && claimant !== moveClaimant;
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -7,6 +7,7 @@
 import {
 	evacuateMachine,
 	fleetPeriods,
+	getClearance,
 	getClearanceAgeMs,
 	getMachineLoad,
 	isStillClear,
@@ -20,6 +21,8 @@
 export type PoolMover = {
 	/** Plans moves and advances those in progress. */
 	readonly runRound: (view: FleetView) => Promise<void>;
+	/** Ends the moves that are not commanded. */
+	readonly releaseHolds: () => void;
 };
 
 /** Dependencies of the mover beside the context. */
@@ -93,6 +96,11 @@
 		logger.info('move ended', {...move, outcome});
 	};
 
+	/** Plans no move of a machine for some time. */
+	const pause = ({machine}: fleet.PoolMove) => {
+		failed = fleet.recordFailedEvacuation(failed, machine, clock.now());
+	};
+
 	/** Ends a move without a command that may still be carried out. */
 	const abandon = ({move, machine}: MoveInProgress, outcome: string) => {
 		end(move, outcome);
@@ -195,11 +203,7 @@
 		const outcome = findEnd(entry, machine);
 		if (outcome !== undefined) {
 			if (outcome === lateOutcome) {
-				failed = fleet.recordFailedEvacuation(
-					failed,
-					entry.move.machine,
-					clock.now(),
-				);
+				pause(entry.move);
 			}
 
 			if (entry.phase === 'emptying') {
@@ -212,10 +216,19 @@
 		}
 
 		if (machine?.state === 'up' && entry.phase !== 'ordered') {
-			entry.clearance = await evacuateMachine(context, machine, {
+			const answer = await evacuateMachine(context, machine, {
 				claimant: moveClaimant,
 				patienceMs: fleetPeriods.moveEvacuationGraceMs,
+				urgency:
+					entry.phase === 'emptying'
+						? scheduler.evacuationUrgencies.normal
+						: scheduler.evacuationUrgencies.commanded,
 			});
+			entry.clearance = getClearance(answer);
+			if (answer.kind === 'deferred' && entry.phase === 'emptying') {
+				pause(entry.move);
+				abandon(entry, 'needed by its service');
+			}
 		}
 	};
 
@@ -420,6 +433,13 @@
 	};
 
 	return {
+		releaseHolds() {
+			for (const entry of inProgress.values()) {
+				if (entry.phase === 'emptying') {
+					abandon(entry, 'no command can be sent');
+				}
+			}
+		},
 		async runRound(view) {
 			dropReserved();
 			const standbyPool = deps.getStandbyPool();
@@ -433,6 +453,7 @@
 				),
 			);
 			await moveEvacuated(view);
+			claims.setLeaving(inProgress.keys());
 			if (standbyPool !== undefined && context.mayCommand()) {
 				await emptyPools.refresh(view);
 			}
