fix: an executor whose turn got no further goes first again

Found by a test of what is held for commands that never come: with two executors asked for, the one whose turn was ended after 6 s had the next one as well, since its promise lasted longer than its rest and it was asked for first. The other one never left.

--- a/packages/core/src/scheduler/plan/evacuation-turns.ts
+++ b/packages/core/src/scheduler/plan/evacuation-turns.ts
@@ -39,7 +39,7 @@
 	Number(one.turnSince === undefined) - Number(two.turnSince === undefined) ||
 	(one.turnSince ?? 0) - (two.turnSince ?? 0) ||
 	urgencyRanks[one.urgency] - urgencyRanks[two.urgency] ||
-	one.since - two.since ||
+	one.queuedSince - two.queuedSince ||
 	Number(oneId > twoId) - Number(oneId < twoId);
 
 const listLeavers = (owner: Owner): readonly Leaver[] => {
@@ -111,10 +111,19 @@
 };
 
 /** Whether executors could run a step if they were empty. */
-const couldRun = (executors: ReadonlySet<Executor>, step: Step): boolean =>
-	step.spec.isGang
-		? couldHoldGang(executors, step)
-		: [...executors].some((each) => couldHold(each, step));
+const couldRun = (executors: ReadonlySet<Executor>, step: Step): boolean => {
+	if (step.spec.isGang) {
+		return couldHoldGang(executors, step);
+	}
+
+	for (const executor of executors) {
+		if (couldHold(executor, step)) {
+			return true;
+		}
+	}
+
+	return false;
+};
 
 /** What is left to a service as executors get their turns. */
 type Draft = {
@@ -135,11 +144,12 @@
 	{staying, openSteps, isOneLeaving}: Draft,
 	{executor, evacuation}: Leaver,
 ): boolean => {
-	const others = new Set([...staying].filter((each) => each !== executor));
-	const needed = openSteps.some(
-		(step) => couldRun(staying, step) && !couldRun(others, step),
-	);
-	if (others.size > 0 && !needed) {
+	const runnable = openSteps.filter((step) => couldRun(staying, step));
+	staying.delete(executor);
+	const isLast = staying.size === 0;
+	const isNeeded = runnable.some((step) => !couldRun(staying, step));
+	staying.add(executor);
+	if (!isLast && !isNeeded) {
 		return true;
 	}
 
@@ -190,17 +200,21 @@
 	}
 };
 
-/** Ends a turn that does not get further. */
+/**
+ * Ends a turn that does not get further, so that others have theirs. What was
+ * promised still holds.
+ */
 const restIfStuck = (
-	owner: Owner,
-	evacuation: Evacuation,
+	{cfg}: Owner,
+	{executor, evacuation}: Leaver,
 	now: number,
 ): void => {
 	const {turnSince, progressAt} = evacuation;
-	const {evacuationTurnMs, evacuationRestMs} = owner.cfg;
-	if (turnSince !== undefined && now - progressAt > evacuationTurnMs) {
+	if (turnSince !== undefined && now - progressAt > cfg.evacuationTurnMs) {
 		wait(evacuation);
-		evacuation.restsUntil = now + evacuationRestMs;
+		evacuation.queuedSince = now;
+		evacuation.restsUntil =
+			Math.max(now, executor.reservedUntil ?? now) + cfg.evacuationRestMs;
 	}
 };
 
@@ -225,7 +239,7 @@
 	for (const leaver of leavers) {
 		const {executor, evacuation} = leaver;
 		if (!isCommanded(evacuation)) {
-			restIfStuck(owner, evacuation, now);
+			restIfStuck(owner, leaver, now);
 			if (evacuation.restsUntil > now) {
 				continue;
 			}
--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -128,6 +128,7 @@
 	const {evacuation} = executor;
 	executor.evacuation = {
 		since: now,
+		queuedSince: now,
 		phase: evacuationPhases.waiting,
 		turnSince: undefined,
 		heldSince: undefined,
--- a/packages/core/src/scheduler/reports/owner-overview.test.ts
+++ b/packages/core/src/scheduler/reports/owner-overview.test.ts
@@ -58,6 +58,7 @@
 				claimant: 'wave 1',
 				since: 0,
 				urgency: 'normal',
+				queuedSince: 0,
 				phase: 'held',
 				turnSince: 0,
 				heldSince: 0,
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -58,6 +58,8 @@
 	/** When it was requested first. */
 	readonly since: number;
 	readonly urgency: EvacuationUrgency;
+	/** Since when it waits for its turn, or waited. */
+	queuedSince: number;
 	phase: EvacuationPhase;
 	/** When its turn began; absent while it waits. */
 	turnSince: number | undefined;
