fix: no executor is kept free for a crash suspect that will not fit there

With two executors one of them took no work.

Cause: a suspect that fits nowhere now has an executor kept free until its runs have ended. Long-running ones do not end, a gang may need more than that executor has, and other runs may last for any time. Nothing bounded the hold.

An executor is kept only if its room and what its runs are expected to leave hold the suspect, or all of the gang together with what is free elsewhere; on the only usable executor, only if that comes within the two seconds for which room is kept for wide tasks. Where runs go on beyond their estimate, the bound is that of hung runs.

--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -7,6 +7,8 @@
 import {listSuspects} from '../polls/crash-suspects.js';
 import {
 	couldHold,
+	getDemand,
+	getFree,
 	hasIsolatedRun,
 	hasRoom,
 	type Executor,
@@ -14,6 +16,12 @@
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
 import {listFitting, maySpreadTo} from '../placement/place-task.js';
+import {addTo, type ResourceSum} from '../team-shares/dominant-share.js';
+import {
+	getExpectedRemainingMs,
+	maxReservationMs,
+} from '../team-shares/reservation.js';
+import {resourceNames} from '../../teams/resources.js';
 import {nextRunNumber} from '../state/run-numbers.js';
 import {isStepReady, isWaiting, type Step, type Task} from '../state/task.js';
 import {isGangReady, startGang} from './plan-gang.js';
@@ -59,23 +67,65 @@
 	Number(hasRoom(two, step)) - Number(hasRoom(one, step)) ||
 	one.used.cpuMillis - two.used.cpuMillis;
 
+/**
+ * For how long room may be awaited. On the only executor that is usable nothing
+ * else of the service runs meanwhile.
+ */
+const getMaxWaitMs = ({usable}: Planning): number =>
+	usable.length === 1 ? maxReservationMs : Number.POSITIVE_INFINITY;
+
+/**
+ * Returns for how many tasks of a step an executor has room once the runs have
+ * ended that are expected to end within `withinMs`; long-running ones never are.
+ */
+const countPlaces = (
+	executor: Executor,
+	step: Step,
+	{now, withinMs}: {readonly now: number; readonly withinMs: number},
+): number => {
+	if (!couldHold(executor, step) || !maySpreadTo(step, executor)) {
+		return 0;
+	}
+
+	const room: ResourceSum = {...getFree(executor)};
+	for (const run of executor.runs.values()) {
+		if (getExpectedRemainingMs(run, now) < withinMs) {
+			addTo(room, getDemand(run.task.step));
+		}
+	}
+
+	const demand = getDemand(step);
+	const counts = resourceNames
+		.filter((name) => demand[name] > 0)
+		.map((name) => Math.max(0, Math.floor(room[name] / demand[name])));
+	return Math.min(step.spec.maxPerExecutor ?? step.spec.count, ...counts);
+};
+
 /**
  * Reserves executors until they can be isolated: while nothing else starts
- * there, their recent runs end or prove harmless.
+ * there, their recent runs end or prove harmless, and others leave room. They
+ * are not kept for `count` tasks that will not fit on them.
  */
 const reserveForLater = (
 	planning: Planning,
 	step: Step,
 	eligible: readonly Executor[],
-	count: number,
-): number =>
-	reserve(
-		planning,
-		eligible
-			.filter((each) => couldHold(each, step) && maySpreadTo(step, each))
-			.toSorted((one, two) => compareForIsolation(step, one, two))
-			.slice(0, count),
-	);
+	{count, executors}: {readonly count: number; readonly executors: number},
+): number => {
+	const {now} = planning;
+	const awaited = {now, withinMs: getMaxWaitMs(planning)};
+	const kept = eligible
+		.filter((each) => countPlaces(each, step, awaited) > 0)
+		.toSorted((one, two) => compareForIsolation(step, one, two))
+		.slice(0, executors);
+	let places = 0;
+	for (const each of eligible) {
+		const isKept = kept.includes(each);
+		places += countPlaces(each, step, isKept ? awaited : {now, withinMs: 0});
+	}
+
+	return places >= count ? reserve(planning, kept) : 0;
+};
 
 /** Starts one suspect; returns how many executors it takes. */
 const planSuspect = (planning: Planning, task: Task): number => {
@@ -104,7 +154,7 @@
 		return 1;
 	}
 
-	return reserveForLater(planning, step, eligible, 1);
+	return reserveForLater(planning, step, eligible, {count: 1, executors: 1});
 };
 
 /** Starts a gang of suspects; returns how many executors it takes. */
@@ -118,7 +168,10 @@
 	const taken = startGang(planning, step, {executors, isIsolated: true});
 	return taken.length > 0
 		? reserve(planning, taken)
-		: reserveForLater(planning, step, eligible, available);
+		: reserveForLater(planning, step, eligible, {
+				count: step.tasks.length,
+				executors: available,
+			});
 };
 
 const mayStart = (owner: Owner, task: Task): boolean => {
