fix: a job accepted under the new lease does not wait as an inherited one

What callers saw: a job accepted just after its service changed owners stood for as long as an executor of the previous owner did not answer (5.2 s, 12.2 s after a silent owner), beside executors with room, while later jobs ran.

Cause: a new owner took all rows that its first read showed for inherited ones, also jobs that were stored between its claim and that read. Rows that come by the feed or from a peer are compared with the version of the lease, as the design has it (jobs accepted since do not wait). A submission that meets the takeover fails with `conflict` and is sent again at once, so it falls into just this time; after a claim without an answer it is more than a second.

The first read compares the versions too. A job with the version of the lease counts as inherited. No earlier owner can store anything for a job under a later lease, and the same rule has held for rows that come after the first read.

--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -177,8 +177,13 @@
 	}
 };
 
+/**
+ * Adds the jobs. No earlier owner has started tasks of those that were stored
+ * after the lease was acquired.
+ */
 const addJobs = (
 	owner: scheduler.Owner,
+	held: HeldShard,
 	rows: Rows,
 	{logger, clock: {now}}: LoadOwnerDeps,
 ): void => {
@@ -186,8 +191,8 @@
 		({key, value}) =>
 			!parseJobKey(key).isCancel && decodeTombstone(value) === undefined,
 	);
-	for (const {value} of decodeRows(jobRows, jobSchema, logger)) {
-		scheduler.addJob(owner, value, true);
+	for (const {row, value} of decodeRows(jobRows, jobSchema, logger)) {
+		scheduler.addJob(owner, value, row.version <= held.version);
 	}
 
 	addProgress(owner, rows, logger, now());
@@ -321,7 +326,7 @@
 		deps.clock.now(),
 	);
 	addRunTimes(owner, rows.value, deps);
-	addJobs(owner, rows.value, deps);
+	addJobs(owner, held, rows.value, deps);
 	addReservations(owner, rows.value, deps);
 	addRoster(owner, held, rows.value, deps);
 	const getVersion = (wanted: string) =>
