fix: an executor that was kept for a wide task in vain is not kept again at once

What callers saw, in a simulation, where teams share room (off by default): on a service of one executor with a long run, small jobs waited 13.5 s beside three free cores of four, as each of three wide jobs had the executor kept for 2 s in turn, and again, though its room could not come before the run ended.

Cause: the pause after an expired reservation holds for the job alone. The executor may be kept for another one in the same plan.

Evidence: room-kept-in-vain.test.ts. On the code before, small jobs stand for 13.5 s with three wide jobs, 2 s with one; now 2 s in both, and the wide jobs start when the run has ended. plan-room-shares.test.ts is unchanged.

The pause holds for the executor too, as the design says it should ("so that an executor with long runs is not kept all the time"). Not the users' cause: each pause let some small jobs start, and sharing is off there.

--- a/packages/core/src/scheduler/plan/plan-room-shares.ts
+++ b/packages/core/src/scheduler/plan/plan-room-shares.ts
@@ -13,7 +13,11 @@
 	getMaxReservations,
 	pickSoonest,
 } from '../team-shares/reservation.js';
-import {isPaused, shareRoom} from '../team-shares/share-room.js';
+import {
+	isExecutorPaused,
+	isPaused,
+	shareRoom,
+} from '../team-shares/share-room.js';
 import {
 	couldStart,
 	listWaitingSteps,
@@ -105,7 +109,8 @@
 		return true;
 	}
 
-	const executor = pickSoonest(allowed, step, now);
+	const free = allowed.filter((each) => !isExecutorPaused(shares, each));
+	const executor = pickSoonest(free, step, now);
 	if (!executor) {
 		return false;
 	}
--- a/packages/core/src/scheduler/team-shares/share-room.ts
+++ b/packages/core/src/scheduler/team-shares/share-room.ts
@@ -66,6 +66,12 @@
 export const isPaused = ({expired}: RoomShares, job: Job): boolean =>
 	expired.some(({task}) => task.step.occurrence.job === job);
 
+/** Whether an executor is not kept for now, after it was kept in vain. */
+export const isExecutorPaused = (
+	{expired}: RoomShares,
+	{id}: Executor,
+): boolean => expired.some(({executorId}) => executorId === id);
+
 const stopSharing = (shares: RoomShares): void => {
 	shares.isShort = false;
 	shares.teams = [];
