--- a/packages/core/src/scheduler/plan/small-pool.test.fixture.ts
+++ b/packages/core/src/scheduler/plan/small-pool.test.fixture.ts
@@ -207,6 +207,10 @@
 				measure();
 			}
 		},
+		/** Measures anew from now on. */
+		clearStanding() {
+			standing.clear();
+		},
 		getStanding: (job: string): Standing =>
 			standing.get(job) ?? {longestMs: 0, longestBesideRoomMs: 0},
 	};
