moves are cancelled for present demand only

Cancelling counted expected rises too, so that a rise that may not come took machines back from another pool's present demand, without the bound that expected rises have in a plan.

--- a/packages/core/src/fleet/pool-plan.test.ts
+++ b/packages/core/src/fleet/pool-plan.test.ts
@@ -492,6 +492,18 @@
 		moves: [],
 		cancelled: ['b'],
 	},
+	{
+		name: 'an expected rise cancels no move',
+		demands: [createDemand('p')],
+		machines: [
+			createMachine('a', 'p'),
+			createMachine('b', 'p', {runs: 1}),
+			createMachine('c', 'p', {runs: 1}),
+		],
+		underWay: leaveP(['b', 'c'], 'standby'),
+		expected: {machines: new Map([['p', 3]]), endedRises: new Set()},
+		moves: [],
+	},
 	{
 		name: 'a machine that is down or in a wave is not kept for its pool',
 		demands: [createDemand('p', {waitingCpu: 3000})],
--- a/packages/core/src/fleet/pool-plan.ts
+++ b/packages/core/src/fleet/pool-plan.ts
@@ -457,7 +457,7 @@
 
 /**
  * Lists the moves to cancel, as their pools would be left with less than their
- * target.
+ * present demand needs; an expected rise may not come.
  */
 const listCancelled = (
 	input: PoolPlanInput,
@@ -510,7 +510,7 @@
 			Math.max(target, expected?.machines.get(pool) ?? 0),
 		]),
 	);
-	const cancelled = listCancelled(requested, targets);
+	const cancelled = listCancelled(requested, ownTargets);
 	const input = withoutMoves(requested, cancelled);
 	const late = new Map(
 		demands.map((demand) => [
