a silent owner no longer keeps the machines of other pools from their moves

A move is commanded on a list of machines of 500 ms at most. Each round waited for the answers of all owners that it asked to empty a machine; one that did not answer took 400 ms for its load and 400 ms for the evacuation, so that no move of any pool was commanded. All machines that were clear stayed reserved until their moves were given up after 4 s: a command could not follow, and nothing else could start there.

The mover does not wait for an owner that has just left the request for its load unanswered. The request to evacuate is sent all the same, so that it does not lapse if the owner lives.

--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -182,11 +182,12 @@
 			: undefined;
 	};
 
+	const isOwnerSilent = ({loads}: FleetView, {pool}: Machine): boolean =>
+		context.hasOwner(pool) && !loads.has(pool);
+
 	/** Ends a move, or renews its evacuation until the platform accepts it. */
-	const advance = async (
-		entry: MoveInProgress,
-		machine: Machine | undefined,
-	) => {
+	const advance = async (view: FleetView, entry: MoveInProgress) => {
+		const machine = view.machines.get(entry.move.machine);
 		entry.clearance = undefined;
 		entry.missingSince = machine
 			? undefined
@@ -211,11 +212,20 @@
 			return;
 		}
 
-		if (machine?.state === 'up' && entry.phase !== 'ordered') {
-			entry.clearance = await evacuateMachine(context, machine, {
-				claimant: moveClaimant,
-				patienceMs: fleetPeriods.moveEvacuationGraceMs,
-			});
+		if (machine?.state !== 'up' || entry.phase === 'ordered') {
+			return;
+		}
+
+		const evacuation = evacuateMachine(context, machine, {
+			claimant: moveClaimant,
+			patienceMs: fleetPeriods.moveEvacuationGraceMs,
+		});
+		// The wait for an owner that does not answer would outdate the view of
+		// all other machines, none of which would be commanded.
+		if (isOwnerSilent(view, machine)) {
+			void evacuation;
+		} else {
+			entry.clearance = await evacuation;
 		}
 	};
 
@@ -428,9 +438,7 @@
 			}
 
 			await Promise.all(
-				[...inProgress.values()].map(async (entry) =>
-					advance(entry, view.machines.get(entry.move.machine)),
-				),
+				[...inProgress.values()].map(async (entry) => advance(view, entry)),
 			);
 			await moveEvacuated(view);
 			if (standbyPool !== undefined && context.mayCommand()) {
