an executor is no longer kept free for a suspect without end

A suspect that could not start had an executor kept free of all other starts in each plan until it could: for good if what took its room did not end (a long-running task), or for as long as a long run lasted. Nothing ended that, and in a service with one executor nothing else started; in a larger one half of the executors could be kept so.

An executor is kept for suspects for 2 s at most; then others may start there for 2 s, while another executor may be kept. Recent runs, which isolation has to wait for, prove harmless within 300 ms.

held-for-suspects.test.ts before: short tasks beside a suspect that does not fit beside a long-running task never started in 20 s; beside one that waits for a run of 15 s they waited 14.05 s. Now 2.05 s at most in both. The cases of a suspect that fits, and of the two gangs, passed before too (350 and 50 ms): no fault shown for gangs. crash-simulation, crash-attribution, frequent-losses, cut-off-executors and plan pass.

--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -41,6 +41,27 @@
 	return Math.max(1, Math.floor(all * maxIsolatedShare)) - isolated;
 };
 
+/**
+ * How long an executor is kept free for suspects that cannot start there yet,
+ * in milliseconds. Their recent runs are over by then; what still takes the
+ * room may stay for good.
+ */
+const maxHoldMs = 2000;
+
+/** How long other tasks may then start there, in milliseconds. */
+const holdPauseMs = 2000;
+
+const forgetPastHolds = ({owner, now}: Planning): void => {
+	for (const [executorId, since] of owner.suspectHolds) {
+		if (now - since >= maxHoldMs + holdPauseMs) {
+			owner.suspectHolds.delete(executorId);
+		}
+	}
+};
+
+const mayHold = ({owner, now}: Planning, {id}: Executor): boolean =>
+	now - (owner.suspectHolds.get(id) ?? now) < maxHoldMs;
+
 /** Reserves executors for suspects; returns how many. */
 const reserve = (
 	planning: Planning,
@@ -61,21 +82,30 @@
 
 /**
  * Reserves executors until they can be isolated: while nothing else starts
- * there, their recent runs end or prove harmless.
+ * there, their recent runs end or prove harmless. None is reserved for long.
  */
 const reserveForLater = (
 	planning: Planning,
 	step: Step,
 	eligible: readonly Executor[],
 	count: number,
-): number =>
-	reserve(
-		planning,
-		eligible
-			.filter((each) => couldHold(each, step) && maySpreadTo(step, each))
-			.toSorted((one, two) => compareForIsolation(step, one, two))
-			.slice(0, count),
-	);
+): number => {
+	const {owner, now} = planning;
+	const held = eligible
+		.filter(
+			(each) =>
+				couldHold(each, step) &&
+				maySpreadTo(step, each) &&
+				mayHold(planning, each),
+		)
+		.toSorted((one, two) => compareForIsolation(step, one, two))
+		.slice(0, count);
+	for (const {id} of held) {
+		owner.suspectHolds.set(id, owner.suspectHolds.get(id) ?? now);
+	}
+
+	return reserve(planning, held);
+};
 
 /** Starts one suspect; returns how many executors it takes. */
 const planSuspect = (planning: Planning, task: Task): number => {
@@ -137,6 +167,7 @@
  */
 export const planSuspects = (planning: Planning): void => {
 	const {owner} = planning;
+	forgetPastHolds(planning);
 	const suspects = listSuspects(owner).filter((task) => mayStart(owner, task));
 	let available = suspects.length > 0 ? countAvailable(planning) : 0;
 	for (const task of suspects) {
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -91,6 +91,8 @@
 	readonly dirtyJobs: Set<Job>;
 	/** Tasks that may have crashed their executors and start in isolation. */
 	readonly crashSuspects: Set<Task>;
+	/** Since when executors are kept free for suspects, by the executor's id. */
+	readonly suspectHolds: Map<string, number>;
 	/**
 	 * Losses that an answer would disprove, by the id of the executor: one for
 	 * each of its incarnations; see possible-losses.ts.
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -55,6 +55,7 @@
 	unreadExecutors: new Map(),
 	dirtyJobs: new Set(),
 	crashSuspects: new Set(),
+	suspectHolds: new Map(),
 	possibleLosses: new Map(),
 	incompleteGangs: new Map(),
 	recentLosses: [],
