--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -49,6 +49,27 @@
 	return Math.max(1, Math.floor(all * maxIsolatedShare)) - isolated;
 };
 
+/**
+ * How long an executor is kept free for suspects that cannot start there yet,
+ * in milliseconds. Their recent runs are over by then; what still takes the
+ * room may stay for good.
+ */
+const maxHoldMs = 2000;
+
+/** How long other tasks may then start there, in milliseconds. */
+const holdPauseMs = 2000;
+
+const forgetPastHolds = ({owner, now}: Planning): void => {
+	for (const [executorId, since] of owner.suspectHolds) {
+		if (now - since >= maxHoldMs + holdPauseMs) {
+			owner.suspectHolds.delete(executorId);
+		}
+	}
+};
+
+const mayHold = ({owner, now}: Planning, {id}: Executor): boolean =>
+	now - (owner.suspectHolds.get(id) ?? now) < maxHoldMs;
+
 /** Reserves executors for suspects; returns how many. */
 const reserve = (
 	planning: Planning,
@@ -104,7 +125,7 @@
 /**
  * Reserves executors until they can be isolated: while nothing else starts
  * there, their recent runs end or prove harmless, and others leave room. They
- * are not kept for `count` tasks that will not fit on them.
+ * are not kept for `count` tasks that will not fit on them, and none for long.
  */
 const reserveForLater = (
 	planning: Planning,
@@ -112,10 +133,13 @@
 	eligible: readonly Executor[],
 	{count, executors}: {readonly count: number; readonly executors: number},
 ): number => {
-	const {now} = planning;
+	const {owner, now} = planning;
 	const awaited = {now, withinMs: getMaxWaitMs(planning)};
 	const kept = eligible
-		.filter((each) => countPlaces(each, step, awaited) > 0)
+		.filter(
+			(each) =>
+				countPlaces(each, step, awaited) > 0 && mayHold(planning, each),
+		)
 		.toSorted((one, two) => compareForIsolation(step, one, two))
 		.slice(0, executors);
 	let places = 0;
@@ -124,7 +148,15 @@
 		places += countPlaces(each, step, isKept ? awaited : {now, withinMs: 0});
 	}
 
-	return places >= count ? reserve(planning, kept) : 0;
+	if (places < count) {
+		return 0;
+	}
+
+	for (const {id} of kept) {
+		owner.suspectHolds.set(id, owner.suspectHolds.get(id) ?? now);
+	}
+
+	return reserve(planning, kept);
 };
 
 /** Starts one suspect; returns how many executors it takes. */
@@ -190,6 +222,7 @@
  */
 export const planSuspects = (planning: Planning): void => {
 	const {owner} = planning;
+	forgetPastHolds(planning);
 	const suspects = listSuspects(owner).filter((task) => mayStart(owner, task));
 	let available = suspects.length > 0 ? countAvailable(planning) : 0;
 	for (const task of suspects) {
--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -190,11 +190,12 @@
 			: undefined;
 	};
 
+	const isOwnerSilent = ({loads}: FleetView, {pool}: Machine): boolean =>
+		context.hasOwner(pool) && !loads.has(pool);
+
 	/** Ends a move, or renews its evacuation until the platform accepts it. */
-	const advance = async (
-		entry: MoveInProgress,
-		machine: Machine | undefined,
-	) => {
+	const advance = async (view: FleetView, entry: MoveInProgress) => {
+		const machine = view.machines.get(entry.move.machine);
 		entry.clearance = undefined;
 		entry.missingSince = machine
 			? undefined
@@ -215,20 +216,30 @@
 			return;
 		}
 
-		if (machine?.state === 'up' && entry.phase !== 'ordered') {
-			const answer = await evacuateMachine(context, machine, {
-				claimant: moveClaimant,
-				patienceMs: fleetPeriods.moveEvacuationGraceMs,
-				urgency:
-					entry.phase === 'emptying'
-						? scheduler.evacuationUrgencies.normal
-						: scheduler.evacuationUrgencies.commanded,
-			});
-			entry.clearance = getClearance(answer);
-			if (answer.kind === 'deferred' && entry.phase === 'emptying') {
-				pause(entry.move);
-				abandon(entry, 'needed by its service');
-			}
+		if (machine?.state !== 'up' || entry.phase === 'ordered') {
+			return;
+		}
+
+		const evacuation = evacuateMachine(context, machine, {
+			claimant: moveClaimant,
+			patienceMs: fleetPeriods.moveEvacuationGraceMs,
+			urgency:
+				entry.phase === 'emptying'
+					? scheduler.evacuationUrgencies.normal
+					: scheduler.evacuationUrgencies.commanded,
+		});
+		// The wait for an owner that does not answer would outdate the view of
+		// all other machines, none of which would be commanded.
+		if (isOwnerSilent(view, machine)) {
+			void evacuation;
+			return;
+		}
+
+		const answer = await evacuation;
+		entry.clearance = getClearance(answer);
+		if (answer.kind === 'deferred' && entry.phase === 'emptying') {
+			pause(entry.move);
+			abandon(entry, 'needed by its service');
 		}
 	};
 
@@ -448,9 +459,7 @@
 			}
 
 			await Promise.all(
-				[...inProgress.values()].map(async (entry) =>
-					advance(entry, view.machines.get(entry.move.machine)),
-				),
+				[...inProgress.values()].map(async (entry) => advance(view, entry)),
 			);
 			await moveEvacuated(view);
 			claims.setLeaving(inProgress.keys());
