load: an executor that never answered measures no demand

What operators would see: machines of all pools that are moved to one service, after another writer has left one entry for it in the registry.

Cause: demand for memory is expressed as cpu by the ratio of all executors of the service, so an entry with an absurd cpu and little memory, at an address where nobody answers, sets that ratio. Pools are planned by that demand.

Evidence: service-load.test.ts: 4 tasks of 300 MB on an executor of 4 cores and 1,000 MB wait for 4,800 thousandths of a core; with such an entry beside it, 10,797,841,264,429,560 on the code before, now 4,800. The executors that have answered decide, as an entry of another writer has nobody who answers for its id; all of them do where none has answered yet.

--- a/packages/core/src/scheduler/load/service-load.test.ts
+++ b/packages/core/src/scheduler/load/service-load.test.ts
@@ -53,6 +53,18 @@
 	});
 }
 
+tap.t.test('an entry that nobody answers for measures nothing', async (t) => {
+	const owner = createOwner([[4, 100, 300]]);
+	const {waitingCpu} = scheduler.describeLoad(owner, 1, 1);
+	const capacity = {
+		cpuMillis: Number.MAX_SAFE_INTEGER,
+		memoryMb: 1,
+		accelerators: 0,
+	};
+	scheduler.recordListedExecutor(owner, createListed('odd', {capacity}));
+	t.equal(scheduler.describeLoad(owner, 1, 1).waitingCpu, waitingCpu);
+});
+
 tap.t.test('what runs counts by its scarcer resource', async (t) => {
 	const owner = createOwner([[2, 100, 500]]);
 	planAndStart(owner, 1);
--- a/packages/core/src/scheduler/load/service-load.ts
+++ b/packages/core/src/scheduler/load/service-load.ts
@@ -63,13 +63,15 @@
 
 /**
  * Returns a function that expresses resources as cpu: that of the part of an
- * executor which they take by the scarcer of cpu and memory.
+ * executor which they take by the scarcer of cpu and memory. Any writer may list
+ * an executor of any size, so those that have answered decide, if any have.
  */
 const createCpuMeasure = (
 	executors: readonly Executor[],
 ): ((resources: Resources) => number) => {
+	const answered = executors.filter(({isAdopted}) => isAdopted);
 	let capacity = noResources;
-	for (const {listed} of executors) {
+	for (const {listed} of answered.length > 0 ? answered : executors) {
 		capacity = addResources(capacity, listed.capacity);
 	}
 
