polls: a listed run of an occurrence far ahead loads nothing

What operators would see: the owner of a service ends with 'JavaScript heap out of memory', and so does the next one, as both poll the same executor.

Cause: a listed run of an occurrence that is not loaded loads all occurrences up to it, since an earlier owner may have started it. Only the number of the schedule's occurrences bounded that, which may be 100,000.

An earlier owner has as many occurrences loaded as it may, and ends that it has not stored: runs of twice as many still load what they need, and later ones count as runs of nobody, which are stopped.

--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -15,6 +15,7 @@
 	recordDoneRuns,
 	recordProgresses,
 } from '../executor-speed/record-speeds.js';
+import {mayHaveStarted} from '../state/due-occurrences.js';
 import {isRestart} from '../state/incarnation.js';
 import {completeIfDone, endJob, type EndedJob} from '../state/job-ends.js';
 import {getMaxLeaseDurationMs} from '../state/leases.js';
@@ -77,7 +78,10 @@
 		return undefined;
 	}
 
-	addOccurrencesUpTo(job, parts.occurrence);
+	if (mayHaveStarted(job, parts.occurrence)) {
+		addOccurrencesUpTo(job, parts.occurrence);
+	}
+
 	return job.occurrences.get(parts.occurrence)?.steps[parts.step]?.tasks[
 		parts.index
 	];
--- a/packages/core/src/scheduler/state/due-occurrences.test.ts
+++ b/packages/core/src/scheduler/state/due-occurrences.test.ts
@@ -111,3 +111,27 @@
 		t.equal(job.remainingWork, (job.totalWork * 5) / 3);
 	},
 );
+
+const listedOccurrences: ReadonlyArray<
+	readonly [name: string, count: number, number: number, loaded: number]
+> = [
+	['the next one', 1, 0, 1],
+	['one that an earlier owner may have started', 1, 900, 901],
+	['one far ahead', 1, 99_999, 0],
+	['one far ahead of many tasks', 5000, 9, 0],
+];
+
+for (const [name, count, number, loaded] of listedOccurrences) {
+	tap.t.test(`an executor lists a run of ${name}`, async (t) => {
+		const owner = createTestOwner([createListed('x')]);
+		const accepted = createAccepted('a', [{count}], {
+			schedule: {times: 100_000, startAtEpochMs: 1e12, intervalMs: 1},
+		});
+		const job = scheduler.addJob(owner, accepted, true);
+		const running = [{taskId: `a.${number}.0.0`, run: 5}];
+		pollExecutor(owner, 'x', {at: 1, running});
+		t.equal(job.occurrences.size, loaded);
+		pollExecutor(owner, 'x', {at: 2, running});
+		t.equal(job.occurrences.size, loaded);
+	});
+}
--- a/packages/core/src/scheduler/state/due-occurrences.ts
+++ b/packages/core/src/scheduler/state/due-occurrences.ts
@@ -24,6 +24,20 @@
 export const countLoadedTasks = (job: Job): number =>
 	job.occurrences.size * countTasks(job);
 
+const getMaxLoaded = (job: Job): number =>
+	Math.min(
+		loadLimits.maxOccurrences,
+		Math.max(minOverlap, Math.floor(loadLimits.maxTasks / countTasks(job))),
+	);
+
+/**
+ * Whether an earlier owner may have started an occurrence: it had as many loaded
+ * as may be, beside ends that it had not stored yet. Runs that an executor lists
+ * of later ones are of nobody.
+ */
+export const mayHaveStarted = (job: Job, number: number): boolean =>
+	number < job.nextOccurrence + 2 * getMaxLoaded(job);
+
 /**
  * Adds the occurrences of a job that are due, in order and as far as the bounds
  * allow; the others follow as loaded ones are done. `maxTasks` bounds the tasks
@@ -37,10 +51,7 @@
 	const times = countOccurrences(job);
 	const {schedule} = job.accepted.spec;
 	const perOccurrence = countTasks(job);
-	const maxLoaded = Math.min(
-		loadLimits.maxOccurrences,
-		Math.max(minOverlap, Math.floor(loadLimits.maxTasks / perOccurrence)),
-	);
+	const maxLoaded = getMaxLoaded(job);
 	let left = maxTasks;
 	while (
 		job.nextOccurrence < times &&
