soak: waves that take whole pools, and a machine API that fails beside them

`pool-waves` takes a pool, a rack or all machines, with caps of 1, 2, 4 and 30, half of the time with a second wave while the first is under way; `machine-api` lets the machine API be silent, reset, busy (503) or throttled (429) for 2 to 7 s. Both come at even distances beside the other disruptions, whose draws stay as they were. Each pool then has a long-running task on every executor, and a second job of as many as fit on all but one. `small-pools` has pools of 2, 3 and 5 executors and no standby.

Checks: a job that stands beside a wave or a failure of the machine API counts as in calm; room for a step keeps to its antiAffinity; a wave that is not completed within its duration breaks `Duty`, unless tasks that may not leave hold one of its machines, or other disruptions come. Stops beyond `mayMiss` were judged already. The figures count waves of whole pools, waves not completed, failures of the machine API, and moves given up.

--- a/packages/bench/src/benches/soak.ts
+++ b/packages/bench/src/benches/soak.ts
@@ -3,7 +3,7 @@
  * the platform, under a seeded schedule of disruptions; then judged by what
  * clients and executors have seen.
  */
-import {existsSync, mkdtempSync, rmSync} from 'node:fs';
+import {existsSync, mkdtempSync, readFileSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import * as path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -21,6 +21,7 @@
 	type Recorder,
 } from './soak/record.js';
 import {drawFleetDisruptions} from './soak/fleet-disruptions.js';
+import {createLastingJobs, drawUpkeep, upkeepKinds} from './soak/upkeep.js';
 import {drawQueueMoves, getQueueMovesMs} from './soak/queue-moves.js';
 import {createIdleJob} from './soak/idle-start.js';
 import {createCutJob, drawTaskCuts} from './soak/repeated-cuts.js';
@@ -82,11 +83,18 @@
 		queues: environment.queues.length,
 		only,
 	};
-	const others = drawSchedule({
-		...drawn,
-		random: createRandom(seed),
+	const span = {
 		fromMs: sizes.quietMs,
 		untilMs: sizes.quietMs + sizes.disturbedMs,
+	};
+	const others = only?.every((kind) => upkeepKinds.has(kind))
+		? []
+		: drawSchedule({...drawn, ...span, random: createRandom(seed)});
+	const upkeep = drawUpkeep({
+		...drawn,
+		...span,
+		random: createRandom(seed + 9),
+		count: sizes.poolWaves,
 	});
 	const moves = drawQueueMoves({
 		...drawn,
@@ -106,7 +114,7 @@
 		count: sizes.taskCuts,
 		schedule: others,
 	});
-	const schedule = [...others, ...moves, ...fleet, ...taskCuts];
+	const schedule = [...others, ...moves, ...fleet, ...taskCuts, ...upkeep];
 	const traffic = {
 		queues: environment.queues.map(({pathPrefix}) => pathPrefix),
 		...sizes,
@@ -127,6 +135,10 @@
 		),
 	];
 	jobs.push(...taskCuts.map((each) => createCutJob(each, traffic.queues)));
+	if (upkeep.length > 0) {
+		jobs.push(...createLastingJobs(sizes, traffic.queues));
+	}
+
 	writeLines(folder, 'schedule.jsonl', schedule);
 	log(`${jobs.length} jobs, ${schedule.length} disruptions`);
 	recorder.note({kind: 'phase', phase: 'traffic'});
@@ -190,6 +202,32 @@
 		]),
 	);
 
+/** Counts what is done with whole pools, so that a run without it is seen. */
+const countUpkeep = (
+	{events}: Recorder,
+	folder: string,
+	{daemons}: SoakEnvironment,
+): Readonly<Record<string, number>> => ({
+	'waves of whole pools': events.filter(
+		(event) =>
+			event.kind === 'wave' &&
+			event.state === 'requested' &&
+			event.wholePools.length > 0,
+	).length,
+	'waves not completed': events.filter(
+		(event) => event.kind === 'wave' && event.state === 'not completed',
+	).length,
+	'machine API failures': events.filter(
+		(event) =>
+			event.kind === 'disruption begins' && event.name === 'machine-api',
+	).length,
+	'moves given up':
+		daemons
+			.map(({name}) => readFileSync(path.join(folder, `${name}.log`), 'utf8'))
+			.join('')
+			.split('not evacuated in time').length - 1,
+});
+
 const unknownPattern =
 	/gullstand_executors\{label="[\w\-]+ unknown"\} (?<count>\d+)/gv;
 
@@ -247,6 +285,7 @@
 	}
 
 	stopWatching();
+	const upkeep = countUpkeep(recorder, folder, environment);
 	const history = createHistory(recorder.events, clients.jobs, sizes, epochMs);
 	const found = Object.entries(soakChecks).map(
 		([name, find]): readonly [string, readonly Break[]] => [
@@ -289,6 +328,7 @@
 				history.getPhaseMs('verdict'),
 			),
 			...countEvents(recorder),
+			...upkeep,
 		},
 		baselines: {},
 		checks: [
--- a/packages/bench/src/benches/soak/checks/checks.test.ts
+++ b/packages/bench/src/benches/soak/checks/checks.test.ts
@@ -132,6 +132,15 @@
 
 const disruption = {id: 1, name: 'store', isPlanned: false, text: ''};
 
+const poolWaves = {
+	id: 2,
+	name: 'pool-waves',
+	isPlanned: true,
+	text: '',
+};
+
+const apiFailure = {...disruption, id: 3, name: 'machine-api'};
+
 const verdict: Timed = {kind: 'phase', phase: 'verdict', atMs: 20_000};
 
 const completed = {atMs: 2000, daemon: 'front-1', state: 'completed'};
@@ -173,7 +182,14 @@
 	steps: [{...step, count: 2, longRunning: true, mayMiss: 1}],
 };
 
-const wave = {kind: 'wave', wave: 1, machines: ['m-1'], cap: 1} as const;
+const wave = {
+	kind: 'wave',
+	wave: 1,
+	machines: ['m-1'],
+	cap: 1,
+	durationS: 15,
+	wholePools: [],
+} as const;
 
 const completeWave: readonly Timed[] = [
 	{...wave, state: 'requested', atMs: 2000},
@@ -322,6 +338,45 @@
 		createJob({states: [completed]}),
 		[],
 	],
+	[
+		'a wave that is completed too late',
+		[
+			...whole,
+			{kind: 'machine gone', machine: 'm-1', atMs: 2500},
+			{...wave, durationS: 3, state: 'requested', atMs: 2000},
+			{...wave, durationS: 3, state: 'completed', atMs: 5100},
+		],
+		createJob({states: [completed]}),
+		['Duty'],
+	],
+	[
+		'a wave that is completed late by a failure of the machine API',
+		[
+			...whole,
+			{kind: 'machine gone', machine: 'm-1', atMs: 2500},
+			{...wave, durationS: 3, state: 'requested', atMs: 2000},
+			{...apiFailure, kind: 'disruption begins', atMs: 3000},
+			{...apiFailure, kind: 'disruption ends', atMs: 4000},
+			{...wave, durationS: 3, state: 'completed', atMs: 8900},
+		],
+		createJob({states: [completed]}),
+		[],
+	],
+	[
+		'a job that stands beside a wave and a failure of the machine API',
+		[
+			...whole.slice(0, 3),
+			{...wave, durationS: 30, state: 'requested', atMs: 3000},
+			{...poolWaves, kind: 'disruption begins', atMs: 3000},
+			{...apiFailure, kind: 'disruption begins', atMs: 4000},
+			{...apiFailure, kind: 'disruption ends', atMs: 9000},
+			start(12_000, '0.1.0', {run: 2}),
+			end(12_500, 'done', '0.1.0', 2),
+			acknowledge(12_600, 2),
+		],
+		createJob({states: [{...completed, atMs: 13_000}]}),
+		['LOST'],
+	],
 	[
 		'orders of two holders with one token',
 		[...whole, order(2000, 'front-1', 1), order(9000, 'front-2', 1)],
--- a/packages/bench/src/benches/soak/checks/history.ts
+++ b/packages/bench/src/benches/soak/checks/history.ts
@@ -45,6 +45,8 @@
 	readonly getDoneMs: (task: string) => number | undefined;
 	/** Whether no disruption was under way in a span, nor did stand-ins lag. */
 	readonly isCalm: (fromMs: number, toMs: number) => boolean;
+	/** The same, beside waves and failures of the machine API. */
+	readonly isCalmBesideUpkeep: (fromMs: number, toMs: number) => boolean;
 	/** Whether no disruption but planned work was under way in a span. */
 	readonly isFreeOfFaults: (fromMs: number, toMs: number) => boolean;
 	/** Share of a span by which the stand-ins were late. */
@@ -180,13 +182,22 @@
 };
 
 type Span = {
+	readonly name: string;
 	readonly fromMs: number;
 	readonly toMs: number;
 	readonly isPlanned: boolean;
 };
 
+/** What is no excuse for a job that stands. */
+const upkeepKinds: ReadonlySet<string> = new Set([
+	'wave',
+	'pool-waves',
+	'machine-api',
+]);
+
 const listDisruptions = (events: readonly SoakEvent[]): readonly Span[] =>
 	events.filter(isKind('disruption begins')).map((begin) => ({
+		name: begin.name,
 		fromMs: begin.atMs,
 		toMs:
 			events
@@ -197,6 +208,7 @@
 
 const listLags = (events: readonly SoakEvent[]): readonly Span[] =>
 	events.filter(isKind('lag')).map(({atMs, ms}) => ({
+		name: 'lag',
 		fromMs: atMs - ms,
 		toMs: atMs,
 		isPlanned: false,
@@ -238,6 +250,7 @@
 
 	const isFree = (spans: readonly Span[], fromMs: number, toMs: number) =>
 		spans.every((span) => span.toMs < fromMs || span.fromMs > toMs);
+	const others = disruptions.filter(({name}) => !upkeepKinds.has(name));
 	const faults = disruptions.filter(({isPlanned}) => !isPlanned);
 	return {
 		events,
@@ -251,6 +264,7 @@
 		getAcknowledgedMs: (end) => acknowledged.get(toEndKey(end)),
 		getDoneMs: (task) => doneAt.get(task),
 		isCalm: (fromMs, toMs) => isFree(disruptions, fromMs, toMs),
+		isCalmBesideUpkeep: (fromMs, toMs) => isFree(others, fromMs, toMs),
 		isFreeOfFaults: (fromMs, toMs) => isFree(faults, fromMs, toMs),
 		getLagShare(fromMs, toMs) {
 			let lagMs = 0;
--- a/packages/bench/src/benches/soak/checks/index.ts
+++ b/packages/bench/src/benches/soak/checks/index.ts
@@ -27,6 +27,7 @@
 	'MIXED: states that are wrong': states.findMixedStates,
 	'LIMIT: upkeeps beyond the cap': waves.findCrowdedWaves,
 	'MIXED: waves completed too early': waves.findEarlyCompletions,
+	'Duty: waves completed too late': waves.findLateWaves,
 	'ONE: machines with two holders': waves.findContestedOrders,
 	'Acks: ends not taken note of': service.findUnnotedEnds,
 	'Acks: cancels without an answer': service.findUnansweredCancels,
--- a/packages/bench/src/benches/soak/checks/standing.ts
+++ b/packages/bench/src/benches/soak/checks/standing.ts
@@ -75,9 +75,22 @@
 	return [...up.values()];
 };
 
-type Free = Executor & {readonly usedCpu: number; readonly usedMemMb: number};
+type Free = Executor & {
+	readonly usedCpu: number;
+	readonly usedMemMb: number;
+	/** Jobs and steps of its runs, one for each run. */
+	readonly steps: readonly string[];
+};
+
+export const toStepKey = (task: string): string =>
+	task.slice(0, task.lastIndexOf('.'));
 
-const getFree = (
+/** Runs under way at a time. */
+export const listActive = (history: History, atMs: number): readonly Run[] =>
+	history.runs.filter(({start, endMs}) => start.atMs <= atMs && endMs > atMs);
+
+/** What executors that are up have free at a time. */
+export const getFree = (
 	history: History,
 	active: readonly Run[],
 	atMs: number,
@@ -85,25 +98,34 @@
 	listExecutors(history, atMs).map((executor) => {
 		let usedCpu = 0;
 		let usedMemMb = 0;
+		const steps: string[] = [];
 		for (const {start} of active) {
 			if (toIncarnationKey(start) === executor.key) {
 				const {job, step} = parseTask(start.task);
 				const work = history.jobs.get(job)?.plan.steps[step];
 				usedCpu += work?.cpu ?? 0;
 				usedMemMb += work?.memMb ?? 0;
+				steps.push(toStepKey(start.task));
 			}
 		}
 
-		return {...executor, usedCpu, usedMemMb};
+		return {...executor, usedCpu, usedMemMb, steps};
 	});
 
-const countRoom = (free: readonly Free[], {cpu, memMb}: JobStep): number => {
+/** For how many tasks of a step there is room, by the key of the step. */
+export const countRoom = (
+	free: readonly Free[],
+	{cpu, memMb, antiAffinity}: JobStep,
+	key: string,
+): number => {
 	let room = 0;
 	for (const each of free) {
+		const beside = each.steps.filter((step) => step === key).length;
 		room += Math.max(
 			0,
 			Math.floor(
 				Math.min(
+					antiAffinity > 0 ? antiAffinity - beside : Number.POSITIVE_INFINITY,
 					(each.cpu - each.usedCpu) / cpu,
 					(each.memMb - each.usedMemMb) / memMb,
 				),
@@ -234,10 +256,14 @@
 };
 
 /** What is free in a service at a time. */
-const measure = (free: readonly Free[], service: string, step: JobStep) => {
+const measure = (
+	free: readonly Free[],
+	service: string,
+	{name, step}: Waiting,
+) => {
 	const own = free.filter((each) => each.service === service);
 	return {
-		room: countRoom(own, step),
+		room: countRoom(own, step, toStepKey(name)),
 		used: sum(own.map(({usedCpu}) => usedCpu)),
 		all: sum(own.map(({cpu}) => cpu)),
 	};
@@ -252,9 +278,7 @@
 		(job) => job.acceptedMs !== undefined,
 	);
 	for (let atMs = 0; atMs < history.endMs; atMs += tickMs) {
-		const active = history.runs.filter(
-			({start, endMs}) => start.atMs <= atMs && endMs > atMs,
-		);
+		const active = listActive(history, atMs);
 		const free = getFree(history, active, atMs);
 		const seen = new Set<string>();
 		for (const job of accepted) {
@@ -263,12 +287,9 @@
 			}
 
 			const services = listServices(history, job, atMs);
-			for (const {name, step, sinceMs, tasks} of listWaiting(
-				history,
-				job,
-				atMs,
-			)) {
-				const measured = services.map((each) => measure(free, each, step));
+			for (const waiting of listWaiting(history, job, atMs)) {
+				const {name, step, sinceMs, tasks} = waiting;
+				const measured = services.map((each) => measure(free, each, waiting));
 				const isFree = measured.every(
 					({room, used, all}) =>
 						room >= 2 * tasks && (used < all / 2 || step.longRunning),
@@ -283,7 +304,7 @@
 				if (
 					atMs - fromMs >= standingMs &&
 					!found.has(name) &&
-					history.isCalm(fromMs - calmBeforeMs, atMs)
+					history.isCalmBesideUpkeep(fromMs - calmBeforeMs, atMs)
 				) {
 					found.set(name, {
 						rule: 'LOST',
--- a/packages/bench/src/benches/soak/checks/waves.ts
+++ b/packages/bench/src/benches/soak/checks/waves.ts
@@ -1,5 +1,6 @@
-/** Rules on machines and their waves: LIMIT, MIXED and ONE. */
-import {ruleBounds} from '@gullstand/users-platform/stand-ins';
+/** Rules on machines and their waves: LIMIT, MIXED, ONE, and Duty. */
+import {parseTask, ruleBounds} from '@gullstand/users-platform/stand-ins';
+import {countRoom, getFree, listActive, toStepKey} from './standing.js';
 import {isKind, type Break, type EventOf, type History} from './history.js';
 
 /** Upkeeps that begin while too many machines of their wave are away. */
@@ -88,3 +89,97 @@
 			: [];
 	});
 };
+
+/** Beyond a failure of the machine API, until it is used again. */
+const apiReturnMs = 3000;
+
+/** Time in which the machine API failed, from a time on. */
+const getApiAwayMs = ({events}: History, fromMs: number): number => {
+	let awayMs = 0;
+	let beganMs: number | undefined;
+	for (const event of events) {
+		if (event.kind === 'disruption begins' && event.name === 'machine-api') {
+			beganMs = event.atMs;
+		} else if (
+			event.kind === 'disruption ends' &&
+			event.name === 'machine-api' &&
+			event.atMs > fromMs
+		) {
+			awayMs += event.atMs - (beganMs ?? fromMs) + apiReturnMs;
+		}
+	}
+
+	return awayMs;
+};
+
+/**
+ * Whether long-running tasks may not leave a machine: as many others of their
+ * step as may miss are away and there is no room for these.
+ */
+const isHeldByTasks = (
+	history: History,
+	machine: string,
+	atMs: number,
+): boolean => {
+	const active = listActive(history, atMs);
+	const free = getFree(history, active, atMs);
+	return active.some(({start}) => {
+		const {job, step: number} = parseTask(start.task);
+		const step = history.jobs.get(job)?.plan.steps[number];
+		const key = toStepKey(start.task);
+		const atWork = active.filter((run) => toStepKey(run.start.task) === key);
+		const own = free.filter(({service}) => service === start.service);
+		return (
+			`m-${start.executor}-`.startsWith(`${machine}-`) &&
+			step?.longRunning === true &&
+			step.count - atWork.length >= step.mayMiss &&
+			countRoom(own, step, key) === 0
+		);
+	});
+};
+
+/** Machines of a wave whose upkeep has not begun at a time. */
+const listLeft = (
+	{events}: History,
+	{wave, machines}: EventOf<'wave'>,
+	atMs: number,
+): readonly string[] =>
+	machines.filter(
+		(machine) =>
+			!events.some(
+				(event) =>
+					event.kind === 'upkeep begins' &&
+					event.machine === machine &&
+					event.wave === String(wave) &&
+					event.atMs <= atMs,
+			),
+	);
+
+/** Waves that are not completed within their duration, though they could be. */
+export const findLateWaves = (history: History): readonly Break[] =>
+	history.events
+		.filter(isKind('wave'))
+		.filter(({state}) => state === 'requested')
+		.flatMap((requested) => {
+			const {wave, machines, cap, durationS, atMs} = requested;
+			const dueMs = atMs + 1000 * durationS + getApiAwayMs(history, atMs);
+			const completedMs =
+				history.events
+					.filter(isKind('wave'))
+					.find((each) => each.wave === wave && each.state === 'completed')
+					?.atMs ?? Number.POSITIVE_INFINITY;
+			const isJudged =
+				dueMs < history.endMs &&
+				history.isCalmBesideUpkeep(atMs - ruleBounds.contactMs, dueMs) &&
+				!listLeft(history, requested, dueMs).some((machine) =>
+					isHeldByTasks(history, machine, dueMs),
+				);
+			return isJudged && completedMs > dueMs
+				? [
+						{
+							rule: 'Duty',
+							text: `wave ${wave} of ${machines.length} machines, ${cap} at once, from ${atMs} ms is completed at ${completedMs} ms, due at ${dueMs} ms`,
+						},
+					]
+				: [];
+		});
--- a/packages/bench/src/benches/soak/disruptions.ts
+++ b/packages/bench/src/benches/soak/disruptions.ts
@@ -22,6 +22,7 @@
 	TimedDisruption,
 } from './schedule.js';
 import type {SoakEnvironment} from './environment.js';
+import {maintainMachines, playPoolWaves, troubleMachineApi} from './upkeep.js';
 
 const {graceMs} = ruleBounds;
 
@@ -37,9 +38,6 @@
 /** Turn in which a slow daemon runs once. */
 const slowTurnMs = 60;
 
-/** Until a wave that has not been completed is left alone. */
-const waveMaxMs = 25_000;
-
 /** Troubles in which the store serves nobody. */
 const awayTroubles: ReadonlySet<StoreTrouble> = new Set([
 	'refuses',
@@ -157,27 +155,6 @@
 	}
 };
 
-/** Requests a wave and waits for its end, for some time. */
-const maintainMachines = async (
-	{operator}: SoakEnvironment,
-	recorder: Recorder,
-	machines: readonly string[],
-	cap: number,
-) => {
-	const wave = 1 + recorder.events.filter(({kind}) => kind === 'wave').length;
-	const note = (state: 'requested' | 'completed' | 'not completed') => {
-		recorder.note({kind: 'wave', wave, state, machines, cap});
-	};
-
-	note('requested');
-	operator.requestWave({wave, machines, durationS: 15, cap});
-	const isCompleted = await waitUntil(
-		async () => operator.isCompleted(wave),
-		waveMaxMs,
-	);
-	note(isCompleted ? 'completed' : 'not completed');
-};
-
 const troubleStore = async (
 	{daemon, trouble, forMs}: Omit<OfKind<'store'>, 'kind'>,
 	environment: SoakEnvironment,
@@ -266,15 +243,18 @@
 		store.silenceOpen(() => random() < share);
 	},
 	async wave({executor, machines, cap}, environment, _random, recorder) {
-		await maintainMachines(
-			environment,
-			recorder,
-			[...environment.fleet.listShown()]
+		await maintainMachines(environment, recorder, {
+			machines: [...environment.fleet.listShown()]
 				.slice(executor % environment.fleet.listShown().length)
-				.slice(0, machines)
-				.map(({machine}) => machine),
+				.slice(0, machines),
 			cap,
-		);
+		});
+	},
+	async 'pool-waves'(disruption, environment, _random, recorder) {
+		await playPoolWaves(disruption, environment, recorder);
+	},
+	async 'machine-api'(disruption, environment) {
+		await troubleMachineApi(disruption, environment);
 	},
 	async 'queue-move'({queue, gapMs}, environment) {
 		await moveQueue(environment, queue, gapMs);
@@ -433,6 +413,7 @@
 	'executor-remove',
 	'queue-move',
 	'wave',
+	'pool-waves',
 ]);
 
 /** Plays a schedule; resolves when all its disruptions are over. */
--- a/packages/bench/src/benches/soak/record.ts
+++ b/packages/bench/src/benches/soak/record.ts
@@ -28,6 +28,9 @@
 			readonly state: 'requested' | 'completed' | 'not completed';
 			readonly machines: readonly string[];
 			readonly cap: number;
+			readonly durationS: number;
+			/** Pools all of whose executors are due. */
+			readonly wholePools: readonly string[];
 	  }
 	/** The stand-ins were that late, and what they saw is late too. */
 	| {readonly kind: 'lag'; readonly ms: number}
--- a/packages/bench/src/benches/soak/schedule.ts
+++ b/packages/bench/src/benches/soak/schedule.ts
@@ -11,6 +11,12 @@
 export type StoreTrouble =
 	'refuses' | 'resets' | 'silent' | 'slow' | 'loses' | 'loses-late';
 
+/** Machines of a wave: of an executor's pool, the next, its rack, or all. */
+export type WaveScope = 'pool' | 'next-pool' | 'rack' | 'all';
+
+/** How the machine API fails; `busy` and `throttled` are answers 503 and 429. */
+export type MachineApiTrouble = 'silent' | 'reset' | 'busy' | 'throttled';
+
 /** What the list of machines shows meanwhile. */
 export type MachineListTrouble = 'sound' | ListTrouble['kind'];
 
@@ -171,6 +177,27 @@
 			readonly machines: number;
 			readonly cap: number;
 	  }
+	/** Waves that take pools whole. */
+	| {
+			readonly kind: 'pool-waves';
+			/** One of the executors of the pool or of the rack. */
+			readonly executor: number;
+			readonly scope: WaveScope;
+			readonly cap: number;
+			/** The next wave, which comes while the first is under way. */
+			readonly next:
+				| undefined
+				| {
+						readonly scope: WaveScope;
+						readonly cap: number;
+						readonly afterMs: number;
+				  };
+	  }
+	| {
+			readonly kind: 'machine-api';
+			readonly trouble: MachineApiTrouble;
+			readonly forMs: number;
+	  }
 	| {
 			readonly kind: 'queue-move';
 			readonly queue: number;
@@ -218,6 +245,8 @@
 	'executor-remove': 0,
 	'executor-replace': 0,
 	'entries-lapse': 0,
+	'pool-waves': 0,
+	'machine-api': 0,
 	'daemon-kill': 4,
 	'daemon-terminate': 4,
 	'daemon-pause': 4,
@@ -298,6 +327,9 @@
 	'loses-late',
 ] as const satisfies readonly StoreTrouble[];
 
+/** Most machines of a wave that may be away at once. */
+const waveCaps = [1, 2, 4, 30] as const;
+
 const halfOpenShares = [0.3, 0.6, 1] as const;
 
 const drawServiceCut = ({random, executor, drawMs}: Draws): ServiceCut => ({
@@ -456,6 +488,25 @@
 		machines: 1 + drawBelow(random, 4),
 		cap: 1 + drawBelow(random, 2),
 	}),
+	'pool-waves': ({random, executor, drawMs}) => ({
+		kind: 'pool-waves',
+		executor,
+		scope: pick(random, ['pool', 'rack', 'all']),
+		cap: pick(random, waveCaps),
+		next:
+			random() < 0.5
+				? undefined
+				: {
+						scope: pick(random, ['pool', 'next-pool', 'all']),
+						cap: pick(random, waveCaps),
+						afterMs: drawMs(500, 6000),
+					},
+	}),
+	'machine-api': ({random, drawMs}) => ({
+		kind: 'machine-api',
+		trouble: pick(random, ['silent', 'reset', 'busy', 'throttled']),
+		forMs: drawMs(2000, 7000),
+	}),
 	'queue-move': ({queue, drawMs}) => ({
 		kind: 'queue-move',
 		queue,
--- a/packages/bench/src/benches/soak/sizes.ts
+++ b/packages/bench/src/benches/soak/sizes.ts
@@ -26,6 +26,8 @@
 	readonly movedJobsPerS: number;
 	/** Disruptions of the fleet beside the others. */
 	readonly fleetDisruptions: number;
+	/** Waves of whole pools, or of two that overlap. */
+	readonly poolWaves: number;
 	/** Traffic before the first disruption. */
 	readonly quietMs: number;
 	readonly disturbedMs: number;
@@ -61,6 +63,7 @@
 		queueMoves: 1,
 		movedJobsPerS: 4,
 		fleetDisruptions: 6,
+		poolWaves: 0,
 		quietMs: 2000,
 		disturbedMs: 20_000,
 		settledMs: 9000,
@@ -88,6 +91,7 @@
 		queueMoves: 4,
 		movedJobsPerS: 6,
 		fleetDisruptions: 18,
+		poolWaves: 5,
 		quietMs: 3000,
 		disturbedMs: 70_000,
 		settledMs: 12_000,
@@ -116,6 +120,7 @@
 		queueMoves: 4,
 		movedJobsPerS: 6,
 		fleetDisruptions: 18,
+		poolWaves: 5,
 		quietMs: 3000,
 		disturbedMs: 60_000,
 		settledMs: 12_000,
@@ -123,4 +128,33 @@
 		idleMs: 60_000,
 		taskCuts: 4,
 	},
+	/** Pools of the fewest executors, on which waves take all at once. */
+	'small-pools': {
+		daemons: 3,
+		services: [
+			{name: 'quoting', executors: 2, guardsCapacity: false},
+			{name: 'claims', executors: 3, guardsCapacity: true},
+			{name: 'plant', executors: 5, guardsCapacity: false},
+		],
+		standbyMachines: 0,
+		cpu: 32_000,
+		memMb: 65_536,
+		jobsPerS: 6,
+		turnMs: 6000,
+		taskCpuFactor: 2,
+		maxWideTasks: 10,
+		hugeTasks: 0,
+		bursts: 0,
+		burstJobs: 0,
+		queueMoves: 1,
+		movedJobsPerS: 2,
+		fleetDisruptions: 2,
+		poolWaves: 3,
+		quietMs: 3000,
+		disturbedMs: 24_000,
+		settledMs: 5000,
+		finishMs,
+		idleMs: 5000,
+		taskCuts: 0,
+	},
 } as const satisfies Readonly<Record<string, SoakSizes>>;
--- a/packages/bench/src/bin.ts
+++ b/packages/bench/src/bin.ts
@@ -71,7 +71,10 @@
 	.option('--seed <n>', 'seed of every random choice', parseSeed, 1)
 	.option('--json', 'print only progress and one line of JSON', false)
 	.option('--short', 'end within 40 s on one core', false)
-	.option('--size <name>', 'size of the soak: short, usual or large')
+	.option(
+		'--size <name>',
+		'size of the soak: short, usual, large or small-pools',
+	)
 	.option('--only <kinds>', 'kinds of disruptions of the soak, by commas')
 	.option('--keep', 'keep the record of the soak', false)
 	.action(async (name: string, flags: Flags) =>
