soak: waves without progress are judged, beside those that are late

`Duty` now breaks when no upkeep begins for 15 s while a wave is under way, in a time that is calm but for waves, and a machine that is due could leave at some moment of it; a wave is due after its own duration, that of the waves beside it, and the failures of the machine API.

--- a/packages/bench/src/benches/soak.ts
+++ b/packages/bench/src/benches/soak.ts
@@ -208,20 +208,20 @@
 	folder: string,
 	{daemons}: SoakEnvironment,
 ): Readonly<Record<string, number>> => ({
-	'waves of whole pools': events.filter(
+	'wave of a whole pool, times': events.filter(
 		(event) =>
 			event.kind === 'wave' &&
 			event.state === 'requested' &&
 			event.wholePools.length > 0,
 	).length,
-	'waves not completed': events.filter(
+	'wave not completed, times': events.filter(
 		(event) => event.kind === 'wave' && event.state === 'not completed',
 	).length,
-	'machine API failures': events.filter(
+	'machine API failure, times': events.filter(
 		(event) =>
 			event.kind === 'disruption begins' && event.name === 'machine-api',
 	).length,
-	'moves given up':
+	'move given up, times':
 		daemons
 			.map(({name}) => readFileSync(path.join(folder, `${name}.log`), 'utf8'))
 			.join('')
--- a/packages/bench/src/benches/soak/checks/checks.test.ts
+++ b/packages/bench/src/benches/soak/checks/checks.test.ts
@@ -191,6 +191,14 @@
 	wholePools: [],
 } as const;
 
+/** An executor has room for one of its tasks. */
+const held: JobPlan = {
+	...lasting,
+	steps: [{...lasting.steps[0]!, cpu: 3000}],
+};
+
+const heldWave = {...wave, machines: ['m-i-1']} as const;
+
 const completeWave: readonly Timed[] = [
 	{...wave, state: 'requested', atMs: 2000},
 	{...wave, state: 'completed', atMs: 3000},
@@ -349,6 +357,28 @@
 		createJob({states: [completed]}),
 		['Duty'],
 	],
+	[
+		'a wave without progress',
+		[
+			...whole,
+			{kind: 'machine gone', machine: 'm-1', atMs: 2500},
+			{...wave, durationS: 30, state: 'requested', atMs: 2000},
+			{...wave, durationS: 30, state: 'completed', atMs: 17_100},
+		],
+		createJob({states: [completed]}),
+		['Duty'],
+	],
+	[
+		'a wave without progress that long-running tasks hold',
+		[
+			{kind: 'down', ...two, runs: 0, cause: 'order', atMs: 250},
+			start(300, '0.0.0', {spec: encodeJobPayload(held)}),
+			{...heldWave, state: 'requested', atMs: 2000},
+			{...heldWave, state: 'not completed', atMs: 19_000},
+		],
+		createJob({plan: held}),
+		[],
+	],
 	[
 		'a wave that is completed late by a failure of the machine API',
 		[
--- a/packages/bench/src/benches/soak/checks/index.ts
+++ b/packages/bench/src/benches/soak/checks/index.ts
@@ -28,6 +28,7 @@
 	'LIMIT: upkeeps beyond the cap': waves.findCrowdedWaves,
 	'MIXED: waves completed too early': waves.findEarlyCompletions,
 	'Duty: waves completed too late': waves.findLateWaves,
+	'Duty: waves without progress': waves.findStalledWaves,
 	'ONE: machines with two holders': waves.findContestedOrders,
 	'Acks: ends not taken note of': service.findUnnotedEnds,
 	'Acks: cancels without an answer': service.findUnansweredCancels,
--- a/packages/bench/src/benches/soak/checks/waves.ts
+++ b/packages/bench/src/benches/soak/checks/waves.ts
@@ -93,11 +93,15 @@
 /** Beyond a failure of the machine API, until it is used again. */
 const apiReturnMs = 3000;
 
-/** Time in which the machine API failed, from a time on. */
-const getApiAwayMs = ({events}: History, fromMs: number): number => {
+/** Time in which the machine API failed in a span. */
+const getApiAwayMs = (
+	{events}: History,
+	fromMs: number,
+	toMs: number,
+): number => {
 	let awayMs = 0;
 	let beganMs: number | undefined;
-	for (const event of events) {
+	for (const event of events.filter(({atMs}) => atMs <= toMs)) {
 		if (event.kind === 'disruption begins' && event.name === 'machine-api') {
 			beganMs = event.atMs;
 		} else if (
@@ -155,31 +159,88 @@
 			),
 	);
 
-/** Waves that are not completed within their duration, though they could be. */
-export const findLateWaves = (history: History): readonly Break[] =>
-	history.events
-		.filter(isKind('wave'))
+/** Waves that are not completed in time, though they could be. */
+export const findLateWaves = (history: History): readonly Break[] => {
+	const waves = history.events.filter(isKind('wave'));
+	const getEnd = (wave: number) =>
+		waves.find((each) => each.wave === wave && each.state !== 'requested');
+	return waves
 		.filter(({state}) => state === 'requested')
 		.flatMap((requested) => {
-			const {wave, machines, cap, durationS, atMs} = requested;
-			const dueMs = atMs + 1000 * durationS + getApiAwayMs(history, atMs);
-			const completedMs =
-				history.events
-					.filter(isKind('wave'))
-					.find((each) => each.wave === wave && each.state === 'completed')
-					?.atMs ?? Number.POSITIVE_INFINITY;
-			const isJudged =
-				dueMs < history.endMs &&
+			const {wave, machines, cap, atMs} = requested;
+			const end = getEnd(wave);
+			const endMs = end?.atMs ?? history.endMs;
+			const beside = waves.filter(
+				(each) =>
+					each.state === 'requested' &&
+					each.atMs <= endMs &&
+					(getEnd(each.wave)?.atMs ?? history.endMs) >= atMs,
+			);
+			let dueMs = atMs + getApiAwayMs(history, atMs, endMs);
+			for (const {durationS} of beside) {
+				dueMs += 1000 * durationS;
+			}
+
+			return endMs > dueMs &&
 				history.isCalmBesideUpkeep(atMs - ruleBounds.contactMs, dueMs) &&
 				!listLeft(history, requested, dueMs).some((machine) =>
 					isHeldByTasks(history, machine, dueMs),
-				);
-			return isJudged && completedMs > dueMs
+				)
 				? [
 						{
 							rule: 'Duty',
-							text: `wave ${wave} of ${machines.length} machines, ${cap} at once, from ${atMs} ms is completed at ${completedMs} ms, due at ${dueMs} ms`,
+							text: `wave ${wave} of ${machines.length} machines, ${cap} at once, from ${atMs} ms is ${end?.state ?? 'not completed'} at ${endMs} ms, due at ${dueMs} ms beside ${beside.length - 1} others`,
 						},
 					]
 				: [];
 		});
+};
+
+/** Longest time without an upkeep while machines are due. */
+const stallMs = 15_000;
+
+const tickMs = 1000;
+
+/** Spans in which no upkeep begins though a machine of a wave could leave. */
+export const findStalledWaves = (history: History): readonly Break[] => {
+	const waves = history.events.filter(isKind('wave'));
+	const requests = waves.filter(({state}) => state === 'requested');
+	const changes = history.events.filter(
+		(event) =>
+			event.kind === 'upkeep begins' ||
+			event.kind === 'wave' ||
+			('name' in event && event.name === 'machine-api'),
+	);
+	return changes.flatMap(({atMs}, index) => {
+		const toMs = atMs + stallMs;
+		const nextMs = changes[index + 1]?.atMs ?? history.endMs;
+		const open = requests.filter(
+			({wave, atMs: fromMs}) =>
+				fromMs <= atMs &&
+				!waves.some(
+					(each) =>
+						each.wave === wave &&
+						each.state !== 'requested' &&
+						each.atMs <= atMs,
+				),
+		);
+		const left = open.flatMap((each) => listLeft(history, each, atMs));
+		const isStalled =
+			nextMs > toMs &&
+			left.length > 0 &&
+			history.isCalmBesideUpkeep(atMs - ruleBounds.contactMs, toMs) &&
+			Array.from({length: stallMs / tickMs}, (_, tick) =>
+				left.some(
+					(machine) => !isHeldByTasks(history, machine, atMs + tick * tickMs),
+				),
+			).some(Boolean);
+		return isStalled
+			? [
+					{
+						rule: 'Duty',
+						text: `no upkeep begins from ${atMs} to ${nextMs} ms with ${open.length} waves under way; due are ${[...new Set(left)].join(', ')}`,
+					},
+				]
+			: [];
+	});
+};
--- a/packages/bench/src/benches/soak/upkeep.ts
+++ b/packages/bench/src/benches/soak/upkeep.ts
@@ -22,8 +22,8 @@
 /** Time in which a machine is evacuated, away and in use again. */
 const turnS = 5;
 
-/** After the duration of a wave, until it is left alone. */
-const waveSlackMs = 10_000;
+/** Until a wave that has not been completed is left alone. */
+const waveMaxMs = 90_000;
 
 /** Beyond those of the other disruptions. */
 const firstId = 4000;
@@ -120,13 +120,12 @@
 	environment: SoakEnvironment,
 	recorder: Recorder,
 	upkeep: Upkeep,
-	turnsBefore = 0,
 ): Promise<void> => {
 	const {operator, executors} = environment;
 	const {cap} = upkeep;
 	const wave = 1 + recorder.events.filter(({kind}) => kind === 'wave').length;
 	const machines = upkeep.machines.map(({machine}) => machine);
-	const durationS = turnS * (turnsBefore + countTurns(environment, upkeep));
+	const durationS = turnS * countTurns(environment, upkeep);
 	const wholePools = listServices(executors).filter((service) => {
 		const pool = listPool(executors, service);
 		return (
@@ -149,7 +148,7 @@
 	operator.requestWave({wave, machines, durationS, cap});
 	const isCompleted = await waitUntil(
 		async () => operator.isCompleted(wave),
-		1000 * durationS + waveSlackMs,
+		waveMaxMs,
 	);
 	note(isCompleted ? 'completed' : 'not completed');
 };
@@ -186,27 +185,17 @@
 		}
 	};
 
-	const machines = listDue(scope);
-	const first = {machines, cap};
-	const playNext = async (wave: NonNullable<typeof next>) => {
+	const request = async (of: WaveScope, atMost: number) =>
+		maintainMachines(environment, recorder, {
+			machines: listDue(of),
+			cap: atMost,
+		});
+	const requestNext = async (wave: NonNullable<typeof next>) => {
 		await delay(wave.afterMs);
-		await maintainMachines(
-			environment,
-			recorder,
-			{machines: listDue(wave.scope), cap: wave.cap},
-			countTurns(environment, first),
-		);
+		await request(wave.scope, wave.cap);
 	};
 
-	await Promise.all([
-		maintainMachines(
-			environment,
-			recorder,
-			first,
-			next ? countTurns(environment, {machines, cap: next.cap}) : 0,
-		),
-		next ? playNext(next) : undefined,
-	]);
+	await Promise.all([request(scope, cap), next && requestNext(next)]);
 };
 
 /** Lets the machine API fail for some time. */
