fix: isolation does not keep a whole service waiting for a probation

What callers saw, in simulations only: a service with one usable executor, alone or beside one that is kept for a command, started nothing for 10 s and more while a suspect was on probation there.

Cause: at least one executor may be isolated, also if it is the only one, and for as long as the probation lasts: twice the time of the latest crash.

If nothing may start anywhere else, others start beside the suspect after 2 s. It is still cleared by its probation. A crash after that counts as one with several causes, so it is given up by the limit of five, within what the platform allows; the stored row says so too. No second suspect is tried on an executor where one runs: its crash would be taken for that of the isolated one.

--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -4,18 +4,19 @@
 	isCrashSuspect,
 	mayRestart,
 } from '../polls/crash-evidence.js';
-import {listSuspects} from '../polls/crash-suspects.js';
+import {listSuspects, noteRunOfSuspect} from '../polls/crash-suspects.js';
 import {
 	couldHold,
 	getDemand,
 	getFree,
+	getReadiness,
 	hasIsolatedRun,
 	hasRoom,
 	type Executor,
 } from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
-import {listFitting, maySpreadTo} from '../placement/place-task.js';
+import {listFitting, listUsable, maySpreadTo} from '../placement/place-task.js';
 import {addTo, type ResourceSum} from '../team-shares/dominant-share.js';
 import {
 	getExpectedRemainingMs,
@@ -23,7 +24,14 @@
 } from '../team-shares/reservation.js';
 import {resourceNames} from '../../teams/resources.js';
 import {nextRunNumber} from '../state/run-numbers.js';
-import {isStepReady, isWaiting, type Step, type Task} from '../state/task.js';
+import {
+	isStepReady,
+	isWaiting,
+	listCoscheduledTasks,
+	type Run,
+	type Step,
+	type Task,
+} from '../state/task.js';
 import {isGangReady, startGang} from './plan-gang.js';
 import {
 	evictFor,
@@ -37,6 +45,48 @@
 /** Maximum share of the executors that isolation keeps from other tasks. */
 const maxIsolatedShare = 0.5;
 
+/** How long isolation may keep a whole service from other work, in ms. */
+const maxSoleIsolationMs = maxReservationMs;
+
+const endIsolation = (owner: Owner, {task}: Run): void => {
+	for (const each of listCoscheduledTasks(task)) {
+		for (const run of each.runs) {
+			run.isIsolated = false;
+		}
+
+		noteRunOfSuspect(owner, each);
+	}
+};
+
+/**
+ * Lets others start beside a suspect that has been isolated for long, if nothing
+ * may start anywhere else. A crash is evidence against all of them then.
+ */
+export const limitIsolation = (owner: Owner, now: number): void => {
+	if (!owner.areListingsRecent || listUsable(owner, now).length > 0) {
+		return;
+	}
+
+	for (const executor of owner.executors.values()) {
+		if (getReadiness(executor, now) !== 'isolated') {
+			continue;
+		}
+
+		for (const run of executor.runs.values()) {
+			if (run.isIsolated && now - run.askedAt >= maxSoleIsolationMs) {
+				endIsolation(owner, run);
+			}
+		}
+	}
+};
+
+/** Whether a suspect runs there, isolated or not: one at a time is tried. */
+const hasSuspectRun = ({runs}: Executor): boolean =>
+	[...runs.values()].some(({task}) => isCrashSuspect(task));
+
+const listEligible = (planning: Planning, step: Step): readonly Executor[] =>
+	listStepExecutors(planning, step).filter((each) => !hasSuspectRun(each));
+
 const countIsolated = (owner: Owner): number =>
 	[...owner.executors.values()].filter(
 		(each) => each.unresponsiveSince === undefined && hasIsolatedRun(each),
@@ -134,7 +184,7 @@
 		return 0;
 	}
 
-	const eligible = listStepExecutors(planning, step);
+	const eligible = listEligible(planning, step);
 	const fitting = listFitting(eligible, task);
 	const [executor] = fitting
 		.filter((each) => hasNoRecentRun(each))
@@ -163,7 +213,7 @@
 	step: Step,
 	available: number,
 ): number => {
-	const eligible = listStepExecutors(planning, step);
+	const eligible = listEligible(planning, step);
 	const executors = eligible.filter((each) => hasNoRecentRun(each));
 	const taken = startGang(planning, step, {executors, isIsolated: true});
 	return taken.length > 0
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -24,7 +24,7 @@
 	type StopReason,
 } from './planning.js';
 import {planCopies, settleCopies} from './plan-copies.js';
-import {planSuspects} from './plan-suspects.js';
+import {limitIsolation, planSuspects} from './plan-suspects.js';
 import {completeGangs, planGang} from './plan-gang.js';
 import {planRoomShares, reserveRoom} from './plan-room-shares.js';
 import {
@@ -211,6 +211,7 @@
 	expireEvacuations(owner, now);
 	forgetEndedGangs(owner);
 	const stops = planStops(owner, now);
+	limitIsolation(owner, now);
 	const usable = listUsable(owner, now);
 	updateSlowExecutors(owner, usable.length, now);
 	settleCopies(owner);
--- a/packages/core/src/scheduler/polls/crash-simulation.test.ts
+++ b/packages/core/src/scheduler/polls/crash-simulation.test.ts
@@ -175,3 +175,32 @@
 		t.pass();
 	},
 );
+
+tap.t.test(
+	'no other task is given up for late crashes while few executors are left',
+	async (t) => {
+		fc.assert(
+			fc.property(
+				fc.record({
+					executors: fc.integer({min: 1, max: 2}),
+					jobs: fc.array(fc.integer({min: 1, max: 6}), {
+						minLength: 1,
+						maxLength: 6,
+					}),
+					crashDelayMs: fc.constantFrom(1000, 2200, 3000, 4500),
+					takeoverMs: fc.constant(undefined),
+				}),
+				(simulation) => {
+					const {ends, causeStarts} = simulate(simulation);
+					return (
+						causeStarts <= 5 &&
+						ends[0] === 'failed' &&
+						ends.slice(1).every((each) => each === 'completed')
+					);
+				},
+			),
+			{numRuns: 20, seed: 1},
+		);
+		t.pass();
+	},
+);
