isolation no longer keeps the only executor of a service for 10 s

While a suspect is isolated nothing else starts beside it. Its probation is twice as long as its runs had survived when they crashed, 10 s at most.

If no executor of a service is usable, the isolation that has lasted longest ends after 2 s; its task stays a suspect and its probation goes on. Price: if it crashes its executor after that, what started beside it is lost too, and the crash does not count as one in isolation; such a task is given up after four or five crashes in place of two or three. Two usable executors change nothing.

The tests of crashes and their attribution pass unchanged.

--- a/packages/core/src/scheduler/plan/held-for-suspects.test.ts
+++ b/packages/core/src/scheduler/plan/held-for-suspects.test.ts
@@ -1,4 +1,7 @@
-/** Guards against executors that are kept free for suspects without end. */
+/**
+ * Guards against executors that are kept free for suspects without end: for one
+ * that does not fit there, and for as long as one is isolated.
+ */
 import * as tap from 'tap';
 import * as scheduler from '../index.js';
 import {createAccepted, createListed} from '../owner.test.fixture.js';
@@ -25,6 +28,8 @@
 	/** What runs there already. */
 	readonly present?: Partial<scheduler.StepSpec>;
 	readonly suspect: Partial<scheduler.StepSpec>;
+	/** How long the runs of the suspect had survived when they crashed. */
+	readonly survivedMs?: readonly number[];
 	/** Tasks of each short job, of which there is one each half second. */
 	readonly shortTasks?: number;
 	/** Whether the suspect starts in the end. */
@@ -52,6 +57,20 @@
 		suspect: {resources: toResources(2000)},
 		isStarted: true,
 	},
+	{
+		name: 'a long-running suspect that crashes late',
+		executors: 1,
+		suspect: {isLongRunning: true, resources: toResources(2000)},
+		survivedMs: [5000, 5000],
+		isStarted: true,
+	},
+	{
+		name: 'a suspect with a long run that crashes late',
+		executors: 1,
+		suspect: {estimateMs: 30_000, resources: toResources(2000)},
+		survivedMs: [5000, 5000],
+		isStarted: true,
+	},
 	{
 		name: 'a gang of suspects as wide as the service',
 		executors: 4,
@@ -114,7 +133,7 @@
 
 		world.advanceTo(fromMs);
 		world.submit(createAccepted('s', [suspect]));
-		suspectAll(world.owner, 's', [0]);
+		suspectAll(world.owner, 's', each.survivedMs ?? [0]);
 		const submittedAt: number[] = [];
 		for (let index = 0; index < shortJobs; index += 1) {
 			submittedAt.push(world.now());
--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -9,13 +9,21 @@
 	couldHold,
 	hasIsolatedRun,
 	hasRoom,
+	isUsable,
 	type Executor,
 } from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
 import {listFitting, maySpreadTo} from '../placement/place-task.js';
 import {nextRunNumber} from '../state/run-numbers.js';
-import {isStepReady, isWaiting, type Step, type Task} from '../state/task.js';
+import {
+	isStepReady,
+	isWaiting,
+	listCoscheduledTasks,
+	type Run,
+	type Step,
+	type Task,
+} from '../state/task.js';
 import {isGangReady, startGang} from './plan-gang.js';
 import {
 	evictFor,
@@ -107,6 +115,44 @@
 	return reserve(planning, held);
 };
 
+/**
+ * How long suspects may keep a service from all other work, in milliseconds. A
+ * suspect that crashed late is on probation for much longer.
+ */
+const maxExclusiveMs = 2000;
+
+const findLongestIsolated = ({executors}: Owner): Run | undefined => {
+	let longest: Run | undefined;
+	for (const {runs, unresponsiveSince} of executors.values()) {
+		for (const run of unresponsiveSince === undefined ? runs.values() : []) {
+			if (run.isIsolated && run.askedAt < (longest?.askedAt ?? Infinity)) {
+				longest = run;
+			}
+		}
+	}
+
+	return longest;
+};
+
+/**
+ * Ends the isolation that has lasted longest if it leaves a service without a
+ * usable executor. Its task stays a suspect.
+ */
+export const limitExclusiveIsolation = (owner: Owner, now: number): void => {
+	if ([...owner.executors.values()].some((each) => isUsable(each, now))) {
+		return;
+	}
+
+	const longest = findLongestIsolated(owner);
+	if (longest && now - longest.askedAt > maxExclusiveMs) {
+		for (const {runs} of listCoscheduledTasks(longest.task)) {
+			for (const run of runs) {
+				run.isIsolated = false;
+			}
+		}
+	}
+};
+
 /** Starts one suspect; returns how many executors it takes. */
 const planSuspect = (planning: Planning, task: Task): number => {
 	const {step} = task;
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -24,7 +24,7 @@
 	type StopReason,
 } from './planning.js';
 import {planCopies, settleCopies} from './plan-copies.js';
-import {planSuspects} from './plan-suspects.js';
+import {limitExclusiveIsolation, planSuspects} from './plan-suspects.js';
 import {completeGangs, planGang} from './plan-gang.js';
 import {planRoomShares, reserveRoom} from './plan-room-shares.js';
 import {
@@ -210,6 +210,7 @@
 ): readonly Command[] => {
 	expireEvacuations(owner, now);
 	forgetEndedGangs(owner);
+	limitExclusiveIsolation(owner, now);
 	const stops = planStops(owner, now);
 	const usable = listUsable(owner, now);
 	updateSlowExecutors(owner, usable.length, now);
