no executor is cleared for a task that placement advice keeps from it

A long-running task without room has runs stopped on the executor where the least work is lost, and the executor kept free for it. That looked at all usable executors, also for a task that may run on those only which placement advice names. If these were full of work that may not be stopped, runs on another one were stopped; as the task could never start there, that executor was chosen in each plan again and kept free without end.

Only the executors that may run the step are looked at, also for suspects.

evicted-without-advice.test.ts, 'the named executor cannot be cleared', before: the run on the other executor is stopped, and short tasks there never start in 10 s. Now they wait 50 ms and the run goes on. 'the named executor can be cleared' starts the task before and after.

--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -176,7 +176,7 @@
 	}
 
 	const mayEvict = fitting.length === 0 && step.spec.isLongRunning;
-	if (mayEvict && evictFor(planning, task)) {
+	if (mayEvict && evictFor(planning, eligible, task)) {
 		return 1;
 	}
 
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -168,7 +168,7 @@
 		const placement = placeStart(planning, usable, task);
 		if (placement.kind === 'refused') {
 			if (placement.reason === 'noRoom' && isLongRunningStep) {
-				evictFor(planning, task);
+				evictFor(planning, usable, task);
 			}
 
 			recordRejectedDemand(rejected, planning.usable, step);
--- a/packages/core/src/scheduler/plan/planning.ts
+++ b/packages/core/src/scheduler/plan/planning.ts
@@ -151,12 +151,17 @@
 };
 
 /**
- * Stops the runs that make room for a task. Until then the executor is kept
- * free of other starts, which would take the room piece by piece. Returns
- * whether an executor is being cleared.
+ * Stops the runs that make room for a task on one of the given executors, which
+ * must be those that may run it. Until then the executor is kept free of other
+ * starts, which would take the room piece by piece. Returns whether an executor
+ * is being cleared.
  */
-export const evictFor = (planning: Planning, task: Task): boolean => {
-	const eviction = findEviction(planning.usable, task);
+export const evictFor = (
+	planning: Planning,
+	executors: readonly Executor[],
+	task: Task,
+): boolean => {
+	const eviction = findEviction(executors, task);
 	if (!eviction) {
 		return false;
 	}
