an executor is no longer kept for one wide task after another

While room is short, an executor is kept for a wide task for 2 s, and its job gets no other one for 2 s. The executor could be kept for the next job at once: with several jobs whose wide tasks wait behind a long run, it was kept without end, and small tasks that fit never started there. A tenth of the executors may be kept, one at least, so that it is all of a small service.

An executor whose reservation has expired is not kept for another task until the pause of that one is over.

--- a/packages/core/src/scheduler/plan/plan-room-shares.ts
+++ b/packages/core/src/scheduler/plan/plan-room-shares.ts
@@ -13,7 +13,7 @@
 	getMaxReservations,
 	pickSoonest,
 } from '../team-shares/reservation.js';
-import {isPaused, shareRoom} from '../team-shares/share-room.js';
+import {isKeptInVain, isPaused, shareRoom} from '../team-shares/share-room.js';
 import {
 	couldStart,
 	listWaitingSteps,
@@ -105,7 +105,11 @@
 		return true;
 	}
 
-	const executor = pickSoonest(allowed, step, now);
+	const executor = pickSoonest(
+		allowed.filter((each) => !isKeptInVain(shares, each)),
+		step,
+		now,
+	);
 	if (!executor) {
 		return false;
 	}
--- a/packages/core/src/scheduler/team-shares/share-room.ts
+++ b/packages/core/src/scheduler/team-shares/share-room.ts
@@ -66,6 +66,13 @@
 export const isPaused = ({expired}: RoomShares, job: Job): boolean =>
 	expired.some(({task}) => task.step.occurrence.job === job);
 
+/**
+ * Whether an executor was kept for a task until its reservation expired. Small
+ * tasks may start there for now, before it is kept for the next one.
+ */
+export const isKeptInVain = ({expired}: RoomShares, {id}: Executor): boolean =>
+	expired.some(({executorId}) => executorId === id);
+
 const stopSharing = (shares: RoomShares): void => {
 	shares.isShort = false;
 	shares.teams = [];
