a team's cap is no longer held for tasks that no executor can run

A service holds a share of its team's cap for what its tasks need, and keeps its turn until something has started. Tasks that none of its executors is large enough for, or has the label for, counted too: they never start, so that the share was held without use and without end, while tasks of the team in other services waited for it.

Only ready tasks that some listed executor of the service could hold count for the share. The demand by which machines are moved to a pool counts all, as before, so that a pool without executors still gets some.

--- a/packages/core/src/scheduler/load/service-load.ts
+++ b/packages/core/src/scheduler/load/service-load.ts
@@ -8,7 +8,7 @@
 import {getRemainingWork} from '../run-times/work.js';
 import {isStepReady, isWaiting, type Job, type Step} from '../state/task.js';
 import type {Resources} from '../state/types.js';
-import {computeTeamNeeds} from '../ranking/team-use.js';
+import {computeTeamDemand} from '../ranking/team-use.js';
 import {getArrivingCpu} from './arrivals.js';
 
 /** Load of one executor. */
@@ -141,7 +141,7 @@
 	}
 
 	const parts = new Map(
-		[...computeTeamNeeds(owner)].map(([team, need]) => {
+		[...computeTeamDemand(owner)].map(([team, need]) => {
 			const cap = owner.capLimits.get(team)?.cap;
 			return [team, cap ? getPartWithinCap(cap, need) : 1] as const;
 		}),
--- a/packages/core/src/scheduler/ranking/team-use.ts
+++ b/packages/core/src/scheduler/ranking/team-use.ts
@@ -9,9 +9,16 @@
 	minResources,
 	noResources,
 } from '../../teams/resources.js';
+import {couldHold} from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
-import {isStepReady, isWaiting, listTasks, type Task} from '../state/task.js';
+import {
+	isStepReady,
+	isWaiting,
+	listTasks,
+	type Step,
+	type Task,
+} from '../state/task.js';
 import type {Resources} from '../state/types.js';
 
 type Sum = {-readonly [name in keyof Resources]: Resources[name]};
@@ -127,9 +134,20 @@
 	add(use, team, task.step.spec.resources, sign);
 };
 
-/** Computes what each team uses and waits for, of the teams with work. */
-export const computeTeamNeeds = (
+/** Whether some executor is large enough for a step and has its label. */
+const isRunnable = ({executors}: Owner, step: Step): boolean => {
+	for (const executor of executors.values()) {
+		if (executor.isListed && couldHold(executor, step)) {
+			return true;
+		}
+	}
+
+	return false;
+};
+
+const computeNeeds = (
 	owner: Owner,
+	isIncluded: (step: Step) => boolean,
 ): ReadonlyMap<string, CapNeed> => {
 	const needs = new Map<string, CapNeed>();
 	for (const [team, used] of computeTeamUse(owner)) {
@@ -139,17 +157,30 @@
 	for (const job of owner.openJobs) {
 		const {team} = job.accepted;
 		if (team !== undefined) {
-			needs.set(team, addWaiting(owner, job, needs.get(team)));
+			const known = needs.get(team);
+			needs.set(team, addWaiting(owner, job, known, isIncluded));
 		}
 	}
 
 	return needs;
 };
 
+/** Computes what each team uses and waits for, of the teams with work. */
+export const computeTeamDemand = (owner: Owner): ReadonlyMap<string, CapNeed> =>
+	computeNeeds(owner, () => true);
+
+/**
+ * Computes for what each team needs its cap. Tasks that no executor can run do
+ * not count: a share that is held for them would be of use to no service.
+ */
+export const computeTeamNeeds = (owner: Owner): ReadonlyMap<string, CapNeed> =>
+	computeNeeds(owner, (step) => isRunnable(owner, step));
+
 const addWaiting = (
 	owner: Owner,
 	job: Parameters<typeof listTasks>[0],
 	known: CapNeed | undefined,
+	isIncluded: (step: Step) => boolean,
 ): CapNeed => {
 	const {used, ...need} = known ?? {
 		used: noResources,
@@ -159,11 +190,12 @@
 	let {waiting, largest} = need;
 	for (const {steps} of job.occurrences.values()) {
 		for (const step of steps) {
-			const count = isStepReady(step)
-				? step.tasks.filter(
-						(task) => isWaiting(task) && isLocationKnown(owner, task),
-					).length
-				: 0;
+			const count =
+				isStepReady(step) && isIncluded(step)
+					? step.tasks.filter(
+							(task) => isWaiting(task) && isLocationKnown(owner, task),
+						).length
+					: 0;
 			const {resources, isGang} = step.spec;
 			if (count > 0) {
 				const demand = multiply(resources, count);
