--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -126,6 +126,7 @@
 	}
 
 	const {evacuation} = executor;
+	const current = urgency ?? evacuationUrgencies.normal;
 	executor.evacuation = {
 		since: now,
 		queuedSince: now,
@@ -137,11 +138,15 @@
 		restsUntil: now,
 		...evacuation,
 		claimant,
-		urgency: urgency ?? evacuationUrgencies.normal,
+		urgency: current,
 		validUntil: now + owner.cfg.evacuationTtlMs,
 		patienceMs: Math.min(evacuation?.patienceMs ?? patienceMs, patienceMs),
 	};
-	updateEvacuationTurns(owner, now);
+	// Each plan updates the turns; a renewal does not have to.
+	if (evacuation?.urgency !== current) {
+		updateEvacuationTurns(owner, now);
+	}
+
 	return isDeferred(owner, executorId)
 		? {kind: 'deferred'}
 		: getOccupancy(owner, executorId);
