soak: processes of daemons beside odd entries and answers

18 entries in the registry (deep nesting, numbers too large, ports out of range, odd keys, very many labels, valid and absurd ones at a dead and at a live address), six odd waves, and a server that answers polls as any executor, with 2 MB of zeros, nesting 5,000,000 deep, clocks that jump and run numbers near 2^53, beside 150 jobs of two services; then each of three daemons is killed once, so that the next owners meet all of it at once. No daemon may end by itself, all accepted jobs complete, and a line names each entry.

--- a/packages/bench/src/benches/soak.test.ts
+++ b/packages/bench/src/benches/soak.test.ts
@@ -2,10 +2,11 @@
 import * as tap from 'tap';
 import {bench} from './soak.js';
 import {root} from './soak/environment.js';
+import {playOddEntries} from './soak/odd-entries.js';
 
 const maxMs = 240_000;
 
-tap.t.setTimeout(2 * maxMs);
+tap.t.setTimeout(3 * maxMs);
 
 tap.t.before(() => {
 	execFileSync('npm', ['run', '--silent', 'bundle'], {cwd: root});
@@ -49,3 +50,25 @@
 		}
 	});
 }
+
+tap.t.test('daemons outlive odd entries and answers', async (t) => {
+	const {isReady, ends, accepted, others, polls, lines} = await playOddEntries(
+		(line) => {
+			t.comment(line);
+		},
+	);
+	t.comment(`${accepted} jobs, ${polls} odd polls`);
+	t.ok(isReady, 'the daemons are ready');
+	t.same(ends, [], 'no daemon ends by itself');
+	t.ok(accepted > 100, 'jobs are accepted');
+	t.same(others, [], 'all accepted jobs complete');
+	t.ok(polls > 10, 'the odd executor is polled');
+	t.notOk(
+		/owner failed|fleet runner failed|part failed/v.test(lines),
+		'no part fails',
+	);
+	for (const key of ['i-labels', 'i-zeros', 'i-port', 'i-bytes', 'wave/91']) {
+		const line = new RegExp(`"key":"${key}".*row skipped`, 'v');
+		t.ok(line.test(lines), `a line names ${key}`);
+	}
+});
