--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -16,7 +16,11 @@
 } from '../state/executor.js';
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
-import {listFitting, listUsable, maySpreadTo} from '../placement/place-task.js';
+import {
+	listFitting,
+	listUsable,
+	mayTakeTaskOf,
+} from '../placement/place-task.js';
 import {addTo, type ResourceSum} from '../team-shares/dominant-share.js';
 import {
 	getExpectedRemainingMs,
@@ -133,7 +137,7 @@
 	step: Step,
 	{now, withinMs}: {readonly now: number; readonly withinMs: number},
 ): number => {
-	if (!couldHold(executor, step) || !maySpreadTo(step, executor)) {
+	if (!couldHold(executor, step) || !mayTakeTaskOf(step, executor)) {
 		return 0;
 	}
 
