--- a/packages/bench/src/benches/soak/upkeep.ts
+++ b/packages/bench/src/benches/soak/upkeep.ts
@@ -54,27 +54,25 @@
 };
 
 /**
- * Creates two jobs of long-running tasks for each pool, one of them on each
- * executor. They leave room for one machine after another, also once the pool
- * has lost an executor to another one.
+ * Creates jobs of long-running tasks for each pool: one on each executor, and as
+ * many as fit on all but one.
  */
 export const createLastingJobs = (
 	{services, taskCpuFactor}: SoakSizes,
 	queues: readonly string[],
 ): readonly JobPlan[] =>
 	services.flatMap(({executors}, service) =>
-		[
-			{count: executors, antiAffinity: 1, mayMiss: executors > 2 ? 2 : 1},
-			{count: Math.max(2, 2 * (executors - 2)), antiAffinity: 2, mayMiss: 1},
-		].map((step) => ({
+		[1, 2].map((antiAffinity) => ({
 			...createPlainJob({
-				...step,
-				id: `1a57${service}${step.antiAffinity}`.padEnd(16, '0'),
+				id: `1a57${service}${antiAffinity}`.padEnd(16, '0'),
 				queue: queues[2 * service]!,
+				count: antiAffinity === 1 ? executors : antiAffinity * (executors - 1),
+				antiAffinity,
 				cpu: 400 * taskCpuFactor,
 				memMb: 300,
 				workMs: 0,
 				longRunning: true,
+				mayMiss: Math.max(1, Math.floor(executors / 4)),
 				atMs: 0,
 			}),
 			kind: jobKinds.longRunning,
