fix: executors with tasks of one long-running step leave one after another

An executor begins its turn only if its long-running tasks and those of the same step on executors that have their turn may all be down at once, and if the budget lets one of them go now. One that can't is deferred, so that its wave asks for others meanwhile.

--- a/packages/core/src/scheduler/plan/evacuation-turns.ts
+++ b/packages/core/src/scheduler/plan/evacuation-turns.ts
@@ -16,7 +16,12 @@
 } from '../state/executor.js';
 import type {Owner} from '../state/owner-state.js';
 import {isStepReady, type Step} from '../state/task.js';
-import {areLongRunningStoppable} from './long-running-stops.js';
+import {
+	areLongRunningStoppable,
+	getMaxDown,
+	groupLongRunning,
+	mayStopLongRunning,
+} from './long-running-stops.js';
 
 /** An executor whose evacuation is requested. */
 type Leaver = {readonly executor: Executor; readonly evacuation: Evacuation};
@@ -133,6 +138,44 @@
 	readonly openSteps: readonly Step[];
 	/** Whether an executor is leaving, so that another may come in its place. */
 	isOneLeaving: boolean;
+	/** Long-running tasks on executors that have their turn, by step. */
+	readonly leavingTasks: Map<Step, number>;
+};
+
+/**
+ * Whether the long-running tasks of an executor may begin to leave it. Those of
+ * one step leave one executor after another, unless all of them may be down at
+ * once: else each takes room and budget that the others need to become empty.
+ */
+const mayBeginTurn = (
+	{owner, leavingTasks}: Draft,
+	{executor, evacuation}: Leaver,
+): boolean => {
+	if (evacuation.turnSince !== undefined) {
+		return true;
+	}
+
+	for (const [step, tasks] of groupLongRunning(executor)) {
+		const leaving = leavingTasks.get(step) ?? 0;
+		const [first] = tasks;
+		if (
+			(leaving > 0 && leaving + tasks.size > getMaxDown(step)) ||
+			(first && !mayStopLongRunning(owner, first))
+		) {
+			return false;
+		}
+	}
+
+	return true;
+};
+
+const recordLeavingTasks = (
+	{leavingTasks}: Draft,
+	{executor}: Leaver,
+): void => {
+	for (const [step, tasks] of groupLongRunning(executor)) {
+		leavingTasks.set(step, (leavingTasks.get(step) ?? 0) + tasks.size);
+	}
 };
 
 /**
@@ -235,6 +278,7 @@
 		isOneLeaving: executors.some(
 			({reservedUntil}) => reservedUntil !== undefined && reservedUntil > now,
 		),
+		leavingTasks: new Map(),
 	};
 	for (const leaver of leavers) {
 		const {executor, evacuation} = leaver;
@@ -246,13 +290,18 @@
 		}
 
 		const isServing = draft.staying.has(executor);
-		if (isServing && !isCommanded(evacuation) && !canSpare(draft, leaver)) {
+		const mayLeave =
+			!isServing ||
+			isCommanded(evacuation) ||
+			(canSpare(draft, leaver) && mayBeginTurn(draft, leaver));
+		if (!mayLeave) {
 			wait(evacuation);
 			continue;
 		}
 
 		draft.staying.delete(executor);
 		draft.isOneLeaving ||= isServing;
+		recordLeavingTasks(draft, leaver);
 		beginTurn(owner, leaver, now);
 	}
 };
--- a/packages/core/src/scheduler/plan/long-running-stops.ts
+++ b/packages/core/src/scheduler/plan/long-running-stops.ts
@@ -25,6 +25,9 @@
 			isResponsive(owner, run),
 	);
 
+/** Most tasks of a long-running step that may be down at once. */
+export const getMaxDown = ({spec}: Step): number => spec.mayMiss ?? 1;
+
 /**
  * Whether long-running tasks of one step may be stopped at once within its
  * disruption budget, which defaults to one task. This holds also for tasks that
@@ -38,7 +41,7 @@
 	const othersNotReady = step.tasks.filter(
 		(each) => !tasks.has(each) && !isReady(owner, each),
 	).length;
-	return othersNotReady + tasks.size <= (step.spec.mayMiss ?? 1);
+	return othersNotReady + tasks.size <= getMaxDown(step);
 };
 
 /** Whether a long-running task may be stopped within its disruption budget. */
@@ -56,7 +59,7 @@
 	state === 'stopping' || state === 'barring';
 
 /** Lists the long-running tasks on an executor by step, those apart that stop. */
-const groupByStep = ({
+export const groupLongRunning = ({
 	runs,
 }: Executor): ReadonlyMap<Step, ReadonlySet<Task>> => {
 	const tasks = new Map<Step, Set<Task>>();
@@ -105,7 +108,7 @@
 			mayStopTogether(
 				owner,
 				task.step,
-				groupByStep(executor).get(task.step) ?? new Set([task]),
+				groupLongRunning(executor).get(task.step) ?? new Set([task]),
 			)));
 
 /** Whether all long-running tasks on an executor may be stopped at once. */
@@ -121,7 +124,7 @@
 		}
 	}
 
-	for (const [step, tasks] of groupByStep(executor)) {
+	for (const [step, tasks] of groupLongRunning(executor)) {
 		if (
 			!mayStopTogether(owner, step, tasks) ||
 			![...tasks].every((task) => mayStopToLeave(owner, executor, task, now))
--- a/packages/core/src/scheduler/reports/executor-holds.ts
+++ b/packages/core/src/scheduler/reports/executor-holds.ts
@@ -78,10 +78,6 @@
 	{runs, orphanedRunCount, unresponsiveSince, isAdopted, evacuation}: Executor,
 	now: number,
 ): HoldWait => {
-	if (evacuation?.phase === evacuationPhases.waiting) {
-		return holdWaits.turn;
-	}
-
 	if (unresponsiveSince !== undefined || !isAdopted) {
 		return holdWaits.answer;
 	}
@@ -91,16 +87,24 @@
 	}
 
 	const all = [...runs.values()];
-	if (all.length > 0) {
-		return (
-			findLongRunningWait(owner, all, now) ??
-			(all.every(({state}) => state === 'stopping' || state === 'barring')
-				? holdWaits.stops
-				: holdWaits.runs)
-		);
+	const longRunningWait = findLongRunningWait(owner, all, now);
+	if (evacuation?.phase === evacuationPhases.waiting) {
+		return longRunningWait === holdWaits.budget
+			? longRunningWait
+			: holdWaits.turn;
+	}
+
+	if (longRunningWait !== undefined) {
+		return longRunningWait;
+	}
+
+	if (all.length === 0) {
+		return holdWaits.reservation;
 	}
 
-	return holdWaits.reservation;
+	return all.every(({state}) => state === 'stopping' || state === 'barring')
+		? holdWaits.stops
+		: holdWaits.runs;
 };
 
 /** Lists the executors that are evacuated or reserved, the longest held first. */
