--- a/packages/core/src/fleet/machine-wave.test.ts
+++ b/packages/core/src/fleet/machine-wave.test.ts
@@ -314,6 +314,23 @@
 	},
 );
 
+for (const id of ['constructor', 'toString', '__proto__']) {
+	tap.t.test(`a machine that is named ${id} is maintained`, async (t) => {
+		const machine = createMachine(id);
+		const machines = mapOf([machine]);
+		let wave = fleet.createMachineWave({...request, machines: [id]}, 0);
+		t.notOk(fleet.isWaveCompleted(wave, machines));
+		t.same(step(wave, machines).evacuate, [id]);
+		wave = fleet.recordCommand(wave, machine, 0);
+		wave = fleet.recordVerdict(wave, id, 'accepted', 0);
+		t.same(fleet.listAway(wave), [id]);
+		const back = mapOf([createMachine(id, {executorId: 'another'})]);
+		t.ok(
+			fleet.isWaveCompleted(fleet.observeMachines(wave, back, 9000), back),
+		);
+	});
+}
+
 tap.t.test('running tasks are not waited for once time is short', async (t) => {
 	const wave = fleet.createMachineWave(request, 0);
 	t.notOk(fleet.isShortOfTime(wave, all, 4000, 5000));
--- a/packages/core/src/fleet/machine-wave.ts
+++ b/packages/core/src/fleet/machine-wave.ts
@@ -63,6 +63,17 @@
 	isCompleted: false,
 });
 
+/** Whether the maintenance of a machine has started, whatever its name is. */
+export const hasBegun = ({begun}: MachineWave, id: string): boolean =>
+	Object.hasOwn(begun, id);
+
+/** Returns the maintenance of a machine, if it has started. */
+export const getMaintenance = (
+	wave: MachineWave,
+	id: string,
+): MachineMaintenance | undefined =>
+	hasBegun(wave, id) ? wave.begun[id] : undefined;
+
 const putEntry = (
 	wave: MachineWave,
 	id: string,
@@ -104,12 +115,9 @@
 	);
 
 /** Lists the machines whose maintenance is pending or not known to be over. */
-export const listUnfinished = ({
-	request,
-	begun,
-}: MachineWave): readonly string[] =>
-	request.machines.filter((id) => {
-		const entry = begun[id];
+export const listUnfinished = (wave: MachineWave): readonly string[] =>
+	wave.request.machines.filter((id) => {
+		const entry = getMaintenance(wave, id);
 		return !entry || isAway(entry);
 	});
 
@@ -119,7 +127,8 @@
 	after: MachineWave,
 ): readonly string[] =>
 	Object.entries(after.begun).flatMap(([id, entry]) => {
-		const hasChanged = entry.progress.kind !== before.begun[id]?.progress.kind;
+		const hasChanged =
+			entry.progress.kind !== getMaintenance(before, id)?.progress.kind;
 		return hasChanged && !isAway(entry) ? [id] : [];
 	});
 
@@ -136,7 +145,7 @@
 ): readonly WaveMachine[] =>
 	wave.request.machines.flatMap((id) => {
 		const machine = machines.get(id);
-		return machine && !(id in wave.begun) ? [machine] : [];
+		return machine && !hasBegun(wave, id) ? [machine] : [];
 	});
 
 /**
@@ -163,7 +172,7 @@
 	machines: ReadonlyMap<string, WaveMachine>,
 ): boolean =>
 	wave.request.machines.every((id) => {
-		const kind = wave.begun[id]?.progress.kind;
+		const kind = getMaintenance(wave, id)?.progress.kind;
 		return (
 			kind === 'returned' ||
 			kind === 'not-in-wave' ||
@@ -351,7 +360,7 @@
 	putEntry(
 		wave,
 		machine.id,
-		recordAttempt(wave.begun[machine.id], machine, epochNow),
+		recordAttempt(getMaintenance(wave, machine.id), machine, epochNow),
 	);
 
 /**
@@ -381,7 +390,7 @@
 	verdict: CommandVerdict,
 	epochNow: number,
 ): MachineWave => {
-	const entry = wave.begun[id];
+	const entry = getMaintenance(wave, id);
 	return entry
 		? putEntry(
 				wave,
@@ -399,4 +408,4 @@
 	wave: MachineWave,
 	before: MachineWave,
 	id: string,
-): MachineWave => putEntry(wave, id, before.begun[id]);
+): MachineWave => putEntry(wave, id, getMaintenance(before, id));
--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -191,8 +191,7 @@
 	const awaited = {now, withinMs: getMaxWaitMs(planning)};
 	const kept = eligible
 		.filter(
-			(each) =>
-				countPlaces(each, step, awaited) > 0 && mayHold(planning, each),
+			(each) => countPlaces(each, step, awaited) > 0 && mayHold(planning, each),
 		)
 		.toSorted((one, two) => compareForIsolation(step, one, two))
 		.slice(0, executors);
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -208,7 +208,7 @@
 	) => {
 		const machine = machines.get(id);
 		claims.release(id, toWaveClaimant(wave.request.id));
-		if (machine && !(id in wave.begun)) {
+		if (machine && !fleet.hasBegun(wave, id)) {
 			void releaseMachine(context, machine);
 		}
 	};
@@ -323,7 +323,8 @@
 			unlisted.recordAsked(wave, machine.id);
 		}
 
-		const isBegun = ({machine}: MaintenanceTarget) => machine.id in wave.begun;
+		const isBegun = ({machine}: MaintenanceTarget) =>
+			fleet.hasBegun(wave, machine.id);
 		return [
 			...repeats,
 			...asked.filter((each) => isBegun(each)),
@@ -396,7 +397,7 @@
 	): Promise<fleet.MachineWave | undefined> => {
 		for (const id of fleet.listFinished(before, current)) {
 			log.reportFinished(current, id, machines);
-			releaseExecutor(current.begun[id], machines.get(id));
+			releaseExecutor(fleet.getMaintenance(current, id), machines.get(id));
 		}
 
 		waves.set(current.request.id, current);
--- a/packages/daemon/src/jobs/fleet/unlisted-machines.ts
+++ b/packages/daemon/src/jobs/fleet/unlisted-machines.ts
@@ -49,7 +49,7 @@
 					pool: '',
 					isUp: false,
 					isInMaintenance: false,
-					executorId: wave.begun[id]?.executorId,
+					executorId: fleet.getMaintenance(wave, id)?.executorId,
 				}
 			);
 		},
--- a/packages/daemon/src/jobs/fleet/wave-commands.ts
+++ b/packages/daemon/src/jobs/fleet/wave-commands.ts
@@ -83,7 +83,7 @@
 			machine: machine.id,
 			pool: machine.pool,
 			executor: machine.executorId,
-			attempt: wave.begun[machine.id]?.attempts,
+			attempt: fleet.getMaintenance(wave, machine.id)?.attempts,
 			clearMs,
 			outcome: answer,
 		});
--- a/packages/daemon/src/jobs/fleet/wave-format.ts
+++ b/packages/daemon/src/jobs/fleet/wave-format.ts
@@ -126,7 +126,7 @@
 	maxBytes: number,
 ): ReadonlyArray<readonly [string, string]> => {
 	const entries = listMachines(wave).map((id, index) => {
-		const entry = wave.begun[id];
+		const entry = fleet.getMaintenance(wave, id);
 		const fields = entry ? [toMaintenanceRow(entry)] : [];
 		return {id, text: JSON.stringify([index, id, ...fields])};
 	});
--- a/packages/daemon/src/jobs/fleet/wave-log.ts
+++ b/packages/daemon/src/jobs/fleet/wave-log.ts
@@ -1,5 +1,5 @@
 /** Log lines about the machines of waves, one for each change. */
-import type {fleet} from '@gullstand/core';
+import {fleet} from '@gullstand/core';
 import type {Logger} from '../../log/logger.js';
 
 export type WaveLog = {
@@ -30,7 +30,7 @@
 
 	return {
 		reportFinished(wave, machine, machines) {
-			const entry = wave.begun[machine];
+			const entry = fleet.getMaintenance(wave, machine);
 			if (entry) {
 				const {progress, executorId, attempts} = entry;
 				logger.info('machine counts as maintained', {
