fix: the urgency of an evacuation reaches owners at other daemons

What callers saw: nothing yet, found in review. The schema of the peer call 'evacuate' had no 'urgency', and z.object drops what it does not name, so that each request that came from another daemon was 'normal'. Then the last executor of a service with work is never given to a wave that is late (its answer is 'deferred'), long-running tasks without room wait 2.5 s in a hurry too, and an executor with a command without an answer is lent out after its turn of 6 s: tasks start behind a command that may yet be carried out.

urgency-between-daemons.test.ts: 3 of 4 cases failed before, all pass now.

--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -1,5 +1,5 @@
 /** Methods of the peer channel on the jobs side and schemas of their parameters. */
-import type {scheduler} from '@gullstand/core';
+import {scheduler} from '@gullstand/core';
 import type {ChangedRow} from '@gullstand/ports';
 import * as z from 'zod';
 import type {CancelOutcome} from './entry/cancel-outcome.js';
@@ -159,6 +159,7 @@
 		executorId: z.string(),
 		patienceMs: z.number().min(0),
 		claimant: z.string().optional(),
+		urgency: z.enum(scheduler.evacuationUrgencies).optional(),
 		order: order.optional(),
 	}),
 	releaseEvacuation: z.object({shard, executorId: z.string(), order}),
