fix: an unlisted machine with a command without an answer is kept empty

A command for a machine had no answer, and the platform left the machine out of its lists. The wave asked its owner as for any other machine ('normal'), so that the owner may answer 'deferred' or end the turn after 6 s, and start tasks behind the command.

commanded-and-unlisted.test.ts: the unlisted case failed before ('normal').

--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -316,7 +316,11 @@
 				evacuateMachine(context, machine, terms),
 			),
 			evacuate(wave, missing, async (machine) =>
-				evacuateMissing(context, machine, terms),
+				evacuateMissing(
+					context,
+					machine,
+					machine.id in wave.begun ? repeatTerms : terms,
+				),
 			),
 		]);
 		for (const {machine} of asked) {
