fix: the mover releases no machine that a wave has taken over

A wave takes a machine that is emptied for a move, and commands it without an answer. The mover ends its move in its next round only. If the machines can't be listed from then on, that round does not come, and after two failed reads the mover released the machine: the owner dropped the evacuation and the reservation behind the wave's command.

--- a/packages/daemon/src/jobs/fleet/pool-mover.ts
+++ b/packages/daemon/src/jobs/fleet/pool-mover.ts
@@ -445,6 +445,7 @@
 
 	return {
 		releaseHolds() {
+			dropReserved();
 			for (const entry of inProgress.values()) {
 				if (entry.phase === 'emptying') {
 					abandon(entry, 'no command can be sent');
