fix: an executor that was released while it was polled is not reserved

A release that arrived while the executor was polled for a request left no evacuation, which did not count as 'deferred': the executor was reserved for 5 s for nobody. Now only an executor that is held is reserved.

--- a/packages/core/src/scheduler/plan/evacuation.ts
+++ b/packages/core/src/scheduler/plan/evacuation.ts
@@ -106,6 +106,10 @@
 	owner.executors.get(executorId)?.evacuation?.phase ===
 	evacuationPhases.waiting;
 
+/** Whether an evacuation is requested in whose turn nothing starts. */
+export const isHeld = (owner: Owner, executorId: string): boolean =>
+	owner.executors.get(executorId)?.evacuation?.phase === evacuationPhases.held;
+
 /** What an owner knows at once of an executor that it is to evacuate. */
 export type EvacuationRequestOutcome =
 	Occupancy | Extract<EvacuationState, {readonly kind: 'deferred'}>;
--- a/packages/daemon/src/jobs/owner/evacuations.ts
+++ b/packages/daemon/src/jobs/owner/evacuations.ts
@@ -91,7 +91,7 @@
 		if (
 			scheduler.isRenewalDue(owner.cfg, promisedMs) &&
 			(await hasAnswered(executorId)) &&
-			!scheduler.isDeferred(owner, executorId) &&
+			scheduler.isHeld(owner, executorId) &&
 			scheduler.reserveExecutor(owner, executorId, clock.now())
 		) {
 			await Promise.race([storeSoon(), delay(maxStoreWaitMs)]);
