perf: gangs that are alike count once for the turns of evacuations

Each request to evacuate asked for each open gang whether the executors that stay could hold it, on all executors. The answer depends on the shape of a gang only, so that those alike share it.

--- a/packages/core/src/scheduler/plan/evacuation-turns.ts
+++ b/packages/core/src/scheduler/plan/evacuation-turns.ts
@@ -54,17 +54,23 @@
 };
 
 /** Identifies steps that the same executors could run. */
-const getPlaceKey = (step: Step): string | Step => {
-	const {resources, requiredLabel, isGang} = step.spec;
+const getPlaceKey = ({spec}: Step): string => {
+	const {resources, requiredLabel, isGang} = spec;
 	const {cpuMillis, memoryMb, accelerators} = resources;
-	return isGang
-		? step
-		: `${cpuMillis} ${memoryMb} ${accelerators} ${requiredLabel}`;
+	const gang = isGang
+		? [
+				spec.count,
+				spec.maxPerExecutor,
+				spec.needsSameRack,
+				spec.fillsIdleCapacity,
+			].join(' ')
+		: '';
+	return `${cpuMillis} ${memoryMb} ${accelerators} ${requiredLabel} ${gang}`;
 };
 
 /** Lists steps that are ready and not done, one for each kind of place. */
 const listOpenSteps = (owner: Owner): readonly Step[] => {
-	const steps = new Map<string | Step, Step>();
+	const steps = new Map<string, Step>();
 	for (const {occurrences} of owner.openJobs) {
 		for (const {steps: all} of occurrences.values()) {
 			for (const step of all) {
