fix: an executor full of long-running tasks does not count as one that stays

A turn asked whether the executors that stay could run each open step if they were empty. One that is full of long-running tasks never is: while another executor had its turn, tasks of over 1.5 s that only that one had room for waited for 6 s and more, with over half of the capacity free.

Room for long-running steps is judged as before, so that full services can be maintained.

--- a/packages/core/src/scheduler/plan/evacuation-turns.ts
+++ b/packages/core/src/scheduler/plan/evacuation-turns.ts
@@ -65,7 +65,7 @@
 				spec.fillsIdleCapacity,
 			].join(' ')
 		: '';
-	return `${cpuMillis} ${memoryMb} ${accelerators} ${requiredLabel} ${gang}`;
+	return `${cpuMillis} ${memoryMb} ${accelerators} ${requiredLabel} ${gang} ${spec.isLongRunning}`;
 };
 
 /** Lists steps that are ready and not done, one for each kind of place. */
@@ -116,14 +116,37 @@
 	return [...placesByRack.values()].some((places) => places >= step.spec.count);
 };
 
-/** Whether executors could run a step if they were empty. */
+/** Whether a task that ends by itself fits beside those that do not. */
+const fitsBesideLasting = (executor: Executor, step: Step): boolean => {
+	const demand = getDemand(step);
+	let {cpuMillis, memoryMb, accelerators} = executor.listed.capacity;
+	for (const {task} of executor.runs.values()) {
+		if (task.step.spec.isLongRunning) {
+			const used = getDemand(task.step);
+			cpuMillis -= used.cpuMillis;
+			memoryMb -= used.memoryMb;
+			accelerators -= used.accelerators;
+		}
+	}
+
+	return (
+		demand.cpuMillis <= cpuMillis &&
+		demand.memoryMb <= memoryMb &&
+		demand.accelerators <= accelerators
+	);
+};
+
+/** Whether executors could run a step once their short tasks have ended. */
 const couldRun = (executors: ReadonlySet<Executor>, step: Step): boolean => {
 	if (step.spec.isGang) {
 		return couldHoldGang(executors, step);
 	}
 
 	for (const executor of executors) {
-		if (couldHold(executor, step)) {
+		if (
+			couldHold(executor, step) &&
+			(step.spec.isLongRunning || fitsBesideLasting(executor, step))
+		) {
 			return true;
 		}
 	}
