fix: isolation does not keep the only executor that fits from others

limitIsolation looked at the whole service: with any other usable executor, also one without the label or too small, a suspect kept the only executor that fits from all other tasks for its whole probation.

Ends isolation only if a task that is no suspect waits for that executor alone.

--- a/packages/core/src/scheduler/plan/plan-suspects.ts
+++ b/packages/core/src/scheduler/plan/plan-suspects.ts
@@ -62,24 +62,53 @@
 	}
 };
 
+/** Whether tasks that are no suspects wait that fit on this executor only. */
+const isAwaited = (
+	owner: Owner,
+	executor: Executor,
+	usable: readonly Executor[],
+): boolean => {
+	for (const {occurrences} of owner.openJobs) {
+		for (const {steps} of occurrences.values()) {
+			for (const step of steps) {
+				const isWaitedFor =
+					isStepReady(step) &&
+					couldHold(executor, step) &&
+					!usable.some((each) => couldHold(each, step)) &&
+					step.tasks.some((task) => isWaiting(task) && !isCrashSuspect(task));
+				if (isWaitedFor) {
+					return true;
+				}
+			}
+		}
+	}
+
+	return false;
+};
+
 /**
- * Lets others start beside a suspect that has been isolated for long, if nothing
- * may start anywhere else. A crash is evidence against all of them then.
+ * Lets others start beside a suspect that has been isolated for long, if they
+ * may start nowhere else. A crash is evidence against all of them then.
  */
 export const limitIsolation = (owner: Owner, now: number): void => {
-	if (!owner.areListingsRecent || listUsable(owner, now).length > 0) {
+	if (!owner.areListingsRecent) {
 		return;
 	}
 
+	const usable = listUsable(owner, now);
 	for (const executor of owner.executors.values()) {
 		if (getReadiness(executor, now) !== 'isolated') {
 			continue;
 		}
 
-		for (const run of executor.runs.values()) {
-			if (run.isIsolated && now - run.askedAt >= maxSoleIsolationMs) {
-				endIsolation(owner, run);
-			}
+		const runs = [...executor.runs.values()].filter(
+			(run) => run.isIsolated && now - run.askedAt >= maxSoleIsolationMs,
+		);
+		const isSole =
+			runs.length > 0 &&
+			(usable.length === 0 || isAwaited(owner, executor, usable));
+		for (const run of isSole ? runs : []) {
+			endIsolation(owner, run);
 		}
 	}
 };
