--- a/packages/core/src/scheduler/plan/evacuation-turns.ts
+++ b/packages/core/src/scheduler/plan/evacuation-turns.ts
@@ -59,17 +59,23 @@
 };
 
 /** Identifies steps that the same executors could run. */
-const getPlaceKey = (step: Step): string | Step => {
-	const {resources, requiredLabel, isGang} = step.spec;
+const getPlaceKey = ({spec}: Step): string => {
+	const {resources, requiredLabel, isGang} = spec;
 	const {cpuMillis, memoryMb, accelerators} = resources;
-	return isGang
-		? step
-		: `${cpuMillis} ${memoryMb} ${accelerators} ${requiredLabel}`;
+	const gang = isGang
+		? [
+				spec.count,
+				spec.maxPerExecutor,
+				spec.needsSameRack,
+				spec.fillsIdleCapacity,
+			].join(' ')
+		: '';
+	return `${cpuMillis} ${memoryMb} ${accelerators} ${requiredLabel} ${gang} ${spec.isLongRunning}`;
 };
 
 /** Lists steps that are ready and not done, one for each kind of place. */
 const listOpenSteps = (owner: Owner): readonly Step[] => {
-	const steps = new Map<string | Step, Step>();
+	const steps = new Map<string, Step>();
 	for (const {occurrences} of owner.openJobs) {
 		for (const {steps: all} of occurrences.values()) {
 			for (const step of all) {
@@ -115,14 +121,37 @@
 	return [...placesByRack.values()].some((places) => places >= step.spec.count);
 };
 
-/** Whether executors could run a step if they were empty. */
+/** Whether a task that ends by itself fits beside those that do not. */
+const fitsBesideLasting = (executor: Executor, step: Step): boolean => {
+	const demand = getDemand(step);
+	let {cpuMillis, memoryMb, accelerators} = executor.listed.capacity;
+	for (const {task} of executor.runs.values()) {
+		if (task.step.spec.isLongRunning) {
+			const used = getDemand(task.step);
+			cpuMillis -= used.cpuMillis;
+			memoryMb -= used.memoryMb;
+			accelerators -= used.accelerators;
+		}
+	}
+
+	return (
+		demand.cpuMillis <= cpuMillis &&
+		demand.memoryMb <= memoryMb &&
+		demand.accelerators <= accelerators
+	);
+};
+
+/** Whether executors could run a step once their short tasks have ended. */
 const couldRun = (executors: ReadonlySet<Executor>, step: Step): boolean => {
 	if (step.spec.isGang) {
 		return couldHoldGang(executors, step);
 	}
 
 	for (const executor of executors) {
-		if (couldHold(executor, step)) {
+		if (
+			couldHold(executor, step) &&
+			(step.spec.isLongRunning || fitsBesideLasting(executor, step))
+		) {
 			return true;
 		}
 	}
