--- a/packages/core/src/fleet/machine-wave.test.ts
+++ b/packages/core/src/fleet/machine-wave.test.ts
@@ -325,9 +325,7 @@
 		wave = fleet.recordVerdict(wave, id, 'accepted', 0);
 		t.same(fleet.listAway(wave), [id]);
 		const back = mapOf([createMachine(id, {executorId: 'another'})]);
-		t.ok(
-			fleet.isWaveCompleted(fleet.observeMachines(wave, back, 9000), back),
-		);
+		t.ok(fleet.isWaveCompleted(fleet.observeMachines(wave, back, 9000), back));
 	});
 }
 
--- a/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
+++ b/packages/daemon/src/jobs/fleet/machine-wave-runner.ts
@@ -319,7 +319,7 @@
 				evacuateMissing(
 					context,
 					machine,
-					machine.id in wave.begun ? repeatTerms : terms,
+					fleet.hasBegun(wave, machine.id) ? repeatTerms : terms,
 				),
 			),
 		]);
--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -159,7 +159,8 @@
 		executorId: z.string(),
 		patienceMs: z.number().min(0),
 		claimant: z.string().optional(),
-		urgency: z.enum(scheduler.evacuationUrgencies).optional(),
+		// One that only later releases know counts as normal.
+		urgency: z.enum(scheduler.evacuationUrgencies).optional().catch(undefined),
 		order: order.optional(),
 	}),
 	releaseEvacuation: z.object({shard, executorId: z.string(), order}),
