--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -122,6 +122,13 @@
 
 const shard = z.string();
 
+/** One that only later releases know counts as absent. */
+const urgency = z
+	.unknown()
+	.transform((value) =>
+		Object.values(scheduler.evacuationUrgencies).find((each) => each === value),
+	);
+
 const order = z.object({token: z.number(), at: z.number()});
 
 const rowSchema = z.object({
@@ -159,8 +166,7 @@
 		executorId: z.string(),
 		patienceMs: z.number().min(0),
 		claimant: z.string().optional(),
-		// One that only later releases know counts as normal.
-		urgency: z.enum(scheduler.evacuationUrgencies).optional().catch(undefined),
+		urgency,
 		order: order.optional(),
 	}),
 	releaseEvacuation: z.object({shard, executorId: z.string(), order}),
