--- a/packages/daemon/src/jobs/peer-methods.ts
+++ b/packages/daemon/src/jobs/peer-methods.ts
@@ -125,6 +125,7 @@
 /** One that only later releases know counts as absent. */
 const urgency = z
 	.unknown()
+	.optional()
 	.transform((value) =>
 		Object.values(scheduler.evacuationUrgencies).find((each) => each === value),
 	);
