test: executors that would leave the rest full of long-running tasks

They ask urgently now, as a wave does that is late otherwise, with the same bounds; a further case says that the second of two executors stays for a normal request.

--- a/packages/core/src/scheduler/plan/evacuated-together.test.ts
+++ b/packages/core/src/scheduler/plan/evacuated-together.test.ts
@@ -20,6 +20,8 @@
 	/** A further job with a long-running step. */
 	readonly other?: Partial<scheduler.StepSpec>;
 	readonly patienceMs?: number;
+	/** Normal if absent. */
+	readonly urgency?: scheduler.EvacuationUrgency;
 	/** Executors that are commanded in the end; all that are asked for if absent. */
 	readonly commanded?: number;
 };
@@ -84,11 +86,22 @@
 		lasting: {...one, count: 4, maxPerExecutor: 2, resources: quarter},
 		jobs: 2,
 		other: {...one, resources: quarter},
+		urgency: 'urgent',
+	},
+	{
+		name: 'two of three, without which only long-running tasks would fit',
+		executors: 3,
+		asked: 2,
+		lasting: {...one, count: 4, maxPerExecutor: 2, resources: quarter},
+		jobs: 2,
+		other: {...one, resources: quarter},
+		commanded: 1,
 	},
 	{
 		name: 'three of three with room for one more task on each',
 		executors: 3,
 		asked: 3,
+		urgency: 'urgent',
 		lasting: {
 			...one,
 			count: 9,
@@ -138,6 +151,7 @@
 		for (const {name, executors, asked, lasting, ...rest} of cases) {
 			await t.test(name, async (each) => {
 				const {patienceMs = 1400, commanded = asked, jobs = 1, other} = rest;
+				const {urgency} = rest;
 				const ids = Array.from({length: executors}, (_, index) => `e${index}`);
 				const capacity = {cpuMillis: 16_000, memoryMb: 4000, accelerators: 0};
 				const world = simulateMaintenance({
@@ -145,6 +159,7 @@
 					asked: ids.slice(0, asked),
 					patienceMs,
 					from: 1500,
+					terms: {urgency},
 				});
 				for (let index = 0; index < jobs; index += 1) {
 					const step = {isLongRunning: true, ...lasting};
