--- a/review/review-3/world.mjs
+++ b/review/review-3/world.mjs
@@ -195,7 +195,8 @@
  * Creates the deployment. `services` are `{name, executors}`, `queues` the
  * routes of the configuration. `adaptSettings` changes the settings of a daemon,
  * and `openMachinesPath` puts a proxy before the machine list. Daemons beyond
- * `countAtStart` are started by the case.
+ * `countAtStart` are started by the case. `lateMs` is the delay of commands that
+ * executors carry out late.
  */
 export const createWorld = async ({
 	daemons: daemonCount,
@@ -204,6 +205,7 @@
 	cpu = 32_000,
 	memMb = 65_536,
 	hasBorn = true,
+	lateMs = 4000,
 	adaptSettings = (text) => text,
 	openMachinesPath = async (address) => ({address, close() {}}),
 	countAtStart = daemonCount,
@@ -236,7 +238,7 @@
 				gangs,
 				note,
 				now,
-				getLateMs: () => 4000,
+				getLateMs: () => lateMs,
 				reachesStore: () => true,
 			}),
 		),
