Hold a start without an answer until no incarnation can carry it out

An executor left two starts unanswered, was cut off, crashed, started again under its id behind the cut and carried them out 7 s late.

Cause: a start without an answer on a silent executor counted as over once its lease had run out by the clock of the incarnation that was polled. The next incarnation knows no fencing token and has another clock, so that it carries the start out, for up to the longest lease. The platform says that a call without an answer may be executed seconds later, 2 to 12 s by its list of disruptions; the code allowed 0.5 s.

Evidence: in the record of the case both runs have the token of one owner, the second one begins 4.7 s after the first start was sent and 1.5 s before the restart. That rules out a successor that knew nothing, and a restart taken for the end of the run (runs without an answer stay until the next incarnation is fenced).

A start without an answer now ends by an answer of the executor; or 12 s after it was sent, once the registry was read late enough to show an incarnation of that time; or, if another incarnation may have come, after the longest stray lease from then. Only tasks of such starts wait. The roster names these starts, so that later owners hold the same tasks and no others. Weighed and not taken: a row before each start, which would also cover an owner that is killed within 0.7 s of it, as nothing could start while the store is away; and a longer wait for all inherited tasks.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -16,6 +16,7 @@
 export * from './state/leases.js';
 export * from './state/restart-fence.js';
 export * from './state/suspected-executors.js';
+export * from './state/unanswered-starts.js';
 export * from './state/reservations.js';
 export * from './placement/placement-advice.js';
 export * from './state/job-ends.js';
--- a/packages/core/src/scheduler/polls/executor-poll.ts
+++ b/packages/core/src/scheduler/polls/executor-poll.ts
@@ -36,6 +36,7 @@
 	type Run,
 	type Task,
 } from '../state/task.js';
+import {settleInheritedStarts} from '../state/unanswered-starts.js';
 import {recordListing} from '../state/unread-ends.js';
 import {forgetLoss} from './crash-attribution.js';
 import {clearIfProbationIsOver, noteRunOfSuspect} from './crash-suspects.js';
@@ -410,6 +411,7 @@
 	executor.isAdopted = true;
 	recordListing(owner, executor, isWhole);
 	owner.unresolvedExecutors.delete(executor.id);
+	settleInheritedStarts(owner, executor.id);
 	// With a full page of ends, the end of an unlisted run may be on the next.
 	if (isWhole) {
 		removeVanished(owner, executor, poll, changes);
--- a/packages/core/src/scheduler/ranking/team-use.ts
+++ b/packages/core/src/scheduler/ranking/team-use.ts
@@ -45,7 +45,11 @@
 /** Room of the executors that may run tasks of an earlier owner. */
 const getUnresolvedCapacity = (owner: Owner): Resources => {
 	let capacity = noResources;
-	for (const id of owner.unresolvedExecutors.keys()) {
+	const ids = new Set([
+		...owner.unresolvedExecutors.keys(),
+		...owner.inheritedStarts.keys(),
+	]);
+	for (const id of ids) {
 		const executor = owner.executors.get(id);
 		capacity = executor
 			? addResources(capacity, executor.listed.capacity)
@@ -60,7 +64,10 @@
  * answered yet: any that are not done and have no known run.
  */
 const addUnknownRuns = (owner: Owner, use: TeamUse): void => {
-	if (owner.unresolvedExecutors.size === 0) {
+	if (
+		owner.unresolvedExecutors.size === 0 &&
+		owner.inheritedStarts.size === 0
+	) {
 		return;
 	}
 
--- a/packages/core/src/scheduler/reports/explain.ts
+++ b/packages/core/src/scheduler/reports/explain.ts
@@ -44,7 +44,14 @@
 	}
 
 	if (!isLocationKnown(owner, task)) {
-		const {unresolvedExecutors, unreadExecutors} = owner;
+		const {unresolvedExecutors, unreadExecutors, inheritedStarts} = owner;
+		const startedOn = [...inheritedStarts].find(([, starts]) =>
+			starts.some(({taskId}) => taskId === task.id),
+		)?.[0];
+		if (startedOn !== undefined) {
+			return `an earlier owner's start of it on ${startedOn} has no answer and may be carried out yet`;
+		}
+
 		return unresolvedExecutors.size > 0
 			? `it may still run on ${[...unresolvedExecutors.keys()].join(', ')}, which has not answered since the takeover`
 			: `it may have ended on ${[...unreadExecutors.keys()].join(', ')}, which has not listed all ends since the takeover`;
--- a/packages/core/src/scheduler/state/config.ts
+++ b/packages/core/src/scheduler/state/config.ts
@@ -15,8 +15,15 @@
 	 * must outlast store outages of up to six seconds.
 	 */
 	readonly ownershipTimeoutMs: number;
-	/** Time after which a command that was sent can no longer arrive. */
+	/** Longest time until a command arrives that is answered. */
 	readonly maxTransitMs: number;
+	/**
+	 * Longest time until a command is carried out that has no answer: seconds, by
+	 * an incarnation that started after it was sent, too.
+	 */
+	readonly maxLateMs: number;
+	/** Longest time from the start of an executor until the registry lists it. */
+	readonly maxListingDelayMs: number;
 	/** Longest time from the acceptance of a stop to the end of the run. */
 	readonly maxStopMs: number;
 	/**
@@ -80,6 +87,8 @@
 	maxLeaseMs: 10_000,
 	ownershipTimeoutMs: 7000,
 	maxTransitMs: 500,
+	maxLateMs: 12_000,
+	maxListingDelayMs: 1500,
 	maxStopMs: 1000,
 	maxListingAgeMs: 2500,
 	startupLimitMs: 6000,
--- a/packages/core/src/scheduler/state/executor.ts
+++ b/packages/core/src/scheduler/state/executor.ts
@@ -12,6 +12,7 @@
 import type {PossiblyLost} from './crash.js';
 import type {Job, Run, Step} from './task.js';
 import type {ListedExecutor, Resources} from './types.js';
+import type {UnansweredStart} from './unanswered-starts.js';
 
 /** A run end that can be acknowledged once what it changed is stored. */
 export type UnackedEnd = {
@@ -129,6 +130,8 @@
 	isAdopted: boolean;
 	/** The stored roster has it as an executor that may run tasks. */
 	isRostered: boolean;
+	/** Starts without an answer in the roster that was sent to the store last. */
+	rosteredStarts: readonly UnansweredStart[];
 	/** When the latest poll that it answered was sent. */
 	polledAt: number;
 	/** When it began to leave calls unanswered; absent while it answers. */
@@ -197,6 +200,7 @@
 	wasUnlisted: false,
 	isAdopted: false,
 	isRostered: false,
+	rosteredStarts: [],
 	polledAt: Number.NEGATIVE_INFINITY,
 	unresponsiveSince: undefined,
 	neighborIds: undefined,
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -11,6 +11,7 @@
 import type {IncompleteGang} from './incomplete-gangs.js';
 import type {LossSign, PossiblyLost} from './crash.js';
 import type {Job, Step, Task} from './task.js';
+import type {UnansweredStart} from './unanswered-starts.js';
 
 /** Advice on one incarnation of an executor. */
 export type ExecutorAdvice = {
@@ -87,6 +88,8 @@
 	isRegistryCurrent: boolean;
 	/** When it was last known not to be, since it was read first. */
 	registryGapAt: number | undefined;
+	/** When it was last read; infinite while that is not tracked. */
+	registryReadAt: number;
 	/** Whether it was read recently enough to rely on capacities. */
 	areListingsRecent: boolean;
 	/**
@@ -104,6 +107,10 @@
 	 * the time until which to wait for these.
 	 */
 	readonly unreadExecutors: Map<string, number>;
+	/** Starts of earlier owners that may be carried out yet, by executor id. */
+	readonly inheritedStarts: Map<string, readonly UnansweredStart[]>;
+	/** Ids of the tasks of these starts. */
+	possiblyStarted: ReadonlySet<string>;
 	/** Jobs whose progress differs from the stored one. */
 	readonly dirtyJobs: Set<Job>;
 	/** Tasks that may have crashed their executors and start in isolation. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -42,6 +42,11 @@
 } from './task.js';
 import type {AcceptedJob, ListedExecutor} from './types.js';
 import type {RosterEntry} from './suspected-executors.js';
+import {
+	expireInheritedStarts,
+	inheritStarts,
+	noteUnansweredStarts,
+} from './unanswered-starts.js';
 import {giveUpUnread} from './unread-ends.js';
 
 /**
@@ -65,10 +70,13 @@
 	isRegistryRead: true,
 	isRegistryCurrent: true,
 	registryGapAt: undefined,
+	registryReadAt: Number.POSITIVE_INFINITY,
 	areListingsRecent: true,
 	reservations: new Map(),
 	unresolvedExecutors: new Map(),
 	unreadExecutors: new Map(),
+	inheritedStarts: new Map(),
+	possiblyStarted: new Set(),
 	dirtyJobs: new Set(),
 	crashSuspects: new Set(),
 	suspectHolds: new Map(),
@@ -139,8 +147,14 @@
 const canRemove = (executor: Executor): boolean =>
 	!executor.isListed && executor.runs.size === 0 && !executor.hasListedEnds;
 
+/** What earlier owners have started there is not known yet. */
+const isUnresolved = (
+	{unresolvedExecutors, inheritedStarts}: Owner,
+	id: string,
+): boolean => unresolvedExecutors.has(id) || inheritedStarts.has(id);
+
 const removeIfUnused = (owner: Owner, executor: Executor): void => {
-	if (canRemove(executor) && !owner.unresolvedExecutors.has(executor.id)) {
+	if (canRemove(executor) && !isUnresolved(owner, executor.id)) {
 		owner.executors.delete(executor.id);
 		keepFencing(owner, executor);
 		owner.isRosterDirty ||= executor.isRostered;
@@ -263,8 +277,7 @@
 /**
  * Adds an executor on which an earlier owner may have started tasks. They may
  * run there until it answers, is replaced or its leases expire at
- * `leasesEndAt`. `suspectedSince` and `strayLeasesUntil` are set if the stored
- * roster says so.
+ * `leasesEndAt`. The rest is set if the stored roster says so.
  */
 export const inheritExecutor = (
 	owner: Owner,
@@ -273,6 +286,7 @@
 	{
 		suspectedSince,
 		strayLeasesUntil = Number.NEGATIVE_INFINITY,
+		unansweredStarts = [],
 	}: Partial<Omit<RosterEntry, 'listed'>> = {},
 ): void => {
 	const executor = createOwnedExecutor(owner, listed);
@@ -286,6 +300,7 @@
 	executor.isListed = false;
 	owner.executors.set(listed.id, executor);
 	owner.unresolvedExecutors.set(listed.id, leasesEndAt);
+	inheritStarts(owner, listed.id, unansweredStarts);
 };
 
 /**
@@ -368,6 +383,7 @@
 		}
 	}
 
+	expireInheritedStarts(owner, now);
 	const lost: Run[] = [];
 	for (const executor of owner.executors.values()) {
 		if (
@@ -388,6 +404,7 @@
 		}
 	}
 
+	noteUnansweredStarts(owner);
 	const {losses, jobEnds} = settleByRegistry(owner, now);
 	return {runs: lost, outwaited, settledLosses: losses, jobEnds};
 };
--- a/packages/core/src/scheduler/state/restart-fence.ts
+++ b/packages/core/src/scheduler/state/restart-fence.ts
@@ -9,7 +9,8 @@
  * shows all that it has taken so far, and it refuses all earlier commands from
  * then on: it is fenced. What such commands have granted may last for
  * `getMaxStrayLeaseMs` from that answer. Nothing starts there before, and the
- * roster passes both on to later owners.
+ * roster passes both on to later owners. What may be carried out on one that does
+ * not answer is in unanswered-starts.ts.
  */
 import {tokensPerHolder} from '../../shards/shard-lease.js';
 import type {SchedulerConfig} from './config.js';
@@ -18,6 +19,12 @@
 import {getMaxLeaseDurationMs, getMaxStrayLeaseMs} from './leases.js';
 import type {Owner} from './owner-state.js';
 import type {Run} from './task.js';
+import {
+	getLastSentAt,
+	getLateLeasesEnd,
+	hadRegistryGap,
+	mayStartLate,
+} from './unanswered-starts.js';
 
 const maxTokenRaise = tokensPerHolder - 1;
 
@@ -144,15 +151,6 @@
 	}
 };
 
-/**
- * Whether the registry may have shown another incarnation since then unseen:
- * executors are listed as they start, and dropped once they have been silent.
- */
-const hadRegistryGap = (
-	{registryGapAt}: Pick<Owner, 'registryGapAt'>,
-	since: number,
-): boolean => registryGapAt !== undefined && registryGapAt >= since;
-
 /**
  * Returns by when all leases of earlier owners have expired on an executor that
  * has not answered, if those by the clock of its incarnation expire by
@@ -178,10 +176,20 @@
 	);
 };
 
+/** Whether renewals for a former incarnation may lengthen the lease of a run. */
+const mayBeRenewedLate = (
+	{cfg}: Owner,
+	executor: Executor,
+	run: Run,
+	now: number,
+): boolean =>
+	executor.restart === restartPhases.answered &&
+	now < getLateLeasesEnd(cfg, getLastSentAt(executor, run));
+
 /**
  * Whether a run may go on after the leases by the clock of an unresponsive
  * executor have expired: the next incarnation may have taken a start that the
- * one before has not answered.
+ * one before has not answered, or may take it yet.
  */
 export const mayBeOnNextIncarnation = (
 	owner: Owner,
@@ -189,17 +197,12 @@
 	run: Run,
 	now: number,
 ): boolean => {
-	const {restart, strayLeasesUntil, unresponsiveSince = now} = executor;
+	const {restart, strayLeasesUntil} = executor;
 	const endsWithFormer = restart === restartPhases.shown && run.wasSeen;
-	if (now < strayLeasesUntil && !endsWithFormer) {
-		return true;
-	}
-
 	return (
-		!run.wasSeen &&
-		executor.fencedStartedAtEpochMs !== undefined &&
-		hadRegistryGap(owner, unresponsiveSince) &&
-		now < getStrayLeasesEnd(owner.cfg, run.askedAt)
+		(now < strayLeasesUntil && !endsWithFormer) ||
+		mayBeRenewedLate(owner, executor, run, now) ||
+		mayStartLate(owner, executor, run, now)
 	);
 };
 
--- a/packages/core/src/scheduler/state/suspected-executors.ts
+++ b/packages/core/src/scheduler/state/suspected-executors.ts
@@ -11,6 +11,10 @@
 import {getMaxLeaseDurationMs} from './leases.js';
 import type {Owner} from './owner-state.js';
 import type {ListedExecutor} from './types.js';
+import {
+	listUnansweredStarts,
+	type UnansweredStart,
+} from './unanswered-starts.js';
 
 /** Milliseconds without an answer after which an executor is suspected. */
 export const suspectAfterMs = 1000;
@@ -33,6 +37,8 @@
 	 * brought, by the local clock; absent if there are none.
 	 */
 	readonly strayLeasesUntil: number | undefined;
+	/** Starts that have no answer and may be carried out yet. */
+	readonly unansweredStarts: readonly UnansweredStart[];
 };
 
 /** Returns since when no leases are granted on an unresponsive executor. */
@@ -157,10 +163,12 @@
 			executor.isRostered = false;
 		} else {
 			executor.isSuspicionSent ||= suspectedSince !== undefined;
+			executor.rosteredStarts = listUnansweredStarts(owner, executor);
 			roster.push({
 				listed: {...listed, startedAtEpochMs: fencedStartedAtEpochMs},
 				suspectedSince,
 				strayLeasesUntil: getStoredStrayEnd(executor),
+				unansweredStarts: executor.rosteredStarts,
 			});
 		}
 	}
--- a/packages/daemon/src/jobs/owner/flusher.test.ts
+++ b/packages/daemon/src/jobs/owner/flusher.test.ts
@@ -25,6 +25,7 @@
 		isRosterDirty: true,
 		flushNumber: 1,
 		unresolvedExecutors: new Map(),
+		inheritedStarts: new Map(),
 		runTimes: scheduler.createRunTimes(),
 		executors: new Map([
 			[
@@ -32,6 +33,8 @@
 				{
 					id: 'x',
 					listed: {id: 'x'},
+					runs: new Map(),
+					rosteredStarts: [],
 					acknowledgedUpto: 0,
 					unackedEnds: [{number: 1, flushNumber: 1}],
 				},
--- a/packages/daemon/src/jobs/owner/flusher.ts
+++ b/packages/daemon/src/jobs/owner/flusher.ts
@@ -392,6 +392,7 @@
 			await running;
 			// So that the next owner need not wait for unresponsive executors again.
 			scheduler.markSuspected(owner, 0, clock.now());
+			scheduler.giveUpAnswers(owner);
 			while (!state.isStopped && needsFlush()) {
 				if (!(await flushOnce())) {
 					return;
--- a/packages/daemon/src/jobs/owner/load-owner.ts
+++ b/packages/daemon/src/jobs/owner/load-owner.ts
@@ -6,6 +6,7 @@
 import {getMoment, type Clock} from '../clock.js';
 import {
 	getMaxRemainingMs,
+	getMinElapsedMs,
 	type StoreClockReading,
 } from '../rows/store-clock.js';
 import {readRange} from '../rows/table-feed.js';
@@ -246,7 +247,13 @@
 	);
 	for (const {value} of decodeRows(rosters, rosterSchema, logger)) {
 		for (const entry of value) {
-			const {darkSinceMs, markedBy, strayLeasesUntilMs, ...listed} = entry;
+			const {
+				darkSinceMs,
+				markedBy,
+				strayLeasesUntilMs,
+				unansweredStarts = [],
+				...listed
+			} = entry;
 			const suspectedMs = getSuspectedMs({darkSinceMs, markedBy}, held, rows);
 			const remainingMs =
 				suspectedMs === undefined
@@ -264,6 +271,10 @@
 			scheduler.inheritExecutor(owner, listed, now + remainingMs, {
 				suspectedSince,
 				strayLeasesUntil,
+				unansweredStarts: unansweredStarts.map(([taskId, sentAtMs]) => ({
+					taskId,
+					sentAt: now - getMinElapsedMs(rows.storeTime, sentAtMs),
+				})),
 			});
 		}
 	}
--- a/packages/daemon/src/jobs/owner/owner-log.ts
+++ b/packages/daemon/src/jobs/owner/owner-log.ts
@@ -156,13 +156,16 @@
 				});
 			}
 
-			for (const {task, number, executorId, isIsolated} of runs) {
+			for (const run of runs) {
+				const {task, number, executorId, isIsolated, askedAt, wasSeen} = run;
 				metrics.count('runs_ended', 'lost');
 				logger.warn('run given up', {
 					task: task.id,
 					run: number,
 					executor: executorId,
 					reason,
+					wasSeen,
+					askedMs: Math.round(clock.now() - askedAt),
 					crash: task.crashes.find(({run}) => run === number),
 					crashes: task.crashes.length,
 					isIsolated,
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -215,6 +215,12 @@
 		() => owner && scheduler.countStrayLeases(owner, clock.now()),
 	);
 
+	metrics.registerGauge(
+		'unanswered_starts',
+		service,
+		() => owner && scheduler.countUnansweredStarts(owner),
+	);
+
 	const gate = createAdmissionGate({
 		...deps,
 		shard: held.shard,
@@ -368,6 +374,13 @@
 		onChange();
 	};
 
+	const getRegistryReadAt = (now: number): number => {
+		const listedAt = deps.getListedAt();
+		return listedAt
+			? now - getMaxElapsedMs(clock, listedAt)
+			: Number.NEGATIVE_INFINITY;
+	};
+
 	const runPlan = () => {
 		clearTimeout(requestedPlanTimer);
 		requestedPlanTimer = undefined;
@@ -382,6 +395,7 @@
 			deps.getListedAt(),
 			cfg.maxListingAgeMs,
 		);
+		owner.registryReadAt = getRegistryReadAt(now);
 		owner.areListingsRecent = deps.rejectsOverload() || owner.isRegistryCurrent;
 		log.logLostRuns(
 			scheduler.expireLeases(owner, now),
@@ -650,6 +664,7 @@
 			jobs: owner.jobs.size,
 			open: owner.openJobs.size,
 			unresolvedExecutors: owner.unresolvedExecutors.size,
+			unansweredStarts: owner.possiblyStarted.size,
 		});
 		updateExecutors(true);
 		follower.start(guard.createReporter('job-feed'));
--- a/packages/daemon/src/jobs/owner/roster-writer.ts
+++ b/packages/daemon/src/jobs/owner/roster-writer.ts
@@ -116,7 +116,12 @@
 		};
 
 		const rows = roster.map(
-			({listed, suspectedSince, strayLeasesUntil}): RosterRow => ({
+			({
+				listed,
+				suspectedSince,
+				strayLeasesUntil,
+				unansweredStarts,
+			}): RosterRow => ({
 				...listed,
 				...(suspectedSince === undefined
 					? {}
@@ -132,6 +137,17 @@
 								strayLeasesUntil,
 							),
 						}),
+				...(unansweredStarts.length === 0
+					? {}
+					: {
+							unansweredStarts: unansweredStarts.map(
+								({taskId, sentAt}) =>
+									[
+										taskId,
+										toStoreMs(`start ${listed.id} ${taskId}`, sentAt),
+									] as const,
+							),
+						}),
 			}),
 		);
 		marks = used;
--- a/packages/daemon/src/jobs/rows/store-clock.ts
+++ b/packages/daemon/src/jobs/rows/store-clock.ts
@@ -36,3 +36,12 @@
 	{nowMs}: StoreClockReading,
 	untilMs: number,
 ): number => (untilMs - nowMs) * (1 + scheduler.maxClockDrift);
+
+/**
+ * Returns a lower bound of the local time that has passed since the store's clock
+ * showed `sinceMs`, in milliseconds, given a reading that has arrived.
+ */
+export const getMinElapsedMs = (
+	{nowMs}: StoreClockReading,
+	sinceMs: number,
+): number => Math.max(0, nowMs - sinceMs) * (1 - scheduler.maxClockDrift);
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -323,6 +323,12 @@
 	 * brought, by the store's clock; absent if there are none.
 	 */
 	readonly strayLeasesUntilMs?: number | undefined;
+	/**
+	 * Starts without an answer: the task, and when they were sent by the store's
+	 * clock; absent if there are none.
+	 */
+	readonly unansweredStarts?:
+		ReadonlyArray<readonly [taskId: string, sentAtMs: number]> | undefined;
 };
 
 /** Schema of the roster: the executors that may run tasks of a service. */
@@ -331,6 +337,7 @@
 		darkSinceMs: z.number().optional(),
 		markedBy: z.number().optional(),
 		strayLeasesUntilMs: z.number().optional(),
+		unansweredStarts: z.array(z.tuple([z.string(), z.number()])).optional(),
 	}),
 ) as unknown as z.ZodType<readonly RosterRow[]>;
 
