Bound a call by its own timeout only

Callers of the platform's services got no answer from calls that take more than 2 s: a call with a timeout of 15 s to an advice service that takes 2.4 s failed after 2.0 to 2.4 s, each time.

Cause: the pool's own limits for headers and bodies, meant as a safety net, were twice the default timeout of the pool (1 s for all of the platform's), whatever timeout a call had.

Both limits now follow from the timeout of the call. The new test failed before.

--- a/packages/ports/src/http/connection.test.ts
+++ b/packages/ports/src/http/connection.test.ts
@@ -229,3 +229,36 @@
 		error: {kind: 'unavailable'},
 	});
 });
+
+tap.t.test(
+	'a call that may take longer than others of its pool is not cut short',
+	async (t) => {
+		const answerMs = 2500;
+		const server = http.createServer((_req, res) => {
+			setTimeout(() => {
+				res.end('late');
+			}, answerMs);
+		});
+		await new Promise<void>((resolve) => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = server.address() as AddressInfo;
+		const connection = createHttpConnection({
+			origin: `http://127.0.0.1:${port}`,
+			timeoutMs: 100,
+			maxConnections: 1,
+			maxAnswerBytes: 100,
+		});
+		t.teardown(async () => {
+			await connection.close();
+			server.closeAllConnections();
+			server.close();
+		});
+		const result = await connection.call({
+			method: 'POST',
+			path: '/',
+			timeoutMs: 2 * answerMs,
+		});
+		t.match(result, {ok: true, value: {status: 200}});
+	},
+);
--- a/packages/ports/src/http/connection.ts
+++ b/packages/ports/src/http/connection.ts
@@ -66,9 +66,6 @@
 				connections: options.maxConnections,
 				pipelining: 1,
 				connectTimeout: timeoutMs / 2,
-				// Each call has its own timeout; these are only a safety net.
-				headersTimeout: 2 * timeoutMs,
-				bodyTimeout: 2 * timeoutMs,
 				maxResponseSize: options.maxAnswerBytes,
 				keepAliveTimeout: options.keepIdleMs ?? defaultHttpOptions.keepIdleMs,
 				keepAliveMaxTimeout:
@@ -78,6 +75,9 @@
 	return {
 		async call(request) {
 			const {pool, noteAnswer, noteSilence} = pools.use();
+			const callTimeoutMs = request.timeoutMs ?? timeoutMs;
+			// A safety net only: the exchange ends by itself in time.
+			const netMs = 2 * callTimeoutMs;
 			const result = await exchange(
 				pool,
 				{
@@ -85,8 +85,10 @@
 					path: request.path,
 					headers: getHeaders(request),
 					body: request.body ?? null,
+					headersTimeout: netMs,
+					bodyTimeout: netMs,
 				},
-				request.timeoutMs ?? timeoutMs,
+				callTimeoutMs,
 				request.timeoutKind ?? timeoutKinds.whole,
 			);
 			if (result.ok) {
