Call the advice service one at a time, when a step's turn comes

A single job never began where one call takes more than 3 s.

Cause: the service handles one call at a time for each calling machine, also those whose callers have gone. Each call had 3 s, the wait in line included, and was sent again 0.3 s after that, so that the line grew to the service's limit and its answers went to nobody. The stated times of the service were not used, 429 was taken for silence, and each service of a daemon asked for all waiting steps.

Evidence, a run on the code before: 35 answers, 480 to 489 ms apart as stated, 31 of them to callers that had gone; 67 calls taken in; no start refused. That rules out a service that is slower than it states, and tickets that expire.

A daemon now has one call under way for all its owners, and chooses what to ask when it may be sent, from their latest plans: steps that have room first, then the oldest, lower priorities 4 s later. A call is overdue only after twice its expected time, which follows from the stated times, the calls before it and how slow the service has been; it stays under way, one more is sent beside it, four at most. Refusals and silence pause all calls, growing from 0.25 to 4 s, with jitter. Few executors are named where each costs much, and tickets are not renewed while nothing has room. Lines, gauges and `gullstand explain` tell when advice is the bound. The stand-in in memory keeps one line and carries out calls whose callers have gone.

The test of an owner's guard named the loop `advice`, which is gone; it names another one. evicted-without-advice.test.ts takes the request that is wanted before it answers it, as answers to requests that were never sent count no more.

--- a/packages/core/src/scheduler/index.ts
+++ b/packages/core/src/scheduler/index.ts
@@ -18,6 +18,7 @@
 export * from './state/suspected-executors.js';
 export * from './state/unanswered-starts.js';
 export * from './state/reservations.js';
+export * from './placement/advice-line.js';
 export * from './placement/placement-advice.js';
 export * from './state/job-ends.js';
 export * from './polls/crash-attribution.js';
--- a/packages/core/src/scheduler/owner.test.fixture.ts
+++ b/packages/core/src/scheduler/owner.test.fixture.ts
@@ -187,9 +187,28 @@
 	});
 };
 
+/** A command, or a request for advice that is sent after a plan. */
+export type TestCommand =
+	scheduler.Command | ({readonly kind: 'advise'} & scheduler.AdviceRequest);
+
+/** Takes all requests for advice that the latest plan wants. */
+const takeAdviceRequests = (owner: scheduler.Owner): readonly TestCommand[] => {
+	const requests: TestCommand[] = [];
+	for (
+		let wish = scheduler.findAdviceWish(owner);
+		wish;
+		wish = scheduler.findAdviceWish(owner)
+	) {
+		const request = scheduler.takeAdviceRequest(owner, wish);
+		requests.push({kind: 'advise', ...request});
+	}
+
+	return requests;
+};
+
 /** Formats commands as short strings. */
 export const describeCommands = (
-	commands: readonly scheduler.Command[],
+	commands: readonly TestCommand[],
 ): readonly string[] =>
 	commands.map((command) => {
 		if (command.kind === 'advise') {
@@ -206,7 +225,7 @@
 export const planAndStart = (
 	owner: scheduler.Owner,
 	now: number,
-): readonly scheduler.Command[] => {
+): readonly TestCommand[] => {
 	const commands = scheduler.planCommands(owner, now, now);
 	for (const command of commands) {
 		if (command.kind === 'start') {
@@ -223,7 +242,7 @@
 		}
 	}
 
-	return commands;
+	return [...commands, ...takeAdviceRequests(owner)];
 };
 
 /** Adds a job and the occurrences that are due. */
@@ -249,6 +268,6 @@
 
 /** Returns the run that a command concerns, if any. */
 export const getCommandRun = (
-	command: scheduler.Command | undefined,
+	command: TestCommand | undefined,
 ): scheduler.Run | undefined =>
 	command && command.kind !== 'advise' ? command.run : undefined;
--- a/packages/core/src/scheduler/placement/place-task.ts
+++ b/packages/core/src/scheduler/placement/place-task.ts
@@ -52,6 +52,8 @@
 	);
 };
 
+const resourceKinds = ['cpuMillis', 'memoryMb', 'accelerators'] as const;
+
 /** Weights of what is preferred for a task. */
 const weights = {
 	/** The task has not failed there before. */
@@ -157,6 +159,26 @@
 			couldHold(each, step) && mayTakeTaskOf(step, each) && hasRoom(each, step),
 	);
 
+/** How many more tasks of a step fit on an executor now. */
+export const countFitting = (executor: Executor, step: Step): number => {
+	const {maxPerExecutor = Number.POSITIVE_INFINITY} = step.spec;
+	if (!couldHold(executor, step) || !mayTakeTaskOf(step, executor)) {
+		return 0;
+	}
+
+	const free = getFree(executor);
+	const demand = getDemand(step);
+	const count = Math.min(
+		maxPerExecutor - countOnExecutor(step, executor),
+		...resourceKinds.map((kind) =>
+			demand[kind] > 0
+				? Math.floor(free[kind] / demand[kind])
+				: step.spec.count,
+		),
+	);
+	return Math.max(0, count);
+};
+
 /** Selects one of the given executors for a task. */
 export const placeTask = (
 	executors: readonly Executor[],
--- a/packages/core/src/scheduler/placement/placement-advice.ts
+++ b/packages/core/src/scheduler/placement/placement-advice.ts
@@ -4,15 +4,29 @@
  * not change, but tickets expire. Advice holds for one incarnation of an
  * executor.
  */
-import {describeIncarnation, type Executor} from '../state/executor.js';
+import {
+	couldHold,
+	describeIncarnation,
+	getRack,
+	type Executor,
+} from '../state/executor.js';
 import {isSameIncarnation} from '../state/incarnation.js';
-import type {ExecutorAdvice, Owner, StepAdvice} from '../state/owner-state.js';
-import type {Step} from '../state/task.js';
+import type {
+	AdviceWish,
+	ExecutorAdvice,
+	Owner,
+	StepAdvice,
+} from '../state/owner-state.js';
+import {isWaiting, type Occurrence, type Step} from '../state/task.js';
+import type {AdviceCost} from '../state/types.js';
+import {countFitting} from './place-task.js';
 
 /** A request to the advice service. */
 export type AdviceRequest = {
 	readonly stepId: string;
 	readonly executorIds: readonly string[];
+	/** Time that the service takes for it, as far as known, in milliseconds. */
+	readonly costMs: number;
 };
 
 /** Answer of the advice service: the named executors with their tickets. */
@@ -26,6 +40,21 @@
 /** Limit per request, since the service takes time for each executor. */
 const maxExecutorsPerRequest = 30;
 
+/** Executors asked for in proportion to the tasks that wait. */
+const spareFactor = 2;
+
+/** By how much longer than the next priority one waits, in milliseconds. */
+const priorityStepMs = 4000;
+
+/** Which executors to ask for first. */
+const rankWeights = {hasRoom: 4, wasNamed: 2, nearData: 1} as const;
+
+/** Where a queue does not say. */
+const unknownCost: AdviceCost = {decisionMs: 0, eachMs: 0};
+
+const getCost = ({job}: Occurrence): AdviceCost =>
+	job.accepted.policy.adviceCost ?? unknownCost;
+
 /** A ticket with less time left than this is not used, in milliseconds. */
 const ticketMarginMs = 200;
 
@@ -45,7 +74,10 @@
 	const advice = owner.advice.get(stepId) ?? {
 		executors: new Map<string, ExecutorAdvice>(),
 		validUntil: 0,
-		pending: undefined,
+		pending: new Map<string, number | undefined>(),
+		pendingRequests: 0,
+		isOverdue: false,
+		wantedSince: undefined,
 		retryAt: 0,
 	};
 	owner.advice.set(stepId, advice);
@@ -92,45 +124,170 @@
 			)
 		: executors;
 
+/** Waiting tasks that the executors with a valid ticket have room for. */
+const countCovered = (
+	advice: StepAdvice,
+	step: Step,
+	executors: readonly Executor[],
+	now: number,
+): number => {
+	if (!isValid(advice, now)) {
+		return 0;
+	}
+
+	let covered = 0;
+	for (const executor of executors) {
+		if (findAdvice(advice, executor)?.ticket !== undefined) {
+			covered += countFitting(executor, step);
+		}
+	}
+
+	return covered;
+};
+
+/**
+ * Number of executors to name. Each costs time, so that few are asked for few
+ * tasks; as many as take no longer than the decision itself cost little.
+ */
+const getRequestSize = ({spec, occurrence}: Step, waiting: number): number => {
+	const {decisionMs, eachMs} = getCost(occurrence);
+	const cheap = eachMs > 0 ? Math.floor(decisionMs / eachMs) : Infinity;
+	const wanted = spec.isGang ? Infinity : spareFactor * waiting;
+	return Math.min(maxExecutorsPerRequest, Math.max(1, wanted, cheap));
+};
+
 /**
- * Returns the next request for a step and marks it as pending; `undefined` if
- * none is needed now.
+ * Whether advice is of use while no executor has room: tickets would expire, but
+ * which executors may run the step is worth knowing, and long-running tasks
+ * preempt others there.
  */
-export const prepareAdviceRequest = (
+const isOfUseWithoutRoom = ({executors}: StepAdvice, {spec}: Step): boolean =>
+	spec.isLongRunning || executors.size === 0;
+
+/** Records that a plan wants advice on a step, if a request is of use now. */
+export const wishForAdvice = (
 	owner: Owner,
 	step: Step,
 	executors: readonly Executor[],
 	now: number,
-): AdviceRequest | undefined => {
+): void => {
 	const advice = getOrCreateAdvice(owner, step);
-	if (advice.pending !== undefined || now < advice.retryAt) {
-		return undefined;
+	const isPending = advice.pendingRequests > 0 && !advice.isOverdue;
+	if (isPending || now < advice.retryAt) {
+		return;
 	}
 
-	const isFresh = isValid(advice, now);
-	const asked = executors
-		.filter((each) => {
-			const known = findAdvice(advice, each);
-			return !known || (known.ticket !== undefined && !isFresh);
-		})
-		.slice(0, maxExecutorsPerRequest);
-	if (asked.length === 0) {
-		return undefined;
+	const waiting = step.tasks.filter((task) => isWaiting(task)).length;
+	const isCovered =
+		!step.spec.isGang && countCovered(advice, step, executors, now) >= waiting;
+	if (isCovered) {
+		return;
 	}
 
-	advice.pending = new Map(
-		asked.map((each) => [each.id, describeIncarnation(each).startedAtEpochMs]),
+	const isFresh = isValid(advice, now);
+	const candidates = executors.filter((each) => {
+		const known = findAdvice(advice, each);
+		return (
+			couldHold(each, step) &&
+			(!known || (known.ticket !== undefined && !isFresh))
+		);
+	});
+	const fitting = new Set(
+		candidates.filter((each) => countFitting(each, step) > 0),
 	);
+	const hasRoom = fitting.size > 0;
+	const isUseful = hasRoom || isOfUseWithoutRoom(advice, step);
+	if (candidates.length === 0 || !isUseful) {
+		return;
+	}
+
+	advice.wantedSince ??= now;
+	const getRank = (executor: Executor): number =>
+		(fitting.has(executor) ? rankWeights.hasRoom : 0) +
+		(findAdvice(advice, executor) ? rankWeights.wasNamed : 0) +
+		(getRack(executor) === step.spec.preferredRack ? rankWeights.nearData : 0);
+	owner.adviceWishes = [
+		...owner.adviceWishes.filter((wish) => wish.step !== step),
+		{
+			step,
+			executors: candidates
+				.toSorted((one, two) => getRank(two) - getRank(one))
+				.slice(0, getRequestSize(step, waiting)),
+			wantedSince: advice.wantedSince,
+			hasRoom,
+		},
+	];
+};
+
+/**
+ * When a wish counts as wanted: lower priorities wait longer, but not for ever
+ * behind others.
+ */
+const getUrgency = ({step, wantedSince}: AdviceWish): number =>
+	wantedSince + step.occurrence.job.accepted.policy.priority * priorityStepMs;
+
+/** Compares wishes: those that can start now first, then the oldest. */
+export const compareWishes = (one: AdviceWish, two: AdviceWish): number =>
+	Number(two.hasRoom) - Number(one.hasRoom) ||
+	getUrgency(one) - getUrgency(two);
+
+/** Whether a step waits for advice: no usable executor has a valid ticket. */
+export const isAdviceMissing = (
+	owner: Owner,
+	step: Step,
+	usable: readonly Executor[],
+	now: number,
+): boolean =>
+	needsAdvice(step) &&
+	usable.length > 0 &&
+	listAdvisedExecutors(owner, step, usable, now).length === 0;
+
+const isStillWanted = ({step}: AdviceWish): boolean =>
+	!step.occurrence.job.end && step.tasks.some((task) => isWaiting(task));
+
+/** Returns the most urgent wish of an owner whose tasks still wait. */
+export const findAdviceWish = ({adviceWishes}: Owner): AdviceWish | undefined =>
+	adviceWishes
+		.filter((wish) => isStillWanted(wish))
+		.toSorted((one, two) => compareWishes(one, two))[0];
+
+/** Returns the request of a wish, which counts as pending from now on. */
+export const takeAdviceRequest = (
+	owner: Owner,
+	wish: AdviceWish,
+): AdviceRequest => {
+	const {step, executors} = wish;
+	owner.adviceWishes = owner.adviceWishes.filter((each) => each !== wish);
+	const advice = getOrCreateAdvice(owner, step);
+	advice.pendingRequests += 1;
+	advice.isOverdue = false;
+	for (const each of executors) {
+		advice.pending.set(each.id, describeIncarnation(each).startedAtEpochMs);
+	}
+
+	const {decisionMs, eachMs} = getCost(step.occurrence);
 	return {
 		stepId: getStepId(step),
-		executorIds: asked.map(({id}) => id),
+		executorIds: executors.map(({id}) => id),
+		costMs: decisionMs + eachMs * executors.length,
 	};
 };
 
+/** Lets a step be asked for again whose request takes longer than expected. */
+export const noteAdviceOverdue = (
+	owner: Owner,
+	{stepId}: Pick<AdviceRequest, 'stepId'>,
+): void => {
+	const advice = owner.advice.get(stepId);
+	if (advice) {
+		advice.isOverdue = true;
+	}
+};
+
 /** Applies the answer to a request; `undefined` means that there was none. */
 export const applyAdvice = (
 	owner: Owner,
-	request: AdviceRequest,
+	request: Pick<AdviceRequest, 'stepId' | 'executorIds'>,
 	answer: Advice | undefined,
 	now: number,
 ): void => {
@@ -140,12 +297,19 @@
 	}
 
 	const {executors, pending} = advice;
-	advice.pending = undefined;
+	const asked = request.executorIds.filter((id) => pending.has(id));
+	const incarnations = new Map(asked.map((id) => [id, pending.get(id)]));
+	advice.pendingRequests = Math.max(0, advice.pendingRequests - 1);
+	if (advice.pendingRequests === 0) {
+		pending.clear();
+	}
+
 	if (!answer) {
 		advice.retryAt = now + retryMs;
 		return;
 	}
 
+	advice.wantedSince = undefined;
 	if (!isValid(advice, now)) {
 		for (const [id, {ticket}] of executors) {
 			if (ticket !== undefined) {
@@ -155,7 +319,7 @@
 	}
 
 	const tickets = new Map(answer.tickets);
-	for (const [id, startedAtEpochMs] of pending ?? []) {
+	for (const [id, startedAtEpochMs] of incarnations) {
 		executors.set(id, {startedAtEpochMs, ticket: tickets.get(id)});
 	}
 
@@ -173,7 +337,7 @@
 export const forgetTickets = (owner: Owner, executorId: string): void => {
 	for (const {executors, pending} of owner.advice.values()) {
 		executors.delete(executorId);
-		pending?.delete(executorId);
+		pending.delete(executorId);
 	}
 };
 
--- a/packages/core/src/scheduler/plan/evicted-without-advice.test.ts
+++ b/packages/core/src/scheduler/plan/evicted-without-advice.test.ts
@@ -16,12 +16,16 @@
 	accelerators: 0,
 });
 
-/** Answers the request for advice of a step with one executor. */
-const advise = (owner: scheduler.Owner, stepId: string, executorId: string) => {
-	const executorIds = [...owner.executors.keys()];
+/** Answers the request for advice that is wanted with one executor. */
+const advise = (owner: scheduler.Owner, executorId: string) => {
+	const wish = scheduler.findAdviceWish(owner);
+	if (!wish) {
+		throw new Error('no advice is wanted');
+	}
+
 	scheduler.applyAdvice(
 		owner,
-		{stepId, executorIds},
+		scheduler.takeAdviceRequest(owner, wish),
 		{tickets: [[executorId, 'ticket']], validMs: 60_000},
 		0,
 	);
@@ -75,7 +79,7 @@
 			),
 		);
 		world.advanceTo(550);
-		advise(owner, 'l.0.0', 'x0');
+		advise(owner, 'x0');
 		world.advanceTo(1000);
 		const submittedAt: number[] = [];
 		for (let index = 0; index < 20; index += 1) {
--- a/packages/core/src/scheduler/plan/plan-room-shares.test.ts
+++ b/packages/core/src/scheduler/plan/plan-room-shares.test.ts
@@ -13,6 +13,7 @@
 	planAndStart,
 	pollExecutor,
 	testConfig,
+	type TestCommand,
 } from '../owner.test.fixture.js';
 import * as scheduler from '../index.js';
 import {rankJobs} from '../ranking/rank.js';
@@ -58,7 +59,7 @@
 	return added;
 };
 
-const listStarts = (commands: readonly scheduler.Command[]) =>
+const listStarts = (commands: readonly TestCommand[]) =>
 	commands.flatMap((each) => (each.kind === 'start' ? [each.run.task.id] : []));
 
 /** Reports the runs whose time is over as done, and the others as running. */
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -206,6 +206,7 @@
 	now: number,
 	epochNow: number,
 ): readonly Command[] => {
+	owner.adviceWishes = [];
 	expireEvacuations(owner, now);
 	updateEvacuationTurns(owner, now);
 	forgetEndedGangs(owner);
--- a/packages/core/src/scheduler/plan/planning.ts
+++ b/packages/core/src/scheduler/plan/planning.ts
@@ -3,8 +3,7 @@
 	findTicket,
 	listAdvisedExecutors,
 	needsAdvice,
-	prepareAdviceRequest,
-	type AdviceRequest,
+	wishForAdvice,
 } from '../placement/placement-advice.js';
 import {addRun, describeIncarnation, type Executor} from '../state/executor.js';
 import {noteRunOfSuspect} from '../polls/crash-suspects.js';
@@ -46,7 +45,7 @@
 	| 'preempted'
 	| 'executor-draining';
 
-/** A command to an executor, or a request for placement advice. */
+/** A command to an executor. */
 export type Command =
 	| {
 			readonly kind: 'start';
@@ -61,8 +60,7 @@
 			readonly executor: Executor;
 			readonly run: Run;
 			readonly reason: StopReason;
-	  }
-	| ({readonly kind: 'advise'} & AdviceRequest);
+	  };
 
 /** A start of a run. */
 export type StartCommand = Extract<Command, {readonly kind: 'start'}>;
@@ -177,19 +175,15 @@
 	return true;
 };
 
-/** Lists the executors that may run a step; requests missing advice. */
+/** Lists the executors that may run a step; wishes for missing advice. */
 export const listStepExecutors = (
-	{owner, now, usable, commands}: Planning,
+	{owner, now, usable}: Planning,
 	step: Step,
 ): readonly Executor[] => {
 	if (!needsAdvice(step) || !step.tasks.some((task) => isWaiting(task))) {
 		return usable;
 	}
 
-	const request = prepareAdviceRequest(owner, step, usable, now);
-	if (request) {
-		commands.push({kind: 'advise', ...request});
-	}
-
+	wishForAdvice(owner, step, usable, now);
 	return listAdvisedExecutors(owner, step, usable, now);
 };
--- a/packages/core/src/scheduler/plan/unseen-stop.test.ts
+++ b/packages/core/src/scheduler/plan/unseen-stop.test.ts
@@ -9,6 +9,7 @@
 	pollExecutor,
 	submit,
 	testConfig,
+	type TestCommand,
 } from '../owner.test.fixture.js';
 import * as scheduler from '../index.js';
 
@@ -23,7 +24,7 @@
 	{taskId, run, percent: 100},
 ];
 
-const describeStops = (commands: readonly scheduler.Command[]) =>
+const describeStops = (commands: readonly TestCommand[]) =>
 	describeCommands(commands.filter(({kind}) => kind === 'stop'));
 
 type Poll = {
--- a/packages/core/src/scheduler/reports/explain.ts
+++ b/packages/core/src/scheduler/reports/explain.ts
@@ -4,7 +4,14 @@
 import {isLocationKnown} from '../state/task-location.js';
 import type {Owner} from '../state/owner-state.js';
 import {listUsable} from '../placement/place-task.js';
-import {isStepReady, isWaiting, type Job, type Task} from '../state/task.js';
+import {getStepId, isAdviceMissing} from '../placement/placement-advice.js';
+import {
+	isStepReady,
+	isWaiting,
+	type Job,
+	type Step,
+	type Task,
+} from '../state/task.js';
 import {computeTeamUse, mayTeamStart} from '../ranking/team-use.js';
 import {explainRoom} from './explain-room.js';
 
@@ -32,6 +39,22 @@
 		)
 		.join('; ');
 
+/** What bounds the start of a step is the advice service. */
+const explainAdvice = (
+	{advice, adviceWishes}: Owner,
+	step: Step,
+	now: number,
+): string => {
+	const own = advice.get(getStepId(step));
+	const since = own?.wantedSince;
+	const waitedMs = since === undefined ? 0 : Math.round(now - since);
+	const state =
+		own !== undefined && own.pendingRequests > 0
+			? 'a request is under way'
+			: `${adviceWishes.length} steps of the service wait for their turn`;
+	return `it needs placement advice, wanted for ${waitedMs} ms: ${state}`;
+};
+
 const explainWaiting = (owner: Owner, task: Task, now: number): string => {
 	const {step} = task;
 	const {job} = step.occurrence;
@@ -65,7 +88,10 @@
 		return `the cap of the team ${job.accepted.team} is used up, or its share here is`;
 	}
 
-	return explainRoom(owner, listUsable(owner, now), task);
+	const usable = listUsable(owner, now);
+	return isAdviceMissing(owner, step, usable, now)
+		? explainAdvice(owner, step, now)
+		: explainRoom(owner, usable, task);
 };
 
 const explainTask = (
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -27,15 +27,27 @@
 	readonly executors: Map<string, ExecutorAdvice>;
 	/** When the tickets expire, by the local clock. */
 	validUntil: number;
-	/**
-	 * Executors of the pending request, and when their incarnations started;
-	 * absent if there is no request.
-	 */
-	pending: Map<string, number | undefined> | undefined;
+	/** Executors of pending requests, and when their incarnations started. */
+	readonly pending: Map<string, number | undefined>;
+	pendingRequests: number;
+	/** The pending requests take longer than expected. */
+	isOverdue: boolean;
+	/** Since when a request has been wanted; absent once one was answered. */
+	wantedSince: number | undefined;
 	/** Earliest time of the next request after one without an answer. */
 	retryAt: number;
 };
 
+/** A request for placement advice that is to be sent when its turn comes. */
+export type AdviceWish = {
+	readonly step: Step;
+	/** Executors to ask for, the most useful first. */
+	readonly executors: readonly Executor[];
+	readonly wantedSince: number;
+	/** A task of the step would fit on one of the executors now. */
+	readonly hasRoom: boolean;
+};
+
 /** Work submitted recently, with exponential decay. */
 export type Arrivals = {
 	/** Decayed sum, in cpu-milliseconds. */
@@ -134,6 +146,8 @@
 	flushingJobs: ReadonlySet<Job>;
 	/** Placement advice by step id. */
 	readonly advice: Map<string, StepAdvice>;
+	/** Requests for advice that the latest plan wants, most urgent first. */
+	adviceWishes: readonly AdviceWish[];
 	/** Work submitted recently. */
 	arrivals: Arrivals;
 	/** Limits the number of concurrent start commands. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -87,6 +87,7 @@
 	flushNumber: 1,
 	flushingJobs: new Set(),
 	advice: new Map(),
+	adviceWishes: [],
 	arrivals: noArrivals,
 	startWindow: initialStartWindow,
 	capLimits: new Map(),
--- a/packages/core/src/scheduler/state/types.ts
+++ b/packages/core/src/scheduler/state/types.ts
@@ -60,6 +60,13 @@
 	readonly schedule: Schedule | undefined;
 };
 
+/** Time that the advice service takes for a request, in milliseconds. */
+export type AdviceCost = {
+	readonly decisionMs: number;
+	/** For each executor that the request names. */
+	readonly eachMs: number;
+};
+
 /** Scheduling policy of a queue. */
 export type QueuePolicy = {
 	readonly queue: string;
@@ -73,6 +80,8 @@
 	readonly targetLatencyMs: number;
 	/** Tasks may only run on executors that the advice service names. */
 	readonly needsAdvice: boolean;
+	/** What a request for advice takes; absent if that is not known. */
+	readonly adviceCost?: AdviceCost | undefined;
 };
 
 /** A job as stored once it is accepted. */
--- a/packages/daemon/src/jobs/entry/job-service.ts
+++ b/packages/daemon/src/jobs/entry/job-service.ts
@@ -107,6 +107,12 @@
 	stretch: route.stretch,
 	targetLatencyMs: route.targetLatencyMs,
 	needsAdvice: route.advice !== undefined,
+	...(route.advice && {
+		adviceCost: {
+			decisionMs: route.advice.decisionMs,
+			eachMs: route.advice.eachMs,
+		},
+	}),
 });
 
 /** Derives the state of a job from its rows. */
--- a/packages/daemon/src/jobs/job-daemon.ts
+++ b/packages/daemon/src/jobs/job-daemon.ts
@@ -308,6 +308,7 @@
 		executors: platform.executors,
 		executorFeed: platform.executorFeed,
 		advice: platform.advice,
+		random: deps.random,
 		clock,
 		getStoreTime: () => heartbeat.getStoreTime(),
 		cfg: settings.scheduler,
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -36,16 +36,13 @@
 	) => void;
 };
 
-/** A command that starts or stops a run. */
-type RunCommand = Exclude<scheduler.Command, {readonly kind: 'advise'}>;
-
 export type ExecutorLink = {
 	/** Polls without waiting for the current pause to end. */
 	readonly pollNow: () => void;
 	/** Ends a pause: more ends of runs may be acknowledged. */
 	readonly notifyAckable: () => void;
 	readonly close: () => void;
-	readonly send: (command: RunCommand) => void;
+	readonly send: (command: scheduler.Command) => void;
 	readonly sendThrottle: (command: scheduler.ThrottleCommand) => void;
 };
 
--- a/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.test.fixture.ts
@@ -21,7 +21,7 @@
 
 /** Differences of an owner from the first one, whose ownership is confirmed. */
 export type OwnerChanges = Partial<
-	Pick<OwnedServicesDeps, 'getLeasesConfirmedAt' | 'onOwnershipLost'>
+	Pick<OwnedServicesDeps, 'advice' | 'getLeasesConfirmedAt' | 'onOwnershipLost'>
 > & {
 	readonly held?: Partial<HeldShard>;
 	readonly cfg?: Partial<scheduler.SchedulerConfig>;
@@ -56,6 +56,7 @@
 		executors: platform.executors,
 		executorFeed: platform.executorFeed,
 		advice: undefined,
+		random: Math.random,
 		clock,
 		cfg: {...scheduler.defaultSchedulerConfig, ...cfg},
 		logger: winston.createLogger({silent: true}),
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -21,6 +21,7 @@
 import {createChangesOnlyFeed} from '../rows/table-feed.js';
 import {getServiceShard, tables, type LeaseRow} from '../rows/tables.js';
 import type {HeldShard} from '../shards/held-shard.js';
+import {createAdviceCaller} from './advice-caller.js';
 import type {OwnerLoop} from './owner-guard.js';
 import type {TeamShareStatus} from './team-shares.js';
 import {
@@ -33,7 +34,10 @@
 	readonly store: RowStore;
 	readonly executors: Executors;
 	readonly executorFeed: ExecutorFeed;
+	/** Absent if the deployment has no advice service. */
 	readonly advice: AdviceService | undefined;
+	/** Returns a number from 0 to 1. */
+	readonly random: () => number;
 	readonly clock: Clock;
 	readonly getStoreTime?: OwnerRunnerDeps['getStoreTime'];
 	readonly cfg: scheduler.SchedulerConfig;
@@ -107,6 +111,20 @@
 	let follower: FeedFollower | undefined;
 	let shareFollower: FeedFollower | undefined;
 
+	const adviceCaller =
+		deps.advice &&
+		createAdviceCaller({
+			...deps,
+			advice: deps.advice,
+			now: clock.now,
+			listClients: () =>
+				[...runners].map(([shard, {getOwner, replan}]) => ({
+					service: shard,
+					getOwner,
+					onAdvice: replan,
+				})),
+		});
+
 	const updateExecutors = (isWhole: boolean) => {
 		for (const runner of runners.values()) {
 			runner.updateExecutors(isWhole);
@@ -190,6 +208,9 @@
 				listExecutors: executorList.list,
 				getListedAt: () => follower?.getConfirmedAt(),
 				rejectsOverload: () => deps.rejectsOverload(service),
+				onPlan() {
+					adviceCaller?.notify();
+				},
 				onOwnershipLost(reason, rows) {
 					logger.warn('service lost', {shard: held.shard, reason});
 					deps.onOwnershipLost(held.shard, rows);
--- a/packages/daemon/src/jobs/owner/owner-guard.test.ts
+++ b/packages/daemon/src/jobs/owner/owner-guard.test.ts
@@ -31,7 +31,7 @@
 tap.t.test('an owner ends once, whatever fails after that', async (t) => {
 	const {guard, failed, countLines} = createGuard(t);
 	guard.run('rows', throwFault);
-	guard.start('advice', async () => throwFault());
+	guard.start('removal', async () => throwFault());
 	guard.createReporter('job-feed')(new Error('fault'));
 	await waitUntil('the lines', () => countLines() === 3);
 	t.same(failed, ['rows']);
--- a/packages/daemon/src/jobs/owner/owner-guard.ts
+++ b/packages/daemon/src/jobs/owner/owner-guard.ts
@@ -13,7 +13,6 @@
 export type OwnerLoop =
 	| 'start'
 	| 'plan'
-	| 'advice'
 	| 'removal'
 	| 'executor'
 	| 'fence-check'
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -4,7 +4,6 @@
  */
 import {scheduler} from '@gullstand/core';
 import type {
-	AdviceService,
 	ChangedRow,
 	Executors,
 	FeedBatch,
@@ -59,8 +58,8 @@
 	readonly service: string;
 	readonly store: RowStore;
 	readonly executors: Executors;
-	/** Absent if the deployment has no advice service. */
-	readonly advice: AdviceService | undefined;
+	/** Called after each plan, which may want placement advice. */
+	readonly onPlan: () => void;
 	readonly clock: Clock;
 	/** Returns the latest reading of the store's clock, if there is one. */
 	readonly getStoreTime?: (() => StoreClockReading | undefined) | undefined;
@@ -135,6 +134,8 @@
 	readonly releaseEvacuation: Evacuations['release'];
 	readonly getLoad: () => scheduler.ServiceLoad | undefined;
 	readonly getOwner: () => scheduler.Owner | undefined;
+	/** Plans again, as the owner's state was changed. */
+	readonly replan: () => void;
 };
 
 /** Bound on the final flush of an owner that stops, in milliseconds. */
@@ -353,27 +354,6 @@
 		}
 	};
 
-	const requestAdvice = async (
-		current: scheduler.Owner,
-		request: scheduler.AdviceRequest,
-	) => {
-		const requestedAt = clock.now();
-		const advice = await deps.advice?.requestAdvice(
-			request,
-			periods.adviceTimeoutMs,
-		);
-		logger.info('advice', {
-			step: request.stepId,
-			asked: request.executorIds.length,
-			named: advice?.tickets.length,
-			validMs: advice?.validMs,
-			tookMs: Math.round(clock.now() - requestedAt),
-		});
-		// Counted from the receipt of the answer, which is later than its creation.
-		scheduler.applyAdvice(current, request, advice, clock.now());
-		onChange();
-	};
-
 	const getRegistryReadAt = (now: number): number => {
 		const listedAt = deps.getListedAt();
 		return listedAt
@@ -410,15 +390,13 @@
 			evacuations?.logCurrent();
 			log.logSpeedEvents(scheduler.takeSpeedEvents(owner.speeds));
 			for (const command of commands) {
-				if (command.kind === 'advise') {
-					const current = owner;
-					guard.start('advice', async () => requestAdvice(current, command));
-				} else {
-					links?.get(command.executor.id)?.send(command);
-				}
+				links?.get(command.executor.id)?.send(command);
 			}
+		} else {
+			owner.adviceWishes = [];
 		}
 
+		deps.onPlan();
 		guard.notePlan();
 		const tookMs = clock.now() - now;
 		nextPlanAt = clock.now() + getPlanPauseMs(tookMs);
@@ -747,5 +725,10 @@
 		},
 		getLoad,
 		getOwner: () => owner,
+		replan() {
+			if (!state.isStopped) {
+				onChange();
+			}
+		},
 	};
 };
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -56,8 +56,6 @@
 	ackPauseMs: 35,
 	/** Shortest gap between two polls for which a timer is started. */
 	minPollGapMs: 10,
-	/** Timeout of a request to the advice service, which serves one at a time. */
-	adviceTimeoutMs: 3000,
 	/** Between checks whether the previous owner has released the shard. */
 	previousHolderRetryMs: 300,
 	/** First pause after an unanswered poll; it doubles with each further one. */
--- a/packages/daemon/src/jobs/rows/tables.ts
+++ b/packages/daemon/src/jobs/rows/tables.ts
@@ -225,6 +225,9 @@
 		stretch: z.number(),
 		targetLatencyMs: z.number(),
 		needsAdvice: z.boolean().default(false),
+		adviceCost: optional(
+			z.object({decisionMs: z.number(), eachMs: z.number()}),
+		),
 	}),
 	spec: z.object({
 		payload: z.string(),
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -8,6 +8,7 @@
 export type * from './ports/advice.js';
 export type * from './ports/machines.js';
 export type * from './ports/feeds.js';
+export * from './memory/advice.js';
 export * from './memory/table-service.js';
 export * from './memory/object-store.js';
 export * from './memory/instance-list.js';
