Let the soak delay starts behind a cut, and hand in bursts that need advice

A new disruption leaves starts without an answer, cuts the executors off, crashes them behind the cut and starts them again there, while the owner of the service is killed, terminated, replaced or left alone; the next incarnations carry the starts out. Commands that are late come 2 to 12 s late, as the platform says, 1 to 6 s before. A queue needs placement advice, by a stand-in with one line for each daemon, and gets bursts of small jobs.

The stand-in of executors does not check tickets.

--- a/packages/bench/src/benches/soak.test.ts
+++ b/packages/bench/src/benches/soak.test.ts
@@ -6,7 +6,7 @@
 
 const maxMs = 240_000;
 
-tap.t.setTimeout(3 * maxMs);
+tap.t.setTimeout(4 * maxMs);
 
 tap.t.before(() => {
 	execFileSync('npm', ['run', '--silent', 'bundle'], {cwd: root});
@@ -38,6 +38,12 @@
 		['recuts'],
 		['restart under the same id', 'cut', 'back'],
 	],
+	[
+		'tasks run once as starts are carried out late behind a cut, and jobs with advice start',
+		2,
+		['late-starts'],
+		['start carried out late by the next incarnation', 'cut', 'advice'],
+	],
 ];
 
 for (const [name, seed, only, plays] of cases) {
--- a/packages/bench/src/benches/soak.ts
+++ b/packages/bench/src/benches/soak.ts
@@ -13,7 +13,12 @@
 import {soakChecks} from './soak/checks/index.js';
 import {createHistory, type Break} from './soak/checks/history.js';
 import {playSchedule} from './soak/disruptions.js';
-import {drawJobs, drawMovedJobs} from './soak/jobs.js';
+import {drawAdviceJobs, drawJobs, drawMovedJobs} from './soak/jobs.js';
+import {
+	countLateStarts,
+	createLateJobs,
+	drawLateStarts,
+} from './soak/late-starts.js';
 import {
 	createRecorder,
 	watchLag,
@@ -62,7 +67,11 @@
 };
 
 /** Kinds that do not come beside others. */
-const ownSpanKinds: ReadonlySet<string> = new Set([...upkeepKinds, 'recuts']);
+const ownSpanKinds: ReadonlySet<string> = new Set([
+	...upkeepKinds,
+	'recuts',
+	'late-starts',
+]);
 
 /** Queues of services whose executors keep their ids; they come first. */
 const countKeepingQueues = ({
@@ -144,6 +153,13 @@
 		queues: countKeepingQueues(environment),
 		count: sizes.recuts,
 	});
+	const lateStarts = drawLateStarts({
+		...drawn,
+		...span,
+		random: createRandom(seed + 11),
+		queues: countKeepingQueues(environment),
+		count: sizes.lateStarts,
+	});
 	const schedule = [
 		...others,
 		...moves,
@@ -151,6 +167,7 @@
 		...taskCuts,
 		...upkeep,
 		...recuts,
+		...lateStarts,
 	];
 	const traffic = {
 		queues: environment.queues.map(({pathPrefix}) => pathPrefix),
@@ -176,6 +193,18 @@
 		createRecutJobs(each, traffic.queues, sizes.services),
 	);
 	jobs.push(...recutJobs);
+	const lateJobs = lateStarts.flatMap((each) =>
+		createLateJobs(each, traffic.queues, sizes.services),
+	);
+	jobs.push(
+		...lateJobs,
+		...drawAdviceJobs({
+			...sizes,
+			random: createRandom(seed + 12),
+			queue: environment.adviceQueue.pathPrefix,
+			lengthMs: trafficMs,
+		}),
+	);
 	if (upkeep.length > 0) {
 		jobs.push(...createLastingJobs(sizes, traffic.queues));
 	}
@@ -191,7 +220,7 @@
 	await delay(Math.max(0, startedAtMs + trafficMs - recorder.now()));
 	recorder.note({kind: 'phase', phase: 'traffic ended'});
 	const areRecutJobsDone = async () =>
-		recutJobs.every(({id}) => clients.hasEnded(id));
+		[...recutJobs, ...lateJobs].every(({id}) => clients.hasEnded(id));
 	await Promise.all([
 		waitUntil(areRecutJobsDone, recutSettleMs),
 		delay(sizes.finishMs),
@@ -239,6 +268,7 @@
 	'machine added',
 	'machine gone',
 	'entry lapses',
+	'advice',
 	'lag',
 ] as const;
 
@@ -381,6 +411,9 @@
 			...countEvents(recorder),
 			...upkeep,
 			...nameRecuts(recutCounts),
+			'start carried out late by the next incarnation, times': countLateStarts(
+				recorder.events,
+			),
 		},
 		baselines: {},
 		checks: [
--- a/packages/bench/src/benches/soak/disruptions.ts
+++ b/packages/bench/src/benches/soak/disruptions.ts
@@ -11,6 +11,7 @@
 import {drawBelow, type Random} from '../../frame/random.js';
 import {bringBack, type Daemon} from './daemons.js';
 import {stopOwnerAtStart} from './idle-start.js';
+import {delayStarts} from './late-starts.js';
 import type {Recorder} from './record.js';
 import {cutRestarted} from './recuts.js';
 import {cutTask} from './repeated-cuts.js';
@@ -89,7 +90,7 @@
 
 /** A queue leaves its service; a later version adds it for another one. */
 const moveQueue = async (
-	{queues, operator}: SoakEnvironment,
+	{queues, configure}: SoakEnvironment,
 	index: number,
 	gapMs: number,
 ) => {
@@ -97,10 +98,10 @@
 	const services = [...new Set(queues.map(({service}) => service))];
 	const next =
 		services[(services.indexOf(moved.service) + 1) % services.length];
-	operator.configure(queues.filter((each) => each !== moved));
+	configure(queues.filter((each) => each !== moved));
 	await delay(gapMs);
 	queues[index] = {...moved, service: next ?? moved.service};
-	operator.configure(queues);
+	configure(queues);
 };
 
 /** The executor of an index, or the next one that is up and answers. */
@@ -333,6 +334,9 @@
 	async recuts(disruption, environment, _random, recorder) {
 		await cutRestarted(disruption, environment, recorder);
 	},
+	async 'late-starts'(disruption, environment, _random, recorder) {
+		await delayStarts(disruption, environment, recorder);
+	},
 	async 'idle-start'(disruption, environment, _random, recorder) {
 		await stopOwnerAtStart(disruption, environment, recorder);
 	},
--- a/packages/bench/src/benches/soak/environment.ts
+++ b/packages/bench/src/benches/soak/environment.ts
@@ -2,6 +2,7 @@
 import * as path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {
+	createAdviceService,
 	createGangs,
 	createOperator,
 	createStore,
@@ -32,6 +33,10 @@
 	readonly fleet: Fleet;
 	readonly machines: MachineList;
 	readonly queues: Queue[];
+	/** A queue that needs placement advice; it never moves. */
+	readonly adviceQueue: Queue;
+	/** Configures these queues, and the one that needs advice. */
+	readonly configure: (queues: readonly Queue[]) => void;
 	/** Whether executors reach the store. */
 	reachesStore: boolean;
 	readonly start: () => Promise<boolean>;
@@ -48,6 +53,9 @@
 	'../../../../..',
 );
 
+/** How long the advice service takes. */
+const adviceTimes = {decisionMs: 120, eachMs: 5, validMs: 3000} as const;
+
 /** Two queues for each service. */
 const createQueues = ({services}: SoakSizes): Queue[] =>
 	services.flatMap(({name}) => [
@@ -63,6 +71,7 @@
 ): Promise<SoakEnvironment> => {
 	const {note, now} = recorder;
 	const random = createRandom(seed);
+	const lateRandom = createRandom(seed + 2);
 	// Apart from the others, so that these stay as they are.
 	const clockRandom = createRandom(seed + 1);
 	const store = createStore({
@@ -96,7 +105,7 @@
 			note,
 			now,
 			getClockStartMs: () => drawBelow(clockRandom, 10_000_000),
-			getLateMs: () => 1000 + drawBelow(random, 5000),
+			getLateMs: () => 2000 + drawBelow(lateRandom, 10_000),
 			reachesStore: () => environment.reachesStore,
 		},
 	});
@@ -108,6 +117,7 @@
 		pools: [...sizes.services.map(({name}) => name), standbyPool],
 		listExecutors: () => fleet.listShown(),
 	});
+	const advice = createAdviceService(host, adviceTimes, note);
 	const addresses = await findAddresses(sizes.daemons);
 	const daemons: Daemon[] = [];
 	for (const [index, ip] of addresses.entries()) {
@@ -124,6 +134,7 @@
 					...toAddressFields(),
 					storeAddress: listener.address,
 					machinesAddress: machines.address,
+					adviceAddress: await advice.listen(name),
 					memoryMb: 350,
 				},
 			}),
@@ -137,6 +148,17 @@
 		return ready.every(Boolean);
 	};
 
+	const service = sizes.services[0]!.name;
+	const adviceQueue = {
+		pathPrefix: `/${service}-advice/`,
+		service,
+		advice: adviceTimes,
+	};
+
+	const configure = (queues: readonly Queue[]) => {
+		operator.configure([...queues, adviceQueue]);
+	};
+
 	const environment: SoakEnvironment = {
 		store,
 		operator,
@@ -145,9 +167,11 @@
 		fleet,
 		machines,
 		queues: createQueues(sizes),
+		adviceQueue,
+		configure,
 		reachesStore: true,
 		async start() {
-			operator.configure(environment.queues);
+			configure(environment.queues);
 			await Promise.all(
 				executors
 					.filter((each) => !each.isOff())
@@ -166,6 +190,7 @@
 			}
 
 			machines.close();
+			advice.close();
 			store.close();
 		},
 	};
--- a/packages/bench/src/benches/soak/jobs.ts
+++ b/packages/bench/src/benches/soak/jobs.ts
@@ -336,3 +336,32 @@
 		{length: count},
 		(_, index) => `${id}.${occurrence}.${step}.${index}`,
 	);
+
+/** Draws jobs that need placement advice: bursts of small ones. */
+export const drawAdviceJobs = ({
+	random,
+	queue,
+	lengthMs,
+	adviceBursts,
+	adviceJobs,
+}: {
+	readonly random: Random;
+	readonly queue: string;
+	readonly lengthMs: number;
+	readonly adviceBursts: number;
+	readonly adviceJobs: number;
+}): readonly JobPlan[] =>
+	Array.from({length: adviceBursts}).flatMap(() => {
+		const atMs = drawBelow(random, lengthMs);
+		return Array.from({length: adviceJobs}, () =>
+			createPlainJob({
+				id: `ad1c${drawBelow(random, 2 ** 48)
+					.toString(16)
+					.padStart(12, '0')}`,
+				queue,
+				count: 2,
+				workMs: 500,
+				atMs,
+			}),
+		);
+	});
--- a/packages/bench/src/benches/soak/recuts.ts
+++ b/packages/bench/src/benches/soak/recuts.ts
@@ -87,8 +87,8 @@
 const replacedMaxMs = 12_000;
 
 /** Stops the owner of a service; resolves when it is back. */
-const stopOwner = async (
-	{owner: trouble, backMs}: OfKind<'recuts'>,
+export const stopOwner = async (
+	{owner: trouble, backMs}: Pick<OfKind<'recuts'>, 'owner' | 'backMs'>,
 	{service, owner}: {readonly service: string; readonly owner: Daemon},
 	environment: SoakEnvironment,
 	{note}: Recorder,
@@ -130,7 +130,7 @@
 };
 
 /** Some of the executors of a service that keep their ids, all but one at most. */
-const chooseExecutors = (
+export const chooseExecutors = (
 	{executors, fleet}: SoakEnvironment,
 	service: string,
 	share: number,
--- a/packages/bench/src/benches/soak/schedule.ts
+++ b/packages/bench/src/benches/soak/schedule.ts
@@ -182,6 +182,29 @@
 			readonly ownerShare: number;
 			readonly backMs: number;
 	  }
+	/**
+	 * Executors of a service leave starts without an answer and are cut off. They
+	 * crash behind the cut, start again under their ids and carry the starts out
+	 * late, still cut off; meanwhile the owner of the service may stop.
+	 */
+	| {
+			readonly kind: 'late-starts';
+			readonly queue: number;
+			/** Its jobs, which come with it; their numbers follow. */
+			readonly job: string;
+			readonly workMs: number;
+			readonly share: number;
+			/** How long commands stay without an answer before the cut. */
+			readonly heldMs: number;
+			/** From the cut until the crash. */
+			readonly crashAfterMs: number;
+			readonly downMs: number;
+			readonly cutMs: number;
+			/** Whether their heartbeats reach the store. */
+			readonly isListed: boolean;
+			readonly owner: OwnerTrouble;
+			readonly backMs: number;
+	  }
 	/**
 	 * After an idle time the owner of a service stops as a job has just started,
 	 * and the executors of the job are cut off.
@@ -277,6 +300,7 @@
 	'service-cut-unlisted': 0,
 	'task-cuts': 0,
 	recuts: 0,
+	'late-starts': 0,
 	// Comes after the traffic.
 	'idle-start': 0,
 	'executor-add': 0,
@@ -518,6 +542,22 @@
 		ownerShare: random(),
 		backMs: drawMs(200, 3000),
 	}),
+	'late-starts': ({random, queue, drawMs}) => ({
+		kind: 'late-starts',
+		queue,
+		job: `1a7e${drawBelow(random, 2 ** 44)
+			.toString(16)
+			.padStart(11, '0')}`,
+		workMs: drawMs(14_000, 20_000),
+		share: pick(random, [0.3, 0.5]),
+		heldMs: drawMs(200, 500),
+		crashAfterMs: drawMs(500, 3000),
+		downMs: drawMs(1000, 5000),
+		cutMs: drawMs(9000, 16_000),
+		isListed: random() < 0.8,
+		owner: pick(random, ownerTroubles),
+		backMs: drawMs(200, 3000),
+	}),
 	'idle-start': ({queue, drawMs}) => ({
 		kind: 'idle-start',
 		queue,
--- a/packages/bench/src/benches/soak/sizes.ts
+++ b/packages/bench/src/benches/soak/sizes.ts
@@ -41,6 +41,11 @@
 	readonly taskCuts: number;
 	/** Restarts of executors that are cut off soon after. */
 	readonly recuts: number;
+	/** Starts without an answer that are carried out behind a cut. */
+	readonly lateStarts: number;
+	/** Bursts on a queue that needs placement advice, and the jobs of each. */
+	readonly adviceBursts: number;
+	readonly adviceJobs: number;
 };
 
 const finishMs = 14_000;
@@ -73,6 +78,9 @@
 		idleMs: 60_000,
 		taskCuts: 1,
 		recuts: 6,
+		lateStarts: 2,
+		adviceBursts: 2,
+		adviceJobs: 12,
 	},
 	usual: {
 		daemons: 5,
@@ -102,6 +110,9 @@
 		idleMs: 60_000,
 		taskCuts: 4,
 		recuts: 10,
+		lateStarts: 3,
+		adviceBursts: 3,
+		adviceJobs: 16,
 	},
 	large: {
 		daemons: 24,
@@ -132,6 +143,9 @@
 		idleMs: 60_000,
 		taskCuts: 4,
 		recuts: 12,
+		lateStarts: 3,
+		adviceBursts: 3,
+		adviceJobs: 16,
 	},
 	/** Pools of the fewest executors, on which waves take all at once. */
 	'small-pools': {
@@ -162,6 +176,9 @@
 		idleMs: 5000,
 		taskCuts: 0,
 		recuts: 0,
+		lateStarts: 0,
+		adviceBursts: 1,
+		adviceJobs: 8,
 	},
 	/** Many processes, for restarts and cuts on many executors. */
 	'many-daemons': {
@@ -193,5 +210,8 @@
 		idleMs: 30_000,
 		taskCuts: 2,
 		recuts: 24,
+		lateStarts: 4,
+		adviceBursts: 2,
+		adviceJobs: 12,
 	},
 } as const satisfies Readonly<Record<string, SoakSizes>>;
