Acknowledge no end while a start has no answer

The next incarnation of the executor carried the start out, the task ended, and the late acknowledgement, which was meant for ends of the former incarnation, made it forget that end, so that the task was started again.

Evidence: in both records `acknowledged` comes with a command for the former incarnation after the end, and before any poll of the next one; the ends of the leases (`untilMs`) show that the start was sent first. That rules out a second start beside the run.

An acknowledgement now waits for the answers to starts there, for 1 s at most, which is more than a start has for its answer. Until then the executor is polled every 35 ms in place of at once. What is not closed: a start that is sent while an acknowledgement is under way.

--- a/packages/daemon/src/jobs/owner/executor-link.test.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {scheduler} from '@gullstand/core';
 import type {Executors, PollAnswer} from '@gullstand/ports';
 import * as tap from 'tap';
@@ -296,3 +297,55 @@
 		},
 	);
 }
+
+/**
+ * Guards against a task that runs twice: its start and an acknowledgement sent
+ * just after were both carried out by the next incarnation of the executor, which
+ * discarded the end of the task unseen.
+ */
+tap.t.test('no end is acknowledged while a start has no answer', async (t) => {
+	const cfg = scheduler.defaultSchedulerConfig;
+	const owner = scheduler.createOwner('s', 1, cfg, 0);
+	scheduler.recordListedExecutor(owner, createListedExecutor('x'), 0);
+	const executor = owner.executors.get('x')!;
+	const acks: number[] = [];
+	const link = openExecutorLink({
+		owner,
+		executor,
+		executors: {
+			...createExecutors(seen, []),
+			async poll(_target, {acknowledgedUpto}) {
+				acks.push(acknowledgedUpto);
+				await delay(10);
+				return seen;
+			},
+		},
+		now,
+		isOwnershipConfirmed: () => true,
+		logger: {info: () => undefined as never, warn: () => undefined as never},
+		reportFailure(err) {
+			t.fail(err.message);
+		},
+		onChange: () => undefined,
+		onPoll: () => undefined,
+		onFenced: () => undefined,
+		onStartAnswer: () => undefined,
+	});
+	t.teardown(link.close);
+	await delay(50);
+	addIsolatedRun(owner);
+	executor.acknowledgedUpto = 1;
+	link.notifyAckable();
+	await delay(500);
+	t.ok(acks.length > 1, 'it is polled');
+	t.ok(
+		acks.every((each) => each === 0),
+		`acknowledged: ${acks.join(', ')}`,
+	);
+	for (const run of executor.runs.values()) {
+		run.state = 'running';
+	}
+
+	await delay(200);
+	t.ok(acks.includes(1), 'it is acknowledged after the answer');
+});
--- a/packages/daemon/src/jobs/owner/executor-link.ts
+++ b/packages/daemon/src/jobs/owner/executor-link.ts
@@ -60,6 +60,8 @@
 	isPollRequested: boolean;
 	/** Highest end number acknowledged by a poll that was answered. */
 	ackSent: number;
+	/** Since when an acknowledgement has waited; absent if none does. */
+	ackWaitsSince: number | undefined;
 	retryMs: number;
 };
 
@@ -99,6 +101,7 @@
 		isClosed: false,
 		isPollRequested: true,
 		ackSent: 0,
+		ackWaitsSince: undefined,
 		retryMs: periods.pollRetryMs,
 	};
 
@@ -136,6 +139,13 @@
 		}
 	};
 
+	/** An executor whose ends wait for an acknowledgement answers at once. */
+	const pauseForStarts = async () => {
+		if (state.ackWaitsSince !== undefined) {
+			await ackPause.wait(periods.ackPauseMs);
+		}
+	};
+
 	/** Waits, so that one poll lists several ends. */
 	const pauseForGap = async (answeredAt: number) => {
 		const gapMs = scheduler.getMinPollIntervalMs(owner.startWindow);
@@ -261,15 +271,33 @@
 				);
 	};
 
+	/**
+	 * Returns up to which end to acknowledge, or 0. That is sent once only, as the
+	 * next incarnation would discard ends that nobody has seen. It might also carry
+	 * out a start that is under way and discard its end, so that an acknowledgement
+	 * waits for the answers to starts.
+	 */
+	const takeAcknowledgement = (): number => {
+		const {acknowledgedUpto, isFenced, runs} = executor;
+		if (!isFenced || acknowledgedUpto <= state.ackSent) {
+			state.ackWaitsSince = undefined;
+			return 0;
+		}
+
+		state.ackWaitsSince ??= now();
+		const isStarting = [...runs.values()].some((run) => run.state === 'asked');
+		if (isStarting && now() - state.ackWaitsSince < periods.ackDelayMs) {
+			return 0;
+		}
+
+		state.ackWaitsSince = undefined;
+		return acknowledgedUpto;
+	};
+
 	const pollOnce = async () => {
 		const isResponsive =
 			executor.isAdopted && executor.unresponsiveSince === undefined;
-		const {acknowledgedUpto: ackable} = executor;
-		// Sent once only: another incarnation would discard ends not seen yet.
-		const acknowledgedUpto =
-			isResponsive && executor.isFenced && ackable > state.ackSent
-				? ackable
-				: 0;
+		const acknowledgedUpto = isResponsive ? takeAcknowledgement() : 0;
 		const isBusy = executor.runs.size > 0 || executor.orphanedRunCount > 0;
 		// A lease that rests on an old reading is short, and renewed at once.
 		const mayWait =
@@ -302,6 +330,7 @@
 				applyAnswer(seen, {sentAt, fencingToken});
 				const answeredAt = now();
 				await pauseForAck();
+				await pauseForStarts();
 				await pauseForGap(answeredAt);
 			})
 			.with({kind: 'fenced'}, async () => {
--- a/packages/daemon/src/jobs/periods.ts
+++ b/packages/daemon/src/jobs/periods.ts
@@ -54,6 +54,11 @@
 	 * that would list them again is answered at once.
 	 */
 	ackPauseMs: 35,
+	/**
+	 * Longest time for which an acknowledgement waits for the answers to starts,
+	 * longer than `commandTimeoutMs`.
+	 */
+	ackDelayMs: 1000,
 	/** Shortest gap between two polls for which a timer is started. */
 	minPollGapMs: 10,
 	/** Between checks whether the previous owner has released the shard. */
