Bound the advice that a plan wants, and wait as long as a call costs

A plan now wants 100 requests at most, in its own order, by step; a call has at least twice the time after which it is overdue. Lines name the shard, as others do.

advice-line.test.ts has a case for the time-out, which was 15 s for any call; the tests of advice pass.

--- a/packages/core/src/scheduler/placement/advice-line.test.ts
+++ b/packages/core/src/scheduler/placement/advice-line.test.ts
@@ -297,3 +297,12 @@
 	t.match(planAndStart(owner, 20), [{kind: 'start'}]);
 	t.same(planAndStart(owner, 5000), [], 'the other task has no room');
 });
+
+tap.t.test('a call is not given up before its answer is due', async (t) => {
+	const {call} = scheduler.beginAdviceCall(
+		scheduler.emptyAdviceLine,
+		20_000,
+		0,
+	);
+	t.ok(call.timeoutMs > call.overdueAt, `${call.timeoutMs} ms`);
+});
--- a/packages/core/src/scheduler/placement/advice-line.ts
+++ b/packages/core/src/scheduler/placement/advice-line.ts
@@ -16,7 +16,7 @@
 	readonly overdueFactor: number;
 	/** ... and this, for the network. */
 	readonly allowanceMs: number;
-	/** After which a call is given up. */
+	/** Shortest time after which a call is given up. */
 	readonly timeoutMs: number;
 	/** Pause after a call that failed; it doubles with each further one ... */
 	readonly pauseMs: number;
@@ -45,6 +45,8 @@
 	/** Until its answer, those of the calls before included, in milliseconds. */
 	readonly expectedMs: number;
 	readonly overdueAt: number;
+	/** After which it is given up. */
+	readonly timeoutMs: number;
 };
 
 /** The calls of a daemon, and how the service has answered lately. */
@@ -86,11 +88,13 @@
 	const {calls, slowness} = line;
 	const stated = costMs + calls.reduce((sum, each) => sum + each.costMs, 0);
 	const expectedMs = stated * slowness;
+	const allowedMs = cfg.overdueFactor * expectedMs + cfg.allowanceMs;
 	const call = {
 		sentAt: now,
 		costMs,
 		expectedMs,
-		overdueAt: now + cfg.overdueFactor * expectedMs + cfg.allowanceMs,
+		overdueAt: now + allowedMs,
+		timeoutMs: Math.max(cfg.timeoutMs, 2 * allowedMs),
 	};
 	return {line: {...line, calls: [...calls, call]}, call};
 };
--- a/packages/core/src/scheduler/placement/placement-advice.ts
+++ b/packages/core/src/scheduler/placement/placement-advice.ts
@@ -40,6 +40,9 @@
 /** Limit per request, since the service takes time for each executor. */
 const maxExecutorsPerRequest = 30;
 
+/** Requests that one plan wants: more than are sent before the next one. */
+const maxWishes = 100;
+
 /** Executors asked for in proportion to the tasks that wait. */
 const spareFactor = 2;
 
@@ -173,7 +176,8 @@
 ): void => {
 	const advice = getOrCreateAdvice(owner, step);
 	const isPending = advice.pendingRequests > 0 && !advice.isOverdue;
-	if (isPending || now < advice.retryAt) {
+	const isEnough = owner.adviceWishes.size >= maxWishes;
+	if (isPending || isEnough || now < advice.retryAt) {
 		return;
 	}
 
@@ -206,17 +210,14 @@
 		(fitting.has(executor) ? rankWeights.hasRoom : 0) +
 		(findAdvice(advice, executor) ? rankWeights.wasNamed : 0) +
 		(getRack(executor) === step.spec.preferredRack ? rankWeights.nearData : 0);
-	owner.adviceWishes = [
-		...owner.adviceWishes.filter((wish) => wish.step !== step),
-		{
-			step,
-			executors: candidates
-				.toSorted((one, two) => getRank(two) - getRank(one))
-				.slice(0, getRequestSize(step, waiting)),
-			wantedSince: advice.wantedSince,
-			hasRoom,
-		},
-	];
+	owner.adviceWishes.set(step, {
+		step,
+		executors: candidates
+			.toSorted((one, two) => getRank(two) - getRank(one))
+			.slice(0, getRequestSize(step, waiting)),
+		wantedSince: advice.wantedSince,
+		hasRoom,
+	});
 };
 
 /**
@@ -247,7 +248,7 @@
 
 /** Returns the most urgent wish of an owner whose tasks still wait. */
 export const findAdviceWish = ({adviceWishes}: Owner): AdviceWish | undefined =>
-	adviceWishes
+	[...adviceWishes.values()]
 		.filter((wish) => isStillWanted(wish))
 		.toSorted((one, two) => compareWishes(one, two))[0];
 
@@ -257,7 +258,7 @@
 	wish: AdviceWish,
 ): AdviceRequest => {
 	const {step, executors} = wish;
-	owner.adviceWishes = owner.adviceWishes.filter((each) => each !== wish);
+	owner.adviceWishes.delete(step);
 	const advice = getOrCreateAdvice(owner, step);
 	advice.pendingRequests += 1;
 	advice.isOverdue = false;
--- a/packages/core/src/scheduler/plan/plan.ts
+++ b/packages/core/src/scheduler/plan/plan.ts
@@ -206,7 +206,7 @@
 	now: number,
 	epochNow: number,
 ): readonly Command[] => {
-	owner.adviceWishes = [];
+	owner.adviceWishes.clear();
 	expireEvacuations(owner, now);
 	updateEvacuationTurns(owner, now);
 	forgetEndedGangs(owner);
--- a/packages/core/src/scheduler/reports/explain.ts
+++ b/packages/core/src/scheduler/reports/explain.ts
@@ -51,7 +51,7 @@
 	const state =
 		own !== undefined && own.pendingRequests > 0
 			? 'a request is under way'
-			: `${adviceWishes.length} steps of the service wait for their turn`;
+			: `${adviceWishes.size} steps of the service wait for their turn`;
 	return `it needs placement advice, wanted for ${waitedMs} ms: ${state}`;
 };
 
--- a/packages/core/src/scheduler/state/owner-state.ts
+++ b/packages/core/src/scheduler/state/owner-state.ts
@@ -146,8 +146,8 @@
 	flushingJobs: ReadonlySet<Job>;
 	/** Placement advice by step id. */
 	readonly advice: Map<string, StepAdvice>;
-	/** Requests for advice that the latest plan wants, most urgent first. */
-	adviceWishes: readonly AdviceWish[];
+	/** Requests for advice that the latest plan wants. */
+	readonly adviceWishes: Map<Step, AdviceWish>;
 	/** Work submitted recently. */
 	arrivals: Arrivals;
 	/** Limits the number of concurrent start commands. */
--- a/packages/core/src/scheduler/state/owner.ts
+++ b/packages/core/src/scheduler/state/owner.ts
@@ -87,7 +87,7 @@
 	flushNumber: 1,
 	flushingJobs: new Set(),
 	advice: new Map(),
-	adviceWishes: [],
+	adviceWishes: new Map(),
 	arrivals: noArrivals,
 	startWindow: initialStartWindow,
 	capLimits: new Map(),
--- a/packages/core/src/scheduler/state/unanswered-starts.ts
+++ b/packages/core/src/scheduler/state/unanswered-starts.ts
@@ -148,7 +148,8 @@
 	noteUnansweredStarts(owner);
 };
 
-const setInheritedStarts = (
+/** Sets the starts of earlier owners, as the stored roster names them. */
+export const inheritStarts = (
 	owner: Owner,
 	executorId: string,
 	starts: readonly UnansweredStart[],
@@ -164,9 +165,6 @@
 	);
 };
 
-/** Adds starts of earlier owners, as the stored roster names them. */
-export const inheritStarts = setInheritedStarts;
-
 /**
  * Forgets the starts of earlier owners on an executor that has answered a poll:
  * it lists those that it has carried out, and refuses the others.
@@ -176,7 +174,7 @@
 	executorId: string,
 ): void => {
 	if (owner.inheritedStarts.has(executorId)) {
-		setInheritedStarts(owner, executorId, []);
+		inheritStarts(owner, executorId, []);
 	}
 };
 
@@ -188,7 +186,7 @@
 			({sentAt}) => executor && mayTakeEffect(owner, executor, sentAt, now),
 		);
 		if (left.length < starts.length) {
-			setInheritedStarts(owner, id, left);
+			inheritStarts(owner, id, left);
 		}
 	}
 };
--- a/packages/daemon/src/jobs/owner/advice-caller.ts
+++ b/packages/daemon/src/jobs/owner/advice-caller.ts
@@ -13,8 +13,8 @@
 
 /** An owner whose steps need advice. */
 export type AdviceClient = {
-	/** Service of the owner. */
-	readonly service: string;
+	/** Shard of the owner's service. */
+	readonly shard: string;
 	/** Absent until its state is loaded. */
 	readonly getOwner: () => scheduler.Owner | undefined;
 	/** Called after an answer was applied to the owner's state. */
@@ -64,7 +64,9 @@
 	const sent = new Set<Sent>();
 
 	const listWishes = (): readonly scheduler.AdviceWish[] =>
-		deps.listClients().flatMap(({getOwner}) => getOwner()?.adviceWishes ?? []);
+		deps
+			.listClients()
+			.flatMap(({getOwner}) => [...(getOwner()?.adviceWishes.values() ?? [])]);
 
 	metrics.registerGauge('advice_wanted', '', () => listWishes().length);
 	metrics.registerGauge('advice_calls_open', '', () => line.calls.length);
@@ -97,10 +99,7 @@
 		line = begun.line;
 		const entry: Sent = {call: begun.call, owner, request, isOverdue: false};
 		sent.add(entry);
-		const answer = await advice.requestAdvice(
-			request,
-			scheduler.defaultAdviceLineConfig.timeoutMs,
-		);
+		const answer = await advice.requestAdvice(request, begun.call.timeoutMs);
 		sent.delete(entry);
 		if (isStopped) {
 			return;
@@ -118,7 +117,7 @@
 			.exhaustive();
 		metrics.count('advice_calls', outcome);
 		logger.info('advice', {
-			service: client.service,
+			shard: client.shard,
 			step: request.stepId,
 			asked: request.executorIds.length,
 			outcome,
--- a/packages/daemon/src/jobs/owner/owned-services.ts
+++ b/packages/daemon/src/jobs/owner/owned-services.ts
@@ -119,7 +119,7 @@
 			now: clock.now,
 			listClients: () =>
 				[...runners].map(([shard, {getOwner, replan}]) => ({
-					service: shard,
+					shard,
 					getOwner,
 					onAdvice: replan,
 				})),
--- a/packages/daemon/src/jobs/owner/owner-runner.ts
+++ b/packages/daemon/src/jobs/owner/owner-runner.ts
@@ -393,7 +393,7 @@
 				links?.get(command.executor.id)?.send(command);
 			}
 		} else {
-			owner.adviceWishes = [];
+			owner.adviceWishes.clear();
 		}
 
 		deps.onPlan();
