test: bound the lateness of calls where leases are bounded

It shortens the longest lease to 5 s already, and now the longest lateness to 3 s too; the call there is carried out 0.8 s late. What it checks is the same: nothing else runs as the task starts elsewhere.

--- a/packages/daemon/src/jobs/job-daemon.test.fixture.ts
+++ b/packages/daemon/src/jobs/job-daemon.test.fixture.ts
@@ -133,7 +133,7 @@
 	changes: Partial<
 		Pick<
 			scheduler.SchedulerConfig,
-			'maxLeaseMs' | 'rejectsUnservableJobs' | 'taskLeaseMs'
+			'maxLateMs' | 'maxLeaseMs' | 'rejectsUnservableJobs' | 'taskLeaseMs'
 		> &
 			teams.KeyPolicy
 	> = {},
--- a/packages/daemon/src/jobs/start-for-a-former-incarnation.test.ts
+++ b/packages/daemon/src/jobs/start-for-a-former-incarnation.test.ts
@@ -27,6 +27,9 @@
 /** Longest lease that executors accept. */
 const maxLeaseMs = 5000;
 
+/** Longest time until a call is carried out that has no answer. */
+const maxLateMs = 3000;
+
 /** Until a start without an answer has timed out. */
 const unansweredMs = 800;
 
@@ -101,7 +104,7 @@
 			(err) => {
 				t.fail(err.message);
 			},
-			{maxLeaseMs},
+			{maxLateMs, maxLeaseMs},
 		);
 		t.teardown(async () => started.stop());
 		return started;
